--- /dev/null
+++ b/failure/failure.go
@@ -0,0 +1,139 @@
+// Package failure defines the typed errors that reach callers, operators and
+// peers. Every refusal carries a stable code, whether the request ran, and,
+// where it helps, when to come back.
+package failure
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Code is a stable name of a failure. Callers may match on it.
+type Code string
+
+// Codes of the failures that callers can meet.
+const (
+	CodeUnauthenticated    Code = "unauthenticated"
+	CodeVersionNotAllowed  Code = "version_not_allowed"
+	CodeServiceNotAllowed  Code = "service_not_allowed"
+	CodeVersionWithdrawn   Code = "version_withdrawn"
+	CodeUnknownKind        Code = "unknown_kind"
+	CodeMalformedRequest   Code = "malformed_request"
+	CodeBodyTooLarge       Code = "body_too_large"
+	CodeKeyRequired        Code = "idempotency_key_required"
+	CodeKeyReused          Code = "idempotency_key_reused"
+	CodeInProgress         Code = "request_in_progress"
+	CodeOutcomeUnknown     Code = "outcome_unknown"
+	CodeDeadlinePassed     Code = "deadline_passed"
+	CodeNoCapacity         Code = "no_capacity"
+	CodeLimitExceeded      Code = "limit_exceeded"
+	CodeSpendExceeded      Code = "spend_exceeded"
+	CodeBelowTarget        Code = "quality_target_unreachable"
+	CodeNoConfiguration    Code = "no_configuration"
+	CodeConfigurationStale Code = "configuration_stale"
+	CodeLedgerUnavailable  Code = "ledger_unavailable"
+	CodeLeaving            Code = "daemon_leaving"
+	CodeEngineFailed       Code = "engine_failed"
+	CodeAnswerBroken       Code = "answer_broken"
+	CodeNotFound           Code = "not_found"
+	CodeInternal           Code = "internal"
+)
+
+// Ran tells whether the request ran on a backend server.
+type Ran string
+
+// The values of Ran. RanNo is a promise: nothing was executed.
+const (
+	RanNo      Ran = "no"
+	RanYes     Ran = "yes"
+	RanUnknown Ran = "unknown"
+)
+
+// Error is a failure with a stable code. The zero RetryAfter means that the
+// caller gets no advice on when to come back.
+type Error struct {
+	Code       Code
+	Ran        Ran
+	Message    string
+	RetryAfter time.Duration
+	// Entries are addresses to use instead, if any.
+	Entries []string
+	cause   error
+}
+
+// New returns an Error without a cause.
+func New(code Code, ran Ran, format string, args ...any) *Error {
+	return &Error{Code: code, Ran: ran, Message: fmt.Sprintf(format, args...)}
+}
+
+// Wrap returns an Error caused by err. The text of err is not shown to callers.
+func Wrap(err error, code Code, ran Ran, format string, args ...any) *Error {
+	e := New(code, ran, format, args...)
+	e.cause = err
+	return e
+}
+
+// After sets when the caller should come back and returns e.
+func (e *Error) After(d time.Duration) *Error {
+	e.RetryAfter = d
+	return e
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.cause != nil {
+		return fmt.Sprintf("%s: %s: %v", e.Code, e.Message, e.cause)
+	}
+	return fmt.Sprintf("%s: %s", e.Code, e.Message)
+}
+
+// Unwrap returns the cause, or nil.
+func (e *Error) Unwrap() error { return e.cause }
+
+// From returns err as an Error. An error without a type becomes CodeInternal
+// with an unknown outcome, the only safe reading of it.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Wrap(err, CodeInternal, RanUnknown, "internal error")
+}
+
+// statuses gives the HTTP status of each code.
+var statuses = map[Code]int{
+	CodeUnauthenticated:    http.StatusUnauthorized,
+	CodeVersionNotAllowed:  http.StatusForbidden,
+	CodeServiceNotAllowed:  http.StatusForbidden,
+	CodeVersionWithdrawn:   http.StatusGone,
+	CodeUnknownKind:        http.StatusBadRequest,
+	CodeMalformedRequest:   http.StatusBadRequest,
+	CodeBodyTooLarge:       http.StatusRequestEntityTooLarge,
+	CodeKeyRequired:        http.StatusBadRequest,
+	CodeKeyReused:          http.StatusUnprocessableEntity,
+	CodeInProgress:         http.StatusConflict,
+	CodeOutcomeUnknown:     http.StatusBadGateway,
+	CodeDeadlinePassed:     http.StatusGatewayTimeout,
+	CodeNoCapacity:         http.StatusServiceUnavailable,
+	CodeLimitExceeded:      http.StatusTooManyRequests,
+	CodeSpendExceeded:      http.StatusPaymentRequired,
+	CodeBelowTarget:        http.StatusServiceUnavailable,
+	CodeNoConfiguration:    http.StatusServiceUnavailable,
+	CodeConfigurationStale: http.StatusServiceUnavailable,
+	CodeLedgerUnavailable:  http.StatusServiceUnavailable,
+	CodeLeaving:            http.StatusServiceUnavailable,
+	CodeEngineFailed:       http.StatusBadGateway,
+	CodeAnswerBroken:       http.StatusBadGateway,
+	CodeNotFound:           http.StatusNotFound,
+	CodeInternal:           http.StatusInternalServerError,
+}
+
+// HTTPStatus returns the HTTP status that goes with the code.
+func (e *Error) HTTPStatus() int {
+	if s, ok := statuses[e.Code]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
