Decode, validate and index the configuration, with both examples

Ruled out: decoding into the messages by reflection of our own (goccy/go-yaml, JSON and protojson do it); aliases and merge keys in files (a small file can expand without bound); stopping at the first fault.

--- /dev/null
+++ b/config/examples_test.go
@@ -0,0 +1,83 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+)
+
+// load decodes the register and the rules of an example.
+func load(tb testing.TB, example string) (*bronzeturnv1.Register, *bronzeturnv1.Rules) {
+	tb.Helper()
+	read := func(file string) (string, []byte) {
+		path := filepath.Join("..", "examples", example, file)
+		data, err := os.ReadFile(path)
+		qt.Assert(tb, err, qt.IsNil)
+		return path, data
+	}
+	path, data := read("register.yaml")
+	reg, err := DecodeRegister(path, data)
+	qt.Assert(tb, err, qt.IsNil)
+	path, data = read("rules.yaml")
+	rules, err := DecodeRules(path, data)
+	qt.Assert(tb, err, qt.IsNil)
+	return reg, rules
+}
+
+func TestExamplesAreComplete(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		pools map[string]int
+		kinds []string
+		once  string
+	}{
+		{"campina-verde", map[string]int{"diag-llm": 9, "dock-app": 3}, []string{"quick", "tag", "report", "explain"}, "tag"},
+		{"andina", map[string]int{"modelo-pool": 9, "ruta-api": 3}, []string{"sheet", "price", "settlement", "reorder", "crate-tag"}, "reorder"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			reg, rules := load(t, tt.name)
+			s, err := NewSnapshot(1, reg, rules)
+			c.Assert(err, qt.IsNil)
+			for pool, n := range tt.pools {
+				c.Assert(s.PoolEngines(pool), qt.HasLen, n)
+			}
+			c.Assert(reg.GetOrganisations(), qt.HasLen, 10)
+			for _, org := range reg.GetOrganisations() {
+				got, ok := s.Authenticate("key-" + org.GetName())
+				c.Assert(ok, qt.IsTrue)
+				c.Assert(got.GetName(), qt.Equals, org.GetName())
+			}
+			for _, name := range tt.kinds {
+				kind, ok := s.Kind(name)
+				c.Assert(ok, qt.IsTrue, qt.Commentf("%s", name))
+				c.Assert(kind.GetIdempotent(), qt.Equals, name != tt.once)
+				c.Assert(reachable(s, kind), qt.IsTrue, qt.Commentf("%s", name))
+			}
+		})
+	}
+}
+
+// reachable tells whether a version in use is expected to reach the target and
+// is served in at least two data centres.
+func reachable(s *Snapshot, kind *bronzeturnv1.TaskKind) bool {
+	for _, version := range s.Register().GetVersions() {
+		if _, withdrawn := s.Withdrawn(version.GetName()); withdrawn {
+			continue
+		}
+		centres := make(map[string]bool)
+		for _, engine := range s.Engines(version.GetName()) {
+			centres[engine.GetDataCentre()] = true
+		}
+		for _, prior := range version.GetPriorQualityByKind() {
+			if prior.GetKind() == kind.GetName() && prior.GetQuality() >= kind.GetQualityTarget() && len(centres) > 1 {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/config/lookup.go
@@ -0,0 +1,96 @@
+package config
+
+import bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+
+// Organisation returns the organisation of that name.
+func (s *Snapshot) Organisation(name string) (*bronzeturnv1.Organisation, bool) {
+	org, ok := s.organisations[name]
+	return org, ok
+}
+
+// Kind returns the task kind of that name. The empty name means DefaultKind.
+func (s *Snapshot) Kind(name string) (*bronzeturnv1.TaskKind, bool) {
+	if name == "" {
+		name = DefaultKind
+	}
+	kind, ok := s.kinds[name]
+	return kind, ok
+}
+
+// Version returns the version of that name.
+func (s *Snapshot) Version(name string) (*bronzeturnv1.Version, bool) {
+	version, ok := s.versions[name]
+	return version, ok
+}
+
+// VersionsOf returns the names of the model's versions, sorted, nil if the
+// model is unknown or has none. The slice is shared and must not be modified.
+func (s *Snapshot) VersionsOf(model string) []string { return s.byModel[model] }
+
+// Allowed tells whether the register lets the organisation use the version.
+// Withdrawals are not considered.
+func (s *Snapshot) Allowed(organisation, version string) bool {
+	a, ok := s.access[organisation]
+	return ok && a.allowed.has(version)
+}
+
+// AllowedVersions returns the versions that the register lets the organisation
+// use, sorted, withdrawn ones included. The slice is shared and must not be
+// modified.
+func (s *Snapshot) AllowedVersions(organisation string) []string {
+	a, ok := s.access[organisation]
+	if !ok {
+		return nil
+	}
+	return a.versions
+}
+
+// Withdrawn returns the withdrawal of the version, if there is one.
+func (s *Snapshot) Withdrawn(version string) (*bronzeturnv1.Withdrawal, bool) {
+	w, ok := s.withdrawals[version]
+	return w, ok
+}
+
+// Engine returns the engine of that name.
+func (s *Snapshot) Engine(name string) (*bronzeturnv1.Engine, bool) {
+	engine, ok := s.engines[name]
+	return engine, ok
+}
+
+// Engines returns the engines that the register says serve the version, in
+// order of their names. The slice is shared and must not be modified.
+func (s *Snapshot) Engines(version string) []*bronzeturnv1.Engine { return s.byVersion[version] }
+
+// Pool returns the pool of that name.
+func (s *Snapshot) Pool(name string) (*bronzeturnv1.Pool, bool) {
+	pool, ok := s.pools[name]
+	return pool, ok
+}
+
+// PoolEngines returns the engines of the pool in order of their names. The
+// slice is shared and must not be modified.
+func (s *Snapshot) PoolEngines(pool string) []*bronzeturnv1.Engine { return s.byPool[pool] }
+
+// Service returns the plain service of that name.
+func (s *Snapshot) Service(name string) (*bronzeturnv1.Service, bool) {
+	service, ok := s.services[name]
+	return service, ok
+}
+
+// ServiceAllowed tells whether the organisation may call the plain service.
+func (s *Snapshot) ServiceAllowed(organisation, service string) bool {
+	a, ok := s.access[organisation]
+	return ok && a.services.has(service)
+}
+
+// Limit returns the limit of the organisation, if it has one.
+func (s *Snapshot) Limit(organisation string) (*bronzeturnv1.Limit, bool) {
+	limit, ok := s.limits[organisation]
+	return limit, ok
+}
+
+// Rollout returns the roll-out that introduces the version, if there is one.
+func (s *Snapshot) Rollout(version string) (*bronzeturnv1.Rollout, bool) {
+	rollout, ok := s.rollouts[version]
+	return rollout, ok
+}
--- /dev/null
+++ b/config/parts.go
@@ -0,0 +1,88 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+)
+
+const (
+	// MaxParts bounds the parts that one head may name.
+	MaxParts = 4096
+	// MaxPartBytes bounds one part, well below the store's limit.
+	MaxPartBytes = 512 << 10
+	// MaxTotalBytes bounds all parts of one head together.
+	MaxTotalBytes = 16 << 20
+)
+
+// Digest is the SHA-256 of the stored bytes of a part.
+type Digest [sha256.Size]byte
+
+// String returns the digest in lower-case hexadecimal.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// Key returns the key of the part in the object API.
+func (d Digest) Key() string { return PartPrefix + d.String() }
+
+// DigestOf returns the digest of stored bytes.
+func DigestOf(value []byte) Digest { return sha256.Sum256(value) }
+
+// Part is a piece of the register or the rules in its stored form.
+type Part struct {
+	// Name is unique in a head, for example "register.engines.diag-llm.03".
+	Name   string
+	Digest Digest
+	// Value is the marshalled bronzeturnv1.Part.
+	Value []byte
+}
+
+// PartError reports that a part does not fit the head or cannot be decoded.
+type PartError struct {
+	Name    string
+	Message string
+	Cause   error
+}
+
+// Error implements error.
+func (e *PartError) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("configuration part %s: %s: %v", e.Name, e.Message, e.Cause)
+	}
+	return fmt.Sprintf("configuration part %s: %s", e.Name, e.Message)
+}
+
+// Unwrap returns the cause, or nil.
+func (e *PartError) Unwrap() error { return e.Cause }
+
+// Assemble joins the parts of one head. The entries come in order of their
+// names within each section. The result still has to be validated.
+func Assemble(parts []Part) (*bronzeturnv1.Register, *bronzeturnv1.Rules, error) {
+	reg, rules := &bronzeturnv1.Register{}, &bronzeturnv1.Rules{}
+	for _, part := range parts {
+		if DigestOf(part.Value) != part.Digest {
+			return nil, nil, &PartError{Name: part.Name, Message: "content does not match its digest"}
+		}
+		piece := &bronzeturnv1.Part{}
+		if err := proto.Unmarshal(part.Value, piece); err != nil {
+			return nil, nil, &PartError{Name: part.Name, Message: "cannot be decoded", Cause: err}
+		}
+		if piece.GetName() != part.Name {
+			return nil, nil, &PartError{Name: part.Name, Message: fmt.Sprintf("content is named %q", clip(piece.GetName()))}
+		}
+		proto.Merge(reg, piece.GetRegister())
+		proto.Merge(rules, piece.GetRules())
+	}
+	sortSections(reg, rules)
+	return reg, rules, nil
+}
+
+// sortSections gives buckets of one section a common order.
+func sortSections(reg *bronzeturnv1.Register, rules *bronzeturnv1.Rules) {
+	reg.Engines = sortedBy(reg.GetEngines(), (*bronzeturnv1.Engine).GetName)
+	reg.Organisations = sortedBy(reg.GetOrganisations(), (*bronzeturnv1.Organisation).GetName)
+	rules.Limits = sortedBy(rules.GetLimits(), (*bronzeturnv1.Limit).GetOrganisation)
+}
