Publish the configuration as one head over immutable parts

Ruled out: parts shared by content alone (a paused writer's late create races with garbage collection, so a part carries the generation it was built upon); skipping an unchanged apply after a read (only the conditional write proves that the read was not stale); building whole files anew on another operator's change.

--- a/config/decode.go
+++ b/config/decode.go
@@ -116,7 +116,7 @@
 		case '[', '{':
 			depth++
 		case ']', '}':
-			depth--
+			depth = max(depth-1, 0)
 		}
 		if depth > maxDepth {
 			return &DecodeError{File: path, Message: "brackets nested too deeply"}
--- a/config/examples_test.go
+++ b/config/examples_test.go
@@ -3,29 +3,49 @@
 import (
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 )
 
-// load decodes the register and the rules of an example.
+// load returns the register and the rules of an example, which the caller may
+// modify.
 func load(tb testing.TB, example string) (*bronzeturnv1.Register, *bronzeturnv1.Rules) {
 	tb.Helper()
-	read := func(file string) (string, []byte) {
-		path := filepath.Join("..", "examples", example, file)
+	loaded, ok := examples.Load(example)
+	if !ok {
+		loaded, _ = examples.LoadOrStore(example, read(tb, example))
+	}
+	e := loaded.(decoded)
+	return proto.CloneOf(e.register), proto.CloneOf(e.rules)
+}
+
+// examples caches decoded examples by name.
+var examples sync.Map
+
+type decoded struct {
+	register *bronzeturnv1.Register
+	rules    *bronzeturnv1.Rules
+}
+
+func read(tb testing.TB, example string) decoded {
+	file := func(name string) (string, []byte) {
+		path := filepath.Join("..", "examples", example, name)
 		data, err := os.ReadFile(path)
 		qt.Assert(tb, err, qt.IsNil)
 		return path, data
 	}
-	path, data := read("register.yaml")
+	path, data := file("register.yaml")
 	reg, err := DecodeRegister(path, data)
 	qt.Assert(tb, err, qt.IsNil)
-	path, data = read("rules.yaml")
+	path, data = file("rules.yaml")
 	rules, err := DecodeRules(path, data)
 	qt.Assert(tb, err, qt.IsNil)
-	return reg, rules
+	return decoded{reg, rules}
 }
 
 func TestExamplesAreComplete(t *testing.T) {
--- a/config/parts.go
+++ b/config/parts.go
@@ -63,15 +63,9 @@
 func Assemble(parts []Part) (*bronzeturnv1.Register, *bronzeturnv1.Rules, error) {
 	reg, rules := &bronzeturnv1.Register{}, &bronzeturnv1.Rules{}
 	for _, part := range parts {
-		if DigestOf(part.Value) != part.Digest {
-			return nil, nil, &PartError{Name: part.Name, Message: "content does not match its digest"}
-		}
-		piece := &bronzeturnv1.Part{}
-		if err := proto.Unmarshal(part.Value, piece); err != nil {
-			return nil, nil, &PartError{Name: part.Name, Message: "cannot be decoded", Cause: err}
-		}
-		if piece.GetName() != part.Name {
-			return nil, nil, &PartError{Name: part.Name, Message: fmt.Sprintf("content is named %q", clip(piece.GetName()))}
+		piece, err := decodePart(part)
+		if err != nil {
+			return nil, nil, err
 		}
 		proto.Merge(reg, piece.GetRegister())
 		proto.Merge(rules, piece.GetRules())
@@ -80,6 +74,32 @@
 	return reg, rules, nil
 }
 
+// decodePart checks the part against its digest and its name.
+func decodePart(part Part) (*bronzeturnv1.Part, error) {
+	if DigestOf(part.Value) != part.Digest {
+		return nil, &PartError{Name: part.Name, Message: "content does not match its digest"}
+	}
+	piece := &bronzeturnv1.Part{}
+	if err := proto.Unmarshal(part.Value, piece); err != nil {
+		return nil, &PartError{Name: part.Name, Message: "cannot be decoded", Cause: err}
+	}
+	if piece.GetName() != part.Name {
+		message := fmt.Sprintf("content is named %q", clip(piece.GetName()))
+		return nil, &PartError{Name: part.Name, Message: message}
+	}
+	return piece, nil
+}
+
+// rebase returns the part with another base generation, and thus another digest.
+func rebase(part Part, base uint64) (Part, error) {
+	piece, err := decodePart(part)
+	if err != nil {
+		return Part{}, err
+	}
+	piece.BaseGeneration = base
+	return encodePart(piece)
+}
+
 // sortSections gives buckets of one section a common order.
 func sortSections(reg *bronzeturnv1.Register, rules *bronzeturnv1.Rules) {
 	reg.Engines = sortedBy(reg.GetEngines(), (*bronzeturnv1.Engine).GetName)
--- /dev/null
+++ b/config/publisher.go
@@ -0,0 +1,228 @@
+package config
+
+import (
+	"context"
+	crand "crypto/rand"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+)
+
+// editAttempts bounds how often an edit is built anew on a newer generation.
+const editAttempts = 5
+
+// PartSource is a place from which parts may be had before the store is asked.
+// What it returns is checked against the digests.
+type PartSource interface {
+	// Parts returns the stored bytes of those parts that it has.
+	Parts(ctx context.Context, digests []Digest) map[Digest][]byte
+}
+
+// PublisherOptions configures a Publisher.
+type PublisherOptions struct {
+	Store Store
+	// Random spreads retries. It must not be shared.
+	Random *rand.Rand
+	// Parts spares the store most reads. It may be nil.
+	Parts PartSource
+}
+
+// Publisher puts changes in force. It is not safe for concurrent use; any
+// number of publishers may work against one store.
+type Publisher struct {
+	calls  calls
+	source PartSource
+	// known holds the parts of the last head that was read.
+	known map[Digest][]byte
+}
+
+// NewPublisher returns a publisher.
+func NewPublisher(o PublisherOptions) *Publisher {
+	return &Publisher{calls: calls{store: o.Store, random: o.Random}, source: o.Parts}
+}
+
+// Stored is a configuration as read from the store.
+type Stored struct {
+	// Head is nil when there is no configuration yet.
+	Head     *bronzeturnv1.Head
+	Revision uint64
+	Parts    []Part
+	Register *bronzeturnv1.Register
+	Rules    *bronzeturnv1.Rules
+}
+
+// Apply puts the change in force, whole or not at all. It fails with a
+// *ValidationError if the result would be wrong, a *ConflictError if another
+// operator was faster, an *OutcomeError if the fate of the change could not be
+// learnt, or an error of the object API.
+//
+// A change of whole files is never built anew on another operator's change. A
+// bare withdrawal is, since it means the same on any generation.
+func (p *Publisher) Apply(ctx context.Context, change Change) (Result, error) {
+	if err := change.check(); err != nil {
+		return Result{}, err
+	}
+	for attempt := 1; ; attempt++ {
+		result, err := p.attempt(ctx, change)
+		var lost *ConflictError
+		if !errors.As(err, &lost) || !change.edit() || attempt == editAttempts {
+			return result, err
+		}
+	}
+}
+
+// attempt builds the change upon what is in force and tries to publish it.
+func (p *Publisher) attempt(ctx context.Context, change Change) (Result, error) {
+	cur, err := p.Read(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	base := cur.Head.GetGeneration()
+	if change.Base != nil && *change.Base != base {
+		return Result{}, conflict(*change.Base, cur.Head)
+	}
+	reg, rules := change.apply(cur.Register, cur.Rules)
+	if err := Validate(reg, rules); err != nil {
+		return Result{}, err
+	}
+	wanted, err := Split(reg, rules)
+	if err != nil {
+		return Result{}, err
+	}
+	parts, fresh, err := reuse(cur.Parts, wanted, base)
+	if err != nil {
+		return Result{}, err
+	}
+	for _, part := range fresh {
+		if err := p.calls.ensure(ctx, part.Digest.Key(), part.Value); err != nil {
+			return Result{}, fmt.Errorf("store part %s: %w", part.Name, err)
+		}
+	}
+	return p.publish(ctx, cur, newHead(change, cur.Head, parts), fresh)
+}
+
+// Read returns what is in force in the store.
+func (p *Publisher) Read(ctx context.Context) (Stored, error) {
+	obj, err := p.calls.get(ctx, HeadKey)
+	if err != nil {
+		return Stored{}, fmt.Errorf("read head: %w", err)
+	}
+	if obj.Revision == 0 {
+		return Stored{}, nil
+	}
+	head, err := DecodeHead(obj.Value)
+	if err != nil {
+		return Stored{}, err
+	}
+	values, err := p.values(ctx, head)
+	if err != nil {
+		return Stored{}, err
+	}
+	parts, err := PartsOf(head, values)
+	if err != nil {
+		return Stored{}, err
+	}
+	reg, rules, err := Assemble(parts)
+	if err != nil {
+		return Stored{}, err
+	}
+	p.known = values
+	return Stored{Head: head, Revision: obj.Revision, Parts: parts, Register: reg, Rules: rules}, nil
+}
+
+// values collects the parts of the head: from earlier reads, then from the part
+// source, then from the store.
+func (p *Publisher) values(ctx context.Context, head *bronzeturnv1.Head) (map[Digest][]byte, error) {
+	values := make(map[Digest][]byte, len(head.GetParts()))
+	var missing []Digest
+	for _, ref := range head.GetParts() {
+		digest := RefDigest(ref)
+		if value, ok := p.known[digest]; ok {
+			values[digest] = value
+		} else {
+			missing = append(missing, digest)
+		}
+	}
+	if p.source != nil && len(missing) > 0 {
+		maps.Copy(values, p.fromSource(ctx, missing))
+	}
+	for _, digest := range missing {
+		if _, ok := values[digest]; ok {
+			continue
+		}
+		obj, err := p.calls.get(ctx, digest.Key())
+		if err != nil {
+			return nil, fmt.Errorf("read part %s: %w", digest, err)
+		}
+		if obj.Revision != 0 {
+			values[digest] = obj.Value
+		}
+	}
+	return values, nil
+}
+
+// fromSource keeps only parts that match their digests.
+func (p *Publisher) fromSource(ctx context.Context, digests []Digest) map[Digest][]byte {
+	found := p.source.Parts(ctx, digests)
+	maps.DeleteFunc(found, func(digest Digest, value []byte) bool {
+		return DigestOf(value) != digest
+	})
+	return found
+}
+
+// reuse keeps the stored parts whose content is wanted again and bases all
+// others on the generation in force. It returns all parts and the fresh ones.
+func reuse(have, wanted []Part, base uint64) (parts, fresh []Part, err error) {
+	stored := make(map[Digest]Part, len(have))
+	for _, part := range have {
+		content, err := rebase(part, 0)
+		if err != nil {
+			return nil, nil, err
+		}
+		stored[content.Digest] = part
+	}
+	for _, part := range wanted {
+		if old, ok := stored[part.Digest]; ok {
+			parts = append(parts, old)
+			continue
+		}
+		part, err := rebase(part, base)
+		if err != nil {
+			return nil, nil, err
+		}
+		parts = append(parts, part)
+		fresh = append(fresh, part)
+	}
+	return parts, fresh, nil
+}
+
+func newHead(change Change, old *bronzeturnv1.Head, parts []Part) *bronzeturnv1.Head {
+	nonce := make([]byte, nonceBytes)
+	// Read of crypto/rand never fails.
+	_, _ = crand.Read(nonce)
+	head := &bronzeturnv1.Head{
+		Generation: old.GetGeneration() + 1,
+		AppliedBy:  change.AppliedBy,
+		AppliedAt:  timestamppb.New(time.Now()),
+		Note:       change.Note,
+		Nonce:      nonce,
+	}
+	if old != nil {
+		previous := slices.Insert(slices.Clone(old.GetPreviousNonces()), 0, old.GetNonce())
+		head.PreviousNonces = previous[:min(len(previous), maxPreviousNonces)]
+	}
+	for _, part := range parts {
+		digest := part.Digest
+		head.Parts = append(head.Parts, &bronzeturnv1.PartRef{
+			Name: part.Name, Sha256: digest[:], Size: uint32(len(part.Value)),
+		})
+	}
+	return head
+}
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -53,14 +53,15 @@
 // A refusal is a *ValidationError. An unset priority becomes PRIORITY_NORMAL,
 // an unset below_target becomes BELOW_TARGET_BEST_AVAILABLE.
 func NewSnapshot(generation uint64, reg *bronzeturnv1.Register, rules *bronzeturnv1.Rules) (*Snapshot, error) {
+	return newSnapshot(generation, proto.CloneOf(reg), proto.CloneOf(rules))
+}
+
+// newSnapshot takes over the register and the rules instead of copying them.
+func newSnapshot(generation uint64, reg *bronzeturnv1.Register, rules *bronzeturnv1.Rules) (*Snapshot, error) {
 	if err := Validate(reg, rules); err != nil {
 		return nil, err
 	}
-	s := &Snapshot{
-		generation: generation,
-		register:   proto.CloneOf(reg),
-		rules:      proto.CloneOf(rules),
-	}
+	s := &Snapshot{generation: generation, register: reg, rules: rules}
 	s.indexRules()
 	s.indexVersions()
 	s.indexEngines()
