Admit requests by limits held over the fleet and by fair queues

Cause: nothing bounded what an organisation uses, and requests of different priority had no order before a full pool.

A coordinator per limit shard divides each limit among the daemons by water filling; shares expire, and a daemon without one uses an equal part. Requests then wait per group: priority first, start-time fair queueing in tokens among organisations, bounded by half of the time to the deadline.

--- /dev/null
+++ b/admission/coordinator.go
@@ -0,0 +1,359 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// shareValidity is how long a share may be used after the report was sent.
+	shareValidity = 6 * time.Second
+	// callTimeout bounds one report.
+	callTimeout = time.Second
+	// refreshEvery bounds how often a coordinator divides a limit anew.
+	refreshEvery = 100 * time.Millisecond
+	// shortestPeriod and longestPeriod bound the time between two reports.
+	shortestPeriod = 250 * time.Millisecond
+	farPeriod      = 2500 * time.Millisecond
+	longestPeriod  = 3 * time.Second
+	// reportSpacing stretches the period with the number of daemons that
+	// report, so that a coordinator gets at most 140 reports a second for one
+	// organisation.
+	reportSpacing = 7 * time.Millisecond
+	// nearLimit is the part of a limit from which daemons report often.
+	nearLimit = 0.5
+	// silentReserve is how long a live daemon that fell silent keeps an equal
+	// part of the limit set aside for it.
+	silentReserve = 10 * time.Minute
+)
+
+// fleetView is what a coordinator knows of the fleet.
+type fleetView struct {
+	live      int                    // daemons that the host list shows live
+	reachable int                    // those that this daemon hears
+	isLive    func(name string) bool // whether a daemon may still admit
+}
+
+// grant is a share that was handed out. Its spend is an absolute sum.
+type grant struct {
+	amounts  amounts
+	sequence uint64
+	expires  time.Time
+}
+
+// holder is what a coordinator knows of one daemon.
+type holder struct {
+	incarnation uint64
+	wanted      amounts
+	inUse       float64
+	grants      []grant // that may still be in use, oldest first
+	heard       time.Time
+	idle        bool
+	spent       float64 // as reported by this process
+	// unproven is what the daemon may use that this coordinator did not grant,
+	// as of its last report: a share of an earlier coordinator, or none.
+	unproven amounts
+}
+
+// allocation is the division of one organisation's limit. It is a pure state
+// machine; the caller holds the lock.
+type allocation struct {
+	id        uint64 // of the coordinator
+	since     time.Time
+	limit     amounts
+	day       int64
+	spendBase float64 // spend that earlier coordinators counted
+	spendMore float64 // spend reported since
+	holders   map[string]*holder
+	sequence  uint64
+	refreshed time.Time
+	levels    amounts // water levels of the wants
+	rest      amounts // what the wants leave
+	out       amounts // sum of what is handed out or set aside
+	active    int
+	near      bool
+}
+
+func newAllocation(id uint64, now time.Time, limit amounts) *allocation {
+	return &allocation{id: id, since: now, limit: limit, day: dayOf(now), holders: make(map[string]*holder)}
+}
+
+// usage is a daemon's report for one organisation. Held and wanted spend is
+// counted beyond spent.
+type usage struct {
+	daemon      string
+	incarnation uint64
+	coordinator uint64
+	sequence    uint64
+	held        amounts
+	wanted      amounts
+	inUse       float64
+	day         int64
+	spent       float64
+	told        float64
+	fleetSpent  float64
+	idle        bool
+}
+
+// grantResult answers a report. The spend of amounts counts beyond the spent of
+// the report.
+type grantResult struct {
+	amounts    amounts
+	sequence   uint64
+	day        int64
+	fleetSpent float64
+	period     time.Duration
+}
+
+// report takes a daemon's report and returns its share.
+func (a *allocation) report(now time.Time, u usage, view fleetView) grantResult {
+	a.roll(now)
+	h := a.holder(u)
+	before := a.outstanding(now, u.daemon, h, view)
+	a.hear(now, h, u)
+	h.unproven = a.unproven(u, view)
+	if now.Sub(a.refreshed) >= refreshEvery || a.refreshed.IsZero() {
+		a.refresh(now, view)
+	} else {
+		after := a.outstanding(now, u.daemon, h, view)
+		a.addOut(before, -1)
+		a.addOut(after, 1)
+	}
+	if u.idle {
+		return grantResult{day: a.day, fleetSpent: a.spent(), period: longestPeriod}
+	}
+	return a.hand(now, u, h, view)
+}
+
+// holder returns the state of the reporting daemon. A process that reports for
+// the first time brings the spend that earlier coordinators counted.
+func (a *allocation) holder(u usage) *holder {
+	h := a.holders[u.daemon]
+	if h == nil {
+		h = &holder{}
+		a.holders[u.daemon] = h
+	}
+	if h.incarnation != u.incarnation || h.heard.IsZero() {
+		h.incarnation = u.incarnation
+		h.spent = 0
+		h.grants = nil
+		if u.day == a.day {
+			h.spent = u.told
+			a.spendBase = max(a.spendBase, u.fleetSpent)
+		}
+	}
+	return h
+}
+
+// hear records a report. The report names the newest share that the daemon
+// knows of, so older ones are no longer in use.
+func (a *allocation) hear(now time.Time, h *holder, u usage) {
+	h.heard = now
+	h.idle = u.idle
+	h.wanted = u.wanted
+	h.inUse = u.inUse
+	if u.day == a.day && u.spent > h.spent {
+		a.spendMore += u.spent - h.spent
+		h.spent = u.spent
+	}
+	kept := h.grants[:0]
+	for _, g := range h.grants {
+		current := u.coordinator != a.id || g.sequence >= u.sequence
+		if current && now.Before(g.expires) && !u.idle {
+			kept = append(kept, g)
+		}
+	}
+	h.grants = kept
+}
+
+// unproven is what a reporting daemon may use that was not granted here.
+func (a *allocation) unproven(u usage, view fleetView) amounts {
+	switch {
+	case u.idle || (u.sequence != 0 && u.coordinator == a.id):
+		return amounts{}
+	case u.sequence != 0:
+		return u.held
+	}
+	return a.equalPart(view)
+}
+
+// setLimit changes the limit. What is handed out follows in proportion, as it
+// does on the daemons that hold it.
+func (a *allocation) setLimit(limit amounts) {
+	for _, h := range a.holders {
+		for i := range h.grants {
+			for d := range limit {
+				if a.limit.limited(d) {
+					h.grants[i].amounts[d] *= limit[d] / a.limit[d]
+				}
+			}
+		}
+	}
+	a.limit = limit
+	a.refreshed = time.Time{}
+}
+
+// hand grants a share to a daemon that has just been heard.
+func (a *allocation) hand(now time.Time, u usage, h *holder, view fleetView) grantResult {
+	before := a.outstanding(now, u.daemon, h, view)
+	budget := a.budget(view)
+	given := a.target(h)
+	for d := range given {
+		free := max(0, budget[d]-(a.out[d]-before[d]))
+		given[d] = min(given[d], free)
+	}
+	if recovering := now.Before(a.since.Add(shareValidity + callTimeout)); recovering {
+		given = minOf(given, a.provenShare(u, view))
+	}
+	given[dimConcurrent] = math.Floor(given[dimConcurrent])
+	a.sequence++
+	absolute := given
+	absolute[dimSpend] += u.spent
+	h.grants = append(h.grants, grant{amounts: absolute, sequence: a.sequence, expires: now.Add(shareValidity)})
+	after := a.outstanding(now, u.daemon, h, view)
+	a.addOut(before, -1)
+	a.addOut(after, 1)
+	return grantResult{amounts: given, sequence: a.sequence, day: a.day, fleetSpent: a.spent(), period: a.period()}
+}
+
+// provenShare bounds a share while shares of an earlier coordinator may be in
+// use: a daemon keeps what it holds, or gets an equal part.
+func (a *allocation) provenShare(u usage, view fleetView) amounts {
+	if u.sequence != 0 {
+		return u.held
+	}
+	return a.equalPart(view)
+}
+
+// equalPart is what a daemon uses without a share.
+func (a *allocation) equalPart(view fleetView) amounts {
+	part := a.limit.equalPart(view.live)
+	part[dimSpend] = max(0, a.limit[dimSpend]-a.spent()) / float64(max(view.live, 1))
+	return part
+}
+
+// target is the daemon's part of the limit: its fair part of what all want,
+// and up to as much again from half of what the wants leave.
+func (a *allocation) target(h *holder) amounts {
+	var t amounts
+	for d := range t {
+		want := h.wanted[d]
+		t[d] = min(want, a.levels[d])
+		if a.rest[d] > 0 && a.active > 0 {
+			t[d] += min(want, a.rest[d]/2/float64(a.active))
+		}
+	}
+	t[dimConcurrent] = math.Ceil(t[dimConcurrent])
+	return t
+}
+
+// budget is what this coordinator may hand out: the part of the limit for the
+// daemons that it can reach. The others use theirs without it.
+func (a *allocation) budget(view fleetView) amounts {
+	part := 1.0
+	if view.live > 0 && view.reachable < view.live {
+		part = float64(max(view.reachable, 1)) / float64(view.live)
+	}
+	var b amounts
+	for d := range b {
+		b[d] = a.limit[d] * part
+	}
+	b[dimSpend] = max(0, a.limit[dimSpend]-a.spent()) * part
+	return b
+}
+
+// outstanding is what the daemon may be using now.
+func (a *allocation) outstanding(now time.Time, name string, h *holder, view fleetView) amounts {
+	var out amounts
+	if h.heard.IsZero() || h.idle {
+		return out
+	}
+	valid := false
+	for _, g := range h.grants {
+		if !now.Before(g.expires) {
+			continue
+		}
+		valid = true
+		for d := range out {
+			out[d] = max(out[d], g.amounts[d])
+		}
+	}
+	out[dimSpend] = max(0, out[dimSpend]-h.spent)
+	for d := range out {
+		out[d] = max(out[d], h.unproven[d])
+	}
+	silent := !now.Before(h.heard.Add(shareValidity))
+	if !valid && silent {
+		if now.After(h.heard.Add(silentReserve)) || !view.isLive(name) {
+			return amounts{}
+		}
+		out = a.equalPart(view)
+	}
+	out[dimConcurrent] = max(out[dimConcurrent], h.inUse)
+	return out
+}
+
+// refresh divides the limit anew among the daemons that want some.
+func (a *allocation) refresh(now time.Time, view fleetView) {
+	a.refreshed = now
+	a.out = amounts{}
+	var wants [dimensions][]float64
+	var wanted, aside amounts
+	a.active = 0
+	for name, h := range a.holders {
+		out := a.outstanding(now, name, h, view)
+		a.addOut(out, 1)
+		if h.idle || !now.Before(h.heard.Add(shareValidity)) {
+			for d := range aside {
+				aside[d] += out[d]
+			}
+			continue
+		}
+		a.active++
+		for d := range wants {
+			wants[d] = append(wants[d], h.wanted[d])
+			wanted[d] += h.wanted[d]
+		}
+	}
+	budget := a.budget(view)
+	a.near = false
+	for d := range wants {
+		a.levels[d], a.rest[d] = waterLevel(budget[d]-aside[d], wants[d])
+		if a.limit.limited(d) && wanted[d] > nearLimit*(budget[d]-aside[d]) {
+			a.near = true
+		}
+	}
+}
+
+// period tells a daemon when to report again.
+func (a *allocation) period() time.Duration {
+	p := farPeriod
+	if a.near {
+		p = shortestPeriod
+	}
+	return min(max(p, time.Duration(a.active)*reportSpacing), longestPeriod)
+}
+
+// spent is the spend of the fleet on the day, as far as it was reported.
+func (a *allocation) spent() float64 { return a.spendBase + a.spendMore }
+
+// roll starts a new UTC day.
+func (a *allocation) roll(now time.Time) {
+	if d := dayOf(now); d > a.day {
+		a.day = d
+		a.spendBase, a.spendMore = 0, 0
+		a.refreshed = time.Time{}
+		for _, h := range a.holders {
+			h.spent = 0
+			for i := range h.grants {
+				h.grants[i].amounts[dimSpend] = 0
+			}
+		}
+	}
+}
+
+func (a *allocation) addOut(part amounts, sign float64) {
+	for d := range part {
+		a.out[d] += sign * part[d]
+	}
+}
--- /dev/null
+++ b/admission/fleet.go
@@ -0,0 +1,176 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+	"gopkg.in/tomb.v2"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1/bronzeturnv1connect"
+)
+
+const (
+	// limitShards is the number of coordinators that the organisations are
+	// spread over. Every daemon must use the same number.
+	limitShards = 64
+	// reportTick is how often due reports are looked for.
+	reportTick = 50 * time.Millisecond
+	// ownerTick is how often a coordinator checks that it is still preferred.
+	ownerTick = time.Second
+)
+
+// fleet reports this daemon's usage to the coordinators and applies the
+// shares.
+type fleet struct {
+	controller   *Controller
+	incarnation  uint64
+	coordinators *coordinators
+}
+
+func newFleet(c *Controller) *fleet {
+	return &fleet{
+		controller:   c,
+		incarnation:  rand.Uint64() | 1,
+		coordinators: newCoordinators(c.options),
+	}
+}
+
+// shardOf returns the limit shard of an organisation.
+func shardOf(organisation string) int { return int(xxhash.Sum64String(organisation) % limitShards) }
+
+// setLimits tells the coordinators of the limits in force.
+func (f *fleet) setLimits(limits map[string]amounts, live int) {
+	f.coordinators.setLimits(limits, live)
+}
+
+// Run reports usage and applies shares until ctx ends. Without it, the daemon
+// keeps to an equal part of each limit.
+func (c *Controller) Run(ctx context.Context) error {
+	t, ctx := tomb.WithContext(ctx)
+	t.Go(func() error { return c.fleet.loop(ctx, t) })
+	err := t.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// loop sends the reports that are due.
+func (f *fleet) loop(ctx context.Context, t *tomb.Tomb) error {
+	ticks := time.NewTicker(reportTick)
+	defer ticks.Stop()
+	checked := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticks.C:
+			for owner, batch := range f.collect(now) {
+				t.Go(func() error { f.send(ctx, owner, batch); return nil })
+			}
+			if now.Sub(checked) >= ownerTick {
+				checked = now
+				f.coordinators.dropLost()
+			}
+		}
+	}
+}
+
+// batch is the reports that go to one coordinator together.
+type batch struct {
+	sentAt   time.Time
+	accounts []*account
+	usages   []usage
+}
+
+// collect takes the due reports, by coordinator.
+func (f *fleet) collect(now time.Time) map[string]*batch {
+	var owners [limitShards]string
+	due := make(map[string]*batch)
+	f.controller.eachAccount(func(a *account) {
+		if a.due(now) {
+			shard := shardOf(a.organisation)
+			owner, _ := f.controller.options.Owner(shardKey(shard))
+			owners[shard] = owner
+			due[owner] = &batch{sentAt: now}
+		}
+	})
+	if len(due) == 0 {
+		return nil
+	}
+	f.controller.eachAccount(func(a *account) {
+		b := due[owners[shardOf(a.organisation)]]
+		if b == nil || !a.soon(now) {
+			return
+		}
+		b.accounts = append(b.accounts, a)
+		b.usages = append(b.usages, a.usage(now))
+	})
+	return due
+}
+
+// send delivers a batch and applies the answer.
+func (f *fleet) send(ctx context.Context, owner string, b *batch) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request := f.encode(b)
+	var response *bronzeturnv1.ReportUsageResponse
+	err := errNoCoordinator
+	if owner == f.controller.options.Name {
+		response, err = f.coordinators.report(time.Now(), request), nil
+	} else if client, url, ok := f.controller.options.Dial(owner); ok {
+		response, err = call(ctx, client, url, request)
+	}
+	if err != nil {
+		f.controller.metrics.reportFailed()
+		f.controller.options.Log.Debug().Str("part", "admission").Str("coordinator", owner).Err(err).Msg("Usage report failed.")
+		response = &bronzeturnv1.ReportUsageResponse{}
+	}
+	f.apply(b, response)
+}
+
+// errNoCoordinator means that the preferred owner can't be reached.
+var errNoCoordinator = errors.New("no coordinator for the limit shard")
+
+func call(ctx context.Context, client connect.HTTPClient, url string, r *bronzeturnv1.ReportUsageRequest) (*bronzeturnv1.ReportUsageResponse, error) {
+	// Reports are too small for compression to pay.
+	service := bronzeturnv1connect.NewLimitServiceClient(client, url, connect.WithAcceptCompression("gzip", nil, nil))
+	response, err := service.ReportUsage(ctx, connect.NewRequest(r))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+// apply settles each report of the batch with its share, or as failed.
+func (f *fleet) apply(b *batch, response *bronzeturnv1.ReportUsageResponse) {
+	shares := make(map[string]*bronzeturnv1.LimitShare, len(response.GetShares()))
+	for _, s := range response.GetShares() {
+		shares[s.GetOrganisation()] = s
+	}
+	now := time.Now()
+	for i, a := range b.accounts {
+		shard := f.controller.shard(a.organisation)
+		shard.mu.Lock()
+		if s := shares[a.organisation]; s != nil {
+			a.apply(b.sentAt, b.usages[i], s.GetCoordinator(), decodeShare(s))
+		} else {
+			a.failed(now)
+		}
+		shard.mu.Unlock()
+	}
+}
+
+// encode builds the message of a batch.
+func (f *fleet) encode(b *batch) *bronzeturnv1.ReportUsageRequest {
+	r := &bronzeturnv1.ReportUsageRequest{Daemon: f.controller.options.Name, Incarnation: f.incarnation}
+	for i, a := range b.accounts {
+		r.Usages = append(r.Usages, encodeUsage(a.organisation, b.usages[i]))
+	}
+	return r
+}
--- /dev/null
+++ b/admission/main_test.go
@@ -0,0 +1,16 @@
+package admission
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "60")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,251 @@
+package admission
+
+import (
+	"slices"
+	"time"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+)
+
+// The classes of the queue, in the order in which they are served.
+const (
+	classUrgent = iota
+	classNormal
+	classBulk
+	classes
+)
+
+// classOf maps a priority to its class. An unknown priority is normal.
+func classOf(p bronzeturnv1.Priority) int {
+	switch p {
+	case bronzeturnv1.Priority_PRIORITY_URGENT:
+		return classUrgent
+	case bronzeturnv1.Priority_PRIORITY_BULK:
+		return classBulk
+	}
+	return classNormal
+}
+
+const (
+	// bulkTurn gives bulk one in this many starts while normal requests wait.
+	// Urgent requests always go first.
+	bulkTurn = 16
+	// urgentReserve keeps one in this many slots free of bulk requests, so
+	// that an urgent request finds a slot.
+	urgentReserve = 8
+	// idleFlows bounds the flows that are kept without a waiting request.
+	idleFlows = 512
+)
+
+// item is a request in a queue.
+type item struct {
+	organisation string
+	class        int
+	tokens       float64
+	latest       time.Time // it must start by then or be refused
+	ready        chan startResult
+}
+
+// flow holds the waiting requests of one organisation in one class.
+type flow struct {
+	items  []*item
+	tag    float64 // virtual time at which the flow's next request starts
+	tokens float64 // sum over items
+}
+
+// classQueue holds the flows of one class.
+type classQueue struct {
+	flows   map[string]*flow
+	backlog []*flow // flows with items
+	waiting int
+	tokens  float64 // sum over waiting items
+	virtual float64 // start tag of the last request that started
+	started meter   // tokens started
+}
+
+// queue lets requests of one group start by priority, and within a priority
+// by start-time fair queueing over organisations, measured in tokens. It is a
+// pure state machine; the caller holds the lock.
+type queue struct {
+	slots       int
+	inUse       int
+	classes     [classes]classQueue
+	waiting     int
+	sinceBulk   int
+	slotRate    float64 // tokens a second of one slot, measured
+	heldTokens  float64
+	heldSeconds float64
+}
+
+func newQueue(slots int, slotRate float64) *queue {
+	q := &queue{slots: slots, slotRate: slotRate}
+	for c := range q.classes {
+		q.classes[c].flows = make(map[string]*flow)
+	}
+	return q
+}
+
+// free reports whether a request of the class may take a slot.
+func (q *queue) free(class int) bool {
+	slots := q.slots
+	if class == classBulk {
+		slots -= q.slots / urgentReserve
+	}
+	return q.inUse < slots
+}
+
+// passes reports whether a new request may start without waiting: it has a
+// slot and no request of its class or a higher one is before it.
+func (q *queue) passes(class int) bool {
+	for c := classUrgent; c <= class; c++ {
+		if q.classes[c].waiting > 0 {
+			return false
+		}
+	}
+	return q.free(class)
+}
+
+// take starts a request that need not wait.
+func (q *queue) take(now time.Time, it *item) {
+	c := &q.classes[it.class]
+	f := c.flow(it.organisation)
+	c.startTag(f, it.tokens)
+	c.started.add(now, it.tokens)
+	q.inUse++
+}
+
+// push adds a request to the queue.
+func (q *queue) push(it *item) {
+	c := &q.classes[it.class]
+	f := c.flow(it.organisation)
+	if len(f.items) == 0 {
+		f.tag = max(f.tag, c.virtual)
+		c.backlog = append(c.backlog, f)
+	}
+	f.items = append(f.items, it)
+	f.tokens += it.tokens
+	c.tokens += it.tokens
+	c.waiting++
+	q.waiting++
+}
+
+// remove takes a waiting request out. It reports whether it was waiting.
+func (q *queue) remove(it *item) bool {
+	c := &q.classes[it.class]
+	f := c.flows[it.organisation]
+	if f == nil {
+		return false
+	}
+	i := slices.Index(f.items, it)
+	if i < 0 {
+		return false
+	}
+	f.items = slices.Delete(f.items, i, i+1)
+	f.tokens -= it.tokens
+	c.tokens -= it.tokens
+	c.waiting--
+	q.waiting--
+	if len(f.items) == 0 {
+		f.tokens = 0
+		c.backlog = slices.DeleteFunc(c.backlog, func(o *flow) bool { return o == f })
+	}
+	if c.waiting == 0 {
+		c.tokens = 0
+	}
+	return true
+}
+
+// next starts the request whose turn it is, or returns nil.
+func (q *queue) next(now time.Time) *item {
+	class := q.nextClass()
+	if class < 0 {
+		return nil
+	}
+	c := &q.classes[class]
+	f := slices.MinFunc(c.backlog, func(a, b *flow) int { return compare(a.tag, b.tag) })
+	it := f.items[0]
+	q.remove(it)
+	c.startTag(f, it.tokens)
+	c.started.add(now, it.tokens)
+	q.inUse++
+	return it
+}
+
+// nextClass chooses the class of the next start, or -1 when none can start.
+func (q *queue) nextClass() int {
+	if q.classes[classUrgent].waiting > 0 {
+		if q.free(classUrgent) {
+			return classUrgent
+		}
+		return -1
+	}
+	normal := q.classes[classNormal].waiting > 0 && q.free(classNormal)
+	bulk := q.classes[classBulk].waiting > 0 && q.free(classBulk)
+	switch {
+	case normal && bulk:
+		q.sinceBulk++
+		if q.sinceBulk >= bulkTurn {
+			q.sinceBulk = 0
+			return classBulk
+		}
+		return classNormal
+	case normal:
+		return classNormal
+	case bulk:
+		q.sinceBulk = 0
+		return classBulk
+	}
+	return -1
+}
+
+// release frees a slot that was held for a time and produced tokens.
+func (q *queue) release(tokens float64, held time.Duration) {
+	q.inUse--
+	if tokens <= 0 || held <= 0 {
+		return
+	}
+	const keep = 0.98 // weight of the past at each release
+	q.heldTokens = q.heldTokens*keep + tokens
+	q.heldSeconds = q.heldSeconds*keep + held.Seconds()
+	q.slotRate = q.heldTokens / q.heldSeconds
+}
+
+// flow returns the organisation's flow, making it if needed.
+func (c *classQueue) flow(organisation string) *flow {
+	f := c.flows[organisation]
+	if f == nil {
+		c.prune()
+		f = &flow{tag: c.virtual}
+		c.flows[organisation] = f
+	}
+	return f
+}
+
+// prune forgets idle flows that are owed nothing when there are many.
+func (c *classQueue) prune() {
+	if len(c.flows) < idleFlows+len(c.backlog) {
+		return
+	}
+	for name, f := range c.flows {
+		if len(f.items) == 0 && f.tag <= c.virtual {
+			delete(c.flows, name)
+		}
+	}
+}
+
+// startTag advances the virtual time for one start of the flow.
+func (c *classQueue) startTag(f *flow, tokens float64) {
+	f.tag = max(f.tag, c.virtual)
+	c.virtual = f.tag
+	f.tag += tokens
+}
+
+func compare(a, b float64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/admission/ticket.go
@@ -0,0 +1,50 @@
+package admission
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Ticket is the admission of one request. It holds a place within the limits
+// of its organisation and a slot of its group until Release.
+type Ticket struct {
+	controller *Controller
+	shard      *accountShard
+	account    *account
+	group      *group
+	item       item
+	charge     charge
+	started    time.Time
+	released   atomic.Bool
+}
+
+// Waited returns how long the request waited for its slot since then.
+func (t *Ticket) Waited(since time.Time) time.Duration { return t.started.Sub(since) }
+
+// Release ends the admission and settles what the request used. Only the
+// first call has an effect.
+func (t *Ticket) Release(used Used) {
+	if !t.released.CompareAndSwap(false, true) {
+		return
+	}
+	now := time.Now()
+	tokens := float64(max(used.Tokens, 0))
+	if t.account != nil {
+		t.shard.mu.Lock()
+		t.account.settle(now, t.charge, tokens, float64(max(used.CostMicros, 0)))
+		t.shard.mu.Unlock()
+	}
+	if t.group != nil {
+		t.group.release(now, tokens, now.Sub(t.started))
+	}
+}
+
+// refund undoes the charges of a request that got no slot.
+func (t *Ticket) refund(now time.Time) {
+	if t.account == nil {
+		return
+	}
+	t.shard.mu.Lock()
+	defer t.shard.mu.Unlock()
+	t.account.refund(now, t.charge)
+}
--- /dev/null
+++ b/admission/wait.go
@@ -0,0 +1,157 @@
+package admission
+
+import "time"
+
+const (
+	// maxWaiting bounds the requests that wait in one group.
+	maxWaiting = 1024
+	// waitFraction bounds the wait by this part of the time to the deadline,
+	// so that a refusal leaves the caller time to act on it.
+	waitFraction = 0.5
+	// leastRate is the part of the service rate that a class is assumed to get
+	// at least, however busy the classes above are.
+	leastRate = 0.05
+	// minRetryAfter and maxRetryAfter bound the advice on when to come back.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = time.Minute
+	// concurrencyRetryAfter is the advice when a request has to end first.
+	concurrencyRetryAfter = 500 * time.Millisecond
+	// noEngineRetryAfter is the advice when a group has no slot at all.
+	noEngineRetryAfter = 5 * time.Second
+)
+
+// expectedWait estimates how long a new request would wait: the tokens that
+// start before it over the rate at which the group serves its class.
+func (q *queue) expectedWait(now time.Time, organisation string, class int, tokens float64) time.Duration {
+	if q.slots == 0 {
+		return noEngineRetryAfter
+	}
+	rate := q.slotRate * float64(q.slots)
+	ahead := 0.0
+	above := 0.0
+	for c := classUrgent; c < class; c++ {
+		ahead += q.classes[c].tokens
+		above += q.classes[c].started.perSecond(now)
+	}
+	ahead += q.classes[class].ahead(organisation, tokens)
+	// With every slot taken, one slot's worth of work has to end first.
+	ahead += tokens / float64(q.slots)
+	left := max(leastRate, 1-above/rate)
+	return seconds(ahead / (rate * left))
+}
+
+// ahead returns the waiting tokens of the class that fair queueing starts
+// before a new request of the organisation.
+func (c *classQueue) ahead(organisation string, tokens float64) float64 {
+	own := 0.0
+	tag := c.virtual
+	if f := c.flows[organisation]; f != nil {
+		own = f.tokens
+		tag = max(tag, f.tag)
+	}
+	// The request starts at this virtual time; other flows get that far too.
+	reach := tag + own
+	sum := own
+	for _, f := range c.backlog {
+		if f.organisationIs(c, organisation) {
+			continue
+		}
+		sum += min(f.tokens, max(0, reach-f.tag)+f.items[0].tokens)
+	}
+	return sum
+}
+
+// organisationIs reports whether f is the flow of the organisation.
+func (f *flow) organisationIs(c *classQueue, organisation string) bool {
+	return c.flows[organisation] == f
+}
+
+// latestStart returns the last moment at which a request may start: it must
+// leave time for its own service and must not hold the caller longer than a
+// part of the deadline.
+func latestStart(now, deadline time.Time, service time.Duration) time.Time {
+	left := deadline.Sub(now)
+	hold := min(time.Duration(float64(left)*waitFraction), left-service)
+	return now.Add(max(hold, 0))
+}
+
+// serviceTime estimates how long a request occupies its slot.
+func (q *queue) serviceTime(tokens float64) time.Duration {
+	if q.slotRate <= 0 {
+		return 0
+	}
+	return seconds(tokens / q.slotRate)
+}
+
+// decision is the outcome of offering a request to a queue.
+type decision int
+
+const (
+	startNow decision = iota
+	waitTurn
+	refuse
+)
+
+// offer decides on a new request. On refuse, the duration is the advice on
+// when to come back. On waitTurn, the request is in the queue, and evicted,
+// if any, was pushed out for it.
+func (q *queue) offer(now, deadline time.Time, it *item) (d decision, after time.Duration, evicted *item) {
+	if q.passes(it.class) {
+		q.take(now, it)
+		return startNow, 0, nil
+	}
+	if q.slots == 0 {
+		return refuse, noEngineRetryAfter, nil
+	}
+	wait := q.expectedWait(now, it.organisation, it.class, it.tokens)
+	it.latest = latestStart(now, deadline, q.serviceTime(it.tokens))
+	if now.Add(wait).After(it.latest) {
+		return refuse, clampRetry(wait), nil
+	}
+	if q.waiting >= maxWaiting {
+		evicted = q.victim(it)
+		if evicted == nil {
+			return refuse, clampRetry(wait), nil
+		}
+		q.remove(evicted)
+	}
+	q.push(it)
+	return waitTurn, 0, evicted
+}
+
+// victim chooses the waiting request that gives way to it in a full queue:
+// the newest one of the organisation with the most waiting, in the lowest
+// class that waits. It returns nil when the new request itself is the one.
+func (q *queue) victim(it *item) *item {
+	for class := classBulk; class >= it.class; class-- {
+		c := &q.classes[class]
+		longest := c.longest()
+		if longest == nil {
+			continue
+		}
+		own := c.flows[it.organisation]
+		if class == it.class && own != nil && len(own.items) >= len(longest.items)-1 {
+			return nil
+		}
+		if class == it.class && own == nil && len(longest.items) <= 1 {
+			return nil
+		}
+		return longest.items[len(longest.items)-1]
+	}
+	return nil
+}
+
+// longest returns the flow with the most waiting requests.
+func (c *classQueue) longest() *flow {
+	var longest *flow
+	for _, f := range c.backlog {
+		if longest == nil || len(f.items) > len(longest.items) {
+			longest = f
+		}
+	}
+	return longest
+}
+
+func clampRetry(d time.Duration) time.Duration {
+	return min(max(d, minRetryAfter), maxRetryAfter)
+}
