Add adapters of the outside systems and their stand-ins, thin

Cause: the path of a request needs an object API, engines, a host list and plain services to talk to, each behind one adapter. Package attempt sends once and types how far it got. Conclusion: interfaces can be wired.

--- /dev/null
+++ b/engine/engine.go
@@ -0,0 +1,234 @@
+// Package engine is the adapter of the model engines: it sends one request to
+// one engine, passes the streamed answer on without decoding it, and tells
+// after a failure whether the request ran. It never repeats a request.
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/attempt"
+	"github.com/bronzeturn/bronzeturn/failure"
+)
+
+// Paths of an engine.
+const (
+	PathChatCompletions = "/v1/chat/completions"
+	PathLoad            = "/v1/load"
+	PathOrders          = "/v1/orders"
+)
+
+// Headers between the router and an engine.
+const (
+	HeaderRequestID = "X-Request-Id"
+	HeaderPriority  = "X-Priority"
+	HeaderFencing   = "X-Fencing"
+	// HeaderNotRun is "true" on a refusal of a request that was not executed.
+	HeaderNotRun = "X-Not-Run"
+)
+
+// Types in error bodies of an engine.
+const (
+	ErrorTypeNotRun = "not_run"
+	ErrorTypeFenced = "fenced"
+)
+
+// Kind classifies a failure of an engine.
+type Kind string
+
+// The kinds. The comment names the value of Ran.
+const (
+	// Unreachable: no connection, or nothing was written to it. Not run.
+	Unreachable Kind = "unreachable"
+	// Refused: the engine declined before running. Not run.
+	Refused Kind = "refused"
+	// Failed: the engine reported an error of its own. Unknown, or run when the
+	// error came inside an answer.
+	Failed Kind = "failed"
+	// Rejected: the engine found the request wrong. Not run.
+	Rejected Kind = "rejected"
+	// Fenced: the engine has seen a higher fencing number. Not run.
+	Fenced Kind = "fenced"
+	// Broken: the connection ended before the whole answer came. Unknown, or
+	// run when part of the answer came.
+	Broken Kind = "broken"
+	// Silent: no progress within the progress timeout. Unknown, or run.
+	Silent Kind = "silent"
+	// Canceled: the caller's context ended or the stream was closed.
+	Canceled Kind = "canceled"
+)
+
+// Error is a failure of an engine.
+type Error struct {
+	Kind Kind
+	Ran  failure.Ran
+	// Status is the HTTP status, zero when none came.
+	Status int
+	// RetryAfter is the engine's advice, zero when it gave none.
+	RetryAfter time.Duration
+	cause      error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("engine %s (status %d, ran %s): %v", e.Kind, e.Status, e.Ran, e.cause)
+}
+
+// Unwrap returns the cause, or nil.
+func (e *Error) Unwrap() error { return e.cause }
+
+// Request is one request to one engine.
+type Request struct {
+	// Address is IP and port of the engine.
+	Address   string
+	RequestID string
+	Version   string
+	// Priority is higher for more urgent work.
+	Priority int
+	// Fencing is the number of the claim or lease behind the request, zero for none.
+	Fencing uint64
+	// Body is the caller's JSON with "model" set to the version. It must ask
+	// for usage in streams by stream_options.include_usage.
+	Body []byte
+	// Stream tells that the body asks for server-sent events.
+	Stream bool
+	// ProgressTimeout bounds the time in which nothing comes from the engine,
+	// including the time to the first byte. Zero means no bound.
+	ProgressTimeout time.Duration
+}
+
+// Client sends requests to engines. It may be used concurrently.
+type Client struct {
+	transport http.RoundTripper
+}
+
+// New returns a Client over transport, which should bound the time to connect.
+// With an *http.Transport the adapter knows exactly whether a request was sent.
+func New(transport http.RoundTripper) *Client {
+	return &Client{transport: transport}
+}
+
+// Open sends the request and waits until the engine starts to answer. The
+// error is an *Error. The caller must Close the stream; closing it or ending
+// ctx before the answer is complete cancels the work at the engine.
+func (c *Client) Open(ctx context.Context, r Request) (*Stream, error) {
+	x, err := attempt.Send(ctx, c.transport, attempt.Request{
+		Method:          http.MethodPost,
+		URL:             "http://" + r.Address + PathChatCompletions,
+		Header:          header(r),
+		Body:            r.Body,
+		ProgressTimeout: r.ProgressTimeout,
+	})
+	if err != nil {
+		return nil, fromAttempt(err)
+	}
+	if x.Status != http.StatusOK {
+		defer x.Close()
+		return nil, fromStatus(x)
+	}
+	return newStream(x, r.Stream), nil
+}
+
+func header(r Request) http.Header {
+	h := http.Header{
+		"Content-Type": {"application/json"},
+		// A compressed stream could not be passed on event by event.
+		"Accept-Encoding": {"identity"},
+		HeaderRequestID:   {r.RequestID},
+		HeaderPriority:    {strconv.Itoa(r.Priority)},
+	}
+	if r.Fencing > 0 {
+		h[HeaderFencing] = []string{strconv.FormatUint(r.Fencing, 10)}
+	}
+	return h
+}
+
+// fromAttempt translates a failed attempt.
+func fromAttempt(err error) *Error {
+	var a *attempt.Error
+	if !asAttempt(err, &a) {
+		return &Error{Kind: Broken, Ran: failure.RanUnknown, cause: err}
+	}
+	e := &Error{Kind: Broken, Ran: ranOf(a.Stage), cause: err}
+	switch {
+	case a.Reason == attempt.Canceled:
+		e.Kind = Canceled
+	case a.Stage == attempt.NotSent:
+		e.Kind = Unreachable
+	case a.Reason == attempt.Silent:
+		e.Kind = Silent
+	}
+	return e
+}
+
+// ranOf is what a stage promises about a request that was accepted or lost.
+func ranOf(s attempt.Stage) failure.Ran {
+	switch s {
+	case attempt.NotSent:
+		return failure.RanNo
+	case attempt.Answered:
+		return failure.RanYes
+	default:
+		return failure.RanUnknown
+	}
+}
+
+// errorBody is the usual error shape of language model APIs.
+type errorBody struct {
+	Error struct {
+		Type    string `json:"type"`
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+// maxErrorBytes bounds how much of an error body is read.
+const maxErrorBytes = 16 << 10
+
+// fromStatus translates an answer with a status other than 200.
+func fromStatus(x *attempt.Exchange) *Error {
+	body, cause := readSome(x, maxErrorBytes)
+	var parsed errorBody
+	_ = json.Unmarshal(body, &parsed) // An unreadable body leaves the type empty.
+	e := &Error{Status: x.Status, Kind: Failed, Ran: failure.RanUnknown, RetryAfter: retryAfter(x.Header)}
+	e.cause = cause
+	if cause == nil {
+		e.cause = &StatusError{Status: x.Status, Type: parsed.Error.Type, Message: parsed.Error.Message}
+	}
+	notRun := x.Header.Get(HeaderNotRun) == "true" || parsed.Error.Type == ErrorTypeNotRun
+	switch {
+	case parsed.Error.Type == ErrorTypeFenced:
+		e.Kind, e.Ran = Fenced, failure.RanNo
+	case x.Status == http.StatusTooManyRequests, notRun && x.Status >= http.StatusInternalServerError:
+		e.Kind, e.Ran = Refused, failure.RanNo
+	case x.Status >= http.StatusBadRequest && x.Status < http.StatusInternalServerError:
+		e.Kind, e.Ran = Rejected, failure.RanNo
+	}
+	return e
+}
+
+// StatusError is the engine's own words about a refusal.
+type StatusError struct {
+	Status  int
+	Type    string
+	Message string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("status %d, type %q: %s", e.Status, e.Type, e.Message)
+}
+
+// maxRetryAfter bounds what an engine may ask for.
+const maxRetryAfter = time.Hour
+
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+}
--- /dev/null
+++ b/hostlist/hostlist.go
@@ -0,0 +1,117 @@
+// Package hostlist is the adapter of the platform's host list, which shows live
+// and leaving hosts with a lag.
+package hostlist
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/bronzeturn/bronzeturn/jsoncall"
+)
+
+// Path is where the host list answers.
+const Path = "/v1/hosts"
+
+// State is the state of a listed host.
+type State string
+
+// The states of listed hosts. A host that is gone is not listed.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+)
+
+// The roles of hosts.
+const (
+	RoleEntry   = "entry"
+	RoleBackend = "backend"
+)
+
+// Host is one listed host.
+type Host struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"data_centre"`
+	// Role is RoleEntry or RoleBackend.
+	Role  string `json:"role"`
+	State State  `json:"state"`
+	// Revision is the list revision of the host's last change.
+	Revision uint64 `json:"revision"`
+}
+
+// List is the host list at one revision, which rises with every change.
+type List struct {
+	Revision uint64 `json:"revision"`
+	Hosts    []Host `json:"hosts"`
+}
+
+// DecodeError is a list that cannot be used.
+type DecodeError struct {
+	// Host is the index of the bad entry, or -1.
+	Host  int
+	Field string
+	cause error
+}
+
+// Error implements error.
+func (e *DecodeError) Error() string {
+	return fmt.Sprintf("host list: hosts[%d].%s is invalid: %v", e.Host, e.Field, e.cause)
+}
+
+// Unwrap returns the cause, or nil.
+func (e *DecodeError) Unwrap() error { return e.cause }
+
+// Client reads the host list.
+type Client struct {
+	calls *jsoncall.Client
+}
+
+// New returns a Client for the host list at baseURL. Nil stands for
+// http.DefaultClient.
+func New(baseURL string, client *http.Client) *Client {
+	return &Client{calls: jsoncall.New(baseURL, client)}
+}
+
+// List returns the list as the platform shows it now. The error is a
+// *jsoncall.Error when no answer came, a *DecodeError when it is not a list.
+func (c *Client) List(ctx context.Context) (List, error) {
+	var raw json.RawMessage
+	if err := c.calls.Get(ctx, Path, &raw); err != nil {
+		return List{}, fmt.Errorf("read host list: %w", err)
+	}
+	return Decode(raw)
+}
+
+// Decode reads a list and refuses it whole when an entry is invalid.
+func Decode(data []byte) (List, error) {
+	var list List
+	if err := json.Unmarshal(data, &list); err != nil {
+		return List{}, &DecodeError{Host: -1, Field: "", cause: err}
+	}
+	seen := make(map[string]bool, len(list.Hosts))
+	for i, h := range list.Hosts {
+		if field := invalidField(h, list.Revision, seen); field != "" {
+			return List{}, &DecodeError{Host: i, Field: field}
+		}
+		seen[h.Name] = true
+	}
+	return list, nil
+}
+
+// invalidField names the first invalid field of h, or is empty.
+func invalidField(h Host, revision uint64, seen map[string]bool) string {
+	switch {
+	case h.Name == "" || seen[h.Name]:
+		return "name"
+	case h.DataCentre == "":
+		return "data_centre"
+	case h.Role != RoleEntry && h.Role != RoleBackend:
+		return "role"
+	case h.State != Live && h.State != Leaving:
+		return "state"
+	case h.Revision > revision:
+		return "revision"
+	}
+	return ""
+}
--- /dev/null
+++ b/standin/ratings.go
@@ -0,0 +1,167 @@
+package standin
+
+import (
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/uptrace/bunrouter"
+
+	"github.com/bronzeturn/bronzeturn/rating"
+)
+
+// PathQuality takes a []Quality by PUT, which changes the named entries.
+const PathQuality = "/control/quality"
+
+// Quality is the true quality of a version for a kind. An empty Kind stands
+// for all kinds without an entry of their own.
+type Quality struct {
+	Version string  `json:"version"`
+	Kind    string  `json:"kind"`
+	Quality float64 `json:"quality"`
+}
+
+// RatingConfig configures a Rating service.
+type RatingConfig struct {
+	Quality []Quality
+	// DefaultQuality is that of versions without an entry.
+	DefaultQuality float64
+	// Noise is the standard deviation of a score around the quality.
+	Noise float64
+	// Bias is added to the scores of an organisation.
+	Bias map[string]float64
+	// Answered is the share of the samples that get a rating. Zero means all.
+	Answered float64
+	// Lag is the time after which a rating shows.
+	Lag time.Duration
+}
+
+const (
+	// ratingsKept bounds the ratings and sample ids remembered.
+	ratingsKept = 100_000
+	// ratingsPage bounds one answer of a poll.
+	ratingsPage = 1000
+)
+
+// Rating stands in for the platform's rating service.
+type Rating struct {
+	server
+	cfg RatingConfig
+
+	mu       sync.Mutex
+	quality  map[[2]string]float64
+	seen     *counter
+	sequence uint64
+	ratings  []dueRating
+}
+
+// dueRating is a rating and the time since which it is known.
+type dueRating struct {
+	rating.Rating
+	at time.Time
+}
+
+// NewRating returns a Rating service.
+func NewRating(cfg RatingConfig) *Rating {
+	r := &Rating{cfg: cfg, quality: make(map[[2]string]float64), seen: newCounter(ratingsKept)}
+	r.SetQuality(cfg.Quality...)
+	router := bunrouter.New().Compat()
+	router.POST(rating.PathSamples, r.submit)
+	router.GET(rating.PathRatings, r.poll)
+	r.handler = router
+	control := r.newControl()
+	control.PUT(PathQuality, r.putQuality)
+	r.control = control
+	return r
+}
+
+func (s *Rating) putQuality(w http.ResponseWriter, r *http.Request) {
+	var entries []Quality
+	if !readJSON(w, r, &entries) {
+		return
+	}
+	s.SetQuality(entries...)
+	writeJSON(w, entries)
+}
+
+// SetQuality changes the true quality for the samples that come from now on.
+func (s *Rating) SetQuality(entries ...Quality) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, q := range entries {
+		s.quality[[2]string{q.Version, q.Kind}] = q.Quality
+	}
+}
+
+func (s *Rating) submit(w http.ResponseWriter, r *http.Request) {
+	var sample rating.Sample
+	if !readJSON(w, r, &sample) {
+		return
+	}
+	s.rate(sample)
+	writeJSON(w, struct{}{})
+}
+
+// rate decides the rating of a sample at once; it shows after the lag.
+func (s *Rating) rate(sample rating.Sample) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.seen.add(sample.RequestID) > 1 {
+		return
+	}
+	random := rand.New(rand.NewPCG(xxhash.Sum64String(sample.RequestID), 0))
+	if s.cfg.Answered > 0 && random.Float64() >= s.cfg.Answered {
+		return
+	}
+	score := s.trueQuality(sample) + s.cfg.Bias[sample.Organisation] + s.cfg.Noise*random.NormFloat64()
+	s.sequence++
+	if len(s.ratings) >= ratingsKept {
+		s.ratings = append(s.ratings[:0], s.ratings[ratingsKept/2:]...)
+	}
+	s.ratings = append(s.ratings, dueRating{at: time.Now(), Rating: rating.Rating{
+		Sequence: s.sequence, RequestID: sample.RequestID, Organisation: sample.Organisation,
+		Version: sample.Version, Kind: sample.Kind, Score: math.Min(math.Max(score, 0), 1),
+	}})
+}
+
+// trueQuality looks up a sample's quality. The caller holds the lock.
+func (s *Rating) trueQuality(sample rating.Sample) float64 {
+	if q, ok := s.quality[[2]string{sample.Version, sample.Kind}]; ok {
+		return q
+	}
+	if q, ok := s.quality[[2]string{sample.Version, ""}]; ok {
+		return q
+	}
+	return s.cfg.DefaultQuality
+}
+
+func (s *Rating) poll(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	writeJSON(w, rating.Ratings{Ratings: s.shown(after)})
+}
+
+// shown returns a page of the ratings above after that are past the lag. A
+// rating does not show before the ones of a lower sequence.
+func (s *Rating) shown(after uint64) []rating.Rating {
+	known := time.Now().Add(-s.cfg.Lag - s.faults.get().lag())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	page := []rating.Rating{}
+	for _, r := range s.ratings {
+		if r.at.After(known) || len(page) == ratingsPage {
+			break
+		}
+		if r.Sequence > after {
+			page = append(page, r.Rating)
+		}
+	}
+	return page
+}
--- /dev/null
+++ b/standin/service.go
@@ -0,0 +1,93 @@
+package standin
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/engine"
+)
+
+// PathExecutions shows how often each request id was executed, as a JSON
+// object of id and count.
+const PathExecutions = "/control/executions"
+
+const (
+	// executionsKept bounds the request ids remembered.
+	executionsKept = 200_000
+	// maxRequestBytes bounds the body of a request.
+	maxRequestBytes = 16 << 20
+)
+
+// PlainServiceConfig configures a PlainService.
+type PlainServiceConfig struct {
+	// Name shows in the answers.
+	Name string
+	// Work is the time that a call takes.
+	Work time.Duration
+}
+
+// ServiceAnswer is what a PlainService answers.
+type ServiceAnswer struct {
+	Service   string `json:"service"`
+	Method    string `json:"method"`
+	Path      string `json:"path"`
+	RequestID string `json:"request_id"`
+	// BodySHA256 is the digest of the body received, so that a caller can check
+	// that the answer is to its own call.
+	BodySHA256 string `json:"body_sha256"`
+	// Execution is 1 for the first execution of the request id.
+	Execution int `json:"execution"`
+}
+
+// PlainService stands in for a plain service. It answers any path outside the
+// control endpoint and counts executions by the X-Request-Id header.
+type PlainService struct {
+	server
+	cfg PlainServiceConfig
+
+	mu       sync.Mutex
+	executed *counter
+}
+
+// NewPlainService returns a PlainService.
+func NewPlainService(cfg PlainServiceConfig) *PlainService {
+	s := &PlainService{cfg: cfg, executed: newCounter(executionsKept)}
+	s.handler = http.HandlerFunc(s.call)
+	control := s.newControl()
+	control.GET(PathExecutions, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Executions()) })
+	s.control = control
+	return s
+}
+
+// Executions returns how often each request id was executed.
+func (s *PlainService) Executions() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.executed.all()
+}
+
+func (s *PlainService) execute(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.executed.add(id)
+}
+
+func (s *PlainService) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	id := r.Header.Get(engine.HeaderRequestID)
+	execution := s.execute(id)
+	pause(r, s.cfg.Work)
+	sum := sha256.Sum256(body)
+	writeJSON(w, ServiceAnswer{
+		Service: s.cfg.Name, Method: r.Method, Path: r.URL.RequestURI(), RequestID: id,
+		BodySHA256: hex.EncodeToString(sum[:]), Execution: execution,
+	})
+}
