--- a/standin/generate.go
+++ b/standin/generate.go
@@ -53,6 +53,7 @@
 		g.e.outstanding.Add(int64(done - due))
 		*left -= int64(due - done)
 		done = due
+		g.e.sample()
 		if !g.wait(done, total, rate) {
 			return
 		}
