--- a/cmd/bronzeturn-standin/main.go
+++ b/cmd/bronzeturn-standin/main.go
@@ -12,6 +12,8 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+
+	"github.com/bronzeturn/bronzeturn/standin"
 )
 
 // options are the command line of bronzeturn-standin.
@@ -26,13 +28,8 @@
 	PlainService plainServiceCommand `cmd:"" name:"plain-service" help:"Run a plain service."`
 }
 
-// standIn is what every command starts.
-type standIn interface {
-	Serve(ctx context.Context, l net.Listener) error
-}
-
 // serve listens, prints the address and serves until a signal comes.
-func serve(o *options, s standIn) error {
+func serve(o *options, s standin.Server) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	l, err := net.Listen("tcp", o.Listen)
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -23,19 +23,15 @@
 const version = "diag@1"
 
 // serve runs a stand-in until the test ends and returns its address.
-func serve(c *qt.C, s interface {
-	Serve(context.Context, net.Listener) error
-}) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
+func serve(c *qt.C, s standin.Server) string {
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- s.Serve(ctx, l) }()
+	address, wait, err := standin.Start(ctx, s)
+	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() {
 		cancel()
-		c.Check(<-done, qt.IsNil)
+		c.Check(wait(), qt.IsNil)
 	})
-	return l.Addr().String()
+	return address
 }
 
 func newClient(c *qt.C) *engine.Client {
--- a/objectstore/httpstore/httpstore_test.go
+++ b/objectstore/httpstore/httpstore_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -23,18 +22,16 @@
 // start runs an object API and returns it with a client of it.
 func start(c *qt.C, cfg standin.ObjectAPIConfig) (*standin.ObjectAPI, *httpstore.Store) {
 	api := standin.NewObjectAPI(cfg)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- api.Serve(ctx, l) }()
+	address, wait, err := standin.Start(ctx, api)
+	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() {
 		cancel()
-		c.Check(<-done, qt.IsNil)
+		c.Check(wait(), qt.IsNil)
 	})
 	transport := &http.Transport{}
 	c.Cleanup(transport.CloseIdleConnections)
-	return api, httpstore.New("http://"+l.Addr().String(), &http.Client{Transport: transport})
+	return api, httpstore.New("http://"+address, &http.Client{Transport: transport})
 }
 
 func TestObjectsRoundTrip(t *testing.T) {
--- a/objectstore/memstore/memstore.go
+++ b/objectstore/memstore/memstore.go
@@ -1,11 +1,12 @@
 // Package memstore implements the object API in memory. The stand-in server
-// and the tests use it; a Fault hook lets them bring about failures.
+// and the tests use it; a Fault hook lets them bring about failures. Values that
+// it returns must not be modified.
 package memstore
 
 import (
 	"context"
 	"errors"
-	"sort"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -55,6 +56,8 @@
 type Store struct {
 	mu       sync.Mutex
 	objects  map[string]objectstore.Object
+	keys     []string // of objects, sorted
+	changes  changes
 	revision uint64
 	changed  chan struct{}
 	fault    Fault
@@ -149,14 +152,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var found []objectstore.Object
-	for key, obj := range s.objects {
-		if strings.HasPrefix(key, prefix) && key > after {
-			found = append(found, obj)
+	at, _ := slices.BinarySearch(s.keys, max(prefix, after))
+	for _, key := range s.keys[at:] {
+		if !strings.HasPrefix(key, prefix) || limit > 0 && len(found) == limit {
+			break
+		}
+		if key > after {
+			found = append(found, s.objects[key])
 		}
-	}
-	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
-	if limit > 0 && len(found) > limit {
-		found = found[:limit]
 	}
 	return found, nil
 }
@@ -194,7 +197,11 @@
 	}
 	s.revision++
 	obj := objectstore.Object{Key: key, Revision: s.revision, Value: append([]byte(nil), value...)}
+	if at, ok := slices.BinarySearch(s.keys, key); !ok {
+		s.keys = slices.Insert(s.keys, at, key)
+	}
 	s.objects[key] = obj
+	s.changes.add(s.revision, key, s.objects)
 	s.wake()
 	return obj, nil
 }
@@ -224,6 +231,9 @@
 	if have := s.objects[key].Revision; have != want {
 		return &objectstore.ConflictError{Key: key, Want: want, Have: have}
 	}
+	if at, ok := slices.BinarySearch(s.keys, key); ok {
+		s.keys = slices.Delete(s.keys, at, at+1)
+	}
 	delete(s.objects, key)
 	return nil
 }
@@ -257,14 +267,7 @@
 func (s *Store) newer(prefix string, after uint64) ([]objectstore.Object, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var found []objectstore.Object
-	for key, obj := range s.objects {
-		if strings.HasPrefix(key, prefix) && obj.Revision > after {
-			found = append(found, obj)
-		}
-	}
-	sort.Slice(found, func(i, j int) bool { return found[i].Revision < found[j].Revision })
-	return found, s.changed
+	return s.changes.newer(prefix, after, s.objects), s.changed
 }
 
 var _ objectstore.Store = (*Store)(nil)
--- /dev/null
+++ b/rating/rating_test.go
@@ -0,0 +1,102 @@
+package rating_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bronzeturn/bronzeturn/jsoncall"
+	"github.com/bronzeturn/bronzeturn/rating"
+	"github.com/bronzeturn/bronzeturn/standin"
+)
+
+var ctx = context.Background()
+
+func start(c *qt.C, cfg standin.RatingConfig) (*standin.Rating, *rating.Client) {
+	s := standin.NewRating(cfg)
+	ctx, cancel := context.WithCancel(context.Background())
+	address, wait, err := standin.Start(ctx, s)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() {
+		cancel()
+		c.Check(wait(), qt.IsNil)
+	})
+	transport := &http.Transport{}
+	c.Cleanup(transport.CloseIdleConnections)
+	return s, rating.New("http://"+address, &http.Client{Transport: transport})
+}
+
+func TestRatingsFollowQualityAndBias(t *testing.T) {
+	c := qt.New(t)
+	s, client := start(c, standin.RatingConfig{
+		Quality: []standin.Quality{{Version: "v", Quality: 0.8}, {Version: "v", Kind: "tag", Quality: 0.6}},
+		Bias:    map[string]float64{"low": -0.5}, DefaultQuality: 0.3,
+	})
+	samples := []rating.Sample{
+		{RequestID: "1", Organisation: "o", Version: "v", Kind: "quick"},
+		{RequestID: "2", Organisation: "o", Version: "v", Kind: "tag"},
+		{RequestID: "3", Organisation: "low", Version: "v", Kind: "quick"},
+		{RequestID: "4", Organisation: "o", Version: "w", Kind: "quick"},
+		{RequestID: "1", Organisation: "o", Version: "v", Kind: "quick"}, // Rated once.
+	}
+	for _, sample := range samples {
+		c.Assert(client.Submit(ctx, sample), qt.IsNil)
+	}
+	s.SetQuality(standin.Quality{Version: "v", Quality: 0.1}) // Turns bad.
+	c.Assert(client.Submit(ctx, rating.Sample{RequestID: "5", Version: "v", Kind: "quick"}), qt.IsNil)
+
+	ratings, err := client.Poll(ctx, 0)
+	c.Assert(err, qt.IsNil)
+	want := []float64{0.8, 0.6, 0.3, 0.3, 0.1}
+	c.Assert(ratings, qt.HasLen, len(want))
+	for i, r := range ratings {
+		c.Assert(r.Sequence, qt.Equals, uint64(i+1))
+		c.Assert(r.Score-want[i] < 1e-9 && want[i]-r.Score < 1e-9, qt.IsTrue, qt.Commentf("%v", r))
+	}
+	ratings, err = client.Poll(ctx, 4)
+	c.Assert(err, qt.IsNil)
+	c.Assert(ratings, qt.HasLen, 1)
+}
+
+func TestRatingsShowAfterTheLag(t *testing.T) {
+	c := qt.New(t)
+	s, client := start(c, standin.RatingConfig{Lag: time.Hour})
+	c.Assert(client.Submit(ctx, rating.Sample{RequestID: "1"}), qt.IsNil)
+	ratings, err := client.Poll(ctx, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(ratings, qt.HasLen, 0)
+	s.SetFaults(standin.Faults{LagMillis: -time.Hour.Milliseconds()}) // Takes the lag away.
+	ratings, err = client.Poll(ctx, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(ratings, qt.HasLen, 1)
+}
+
+func TestLostSubmitTookEffectOnce(t *testing.T) {
+	c := qt.New(t)
+	s, client := start(c, standin.RatingConfig{})
+	s.SetFaults(standin.Faults{LoseAnswers: 1})
+	sample := rating.Sample{RequestID: "1"}
+	var failed *jsoncall.Error
+	c.Assert(errors.As(client.Submit(ctx, sample), &failed), qt.IsTrue)
+	c.Assert(client.Submit(ctx, sample), qt.IsNil)
+	ratings, err := client.Poll(ctx, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(ratings, qt.HasLen, 1)
+}
+
+func TestImpossibleScoreIsRefused(t *testing.T) {
+	c := qt.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"ratings":[{"sequence":1,"score":1.5}]}`)
+	}))
+	defer server.Close()
+	_, err := rating.New(server.URL, server.Client()).Poll(ctx, 0)
+	var bad *rating.ScoreError
+	c.Assert(errors.As(err, &bad), qt.IsTrue)
+}
