Pass streamed events on without scanning the buffer twice

Cause: each event searched the whole read buffer for a CRLF blank line. Ruled out: decoding events; only the one with usage is decoded. A fuzz run found that CRLF and LF blank lines that overlap were cut differently by slow and fast connections; mended, its input is a seed.

--- /dev/null
+++ b/cmd/bronzeturn-standin/main_test.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bronzeturn/bronzeturn/standin"
+)
+
+// runMain makes the test binary run main instead of the tests.
+const runMain = "BRONZETURN_STANDIN_RUN_MAIN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(runMain) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func TestEachCommandPrintsItsAddressAndStopsOnSignal(t *testing.T) {
+	commands := [][]string{
+		{"object-api"}, {"host-list"}, {"rating"}, {"weight-store", "--weights", "v=5"},
+		{"engine", "--versions", "v"}, {"plain-service"},
+	}
+	for _, args := range commands {
+		t.Run(args[0], func(t *testing.T) {
+			t.Parallel() // A process under the race detector takes a second to end.
+			c := qt.New(t)
+			cmd := exec.Command(os.Args[0], args...)
+			cmd.Env = append(os.Environ(), runMain+"=1")
+			stdout, err := cmd.StdoutPipe()
+			c.Assert(err, qt.IsNil)
+			c.Assert(cmd.Start(), qt.IsNil)
+			c.Cleanup(func() { _ = cmd.Process.Kill() })
+
+			line, err := bufio.NewReader(stdout).ReadBytes('\n')
+			c.Assert(err, qt.IsNil)
+			var started struct{ Address string }
+			c.Assert(json.Unmarshal(line, &started), qt.IsNil)
+			_, port, err := net.SplitHostPort(started.Address)
+			c.Assert(err, qt.IsNil)
+			c.Assert(port, qt.Not(qt.Equals), "0")
+			response, err := http.Get("http://" + started.Address + standin.PathFaults)
+			c.Assert(err, qt.IsNil)
+			defer response.Body.Close()
+			c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+
+			c.Assert(cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+			c.Assert(cmd.Wait(), qt.IsNil)
+		})
+	}
+}
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -124,10 +124,7 @@
 func (s *Stream) cut() []byte {
 	from := max(s.start, s.scanned-len(blankLineCRLF)+1)
 	pending := s.buf[from:s.end]
-	at, size := bytes.Index(pending, blankLine), len(blankLine)
-	if crlf := bytes.Index(pending, blankLineCRLF); crlf >= 0 && (at < 0 || crlf < at) {
-		at, size = crlf, len(blankLineCRLF)
-	}
+	at, size := endOfEvent(pending)
 	if at < 0 {
 		s.scanned = s.end
 		return nil
@@ -138,6 +135,21 @@
 	return data
 }
 
+// endOfEvent returns where the first blank line begins and its length, or -1.
+// The bytes behind a first "\n\n" are not searched again; the two kinds of blank
+// line may overlap.
+func endOfEvent(pending []byte) (at, size int) {
+	at, size = bytes.Index(pending, blankLine), len(blankLine)
+	before := pending
+	if at >= 0 {
+		before = pending[:min(at+len(blankLineCRLF)-1, len(pending))]
+	}
+	if crlf := bytes.Index(before, blankLineCRLF); crlf >= 0 {
+		return crlf, len(blankLineCRLF)
+	}
+	return at, size
+}
+
 // fill reads more bytes behind the buffered ones.
 func (s *Stream) fill() error {
 	s.makeRoom()
@@ -170,11 +182,11 @@
 }
 
 var (
-	doneMark   = []byte("data: [DONE]")
-	usageMark  = []byte(`"usage":{`)
-	usageMark2 = []byte(`"usage": {`)
-	errorMark  = []byte(`data: {"error"`)
-	dataMark   = []byte("data:")
+	doneMark  = []byte("data: [DONE]")
+	usageMark = []byte(`"usage":`)
+	usageNull = []byte("null")
+	errorMark = []byte(`data: {"error"`)
+	dataMark  = []byte("data:")
 )
 
 // event classifies one event by its first bytes; only an event that holds
@@ -186,12 +198,23 @@
 		return Event{Data: data, Last: true}, nil
 	case bytes.HasPrefix(data, errorMark):
 		return Event{}, s.fail(Failed, errInStream)
-	case bytes.Contains(data, usageMark), bytes.Contains(data, usageMark2):
+	case holdsUsage(data):
 		s.readUsage(bytes.TrimPrefix(data, dataMark))
 	}
 	return Event{Data: data}, nil
 }
 
+// holdsUsage tells whether an event has a usage field other than null. Text of
+// the answer cannot look like one, as its quotes are escaped.
+func holdsUsage(data []byte) bool {
+	at := bytes.Index(data, usageMark)
+	if at < 0 {
+		return false
+	}
+	value := bytes.TrimLeft(data[at+len(usageMark):], " ")
+	return !bytes.HasPrefix(value, usageNull)
+}
+
 // wireUsage is the usage object of language model APIs.
 type wireUsage struct {
 	Usage *struct {
--- /dev/null
+++ b/engine/stream_fuzz_test.go
@@ -0,0 +1,65 @@
+package engine_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+	"testing/iotest"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bronzeturn/bronzeturn/engine"
+)
+
+// slowTransport answers with a body that comes one byte at a time.
+type slowTransport []byte
+
+func (t slowTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	_ = r.Body.Close()
+	return &http.Response{
+		StatusCode: http.StatusOK, Header: http.Header{}, ContentLength: -1,
+		Body: io.NopCloser(iotest.OneByteReader(bytes.NewReader(t))),
+	}, nil
+}
+
+// collect reads a stream and joins its events.
+func collect(t *testing.T, transport http.RoundTripper) (data []byte, last bool, failed *engine.Error) {
+	s, err := engine.New(transport).Open(context.Background(), request("127.0.0.1:1", true, 1))
+	qt.Assert(t, err, qt.IsNil)
+	defer s.Close()
+	for {
+		event, err := s.Next()
+		if err != nil {
+			qt.Assert(t, errors.As(err, &failed), qt.IsTrue)
+			return data, false, failed
+		}
+		data = append(data, event.Data...)
+		if event.Last {
+			return data, true, nil
+		}
+	}
+}
+
+// FuzzStream checks that events are a prefix of what the engine sent, however
+// it is cut into reads, and that only an end mark ends an answer cleanly.
+func FuzzStream(f *testing.F) {
+	f.Add([]byte(token + "data: [DONE]\n\n"))
+	f.Add([]byte("data: a\r\n\r\ndata: b\n\n\r\n\r\ndata: [DONE]\r\n\r\n"))
+	f.Add([]byte("data: {\"usage\": {\"prompt_tokens\":-1}}\n\ndata: {\"error\":1}\n\n"))
+	f.Add([]byte("\n\n\n\r\n\r\n"))
+	f.Add([]byte("\r\n\r\n\n")) // Was cut differently by a fast and a slow connection.
+	f.Fuzz(func(t *testing.T, sent []byte) {
+		data, last, failed := collect(t, cannedTransport(sent))
+		qt.Assert(t, bytes.HasPrefix(sent, data), qt.IsTrue)
+		if last {
+			qt.Assert(t, bytes.Contains(data, []byte("data: [DONE]")), qt.IsTrue)
+		}
+		slow, slowLast, slowFailed := collect(t, slowTransport(sent))
+		qt.Assert(t, slow, qt.DeepEquals, data)
+		qt.Assert(t, slowLast, qt.Equals, last)
+		qt.Assert(t, failed == nil, qt.Equals, slowFailed == nil)
+	})
+}
