Close idle connections to a peer that went silent; shorten watches

Cause: what loses track of one connection loses track of all between the same two ends; each pooled one would cost one more timeout. A watch of 30 s notices a silent connection after 35 s, over the 4 s for a change of configuration. Ruled out: closing the idle connections of a transport shared by all engines, as one hanging engine would reset the others; sending heartbeats inside a long poll, which would need a protocol of our own. A watch now asks for 2 s and times out after 3 s; a waiting watch is charged one read a second either way. Conclusion: engines and services should be given attempt.Transports.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -75,8 +75,10 @@
 	// Length is the announced length of the body, or -1.
 	Length int64
 
+	transport http.RoundTripper
+	host      string
+
 	body     io.ReadCloser
-	parent   context.Context
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	timer    *time.Timer
@@ -145,15 +147,31 @@
 		reason := reasonOf(inner)
 		failed := &Error{Stage: seen.stage(err, reason != Network), Reason: reason, Cause: err}
 		cancel(errClosed)
+		dropIdle(transport, req.URL.Host, reason)
 		return nil, failed
 	}
 	return &Exchange{
+		transport: transport, host: req.URL.Host,
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		body: resp.Body, parent: ctx, ctx: inner, cancel: cancel,
+		body: resp.Body, ctx: inner, cancel: cancel,
 		timer: timer, progress: r.ProgressTimeout,
 	}, nil
 }
 
+// idleDropper is a transport that can close its idle connections to one host,
+// such as Transports.
+type idleDropper interface {
+	DropIdle(host string)
+}
+
+// dropIdle closes the idle connections to a host that went silent, since what
+// lost track of one connection has often lost track of the others.
+func dropIdle(transport http.RoundTripper, host string, reason Reason) {
+	if d, ok := transport.(idleDropper); ok && reason == Silent {
+		d.DropIdle(host)
+	}
+}
+
 // reasonOf reads why ctx ended; a live context means a network failure.
 func reasonOf(ctx context.Context) Reason {
 	switch {
@@ -239,14 +257,15 @@
 	case errors.Is(err, io.EOF):
 		x.ended = true
 		return n, io.EOF
-	default:
-		return n, &Error{Stage: Answered, Reason: reasonOf(x.ctx), Cause: err}
 	}
+	reason := reasonOf(x.ctx)
+	dropIdle(x.transport, x.host, reason)
+	return n, &Error{Stage: Answered, Reason: reason, Cause: err}
 }
 
 // drainTimeout bounds how long Close waits for the end of a body, so that the
 // connection can be used again.
-const drainTimeout = 50 * time.Millisecond
+const drainTimeout = 200 * time.Millisecond
 
 // Drain reads the few bytes that may follow the useful part of the body, so
 // that the connection can be reused. It gives up after a short while.
--- /dev/null
+++ b/attempt/transports.go
@@ -0,0 +1,49 @@
+package attempt
+
+import (
+	"net/http"
+	"sync"
+)
+
+// Transports is an http.RoundTripper with one *http.Transport per host, so
+// that the idle connections to one host can be closed alone. It keeps the
+// transport of every host it has met; hosts must come from a bounded set, such
+// as the register.
+type Transports struct {
+	template *http.Transport
+	byHost   sync.Map // of string to *http.Transport
+}
+
+// NewTransports returns Transports that are clones of template.
+func NewTransports(template *http.Transport) *Transports {
+	return &Transports{template: template}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transports) RoundTrip(r *http.Request) (*http.Response, error) {
+	return t.of(r.URL.Host).RoundTrip(r)
+}
+
+// of returns the transport of a host.
+func (t *Transports) of(host string) *http.Transport {
+	if known, ok := t.byHost.Load(host); ok {
+		return known.(*http.Transport)
+	}
+	known, _ := t.byHost.LoadOrStore(host, t.template.Clone())
+	return known.(*http.Transport)
+}
+
+// DropIdle closes the idle connections to host, given as address and port.
+func (t *Transports) DropIdle(host string) {
+	if known, ok := t.byHost.Load(host); ok {
+		known.(*http.Transport).CloseIdleConnections()
+	}
+}
+
+// CloseIdleConnections closes the idle connections to all hosts.
+func (t *Transports) CloseIdleConnections() {
+	t.byHost.Range(func(_, known any) bool {
+		known.(*http.Transport).CloseIdleConnections()
+		return true
+	})
+}
--- a/jsoncall/jsoncall.go
+++ b/jsoncall/jsoncall.go
@@ -18,7 +18,7 @@
 
 const (
 	// timeout bounds one call as a whole.
-	timeout = 5 * time.Second
+	timeout = 2 * time.Second
 	// maxAnswerBytes bounds one answer.
 	maxAnswerBytes = 16 << 20
 	// maxErrorBytes bounds the text kept of a failed call.
@@ -107,6 +107,7 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.client.Do(req)
 	if err != nil {
+		c.dropIdle(err)
 		e.cause = err
 		return e
 	}
@@ -115,10 +116,19 @@
 	if e.cause = check(resp, answer, err, into); e.cause == nil {
 		return nil
 	}
+	c.dropIdle(err)
 	e.Status, e.RetryAfter = resp.StatusCode, retryAfter(resp.Header)
 	return e
 }
 
+// dropIdle closes the idle connections after a timeout, since what lost track
+// of one connection has often lost track of the others.
+func (c *Client) dropIdle(err error) {
+	if errors.Is(err, context.DeadlineExceeded) {
+		c.client.CloseIdleConnections()
+	}
+}
+
 // check decodes a complete answer or tells why it is unusable.
 func check(resp *http.Response, answer []byte, readErr error, into any) error {
 	switch {
--- a/objectstore/httpstore/httpstore.go
+++ b/objectstore/httpstore/httpstore.go
@@ -28,12 +28,16 @@
 	PathWatch   = "/v1/watch"
 )
 
-// WatchWait is how long the server holds a watch without a change.
-const WatchWait = 30 * time.Second
+// MaxWatchWait is how long the server holds a watch without a change at most.
+const MaxWatchWait = 30 * time.Second
 
 const (
+	// watchWait is the wait that a watch asks for. It is short because the
+	// timeout behind it is the time after which a silent connection is noticed.
+	watchWait = 2 * time.Second
+	// watchTimeout and callTimeout bound one call.
+	watchTimeout = watchWait + time.Second
 	callTimeout  = 5 * time.Second
-	watchTimeout = WatchWait + callTimeout
 	// defaultRetryAfter stands in for a missing or unreadable Retry-After.
 	defaultRetryAfter = time.Second
 	// maxAnswerBytes bounds a list or watch answer.
@@ -140,11 +144,14 @@
 	}
 }
 
-// Watch implements objectstore.Store. The wait ends after WatchWait.
+// Watch implements objectstore.Store. The wait ends after 2 s without a change.
 func (s *Store) Watch(ctx context.Context, prefix string, after uint64) ([]objectstore.Object, error) {
 	var all []objectstore.Object
 	for {
-		query := url.Values{"prefix": {prefix}, "after": {strconv.FormatUint(after, 10)}}
+		query := url.Values{
+			"prefix": {prefix}, "after": {strconv.FormatUint(after, 10)},
+			"wait_ms": {strconv.FormatInt(watchWait.Milliseconds(), 10)},
+		}
 		page, more, err := s.page(ctx, call{
 			op: "watch", key: prefix, path: PathWatch + "?" + query.Encode(), timeout: watchTimeout,
 		})
@@ -192,11 +199,13 @@
 	}
 	resp, err := s.client.Do(req)
 	if err != nil {
+		s.dropIdle(err)
 		return answer{}, unavailable(c, err)
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
+		s.dropIdle(err)
 		return answer{}, unavailable(c, err)
 	}
 	if len(body) > maxAnswerBytes {
@@ -205,6 +214,14 @@
 	return read(c, resp, body)
 }
 
+// dropIdle closes the idle connections after a timeout, since what lost track
+// of one connection has often lost track of the others.
+func (s *Store) dropIdle(err error) {
+	if errors.Is(err, context.DeadlineExceeded) {
+		s.client.CloseIdleConnections()
+	}
+}
+
 func requestBody(c call) io.Reader {
 	if c.method != http.MethodPut {
 		return nil
--- a/plainservice/plainservice.go
+++ b/plainservice/plainservice.go
@@ -105,7 +105,7 @@
 	}
 	x, err := attempt.Send(ctx, c.transport, attempt.Request{
 		Method: call.Method, URL: "http://" + call.Address + call.Path,
-		Header: call.Header, Body: call.Body, ProgressTimeout: call.ProgressTimeout,
+		Header: endToEnd(call.Header), Body: call.Body, ProgressTimeout: call.ProgressTimeout,
 	})
 	if err != nil {
 		return nil, translate(err, 0)
@@ -121,7 +121,27 @@
 	if x.Status >= http.StatusBadRequest && x.Header.Get(HeaderNotRun) == "true" {
 		return nil, &Error{Kind: Refused, Ran: failure.RanNo, Status: x.Status, cause: errNotRun}
 	}
-	return &Response{Status: x.Status, Header: x.Header, Body: body}, nil
+	return &Response{Status: x.Status, Header: endToEnd(x.Header), Body: body}, nil
+}
+
+// hopByHop names the headers that belong to one connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// endToEnd returns the headers of h that may be passed on.
+func endToEnd(h http.Header) http.Header {
+	kept := h.Clone()
+	for _, listed := range h["Connection"] {
+		for name := range strings.SplitSeq(listed, ",") {
+			kept.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		kept.Del(name)
+	}
+	return kept
 }
 
 // translate types a failed attempt.
--- a/plainservice/plainservice_test.go
+++ b/plainservice/plainservice_test.go
@@ -138,3 +138,28 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.Status, qt.Equals, http.StatusNotFound)
 }
+
+func TestHopByHopHeadersStay(t *testing.T) {
+	c := qt.New(t)
+	headers := make(chan http.Header, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		headers <- r.Header
+		w.Header().Set("Keep-Alive", "timeout=5")
+		w.Header().Set("Kept", "yes")
+	}))
+	defer server.Close()
+	request := call(strings.TrimPrefix(server.URL, "http://"))
+	request.Header = http.Header{
+		"Connection": {"close, Private"}, "Private": {"x"}, "Te": {"trailers"}, "Upgrade": {"h2c"}, "Kept": {"yes"},
+	}
+	response, err := newClient(c).Call(ctx, request)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Header.Get("Kept"), qt.Equals, "yes")
+	c.Assert(response.Header.Get("Keep-Alive"), qt.Equals, "")
+	seen := <-headers
+	c.Assert(seen.Get("Kept"), qt.Equals, "yes")
+	for _, name := range []string{"Connection", "Private", "Te", "Upgrade"} {
+		c.Assert(seen.Get(name), qt.Equals, "", qt.Commentf(name))
+	}
+	c.Assert(request.Header.Get("Private"), qt.Equals, "x")
+}
--- a/standin/objectapi.go
+++ b/standin/objectapi.go
@@ -31,7 +31,7 @@
 	// opens and as one more for each second that it waits.
 	ReadsPerSecond  float64
 	WritesPerSecond float64
-	// WatchWait bounds the wait of a watch. Zero means httpstore.WatchWait.
+	// WatchWait bounds the wait of a watch. Zero means httpstore.MaxWatchWait.
 	WatchWait time.Duration
 	// Store holds the objects. Nil means a new memstore.Store.
 	Store objectstore.Store
@@ -68,7 +68,7 @@
 		a.store = memstore.New()
 	}
 	if a.watchWait == 0 {
-		a.watchWait = httpstore.WatchWait
+		a.watchWait = httpstore.MaxWatchWait
 	}
 	a.handler = a.routes()
 	control := a.newControl()
@@ -228,7 +228,11 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	objects, err := a.wait(r, query.Get("prefix"), after)
+	wait := a.watchWait
+	if ms, err := strconv.ParseInt(query.Get("wait_ms"), 10, 64); err == nil && ms >= 0 {
+		wait = min(wait, time.Duration(ms)*time.Millisecond)
+	}
+	objects, err := a.wait(r, query.Get("prefix"), after, wait)
 	if err != nil {
 		writeStoreError(w, err)
 		return
--- a/standin/watch.go
+++ b/standin/watch.go
@@ -14,8 +14,8 @@
 
 // wait waits for a change in slices of watchCharge and charges one read for
 // each further slice.
-func (a *ObjectAPI) wait(r *http.Request, prefix string, after uint64) ([]objectstore.Object, error) {
-	end := time.Now().Add(a.watchWait)
+func (a *ObjectAPI) wait(r *http.Request, prefix string, after uint64, wait time.Duration) ([]objectstore.Object, error) {
+	end := time.Now().Add(wait)
 	for {
 		left := time.Until(end)
 		if left <= 0 {
