Choose the version of a request by credible quality and expected cost

Cause: nothing chose a version yet; the router needs the cheapest allowed version that credibly reaches the target of the task kind. Ruled out: estimates behind a lock (readers load one packed atomic word); map look-ups per candidate (a plan is bound to its cells once). Before and after: none before.

--- /dev/null
+++ b/quality/estimate.go
@@ -0,0 +1,72 @@
+package quality
+
+import "math"
+
+// Estimate is a belief about the mean quality of a version for one task kind.
+type Estimate struct {
+	// Mean is the expected score, 0 to 1.
+	Mean float64
+	// Lower and Upper bound the credible interval, 0 to 1.
+	Lower, Upper float64
+	// Weight is the number of discounted ratings behind the estimate, without
+	// the prior.
+	Weight float64
+}
+
+// Resolution of the packed fields.
+const (
+	fieldMax    = 1<<16 - 1
+	weightScale = 16.0
+)
+
+// moments are the sum of scores and the number of ratings, both discounted.
+type moments struct{ sum, weight float64 }
+
+func (m *moments) add(o moments) {
+	m.sum += o.sum
+	m.weight += o.weight
+}
+
+func (m *moments) subtract(o moments) {
+	m.sum = math.Max(0, m.sum-o.sum)
+	m.weight = math.Max(0, m.weight-o.weight)
+}
+
+func (m *moments) scale(f float64) {
+	m.sum *= f
+	m.weight *= f
+}
+
+// limit forgets older evidence in proportion, down to the weight max.
+func (m *moments) limit(max float64) {
+	if m.weight > max {
+		m.scale(max / m.weight)
+	}
+}
+
+// estimate returns the posterior of a Beta prior after the evidence m, with
+// the interval of its normal approximation.
+func estimate(m moments, prior float64, o *Options) Estimate {
+	n := m.weight + o.PriorWeight
+	mean := clamp((m.sum + prior*o.PriorWeight) / n)
+	d := o.Z * math.Sqrt(mean*(1-mean)/(n+1))
+	return Estimate{Mean: mean, Lower: clamp(mean - d), Upper: clamp(mean + d), Weight: m.weight}
+}
+
+func pack(e Estimate) uint64 {
+	w := math.Min(e.Weight*weightScale, fieldMax)
+	return field(e.Mean) | field(e.Lower)<<16 | field(e.Upper)<<32 | uint64(w)<<48
+}
+
+func unpack(w uint64) Estimate {
+	return Estimate{
+		Mean:   float64(w&fieldMax) / fieldMax,
+		Lower:  float64(w>>16&fieldMax) / fieldMax,
+		Upper:  float64(w>>32&fieldMax) / fieldMax,
+		Weight: float64(w>>48) / weightScale,
+	}
+}
+
+func field(x float64) uint64 { return uint64(math.Round(x * fieldMax)) }
+
+func clamp(x float64) float64 { return math.Min(1, math.Max(0, x)) }
--- /dev/null
+++ b/quality/quality.go
@@ -0,0 +1,203 @@
+// Package quality keeps estimates, with their uncertainty, of how good the
+// answers of a version are for each task kind.
+//
+// An estimate starts from the prior of the register, weighs ratings as
+// fractional successes of a Beta distribution and discounts them over time.
+// The organisation whose ratings move an estimate most is left out of it, so
+// that no organisation can spoil, or praise, a version for others by its
+// ratings alone. The decision code reads one atomic word per estimate.
+package quality
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Defaults of Options.
+const (
+	DefaultPriorWeight = 20.0
+	DefaultMaxWeight   = 400.0
+	DefaultHalfLife    = 6 * time.Hour
+	DefaultZ           = 0.84
+	DefaultShards      = 32
+)
+
+// Options tune a Store. Zero fields take the defaults above.
+type Options struct {
+	// PriorWeight is the number of ratings that the prior counts for.
+	PriorWeight float64
+	// MaxWeight bounds the ratings remembered by one organisation in one cell;
+	// older ones are forgotten in proportion.
+	MaxWeight float64
+	// HalfLife is the time in which a rating loses half of its weight.
+	HalfLife time.Duration
+	// Z is the distance of Lower and Upper from the mean in standard
+	// deviations. The default 0.84 makes Lower the 20% quantile.
+	Z float64
+	// Shards is the number of locks over which cells are spread.
+	Shards int
+}
+
+func (o Options) withDefaults() Options {
+	if o.PriorWeight == 0 {
+		o.PriorWeight = DefaultPriorWeight
+	}
+	if o.MaxWeight == 0 {
+		o.MaxWeight = DefaultMaxWeight
+	}
+	if o.HalfLife == 0 {
+		o.HalfLife = DefaultHalfLife
+	}
+	if o.Z == 0 {
+		o.Z = DefaultZ
+	}
+	if o.Shards == 0 {
+		o.Shards = DefaultShards
+	}
+	return o
+}
+
+// Validate reports options that make no estimate possible.
+func (o Options) Validate() error {
+	o = o.withDefaults()
+	if !(o.PriorWeight > 0) || !(o.MaxWeight > 0) || !(o.Z > 0) || o.HalfLife < 0 || o.Shards < 0 {
+		return fmt.Errorf("%w: prior weight, maximum weight, z, half-life and shards must be positive", ErrOptions)
+	}
+	return nil
+}
+
+// Rated is the event that the rating service rated one answer.
+type Rated struct {
+	Organisation string
+	Version      string
+	Kind         string
+	// Accepted is true for an answer of the first step of a cascade that passed
+	// the check. Such answers have an estimate of their own.
+	Accepted bool
+	// Score is the quality of the answer, 0 to 1.
+	Score float64
+	// At is when the rating arrived.
+	At time.Time
+}
+
+// Answered is the event that a version answered a request in full.
+type Answered struct {
+	Version          string
+	Kind             string
+	CompletionTokens int64
+}
+
+// Checked is the event that the first answer of a cascade was checked.
+type Checked struct {
+	Version string
+	Kind    string
+	// Flagged is true when the check found a fault.
+	Flagged bool
+}
+
+// Counts are ratings of one organisation, summed up.
+type Counts struct {
+	Organisation string
+	Version      string
+	Kind         string
+	Accepted     bool
+	// Sum is the sum of Weight scores.
+	Sum, Weight float64
+}
+
+// Store holds one Cell per version and task kind. It is safe for concurrent use.
+type Store struct {
+	options Options
+	shards  []shard
+}
+
+type key struct {
+	version, kind string
+	accepted      bool
+}
+
+type shard struct {
+	mu    sync.RWMutex
+	cells map[key]*Cell
+}
+
+// NewStore returns an empty Store. It panics when the options are invalid,
+// which Options.Validate reports beforehand.
+func NewStore(o Options) *Store {
+	if err := o.Validate(); err != nil {
+		panic(err)
+	}
+	o = o.withDefaults()
+	s := &Store{options: o, shards: make([]shard, o.Shards)}
+	for i := range s.shards {
+		s.shards[i].cells = make(map[key]*Cell)
+	}
+	return s
+}
+
+// Observe adds a rating. Invalid scores are refused with ErrScore.
+func (s *Store) Observe(e Rated) error {
+	if !(e.Score >= 0 && e.Score <= 1) {
+		return fmt.Errorf("%w: %v", ErrScore, e.Score)
+	}
+	s.cell(key{e.Version, e.Kind, e.Accepted}).observe(e)
+	return nil
+}
+
+// Answered adds the length of an answer to the expected length.
+func (s *Store) Answered(e Answered) {
+	s.Cell(e.Version, e.Kind).answered(e.CompletionTokens)
+}
+
+// Checked adds the result of a check to the share of flagged answers.
+func (s *Store) Checked(e Checked) {
+	s.Accepted(e.Version, e.Kind).checked(e.Flagged)
+}
+
+// Estimate returns the estimate of a version for a kind. A pair without a cell
+// gets the estimate of an uninformed prior.
+func (s *Store) Estimate(version, kind string, now time.Time) Estimate {
+	k := key{version, kind, false}
+	h := s.shard(k)
+	h.mu.RLock()
+	c := h.cells[k]
+	h.mu.RUnlock()
+	if c == nil {
+		return estimate(moments{}, UninformedPrior, &s.options)
+	}
+	return c.Estimate(now)
+}
+
+// Cell returns the cell of a version and a kind, and creates it at first use.
+// Hot paths keep the cell and spare the look-up.
+func (s *Store) Cell(version, kind string) *Cell {
+	return s.cell(key{version, kind, false})
+}
+
+// Accepted returns the cell of the answers of a version that passed the check
+// of a cascade, and creates it at first use.
+func (s *Store) Accepted(version, kind string) *Cell {
+	return s.cell(key{version, kind, true})
+}
+
+func (s *Store) cell(k key) *Cell {
+	h := s.shard(k)
+	h.mu.RLock()
+	c := h.cells[k]
+	h.mu.RUnlock()
+	if c != nil {
+		return c
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if c = h.cells[k]; c == nil {
+		c = newCell(&s.options)
+		h.cells[k] = c
+	}
+	return c
+}
+
+func (s *Store) shard(k key) *shard {
+	return &s.shards[hash(k)%uint64(len(s.shards))]
+}
--- /dev/null
+++ b/selection/choose.go
@@ -0,0 +1,327 @@
+package selection
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bronzeturn/bronzeturn/cascade"
+	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/quality"
+	"github.com/bronzeturn/bronzeturn/rollout"
+)
+
+const microsPerUnit = 1_000_000
+
+// choice is the work space of one call of Choose. It lives on the stack.
+type choice struct {
+	plan    *Plan
+	bound   *binding
+	request *Request
+	now     time.Time
+	options *Options
+	org     *organisation
+	kind    *kind
+	row     int // first index of the kind in the tables of the binding
+	model   int // model named by the caller, or none
+	version int // version named by the caller, or none
+	key     uint64
+
+	// What the scan over the candidates found.
+	considered int
+	dropped    drops
+	best       option // lowest cost at the target, the preferred ones first
+	available  option // highest quality
+	resort     option // highest quality among versions that get no usual work
+}
+
+// drops counts why candidates fell out.
+type drops struct{ withdrawn, unserved, spend, tried int }
+
+// option is a version with its cost in micro-units and its estimate.
+type option struct {
+	version  int
+	cost     float64
+	rank     int
+	estimate quality.Estimate
+}
+
+// Choose picks the version for a request, as of now. The random source may be
+// nil, which turns exploration off. A refusal is a *failure.Error; it says the
+// same for versions that do not exist and versions that are not allowed.
+func (y *Policy) Choose(p *Plan, r *Request, now time.Time, rng *rand.Rand) (Decision, error) {
+	c := choice{plan: p, bound: y.binding(p), request: r, now: now, options: &y.options}
+	if err := c.resolve(); err != nil {
+		return Decision{}, err
+	}
+	if r.InConversation && c.version != none {
+		return c.conversation(y.rollout.Options().EndConversations)
+	}
+	c.scan()
+	if d, ok := c.trickle(y.rollout.Options().TrickleShare); ok {
+		return d, nil
+	}
+	d, chosen, err := c.decide()
+	if err != nil {
+		return Decision{}, err
+	}
+	if d.Reason == ReasonLastResort || c.version != none {
+		return d, nil
+	}
+	if e, ok := c.rollout(chosen); ok {
+		return e, nil
+	}
+	if e, ok := c.explore(chosen, rng); ok {
+		return e, nil
+	}
+	return c.cascade(chosen, d), nil
+}
+
+// resolve looks up organisation, kind and constraint.
+func (c *choice) resolve() error {
+	name := c.request.Kind
+	if name == "" {
+		name = DefaultKind
+	}
+	k, ok := c.plan.kindByName[name]
+	if !ok {
+		return failure.New(failure.CodeUnknownKind, failure.RanNo, "the task kind is not defined")
+	}
+	c.kind = &c.plan.kinds[k]
+	c.row = k * len(c.plan.versions)
+	c.model, c.version = none, none
+	c.best.version, c.available.version, c.resort.version = none, none, none
+	if c.org = c.plan.organisations[c.request.Organisation]; c.org == nil {
+		return notAllowed()
+	}
+	c.key = mix(c.org.hash ^ xxhash.Sum64String(c.request.Key))
+	return c.constrain()
+}
+
+func (c *choice) constrain() error {
+	name := c.request.Constraint
+	if name == "" || name == AnyVersion {
+		return nil
+	}
+	if v, ok := c.plan.versionByName[name]; ok {
+		if !c.org.allowed[v] {
+			return notAllowed()
+		}
+		c.version = v
+		return nil
+	}
+	m, ok := c.plan.modelByName[name]
+	if !ok {
+		return notAllowed()
+	}
+	c.model = m
+	return nil
+}
+
+// conversation keeps the version that a conversation started with.
+func (c *choice) conversation(endWhenCutOff bool) (Decision, error) {
+	v := &c.plan.versions[c.version]
+	switch {
+	case v.withdrawn:
+		return Decision{}, withdrawn()
+	case c.halted(c.version):
+		return Decision{}, failure.New(failure.CodeVersionWithdrawn, failure.RanNo, "the roll-out of the version is halted")
+	case endWhenCutOff && c.bound.tracks[c.version].Gate(c.now) == rollout.GateClosed:
+		return Decision{}, c.belowTarget()
+	case c.tried(v.name) || !v.served:
+		return Decision{}, noCapacity()
+	}
+	o := c.option(c.version)
+	if c.overSpend(o.cost) {
+		return Decision{}, spendExceeded()
+	}
+	c.considered = 1
+	return c.decision(&o, ReasonConversation), nil
+}
+
+// scan looks at every allowed version once.
+func (c *choice) scan() {
+	if c.version != none {
+		c.consider(c.version)
+		return
+	}
+	for _, v := range c.org.candidates {
+		if c.model == none || c.plan.versions[v].model == c.model {
+			c.consider(v)
+		}
+	}
+}
+
+func (c *choice) consider(v int) {
+	if !c.eligible(v) {
+		return
+	}
+	o := c.option(v)
+	if c.overSpend(o.cost) {
+		c.dropped.spend++
+		return
+	}
+	c.considered++
+	if c.bound.tracks[v].Gate(c.now) != rollout.GateOpen || (c.introduced(v) && c.version == none) {
+		keepBetter(&c.resort, &o)
+		return
+	}
+	keepBetter(&c.available, &o)
+	if o.estimate.Lower < c.kind.target {
+		return
+	}
+	if c.best.version == none || cheaper(&o, &c.best) {
+		c.best = o
+	}
+}
+
+// eligible tells whether the rules let the version run this request at all.
+func (c *choice) eligible(v int) bool {
+	version := &c.plan.versions[v]
+	switch {
+	case version.withdrawn || c.halted(v):
+		c.dropped.withdrawn++
+		return false
+	case !version.served:
+		c.dropped.unserved++
+		return false
+	case c.tried(version.name):
+		c.dropped.tried++
+		return false
+	case version.contextTokens > 0 && c.tokens(v)+c.request.PromptTokens > version.contextTokens:
+		c.dropped.unserved++
+		return false
+	}
+	return true
+}
+
+// decide takes the best option at the target, or what the rule says below it.
+func (c *choice) decide() (Decision, option, error) {
+	switch {
+	case c.best.version != none:
+		reason := ReasonCheapest
+		if c.best.rank > 0 {
+			reason = ReasonPreferred
+		}
+		return c.decision(&c.best, reason), c.best, nil
+	case c.considered == 0:
+		return Decision{}, option{}, c.refusal()
+	case c.kind.refuse:
+		return Decision{}, option{}, c.belowTarget()
+	case c.available.version != none:
+		return c.decision(&c.available, ReasonBestAvailable), c.available, nil
+	}
+	return c.decision(&c.resort, ReasonLastResort), c.resort, nil
+}
+
+// rollout moves the share of a roll-out's key space from the chosen baseline
+// to the version that is being introduced.
+func (c *choice) rollout(chosen option) (Decision, bool) {
+	for _, i := range c.plan.versions[chosen.version].successors {
+		rule := &c.plan.rollouts[i]
+		if !c.org.allowed[rule.version] || !c.eligible(rule.version) {
+			continue
+		}
+		t := c.bound.tracks[rule.version]
+		if t.Gate(c.now) != rollout.GateOpen || !c.within(rule.version, math.Min(t.Share(), rule.maxShare)) {
+			continue
+		}
+		o := c.option(rule.version)
+		if !c.overSpend(o.cost) {
+			return c.decision(&o, ReasonRollout), true
+		}
+	}
+	return Decision{}, false
+}
+
+// trickle sends a small share of the key space to a version that was cut off.
+func (c *choice) trickle(share float64) (Decision, bool) {
+	if c.resort.version == none || c.version != none || c.request.InConversation {
+		return Decision{}, false
+	}
+	for _, v := range c.org.candidates {
+		if c.bound.tracks[v].Gate(c.now) != rollout.GateTrickle || !c.within(v, share) {
+			continue
+		}
+		if c.model != none && c.plan.versions[v].model != c.model || !c.eligible(v) {
+			continue
+		}
+		if o := c.option(v); !c.overSpend(o.cost) {
+			return c.decision(&o, ReasonTrickle), true
+		}
+	}
+	return Decision{}, false
+}
+
+// explore gives a small share of requests to a version that may be a better
+// choice than the chosen one, for want of ratings.
+func (c *choice) explore(chosen option, rng *rand.Rand) (Decision, bool) {
+	if rng == nil || c.request.InConversation || c.options.ExploreShare <= 0 {
+		return Decision{}, false
+	}
+	if rng.Float64() >= c.options.ExploreShare {
+		return Decision{}, false
+	}
+	below := c.best.version == none
+	found := option{version: none}
+	for _, v := range c.org.candidates {
+		if c.model != none && c.plan.versions[v].model != c.model || !c.usual(v) {
+			continue
+		}
+		o := c.option(v)
+		promising := o.estimate.Lower < c.kind.target && o.estimate.Upper >= c.kind.target
+		if !promising || c.overSpend(o.cost) || (!below && o.cost >= chosen.cost) {
+			continue
+		}
+		if found.version == none || o.estimate.Upper > found.estimate.Upper {
+			found = o
+		}
+	}
+	if found.version == none || found.version == chosen.version {
+		return Decision{}, false
+	}
+	return c.decision(&found, ReasonExplore), true
+}
+
+// cascade replaces the choice by a cheaper version with an escalation to the
+// chosen one where that is expected to cost less and to reach the target.
+func (c *choice) cascade(chosen option, d Decision) Decision {
+	if !c.kind.cascade || c.request.InConversation || d.Reason != ReasonCheapest {
+		return d
+	}
+	lowest := chosen.cost
+	for _, v := range c.org.candidates {
+		if c.model != none && c.plan.versions[v].model != c.model || !c.usual(v) {
+			continue
+		}
+		o := c.option(v)
+		if o.cost >= lowest || !c.inTime(v, chosen.version) || c.overSpend(o.cost+chosen.cost) {
+			continue
+		}
+		out, ok := c.outlook(&o, &chosen)
+		if !ok || out.Cost >= lowest {
+			continue
+		}
+		lowest = out.Cost
+		d = c.decision(&o, ReasonCascade)
+		d.ExpectedCostMicros = int64(math.Ceil(out.Cost))
+		d.Escalatable = true
+		d.Cascade = cascade.Plan{
+			Next:           c.plan.versions[chosen.version].name,
+			NextCostMicros: int64(math.Ceil(chosen.cost)),
+			NextDuration:   c.duration(chosen.version),
+		}
+	}
+	return d
+}
+
+// outlook returns the expected cost of a cascade, and whether its quality is
+// credibly at the target.
+func (c *choice) outlook(first, next *option) (cascade.Outlook, bool) {
+	cell := c.bound.accepted[c.row+first.version]
+	accepted := cell.Estimate(c.now)
+	out := cascade.Expect(first.cost, accepted.Lower, cell.Flagged(), next.cost, next.estimate.Lower)
+	return out, out.Quality >= c.kind.target
+}
--- /dev/null
+++ b/selection/policy.go
@@ -0,0 +1,161 @@
+package selection
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/cascade"
+	"github.com/bronzeturn/bronzeturn/quality"
+	"github.com/bronzeturn/bronzeturn/rollout"
+)
+
+// Policy chooses versions and learns from what is heard of them. It is safe
+// for concurrent use.
+type Policy struct {
+	options Options
+	quality *quality.Store
+	rollout *rollout.Controller
+	current atomic.Pointer[Plan]
+}
+
+// binding ties the tables of a plan to the learnt state of one policy.
+type binding struct {
+	policy *Policy
+	// cells and accepted are indexed by kind*versions+version.
+	cells    []*quality.Cell
+	accepted []*quality.Cell // nil entries for kinds without cascade
+	tracks   []*rollout.Track
+}
+
+// NewPolicy returns a policy over the given state. It panics when the options
+// are invalid, which Options.Validate reports beforehand.
+func NewPolicy(o Options, q *quality.Store, r *rollout.Controller) *Policy {
+	if err := o.Validate(); err != nil {
+		panic(err)
+	}
+	if o.ExploreShare == 0 {
+		o.ExploreShare = DefaultExploreShare
+	}
+	return &Policy{options: o, quality: q, rollout: r}
+}
+
+// Use makes p the plan by which ratings are judged and takes its priors over.
+// Call it whenever a configuration comes into force.
+func (y *Policy) Use(p *Plan) {
+	y.bind(p)
+	y.current.Store(p)
+}
+
+// binding returns the binding of a plan, made at its first use.
+func (y *Policy) binding(p *Plan) *binding {
+	if b := p.bound.Load(); b != nil && b.policy == y {
+		return b
+	}
+	y.current.CompareAndSwap(nil, p)
+	return y.bind(p)
+}
+
+func (y *Policy) bind(p *Plan) *binding {
+	n := len(p.versions)
+	b := &binding{
+		policy:   y,
+		cells:    make([]*quality.Cell, n*len(p.kinds)),
+		accepted: make([]*quality.Cell, n*len(p.kinds)),
+		tracks:   make([]*rollout.Track, n),
+	}
+	for v := range p.versions {
+		b.tracks[v] = y.rollout.Track(p.versions[v].name)
+		for k := range p.kinds {
+			y.bindCell(p, b, k, v)
+		}
+	}
+	p.bound.Store(b)
+	return b
+}
+
+func (y *Policy) bindCell(p *Plan, b *binding, k, v int) {
+	kind, version := &p.kinds[k], &p.versions[v]
+	i := k*len(p.versions) + v
+	prior := kind.prior[v]
+	b.cells[i] = y.quality.Cell(version.name, kind.name)
+	b.cells[i].SetPrior(prior, version.soleUser)
+	if !kind.cascade {
+		return
+	}
+	b.accepted[i] = y.quality.Accepted(version.name, kind.name)
+	b.accepted[i].SetPrior(cascade.PriorAccepted(prior), version.soleUser)
+	b.accepted[i].SetFlagged(cascade.PriorFlagged(prior))
+}
+
+// Rated is the event of one rating on a daemon that does not exchange ratings
+// with others: it updates the estimate and judges the version.
+func (y *Policy) Rated(e quality.Rated) (rollout.Change, error) {
+	if err := y.quality.Observe(e); err != nil {
+		return rollout.Unchanged, err
+	}
+	return y.Judge(quality.Counts{
+		Organisation: e.Organisation,
+		Version:      e.Version,
+		Kind:         e.Kind,
+		Accepted:     e.Accepted,
+		Sum:          e.Score,
+		Weight:       1,
+	}, e.At), nil
+}
+
+// Judge runs the sequential test and the roll-out of a version over ratings
+// that the estimates already hold. One daemon per version calls it.
+func (y *Policy) Judge(c quality.Counts, now time.Time) rollout.Change {
+	p := y.current.Load()
+	if p == nil {
+		return rollout.Unchanged
+	}
+	v, known := p.versionByName[c.Version]
+	k, hasKind := p.kindByName[c.Kind]
+	if !known || !hasKind {
+		return rollout.Unchanged
+	}
+	b := y.binding(p)
+	reference := p.reference(k, v)
+	change := b.tracks[v].Judge(rollout.Ratings{
+		Organisation: c.Organisation,
+		Sum:          c.Sum,
+		Count:        c.Weight,
+		Reference:    reference,
+		SoleUser:     p.versions[v].soleUser,
+		At:           now,
+	})
+	if change == rollout.Cleared {
+		b.forget(p, v)
+	}
+	if change != rollout.Unchanged {
+		return change
+	}
+	return b.advance(p, k, v, reference, now)
+}
+
+// reference is the mean score that a version has to keep: the target, or its
+// own prior when the register does not expect it to reach the target.
+func (p *Plan) reference(k, v int) float64 {
+	return min(p.kinds[k].target, p.kinds[k].prior[v])
+}
+
+// forget drops the ratings of a version, for all kinds.
+func (b *binding) forget(p *Plan, v int) {
+	n := len(p.versions)
+	for i := v; i < len(b.cells); i += n {
+		b.cells[i].Forget()
+		if b.accepted[i] != nil {
+			b.accepted[i].Forget()
+		}
+	}
+}
+
+func (b *binding) advance(p *Plan, k, v int, reference float64, now time.Time) rollout.Change {
+	r := p.versions[v].rollout
+	if r == none || !p.rollouts[r].running() {
+		return rollout.Unchanged
+	}
+	e := b.cells[k*len(p.versions)+v].Estimate(now)
+	return b.tracks[v].Advance(e, reference, p.rollouts[r].maxShare, now)
+}
