Choose engines by expected wait, bound retries

Ruled out: comparing every visible engine (the cost grows with the subset and all daemons would rush to the same engine between two reports); comparing by request count (a settlement weighs as much as a kiosk check).

Before and after: nothing stood before.

Still to come: soft ejection of slow engines, subset, hedge, orders.

--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,243 @@
+// Package balance chooses the engine for a request. It keeps the work in
+// flight and the health of every visible engine, fed by one typed event each,
+// and compares the expected wait of two random engines per data centre.
+// Nothing here does I/O, reads a clock, starts a goroutine or waits for
+// anything but short locks; callers pass the time and the random source.
+package balance
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+)
+
+// State is the running state of the engines of one daemon. It outlives
+// configurations and may be used concurrently. Each engine has its own locks.
+type State struct {
+	options Options
+	cache   *prefixCache
+	// engines is replaced as a whole, so that events read it without a lock.
+	engines atomic.Pointer[map[string]*engine]
+
+	// mu guards what changes with a configuration or a host's state.
+	mu    sync.Mutex
+	hosts map[string]HostState
+	pools map[string]*pool
+}
+
+// engine is the running state of one engine.
+type engine struct {
+	name   string
+	load   load
+	health health
+	// closed is set while the host is leaving or gone.
+	closed atomic.Bool
+	// cacheEpoch rises when the engine's prefix cache was cleared.
+	cacheEpoch atomic.Uint32
+	// cacheGapAt is the time of the last gap in cache events in Unix nanoseconds.
+	cacheGapAt atomic.Int64
+	host       string // guarded by State.mu
+}
+
+// NewState returns an empty state, or an OptionError.
+func NewState(o Options) (*State, error) {
+	if err := o.Validate(); err != nil {
+		return nil, err
+	}
+	s := &State{
+		options: o,
+		cache:   newPrefixCache(o.AffinityEntries),
+		hosts:   make(map[string]HostState),
+		pools:   make(map[string]*pool),
+	}
+	s.engines.Store(&map[string]*engine{})
+	return s, nil
+}
+
+// adopt returns the running state of the engines, made where missing, and
+// drops the idle state of those that are gone.
+func (s *State) adopt(specs []*bronzeturnv1.Engine) []*engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := *s.engines.Load()
+	next := make(map[string]*engine, len(specs))
+	list := make([]*engine, len(specs))
+	for i, spec := range specs {
+		e, ok := old[spec.GetName()]
+		if !ok {
+			e = &engine{name: spec.GetName()}
+			if len(old) == 0 {
+				e.health.warmFrom.Store(warmAlready)
+			}
+		}
+		e.host = spec.GetHost()
+		e.closed.Store(s.hosts[e.host] != 0)
+		next[e.name] = e
+		list[i] = e
+	}
+	s.regroup(specs, list)
+	for name, e := range old {
+		if next[name] == nil && !e.load.idle() {
+			next[name] = e
+		}
+	}
+	s.engines.Store(&next)
+	return list
+}
+
+// regroup assigns the engines to the pools of a new configuration and counts
+// those that are out again. The caller holds mu.
+func (s *State) regroup(specs []*bronzeturnv1.Engine, list []*engine) {
+	pools := make(map[string]*pool)
+	for _, spec := range specs {
+		p := pools[spec.GetPool()]
+		if p == nil {
+			p = &pool{}
+			pools[spec.GetPool()] = p
+		}
+		p.members++
+	}
+	for i, spec := range specs {
+		list[i].health.join(pools[spec.GetPool()], newCapacity(spec).rate)
+	}
+	s.pools = pools
+}
+
+// join moves the engine into a pool and takes its place among those out along.
+func (h *health) join(p *pool, nominal float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.pool = p
+	h.nominal = nominal
+	if kind := phase(h.phase.Load()); kind != admitted {
+		p.mu.Lock()
+		p.count(kind, 1)
+		p.mu.Unlock()
+	}
+}
+
+func (s *State) engine(name string) *engine {
+	return (*s.engines.Load())[name]
+}
+
+// work returns the tokens of a request's prompt and answer in the unit of
+// generated tokens.
+func (s *State) work(w Work) (prompt, answer int64) {
+	prompt = int64(s.options.PromptWeight * float64(max(0, w.PromptTokens)))
+	return prompt, max(1, w.ExpectedTokens)
+}
+
+// Dispatched takes in that a request was sent to an engine.
+func (s *State) Dispatched(ev Dispatched) {
+	e := s.engine(ev.Engine)
+	if e == nil {
+		return
+	}
+	prompt, answer := s.work(ev.Work)
+	e.load.change(priorityIndex(ev.Work.Priority), 1, prompt+answer, ev.At)
+	if ev.PrefixHash != 0 {
+		s.cache.store(ev.PrefixHash, e, ev.At.UnixNano())
+	}
+}
+
+// FirstToken takes in that an answer began.
+func (s *State) FirstToken(ev FirstToken) {
+	e := s.engine(ev.Engine)
+	if e == nil {
+		return
+	}
+	prompt, _ := s.work(ev.Work)
+	e.load.change(priorityIndex(ev.Work.Priority), 0, -prompt, ev.At)
+	e.health.observeFirstToken(ev.Latency, ev.Expected)
+}
+
+// Finished takes in that an answer ended.
+func (s *State) Finished(ev Finished) {
+	e := s.engine(ev.Engine)
+	if e == nil {
+		return
+	}
+	s.end(e, ev.Work, ev.FirstTokenSeen, ev.At)
+	if ev.Cancelled {
+		return
+	}
+	e.health.observeGeneration(ev.Tokens, ev.Generation)
+	e.health.succeeded(ev.At, &s.options)
+}
+
+// Failed takes in that a request got no answer.
+func (s *State) Failed(ev Failed) {
+	e := s.engine(ev.Engine)
+	if e == nil {
+		return
+	}
+	s.end(e, ev.Work, ev.FirstTokenSeen, ev.At)
+	if ev.Kind == FailureBusy {
+		e.health.busy(ev.At, ev.RetryAfter)
+		return
+	}
+	e.health.failed(ev.At, &s.options)
+}
+
+// busyPause is how long an engine that is full gets nothing when it does not
+// say itself.
+const (
+	busyPause    = 250 * time.Millisecond
+	maxBusyPause = 5 * time.Second
+)
+
+// busy keeps new work away from an engine that is full.
+func (h *health) busy(now time.Time, retryAfter time.Duration) {
+	if retryAfter <= 0 {
+		retryAfter = busyPause
+	}
+	h.busyUntil.Store(now.Add(min(retryAfter, maxBusyPause)).UnixNano())
+}
+
+// end removes a request from the work in flight.
+func (s *State) end(e *engine, w Work, firstTokenSeen bool, at time.Time) {
+	prompt, answer := s.work(w)
+	if firstTokenSeen {
+		prompt = 0
+	}
+	e.load.change(priorityIndex(w.Priority), -1, -prompt-answer, at)
+}
+
+// LoadReported takes in an engine's load report.
+func (s *State) LoadReported(ev LoadReported) {
+	if e := s.engine(ev.Engine); e != nil {
+		e.load.report(ev)
+	}
+}
+
+// MembershipChanged takes in the state of a backend host.
+func (s *State) MembershipChanged(ev MembershipChanged) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.markHost(ev)
+	if ev.State == HostLive || (ev.State == HostGone && !known) {
+		delete(s.hosts, ev.Host)
+		return
+	}
+	s.hosts[ev.Host] = ev.State
+}
+
+// markHost opens or closes the engines of the host and tells whether there are
+// any. An engine that was closed warms up when it comes back. The caller holds mu.
+func (s *State) markHost(ev MembershipChanged) bool {
+	known := false
+	for e := range maps.Values(*s.engines.Load()) {
+		if e.host != ev.Host {
+			continue
+		}
+		known = true
+		closed := ev.State != HostLive
+		if e.closed.Swap(closed) && !closed {
+			e.health.warmFrom.Store(ev.At.UnixNano())
+		}
+	}
+	return known
+}
--- /dev/null
+++ b/balance/choose.go
@@ -0,0 +1,368 @@
+package balance
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Bounds of the advice given with a refusal.
+const (
+	minRetryAfter     = 100 * time.Millisecond
+	defaultRetryAfter = time.Second
+	maxRetryAfter     = 30 * time.Second
+)
+
+// The choice compares sampleSize engines of a group and draws at most
+// sampleDraws times to find them usable.
+const (
+	sampleSize  = 2
+	sampleDraws = 6
+)
+
+// minWarmShare is the share of its full work that a new engine begins with.
+const minWarmShare = 0.1
+
+// standing tells whether an engine may be used.
+type standing uint8
+
+const (
+	usable standing = iota
+	// warming engines are usable but were passed over this time.
+	warming
+	// probing engines are on probation and due for a single request.
+	probing
+	// slowOut engines are out for slowness, usable when no other is left.
+	slowOut
+	unusable
+)
+
+// estimate is the expected course of a request at one engine, in seconds.
+type estimate struct {
+	index  int32
+	wait   float64
+	first  float64
+	answer float64
+	cost   float64
+}
+
+// none is the estimate of no engine.
+var none = estimate{index: -1, cost: math.Inf(1)}
+
+// choice is one run of Choose.
+type choice struct {
+	state *State
+	plan  *Plan
+	req   *Request
+	now   int64
+	rng   *rand.Rand
+	d     *Decision
+	// priority is the class of the request.
+	priority int
+	// cached is the plan index of the engine that probably holds the prefix, or
+	// -1, and cachedAt the time of the last news of it.
+	cached   int32
+	cachedAt int64
+	// probe is set when an engine on probation takes the request.
+	probe int32
+}
+
+// Choose picks the engine for a request, or reports false with the reason and
+// when to come back. The caller reports Dispatched when the request goes out.
+func (s *State) Choose(p *Plan, r *Request, now time.Time, rng *rand.Rand) (Decision, bool) {
+	d := Decision{Index: -1}
+	served, ok := p.versions[r.Version]
+	if !ok {
+		d.Reason = ReasonNotServed
+		d.RetryAfter = defaultRetryAfter
+		return d, false
+	}
+	c := choice{
+		state: s, plan: p, req: r, now: now.UnixNano(), rng: rng, d: &d,
+		priority: priorityIndex(r.Work.Priority), cached: -1, probe: -1,
+	}
+	best := c.pick(served)
+	if best.index < 0 {
+		c.refuse(served)
+		return d, false
+	}
+	wait := seconds(best.wait)
+	if r.MaxWait > 0 && wait > r.MaxWait {
+		d.Reason = ReasonWait
+		d.RetryAfter = clampRetryAfter(wait - r.MaxWait)
+		return d, false
+	}
+	c.accept(best)
+	return d, true
+}
+
+// pick compares engines in the data centre, then in others, then all.
+func (c *choice) pick(served *candidates) estimate {
+	local, remote := served.split(c.req.DataCentre)
+	best := c.affinity(served)
+	if c.probe < 0 {
+		best = c.sample(local, best, 0, ReasonLeastWait)
+	}
+	threshold := c.state.options.RemoteThreshold.Seconds()
+	if c.probe < 0 && (best.index < 0 || best.wait > threshold) {
+		best = c.sample(remote, best, threshold, ReasonRemote)
+	}
+	if c.probe >= 0 {
+		c.d.Reason = ReasonProbe
+		return c.estimate(c.probe)
+	}
+	if best.index >= 0 {
+		return best
+	}
+	return c.scan(served)
+}
+
+// affinity considers the engine that probably holds the prompt's prefix.
+func (c *choice) affinity(served *candidates) estimate {
+	if c.req.PrefixHash == 0 {
+		return none
+	}
+	e, newsAt := c.state.cache.lookup(c.req.PrefixHash)
+	if e == nil {
+		return none
+	}
+	index, ok := c.plan.index[e]
+	if !ok || !served.member[index] {
+		return none
+	}
+	switch c.standing(index) {
+	case usable:
+	case probing:
+		c.probe = index
+		return none
+	default:
+		return none
+	}
+	c.cached, c.cachedAt = index, newsAt
+	c.d.Reason = ReasonAffinity
+	return c.consider(index)
+}
+
+// sample compares the best so far with two random engines of the group. They
+// have to be better by the threshold, in seconds.
+func (c *choice) sample(group []int32, best estimate, threshold float64, reason Reason) estimate {
+	n := len(group)
+	if n == 0 {
+		return best
+	}
+	first := int32(-1)
+	found := 0
+	for range sampleDraws {
+		index := group[c.rng.IntN(n)]
+		if index == first || index == c.cached {
+			continue
+		}
+		switch c.standing(index) {
+		case usable:
+		case probing:
+			c.probe = index
+			return best
+		default:
+			continue
+		}
+		if est := c.consider(index); est.cost+threshold < best.cost {
+			best = est
+			c.d.Reason = reason
+		}
+		first = index
+		if found++; found == sampleSize || found == n {
+			break
+		}
+	}
+	return best
+}
+
+// scan looks at every engine from a random one on. Warm-up is ignored; engines
+// out for slowness are used when no other is left.
+func (c *choice) scan(served *candidates) estimate {
+	best, slowest := none, none
+	n := len(served.all)
+	offset := c.rng.IntN(n)
+	for i := range n {
+		index := served.all[(offset+i)%n]
+		switch c.standing(index) {
+		case usable, warming:
+			best = cheaper(best, c.estimate(index))
+		case probing:
+			c.d.Reason = ReasonProbe
+			c.probe = index
+			return c.estimate(index)
+		case slowOut:
+			slowest = cheaper(slowest, c.estimate(index))
+		}
+	}
+	c.d.Reason = ReasonScan
+	if best.index < 0 {
+		c.d.Reason = ReasonSlowOnly
+		best = slowest
+	}
+	return best
+}
+
+func cheaper(a, b estimate) estimate {
+	if b.cost < a.cost {
+		return b
+	}
+	return a
+}
+
+// standing tells whether the engine may be used by this request.
+func (c *choice) standing(index int32) standing {
+	e := c.plan.engines[index]
+	if c.barred(e, index) || e.health.busyUntil.Load() > c.now {
+		return unusable
+	}
+	if kind := phase(e.health.phase.Load()); kind != admitted {
+		return c.probation(e, kind)
+	}
+	if c.cold(e) {
+		return warming
+	}
+	return usable
+}
+
+// barred tells whether the engine must not get the request at all: its host is
+// leaving or gone, or it was tried before.
+func (c *choice) barred(e *engine, index int32) bool {
+	if e.closed.Load() {
+		return true
+	}
+	for i := range c.req.Exclude {
+		if c.req.Exclude[i] != "" && c.req.Exclude[i] == e.name {
+			return true
+		}
+	}
+	return c.req.Leaving != nil && c.req.Leaving(c.plan.specs[index].GetHost())
+}
+
+// probation tells the standing of an engine that is out. A due probe is taken
+// by this request: no other gets it until the next one is due.
+func (c *choice) probation(e *engine, kind phase) standing {
+	last := e.health.probeAt.Load()
+	due := c.now >= e.health.until.Load() && c.now-last >= int64(c.state.options.TrickleEvery)
+	if due && !c.req.NoProbe && e.health.probeAt.CompareAndSwap(last, c.now) {
+		return probing
+	}
+	if kind == slow {
+		return slowOut
+	}
+	return unusable
+}
+
+// cold tells whether a warming engine is passed over this time. Its share
+// grows with the time since it was first seen.
+func (c *choice) cold(e *engine) bool {
+	from := e.health.warmFrom.Load()
+	if from == warmAlready {
+		return false
+	}
+	if from == 0 {
+		e.health.warmFrom.CompareAndSwap(0, c.now)
+		from = c.now
+	}
+	age := c.now - from
+	if age >= int64(c.state.options.WarmUp) {
+		e.health.warmFrom.CompareAndSwap(from, warmAlready)
+		return false
+	}
+	share := float64(age) / float64(c.state.options.WarmUp)
+	return c.rng.Float64() >= max(minWarmShare, share)
+}
+
+// consider estimates the engine and lists it among the candidates.
+func (c *choice) consider(index int32) estimate {
+	est := c.estimate(index)
+	if c.d.count < MaxCandidates {
+		c.d.candidates[c.d.count] = Candidate{
+			Engine: c.plan.engines[index].name,
+			Cost:   seconds(est.cost),
+		}
+		c.d.count++
+	}
+	return est
+}
+
+// estimate works out the expected course of the request at the engine.
+func (c *choice) estimate(index int32) estimate {
+	e := c.plan.engines[index]
+	o := &c.state.options
+	size := c.plan.capacity[index]
+	slowness := e.health.slownessFactor()
+	throughput := size.slots * size.rate / slowness
+	load := e.load.view(c.priority, c.now, o.ReportFresh)
+
+	est := estimate{index: index}
+	est.wait = load.wait(size.slots, throughput)
+	prefill := float64(max(0, c.req.Work.PromptTokens)) / o.PrefillTokensPerSecond
+	if index == c.cached {
+		prefill -= o.saving(e, c.cachedAt, c.now, prefill)
+	}
+	est.first = est.wait + prefill
+	est.answer = est.first + float64(max(1, c.req.Work.ExpectedTokens))*slowness/size.rate
+	failures := e.health.failureShare(c.now, o.FailureHalfLife)
+	penalty := failures * failures * o.FailurePenalty.Seconds()
+	est.cost = est.answer + o.BatchSlowdown*load.tokens/throughput + penalty
+	return est
+}
+
+// wait returns the time in seconds until a slot is free for the request: the
+// work of those ahead of it, at the engine's throughput in tokens per second.
+func (v view) wait(slots, throughput float64) float64 {
+	if v.requests < slots || v.requests == 0 {
+		return 0
+	}
+	queued := max(1, v.ahead+1-slots)
+	return queued * v.tokens / v.requests / throughput
+}
+
+// slownessFactor returns the measured time per token relative to the register,
+// within bounds.
+func (h *health) slownessFactor() float64 {
+	const lowest, highest = 0.5, 20
+	f := math.Float64frombits(h.slowness.Load())
+	if f == 0 {
+		return 1
+	}
+	return min(max(f, lowest), highest)
+}
+
+// accept completes the decision for the chosen engine.
+func (c *choice) accept(best estimate) {
+	c.d.Index = int(best.index)
+	c.d.Engine = c.plan.specs[best.index]
+	c.d.ExpectedWait = seconds(best.wait)
+	c.d.ExpectedFirstToken = seconds(best.first)
+	c.d.ExpectedAnswer = seconds(best.answer)
+}
+
+// refuse completes the decision when no engine may be used. The advice is the
+// time at which the first of those that are out may be tried again.
+func (c *choice) refuse(served *candidates) {
+	c.d.Reason = ReasonNoEngine
+	earliest := int64(math.MaxInt64)
+	for _, index := range served.all {
+		e := c.plan.engines[index]
+		if c.barred(e, index) {
+			continue
+		}
+		earliest = min(earliest, max(e.health.busyUntil.Load(), e.health.until.Load()))
+	}
+	if earliest == math.MaxInt64 {
+		c.d.RetryAfter = defaultRetryAfter
+		return
+	}
+	c.d.RetryAfter = clampRetryAfter(time.Duration(earliest - c.now))
+}
+
+func clampRetryAfter(d time.Duration) time.Duration {
+	return min(max(d, minRetryAfter), maxRetryAfter)
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/balance/health.go
@@ -0,0 +1,242 @@
+package balance
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// phase is the state of an engine's admission.
+type phase int32
+
+const (
+	admitted phase = iota
+	// failing engines are out because of errors until a probe succeeds.
+	failing
+	// slow engines are out because of their latency.
+	slow
+)
+
+// Smoothing factors of the moving averages.
+const (
+	failureGain = 0.3
+	successGain = 0.1
+	speedGain   = 0.15
+)
+
+// latencyFloor is added to latencies before they are compared, so that a few
+// milliseconds on an idle engine do not look like slowness.
+const latencyFloor = 100 * time.Millisecond
+
+// warmAlready marks an engine that needs no warm-up.
+const warmAlready = -1
+
+// health is what is known of an engine's answers. The writers hold mu; the
+// choice reads the atomics without it. mu is taken before pool.mu.
+type health struct {
+	phase atomic.Int32
+	// until is the end of the ejection in Unix nanoseconds; probes may go out
+	// from then on.
+	until     atomic.Int64
+	probeAt   atomic.Int64
+	busyUntil atomic.Int64
+	// warmFrom is the start of the warm-up, 0 when not yet seen by a choice.
+	warmFrom atomic.Int64
+	// failure is the share of failed requests as float bits, as of failureAt.
+	failure   atomic.Uint64
+	failureAt atomic.Int64
+	// slowness is the time per token relative to the register, as float bits.
+	slowness atomic.Uint64
+
+	mu         sync.Mutex
+	pool       *pool
+	row        int // failures in a row
+	goodProbes int
+	ejectFor   time.Duration
+	samples    int
+	// tokenTime and firstToken are moving averages relative to what was expected.
+	tokenTime  float64
+	firstToken float64
+	nominal    float64 // registered tokens per second of one stream
+}
+
+// pool counts the engines of one pool that are out, to bound their share.
+type pool struct {
+	mu      sync.Mutex
+	members int
+	out     int
+	slow    int
+}
+
+// allowed returns how many of the members a share lets out. A pool of three or
+// more can always spare one.
+func allowed(members int, share float64) int {
+	n := int(share * float64(members))
+	if n == 0 && share > 0 && members >= 3 {
+		return 1
+	}
+	return n
+}
+
+// take reserves a place among those out.
+func (p *pool) take(kind phase, o *Options) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.out >= allowed(p.members, o.MaxEjectedShare) {
+		return false
+	}
+	if kind == slow && p.slow >= allowed(p.members, o.MaxSlowShare) {
+		return false
+	}
+	p.count(kind, 1)
+	return true
+}
+
+// release gives a place back.
+func (p *pool) release(kind phase) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.count(kind, -1)
+}
+
+func (p *pool) count(kind phase, n int) {
+	p.out += n
+	if kind == slow {
+		p.slow += n
+	}
+}
+
+// failureShare returns the decayed share of failed requests.
+func (h *health) failureShare(now int64, halfLife time.Duration) float64 {
+	share := math.Float64frombits(h.failure.Load())
+	if share == 0 {
+		return 0
+	}
+	age := now - h.failureAt.Load()
+	if age <= 0 {
+		return share
+	}
+	return share * math.Exp2(-float64(age)/float64(halfLife))
+}
+
+// setFailure stores the share as of now. The caller holds mu.
+func (h *health) setFailure(share float64, now int64) {
+	h.failure.Store(math.Float64bits(share))
+	h.failureAt.Store(now)
+}
+
+// failed records a failure and ejects the engine when there were too many.
+func (h *health) failed(now time.Time, o *Options) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	ns := now.UnixNano()
+	share := h.failureShare(ns, o.FailureHalfLife)
+	h.setFailure(share+failureGain*(1-share), ns)
+	h.row++
+	h.goodProbes = 0
+	if phase(h.phase.Load()) != admitted {
+		h.extend(ns, o)
+		return
+	}
+	if h.row >= o.EjectFailures {
+		h.eject(failing, ns, o)
+	}
+}
+
+// succeeded records a whole answer. Enough of them in a row re-admit an engine
+// that was out because of errors.
+func (h *health) succeeded(now time.Time, o *Options) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	ns := now.UnixNano()
+	h.row = 0
+	h.calm(ns, o)
+	if share := h.failureShare(ns, o.FailureHalfLife); share > 0 {
+		h.setFailure(share*(1-successGain), ns)
+	}
+	if phase(h.phase.Load()) == admitted || ns < h.until.Load() {
+		return
+	}
+	h.goodProbes++
+	if phase(h.phase.Load()) == failing && h.goodProbes >= o.TrickleSuccesses {
+		h.admit(ns)
+	}
+}
+
+// eject takes the engine out if its pool can spare it, and tells whether it
+// did. The caller holds mu.
+func (h *health) eject(kind phase, now int64, o *Options) bool {
+	if h.pool == nil || !h.pool.take(kind, o) {
+		return false
+	}
+	h.phase.Store(int32(kind))
+	h.extend(now, o)
+	return true
+}
+
+// extend begins another ejection of twice the length. Failures that arrive
+// while the engine is out already, from requests sent before, do not add up.
+// The caller holds mu.
+func (h *health) extend(now int64, o *Options) {
+	if now < h.until.Load() {
+		return
+	}
+	h.ejectFor = min(max(2*h.ejectFor, o.EjectFor), o.EjectMax)
+	h.goodProbes = 0
+	h.resetSpeed()
+	h.until.Store(now + int64(h.ejectFor))
+}
+
+// admit lets the engine back in with a warm-up. The caller holds mu.
+func (h *health) admit(now int64) {
+	h.pool.release(phase(h.phase.Load()))
+	h.phase.Store(int32(admitted))
+	h.warmFrom.Store(now)
+	h.setFailure(0, now)
+	h.row = 0
+}
+
+// calm forgets the length of past ejections after a long time without one.
+// The caller holds mu.
+func (h *health) calm(now int64, o *Options) {
+	if phase(h.phase.Load()) == admitted && now-h.until.Load() > int64(2*o.EjectMax) {
+		h.ejectFor = 0
+	}
+}
+
+// resetSpeed forgets the latencies measured. The caller holds mu.
+func (h *health) resetSpeed() {
+	h.samples = 0
+	h.tokenTime = 0
+	h.firstToken = 0
+}
+
+// observeFirstToken records a first token's latency against the expected one.
+func (h *health) observeFirstToken(latency, expected time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	ratio := float64(latency+latencyFloor) / float64(max(expected, 0)+latencyFloor)
+	h.firstToken = smooth(h.firstToken, ratio)
+}
+
+// observeGeneration records the time per token of an answer.
+func (h *health) observeGeneration(tokens int64, generation time.Duration) {
+	if tokens < 2 || generation <= 0 {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	perToken := generation.Seconds() / float64(tokens-1)
+	h.tokenTime = smooth(h.tokenTime, perToken*h.nominal)
+	h.samples++
+	h.slowness.Store(math.Float64bits(h.tokenTime))
+}
+
+// smooth returns the moving average with the value added. Zero means empty.
+func smooth(average, value float64) float64 {
+	if average == 0 {
+		return value
+	}
+	return average + speedGain*(value-average)
+}
--- /dev/null
+++ b/balance/health_test.go
@@ -0,0 +1,124 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// share returns how many of n choices fall on the engine.
+func share(s *State, p *Plan, engine string, n int, now time.Time) int {
+	rng := newRand()
+	hits := 0
+	r := newRequest()
+	r.NoProbe = true
+	for range n {
+		if d, ok := s.Choose(p, r, now, rng); ok && d.Engine.GetName() == engine {
+			hits++
+		}
+	}
+	return hits
+}
+
+func TestAnEngineThatFailsFastAttractsNoWork(t *testing.T) {
+	c := qt.New(t)
+	s := newState(c)
+	p := s.Plan(newRegister(6), nil)
+	// The others queue, the failing one is always idle.
+	for _, i := range []int{1, 2, 3, 4, 5} {
+		send(s, fmt.Sprintf("engine-%d", i), 10, epoch)
+	}
+	c.Assert(share(s, p, "engine-0", 100, epoch) > 50, qt.IsTrue)
+	fail(s, "engine-0", 3, epoch)
+	c.Assert(share(s, p, "engine-0", 100, epoch), qt.Equals, 0)
+}
+
+func TestAnEjectedEngineComesBackByTrickle(t *testing.T) {
+	c := qt.New(t)
+	s, rng := newState(c), newRand()
+	p := s.Plan(newRegister(3), nil)
+	fail(s, "engine-0", 3, epoch)
+	r := newRequest()
+	probes := 0
+	now := epoch.Add(s.options.EjectFor)
+	for range 100 { // 100 choices in one instant: one probe
+		if d, _ := s.Choose(p, r, now, rng); d.Engine.GetName() == "engine-0" {
+			c.Assert(d.Reason, qt.Equals, ReasonProbe)
+			probes++
+		}
+	}
+	c.Assert(probes, qt.Equals, 1)
+	fail(s, "engine-0", 1, now) // the probe fails: twice the time
+	c.Assert(p.engines[0].health.until.Load(), qt.Equals, now.Add(2*s.options.EjectFor).UnixNano())
+	now = now.Add(2 * s.options.EjectFor)
+	succeed(s, "engine-0", s.options.TrickleSuccesses, now)
+	c.Assert(phase(p.engines[0].health.phase.Load()), qt.Equals, admitted)
+	early := share(s, p, "engine-0", 300, now)
+	late := share(s, p, "engine-0", 300, now.Add(s.options.WarmUp))
+	c.Assert(early*2 < late, qt.IsTrue, qt.Commentf("warm-up: %d then %d", early, late))
+}
+
+func TestLateFailuresDoNotLengthenAnEjection(t *testing.T) {
+	c := qt.New(t)
+	s := newState(c)
+	p := s.Plan(newRegister(3), nil)
+	fail(s, "engine-0", 20, epoch)
+	c.Assert(p.engines[0].health.until.Load(), qt.Equals, epoch.Add(s.options.EjectFor).UnixNano())
+}
+
+func TestEjectedShareIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := mustState(t)
+		n := rapid.IntRange(1, 30).Draw(t, "engines")
+		p := s.Plan(newRegister(n), nil)
+		now := epoch
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			name := fmt.Sprintf("engine-%d", rapid.IntRange(0, n-1).Draw(t, "engine"))
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				fail(s, name, 3, now)
+			case 2:
+				succeed(s, name, 3, now)
+			case 3:
+				now = now.Add(3 * time.Second)
+				p = s.Plan(newRegister(n), nil)
+			}
+			out := 0
+			for _, e := range p.engines {
+				if phase(e.health.phase.Load()) != admitted {
+					out++
+				}
+			}
+			if limit := allowed(n, s.options.MaxEjectedShare); out > limit {
+				t.Fatalf("%d of %d engines out, at most %d allowed", out, n, limit)
+			}
+			if pool := s.pools["diag-llm"]; pool.out != out {
+				t.Fatalf("pool counts %d out, there are %d", pool.out, out)
+			}
+		}
+	})
+}
+
+func TestANewEngineWarmsUp(t *testing.T) {
+	c := qt.New(t)
+	s := newState(c)
+	s.Plan(newRegister(5), nil)
+	p := s.Plan(newRegister(6), nil) // engine-5 is new; hall-2 has engines 2 and 5
+	count := func(now time.Time) int {
+		rng, hits := newRand(), 0
+		r := newRequest()
+		r.DataCentre = "hall-2"
+		for range 400 {
+			if d, _ := s.Choose(p, r, now, rng); d.Engine.GetName() == "engine-5" {
+				hits++
+			}
+		}
+		return hits
+	}
+	first := count(epoch)
+	full := count(epoch.Add(s.options.WarmUp))
+	c.Assert(first*3 < full, qt.IsTrue, qt.Commentf("%d then %d", first, full))
+}
--- /dev/null
+++ b/balance/load.go
@@ -0,0 +1,169 @@
+package balance
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+)
+
+// priorities is the number of values of Priority.
+const priorities = int(bronzeturnv1.Priority_PRIORITY_URGENT) + 1
+
+// The history has to reach back further than load reports lag.
+const (
+	historyEntries = 128
+	historyStep    = 50 * time.Millisecond
+)
+
+// load is the work of one engine: what this daemon has in flight there, known
+// exactly, and what others have, known from lagging reports. The writers hold
+// mu; the choice reads the atomics without it.
+type load struct {
+	requests [priorities]atomic.Int64
+	tokens   [priorities]atomic.Int64
+
+	foreignRequests atomic.Int64
+	foreignTokens   atomic.Int64
+	// reportedAt is the AsOf of the newest report in Unix nanoseconds.
+	reportedAt atomic.Int64
+
+	mu      sync.Mutex
+	history [historyEntries]moment
+	next    int
+}
+
+// moment is the daemon's own work at an engine from a time on.
+type moment struct {
+	at       int64
+	requests int64
+	tokens   int64
+}
+
+// priorityIndex maps a priority to its class. Unspecified counts as normal.
+func priorityIndex(p bronzeturnv1.Priority) int {
+	if p <= 0 || int(p) >= priorities {
+		return int(bronzeturnv1.Priority_PRIORITY_NORMAL)
+	}
+	return int(p)
+}
+
+// change adds to the work in flight. Sums never fall below zero, so that an
+// event of a request sent before the engine was known does no lasting harm.
+func (l *load) change(priority int, requests, tokens int64, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	addClamped(&l.requests[priority], requests)
+	addClamped(&l.tokens[priority], tokens)
+	if l.requests[priority].Load() == 0 {
+		l.tokens[priority].Store(0)
+	}
+	l.record(at.UnixNano())
+}
+
+func addClamped(v *atomic.Int64, n int64) {
+	v.Store(max(0, v.Load()+n))
+}
+
+// record appends the present sums to the history. Changes within one step
+// share an entry. The caller holds mu.
+func (l *load) record(at int64) {
+	m := moment{at: at, requests: sum(&l.requests), tokens: sum(&l.tokens)}
+	last := (l.next + historyEntries - 1) % historyEntries
+	if prev := l.history[last]; prev.at != 0 && at-prev.at < int64(historyStep) {
+		m.at = prev.at
+		l.history[last] = m
+		return
+	}
+	l.history[l.next] = m
+	l.next = (l.next + 1) % historyEntries
+}
+
+// at returns the work in flight at a time in the past. The caller holds mu.
+func (l *load) at(t int64) moment {
+	var oldest moment
+	for i := 1; i <= historyEntries; i++ {
+		m := l.history[(l.next+historyEntries-i)%historyEntries]
+		if m.at == 0 {
+			return moment{}
+		}
+		if m.at <= t {
+			return m
+		}
+		oldest = m
+	}
+	return oldest
+}
+
+// report takes in a load report. What this daemon had in flight at the time of
+// the report is subtracted, what is left belongs to others.
+func (l *load) report(r LoadReported) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	asOf := r.AsOf.UnixNano()
+	if asOf < l.reportedAt.Load() {
+		return
+	}
+	own := l.at(asOf)
+	requests := max(0, r.Requests-own.requests)
+	tokens := max(0, r.Tokens-own.tokens)
+	if r.Tokens == 0 && own.requests > 0 {
+		tokens = requests * own.tokens / own.requests
+	}
+	l.foreignRequests.Store(requests)
+	l.foreignTokens.Store(tokens)
+	l.reportedAt.Store(asOf)
+}
+
+// idle tells whether this daemon has nothing in flight.
+func (l *load) idle() bool { return sum(&l.requests) == 0 }
+
+func sum(values *[priorities]atomic.Int64) int64 {
+	var total int64
+	for i := range values {
+		total += values[i].Load()
+	}
+	return total
+}
+
+// view is a load as the choice sees it.
+type view struct {
+	// requests and tokens count all work.
+	requests, tokens float64
+	// ahead counts the requests of the same or a higher priority.
+	ahead float64
+}
+
+// view returns the load for a request of the priority. Work of others counts as
+// of the same priority; it fades when reports stop coming.
+func (l *load) view(priority int, now int64, fresh time.Duration) view {
+	var v view
+	for i := range priorities {
+		n := float64(l.requests[i].Load())
+		v.requests += n
+		v.tokens += float64(l.tokens[i].Load())
+		if i >= priority {
+			v.ahead += n
+		}
+	}
+	if f := l.foreignRequests.Load(); f > 0 {
+		weight := freshness(now-l.reportedAt.Load(), int64(fresh))
+		v.requests += weight * float64(f)
+		v.ahead += weight * float64(f)
+		v.tokens += weight * float64(l.foreignTokens.Load())
+	}
+	return v
+}
+
+// freshness is 1 up to the age fresh and falls to 0 at three times that.
+func freshness(age, fresh int64) float64 {
+	switch {
+	case age <= fresh:
+		return 1
+	case age >= 3*fresh:
+		return 0
+	default:
+		return float64(3*fresh-age) / float64(2*fresh)
+	}
+}
--- /dev/null
+++ b/balance/plan.go
@@ -0,0 +1,142 @@
+package balance
+
+import (
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+)
+
+// Plan is the part of one configuration snapshot that the choice needs,
+// compiled into tables. It is immutable and may be used concurrently.
+type Plan struct {
+	engines  []*engine
+	specs    []*bronzeturnv1.Engine
+	capacity []capacity
+	index    map[*engine]int32
+	versions map[string]*candidates
+}
+
+// capacity is the registered size of an engine.
+type capacity struct {
+	slots float64
+	// rate is the generation rate of one stream in tokens per second.
+	rate float64
+}
+
+// Values used when the register does not tell.
+const (
+	defaultSlots = 1
+	defaultRate  = 30
+)
+
+func newCapacity(spec *bronzeturnv1.Engine) capacity {
+	c := capacity{slots: float64(spec.GetSlots()), rate: spec.GetTokensPerSecond()}
+	if c.slots < 1 {
+		c.slots = defaultSlots
+	}
+	if c.rate <= 0 {
+		c.rate = defaultRate
+	}
+	return c
+}
+
+// candidates are the visible engines that serve one version, as indexes into
+// Plan.engines, grouped by data centre.
+type candidates struct {
+	all    []int32
+	groups []group
+	member []bool
+}
+
+// group holds the engines of one data centre and those of all others.
+type group struct {
+	dataCentre string
+	engines    []int32
+	remote     []int32
+}
+
+// Engines returns the number of visible engines.
+func (p *Plan) Engines() int { return len(p.engines) }
+
+// Serving returns the number of visible engines that serve the version.
+func (p *Plan) Serving(version string) int {
+	c, ok := p.versions[version]
+	if !ok {
+		return 0
+	}
+	return len(c.all)
+}
+
+// Plan compiles the register for this daemon. The function visible selects the
+// engines that the daemon sees; nil means all. The running state of engines
+// that stay is kept, that of engines that are gone is dropped once idle.
+func (s *State) Plan(reg *bronzeturnv1.Register, visible func(*bronzeturnv1.Engine) bool) *Plan {
+	p := &Plan{versions: make(map[string]*candidates)}
+	for _, spec := range reg.GetEngines() {
+		if visible != nil && !visible(spec) {
+			continue
+		}
+		p.add(spec)
+	}
+	for _, c := range p.versions {
+		c.finish(len(p.specs))
+	}
+	p.engines = s.adopt(p.specs)
+	p.index = make(map[*engine]int32, len(p.engines))
+	for i, e := range p.engines {
+		p.index[e] = int32(i)
+	}
+	return p
+}
+
+func (p *Plan) add(spec *bronzeturnv1.Engine) {
+	index := int32(len(p.specs))
+	p.specs = append(p.specs, spec)
+	p.capacity = append(p.capacity, newCapacity(spec))
+	for _, version := range spec.GetVersions() {
+		c, ok := p.versions[version]
+		if !ok {
+			c = &candidates{}
+			p.versions[version] = c
+		}
+		c.add(index, spec.GetDataCentre())
+	}
+}
+
+func (c *candidates) add(index int32, dataCentre string) {
+	if n := len(c.all); n > 0 && c.all[n-1] == index {
+		return // The version is named twice.
+	}
+	c.all = append(c.all, index)
+	for i := range c.groups {
+		if c.groups[i].dataCentre == dataCentre {
+			c.groups[i].engines = append(c.groups[i].engines, index)
+			return
+		}
+	}
+	c.groups = append(c.groups, group{dataCentre: dataCentre, engines: []int32{index}})
+}
+
+// finish fills the tables that need all engines.
+func (c *candidates) finish(engines int) {
+	c.member = make([]bool, engines)
+	for _, i := range c.all {
+		c.member[i] = true
+	}
+	for i := range c.groups {
+		for j := range c.groups {
+			if i != j {
+				c.groups[i].remote = append(c.groups[i].remote, c.groups[j].engines...)
+			}
+		}
+	}
+}
+
+// split returns the engines of the data centre and the others. When there are
+// none in the data centre, all are others.
+func (c *candidates) split(dataCentre string) (local, remote []int32) {
+	for i := range c.groups {
+		if c.groups[i].dataCentre == dataCentre {
+			return c.groups[i].engines, c.groups[i].remote
+		}
+	}
+	return nil, c.all
+}
--- /dev/null
+++ b/retry/breaker.go
@@ -0,0 +1,194 @@
+package retry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// BreakerOptions sets the behaviour of a Breaker.
+type BreakerOptions struct {
+	// Failures in a row open the breaker.
+	Failures int
+	// OpenFor is the time before the first probe. It doubles with every probe
+	// that fails, up to MaxOpen.
+	OpenFor time.Duration
+	MaxOpen time.Duration
+	// ProbeTimeout is the time after which a probe without an outcome counts
+	// as failed.
+	ProbeTimeout time.Duration
+}
+
+// DefaultBreakerOptions suits targets inside the platform.
+func DefaultBreakerOptions() BreakerOptions {
+	return BreakerOptions{
+		Failures:     5,
+		OpenFor:      time.Second,
+		MaxOpen:      30 * time.Second,
+		ProbeTimeout: 10 * time.Second,
+	}
+}
+
+// BreakerState is the state of a Breaker.
+type BreakerState uint8
+
+// The states of a Breaker.
+const (
+	Closed BreakerState = iota
+	Open
+	HalfOpen
+)
+
+// String returns the name used in logs and metrics.
+func (s BreakerState) String() string {
+	return [...]string{"closed", "open", "half_open"}[s]
+}
+
+// Breaker stops calls to a target that fails and lets one probe through from
+// time to time. It may be used concurrently.
+type Breaker struct {
+	options BreakerOptions
+
+	mu       sync.Mutex
+	state    BreakerState
+	failures int
+	openFor  time.Duration
+	// until is the end of Open, or of the wait for the probe in HalfOpen.
+	until time.Time
+}
+
+// NewBreaker returns a closed breaker.
+func NewBreaker(o BreakerOptions) *Breaker {
+	return &Breaker{options: o}
+}
+
+// Allow tells whether a call may go out. Every allowed call must be followed
+// by Success, Failure or Abandon.
+func (b *Breaker) Allow(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.state == Closed {
+		return true
+	}
+	if now.Before(b.until) {
+		return false
+	}
+	if b.state == HalfOpen {
+		b.reopen(now)
+		return false
+	}
+	b.state = HalfOpen
+	b.until = now.Add(b.options.ProbeTimeout)
+	return true
+}
+
+// Success records a call that the target answered. It closes the breaker
+// unless the breaker is open, where the answer belongs to an old call.
+func (b *Breaker) Success() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.state == Open {
+		return
+	}
+	b.state = Closed
+	b.failures = 0
+	b.openFor = 0
+}
+
+// Failure records a call that failed because of the target.
+func (b *Breaker) Failure(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch b.state {
+	case Closed:
+		b.failures++
+		if b.failures >= b.options.Failures {
+			b.reopen(now)
+		}
+	case HalfOpen:
+		b.reopen(now)
+	}
+}
+
+// Abandon records a call that ended without telling anything of the target,
+// for example because the caller went away. A probe may be sent again.
+func (b *Breaker) Abandon(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.state == HalfOpen {
+		b.state = Open
+		b.until = now
+	}
+}
+
+// State returns the state in force.
+func (b *Breaker) State() BreakerState {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state
+}
+
+// reopen opens the breaker for twice the time of the last opening.
+func (b *Breaker) reopen(now time.Time) {
+	b.openFor = min(max(2*b.openFor, b.options.OpenFor), b.options.MaxOpen)
+	b.state = Open
+	b.failures = 0
+	b.until = now.Add(b.openFor)
+}
+
+// breakerShards is the number of locks over the map of breakers.
+const breakerShards = 16
+
+// Breakers holds one breaker per target, made on first use.
+type Breakers struct {
+	options BreakerOptions
+	shards  [breakerShards]breakerShard
+}
+
+type breakerShard struct {
+	mu sync.Mutex
+	m  map[string]*Breaker
+}
+
+// NewBreakers returns an empty set whose breakers have the given options.
+func NewBreakers(o BreakerOptions) *Breakers {
+	return &Breakers{options: o}
+}
+
+// Target returns the breaker of the target.
+func (s *Breakers) Target(name string) *Breaker {
+	sh := s.shard(name)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	b, ok := sh.m[name]
+	if !ok {
+		if sh.m == nil {
+			sh.m = make(map[string]*Breaker)
+		}
+		b = NewBreaker(s.options)
+		sh.m[name] = b
+	}
+	return b
+}
+
+// Keep drops the breakers of targets for which keep is false.
+func (s *Breakers) Keep(keep func(name string) bool) {
+	for i := range s.shards {
+		s.shards[i].drop(keep)
+	}
+}
+
+func (sh *breakerShard) drop(keep func(name string) bool) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	for name := range sh.m {
+		if !keep(name) {
+			delete(sh.m, name)
+		}
+	}
+}
+
+func (s *Breakers) shard(name string) *breakerShard {
+	return &s.shards[xxhash.Sum64String(name)%breakerShards]
+}
--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,72 @@
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+// BudgetOptions sets the size of a Budget.
+type BudgetOptions struct {
+	// Share is the number of retries that one request earns.
+	Share float64
+	// FloorPerSecond is earned whatever the traffic, so that a quiet daemon
+	// can retry at all.
+	FloorPerSecond float64
+	// Burst bounds the retries saved up.
+	Burst float64
+}
+
+// DefaultBudgetOptions allows retries for a tenth of the requests.
+func DefaultBudgetOptions() BudgetOptions {
+	return BudgetOptions{Share: 0.1, FloorPerSecond: 1, Burst: 20}
+}
+
+// Budget bounds the retries of one daemon to a share of its requests plus a
+// small floor. It may be used concurrently.
+type Budget struct {
+	options BudgetOptions
+
+	mu     sync.Mutex
+	tokens float64
+	filled time.Time
+}
+
+// NewBudget returns a budget that begins with one second's floor.
+func NewBudget(o BudgetOptions) *Budget {
+	return &Budget{options: o, tokens: min(o.FloorPerSecond, o.Burst)}
+}
+
+// Request records one request that begins.
+func (b *Budget) Request(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fill(now)
+	b.add(b.options.Share)
+}
+
+// Take takes the right to one retry and tells whether there was one.
+func (b *Budget) Take(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fill(now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// fill adds the floor for the time since the last call. A clock that steps
+// back earns nothing.
+func (b *Budget) fill(now time.Time) {
+	if !b.filled.IsZero() && now.After(b.filled) {
+		b.add(now.Sub(b.filled).Seconds() * b.options.FloorPerSecond)
+	}
+	if b.filled.IsZero() || now.After(b.filled) {
+		b.filled = now
+	}
+}
+
+func (b *Budget) add(tokens float64) {
+	b.tokens = min(b.tokens+tokens, b.options.Burst)
+}
