Eject slow engines softly, with a bound per pool

Ruled out: a fixed latency limit (each model has its own speed); comparing raw first-token latencies (they mix queueing with slowness; what the choice expected is divided out); judging on answers to requests sent before the ejection (they blur the verdict on the probes).

Before and after: an engine at four times its pool's time per token kept its place; now it is out after the next review, is still used when no other engine is left, and comes back by probes once its answers are as fast as the median's. Slowest first when the bound holds some back.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,7 +25,9 @@
 	// mu guards what changes with a configuration or a host's state.
 	mu    sync.Mutex
 	hosts map[string]HostState
-	pools map[string]*pool
+
+	changesMu sync.Mutex
+	changes   []Change
 }
 
 // engine is the running state of one engine.
@@ -51,7 +53,6 @@
 		options: o,
 		cache:   newPrefixCache(o.AffinityEntries),
 		hosts:   make(map[string]HostState),
-		pools:   make(map[string]*pool),
 	}
 	s.engines.Store(&map[string]*engine{})
 	return s, nil
@@ -78,7 +79,7 @@
 		next[e.name] = e
 		list[i] = e
 	}
-	s.regroup(specs, list)
+	regroup(specs, list)
 	for name, e := range old {
 		if next[name] == nil && !e.load.idle() {
 			next[name] = e
@@ -89,8 +90,8 @@
 }
 
 // regroup assigns the engines to the pools of a new configuration and counts
-// those that are out again. The caller holds mu.
-func (s *State) regroup(specs []*bronzeturnv1.Engine, list []*engine) {
+// those that are out again.
+func regroup(specs []*bronzeturnv1.Engine, list []*engine) {
 	pools := make(map[string]*pool)
 	for _, spec := range specs {
 		p := pools[spec.GetPool()]
@@ -103,7 +104,6 @@
 	for i, spec := range specs {
 		list[i].health.join(pools[spec.GetPool()], newCapacity(spec).rate)
 	}
-	s.pools = pools
 }
 
 // join moves the engine into a pool and takes its place among those out along.
@@ -151,7 +151,7 @@
 	}
 	prompt, _ := s.work(ev.Work)
 	e.load.change(priorityIndex(ev.Work.Priority), 0, -prompt, ev.At)
-	e.health.observeFirstToken(ev.Latency, ev.Expected)
+	e.health.observeFirstToken(ev.Latency, ev.Expected, ev.At)
 }
 
 // Finished takes in that an answer ended.
@@ -164,8 +164,10 @@
 	if ev.Cancelled {
 		return
 	}
-	e.health.observeGeneration(ev.Tokens, ev.Generation)
-	e.health.succeeded(ev.At, &s.options)
+	e.health.observeGeneration(ev.Tokens, ev.Generation, ev.At)
+	if e.health.succeeded(ev.At, &s.options) {
+		s.note(e, 0, ev.At)
+	}
 }
 
 // Failed takes in that a request got no answer.
@@ -179,7 +181,9 @@
 		e.health.busy(ev.At, ev.RetryAfter)
 		return
 	}
-	e.health.failed(ev.At, &s.options)
+	if e.health.failed(ev.At, &s.options) {
+		s.note(e, 0, ev.At)
+	}
 }
 
 // busyPause is how long an engine that is full gets nothing when it does not
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -37,18 +37,6 @@
 	unusable
 )
 
-// estimate is the expected course of a request at one engine, in seconds.
-type estimate struct {
-	index  int32
-	wait   float64
-	first  float64
-	answer float64
-	cost   float64
-}
-
-// none is the estimate of no engine.
-var none = estimate{index: -1, cost: math.Inf(1)}
-
 // choice is one run of Choose.
 type choice struct {
 	state *State
@@ -287,50 +275,6 @@
 	return est
 }
 
-// estimate works out the expected course of the request at the engine.
-func (c *choice) estimate(index int32) estimate {
-	e := c.plan.engines[index]
-	o := &c.state.options
-	size := c.plan.capacity[index]
-	slowness := e.health.slownessFactor()
-	throughput := size.slots * size.rate / slowness
-	load := e.load.view(c.priority, c.now, o.ReportFresh)
-
-	est := estimate{index: index}
-	est.wait = load.wait(size.slots, throughput)
-	prefill := float64(max(0, c.req.Work.PromptTokens)) / o.PrefillTokensPerSecond
-	if index == c.cached {
-		prefill -= o.saving(e, c.cachedAt, c.now, prefill)
-	}
-	est.first = est.wait + prefill
-	est.answer = est.first + float64(max(1, c.req.Work.ExpectedTokens))*slowness/size.rate
-	failures := e.health.failureShare(c.now, o.FailureHalfLife)
-	penalty := failures * failures * o.FailurePenalty.Seconds()
-	est.cost = est.answer + o.BatchSlowdown*load.tokens/throughput + penalty
-	return est
-}
-
-// wait returns the time in seconds until a slot is free for the request: the
-// work of those ahead of it, at the engine's throughput in tokens per second.
-func (v view) wait(slots, throughput float64) float64 {
-	if v.requests < slots || v.requests == 0 {
-		return 0
-	}
-	queued := max(1, v.ahead+1-slots)
-	return queued * v.tokens / v.requests / throughput
-}
-
-// slownessFactor returns the measured time per token relative to the register,
-// within bounds.
-func (h *health) slownessFactor() float64 {
-	const lowest, highest = 0.5, 20
-	f := math.Float64frombits(h.slowness.Load())
-	if f == 0 {
-		return 1
-	}
-	return min(max(f, lowest), highest)
-}
-
 // accept completes the decision for the chosen engine.
 func (c *choice) accept(best estimate) {
 	c.d.Index = int(best.index)
@@ -362,7 +306,3 @@
 func clampRetryAfter(d time.Duration) time.Duration {
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
-
-func seconds(s float64) time.Duration {
-	return time.Duration(s * float64(time.Second))
-}
--- a/balance/health.go
+++ b/balance/health.go
@@ -18,17 +18,17 @@
 	slow
 )
 
-// Smoothing factors of the moving averages.
+// String returns the name used in logs and metrics.
+func (p phase) String() string {
+	return [...]string{admitted: "admitted", failing: "failing", slow: "slow"}[p]
+}
+
+// Smoothing factors of the share of failures.
 const (
 	failureGain = 0.3
 	successGain = 0.1
-	speedGain   = 0.15
 )
 
-// latencyFloor is added to latencies before they are compared, so that a few
-// milliseconds on an idle engine do not look like slowness.
-const latencyFloor = 100 * time.Millisecond
-
 // warmAlready marks an engine that needs no warm-up.
 const warmAlready = -1
 
@@ -126,8 +126,9 @@
 	h.failureAt.Store(now)
 }
 
-// failed records a failure and ejects the engine when there were too many.
-func (h *health) failed(now time.Time, o *Options) {
+// failed records a failure and ejects the engine when there were too many. It
+// tells whether the phase changed.
+func (h *health) failed(now time.Time, o *Options) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	ns := now.UnixNano()
@@ -137,16 +138,14 @@
 	h.goodProbes = 0
 	if phase(h.phase.Load()) != admitted {
 		h.extend(ns, o)
-		return
-	}
-	if h.row >= o.EjectFailures {
-		h.eject(failing, ns, o)
+		return false
 	}
+	return h.row >= o.EjectFailures && h.eject(failing, ns, o)
 }
 
 // succeeded records a whole answer. Enough of them in a row re-admit an engine
-// that was out because of errors.
-func (h *health) succeeded(now time.Time, o *Options) {
+// that was out because of errors. It tells whether the phase changed.
+func (h *health) succeeded(now time.Time, o *Options) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	ns := now.UnixNano()
@@ -155,13 +154,15 @@
 	if share := h.failureShare(ns, o.FailureHalfLife); share > 0 {
 		h.setFailure(share*(1-successGain), ns)
 	}
-	if phase(h.phase.Load()) == admitted || ns < h.until.Load() {
-		return
+	if phase(h.phase.Load()) != failing || ns < h.until.Load() {
+		return false
 	}
 	h.goodProbes++
-	if phase(h.phase.Load()) == failing && h.goodProbes >= o.TrickleSuccesses {
-		h.admit(ns)
+	if h.goodProbes < o.TrickleSuccesses {
+		return false
 	}
+	h.admit(ns)
+	return true
 }
 
 // eject takes the engine out if its pool can spare it, and tells whether it
@@ -195,6 +196,7 @@
 	h.warmFrom.Store(now)
 	h.setFailure(0, now)
 	h.row = 0
+	h.resetSpeed()
 }
 
 // calm forgets the length of past ejections after a long time without one.
@@ -204,39 +206,3 @@
 		h.ejectFor = 0
 	}
 }
-
-// resetSpeed forgets the latencies measured. The caller holds mu.
-func (h *health) resetSpeed() {
-	h.samples = 0
-	h.tokenTime = 0
-	h.firstToken = 0
-}
-
-// observeFirstToken records a first token's latency against the expected one.
-func (h *health) observeFirstToken(latency, expected time.Duration) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	ratio := float64(latency+latencyFloor) / float64(max(expected, 0)+latencyFloor)
-	h.firstToken = smooth(h.firstToken, ratio)
-}
-
-// observeGeneration records the time per token of an answer.
-func (h *health) observeGeneration(tokens int64, generation time.Duration) {
-	if tokens < 2 || generation <= 0 {
-		return
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	perToken := generation.Seconds() / float64(tokens-1)
-	h.tokenTime = smooth(h.tokenTime, perToken*h.nominal)
-	h.samples++
-	h.slowness.Store(math.Float64bits(h.tokenTime))
-}
-
-// smooth returns the moving average with the value added. Zero means empty.
-func smooth(average, value float64) float64 {
-	if average == 0 {
-		return value
-	}
-	return average + speedGain*(value-average)
-}
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -95,7 +95,7 @@
 			if limit := allowed(n, s.options.MaxEjectedShare); out > limit {
 				t.Fatalf("%d of %d engines out, at most %d allowed", out, n, limit)
 			}
-			if pool := s.pools["diag-llm"]; pool.out != out {
+			if pool := p.engines[0].health.pool; pool.out != out {
 				t.Fatalf("pool counts %d out, there are %d", pool.out, out)
 			}
 		}
@@ -122,3 +122,79 @@
 	full := count(epoch.Add(s.options.WarmUp))
 	c.Assert(first*3 < full, qt.IsTrue, qt.Commentf("%d then %d", first, full))
 }
+
+// answer reports n answers with the given time per token.
+func answer(s *State, engine string, n int, perToken time.Duration, at time.Time) {
+	const tokens = 101
+	for range n {
+		send(s, engine, 1, at)
+		s.FirstToken(FirstToken{Engine: engine, Work: newRequest().Work, Latency: 50 * time.Millisecond, Expected: 50 * time.Millisecond, At: at})
+		s.Finished(Finished{Engine: engine, Work: newRequest().Work, FirstTokenSeen: true, Tokens: tokens, Generation: (tokens - 1) * perToken, At: at})
+	}
+}
+
+func TestASlowEngineIsEjectedSoftlyAndComesBack(t *testing.T) {
+	c := qt.New(t)
+	s, rng := newState(c), newRand()
+	p := s.Plan(newRegister(6), nil)
+	for i := range 6 {
+		answer(s, fmt.Sprintf("engine-%d", i), s.options.SlowSamples, 25*time.Millisecond, epoch)
+	}
+	c.Assert(s.Review(p, epoch), qt.HasLen, 0)
+	answer(s, "engine-0", 30, 100*time.Millisecond, epoch)
+	changes := s.Review(p, epoch)
+	c.Assert(changes, qt.HasLen, 1)
+	c.Assert(changes[0].Engine, qt.Equals, "engine-0")
+	c.Assert(changes[0].Phase, qt.Equals, "slow")
+	c.Assert(share(s, p, "engine-0", 100, epoch), qt.Equals, 0)
+
+	// Alone it is still used: slow is better than refused.
+	r := newRequest()
+	r.Leaving = func(host string) bool { return host != "host-0" }
+	d, ok := s.Choose(p, r, epoch, rng)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(d.Reason, qt.Equals, ReasonSlowOnly)
+
+	now := epoch.Add(s.options.EjectFor)
+	answer(s, "engine-0", s.options.TrickleSuccesses, 100*time.Millisecond, now)
+	c.Assert(s.Review(p, now), qt.HasLen, 0, qt.Commentf("the probes were slow: out again"))
+	now = now.Add(2 * s.options.EjectFor)
+	answer(s, "engine-0", s.options.TrickleSuccesses, 25*time.Millisecond, now)
+	changes = s.Review(p, now)
+	c.Assert(changes, qt.HasLen, 1)
+	c.Assert(changes[0].Phase, qt.Equals, "admitted")
+}
+
+func TestSlowFirstTokensCountAsSlowness(t *testing.T) {
+	c := qt.New(t)
+	s := newState(c)
+	p := s.Plan(newRegister(6), nil)
+	for i := range 6 {
+		answer(s, fmt.Sprintf("engine-%d", i), s.options.SlowSamples, 25*time.Millisecond, epoch)
+	}
+	for range 20 {
+		s.FirstToken(FirstToken{Engine: "engine-4", Latency: 2 * time.Second, Expected: 50 * time.Millisecond, At: epoch})
+	}
+	changes := s.Review(p, epoch)
+	c.Assert(changes, qt.HasLen, 1)
+	c.Assert(changes[0].Engine, qt.Equals, "engine-4")
+}
+
+func TestSlowShareIsBoundedAndTakesTheSlowest(t *testing.T) {
+	c := qt.New(t)
+	s := newState(c)
+	p := s.Plan(newRegister(12), nil)
+	for i := range 12 {
+		per := 25 * time.Millisecond
+		if i < 5 {
+			per = time.Duration(60+10*i) * time.Millisecond
+		}
+		answer(s, fmt.Sprintf("engine-%d", i), s.options.SlowSamples, per, epoch)
+	}
+	var out []string
+	for _, change := range s.Review(p, epoch) {
+		out = append(out, change.Engine)
+	}
+	c.Assert(out, qt.DeepEquals, []string{"engine-4", "engine-3", "engine-2"})
+	c.Assert(s.Review(p, epoch), qt.HasLen, 0)
+}
--- a/balance/plan.go
+++ b/balance/plan.go
@@ -12,6 +12,7 @@
 	capacity []capacity
 	index    map[*engine]int32
 	versions map[string]*candidates
+	pools    map[string][]int32
 }
 
 // capacity is the registered size of an engine.
@@ -69,7 +70,7 @@
 // engines that the daemon sees; nil means all. The running state of engines
 // that stay is kept, that of engines that are gone is dropped once idle.
 func (s *State) Plan(reg *bronzeturnv1.Register, visible func(*bronzeturnv1.Engine) bool) *Plan {
-	p := &Plan{versions: make(map[string]*candidates)}
+	p := &Plan{versions: make(map[string]*candidates), pools: make(map[string][]int32)}
 	for _, spec := range reg.GetEngines() {
 		if visible != nil && !visible(spec) {
 			continue
@@ -91,6 +92,7 @@
 	index := int32(len(p.specs))
 	p.specs = append(p.specs, spec)
 	p.capacity = append(p.capacity, newCapacity(spec))
+	p.pools[spec.GetPool()] = append(p.pools[spec.GetPool()], index)
 	for _, version := range spec.GetVersions() {
 		c, ok := p.versions[version]
 		if !ok {
--- /dev/null
+++ b/balance/slow.go
@@ -0,0 +1,195 @@
+package balance
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// speedGain is the smoothing factor of the measured latencies.
+const speedGain = 0.15
+
+// latencyFloor is added to latencies before they are compared, so that a few
+// milliseconds on an idle engine do not look like slowness.
+const latencyFloor = 100 * time.Millisecond
+
+// minMedianEngines is the number of measured engines that make a median.
+const minMedianEngines = 3
+
+// Change is an engine that was ejected or re-admitted.
+type Change struct {
+	Engine string
+	// Phase is "admitted", "failing" or "slow".
+	Phase string
+	// Ratio is the engine's latency relative to the median of its pool, zero
+	// when latency is not the cause.
+	Ratio float64
+	At    time.Time
+}
+
+// maxChanges bounds the changes kept between two reviews.
+const maxChanges = 1024
+
+// note keeps a change for the next Review.
+func (s *State) note(e *engine, ratio float64, at time.Time) {
+	s.changesMu.Lock()
+	defer s.changesMu.Unlock()
+	if len(s.changes) >= maxChanges {
+		return
+	}
+	s.changes = append(s.changes, Change{
+		Engine: e.name,
+		Phase:  phase(e.health.phase.Load()).String(),
+		Ratio:  ratio,
+		At:     at,
+	})
+}
+
+// Review compares the latencies of each pool, ejects engines that are slow,
+// re-admits those that are no longer, and returns all changes since the last
+// review for the log. Call it about once a second.
+func (s *State) Review(p *Plan, now time.Time) []Change {
+	for _, pool := range slices.Sorted(maps.Keys(p.pools)) {
+		s.reviewPool(p, p.pools[pool], now)
+	}
+	s.changesMu.Lock()
+	defer s.changesMu.Unlock()
+	changes := s.changes
+	s.changes = nil
+	return changes
+}
+
+// speed is the measured latency of one engine.
+type speed struct {
+	engine     *engine
+	samples    int
+	tokenTime  float64
+	firstToken float64
+	ratio      float64
+}
+
+// reviewPool judges the engines of one pool, the slowest first, so that the
+// bound on those out holds back the least slow.
+func (s *State) reviewPool(p *Plan, members []int32, now time.Time) {
+	var speeds []speed
+	for _, i := range members {
+		speeds = append(speeds, p.engines[i].speed())
+	}
+	tokenTime, ok := s.median(speeds, func(v speed) float64 { return v.tokenTime })
+	if !ok {
+		return
+	}
+	firstToken, _ := s.median(speeds, func(v speed) float64 { return v.firstToken })
+	for i := range speeds {
+		speeds[i].ratio = max(relative(speeds[i].tokenTime, tokenTime), relative(speeds[i].firstToken, firstToken))
+	}
+	slices.SortStableFunc(speeds, func(a, b speed) int { return cmp.Compare(b.ratio, a.ratio) })
+	for _, v := range speeds {
+		if v.engine.health.judge(v, now.UnixNano(), &s.options) {
+			s.note(v.engine, v.ratio, now)
+		}
+	}
+}
+
+// median returns the median over the engines with enough answers.
+func (s *State) median(speeds []speed, value func(speed) float64) (float64, bool) {
+	var values []float64
+	for _, v := range speeds {
+		if v.samples >= s.options.SlowSamples {
+			values = append(values, value(v))
+		}
+	}
+	if len(values) < minMedianEngines {
+		return 0, false
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2], true
+}
+
+func relative(value, median float64) float64 {
+	if median <= 0 {
+		return 0
+	}
+	return value / median
+}
+
+func (e *engine) speed() speed {
+	h := &e.health
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return speed{engine: e, samples: h.samples, tokenTime: h.tokenTime, firstToken: h.firstToken}
+}
+
+// judge ejects or re-admits the engine and tells whether the phase changed.
+func (h *health) judge(v speed, now int64, o *Options) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	isSlow := v.ratio > o.SlowFactor
+	switch phase(h.phase.Load()) {
+	case admitted:
+		return isSlow && v.samples >= o.SlowSamples && h.eject(slow, now, o)
+	case slow:
+		if now < h.until.Load() || v.samples < o.TrickleSuccesses {
+			return false
+		}
+		if isSlow {
+			h.extend(now, o)
+			return false
+		}
+		h.admit(now)
+		return true
+	default:
+		return false
+	}
+}
+
+// measuring tells whether latencies count now. Answers to requests sent before
+// an ejection would blur the verdict on the probes. The caller holds mu.
+func (h *health) measuring(now time.Time) bool {
+	return phase(h.phase.Load()) == admitted || now.UnixNano() >= h.until.Load()
+}
+
+// resetSpeed forgets the latencies measured. The caller holds mu.
+func (h *health) resetSpeed() {
+	h.samples = 0
+	h.tokenTime = 0
+	h.firstToken = 0
+}
+
+// observeFirstToken records a first token's latency against the expected one.
+func (h *health) observeFirstToken(latency, expected time.Duration, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.measuring(now) {
+		return
+	}
+	ratio := float64(latency+latencyFloor) / float64(max(expected, 0)+latencyFloor)
+	h.firstToken = smooth(h.firstToken, ratio)
+}
+
+// observeGeneration records the time per token of an answer, relative to the
+// register.
+func (h *health) observeGeneration(tokens int64, generation time.Duration, now time.Time) {
+	if tokens < 2 || generation <= 0 {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.measuring(now) {
+		return
+	}
+	perToken := generation.Seconds() / float64(tokens-1)
+	h.tokenTime = smooth(h.tokenTime, perToken*h.nominal)
+	h.samples++
+	h.slowness.Store(math.Float64bits(h.tokenTime))
+}
+
+// smooth returns the moving average with the value added. Zero means empty.
+func smooth(average, value float64) float64 {
+	if average == 0 {
+		return value
+	}
+	return average + speedGain*(value-average)
+}
