Read the daemon's settings from the schema

Cause: the daemon needs flags and environment variables that its schema drives, and every fault of them reported at once. Ruled out: a kong-tagged struct written by hand beside the schema (the same names, defaults and bounds would stand twice); kong's own typed fields (its parser ends at the first wrong value). Conclusion: kong reads a struct built from the descriptor, in which every value is text; bounds, formats and contradictions are checked afterwards, together.

--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,157 @@
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var update = flag.Bool("update", false, "write docs/operating/settings.md anew")
+
+const documentPath = "../docs/operating/settings.md"
+
+// minimal returns the fewest arguments that are accepted, followed by more.
+func minimal(more ...string) []string {
+	args := []string{
+		"--name=h1", "--data-centre=hall-centro",
+		"--store-url=http://127.0.0.1:9000", "--host-list-url=http://127.0.0.1:9001",
+		"--insecure-plaintext-peers", "--insecure-plaintext-operators",
+	}
+	return append(args, more...)
+}
+
+func TestParseTakesFlagBeforeVariableBeforeDefault(t *testing.T) {
+	c := qt.New(t)
+	environ := []string{
+		"BRONZETURN_REGION=north-east", "BRONZETURN_STOP_TIMEOUT=20s",
+		"BRONZETURN_SEEDS=10.0.0.1:1,10.0.0.2:2", "BRONZETURN_ADMIN_PPROF=true", "BRONZETURN_LOG_LEVEL=",
+	}
+	s, err := Parse(minimal("--stop-timeout", "30s", "--ledger-write-pace=2.5"), environ)
+	c.Assert(err, qt.IsNil)
+	c.Check(s.GetName(), qt.Equals, "h1")
+	c.Check(s.GetRegion(), qt.Equals, "north-east")
+	c.Check(s.GetStopTimeout().AsDuration(), qt.Equals, 30*time.Second)
+	c.Check(s.GetSeeds(), qt.DeepEquals, []string{"10.0.0.1:1", "10.0.0.2:2"})
+	c.Check(s.GetAdminPprof(), qt.IsTrue)
+	c.Check(s.GetInsecurePlaintextPeers(), qt.IsTrue)
+	c.Check(s.GetLedgerWritePace(), qt.Equals, 2.5)
+	c.Check(s.GetLogLevel(), qt.Equals, "info")
+	c.Check(s.GetHeartbeatInterval().AsDuration(), qt.Equals, 500*time.Millisecond)
+	c.Check(s.GetMaxBodyBytes(), qt.Equals, int64(4<<20))
+}
+
+func TestParseNamesTheFlagAtFault(t *testing.T) {
+	tests := []struct {
+		name    string
+		args    []string
+		environ []string
+		flags   []string
+	}{
+		{name: "unknown flag", args: minimal("--nmae=x"), flags: []string{"--nmae=x"}},
+		{name: "positional argument", args: minimal("x"), flags: []string{"x"}},
+		{name: "flag without a value", args: minimal("--region"), flags: []string{"--region"}},
+		{name: "number below its bound", args: minimal("--max-body-bytes=5"), flags: []string{"--max-body-bytes"}},
+		{name: "number above its bound", args: minimal("--engine-subset-size=10001"), flags: []string{"--engine-subset-size"}},
+		{name: "not a number", args: minimal("--retry-budget-ratio=NaN"), flags: []string{"--retry-budget-ratio"}},
+		{name: "fraction of a whole number", args: minimal("--ledger-shards=1.5"), flags: []string{"--ledger-shards"}},
+		{name: "duration without a unit", args: minimal("--stop-timeout=5"), flags: []string{"--stop-timeout"}},
+		{name: "duration above its bound", args: minimal("--entries-keep=11m"), flags: []string{"--entries-keep"}},
+		{name: "wrong switch in a variable", args: minimal(), environ: []string{"BRONZETURN_ADMIN_PPROF=maybe"}, flags: []string{"--admin-pprof"}},
+		{name: "unknown choice", args: minimal("--log-format=xml"), flags: []string{"--log-format"}},
+		{name: "host name as an address", args: minimal("--caller-address=localhost:80"), flags: []string{"--caller-address"}},
+		{name: "unspecified advertised address", args: minimal("--peer-address=0.0.0.0:80"), flags: []string{"--peer-address"}},
+		{name: "one wrong seed", args: minimal("--seeds=10.0.0.1:1,x"), flags: []string{"--seeds"}},
+		{name: "URL with a password", args: minimal("--rating-url=http://a:b@h/"), flags: []string{"--rating-url"}},
+		{name: "listen everywhere without an address", args: minimal("--caller-listen=0.0.0.0:80", "--peer-listen=[::]:81"), flags: []string{"--caller-address", "--peer-address"}},
+		{name: "two listeners on one port", args: minimal("--admin-listen=0.0.0.0:8080"), flags: []string{"--admin-listen"}},
+		{name: "suspects before three heartbeats", args: minimal("--heartbeat-interval=2s"), flags: []string{"--suspect-timeout"}},
+		{name: "TLS files beside plain text", args: minimal("--peer-tls-cert=c"), flags: []string{"--peer-tls-cert"}},
+		{name: "caller certificate without a key", args: minimal("--caller-tls-cert=c"), flags: []string{"--caller-tls-key"}},
+		{name: "caller authority alone", args: minimal("--caller-tls-ca=c"), flags: []string{"--caller-tls-ca"}},
+		{
+			name:  "all faults at once",
+			args:  []string{"--name=a b", "--store-url=x", "--host-list-url=http://h", "--wrong", "--log-level=loud"},
+			flags: []string{"--wrong", "--name", "--data-centre", "--store-url", "--log-level"},
+		},
+		{
+			name:  "neither certificates nor plain text",
+			args:  []string{"--name=a", "--data-centre=d", "--store-url=http://s", "--host-list-url=http://h", "--insecure-plaintext-peers"},
+			flags: []string{"--operator-tls-cert", "--operator-tls-key", "--operator-tls-ca"},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			_, err := Parse(test.args, test.environ)
+			var fault *Error
+			c.Assert(errors.As(err, &fault), qt.IsTrue, qt.Commentf("%v", err))
+			var flags []string
+			for _, p := range fault.Problems {
+				flags = append(flags, p.Flag)
+				c.Check(p.Message, qt.Not(qt.Equals), "")
+			}
+			c.Check(flags, qt.DeepEquals, test.flags)
+		})
+	}
+}
+
+func TestSchemaDescribesEveryFlag(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(len(options) > 40, qt.IsTrue)
+	for _, o := range options {
+		name := strings.ReplaceAll(string(o.field.Name()), "_", "-")
+		env := "BRONZETURN_" + strings.ToUpper(string(o.field.Name()))
+		c.Check(o.flag.GetName(), qt.Equals, name)
+		c.Check(o.flag.GetEnv(), qt.Equals, env)
+		c.Check(o.flag.GetHelp(), qt.Not(qt.Equals), "", qt.Commentf(name))
+		if o.flag.GetUnit() == "" {
+			continue
+		}
+		for _, text := range []string{o.flag.GetMin(), o.flag.GetMax(), o.flag.GetDefault()} {
+			_, err := o.value(text)
+			c.Check(err, qt.IsNil, qt.Commentf("%s: %q", name, text))
+		}
+	}
+}
+
+func TestHelpListsFlagsWithVariables(t *testing.T) {
+	c := qt.New(t)
+	_, err := Parse([]string{"--name=x", "--help", "--wrong"}, nil)
+	c.Assert(errors.Is(err, ErrHelp), qt.IsTrue)
+	var b bytes.Buffer
+	c.Assert(WriteHelp(&b), qt.IsNil)
+	for _, o := range options {
+		c.Check(strings.Contains(b.String(), "--"+o.flag.GetName()), qt.IsTrue)
+		c.Check(strings.Contains(b.String(), o.flag.GetEnv()), qt.IsTrue)
+	}
+}
+
+func TestDocumentIsUpToDate(t *testing.T) {
+	c := qt.New(t)
+	var b bytes.Buffer
+	c.Assert(WriteDocument(&b), qt.IsNil)
+	if *update {
+		c.Assert(os.WriteFile(documentPath, b.Bytes(), 0o644), qt.IsNil)
+	}
+	have, err := os.ReadFile(documentPath)
+	c.Assert(err, qt.IsNil)
+	c.Check(string(have), qt.Equals, b.String(), qt.Commentf("run: go test ./settings -run TestDocument -update"))
+}
+
+func FuzzParseNeverAcceptsHalf(f *testing.F) {
+	f.Add("--name=x", "--stop-timeout", "1h", "BRONZETURN_SEEDS=1.2.3.4:5")
+	f.Add("--", "-", "--=", "=")
+	f.Add("--admin-pprof=false", "--no-admin-pprof", "--seeds=,", "BRONZETURN_ADMIN_PPROF=1")
+	f.Fuzz(func(t *testing.T, a, b, c, env string) {
+		s, err := Parse(minimal(a, b, c), []string{env})
+		if err == nil && (s.GetName() == "" || s.GetStoreUrl() == "" || s.GetStopTimeout().AsDuration() < time.Second) {
+			t.Fatalf("accepted without required settings: %v", s)
+		}
+	})
+}
