--- a/failure/failure.go
+++ b/failure/failure.go
@@ -38,6 +38,8 @@
 	CodeEngineFailed       Code = "engine_failed"
 	CodeAnswerBroken       Code = "answer_broken"
 	CodeNotFound           Code = "not_found"
+	CodeCanceled           Code = "canceled"
+	CodeAnswerNotKept      Code = "answer_not_kept"
 	CodeInternal           Code = "internal"
 )
 
@@ -102,6 +104,10 @@
 	return Wrap(err, CodeInternal, RanUnknown, "internal error")
 }
 
+// statusClientClosedRequest is the usual status, outside the standard, for a
+// caller that went away.
+const statusClientClosedRequest = 499
+
 // statuses gives the HTTP status of each code.
 var statuses = map[Code]int{
 	CodeUnauthenticated:    http.StatusUnauthorized,
@@ -127,6 +133,8 @@
 	CodeEngineFailed:       http.StatusBadGateway,
 	CodeAnswerBroken:       http.StatusBadGateway,
 	CodeNotFound:           http.StatusNotFound,
+	CodeCanceled:           statusClientClosedRequest,
+	CodeAnswerNotKept:      http.StatusGone,
 	CodeInternal:           http.StatusInternalServerError,
 }
 
--- /dev/null
+++ b/router/chat.go
@@ -0,0 +1,156 @@
+package router
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/uptrace/bunrouter"
+
+	"github.com/bronzeturn/bronzeturn/callerapi"
+	"github.com/bronzeturn/bronzeturn/config"
+	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/selection"
+)
+
+// serveChat answers a chat completion.
+func (r *Router) serveChat(w http.ResponseWriter, req bunrouter.Request) error {
+	return r.serve(w, req, r.prepareChat, r.runChat)
+}
+
+// prepareChat reads headers and body of a chat completion.
+func (r *Router) prepareChat(req *http.Request, c *call) *failure.Error {
+	if f := r.prepareKind(req.Header, c, req.Header.Get(callerapi.HeaderKind)); f != nil {
+		return f
+	}
+	body, f := readBody(req, r.MaxBodyBytes)
+	if f != nil {
+		return f
+	}
+	c.body = body
+	c.chat, f = parseChat(body)
+	if f != nil {
+		return f
+	}
+	c.chat.prefixHash = prefixHash(c.organisation.GetName(), body)
+	return nil
+}
+
+// prepareKind reads the headers that all requests share.
+func (r *Router) prepareKind(h http.Header, c *call, name string) *failure.Error {
+	kind, ok := c.tables.Snapshot.Kind(name)
+	if !ok {
+		return failure.New(failure.CodeUnknownKind, failure.RanNo, "the rules define no task kind of that name")
+	}
+	c.kind = kind
+	var f *failure.Error
+	if c.deadline, f = deadlineOf(h, kind, c.received); f != nil {
+		return f
+	}
+	if c.priority, f = priorityOf(h, kind); f != nil {
+		return f
+	}
+	if c.idempotencyKey, f = identifier(h, callerapi.HeaderIdempotencyKey); f != nil {
+		return f
+	}
+	c.conversation, f = identifier(h, callerapi.HeaderConversation)
+	return f
+}
+
+// runChat carries out a chat completion.
+func (r *Router) runChat(ctx context.Context, a *answer, c *call) *failure.Error {
+	if f := c.requireKey(); f != nil {
+		return f
+	}
+	decision, f := r.chooseVersion(ctx, c)
+	if f != nil {
+		return f
+	}
+	grant, f := r.admit(ctx, c, decision)
+	if f != nil {
+		return f
+	}
+	defer grant.release()
+	claim, f := r.claim(ctx, a, c)
+	if f != nil || claim.replayed {
+		return f
+	}
+	return r.answerChat(ctx, a, c, &decision, grant, claim)
+}
+
+// requireKey refuses a non-idempotent request without an idempotency key: a
+// repeat by the caller could not be told from a new request.
+func (c *call) requireKey() *failure.Error {
+	if c.idempotent() || c.idempotencyKey != "" {
+		return nil
+	}
+	return failure.New(failure.CodeKeyRequired, failure.RanNo, "non-idempotent requests need the header %s", callerapi.HeaderIdempotencyKey)
+}
+
+// chooseVersion settles the version of the request: that of its conversation,
+// or the choice of the policy.
+func (r *Router) chooseVersion(ctx context.Context, c *call) (selection.Decision, *failure.Error) {
+	if c.conversation == "" {
+		return r.choose(c, c.chat.model)
+	}
+	org := c.organisation.GetName()
+	version, ok, err := r.Ledger.Pinned(ctx, org, c.conversation)
+	if err != nil {
+		return selection.Decision{}, failure.From(err)
+	}
+	if ok {
+		return r.continueConversation(c, version)
+	}
+	return r.beginConversation(ctx, c)
+}
+
+// beginConversation settles the version of a new conversation with whoever
+// else begins it at the same time.
+func (r *Router) beginConversation(ctx context.Context, c *call) (selection.Decision, *failure.Error) {
+	decision, f := r.choose(c, c.chat.model)
+	if f != nil {
+		return decision, f
+	}
+	pinned, err := r.Ledger.Pin(ctx, pinRequest(c, decision.Version))
+	if err != nil {
+		return decision, failure.From(err)
+	}
+	if pinned.Version == decision.Version {
+		return decision, nil
+	}
+	return r.continueConversation(c, pinned.Version)
+}
+
+// continueConversation keeps a conversation on its version, or refuses. It is
+// never moved to another version silently.
+func (r *Router) continueConversation(c *call, version string) (selection.Decision, *failure.Error) {
+	if f := checkUsable(c.tables.Snapshot, c.organisation.GetName(), version); f != nil {
+		return selection.Decision{}, f
+	}
+	if f := matchesConstraint(c.tables.Snapshot, c.chat.model, version); f != nil {
+		return selection.Decision{}, f
+	}
+	return r.choose(c, version)
+}
+
+// matchesConstraint refuses a request that names another model or version than
+// its conversation runs on.
+func matchesConstraint(s *config.Snapshot, constraint, version string) *failure.Error {
+	if constraint == "" || constraint == version {
+		return nil
+	}
+	if v, ok := s.Version(version); ok && v.GetModel() == constraint {
+		return nil
+	}
+	return failure.New(failure.CodeVersionNotAllowed, failure.RanNo, "the conversation runs on %s", version)
+}
+
+// checkUsable tells whether a version may receive new work of an organisation.
+func checkUsable(s *config.Snapshot, organisation, version string) *failure.Error {
+	if !s.Allowed(organisation, version) {
+		return failure.New(failure.CodeVersionNotAllowed, failure.RanNo, "the organisation may not use this version")
+	}
+	if _, withdrawn := s.Withdrawn(version); withdrawn {
+		return failure.New(failure.CodeVersionWithdrawn, failure.RanNo, "version %s is withdrawn", version)
+	}
+	return nil
+}
--- /dev/null
+++ b/router/choose.go
@@ -0,0 +1,91 @@
+package router
+
+import (
+	"bytes"
+	"encoding/json"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/ledger"
+	"github.com/bronzeturn/bronzeturn/selection"
+)
+
+// choose asks the policy for a version within a constraint.
+func (r *Router) choose(c *call, constraint string) (decision selection.Decision, f *failure.Error) {
+	req := selection.Request{
+		Organisation:             c.organisation.GetName(),
+		Kind:                     c.kind.GetName(),
+		Key:                      c.stickyKey(),
+		Constraint:               constraint,
+		InConversation:           c.conversation != "",
+		PromptTokens:             c.chat.promptTokens,
+		ExpectedCompletionTokens: c.chat.maxTokens,
+		Deadline:                 c.deadline,
+	}
+	var err error
+	r.withRand(func(rng *rand.Rand) {
+		decision, err = r.Versions.Choose(c.tables.Versions, &req, time.Now(), rng)
+	})
+	if err != nil {
+		return decision, failure.From(err)
+	}
+	return decision, nil
+}
+
+// stickyKey is the key by which a request falls on one side of a roll-out.
+func (c *call) stickyKey() string {
+	if c.conversation != "" {
+		return c.conversation
+	}
+	if c.idempotencyKey != "" {
+		return c.idempotencyKey
+	}
+	return c.requestID
+}
+
+// expectedTokens is the expected length of the answer.
+func (c *call) expectedTokens() int64 {
+	expected := c.kind.GetExpectedCompletionTokens()
+	if c.chat.maxTokens > 0 {
+		expected = min(expected, c.chat.maxTokens)
+	}
+	return max(expected, 1)
+}
+
+func pinRequest(c *call, version string) ledger.PinRequest {
+	return ledger.PinRequest{
+		Organisation: c.organisation.GetName(),
+		Conversation: c.conversation,
+		Version:      version,
+	}
+}
+
+// prefixHash names the beginning of a prompt within one organisation, so that
+// no organisation can learn from latency what another has sent.
+func prefixHash(organisation string, body []byte) uint64 {
+	var d xxhash.Digest
+	_, _ = d.WriteString(organisation)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(body[:min(len(body), prefixBytes)])
+	return d.Sum64()
+}
+
+// cacheSalt separates the prefix caches of organisations inside an engine.
+func cacheSalt(organisation string) json.RawMessage {
+	return json.RawMessage(strconv.AppendQuote(nil, strconv.FormatUint(xxhash.Sum64String(organisation), 16)))
+}
+
+// encodeJSON encodes v without escaping HTML, since prompts pass unchanged.
+func encodeJSON(v any) ([]byte, error) {
+	var buf bytes.Buffer
+	enc := json.NewEncoder(&buf)
+	enc.SetEscapeHTML(false)
+	if err := enc.Encode(v); err != nil {
+		return nil, err
+	}
+	return buf.Bytes(), nil
+}
--- /dev/null
+++ b/router/launch.go
@@ -0,0 +1,248 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/balance"
+	"github.com/bronzeturn/bronzeturn/engine"
+	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/retry"
+)
+
+// wholeAnswerSlack multiplies the expected time of a whole answer before its
+// connection counts as silent, since nothing comes until it is complete.
+const wholeAnswerSlack = 4
+
+// launch is what is needed to send one request to engines.
+type launch struct {
+	call    *call
+	version string
+	body    []byte
+	fence   uint64
+	tried   [balance.MaxExclude]string
+	// attempts counts those sent, ran is the worst that is known of them.
+	attempts int
+	ran      failure.Ran
+}
+
+// attempt is one request at one engine that began to answer.
+type attempt struct {
+	engine  string
+	version string
+	work    balance.Work
+	stream  *engine.Stream
+	first   engine.Event
+	cancel  context.CancelFunc
+	sentAt  time.Time
+	firstAt time.Time
+}
+
+// begin sends the request to engines, one after the other, until one begins to
+// answer, the retry rules say no, or the deadline comes.
+func (r *Router) begin(ctx context.Context, l *launch) (*attempt, *failure.Error) {
+	r.Budget.Request(time.Now())
+	for {
+		decision, f := r.chooseEngine(l)
+		if f != nil {
+			return nil, f
+		}
+		got, err := r.try(ctx, l, &decision)
+		if err == nil {
+			return got, nil
+		}
+		if f := r.again(ctx, l, err); f != nil {
+			return nil, f
+		}
+	}
+}
+
+// chooseEngine checks the version against the newest configuration and picks
+// an engine for it. It is called before each attempt.
+func (r *Router) chooseEngine(l *launch) (balance.Decision, *failure.Error) {
+	newest := r.Tables()
+	if f := checkUsable(newest.Snapshot, l.call.organisation.GetName(), l.version); f != nil {
+		f.Ran = l.ran
+		return balance.Decision{}, f
+	}
+	now := time.Now()
+	req := balance.Request{
+		Version:    l.version,
+		DataCentre: r.DataCentre,
+		Work:       l.work(),
+		PrefixHash: l.call.chat.prefixHash,
+		Exclude:    l.tried,
+		Leaving:    r.Members.BackendLeaving,
+		NoProbe:    !l.call.idempotent(),
+		MaxWait:    l.call.deadline.Sub(now),
+	}
+	var decision balance.Decision
+	var ok bool
+	r.withRand(func(rng *rand.Rand) {
+		decision, ok = r.Engines.Choose(newest.Engines, &req, now, rng)
+	})
+	if !ok {
+		r.logEngine(l, &decision)
+		return decision, failure.New(failure.CodeNoCapacity, l.ran, "no engine can answer in time").After(decision.RetryAfter)
+	}
+	r.logEngine(l, &decision)
+	return decision, nil
+}
+
+// work is the size of the request for the balancer.
+func (l *launch) work() balance.Work {
+	return balance.Work{
+		Priority:       l.call.priority,
+		PromptTokens:   l.call.chat.promptTokens,
+		ExpectedTokens: l.call.expectedTokens(),
+	}
+}
+
+// try sends the request to one engine and waits for the first event.
+func (r *Router) try(ctx context.Context, l *launch, d *balance.Decision) (*attempt, *engine.Error) {
+	l.exclude(d.Engine.GetName())
+	l.attempts++
+	attemptCtx, cancel := context.WithCancel(ctx)
+	a := &attempt{engine: d.Engine.GetName(), version: l.version, work: l.work(), cancel: cancel, sentAt: time.Now()}
+	r.Engines.Dispatched(balance.Dispatched{Engine: a.engine, Work: a.work, PrefixHash: l.call.chat.prefixHash, At: a.sentAt})
+	err := r.open(attemptCtx, l, d, a)
+	if err != nil {
+		cancel()
+		r.failed(a, err)
+		return nil, err
+	}
+	a.firstAt = time.Now()
+	r.Engines.FirstToken(balance.FirstToken{
+		Engine: a.engine, Work: a.work, Latency: a.firstAt.Sub(a.sentAt),
+		Expected: d.ExpectedFirstToken, At: a.firstAt,
+	})
+	return a, nil
+}
+
+// open sends the request and reads the first event.
+func (r *Router) open(ctx context.Context, l *launch, d *balance.Decision, a *attempt) *engine.Error {
+	stream, err := r.EngineClient.Open(ctx, engine.Request{
+		Address:         d.Engine.GetAddress(),
+		RequestID:       l.call.requestID,
+		Version:         l.version,
+		Priority:        int(l.call.priority),
+		Fencing:         l.fence,
+		Body:            l.body,
+		Stream:          l.call.chat.stream,
+		ProgressTimeout: l.progressTimeout(d),
+	})
+	if err != nil {
+		return asEngineError(err)
+	}
+	event, err := stream.Next()
+	if err != nil {
+		_ = stream.Close()
+		return asEngineError(err)
+	}
+	a.stream = stream
+	a.first = event
+	return nil
+}
+
+// progressTimeout bounds the silence of a connection.
+func (l *launch) progressTimeout(d *balance.Decision) time.Duration {
+	timeout := l.call.kind.GetProgressTimeout().AsDuration()
+	if l.call.chat.stream {
+		return timeout + d.ExpectedWait
+	}
+	return timeout + wholeAnswerSlack*d.ExpectedAnswer
+}
+
+// exclude keeps later attempts away from an engine.
+func (l *launch) exclude(name string) {
+	for i := range l.tried {
+		if l.tried[i] == "" {
+			l.tried[i] = name
+			return
+		}
+	}
+}
+
+// again decides on a retry and waits for its turn. A failure ends the request.
+func (r *Router) again(ctx context.Context, l *launch, err *engine.Error) *failure.Error {
+	l.ran = worstRan(l.ran, err.Ran)
+	again, wait, reason := r.nextAttempt(retry.Attempt{
+		Kind:       retryKinds[err.Kind],
+		Ran:        err.Ran,
+		Idempotent: l.call.idempotent(),
+		Number:     l.attempts,
+		Left:       time.Until(l.call.deadline),
+	})
+	r.logRetry(l, err, again, reason)
+	if again && pause(ctx, wait) {
+		return nil
+	}
+	return engineFailure(ctx, err, l.ran)
+}
+
+// nextAttempt asks the retry rules about a failed attempt.
+func (r *Router) nextAttempt(a retry.Attempt) (again bool, wait time.Duration, reason retry.Reason) {
+	r.withRand(func(rng *rand.Rand) {
+		again, wait, reason = r.Retries.Next(a, r.Budget, time.Now(), rng)
+	})
+	return again, wait, reason
+}
+
+// pause waits, and reports false when ctx ends before.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// failed tells the balancer that an attempt got no answer.
+func (r *Router) failed(a *attempt, err *engine.Error) {
+	now := time.Now()
+	r.metrics.attempts.WithLabelValues(string(err.Kind)).Inc()
+	kind, tells := balanceKinds[err.Kind]
+	if !tells {
+		r.Engines.Finished(balance.Finished{Engine: a.engine, Work: a.work, FirstTokenSeen: !a.firstAt.IsZero(), Cancelled: true, At: now})
+		return
+	}
+	r.Engines.Failed(balance.Failed{
+		Engine: a.engine, Work: a.work, FirstTokenSeen: !a.firstAt.IsZero(),
+		Kind: kind, RetryAfter: err.RetryAfter, At: now,
+	})
+}
+
+// balanceKinds maps failures that tell something of the engine. The others are
+// the caller's.
+var balanceKinds = map[engine.Kind]balance.FailureKind{
+	engine.Unreachable: balance.FailureUnreachable,
+	engine.Refused:     balance.FailureBusy,
+	engine.Failed:      balance.FailureError,
+	engine.Broken:      balance.FailureError,
+	engine.Silent:      balance.FailureSilent,
+}
+
+// retryKinds maps failures to those of the retry rules.
+var retryKinds = map[engine.Kind]retry.Kind{
+	engine.Unreachable: retry.KindConnect,
+	engine.Refused:     retry.KindRefused,
+	engine.Failed:      retry.KindError,
+	engine.Rejected:    retry.KindRejected,
+	engine.Fenced:      retry.KindRejected,
+	engine.Broken:      retry.KindBroken,
+	engine.Silent:      retry.KindSilent,
+	engine.Canceled:    retry.KindCancelled,
+}
+
+// asEngineError returns err as an *engine.Error. Any other error is read as
+// unknown, the only safe reading.
+func asEngineError(err error) *engine.Error {
+	var e *engine.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &engine.Error{Kind: engine.Broken, Ran: failure.RanUnknown}
+}
--- /dev/null
+++ b/router/log.go
@@ -0,0 +1,90 @@
+package router
+
+import (
+	"github.com/rs/zerolog"
+
+	"github.com/bronzeturn/bronzeturn/balance"
+	"github.com/bronzeturn/bronzeturn/cascade"
+	"github.com/bronzeturn/bronzeturn/engine"
+	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/ledger"
+	"github.com/bronzeturn/bronzeturn/quality"
+	"github.com/bronzeturn/bronzeturn/retry"
+	"github.com/bronzeturn/bronzeturn/selection"
+)
+
+// with adds what names a request to a log line.
+func with(e *zerolog.Event, c *call) *zerolog.Event {
+	e.Str("request", c.requestID)
+	if c.organisation != nil {
+		e.Str("organisation", c.organisation.GetName())
+	}
+	if c.kind != nil {
+		e.Str("kind", c.kind.GetName())
+	}
+	return e
+}
+
+// logVersion writes the decision on the version.
+func (r *Router) logVersion(c *call, d *selection.Decision) {
+	with(r.Log.Info(), c).Uint64("generation", c.tables.Snapshot.Generation()).EmbedObject(d).Msg("version chosen")
+}
+
+// logEngine writes the decision on the engine.
+func (r *Router) logEngine(l *launch, d *balance.Decision) {
+	e := with(r.Log.Info(), l.call).Str("version", l.version).Stringer("reason", d.Reason).Int("attempt", l.attempts+1)
+	if d.Engine == nil {
+		e.Dur("retry_after_ms", d.RetryAfter).Msg("no engine")
+		return
+	}
+	e.Str("engine", d.Engine.GetName()).Dur("expected_wait_ms", d.ExpectedWait)
+	candidates := zerolog.Arr()
+	for _, candidate := range d.Candidates() {
+		candidates.Str(candidate.Engine)
+	}
+	e.Array("candidates", candidates).Msg("engine chosen")
+}
+
+// logRetry writes the decision on another attempt.
+func (r *Router) logRetry(l *launch, err *engine.Error, again bool, reason retry.Reason) {
+	with(r.Log.Info(), l.call).Str("failure", string(err.Kind)).Str("ran", string(err.Ran)).
+		Bool("again", again).Stringer("reason", reason).Int("attempt", l.attempts).Msg("attempt failed")
+}
+
+// logCascade writes the decision on a second version.
+func (r *Router) logCascade(c *call, d *selection.Decision, v cascade.Verdict, next cascade.Decision) {
+	with(r.Log.Info(), c).Str("version", d.Version).Stringer("verdict", v).
+		Str("next", next.Version).Stringer("reason", next.Reason).Msg("answer checked")
+}
+
+// logFailure writes a request that got no whole answer.
+func (r *Router) logFailure(c *call, f *failure.Error) {
+	e := with(r.Log.Info(), c).Str("code", string(f.Code)).Str("ran", string(f.Ran))
+	if cause := f.Unwrap(); cause != nil {
+		e.AnErr("cause", cause)
+	}
+	e.Msg("request failed")
+}
+
+// billed logs and counts a recorded bill, and learns from the answer.
+func (r *Router) billed(s *settlement, durability ledger.Durability) {
+	r.metrics.tokens.WithLabelValues(s.version, "prompt").Add(float64(s.promptTokens))
+	r.metrics.tokens.WithLabelValues(s.version, "completion").Add(float64(s.completionTokens))
+	r.metrics.cost.WithLabelValues(s.version).Add(float64(s.costMicros))
+	with(r.Log.Info(), s.call).Str("version", s.version).Int64("cost_micros", s.costMicros).
+		Int64("prompt_tokens", s.promptTokens).Int64("completion_tokens", s.completionTokens).
+		Stringer("durability", durability).Msg("request billed")
+}
+
+// answered feeds back a whole answer.
+func (r *Router) answered(s *settlement) {
+	kind := s.call.kind.GetName()
+	r.Quality.Answered(quality.Answered{Version: s.version, Kind: kind, CompletionTokens: s.completionTokens})
+	r.Raters.Sample(AnswerSample{
+		RequestID:    s.call.requestID,
+		Organisation: s.call.organisation.GetName(),
+		Version:      s.version,
+		Kind:         kind,
+		Accepted:     s.accepted,
+	})
+}
--- /dev/null
+++ b/router/outcome.go
@@ -0,0 +1,61 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/engine"
+	"github.com/bronzeturn/bronzeturn/failure"
+)
+
+// busyRetryAfter is the advice when an engine gave none.
+const busyRetryAfter = time.Second
+
+// worstRan combines what is known of two attempts: "not run" only if neither
+// ran, "run" if one certainly did.
+func worstRan(a, b failure.Ran) failure.Ran {
+	if a == failure.RanYes || b == failure.RanYes {
+		return failure.RanYes
+	}
+	if a == failure.RanUnknown || b == failure.RanUnknown {
+		return failure.RanUnknown
+	}
+	return failure.RanNo
+}
+
+// engineFailure is what the caller hears when no further attempt is made.
+func engineFailure(ctx context.Context, err *engine.Error, ran failure.Ran) *failure.Error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return failure.Wrap(err, failure.CodeDeadlinePassed, ran, "the deadline passed before an answer came")
+	}
+	switch err.Kind {
+	case engine.Canceled:
+		return failure.Wrap(err, failure.CodeCanceled, ran, "the request was canceled")
+	case engine.Refused, engine.Unreachable:
+		return failure.Wrap(err, failure.CodeNoCapacity, ran, "the engine did not take the request").After(max(err.RetryAfter, busyRetryAfter))
+	case engine.Rejected:
+		return failure.Wrap(err, failure.CodeMalformedRequest, ran, "the engine refused the request as malformed")
+	default:
+		if ran == failure.RanUnknown {
+			return failure.Wrap(err, failure.CodeOutcomeUnknown, ran, "the engine did not answer; the request may have run")
+		}
+		return failure.Wrap(err, failure.CodeEngineFailed, ran, "the engine failed")
+	}
+}
+
+// brokenAnswer is what the caller hears when an answer ends in the middle.
+func brokenAnswer(ctx context.Context, err *engine.Error) *failure.Error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return failure.Wrap(err, failure.CodeDeadlinePassed, failure.RanYes, "the deadline passed within the answer")
+	}
+	if err.Kind == engine.Canceled {
+		return failure.Wrap(err, failure.CodeCanceled, failure.RanYes, "the request was canceled")
+	}
+	return failure.Wrap(err, failure.CodeAnswerBroken, failure.RanYes, "the answer ended before it was complete")
+}
+
+// callerGone reports a caller that does not read its answer.
+func callerGone(err error, ran failure.Ran) *failure.Error {
+	return failure.Wrap(err, failure.CodeCanceled, ran, "the caller does not read its answer")
+}
--- a/router/request.go
+++ b/router/request.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -221,7 +220,7 @@
 
 // forwardBody returns the body for the engine: the version as model, and the
 // token counts asked for, since the bill needs them.
-func (b *chatBody) forwardBody(version string) ([]byte, error) {
+func (b *chatBody) forwardBody(organisation, version string) ([]byte, error) {
 	fields := make(map[string]json.RawMessage, len(b.fields)+2)
 	for name, raw := range b.fields {
 		fields[name] = raw
@@ -231,14 +230,9 @@
 		return nil, err
 	}
 	fields["model"] = model
+	fields["cache_salt"] = cacheSalt(organisation)
 	if b.stream {
 		fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
 	}
-	var buf bytes.Buffer
-	enc := json.NewEncoder(&buf)
-	enc.SetEscapeHTML(false)
-	if err := enc.Encode(fields); err != nil {
-		return nil, err
-	}
-	return buf.Bytes(), nil
+	return encodeJSON(fields)
 }
