--- /dev/null
+++ b/gossip/keeper.go
@@ -0,0 +1,116 @@
+package gossip
+
+import (
+	"context"
+	"time"
+)
+
+// keeper keeps a link to one target.
+type keeper struct {
+	target Target
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// SetTargets replaces the neighbours to keep links to. Links to others that
+// this daemon opened are closed.
+func (n *Node) SetTargets(targets []Target) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	wanted := make(map[Target]struct{}, len(targets))
+	for _, t := range targets {
+		wanted[t] = struct{}{}
+		n.addKeeperLocked(t)
+	}
+	for t, k := range n.keepers {
+		if _, ok := wanted[t]; !ok {
+			k.cancel()
+			delete(n.keepers, t)
+		}
+	}
+}
+
+func (n *Node) addKeeperLocked(t Target) {
+	if _, ok := n.keepers[t]; ok {
+		return
+	}
+	k := &keeper{target: t}
+	k.ctx, k.cancel = context.WithCancel(n.tomb.Context(context.Background()))
+	if !n.spawnLocked(func() error { return n.keep(k) }) {
+		k.cancel()
+		return
+	}
+	n.keepers[t] = k
+}
+
+// keep opens a link to the target whenever there is none, until the target is
+// no longer wanted.
+func (n *Node) keep(k *keeper) error {
+	failures := 0
+	if n.options.Name > k.target.Name && k.target.Name != "" {
+		// The smaller name dials first, so that two neighbours rarely open two links.
+		k.sleep(HeartbeatInterval)
+	}
+	for k.ctx.Err() == nil {
+		if k.target.Name != "" && n.linked(k.target.Name) {
+			failures = 0
+			k.sleep(HeartbeatInterval)
+			continue
+		}
+		name, err := n.open(k)
+		if k.ctx.Err() != nil {
+			break
+		}
+		if name != "" {
+			failures = 0
+		}
+		n.options.Observer.Lost(Target{Name: orElse(k.target.Name, name), Address: k.target.Address}, err)
+		failures++
+		k.sleep(n.backoff(failures))
+	}
+	return nil
+}
+
+// open dials the target and carries the link until it ends.
+func (n *Node) open(k *keeper) (name string, err error) {
+	stream, err := n.options.Dialer.DialLink(k.ctx, k.target)
+	if err != nil {
+		return "", err
+	}
+	stop := context.AfterFunc(k.ctx, stream.Close)
+	defer stop()
+	return n.run(stream, true)
+}
+
+// Accept carries a link that a neighbour opened, until it ends.
+func (n *Node) Accept(stream Link) error {
+	name, err := n.run(stream, false)
+	if name != "" {
+		n.options.Observer.Lost(Target{Name: name}, err)
+	}
+	return err
+}
+
+// backoff returns how long to wait after so many failures in a row: full
+// jitter over a doubling limit.
+func (n *Node) backoff(failures int) time.Duration {
+	limit := min(redialMin<<min(failures, 8), redialMax)
+	return redialMin/2 + n.jitter(limit)
+}
+
+// sleep waits, or returns early when the target is no longer wanted.
+func (k *keeper) sleep(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-k.ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func orElse(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/gossip/link.go
@@ -0,0 +1,243 @@
+package gossip
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+)
+
+// link runs one overlay stream. Its queue holds keys, not entries: what is
+// sent is the newest state at that time, and the queue never holds more keys
+// than the table.
+type link struct {
+	node     *Node
+	stream   Link
+	outbound bool
+	name     atomic.Pointer[string]
+
+	mu      sync.Mutex
+	queue   []string
+	queued  map[string]struct{}
+	control []*bronzeturnv1.Frame
+	sending bool
+
+	wake    chan struct{}
+	done    chan struct{}
+	once    sync.Once
+	cause   error
+	silence *time.Timer
+}
+
+func newLink(n *Node, stream Link, outbound bool) *link {
+	return &link{
+		node:     n,
+		stream:   stream,
+		outbound: outbound,
+		queued:   make(map[string]struct{}),
+		wake:     make(chan struct{}, 1),
+		done:     make(chan struct{}),
+	}
+}
+
+// run carries the stream until it ends, and returns why.
+func (n *Node) run(stream Link, outbound bool) (name string, err error) {
+	l := newLink(n, stream, outbound)
+	if err := n.attach(l); err != nil {
+		stream.Close()
+		return "", err
+	}
+	defer n.detach(l)
+	l.silence = time.AfterFunc(SilenceTimeout, func() { l.close(ErrSilent) })
+	defer l.silence.Stop()
+	written := make(chan struct{})
+	started := n.spawn(func() error {
+		defer close(written)
+		l.close(l.write())
+		return nil
+	})
+	if !started {
+		l.close(ErrStopped)
+		return "", ErrStopped
+	}
+	l.close(l.read())
+	<-written
+	return l.peerName(), l.cause
+}
+
+// close ends the link. The first cause counts.
+func (l *link) close(cause error) {
+	l.once.Do(func() {
+		l.cause = cause
+		close(l.done)
+		l.stream.Close()
+	})
+}
+
+// peerName returns the neighbour's name, or "" before its hello.
+func (l *link) peerName() string {
+	if name := l.name.Load(); name != nil {
+		return *name
+	}
+	return ""
+}
+
+// mark queues a key for sending.
+func (l *link) mark(key string) {
+	l.mu.Lock()
+	if _, ok := l.queued[key]; !ok {
+		l.queued[key] = struct{}{}
+		l.queue = append(l.queue, key)
+	}
+	l.mu.Unlock()
+	l.signal()
+}
+
+// unmark takes a key from the queue that the neighbour is known to hold.
+func (l *link) unmark(key string) {
+	l.mu.Lock()
+	delete(l.queued, key)
+	l.mu.Unlock()
+}
+
+// push queues an anti-entropy frame. Beyond the bound it is dropped; the next
+// exchange makes up for it.
+func (l *link) push(frames ...*bronzeturnv1.Frame) {
+	l.mu.Lock()
+	room := maxControl - len(l.control)
+	l.control = append(l.control, frames[:max(0, min(room, len(frames)))]...)
+	l.mu.Unlock()
+	l.signal()
+}
+
+func (l *link) signal() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// busy tells whether something waits to be sent.
+func (l *link) busy() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sending || len(l.queued) > 0 || len(l.control) > 0
+}
+
+// write sends heartbeats and what is queued until the link ends.
+func (l *link) write() error {
+	hello := &bronzeturnv1.Frame{
+		Hello:     &bronzeturnv1.Hello{Name: l.node.options.Name},
+		Heartbeat: l.node.heartbeat(true),
+	}
+	if err := l.stream.Send(hello); err != nil {
+		return err
+	}
+	ticker := time.NewTicker(HeartbeatInterval)
+	defer ticker.Stop()
+	var flush <-chan time.Time
+	for beats := 1; ; {
+		select {
+		case <-l.done:
+			return nil
+		case <-ticker.C:
+			frame := &bronzeturnv1.Frame{Heartbeat: l.node.heartbeat(beats%digestEvery == 0)}
+			beats++
+			if err := l.stream.Send(frame); err != nil {
+				return err
+			}
+		case <-l.wake:
+			if flush == nil {
+				flush = time.After(batchDelay)
+			}
+		case <-flush:
+			flush = nil
+			wait, err := l.flush()
+			if err != nil {
+				return err
+			}
+			if wait > 0 {
+				flush = time.After(wait)
+			}
+		}
+	}
+}
+
+// flush sends what is queued. It returns how long to wait before the rest may
+// be sent, or zero when nothing is left.
+func (l *link) flush() (time.Duration, error) {
+	l.setSending(true)
+	defer l.setSending(false)
+	for _, frame := range l.takeControl() {
+		if err := l.stream.Send(frame); err != nil {
+			return 0, err
+		}
+	}
+	if l.node.limiter.Tokens() < 1 {
+		return rateRetry, nil
+	}
+	frame, size := l.takeBatch()
+	if size == 0 {
+		return 0, nil
+	}
+	l.node.limiter.ReserveN(time.Now(), min(size, entryBurst))
+	l.node.metrics.entryBytes.Add(float64(size))
+	if err := l.stream.Send(frame); err != nil {
+		return 0, err
+	}
+	return batchDelay, nil
+}
+
+func (l *link) setSending(sending bool) {
+	l.mu.Lock()
+	l.sending = sending
+	l.mu.Unlock()
+}
+
+func (l *link) takeControl() []*bronzeturnv1.Frame {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	frames := l.control
+	l.control = nil
+	return frames
+}
+
+// takeBatch returns a frame of queued entries and its size in bytes.
+func (l *link) takeBatch() (frame *bronzeturnv1.Frame, size int) {
+	frame = &bronzeturnv1.Frame{}
+	now := time.Now()
+	for size < batchBytes {
+		key, ok := l.next()
+		if !ok {
+			break
+		}
+		// The key leaves the queue before its state is read, so that a change
+		// after the reading queues it again.
+		e := l.node.table.get(key)
+		if e == nil {
+			continue
+		}
+		m := l.node.table.message(e, now)
+		frame.Entries = append(frame.Entries, m)
+		size += proto.Size(m)
+	}
+	return frame, size
+}
+
+// next takes the first key from the queue.
+func (l *link) next() (key string, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.queue) > 0 {
+		key, l.queue = l.queue[0], l.queue[1:]
+		if _, ok := l.queued[key]; ok {
+			delete(l.queued, key)
+			return key, true
+		}
+	}
+	l.queue = nil
+	return "", false
+}
--- /dev/null
+++ b/gossip/node.go
@@ -0,0 +1,287 @@
+package gossip
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+	"gopkg.in/tomb.v2"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+)
+
+// Node is this daemon's part of the overlay. It is safe for concurrent use.
+type Node struct {
+	tomb    tomb.Tomb
+	options Options
+	table   *table
+	limiter *rate.Limiter
+	metrics *metrics
+	log     zerolog.Logger
+
+	mu      sync.Mutex
+	stopped bool
+	links   map[*link]struct{}
+	keepers map[Target]*keeper
+	subs    []*subscription
+	random  *rand.Rand
+
+	// syncMu guards the state of anti-entropy.
+	syncMu     sync.Mutex
+	pullUntil  time.Time
+	pullLink   *link
+	lastChange time.Time
+}
+
+// New returns a node that is not yet started.
+func New(options Options) (*Node, error) {
+	if err := options.validate(); err != nil {
+		return nil, err
+	}
+	m, err := newMetrics(options.Registerer)
+	if err != nil {
+		return nil, err
+	}
+	return &Node{
+		options: options,
+		table:   newTable(options.Classes),
+		limiter: rate.NewLimiter(entryRate, entryBurst),
+		metrics: m,
+		log:     options.Log.With().Str("part", "gossip").Logger(),
+		links:   make(map[*link]struct{}),
+		keepers: make(map[Target]*keeper),
+		random:  options.Random,
+	}, nil
+}
+
+// Start begins to accept and to dial links.
+func (n *Node) Start() {
+	n.tomb.Go(n.maintain)
+}
+
+// Stop closes all links. Use Flush before to let pending entries leave.
+func (n *Node) Stop() error {
+	n.mu.Lock()
+	n.stopped = true
+	n.tomb.Kill(nil)
+	for l := range n.links {
+		l.close(ErrStopped)
+	}
+	n.mu.Unlock()
+	return n.tomb.Wait()
+}
+
+// spawn runs f under the tomb, unless the node has stopped.
+func (n *Node) spawn(f func() error) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.spawnLocked(f)
+}
+
+func (n *Node) spawnLocked(f func() error) bool {
+	if n.stopped || !n.tomb.Alive() {
+		return false
+	}
+	n.tomb.Go(f)
+	return true
+}
+
+// maintain drops expired entries until the node stops.
+func (n *Node) maintain() error {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.tomb.Dying():
+			return nil
+		case now := <-ticker.C:
+			for _, e := range n.table.expire(now) {
+				n.notify(e.key)
+			}
+		}
+	}
+}
+
+// Publish puts an entry into the table and sends it to all neighbours. An
+// entry that is not newer than the one held changes nothing. An entry outside
+// the bounds of its class fails with a RefusedError. The value is copied.
+func (n *Node) Publish(key string, version uint64, value []byte) error {
+	_, err := n.accept(nil, key, version, value, 0)
+	return err
+}
+
+// Get returns the newest known state of a key. An empty value is a removal.
+// The value must not be changed.
+func (n *Node) Get(key string) (version uint64, value []byte, ok bool) {
+	e := n.table.get(key)
+	if e == nil {
+		return 0, nil, false
+	}
+	return e.version, e.value, true
+}
+
+// Each calls f for every key with the prefix, in no order.
+func (n *Node) Each(prefix string, f func(key string, version uint64, value []byte)) {
+	for i := range buckets {
+		n.table.each(i, func(e *entry) {
+			if strings.HasPrefix(e.key, prefix) {
+				f(e.key, e.version, e.value)
+			}
+		})
+	}
+}
+
+// Digest returns a hash of the whole table. Two tables with equal digests hold
+// the same entries.
+func (n *Node) Digest() uint64 { return n.table.digest() }
+
+// Links returns the names of the neighbours with an open link.
+func (n *Node) Links() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var names []string
+	for l := range n.links {
+		if name := l.peerName(); name != "" {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Flush waits until every link has sent what was pending, or ctx ends.
+func (n *Node) Flush(ctx context.Context) error {
+	ticker := time.NewTicker(batchDelay)
+	defer ticker.Stop()
+	for n.pending() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-n.tomb.Dying():
+			return ErrStopped
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (n *Node) pending() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for l := range n.links {
+		if l.peerName() != "" && l.busy() {
+			return true
+		}
+	}
+	return false
+}
+
+// accept puts an entry, and when it is new spreads it to all links but the one
+// it came from, which is nil for an entry of this daemon.
+func (n *Node) accept(from *link, key string, version uint64, value []byte, age time.Duration) (bool, error) {
+	now := time.Now()
+	changed, err := n.table.put(key, version, value, age, now)
+	if err != nil || !changed {
+		return false, err
+	}
+	n.syncMu.Lock()
+	n.lastChange = now
+	n.syncMu.Unlock()
+	n.spread(from, key)
+	n.notify(key)
+	return true, nil
+}
+
+// spread marks the key for sending on all links but one.
+func (n *Node) spread(except *link, key string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for l := range n.links {
+		if l != except {
+			l.mark(key)
+		}
+	}
+}
+
+// attach adds a link, unless the node stopped or holds too many.
+func (n *Node) attach(l *link) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.stopped {
+		return ErrStopped
+	}
+	if len(n.links) >= maxLinks {
+		return ErrTooManyLinks
+	}
+	n.links[l] = struct{}{}
+	n.metrics.links.Set(float64(len(n.links)))
+	return nil
+}
+
+func (n *Node) detach(l *link) {
+	n.mu.Lock()
+	delete(n.links, l)
+	n.metrics.links.Set(float64(len(n.links)))
+	n.mu.Unlock()
+	n.syncMu.Lock()
+	if n.pullLink == l {
+		n.pullUntil = time.Time{}
+	}
+	n.syncMu.Unlock()
+}
+
+// linked tells whether an open link to the named neighbour exists.
+func (n *Node) linked(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for l := range n.links {
+		if l.peerName() == name {
+			return true
+		}
+	}
+	return false
+}
+
+// resolveDuplicate closes one of two links between the same daemons: the one
+// that the daemon with the greater name opened. Only its opener closes it.
+func (n *Node) resolveDuplicate(name string) {
+	if n.options.Name < name {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var inbound, outbound *link
+	for l := range n.links {
+		if l.peerName() != name {
+			continue
+		}
+		if l.outbound {
+			outbound = l
+		} else {
+			inbound = l
+		}
+	}
+	if inbound != nil && outbound != nil {
+		outbound.close(ErrReplaced)
+	}
+}
+
+// jitter returns a random time up to limit.
+func (n *Node) jitter(limit time.Duration) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Duration(n.random.Int64N(int64(limit)))
+}
+
+// heartbeat returns this daemon's next heartbeat.
+func (n *Node) heartbeat(withDigest bool) *bronzeturnv1.Heartbeat {
+	h := n.options.Status()
+	if withDigest {
+		h.TableDigest = n.table.digest()
+		h.HasTableDigest = true
+	}
+	return h
+}
--- /dev/null
+++ b/gossip/options.go
@@ -0,0 +1,116 @@
+// Package gossip is the overlay between daemons: streams to a few neighbours
+// that carry heartbeats, and a small flooded table in which the higher version
+// of a key wins. A change is pushed along the streams; a digest exchange
+// repairs what was missed. Which neighbours to keep is the caller's choice.
+package gossip
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+)
+
+const (
+	// HeartbeatInterval is the time between heartbeats on a link.
+	HeartbeatInterval = 500 * time.Millisecond
+	// SilenceTimeout is how long a link may carry nothing before it is closed.
+	SilenceTimeout = 4 * HeartbeatInterval
+	// digestEvery is how many heartbeats share one table digest.
+	digestEvery = 4
+	// batchDelay is how long a link gathers entries before it sends them.
+	batchDelay = 5 * time.Millisecond
+	// batchBytes bounds the entries of one frame.
+	batchBytes = 64 << 10
+	// summaryEntries bounds the versions of one summary frame.
+	summaryEntries = 1000
+	// maxControl bounds the anti-entropy frames waiting on one link.
+	maxControl = 64
+	// maxLinks bounds the links of one daemon, both directions together.
+	maxLinks = 64
+	// entryRate bounds the entries sent on all links, in bytes per second, and
+	// entryBurst what may be sent at once.
+	entryRate  = 16 << 10
+	entryBurst = 1 << 20
+	// rateRetry is how long a link waits when the rate is used up.
+	rateRetry = 50 * time.Millisecond
+	// quietPull and busyPull are the shortest times between two anti-entropy
+	// exchanges while the table is quiet, and while changes are in flight.
+	quietPull = 1 * time.Second
+	busyPull  = 10 * time.Second
+	// expireInterval is the time between searches for expired entries.
+	expireInterval = 5 * time.Second
+	// redialMin and redialMax bound the wait before a neighbour is dialled again.
+	redialMin = 200 * time.Millisecond
+	redialMax = 5 * time.Second
+)
+
+// Target is a neighbour to keep a link to. The name may be empty when only the
+// address is known.
+type Target struct {
+	Name    string
+	Address string
+}
+
+// Link is one overlay stream. Send and Receive are each used by one goroutine
+// at a time; Close may be called at any time, more than once, and makes both
+// return.
+type Link interface {
+	Send(frame *bronzeturnv1.Frame) error
+	Receive() (*bronzeturnv1.Frame, error)
+	Close()
+}
+
+// Dialer opens links to neighbours.
+type Dialer interface {
+	DialLink(ctx context.Context, target Target) (Link, error)
+}
+
+// Observer hears what the links tell about neighbours. It is called from
+// several goroutines and must not block.
+type Observer interface {
+	// Heard reports a heartbeat.
+	Heard(name string, heartbeat *bronzeturnv1.Heartbeat)
+	// Lost reports that a link to the target ended, or could not be opened. The
+	// name is empty when it was never learnt.
+	Lost(target Target, err error)
+}
+
+// Options are the parts that a Node needs.
+type Options struct {
+	// Name of this daemon, unique in the fleet.
+	Name string
+	// Classes bound the keys that the table takes.
+	Classes  []Class
+	Dialer   Dialer
+	Observer Observer
+	// Status returns this daemon's state for a new heartbeat.
+	Status func() *bronzeturnv1.Heartbeat
+	// Random is used for jitter, under the node's own lock.
+	Random *rand.Rand
+	Log    zerolog.Logger
+	// Registerer takes the metrics. It may be nil.
+	Registerer prometheus.Registerer
+}
+
+func (o *Options) validate() error {
+	switch {
+	case o.Name == "" || len(o.Name) > MaxKeyBytes:
+		return &OptionError{Option: "Name"}
+	case o.Dialer == nil:
+		return &OptionError{Option: "Dialer"}
+	case o.Observer == nil:
+		return &OptionError{Option: "Observer"}
+	case o.Status == nil:
+		return &OptionError{Option: "Status"}
+	case o.Random == nil:
+		return &OptionError{Option: "Random"}
+	case len(o.Classes) == 0:
+		return &OptionError{Option: "Classes"}
+	}
+	return nil
+}
--- /dev/null
+++ b/gossip/receive.go
@@ -0,0 +1,112 @@
+package gossip
+
+import (
+	"errors"
+	"time"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+)
+
+// read handles the neighbour's frames until the link ends.
+func (l *link) read() error {
+	frame, err := l.stream.Receive()
+	if err != nil {
+		return err
+	}
+	name := frame.GetHello().GetName()
+	if name == "" || len(name) > MaxKeyBytes || name == l.node.options.Name {
+		return &HelloError{Name: name}
+	}
+	l.name.Store(&name)
+	l.node.log.Debug().Str("neighbour", name).Bool("outbound", l.outbound).Msg("overlay link opened")
+	l.node.resolveDuplicate(name)
+	for {
+		l.silence.Reset(SilenceTimeout)
+		l.handle(name, frame)
+		frame, err = l.stream.Receive()
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// handle takes in one frame.
+func (l *link) handle(name string, frame *bronzeturnv1.Frame) {
+	for _, e := range frame.GetEntries() {
+		l.takeEntry(e)
+	}
+	if h := frame.GetHeartbeat(); h != nil {
+		l.node.options.Observer.Heard(name, h)
+		if h.GetHasTableDigest() {
+			l.node.compare(l, h.GetTableDigest())
+		}
+	}
+	if d := frame.GetDigest(); d != nil {
+		keys, summary := l.node.table.compareDigest(d)
+		for _, key := range keys {
+			l.mark(key)
+		}
+		l.push(splitSummary(summary)...)
+	}
+	if s := frame.GetSummary(); s != nil {
+		if want := l.node.table.compareSummary(s); want != nil {
+			l.push(&bronzeturnv1.Frame{Want: want})
+		}
+	}
+	for _, key := range frame.GetWant().GetKeys() {
+		l.mark(key)
+	}
+}
+
+// takeEntry takes in one entry. What is refused is counted and not passed on.
+func (l *link) takeEntry(e *bronzeturnv1.TableEntry) {
+	age := time.Duration(min(e.GetAgeMs(), maxAgeMillis)) * time.Millisecond
+	changed, err := l.node.accept(l, e.GetKey(), e.GetVersion(), e.GetValue(), age)
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		l.node.metrics.refused.WithLabelValues(string(refused.Reason)).Inc()
+		return
+	}
+	if changed {
+		return
+	}
+	held := l.node.table.get(e.GetKey())
+	if held != nil && held.hash == hashEntry(e.GetKey(), e.GetVersion(), e.GetValue()) {
+		l.unmark(e.GetKey())
+	}
+}
+
+// maxAgeMillis bounds the age that a neighbour may state for an entry.
+const maxAgeMillis = uint64(30 * 24 * time.Hour / time.Millisecond)
+
+// compare starts an anti-entropy exchange when the neighbour's table differs
+// and no exchange ran just before.
+func (n *Node) compare(l *link, theirs uint64) {
+	if theirs == n.table.digest() {
+		return
+	}
+	if !n.beginPull(l, time.Now()) {
+		return
+	}
+	n.metrics.pulls.Inc()
+	digest := &bronzeturnv1.TableDigest{Buckets: n.table.digests()}
+	l.push(&bronzeturnv1.Frame{Digest: digest})
+}
+
+// beginPull lets one exchange run at a time, so that a starting daemon does
+// not fetch the whole table from every neighbour at once. While changes are in
+// flight tables differ all the time, so exchanges are then rarer.
+func (n *Node) beginPull(l *link, now time.Time) bool {
+	n.syncMu.Lock()
+	defer n.syncMu.Unlock()
+	if now.Before(n.pullUntil) {
+		return false
+	}
+	wait := quietPull
+	if now.Sub(n.lastChange) < quietPull {
+		wait = busyPull
+	}
+	n.pullUntil = now.Add(wait)
+	n.pullLink = l
+	return true
+}
--- /dev/null
+++ b/gossip/stream.go
@@ -0,0 +1,108 @@
+package gossip
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1/bronzeturnv1connect"
+	"github.com/bronzeturn/bronzeturn/peer"
+)
+
+// StreamDialer opens links as connect streams over a peer directory.
+type StreamDialer struct {
+	Directory *peer.Directory
+}
+
+// DialLink implements Dialer. The connection is opened with the first frame,
+// so that a failure to connect shows when the link is used.
+func (d *StreamDialer) DialLink(ctx context.Context, target Target) (Link, error) {
+	client, base := d.Directory.At(target.Address)
+	ctx, cancel := context.WithCancel(ctx)
+	service := bronzeturnv1connect.NewPeerServiceClient(client, base, peer.ClientOptions()...)
+	return &clientLink{stream: service.Exchange(ctx), cancel: cancel}, nil
+}
+
+type clientLink struct {
+	stream *connect.BidiStreamForClient[bronzeturnv1.ExchangeRequest, bronzeturnv1.ExchangeResponse]
+	cancel context.CancelFunc
+}
+
+// Send implements Link.
+func (c *clientLink) Send(frame *bronzeturnv1.Frame) error {
+	return c.stream.Send(&bronzeturnv1.ExchangeRequest{Frame: frame})
+}
+
+// Receive implements Link.
+func (c *clientLink) Receive() (*bronzeturnv1.Frame, error) {
+	response, err := c.stream.Receive()
+	if err != nil {
+		return nil, err
+	}
+	return response.GetFrame(), nil
+}
+
+// Close implements Link.
+func (c *clientLink) Close() { c.cancel() }
+
+// NewHandler returns the path and the handler of the overlay streams that
+// neighbours open to the node.
+func NewHandler(n *Node) (string, http.Handler) {
+	path, handler := bronzeturnv1connect.NewPeerServiceHandler(&service{node: n}, peer.HandlerOptions()...)
+	return path, withController(handler)
+}
+
+// controllerKey is the context key of the response controller of a stream.
+type controllerKey struct{}
+
+// withController keeps the response controller of each request at hand, since
+// only its deadlines can end a blocked read or write of a stream.
+func withController(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), controllerKey{}, http.NewResponseController(w))
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+type service struct {
+	node *Node
+}
+
+// Exchange implements the service.
+func (s *service) Exchange(ctx context.Context, stream *connect.BidiStream[bronzeturnv1.ExchangeRequest, bronzeturnv1.ExchangeResponse]) error {
+	controller, _ := ctx.Value(controllerKey{}).(*http.ResponseController)
+	err := s.node.Accept(&serverLink{stream: stream, controller: controller})
+	if err == nil {
+		return nil
+	}
+	return connect.NewError(connect.CodeUnavailable, err)
+}
+
+type serverLink struct {
+	stream     *connect.BidiStream[bronzeturnv1.ExchangeRequest, bronzeturnv1.ExchangeResponse]
+	controller *http.ResponseController
+}
+
+// Send implements Link.
+func (s *serverLink) Send(frame *bronzeturnv1.Frame) error {
+	return s.stream.Send(&bronzeturnv1.ExchangeResponse{Frame: frame})
+}
+
+// Receive implements Link.
+func (s *serverLink) Receive() (*bronzeturnv1.Frame, error) {
+	request, err := s.stream.Receive()
+	if err != nil {
+		return nil, err
+	}
+	return request.GetFrame(), nil
+}
+
+// Close implements Link.
+func (s *serverLink) Close() {
+	past := time.Unix(1, 0)
+	_ = s.controller.SetReadDeadline(past)
+	_ = s.controller.SetWriteDeadline(past)
+}
--- /dev/null
+++ b/membership/contacts.go
@@ -0,0 +1,262 @@
+package membership
+
+import (
+	"errors"
+	"time"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/gossip"
+)
+
+const (
+	// heardWithin is how old a heartbeat may be for the neighbour to count as
+	// heard.
+	heardWithin = suspectAfter
+	// newsHop is added to the age of news for each daemon it passed, since the
+	// time on the wire cannot be seen.
+	newsHop = 100 * time.Millisecond
+	// forgetAfter is how long the contact to a former neighbour is kept.
+	forgetAfter = time.Minute
+)
+
+// contact is what this daemon knows first hand about another.
+type contact struct {
+	monitored bool
+	// since is when the contact became a neighbour, or when this daemon gave all
+	// its neighbours a fresh start.
+	since     time.Time
+	heard     time.Time
+	heartbeat *bronzeturnv1.Heartbeat
+	lost      error
+
+	claimed   bool
+	claim     claim
+	claimedAt time.Time
+}
+
+// silent tells whether the neighbour has been silent for too long.
+func (c *contact) silent(now time.Time) bool {
+	if c.heard.IsZero() {
+		return now.Sub(c.since) > neverHeardAfter
+	}
+	if c.since.After(c.heard) {
+		return now.Sub(c.since) > suspectAfter
+	}
+	return now.Sub(c.heard) > suspectAfter
+}
+
+// reason tells apart a neighbour that cannot be reached from one that can, but
+// does not answer.
+func (c *contact) reason() bronzeturnv1.SuspicionReason {
+	var dial dialFailure
+	if errors.As(c.lost, &dial) && dial.ConnectFailed() {
+		return bronzeturnv1.SuspicionReason_SUSPICION_REASON_UNREACHABLE
+	}
+	return bronzeturnv1.SuspicionReason_SUSPICION_REASON_FROZEN
+}
+
+// dialFailure is an error of a dialer that tells whether no connection could be
+// opened.
+type dialFailure interface {
+	error
+	ConnectFailed() bool
+}
+
+// observer takes in what the links tell.
+type observer Membership
+
+// Heard implements gossip.Observer.
+func (o *observer) Heard(name string, heartbeat *bronzeturnv1.Heartbeat) {
+	m := (*Membership)(o)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.contactLocked(name)
+	c.heard = time.Now()
+	c.heartbeat = heartbeat
+	c.lost = nil
+}
+
+// Lost implements gossip.Observer.
+func (o *observer) Lost(target gossip.Target, err error) {
+	m := (*Membership)(o)
+	if target.Name == "" {
+		m.log.Debug().Str("address", target.Address).Err(err).Msg("seed not reached")
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.contactLocked(target.Name).lost = err
+}
+
+func (m *Membership) contactLocked(name string) *contact {
+	c := m.contacts[name]
+	if c == nil {
+		c = &contact{since: time.Now()}
+		m.contacts[name] = c
+	}
+	return c
+}
+
+// watchContacts sets which contacts are neighbours and forgets old ones.
+func (m *Membership) watchContacts(names []string, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	wanted := make(map[string]struct{}, len(names))
+	for _, name := range names {
+		wanted[name] = struct{}{}
+		c := m.contactLocked(name)
+		if !c.monitored {
+			c.monitored = true
+			c.since = now
+		}
+	}
+	for name, c := range m.contacts {
+		if _, ok := wanted[name]; ok {
+			continue
+		}
+		c.monitored = false
+		if now.Sub(c.heard) > forgetAfter && now.Sub(c.since) > forgetAfter {
+			m.withdrawLocked(name, c)
+			delete(m.contacts, name)
+		}
+	}
+}
+
+// tick looks at the neighbours and at this daemon's own entry.
+func (m *Membership) tick(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.lastTick.IsZero() && now.Sub(m.lastTick) > pausedAfter {
+		m.freshStartLocked(now)
+	}
+	m.lastTick = now
+	m.tendOwnLocked(now)
+	for name, c := range m.contacts {
+		m.judgeLocked(name, c, now)
+	}
+	if m.changes.decayed(now) {
+		m.signal()
+	}
+}
+
+// freshStartLocked forgives the neighbours' silence, since this daemon itself
+// was paused.
+func (m *Membership) freshStartLocked(now time.Time) {
+	m.log.Warn().Dur("gap", now.Sub(m.lastTick)).Msg("this daemon was paused")
+	for _, c := range m.contacts {
+		c.since = now
+	}
+}
+
+// judgeLocked reports a silent neighbour, or withdraws the report.
+func (m *Membership) judgeLocked(name string, c *contact, now time.Time) {
+	if !c.silent(now) {
+		m.withdrawLocked(name, c)
+		return
+	}
+	d := m.records.daemons[name]
+	if !c.monitored || d == nil || d.GetLeaving() {
+		return
+	}
+	next := claim{incarnation: d.GetIncarnation(), reason: c.reason()}
+	if c.claimed && !m.reclaim(c, next, now) {
+		return
+	}
+	c.claimed, c.claim, c.claimedAt = true, next, now
+	value := encode(&bronzeturnv1.Suspicion{Incarnation: next.incarnation, Reason: next.reason})
+	m.publish(suspectKey(name, m.options.Self.Name), m.own.version(), value)
+	m.log.Warn().Str("daemon", name).Str("reason", next.reason.String()).AnErr("cause", c.lost).Msg("neighbour suspected")
+}
+
+// reclaim tells whether a report that stands has to be made again: with a more
+// certain reason, to keep it from expiring, or some time after it was refuted.
+func (m *Membership) reclaim(c *contact, next claim, now time.Time) bool {
+	age := now.Sub(c.claimedAt)
+	if next.incarnation != c.claim.incarnation {
+		return age > reclaimAfter
+	}
+	if next.reason != c.claim.reason {
+		return next.reason == bronzeturnv1.SuspicionReason_SUSPICION_REASON_UNREACHABLE
+	}
+	return age > refreshSuspicion
+}
+
+// withdrawLocked takes back a report.
+func (m *Membership) withdrawLocked(name string, c *contact) {
+	if !c.claimed {
+		return
+	}
+	c.claimed = false
+	m.publish(suspectKey(name, m.options.Self.Name), m.own.version(), nil)
+}
+
+// ownSampleLocked counts the neighbours expected and those heard.
+func (m *Membership) ownSampleLocked(now time.Time) (known, heard int) {
+	for _, c := range m.contacts {
+		if !c.monitored {
+			continue
+		}
+		known++
+		if !c.heard.IsZero() && now.Sub(c.heard) <= heardWithin {
+			heard++
+		}
+	}
+	return known, heard
+}
+
+// sample adds up what this daemon and the neighbours that it hears say about
+// their neighbours.
+func (m *Membership) sample() (known, heard int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	known, heard = m.ownSampleLocked(now)
+	for _, c := range m.contacts {
+		if c.heartbeat == nil || now.Sub(c.heard) > heardWithin {
+			continue
+		}
+		known += int(c.heartbeat.GetPeersKnown())
+		heard += int(c.heartbeat.GetPeersHeard())
+	}
+	return known, heard
+}
+
+// PeersKnown returns the size of the sample behind PeersHeard: the neighbours
+// that this daemon and those it hears expect to hear. It is a sample of the
+// fleet, not a count of it.
+func (m *Membership) PeersKnown() int {
+	known, _ := m.sample()
+	return known
+}
+
+// PeersHeard returns how many of that sample are heard.
+func (m *Membership) PeersHeard() int {
+	_, heard := m.sample()
+	return heard
+}
+
+// News returns how long ago the store was known to hold no newer configuration
+// than the one in force here, first hand or through neighbours. It reports
+// false when that was never known.
+func (m *Membership) News() (age time.Duration, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.newsLocked(time.Now())
+}
+
+func (m *Membership) newsLocked(now time.Time) (age time.Duration, ok bool) {
+	if !m.own.heardStore.IsZero() {
+		age, ok = now.Sub(m.own.heardStore), true
+	}
+	for _, c := range m.contacts {
+		h := c.heartbeat
+		if h.GetNewsAgeMs() == 0 || h.GetConfigGeneration() > m.own.generation {
+			continue
+		}
+		relayed := now.Sub(c.heard) + time.Duration(h.GetNewsAgeMs())*time.Millisecond + newsHop
+		if !ok || relayed < age {
+			age, ok = relayed, true
+		}
+	}
+	return age, ok
+}
--- /dev/null
+++ b/membership/entries.go
@@ -0,0 +1,125 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// keepMin and keepMax bound how long callers may keep an answer.
+	keepMin = 5 * time.Second
+	keepMax = 60 * time.Second
+	// keepShare is the share of daemons that may change while an answer is kept.
+	keepShare = 0.05
+	// changeWindow is the time over which changes are counted.
+	changeWindow = 5 * time.Minute
+	// maxChanges bounds the changes remembered.
+	maxChanges = 512
+	// entryCount is how many addresses an answer names at most, nearEntries how
+	// many of them in the caller's own data centre.
+	entryCount  = 3
+	nearEntries = 2
+)
+
+// changeLog remembers when daemons came, went or changed their state.
+type changeLog struct {
+	times   []time.Time
+	counted int
+}
+
+// add notes n changes.
+func (c *changeLog) add(now time.Time, n int) {
+	for range min(n, maxChanges) {
+		c.times = append(c.times, now)
+	}
+	if over := len(c.times) - maxChanges; over > 0 {
+		c.times = append([]time.Time(nil), c.times[over:]...)
+	}
+}
+
+// count returns the changes within the window.
+func (c *changeLog) count(now time.Time) int {
+	for len(c.times) > 0 && now.Sub(c.times[0]) > changeWindow {
+		c.times = c.times[1:]
+	}
+	c.counted = len(c.times)
+	return c.counted
+}
+
+// decayed tells whether changes have left the window since the last count.
+func (c *changeLog) decayed(now time.Time) bool {
+	return c.counted > 0 && len(c.times) > 0 && now.Sub(c.times[0]) > changeWindow
+}
+
+// membersChanged counts the daemons that stopped being live between two views.
+// A daemon that joins makes no kept answer wrong.
+func membersChanged(old, v *View) int {
+	n := 0
+	for _, before := range old.Members {
+		if before.State != Live {
+			continue
+		}
+		if after, ok := v.Member(before.Name); !ok || after.State != Live {
+			n++
+		}
+	}
+	return n
+}
+
+// keepFor returns how long an answer may be kept, such that at the recent rate
+// of changes at most keepShare of the daemons change meanwhile.
+func keepFor(changes, members int) time.Duration {
+	if changes == 0 {
+		return keepMax
+	}
+	keep := time.Duration(keepShare * float64(members) * float64(changeWindow) / float64(changes))
+	return min(max(keep, keepMin), keepMax)
+}
+
+// Entries returns caller addresses of live daemons, best first, and how long
+// the caller may keep them. The first ones are in the caller's data centre when
+// it has any, the last one elsewhere, for when that data centre fails. Callers
+// are spread by load. random is used by this call only.
+func (m *Membership) Entries(callerDataCentre string, random *rand.Rand) (addresses []string, keep time.Duration) {
+	v := m.view.Load()
+	return v.Entries(callerDataCentre, random), v.Keep
+}
+
+// Entries returns caller addresses of live daemons for a caller, best first.
+func (v *View) Entries(callerDataCentre string, random *rand.Rand) []string {
+	var near, far []Member
+	for _, m := range v.Members {
+		switch {
+		case m.State != Live || m.CallerAddress == "":
+		case m.DataCentre == callerDataCentre:
+			near = append(near, m)
+		default:
+			far = append(far, m)
+		}
+	}
+	addresses := draw(nil, near, nearEntries, random)
+	addresses = draw(addresses, far, entryCount-len(addresses), random)
+	return addresses
+}
+
+// draw appends n addresses, drawn without replacement in proportion to the free
+// capacity that the coarse load leaves.
+func draw(addresses []string, members []Member, n int, random *rand.Rand) []string {
+	for ; n > 0 && len(members) > 0; n-- {
+		total := 0
+		for _, m := range members {
+			total += weight(m)
+		}
+		i, left := 0, random.IntN(total)
+		for left >= weight(members[i]) {
+			left -= weight(members[i])
+			i++
+		}
+		addresses = append(addresses, members[i].CallerAddress)
+		members[i] = members[len(members)-1]
+		members = members[:len(members)-1]
+	}
+	return addresses
+}
+
+func weight(m Member) int { return 1 + MaxLoad - m.Load }
--- /dev/null
+++ b/membership/membership.go
@@ -0,0 +1,295 @@
+package membership
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/gossip"
+)
+
+// Membership keeps the view of the fleet. It is safe for concurrent use.
+type Membership struct {
+	tomb    tomb.Tomb
+	options Options
+	node    *gossip.Node
+	log     zerolog.Logger
+
+	view         atomic.Pointer[View]
+	leavingHosts atomic.Pointer[map[string]struct{}]
+	changed      chan struct{}
+
+	// mu guards what follows.
+	mu       sync.Mutex
+	records  *records
+	own      ownState
+	contacts map[string]*contact
+	changes  changeLog
+	lastTick time.Time
+	subs     []func(*View)
+}
+
+// New returns a membership that is not yet started. Its view holds this daemon
+// alone.
+func New(options Options) (*Membership, error) {
+	if err := options.validate(); err != nil {
+		return nil, err
+	}
+	m := &Membership{
+		options:  options,
+		log:      options.Log.With().Str("part", "membership").Logger(),
+		records:  newRecords(),
+		contacts: make(map[string]*contact),
+		changed:  make(chan struct{}, 1),
+	}
+	node, err := gossip.New(gossip.Options{
+		Name:       options.Self.Name,
+		Classes:    append(classes(), options.Classes...),
+		Dialer:     options.Dialer,
+		Observer:   (*observer)(m),
+		Status:     m.heartbeat,
+		Random:     rand.New(rand.NewPCG(options.Random.Uint64(), options.Random.Uint64())),
+		Log:        options.Log,
+		Registerer: options.Registerer,
+	})
+	if err != nil {
+		return nil, err
+	}
+	m.node = node
+	m.leavingHosts.Store(&map[string]struct{}{})
+	m.own.start(options.Self, time.Now())
+	m.records.daemons[options.Self.Name] = m.own.message()
+	m.view.Store(buildView(options.Self.Name, m.records, keepMax))
+	return m, nil
+}
+
+// Start joins the fleet.
+func (m *Membership) Start() {
+	m.node.Start()
+	m.node.Subscribe(daemonPrefix, m.daemonChanged)
+	m.node.Subscribe(suspectPrefix, m.suspicionChanged)
+	m.node.Subscribe(hostPrefix, m.hostChanged)
+	m.mu.Lock()
+	m.publishOwnLocked()
+	m.mu.Unlock()
+	m.setTargets()
+	m.tomb.Go(m.run)
+	if m.options.HostList != nil {
+		m.tomb.Go(m.watchHosts)
+	}
+}
+
+// Leave announces that this daemon is shutting down: it is out of entries and
+// owns nothing from now on, but still hears the fleet.
+func (m *Membership) Leave() {
+	m.mu.Lock()
+	m.own.leaving = true
+	m.publishOwnLocked()
+	m.mu.Unlock()
+	m.log.Info().Msg("leaving announced")
+}
+
+// Stop takes this daemon out of the fleet and closes its links. Until ctx ends
+// it waits for pending entries to be sent.
+func (m *Membership) Stop(ctx context.Context) error {
+	m.tomb.Kill(nil)
+	err := m.tomb.Wait()
+	m.mu.Lock()
+	m.own.leaving = true
+	m.publishRemovalLocked()
+	m.mu.Unlock()
+	if flushErr := m.node.Flush(ctx); flushErr != nil {
+		m.log.Warn().Err(flushErr).Msg("stopped before all entries were sent")
+	}
+	if stopErr := m.node.Stop(); err == nil {
+		err = stopErr
+	}
+	return err
+}
+
+// Table is the flooded table, for the other users of the overlay.
+func (m *Membership) Table() *gossip.Node { return m.node }
+
+// View returns the newest view.
+func (m *Membership) View() *View { return m.view.Load() }
+
+// Subscribe calls f with the view of now and after every change, one call at a
+// time. f must not block.
+func (m *Membership) Subscribe(f func(*View)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.subs = append(m.subs, f)
+	f(m.view.Load())
+}
+
+// Owner returns the preferred owner of a key, and whether it is this daemon.
+// Safety must not rest on it: two daemons may each believe to be the owner.
+func (m *Membership) Owner(key string) (name string, self bool) {
+	name = m.view.Load().Owner(key)
+	return name, name == m.options.Self.Name
+}
+
+// Watching tells whether this daemon is one of the few that read the store and
+// the host list.
+func (m *Membership) Watching() bool {
+	return m.view.Load().Watching(m.options.Self.Name)
+}
+
+// BackendLeaving tells whether the host list shows the host leaving or gone. It
+// does not allocate.
+func (m *Membership) BackendLeaving(host string) bool {
+	_, leaving := (*m.leavingHosts.Load())[host]
+	return leaving
+}
+
+// PeerAddress implements the resolver of package peer.
+func (m *Membership) PeerAddress(name string) (address string, ok bool) {
+	member, ok := m.view.Load().Member(name)
+	return member.PeerAddress, ok && member.PeerAddress != ""
+}
+
+// run rebuilds the view after changes and looks at the neighbours.
+func (m *Membership) run() error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	var rebuild <-chan time.Time
+	for {
+		select {
+		case <-m.tomb.Dying():
+			return nil
+		case <-m.changed:
+			if rebuild == nil {
+				rebuild = time.After(rebuildDelay)
+			}
+		case <-rebuild:
+			rebuild = nil
+			m.rebuild()
+		case <-ticker.C:
+			m.tick(time.Now())
+		}
+	}
+}
+
+// signal asks for a new view.
+func (m *Membership) signal() {
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
+}
+
+// rebuild builds the view from the records and tells the subscribers.
+func (m *Membership) rebuild() {
+	m.mu.Lock()
+	old := m.view.Load()
+	now := time.Now()
+	v := buildView(m.options.Self.Name, m.records, 0)
+	m.changes.add(now, membersChanged(old, v))
+	v.Keep = keepFor(m.changes.count(now), len(v.Members))
+	m.view.Store(v)
+	m.storeLeavingHostsLocked()
+	subs := slices.Clone(m.subs)
+	m.mu.Unlock()
+	m.logChanges(old, v)
+	for _, f := range subs {
+		f(v)
+	}
+	m.setTargets()
+}
+
+// setTargets keeps links to the neighbours among all daemons, so that one that
+// was cut off is found again, and among the live ones, so that the overlay
+// stays connected meanwhile.
+func (m *Membership) setTargets() {
+	v := m.view.Load()
+	names := m.monitored(v)
+	var targets []gossip.Target
+	for _, name := range names {
+		member, _ := v.Member(name)
+		targets = append(targets, gossip.Target{Name: name, Address: member.PeerAddress})
+	}
+	targets = append(targets, m.seedTargets(v)...)
+	m.watchContacts(names, time.Now())
+	m.node.SetTargets(targets)
+}
+
+// monitored returns the names of the neighbours.
+func (m *Membership) monitored(v *View) []string {
+	var known, live []Member
+	for _, member := range v.Members {
+		if member.State == Leaving {
+			continue
+		}
+		known = append(known, member)
+		if member.State == Live {
+			live = append(live, member)
+		}
+	}
+	self := m.options.Self
+	names := neighbours(self.Name, self.DataCentre, known)
+	if len(live) < len(known) {
+		names = append(names, neighbours(self.Name, self.DataCentre, live)...)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// seedTargets returns the seeds at which no daemon is known yet.
+func (m *Membership) seedTargets(v *View) []gossip.Target {
+	known := make(map[string]struct{}, len(v.Members)+1)
+	known[m.options.Self.PeerAddress] = struct{}{}
+	for _, member := range v.Members {
+		known[member.PeerAddress] = struct{}{}
+	}
+	var targets []gossip.Target
+	for _, address := range m.options.Seeds {
+		if _, ok := known[address]; !ok && len(targets) < maxSeedTargets {
+			targets = append(targets, gossip.Target{Address: address})
+		}
+	}
+	return targets
+}
+
+// logChanges writes one line for every daemon whose state changed.
+func (m *Membership) logChanges(old, v *View) {
+	for _, member := range v.Members {
+		before, known := old.Member(member.Name)
+		if known && before.State == member.State {
+			continue
+		}
+		m.log.Info().Str("daemon", member.Name).Str("state", member.State.String()).
+			Str("reason", string(member.Reason)).Int("live", v.Live()).Msg("daemon state changed")
+	}
+	for _, member := range old.Members {
+		if _, ok := v.Member(member.Name); !ok {
+			m.log.Info().Str("daemon", member.Name).Int("live", v.Live()).Msg("daemon gone")
+		}
+	}
+}
+
+// heartbeat returns the state that this daemon sends to its neighbours.
+func (m *Membership) heartbeat() *bronzeturnv1.Heartbeat {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	known, heard := m.ownSampleLocked(now)
+	h := &bronzeturnv1.Heartbeat{
+		Incarnation:      m.own.incarnation,
+		Leaving:          m.own.leaving,
+		ConfigGeneration: m.own.generation,
+		Load:             uint32(m.own.load),
+		PeersKnown:       uint32(known),
+		PeersHeard:       uint32(heard),
+	}
+	if age, ok := m.newsLocked(now); ok {
+		h.NewsAgeMs = uint64(max(1, age.Milliseconds()))
+	}
+	return h
+}
--- /dev/null
+++ b/membership/table.go
@@ -0,0 +1,94 @@
+package membership
+
+import (
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+)
+
+// daemonChanged takes in an entry "daemon/NAME". An entry that cannot be read
+// counts as absent.
+func (m *Membership) daemonChanged(key string, _ uint64, value []byte) {
+	name := strings.TrimPrefix(key, daemonPrefix)
+	state := &bronzeturnv1.DaemonState{}
+	gone := len(value) == 0 || proto.Unmarshal(value, state) != nil
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case name == m.options.Self.Name:
+		m.records.daemons[name] = m.own.message()
+	case gone:
+		delete(m.records.daemons, name)
+	default:
+		m.records.daemons[name] = state
+	}
+	m.signal()
+}
+
+// suspicionChanged takes in an entry "suspect/TARGET/REPORTER".
+func (m *Membership) suspicionChanged(key string, _ uint64, value []byte) {
+	target, reporter, ok := parseSuspectKey(key)
+	if !ok {
+		return
+	}
+	s := &bronzeturnv1.Suspicion{}
+	gone := len(value) == 0 || proto.Unmarshal(value, s) != nil
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if gone {
+		delete(m.records.claims[target], reporter)
+		if len(m.records.claims[target]) == 0 {
+			delete(m.records.claims, target)
+		}
+	} else {
+		if m.records.claims[target] == nil {
+			m.records.claims[target] = make(map[string]claim)
+		}
+		m.records.claims[target][reporter] = claim{incarnation: s.GetIncarnation(), reason: s.GetReason()}
+	}
+	m.signal()
+}
+
+// hostChanged takes in an entry "host/NAME". A removal that has expired counts
+// like a host that was never listed.
+func (m *Membership) hostChanged(key string, version uint64, value []byte) {
+	host := strings.TrimPrefix(key, hostPrefix)
+	state := hostLive
+	message := &bronzeturnv1.HostState{}
+	switch {
+	case version == 0:
+		state = hostLive
+	case len(value) == 0:
+		state = hostRemoved
+	case proto.Unmarshal(value, message) != nil:
+		return
+	case message.GetLeaving():
+		state = hostLeaving
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if state == hostLive {
+		delete(m.records.hosts, host)
+	} else {
+		m.records.hosts[host] = state
+	}
+	m.signal()
+}
+
+// storeLeavingHostsLocked publishes the set that BackendLeaving reads.
+func (m *Membership) storeLeavingHostsLocked() {
+	old := *m.leavingHosts.Load()
+	same := len(old) == len(m.records.hosts)
+	set := make(map[string]struct{}, len(m.records.hosts))
+	for host := range m.records.hosts {
+		set[host] = struct{}{}
+		if _, ok := old[host]; !ok {
+			same = false
+		}
+	}
+	if !same {
+		m.leavingHosts.Store(&set)
+	}
+}
