--- /dev/null
+++ b/ledger/append.go
@@ -0,0 +1,188 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1/bronzeturnv1connect"
+)
+
+// ownerRetry is how long a preferred writer that did not answer is left alone.
+const ownerRetry = 2 * time.Second
+
+// errVerdicts reports an answer that doesn't fit its question.
+var errVerdicts = errors.New("preferred writer sent a wrong number of verdicts")
+
+// ownerHealth remembers which daemons did not answer lately.
+type ownerHealth struct {
+	mu    sync.Mutex
+	until map[string]time.Time
+}
+
+func newOwnerHealth() *ownerHealth {
+	return &ownerHealth{until: make(map[string]time.Time)}
+}
+
+func (o *ownerHealth) usable(name string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	until, ok := o.until[name]
+	if ok && time.Now().After(until) {
+		delete(o.until, name)
+		return true
+	}
+	return !ok
+}
+
+func (o *ownerHealth) failed(name string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.until[name] = time.Now().Add(ownerRetry)
+}
+
+// urgency tells what to do when the preferred writer lives but its store
+// fails.
+type urgency int
+
+const (
+	// urgent records are then written by this daemon, which may reach the store.
+	urgent urgency = iota
+	// patient records are then left for later.
+	patient
+)
+
+// append settles one record, see appendAll.
+func (l *Ledger) append(ctx context.Context, rec *bronzeturnv1.LedgerRecord) (*bronzeturnv1.LedgerVerdict, error) {
+	if err := l.waitOpen(ctx); err != nil {
+		return nil, err
+	}
+	s, err := l.shardFor(fingerprint(rec.Fingerprint))
+	if err != nil {
+		return nil, err
+	}
+	verdicts, err := l.appendAll(ctx, s.id, []*bronzeturnv1.LedgerRecord{rec}, urgent)
+	if err != nil {
+		return nil, err
+	}
+	return verdicts[0], nil
+}
+
+// appendAll settles records of one shard: by the preferred writer if it
+// answers, else by this daemon itself. After an error each record may be in
+// the log, now or later.
+func (l *Ledger) appendAll(ctx context.Context, id uint32, records []*bronzeturnv1.LedgerRecord, u urgency) ([]*bronzeturnv1.LedgerVerdict, error) {
+	s, err := l.shardByID(id)
+	if err != nil {
+		return nil, err
+	}
+	client, name, ok := l.ownerOf(id)
+	if !ok {
+		return s.submit(ctx, records)
+	}
+	verdicts, err := l.forwardTo(ctx, client, id, records)
+	if err == nil {
+		l.metrics.forwarded.Add(float64(len(records)))
+		return verdicts, nil
+	}
+	if ctx.Err() != nil {
+		return nil, fmt.Errorf("preferred writer %s: %w", name, err)
+	}
+	failing := connect.CodeOf(err) == connect.CodeResourceExhausted
+	if failing && u == patient {
+		return nil, fmt.Errorf("preferred writer %s: %w", name, err)
+	}
+	if !failing {
+		l.owners.failed(name)
+	}
+	l.metrics.fallbacks.Add(float64(len(records)))
+	l.logger.Warn().Err(err).Uint32("shard", id).Str("owner", name).Msg("preferred writer did not settle, writing here")
+	return s.submit(ctx, records)
+}
+
+// ownerOf returns a client of the shard's preferred writer. ok is false when
+// that is this daemon, or the writer can't be asked now.
+func (l *Ledger) ownerOf(shard uint32) (client bronzeturnv1connect.LedgerServiceClient, name string, ok bool) {
+	name, self := l.cfg.Owners.Owner(shardKey(shard))
+	if self || name == "" || !l.owners.usable(name) {
+		return nil, name, false
+	}
+	client, ok = l.dial(name)
+	return client, name, ok
+}
+
+func (l *Ledger) dial(name string) (bronzeturnv1connect.LedgerServiceClient, bool) {
+	httpClient, baseURL, ok := l.cfg.Dialer.Dial(name)
+	if !ok {
+		return nil, false
+	}
+	return bronzeturnv1connect.NewLedgerServiceClient(httpClient, baseURL), true
+}
+
+func (l *Ledger) forwardTo(ctx context.Context, client bronzeturnv1connect.LedgerServiceClient, shard uint32, records []*bronzeturnv1.LedgerRecord) ([]*bronzeturnv1.LedgerVerdict, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.cfg.OwnerTimeout)
+	defer cancel()
+	req := &bronzeturnv1.AppendRequest{Shard: shard, Records: records}
+	resp, err := client.Append(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, err
+	}
+	if len(resp.Msg.Verdicts) != len(records) {
+		return nil, errVerdicts
+	}
+	return resp.Msg.Verdicts, nil
+}
+
+// lookup returns the entry of a fingerprint, or nil. What it finds is true; an
+// entry that was created a moment ago may be missing unless refresh is set.
+func (l *Ledger) lookup(ctx context.Context, class Class, fp fingerprint, refresh bool) (*bronzeturnv1.LedgerEntry, error) {
+	if err := l.waitOpen(ctx); err != nil {
+		return nil, err
+	}
+	s, err := l.shardFor(fp)
+	if err != nil {
+		return nil, err
+	}
+	if client, name, ok := l.ownerOf(s.id); ok {
+		entry, err := l.lookupAt(ctx, client, class, fp, refresh)
+		if err == nil || ctx.Err() != nil {
+			return entry, err
+		}
+		l.owners.failed(name)
+		refresh = true
+	}
+	return s.lookup(ctx, class, fp, refresh)
+}
+
+func (l *Ledger) lookupAt(ctx context.Context, client bronzeturnv1connect.LedgerServiceClient, class Class, fp fingerprint, refresh bool) (*bronzeturnv1.LedgerEntry, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.cfg.OwnerTimeout)
+	defer cancel()
+	req := &bronzeturnv1.LookupRequest{
+		Fingerprint: fp[:],
+		Class:       bronzeturnv1.LedgerClass(class),
+		Refresh:     refresh,
+	}
+	resp, err := client.Lookup(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg.Entry, nil
+}
+
+// lookup reads the shard's state, from the store if it isn't in memory.
+func (s *shard) lookup(ctx context.Context, class Class, fp fingerprint, refresh bool) (*bronzeturnv1.LedgerEntry, error) {
+	if entry := s.log.lookup(class, fp); entry != nil && !refresh {
+		return entry, nil
+	}
+	if refresh || !s.owned() || !s.log.ready() {
+		if err := s.refresh(ctx); err != nil {
+			return nil, err
+		}
+	}
+	return s.log.lookup(class, fp), nil
+}
--- /dev/null
+++ b/ledger/holder.go
@@ -0,0 +1,306 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+)
+
+// Holders names the daemons that may hold copies of unsettled records.
+type Holders interface {
+	// Holders returns names of other live daemons, those in other data centres
+	// first.
+	Holders() []string
+}
+
+// Bounds of the second copies.
+const (
+	holdTimeout    = 300 * time.Millisecond
+	holdAttempts   = 3
+	holdRecords    = 200
+	holdTick       = 5 * time.Second
+	copyPatience   = 30 * time.Second
+	maxReleaseSize = 5000
+)
+
+// ErrCopiesFull reports that a daemon has no room for further copies.
+var ErrCopiesFull = errors.New("no room for copies")
+
+// copies are the unsettled records of other daemons that this one holds, and
+// the releases that it owes to the holders of its own.
+type copies struct {
+	maxRecords int
+	maxBytes   int
+	// incarnation tells this start of the daemon from others.
+	incarnation string
+
+	mu       sync.Mutex
+	held     map[Nonce]*heldCopy
+	order    []*heldCopy
+	bytes    int
+	releases map[string][][]byte
+}
+
+// heldCopy is one copy.
+type heldCopy struct {
+	record *bronzeturnv1.LedgerRecord
+	size   int
+	since  time.Time
+	// draining tells that this daemon has begun to write it.
+	draining bool
+	released bool
+}
+
+func newCopies(maxRecords, maxBytes int) *copies {
+	nonce := newNonce()
+	return &copies{
+		maxRecords:  maxRecords,
+		maxBytes:    maxBytes,
+		incarnation: string(nonce[:]),
+		held:        make(map[Nonce]*heldCopy),
+		releases:    make(map[string][][]byte),
+	}
+}
+
+// add takes copies, all or none.
+func (c *copies) add(records []*bronzeturnv1.LedgerRecord) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	size := 0
+	for _, rec := range records {
+		size += proto.Size(rec)
+	}
+	if len(c.held)+len(records) > c.maxRecords || c.bytes+size > c.maxBytes {
+		return ErrCopiesFull
+	}
+	for _, rec := range records {
+		if _, ok := c.held[Nonce(rec.Nonce)]; ok {
+			continue
+		}
+		held := &heldCopy{record: rec, size: proto.Size(rec), since: time.Now()}
+		c.held[Nonce(rec.Nonce)] = held
+		c.order = append(c.order, held)
+		c.bytes += held.size
+	}
+	return nil
+}
+
+// remove drops the copies with the nonces.
+func (c *copies) remove(nonces [][]byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range nonces {
+		if len(n) != idBytes {
+			continue
+		}
+		if held, ok := c.held[Nonce(n)]; ok {
+			held.released = true
+			c.bytes -= held.size
+			delete(c.held, Nonce(n))
+		}
+	}
+	kept := c.order[:0]
+	for _, held := range c.order {
+		if !held.released {
+			kept = append(kept, held)
+		}
+	}
+	clear(c.order[len(kept):])
+	c.order = kept
+}
+
+// due returns the copies, in order, that are older than age and not yet being
+// written, and marks them.
+func (c *copies) due(age time.Duration) []*heldCopy {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var due []*heldCopy
+	for _, held := range c.order {
+		if !held.draining && time.Since(held.since) >= age {
+			held.draining = true
+			due = append(due, held)
+		}
+	}
+	return due
+}
+
+// size returns the number of copies held.
+func (c *copies) size() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.held)
+}
+
+// queueRelease notes that the holders of settled items may drop their copies.
+func (c *copies) queueRelease(items []*outItem) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, item := range items {
+		if name, _ := item.copyHolder(); name != "" && len(c.releases[name]) < maxReleaseSize {
+			c.releases[name] = append(c.releases[name], item.record.Nonce)
+		}
+	}
+}
+
+func (c *copies) takeReleases() map[string][][]byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	taken := c.releases
+	c.releases = make(map[string][][]byte)
+	return taken
+}
+
+// hold copies the items to the first daemon that takes them.
+func (l *Ledger) hold(ctx context.Context, items []*outItem) bool {
+	if l.cfg.Holders == nil {
+		return false
+	}
+	names := l.cfg.Holders.Holders()
+	for _, name := range names[:min(len(names), holdAttempts)] {
+		if l.holdAt(ctx, name, items) == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// holdAt copies the items to one daemon, or asks for its incarnation when
+// there are none.
+func (l *Ledger) holdAt(ctx context.Context, name string, items []*outItem) error {
+	records := make([]*bronzeturnv1.LedgerRecord, len(items))
+	for i, item := range items {
+		records[i] = item.record
+	}
+	incarnation, err := l.sendCopies(ctx, name, records)
+	if err != nil {
+		return err
+	}
+	for _, item := range items {
+		item.setHolder(name, incarnation)
+	}
+	return nil
+}
+
+func (l *Ledger) sendCopies(ctx context.Context, name string, records []*bronzeturnv1.LedgerRecord) (incarnation string, err error) {
+	client, ok := l.dial(name)
+	if !ok {
+		return "", errUnknownDaemon
+	}
+	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
+	defer cancel()
+	req := &bronzeturnv1.HoldRequest{Owner: l.cfg.Self, Records: records}
+	resp, err := client.Hold(ctx, connect.NewRequest(req))
+	if err != nil {
+		return "", err
+	}
+	return string(resp.Msg.Incarnation), nil
+}
+
+// errUnknownDaemon reports that the dialer doesn't know a daemon.
+var errUnknownDaemon = errors.New("daemon is not known")
+
+// keepCopies renews copies whose holder is gone, releases those that are
+// settled, and writes the copies whose owner does not.
+func (l *Ledger) keepCopies() error {
+	for l.sleep(holdTick/2 + l.jitter(holdTick)) {
+		ctx := l.tomb.Context(context.Background())
+		l.sendReleases(ctx)
+		l.renewCopies(ctx)
+		l.drainCopies()
+	}
+	return nil
+}
+
+func (l *Ledger) sendReleases(ctx context.Context) {
+	for name, nonces := range l.copies.takeReleases() {
+		client, ok := l.dial(name)
+		if !ok {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, holdTimeout)
+		req := &bronzeturnv1.ReleaseRequest{Owner: l.cfg.Self, Nonces: nonces}
+		// A lost release is harmless: the holder finds the records settled.
+		_, err := client.Release(callCtx, connect.NewRequest(req))
+		cancel()
+		if err != nil {
+			l.logger.Debug().Err(err).Str("holder", name).Msg("release of copies failed")
+		}
+	}
+}
+
+// renewCopies finds a new holder for the items that have none, or whose holder
+// does not answer or has restarted.
+func (l *Ledger) renewCopies(ctx context.Context) {
+	alive := make(map[string]string)
+	var without []*outItem
+	for _, item := range l.outbox.unsettled() {
+		if time.Since(item.since) < l.cfg.BillPatience || droppable(item.record) {
+			continue
+		}
+		if !l.holderLives(ctx, item, alive) {
+			without = append(without, item)
+		}
+	}
+	for len(without) > 0 {
+		n := min(len(without), holdRecords)
+		if !l.hold(ctx, without[:n]) {
+			return
+		}
+		without = without[n:]
+	}
+}
+
+func (l *Ledger) holderLives(ctx context.Context, item *outItem, alive map[string]string) bool {
+	name, known := item.copyHolder()
+	if name == "" {
+		return false
+	}
+	incarnation, asked := alive[name]
+	if !asked {
+		incarnation, _ = l.sendCopies(ctx, name, nil) // "" on failure
+		alive[name] = incarnation
+	}
+	return incarnation != "" && incarnation == known
+}
+
+// drainCopies writes the copies that their owner should have settled by now:
+// the store has answered for a while and they are still here. Writing them is
+// harmless when the owner lives, since each key is recorded once.
+func (l *Ledger) drainCopies() {
+	if l.store.failingWithin(copyPatience) {
+		return
+	}
+	l.drainHeld(l.copies.due(copyPatience))
+}
+
+func (l *Ledger) drainHeld(due []*heldCopy) {
+	for _, held := range due {
+		nonces := [][]byte{held.record.Nonce}
+		l.outbox.add(held.record, func() { l.copies.remove(nonces) })
+	}
+}
+
+// Hold implements bronzeturnv1connect.LedgerServiceHandler.
+func (s *service) Hold(_ context.Context, req *connect.Request[bronzeturnv1.HoldRequest]) (*connect.Response[bronzeturnv1.HoldResponse], error) {
+	for _, rec := range req.Msg.Records {
+		if err := checkRecord(rec); err != nil {
+			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		}
+	}
+	if err := s.ledger.copies.add(req.Msg.Records); err != nil {
+		return nil, connect.NewError(connect.CodeResourceExhausted, err)
+	}
+	return connect.NewResponse(&bronzeturnv1.HoldResponse{Incarnation: []byte(s.ledger.copies.incarnation)}), nil
+}
+
+// Release implements bronzeturnv1connect.LedgerServiceHandler.
+func (s *service) Release(_ context.Context, req *connect.Request[bronzeturnv1.ReleaseRequest]) (*connect.Response[bronzeturnv1.ReleaseResponse], error) {
+	s.ledger.copies.remove(req.Msg.Nonces)
+	return connect.NewResponse(&bronzeturnv1.ReleaseResponse{}), nil
+}
--- /dev/null
+++ b/ledger/ledger.go
@@ -0,0 +1,313 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+	tomb "gopkg.in/tomb.v2"
+)
+
+// Owners names the preferred writer of a shard. A wrong answer costs time,
+// never safety.
+type Owners interface {
+	// Owner returns the daemon that is preferred for the key, and whether it is
+	// this one.
+	Owner(key string) (name string, self bool)
+}
+
+// Dialer gives access to other daemons.
+type Dialer interface {
+	// Dial returns a client and the base URL of the named daemon. ok is false
+	// when the daemon is not known.
+	Dial(name string) (client connect.HTTPClient, baseURL string, ok bool)
+}
+
+// Config holds what a Ledger needs. Self, Store, Owners and Dialer are
+// required; zero values of the rest mean the defaults.
+type Config struct {
+	// Self is the name of this daemon.
+	Self   string
+	Store  Store
+	Owners Owners
+	Dialer Dialer
+	// Holders may be nil; then no second copies are made.
+	Holders Holders
+	Log     zerolog.Logger
+	// Registerer takes the metrics.
+	Registerer prometheus.Registerer
+	// Rand is the source of backoff jitter. The ledger alone uses it from New on.
+	Rand *rand.Rand
+
+	// Shards and Slots take effect only in a store without a ledger.
+	Shards uint32
+	Slots  uint32
+	// FleetWrites bounds the batches a second that all preferred writers
+	// together write.
+	FleetWrites float64
+	// FallbackWrites bounds the batches a second that all daemons together write
+	// into shards of other preferred writers.
+	FallbackWrites float64
+	// Daemons returns the number of live daemons. FallbackWrites is divided by
+	// it. Nil means one.
+	Daemons func() int
+	// BatchDelay is how long a record waits for others at least.
+	BatchDelay time.Duration
+	// OwnerTimeout is how long a preferred writer may take.
+	OwnerTimeout time.Duration
+	// StoreTimeout bounds one store call.
+	StoreTimeout time.Duration
+	// DecideTimeout bounds Claim and Pin.
+	DecideTimeout time.Duration
+	// IdleTimeout is when an unused shard's memory is given back.
+	IdleTimeout time.Duration
+	Retention   Retention
+	// BillArchive is how long itemised bills are kept.
+	BillArchive time.Duration
+	// BillPatience is how long Bill and Complete wait for the store before they
+	// settle for a second copy.
+	BillPatience time.Duration
+	// BufferRecords and BufferBytes bound the records that wait for the store,
+	// and once more the copies held for others.
+	BufferRecords int
+	BufferBytes   int
+	// AnswerBytes is the largest answer body kept with an outcome.
+	AnswerBytes int
+}
+
+// Defaults of Config.
+const (
+	DefaultFleetWrites    = 250
+	DefaultFallbackWrites = 100
+	DefaultBillPatience   = 150 * time.Millisecond
+	DefaultBufferRecords  = 200000
+	DefaultBufferBytes    = 64 << 20
+	DefaultBatchDelay     = 2 * time.Millisecond
+	DefaultOwnerTimeout   = 400 * time.Millisecond
+	DefaultStoreTimeout   = 2 * time.Second
+	DefaultDecideTimeout  = 1500 * time.Millisecond
+	DefaultIdleTimeout    = time.Minute
+	DefaultClaimRetention = 24 * time.Hour
+	DefaultPinIdle        = 2 * time.Hour
+	DefaultPinLimit       = 24 * time.Hour
+	DefaultBillRetention  = 6 * time.Hour
+	DefaultBillArchive    = 35 * 24 * time.Hour
+	DefaultAnswerBytes    = 8 << 10
+)
+
+// ErrConfig reports a Config that can't work.
+var ErrConfig = errors.New("invalid ledger configuration")
+
+// Ledger is one daemon's access to the ledger. All methods may be called
+// concurrently.
+type Ledger struct {
+	cfg     Config
+	logger  zerolog.Logger
+	metrics *metrics
+	owners  *ownerHealth
+
+	tomb tomb.Tomb
+
+	// opened is closed when the layout is known.
+	opened chan struct{}
+
+	mu     sync.Mutex
+	layout layout
+	shards []*shard
+
+	store  *guardedStore
+	outbox *outbox
+	copies *copies
+	pins   *pinCache
+
+	randMu sync.Mutex
+}
+
+// New returns a Ledger. It makes no call; Start does.
+func New(cfg Config) (*Ledger, error) {
+	if cfg.Self == "" || cfg.Store == nil || cfg.Owners == nil || cfg.Dialer == nil {
+		return nil, fmt.Errorf("%w: name, store, owners and dialer are required", ErrConfig)
+	}
+	setDefaults(&cfg)
+	if !(layout{cfg.Shards, cfg.Slots}).valid() {
+		return nil, fmt.Errorf("%w: %d shards of %d slots", ErrConfig, cfg.Shards, cfg.Slots)
+	}
+	l := &Ledger{
+		cfg:     cfg,
+		logger:  cfg.Log.With().Str("part", "ledger").Logger(),
+		metrics: newMetrics(cfg.Registerer),
+		owners:  newOwnerHealth(),
+		copies:  newCopies(cfg.BufferRecords, cfg.BufferBytes),
+		pins:    newPinCache(),
+		opened:  make(chan struct{}),
+	}
+	l.store = newGuardedStore(cfg.Store, cfg.StoreTimeout, l.jitter)
+	l.outbox = newOutbox(cfg.BufferRecords, cfg.BufferBytes, l.metrics)
+	return l, nil
+}
+
+func setDefaults(c *Config) {
+	setDefault(&c.Shards, DefaultShards)
+	setDefault(&c.Slots, DefaultSlots)
+	setDefault(&c.FleetWrites, DefaultFleetWrites)
+	setDefault(&c.FallbackWrites, DefaultFallbackWrites)
+	setDefault(&c.BatchDelay, DefaultBatchDelay)
+	setDefault(&c.OwnerTimeout, DefaultOwnerTimeout)
+	setDefault(&c.StoreTimeout, DefaultStoreTimeout)
+	setDefault(&c.DecideTimeout, DefaultDecideTimeout)
+	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&c.Retention.Claims, DefaultClaimRetention)
+	setDefault(&c.Retention.PinIdle, DefaultPinIdle)
+	setDefault(&c.Retention.PinLimit, DefaultPinLimit)
+	setDefault(&c.Retention.Bills, DefaultBillRetention)
+	setDefault(&c.BillArchive, DefaultBillArchive)
+	setDefault(&c.AnswerBytes, DefaultAnswerBytes)
+	setDefault(&c.BillPatience, DefaultBillPatience)
+	setDefault(&c.BufferRecords, DefaultBufferRecords)
+	setDefault(&c.BufferBytes, DefaultBufferBytes)
+	if c.Daemons == nil {
+		c.Daemons = func() int { return 1 }
+	}
+	if c.Registerer == nil {
+		c.Registerer = prometheus.NewRegistry()
+	}
+	if c.Rand == nil {
+		c.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+// Start begins to serve. The layout is read in the background until the store
+// answers; before that every call that needs the store fails as unavailable.
+func (l *Ledger) Start() {
+	l.tomb.Go(l.open)
+	l.tomb.Go(l.keepCopies)
+}
+
+// Stop ends all writing and waits for it. Records that are not settled by then
+// are answered with ErrStopped. Call Flush before.
+func (l *Ledger) Stop() error {
+	l.tomb.Kill(nil)
+	return l.tomb.Wait()
+}
+
+// open reads the layout and starts one goroutine per shard.
+func (l *Ledger) open() error {
+	ctx := l.tomb.Context(context.Background())
+	want := layout{l.cfg.Shards, l.cfg.Slots}
+	wait := backoffMin
+	for {
+		lay, err := loadLayout(ctx, l.store, want)
+		if err == nil {
+			l.startShards(lay)
+			return nil
+		}
+		l.logger.Warn().Err(err).Msg("layout not read yet")
+		if !l.sleep(wait/2 + l.jitter(wait/2)) {
+			return nil
+		}
+		wait = min(2*wait, backoffMax)
+	}
+}
+
+func (l *Ledger) startShards(lay layout) {
+	fallback := rate.NewLimiter(rate.Limit(l.cfg.FallbackWrites), fallbackBurst)
+	interval := time.Duration(float64(lay.shards) / l.cfg.FleetWrites * float64(time.Second))
+	shards := make([]*shard, lay.shards)
+	for i := range shards {
+		shards[i] = l.newShard(lay, uint32(i), interval, fallback)
+	}
+	l.mu.Lock()
+	l.layout, l.shards = lay, shards
+	l.mu.Unlock()
+	close(l.opened)
+	for _, s := range shards {
+		l.tomb.Go(func() error { return s.run(l.tomb.Context(context.Background())) })
+	}
+	for _, ln := range l.outbox.open(lay.shards) {
+		l.tomb.Go(func() error { return l.drain(ln) })
+	}
+	l.logger.Info().Uint32("shards", lay.shards).Uint32("slots", lay.slots).Msg("ledger opened")
+}
+
+func (l *Ledger) newShard(lay layout, id uint32, interval time.Duration, fallback *rate.Limiter) *shard {
+	key := shardKey(id)
+	return &shard{
+		id:  id,
+		log: newShardLog(l.store, lay, id, l.cfg.Self, l.cfg.Retention),
+		owned: func() bool {
+			_, self := l.cfg.Owners.Owner(key)
+			return self
+		},
+		interval: interval,
+		delay:    l.cfg.BatchDelay,
+		keep:     l.cfg.BillArchive,
+		idle:     l.cfg.IdleTimeout,
+		fallback: fallback,
+		pace:     func() rate.Limit { return rate.Limit(l.cfg.FallbackWrites / float64(max(1, l.cfg.Daemons()))) },
+		rand:     rand.New(rand.NewPCG(l.seed(), uint64(id))),
+		logger:   l.logger,
+		metrics:  l.metrics,
+		wake:     make(chan struct{}, 1),
+	}
+}
+
+// waitOpen waits until the layout is known.
+func (l *Ledger) waitOpen(ctx context.Context) error {
+	select {
+	case <-l.opened:
+		return nil
+	case <-ctx.Done():
+		return errNotOpen
+	case <-l.tomb.Dying():
+		return ErrStopped
+	}
+}
+
+// shardFor returns the shard of a fingerprint, or an error before the layout
+// is known.
+func (l *Ledger) shardFor(fp fingerprint) (*shard, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.shards == nil {
+		return nil, errNotOpen
+	}
+	return l.shards[shardOf(fp, l.layout.shards)], nil
+}
+
+// fallbackBurst is how many batches a daemon may write at once into shards of
+// other preferred writers.
+const fallbackBurst = 8
+
+// errNotOpen reports that the store has not answered since the start.
+var errNotOpen = errors.New("ledger layout is not known yet")
+
+// seed returns a random number.
+func (l *Ledger) seed() uint64 {
+	l.randMu.Lock()
+	defer l.randMu.Unlock()
+	return l.cfg.Rand.Uint64()
+}
+
+// jitter returns a random duration below max.
+func (l *Ledger) jitter(max time.Duration) time.Duration {
+	if max <= 0 {
+		return 0
+	}
+	l.randMu.Lock()
+	defer l.randMu.Unlock()
+	return time.Duration(l.cfg.Rand.Int64N(int64(max)))
+}
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,205 @@
+package ledger
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/objectstore/memstore"
+)
+
+func TestClaimIsGrantedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.stop()
+		a, b := c.start(t, "a"), c.start(t, "b")
+		c.setOwner(func(asking, _ string) string { return asking }) // both believe they own all
+		first := 0
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		for i := range 20 {
+			n := []*node{a, b}[i%2]
+			wg.Go(func() {
+				r, err := n.Claim(t.Context(), claimRequest("k", "body"))
+				qt.Check(t, err, qt.IsNil)
+				mu.Lock()
+				defer mu.Unlock()
+				if r.First {
+					first++
+				}
+			})
+		}
+		wg.Wait()
+		qt.Assert(t, first, qt.Equals, 1)
+	})
+}
+
+func TestClaimOutcomes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.stop()
+		a, b := c.start(t, "a"), c.start(t, "b")
+		c.setOwner(func(string, string) string { return "a" })
+		ctx := t.Context()
+
+		r, err := b.Claim(ctx, claimRequest("k", "body"))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.First, qt.IsTrue)
+
+		_, err = a.Claim(ctx, claimRequest("k", "other body"))
+		qt.Assert(t, failure.From(err).Code, qt.Equals, failure.CodeKeyReused)
+
+		again, err := a.Claim(ctx, claimRequest("k", "body"))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, again.First, qt.IsFalse)
+		qt.Assert(t, again.State, qt.Equals, StateRunning)
+		qt.Assert(t, again.Holder, qt.Equals, "b")
+
+		done := make(chan ClaimResult, 1)
+		go func() {
+			got, _, _ := a.Wait(ctx, "org", "k")
+			done <- got
+		}()
+		d, err := b.Complete(ctx, CompleteRequest{
+			Organisation: "org", Key: "k", Ticket: r.Ticket, State: StateDone,
+			Outcome: NewOutcome(200, "text/plain", "v1", []byte("tagged")),
+		})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, d, qt.Equals, DurabilityStore)
+		got := <-done
+		qt.Assert(t, got.State, qt.Equals, StateDone)
+		qt.Assert(t, string(got.Outcome.Body), qt.Equals, "tagged")
+	})
+}
+
+func TestClaimOfDeadHolderReadsUnknownAfterItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.stop()
+		a, b := c.start(t, "a"), c.start(t, "b")
+		c.setOwner(func(string, string) string { return "b" })
+		_, err := a.Claim(t.Context(), claimRequest("k", "body"))
+		qt.Assert(t, err, qt.IsNil)
+		c.crash(a)
+		got, ok, err := b.Wait(t.Context(), "org", "k")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, got.State, qt.Equals, StateUnknown)
+		again, err := b.Claim(t.Context(), claimRequest("k", "body"))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, again.First, qt.IsFalse)
+	})
+}
+
+func TestNotRunFreesTheKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.stop()
+		a := c.start(t, "a")
+		r, err := a.Claim(t.Context(), claimRequest("k", "body"))
+		qt.Assert(t, err, qt.IsNil)
+		_, err = a.Complete(t.Context(), CompleteRequest{Organisation: "org", Key: "k", Ticket: r.Ticket, State: StateNotRun})
+		qt.Assert(t, err, qt.IsNil)
+		again, err := a.Claim(t.Context(), claimRequest("k", "body"))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, again.First, qt.IsTrue)
+		qt.Assert(t, again.Ticket.Fence > r.Ticket.Fence, qt.IsTrue)
+	})
+}
+
+// The write takes effect and its answer is lost: a blind retry would find its
+// own record and take itself for the second.
+func TestLostAnswerIsSettledByReadingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.stop()
+		a := c.start(t, "a")
+		synctest.Wait()
+		lost := 0 // answers
+		c.store.SetFault(func(_ context.Context, op memstore.Op, key string) memstore.Verdict {
+			if op == memstore.OpCreate && strings.Contains(key, "/slot/") && lost < 1 {
+				lost++
+				return memstore.Lose
+			}
+			return memstore.Pass
+		})
+		r, err := a.Claim(t.Context(), claimRequest("k", "body"))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, lost, qt.Equals, 1)
+		qt.Assert(t, r.First, qt.IsTrue)
+		d, err := a.Bill(t.Context(), Bill{Organisation: "org", RequestID: "r1", CostMicros: 5})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, d, qt.Equals, DurabilityStore)
+	})
+}
+
+// A claim whose outcome can't be settled in time is refused as not run. Its
+// record takes effect all the same; the retry must still run, once.
+func TestAbandonedClaimIsReleasedAndRunsOnRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.stop()
+		a := c.start(t, "a", oneShard)
+		_, err := a.Claim(t.Context(), claimRequest("before", "body"))
+		qt.Assert(t, err, qt.IsNil)
+		landed := false
+		c.store.SetFault(func(_ context.Context, op memstore.Op, key string) memstore.Verdict {
+			if op == memstore.OpCreate && !landed {
+				landed = true
+				return memstore.Lose
+			}
+			return memstore.Refuse
+		})
+		_, err = a.Claim(t.Context(), claimRequest("k", "body"))
+		f := failure.From(err)
+		qt.Assert(t, f.Code, qt.Equals, failure.CodeLedgerUnavailable)
+		qt.Assert(t, f.Ran, qt.Equals, failure.RanNo)
+		qt.Assert(t, f.RetryAfter > 0, qt.IsTrue)
+		qt.Assert(t, landed, qt.IsTrue)
+
+		c.store.SetFault(nil)
+		time.Sleep(20 * time.Second)
+		r, err := a.Claim(t.Context(), claimRequest("k", "body"))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.First, qt.IsTrue)
+		again, err := a.Claim(t.Context(), claimRequest("k", "body"))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, again.First, qt.IsFalse)
+	})
+}
+
+func TestTwoFirstRequestsOfOneConversationSettleOnOneVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.stop()
+		a, b := c.start(t, "a"), c.start(t, "b")
+		c.setOwner(func(asking, _ string) string { return asking })
+		var wg sync.WaitGroup
+		results := make([]PinResult, 2)
+		for i, n := range []*node{a, b} {
+			wg.Go(func() {
+				r, err := n.Pin(t.Context(), PinRequest{"org", "conv", "v-" + n.name})
+				qt.Check(t, err, qt.IsNil)
+				results[i] = r
+			})
+		}
+		wg.Wait()
+		qt.Assert(t, results[0].Version, qt.Equals, results[1].Version)
+		qt.Assert(t, results[0].Created != results[1].Created, qt.IsTrue)
+		version, ok, err := b.Pinned(t.Context(), "org", "conv")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, version, qt.Equals, results[0].Version)
+		_, ok, err = b.Pinned(t.Context(), "other org", "conv")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, ok, qt.IsFalse)
+	})
+}
+
+func oneShard(c *Config) { c.Shards = 1 }
--- /dev/null
+++ b/ledger/outage_test.go
@@ -0,0 +1,212 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/objectstore/memstore"
+)
+
+func refuseAll(context.Context, memstore.Op, string) memstore.Verdict { return memstore.Refuse }
+
+func billNumber(i int) Bill {
+	return Bill{Organisation: "org", RequestID: fmt.Sprintf("r%d", i), Version: "v", CostMicros: 1}
+}
+
+// billsInStore counts the itemised bills by request id.
+func billsInStore(t testing.TB, c *cluster) map[string]int {
+	seen := make(map[string]int)
+	err := EachBill(t.Context(), c.store, func(b Bill) error {
+		seen[b.RequestID]++
+		return nil
+	})
+	qt.Assert(t, err, qt.IsNil)
+	return seen
+}
+
+func checkBilledOnce(t testing.TB, c *cluster, n int) {
+	seen := billsInStore(t, c)
+	for i := range n {
+		id := fmt.Sprintf("r%d", i)
+		qt.Assert(t, seen[id], qt.Equals, 1, qt.Commentf("bill %s", id))
+	}
+	qt.Assert(t, len(seen), qt.Equals, n)
+	totals, err := Totals(t.Context(), c.store)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, totals, qt.DeepEquals, []Total{{Organisation: "org", Version: "v", Bills: uint64(n), CostMicros: uint64(n)}})
+}
+
+func TestBillsOfAnOutageAreDrainedOnceAfterwards(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.stop()
+		a, b := c.start(t, "a"), c.start(t, "b")
+		c.setOwner(func(string, string) string { return "a" })
+		c.holders["a"], c.holders["b"] = []string{"b"}, []string{"a"}
+		time.Sleep(time.Second)
+		c.store.SetFault(refuseAll)
+		for i := range 50 {
+			n := []*node{a, b}[i%2]
+			d, err := n.Bill(t.Context(), billNumber(i))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, d, qt.Equals, DurabilityCopied)
+		}
+		time.Sleep(time.Hour)
+		c.store.SetFault(nil)
+		time.Sleep(time.Minute)
+		checkBilledOnce(t, c, 50)
+		time.Sleep(2 * time.Minute)
+		qt.Assert(t, a.copies.size()+b.copies.size(), qt.Equals, 0)
+		checkBilledOnce(t, c, 50)
+	})
+}
+
+func TestBillsOfADaemonThatDiesInAnOutageAreDrainedByTheHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.stop()
+		a := c.start(t, "a")
+		c.start(t, "b")
+		c.setOwner(func(asking, _ string) string { return asking })
+		c.holders["a"] = []string{"b"}
+		time.Sleep(time.Second)
+		c.store.SetFault(refuseAll)
+		for i := range 20 {
+			d, err := a.Bill(t.Context(), billNumber(i))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, d, qt.Equals, DurabilityCopied)
+		}
+		c.crash(a)
+		time.Sleep(time.Hour)
+		c.store.SetFault(nil)
+		time.Sleep(2 * time.Minute)
+		checkBilledOnce(t, c, 20)
+	})
+}
+
+func TestCopiesAreRenewedWhenTheirHolderDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.stop()
+		a, b := c.start(t, "a"), c.start(t, "b")
+		c.start(t, "d")
+		c.setOwner(func(asking, _ string) string { return asking })
+		c.holders["a"] = []string{"b", "d"}
+		time.Sleep(time.Second)
+		c.store.SetFault(refuseAll)
+		for i := range 20 {
+			_, err := a.Bill(t.Context(), billNumber(i))
+			qt.Assert(t, err, qt.IsNil)
+		}
+		c.crash(b)
+		time.Sleep(20 * time.Second)
+		c.crash(a)
+		c.store.SetFault(nil)
+		time.Sleep(2 * time.Minute)
+		checkBilledOnce(t, c, 20)
+	})
+}
+
+func TestLeavingDaemonLeavesItsRecordsToTwoOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.stop()
+		a, b := c.start(t, "a"), c.start(t, "b")
+		c.start(t, "d")
+		c.setOwner(func(asking, _ string) string { return asking })
+		c.holders["a"] = []string{"b", "d"}
+		time.Sleep(time.Second)
+		c.store.SetFault(refuseAll)
+		for i := range 20 {
+			_, err := a.Bill(t.Context(), billNumber(i))
+			qt.Assert(t, err, qt.IsNil)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		qt.Assert(t, a.Flush(ctx), qt.IsNil)
+		c.crash(a)
+		c.crash(b)
+		c.store.SetFault(nil)
+		time.Sleep(2 * time.Minute)
+		checkBilledOnce(t, c, 20)
+	})
+}
+
+func TestFullBufferRefusesBeforeDispatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.stop()
+		a := c.start(t, "a", func(cfg *Config) { cfg.BufferRecords = 10 })
+		time.Sleep(time.Second)
+		c.store.SetFault(refuseAll)
+		billed := 0
+		for {
+			r, err := a.Reserve()
+			if err != nil {
+				f := failure.From(err)
+				qt.Assert(t, f.Ran, qt.Equals, failure.RanNo)
+				qt.Assert(t, f.RetryAfter > 0, qt.IsTrue)
+				break
+			}
+			_, err = a.Bill(t.Context(), billNumber(billed))
+			qt.Assert(t, err, qt.IsNil)
+			r.Release()
+			billed++
+		}
+		qt.Assert(t, a.Headroom(), qt.IsFalse)
+		qt.Assert(t, billed, qt.Equals, 9)
+		c.store.SetFault(nil)
+		time.Sleep(time.Minute)
+		qt.Assert(t, a.Headroom(), qt.IsTrue)
+		checkBilledOnce(t, c, billed)
+	})
+}
+
+func TestKnownConversationsGoOnInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.stop()
+		a := c.start(t, "a")
+		_, err := a.Pin(t.Context(), PinRequest{"org", "known", "v1"})
+		qt.Assert(t, err, qt.IsNil)
+		c.store.SetFault(refuseAll)
+		time.Sleep(DefaultPinIdle * 3 / 4)
+		version, ok, err := a.Pinned(t.Context(), "org", "known")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, version, qt.Equals, "v1")
+		_, err = a.Pin(t.Context(), PinRequest{"org", "new", "v1"})
+		qt.Assert(t, failure.From(err).Code, qt.Equals, failure.CodeLedgerUnavailable)
+		qt.Assert(t, failure.From(err).Ran, qt.Equals, failure.RanNo)
+	})
+}
+
+// The preferred writer is cut off from this daemon, which then writes itself.
+// Cuts and lost answers between daemons cost time, nothing else.
+func TestPreferredWriterThatDoesNotAnswerIsNotNeeded(t *testing.T) {
+	for _, fate := range []linkFate{{cut: true}, {lose: true}, {delay: time.Minute}} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster()
+			defer c.stop()
+			a, b := c.start(t, "a"), c.start(t, "b")
+			c.setOwner(func(string, string) string { return "b" })
+			c.setCall(func(string, string) linkFate { return fate })
+			r, err := a.Claim(t.Context(), claimRequest("k", "body"))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, r.First, qt.IsTrue)
+			again, err := b.Claim(t.Context(), claimRequest("k", "body"))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, again.First, qt.IsFalse)
+			_, err = a.Bill(t.Context(), billNumber(0))
+			qt.Assert(t, err, qt.IsNil)
+			time.Sleep(time.Minute)
+			checkBilledOnce(t, c, 1)
+		})
+	}
+}
--- /dev/null
+++ b/ledger/outbox.go
@@ -0,0 +1,349 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bronzeturn/bronzeturn/failure"
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+)
+
+// Bounds of one request to a preferred writer.
+const (
+	laneRecords = 500
+	laneBytes   = 128 << 10
+)
+
+// reservedBytes is the room kept for the records of one request.
+const reservedBytes = 1 << 10
+
+// recordsPerRequest is how many records one request leaves: outcome and bill.
+const recordsPerRequest = 2
+
+// outItem is a record on its way to the store.
+type outItem struct {
+	record *bronzeturnv1.LedgerRecord
+	size   int
+	since  time.Time
+	// done is closed when the record is settled.
+	done chan struct{}
+	// onDone, if any, is called when the record is settled.
+	onDone func()
+
+	mu sync.Mutex
+	// holder has a copy, if not empty.
+	holder      string
+	incarnation string
+}
+
+func (i *outItem) setHolder(name, incarnation string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.holder, i.incarnation = name, incarnation
+}
+
+// copyHolder returns the daemon that has a copy, and its incarnation.
+func (i *outItem) copyHolder() (name, incarnation string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.holder, i.incarnation
+}
+
+// outbox keeps records until they are settled. Records of one shard leave in
+// the order in which they came.
+type outbox struct {
+	maxRecords int
+	maxBytes   int
+	metrics    *metrics
+
+	mu       sync.Mutex
+	lanes    []*lane
+	early    []*outItem // before the layout is known
+	records  int
+	bytes    int
+	reserved int
+	// givenUp are the attempts of this daemon to claim a key under which
+	// nothing will be dispatched, by fingerprint.
+	givenUp map[fingerprint][]*outItem
+}
+
+// lane holds the waiting records of one shard.
+type lane struct {
+	shard uint32
+	items []*outItem
+	wake  chan struct{}
+}
+
+func newOutbox(maxRecords, maxBytes int, m *metrics) *outbox {
+	return &outbox{
+		maxRecords: maxRecords,
+		maxBytes:   maxBytes,
+		metrics:    m,
+		givenUp:    make(map[fingerprint][]*outItem),
+	}
+}
+
+// open spreads what came early over the lanes.
+func (o *outbox) open(shards uint32) []*lane {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lanes = make([]*lane, shards)
+	for i := range o.lanes {
+		o.lanes[i] = &lane{shard: uint32(i), wake: make(chan struct{}, 1)}
+	}
+	for _, item := range o.early {
+		o.push(item)
+	}
+	o.early = nil
+	return o.lanes
+}
+
+// add puts a record at the end of its lane and calls onDone, if not nil, when
+// it is settled. Room was made by reserve; only
+// records that nothing depends on are dropped when there is none.
+func (o *outbox) add(rec *bronzeturnv1.LedgerRecord, onDone func()) *outItem {
+	item := &outItem{
+		record: rec,
+		size:   proto.Size(rec),
+		since:  time.Now(),
+		done:   make(chan struct{}),
+		onDone: onDone,
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if droppable(rec) && o.fullWith(1, item.size) {
+		close(item.done)
+		return item
+	}
+	if isRelease(rec) {
+		fp := fingerprint(rec.Fingerprint)
+		o.givenUp[fp] = append(o.givenUp[fp], item)
+	}
+	o.records++
+	o.bytes += item.size
+	o.gauge()
+	if o.lanes == nil {
+		o.early = append(o.early, item)
+		return item
+	}
+	o.push(item)
+	return item
+}
+
+func (o *outbox) push(item *outItem) {
+	ln := o.lanes[shardOf(fingerprint(item.record.Fingerprint), uint32(len(o.lanes)))]
+	ln.items = append(ln.items, item)
+	select {
+	case ln.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (o *outbox) gauge() {
+	o.metrics.buffered.Set(float64(o.records))
+	o.metrics.bytes.Set(float64(o.bytes))
+}
+
+// droppable records only prolong a pin.
+func droppable(rec *bronzeturnv1.LedgerRecord) bool { return rec.GetPin().GetTouch() }
+
+func isRelease(rec *bronzeturnv1.LedgerRecord) bool {
+	return rec.GetOutcome().GetState() == bronzeturnv1.LedgerClaimState_LEDGER_CLAIM_STATE_RELEASED
+}
+
+func (o *outbox) fullWith(records, bytes int) bool {
+	return o.records+o.reserved*recordsPerRequest+records > o.maxRecords ||
+		o.bytes+o.reserved*reservedBytes+bytes > o.maxBytes
+}
+
+// roomForBodies tells whether answer bodies may be kept: not when half of the
+// room is used.
+func (o *outbox) roomForBodies() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return 2*o.bytes < o.maxBytes
+}
+
+// peek returns the first records of a lane without removing them.
+func (o *outbox) peek(ln *lane) []*outItem {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	size, n := 0, 0
+	for n < len(ln.items) && n < laneRecords && size < laneBytes {
+		size += ln.items[n].size
+		n++
+	}
+	return append([]*outItem(nil), ln.items[:n]...)
+}
+
+// settled removes the first n records of a lane.
+func (o *outbox) settled(ln *lane, n int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, item := range ln.items[:n] {
+		o.records--
+		o.bytes -= item.size
+		o.forget(item)
+		close(item.done)
+	}
+	ln.items = append([]*outItem(nil), ln.items[n:]...)
+	o.gauge()
+}
+
+// forget removes an attempt that was given up and is now released.
+func (o *outbox) forget(item *outItem) {
+	if !isRelease(item.record) {
+		return
+	}
+	fp := fingerprint(item.record.Fingerprint)
+	kept := o.givenUp[fp][:0]
+	for _, other := range o.givenUp[fp] {
+		if other != item {
+			kept = append(kept, other)
+		}
+	}
+	o.givenUp[fp] = kept
+	if len(kept) == 0 {
+		delete(o.givenUp, fp)
+	}
+}
+
+// release returns the item that gives up the attempt, if there is one.
+func (o *outbox) release(fp fingerprint, nonce Nonce) *outItem {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, item := range o.givenUp[fp] {
+		if Nonce(item.record.Nonce) == nonce {
+			return item
+		}
+	}
+	return nil
+}
+
+// unsettled returns all waiting items, oldest first within each lane.
+func (o *outbox) unsettled() []*outItem {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	all := append([]*outItem(nil), o.early...)
+	for _, ln := range o.lanes {
+		all = append(all, ln.items...)
+	}
+	return all
+}
+
+// size returns the number of waiting records.
+func (o *outbox) size() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.records
+}
+
+// Reservation is room for the records of one request.
+type Reservation struct {
+	box  *outbox
+	once sync.Once
+}
+
+// Release gives the room back. It may be called more than once.
+func (r *Reservation) Release() {
+	r.once.Do(func() {
+		r.box.mu.Lock()
+		defer r.box.mu.Unlock()
+		r.box.reserved--
+	})
+}
+
+// Reserve makes room for the outcome and the bill of one request before it is
+// dispatched. Release the reservation after Bill and Complete. When the buffer
+// is full, the request is refused before it runs.
+func (l *Ledger) Reserve() (*Reservation, error) {
+	o := l.outbox
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.fullWith(recordsPerRequest, reservedBytes) {
+		l.metrics.full.Inc()
+		return nil, failure.New(failure.CodeLedgerUnavailable, failure.RanNo, "too many bills wait for the store").After(fullRetryAfter)
+	}
+	o.reserved++
+	return &Reservation{box: o}, nil
+}
+
+// Headroom tells whether Reserve would succeed now.
+func (l *Ledger) Headroom() bool {
+	l.outbox.mu.Lock()
+	defer l.outbox.mu.Unlock()
+	return !l.outbox.fullWith(recordsPerRequest, reservedBytes)
+}
+
+// fullRetryAfter is the advice while the buffer is full.
+const fullRetryAfter = 5 * time.Second
+
+// Backoff of a lane whose records could not be settled.
+const (
+	laneBackoffMin = 100 * time.Millisecond
+	laneBackoffMax = 5 * time.Second
+	laneTimeout    = 10 * time.Second
+)
+
+// drain settles the records of one lane until the ledger stops.
+func (l *Ledger) drain(ln *lane) error {
+	ctx := l.tomb.Context(context.Background())
+	backoff := laneBackoffMin
+	for {
+		items := l.outbox.peek(ln)
+		if len(items) == 0 {
+			select {
+			case <-ln.wake:
+				continue
+			case <-l.tomb.Dying():
+				return nil
+			}
+		}
+		if l.settleItems(ctx, ln.shard, items) {
+			l.outbox.settled(ln, len(items))
+			l.copies.queueRelease(items)
+			for _, item := range items {
+				if item.onDone != nil {
+					item.onDone()
+				}
+			}
+			backoff = laneBackoffMin
+			continue
+		}
+		if !l.sleep(backoff/2 + l.jitter(backoff/2)) {
+			return nil
+		}
+		backoff = min(2*backoff, laneBackoffMax)
+	}
+}
+
+// settleItems tells whether all records are settled.
+func (l *Ledger) settleItems(ctx context.Context, shard uint32, items []*outItem) bool {
+	ctx, cancel := context.WithTimeout(ctx, laneTimeout)
+	defer cancel()
+	records := make([]*bronzeturnv1.LedgerRecord, len(items))
+	for i, item := range items {
+		records[i] = item.record
+	}
+	_, err := l.appendAll(ctx, shard, records, patient)
+	if err != nil && !errors.Is(err, context.Canceled) {
+		l.logger.Debug().Err(err).Uint32("shard", shard).Int("records", len(items)).Msg("records wait for the store")
+	}
+	return err == nil
+}
+
+// sleep waits, and returns false when the ledger stops.
+func (l *Ledger) sleep(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-l.tomb.Dying():
+		return false
+	}
+}
--- /dev/null
+++ b/ledger/shardlog_test.go
@@ -0,0 +1,122 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/objectstore"
+	"github.com/bronzeturn/bronzeturn/objectstore/memstore"
+)
+
+var testRetention = Retention{
+	Claims:   DefaultClaimRetention,
+	PinIdle:  DefaultPinIdle,
+	PinLimit: DefaultPinLimit,
+	Bills:    DefaultBillRetention,
+}
+
+func loadedLog(t testing.TB, store Store, slots uint32) *shardLog {
+	g := newShardLog(store, layout{shards: 1, slots: slots}, 0, "w", testRetention)
+	qt.Assert(t, g.load(t.Context()), qt.IsNil)
+	return g
+}
+
+func testClaim(key string) *bronzeturnv1.LedgerRecord {
+	fp, nonce := fingerprintOf(ClassClaim, "org", key), newNonce()
+	return &bronzeturnv1.LedgerRecord{
+		Fingerprint: fp[:],
+		Nonce:       nonce[:],
+		Body:        &bronzeturnv1.LedgerRecord_Claim{Claim: &bronzeturnv1.LedgerClaim{BodySha256: make([]byte, 32), RemainingMicros: time.Minute.Microseconds()}},
+	}
+}
+
+func testBill(id string) *bronzeturnv1.LedgerRecord {
+	fp, nonce := fingerprintOf(ClassBill, "org", id), newNonce()
+	return &bronzeturnv1.LedgerRecord{
+		Fingerprint: fp[:],
+		Nonce:       nonce[:],
+		Body:        &bronzeturnv1.LedgerRecord_Bill{Bill: &bronzeturnv1.LedgerBill{Organisation: "org", RequestId: id, Version: "v", CostMicros: 2}},
+	}
+}
+
+// writeLap writes n batches of one claim and one bill, compacting when due.
+func writeLap(t testing.TB, g *shardLog, prefix string, n int) {
+	for i := range n {
+		if g.compactionDue() {
+			qt.Assert(t, g.maintain(t.Context(), time.Hour), qt.IsNil)
+		}
+		key := fmt.Sprintf("%s%d", prefix, i)
+		err := g.write(t.Context(), []*bronzeturnv1.LedgerRecord{testClaim(key), testBill(key)})
+		qt.Assert(t, err, qt.IsNil)
+	}
+}
+
+// A writer that was paused before its write resumes after others have gone
+// around the ring. With slots that are deleted after compaction, its create
+// would succeed and it would take itself for the first.
+func TestWriteOfPausedWriterFailsAfterLapsOfTheRing(t *testing.T) {
+	store := memstore.New()
+	paused := loadedLog(t, store, 8)
+	writeLap(t, paused, "before", 3)
+	other := loadedLog(t, store, 8)
+	writeLap(t, other, "k", 50)
+
+	err := paused.write(t.Context(), []*bronzeturnv1.LedgerRecord{testClaim("k0")})
+	qt.Assert(t, objectstore.IsConflict(err), qt.IsTrue)
+	qt.Assert(t, paused.forward(t.Context()), qt.ErrorIs, errLapped)
+	qt.Assert(t, paused.load(t.Context()), qt.IsNil)
+	qt.Assert(t, paused.decide(testClaim("k0")).write, qt.IsFalse)
+	qt.Assert(t, paused.state.sequence, qt.Equals, other.state.sequence)
+}
+
+func TestNothingIsOverwrittenBeforeItIsCompactedAndFiled(t *testing.T) {
+	store := memstore.New()
+	g := loadedLog(t, store, 8)
+	for i := range 8 {
+		qt.Assert(t, g.write(t.Context(), []*bronzeturnv1.LedgerRecord{testBill(fmt.Sprint(i))}), qt.IsNil)
+	}
+	qt.Assert(t, g.write(t.Context(), []*bronzeturnv1.LedgerRecord{testBill("8")}), qt.ErrorIs, errSlotsFull)
+	qt.Assert(t, g.compact(t.Context()), qt.IsNil)
+	// The writer dies here: the segment is written, the bills are not filed.
+	next := loadedLog(t, store, 8)
+	qt.Assert(t, next.write(t.Context(), []*bronzeturnv1.LedgerRecord{testBill("8")}), qt.ErrorIs, errSlotsFull)
+	qt.Assert(t, next.maintain(t.Context(), time.Hour), qt.IsNil)
+	qt.Assert(t, next.write(t.Context(), []*bronzeturnv1.LedgerRecord{testBill("8")}), qt.IsNil)
+	qt.Assert(t, next.totals.sums[totalKey{"org", "v"}].Bills, qt.Equals, uint64(8))
+}
+
+// The bills of a range are filed by a writer that dies before it has added
+// them to the totals; the next one adds exactly these.
+func TestTotalsCountEachBillOnceWhenFilingIsCutShort(t *testing.T) {
+	store := memstore.New()
+	g := loadedLog(t, store, 8)
+	writeLap(t, g, "a", 3)
+	_, err := g.fileItems(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	writeLap(t, g, "b", 2)
+	next := loadedLog(t, store, 8)
+	for range 2 {
+		qt.Assert(t, next.file(t.Context()), qt.IsNil)
+	}
+	qt.Assert(t, g.file(t.Context()), qt.IsNotNil) // the old writer loses
+	qt.Assert(t, g.load(t.Context()), qt.IsNil)
+	qt.Assert(t, g.totals.sums[totalKey{"org", "v"}], qt.Equals, Total{Organisation: "org", Version: "v", Bills: 5, CostMicros: 10})
+}
+
+func TestStateSurvivesCompactionAndReload(t *testing.T) {
+	store := memstore.New()
+	g := loadedLog(t, store, 8)
+	writeLap(t, g, "k", 100)
+	fresh := loadedLog(t, store, 8)
+	qt.Assert(t, fresh.state.sequence, qt.Equals, uint64(100))
+	qt.Assert(t, fresh.state.clock, qt.Equals, g.state.clock)
+	for i := range 100 {
+		key := fmt.Sprintf("k%d", i)
+		qt.Assert(t, fresh.decide(testClaim(key)).write, qt.IsFalse, qt.Commentf("claim %s", key))
+		qt.Assert(t, fresh.decide(testBill(key)).write, qt.IsFalse, qt.Commentf("bill %s", key))
+	}
+}
