--- /dev/null
+++ b/daemon.go
@@ -0,0 +1,189 @@
+// Package bronzeturn is the daemon: it joins the outside systems, the fleet of
+// daemons, the decisions and the router. A main needs a few lines:
+//
+//	d, err := bronzeturn.New(settings, bronzeturn.Options{})
+//	if err != nil { ... }
+//	err = d.Run(ctx)
+package bronzeturn
+
+import (
+	"context"
+	cryptorand "crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/logging"
+	"github.com/bronzeturn/bronzeturn/router"
+	"github.com/bronzeturn/bronzeturn/security"
+)
+
+// Daemon is one entry host's part of the system. All daemons are equal.
+type Daemon struct {
+	settings *bronzeturnv1.Settings
+	options  Options
+	log      zerolog.Logger
+	tomb     tomb.Tomb
+
+	listeners *listeners
+	platform  *platform
+	fleet     *fleet
+	decisions *decisions
+	router    *router.Router
+	servers   *servers
+
+	tables  atomic.Pointer[router.Tables]
+	leaving atomic.Bool
+}
+
+// New provisions a daemon: it checks the settings' files, opens all listeners
+// and builds all parts. On an error nothing is left open. Nothing is served
+// before Run.
+func New(settings *bronzeturnv1.Settings, options Options) (*Daemon, error) {
+	d := &Daemon{settings: settings, options: options.withDefaults()}
+	d.log = logging.New(settings, d.options.LogWriter).With().Str("daemon", settings.GetName()).Logger()
+	var err error
+	if d.listeners, err = openListeners(d); err != nil {
+		return nil, err
+	}
+	if err := d.provision(); err != nil {
+		d.listeners.close()
+		return nil, err
+	}
+	return d, nil
+}
+
+// provision builds the parts in the order of their dependencies.
+func (d *Daemon) provision() error {
+	d.platform = newPlatform(d)
+	var err error
+	if d.fleet, err = newFleet(d); err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
+	if d.decisions, err = newDecisions(d); err != nil {
+		return fmt.Errorf("decisions: %w", err)
+	}
+	d.router = newRouter(d)
+	if d.servers, err = newServers(d); err != nil {
+		return fmt.Errorf("servers: %w", err)
+	}
+	return nil
+}
+
+// CallerAddress is the address that callers connect to.
+func (d *Daemon) CallerAddress() string { return d.listeners.callerAddress }
+
+// PeerAddress is the address that other daemons connect to.
+func (d *Daemon) PeerAddress() string { return d.listeners.peerAddress }
+
+// OperatorAddress is the address that operators connect to.
+func (d *Daemon) OperatorAddress() string { return d.listeners.operator.Addr().String() }
+
+// AdminAddress is the address of metrics and health.
+func (d *Daemon) AdminAddress() string { return d.listeners.admin.Addr().String() }
+
+// Run serves until ctx ends, then stops gracefully: the daemon leaves the
+// address answers, refuses new work with the addresses to use, finishes every
+// request in progress, flushes its records and returns. It may be called once.
+func (d *Daemon) Run(ctx context.Context) error {
+	for _, warning := range security.Warnings(d.settings) {
+		d.log.Warn().Msg(warning)
+	}
+	d.start()
+	d.log.Info().Str("callers", d.CallerAddress()).Str("peers", d.PeerAddress()).
+		Str("operators", d.OperatorAddress()).Str("admin", d.AdminAddress()).Msg("daemon started")
+	select {
+	case <-ctx.Done():
+	case <-d.tomb.Dying():
+	}
+	return d.stop()
+}
+
+// start begins the loops of all parts under the tomb.
+func (d *Daemon) start() {
+	d.fleet.start(d)
+	d.decisions.start(d)
+	d.servers.start(d)
+}
+
+// goLoop runs a loop under the tomb. Its context ends with the daemon.
+func (d *Daemon) goLoop(name string, f func(ctx context.Context) error) {
+	d.tomb.Go(func() error {
+		if err := f(d.tomb.Context(nil)); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		return nil
+	})
+}
+
+// rand returns a random source for one part.
+func (d *Daemon) rand(part uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(d.options.Seed, part))
+}
+
+// Parts of the daemon that have a random source of their own.
+const (
+	randMembership uint64 = iota + 1
+	randLedger
+	randProvider
+	randSampler
+	randOrders
+	randRouter
+)
+
+// randomSeed returns a seed that differs between processes.
+func randomSeed() uint64 {
+	var data [8]byte
+	_, _ = cryptorand.Read(data[:]) // Read never fails.
+	return binary.LittleEndian.Uint64(data[:])
+}
+
+// Bounds of a stop.
+const (
+	// announceTime lets the news of leaving reach the other daemons before new
+	// work is refused.
+	announceTime = 500 * time.Millisecond
+	flushTimeout = 30 * time.Second
+	closeTimeout = 5 * time.Second
+)
+
+// stop carries out the graceful shutdown.
+func (d *Daemon) stop() error {
+	d.leaving.Store(true)
+	d.log.Info().Int("in_progress", d.router.InProgress()).Msg("daemon leaves")
+	d.fleet.members.Leave()
+	time.Sleep(announceTime)
+	d.router.StopAdmitting()
+	d.drain()
+	d.flush()
+	d.servers.stop()
+	d.tomb.Kill(nil)
+	err := d.tomb.Wait()
+	d.fleet.stop()
+	d.log.Info().Msg("daemon stopped")
+	return err
+}
+
+// drain waits for the requests in progress.
+func (d *Daemon) drain() {
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.GetStopTimeout().AsDuration())
+	defer cancel()
+	if err := d.router.Drain(ctx); err != nil {
+		d.log.Error().Err(err).Int("in_progress", d.router.InProgress()).Msg("requests cut at stop timeout")
+	}
+}
+
+// flush writes the records that are still in memory.
+func (d *Daemon) flush() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	if err := d.fleet.ledger.Flush(ctx); err != nil {
+		d.log.Error().Err(err).Msg("records not flushed")
+	}
+}
--- /dev/null
+++ b/decisions.go
@@ -0,0 +1,187 @@
+package bronzeturn
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/admission"
+	"github.com/bronzeturn/bronzeturn/balance"
+	"github.com/bronzeturn/bronzeturn/config"
+	"github.com/bronzeturn/bronzeturn/failure"
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/hedge"
+	"github.com/bronzeturn/bronzeturn/logging"
+	"github.com/bronzeturn/bronzeturn/quality"
+	"github.com/bronzeturn/bronzeturn/retry"
+	"github.com/bronzeturn/bronzeturn/rollout"
+	"github.com/bronzeturn/bronzeturn/router"
+	"github.com/bronzeturn/bronzeturn/selection"
+	"github.com/bronzeturn/bronzeturn/subset"
+)
+
+// reviewInterval is the time between two comparisons of the engines.
+const reviewInterval = time.Second
+
+// staleRetryAfter is what callers of an isolated daemon are told. The other
+// addresses can be used at once.
+const staleRetryAfter = time.Second
+
+// decisions holds the state of the decision packages.
+type decisions struct {
+	quality   *quality.Store
+	rollouts  *rollout.Controller
+	versions  *selection.Policy
+	engines   *balance.State
+	hedges    *hedge.Policy
+	budget    *retry.Budget
+	breakers  *retry.Breakers
+	admission *admission.Controller
+	sampler   *sampler
+}
+
+func newDecisions(d *Daemon) (*decisions, error) {
+	n := &decisions{
+		quality:  quality.NewStore(quality.Options{}),
+		rollouts: rollout.NewController(rollout.Options{}),
+		breakers: retry.NewBreakers(retry.DefaultBreakerOptions()),
+	}
+	n.versions = selection.NewPolicy(selection.Options{}, n.quality, n.rollouts)
+	budget := retry.DefaultBudgetOptions()
+	budget.Share = d.settings.GetRetryBudgetRatio()
+	n.budget = retry.NewBudget(budget)
+	var err error
+	if n.engines, err = balance.NewState(balance.DefaultOptions()); err != nil {
+		return nil, err
+	}
+	if n.admission, err = admission.New(admissionOptions(d)); err != nil {
+		return nil, err
+	}
+	n.sampler = newSampler(d.platform.ratings, d.settings.GetRatingSampleShare(), d.rand(randSampler), logging.Part(d.log, "rating"))
+	return n, nil
+}
+
+func admissionOptions(d *Daemon) admission.Options {
+	return admission.Options{
+		Name:       d.settings.GetName(),
+		Owner:      d.fleet.members.Owner,
+		Dial:       d.fleet.directory.Dial,
+		Registerer: d.options.Registry,
+		Log:        logging.Part(d.log, "admission"),
+	}
+}
+
+// start begins the loops that feed the decisions.
+func (n *decisions) start(d *Daemon) {
+	d.fleet.provider.Subscribe(d.apply)
+	reporter := &loadReporter{
+		reports: d.platform.reports, state: n.engines, engines: d.visibleEngines,
+		log: logging.Part(d.log, "engine"),
+	}
+	d.goLoop("load reports", reporter.run)
+	d.goLoop("samples", n.sampler.run)
+	d.goLoop("admission", n.admission.Run)
+	d.goLoop("engine review", d.reviewEngines)
+}
+
+// apply compiles a configuration and swaps it in whole.
+func (d *Daemon) apply(s *config.Snapshot) {
+	n := d.decisions
+	live := d.fleet.members.View()
+	selected := subset.Choose(d.settings.GetName(), liveNames(live), s.Register().GetEngines(), int(d.settings.GetEngineSubsetSize()))
+	tables := &router.Tables{
+		Snapshot: s,
+		Versions: selection.NewPlan(s.Register(), s.Rules()),
+		Engines:  n.engines.Plan(s.Register(), selected.Sees),
+	}
+	n.versions.Use(tables.Versions)
+	n.admission.Update(s.Rules().GetLimits(), live.Live())
+	setCapacities(n.admission, s.Register(), selected)
+	d.tables.Store(tables)
+	d.log.Info().Uint64("generation", s.Generation()).Int("engines", tables.Engines.Engines()).Msg("configuration in force")
+}
+
+// setCapacities bounds the requests in progress of each version by the slots
+// of the visible engines that serve it. The engines' own queues order what
+// several daemons send at once.
+func setCapacities(a *admission.Controller, reg *bronzeturnv1.Register, selected subset.Selection) {
+	slots := make(map[string]int)
+	for _, e := range reg.GetEngines() {
+		for _, version := range e.GetVersions() {
+			if selected.Sees(e) {
+				slots[version] += int(e.GetSlots())
+			}
+		}
+	}
+	for _, v := range reg.GetVersions() {
+		a.SetCapacity(v.GetName(), slots[v.GetName()])
+	}
+}
+
+// visibleEngines are those that this daemon uses.
+func (d *Daemon) visibleEngines() []*bronzeturnv1.Engine {
+	tables := d.tables.Load()
+	if tables == nil {
+		return nil
+	}
+	var visible []*bronzeturnv1.Engine
+	selected := subset.Choose(d.settings.GetName(), liveNames(d.fleet.members.View()), tables.Snapshot.Register().GetEngines(), int(d.settings.GetEngineSubsetSize()))
+	for _, e := range tables.Snapshot.Register().GetEngines() {
+		if selected.Sees(e) {
+			visible = append(visible, e)
+		}
+	}
+	return visible
+}
+
+// reviewEngines compares the engines from time to time.
+func (d *Daemon) reviewEngines(ctx context.Context) error {
+	log := logging.Part(d.log, "balance")
+	for sleep(ctx, reviewInterval) {
+		tables := d.tables.Load()
+		if tables == nil {
+			continue
+		}
+		for _, c := range d.decisions.engines.Review(tables.Engines, time.Now()) {
+			log.Info().Str("engine", c.Engine).Str("phase", c.Phase).Float64("ratio", c.Ratio).Msg("engine reviewed")
+		}
+	}
+	return nil
+}
+
+// fresh refuses work when this daemon hears neither the store nor most of its
+// peers, since it may be the one that missed a withdrawal.
+func (d *Daemon) fresh(now time.Time) *failure.Error {
+	ok, reason := d.fleet.provider.Fresh(now, d.fleet.members.PeersHeard(), d.fleet.members.PeersKnown())
+	if ok {
+		return nil
+	}
+	return failure.New(failure.CodeConfigurationStale, failure.RanNo, "this address has no fresh configuration: %s", fmt.Sprint(reason)).After(staleRetryAfter)
+}
+
+// newRouter joins the parts for the way of a request.
+func newRouter(d *Daemon) *router.Router {
+	n := d.decisions
+	return router.New(router.Options{
+		DataCentre:    d.settings.GetDataCentre(),
+		MaxBodyBytes:  d.settings.GetMaxBodyBytes(),
+		Tables:        d.tables.Load,
+		Fresh:         d.fresh,
+		Versions:      n.versions,
+		Quality:       n.quality,
+		Engines:       n.engines,
+		Hedges:        n.hedges,
+		Retries:       retry.DefaultPolicy(),
+		Budget:        n.budget,
+		Breakers:      n.breakers,
+		Admission:     n.admission,
+		Ledger:        d.fleet.ledger,
+		Members:       routerMembers{members: d.fleet.members, dataCentre: d.settings.GetDataCentre(), longest: d.settings.GetEntriesKeep().AsDuration()},
+		Raters:        n.sampler,
+		EngineClient:  d.platform.engines,
+		ServiceClient: d.platform.services,
+		Seed:          d.options.Seed + randRouter,
+		Log:           logging.Part(d.log, "router"),
+		Registerer:    d.options.Registry,
+	})
+}
--- /dev/null
+++ b/fleet.go
@@ -0,0 +1,156 @@
+package bronzeturn
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/gossip"
+	"github.com/bronzeturn/bronzeturn/ledger"
+	"github.com/bronzeturn/bronzeturn/logging"
+	"github.com/bronzeturn/bronzeturn/membership"
+	"github.com/bronzeturn/bronzeturn/peer"
+	"github.com/bronzeturn/bronzeturn/provider"
+)
+
+// Bounds of the flooded table beyond those of membership.
+const (
+	maxHeadBytes     = 64 << 10
+	maxTableVersions = 512
+	maxTableBytes    = 4 << 10
+)
+
+// holderCandidates is how many daemons may hold copies of a daemon's records.
+const holderCandidates = 4
+
+// fleet is what this daemon shares with the others.
+type fleet struct {
+	traffic   *peer.Traffic
+	directory *peer.Directory
+	members   *membership.Membership
+	provider  *provider.Provider
+	ledger    *ledger.Ledger
+}
+
+// newFleet builds the overlay, the configuration and the ledger.
+func newFleet(d *Daemon) (*fleet, error) {
+	f := &fleet{}
+	var err error
+	if f.traffic, err = peer.NewTraffic(d.options.Registry); err != nil {
+		return nil, err
+	}
+	f.directory = peer.NewDirectory(peer.ResolverFunc(f.peerAddress), nil, f.traffic)
+	if f.members, err = membership.New(membershipOptions(d, f)); err != nil {
+		return nil, err
+	}
+	if f.provider, err = newProvider(d, f); err != nil {
+		return nil, err
+	}
+	f.ledger, err = ledger.New(ledgerConfig(d, f))
+	return f, err
+}
+
+// peerAddress resolves names once membership exists.
+func (f *fleet) peerAddress(name string) (string, bool) {
+	return f.members.PeerAddress(name)
+}
+
+func membershipOptions(d *Daemon, f *fleet) membership.Options {
+	return membership.Options{
+		Self: membership.Self{
+			Name:          d.settings.GetName(),
+			DataCentre:    d.settings.GetDataCentre(),
+			PeerAddress:   d.listeners.peerAddress,
+			CallerAddress: d.listeners.callerAddress,
+		},
+		Seeds:    d.settings.GetSeeds(),
+		Dialer:   &gossip.StreamDialer{Directory: f.directory},
+		HostList: hostList{client: d.platform.hosts},
+		Classes: []gossip.Class{
+			{Prefix: "config/", MaxEntries: 1, MaxValueBytes: maxHeadBytes},
+			{Prefix: "quality/", MaxEntries: maxTableVersions, MaxValueBytes: maxTableBytes},
+			{Prefix: "cutoff/", MaxEntries: maxTableVersions, MaxValueBytes: maxTableBytes},
+		},
+		Random:     d.rand(randMembership),
+		Log:        logging.Part(d.log, "membership"),
+		Registerer: d.options.Registry,
+	}
+}
+
+func ledgerConfig(d *Daemon, f *fleet) ledger.Config {
+	return ledger.Config{
+		Self:        d.settings.GetName(),
+		Store:       d.platform.store,
+		Owners:      f.members,
+		Dialer:      f.directory,
+		Holders:     holders{members: f.members, self: d.settings.GetName(), dataCentre: d.settings.GetDataCentre()},
+		Log:         logging.Part(d.log, "ledger"),
+		Registerer:  d.options.Registry,
+		Rand:        d.rand(randLedger),
+		Shards:      uint32(d.settings.GetLedgerShards()),
+		Daemons:     func() int { return f.members.View().Live() },
+		BatchDelay:  d.settings.GetLedgerBatchInterval().AsDuration(),
+		BufferBytes: int(d.settings.GetOutageBufferBytes()),
+	}
+}
+
+// holders names the daemons that hold second copies, those in other data
+// centres first.
+type holders struct {
+	members    *membership.Membership
+	self       string
+	dataCentre string
+}
+
+// Holders implements ledger.Holders.
+func (h holders) Holders() []string {
+	view := h.members.View()
+	var remote, local []string
+	for _, name := range view.Top("holders/"+h.self, view.Live()) {
+		member, ok := view.Member(name)
+		if !ok || name == h.self {
+			continue
+		}
+		if member.DataCentre != h.dataCentre {
+			remote = append(remote, name)
+		} else {
+			local = append(local, name)
+		}
+	}
+	all := append(remote, local...)
+	return all[:min(len(all), holderCandidates)]
+}
+
+// start joins the fleet and begins to keep the configuration.
+func (f *fleet) start(d *Daemon) {
+	f.members.Start()
+	f.ledger.Start()
+	f.provider.Start()
+}
+
+// stop leaves the fleet.
+func (f *fleet) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	f.provider.Stop()
+	_ = f.ledger.Stop() // Flush has reported what could not be written.
+	_ = f.members.Stop(ctx)
+	f.directory.Close()
+}
+
+// routerMembers is the part of membership that the router uses.
+type routerMembers struct {
+	members    *membership.Membership
+	dataCentre string
+	longest    time.Duration
+}
+
+// Entries implements router.Members. Callers are taken to be in the data
+// centre of the daemon that they ask.
+func (m routerMembers) Entries(rng *rand.Rand) ([]string, time.Duration) {
+	addresses, keep := m.members.Entries(m.dataCentre, rng)
+	return addresses, min(keep, m.longest)
+}
+
+// BackendLeaving implements router.Members.
+func (m routerMembers) BackendLeaving(host string) bool { return m.members.BackendLeaving(host) }
--- a/rating/rating.go
+++ b/rating/rating.go
@@ -24,6 +24,8 @@
 	Organisation string `json:"organisation"`
 	Version      string `json:"version"`
 	Kind         string `json:"kind"`
+	// Accepted tells that the check of a cascade let the answer pass.
+	Accepted bool `json:"accepted,omitempty"`
 }
 
 // Rating is the result for one sample.
@@ -34,6 +36,8 @@
 	Organisation string `json:"organisation"`
 	Version      string `json:"version"`
 	Kind         string `json:"kind"`
+	// Accepted tells that the check of a cascade let the answer pass.
+	Accepted bool `json:"accepted,omitempty"`
 	// Score is the quality found, 0 to 1.
 	Score float64 `json:"score"`
 }
--- /dev/null
+++ b/servers.go
@@ -0,0 +1,164 @@
+package bronzeturn
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/admin"
+	"github.com/bronzeturn/bronzeturn/gossip"
+	"github.com/bronzeturn/bronzeturn/operator"
+	"github.com/bronzeturn/bronzeturn/peer"
+)
+
+// headerTimeout bounds the reading of a request's headers.
+const headerTimeout = 5 * time.Second
+
+// callerIdleTimeout is how long a caller's idle connection is kept.
+const callerIdleTimeout = 2 * time.Minute
+
+// servers answer on the four listeners.
+type servers struct {
+	caller   *http.Server
+	operator *http.Server
+	admin    *http.Server
+	peer     *peer.Server
+}
+
+// newServers builds the servers.
+func newServers(d *Daemon) (*servers, error) {
+	tlsOf, err := newTLS(d)
+	if err != nil {
+		return nil, err
+	}
+	answers := operator.NewServer(statusSource{d}, operatorPeers{d}, billSource{d})
+	s := &servers{
+		caller:   newHTTPServer(d.router.Handler(), tlsOf.caller),
+		operator: newHTTPServer(operatorHandler(answers), tlsOf.operator),
+		admin:    newHTTPServer(adminHandler(d), nil),
+	}
+	s.peer = peer.NewServer(d.listeners.peer, peerHandler(d, answers), tlsOf.peer, d.fleet.traffic)
+	return s, nil
+}
+
+func newHTTPServer(handler http.Handler, config *tls.Config) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(config != nil)
+	protocols.SetUnencryptedHTTP2(config == nil)
+	return &http.Server{
+		Handler:           handler,
+		TLSConfig:         config,
+		Protocols:         protocols,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       callerIdleTimeout,
+	}
+}
+
+func operatorHandler(s *operator.Server) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(s.Handler())
+	return mux
+}
+
+// peerHandler serves everything that daemons ask each other.
+func peerHandler(d *Daemon, s *operator.Server) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(gossip.NewHandler(d.fleet.members.Table()))
+	mux.Handle(d.fleet.provider.Handler(peer.HandlerOptions()...))
+	mux.Handle(d.fleet.ledger.Handler(peer.HandlerOptions()...))
+	mux.Handle(d.decisions.admission.Handler(peer.HandlerOptions()...))
+	mux.Handle(s.Handler())
+	return mux
+}
+
+func adminHandler(d *Daemon) http.Handler {
+	return admin.NewHandler(admin.Options{
+		Metrics:   d.options.Registry,
+		Readiness: readiness{d},
+		Pprof:     d.settings.GetAdminPprof(),
+	})
+}
+
+// start begins to serve on all listeners.
+func (s *servers) start(d *Daemon) {
+	s.peer.Start()
+	d.serve("callers", s.caller, d.listeners.caller)
+	d.serve("operators", s.operator, d.listeners.operator)
+	d.serve("admin", s.admin, d.listeners.admin)
+	d.tomb.Go(func() error {
+		select {
+		case <-s.peer.Dead():
+			return nil
+		case <-d.tomb.Dying():
+			return nil
+		}
+	})
+}
+
+// serve runs one server under the tomb.
+func (d *Daemon) serve(name string, s *http.Server, l net.Listener) {
+	d.tomb.Go(func() error {
+		err := serveOn(s, l)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return &ServeError{Name: name, Cause: err}
+	})
+}
+
+func serveOn(s *http.Server, l net.Listener) error {
+	if s.TLSConfig == nil {
+		return s.Serve(l)
+	}
+	return s.ServeTLS(l, "", "")
+}
+
+// ServeError reports a listener that failed while the daemon ran.
+type ServeError struct {
+	Name  string
+	Cause error
+}
+
+// Error implements error.
+func (e *ServeError) Error() string { return "serve " + e.Name + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ServeError) Unwrap() error { return e.Cause }
+
+// stop closes the listeners. Requests in progress have ended by then.
+func (s *servers) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, server := range []*http.Server{s.caller, s.operator, s.admin} {
+		if server.Shutdown(ctx) != nil {
+			_ = server.Close()
+		}
+	}
+}
+
+// readiness tells load checks whether the daemon takes requests.
+type readiness struct{ d *Daemon }
+
+// Reasons why a daemon takes no requests.
+var (
+	errLeaving         = errors.New("daemon is leaving")
+	errNoConfiguration = errors.New("no configuration in force")
+)
+
+// Ready implements admin.Readiness.
+func (r readiness) Ready() error {
+	if r.d.leaving.Load() {
+		return errLeaving
+	}
+	if r.d.tables.Load() == nil {
+		return errNoConfiguration
+	}
+	if f := r.d.fresh(time.Now()); f != nil {
+		return f
+	}
+	return nil
+}
--- a/standin/ratings.go
+++ b/standin/ratings.go
@@ -124,7 +124,7 @@
 	}
 	s.ratings = append(s.ratings, dueRating{at: time.Now(), Rating: rating.Rating{
 		Sequence: s.sequence, RequestID: sample.RequestID, Organisation: sample.Organisation,
-		Version: sample.Version, Kind: sample.Kind, Score: math.Min(math.Max(score, 0), 1),
+		Version: sample.Version, Kind: sample.Kind, Accepted: sample.Accepted, Score: math.Min(math.Max(score, 0), 1),
 	}})
 }
 
--- /dev/null
+++ b/status.go
@@ -0,0 +1,215 @@
+package bronzeturn
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/bronzeturn/bronzeturn/config"
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/ledger"
+	"github.com/bronzeturn/bronzeturn/membership"
+	"github.com/bronzeturn/bronzeturn/operator"
+)
+
+// statusSource tells operators the state of this daemon.
+type statusSource struct{ d *Daemon }
+
+// Status implements operator.StatusSource.
+func (s statusSource) Status(engines bool) *bronzeturnv1.DaemonStatus {
+	d := s.d
+	known := d.fleet.provider.Status()
+	status := &bronzeturnv1.DaemonStatus{
+		Name:              d.settings.GetName(),
+		DataCentre:        d.settings.GetDataCentre(),
+		Health:            bronzeturnv1.DaemonHealth_DAEMON_HEALTH_LIVE,
+		GenerationInForce: known.Generation,
+		NewestAccepted:    known.Accepted,
+		NewsAge:           durationpb.New(known.NewsAge(time.Now())),
+		Roles:             d.roles(),
+		Rejected:          rejected(known.Accepted, known.Rejected),
+		ProgramVersion:    d.options.ProgramVersion,
+	}
+	if d.leaving.Load() {
+		status.Health = bronzeturnv1.DaemonHealth_DAEMON_HEALTH_LEAVING
+	}
+	status.Neighbours = d.sightings()
+	if engines {
+		status.Engines = d.engineStatuses()
+	}
+	return status
+}
+
+// rejected describes a configuration that was refused.
+func rejected(generation uint64, err error) *bronzeturnv1.RejectedConfiguration {
+	if err == nil {
+		return nil
+	}
+	r := &bronzeturnv1.RejectedConfiguration{Generation: generation}
+	var invalid *config.ValidationError
+	if !errors.As(err, &invalid) {
+		r.Faults = []*bronzeturnv1.FieldFault{{Message: err.Error()}}
+		return r
+	}
+	for _, problem := range invalid.Problems {
+		r.Faults = append(r.Faults, &bronzeturnv1.FieldFault{Path: problem.Path, Message: problem.Message})
+	}
+	return r
+}
+
+// roles lists the work for the fleet that this daemon does.
+func (d *Daemon) roles() []*bronzeturnv1.Role {
+	var roles []*bronzeturnv1.Role
+	if d.fleet.members.Watching() {
+		roles = append(roles,
+			&bronzeturnv1.Role{Kind: bronzeturnv1.RoleKind_ROLE_KIND_CONFIGURATION_WATCHER},
+			&bronzeturnv1.Role{Kind: bronzeturnv1.RoleKind_ROLE_KIND_HOST_LIST_WATCHER},
+		)
+	}
+	return roles
+}
+
+// sightings is what this daemon knows about the others.
+func (d *Daemon) sightings() []*bronzeturnv1.Sighting {
+	var all []*bronzeturnv1.Sighting
+	for _, m := range d.fleet.members.View().Members {
+		if m.Name == d.settings.GetName() {
+			continue
+		}
+		all = append(all, &bronzeturnv1.Sighting{
+			Observer: d.settings.GetName(),
+			Name:     m.Name,
+			Health:   healths[m.State],
+		})
+	}
+	return all
+}
+
+// healths maps member states to the operators' words.
+var healths = map[membership.State]bronzeturnv1.DaemonHealth{
+	membership.Live:      bronzeturnv1.DaemonHealth_DAEMON_HEALTH_LIVE,
+	membership.Leaving:   bronzeturnv1.DaemonHealth_DAEMON_HEALTH_LEAVING,
+	membership.Suspected: bronzeturnv1.DaemonHealth_DAEMON_HEALTH_SUSPECTED,
+}
+
+// engineStatuses lists the engines that this daemon uses.
+func (d *Daemon) engineStatuses() []*bronzeturnv1.EngineStatus {
+	var all []*bronzeturnv1.EngineStatus
+	for _, e := range d.visibleEngines() {
+		health := bronzeturnv1.EngineHealth_ENGINE_HEALTH_LIVE
+		if d.fleet.members.BackendLeaving(e.GetHost()) {
+			health = bronzeturnv1.EngineHealth_ENGINE_HEALTH_LEAVING
+		}
+		all = append(all, &bronzeturnv1.EngineStatus{Name: e.GetName(), Pool: e.GetPool(), Health: health})
+	}
+	return all
+}
+
+// operatorPeers are the other daemons that operators want to hear of.
+type operatorPeers struct{ d *Daemon }
+
+// Names implements operator.Peers.
+func (p operatorPeers) Names() []string {
+	var names []string
+	for _, m := range p.d.fleet.members.View().Members {
+		if m.Name != p.d.settings.GetName() {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+// Dial implements operator.Peers.
+func (p operatorPeers) Dial(name string) (connect.HTTPClient, string, bool) {
+	return p.d.fleet.directory.Dial(name)
+}
+
+// billSource reads the bills of the whole fleet from the ledger.
+type billSource struct{ d *Daemon }
+
+// Totals implements operator.Bills.
+func (b billSource) Totals(ctx context.Context, request *bronzeturnv1.BillsRequest) ([]*bronzeturnv1.BillTotal, error) {
+	if request.GetFromDay() != "" || request.GetThroughDay() != "" {
+		return b.byDay(ctx, request)
+	}
+	totals, err := ledger.Totals(ctx, b.d.platform.store)
+	if err != nil {
+		return nil, err
+	}
+	var all []*bronzeturnv1.BillTotal
+	for _, t := range totals {
+		if wanted := request.GetOrganisation(); wanted != "" && wanted != t.Organisation {
+			continue
+		}
+		all = append(all, &bronzeturnv1.BillTotal{
+			Organisation: t.Organisation, Version: t.Version, Bills: t.Bills,
+			PromptTokens: t.PromptTokens, CompletionTokens: t.CompletionTokens, CostMicros: t.CostMicros,
+		})
+	}
+	return all, nil
+}
+
+// billKey groups itemised bills.
+type billKey struct {
+	organisation, version, day string
+}
+
+// byDay sums itemised bills by UTC day.
+func (b billSource) byDay(ctx context.Context, request *bronzeturnv1.BillsRequest) ([]*bronzeturnv1.BillTotal, error) {
+	sums := make(map[billKey]*bronzeturnv1.BillTotal)
+	err := ledger.EachBill(ctx, b.d.platform.store, func(bill ledger.Bill) error {
+		key := billKey{bill.Organisation, bill.Version, bill.At.UTC().Format(time.DateOnly)}
+		if !wantsBill(request, key) {
+			return nil
+		}
+		total := sums[key]
+		if total == nil {
+			total = &bronzeturnv1.BillTotal{Organisation: key.organisation, Version: key.version, Day: key.day}
+			sums[key] = total
+		}
+		total.Bills++
+		total.PromptTokens += bill.PromptTokens
+		total.CompletionTokens += bill.CompletionTokens
+		total.CostMicros += bill.CostMicros
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	all := make([]*bronzeturnv1.BillTotal, 0, len(sums))
+	for _, total := range sums {
+		all = append(all, total)
+	}
+	slices.SortFunc(all, compareBills)
+	return all, nil
+}
+
+func wantsBill(request *bronzeturnv1.BillsRequest, key billKey) bool {
+	if o := request.GetOrganisation(); o != "" && o != key.organisation {
+		return false
+	}
+	if from := request.GetFromDay(); from != "" && key.day < from {
+		return false
+	}
+	through := request.GetThroughDay()
+	return through == "" || key.day <= through
+}
+
+func compareBills(a, b *bronzeturnv1.BillTotal) int {
+	return cmp.Or(
+		cmp.Compare(a.GetOrganisation(), b.GetOrganisation()),
+		cmp.Compare(a.GetVersion(), b.GetVersion()),
+		cmp.Compare(a.GetDay(), b.GetDay()),
+	)
+}
+
+var (
+	_ operator.StatusSource = statusSource{}
+	_ operator.Peers        = operatorPeers{}
+	_ operator.Bills        = billSource{}
+)
