--- a/quality/cell.go
+++ b/quality/cell.go
@@ -78,8 +78,13 @@
 // Estimate returns the estimate as of now. It allocates nothing and takes the
 // lock only when the published word is older than a minute.
 func (c *Cell) Estimate(now time.Time) Estimate {
-	if now.UnixNano() > c.expires.Load() {
-		c.refresh(now)
+	return c.EstimateAt(now.UnixNano())
+}
+
+// EstimateAt is Estimate for a Unix time in nanoseconds.
+func (c *Cell) EstimateAt(unixNano int64) Estimate {
+	if unixNano > c.expires.Load() {
+		c.refresh(time.Unix(0, unixNano))
 	}
 	return unpack(c.word.Load())
 }
--- a/quality/estimate.go
+++ b/quality/estimate.go
@@ -16,6 +16,7 @@
 // Resolution of the packed fields.
 const (
 	fieldMax    = 1<<16 - 1
+	fieldUnit   = 1.0 / fieldMax
 	weightScale = 16.0
 )
 
@@ -60,9 +61,9 @@
 
 func unpack(w uint64) Estimate {
 	return Estimate{
-		Mean:   float64(w&fieldMax) / fieldMax,
-		Lower:  float64(w>>16&fieldMax) / fieldMax,
-		Upper:  float64(w>>32&fieldMax) / fieldMax,
+		Mean:   float64(w&fieldMax) * fieldUnit,
+		Lower:  float64(w>>16&fieldMax) * fieldUnit,
+		Upper:  float64(w>>32&fieldMax) * fieldUnit,
 		Weight: float64(w>>48) / weightScale,
 	}
 }
--- a/rollout/track.go
+++ b/rollout/track.go
@@ -48,12 +48,15 @@
 }
 
 // Gate tells whether the version may receive new work at now.
-func (t *Track) Gate(now time.Time) Gate {
+func (t *Track) Gate(now time.Time) Gate { return t.GateAt(now.UnixNano()) }
+
+// GateAt is Gate for a Unix time in nanoseconds.
+func (t *Track) GateAt(unixNano int64) Gate {
 	at := t.retryAt.Load()
 	switch {
 	case at == 0:
 		return GateOpen
-	case now.UnixNano() < at:
+	case unixNano < at:
 		return GateClosed
 	}
 	return GateTrickle
--- a/selection/choose.go
+++ b/selection/choose.go
@@ -28,18 +28,17 @@
 	model   int // model named by the caller, or none
 	version int // version named by the caller, or none
 	key     uint64
+	nanos   int64 // now as a Unix time
+	prompt  int64 // bounded prompt tokens
 
 	// What the scan over the candidates found.
 	considered int
-	dropped    drops
-	best       option // lowest cost at the target, the preferred ones first
-	available  option // highest quality
-	resort     option // highest quality among versions that get no usual work
+	setAside   int     // versions that get no usual work: cut off or introduced
+	best       option  // lowest cost at the target, the preferred ones first
+	available  int     // version of the highest quality, known only without best
+	quality    float64 // mean estimate of available
 }
 
-// drops counts why candidates fell out.
-type drops struct{ withdrawn, unserved, spend, tried int }
-
 // option is a version with its cost in micro-units and its estimate.
 type option struct {
 	version  int
@@ -52,7 +51,8 @@
 // nil, which turns exploration off. A refusal is a *failure.Error; it says the
 // same for versions that do not exist and versions that are not allowed.
 func (y *Policy) Choose(p *Plan, r *Request, now time.Time, rng *rand.Rand) (Decision, error) {
-	c := choice{plan: p, bound: y.binding(p), request: r, now: now, options: &y.options}
+	c := choice{plan: p, bound: y.binding(p), request: r, now: now, nanos: now.UnixNano(), options: &y.options}
+	c.prompt = min(max(r.PromptTokens, 0), maxTokens)
 	if err := c.resolve(); err != nil {
 		return Decision{}, err
 	}
@@ -92,7 +92,7 @@
 	c.kind = &c.plan.kinds[k]
 	c.row = k * len(c.plan.versions)
 	c.model, c.version = none, none
-	c.best.version, c.available.version, c.resort.version = none, none, none
+	c.best.version, c.available = none, none
 	if c.org = c.plan.organisations[c.request.Organisation]; c.org == nil {
 		return notAllowed()
 	}
@@ -124,13 +124,11 @@
 func (c *choice) conversation(endWhenCutOff bool) (Decision, error) {
 	v := &c.plan.versions[c.version]
 	switch {
-	case v.withdrawn:
+	case v.withdrawn || c.plan.halted(c.version):
 		return Decision{}, withdrawn()
-	case c.halted(c.version):
-		return Decision{}, failure.New(failure.CodeVersionWithdrawn, failure.RanNo, "the roll-out of the version is halted")
-	case endWhenCutOff && c.bound.tracks[c.version].Gate(c.now) == rollout.GateClosed:
+	case endWhenCutOff && c.gate(c.version) == rollout.GateClosed:
 		return Decision{}, c.belowTarget()
-	case c.tried(v.name) || !v.served:
+	case !v.served || !c.eligible(c.version):
 		return Decision{}, noCapacity()
 	}
 	o := c.option(c.version)
@@ -141,16 +139,16 @@
 	return c.decision(&o, ReasonConversation), nil
 }
 
-// scan looks at every allowed version once.
+// scan looks at every candidate once.
 func (c *choice) scan() {
 	if c.version != none {
-		c.consider(c.version)
+		if c.plan.usable(c.version) {
+			c.consider(c.version)
+		}
 		return
 	}
 	for _, v := range c.org.candidates {
-		if c.model == none || c.plan.versions[v].model == c.model {
-			c.consider(v)
-		}
+		c.consider(v)
 	}
 }
 
@@ -158,43 +156,26 @@
 	if !c.eligible(v) {
 		return
 	}
-	o := c.option(v)
+	o := option{version: v, cost: c.cost(v), rank: c.kind.rank[v]}
 	if c.overSpend(o.cost) {
-		c.dropped.spend++
 		return
 	}
 	c.considered++
-	if c.bound.tracks[v].Gate(c.now) != rollout.GateOpen || (c.introduced(v) && c.version == none) {
-		keepBetter(&c.resort, &o)
+	if c.gate(v) != rollout.GateOpen || (c.introduced(v) && c.version == none) {
+		c.setAside++
 		return
 	}
-	keepBetter(&c.available, &o)
-	if o.estimate.Lower < c.kind.target {
-		return
+	if c.best.version != none && !before(&o, &c.best) {
+		return // whatever its quality
 	}
-	if c.best.version == none || cheaper(&o, &c.best) {
+	o.estimate = c.estimate(v)
+	if o.estimate.Lower >= c.kind.target {
 		c.best = o
+		return
+	}
+	if c.available == none || o.estimate.Mean > c.quality {
+		c.available, c.quality = v, o.estimate.Mean
 	}
-}
-
-// eligible tells whether the rules let the version run this request at all.
-func (c *choice) eligible(v int) bool {
-	version := &c.plan.versions[v]
-	switch {
-	case version.withdrawn || c.halted(v):
-		c.dropped.withdrawn++
-		return false
-	case !version.served:
-		c.dropped.unserved++
-		return false
-	case c.tried(version.name):
-		c.dropped.tried++
-		return false
-	case version.contextTokens > 0 && c.tokens(v)+c.request.PromptTokens > version.contextTokens:
-		c.dropped.unserved++
-		return false
-	}
-	return true
 }
 
 // decide takes the best option at the target, or what the rule says below it.
@@ -210,10 +191,26 @@
 		return Decision{}, option{}, c.refusal()
 	case c.kind.refuse:
 		return Decision{}, option{}, c.belowTarget()
-	case c.available.version != none:
-		return c.decision(&c.available, ReasonBestAvailable), c.available, nil
+	case c.available != none:
+		o := c.option(c.available)
+		return c.decision(&o, ReasonBestAvailable), o, nil
 	}
-	return c.decision(&c.resort, ReasonLastResort), c.resort, nil
+	o := c.lastResort()
+	return c.decision(&o, ReasonLastResort), o, nil
+}
+
+// lastResort returns the best of the versions that were set aside.
+func (c *choice) lastResort() option {
+	best := option{version: none}
+	for _, v := range c.org.candidates {
+		if c.version != none && c.version != v || !c.eligible(v) {
+			continue
+		}
+		if o := c.option(v); !c.overSpend(o.cost) {
+			keepBetter(&best, &o)
+		}
+	}
+	return best
 }
 
 // rollout moves the share of a roll-out's key space from the chosen baseline
@@ -221,11 +218,11 @@
 func (c *choice) rollout(chosen option) (Decision, bool) {
 	for _, i := range c.plan.versions[chosen.version].successors {
 		rule := &c.plan.rollouts[i]
-		if !c.org.allowed[rule.version] || !c.eligible(rule.version) {
+		if !c.org.allowed[rule.version] || !c.plan.usable(rule.version) || !c.eligible(rule.version) {
 			continue
 		}
 		t := c.bound.tracks[rule.version]
-		if t.Gate(c.now) != rollout.GateOpen || !c.within(rule.version, math.Min(t.Share(), rule.maxShare)) {
+		if t.GateAt(c.nanos) != rollout.GateOpen || !c.within(rule.version, math.Min(t.Share(), rule.maxShare)) {
 			continue
 		}
 		o := c.option(rule.version)
@@ -238,14 +235,11 @@
 
 // trickle sends a small share of the key space to a version that was cut off.
 func (c *choice) trickle(share float64) (Decision, bool) {
-	if c.resort.version == none || c.version != none || c.request.InConversation {
+	if c.setAside == 0 || c.version != none || c.request.InConversation {
 		return Decision{}, false
 	}
 	for _, v := range c.org.candidates {
-		if c.bound.tracks[v].Gate(c.now) != rollout.GateTrickle || !c.within(v, share) {
-			continue
-		}
-		if c.model != none && c.plan.versions[v].model != c.model || !c.eligible(v) {
+		if c.gate(v) != rollout.GateTrickle || !c.within(v, share) || !c.eligible(v) {
 			continue
 		}
 		if o := c.option(v); !c.overSpend(o.cost) {
@@ -267,7 +261,7 @@
 	below := c.best.version == none
 	found := option{version: none}
 	for _, v := range c.org.candidates {
-		if c.model != none && c.plan.versions[v].model != c.model || !c.usual(v) {
+		if !c.usual(v) {
 			continue
 		}
 		o := c.option(v)
@@ -291,37 +285,44 @@
 	if !c.kind.cascade || c.request.InConversation || d.Reason != ReasonCheapest {
 		return d
 	}
-	lowest := chosen.cost
+	first, lowest := none, chosen.cost
 	for _, v := range c.org.candidates {
-		if c.model != none && c.plan.versions[v].model != c.model || !c.usual(v) {
+		cost := c.cost(v)
+		if cost >= lowest || !c.usual(v) {
 			continue
 		}
-		o := c.option(v)
-		if o.cost >= lowest || !c.inTime(v, chosen.version) || c.overSpend(o.cost+chosen.cost) {
+		if !c.inTime(v, chosen.version) || c.overSpend(cost+chosen.cost) {
 			continue
 		}
-		out, ok := c.outlook(&o, &chosen)
-		if !ok || out.Cost >= lowest {
-			continue
-		}
-		lowest = out.Cost
-		d = c.decision(&o, ReasonCascade)
-		d.ExpectedCostMicros = int64(math.Ceil(out.Cost))
-		d.Escalatable = true
-		d.Cascade = cascade.Plan{
-			Next:           c.plan.versions[chosen.version].name,
-			NextCostMicros: int64(math.Ceil(chosen.cost)),
-			NextDuration:   c.duration(chosen.version),
+		if out, ok := c.outlook(v, cost, &chosen); ok && out.Cost < lowest {
+			first, lowest = v, out.Cost
 		}
 	}
+	if first == none {
+		return d
+	}
+	return c.escalatable(first, lowest, &chosen)
+}
+
+// escalatable returns the decision for a cascade from one version to another.
+func (c *choice) escalatable(first int, cost float64, next *option) Decision {
+	o := c.option(first)
+	d := c.decision(&o, ReasonCascade)
+	d.ExpectedCostMicros = int64(math.Ceil(cost))
+	d.Escalatable = true
+	d.Cascade = cascade.Plan{
+		Next:           c.plan.versions[next.version].name,
+		NextCostMicros: int64(math.Ceil(next.cost)),
+		NextDuration:   c.duration(next.version),
+	}
 	return d
 }
 
 // outlook returns the expected cost of a cascade, and whether its quality is
 // credibly at the target.
-func (c *choice) outlook(first, next *option) (cascade.Outlook, bool) {
-	cell := c.bound.accepted[c.row+first.version]
-	accepted := cell.Estimate(c.now)
-	out := cascade.Expect(first.cost, accepted.Lower, cell.Flagged(), next.cost, next.estimate.Lower)
+func (c *choice) outlook(first int, cost float64, next *option) (cascade.Outlook, bool) {
+	cell := c.bound.accepted[c.row+first]
+	accepted := cell.EstimateAt(c.nanos)
+	out := cascade.Expect(cost, accepted.Lower, cell.Flagged(), next.cost, next.estimate.Lower)
 	return out, out.Quality >= c.kind.target
 }
--- a/selection/facts.go
+++ b/selection/facts.go
@@ -4,25 +4,37 @@
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/quality"
 	"github.com/bronzeturn/bronzeturn/rollout"
 )
 
 // defaultRetryAfter is the advice when no version reaches the target.
 const defaultRetryAfter = 30 * time.Second
 
-// usual tells whether the version may be chosen apart from roll-outs and
+// usual tells whether a candidate may be chosen apart from roll-outs and
 // trickles.
 func (c *choice) usual(v int) bool {
-	return !c.introduced(v) && c.bound.tracks[v].Gate(c.now) == rollout.GateOpen && c.eligible(v)
+	return !c.introduced(v) && c.gate(v) == rollout.GateOpen && c.eligible(v)
+}
+
+// eligible tells whether a usable version fits this request.
+func (c *choice) eligible(v int) bool {
+	version := &c.plan.versions[v]
+	if c.model != none && version.model != c.model {
+		return false
+	}
+	return !c.tooLong(v) && !c.tried(version.name)
+}
+
+func (c *choice) tooLong(v int) bool {
+	limit := c.plan.versions[v].contextTokens
+	return limit > 0 && c.request.PromptTokens+c.tokens(v) > limit
 }
 
 // introduced tells whether a roll-out introduces the version.
 func (c *choice) introduced(v int) bool { return c.plan.versions[v].rollout != none }
 
-func (c *choice) halted(v int) bool {
-	r := c.plan.versions[v].rollout
-	return r != none && c.plan.rollouts[r].halted()
-}
+func (c *choice) gate(v int) rollout.Gate { return c.bound.tracks[v].GateAt(c.nanos) }
 
 func (c *choice) tried(name string) bool {
 	for _, t := range c.request.Tried {
@@ -51,16 +63,19 @@
 	return defaultCompletionTokens
 }
 
-func (c *choice) option(v int) option {
+// cost returns the expected price of one attempt in micro-units.
+func (c *choice) cost(v int) float64 {
 	version := &c.plan.versions[v]
-	prompt := min(max(c.request.PromptTokens, 0), maxTokens)
-	price := prompt*version.promptPrice + c.tokens(v)*version.completionPrice
-	return option{
-		version:  v,
-		cost:     float64(price) / microsPerUnit,
-		rank:     c.kind.rank[v],
-		estimate: c.bound.cells[c.row+v].Estimate(c.now),
-	}
+	price := c.prompt*version.promptPrice + c.tokens(v)*version.completionPrice
+	return float64(price) * (1.0 / microsPerUnit)
+}
+
+func (c *choice) estimate(v int) quality.Estimate {
+	return c.bound.cells[c.row+v].EstimateAt(c.nanos)
+}
+
+func (c *choice) option(v int) option {
+	return option{version: v, cost: c.cost(v), rank: c.kind.rank[v], estimate: c.estimate(v)}
 }
 
 func (c *choice) duration(v int) time.Duration {
@@ -113,26 +128,37 @@
 	}
 }
 
-// cheaper orders options: preferred versions in their order, then by cost,
-// then by quality.
-func cheaper(a, b *option) bool {
+// before orders options that reach the target: preferred versions in their
+// order, then by cost.
+func before(a, b *option) bool {
 	if a.rank != b.rank {
 		return a.rank != 0 && (b.rank == 0 || a.rank < b.rank)
 	}
-	if a.cost != b.cost {
-		return a.cost < b.cost
-	}
-	return a.estimate.Mean > b.estimate.Mean
+	return a.cost < b.cost
 }
 
 // refusal explains why no version was left.
 func (c *choice) refusal() error {
+	var tooDear, missing, gone bool
+	for v, ok := range c.org.allowed {
+		version := &c.plan.versions[v]
+		named := c.version == v || c.version == none && (c.model == none || c.model == version.model)
+		switch {
+		case !ok || !named:
+		case version.withdrawn || c.plan.halted(v):
+			gone = true
+		case !version.served || !c.eligible(v):
+			missing = true
+		case c.overSpend(c.cost(v)):
+			tooDear = true
+		}
+	}
 	switch {
-	case c.dropped.spend > 0:
+	case tooDear:
 		return spendExceeded()
-	case c.dropped.tried > 0 || c.dropped.unserved > 0:
+	case missing:
 		return noCapacity()
-	case c.dropped.withdrawn > 0:
+	case gone:
 		return withdrawn()
 	}
 	return notAllowed()
@@ -140,9 +166,9 @@
 
 func (c *choice) belowTarget() error {
 	wait := defaultRetryAfter
-	if v := c.resort.version; v != none {
-		if at := c.bound.tracks[v].RetryAt(); at.After(c.now) {
-			wait = at.Sub(c.now)
+	for _, v := range c.org.candidates {
+		if at := c.bound.tracks[v].RetryAt(); at.After(c.now) && c.eligible(v) {
+			wait = min(wait, at.Sub(c.now))
 		}
 	}
 	return failure.New(failure.CodeBelowTarget, failure.RanNo,
--- a/selection/plan.go
+++ b/selection/plan.go
@@ -72,7 +72,8 @@
 
 type organisation struct {
 	hash uint64
-	// candidates are the allowed versions, the lowest price first.
+	// candidates are the allowed versions that may get work by the register and
+	// the rules, the lowest price first.
 	candidates []int
 	allowed    []bool // by version
 }
@@ -216,8 +217,10 @@
 	for _, o := range reg.GetOrganisations() {
 		compiled := p.newOrganisation(o)
 		p.organisations[o.GetName()] = compiled
-		for _, i := range compiled.candidates {
-			p.versions[i].users++
+		for i, ok := range compiled.allowed {
+			if ok {
+				p.versions[i].users++
+			}
 		}
 	}
 	for i := range p.versions {
@@ -244,7 +247,7 @@
 		}
 	}
 	for i, ok := range compiled.allowed {
-		if ok {
+		if ok && p.usable(i) {
 			compiled.candidates = append(compiled.candidates, i)
 		}
 	}
@@ -254,6 +257,17 @@
 	return compiled
 }
 
+// usable tells whether any request may run on the version.
+func (p *Plan) usable(v int) bool {
+	version := &p.versions[v]
+	return version.served && !version.withdrawn && !p.halted(v)
+}
+
+func (p *Plan) halted(v int) bool {
+	r := p.versions[v].rollout
+	return r != none && p.rollouts[r].halted()
+}
+
 func (v *version) price() int64 { return v.promptPrice + v.completionPrice }
 
 // duration returns how long the version takes to generate tokens, as far as
