--- a/objectstore/memstore/memstore.go
+++ b/objectstore/memstore/memstore.go
@@ -250,10 +250,11 @@
 	timer := time.NewTimer(s.waitMax)
 	defer timer.Stop()
 	for {
-		found, changed := s.newer(prefix, after)
+		found, seen, changed := s.newer(prefix, after)
 		if len(found) > 0 {
 			return found, nil
 		}
+		after = max(after, seen)
 		select {
 		case <-changed:
 		case <-timer.C:
@@ -264,10 +265,12 @@
 	}
 }
 
-func (s *Store) newer(prefix string, after uint64) ([]objectstore.Object, <-chan struct{}) {
+// newer returns the objects above after, the newest revision of the store, and
+// the channel that the next write closes.
+func (s *Store) newer(prefix string, after uint64) ([]objectstore.Object, uint64, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.changes.newer(prefix, after, s.objects), s.changed
+	return s.changes.newer(prefix, after, s.objects), s.revision, s.changed
 }
 
 var _ objectstore.Store = (*Store)(nil)
--- a/objectstore/memstore/memstore_test.go
+++ b/objectstore/memstore/memstore_test.go
@@ -190,3 +190,20 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(keysOf(found), qt.DeepEquals, []string{"lost"})
 }
+
+func TestWatchWakesForItsPrefixOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New()
+		woken := make(chan []objectstore.Object, 1)
+		go func() {
+			found, _ := s.Watch(ctx, "config/", 0)
+			woken <- found
+		}()
+		for _, key := range []string{"ledger/1", "ledger/2", "config/head", "ledger/3"} {
+			synctest.Wait()
+			_, err := s.Create(ctx, key, nil)
+			qt.Assert(t, err, qt.IsNil)
+		}
+		qt.Check(t, keysOf(<-woken), qt.DeepEquals, []string{"config/head"})
+	})
+}
