Say goodbye on a planned stop, and keep leaving daemons on the rings

Cause: the test of three daemons was flaky: a stopping daemon's last entry was lost, first since its streams were cut before they were written out, then since its neighbours dropped their links as soon as it was leaving. Ruled out: waiting for empty queues only; an HTTP/2 client stream takes a frame before it is on the wire.

--- a/gossip/errors.go
+++ b/gossip/errors.go
@@ -54,6 +54,8 @@
 	ErrSilent = errors.New("overlay link went silent")
 	// ErrStopped reports that this daemon's overlay has stopped.
 	ErrStopped = errors.New("overlay stopped")
+	// ErrGoodbye reports a link whose neighbour has stopped in good order.
+	ErrGoodbye = errors.New("overlay neighbour stopped")
 	// ErrReplaced reports a link given up for another to the same neighbour.
 	ErrReplaced = errors.New("overlay link replaced")
 	// ErrNotWanted reports a link to a neighbour that is no longer chosen.
--- a/gossip/link.go
+++ b/gossip/link.go
@@ -23,7 +23,9 @@
 	queue   []string
 	queued  map[string]struct{}
 	control []*bronzeturnv1.Frame
-	sending bool
+	// finishing is set when the link has to say goodbye, saidBye when it has.
+	finishing bool
+	saidBye   bool
 
 	wake    chan struct{}
 	done    chan struct{}
@@ -120,11 +122,12 @@
 	}
 }
 
-// busy tells whether something waits to be sent.
-func (l *link) busy() bool {
+// finish makes the link say goodbye once its queue is sent.
+func (l *link) finish() {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.sending || len(l.queued) > 0 || len(l.control) > 0
+	l.finishing = true
+	l.mu.Unlock()
+	l.signal()
 }
 
 // write sends heartbeats and what is queued until the link ends.
@@ -169,8 +172,6 @@
 // flush sends what is queued. It returns how long to wait before the rest may
 // be sent, or zero when nothing is left.
 func (l *link) flush() (time.Duration, error) {
-	l.setSending(true)
-	defer l.setSending(false)
 	for _, frame := range l.takeControl() {
 		if err := l.stream.Send(frame); err != nil {
 			return 0, err
@@ -181,7 +182,7 @@
 	}
 	frame, size := l.takeBatch()
 	if size == 0 {
-		return 0, nil
+		return 0, l.sayGoodbye()
 	}
 	l.node.limiter.ReserveN(time.Now(), min(size, entryBurst))
 	l.node.metrics.entryBytes.Add(float64(size))
@@ -191,10 +192,16 @@
 	return batchDelay, nil
 }
 
-func (l *link) setSending(sending bool) {
+// sayGoodbye sends the last frame when the link is finishing.
+func (l *link) sayGoodbye() error {
 	l.mu.Lock()
-	l.sending = sending
+	due := l.finishing && !l.saidBye
+	l.saidBye = l.saidBye || due
 	l.mu.Unlock()
+	if !due {
+		return nil
+	}
+	return l.stream.Send(&bronzeturnv1.Frame{Goodbye: true})
 }
 
 func (l *link) takeControl() []*bronzeturnv1.Frame {
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -25,10 +25,12 @@
 
 	mu      sync.Mutex
 	stopped bool
-	links   map[*link]struct{}
-	keepers map[Target]*keeper
-	subs    []*subscription
-	random  *rand.Rand
+	// draining refuses new links.
+	draining bool
+	links    map[*link]struct{}
+	keepers  map[Target]*keeper
+	subs     []*subscription
+	random   *rand.Rand
 
 	// syncMu guards the state of anti-entropy.
 	syncMu     sync.Mutex
@@ -63,7 +65,7 @@
 	n.tomb.Go(n.maintain)
 }
 
-// Stop closes all links. Use Flush before to let pending entries leave.
+// Stop closes all links. Use Drain before to let pending entries arrive.
 func (n *Node) Stop() error {
 	n.mu.Lock()
 	n.stopped = true
@@ -152,11 +154,18 @@
 	return names
 }
 
-// Flush waits until every link has sent what was pending, or ctx ends.
-func (n *Node) Flush(ctx context.Context) error {
+// Drain says goodbye to all neighbours after what is pending, and waits until
+// they have received it or ctx ends. No link is opened or accepted any more.
+func (n *Node) Drain(ctx context.Context) error {
+	n.mu.Lock()
+	n.draining = true
+	for l := range n.links {
+		l.finish()
+	}
+	n.mu.Unlock()
 	ticker := time.NewTicker(batchDelay)
 	defer ticker.Stop()
-	for n.pending() {
+	for len(n.Links()) > 0 {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -168,17 +177,6 @@
 	return nil
 }
 
-func (n *Node) pending() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for l := range n.links {
-		if l.peerName() != "" && l.busy() {
-			return true
-		}
-	}
-	return false
-}
-
 // accept puts an entry, and when it is new spreads it to all links but the one
 // it came from, which is nil for an entry of this daemon.
 func (n *Node) accept(from *link, key string, version uint64, value []byte, age time.Duration) (bool, error) {
@@ -210,7 +208,7 @@
 func (n *Node) attach(l *link) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.stopped {
+	if n.stopped || n.draining {
 		return ErrStopped
 	}
 	if len(n.links) >= maxLinks {
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -23,6 +23,9 @@
 	for {
 		l.silence.Reset(SilenceTimeout)
 		l.handle(name, frame)
+		if frame.GetGoodbye() {
+			return ErrGoodbye
+		}
 		frame, err = l.stream.Receive()
 		if err != nil {
 			return err
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -97,7 +97,7 @@
 }
 
 // Stop takes this daemon out of the fleet and closes its links. Until ctx ends
-// it waits for pending entries to be sent.
+// it waits for pending entries to arrive.
 func (m *Membership) Stop(ctx context.Context) error {
 	m.tomb.Kill(nil)
 	err := m.tomb.Wait()
@@ -105,8 +105,8 @@
 	m.own.leaving = true
 	m.publishRemovalLocked()
 	m.mu.Unlock()
-	if flushErr := m.node.Flush(ctx); flushErr != nil {
-		m.log.Warn().Err(flushErr).Msg("stopped before all entries were sent")
+	if drainErr := m.node.Drain(ctx); drainErr != nil {
+		m.log.Warn().Err(drainErr).Msg("stopped before all entries arrived")
 	}
 	if stopErr := m.node.Stop(); err == nil {
 		err = stopErr
@@ -220,21 +220,18 @@
 	m.node.SetTargets(targets)
 }
 
-// monitored returns the names of the neighbours.
+// monitored returns the names of the neighbours. Leaving daemons keep theirs,
+// since they finish requests and have to hear the fleet until they stop.
 func (m *Membership) monitored(v *View) []string {
-	var known, live []Member
+	var live []Member
 	for _, member := range v.Members {
-		if member.State == Leaving {
-			continue
-		}
-		known = append(known, member)
 		if member.State == Live {
 			live = append(live, member)
 		}
 	}
 	self := m.options.Self
-	names := neighbours(self.Name, self.DataCentre, known)
-	if len(live) < len(known) {
+	names := neighbours(self.Name, self.DataCentre, v.Members)
+	if len(live) < len(v.Members) {
 		names = append(names, neighbours(self.Name, self.DataCentre, live)...)
 	}
 	slices.Sort(names)
