--- a/subset/subset_test.go
+++ b/subset/subset_test.go
@@ -143,8 +143,12 @@
 
 func TestChurnAtTheTarget(t *testing.T) {
 	daemons := newDaemons(targetDaemons)
-	rack := func(e []*bronzeturnv1.Engine) []*bronzeturnv1.Engine { return slices.Delete(slices.Clone(e), 1000, 1040) }
-	one := func(e []*bronzeturnv1.Engine) []*bronzeturnv1.Engine { return slices.Delete(slices.Clone(e), 1000, 1001) }
+	rack := func(e []*bronzeturnv1.Engine) []*bronzeturnv1.Engine {
+		return slices.Delete(slices.Clone(e), 1000, 1040)
+	}
+	one := func(e []*bronzeturnv1.Engine) []*bronzeturnv1.Engine {
+		return slices.Delete(slices.Clone(e), 1000, 1001)
+	}
 	same := func(e []*bronzeturnv1.Engine) []*bronzeturnv1.Engine { return e }
 	tests := []struct {
 		name    string
