--- /dev/null
+++ b/demo/fleet.go
@@ -0,0 +1,105 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+
+	"github.com/bronzeturn/bronzeturn"
+	"github.com/bronzeturn/bronzeturn/settings"
+)
+
+// anyPort makes a listener choose a free loopback port.
+const anyPort = "127.0.0.1:0"
+
+// Fleet is a number of daemons in this process.
+type Fleet struct {
+	Daemons []*bronzeturn.Daemon
+	// stops end one daemon each.
+	stops   []context.CancelFunc
+	running sync.WaitGroup
+	mu      sync.Mutex
+	failed  []error
+}
+
+// FleetOptions configure a Fleet.
+type FleetOptions struct {
+	Daemons int
+	// Log takes the log lines of all daemons.
+	Log io.Writer
+	// Arguments are added to the settings of each daemon.
+	Arguments []string
+}
+
+// StartFleet starts daemons over the platform.
+func StartFleet(p *Platform, o FleetOptions) (*Fleet, error) {
+	f := &Fleet{}
+	for i := range o.Daemons {
+		if err := f.startDaemon(p, o, i); err != nil {
+			return nil, errors.Join(err, f.Stop())
+		}
+	}
+	return f, nil
+}
+
+// startDaemon provisions one daemon and runs it.
+func (f *Fleet) startDaemon(p *Platform, o FleetOptions, number int) error {
+	s, err := settings.Parse(append(f.arguments(p, number), o.Arguments...), nil)
+	if err != nil {
+		return err
+	}
+	d, err := bronzeturn.New(s, bronzeturn.Options{
+		LogWriter:      o.Log,
+		Seed:           uint64(number) + 1,
+		ProgramVersion: bronzeturn.Version(),
+	})
+	if err != nil {
+		return fmt.Errorf("%s: %w", DaemonName(number), err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.Daemons = append(f.Daemons, d)
+	f.stops = append(f.stops, cancel)
+	f.running.Go(func() {
+		if err := d.Run(ctx); err != nil {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.failed = append(f.failed, fmt.Errorf("%s: %w", DaemonName(number), err))
+		}
+	})
+	return nil
+}
+
+// arguments are the settings of one daemon. Those started before are its seeds.
+func (f *Fleet) arguments(p *Platform, number int) []string {
+	var seeds []string
+	for _, d := range f.Daemons[:min(len(f.Daemons), 3)] {
+		seeds = append(seeds, d.PeerAddress())
+	}
+	return []string{
+		"--name", DaemonName(number),
+		"--data-centre", p.DataCentre(number),
+		"--caller-listen", anyPort, "--peer-listen", anyPort,
+		"--operator-listen", anyPort, "--admin-listen", anyPort,
+		"--store-url", p.StoreURL, "--host-list-url", p.HostsURL,
+		"--rating-url", p.RatingURL, "--weight-store-url", p.WeightsURL,
+		"--insecure-plaintext-peers", "--insecure-plaintext-operators",
+		"--seeds", strings.Join(seeds, ","),
+	}
+}
+
+// StopDaemon begins the graceful stop of one daemon.
+func (f *Fleet) StopDaemon(number int) { f.stops[number]() }
+
+// Stop stops all daemons gracefully and returns what failed.
+func (f *Fleet) Stop() error {
+	for _, stop := range f.stops {
+		stop()
+	}
+	f.running.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return errors.Join(f.failed...)
+}
