Shorten the set-up of the adapter tests

Cause: the same server set-up stood in each test file, and two fake transports beside each other. Before and after: no assertion changed; go test -race of the packages passes.

--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -24,13 +24,9 @@
 
 // serve runs a stand-in until the test ends and returns its address.
 func serve(c *qt.C, s standin.Server) string {
-	ctx, cancel := context.WithCancel(context.Background())
-	address, wait, err := standin.Start(ctx, s)
+	address, wait, err := standin.Start(c.Context(), s)
 	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() {
-		cancel()
-		c.Check(wait(), qt.IsNil)
-	})
+	c.Cleanup(func() { c.Check(wait(), qt.IsNil) })
 	return address
 }
 
--- a/engine/stream_bench_test.go
+++ b/engine/stream_bench_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -16,15 +17,24 @@
 	"github.com/bronzeturn/bronzeturn/standin"
 )
 
-// cannedTransport answers every request with the same body.
-type cannedTransport []byte
+// cannedTransport answers every request with the same body, if slow byte by byte.
+type cannedTransport struct {
+	body []byte
+	slow bool
+}
 
 func (t cannedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	_ = r.Body.Close()
-	return &http.Response{
-		StatusCode: http.StatusOK, Header: http.Header{}, ContentLength: -1,
-		Body: io.NopCloser(bytes.NewReader(t)),
-	}, nil
+	var body io.Reader = bytes.NewReader(t.body)
+	if t.slow {
+		body = iotest.OneByteReader(body)
+	}
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, ContentLength: -1, Body: io.NopCloser(body)}, nil
+}
+
+// canned answers with so many tokens and the end mark.
+func canned(tokens int) cannedTransport {
+	return cannedTransport{body: []byte(strings.Repeat(token, tokens) + "data: [DONE]\n\n")}
 }
 
 // token is one event as engines send it.
@@ -60,7 +70,7 @@
 	r := request("127.0.0.1:1", true, 1)
 	r.ProgressTimeout = time.Minute
 	allocs := func(tokens int) float64 {
-		client := engine.New(cannedTransport(strings.Repeat(token, tokens) + "data: [DONE]\n\n"))
+		client := engine.New(canned(tokens))
 		return testing.AllocsPerRun(20, func() {
 			if events, _, err := readAll(client, r); err != nil || events != tokens+1 {
 				panic(errors.Join(err, errors.New("stream was not read whole")))
@@ -76,7 +86,7 @@
 // BenchmarkStreamDecode measures the adapter alone.
 func BenchmarkStreamDecode(b *testing.B) {
 	const tokens = 1000
-	client := engine.New(cannedTransport(strings.Repeat(token, tokens) + "data: [DONE]\n\n"))
+	client := engine.New(canned(tokens))
 	r := request("127.0.0.1:1", true, 1)
 	r.ProgressTimeout = time.Minute
 	b.ReportAllocs()
--- a/engine/stream_fuzz_test.go
+++ b/engine/stream_fuzz_test.go
@@ -4,29 +4,15 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
-	"net/http"
 	"testing"
-	"testing/iotest"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/bronzeturn/bronzeturn/engine"
 )
 
-// slowTransport answers with a body that comes one byte at a time.
-type slowTransport []byte
-
-func (t slowTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	_ = r.Body.Close()
-	return &http.Response{
-		StatusCode: http.StatusOK, Header: http.Header{}, ContentLength: -1,
-		Body: io.NopCloser(iotest.OneByteReader(bytes.NewReader(t))),
-	}, nil
-}
-
 // collect reads a stream and joins its events.
-func collect(t *testing.T, transport http.RoundTripper) (data []byte, last bool, failed *engine.Error) {
+func collect(t *testing.T, transport cannedTransport) (data []byte, last bool, failed *engine.Error) {
 	s, err := engine.New(transport).Open(context.Background(), request("127.0.0.1:1", true, 1))
 	qt.Assert(t, err, qt.IsNil)
 	defer s.Close()
@@ -52,12 +38,12 @@
 	f.Add([]byte("\n\n\n\r\n\r\n"))
 	f.Add([]byte("\r\n\r\n\n")) // Was cut differently by a fast and a slow connection.
 	f.Fuzz(func(t *testing.T, sent []byte) {
-		data, last, failed := collect(t, cannedTransport(sent))
+		data, last, failed := collect(t, cannedTransport{body: sent})
 		qt.Assert(t, bytes.HasPrefix(sent, data), qt.IsTrue)
 		if last {
 			qt.Assert(t, bytes.Contains(data, []byte("data: [DONE]")), qt.IsTrue)
 		}
-		slow, slowLast, slowFailed := collect(t, slowTransport(sent))
+		slow, slowLast, slowFailed := collect(t, cannedTransport{body: sent, slow: true})
 		qt.Assert(t, slow, qt.DeepEquals, data)
 		qt.Assert(t, slowLast, qt.Equals, last)
 		qt.Assert(t, failed == nil, qt.Equals, slowFailed == nil)
--- a/hostlist/hostlist_test.go
+++ b/hostlist/hostlist_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -23,16 +24,9 @@
 
 func start(c *qt.C, cfg standin.HostListConfig) (*standin.HostList, *hostlist.Client) {
 	s := standin.NewHostList(cfg)
-	ctx, cancel := context.WithCancel(context.Background())
-	address, wait, err := standin.Start(ctx, s)
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() {
-		cancel()
-		c.Check(wait(), qt.IsNil)
-	})
-	transport := &http.Transport{}
-	c.Cleanup(transport.CloseIdleConnections)
-	return s, hostlist.New("http://"+address, &http.Client{Transport: transport})
+	server := httptest.NewServer(s)
+	c.Cleanup(server.Close)
+	return s, hostlist.New(server.URL, server.Client())
 }
 
 func TestListShowsChangesWithTheirRevisions(t *testing.T) {
--- a/objectstore/httpstore/httpstore_test.go
+++ b/objectstore/httpstore/httpstore_test.go
@@ -22,13 +22,9 @@
 // start runs an object API and returns it with a client of it.
 func start(c *qt.C, cfg standin.ObjectAPIConfig) (*standin.ObjectAPI, *httpstore.Store) {
 	api := standin.NewObjectAPI(cfg)
-	ctx, cancel := context.WithCancel(context.Background())
-	address, wait, err := standin.Start(ctx, api)
+	address, wait, err := standin.Start(c.Context(), api)
 	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() {
-		cancel()
-		c.Check(wait(), qt.IsNil)
-	})
+	c.Cleanup(func() { c.Check(wait(), qt.IsNil) })
 	transport := &http.Transport{}
 	c.Cleanup(transport.CloseIdleConnections)
 	return api, httpstore.New("http://"+address, &http.Client{Transport: transport})
--- a/plainservice/plainservice_test.go
+++ b/plainservice/plainservice_test.go
@@ -25,13 +25,9 @@
 
 func start(c *qt.C) (*standin.PlainService, string, *plainservice.Client) {
 	s := standin.NewPlainService(standin.PlainServiceConfig{Name: "dock-app"})
-	ctx, cancel := context.WithCancel(context.Background())
-	address, wait, err := standin.Start(ctx, s)
+	address, wait, err := standin.Start(c.Context(), s)
 	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() {
-		cancel()
-		c.Check(wait(), qt.IsNil)
-	})
+	c.Cleanup(func() { c.Check(wait(), qt.IsNil) })
 	return s, address, newClient(c)
 }
 
--- a/rating/rating_test.go
+++ b/rating/rating_test.go
@@ -20,16 +20,9 @@
 
 func start(c *qt.C, cfg standin.RatingConfig) (*standin.Rating, *rating.Client) {
 	s := standin.NewRating(cfg)
-	ctx, cancel := context.WithCancel(context.Background())
-	address, wait, err := standin.Start(ctx, s)
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() {
-		cancel()
-		c.Check(wait(), qt.IsNil)
-	})
-	transport := &http.Transport{}
-	c.Cleanup(transport.CloseIdleConnections)
-	return s, rating.New("http://"+address, &http.Client{Transport: transport})
+	server := httptest.NewServer(s)
+	c.Cleanup(server.Close)
+	return s, rating.New(server.URL, server.Client())
 }
 
 func TestRatingsFollowQualityAndBias(t *testing.T) {
--- a/weightstore/weightstore_test.go
+++ b/weightstore/weightstore_test.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -18,16 +18,9 @@
 
 func start(c *qt.C, cfg standin.WeightStoreConfig) (*standin.WeightStore, *weightstore.Client) {
 	s := standin.NewWeightStore(cfg)
-	ctx, cancel := context.WithCancel(context.Background())
-	address, wait, err := standin.Start(ctx, s)
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() {
-		cancel()
-		c.Check(wait(), qt.IsNil)
-	})
-	transport := &http.Transport{}
-	c.Cleanup(transport.CloseIdleConnections)
-	return s, weightstore.New("http://"+address, &http.Client{Transport: transport})
+	server := httptest.NewServer(s)
+	c.Cleanup(server.Close)
+	return s, weightstore.New(server.URL, server.Client())
 }
 
 func TestStatAndFetch(t *testing.T) {
