--- a/daemon.go
+++ b/daemon.go
@@ -35,6 +35,7 @@
 	platform  *platform
 	fleet     *fleet
 	decisions *decisions
+	compiler  *compiler
 	router    *router.Router
 	servers   *servers
 
@@ -69,6 +70,7 @@
 	if d.decisions, err = newDecisions(d); err != nil {
 		return fmt.Errorf("decisions: %w", err)
 	}
+	d.compiler = newCompiler(d)
 	d.router = newRouter(d)
 	if d.servers, err = newServers(d); err != nil {
 		return fmt.Errorf("servers: %w", err)
@@ -88,6 +90,22 @@
 // AdminAddress is the address of metrics and health.
 func (d *Daemon) AdminAddress() string { return d.listeners.admin.Addr().String() }
 
+// Ready tells whether the daemon takes requests.
+func (d *Daemon) Ready() bool { return readiness{d}.Ready() == nil }
+
+// LiveDaemons returns how many live daemons this one knows, itself included.
+func (d *Daemon) LiveDaemons() int { return d.fleet.members.View().Live() }
+
+// Generation returns the generation of the configuration in force, zero before
+// the first one.
+func (d *Daemon) Generation() uint64 {
+	tables := d.tables.Load()
+	if tables == nil {
+		return 0
+	}
+	return tables.Snapshot.Generation()
+}
+
 // Run serves until ctx ends, then stops gracefully: the daemon leaves the
 // address answers, refuses new work with the addresses to use, finishes every
 // request in progress, flushes its records and returns. It may be called once.
--- a/decisions.go
+++ b/decisions.go
@@ -7,9 +7,7 @@
 
 	"github.com/bronzeturn/bronzeturn/admission"
 	"github.com/bronzeturn/bronzeturn/balance"
-	"github.com/bronzeturn/bronzeturn/config"
 	"github.com/bronzeturn/bronzeturn/failure"
-	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/hedge"
 	"github.com/bronzeturn/bronzeturn/logging"
 	"github.com/bronzeturn/bronzeturn/quality"
@@ -17,7 +15,6 @@
 	"github.com/bronzeturn/bronzeturn/rollout"
 	"github.com/bronzeturn/bronzeturn/router"
 	"github.com/bronzeturn/bronzeturn/selection"
-	"github.com/bronzeturn/bronzeturn/subset"
 )
 
 // reviewInterval is the time between two comparisons of the engines.
@@ -73,9 +70,10 @@
 
 // start begins the loops that feed the decisions.
 func (n *decisions) start(d *Daemon) {
-	d.fleet.provider.Subscribe(d.apply)
+	d.fleet.provider.Subscribe(d.compiler.setSnapshot)
+	d.fleet.members.Subscribe(d.compiler.setView)
 	reporter := &loadReporter{
-		reports: d.platform.reports, state: n.engines, engines: d.visibleEngines,
+		reports: d.platform.reports, state: n.engines, engines: d.compiler.visibleEngines,
 		log: logging.Part(d.log, "engine"),
 	}
 	d.goLoop("load reports", reporter.run)
@@ -84,56 +82,6 @@
 	d.goLoop("engine review", d.reviewEngines)
 }
 
-// apply compiles a configuration and swaps it in whole.
-func (d *Daemon) apply(s *config.Snapshot) {
-	n := d.decisions
-	live := d.fleet.members.View()
-	selected := subset.Choose(d.settings.GetName(), liveNames(live), s.Register().GetEngines(), int(d.settings.GetEngineSubsetSize()))
-	tables := &router.Tables{
-		Snapshot: s,
-		Versions: selection.NewPlan(s.Register(), s.Rules()),
-		Engines:  n.engines.Plan(s.Register(), selected.Sees),
-	}
-	n.versions.Use(tables.Versions)
-	n.admission.Update(s.Rules().GetLimits(), live.Live())
-	setCapacities(n.admission, s.Register(), selected)
-	d.tables.Store(tables)
-	d.log.Info().Uint64("generation", s.Generation()).Int("engines", tables.Engines.Engines()).Msg("configuration in force")
-}
-
-// setCapacities bounds the requests in progress of each version by the slots
-// of the visible engines that serve it. The engines' own queues order what
-// several daemons send at once.
-func setCapacities(a *admission.Controller, reg *bronzeturnv1.Register, selected subset.Selection) {
-	slots := make(map[string]int)
-	for _, e := range reg.GetEngines() {
-		for _, version := range e.GetVersions() {
-			if selected.Sees(e) {
-				slots[version] += int(e.GetSlots())
-			}
-		}
-	}
-	for _, v := range reg.GetVersions() {
-		a.SetCapacity(v.GetName(), slots[v.GetName()])
-	}
-}
-
-// visibleEngines are those that this daemon uses.
-func (d *Daemon) visibleEngines() []*bronzeturnv1.Engine {
-	tables := d.tables.Load()
-	if tables == nil {
-		return nil
-	}
-	var visible []*bronzeturnv1.Engine
-	selected := subset.Choose(d.settings.GetName(), liveNames(d.fleet.members.View()), tables.Snapshot.Register().GetEngines(), int(d.settings.GetEngineSubsetSize()))
-	for _, e := range tables.Snapshot.Register().GetEngines() {
-		if selected.Sees(e) {
-			visible = append(visible, e)
-		}
-	}
-	return visible
-}
-
 // reviewEngines compares the engines from time to time.
 func (d *Daemon) reviewEngines(ctx context.Context) error {
 	log := logging.Part(d.log, "balance")
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -1,3 +1,5 @@
+// Package demo runs whole deployments in one process: the stand-ins of the
+// platform and a fleet of daemons, for the demo command, tests and measurements.
 package demo
 
 import (
@@ -7,6 +9,7 @@
 	"io"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/bronzeturn/bronzeturn"
 	"github.com/bronzeturn/bronzeturn/settings"
@@ -103,3 +106,21 @@
 	defer f.mu.Unlock()
 	return errors.Join(f.failed...)
 }
+
+// readyInterval is the time between two questions whether a daemon is ready.
+const readyInterval = 20 * time.Millisecond
+
+// WaitReady returns when every daemon takes requests and knows the others, or
+// ctx ends.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	for _, d := range f.Daemons {
+		for !d.Ready() || d.LiveDaemons() < len(f.Daemons) {
+			select {
+			case <-time.After(readyInterval):
+			case <-ctx.Done():
+				return fmt.Errorf("fleet not ready, %d live daemons: %w", d.LiveDaemons(), ctx.Err())
+			}
+		}
+	}
+	return nil
+}
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -68,6 +68,13 @@
 // Usage returns the usage once it was seen in the answer.
 func (s *Stream) Usage() (Usage, bool) { return s.usage, s.hasUsage }
 
+// Buffered tells whether Next would return an event without waiting for the
+// engine. Writers use it to send several events at once.
+func (s *Stream) Buffered() bool {
+	at, _ := endOfEvent(s.buf[s.start:s.end])
+	return at >= 0
+}
+
 // Close ends the request. Unless the answer is complete, the engine is told by
 // the closed connection to stop its work.
 func (s *Stream) Close() error {
--- a/platform.go
+++ b/platform.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/bronzeturn/bronzeturn/attempt"
 	"github.com/bronzeturn/bronzeturn/engine"
 	"github.com/bronzeturn/bronzeturn/hostlist"
 	"github.com/bronzeturn/bronzeturn/membership"
@@ -37,10 +38,11 @@
 }
 
 // newPlatform builds the adapters. Ratings and weights are nil when the
-// settings name none.
+// settings name none. Backend servers have a transport each, so that one whose
+// connections went silent does not cost the others theirs.
 func newPlatform(d *Daemon) *platform {
-	transport := newTransport(d)
-	client := &http.Client{Transport: transport}
+	transport := attempt.NewTransports(newTransport(d))
+	client := &http.Client{Transport: newTransport(d)}
 	p := &platform{
 		store:    httpstore.New(d.settings.GetStoreUrl(), client),
 		hosts:    hostlist.New(d.settings.GetHostListUrl(), client),
--- a/router/answerchat.go
+++ b/router/answerchat.go
@@ -143,6 +143,12 @@
 
 // last records bill and outcome, then sends the end of the answer.
 func (p *pump) last(data []byte) error {
+	if p.answer.started {
+		// What came before must not wait for the bill.
+		if err := p.answer.flush(); err != nil {
+			return &answerError{Cause: err}
+		}
+	}
 	p.keep(data)
 	usage := p.usage()
 	contentType := contentTypeJSON
--- a/router/chat.go
+++ b/router/chat.go
@@ -31,7 +31,7 @@
 	if f != nil {
 		return f
 	}
-	c.chat.prefixHash = prefixHash(c.organisation.GetName(), body)
+	c.chat.prefixHash = prefixHash(c.organisation.GetName(), c.chat.fields["messages"])
 	return nil
 }
 
--- a/router/choose.go
+++ b/router/choose.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/bronzeturn/bronzeturn/engine"
 	"github.com/bronzeturn/bronzeturn/failure"
 	"github.com/bronzeturn/bronzeturn/ledger"
 	"github.com/bronzeturn/bronzeturn/selection"
@@ -64,14 +65,28 @@
 	}
 }
 
-// prefixHash names the beginning of a prompt within one organisation, so that
-// no organisation can learn from latency what another has sent.
-func prefixHash(organisation string, body []byte) uint64 {
-	var d xxhash.Digest
-	_, _ = d.WriteString(organisation)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.Write(body[:min(len(body), prefixBytes)])
-	return d.Sum64()
+// prefixBlocks bounds the part of a prompt that decides prefix-cache affinity.
+const prefixBlocks = 4
+
+// prefixHash names the beginning of a prompt, salted by organisation, in the
+// form that engines use in their cache events. It is zero for short prompts.
+func prefixHash(organisation string, messages json.RawMessage) uint64 {
+	body, err := encodeJSON(map[string]json.RawMessage{
+		"cache_salt": cacheSalt(organisation),
+		"messages":   messages,
+	})
+	if err != nil {
+		return 0
+	}
+	text, err := engine.PromptText(body)
+	if err != nil {
+		return 0
+	}
+	hashes := engine.PromptPrefixes(text, prefixBlocks)
+	if len(hashes) == 0 {
+		return 0
+	}
+	return hashes[len(hashes)-1]
 }
 
 // cacheSalt separates the prefix caches of organisations inside an engine.
--- a/router/request.go
+++ b/router/request.go
@@ -20,8 +20,6 @@
 	// bytesPerToken is the usual rough size of a token of English text. The
 	// engine's own count goes into the bill.
 	bytesPerToken = 4
-	// prefixBytes is the part of a prompt that decides prefix-cache affinity.
-	prefixBytes = 512
 	// bearerPrefix precedes the key in the Authorization header.
 	bearerPrefix = "Bearer "
 	// anyModel lets the router choose among all versions allowed.
--- a/router/service.go
+++ b/router/service.go
@@ -11,6 +11,7 @@
 
 	"github.com/bronzeturn/bronzeturn/admission"
 	"github.com/bronzeturn/bronzeturn/callerapi"
+	"github.com/bronzeturn/bronzeturn/engine"
 	"github.com/bronzeturn/bronzeturn/failure"
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/ledger"
@@ -164,7 +165,7 @@
 			header.Set(name, value)
 		}
 	}
-	header.Set(callerapi.HeaderRequestID, c.requestID)
+	header.Set(engine.HeaderRequestID, c.requestID)
 	response, err := r.ServiceClient.Call(ctx, plainservice.Call{
 		Address: i.GetAddress(), Method: req.Method, Path: servicePath(req, c.service.GetName()),
 		Header: header, Body: c.body, Idempotent: c.idempotent(),
--- a/status.go
+++ b/status.go
@@ -100,7 +100,7 @@
 // engineStatuses lists the engines that this daemon uses.
 func (d *Daemon) engineStatuses() []*bronzeturnv1.EngineStatus {
 	var all []*bronzeturnv1.EngineStatus
-	for _, e := range d.visibleEngines() {
+	for _, e := range d.compiler.visibleEngines() {
 		health := bronzeturnv1.EngineHealth_ENGINE_HEALTH_LIVE
 		if d.fleet.members.BackendLeaving(e.GetHost()) {
 			health = bronzeturnv1.EngineHealth_ENGINE_HEALTH_LEAVING
