Hedge slow idempotent requests in the router

Cause: the hedging policy decides, the router has to send the second copy. Ruled out: hedging a request that has begun its answer, and one that may run only once.

--- a/decisions.go
+++ b/decisions.go
@@ -47,7 +47,12 @@
 	budget := retry.DefaultBudgetOptions()
 	budget.Share = d.settings.GetRetryBudgetRatio()
 	n.budget = retry.NewBudget(budget)
+	hedging := hedge.DefaultOptions()
+	hedging.Budget.Share = d.settings.GetHedgeBudgetRatio()
 	var err error
+	if n.hedges, err = hedge.New(hedging); err != nil {
+		return nil, err
+	}
 	if n.engines, err = balance.NewState(balance.DefaultOptions()); err != nil {
 		return nil, err
 	}
--- a/router/launch.go
+++ b/router/launch.go
@@ -49,7 +49,7 @@
 		if f != nil {
 			return nil, f
 		}
-		got, err := r.try(ctx, l, &decision)
+		got, err := r.race(ctx, l, &decision)
 		if err == nil {
 			return got, nil
 		}
@@ -100,10 +100,9 @@
 	}
 }
 
-// try sends the request to one engine and waits for the first event.
-func (r *Router) try(ctx context.Context, l *launch, d *balance.Decision) (*attempt, *engine.Error) {
-	l.exclude(d.Engine.GetName())
-	l.attempts++
+// send sends the request to one engine and waits for the first event. Several
+// calls for one launch may run at once.
+func (r *Router) send(ctx context.Context, l *launch, d *balance.Decision) (*attempt, *engine.Error) {
 	attemptCtx, cancel := context.WithCancel(ctx)
 	a := &attempt{engine: d.Engine.GetName(), version: l.version, work: l.work(), cancel: cancel, sentAt: time.Now()}
 	r.Engines.Dispatched(balance.Dispatched{Engine: a.engine, Work: a.work, PrefixHash: l.call.chat.prefixHash, At: a.sentAt})
@@ -155,8 +154,10 @@
 	return timeout + wholeAnswerSlack*d.ExpectedAnswer
 }
 
-// exclude keeps later attempts away from an engine.
-func (l *launch) exclude(name string) {
+// count records that an attempt goes to an engine and keeps later ones away
+// from it.
+func (l *launch) count(name string) {
+	l.attempts++
 	for i := range l.tried {
 		if l.tried[i] == "" {
 			l.tried[i] = name
--- a/router/log.go
+++ b/router/log.go
@@ -7,6 +7,7 @@
 	"github.com/bronzeturn/bronzeturn/cascade"
 	"github.com/bronzeturn/bronzeturn/engine"
 	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/hedge"
 	"github.com/bronzeturn/bronzeturn/ledger"
 	"github.com/bronzeturn/bronzeturn/quality"
 	"github.com/bronzeturn/bronzeturn/retry"
@@ -45,6 +46,12 @@
 	e.Array("candidates", candidates).Msg("engine chosen")
 }
 
+// logHedge writes the decision on a second copy.
+func (r *Router) logHedge(l *launch, second *balance.Decision, granted bool, reason hedge.Reason) {
+	with(r.Log.Info(), l.call).Str("version", l.version).Str("engine", second.Engine.GetName()).
+		Bool("hedged", granted).Str("reason", string(reason)).Msg("hedge considered")
+}
+
 // logRetry writes the decision on another attempt.
 func (r *Router) logRetry(l *launch, err *engine.Error, again bool, reason retry.Reason) {
 	with(r.Log.Info(), l.call).Str("failure", string(err.Kind)).Str("ran", string(err.Ran)).
