--- a/config/publisher.go
+++ b/config/publisher.go
@@ -28,7 +28,8 @@
 // PublisherOptions configures a Publisher.
 type PublisherOptions struct {
 	Store Store
-	// Random spreads retries. It must not be shared.
+	// Random spreads retries. It must not be shared. If it is nil, the publisher
+	// makes one of its own.
 	Random *rand.Rand
 	// Parts spares the store most reads. It may be nil.
 	Parts PartSource
@@ -45,6 +46,9 @@
 
 // NewPublisher returns a publisher.
 func NewPublisher(o PublisherOptions) *Publisher {
+	if o.Random == nil {
+		o.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
 	return &Publisher{calls: calls{store: o.Store, random: o.Random}, source: o.Parts}
 }
 
--- /dev/null
+++ b/provider/freshness.go
@@ -0,0 +1,66 @@
+package provider
+
+import "time"
+
+// Reason tells why a daemon may or may not take new work.
+type Reason string
+
+// The reasons of a freshness decision. The first three allow new work.
+const (
+	// ReasonConfirmed: the store or a peer confirmed the configuration lately.
+	ReasonConfirmed Reason = "confirmed"
+	// ReasonMajority: nobody could confirm it lately, but most of the live peers
+	// are heard, and none of them has a newer one.
+	ReasonMajority Reason = "majority_heard"
+	// ReasonCatchingUp: a newer head is known since a short while.
+	ReasonCatchingUp Reason = "catching_up"
+	// ReasonNone: there is no configuration yet.
+	ReasonNone Reason = "no_configuration"
+	// ReasonIsolated: neither the store nor most of the live peers were heard.
+	ReasonIsolated Reason = "isolated"
+	// ReasonBehind: a newer head exists and could not be put in force.
+	ReasonBehind Reason = "behind"
+)
+
+// News is what a freshness decision rests on.
+type News struct {
+	// HasConfiguration is set once a snapshot is in force.
+	HasConfiguration bool
+	// Age is the time since no newer head was known to exist.
+	Age time.Duration
+	// Behind is how long a newer head has been known, zero if there is none.
+	Behind time.Duration
+	// PeersHeard and PeersKnown leave out the daemon itself. Known peers are
+	// those of the live list, whether they are heard or not: a peer must not drop
+	// out of it only because it is not heard.
+	PeersHeard, PeersKnown int
+}
+
+// Decide tells whether a daemon may take new work. A daemon that heard neither
+// the store nor most of its peers for longer than bound may have missed a
+// withdrawal, so it refuses. If the store is down for all, no one can have
+// changed the configuration in a way that only others know, as long as most of
+// the peers are heard; then work goes on.
+func Decide(n News, bound time.Duration) (bool, Reason) {
+	switch {
+	case !n.HasConfiguration:
+		return false, ReasonNone
+	case n.Behind > bound:
+		return false, ReasonBehind
+	case n.Behind > 0:
+		return true, ReasonCatchingUp
+	case n.Age <= bound:
+		return true, ReasonConfirmed
+	case majority(n.PeersHeard, n.PeersKnown):
+		return true, ReasonMajority
+	default:
+		return false, ReasonIsolated
+	}
+}
+
+// majority tells whether the heard peers and the daemon itself are more than
+// half of all daemons. Two halves of a split fleet never both have it.
+func majority(heard, known int) bool {
+	heard = min(heard, known)
+	return 2*(heard+1) > known+1
+}
--- /dev/null
+++ b/provider/freshness_test.go
@@ -0,0 +1,87 @@
+package provider
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+func TestDecide(t *testing.T) {
+	const bound = 10 * time.Second
+	const old = time.Minute
+	for _, tt := range []struct {
+		name   string
+		news   News
+		ok     bool
+		reason Reason
+	}{
+		{"no configuration", News{}, false, ReasonNone},
+		{"confirmed lately", News{HasConfiguration: true, Age: bound, PeersKnown: 5}, true, ReasonConfirmed},
+		{"store down for all", News{HasConfiguration: true, Age: old, PeersHeard: 3, PeersKnown: 5}, true, ReasonMajority},
+		{"cut off from store and most peers", News{HasConfiguration: true, Age: old, PeersHeard: 2, PeersKnown: 5}, false, ReasonIsolated},
+		{"cut off from everything", News{HasConfiguration: true, Age: old, PeersKnown: 5}, false, ReasonIsolated},
+		{"half of an even fleet", News{HasConfiguration: true, Age: old, PeersHeard: 204, PeersKnown: 409}, false, ReasonIsolated},
+		{"only daemon", News{HasConfiguration: true, Age: old}, true, ReasonMajority},
+		{"newer head known since a short while", News{HasConfiguration: true, Age: old, Behind: time.Second}, true, ReasonCatchingUp},
+		{"newer head not to be had", News{HasConfiguration: true, Behind: bound + 1, PeersHeard: 5, PeersKnown: 5}, false, ReasonBehind},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			ok, reason := Decide(tt.news, bound)
+			qt.Assert(t, ok, qt.Equals, tt.ok)
+			qt.Assert(t, reason, qt.Equals, tt.reason)
+		})
+	}
+}
+
+// TestNoTwoMajorities: whatever way a fleet splits, at most one side goes on
+// without the store.
+func TestNoTwoMajorities(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		all := rapid.IntRange(2, 500).Draw(rt, "daemons")
+		one := rapid.IntRange(1, all-1).Draw(rt, "on one side")
+		other := all - one
+		if majority(one-1, all-1) && majority(other-1, all-1) {
+			rt.Fatalf("%d and %d of %d both have a majority", one, other, all)
+		}
+	})
+}
+
+// TestGenerationNeverFalls offers heads in any order to the state.
+func TestGenerationNeverFalls(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := &state{}
+		now := time.Unix(0, 0)
+		content := make(map[uint64]string)
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			now = now.Add(time.Second)
+			c := drawCandidate(rt)
+			before := s.inForce.generation()
+			v, err := s.offer(c, now)
+			if (v == verdictDivergent) != (err != nil) {
+				rt.Fatalf("verdict %v with error %v", v, err)
+			}
+			switch rapid.IntRange(0, 2).Draw(rt, "then") {
+			case 0:
+				if s.pending != nil {
+					s.install(s.pending)
+				}
+			case 1:
+				if s.pending != nil {
+					s.refuse(s.pending, errCut)
+				}
+			}
+			if s.inForce.generation() < before {
+				rt.Fatalf("went from %d to %d", before, s.inForce.generation())
+			}
+			if s.inForce == nil {
+				continue
+			}
+			if have, ok := content[s.inForce.generation()]; ok && have != s.inForce.digest.String() {
+				rt.Fatalf("generation %d changed its content", s.inForce.generation())
+			}
+			content[s.inForce.generation()] = s.inForce.digest.String()
+		}
+	})
+}
