Let the store contradict a false claim of a newer configuration

Ruled out: ignoring claims of peers (a daemon that lost the flooded table would not notice that it is behind).

Before and after: before, TestStoreContradictsAFalseClaim fails with reason behind (seen on a scratch copy without the new condition); after, it passes.

--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -19,20 +19,6 @@
 	"github.com/bronzeturn/bronzeturn/objectstore/memstore"
 )
 
-// drawCandidate returns a head of a low generation with one of two contents.
-func drawCandidate(rt *rapid.T) *candidate {
-	head := &bronzeturnv1.Head{
-		Generation: rapid.Uint64Range(1, 8).Draw(rt, "generation"),
-		Note:       rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "content"),
-	}
-	value, err := proto.Marshal(head)
-	if err != nil {
-		rt.Fatal(err)
-	}
-	source := rapid.SampledFrom([]Source{SourceStore, SourceTable, SourcePeer}).Draw(rt, "source")
-	return &candidate{head: head, value: value, digest: config.DigestOf(value), source: source}
-}
-
 // run runs a test in virtual time with a fleet of count daemons, of which the
 // first watchers watch the store.
 func run(t *testing.T, count, watchers int, test func(c *qt.C, f *fleet)) {
@@ -259,6 +245,72 @@
 	})
 }
 
+func TestAlteredPartsInTheStoreAreNotTaken(t *testing.T) {
+	run(t, 1, 1, func(c *qt.C, f *fleet) {
+		p := f.nodes["d00"].provider
+		wanted := config.DigestOf([]byte("good"))
+		_, err := f.store.Create(context.Background(), wanted.Key(), []byte("altered"))
+		c.Assert(err, qt.IsNil)
+		values := make(map[config.Digest][]byte)
+		missing := p.partsFromStore(context.Background(), values, []config.Digest{wanted})
+		c.Assert(missing, qt.DeepEquals, []config.Digest{wanted})
+		c.Assert(values, qt.HasLen, 0)
+	})
+}
+
+func TestHeartbeatsMakeUpForALostTable(t *testing.T) {
+	run(t, 3, 1, func(c *qt.C, f *fleet) {
+		deaf := f.nodes["d02"]
+		deaf.mu.Lock()
+		deaf.listener = nil
+		deaf.mu.Unlock()
+		reads := deaf.storeReads()
+		f.apply(2)
+		time.Sleep(3 * time.Second)
+		f.inForce(c, 2)
+		c.Assert(deaf.provider.Status().Source, qt.Equals, SourcePeer)
+		c.Assert(deaf.storeReads(), qt.Equals, reads)
+	})
+}
+
+func TestStoreContradictsAFalseClaim(t *testing.T) {
+	run(t, 2, 1, func(c *qt.C, f *fleet) {
+		for range 60 {
+			for _, name := range f.names() {
+				p := f.nodes[name].provider
+				p.Confirm(7, 0)
+				ok, reason := p.Fresh(time.Now(), 1, 1)
+				c.Assert(ok, qt.IsTrue, qt.Commentf("%s: %s", name, reason))
+			}
+			time.Sleep(time.Second)
+		}
+	})
+}
+
+func TestNewerHeadThatCannotBeHadMakesStale(t *testing.T) {
+	run(t, 2, 1, func(c *qt.C, f *fleet) {
+		f.outage()
+		p := f.nodes["d01"].provider
+		p.Confirm(7, 0)
+		c.Assert(p.Status().Accepted, qt.Equals, uint64(7))
+		ok, reason := p.Fresh(time.Now(), 1, 1)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(reason, qt.Equals, ReasonCatchingUp)
+		time.Sleep(DefaultStaleAfter + time.Second)
+		ok, reason = p.Fresh(time.Now(), 1, 1)
+		c.Assert(ok, qt.IsFalse)
+		c.Assert(reason, qt.Equals, ReasonBehind)
+	})
+}
+
+func TestFleetWithoutWatchersStillHearsOfChanges(t *testing.T) {
+	run(t, 3, 0, func(c *qt.C, f *fleet) {
+		f.apply(2)
+		time.Sleep(DefaultStaleAfter + probeAfter + probeSpread)
+		f.inForce(c, 2)
+	})
+}
+
 func TestNewRefusesMissingOptions(t *testing.T) {
 	_, err := New(Options{})
 	qt.Assert(t, errors.Is(err, ErrOptions), qt.IsTrue)
--- a/provider/state.go
+++ b/provider/state.go
@@ -67,6 +67,10 @@
 	verdictNewer
 )
 
+// readLag is how far a read of the store may lie behind. Only a read that began
+// that long after a peer claimed a newer head contradicts the claim.
+const readLag = 2 * time.Second
+
 // state holds what a daemon knows of the configuration. Its methods decide
 // without I/O and without reading a clock.
 type state struct {
@@ -177,6 +181,10 @@
 	if at.After(s.confirmed) {
 		s.confirmed = at
 	}
+	if inForce && s.pending == nil && at.Sub(s.behindSince) > readLag {
+		s.newest = s.inForce.generation()
+		s.behindSince = time.Time{}
+	}
 	var divergent *DivergentError
 	if inForce && !errors.As(s.problem, &divergent) {
 		s.problem = nil
