--- a/daemon.go
+++ b/daemon.go
@@ -20,6 +20,7 @@
 
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/logging"
+	"github.com/bronzeturn/bronzeturn/orders"
 	"github.com/bronzeturn/bronzeturn/router"
 	"github.com/bronzeturn/bronzeturn/security"
 )
@@ -37,6 +38,7 @@
 	decisions *decisions
 	compiler  *compiler
 	router    *router.Router
+	orders    *orders.Runner
 	servers   *servers
 
 	tables  atomic.Pointer[router.Tables]
@@ -72,6 +74,9 @@
 	}
 	d.compiler = newCompiler(d)
 	d.router = newRouter(d)
+	if d.orders, err = newOrders(d); err != nil {
+		return fmt.Errorf("orders: %w", err)
+	}
 	if d.servers, err = newServers(d); err != nil {
 		return fmt.Errorf("servers: %w", err)
 	}
@@ -128,12 +133,16 @@
 	d.fleet.start(d)
 	d.decisions.start(d)
 	d.servers.start(d)
+	if d.orders != nil {
+		d.tomb.Go(func() error { return d.orders.Run(&d.tomb) })
+	}
 }
 
 // goLoop runs a loop under the tomb. Its context ends with the daemon.
 func (d *Daemon) goLoop(name string, f func(ctx context.Context) error) {
+	ctx := d.tomb.Context(context.Background())
 	d.tomb.Go(func() error {
-		if err := f(d.tomb.Context(nil)); err != nil {
+		if err := f(ctx); err != nil {
 			return fmt.Errorf("%s: %w", name, err)
 		}
 		return nil
--- /dev/null
+++ b/e2e/fleet_test.go
@@ -0,0 +1,285 @@
+package e2e
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bronzeturn/bronzeturn/config"
+	"github.com/bronzeturn/bronzeturn/demo"
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/hostlist"
+	"github.com/bronzeturn/bronzeturn/standin"
+)
+
+// deployment is a small platform and a fleet, each part a process.
+type deployment struct {
+	store, hosts, rating string
+	engines              []*process
+	engineAddresses      []string
+	service              string
+	daemons              []*daemon
+	register, rules      string
+}
+
+// daemon is one bronzeturnd.
+type daemon struct {
+	*process
+	name                           string
+	callers, peers, operators, adm string
+}
+
+// The versions of the small deployment.
+const (
+	cheap  = "small@1"
+	strong = "large@1"
+	key    = "key-depot"
+)
+
+// deploy starts a platform with engines, and daemons over it, and applies the
+// configuration by the command line.
+func deploy(c *qt.C, daemons, engines int) *deployment {
+	d := &deployment{}
+	hostFile := filepath.Join(c.TempDir(), "hosts.json")
+	writeJSON(c, hostFile, hostEntries(daemons, engines))
+	_, d.store = standIn(c, "object-api")
+	_, d.hosts = standIn(c, "host-list", "--hosts", hostFile)
+	_, d.rating = standIn(c, "rating")
+	for range engines {
+		p, address := standIn(c, "engine", "--versions", cheap+","+strong, "--slots", "4", "--tokens-per-second", "200")
+		d.engines = append(d.engines, p)
+		d.engineAddresses = append(d.engineAddresses, address)
+	}
+	_, d.service = standIn(c, "plain-service", "--name", "tickets")
+	d.writeConfiguration(c)
+	for i := range daemons {
+		d.startDaemon(c, demo.DaemonName(i))
+	}
+	d.apply(c)
+	for _, one := range d.daemons {
+		one.waitReady(c)
+	}
+	return d
+}
+
+// hostEntries lists the hosts of all processes.
+func hostEntries(daemons, engines int) []hostlist.Host {
+	var hosts []hostlist.Host
+	for i := range daemons {
+		hosts = append(hosts, hostlist.Host{Name: demo.DaemonName(i), DataCentre: "hall", Role: hostlist.RoleEntry, State: hostlist.Live})
+	}
+	for i := range engines {
+		hosts = append(hosts, hostlist.Host{Name: backendName(i), DataCentre: "hall", Role: hostlist.RoleBackend, State: hostlist.Live})
+	}
+	return append(hosts, hostlist.Host{Name: "service-host", DataCentre: "hall", Role: hostlist.RoleBackend, State: hostlist.Live})
+}
+
+func backendName(number int) string { return fmt.Sprintf("backend-%d", number+1) }
+
+// startDaemon starts one more daemon.
+func (d *deployment) startDaemon(c *qt.C, name string) *daemon {
+	var seeds []string
+	for _, other := range d.daemons {
+		seeds = append(seeds, other.peers)
+	}
+	one := &daemon{name: name}
+	one.process = start(c, name, "bronzeturnd",
+		"--name", name, "--data-centre", "hall",
+		"--caller-listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0",
+		"--operator-listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0",
+		"--store-url", "http://"+d.store, "--host-list-url", "http://"+d.hosts, "--rating-url", "http://"+d.rating,
+		"--insecure-plaintext-peers", "--insecure-plaintext-operators",
+		"--seeds", strings.Join(seeds, ","))
+	var started struct{ Message, Callers, Peers, Operators, Admin string }
+	one.waitLine(c, "start", func(line string) bool {
+		return json.Unmarshal([]byte(line), &started) == nil && started.Message == "daemon started"
+	})
+	one.callers, one.peers, one.operators, one.adm = started.Callers, started.Peers, started.Operators, started.Admin
+	d.daemons = append(d.daemons, one)
+	return one
+}
+
+// waitReady waits until the daemon takes requests.
+func (d *daemon) waitReady(c *qt.C) {
+	deadline := time.Now().Add(waitLimit)
+	for time.Now().Before(deadline) {
+		resp, err := http.Get("http://" + d.adm + "/readyz")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.Fatalf("%s never ready:\n%s", d.name, d.output())
+}
+
+// writeConfiguration writes register and rules of the deployment.
+func (d *deployment) writeConfiguration(c *qt.C) {
+	folder := c.TempDir()
+	d.register = filepath.Join(folder, "register.yaml")
+	d.rules = filepath.Join(folder, "rules.yaml")
+	writeMessage(c, d.register, d.registerMessage())
+	rules, err := config.DecodeRules("rules", []byte(rulesText))
+	c.Assert(err, qt.IsNil)
+	writeMessage(c, d.rules, rules)
+}
+
+// rulesText are the rules of the small deployment.
+const rulesText = `
+kinds:
+  - {name: default, quality_target: 0.5, idempotent: true, deadline: 30s, progress_timeout: 2s, expected_completion_tokens: 32}
+  - {name: report, quality_target: 0.85, idempotent: true, deadline: 30s, progress_timeout: 2s, expected_completion_tokens: 32}
+  - {name: tag, quality_target: 0.5, idempotent: false, deadline: 30s, progress_timeout: 2s, expected_completion_tokens: 8}
+`
+
+func (d *deployment) registerMessage() *bronzeturnv1.Register {
+	r := &bronzeturnv1.Register{
+		DataCentres: []*bronzeturnv1.DataCentre{{Name: "hall", Region: "north"}},
+		Models:      []*bronzeturnv1.Model{{Name: "small"}, {Name: "large"}},
+		Versions: []*bronzeturnv1.Version{
+			{Name: cheap, Model: "small", PromptPriceMicros: 100_000, CompletionPriceMicros: 200_000, PriorQuality: 0.7},
+			{Name: strong, Model: "large", PromptPriceMicros: 1_000_000, CompletionPriceMicros: 3_000_000, PriorQuality: 0.95},
+		},
+		Organisations: []*bronzeturnv1.Organisation{
+			{Name: "depot", KeySha256: []string{keyHash(key)}, AllowedModels: []string{"small", "large"}, AllowedServices: []string{"tickets"}},
+			{Name: "kiosks", KeySha256: []string{keyHash("key-kiosks")}, AllowedVersions: []string{cheap}},
+		},
+		Pools: []*bronzeturnv1.Pool{{Name: "pool"}},
+		Services: []*bronzeturnv1.Service{{Name: "tickets", Idempotent: false, CallPriceMicros: 1000,
+			Instances: []*bronzeturnv1.ServiceInstance{{Host: "service-host", Address: d.service, DataCentre: "hall"}}}},
+	}
+	for i, address := range d.engineAddresses {
+		r.Engines = append(r.Engines, &bronzeturnv1.Engine{
+			Name: fmt.Sprintf("engine-%d", i+1), Pool: "pool", DataCentre: "hall", Host: backendName(i),
+			Address: address, Versions: []string{cheap, strong}, Slots: 4, TokensPerSecond: 200,
+		})
+	}
+	return r
+}
+
+// apply puts the configuration in force by the command line.
+func (d *deployment) apply(c *qt.C) {
+	out, code := command("apply", "--store", "http://"+d.store, d.register, d.rules)
+	c.Assert(code, qt.Equals, 0, qt.Commentf("%s", out))
+}
+
+// keyHash is the form of a key in the register.
+func keyHash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+func writeMessage(c *qt.C, path string, m proto.Message) {
+	data, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(m)
+	c.Assert(err, qt.IsNil)
+	c.Assert(os.WriteFile(path, data, 0o600), qt.IsNil)
+}
+
+func writeJSON(c *qt.C, path string, v any) {
+	data, err := json.Marshal(v)
+	c.Assert(err, qt.IsNil)
+	c.Assert(os.WriteFile(path, data, 0o600), qt.IsNil)
+}
+
+// control changes the faults of a stand-in.
+func control(c *qt.C, address string, faults standin.Faults) {
+	data, err := json.Marshal(faults)
+	c.Assert(err, qt.IsNil)
+	req, err := http.NewRequest(http.MethodPut, "http://"+address+standin.PathFaults, bytes.NewReader(data))
+	c.Assert(err, qt.IsNil)
+	resp, err := http.DefaultClient.Do(req)
+	c.Assert(err, qt.IsNil)
+	resp.Body.Close()
+	c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+}
+
+// executions adds up how often each request ran on all engines.
+func (d *deployment) executions(c *qt.C) map[string]int {
+	sum := make(map[string]int)
+	for _, address := range d.engineAddresses {
+		resp, err := http.Get("http://" + address + standin.PathExecutions)
+		c.Assert(err, qt.IsNil)
+		var counts map[string]int
+		c.Assert(json.NewDecoder(resp.Body).Decode(&counts), qt.IsNil)
+		resp.Body.Close()
+		for id, count := range counts {
+			sum[id] += count
+		}
+	}
+	return sum
+}
+
+// total adds up executions.
+func total(executions map[string]int) int {
+	sum := 0
+	for _, count := range executions {
+		sum += count
+	}
+	return sum
+}
+
+// billTotal is a row of the bills command.
+type billTotal struct {
+	Organisation string `json:"organisation"`
+	Version      string `json:"version"`
+	Bills        uint64 `json:"bills,string"`
+}
+
+// billCount asks the command line how many bills the ledger holds.
+func (d *deployment) billCount(c *qt.C, operator string) uint64 {
+	out, code := command("bills", "--json", "--insecure-plaintext", "--operator", operator)
+	c.Assert(code, qt.Equals, 0, qt.Commentf("%s", out))
+	var bills struct{ Totals []billTotal }
+	c.Assert(json.Unmarshal([]byte(out), &bills), qt.IsNil, qt.Commentf("%s", out))
+	var sum uint64
+	for _, t := range bills.Totals {
+		sum += t.Bills
+	}
+	return sum
+}
+
+// eventually waits until the condition holds.
+func eventually(c *qt.C, what string, holds func() bool) {
+	deadline := time.Now().Add(waitLimit)
+	for !holds() {
+		if time.Now().After(deadline) {
+			c.Fatalf("never: %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// putHosts replaces the host list.
+func putHosts(c *qt.C, address string, hosts []hostlist.Host) {
+	data, err := json.Marshal(hosts)
+	c.Assert(err, qt.IsNil)
+	req, err := http.NewRequest(http.MethodPut, "http://"+address+standin.PathHosts, bytes.NewReader(data))
+	c.Assert(err, qt.IsNil)
+	resp, err := http.DefaultClient.Do(req)
+	c.Assert(err, qt.IsNil)
+	resp.Body.Close()
+	c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+}
+
+// executionsAt counts the requests that one engine ran.
+func executionsAt(c *qt.C, address string) int {
+	resp, err := http.Get("http://" + address + standin.PathExecutions)
+	c.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	var counts map[string]int
+	c.Assert(json.NewDecoder(resp.Body).Decode(&counts), qt.IsNil)
+	return total(counts)
+}
--- /dev/null
+++ b/e2e/path_test.go
@@ -0,0 +1,281 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bronzeturn/bronzeturn/callerapi"
+	"github.com/bronzeturn/bronzeturn/demo"
+	"github.com/bronzeturn/bronzeturn/standin"
+)
+
+// send sends a request over a connection of its own.
+func send(chat demo.Chat, address string) demo.Result {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: waitLimit}
+	return chat.Send(context.Background(), client, address)
+}
+
+func TestWholePathThroughProcesses(t *testing.T) {
+	c := qt.New(t)
+	d := deploy(c, 3, 2)
+
+	var entries callerapi.Entries
+	eventually(c, "three entries", func() bool {
+		resp, err := http.Get("http://" + d.daemons[0].callers + callerapi.PathEntries)
+		c.Assert(err, qt.IsNil)
+		defer resp.Body.Close()
+		c.Assert(json.NewDecoder(resp.Body).Decode(&entries), qt.IsNil)
+		return len(entries.Addresses) == 3
+	})
+	c.Assert(entries.KeepSeconds > 0, qt.IsTrue)
+
+	answered := uint64(0)
+	for i, address := range entries.Addresses {
+		for _, stream := range []bool{false, true} {
+			chat := demo.Chat{Key: key, Prompt: fmt.Sprintf("bike %d, stream %v", i, stream), Stream: stream}
+			got := send(chat, address)
+			c.Assert(got.Check(chat), qt.IsNil, qt.Commentf("%d %s", got.Status, got.Body))
+			c.Assert(got.Header.Get(callerapi.HeaderVersion), qt.Equals, cheap)
+			answered++
+		}
+	}
+	report := demo.Chat{Key: key, Kind: "report", Prompt: "motor 4"}
+	got := send(report, entries.Addresses[0])
+	c.Assert(got.Check(report), qt.IsNil)
+	c.Assert(got.Header.Get(callerapi.HeaderVersion), qt.Equals, strong)
+	answered++
+
+	c.Assert(callService(c, d.daemons[1].callers, "ticket-1").Status, qt.Equals, http.StatusOK)
+	answered++
+	eventually(c, "a bill for each answer", func() bool { return d.billCount(c, d.daemons[2].operators) == answered })
+
+	out, code := command("status", "--json", "--insecure-plaintext", "--operator", d.daemons[0].operators)
+	c.Assert(code, qt.Equals, 0, qt.Commentf("%s", out))
+	c.Assert(strings.Contains(out, "CONFIGURATION_PROGRESS_IN_FORCE"), qt.IsTrue, qt.Commentf("%s", out))
+	for _, one := range d.daemons {
+		c.Assert(strings.Contains(out, `"`+one.name+`"`), qt.IsTrue)
+	}
+}
+
+// callService calls the non-idempotent service.
+func callService(c *qt.C, address, idempotencyKey string) demo.Result {
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+callerapi.PathServices+"tickets/open", strings.NewReader("{}"))
+	c.Assert(err, qt.IsNil)
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set(callerapi.HeaderIdempotencyKey, idempotencyKey)
+	resp, err := http.DefaultClient.Do(req)
+	c.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	c.Assert(err, qt.IsNil)
+	return demo.Result{Status: resp.StatusCode, Header: resp.Header, Body: body}
+}
+
+func TestSameKeyAtAllDaemonsRunsOnce(t *testing.T) {
+	c := qt.New(t)
+	d := deploy(c, 3, 2)
+	chat := demo.Chat{Key: key, Kind: "tag", IdempotencyKey: "tag-1", Prompt: "crate 9"}
+	results := make([]demo.Result, 9)
+	var sending sync.WaitGroup
+	for i := range results {
+		sending.Go(func() { results[i] = send(chat, d.daemons[i%3].callers) })
+	}
+	sending.Wait()
+	for _, got := range results {
+		c.Assert(got.Check(chat), qt.IsNil, qt.Commentf("%d %s", got.Status, got.Body))
+	}
+	c.Assert(total(d.executions(c)), qt.Equals, 1)
+	eventually(c, "one bill", func() bool { return d.billCount(c, d.daemons[0].operators) == 1 })
+}
+
+func TestKilledDaemonLosesNoBillOfAnAnswer(t *testing.T) {
+	c := qt.New(t)
+	d := deploy(c, 3, 2)
+	const requests = 30
+	for i := range requests {
+		chat := demo.Chat{Key: key, Prompt: fmt.Sprintf("check %d", i), Stream: i%2 == 0}
+		c.Assert(send(chat, d.daemons[0].callers).Check(chat), qt.IsNil)
+	}
+	d.daemons[0].kill()
+	eventually(c, "all bills", func() bool { return d.billCount(c, d.daemons[1].operators) == requests })
+	chat := demo.Chat{Key: key, Prompt: "after the kill"}
+	c.Assert(send(chat, d.daemons[1].callers).Check(chat), qt.IsNil)
+	eventually(c, "dead daemon out of the answers", func() bool {
+		return !strings.Contains(strings.Join(entriesOf(c, d.daemons[1]), " "), d.daemons[0].callers)
+	})
+}
+
+// entriesOf asks a daemon which addresses to use.
+func entriesOf(c *qt.C, d *daemon) []string {
+	resp, err := http.Get("http://" + d.callers + callerapi.PathEntries)
+	c.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	var entries callerapi.Entries
+	c.Assert(json.NewDecoder(resp.Body).Decode(&entries), qt.IsNil)
+	return entries.Addresses
+}
+
+func TestTermFinishesTheStreamInProgress(t *testing.T) {
+	c := qt.New(t)
+	d := deploy(c, 2, 1)
+	// Four tokens a second make the stream outlast the first steps of the stop.
+	control(c, d.engineAddresses[0], standin.Faults{RateFactor: 0.05})
+	chat := demo.Chat{Key: key, Prompt: "a long story", Stream: true}
+	req, err := chat.NewRequest(context.Background(), d.daemons[0].callers)
+	c.Assert(err, qt.IsNil)
+	resp, err := http.DefaultClient.Do(req)
+	c.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+	c.Assert(d.daemons[0].cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+
+	late := demo.Chat{Key: key, Prompt: "late"}
+	var refused demo.Result
+	eventually(c, "new work refused", func() bool {
+		refused = send(late, d.daemons[0].callers)
+		return refused.Failure().Code == "daemon_leaving"
+	})
+	c.Assert(refused.Failure().Ran, qt.Equals, "no")
+	c.Assert(refused.Failure().Entries, qt.DeepEquals, []string{d.daemons[1].callers})
+	c.Assert(entriesOf(c, d.daemons[1]), qt.DeepEquals, []string{d.daemons[1].callers})
+
+	control(c, d.engineAddresses[0], standin.Faults{})
+	body, err := io.ReadAll(resp.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(demo.Result{Body: body}.Check(chat), qt.IsNil)
+	c.Assert(d.daemons[0].exit(c), qt.Equals, 0)
+	c.Assert(d.billCount(c, d.daemons[1].operators) >= 1, qt.IsTrue)
+}
+
+func TestFrozenHolderOfAClaimNeverRunsItTwice(t *testing.T) {
+	c := qt.New(t)
+	d := deploy(c, 3, 1)
+	control(c, d.engineAddresses[0], standin.Faults{SlowMillis: 1500})
+	chat := demo.Chat{Key: key, Kind: "tag", IdempotencyKey: "frozen", Prompt: "ticket 3"}
+	first := make(chan demo.Result, 1)
+	go func() { first <- send(chat, d.daemons[0].callers) }()
+	eventually(c, "the request at the engine", func() bool { return strings.Contains(d.daemons[0].output(), "engine chosen") })
+	c.Assert(d.daemons[0].cmd.Process.Signal(syscall.SIGSTOP), qt.IsNil)
+
+	chat2 := chat
+	got := send(chat2, d.daemons[1].callers)
+	c.Assert(got.Err, qt.IsNil)
+	code := got.Failure().Code
+	c.Assert(code == "request_in_progress" || code == "outcome_unknown", qt.IsTrue, qt.Commentf("%d %s", got.Status, got.Body))
+	c.Assert(got.Failure().Ran, qt.Equals, "unknown")
+
+	c.Assert(d.daemons[0].cmd.Process.Signal(syscall.SIGCONT), qt.IsNil)
+	select {
+	case <-first:
+	case <-time.After(waitLimit):
+		c.Fatal("the frozen daemon never answered")
+	}
+	for _, one := range d.daemons {
+		_ = send(chat, one.callers)
+	}
+	c.Assert(total(d.executions(c)), qt.Equals, 1)
+}
+
+func TestStoreOutage(t *testing.T) {
+	c := qt.New(t)
+	d := deploy(c, 3, 2)
+	before := demo.Chat{Key: key, Prompt: "before"}
+	c.Assert(send(before, d.daemons[0].callers).Check(before), qt.IsNil)
+	control(c, d.store, standin.Faults{Refuse: true})
+
+	const requests = 10
+	for i := range requests {
+		chat := demo.Chat{Key: key, Prompt: fmt.Sprintf("during %d", i)}
+		got := send(chat, d.daemons[i%3].callers)
+		c.Assert(got.Check(chat), qt.IsNil, qt.Commentf("%d %s", got.Status, got.Body))
+	}
+	tag := demo.Chat{Key: key, Kind: "tag", IdempotencyKey: "outage", Prompt: "tag"}
+	refused := send(tag, d.daemons[1].callers)
+	c.Assert(refused.Failure().Code, qt.Equals, "ledger_unavailable", qt.Commentf("%d %s", refused.Status, refused.Body))
+	c.Assert(refused.Failure().Ran, qt.Equals, "no")
+	c.Assert(refused.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+
+	// The daemon that answered some of the requests dies before the store is back.
+	d.daemons[0].kill()
+	control(c, d.store, standin.Faults{})
+	eventually(c, "all bills drained", func() bool { return d.billCount(c, d.daemons[1].operators) == requests+1 })
+	eventually(c, "tags accepted again", func() bool {
+		got := send(tag, d.daemons[1].callers)
+		return got.Check(tag) == nil
+	})
+	c.Assert(executionsOf(d.executions(c), requests+2), qt.IsTrue)
+}
+
+// executionsOf tells whether exactly so many requests ran, each once.
+func executionsOf(executions map[string]int, requests int) bool {
+	return len(executions) == requests && total(executions) == requests
+}
+
+func TestWithdrawnVersionReceivesNothingOnceInForce(t *testing.T) {
+	c := qt.New(t)
+	d := deploy(c, 3, 2)
+	out, code := command("withdraw", cheap, "--reason", "turned bad", "--store", "http://"+d.store)
+	c.Assert(code, qt.Equals, 0, qt.Commentf("%s", out))
+	eventually(c, "withdrawal in force everywhere", func() bool {
+		out, code := command("status", "--json", "--insecure-plaintext", "--operator", d.daemons[0].operators)
+		return code == 0 && strings.Contains(out, `"CONFIGURATION_PROGRESS_IN_FORCE"`) && strings.Contains(out, `"generation":"2"`)
+	})
+	for _, one := range d.daemons {
+		named := send(demo.Chat{Key: key, Model: cheap, Prompt: "named"}, one.callers)
+		c.Assert(named.Failure().Code, qt.Equals, "version_withdrawn")
+		c.Assert(named.Failure().Ran, qt.Equals, "no")
+		moved := demo.Chat{Key: key, Prompt: "any"}
+		got := send(moved, one.callers)
+		c.Assert(got.Check(moved), qt.IsNil)
+		c.Assert(got.Header.Get(callerapi.HeaderVersion), qt.Equals, strong)
+	}
+}
+
+func TestSilentConnectionsAreDroppedAndRetried(t *testing.T) {
+	c := qt.New(t)
+	d := deploy(c, 1, 2)
+	warm := demo.Chat{Key: key, Prompt: "warm"}
+	for range 4 {
+		c.Assert(send(warm, d.daemons[0].callers).Check(warm), qt.IsNil)
+	}
+	for _, address := range d.engineAddresses {
+		control(c, address, standin.Faults{SilenceConnections: true})
+	}
+	for i := range 4 {
+		chat := demo.Chat{Key: key, Prompt: fmt.Sprintf("after silence %d", i), Stream: true}
+		got := send(chat, d.daemons[0].callers)
+		c.Assert(got.Check(chat), qt.IsNil, qt.Commentf("%d %s", got.Status, got.Body))
+	}
+}
+
+func TestLeavingBackendGetsNothingNew(t *testing.T) {
+	c := qt.New(t)
+	d := deploy(c, 2, 2)
+	hosts := hostEntries(2, 2)
+	for i := range hosts {
+		if hosts[i].Name == backendName(0) {
+			hosts[i].State = "leaving"
+		}
+	}
+	putHosts(c, d.hosts, hosts)
+	eventually(c, "leaving known", func() bool {
+		out, code := command("status", "--json", "--engines", "--insecure-plaintext", "--operator", d.daemons[0].operators)
+		return code == 0 && strings.Count(out, "ENGINE_HEALTH_LEAVING") == 2
+	})
+	before := executionsAt(c, d.engineAddresses[0])
+	for i := range 20 {
+		chat := demo.Chat{Key: key, Prompt: fmt.Sprintf("check %d", i)}
+		c.Assert(send(chat, d.daemons[i%2].callers).Check(chat), qt.IsNil)
+	}
+	c.Assert(executionsAt(c, d.engineAddresses[0]), qt.Equals, before)
+}
--- a/listeners.go
+++ b/listeners.go
@@ -4,8 +4,6 @@
 	"errors"
 	"fmt"
 	"net"
-
-	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 )
 
 // listeners are the four separate entrances of a daemon.
@@ -77,8 +75,3 @@
 		}
 	}
 }
-
-// usesPlaintextPeers tells whether peers talk without TLS.
-func usesPlaintextPeers(s *bronzeturnv1.Settings) bool {
-	return s.GetInsecurePlaintextPeers()
-}
--- /dev/null
+++ b/orders.go
@@ -0,0 +1,66 @@
+package bronzeturn
+
+import (
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/logging"
+	"github.com/bronzeturn/bronzeturn/orders"
+	"github.com/bronzeturn/bronzeturn/router"
+)
+
+// newOrders builds the part that keeps engines at their desired versions, or
+// nil when the settings name no weight store.
+func newOrders(d *Daemon) (*orders.Runner, error) {
+	if d.platform.weights == nil {
+		return nil, nil
+	}
+	return orders.New(orders.Dependencies{
+		Store:      d.platform.store,
+		Engines:    d.platform.reports,
+		Weights:    d.platform.weights,
+		Source:     poolSource{d},
+		Owner:      d.fleet.members.Owner,
+		Log:        logging.Part(d.log, "orders"),
+		Rand:       d.rand(randOrders),
+		Registerer: d.options.Registry,
+	}, orders.DefaultOptions(d.settings.GetName()))
+}
+
+// poolSource tells what the configuration in force asks of each pool.
+type poolSource struct{ d *Daemon }
+
+// Pools implements orders.Source.
+func (s poolSource) Pools() []string {
+	tables := s.d.tables.Load()
+	if tables == nil {
+		return nil
+	}
+	var names []string
+	for _, pool := range tables.Snapshot.Register().GetPools() {
+		names = append(names, pool.GetName())
+	}
+	return names
+}
+
+// Desired implements orders.Source. A daemon without fresh news gives no
+// orders.
+func (s poolSource) Desired(pool string) (orders.Desired, bool) {
+	tables := s.d.tables.Load()
+	if tables == nil || s.d.fresh(time.Now()) != nil {
+		return orders.Desired{}, false
+	}
+	withdrawn := func(version string) bool {
+		_, is := tables.Snapshot.Withdrawn(version)
+		return is
+	}
+	return orders.FromRegister(tables.Snapshot.Generation(), tables.Snapshot.PoolEngines(pool), withdrawn, longestDeadline(tables)), true
+}
+
+// longestDeadline is how long a request can run on a withdrawn version.
+func longestDeadline(tables *router.Tables) time.Duration {
+	var longest time.Duration
+	for _, kind := range tables.Snapshot.Rules().GetKinds() {
+		longest = max(longest, kind.GetDeadline().AsDuration())
+	}
+	return longest
+}
