Add the command line for operators and callers

Cause: operators change and watch the system, and newcomers try it, from one program with documented exit codes. Ruled out: an own retry of every failed request (a lost answer may have run); matching error texts for exit codes (every failure has a type).

--- /dev/null
+++ b/cli/cli.go
@@ -0,0 +1,94 @@
+// Package cli is the command line of bronzeturn for operators and for trying
+// things out. It prints for people, or one JSON document with --json. Every
+// command ends with one of the documented exit codes.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+)
+
+// programName is the name shown by the help.
+const programName = "bronzeturn"
+
+const description = `Command line of bronzeturn.
+
+Exit codes: 0 done, 1 failed, 2 wrong usage, 3 conflict with another change,
+4 invalid register or rules, 5 no answer, 6 refused.`
+
+// errNoDemo reports a program that was built without the demo.
+var errNoDemo = errors.New("this program was built without the demo")
+
+// Commands are the commands whose work stands in other packages.
+type Commands struct {
+	// Demo runs stand-ins and daemons and writes its table, or JSON, to w.
+	Demo func(ctx context.Context, w io.Writer, json bool) error
+}
+
+// grammar holds the commands and the flags that all of them share.
+type grammar struct {
+	JSON bool `name:"json" help:"Write one JSON document instead of text for people."`
+
+	Demo     demoCommand     `cmd:"" help:"Run stand-ins and three daemons on loopback with the traffic of both examples."`
+	Check    checkCommand    `cmd:"" help:"Validate register and rules files offline."`
+	Apply    applyCommand    `cmd:"" help:"Put register and rules files in force by a conditional update."`
+	Withdraw withdrawCommand `cmd:"" help:"Withdraw a version, so that it gets no new work."`
+	Status   statusCommand   `cmd:"" help:"Show each daemon and how far the newest configuration has come."`
+	Bills    billsCommand    `cmd:"" help:"Show what was billed, by organisation, version and day."`
+	Entries  entriesCommand  `cmd:"" help:"Show which addresses callers should use, and for how long."`
+	Send     sendCommand     `cmd:"" help:"Send one request, whole or streamed."`
+	Load     loadCommand     `cmd:"" help:"Send requests at a steady rate for a bounded time and check every answer."`
+	Certs    certsCommand    `cmd:"" help:"Create authorities and certificates for trying things out."`
+	Version  versionCommand  `cmd:"" help:"Show the version of this program."`
+}
+
+// app is what a command gets to work with.
+type app struct {
+	ctx      context.Context
+	commands Commands
+	out      printer
+}
+
+// Run runs the command line args, which exclude the program's name, and returns
+// the exit code. Cancelling ctx ends the command.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer, commands Commands) int {
+	var g grammar
+	exited := false
+	parser, err := kong.New(&g,
+		kong.Name(programName),
+		kong.Description(description),
+		kong.Writers(stdout, stderr),
+		kong.Exit(func(int) { exited = true }),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+	)
+	if err != nil {
+		return report(stderr, false, fmt.Errorf("build parser: %w", err))
+	}
+	command, err := parser.Parse(args)
+	if exited {
+		return ExitOK
+	}
+	if err != nil {
+		return report(stderr, g.JSON, &usageError{cause: err})
+	}
+	a := &app{ctx: ctx, commands: commands, out: printer{w: stdout, json: g.JSON}}
+	if err := command.Run(a); err != nil {
+		return report(stderr, g.JSON, err)
+	}
+	return ExitOK
+}
+
+// demoCommand runs the demo.
+type demoCommand struct{}
+
+// Run implements the command.
+func (demoCommand) Run(a *app) error {
+	if a.commands.Demo == nil {
+		return errNoDemo
+	}
+	return a.commands.Demo(a.ctx, a.out.w, a.out.json)
+}
--- /dev/null
+++ b/cli/load_test.go
@@ -0,0 +1,75 @@
+package cli
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"testing"
+
+	"github.com/bronzeturn/bronzeturn/callerapi"
+	qt "github.com/frankban/quicktest"
+)
+
+func TestLoadCountsAnswersAndRefusalsByKind(t *testing.T) {
+	c := qt.New(t)
+	e := newEntry(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(callerapi.HeaderKind) == "tag" {
+			refuse(http.StatusTooManyRequests, callerapi.ErrorDetail{Code: "limit_exceeded", Ran: "no"})(w, r)
+			return
+		}
+		stream(eventText, eventFinish, eventUsage, eventDone)(w, r)
+	})
+	got := run(t, "load", "--entry", e.address(), "--rate=500", "--duration=100ms", "--mix=quick=3,tag=1", "--stream", "--json")
+	c.Assert(got.code, qt.Equals, ExitOK, qt.Commentf("%s", got.stderr))
+	var report loadReport
+	decode(t, got.stdout, &report)
+	c.Check(report.Sent+report.NotSent, qt.Equals, int64(50))
+	c.Check(report.Sent, qt.Equals, int64(e.received()))
+	c.Assert(report.Kinds, qt.HasLen, 1)
+	c.Check(report.Kinds[0].Answered, qt.Equals, report.Answered)
+	c.Check(report.Kinds[0].Tokens, qt.Equals, 2*report.Answered)
+	c.Check(report.Kinds[0].FirstToken, qt.IsNotNil)
+	c.Assert(report.Refusals, qt.HasLen, 1)
+	c.Check(report.Refusals[0].Code, qt.Equals, "limit_exceeded")
+	c.Check(report.Refusals[0].Count+report.Answered, qt.Equals, report.Sent)
+	c.Check(e.asked, qt.Equals, 1, qt.Commentf("the answer of entries is kept"))
+}
+
+func TestLoadFailsOnAnswersThatAreNotWhole(t *testing.T) {
+	tests := []struct {
+		name string
+		chat http.HandlerFunc
+		args []string
+		code int
+	}{
+		{"broken streams", stream(eventText, eventBroken), nil, ExitFailure},
+		{"whole answers to a stream", whole, []string{"--stream"}, ExitFailure},
+		{"answers of another request", whole, []string{"--stand-ins"}, ExitFailure},
+		{"only refusals", refuse(http.StatusTooManyRequests, callerapi.ErrorDetail{Code: "limit_exceeded"}), nil, ExitUnavailable},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			e := newEntry(t, test.chat)
+			args := []string{"load", "--entry", e.address(), "--rate=100", "--duration=20ms"}
+			got := run(t, append(args, test.args...)...)
+			qt.Check(t, got.code, qt.Equals, test.code, qt.Commentf("%s%s", got.stdout, got.stderr))
+		})
+	}
+}
+
+func TestLoadIsBounded(t *testing.T) {
+	for _, flag := range []string{"--rate=0", "--rate=NaN", "--rate=5001", "--duration=61s", "--duration=0s", "--in-flight=0", "--deadline=0s", "--mix=a=0", "--mix=a=-1,b=2"} {
+		got := run(t, "load", "--entry", "127.0.0.1:1", flag)
+		qt.Check(t, got.code, qt.Equals, ExitUsage, qt.Commentf(flag))
+	}
+}
+
+func TestKindsAreDrawnByWeight(t *testing.T) {
+	p := newKindPicker(map[string]int{"a": 1, "b": 0, "c": 3})
+	random := rand.New(rand.NewPCG(1, 0))
+	counts := make(map[string]int)
+	for range 4000 {
+		counts[p.pick(random)]++
+	}
+	qt.Check(t, counts["b"], qt.Equals, 0)
+	qt.Check(t, counts["a"] > 900 && counts["a"] < 1100, qt.IsTrue, qt.Commentf("%v", counts))
+}
