Show who won a conflict, and keep the operators' page true

Cause: people who lose a conditional update need to see whose change is in force; the page names flags and metrics that others may rename. Ruled out: a check that every metric stands on the page (each carries its help text on /metrics). Conclusion: tests compare the pages with the flags, codes and metrics of the sources.

--- a/cli/configuration_test.go
+++ b/cli/configuration_test.go
@@ -94,7 +94,7 @@
 	c.Check(again.NewParts, qt.Equals, 0)
 
 	version := "diag-small@4"
-	_, withdrawn := apply(t, server.URL, "withdraw", version, "--reason=wrong phase readings")
+	_, withdrawn := apply(t, server.URL, "withdraw", version, "--reason=wrong phase readings", "--note=seen at hall-porto")
 	c.Check(withdrawn.State, qt.Equals, stateAccepted)
 	c.Check(withdrawn.Base, qt.Equals, again.Generation)
 
@@ -112,7 +112,7 @@
 	c.Check(invalid.code, qt.Equals, ExitInvalid)
 	people := run(t, "apply", changed, "--store", server.URL, "--base=1")
 	inForce := fmt.Sprintf("generation %d", withdrawn.Generation)
-	c.Check(contains(people.stderr, "generation 1", inForce, "ana"), qt.IsTrue, qt.Commentf("%s", people.stderr))
+	c.Check(contains(people.stderr, "generation 1", inForce, "ana", "seen at hall-porto"), qt.IsTrue, qt.Commentf("%s", people.stderr))
 }
 
 func TestApplyWithoutStoreIsUnavailable(t *testing.T) {
--- a/cli/document_test.go
+++ b/cli/document_test.go
@@ -1,15 +1,22 @@
 package cli
 
 import (
+	"bytes"
 	"fmt"
 	"go/ast"
 	"go/parser"
 	"go/token"
+	"io/fs"
 	"os"
+	"path/filepath"
+	"regexp"
 	"strconv"
+	"strings"
 	"testing"
 
+	"github.com/alecthomas/kong"
 	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/settings"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -56,3 +63,84 @@
 		qt.Check(t, string(page), qt.Contains, fmt.Sprintf("\n| %d | ", code))
 	}
 }
+
+// flagsOf returns the flags of a command and of all below it.
+func flagsOf(node *kong.Node) map[string]bool {
+	names := make(map[string]bool)
+	for _, flag := range node.Flags {
+		names["--"+flag.Name] = true
+	}
+	for _, child := range node.Children {
+		for name := range flagsOf(child) {
+			names[name] = true
+		}
+	}
+	return names
+}
+
+func TestPagesNameFlagsThatExist(t *testing.T) {
+	model, err := kong.New(&grammar{})
+	qt.Assert(t, err, qt.IsNil)
+	known := flagsOf(model.Model.Node)
+	var table bytes.Buffer
+	qt.Assert(t, settings.WriteDocument(&table), qt.IsNil)
+	flags := regexp.MustCompile(`--[a-z][a-z-]+[a-z]`)
+	for _, name := range flags.FindAllString(table.String(), -1) {
+		known[name] = true
+	}
+	for _, path := range []string{operatingPage, "../docs/operating/security.md", "../docs/GLOSSARY.md"} {
+		page, err := os.ReadFile(path)
+		qt.Assert(t, err, qt.IsNil)
+		for _, name := range flags.FindAllString(string(page), -1) {
+			qt.Check(t, known[name], qt.IsTrue, qt.Commentf("%s in %s", name, path))
+		}
+	}
+}
+
+// literals returns the string literals of the repository's sources, tests and
+// generated files left out.
+func literals(t *testing.T) map[string]bool {
+	t.Helper()
+	found := make(map[string]bool)
+	err := filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() && (entry.Name() == "gen" || entry.Name() == "bin" || entry.Name() == ".git") {
+			return filepath.SkipDir
+		}
+		if !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+		if err != nil {
+			return err
+		}
+		ast.Inspect(file, func(node ast.Node) bool {
+			if literal, ok := node.(*ast.BasicLit); ok && literal.Kind == token.STRING {
+				if text, err := strconv.Unquote(literal.Value); err == nil {
+					found[text] = true
+				}
+			}
+			return true
+		})
+		return nil
+	})
+	qt.Assert(t, err, qt.IsNil)
+	return found
+}
+
+func TestOperatingPageNamesMetricsThatExist(t *testing.T) {
+	page, err := os.ReadFile(operatingPage)
+	qt.Assert(t, err, qt.IsNil)
+	known := literals(t)
+	names := regexp.MustCompile(`bronzeturn_[a-z_]+[a-z]`).FindAllString(string(page), -1)
+	qt.Assert(t, len(names) > 10, qt.IsTrue)
+	for _, name := range names {
+		exists := known[name]
+		for i := range name {
+			exists = exists || known[name[:i]] && known[name[i:]]
+		}
+		qt.Check(t, exists, qt.IsTrue, qt.Commentf("%s", name))
+	}
+}
--- a/cli/exit.go
+++ b/cli/exit.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/bronzeturn/bronzeturn/callerapi"
@@ -100,6 +101,10 @@
 		return out.ExitCode
 	}
 	fmt.Fprintf(w, "%s: %s\n", programName, out.Message)
+	if c := out.Conflict; c != nil {
+		fmt.Fprintf(w, "  yours is for generation %d; in force is %d, made by %q at %s: %s\n",
+			c.Base, c.InForce, c.By, c.At.Format(time.RFC3339), c.Note)
+	}
 	for _, fault := range out.Faults {
 		fmt.Fprintf(w, "  %s\n", fault)
 	}
