Give bills the time to read the whole ledger

Ruled out: no bound at all (a silent daemon would keep the operator waiting). Before and after: 10 s for both questions before; 10 s for status and 2 min for bills after. go test -race ./cli passes; no large ledger was measured. Conclusion: one bound for each question.

--- a/cli/operators.go
+++ b/cli/operators.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,9 +15,14 @@
 	"github.com/bronzeturn/bronzeturn/security"
 )
 
-// operatorTimeout bounds one question of an operator. It is above the bound
-// that a daemon sets itself for asking all others.
-const operatorTimeout = 10 * time.Second
+// Bounds of an operator's questions.
+const (
+	// statusTimeout is above the bound that a daemon sets itself for asking all
+	// others.
+	statusTimeout = 10 * time.Second
+	// billsTimeout allows for reading the whole ledger from the store.
+	billsTimeout = 2 * time.Minute
+)
 
 // operatorFlags say which daemon to ask, and as whom.
 type operatorFlags struct {
@@ -49,7 +55,7 @@
 }
 
 func newOperatorClient(url string, credentials *security.Credentials) bronzeturnv1connect.OperatorServiceClient {
-	client := &http.Client{Transport: security.NewTransport(credentials, dial), Timeout: operatorTimeout}
+	client := &http.Client{Transport: security.NewTransport(credentials, dial)}
 	return operator.NewClient(client, url)
 }
 
@@ -67,7 +73,9 @@
 		return err
 	}
 	request := &bronzeturnv1.StatusRequest{Engines: s.Engines, LocalOnly: s.Local}
-	response, err := client.Status(a.ctx, connect.NewRequest(request))
+	ctx, cancel := context.WithTimeout(a.ctx, statusTimeout)
+	defer cancel()
+	response, err := client.Status(ctx, connect.NewRequest(request))
 	if err != nil {
 		return fmt.Errorf("ask for the status: %w", err)
 	}
@@ -170,7 +178,9 @@
 		return err
 	}
 	request := &bronzeturnv1.BillsRequest{Organisation: b.Organisation, FromDay: b.From, ThroughDay: b.Through}
-	response, err := client.Bills(a.ctx, connect.NewRequest(request))
+	ctx, cancel := context.WithTimeout(a.ctx, billsTimeout)
+	defer cancel()
+	response, err := client.Bills(ctx, connect.NewRequest(request))
 	if err != nil {
 		return fmt.Errorf("ask for the bills: %w", err)
 	}
