--- a/balance/balance.go
+++ b/balance/balance.go
@@ -33,8 +33,10 @@
 // engine is the running state of one engine.
 type engine struct {
 	name   string
-	load   load
 	health health
+	_      cacheLine
+	load   load
+	_      cacheLine
 	// closed is set while the host is leaving or gone.
 	closed atomic.Bool
 	// cacheEpoch rises when the engine's prefix cache was cleared.
--- a/balance/bench_test.go
+++ b/balance/bench_test.go
@@ -24,6 +24,21 @@
 	}
 }
 
+// BenchmarkChooseParallel runs the choice alone on several cores; compare
+// -cpu 1 with -cpu 8.
+func BenchmarkChooseParallel(b *testing.B) {
+	s := newState(b)
+	p := s.Plan(newRegister(65), nil)
+	var seed atomic.Uint64
+	b.RunParallel(func(pb *testing.PB) {
+		rng := rand.New(rand.NewPCG(seed.Add(1), 1))
+		r := newRequest()
+		for pb.Next() {
+			s.Choose(p, r, epoch, rng)
+		}
+	})
+}
+
 // BenchmarkChooseAndReport runs the choice and all events of a request on
 // several cores; compare -cpu 1 with -cpu 8.
 func BenchmarkChooseAndReport(b *testing.B) {
--- a/balance/health.go
+++ b/balance/health.go
@@ -27,8 +27,13 @@
 const (
 	failureGain = 0.3
 	successGain = 0.1
+	// leastFailure is the share below which failures are forgotten.
+	leastFailure = 0.01
 )
 
+// cacheLine keeps fields apart that different cores read and write often.
+type cacheLine [64]byte
+
 // warmAlready marks an engine that needs no warm-up.
 const warmAlready = -1
 
@@ -48,10 +53,14 @@
 	failureAt atomic.Int64
 	// slowness is the time per token relative to the register, as float bits.
 	slowness atomic.Uint64
+	// row counts the failures in a row.
+	row atomic.Int32
+
+	// The choice reads what stands above, every answer writes what follows.
+	_ cacheLine
 
 	mu         sync.Mutex
 	pool       *pool
-	row        int // failures in a row
 	goodProbes int
 	ejectFor   time.Duration
 	samples    int
@@ -136,25 +145,29 @@
 	ns := now.UnixNano()
 	share := h.failureShare(ns, o.FailureHalfLife)
 	h.setFailure(share+failureGain*(1-share), ns)
-	h.row++
+	row := h.row.Add(1)
 	h.goodProbes = 0
 	if phase(h.phase.Load()) != admitted {
 		h.extend(ns, o)
 		return false
 	}
-	return h.row >= o.EjectFailures && h.eject(failing, ns, o)
+	return int(row) >= o.EjectFailures && h.eject(failing, ns, o)
 }
 
 // succeeded records a whole answer. Enough of them in a row re-admit an engine
 // that was out because of errors. It tells whether the phase changed.
 func (h *health) succeeded(now time.Time, o *Options) bool {
+	if h.row.Load() == 0 && h.failure.Load() == 0 && phase(h.phase.Load()) == admitted {
+		return false // Nothing to forget: the usual case takes no lock.
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	ns := now.UnixNano()
-	h.row = 0
-	h.calm(ns, o)
-	if share := h.failureShare(ns, o.FailureHalfLife); share > 0 {
+	h.row.Store(0)
+	if share := h.failureShare(ns, o.FailureHalfLife); share > leastFailure {
 		h.setFailure(share*(1-successGain), ns)
+	} else {
+		h.setFailure(0, ns)
 	}
 	if phase(h.phase.Load()) != failing || ns < h.until.Load() {
 		return false
@@ -173,6 +186,9 @@
 	if h.pool == nil || !h.pool.take(kind, o) {
 		return false
 	}
+	if now-h.until.Load() > int64(2*o.EjectMax) {
+		h.ejectFor = 0 // The last ejection is long ago.
+	}
 	h.phase.Store(int32(kind))
 	h.extend(now, o)
 	return true
@@ -197,14 +213,6 @@
 	h.phase.Store(int32(admitted))
 	h.warmFrom.Store(now)
 	h.setFailure(0, now)
-	h.row = 0
+	h.row.Store(0)
 	h.resetSpeed()
 }
-
-// calm forgets the length of past ejections after a long time without one.
-// The caller holds mu.
-func (h *health) calm(now int64, o *Options) {
-	if phase(h.phase.Load()) == admitted && now-h.until.Load() > int64(2*o.EjectMax) {
-		h.ejectFor = 0
-	}
-}
--- a/balance/load.go
+++ b/balance/load.go
@@ -29,6 +29,8 @@
 	// reportedAt is the AsOf of the newest report in Unix nanoseconds.
 	reportedAt atomic.Int64
 
+	_ cacheLine
+
 	mu      sync.Mutex
 	history [historyEntries]moment
 	next    int
