--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -1,9 +1,9 @@
 // Package hedge decides whether a slow request is sent to a second engine, of
 // which the first whole answer counts and the other is cancelled. This is
-// replication with d = 2 in the sense of "Random linear coding" (docs/design/
-// 0006): the second copy cuts the tail because two engines are seldom slow at
-// once. The paper's cheaper alternative, coding across jobs, needs work that is
-// linear in its input, which generating text is not.
+// replication with d = 2 of the paper cited in docs/design/0006: the second copy
+// cuts the tail because two engines are seldom slow at once. The paper's cheaper
+// alternative, coding across jobs, needs work that is linear in its input, which
+// generating text is not.
 //
 // Nothing here does I/O, reads a clock or starts a goroutine.
 package hedge
--- a/orders/orders_test.go
+++ b/orders/orders_test.go
@@ -277,3 +277,21 @@
 	_, err = store.Update(c.Context(), l.key, l.encode(holder, 1), obj.Revision)
 	c.Assert(err, qt.IsNil)
 }
+
+func TestADeletedLeaseIsTakenAnewWithAHigherNumber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(c, newFakeEngines(true, 1))
+		source := newSource(1, 1, "v@1")
+		f.daemon("entry-a", f.store, source, always)
+		time.Sleep(10 * time.Second)
+		obj, err := f.store.Get(c.Context(), KeyPrefix+testPool)
+		c.Assert(err, qt.IsNil)
+		c.Assert(f.store.Delete(c.Context(), obj.Key, obj.Revision), qt.IsNil)
+		source.set(2, 1, "v@1", "v@2")
+		time.Sleep(30 * time.Second)
+		c.Assert(f.engines.versions(0), qt.DeepEquals, []string{"v@1", "v@2"})
+		taken := f.engines.taken(0)
+		c.Assert(taken[1].Fencing > taken[0].Fencing, qt.IsTrue)
+	})
+}
