--- a/balance/balance.go
+++ b/balance/balance.go
@@ -180,7 +180,7 @@
 	}
 	s.end(e, ev.Work, ev.FirstTokenSeen, ev.At)
 	if ev.Kind == FailureBusy {
-		e.health.busy(ev.At, ev.RetryAfter)
+		e.health.refused(ev.At, ev.RetryAfter)
 		return
 	}
 	if e.health.failed(ev.At, &s.options) {
@@ -188,21 +188,6 @@
 	}
 }
 
-// busyPause is how long an engine that is full gets nothing when it does not
-// say itself.
-const (
-	busyPause    = 250 * time.Millisecond
-	maxBusyPause = 5 * time.Second
-)
-
-// busy keeps new work away from an engine that is full.
-func (h *health) busy(now time.Time, retryAfter time.Duration) {
-	if retryAfter <= 0 {
-		retryAfter = busyPause
-	}
-	h.busyUntil.Store(now.Add(min(retryAfter, maxBusyPause)).UnixNano())
-}
-
 // end removes a request from the work in flight.
 func (s *State) end(e *engine, w Work, firstTokenSeen bool, at time.Time) {
 	prompt, answer := s.work(w)
--- a/balance/event.go
+++ b/balance/event.go
@@ -29,7 +29,8 @@
 	Engine string
 	Work   Work
 	// Latency is the time since the request was sent, Expected what the
-	// Decision said of it.
+	// Decision said of it. Zero Latency means that it was not measured, as for
+	// an answer that comes whole.
 	Latency  time.Duration
 	Expected time.Duration
 	At       time.Time
@@ -43,7 +44,9 @@
 	// FirstTokenSeen tells whether FirstToken was reported.
 	FirstTokenSeen bool
 	// Tokens is the number of tokens generated, Generation the time from the
-	// first to the last of them.
+	// first to the last of them, zero when it was not measured. For an answer
+	// that comes whole, the time since it was sent less the expected time to the
+	// first token is a fair value.
 	Tokens     int64
 	Generation time.Duration
 	// Cancelled answers tell nothing of the engine's health.
--- a/balance/health.go
+++ b/balance/health.go
@@ -31,6 +31,14 @@
 	leastFailure = 0.01
 )
 
+// An engine that refuses work because it is full gets nothing for busyPause,
+// doubled with each refusal in a row up to maxBusyPause, so that one that refuses
+// everything does not attract work by being idle.
+const (
+	busyPause    = 250 * time.Millisecond
+	maxBusyPause = 5 * time.Second
+)
+
 // cacheLine keeps fields apart that different cores read and write often.
 type cacheLine [64]byte
 
@@ -53,8 +61,9 @@
 	failureAt atomic.Int64
 	// slowness is the time per token relative to the register, as float bits.
 	slowness atomic.Uint64
-	// row counts the failures in a row.
-	row atomic.Int32
+	// row counts the failures in a row, refusals the refusals in a row.
+	row      atomic.Int32
+	refusals atomic.Int32
 
 	// The choice reads what stands above, every answer writes what follows.
 	_ cacheLine
@@ -154,9 +163,28 @@
 	return int(row) >= o.EjectFailures && h.eject(failing, ns, o)
 }
 
+// refused keeps new work away from an engine that is full, for the time it asks
+// for or longer. Refusals of requests sent before the pause count once.
+func (h *health) refused(now time.Time, retryAfter time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.UnixNano() < h.busyUntil.Load() {
+		return
+	}
+	pause := maxBusyPause
+	if row := h.refusals.Add(1); busyPause<<(row-1) < maxBusyPause && row < 16 {
+		pause = busyPause << (row - 1)
+	}
+	pause = min(max(pause, retryAfter), maxBusyPause)
+	h.busyUntil.Store(now.Add(pause).UnixNano())
+}
+
 // succeeded records a whole answer. Enough of them in a row re-admit an engine
 // that was out because of errors. It tells whether the phase changed.
 func (h *health) succeeded(now time.Time, o *Options) bool {
+	if h.refusals.Load() != 0 {
+		h.refusals.Store(0)
+	}
 	if h.row.Load() == 0 && h.failure.Load() == 0 && phase(h.phase.Load()) == admitted {
 		return false // Nothing to forget: the usual case takes no lock.
 	}
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -234,3 +234,34 @@
 	}
 	c.Assert(s.Review(p, epoch), qt.HasLen, 1)
 }
+
+func TestAnEngineThatRefusesEverythingAttractsLessAndLess(t *testing.T) {
+	c := qt.New(t)
+	s := newState(c)
+	p := s.Plan(newRegister(3), nil)
+	refuse := func(at time.Time) time.Duration {
+		for range 5 { // requests in flight are refused together
+			send(s, "engine-0", 1, at)
+			s.Failed(Failed{Engine: "engine-0", Work: newRequest().Work, Kind: FailureBusy, At: at})
+		}
+		return time.Duration(p.engines[0].health.busyUntil.Load() - at.UnixNano())
+	}
+	now := epoch
+	for _, want := range []time.Duration{250, 500, 1000, 2000, 4000, 5000, 5000} {
+		pause := refuse(now)
+		c.Assert(pause, qt.Equals, want*time.Millisecond)
+		c.Assert(share(s, p, "engine-0", 50, now), qt.Equals, 0)
+		now = now.Add(pause)
+	}
+	succeed(s, "engine-0", 1, now)
+	c.Assert(refuse(now), qt.Equals, busyPause)
+}
+
+func TestBufferedAnswersDoNotCountAsFast(t *testing.T) {
+	c := qt.New(t)
+	s := newState(c)
+	p := s.Plan(newRegister(3), nil)
+	answer(s, "engine-0", 20, 25*time.Millisecond, epoch)
+	answer(s, "engine-0", 20, time.Microsecond, epoch)
+	c.Assert(p.engines[0].health.slownessFactor() > 0.9, qt.IsTrue)
+}
--- a/balance/slow.go
+++ b/balance/slow.go
@@ -17,6 +17,10 @@
 // milliseconds on an idle engine do not look like slowness.
 const latencyFloor = 100 * time.Millisecond
 
+// leastTokenTime is the lowest plausible time per token relative to the register.
+// Lower values come from answers that were buffered on the way.
+const leastTokenTime = 0.05
+
 // minMedianEngines is the number of measured engines that make a median.
 const minMedianEngines = 3
 
@@ -187,6 +191,9 @@
 
 // observeFirstToken records a first token's latency against the expected one.
 func (h *health) observeFirstToken(latency, expected time.Duration, now time.Time) {
+	if latency <= 0 {
+		return
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.measuring(now) {
@@ -208,8 +215,11 @@
 	if !h.measuring(now) {
 		return
 	}
-	perToken := generation.Seconds() / float64(tokens-1)
-	h.tokenTime = smooth(h.tokenTime, perToken*h.nominal, h.samples)
+	ratio := generation.Seconds() / float64(tokens-1) * h.nominal
+	if ratio < leastTokenTime {
+		return
+	}
+	h.tokenTime = smooth(h.tokenTime, ratio, h.samples)
 	h.samples++
 	h.slowness.Store(math.Float64bits(h.tokenTime))
 }
--- a/orders/orders_test.go
+++ b/orders/orders_test.go
@@ -295,3 +295,20 @@
 		c.Assert(taken[1].Fencing > taken[0].Fencing, qt.IsTrue)
 	})
 }
+
+func TestStoreCallsOfAPoolAtRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(c, newFakeEngines(true, 3, "v@1"))
+		owner := f.daemon("entry-a", f.store, newSource(1, 3, "v@1"), always)
+		others := func(string) (string, bool) { return "entry-a", false }
+		f.daemon("entry-b", f.store, newSource(1, 3, "v@1"), others)
+		time.Sleep(time.Hour)
+		stop(owner)
+		calls := f.store.Counts()
+		c.Logf("in an hour: %+v", calls)
+		// One renewal, a read and a write, every third of the lease at most.
+		c.Assert(calls.Writes <= 720, qt.IsTrue)
+		c.Assert(calls.Reads <= 720, qt.IsTrue)
+	})
+}
--- a/subset/subset_test.go
+++ b/subset/subset_test.go
@@ -196,6 +196,24 @@
 	c.Assert(Choose("entry-7", slices.DeleteFunc(daemons, func(d string) bool { return d == "entry-7" }), engines, targetSize).names, qt.DeepEquals, got.names)
 }
 
+func TestSelectorFollowsItsInputs(t *testing.T) {
+	c := qt.New(t)
+	var s Selector
+	check := func(daemons []string, engines []*bronzeturnv1.Engine, size int) {
+		c.Helper()
+		c.Assert(s.Choose("entry-7", daemons, engines, size).names, qt.DeepEquals, Choose("entry-7", daemons, engines, size).names)
+	}
+	daemons, engines := newDaemons(40), newEngines(600, 6)
+	check(daemons, engines, targetSize)
+	key := s.key
+	check(daemons, newEngines(600, 6), targetSize)
+	c.Assert(s.key, qt.Equals, key, qt.Commentf("the same lists in another configuration"))
+	check(daemons, engines, targetSize+10)
+	check(daemons[:39], engines, targetSize)
+	check(daemons, engines[:599], targetSize)
+	check(daemons, newEngines(600, 5), targetSize)
+}
+
 func TestFewDaemonsReachEveryEngine(t *testing.T) {
 	c := qt.New(t)
 	engines := newEngines(300, 3)
@@ -205,6 +223,14 @@
 	}
 }
 
+func BenchmarkSelectorUnchanged(b *testing.B) {
+	var s Selector
+	daemons, engines := newDaemons(targetDaemons), newEngines(targetEngines, 36)
+	for b.Loop() {
+		s.Choose("entry-7", daemons, engines, targetSize)
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	daemons := newDaemons(targetDaemons)
 	for _, versionGroups := range []int{1, 36} {
