Judge suspicions by rings of neighbours; probe what is out

Cause: a property test of schedules (crash, pause, cut, heal, leave, host list) found three faults, each seen before this change: a leaving daemon named itself in its own entries for a moment; two of four dead daemons stayed live since each had one neighbour left to report it; two parts of a healed fleet never met again, having no ring neighbours in each other. Ruled out: counting any two free daemons as judges (second fault); neighbours by rendezvous choice, whose number of watchers per daemon varies and is not known.

--- /dev/null
+++ b/membership/failure_test.go
@@ -0,0 +1,222 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+)
+
+const (
+	// joinTime is enough virtual time for a small fleet to settle.
+	joinTime = 10 * time.Second
+	// outTime bounds how long a failed daemon stays in the view.
+	outTime = 6 * time.Second
+)
+
+// startFleet starts n daemons in three data centres.
+func startFleet(t testing.TB, net *network, n int) []*Membership {
+	var fleet []*Membership
+	for i := range n {
+		name := fmt.Sprintf("entry-%d", i)
+		centre := []string{"mendoza-sala", "sanjuan-sala", "sanluis-sala"}[i%3]
+		fleet = append(fleet, net.start(t, name, centre, nil, "entry-0", "entry-1"))
+	}
+	time.Sleep(joinTime)
+	return fleet
+}
+
+func stateOf(m *Membership, name string) (State, Reason) {
+	member, ok := m.View().Member(name)
+	if !ok {
+		return -1, ReasonNone
+	}
+	return member.State, member.Reason
+}
+
+func TestCrashedDaemonIsTakenOutEverywhere(t *testing.T) {
+	for _, n := range []int{2, 3, 6} {
+		synctest.Test(t, func(t *testing.T) {
+			net := newNetwork(2 * time.Millisecond)
+			defer net.stopAll()
+			fleet := startFleet(t, net, n)
+			qt.Assert(t, fleet[0].View().Live(), qt.Equals, n)
+			net.crash("entry-1")
+			time.Sleep(outTime)
+			for i, m := range fleet {
+				if i == 1 {
+					continue
+				}
+				state, reason := stateOf(m, "entry-1")
+				qt.Check(t, state, qt.Equals, Suspected, qt.Commentf("fleet of %d, %d", n, i))
+				qt.Check(t, reason, qt.Equals, ReasonUnreachable)
+				qt.Check(t, m.View().Live(), qt.Equals, n-1)
+			}
+		})
+	}
+}
+
+func TestTwoCrashesOfThreeLeaveOneThatKnows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(2 * time.Millisecond)
+		defer net.stopAll()
+		fleet := startFleet(t, net, 3)
+		net.crash("entry-1")
+		net.crash("entry-2")
+		time.Sleep(outTime)
+		qt.Check(t, fleet[0].View().Live(), qt.Equals, 1)
+		_, self := fleet[0].Owner("any")
+		qt.Check(t, self, qt.IsTrue)
+	})
+}
+
+func TestFrozenDaemonIsToldApartAndComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(2 * time.Millisecond)
+		defer net.stopAll()
+		fleet := startFleet(t, net, 6)
+		net.setPaused("entry-2", true)
+		time.Sleep(outTime)
+		state, reason := stateOf(fleet[5], "entry-2")
+		qt.Check(t, state, qt.Equals, Suspected)
+		qt.Check(t, reason, qt.Equals, ReasonFrozen)
+
+		net.setPaused("entry-2", false)
+		time.Sleep(joinTime)
+		for _, m := range fleet {
+			qt.Check(t, m.View().Live(), qt.Equals, 6)
+		}
+	})
+}
+
+func TestCutFromOneIsDoubtedButStaysLive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(2 * time.Millisecond)
+		defer net.stopAll()
+		fleet := startFleet(t, net, 6)
+		neighbour := fleet[0].monitored(fleet[0].View())[0]
+		net.setCut("entry-0", neighbour, true)
+		time.Sleep(outTime)
+		for _, m := range fleet[1:] {
+			state, _ := stateOf(m, neighbour)
+			qt.Check(t, state, qt.Equals, Live)
+			state, _ = stateOf(m, "entry-0")
+			qt.Check(t, state, qt.Equals, Live)
+		}
+	})
+}
+
+func TestWronglySuspectedDaemonRefutes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(2 * time.Millisecond)
+		defer net.stopAll()
+		fleet := startFleet(t, net, 6)
+		before, _ := fleet[0].View().Member("entry-3")
+		value := encode(&bronzeturnv1.Suspicion{Incarnation: before.Incarnation, Reason: bronzeturnv1.SuspicionReason_SUSPICION_REASON_FROZEN})
+		for _, reporter := range []string{"entry-1", "entry-2"} {
+			qt.Assert(t, fleet[0].node.Publish(suspectKey("entry-3", reporter), 1<<40, value), qt.IsNil)
+		}
+		time.Sleep(100 * time.Millisecond)
+		state, _ := stateOf(fleet[0], "entry-3")
+		qt.Assert(t, state, qt.Equals, Suspected)
+		time.Sleep(2 * time.Second)
+		for _, m := range fleet {
+			after, _ := m.View().Member("entry-3")
+			qt.Check(t, after.State, qt.Equals, Live)
+			qt.Check(t, after.Incarnation > before.Incarnation, qt.IsTrue)
+		}
+	})
+}
+
+func TestRestartAfterTheClockWentBackIsSeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(2 * time.Millisecond)
+		defer net.stopAll()
+		fleet := startFleet(t, net, 3)
+		net.crash("entry-1")
+		time.Sleep(outTime)
+
+		restarted, err := New(Options{
+			Self:   Self{Name: "entry-1", DataCentre: "mendoza-sala", PeerAddress: "entry-1", CallerAddress: "new"},
+			Seeds:  []string{"entry-0"},
+			Dialer: &networkDialer{network: net, from: "entry-1"},
+			Random: fleet[0].options.Random,
+		})
+		qt.Assert(t, err, qt.IsNil)
+		restarted.own.incarnation -= uint64(time.Hour / time.Millisecond)
+		net.run("entry-1", restarted)
+		time.Sleep(joinTime)
+		for _, m := range []*Membership{fleet[0], fleet[2]} {
+			member, _ := m.View().Member("entry-1")
+			qt.Check(t, member.State, qt.Equals, Live)
+			qt.Check(t, member.CallerAddress, qt.Equals, "new")
+		}
+	})
+}
+
+func TestPausedDaemonDoesNotBlameItsNeighbours(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(2 * time.Millisecond)
+		defer net.stopAll()
+		m := startFleet(t, net, 3)[0]
+		m.mu.Lock()
+		for _, c := range m.contacts {
+			c.heard = c.heard.Add(-time.Minute)
+		}
+		m.lastTick = m.lastTick.Add(-time.Minute)
+		m.mu.Unlock()
+		m.tick(time.Now())
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		for name, c := range m.contacts {
+			qt.Check(t, c.claimed, qt.IsFalse, qt.Commentf("%s", name))
+		}
+	})
+}
+
+func TestCutOffDaemonHearsFewOfItsPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(2 * time.Millisecond)
+		defer net.stopAll()
+		fleet := startFleet(t, net, 6)
+		qt.Check(t, fleet[0].PeersHeard(), qt.Equals, fleet[0].PeersKnown())
+		for i := 1; i < 6; i++ {
+			net.setCut("entry-0", fmt.Sprintf("entry-%d", i), true)
+		}
+		time.Sleep(outTime)
+		qt.Check(t, fleet[0].PeersKnown() >= 3, qt.IsTrue)
+		qt.Check(t, fleet[0].PeersHeard(), qt.Equals, 0)
+		known, heard := fleet[1].PeersKnown(), fleet[1].PeersHeard()
+		qt.Check(t, 2*heard > known, qt.IsTrue, qt.Commentf("%d of %d", heard, known))
+	})
+}
+
+func TestNewsAgeTravelsAndGrows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(2 * time.Millisecond)
+		defer net.stopAll()
+		fleet := startFleet(t, net, 6)
+		_, ok := fleet[5].News()
+		qt.Check(t, ok, qt.IsFalse)
+		for _, m := range fleet {
+			m.SetNews(4, time.Time{})
+		}
+		heard := time.Now()
+		fleet[0].SetNews(4, heard)
+		time.Sleep(5 * time.Second)
+		for _, m := range fleet {
+			age, ok := m.News()
+			qt.Check(t, ok, qt.IsTrue)
+			qt.Check(t, age >= time.Since(heard), qt.IsTrue, qt.Commentf("news look newer than they are: %v", age))
+			qt.Check(t, age < time.Since(heard)+time.Second, qt.IsTrue, qt.Commentf("%v", age))
+		}
+		fleet[1].SetNews(5, time.Time{})
+		age, ok := fleet[2].News()
+		qt.Check(t, ok, qt.IsTrue)
+		qt.Check(t, age < 7*time.Second, qt.IsTrue)
+	})
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -25,6 +25,10 @@
 	view         atomic.Pointer[View]
 	leavingHosts atomic.Pointer[map[string]struct{}]
 	changed      chan struct{}
+	// rebuilding keeps views in order; it is taken before mu.
+	rebuilding sync.Mutex
+	// targeting keeps targets in order; it is taken before mu.
+	targeting sync.Mutex
 
 	// mu guards what follows.
 	mu       sync.Mutex
@@ -33,7 +37,10 @@
 	contacts map[string]*contact
 	changes  changeLog
 	lastTick time.Time
-	subs     []func(*View)
+	// probe counts the turns of probing, probed is the time of the last.
+	probe  int
+	probed time.Time
+	subs   []func(*View)
 }
 
 // New returns a membership that is not yet started. Its view holds this daemon
@@ -86,13 +93,16 @@
 	}
 }
 
-// Leave announces that this daemon is shutting down: it is out of entries and
-// owns nothing from now on, but still hears the fleet.
+// Leave announces that this daemon is shutting down: when it returns, this
+// daemon is out of its own answers and owns nothing; the others hear of it. It
+// must not be called by a subscriber.
 func (m *Membership) Leave() {
 	m.mu.Lock()
 	m.own.leaving = true
+	m.records.daemons[m.options.Self.Name] = m.own.message()
 	m.publishOwnLocked()
 	m.mu.Unlock()
+	m.rebuild()
 	m.log.Info().Msg("leaving announced")
 }
 
@@ -123,9 +133,11 @@
 // Subscribe calls f with the view of now and after every change, one call at a
 // time. f must not block.
 func (m *Membership) Subscribe(f func(*View)) {
+	m.rebuilding.Lock()
+	defer m.rebuilding.Unlock()
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.subs = append(m.subs, f)
+	m.mu.Unlock()
 	f(m.view.Load())
 }
 
@@ -156,27 +168,49 @@
 }
 
 // run rebuilds the view after changes and looks at the neighbours.
+//
+// Building takes time in proportion to the fleet and to what fails in it, so the
+// pause before it grows with the time that the last one took.
 func (m *Membership) run() error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	var rebuild <-chan time.Time
+	pause := rebuildDelay
 	for {
 		select {
 		case <-m.tomb.Dying():
 			return nil
 		case <-m.changed:
 			if rebuild == nil {
-				rebuild = time.After(rebuildDelay)
+				rebuild = time.After(pause)
 			}
 		case <-rebuild:
 			rebuild = nil
+			started := time.Now()
 			m.rebuild()
+			pause = max(rebuildDelay, rebuildRest*time.Since(started))
 		case <-ticker.C:
-			m.tick(time.Now())
+			now := time.Now()
+			m.tick(now)
+			if m.probeDue(now) {
+				m.setTargets()
+			}
 		}
 	}
 }
 
+// probeDue tells whether the next suspected daemon has to be probed.
+func (m *Membership) probeDue(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.probed) < probeInterval {
+		return false
+	}
+	m.probed = now
+	m.probe = m.options.Random.IntN(maxDaemons)
+	return true
+}
+
 // signal asks for a new view.
 func (m *Membership) signal() {
 	select {
@@ -187,6 +221,8 @@
 
 // rebuild builds the view from the records and tells the subscribers.
 func (m *Membership) rebuild() {
+	m.rebuilding.Lock()
+	defer m.rebuilding.Unlock()
 	m.mu.Lock()
 	old := m.view.Load()
 	now := time.Now()
@@ -206,34 +242,58 @@
 
 // setTargets keeps links to the neighbours among all daemons, so that one that
 // was cut off is found again, and among the live ones, so that the overlay
-// stays connected meanwhile.
+// stays connected meanwhile. One daemon that is not live is probed besides, in
+// turn, since two parts of the fleet that were cut apart may have no neighbours
+// in each other.
 func (m *Membership) setTargets() {
+	m.targeting.Lock()
+	defer m.targeting.Unlock()
 	v := m.view.Load()
 	names := m.monitored(v)
+	m.watchContacts(names, time.Now())
+	if probe := m.probeName(v); probe != "" && !slices.Contains(names, probe) {
+		names = append(names, probe)
+	}
 	var targets []gossip.Target
 	for _, name := range names {
 		member, _ := v.Member(name)
 		targets = append(targets, gossip.Target{Name: name, Address: member.PeerAddress})
 	}
 	targets = append(targets, m.seedTargets(v)...)
-	m.watchContacts(names, time.Now())
 	m.node.SetTargets(targets)
 }
 
+// probeName returns the suspected daemon whose turn it is to be probed.
+func (m *Membership) probeName(v *View) string {
+	var suspected []string
+	for _, member := range v.Members {
+		if member.State == Suspected {
+			suspected = append(suspected, member.Name)
+		}
+	}
+	if len(suspected) == 0 {
+		return ""
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return suspected[m.probe%len(suspected)]
+}
+
 // monitored returns the names of the neighbours. Leaving daemons keep theirs,
 // since they finish requests and have to hear the fleet until they stop.
 func (m *Membership) monitored(v *View) []string {
+	self := m.options.Self
+	names := v.rings.neighbours(self.Name, self.DataCentre)
 	var live []Member
 	for _, member := range v.Members {
 		if member.State == Live {
 			live = append(live, member)
 		}
 	}
-	self := m.options.Self
-	names := neighbours(self.Name, self.DataCentre, v.Members)
-	if len(live) < len(v.Members) {
-		names = append(names, neighbours(self.Name, self.DataCentre, live)...)
+	if len(live) == len(v.Members) {
+		return names
 	}
+	names = append(names, newRings(live).neighbours(self.Name, self.DataCentre)...)
 	slices.Sort(names)
 	return slices.Compact(names)
 }
--- /dev/null
+++ b/membership/network_test.go
@@ -0,0 +1,212 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/gossip"
+)
+
+// network joins daemons by links in memory, for tests in virtual time. A cut
+// holds all frames between two daemons, as a connection does whose path is
+// gone; a paused daemon neither sends nor receives, but accepts connections.
+type network struct {
+	mu      sync.Mutex
+	cond    *sync.Cond
+	daemons map[string]*Membership
+	down    map[string]bool
+	paused  map[string]bool
+	cut     map[[2]string]bool
+	random  *rand.Rand
+	delay   time.Duration
+}
+
+func newNetwork(delay time.Duration) *network {
+	n := &network{
+		daemons: make(map[string]*Membership),
+		down:    make(map[string]bool),
+		paused:  make(map[string]bool),
+		cut:     make(map[[2]string]bool),
+		random:  rand.New(rand.NewPCG(3, 4)),
+		delay:   delay,
+	}
+	n.cond = sync.NewCond(&n.mu)
+	return n
+}
+
+var errReset = errors.New("connection reset")
+
+type dialError struct{}
+
+func (dialError) Error() string       { return "no connection" }
+func (dialError) ConnectFailed() bool { return true }
+
+// start adds a daemon; its name is its address.
+func (n *network) start(t testing.TB, name, dataCentre string, list HostList, seeds ...string) *Membership {
+	m, err := New(Options{
+		Self:     Self{Name: name, DataCentre: dataCentre, PeerAddress: name, CallerAddress: name},
+		Seeds:    seeds,
+		Dialer:   &networkDialer{network: n, from: name},
+		HostList: list,
+		Classes:  []gossip.Class{{Prefix: "test/", MaxEntries: 1000, MaxValueBytes: 1000}},
+		Random:   rand.New(rand.NewPCG(1, 2)),
+		Log:      zerolog.Nop(),
+	})
+	qt.Assert(t, err, qt.IsNil)
+	n.run(name, m)
+	return m
+}
+
+func (n *network) run(name string, m *Membership) {
+	n.change(func() {
+		n.daemons[name] = m
+		n.down[name] = false
+		n.paused[name] = false
+	})
+	m.Start()
+}
+
+// change alters the network and wakes every link.
+func (n *network) change(f func()) {
+	n.mu.Lock()
+	f()
+	n.mu.Unlock()
+	n.cond.Broadcast()
+}
+
+// crash ends a daemon without a goodbye; its connections are reset.
+func (n *network) crash(name string) {
+	var m *Membership
+	n.change(func() {
+		n.down[name] = true
+		m = n.daemons[name]
+	})
+	m.tomb.Kill(nil)
+	_ = m.tomb.Wait()
+	_ = m.node.Stop()
+}
+
+func (n *network) stopAll() {
+	for name := range n.daemons {
+		n.mu.Lock()
+		down := n.down[name]
+		n.mu.Unlock()
+		if !down {
+			n.crash(name)
+		}
+	}
+	// Frames on their way arrive, so that no goroutine of the links is left.
+	time.Sleep(time.Second)
+}
+
+func (n *network) setCut(a, b string, cut bool) {
+	n.change(func() {
+		n.cut[[2]string{a, b}] = cut
+		n.cut[[2]string{b, a}] = cut
+	})
+}
+
+func (n *network) setPaused(name string, paused bool) {
+	n.change(func() { n.paused[name] = paused })
+}
+
+// stuckLocked tells whether no frame may pass now.
+func (n *network) stuckLocked(from, to string) bool {
+	return n.cut[[2]string{from, to}] || n.paused[from] || n.paused[to]
+}
+
+type networkDialer struct {
+	network *network
+	from    string
+}
+
+// DialLink implements gossip.Dialer.
+func (d *networkDialer) DialLink(ctx context.Context, target gossip.Target) (gossip.Link, error) {
+	n, to := d.network, target.Address
+	n.mu.Lock()
+	cut, down, m := n.cut[[2]string{d.from, to}], n.down[to], n.daemons[to]
+	n.mu.Unlock()
+	if cut {
+		timer := time.NewTimer(1500 * time.Millisecond)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		return nil, dialError{}
+	}
+	if down || m == nil {
+		return nil, dialError{}
+	}
+	there, back := newPipe(n, d.from, to), newPipe(n, to, d.from)
+	go func() { _ = m.Table().Accept(&end{in: there, out: back}) }()
+	return &end{in: back, out: there}, nil
+}
+
+// pipe carries frames in one direction, in order.
+type pipe struct {
+	network  *network
+	from, to string
+	frames   []*bronzeturnv1.Frame
+	closed   bool
+}
+
+func newPipe(n *network, from, to string) *pipe {
+	return &pipe{network: n, from: from, to: to}
+}
+
+type end struct {
+	in, out *pipe
+}
+
+// Send implements gossip.Link.
+func (e *end) Send(frame *bronzeturnv1.Frame) error {
+	n := e.out.network
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if e.out.closed || n.down[e.out.from] || n.down[e.out.to] {
+		return errReset
+	}
+	e.out.frames = append(e.out.frames, frame)
+	n.cond.Broadcast()
+	return nil
+}
+
+// Receive implements gossip.Link.
+func (e *end) Receive() (*bronzeturnv1.Frame, error) {
+	p, n := e.in, e.in.network
+	n.mu.Lock()
+	for {
+		reset := p.closed || n.down[p.from] || n.down[p.to]
+		if reset && (len(p.frames) == 0 || n.down[p.to]) && !n.stuckLocked(p.from, p.to) || e.out.closed {
+			n.mu.Unlock()
+			return nil, errReset
+		}
+		if len(p.frames) > 0 && !n.stuckLocked(p.from, p.to) {
+			break
+		}
+		n.cond.Wait()
+	}
+	frame := p.frames[0]
+	p.frames = p.frames[1:]
+	delay := n.delay/2 + time.Duration(n.random.Int64N(int64(n.delay)+1))
+	n.mu.Unlock()
+	time.Sleep(delay)
+	return frame, nil
+}
+
+// Close implements gossip.Link. The other side sees it once the network lets it.
+func (e *end) Close() {
+	e.in.network.change(func() {
+		e.in.closed = true
+		e.out.closed = true
+	})
+}
--- a/membership/options.go
+++ b/membership/options.go
@@ -27,6 +27,10 @@
 	reclaimAfter = 60 * time.Second
 	// rebuildDelay gathers changes of the table before the view is built again.
 	rebuildDelay = 10 * time.Millisecond
+	// rebuildRest bounds the share of time spent building: one part in so many.
+	rebuildRest = 30
+	// probeInterval is how long one suspected daemon is probed.
+	probeInterval = 5 * time.Second
 
 	// daemonTTL is the age at which the entry of a daemon that no longer
 	// refreshes it is dropped, refreshDaemon how often it is refreshed.
--- /dev/null
+++ b/membership/rings.go
@@ -0,0 +1,148 @@
+package membership
+
+import (
+	"slices"
+	"sort"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bronzeturn/bronzeturn/rendezvous"
+)
+
+// The neighbours of a daemon are the ones beside it on three rings: one of its
+// own data centre, and two of the whole fleet in different orders. So every
+// daemon has at most six neighbours and as many watch it, the fleet is
+// connected by construction, and a daemon that comes or goes changes only the
+// neighbours beside it.
+
+// fleetSeeds are the seeds of the rings of the whole fleet.
+var fleetSeeds = []string{"fleet-1/", "fleet-2/"}
+
+// centreSeed is the seed of the ring of one data centre.
+const centreSeed = "centre/"
+
+// place is the position of a daemon on a ring.
+type place struct {
+	hash uint64
+	name string
+}
+
+func (p place) before(q place) bool {
+	return p.hash < q.hash || p.hash == q.hash && p.name < q.name
+}
+
+// ring is a set of daemons in the order of their hashes.
+type ring struct {
+	seed   string
+	places []place
+}
+
+func placeOf(seed, name string) place {
+	return place{hash: xxhash.Sum64String(seed + name), name: name}
+}
+
+func newRing(seed string, names []string) ring {
+	r := ring{seed: seed, places: make([]place, len(names))}
+	for i, name := range names {
+		r.places[i] = placeOf(seed, name)
+	}
+	slices.SortFunc(r.places, func(p, q place) int {
+		if p.before(q) {
+			return -1
+		}
+		return 1
+	})
+	return r
+}
+
+// beside appends the names just before and just after a name, which need not be
+// on the ring itself.
+func (r ring) beside(name string, to []string) []string {
+	n := len(r.places)
+	me := placeOf(r.seed, name)
+	at := sort.Search(n, func(i int) bool { return !r.places[i].before(me) })
+	next := at
+	if at < n && r.places[at].name == name {
+		next++
+	}
+	if n == 0 || n == 1 && next == 1 {
+		return to
+	}
+	return append(to, r.places[(at+n-1)%n].name, r.places[next%n].name)
+}
+
+// rings are the rings of a set of daemons.
+type rings struct {
+	fleet   []ring
+	centres map[string]ring
+	// members are in the order of their names.
+	members []Member
+}
+
+func newRings(members []Member) *rings {
+	r := &rings{centres: make(map[string]ring), members: members}
+	var all []string
+	byCentre := make(map[string][]string)
+	for _, m := range members {
+		all = append(all, m.Name)
+		byCentre[m.DataCentre] = append(byCentre[m.DataCentre], m.Name)
+	}
+	for _, seed := range fleetSeeds {
+		r.fleet = append(r.fleet, newRing(seed, all))
+	}
+	for centre, names := range byCentre {
+		r.centres[centre] = newRing(centreSeed, names)
+	}
+	return r
+}
+
+// neighbours returns the names that a daemon keeps links to, sorted. When all of
+// them are in its own data centre, one outside is added.
+func (r *rings) neighbours(name, dataCentre string) []string {
+	var chosen []string
+	chosen = r.centres[dataCentre].beside(name, chosen)
+	for _, fleet := range r.fleet {
+		chosen = fleet.beside(name, chosen)
+	}
+	if outside := r.outside(dataCentre); len(outside) > 0 && !intersects(chosen, outside) {
+		chosen = append(chosen, rendezvous.Owner(name, outside))
+	}
+	slices.Sort(chosen)
+	return slices.Compact(chosen)
+}
+
+// outside returns the names of the daemons in other data centres.
+func (r *rings) outside(dataCentre string) []string {
+	var names []string
+	for _, m := range r.members {
+		if m.DataCentre != dataCentre {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+func intersects(a, b []string) bool {
+	return slices.ContainsFunc(a, func(s string) bool {
+		_, found := slices.BinarySearch(b, s)
+		return found
+	})
+}
+
+// key parts of the table.
+const (
+	daemonPrefix  = "daemon/"
+	hostPrefix    = "host/"
+	suspectPrefix = "suspect/"
+)
+
+// suspectKey returns the key of a suspicion.
+func suspectKey(target, reporter string) string {
+	return suspectPrefix + target + "/" + reporter
+}
+
+// parseSuspectKey returns the target and the reporter of a suspicion.
+func parseSuspectKey(key string) (target, reporter string, ok bool) {
+	return strings.Cut(strings.TrimPrefix(key, suspectPrefix), "/")
+}
--- /dev/null
+++ b/membership/suspicion.go
@@ -0,0 +1,114 @@
+package membership
+
+import (
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+)
+
+// enoughReporters is how many neighbours have to suspect a daemon before it
+// counts as down.
+const enoughReporters = 2
+
+// claim is one neighbour's suspicion of a daemon.
+type claim struct {
+	incarnation uint64
+	reason      bronzeturnv1.SuspicionReason
+}
+
+// claims are the suspicions that count, by target and reporter.
+type claims map[string]map[string]claim
+
+// countedClaims returns the claims that count: the reporter is a known daemon
+// other than the target, and the target has not raised its incarnation since.
+func countedClaims(r *records) claims {
+	counted := make(claims)
+	for target, byReporter := range r.claims {
+		d := r.daemons[target]
+		if d == nil {
+			continue
+		}
+		for reporter, c := range byReporter {
+			if reporter == target || r.daemons[reporter] == nil || c.incarnation < d.GetIncarnation() {
+				continue
+			}
+			if counted[target] == nil {
+				counted[target] = make(map[string]claim)
+			}
+			counted[target][reporter] = c
+		}
+	}
+	return counted
+}
+
+// applySuspicions sets the state of the members that enough neighbours suspect.
+// The one suspected by most goes first, and its own claims then no longer count:
+// a daemon that was cut off suspects all its neighbours, and is wrong.
+func applySuspicions(v *View, r *records) {
+	counted := countedClaims(r)
+	out := make(map[string]struct{})
+	for {
+		i := mostSuspected(v, counted, out)
+		if i < 0 {
+			break
+		}
+		m := &v.Members[i]
+		out[m.Name] = struct{}{}
+		if m.State == Live && m.Name != v.Self {
+			m.State, m.Reason = Suspected, reasonOf(counted[m.Name])
+		}
+		for _, byReporter := range counted {
+			delete(byReporter, m.Name)
+		}
+	}
+	for i := range v.Members {
+		v.Members[i].Doubted = len(counted[v.Members[i].Name]) > 0
+	}
+}
+
+// mostSuspected returns the index of the member with the most claims, among
+// those not yet out that have enough, or -1.
+func mostSuspected(v *View, counted claims, out map[string]struct{}) int {
+	best := -1
+	for i, m := range v.Members {
+		n := len(counted[m.Name])
+		if _, done := out[m.Name]; done || n == 0 {
+			continue
+		}
+		if best >= 0 && n <= len(counted[v.Members[best].Name]) {
+			continue
+		}
+		if n >= enoughReporters || n >= judges(v, m, counted, out) {
+			best = i
+		}
+	}
+	return best
+}
+
+// judges returns how many neighbours of a daemon can be trusted to judge it:
+// those that nobody else suspects.
+func judges(v *View, target Member, counted claims, out map[string]struct{}) int {
+	n := 0
+	for _, name := range v.rings.neighbours(target.Name, target.DataCentre) {
+		if _, gone := out[name]; gone {
+			continue
+		}
+		doubts := len(counted[name])
+		if _, mutual := counted[name][target.Name]; mutual {
+			doubts--
+		}
+		if doubts == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// reasonOf sums up the claims: one neighbour that could open a connection is
+// enough to know that the daemon's host answers.
+func reasonOf(byReporter map[string]claim) Reason {
+	for _, c := range byReporter {
+		if c.reason == bronzeturnv1.SuspicionReason_SUSPICION_REASON_FROZEN {
+			return ReasonFrozen
+		}
+	}
+	return ReasonUnreachable
+}
--- a/membership/view.go
+++ b/membership/view.go
@@ -84,6 +84,7 @@
 
 	live   *rendezvous.Set
 	byName map[string]int
+	rings  *rings
 }
 
 // Member returns the named daemon.
