Hand a share out on a daemon's first report

Cause: the first report of a daemon counted as silent, because its holder had no validity yet, and got a share of zero until the next one.

--- a/admission/coordinator.go
+++ b/admission/coordinator.go
@@ -155,7 +155,7 @@
 func (a *allocation) holder(u usage) *holder {
 	h := a.holders[u.daemon]
 	if h == nil {
-		h = &holder{}
+		h = &holder{validity: shortestValidity}
 		a.holders[u.daemon] = h
 	}
 	if h.incarnation != u.incarnation || h.heard.IsZero() {
