--- a/admission/admission.go
+++ b/admission/admission.go
@@ -68,7 +68,7 @@
 		g.(*group).setSlots(time.Now(), max(slots, 0))
 		return
 	}
-	fresh := &group{queue: newQueue(max(slots, 0), c.options.SlotTokensPerSecond)}
+	fresh := &group{queue: NewQueue(max(slots, 0), c.options.SlotTokensPerSecond)}
 	if g, loaded := c.groups.LoadOrStore(groupName, fresh); loaded {
 		g.(*group).setSlots(time.Now(), max(slots, 0))
 	}
@@ -135,9 +135,9 @@
 	it.tokens = t.charge.tokens
 	d, after := g.offer(now, r.Deadline, it)
 	switch d {
-	case refuse:
+	case Refuse:
 		return failure.New(failure.CodeNoCapacity, failure.RanNo, "no capacity before the deadline").After(after)
-	case waitTurn:
+	case WaitTurn:
 		if err := g.wait(ctx, it); err != nil {
 			return err
 		}
--- a/admission/group.go
+++ b/admission/group.go
@@ -19,15 +19,15 @@
 // group is the queue of the engines of one pool that serve one version.
 type group struct {
 	mu    sync.Mutex
-	queue *queue
+	queue *Queue
 }
 
 // offer decides on a new request and wakes the one it pushed out, if any.
-func (g *group) offer(now, deadline time.Time, it *item) (decision, time.Duration) {
+func (g *group) offer(now, deadline time.Time, it *Item) (Decision, time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	d, after, evicted := g.queue.offer(now, deadline, it)
-	if d == waitTurn {
+	d, after, evicted := g.queue.Offer(now, deadline, it)
+	if d == WaitTurn {
 		it.ready = make(chan startResult, 1)
 	}
 	if evicted != nil {
@@ -38,7 +38,7 @@
 
 // wait returns when the request has its slot, or with the refusal. The wait
 // ends at the latest start that was set when the request was queued.
-func (g *group) wait(ctx context.Context, it *item) *failure.Error {
+func (g *group) wait(ctx context.Context, it *Item) *failure.Error {
 	timer := time.NewTimer(time.Until(it.latest))
 	defer timer.Stop()
 	select {
@@ -59,7 +59,7 @@
 }
 
 // waited turns the end of a wait into its outcome.
-func (g *group) waited(result startResult, it *item) *failure.Error {
+func (g *group) waited(result startResult, it *Item) *failure.Error {
 	if result == started {
 		return nil
 	}
@@ -68,14 +68,14 @@
 
 // withdraw takes a request out that gives up waiting. It reports false when
 // the request has been started or pushed out meanwhile.
-func (g *group) withdraw(it *item) bool {
+func (g *group) withdraw(it *Item) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.queue.remove(it)
+	return g.queue.Remove(it)
 }
 
 // waitAdvice estimates the wait of a request like it, as advice to its caller.
-func (g *group) waitAdvice(now time.Time, it *item) time.Duration {
+func (g *group) waitAdvice(now time.Time, it *Item) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return clampRetry(g.queue.expectedWait(now, it.organisation, it.class, it.tokens))
@@ -85,7 +85,7 @@
 func (g *group) release(now time.Time, tokens float64, held time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.queue.release(tokens, held)
+	g.queue.Release(tokens, held)
 	g.startLocked(now)
 }
 
@@ -98,7 +98,7 @@
 }
 
 func (g *group) startLocked(now time.Time) {
-	for it := g.queue.next(now); it != nil; it = g.queue.next(now) {
+	for it := g.queue.Next(now); it != nil; it = g.queue.Next(now) {
 		it.ready <- started
 	}
 }
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -37,8 +37,8 @@
 	idleFlows = 512
 )
 
-// item is a request in a queue.
-type item struct {
+// Item is a request that asks a Queue for a slot.
+type Item struct {
 	organisation string
 	class        int
 	tokens       float64
@@ -46,9 +46,17 @@
 	ready        chan startResult
 }
 
+// NewItem returns a request of an organisation with its expected tokens.
+func NewItem(organisation string, priority bronzeturnv1.Priority, tokens float64) *Item {
+	return &Item{organisation: organisation, class: classOf(priority), tokens: tokens}
+}
+
+// Latest returns when a waiting request has to be taken out and refused.
+func (it *Item) Latest() time.Time { return it.latest }
+
 // flow holds the waiting requests of one organisation in one class.
 type flow struct {
-	items  []*item
+	items  []*Item
 	tag    float64 // virtual time at which the flow's next request starts
 	tokens float64 // sum over items
 }
@@ -63,10 +71,10 @@
 	started meter   // tokens started
 }
 
-// queue lets requests of one group start by priority, and within a priority
+// Queue lets requests of one group start by priority, and within a priority
 // by start-time fair queueing over organisations, measured in tokens. It is a
-// pure state machine; the caller holds the lock.
-type queue struct {
+// pure state machine without a lock of its own.
+type Queue struct {
 	slots       int
 	inUse       int
 	classes     [classes]classQueue
@@ -77,8 +85,10 @@
 	heldSeconds float64
 }
 
-func newQueue(slots int, slotRate float64) *queue {
-	q := &queue{slots: slots, slotRate: slotRate}
+// NewQueue returns a queue for a number of slots, each of which is assumed to
+// serve slotRate tokens a second until requests have been measured.
+func NewQueue(slots int, slotRate float64) *Queue {
+	q := &Queue{slots: slots, slotRate: slotRate}
 	for c := range q.classes {
 		q.classes[c].flows = make(map[string]*flow)
 	}
@@ -86,7 +96,7 @@
 }
 
 // free reports whether a request of the class may take a slot.
-func (q *queue) free(class int) bool {
+func (q *Queue) free(class int) bool {
 	slots := q.slots
 	if class == classBulk {
 		slots -= q.slots / urgentReserve
@@ -96,7 +106,7 @@
 
 // passes reports whether a new request may start without waiting: it has a
 // slot and no request of its class or a higher one is before it.
-func (q *queue) passes(class int) bool {
+func (q *Queue) passes(class int) bool {
 	for c := classUrgent; c <= class; c++ {
 		if q.classes[c].waiting > 0 {
 			return false
@@ -106,7 +116,7 @@
 }
 
 // take starts a request that need not wait.
-func (q *queue) take(now time.Time, it *item) {
+func (q *Queue) take(now time.Time, it *Item) {
 	c := &q.classes[it.class]
 	f := c.flow(it.organisation)
 	c.startTag(f, it.tokens)
@@ -115,7 +125,7 @@
 }
 
 // push adds a request to the queue.
-func (q *queue) push(it *item) {
+func (q *Queue) push(it *Item) {
 	c := &q.classes[it.class]
 	f := c.flow(it.organisation)
 	if len(f.items) == 0 {
@@ -129,8 +139,8 @@
 	q.waiting++
 }
 
-// remove takes a waiting request out. It reports whether it was waiting.
-func (q *queue) remove(it *item) bool {
+// Remove takes a waiting request out. It reports whether it was waiting.
+func (q *Queue) Remove(it *Item) bool {
 	c := &q.classes[it.class]
 	f := c.flows[it.organisation]
 	if f == nil {
@@ -155,8 +165,8 @@
 	return true
 }
 
-// next starts the request whose turn it is, or returns nil.
-func (q *queue) next(now time.Time) *item {
+// Next starts the request whose turn it is, or returns nil.
+func (q *Queue) Next(now time.Time) *Item {
 	class := q.nextClass()
 	if class < 0 {
 		return nil
@@ -164,7 +174,7 @@
 	c := &q.classes[class]
 	f := slices.MinFunc(c.backlog, func(a, b *flow) int { return compare(a.tag, b.tag) })
 	it := f.items[0]
-	q.remove(it)
+	q.Remove(it)
 	c.startTag(f, it.tokens)
 	c.started.add(now, it.tokens)
 	q.inUse++
@@ -172,7 +182,7 @@
 }
 
 // nextClass chooses the class of the next start, or -1 when none can start.
-func (q *queue) nextClass() int {
+func (q *Queue) nextClass() int {
 	if q.classes[classUrgent].waiting > 0 {
 		if q.free(classUrgent) {
 			return classUrgent
@@ -198,8 +208,9 @@
 	return -1
 }
 
-// release frees a slot that was held for a time and produced tokens.
-func (q *queue) release(tokens float64, held time.Duration) {
+// Release frees a slot that was held for a time and produced tokens.
+// The caller then starts what Next returns.
+func (q *Queue) Release(tokens float64, held time.Duration) {
 	q.inUse--
 	if tokens <= 0 || held <= 0 {
 		return
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -11,31 +11,31 @@
 
 // queueModel drives a queue and checks it against what was asked of it.
 type queueModel struct {
-	q       *queue
+	q       *Queue
 	now     time.Time
-	running []*item
-	waiting map[*item]bool
+	running []*Item
+	waiting map[*Item]bool
 }
 
 const modelTokens = 100
 
 func (m *queueModel) arrive(t *rapid.T) {
-	it := &item{
+	it := &Item{
 		organisation: rapid.SampledFrom([]string{"large", "small", "other"}).Draw(t, "organisation"),
 		class:        rapid.IntRange(classUrgent, classBulk).Draw(t, "class"),
 		tokens:       float64(rapid.IntRange(1, 2*modelTokens).Draw(t, "tokens")),
 	}
 	before := m.q.waiting
-	d, after, evicted := m.q.offer(m.now, m.now.Add(time.Hour), it)
+	d, after, evicted := m.q.Offer(m.now, m.now.Add(time.Hour), it)
 	switch d {
-	case startNow:
+	case StartNow:
 		m.running = append(m.running, it)
 		for other := range m.waiting {
 			if other.class <= it.class {
 				t.Fatalf("class %d passed a waiting request of class %d", it.class, other.class)
 			}
 		}
-	case waitTurn:
+	case WaitTurn:
 		m.waiting[it] = true
 		if evicted != nil {
 			if evicted.class < it.class {
@@ -43,7 +43,7 @@
 			}
 			delete(m.waiting, evicted)
 		}
-	case refuse:
+	case Refuse:
 		if after < minRetryAfter || before != m.q.waiting {
 			t.Fatalf("refused with advice %v, waiting %d then %d", after, before, m.q.waiting)
 		}
@@ -57,13 +57,13 @@
 	i := rapid.IntRange(0, len(m.running)-1).Draw(t, "index")
 	it := m.running[i]
 	m.running = append(m.running[:i], m.running[i+1:]...)
-	m.q.release(it.tokens, time.Second)
-	for next := m.q.next(m.now); next != nil; next = m.q.next(m.now) {
+	m.q.Release(it.tokens, time.Second)
+	for next := m.q.Next(m.now); next != nil; next = m.q.Next(m.now) {
 		m.start(t, next)
 	}
 }
 
-func (m *queueModel) start(t *rapid.T, it *item) {
+func (m *queueModel) start(t *rapid.T, it *Item) {
 	if !m.waiting[it] {
 		t.Fatal("started a request that was not waiting, or twice")
 	}
@@ -78,7 +78,7 @@
 
 func (m *queueModel) giveUp(t *rapid.T) {
 	for it := range m.waiting {
-		if !m.q.remove(it) || m.q.remove(it) {
+		if !m.q.Remove(it) || m.q.Remove(it) {
 			t.Fatal("a waiting request must be removable exactly once")
 		}
 		delete(m.waiting, it)
@@ -107,8 +107,8 @@
 func TestQueueKeepsEveryRequestAndItsPriority(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &queueModel{
-			q: newQueue(rapid.IntRange(1, 20).Draw(t, "slots"), 1e6), now: time.Unix(0, 0),
-			waiting: make(map[*item]bool),
+			q: NewQueue(rapid.IntRange(1, 20).Draw(t, "slots"), 1e6), now: time.Unix(0, 0),
+			waiting: make(map[*Item]bool),
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"arrive": m.arrive, "arrive again": m.arrive, "finish": m.finish, "give up": m.giveUp, "": m.check,
@@ -121,8 +121,8 @@
 func TestQueueServesWaitingOrganisationsFairly(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(0, 0)
-		q := newQueue(1, 1e6)
-		q.take(now, &item{organisation: "first", class: classNormal, tokens: 1})
+		q := NewQueue(1, 1e6)
+		q.take(now, &Item{organisation: "first", class: classNormal, tokens: 1})
 		size := rapid.Float64Range(1, 1000)
 		largest := 0.0
 		for _, organisation := range []string{"large", "small"} {
@@ -133,13 +133,13 @@
 			for range n {
 				tokens := size.Draw(t, "tokens")
 				largest = max(largest, tokens)
-				q.push(&item{organisation: organisation, class: classNormal, tokens: tokens})
+				q.push(&Item{organisation: organisation, class: classNormal, tokens: tokens})
 			}
 		}
 		served := map[string]float64{}
 		for q.classes[classNormal].flows["small"].tokens > 0 {
-			q.release(1, time.Second)
-			it := q.next(now)
+			q.Release(1, time.Second)
+			it := q.Next(now)
 			served[it.organisation] += it.tokens
 			if gap := served["large"] - served["small"]; gap > 2*largest || gap < -2*largest {
 				t.Fatalf("served %v, largest request %v", served, largest)
@@ -151,26 +151,26 @@
 func TestQueueAntiStarvation(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(0, 0)
-	q := newQueue(1, 1e6)
-	q.take(now, &item{organisation: "a", class: classNormal, tokens: 1})
+	q := NewQueue(1, 1e6)
+	q.take(now, &Item{organisation: "a", class: classNormal, tokens: 1})
 	for i := range 20 * bulkTurn {
-		q.push(&item{organisation: "a", class: classNormal, tokens: 1})
+		q.push(&Item{organisation: "a", class: classNormal, tokens: 1})
 		if i < 20 {
-			q.push(&item{organisation: "a", class: classBulk, tokens: 1})
+			q.push(&Item{organisation: "a", class: classBulk, tokens: 1})
 		}
 	}
 	bulk := 0
 	for range 10 * bulkTurn {
-		q.release(1, time.Second)
-		if q.next(now).class == classBulk {
+		q.Release(1, time.Second)
+		if q.Next(now).class == classBulk {
 			bulk++
 		}
 	}
 	c.Assert(bulk, qt.Equals, 10)
-	q.push(&item{organisation: "a", class: classUrgent, tokens: 1})
+	q.push(&Item{organisation: "a", class: classUrgent, tokens: 1})
 	q.sinceBulk = bulkTurn
-	q.release(1, time.Second)
-	c.Assert(q.next(now).class, qt.Equals, classUrgent)
+	q.Release(1, time.Second)
+	c.Assert(q.Next(now).class, qt.Equals, classUrgent)
 }
 
 func TestQueueOfferRefuses(t *testing.T) {
@@ -181,30 +181,30 @@
 		waiting  int // normal requests of 100 tokens
 		class    int
 		deadline time.Duration
-		want     decision
+		want     Decision
 	}{
-		{"starts in a free slot however short the deadline", 2, 0, classNormal, time.Millisecond, startNow},
-		{"waits when it can start in time", 1, 1, classNormal, 10 * time.Second, waitTurn},
-		{"refuses at once what can't start in time", 1, 10, classNormal, 10 * time.Second, refuse},
-		{"urgent passes the waiting normal requests", 1, 10, classUrgent, 10 * time.Second, waitTurn},
-		{"bulk waits behind normal requests", 1, 4, classBulk, 10 * time.Second, refuse},
-		{"refuses when there is no slot at all", 0, 0, classUrgent, time.Hour, refuse},
-		{"keeps time for the request itself", 1, 0, classNormal, 1500 * time.Millisecond, refuse},
+		{"starts in a free slot however short the deadline", 2, 0, classNormal, time.Millisecond, StartNow},
+		{"waits when it can start in time", 1, 1, classNormal, 10 * time.Second, WaitTurn},
+		{"refuses at once what can't start in time", 1, 10, classNormal, 10 * time.Second, Refuse},
+		{"urgent passes the waiting normal requests", 1, 10, classUrgent, 10 * time.Second, WaitTurn},
+		{"bulk waits behind normal requests", 1, 4, classBulk, 10 * time.Second, Refuse},
+		{"refuses when there is no slot at all", 0, 0, classUrgent, time.Hour, Refuse},
+		{"keeps time for the request itself", 1, 0, classNormal, 1500 * time.Millisecond, Refuse},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			q := newQueue(test.slots, 100) // a request of 100 tokens takes a second
+			q := NewQueue(test.slots, 100) // a request of 100 tokens takes a second
 			if test.slots == 1 {
-				q.take(now, &item{organisation: "busy", class: classNormal, tokens: 100})
+				q.take(now, &Item{organisation: "busy", class: classNormal, tokens: 100})
 			}
 			for range test.waiting {
-				q.push(&item{organisation: "busy", class: classNormal, tokens: 100})
+				q.push(&Item{organisation: "busy", class: classNormal, tokens: 100})
 			}
-			it := &item{organisation: "busy", class: test.class, tokens: 100}
-			d, after, _ := q.offer(now, now.Add(test.deadline), it)
+			it := &Item{organisation: "busy", class: test.class, tokens: 100}
+			d, after, _ := q.Offer(now, now.Add(test.deadline), it)
 			c.Assert(d, qt.Equals, test.want)
-			if d == refuse {
+			if d == Refuse {
 				c.Assert(after >= minRetryAfter, qt.IsTrue, qt.Commentf("%v", after))
 				c.Assert(after <= maxRetryAfter, qt.IsTrue, qt.Commentf("%v", after))
 			}
@@ -217,18 +217,18 @@
 func TestQueuePushesOutTheLongestFlow(t *testing.T) {
 	c := qt.New(t)
 	now, deadline := time.Unix(0, 0), time.Unix(3600, 0)
-	q := newQueue(1, 1e9)
-	q.take(now, &item{organisation: "large", class: classBulk, tokens: 1})
+	q := NewQueue(1, 1e9)
+	q.take(now, &Item{organisation: "large", class: classBulk, tokens: 1})
 	for i := range maxWaiting {
-		d, _, evicted := q.offer(now, deadline, &item{organisation: "large", class: classBulk, tokens: 1})
-		c.Assert(d, qt.Equals, waitTurn, qt.Commentf("request %d", i))
+		d, _, evicted := q.Offer(now, deadline, &Item{organisation: "large", class: classBulk, tokens: 1})
+		c.Assert(d, qt.Equals, WaitTurn, qt.Commentf("request %d", i))
 		c.Assert(evicted, qt.IsNil)
 	}
-	d, _, _ := q.offer(now, deadline, &item{organisation: "large", class: classBulk, tokens: 1})
-	c.Assert(d, qt.Equals, refuse)
+	d, _, _ := q.Offer(now, deadline, &Item{organisation: "large", class: classBulk, tokens: 1})
+	c.Assert(d, qt.Equals, Refuse)
 	for i, class := range []int{classBulk, classNormal, classUrgent} {
-		d, _, evicted := q.offer(now, deadline, &item{organisation: fmt.Sprint("small", i), class: class, tokens: 1})
-		c.Assert(d, qt.Equals, waitTurn)
+		d, _, evicted := q.Offer(now, deadline, &Item{organisation: fmt.Sprint("small", i), class: class, tokens: 1})
+		c.Assert(d, qt.Equals, WaitTurn)
 		c.Assert(evicted.organisation, qt.Equals, "large")
 	}
 	c.Assert(q.waiting, qt.Equals, maxWaiting)
--- a/admission/ticket.go
+++ b/admission/ticket.go
@@ -12,7 +12,7 @@
 	shard      *accountShard
 	account    *account
 	group      *group
-	item       item
+	item       Item
 	charge     charge
 	started    time.Time
 	released   atomic.Bool
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -22,7 +22,7 @@
 
 // expectedWait estimates how long a new request would wait: the tokens that
 // start before it over the rate at which the group serves its class.
-func (q *queue) expectedWait(now time.Time, organisation string, class int, tokens float64) time.Duration {
+func (q *Queue) expectedWait(now time.Time, organisation string, class int, tokens float64) time.Duration {
 	if q.slots == 0 {
 		return noEngineRetryAfter
 	}
@@ -76,53 +76,58 @@
 }
 
 // serviceTime estimates how long a request occupies its slot.
-func (q *queue) serviceTime(tokens float64) time.Duration {
+func (q *Queue) serviceTime(tokens float64) time.Duration {
 	if q.slotRate <= 0 {
 		return 0
 	}
 	return seconds(tokens / q.slotRate)
 }
 
-// decision is the outcome of offering a request to a queue.
-type decision int
+// Decision is the outcome of offering a request to a queue.
+type Decision int
 
+// The values of Decision.
 const (
-	startNow decision = iota
-	waitTurn
-	refuse
+	// StartNow means that the request has a slot.
+	StartNow Decision = iota
+	// WaitTurn means that the request is in the queue, until Next returns it or
+	// Remove takes it out.
+	WaitTurn
+	// Refuse means that the request can't start in time.
+	Refuse
 )
 
-// offer decides on a new request. On refuse, the duration is the advice on
-// when to come back. On waitTurn, the request is in the queue, and evicted,
+// Offer decides on a new request. On Refuse, the duration is the advice on
+// when to come back. On WaitTurn, the request is in the queue, and evicted,
 // if any, was pushed out for it.
-func (q *queue) offer(now, deadline time.Time, it *item) (d decision, after time.Duration, evicted *item) {
+func (q *Queue) Offer(now, deadline time.Time, it *Item) (d Decision, after time.Duration, evicted *Item) {
 	if q.passes(it.class) {
 		q.take(now, it)
-		return startNow, 0, nil
+		return StartNow, 0, nil
 	}
 	if q.slots == 0 {
-		return refuse, noEngineRetryAfter, nil
+		return Refuse, noEngineRetryAfter, nil
 	}
 	wait := q.expectedWait(now, it.organisation, it.class, it.tokens)
 	it.latest = latestStart(now, deadline, q.serviceTime(it.tokens))
 	if now.Add(wait).After(it.latest) {
-		return refuse, clampRetry(wait), nil
+		return Refuse, clampRetry(wait), nil
 	}
 	if q.waiting >= maxWaiting {
 		evicted = q.victim(it)
 		if evicted == nil {
-			return refuse, clampRetry(wait), nil
+			return Refuse, clampRetry(wait), nil
 		}
-		q.remove(evicted)
+		q.Remove(evicted)
 	}
 	q.push(it)
-	return waitTurn, 0, evicted
+	return WaitTurn, 0, evicted
 }
 
 // victim chooses the waiting request that gives way to it in a full queue:
 // the newest one of the organisation with the most waiting, in the lowest
 // class that waits. It returns nil when the new request itself is the one.
-func (q *queue) victim(it *item) *item {
+func (q *Queue) victim(it *Item) *Item {
 	for class := classBulk; class >= it.class; class-- {
 		c := &q.classes[class]
 		longest := c.longest()
