--- a/config/change.go
+++ b/config/change.go
@@ -36,10 +36,10 @@
 // check bounds the texts that go into the head.
 func (c Change) check() error {
 	v := &validator{}
-	v.text("change.applied_by", c.AppliedBy, maxOperatorBytes)
-	v.text("change.note", c.Note, maxReasonBytes)
+	v.text(whole("change").at("applied_by"), c.AppliedBy, maxOperatorBytes)
+	v.text(whole("change").at("note"), c.Note, maxReasonBytes)
 	if c.Register == nil && c.Rules == nil && c.Withdraw == nil {
-		v.add("change", "nothing to change")
+		v.add(whole("change"), "nothing to change")
 	}
 	if len(v.problems) > 0 {
 		return &ValidationError{Problems: v.problems}
--- a/config/parts.go
+++ b/config/parts.go
@@ -67,13 +67,29 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		proto.Merge(reg, piece.GetRegister())
-		proto.Merge(rules, piece.GetRules())
+		join(reg, rules, piece)
 	}
 	sortSections(reg, rules)
 	return reg, rules, nil
 }
 
+// join appends the entries of a piece, which must not be used afterwards.
+func join(reg *bronzeturnv1.Register, rules *bronzeturnv1.Rules, piece *bronzeturnv1.Part) {
+	from := piece.GetRegister()
+	reg.DataCentres = append(reg.DataCentres, from.GetDataCentres()...)
+	reg.Models = append(reg.Models, from.GetModels()...)
+	reg.Versions = append(reg.Versions, from.GetVersions()...)
+	reg.Organisations = append(reg.Organisations, from.GetOrganisations()...)
+	reg.Pools = append(reg.Pools, from.GetPools()...)
+	reg.Engines = append(reg.Engines, from.GetEngines()...)
+	reg.Services = append(reg.Services, from.GetServices()...)
+	decided := piece.GetRules()
+	rules.Kinds = append(rules.Kinds, decided.GetKinds()...)
+	rules.Withdrawals = append(rules.Withdrawals, decided.GetWithdrawals()...)
+	rules.Limits = append(rules.Limits, decided.GetLimits()...)
+	rules.Rollouts = append(rules.Rollouts, decided.GetRollouts()...)
+}
+
 // decodePart checks the part against its digest and its name.
 func decodePart(part Part) (*bronzeturnv1.Part, error) {
 	if DigestOf(part.Value) != part.Digest {
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -101,9 +101,7 @@
 	s.engines = indexBy(s.register.GetEngines(), (*bronzeturnv1.Engine).GetName)
 	s.byVersion = make(map[string][]*bronzeturnv1.Engine)
 	s.byPool = make(map[string][]*bronzeturnv1.Engine)
-	sorted := append([]*bronzeturnv1.Engine(nil), s.register.GetEngines()...)
-	sort.Slice(sorted, func(i, j int) bool { return sorted[i].GetName() < sorted[j].GetName() })
-	for _, engine := range sorted {
+	for _, engine := range sortedBy(s.register.GetEngines(), (*bronzeturnv1.Engine).GetName) {
 		s.byPool[engine.GetPool()] = append(s.byPool[engine.GetPool()], engine)
 		for _, version := range engine.GetVersions() {
 			s.byVersion[version] = append(s.byVersion[version], engine)
--- a/config/split.go
+++ b/config/split.go
@@ -3,7 +3,8 @@
 import (
 	"fmt"
 	"math/bits"
-	"sort"
+	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
@@ -34,7 +35,7 @@
 		}
 		parts = append(parts, part)
 	}
-	sort.Slice(parts, func(i, j int) bool { return parts[i].Name < parts[j].Name })
+	slices.SortFunc(parts, func(a, b Part) int { return strings.Compare(a.Name, b.Name) })
 	return parts, nil
 }
 
@@ -141,7 +142,7 @@
 
 // sortedBy returns a copy of items in order of their names.
 func sortedBy[T any](items []T, name func(T) string) []T {
-	out := append([]T(nil), items...)
-	sort.SliceStable(out, func(i, j int) bool { return name(out[i]) < name(out[j]) })
+	out := slices.Clone(items)
+	slices.SortStableFunc(out, func(a, b T) int { return strings.Compare(name(a), name(b)) })
 	return out
 }
--- a/config/validate.go
+++ b/config/validate.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -35,6 +36,8 @@
 	maxDeadline         = 2 * time.Hour
 	minDuration         = time.Millisecond
 	maxProblemsReported = 1000
+	// shortList is the length up to which duplicates are sought without a map.
+	shortList = 16
 )
 
 // Validate checks the register and the rules against each other and reports
@@ -82,14 +85,14 @@
 }
 
 // add records a problem at the path, up to a bound.
-func (v *validator) add(path, format string, args ...any) {
+func (v *validator) add(path fieldPath, format string, args ...any) {
 	if len(v.problems) < maxProblemsReported {
-		v.problems = append(v.problems, Problem{Path: path, Message: fmt.Sprintf(format, args...)})
+		v.problems = append(v.problems, Problem{Path: path.String(), Message: fmt.Sprintf(format, args...)})
 	}
 }
 
 // declare checks a name and records it; a second use is a problem.
-func (v *validator) declare(set *names, path, name string) {
+func (v *validator) declare(set *names, path fieldPath, name string) {
 	if *set == nil {
 		*set = make(names)
 	}
@@ -104,53 +107,58 @@
 }
 
 // refer checks that a name is declared.
-func (v *validator) refer(set names, path, what, name string) {
+func (v *validator) refer(set names, path fieldPath, what, name string) {
 	if !set.has(name) {
 		v.add(path, "unknown %s %q", what, clip(name))
 	}
 }
 
 // unique checks that no value stands twice in a list.
-func (v *validator) unique(path string, values []string) {
+func (v *validator) unique(path fieldPath, values []string) {
 	v.count(path, len(values), maxListed)
-	seen := make(names, len(values))
+	var seen names
+	if len(values) > shortList {
+		seen = make(names, len(values))
+	}
 	for i, value := range values {
-		if seen.has(value) {
-			v.add(index(path, i), "duplicate entry %q", clip(value))
+		if seen.has(value) || seen == nil && slices.Contains(values[:i], value) {
+			v.add(path.nth(i), "duplicate entry %q", clip(value))
+		}
+		if seen != nil {
+			seen[value] = struct{}{}
 		}
-		seen[value] = struct{}{}
 	}
 }
 
-func (v *validator) count(path string, n, limit int) {
+func (v *validator) count(path fieldPath, n, limit int) {
 	if n > limit {
 		v.add(path, "%d entries are above the limit of %d", n, limit)
 	}
 }
 
 // ratio checks that a number lies between 0 and 1.
-func (v *validator) ratio(path string, x float64) {
+func (v *validator) ratio(path fieldPath, x float64) {
 	if math.IsNaN(x) || x < 0 || x > 1 {
 		v.add(path, "%v is not between 0 and 1", x)
 	}
 }
 
 // integer checks the bounds of a whole number.
-func (v *validator) integer(path string, x, low, high int64) {
+func (v *validator) integer(path fieldPath, x, low, high int64) {
 	if x < low || x > high {
 		v.add(path, "%d is not between %d and %d", x, low, high)
 	}
 }
 
 // number checks that a number is finite and not negative.
-func (v *validator) number(path string, x float64) {
+func (v *validator) number(path fieldPath, x float64) {
 	if math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
 		v.add(path, "%v must be finite and not negative", x)
 	}
 }
 
 // duration checks the bounds of a duration and returns it.
-func (v *validator) duration(path string, d *durationpb.Duration, high time.Duration) time.Duration {
+func (v *validator) duration(path fieldPath, d *durationpb.Duration, high time.Duration) time.Duration {
 	if d == nil {
 		v.add(path, "duration missing")
 		return 0
@@ -163,7 +171,7 @@
 }
 
 // address checks an IP address with a port.
-func (v *validator) address(path, address string) {
+func (v *validator) address(path fieldPath, address string) {
 	ap, err := netip.ParseAddrPort(address)
 	if err != nil {
 		v.add(path, "address %q is not an IP address and port", clip(address))
@@ -178,7 +186,7 @@
 }
 
 // text bounds free text and refuses control characters.
-func (v *validator) text(path, text string, limit int) {
+func (v *validator) text(path fieldPath, text string, limit int) {
 	if len(text) > limit {
 		v.add(path, "text of %d bytes is above the limit of %d", len(text), limit)
 	}
@@ -216,5 +224,3 @@
 	}
 	return s
 }
-
-func index(path string, i int) string { return fmt.Sprintf("%s[%d]", path, i) }
--- a/config/validate_rules.go
+++ b/config/validate_rules.go
@@ -8,42 +8,42 @@
 
 func (v *validator) kinds() {
 	const section = "rules.kinds"
-	v.count(section, len(v.rules.GetKinds()), maxKinds)
+	v.count(whole(section), len(v.rules.GetKinds()), maxKinds)
 	for i, kind := range v.rules.GetKinds() {
-		path := index(section, i)
-		v.declare(&v.kindNames, path+".name", kind.GetName())
+		path := entry(section, i)
+		v.declare(&v.kindNames, path.at("name"), kind.GetName())
 		v.kind(path, kind)
 	}
 	if !v.kindNames.has(DefaultKind) {
-		v.add(section, "the kind %q is missing", DefaultKind)
+		v.add(whole(section), "the kind %q is missing", DefaultKind)
 	}
 }
 
-func (v *validator) kind(path string, kind *bronzeturnv1.TaskKind) {
-	v.ratio(path+".quality_target", kind.GetQualityTarget())
-	v.enum(path+".priority", int32(kind.GetPriority()), bronzeturnv1.Priority_name)
-	v.enum(path+".below_target", int32(kind.GetBelowTarget()), bronzeturnv1.BelowTarget_name)
-	v.versionList(path+".preferred_versions", kind.GetPreferredVersions())
-	v.integer(path+".expected_completion_tokens", kind.GetExpectedCompletionTokens(), 0, maxTokens)
+func (v *validator) kind(path fieldPath, kind *bronzeturnv1.TaskKind) {
+	v.ratio(path.at("quality_target"), kind.GetQualityTarget())
+	v.enum(path.at("priority"), int32(kind.GetPriority()), bronzeturnv1.Priority_name)
+	v.enum(path.at("below_target"), int32(kind.GetBelowTarget()), bronzeturnv1.BelowTarget_name)
+	v.versionList(path.at("preferred_versions"), kind.GetPreferredVersions())
+	v.integer(path.at("expected_completion_tokens"), kind.GetExpectedCompletionTokens(), 0, maxTokens)
 	v.kindDurations(path, kind)
 	if kind.GetCascade() && !kind.GetIdempotent() {
-		v.add(path+".cascade", "a non-idempotent kind cannot be escalated")
+		v.add(path.at("cascade"), "a non-idempotent kind cannot be escalated")
 	}
 	if kind.GetHedge() && !kind.GetIdempotent() {
-		v.add(path+".hedge", "a non-idempotent kind cannot be hedged")
+		v.add(path.at("hedge"), "a non-idempotent kind cannot be hedged")
 	}
 }
 
-func (v *validator) kindDurations(path string, kind *bronzeturnv1.TaskKind) {
-	deadline := v.duration(path+".deadline", kind.GetDeadline(), maxDeadline)
-	timeout := v.duration(path+".progress_timeout", kind.GetProgressTimeout(), maxDeadline)
+func (v *validator) kindDurations(path fieldPath, kind *bronzeturnv1.TaskKind) {
+	deadline := v.duration(path.at("deadline"), kind.GetDeadline(), maxDeadline)
+	timeout := v.duration(path.at("progress_timeout"), kind.GetProgressTimeout(), maxDeadline)
 	if deadline > 0 && timeout > deadline {
-		v.add(path+".progress_timeout", "%v is longer than the deadline %v", timeout, deadline.Round(time.Millisecond))
+		v.add(path.at("progress_timeout"), "%v is longer than the deadline %v", timeout, deadline.Round(time.Millisecond))
 	}
 }
 
 // enum checks that a number has a name in the schema.
-func (v *validator) enum(path string, number int32, known map[int32]string) {
+func (v *validator) enum(path fieldPath, number int32, known map[int32]string) {
 	if _, ok := known[number]; !ok {
 		v.add(path, "unknown value %d", number)
 	}
@@ -51,59 +51,59 @@
 
 func (v *validator) withdrawals() {
 	const section = "rules.withdrawals"
-	v.count(section, len(v.rules.GetWithdrawals()), maxVersions)
+	v.count(whole(section), len(v.rules.GetWithdrawals()), maxVersions)
 	seen := make(names)
 	for i, w := range v.rules.GetWithdrawals() {
-		path := index(section, i)
-		v.version(path+".version", w.GetVersion())
-		v.once(seen, path+".version", "version", w.GetVersion())
-		v.text(path+".reason", w.GetReason(), maxReasonBytes)
+		path := entry(section, i)
+		v.version(path.at("version"), w.GetVersion())
+		v.once(seen, path.at("version"), "version", w.GetVersion())
+		v.text(path.at("reason"), w.GetReason(), maxReasonBytes)
 	}
 }
 
 func (v *validator) limits() {
 	const section = "rules.limits"
-	v.count(section, len(v.rules.GetLimits()), maxOrganisations)
+	v.count(whole(section), len(v.rules.GetLimits()), maxOrganisations)
 	seen := make(names)
 	for i, limit := range v.rules.GetLimits() {
-		path := index(section, i)
-		v.refer(v.organisationNames, path+".organisation", "organisation", limit.GetOrganisation())
-		v.once(seen, path+".organisation", "organisation", limit.GetOrganisation())
-		v.number(path+".requests_per_second", limit.GetRequestsPerSecond())
-		v.number(path+".tokens_per_second", limit.GetTokensPerSecond())
-		v.integer(path+".concurrent_requests", limit.GetConcurrentRequests(), 0, maxTokens)
-		v.integer(path+".daily_spend_micros", limit.GetDailySpendMicros(), 0, 1<<62)
+		path := entry(section, i)
+		v.refer(v.organisationNames, path.at("organisation"), "organisation", limit.GetOrganisation())
+		v.once(seen, path.at("organisation"), "organisation", limit.GetOrganisation())
+		v.number(path.at("requests_per_second"), limit.GetRequestsPerSecond())
+		v.number(path.at("tokens_per_second"), limit.GetTokensPerSecond())
+		v.integer(path.at("concurrent_requests"), limit.GetConcurrentRequests(), 0, maxTokens)
+		v.integer(path.at("daily_spend_micros"), limit.GetDailySpendMicros(), 0, 1<<62)
 	}
 }
 
 func (v *validator) rollouts() {
 	const section = "rules.rollouts"
-	v.count(section, len(v.rules.GetRollouts()), maxVersions)
+	v.count(whole(section), len(v.rules.GetRollouts()), maxVersions)
 	introduced := make(names)
 	for i, r := range v.rules.GetRollouts() {
-		v.once(introduced, index(section, i)+".version", "version", r.GetVersion())
+		v.once(introduced, entry(section, i).at("version"), "version", r.GetVersion())
 	}
 	for i, r := range v.rules.GetRollouts() {
-		v.rollout(index(section, i), r, introduced)
+		v.rollout(entry(section, i), r, introduced)
 	}
 }
 
 // rollout checks one roll-out. A baseline must not be under roll-out itself, so
 // that the share of a version is well defined.
-func (v *validator) rollout(path string, r *bronzeturnv1.Rollout, introduced names) {
-	v.version(path+".version", r.GetVersion())
-	v.version(path+".baseline", r.GetBaseline())
+func (v *validator) rollout(path fieldPath, r *bronzeturnv1.Rollout, introduced names) {
+	v.version(path.at("version"), r.GetVersion())
+	v.version(path.at("baseline"), r.GetBaseline())
 	model, known := v.versionModels[r.GetVersion()]
 	baseline, baselineKnown := v.versionModels[r.GetBaseline()]
 	if known && baselineKnown && model != baseline {
-		v.add(path+".baseline", "version is of model %q but its baseline is of model %q", clip(model), clip(baseline))
+		v.add(path.at("baseline"), "version is of model %q but its baseline is of model %q", clip(model), clip(baseline))
 	}
 	if introduced.has(r.GetBaseline()) {
-		v.add(path+".baseline", "baseline %q is itself under roll-out", clip(r.GetBaseline()))
+		v.add(path.at("baseline"), "baseline %q is itself under roll-out", clip(r.GetBaseline()))
 	}
-	v.ratio(path+".max_share", r.GetMaxShare())
-	v.enum(path+".state", int32(r.GetState()), bronzeturnv1.RolloutState_name)
+	v.ratio(path.at("max_share"), r.GetMaxShare())
+	v.enum(path.at("state"), int32(r.GetState()), bronzeturnv1.RolloutState_name)
 	if r.GetState() == bronzeturnv1.RolloutState_ROLLOUT_STATE_UNSPECIFIED {
-		v.add(path+".state", "state is missing")
+		v.add(path.at("state"), "state is missing")
 	}
 }
