--- a/provider/state.go
+++ b/provider/state.go
@@ -88,6 +88,8 @@
 	behindSince time.Time
 	// confirmed is the latest time at which no newer head existed.
 	confirmed time.Time
+	// storeConfirmed is the same, as the store told this daemon itself.
+	storeConfirmed time.Time
 }
 
 // offer takes note of a head and decides what becomes of it. The generation in
@@ -142,9 +144,8 @@
 	}
 	s.inForce = c
 	s.problem = nil
-	if c.confirmed.After(s.confirmed) {
-		s.confirmed = c.confirmed
-	}
+	s.confirmed = latest(s.confirmed, c.confirmed)
+	s.storeConfirmed = latest(s.storeConfirmed, c.confirmed)
 	if s.pending != nil && s.pending.generation() <= c.generation() {
 		s.pending = nil
 	}
@@ -178,9 +179,8 @@
 	if !inForce && !refused {
 		return
 	}
-	if at.After(s.confirmed) {
-		s.confirmed = at
-	}
+	s.confirmed = latest(s.confirmed, at)
+	s.storeConfirmed = latest(s.storeConfirmed, at)
 	if inForce && s.pending == nil && at.Sub(s.behindSince) > readLag {
 		s.newest = s.inForce.generation()
 		s.behindSince = time.Time{}
@@ -198,8 +198,16 @@
 		s.hear(generation, now)
 		return true
 	}
-	if at := now.Add(-newsAge); generation == s.inForce.generation() && at.After(s.confirmed) {
-		s.confirmed = at
+	if generation == s.inForce.generation() {
+		s.confirmed = latest(s.confirmed, now.Add(-newsAge))
 	}
 	return false
 }
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
