--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -311,6 +311,29 @@
 	})
 }
 
+func TestTenChangesASecondAreInForceWithinFourSeconds(t *testing.T) {
+	run(t, 6, 2, func(c *qt.C, f *fleet) {
+		const (
+			changes = 60
+			pause   = 100 * time.Millisecond
+			bound   = 4 * time.Second
+		)
+		for n := range changes {
+			accepted := f.apply(int64(n + 2))
+			for _, name := range f.names() {
+				p := f.nodes[name].provider
+				behind := time.Duration(accepted-p.Status().Generation) * pause
+				c.Assert(behind <= bound, qt.IsTrue, qt.Commentf("%s is %v behind", name, behind))
+				ok, reason := p.Fresh(time.Now(), 5, 5)
+				c.Assert(ok, qt.IsTrue, qt.Commentf("%s: %s", name, reason))
+			}
+			time.Sleep(pause)
+		}
+		time.Sleep(bound)
+		f.inForce(c, changes+1)
+	})
+}
+
 func TestNewRefusesMissingOptions(t *testing.T) {
 	_, err := New(Options{})
 	qt.Assert(t, errors.Is(err, ErrOptions), qt.IsTrue)
