Exchange ratings between daemons through one aggregator per version

Cause: at the target a daemon sees one rating in 410, so neither estimates nor the sequential test can work on local ratings. Ruled out: flooding every daemon's counts (410 x 36 entries); per-origin sequence numbers in each publication (about 6 KB per version at 410 daemons); returning a refused report to the fresh counts after an attempt without answer (the property test counted it twice); making a report that its aggregator lost fresh again without its old promise (counted twice when the old aggregator published after all). Conclusion: no rating counts twice; lost are reports to an aggregator that never answered, and what one of two aggregators at odds published.

--- a/quality/cell.go
+++ b/quality/cell.go
@@ -27,6 +27,13 @@
 var (
 	// ErrScore means that a score is not a number from 0 to 1.
 	ErrScore = errors.New("quality: score outside 0 to 1")
+	// ErrReport means that a report of another daemon is malformed.
+	ErrReport = errors.New("quality: malformed report")
+	// ErrPublication means that a published estimate names no publisher.
+	ErrPublication = errors.New("quality: malformed publication")
+	// ErrNotAggregator means that a report came to a daemon that does not
+	// aggregate the version.
+	ErrNotAggregator = errors.New("quality: not the aggregator of the version")
 	// ErrOptions means that Options hold a value out of bounds.
 	ErrOptions = errors.New("quality: invalid options")
 )
@@ -133,6 +140,7 @@
 	r := c.ratings.of(e.Organisation)
 	r.fresh.add(moments{sum: e.Score, weight: 1})
 	r.fresh.limit(c.options.MaxWeight)
+	c.limit()
 	c.publish(e.At)
 }
 
@@ -168,26 +176,37 @@
 	c.ratings.scale(f)
 }
 
+// limit forgets older evidence in proportion once there is too much of it, a
+// tenth at a time. The caller holds the lock.
+func (c *Cell) limit() {
+	const step = 0.9
+	if c.base.weight+c.ratings.total().weight > c.options.MaxTotal {
+		c.base.scale(step)
+		c.ratings.scale(step)
+	}
+}
+
 // publish writes the estimate for readers. The caller holds the lock.
 func (c *Cell) publish(now time.Time) {
-	e := estimate(c.merged(), c.prior, c.options)
+	e := estimate(c.merged(&c.ratings), c.prior, c.options)
 	c.word.Store(pack(e))
 	if !now.IsZero() {
 		c.expires.Store(now.Add(refreshInterval).UnixNano())
 	}
 }
 
-// merged returns the evidence that counts: all of it but that of the
-// organisation with the largest influence on the mean. The caller holds the lock.
-func (c *Cell) merged() moments {
+// merged returns the evidence that counts: base and all ratings but those of
+// the organisation with the largest influence on the mean. The caller holds the
+// lock.
+func (c *Cell) merged(ratings *evidence) moments {
 	total := c.base
-	total.add(c.ratings.total())
+	total.add(ratings.total())
 	if c.soleUser {
 		return total
 	}
 	w := c.options.PriorWeight
 	mean := (total.sum + w*c.prior) / (total.weight + w)
-	total.subtract(c.ratings.mostInfluential(mean))
+	total.subtract(ratings.mostInfluential(mean))
 	return total
 }
 
--- a/quality/evidence.go
+++ b/quality/evidence.go
@@ -16,15 +16,18 @@
 // record is what one organisation contributed.
 type record struct {
 	organisation string
-	// fresh has not been sent to the aggregator.
+	// fresh came to this daemon and was not handed over yet.
 	fresh moments
-	// sent is on its way to the aggregator.
+	// sent came to this daemon and was handed over, but is in no publication yet.
 	sent moments
+	// merged was collected by this daemon as the aggregator of the version.
+	merged moments
 }
 
 func (r *record) total() moments {
 	m := r.fresh
 	m.add(r.sent)
+	m.add(r.merged)
 	return m
 }
 
@@ -49,6 +52,7 @@
 	for _, r := range e.records {
 		r.fresh.scale(f)
 		r.sent.scale(f)
+		r.merged.scale(f)
 		if r.total().weight < negligibleWeight {
 			continue
 		}
