--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -35,8 +35,13 @@
 	maxStage = 30
 )
 
-// ErrOptions means that Options hold a value out of bounds.
-var ErrOptions = errors.New("rollout: invalid options")
+// Errors of this package.
+var (
+	// ErrOptions means that Options hold a value out of bounds.
+	ErrOptions = errors.New("rollout: invalid options")
+	// ErrState means that a state of another daemon is out of bounds.
+	ErrState = errors.New("rollout: invalid state")
+)
 
 // Options tune a Controller. Zero fields take the defaults above.
 type Options struct {
