--- a/selection/selection.go
+++ b/selection/selection.go
@@ -19,7 +19,7 @@
 )
 
 // DefaultExploreShare is the default of Options.ExploreShare.
-const DefaultExploreShare = 0.01
+const DefaultExploreShare = 0.05
 
 // ErrOptions means that Options hold a value out of bounds.
 var ErrOptions = errors.New("selection: invalid options")
