Bound bulk by what engines report; drive the decisions in virtual time

measure runs selection, quality, rollout, cascade, admission, balance, hedge and retry against fake engines and raters. Admission lets bulk grow by a part of the free slots that engines report, and shrink while any is into its reserve.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -74,6 +74,15 @@
 	}
 }
 
+// SetRoom tells what the engines of a group last reported, which bounds the
+// bulk requests of this daemon. Call it about once a second. A group whose room
+// was never set bounds them by its slots alone.
+func (c *Controller) SetRoom(groupName string, r Room) {
+	if g, ok := c.groups.Load(groupName); ok {
+		g.(*group).setRoom(time.Now(), r)
+	}
+}
+
 // RemoveGroup forgets a group that no engine serves any more. Requests that
 // wait in it keep their place until they start or give up.
 func (c *Controller) RemoveGroup(groupName string) { c.groups.Delete(groupName) }
--- a/admission/group.go
+++ b/admission/group.go
@@ -52,7 +52,7 @@
 			After(g.waitAdvice(time.Now(), it))
 	case <-ctx.Done():
 		if !g.withdraw(it) && <-it.ready == started {
-			g.release(time.Now(), 0, 0)
+			g.release(time.Now(), it, 0, 0)
 		}
 		return failure.Wrap(ctx.Err(), failure.CodeDeadlinePassed, failure.RanNo, "caller stopped waiting for capacity")
 	}
@@ -82,10 +82,10 @@
 }
 
 // release frees a slot and starts the requests whose turn it is.
-func (g *group) release(now time.Time, tokens float64, held time.Duration) {
+func (g *group) release(now time.Time, it *Item, tokens float64, held time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.queue.Release(tokens, held)
+	g.queue.Release(it, tokens, held)
 	g.startLocked(now)
 }
 
@@ -97,6 +97,14 @@
 	g.startLocked(now)
 }
 
+// setRoom changes the bound on bulk requests and starts those that now fit.
+func (g *group) setRoom(now time.Time, r Room) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.SetBulkLimit(r)
+	g.startLocked(now)
+}
+
 func (g *group) startLocked(now time.Time) {
 	for it := g.queue.Next(now); it != nil; it = g.queue.Next(now) {
 		it.ready <- started
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -77,6 +78,8 @@
 type Queue struct {
 	slots       int
 	inUse       int
+	bulkInUse   int
+	bulkLimit   int // requests of class bulk that may be in progress
 	classes     [classes]classQueue
 	waiting     int
 	sinceBulk   int
@@ -88,7 +91,7 @@
 // NewQueue returns a queue for a number of slots, each of which is assumed to
 // serve slotRate tokens a second until requests have been measured.
 func NewQueue(slots int, slotRate float64) *Queue {
-	q := &Queue{slots: slots, slotRate: slotRate}
+	q := &Queue{slots: slots, bulkLimit: math.MaxInt, slotRate: slotRate}
 	for c := range q.classes {
 		q.classes[c].flows = make(map[string]*flow)
 	}
@@ -97,11 +100,10 @@
 
 // free reports whether a request of the class may take a slot.
 func (q *Queue) free(class int) bool {
-	slots := q.slots
-	if class == classBulk {
-		slots -= q.slots / urgentReserve
+	if class != classBulk {
+		return q.inUse < q.slots
 	}
-	return q.inUse < slots
+	return q.inUse < q.slots-q.slots/urgentReserve && q.bulkInUse < q.bulkLimit
 }
 
 // passes reports whether a new request may start without waiting: it has a
@@ -119,9 +121,17 @@
 func (q *Queue) take(now time.Time, it *Item) {
 	c := &q.classes[it.class]
 	f := c.flow(it.organisation)
+	q.start(now, c, f, it)
+}
+
+// start counts a request as in progress.
+func (q *Queue) start(now time.Time, c *classQueue, f *flow, it *Item) {
 	c.startTag(f, it.tokens)
 	c.started.add(now, it.tokens)
 	q.inUse++
+	if it.class == classBulk {
+		q.bulkInUse++
+	}
 }
 
 // push adds a request to the queue.
@@ -175,9 +185,7 @@
 	f := slices.MinFunc(c.backlog, func(a, b *flow) int { return compare(a.tag, b.tag) })
 	it := f.items[0]
 	q.Remove(it)
-	c.startTag(f, it.tokens)
-	c.started.add(now, it.tokens)
-	q.inUse++
+	q.start(now, c, f, it)
 	return it
 }
 
@@ -208,10 +216,13 @@
 	return -1
 }
 
-// Release frees a slot that was held for a time and produced tokens.
-// The caller then starts what Next returns.
-func (q *Queue) Release(tokens float64, held time.Duration) {
+// Release frees the slot of a request, which held it for a time and produced
+// tokens. The caller then starts what Next returns.
+func (q *Queue) Release(it *Item, tokens float64, held time.Duration) {
 	q.inUse--
+	if it.class == classBulk {
+		q.bulkInUse--
+	}
 	if tokens <= 0 || held <= 0 {
 		return
 	}
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -57,7 +57,7 @@
 	i := rapid.IntRange(0, len(m.running)-1).Draw(t, "index")
 	it := m.running[i]
 	m.running = append(m.running[:i], m.running[i+1:]...)
-	m.q.Release(it.tokens, time.Second)
+	m.q.Release(it, it.tokens, time.Second)
 	for next := m.q.Next(m.now); next != nil; next = m.q.Next(m.now) {
 		m.start(t, next)
 	}
@@ -122,7 +122,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(0, 0)
 		q := NewQueue(1, 1e6)
-		q.take(now, &Item{organisation: "first", class: classNormal, tokens: 1})
+		running := &Item{organisation: "first", class: classNormal, tokens: 1}
+		q.take(now, running)
 		size := rapid.Float64Range(1, 1000)
 		largest := 0.0
 		for _, organisation := range []string{"large", "small"} {
@@ -138,9 +139,9 @@
 		}
 		served := map[string]float64{}
 		for q.classes[classNormal].flows["small"].tokens > 0 {
-			q.Release(1, time.Second)
-			it := q.Next(now)
-			served[it.organisation] += it.tokens
+			q.Release(running, 1, time.Second)
+			running = q.Next(now)
+			served[running.organisation] += running.tokens
 			if gap := served["large"] - served["small"]; gap > 2*largest || gap < -2*largest {
 				t.Fatalf("served %v, largest request %v", served, largest)
 			}
@@ -152,7 +153,8 @@
 	c := qt.New(t)
 	now := time.Unix(0, 0)
 	q := NewQueue(1, 1e6)
-	q.take(now, &Item{organisation: "a", class: classNormal, tokens: 1})
+	running := &Item{organisation: "a", class: classNormal, tokens: 1}
+	q.take(now, running)
 	for i := range 20 * bulkTurn {
 		q.push(&Item{organisation: "a", class: classNormal, tokens: 1})
 		if i < 20 {
@@ -161,15 +163,16 @@
 	}
 	bulk := 0
 	for range 10 * bulkTurn {
-		q.Release(1, time.Second)
-		if q.Next(now).class == classBulk {
+		q.Release(running, 1, time.Second)
+		running = q.Next(now)
+		if running.class == classBulk {
 			bulk++
 		}
 	}
 	c.Assert(bulk, qt.Equals, 10)
 	q.push(&Item{organisation: "a", class: classUrgent, tokens: 1})
 	q.sinceBulk = bulkTurn
-	q.Release(1, time.Second)
+	q.Release(running, 1, time.Second)
 	c.Assert(q.Next(now).class, qt.Equals, classUrgent)
 }
 
@@ -233,3 +236,46 @@
 	}
 	c.Assert(q.waiting, qt.Equals, maxWaiting)
 }
+
+func TestBulkLimitFollowsTheRoom(t *testing.T) {
+	cases := []struct {
+		name    string
+		own     int
+		sharers int
+		busy    []int // of engines with 40 slots, 35 of them for bulk
+		want    int
+	}{
+		{"free engines", 4, 6, []int{5, 5}, 4 + 5},
+		{"the last free slot below the reserve", 4, 6, []int{35, 34}, 5},
+		{"the reserve is reached", 4, 6, []int{35, 35}, 4},
+		{"one engine is into the reserve", 9, 6, []int{0, 38}, 8},
+		{"far beyond", 2, 1, []int{200, 200}, 1},
+		{"nothing known", 0, 6, nil, 1},
+		{"one daemon", 0, 0, []int{31}, 2},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Check(t, BulkLimit(test.own, roomOf(test.sharers, test.busy)), qt.Equals, test.want)
+		})
+	}
+	now := time.Unix(0, 0)
+	q := NewQueue(80, 1e9)
+	q.SetBulkLimit(roomOf(1, []int{31, 35}))
+	starts := 0
+	for range 10 {
+		if d, _, _ := q.Offer(now, now.Add(time.Hour), &Item{organisation: "a", class: classBulk, tokens: 1}); d == StartNow {
+			starts++
+		}
+	}
+	qt.Check(t, starts, qt.Equals, 2)
+	d, _, _ := q.Offer(now, now.Add(time.Hour), &Item{organisation: "a", class: classUrgent, tokens: 1})
+	qt.Check(t, d, qt.Equals, StartNow)
+}
+
+func roomOf(sharers int, busy []int) Room {
+	room := Room{Sharers: sharers}
+	for _, b := range busy {
+		room.Add(40, b)
+	}
+	return room
+}
--- a/admission/ticket.go
+++ b/admission/ticket.go
@@ -35,7 +35,7 @@
 		t.shard.mu.Unlock()
 	}
 	if t.group != nil {
-		t.group.release(now, tokens, now.Sub(t.started))
+		t.group.release(now, &t.item, tokens, now.Sub(t.started))
 	}
 }
 
--- /dev/null
+++ b/measure/learn.go
@@ -0,0 +1,68 @@
+package measure
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/quality"
+	"github.com/bronzeturn/bronzeturn/selection"
+)
+
+// history is how long the fleet served and rated before a run. Without it a
+// run would show the first minutes of a fleet that knows nothing but priors,
+// which is FaultColdStart.
+const history = 4 * time.Hour
+
+// learn lets the router's choice of versions meet the rated part of the
+// scenario's work for a while before the run, without engines.
+func (s *sim) learn(seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 5))
+	total := 0.0
+	for i := range s.scenario.streams {
+		total += s.scenario.streams[i].rate * ratedShare
+	}
+	now := epoch.Add(-history)
+	for id := 0; ; id++ {
+		now = now.Add(seconds(rng.ExpFloat64() / total))
+		if !now.Before(epoch) {
+			return
+		}
+		at := rng.Float64() * total
+		for i := range s.scenario.streams {
+			if at -= s.scenario.streams[i].rate * ratedShare; at < 0 {
+				s.learnOne(&s.scenario.streams[i], id, now, rng)
+				break
+			}
+		}
+	}
+}
+
+// learnOne serves and rates one request.
+func (s *sim) learnOne(st *stream, id int, now time.Time, rng *rand.Rand) {
+	kind := s.kinds[st.kind]
+	organisation := st.organisations[rng.IntN(len(st.organisations))]
+	d, err := s.versions.Choose(s.plan, &selection.Request{
+		Organisation: organisation, Kind: st.kind, Key: fmt.Sprint("history ", id),
+		InConversation: st.conversations > 0, PromptTokens: st.prompt, Deadline: now.Add(kind.GetDeadline().AsDuration()),
+	}, now, rng)
+	if err != nil {
+		return
+	}
+	draw, check := rng.Float64(), rng.Float64()
+	version, accepted := d.Version, false
+	good := draw < s.truth.quality(version, st.kind, now)
+	if d.Escalatable {
+		flagged := !checkAnswer(good, check).OK()
+		s.quality.Checked(quality.Checked{Version: version, Kind: st.kind, Flagged: flagged})
+		accepted = !flagged
+		if flagged {
+			version = d.Cascade.Next
+			good = draw < s.truth.quality(version, st.kind, now)
+		}
+	}
+	_, _ = s.versions.Rated(quality.Rated{
+		Organisation: organisation, Version: version, Kind: st.kind, Accepted: accepted,
+		Score: s.score(organisation, good), At: now,
+	})
+}
--- /dev/null
+++ b/measure/outcome.go
@@ -0,0 +1,86 @@
+package measure
+
+import (
+	"github.com/bronzeturn/bronzeturn/cascade"
+	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/quality"
+)
+
+// judge checks a whole answer, escalates it, or delivers it.
+func (s *sim) judge(r *request) {
+	f := &r.flow
+	version, kind := f.version, r.kind.GetName()
+	good := r.goodDraw < s.truth.quality(version, kind, s.now)
+	s.quality.Answered(quality.Answered{Version: version, Kind: kind, CompletionTokens: r.completion})
+	accepted := false
+	if r.decision.Escalatable && !r.escalated {
+		verdict := checkAnswer(good, r.checkDraw)
+		s.quality.Checked(quality.Checked{Version: version, Kind: kind, Flagged: !verdict.OK()})
+		next := cascade.Next(&r.decision.Cascade, &cascade.State{Verdict: verdict, Deadline: r.deadline}, s.now)
+		if next.Version != "" {
+			r.escalated = true
+			s.launch(r, next.Version)
+			return
+		}
+		accepted = verdict.OK()
+	}
+	s.rateAnswer(r, version, accepted, good)
+	r.ended = true
+	s.result.answered(s, r, good)
+	s.release(r)
+}
+
+// checkAnswer is the check of a cascade: it flags some bad answers and few
+// good ones.
+func checkAnswer(good bool, draw float64) cascade.Verdict {
+	flags := checkRecall
+	if good {
+		flags = checkFalseAlarm
+	}
+	if draw < flags {
+		return cascade.Unsure
+	}
+	return cascade.Passed
+}
+
+// expectedQuality is the true expected quality of what the request was given:
+// of its version, or of its cascade.
+func (s *sim) expectedQuality(r *request) float64 {
+	if r.decision.Escalatable {
+		return s.truth.outlook(r.decision.Version, r.decision.Cascade.Next, r, s.now).Quality
+	}
+	return s.truth.quality(r.flow.version, r.kind.GetName(), s.now)
+}
+
+// refuse ends a request that did not run.
+func (s *sim) refuse(r *request, code failure.Code) {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	s.result.refused(r, code)
+	s.release(r)
+}
+
+// fail ends a request that got no whole answer.
+func (s *sim) fail(r *request) {
+	r.ended = true
+	s.result.failed(r)
+	s.release(r)
+}
+
+// expire ends a request at its deadline.
+func (s *sim) expire(r *request) {
+	if r.ended {
+		return
+	}
+	for _, a := range r.flow.live {
+		s.cancel(a)
+	}
+	r.flow.live = nil
+	if r.flow.started.IsZero() {
+		s.refuse(r, failure.CodeDeadlinePassed)
+		return
+	}
+	s.fail(r)
+}
--- /dev/null
+++ b/measure/policy.go
@@ -0,0 +1,225 @@
+package measure
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/balance"
+	"github.com/bronzeturn/bronzeturn/cascade"
+	"github.com/bronzeturn/bronzeturn/failure"
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/selection"
+)
+
+// Policy says how versions and engines are chosen in a run.
+type Policy string
+
+// The policies. All but the oracle use the same admission and retries.
+const (
+	// PolicyRouter is the router's own decisions.
+	PolicyRouter Policy = "router"
+	// PolicyStrongest takes the allowed version of the highest prior quality.
+	PolicyStrongest Policy = "strongest only"
+	// PolicyCheapest takes the cheapest allowed version.
+	PolicyCheapest Policy = "cheapest only"
+	// PolicyRoundRobin takes the router's version, and engines in turn.
+	PolicyRoundRobin Policy = "round robin"
+	// PolicyLeastReported takes the router's version, and the engine that
+	// reported the fewest requests.
+	PolicyLeastReported Policy = "least reported load"
+	// PolicyOracle knows true qualities, costs and queues.
+	PolicyOracle Policy = "oracle"
+)
+
+// Policies are all policies, in the order of the tables.
+var Policies = []Policy{PolicyRouter, PolicyOracle, PolicyStrongest, PolicyCheapest, PolicyRoundRobin, PolicyLeastReported}
+
+// avoidFailed is how long the simple baselines stay away from an engine that
+// failed.
+const avoidFailed = 5 * time.Second
+
+func (p Policy) oracle() bool { return p == PolicyOracle }
+
+// learns tells whether versions are chosen by what ratings taught.
+func (p Policy) learns() bool {
+	return p == PolicyRouter || p == PolicyRoundRobin || p == PolicyLeastReported
+}
+
+// hedges tells whether slow requests are hedged. Baselines of the choice of
+// engines do without.
+func (p Policy) hedges() bool {
+	return p == PolicyRouter || p == PolicyStrongest || p == PolicyCheapest
+}
+
+// version chooses the version of a request.
+func (p Policy) version(s *sim, r *request) (selection.Decision, error) {
+	if r.conversation != nil && r.conversation.version != "" && p != PolicyRouter {
+		return selection.Decision{Version: r.conversation.version}, nil
+	}
+	switch p {
+	case PolicyOracle:
+		return s.oracleVersion(r)
+	case PolicyStrongest:
+		return s.extreme(r, func(v *bronzeturnv1.Version) float64 { return -priorOf(v, r.kind.GetName()) })
+	case PolicyCheapest:
+		return s.extreme(r, func(v *bronzeturnv1.Version) float64 {
+			return s.truth.cost(v.GetName(), r.prompt, r.kind.GetExpectedCompletionTokens())
+		})
+	}
+	request := selection.Request{
+		Organisation: r.organisation, Kind: r.kind.GetName(), Key: r.key, InConversation: r.conversation != nil,
+		PromptTokens: r.prompt, Deadline: r.deadline,
+	}
+	if r.conversation != nil {
+		request.Constraint = r.conversation.version
+	}
+	return s.versions.Choose(s.plan, &request, s.now, r.daemon.rng)
+}
+
+// engine chooses the engine of a request.
+func (p Policy) engine(s *sim, r *request) (*fakeEngine, balance.Decision, bool) {
+	switch p {
+	case PolicyOracle:
+		e := s.fastest(r, r.flow.version)
+		return e, balance.Decision{}, e != nil
+	case PolicyRoundRobin:
+		candidates := r.daemon.candidates(r.flow.version)
+		r.daemon.turn++
+		return candidates[r.daemon.turn%len(candidates)], balance.Decision{}, true
+	case PolicyLeastReported:
+		candidates := r.daemon.candidates(r.flow.version)
+		r.daemon.rng.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+		return slices.MinFunc(candidates, func(a, b *fakeEngine) int {
+			return int(r.daemon.reported[a].requests - r.daemon.reported[b].requests)
+		}), balance.Decision{}, true
+	}
+	d, ok := r.daemon.state.Choose(r.daemon.plan, &balance.Request{
+		Version: r.flow.version, DataCentre: r.daemon.dataCentre, Work: work(r), PrefixHash: r.prefix,
+		Exclude: r.flow.tried, NoProbe: !r.kind.GetIdempotent(), MaxWait: r.deadline.Sub(s.now),
+	}, s.now, r.daemon.rng)
+	if !ok {
+		return nil, d, false
+	}
+	return s.engines[d.Index], d, true
+}
+
+// candidates are the engines that serve a version and did not fail lately.
+func (d *daemon) candidates(version string) []*fakeEngine {
+	all := d.sim.serving[version]
+	var usable []*fakeEngine
+	for _, e := range all {
+		if failed, ok := d.failedAt[e]; !ok || d.sim.now.Sub(failed) > avoidFailed {
+			usable = append(usable, e)
+		}
+	}
+	if len(usable) == 0 {
+		return slices.Clone(all)
+	}
+	return usable
+}
+
+// usable lists the versions that the rules and the register let a request use.
+func (s *sim) usable(r *request) []*bronzeturnv1.Version {
+	i := slices.IndexFunc(s.reg.GetOrganisations(), func(o *bronzeturnv1.Organisation) bool { return o.GetName() == r.organisation })
+	organisation := s.reg.GetOrganisations()[i]
+	var usable []*bronzeturnv1.Version
+	for _, v := range s.reg.GetVersions() {
+		allowed := slices.Contains(organisation.GetAllowedVersions(), v.GetName()) ||
+			slices.Contains(organisation.GetAllowedModels(), v.GetModel())
+		if allowed && len(s.serving[v.GetName()]) > 0 && !s.outOfUse(v.GetName()) {
+			usable = append(usable, v)
+		}
+	}
+	return usable
+}
+
+// outOfUse reports whether the rules withdraw a version or halt its roll-out.
+func (s *sim) outOfUse(version string) bool {
+	withdrawn := slices.ContainsFunc(s.rules.GetWithdrawals(), func(w *bronzeturnv1.Withdrawal) bool { return w.GetVersion() == version })
+	return withdrawn || slices.ContainsFunc(s.rules.GetRollouts(), func(o *bronzeturnv1.Rollout) bool {
+		return o.GetVersion() == version && o.GetState() == bronzeturnv1.RolloutState_ROLLOUT_STATE_HALTED
+	})
+}
+
+// extreme chooses the usable version with the least value.
+func (s *sim) extreme(r *request, value func(*bronzeturnv1.Version) float64) (selection.Decision, error) {
+	usable := s.usable(r)
+	if len(usable) == 0 {
+		return selection.Decision{}, failure.New(failure.CodeVersionNotAllowed, failure.RanNo, "no usable version")
+	}
+	v := slices.MinFunc(usable, func(a, b *bronzeturnv1.Version) int {
+		return compare(value(a), value(b))
+	})
+	return selection.Decision{Version: v.GetName()}, nil
+}
+
+// oracleVersion chooses the cheapest version, or cascade, that truly reaches
+// the target in time; else the best one that is in time.
+func (s *sim) oracleVersion(r *request) (selection.Decision, error) {
+	kind, target := r.kind.GetName(), r.kind.GetQualityTarget()
+	best, bestCost := selection.Decision{}, math.Inf(1)
+	var fallback selection.Decision
+	fallbackQuality := -1.0
+	usable := s.usable(r)
+	for _, v := range usable {
+		q := s.truth.quality(v.GetName(), kind, s.now)
+		if s.fastest(r, v.GetName()).finishAfter(r) > r.deadline.Sub(s.now) {
+			continue
+		}
+		cost := s.truth.cost(v.GetName(), r.prompt, r.completion)
+		if q >= target && cost < bestCost {
+			best, bestCost = selection.Decision{Version: v.GetName()}, cost
+		}
+		if q > fallbackQuality {
+			fallback, fallbackQuality = selection.Decision{Version: v.GetName()}, q
+		}
+	}
+	if r.kind.GetCascade() && r.conversation == nil {
+		best = s.oracleCascade(r, usable, best, bestCost)
+	}
+	switch {
+	case best.Version != "":
+		return best, nil
+	case fallback.Version != "":
+		return fallback, nil
+	}
+	return selection.Decision{}, failure.New(failure.CodeNoCapacity, failure.RanNo, "no version in time")
+}
+
+// oracleCascade replaces the choice by a cheaper cascade that reaches the target.
+func (s *sim) oracleCascade(r *request, usable []*bronzeturnv1.Version, best selection.Decision, bestCost float64) selection.Decision {
+	left := r.deadline.Sub(s.now)
+	for _, cheap := range usable {
+		for _, strong := range usable {
+			a, b := s.fastest(r, cheap.GetName()), s.fastest(r, strong.GetName())
+			out := s.truth.outlook(cheap.GetName(), strong.GetName(), r, s.now)
+			if cheap == strong || out.Quality < r.kind.GetQualityTarget() || out.Cost >= bestCost || a.finishAfter(r)+b.finishAfter(r) > left {
+				continue
+			}
+			bestCost = out.Cost
+			best = selection.Decision{
+				Version: cheap.GetName(), Escalatable: true,
+				Cascade: cascade.Plan{Next: strong.GetName(), NextDuration: b.finishAfter(r)},
+			}
+		}
+	}
+	return best
+}
+
+// fastest is the engine that would truly answer first.
+func (s *sim) fastest(r *request, version string) *fakeEngine {
+	return slices.MinFunc(s.serving[version], func(a, b *fakeEngine) int {
+		return compare(a.finishAfter(r).Seconds(), b.finishAfter(r).Seconds())
+	})
+}
+
+func compare(a, b float64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
