--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	qt "github.com/frankban/quicktest"
 
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
@@ -123,3 +127,46 @@
 		})
 	}
 }
+
+// serverDialer leads to one daemon over loopback.
+type serverDialer struct {
+	client *http.Client
+	url    string
+}
+
+// Dial implements Dialer.
+func (d serverDialer) Dial(string) (connect.HTTPClient, string, bool) { return d.client, d.url, true }
+
+// BenchmarkForwardedBill is the processor time of a bill that one daemon sends
+// to the preferred writer over loopback, both sides together, as it comes at
+// the target: one at a time per daemon.
+func BenchmarkForwardedBill(b *testing.B) {
+	c := newCluster()
+	b.Cleanup(c.stop)
+	pace := func(cfg *Config) {
+		cfg.Shards, cfg.Slots = DefaultShards, DefaultSlots
+		cfg.FleetWrites, cfg.BatchDelay = 1e9, time.Microsecond
+	}
+	owner := c.start(b, "owner", pace)
+	server := httptest.NewServer(owner.handler)
+	b.Cleanup(server.Close)
+	c.setOwner(func(string, string) string { return "owner" })
+	n := c.start(b, "a", pace, func(cfg *Config) { cfg.Dialer = serverDialer{server.Client(), server.URL} })
+	_, err := n.Bill(b.Context(), billNumber(0))
+	qt.Assert(b, err, qt.IsNil)
+	i, before := 0, cpuTime()
+	for b.Loop() {
+		i++
+		if _, err := n.Bill(b.Context(), billNumber(i)); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(cpuTime()-before)/float64(i), "cpu-ns/op")
+}
+
+// cpuTime is the processor time of this process.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/ledger/bounds_test.go
+++ b/ledger/bounds_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"runtime"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -157,9 +158,11 @@
 		maxWire   int // in a batch
 		maxEntry  int // in a segment
 		maxMemory int // in the state of the preferred writer
+		done      bool
 	}{
-		{"bill", fullBill, 180, 16, 72},
-		{"claim", fullClaim, 160, 180, 430},
+		{"bill", fullBill, 160, 16, 45, false},
+		{"claim", fullClaim, 150, 160, 320, false},
+		{"claim with outcome", fullClaim, 150, 260, 640, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -175,6 +178,9 @@
 			var read bronzeturnv1.LedgerBatch
 			qt.Assert(t, proto.Unmarshal(wire, &read), qt.IsNil)
 			g.state.apply(&read)
+			if test.done {
+				finish(g.state, &read)
+			}
 			read.Reset()
 			memory := int(heapBytes()-before) / n
 			t.Logf("%s: %d bytes in a batch, %d in memory", test.name, len(wire)/n, memory)
@@ -191,6 +197,20 @@
 	}
 }
 
+// finish adds the outcome of every claim of a batch, without its body.
+func finish(s *state, b *bronzeturnv1.LedgerBatch) {
+	for i, rec := range b.Records {
+		out := &bronzeturnv1.LedgerOutcome{
+			State:       wireStates[StateDone],
+			Status:      200,
+			ContentType: strings.Clone("application/json"),
+			BodySha256:  make([]byte, 32),
+			Version:     fmt.Sprint("diag-large-2026-", i%36),
+		}
+		s.applyRecord(outcomeRecord(fingerprint(rec.Fingerprint), Nonce(rec.Nonce), out))
+	}
+}
+
 // heapBytes returns the live heap.
 func heapBytes() uint64 {
 	runtime.GC()
--- a/ledger/entry.go
+++ b/ledger/entry.go
@@ -78,7 +78,9 @@
 	}
 	switch body := e.Body.(type) {
 	case *bronzeturnv1.LedgerEntry_Claim:
-		s.claims[fp] = claimOf(e, body.Claim)
+		c := claimOf(e, body.Claim)
+		c.holder = s.holderName(c.holder)
+		s.claims[fp] = c
 	case *bronzeturnv1.LedgerEntry_Pin:
 		s.pins[fp] = pinOf(e, body.Pin)
 	case *bronzeturnv1.LedgerEntry_Bill:
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -95,11 +95,12 @@
 	DefaultDecideTimeout  = 1500 * time.Millisecond
 	DefaultIdleTimeout    = time.Minute
 	DefaultClaimRetention = 24 * time.Hour
+	DefaultAnswers        = time.Hour
 	DefaultPinIdle        = 2 * time.Hour
 	DefaultPinLimit       = 24 * time.Hour
 	DefaultBillRetention  = 6 * time.Hour
 	DefaultBillArchive    = 35 * 24 * time.Hour
-	DefaultAnswerBytes    = 8 << 10
+	DefaultAnswerBytes    = 4 << 10
 )
 
 // ErrConfig reports a Config that can't work.
@@ -166,6 +167,7 @@
 	setDefault(&c.DecideTimeout, DefaultDecideTimeout)
 	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&c.Retention.Claims, DefaultClaimRetention)
+	setDefault(&c.Retention.Answers, DefaultAnswers)
 	setDefault(&c.Retention.PinIdle, DefaultPinIdle)
 	setDefault(&c.Retention.PinLimit, DefaultPinLimit)
 	setDefault(&c.Retention.Bills, DefaultBillRetention)
--- a/ledger/outage_test.go
+++ b/ledger/outage_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/bronzeturn/bronzeturn/failure"
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/objectstore/memstore"
 )
 
@@ -272,3 +273,36 @@
 		checkBilledOnce(t, c, billed)
 	})
 }
+
+// A daemon that was frozen with copies wakes up when the ledger has forgotten
+// the bills, which their owner settled long ago. It must not write them again.
+func TestFrozenHolderDoesNotBillAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.stop()
+		a := c.start(t, "a", oneShard)
+		b := c.start(t, "b", oneShard)
+		c.setOwner(func(string, string) string { return "a" })
+		bill := testBill("r0")
+		qt.Assert(t, b.copies.add([]*bronzeturnv1.LedgerRecord{bill}), qt.IsNil)
+		_, err := a.append(t.Context(), bill)
+		qt.Assert(t, err, qt.IsNil)
+		b.freeze.mu.Lock() // the time without a pulse, as after SIGSTOP
+		b.freeze.last = time.Now().Add(-2 * DefaultBillRetention)
+		b.freeze.mu.Unlock()
+		forget(a)
+		time.Sleep(5 * time.Minute)
+		seen := billsInStore(t, c)
+		qt.Assert(t, seen["r0"], qt.Equals, 1)
+		qt.Assert(t, b.copies.size(), qt.Equals, 0)
+	})
+}
+
+// forget makes the preferred writer forget its bills, as retention does.
+func forget(n *node) {
+	for _, s := range n.shards {
+		s.log.mu.Lock()
+		clear(s.log.state.bills)
+		s.log.mu.Unlock()
+	}
+}
--- a/ledger/shardlog_test.go
+++ b/ledger/shardlog_test.go
@@ -15,6 +15,7 @@
 
 var testRetention = Retention{
 	Claims:   DefaultClaimRetention,
+	Answers:  DefaultAnswers,
 	PinIdle:  DefaultPinIdle,
 	PinLimit: DefaultPinLimit,
 	Bills:    DefaultBillRetention,
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -12,6 +12,9 @@
 type Retention struct {
 	// Claims and their outcomes.
 	Claims time.Duration
+	// Answers is how long after the claim the body of the answer is kept.
+	// Later, status and digest remain.
+	Answers time.Duration
 	// PinIdle after the last use of a conversation, PinLimit after its start.
 	PinIdle  time.Duration
 	PinLimit time.Duration
@@ -62,6 +65,8 @@
 	pins      map[fingerprint]pin
 	// bills holds the time of expiry in seconds.
 	bills map[fingerprint]uint32
+	// holders holds each daemon name once.
+	holders map[string]string
 	// swept is the clock at the last removal of expired entries.
 	swept int64
 }
@@ -73,6 +78,7 @@
 		claims:    make(map[fingerprint]claim),
 		pins:      make(map[fingerprint]pin),
 		bills:     make(map[fingerprint]uint32),
+		holders:   make(map[string]string),
 	}
 }
 
@@ -202,12 +208,27 @@
 		expires:   s.clock + s.retention.Claims.Microseconds(),
 		deadline:  s.clock + c.RemainingMicros,
 		requestID: c.RequestId,
-		holder:    c.Holder,
+		holder:    s.holderName(c.Holder),
 	}
 	copy(entry.body[:], c.BodySha256)
 	s.claims[fp] = entry
 }
 
+// maxHolders bounds the daemon names kept, which change as hosts are replaced.
+const maxHolders = 4096
+
+// holderName returns the one copy of a daemon name.
+func (s *state) holderName(name string) string {
+	if known, ok := s.holders[name]; ok {
+		return known
+	}
+	if len(s.holders) >= maxHolders {
+		clear(s.holders)
+	}
+	s.holders[name] = name
+	return name
+}
+
 func (s *state) applyOutcome(fp fingerprint, nonce Nonce, out *bronzeturnv1.LedgerOutcome) {
 	c, ok := s.claims[fp]
 	if ok && c.nonce == nonce {
@@ -236,12 +257,29 @@
 	s.pins[fp] = p
 }
 
+// bodyLess is the time to expiry below which an answer's body is dropped.
+func (s *state) bodyLess() int64 {
+	return (s.retention.Claims - s.retention.Answers).Microseconds()
+}
+
+// withoutBody returns the outcome without the answer's body. The original may
+// be in use.
+func withoutBody(out *bronzeturnv1.LedgerOutcome) *bronzeturnv1.LedgerOutcome {
+	return &bronzeturnv1.LedgerOutcome{
+		State:       out.State,
+		Status:      out.Status,
+		ContentType: out.ContentType,
+		BodySha256:  out.BodySha256,
+		Version:     out.Version,
+	}
+}
+
 // sweepFraction is the part of the shortest retention between two sweeps.
 const sweepFraction = 64
 
 // sweep removes expired entries when the last sweep is long enough ago.
 func (s *state) sweep() {
-	shortest := min(s.retention.Claims, s.retention.PinIdle, s.retention.Bills)
+	shortest := min(s.retention.Claims, s.retention.Answers, s.retention.PinIdle, s.retention.Bills)
 	if s.clock-s.swept < (shortest / sweepFraction).Microseconds() {
 		return
 	}
@@ -249,6 +287,9 @@
 	for fp, c := range s.claims {
 		if c.expires <= s.clock {
 			delete(s.claims, fp)
+		} else if c.outcome.GetBodyKept() && c.expires-s.clock < s.bodyLess() {
+			c.outcome = withoutBody(c.outcome)
+			s.claims[fp] = c
 		}
 	}
 	for fp, p := range s.pins {
--- a/ledger/state_test.go
+++ b/ledger/state_test.go
@@ -95,6 +95,24 @@
 	qt.Assert(t, len(all), qt.Equals, 5)
 }
 
+func TestAnswerBodiesAreDroppedEarlierThanClaims(t *testing.T) {
+	claim := testClaim("k")
+	done := outcome(claim, StateDone)
+	done.GetOutcome().Body, done.GetOutcome().BodyKept = []byte("answer"), true
+	s := stateAfter(claim, done)
+	pass := func(d time.Duration) *bronzeturnv1.LedgerOutcome {
+		s.apply(&bronzeturnv1.LedgerBatch{Sequence: s.sequence + 1, ElapsedMicros: d.Microseconds()})
+		s.sweep()
+		return s.lookup(ClassClaim, fingerprint(claim.Fingerprint)).GetClaim().GetOutcome()
+	}
+	qt.Assert(t, string(pass(DefaultAnswers/2).Body), qt.Equals, "answer")
+	out := pass(DefaultAnswers)
+	qt.Assert(t, out.BodyKept, qt.IsFalse)
+	qt.Assert(t, out.Body, qt.IsNil)
+	qt.Assert(t, out.State, qt.Equals, wireStates[StateDone])
+	qt.Assert(t, string(done.GetOutcome().Body), qt.Equals, "answer")
+}
+
 // A segment of the largest tail has to fit one object, whatever the records.
 func TestLargestSegmentFitsAnObject(t *testing.T) {
 	kinds := map[string]func(i int) *bronzeturnv1.LedgerRecord{
