--- a/ledger/append.go
+++ b/ledger/append.go
@@ -73,36 +73,35 @@
 	return verdicts[0], nil
 }
 
-// appendAll settles records of one shard: by the preferred writer if it
-// answers, else by this daemon itself. After a NotWrittenError none of them
+// appendAll settles records of one shard: by the preferred writer, else the
+// second, else by this daemon itself. After a NotWrittenError none of them
 // will be in the log; after another one each may be, now or later.
 func (l *Ledger) appendAll(ctx context.Context, id uint32, records []*bronzeturnv1.LedgerRecord, u urgency) ([]*bronzeturnv1.LedgerVerdict, error) {
 	s, err := l.shardByID(id)
 	if err != nil {
 		return nil, &NotWrittenError{Cause: err}
 	}
-	client, name, ok := l.ownerOf(id)
-	if !ok {
-		return s.submit(ctx, records)
-	}
-	verdicts, err := l.askOwner(ctx, client, id, records)
-	if err == nil {
-		l.metrics.forwarded.Add(float64(len(records)))
-		return verdicts, nil
-	}
-	lives := ownerLives(err)
-	if ctx.Err() != nil || (lives && u == patient) {
-		return nil, ownerError(name, err, lives)
-	}
-	if !lives {
-		l.owners.failed(name)
+	unsure := false // a writer that did not answer may have written
+	for _, w := range l.writersOf(id) {
+		verdicts, err := l.askOwner(ctx, w.client, id, records)
+		if err == nil {
+			l.metrics.forwarded.Add(float64(len(records)))
+			return verdicts, nil
+		}
+		lives := ownerLives(err)
+		unsure = unsure || !lives
+		if ctx.Err() != nil || (lives && u == patient) {
+			return nil, ownerError(w.name, err, unsure)
+		}
+		if !lives {
+			l.owners.failed(w.name)
+		}
+		l.logger.Warn().Err(err).Uint32("shard", id).Str("writer", w.name).Msg("preferred writer did not settle")
 	}
-	l.metrics.fallbacks.Add(float64(len(records)))
-	l.logger.Warn().Err(err).Uint32("shard", id).Str("owner", name).Msg("preferred writer did not settle, writing here")
-	verdicts, err = s.submit(ctx, records)
+	verdicts, err := s.submit(ctx, records)
 	var not *NotWrittenError
-	if errors.As(err, &not) && !lives {
-		return nil, not.Cause // the preferred writer may have written
+	if errors.As(err, &not) && unsure {
+		return nil, not.Cause
 	}
 	return verdicts, err
 }
@@ -113,12 +112,12 @@
 	return connect.IsWireError(err) && (code == connect.CodeResourceExhausted || code == connect.CodeAborted)
 }
 
-func ownerError(name string, err error, notWritten bool) error {
+func ownerError(name string, err error, unsure bool) error {
 	err = fmt.Errorf("preferred writer %s: %w", name, err)
-	if notWritten {
-		return &NotWrittenError{Cause: err}
+	if unsure {
+		return err
 	}
-	return err
+	return &NotWrittenError{Cause: err}
 }
 
 // loadingPause is how long to wait before a preferred writer that is reading
@@ -144,15 +143,41 @@
 	}
 }
 
-// ownerOf returns a client of the shard's preferred writer. ok is false when
-// that is this daemon, or the writer can't be asked now.
-func (l *Ledger) ownerOf(shard uint32) (client bronzeturnv1connect.LedgerServiceClient, name string, ok bool) {
-	name, self := l.cfg.Owners.Owner(shardKey(shard))
-	if self || name == "" || !l.owners.usable(name) {
-		return nil, name, false
+// writer is another daemon that may be asked to write.
+type writer struct {
+	name   string
+	client bronzeturnv1connect.LedgerServiceClient
+}
+
+// writersOf returns the daemons to ask before this one writes itself, best
+// first: none when this daemon is the preferred writer.
+func (l *Ledger) writersOf(shard uint32) []writer {
+	var writers []writer
+	key := shardKey(shard)
+	name, self := l.cfg.Owners.Owner(key)
+	writers, more := l.addWriter(writers, name, self)
+	seconds, ok := l.cfg.Owners.(Seconds)
+	if !ok || !more {
+		return writers
+	}
+	name, self = seconds.Second(key)
+	writers, _ = l.addWriter(writers, name, self)
+	return writers
+}
+
+// addWriter adds a daemon if it can be asked now. more is false when the name
+// is this daemon's own, which need not ask anyone further.
+func (l *Ledger) addWriter(writers []writer, name string, self bool) (_ []writer, more bool) {
+	if self || name == "" {
+		return writers, !self
 	}
-	client, ok = l.dial(name)
-	return client, name, ok
+	if !l.owners.usable(name) {
+		return writers, true
+	}
+	if client, ok := l.dial(name); ok {
+		writers = append(writers, writer{name, client})
+	}
+	return writers, true
 }
 
 func (l *Ledger) dial(name string) (bronzeturnv1connect.LedgerServiceClient, bool) {
@@ -188,12 +213,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if client, name, ok := l.ownerOf(s.id); ok {
-		entry, err := l.lookupAt(ctx, client, class, fp, refresh)
+	for _, w := range l.writersOf(s.id) {
+		entry, err := l.lookupAt(ctx, w.client, class, fp, refresh)
 		if err == nil || ctx.Err() != nil {
 			return entry, err
 		}
-		l.owners.failed(name)
+		if !ownerLives(err) {
+			l.owners.failed(w.name)
+		}
 		refresh = true
 	}
 	return s.lookup(ctx, class, fp, refresh)
--- a/ledger/cluster_test.go
+++ b/ledger/cluster_test.go
@@ -5,10 +5,12 @@
 	"errors"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -72,6 +74,17 @@
 	return name, name == n.name
 }
 
+// Second implements Seconds: the next name in the alphabet.
+func (n *node) Second(key string) (string, bool) {
+	owner, _ := n.Owner(key)
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	names := slices.Sorted(maps.Keys(n.cluster.nodes))
+	i := slices.Index(names, owner)
+	name := names[(i+1)%len(names)]
+	return name, name == n.name
+}
+
 // Holders implements Holders.
 func (n *node) Holders() []string {
 	n.cluster.mu.Lock()
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -23,6 +23,14 @@
 	Owner(key string) (name string, self bool)
 }
 
+// Seconds is an optional extension of Owners: the daemon to ask when the
+// preferred writer does not answer. Without it every asker then reads the
+// shard and writes itself.
+type Seconds interface {
+	// Second returns the daemon that comes next for the key.
+	Second(key string) (name string, self bool)
+}
+
 // Dialer gives access to other daemons.
 type Dialer interface {
 	// Dial returns a client and the base URL of the named daemon. ok is false
--- a/ledger/metrics.go
+++ b/ledger/metrics.go
@@ -9,7 +9,6 @@
 	conflicts prometheus.Counter
 	failures  prometheus.Counter
 	forwarded prometheus.Counter
-	fallbacks prometheus.Counter
 	refused   prometheus.Counter
 	full      prometheus.Counter
 	local     prometheus.Counter
@@ -34,7 +33,6 @@
 		conflicts: counter("write_conflicts_total", "Batches that lost against another writer."),
 		failures:  counter("store_failures_total", "Failed store calls of the ledger."),
 		forwarded: counter("records_forwarded_total", "Records that the preferred writer settled for this daemon."),
-		fallbacks: counter("records_fallback_total", "Records that this daemon wrote because the preferred writer did not answer."),
 		refused:   counter("claims_refused_total", "Claims that could not be decided."),
 		full:      counter("buffer_refusals_total", "Requests refused because the buffer was full."),
 		local:     counter("records_without_copy_total", "Records for which neither the store nor a second daemon answered in time."),
--- a/ledger/outage_test.go
+++ b/ledger/outage_test.go
@@ -306,3 +306,24 @@
 		s.log.mu.Unlock()
 	}
 }
+
+// When the preferred writer is gone, the second writes for all; the askers
+// don't read the shard themselves.
+func TestSecondWriterSparesTheAskersFromReadingTheShard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.stop()
+		a, b, d := c.start(t, "a", oneShard), c.start(t, "b", oneShard), c.start(t, "d", oneShard)
+		c.setOwner(func(string, string) string { return "a" })
+		_, err := d.Claim(t.Context(), claimRequest("k0", "body"))
+		qt.Assert(t, err, qt.IsNil)
+		c.crash(a)
+		for i := range 10 {
+			r, err := d.Claim(t.Context(), claimRequest(fmt.Sprint("k", i), "body"))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, r.First, qt.Equals, i > 0)
+		}
+		qt.Assert(t, b.shards[0].log.ready(), qt.IsTrue)
+		qt.Assert(t, d.shards[0].log.ready(), qt.IsFalse)
+	})
+}
--- a/ledger/service.go
+++ b/ledger/service.go
@@ -70,7 +70,7 @@
 	}
 	entry, err := target.lookup(ctx, Class(req.Msg.Class), fp, req.Msg.Refresh)
 	if err != nil {
-		return nil, connect.NewError(connect.CodeUnavailable, err)
+		return nil, connect.NewError(codeOf(err), err)
 	}
 	return connect.NewResponse(&bronzeturnv1.LookupResponse{Entry: entry}), nil
 }
