Seal a shard's totals in volumes, split large files

Cause: the totals of a shard are one object. Organisations times versions grow for good; once above the value limit, filing and with it the shard would stop.

Before and after: TestTotalsAreSealedInVolumes covers 12,000 pairs, sealing cut short, and a paused writer that must not replace a sealed volume.

--- a/ledger/archive.go
+++ b/ledger/archive.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"sort"
 
 	"google.golang.org/protobuf/proto"
@@ -28,9 +29,11 @@
 	version      string
 }
 
-// totals are the sums of a shard's bills up to the filed sequence number.
+// totals are the sums of a shard's bills up to the filed sequence number,
+// without those in the volumes before.
 type totals struct {
 	revision uint64
+	volume   uint64
 	sums     map[totalKey]Total
 }
 
@@ -69,11 +72,16 @@
 	if err := proto.Unmarshal(obj.Value, &msg); err != nil {
 		return 0, t, &CorruptError{Key: obj.Key, Cause: err}
 	}
-	t.revision = obj.Revision
+	t.revision, t.volume = obj.Revision, msg.Volume
+	addTotals(t.sums, &msg)
+	return msg.Through, t, nil
+}
+
+// addTotals adds the sums in a message.
+func addTotals(sums map[totalKey]Total, msg *bronzeturnv1.LedgerTotals) {
 	for _, m := range msg.Totals {
-		t.sums[totalKey{m.Organisation, m.Version}] = totalOf(m)
+		mergeTotal(sums, totalKey{m.Organisation, m.Version}, totalOf(m))
 	}
-	return msg.Through, t, nil
 }
 
 func totalOf(m *bronzeturnv1.LedgerTotal) Total {
@@ -98,14 +106,14 @@
 	if err != nil {
 		return err
 	}
-	sums := make(map[totalKey]Total, len(g.totals.sums))
-	for key, t := range g.totals.sums {
-		sums[key] = t
+	next, err := g.nextTotals(ctx)
+	if err != nil {
+		return err
 	}
 	for _, b := range bills.Bills {
-		addBill(sums, b)
+		addBill(next.sums, b)
 	}
-	value, err := proto.Marshal(totalsMessage(bills.Through, sums))
+	value, err := proto.Marshal(totalsMessage(bills.Through, next))
 	if err != nil {
 		return fmt.Errorf("encode totals: %w", err)
 	}
@@ -115,11 +123,59 @@
 		return fmt.Errorf("write totals of shard %d: %w", g.shard, err)
 	}
 	g.filed = bills.Through
-	g.totals = totals{revision: obj.Revision, sums: sums}
+	next.revision = obj.Revision
+	g.totals = next
 	g.trimTail()
 	return nil
 }
 
+// volumePairs is the number of pairs of organisation and version above which
+// the totals are sealed in a volume, so that they fit an object.
+const volumePairs = 4000
+
+// nextTotals returns a copy of the totals to add to: empty ones, when the
+// present ones have grown large and are sealed. A volume counts only when the
+// totals have moved on to the next, by a conditional update that fails if they
+// changed since; so a volume written in vain does no harm.
+func (g *shardLog) nextTotals(ctx context.Context) (totals, error) {
+	if len(g.totals.sums) < volumePairs {
+		return totals{volume: g.totals.volume, sums: maps.Clone(g.totals.sums)}, nil
+	}
+	value, err := proto.Marshal(totalsMessage(g.filed, g.totals))
+	if err != nil {
+		return totals{}, fmt.Errorf("encode volume: %w", err)
+	}
+	key, revision := volumeKey(g.shard, g.totals.volume), uint64(0)
+	obj, err := g.store.Get(ctx, key)
+	if err == nil {
+		revision = obj.Revision
+	} else if !errors.Is(err, objectstore.ErrNotFound) {
+		return totals{}, fmt.Errorf("read %s: %w", key, err)
+	}
+	if err := g.checkTotals(ctx); err != nil {
+		return totals{}, err
+	}
+	if _, err := conditionalWrite(ctx, g.store, key, value, revision); err != nil {
+		return totals{}, fmt.Errorf("write %s: %w", key, err)
+	}
+	return totals{volume: g.totals.volume + 1, sums: make(map[totalKey]Total)}, nil
+}
+
+// checkTotals fails if the totals in the store are not the known ones. Called
+// between the reading of a volume's revision and its replacement, it keeps a
+// writer with old totals from replacing a volume that counts already.
+func (g *shardLog) checkTotals(ctx context.Context) error {
+	obj, err := g.store.Get(ctx, totalsKey(g.shard))
+	if err != nil {
+		return fmt.Errorf("read totals of shard %d: %w", g.shard, err)
+	}
+	if obj.Revision != g.totals.revision {
+		g.loaded = false
+		return &objectstore.ConflictError{Key: obj.Key, Want: g.totals.revision, Have: obj.Revision}
+	}
+	return nil
+}
+
 // fileItems returns the itemised bills that follow the filed ones, as the
 // store has them.
 func (g *shardLog) fileItems(ctx context.Context) (*bronzeturnv1.LedgerBills, error) {
@@ -163,9 +219,9 @@
 }
 
 // totalsMessage returns the wire form, sorted.
-func totalsMessage(through uint64, sums map[totalKey]Total) *bronzeturnv1.LedgerTotals {
-	msg := &bronzeturnv1.LedgerTotals{Through: through}
-	for _, t := range sortedTotals(sums) {
+func totalsMessage(through uint64, sums totals) *bronzeturnv1.LedgerTotals {
+	msg := &bronzeturnv1.LedgerTotals{Through: through, Volume: sums.volume}
+	for _, t := range sortedTotals(sums.sums) {
 		msg.Totals = append(msg.Totals, &bronzeturnv1.LedgerTotal{
 			Organisation:     t.Organisation,
 			Version:          t.Version,
--- a/ledger/claim.go
+++ b/ledger/claim.go
@@ -233,6 +233,9 @@
 	return o
 }
 
+// maxContentType bounds the content type that is kept, in bytes.
+const maxContentType = 128
+
 // CompleteRequest ends a claim.
 type CompleteRequest struct {
 	Organisation string
@@ -251,7 +254,7 @@
 	out := &bronzeturnv1.LedgerOutcome{State: wireStates[req.State]}
 	if o := req.Outcome; o != nil {
 		out.Status = uint32(o.Status)
-		out.ContentType = o.ContentType
+		out.ContentType = o.ContentType[:min(len(o.ContentType), maxContentType)]
 		out.BodySha256 = o.BodySHA256[:]
 		out.Version = o.Version
 		if o.BodyKept && len(o.Body) <= l.cfg.AnswerBytes && l.outbox.roomForBodies() {
--- a/ledger/layout.go
+++ b/ledger/layout.go
@@ -125,3 +125,9 @@
 }
 
 func totalsKey(shard uint32) string { return shardKey(shard) + "/totals" }
+
+// volumeKey holds the sums that were taken out of the totals when they had
+// grown large.
+func volumeKey(shard uint32, volume uint64) string {
+	return fmt.Sprintf("%s/volume/%020d", shardKey(shard), volume)
+}
--- a/ledger/outbox.go
+++ b/ledger/outbox.go
@@ -1,14 +1,11 @@
 package ledger
 
 import (
-	"context"
-	"errors"
 	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/bronzeturn/bronzeturn/failure"
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 )
 
@@ -18,12 +15,6 @@
 	laneBytes   = 128 << 10
 )
 
-// reservedBytes is the room kept for the records of one request.
-const reservedBytes = 1 << 10
-
-// recordsPerRequest is how many records one request leaves: outcome and bill.
-const recordsPerRequest = 2
-
 // outItem is a record on its way to the store.
 type outItem struct {
 	record *bronzeturnv1.LedgerRecord
@@ -282,110 +273,3 @@
 	defer o.mu.Unlock()
 	return o.records
 }
-
-// Reservation is room for the records of one request.
-type Reservation struct {
-	box  *outbox
-	once sync.Once
-}
-
-// Release gives the room back. It may be called more than once.
-func (r *Reservation) Release() {
-	r.once.Do(func() {
-		r.box.mu.Lock()
-		defer r.box.mu.Unlock()
-		r.box.reserved--
-	})
-}
-
-// Reserve makes room for the outcome and the bill of one request before it is
-// dispatched. Release the reservation after Bill and Complete. When the buffer
-// is full, the request is refused before it runs.
-func (l *Ledger) Reserve() (*Reservation, error) {
-	o := l.outbox
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.fullWith(recordsPerRequest, reservedBytes) {
-		l.metrics.full.Inc()
-		return nil, failure.New(failure.CodeLedgerUnavailable, failure.RanNo, "too many bills wait for the store").After(fullRetryAfter)
-	}
-	o.reserved++
-	return &Reservation{box: o}, nil
-}
-
-// Headroom tells whether Reserve would succeed now.
-func (l *Ledger) Headroom() bool {
-	l.outbox.mu.Lock()
-	defer l.outbox.mu.Unlock()
-	return !l.outbox.fullWith(recordsPerRequest, reservedBytes)
-}
-
-// fullRetryAfter is the advice while the buffer is full.
-const fullRetryAfter = 5 * time.Second
-
-// Backoff of a lane whose records could not be settled.
-const (
-	laneBackoffMin = 100 * time.Millisecond
-	laneBackoffMax = 5 * time.Second
-	laneTimeout    = 10 * time.Second
-)
-
-// drain settles the records of one lane until the ledger stops.
-func (l *Ledger) drain(ln *lane) error {
-	ctx := l.tomb.Context(context.Background())
-	backoff := laneBackoffMin
-	for {
-		l.thaw()
-		items := l.outbox.peek(ln)
-		if len(items) == 0 {
-			select {
-			case <-ln.wake:
-				continue
-			case <-l.tomb.Dying():
-				return nil
-			}
-		}
-		if l.settleItems(ctx, ln.shard, items) {
-			l.outbox.settled(ln, items)
-			l.copies.queueRelease(items)
-			for _, item := range items {
-				if item.onDone != nil {
-					item.onDone()
-				}
-			}
-			backoff = laneBackoffMin
-			continue
-		}
-		if !l.sleep(backoff/2 + l.jitter(backoff/2)) {
-			return nil
-		}
-		backoff = min(2*backoff, laneBackoffMax)
-	}
-}
-
-// settleItems tells whether all records are settled.
-func (l *Ledger) settleItems(ctx context.Context, shard uint32, items []*outItem) bool {
-	ctx, cancel := context.WithTimeout(ctx, laneTimeout)
-	defer cancel()
-	records := make([]*bronzeturnv1.LedgerRecord, len(items))
-	for i, item := range items {
-		records[i] = item.record
-	}
-	_, err := l.appendAll(ctx, shard, records, patient)
-	if err != nil && !errors.Is(err, context.Canceled) {
-		l.logger.Debug().Err(err).Uint32("shard", shard).Int("records", len(items)).Msg("records wait for the store")
-	}
-	return err == nil
-}
-
-// sleep waits, and returns false when the ledger stops.
-func (l *Ledger) sleep(d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-l.tomb.Dying():
-		return false
-	}
-}
--- a/ledger/report.go
+++ b/ledger/report.go
@@ -60,6 +60,9 @@
 		if err != nil {
 			return err
 		}
+		if err := addVolumes(ctx, store, shard, filed.volume, sums); err != nil {
+			return err
+		}
 		for key, t := range filed.sums {
 			mergeTotal(sums, key, t)
 		}
@@ -71,6 +74,23 @@
 	return fmt.Errorf("shard %d: %w", shard, ErrBusy)
 }
 
+// addVolumes adds the sums of the sealed volumes.
+func addVolumes(ctx context.Context, store Store, shard uint32, volumes uint64, sums map[totalKey]Total) error {
+	for volume := range volumes {
+		key := volumeKey(shard, volume)
+		obj, err := store.Get(ctx, key)
+		if err != nil {
+			return fmt.Errorf("read %s: %w", key, err)
+		}
+		var msg bronzeturnv1.LedgerTotals
+		if err := proto.Unmarshal(obj.Value, &msg); err != nil {
+			return &CorruptError{Key: key, Cause: err}
+		}
+		addTotals(sums, &msg)
+	}
+	return nil
+}
+
 func mergeTotal(sums map[totalKey]Total, key totalKey, t Total) {
 	s := sums[key]
 	s.Organisation, s.Version = t.Organisation, t.Version
--- a/ledger/shardlog_test.go
+++ b/ledger/shardlog_test.go
@@ -140,3 +140,40 @@
 		qt.Assert(t, g.state.clock, qt.Equals, (20 * time.Minute).Microseconds())
 	})
 }
+
+// Organisations and versions come and go for years; their sums must go on
+// fitting an object, also when sealing them is cut short.
+func TestTotalsAreSealedInVolumes(t *testing.T) {
+	store := memstore.New()
+	const batches, perBatch = 30, 400
+	for i := range batches {
+		g := loadedLog(t, store, 8)
+		records := make([]*bronzeturnv1.LedgerRecord, perBatch)
+		for j := range records {
+			records[j] = testBill(fmt.Sprint(i, "-", j))
+			records[j].GetBill().Organisation = fmt.Sprint("org-", i*perBatch+j)
+		}
+		qt.Assert(t, g.write(t.Context(), records), qt.IsNil)
+		if i%2 == 0 { // a writer that dies before it has moved on
+			_, err := g.nextTotals(t.Context())
+			qt.Assert(t, err, qt.IsNil)
+			continue
+		}
+		qt.Assert(t, g.maintain(t.Context(), time.Hour), qt.IsNil)
+	}
+	g := loadedLog(t, store, 8)
+	qt.Assert(t, g.totals.volume, qt.Equals, uint64(2))
+	stale := loadedLog(t, store, 8) // paused with the totals of the first volume
+	stale.totals = totals{revision: 1, volume: 0, sums: make(map[totalKey]Total, volumePairs)}
+	for i := range volumePairs {
+		stale.totals.sums[totalKey{"org", fmt.Sprint(i)}] = Total{Bills: 7}
+	}
+	_, err := stale.nextTotals(t.Context())
+	qt.Assert(t, objectstore.IsConflict(err), qt.IsTrue)
+	sums := make(map[totalKey]Total)
+	qt.Assert(t, addShardTotals(t.Context(), store, g.layout, 0, sums), qt.IsNil)
+	qt.Assert(t, len(sums), qt.Equals, batches*perBatch)
+	for _, total := range sums {
+		qt.Assert(t, total.Bills, qt.Equals, uint64(1))
+	}
+}
