Run the slow ledger tests side by side

Cause: 27.9 s with the race detector on a machine at load 13.

Ruled out: fewer schedules or rates.

Conclusion: none.

--- a/ledger/history_test.go
+++ b/ledger/history_test.go
@@ -279,6 +279,7 @@
 // once, a conversation has one version, a bill is recorded once, and nothing
 // that was acknowledged is lost.
 func TestHistoriesUnderFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		steps := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) step {
 			return step{
--- a/ledger/outage_test.go
+++ b/ledger/outage_test.go
@@ -45,6 +45,7 @@
 }
 
 func TestBillsOfAnOutageAreDrainedOnceAfterwards(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster()
 		defer c.stop()
@@ -171,6 +172,7 @@
 }
 
 func TestKnownConversationsGoOnInAnOutage(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster()
 		defer c.stop()
@@ -217,6 +219,7 @@
 // not run; known conversations and idempotent requests go on; the store is
 // probed rarely; afterwards everything is billed once.
 func TestWhatAnOutageRefuses(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c, nodes := ownersByShard(t, 3)
 		defer c.stop()
