--- a/decisions.go
+++ b/decisions.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/admission"
@@ -47,7 +46,12 @@
 	budget := retry.DefaultBudgetOptions()
 	budget.Share = d.settings.GetRetryBudgetRatio()
 	n.budget = retry.NewBudget(budget)
+	hedging := hedge.DefaultOptions()
+	hedging.Budget.Share = d.settings.GetHedgeBudgetRatio()
 	var err error
+	if n.hedges, err = hedge.New(hedging); err != nil {
+		return nil, err
+	}
 	if n.engines, err = balance.NewState(balance.DefaultOptions()); err != nil {
 		return nil, err
 	}
@@ -104,7 +108,7 @@
 	if ok {
 		return nil
 	}
-	return failure.New(failure.CodeConfigurationStale, failure.RanNo, "this address has no fresh configuration: %s", fmt.Sprint(reason)).After(staleRetryAfter)
+	return failure.New(failure.CodeConfigurationStale, failure.RanNo, "this address has no fresh configuration: %s", reason).After(staleRetryAfter)
 }
 
 // newRouter joins the parts for the way of a request.
