--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -23,6 +23,14 @@
 	Owner(key string) (name string, self bool)
 }
 
+// Seconds is an optional extension of Owners: the daemon to ask when the
+// preferred writer does not answer. Without it every asker then reads the
+// shard and writes itself.
+type Seconds interface {
+	// Second returns the daemon that comes next for the key.
+	Second(key string) (name string, self bool)
+}
+
 // Dialer gives access to other daemons.
 type Dialer interface {
 	// Dial returns a client and the base URL of the named daemon. ok is false
@@ -95,11 +103,12 @@
 	DefaultDecideTimeout  = 1500 * time.Millisecond
 	DefaultIdleTimeout    = time.Minute
 	DefaultClaimRetention = 24 * time.Hour
+	DefaultAnswers        = time.Hour
 	DefaultPinIdle        = 2 * time.Hour
 	DefaultPinLimit       = 24 * time.Hour
 	DefaultBillRetention  = 6 * time.Hour
 	DefaultBillArchive    = 35 * 24 * time.Hour
-	DefaultAnswerBytes    = 8 << 10
+	DefaultAnswerBytes    = 4 << 10
 )
 
 // ErrConfig reports a Config that can't work.
@@ -166,6 +175,7 @@
 	setDefault(&c.DecideTimeout, DefaultDecideTimeout)
 	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&c.Retention.Claims, DefaultClaimRetention)
+	setDefault(&c.Retention.Answers, DefaultAnswers)
 	setDefault(&c.Retention.PinIdle, DefaultPinIdle)
 	setDefault(&c.Retention.PinLimit, DefaultPinLimit)
 	setDefault(&c.Retention.Bills, DefaultBillRetention)
