Make two writers of one claim meet in the ledger's first test

Cause: with dispatch on preference instead of create (a scratch copy) TestClaimIsGrantedOnce passed: the memory store was so quick that the second writer read the first one's batch before its own write.

Ruled out: relying on the history test alone.

Before and after: with 3 ms a store call the test fails on the scratch copy and passes here, 20 runs of 20.

Conclusion: none.

--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -18,6 +18,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster()
 		defer c.stop()
+		c.store.SetFault(delayed) // so that both write before they know of each other
 		a, b := c.start(t, "a"), c.start(t, "b")
 		c.setOwner(func(asking, _ string) string { return asking }) // both believe they own all
 		first := 0
