--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -252,6 +252,15 @@
 	return sum
 }
 
+// statusOf asks a daemon for the state of the fleet, engines included.
+func statusOf(c *qt.C, d *daemon) *bronzeturnv1.StatusResponse {
+	out, code := command("status", "--json", "--engines", "--insecure-plaintext", "--operator", d.operators)
+	c.Assert(code, qt.Equals, 0, qt.Commentf("%s", out))
+	var status bronzeturnv1.StatusResponse
+	c.Assert(protojson.Unmarshal([]byte(out), &status), qt.IsNil)
+	return &status
+}
+
 // eventually waits until the condition holds.
 func eventually(c *qt.C, what string, holds func() bool) {
 	deadline := time.Now().Add(waitLimit)
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/bronzeturn/bronzeturn/callerapi"
 	"github.com/bronzeturn/bronzeturn/demo"
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/standin"
 )
 
@@ -50,11 +51,12 @@
 	answered++
 	eventually(c, "a bill for each answer", func() bool { return d.billCount(c, d.daemons[2].operators) == answered })
 
-	out, code := command("status", "--json", "--insecure-plaintext", "--operator", d.daemons[0].operators)
-	c.Assert(code, qt.Equals, 0, qt.Commentf("%s", out))
-	c.Assert(strings.Contains(out, "CONFIGURATION_PROGRESS_IN_FORCE"), qt.IsTrue, qt.Commentf("%s", out))
-	for _, one := range d.daemons {
-		c.Assert(strings.Contains(out, `"`+one.name+`"`), qt.IsTrue)
+	status := statusOf(c, d.daemons[0])
+	c.Assert(status.GetConfiguration().GetProgress(), qt.Equals, bronzeturnv1.ConfigurationProgress_CONFIGURATION_PROGRESS_IN_FORCE)
+	c.Assert(status.GetDaemons(), qt.HasLen, len(d.daemons))
+	for i, one := range status.GetDaemons() {
+		c.Assert(one.GetName(), qt.Equals, d.daemons[i].name)
+		c.Assert(one.GetGenerationInForce(), qt.Equals, uint64(1))
 	}
 }
 
@@ -221,8 +223,8 @@
 	out, code := command("withdraw", cheap, "--reason", "turned bad", "--store", "http://"+d.store)
 	c.Assert(code, qt.Equals, 0, qt.Commentf("%s", out))
 	eventually(c, "withdrawal in force everywhere", func() bool {
-		out, code := command("status", "--json", "--insecure-plaintext", "--operator", d.daemons[0].operators)
-		return code == 0 && strings.Contains(out, `"CONFIGURATION_PROGRESS_IN_FORCE"`) && strings.Contains(out, `"generation":"2"`)
+		fleet := statusOf(c, d.daemons[0]).GetConfiguration()
+		return fleet.GetGeneration() == 2 && fleet.GetProgress() == bronzeturnv1.ConfigurationProgress_CONFIGURATION_PROGRESS_IN_FORCE
 	})
 	for _, one := range d.daemons {
 		named := send(demo.Chat{Key: key, Model: cheap, Prompt: "named"}, one.callers)
@@ -263,8 +265,15 @@
 	}
 	putHosts(c, d.hosts, hosts)
 	eventually(c, "leaving known", func() bool {
-		out, code := command("status", "--json", "--engines", "--insecure-plaintext", "--operator", d.daemons[0].operators)
-		return code == 0 && strings.Count(out, "ENGINE_HEALTH_LEAVING") == 2
+		leaving := 0
+		for _, one := range statusOf(c, d.daemons[0]).GetDaemons() {
+			for _, e := range one.GetEngines() {
+				if e.GetHealth() == bronzeturnv1.EngineHealth_ENGINE_HEALTH_LEAVING {
+					leaving++
+				}
+			}
+		}
+		return leaving == len(d.daemons)
 	})
 	before := executionsAt(c, d.engineAddresses[0])
 	for i := range 20 {
