Ask the same few daemons for parts of the configuration

Cause: each change made every daemon ask three random peers a round, and each new peer costs a connection that stays for a minute. In a fleet of 200 in one process the connections used up the 20,000 files that the process may open (2 x 200 x 199 are possible), dials failed and changes waited. Ruled out: a higher limit, since connections would still grow with the fleet; asking the watchers only, since 4 of them would serve 410 daemons, 1.6 MB each a change at the target; the overlay's neighbours, which membership does not show. Conclusion: each daemon asks the same 8, chosen by rendezvous hashing.

--- a/configuration.go
+++ b/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,11 @@
 // and the heartbeats.
 const newsInterval = 250 * time.Millisecond
 
+// partSources is how many daemons a daemon asks for parts of the configuration.
+// Each daemon asks the same few, so that its connections do not grow with the
+// fleet, and the parts still reach all within a few rounds.
+const partSources = 8
+
 // newProvider builds the part that keeps the configuration in force.
 func newProvider(d *Daemon, f *fleet) (*provider.Provider, error) {
 	log := logging.Part(d.log, "provider")
@@ -57,13 +63,20 @@
 
 // Candidates implements provider.Peers.
 func (p configurationPeers) Candidates() []string {
-	var names []string
-	for _, name := range liveNames(p.members.View()) {
-		if name != p.self {
-			names = append(names, name)
-		}
-	}
-	return names
+	return partSourcesOf(p.self, p.members.View())
+}
+
+// preference orders the live daemons for a key, the same on every daemon.
+type preference interface {
+	Top(key string, n int) []string
+}
+
+// partSourcesOf returns the daemons that a daemon asks for parts. The order
+// differs from daemon to daemon, so that each is asked by about as many.
+func partSourcesOf(self string, live preference) []string {
+	names := live.Top("parts/"+self, partSources+1)
+	names = slices.DeleteFunc(names, func(name string) bool { return name == self })
+	return names[:min(len(names), partSources)]
 }
 
 // Dial implements provider.Peers.
