Extract the caller's client and the load tool into packages

Package caller: Client with Entries, Complete, CallService and Post; typed refusals, unavailability and broken answers. Package load: Run with bounded Options and a Report with quantiles. Package cli keeps flags and printing. caller/callertest is the fake daemon that both tests use. Tests: those of retries and broken answers moved to caller and check the type of the error in place of the exit code; the exit code of each type is a row of TestExitCodes, which gained the broken answer.

--- a/cli/answer.go
+++ b/caller/answer.go
@@ -1,12 +1,12 @@
-package cli
+package caller
 
 import (
 	"bufio"
 	"bytes"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -24,59 +24,16 @@
 	headerPrefix = "Bronzeturn-"
 )
 
-// BrokenAnswerError reports an answer that began and did not come whole.
-type BrokenAnswerError struct {
-	Reason string
-	// Detail is what the daemon said about the break, if anything.
-	Detail *callerapi.ErrorDetail
-	Cause  error
-}
-
-// Error implements error.
-func (e *BrokenAnswerError) Error() string {
-	text := "answer broken: " + e.Reason
-	if e.Detail != nil {
-		text += fmt.Sprintf(": %s: %s (ran: %s)", e.Detail.Code, e.Detail.Message, e.Detail.Ran)
-	}
-	if e.Cause != nil {
-		text += ": " + e.Cause.Error()
-	}
-	return text
-}
-
-// Unwrap returns the cause.
-func (e *BrokenAnswerError) Unwrap() error { return e.Cause }
-
-// message is one message of a conversation.
-type message struct {
-	Role    string `json:"role,omitempty"`
-	Content string `json:"content,omitempty"`
-}
-
-// streamOptions asks for the token counts at the end of a stream.
-type streamOptions struct {
-	IncludeUsage bool `json:"include_usage"`
-}
-
-// completionRequest is the body of a request.
-type completionRequest struct {
-	Model         string         `json:"model,omitempty"`
-	Messages      []message      `json:"messages"`
-	Stream        bool           `json:"stream,omitempty"`
-	StreamOptions *streamOptions `json:"stream_options,omitempty"`
-	MaxTokens     int            `json:"max_tokens,omitempty"`
-}
-
-// tokenUsage counts the tokens of one request.
-type tokenUsage struct {
+// Usage counts the tokens of one request.
+type Usage struct {
 	Prompt     int64 `json:"prompt_tokens"`
 	Completion int64 `json:"completion_tokens"`
 }
 
 // choice is one alternative of an answer, whole or one event's part of it.
 type choice struct {
-	Message      message `json:"message"`
-	Delta        message `json:"delta"`
+	Message      Message `json:"message"`
+	Delta        Message `json:"delta"`
 	FinishReason string  `json:"finish_reason"`
 }
 
@@ -84,48 +41,69 @@
 type completionAnswer struct {
 	Model   string                 `json:"model"`
 	Choices []choice               `json:"choices"`
-	Usage   *tokenUsage            `json:"usage"`
+	Usage   *Usage                 `json:"usage"`
 	Error   *callerapi.ErrorDetail `json:"error"`
 }
 
-// header is one header that the daemon added.
-type header struct {
+// Header is one header that the daemon added.
+type Header struct {
 	Name  string `json:"name"`
 	Value string `json:"value"`
 }
 
-// answer is what a caller got, checked to be whole.
-type answer struct {
+// Answer is what a caller got, checked to be whole.
+type Answer struct {
 	Address      string        `json:"address"`
 	RequestID    string        `json:"request_id"`
 	Version      string        `json:"version"`
-	Headers      []header      `json:"headers"`
+	Headers      []Header      `json:"headers"`
 	Text         string        `json:"text"`
 	FinishReason string        `json:"finish_reason,omitempty"`
-	Usage        tokenUsage    `json:"usage"`
+	Usage        Usage         `json:"usage"`
 	FirstToken   time.Duration `json:"first_token_ns,omitempty"`
 	Total        time.Duration `json:"total_ns"`
 }
 
+// ServiceAnswer is the answer of a plain service.
+type ServiceAnswer struct {
+	Address string   `json:"address"`
+	Headers []Header `json:"headers"`
+	Body    []byte   `json:"body"`
+}
+
 // newAnswer takes the headers of r.
-func newAnswer(r *http.Response) *answer {
-	a := &answer{
+func newAnswer(r *http.Response) *Answer {
+	return &Answer{
 		Address:   r.Request.URL.Host,
 		RequestID: r.Header.Get(callerapi.HeaderRequestID),
 		Version:   r.Header.Get(callerapi.HeaderVersion),
-		Headers:   []header{},
+		Headers:   addedHeaders(r),
 	}
+}
+
+// addedHeaders returns the headers that the daemon added, in order.
+func addedHeaders(r *http.Response) []Header {
+	added := []Header{}
 	for name := range r.Header {
 		if strings.HasPrefix(name, headerPrefix) {
-			a.Headers = append(a.Headers, header{Name: name, Value: r.Header.Get(name)})
+			added = append(added, Header{Name: name, Value: r.Header.Get(name)})
 		}
 	}
-	sortHeaders(a.Headers)
-	return a
+	slices.SortFunc(added, func(a, b Header) int { return strings.Compare(a.Name, b.Name) })
+	return added
+}
+
+// readService reads the answer of a plain service.
+func readService(r *http.Response) (*ServiceAnswer, error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, &BrokenAnswerError{Reason: "body is not whole", Cause: err}
+	}
+	return &ServiceAnswer{Address: r.Request.URL.Host, Headers: addedHeaders(r), Body: body}, nil
 }
 
 // readWhole reads an answer that comes in one piece.
-func readWhole(r *http.Response, start time.Time) (*answer, error) {
+func readWhole(r *http.Response, start time.Time) (*Answer, error) {
 	a := newAnswer(r)
 	var body completionAnswer
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxAnswerBytes)).Decode(&body); err != nil {
@@ -141,7 +119,7 @@
 
 // readStream reads server-sent events up to the end mark and hands every piece
 // of text to onText.
-func readStream(r *http.Response, start time.Time, onText func(string)) (*answer, error) {
+func readStream(r *http.Response, start time.Time, onText func(string)) (*Answer, error) {
 	a := newAnswer(r)
 	scanner := bufio.NewScanner(r.Body)
 	scanner.Buffer(nil, maxEventBytes)
@@ -163,7 +141,7 @@
 }
 
 // event takes the data of one event.
-func (a *answer) event(data []byte, start time.Time, onText func(string)) error {
+func (a *Answer) event(data []byte, start time.Time, onText func(string)) error {
 	var event completionAnswer
 	if err := json.Unmarshal(data, &event); err != nil {
 		return &BrokenAnswerError{Reason: "event is not JSON", Cause: err}
@@ -178,12 +156,14 @@
 	if a.FirstToken == 0 {
 		a.FirstToken = time.Since(start)
 	}
-	onText(text)
+	if onText != nil {
+		onText(text)
+	}
 	return nil
 }
 
 // take adds one body or event and returns its text.
-func (a *answer) take(body completionAnswer, textOf func(choice) string) string {
+func (a *Answer) take(body completionAnswer, textOf func(choice) string) string {
 	if body.Usage != nil {
 		a.Usage = *body.Usage
 	}
@@ -199,7 +179,7 @@
 }
 
 // check reports an answer that ended like a whole one and is not.
-func (a *answer) check() error {
+func (a *Answer) check() error {
 	if a.FinishReason == "" {
 		return &BrokenAnswerError{Reason: "no finish reason"}
 	}
@@ -212,7 +192,7 @@
 }
 
 // read reads the answer as its content type says.
-func read(r *http.Response, start time.Time, onText func(string)) (*answer, error) {
+func read(r *http.Response, start time.Time, onText func(string)) (*Answer, error) {
 	if isStream(r) {
 		return readStream(r, start, onText)
 	}
--- /dev/null
+++ b/caller/callertest/callertest.go
@@ -0,0 +1,128 @@
+// Package callertest is a fake daemon as callers see it, for tests of clients.
+package callertest
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+
+	"github.com/bronzeturn/bronzeturn/callerapi"
+)
+
+// keepSeconds is how long the answer which addresses to use may be kept.
+const keepSeconds = 60
+
+// Data of the events of a streamed answer, "all good" in two pieces.
+const (
+	EventText   = `{"choices":[{"delta":{"content":"all "}}]}`
+	EventFinish = `{"choices":[{"delta":{"content":"good"},"finish_reason":"stop"}]}`
+	EventUsage  = `{"choices":[],"usage":{"prompt_tokens":4,"completion_tokens":2}}`
+	EventBroken = `{"error":{"code":"answer_broken","message":"engine gone","ran":"yes"}}`
+	EventDone   = "[DONE]"
+)
+
+// Entry is a fake daemon. Close must be called at the end.
+type Entry struct {
+	*httptest.Server
+	// chat answers requests to models and services.
+	chat http.HandlerFunc
+
+	mu       sync.Mutex
+	entries  callerapi.Entries
+	asked    int
+	requests []Request
+}
+
+// Request is one request that the fake received.
+type Request struct {
+	Header http.Header
+	Body   string
+}
+
+// NewEntry starts a fake daemon that names itself to callers.
+func NewEntry(chat http.HandlerFunc) *Entry {
+	e := &Entry{chat: chat}
+	e.Server = httptest.NewServer(e)
+	e.SetAddresses(e.Address())
+	return e
+}
+
+// Address returns the address for callers.
+func (e *Entry) Address() string { return e.Listener.Addr().String() }
+
+// SetAddresses makes the fake name these addresses to callers.
+func (e *Entry) SetAddresses(addresses ...string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.entries = callerapi.Entries{Addresses: addresses, KeepSeconds: keepSeconds}
+}
+
+// Asked returns how often callers asked which addresses to use.
+func (e *Entry) Asked() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.asked
+}
+
+// Requests returns the requests to models and services so far.
+func (e *Entry) Requests() []Request {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.requests[:len(e.requests):len(e.requests)]
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == callerapi.PathEntries {
+		e.serveEntries(w)
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	e.mu.Lock()
+	e.requests = append(e.requests, Request{Header: r.Header, Body: string(body)})
+	e.mu.Unlock()
+	e.chat(w, r)
+}
+
+func (e *Entry) serveEntries(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.asked++
+	_ = json.NewEncoder(w).Encode(e.entries)
+}
+
+// Whole answers in one piece.
+func Whole(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(callerapi.HeaderVersion, "diag-large@3")
+	w.Header().Set(callerapi.HeaderRequestID, "r1")
+	_, _ = io.WriteString(w, `{"model":"diag-large@3","choices":[{"message":{"role":"assistant","content":"all good"},"finish_reason":"stop"}],"usage":{"prompt_tokens":4,"completion_tokens":2}}`)
+}
+
+// Stream returns a handler that answers with the given data of events.
+func Stream(events ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for _, event := range events {
+			fmt.Fprintf(w, "data: %s\n\n", event)
+		}
+	}
+}
+
+// Refuse returns a handler that answers with a failure.
+func Refuse(status int, detail callerapi.ErrorDetail) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(callerapi.ErrorBody{Error: detail})
+	}
+}
+
+// Drop closes the connection without an answer.
+func Drop(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/caller/request.go
@@ -0,0 +1,227 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/callerapi"
+	"github.com/bronzeturn/bronzeturn/failure"
+)
+
+// Params say how a request is to be run. All are optional.
+type Params struct {
+	// Kind is the task kind, as defined by the rules.
+	Kind string
+	// Conversation names the conversation whose version to keep.
+	Conversation string
+	// IdempotencyKey makes a repeat get the first outcome.
+	IdempotencyKey string
+	// Priority is bulk, normal or urgent. It only lowers that of the kind.
+	Priority string
+	// Deadline is the time for the whole answer. Zero: that of the kind.
+	Deadline time.Duration
+}
+
+// Request is one request to a daemon.
+type Request struct {
+	Params
+	// Path is one of those in package callerapi.
+	Path string
+	Body []byte
+}
+
+// Message is one message of a conversation.
+type Message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+// Completion asks a model for an answer.
+type Completion struct {
+	// Model is a model or a version. Empty: the rules of the kind decide.
+	Model     string
+	Messages  []Message
+	Stream    bool
+	MaxTokens int
+}
+
+// Prompt returns a completion with one message of the user.
+func Prompt(text string) Completion {
+	return Completion{Messages: []Message{{Role: "user", Content: text}}}
+}
+
+// completionRequest is the body of a completion.
+type completionRequest struct {
+	Model         string         `json:"model,omitempty"`
+	Messages      []Message      `json:"messages"`
+	Stream        bool           `json:"stream,omitempty"`
+	StreamOptions *streamOptions `json:"stream_options,omitempty"`
+	MaxTokens     int            `json:"max_tokens,omitempty"`
+}
+
+// streamOptions asks for the token counts at the end of a stream.
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// Body returns the body of the request.
+func (c Completion) Body() ([]byte, error) {
+	request := completionRequest{Model: c.Model, Messages: c.Messages, Stream: c.Stream, MaxTokens: c.MaxTokens}
+	if c.Stream {
+		request.StreamOptions = &streamOptions{IncludeUsage: true}
+	}
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, fmt.Errorf("encode request: %w", err)
+	}
+	return body, nil
+}
+
+// Complete asks a model and returns the answer, checked to be whole. Each piece
+// of a streamed answer also goes to onText as it comes, unless onText is nil.
+func (c *Client) Complete(ctx context.Context, p Params, completion Completion, onText func(string)) (*Answer, error) {
+	body, err := completion.Body()
+	if err != nil {
+		return nil, err
+	}
+	start := time.Now()
+	response, err := c.Post(ctx, Request{Params: p, Path: callerapi.PathChatCompletions, Body: body})
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if completion.Stream && !isStream(response) {
+		return nil, &BrokenAnswerError{Reason: "not a stream"}
+	}
+	return read(response, start, onText)
+}
+
+// CallService calls a plain service, written NAME/PATH, and returns its answer.
+func (c *Client) CallService(ctx context.Context, p Params, service string, body []byte) (*ServiceAnswer, error) {
+	path := callerapi.PathServices + strings.TrimPrefix(service, "/")
+	response, err := c.Post(ctx, Request{Params: p, Path: path, Body: body})
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return readService(response)
+}
+
+// Post sends the request to the best entry, and to the next ones as long as
+// that can't make it run twice. The answer is a success; the user must close its
+// body.
+func (c *Client) Post(ctx context.Context, r Request) (*http.Response, error) {
+	entries, err := c.Entries(ctx)
+	if err != nil {
+		return nil, err
+	}
+	addresses := slices.Clone(entries.Addresses)
+	if len(addresses) == 0 {
+		addresses = []string{c.first}
+	}
+	for attempt := 1; ; attempt++ {
+		answer, err := c.postTo(ctx, addresses[0], r)
+		if err == nil {
+			return answer, nil
+		}
+		addresses = append(others(err), addresses[1:]...)
+		if attempt == maxAttempts || len(addresses) == 0 || ctx.Err() != nil || !r.repeatable(err) {
+			return nil, err
+		}
+		c.forget()
+	}
+}
+
+// repeatable tells whether sending the request again can't make it run twice:
+// it never left, the daemon promised that it did not run and named others, or
+// its idempotency key makes the repeat get the first outcome.
+func (r Request) repeatable(err error) bool {
+	var silent *UnavailableError
+	if errors.As(err, &silent) {
+		return !silent.Sent || r.IdempotencyKey != ""
+	}
+	return len(others(err)) > 0
+}
+
+// others returns the entries that a daemon named when it refused the request
+// unseen, for example because it is leaving.
+func others(err error) []string {
+	var refused *RefusalError
+	if !errors.As(err, &refused) || refused.Detail.Ran != string(failure.RanNo) {
+		return nil
+	}
+	return refused.Detail.Entries
+}
+
+func (c *Client) postTo(ctx context.Context, address string, r Request) (*http.Response, error) {
+	request, err := c.newRequest(ctx, http.MethodPost, address, r.Path, r.Body)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	setHeader(request, callerapi.HeaderKind, r.Kind)
+	setHeader(request, callerapi.HeaderConversation, r.Conversation)
+	setHeader(request, callerapi.HeaderIdempotencyKey, r.IdempotencyKey)
+	setHeader(request, callerapi.HeaderPriority, r.Priority)
+	if r.Deadline > 0 {
+		request.Header.Set(callerapi.HeaderDeadline, r.Deadline.String())
+	}
+	return c.exchange(request)
+}
+
+func setHeader(request *http.Request, name, value string) {
+	if value != "" {
+		request.Header.Set(name, value)
+	}
+}
+
+func (c *Client) newRequest(ctx context.Context, method, address, path string, body []byte) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("build request: %w", err)
+	}
+	if key := c.key.Reveal(); key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	return request, nil
+}
+
+// exchange sends the request and turns every answer but a success into an error.
+func (c *Client) exchange(request *http.Request) (*http.Response, error) {
+	// The transport repeats a request by itself only when nothing of it was
+	// written, or when it carries an idempotency key.
+	answer, err := c.http.Do(request)
+	if err != nil {
+		var undialled *dialError
+		return nil, &UnavailableError{Address: request.URL.Host, Sent: !errors.As(err, &undialled), Cause: err}
+	}
+	if answer.StatusCode/100 == http.StatusOK/100 {
+		return answer, nil
+	}
+	defer drain(answer)
+	return nil, refusalOf(request.URL.Host, answer)
+}
+
+// refusalOf reads the error body of an answer.
+func refusalOf(address string, answer *http.Response) error {
+	var body callerapi.ErrorBody
+	err := json.NewDecoder(io.LimitReader(answer.Body, maxAnswerBytes)).Decode(&body)
+	if err != nil || body.Error.Code == "" {
+		body.Error = callerapi.ErrorDetail{Code: string(failure.CodeInternal), Message: answer.Status, Ran: string(failure.RanUnknown)}
+	}
+	return &RefusalError{Status: answer.StatusCode, Address: address, Detail: body.Error}
+}
+
+// drain reads the rest of a small answer, so that its connection is used again.
+func drain(answer *http.Response) {
+	_, _ = io.CopyN(io.Discard, answer.Body, maxDrainedBytes)
+	_ = answer.Body.Close()
+}
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"connectrpc.com/connect"
+	"github.com/bronzeturn/bronzeturn/caller"
 	"github.com/bronzeturn/bronzeturn/config"
 	"github.com/bronzeturn/bronzeturn/objectstore"
 	qt "github.com/frankban/quicktest"
@@ -57,8 +58,9 @@
 		{"invalid file", &config.ValidationError{Problems: []config.Problem{{}}}, ExitInvalid},
 		{"store down", &objectstore.UnavailableError{Cause: io.EOF}, ExitUnavailable},
 		{"store busy", &objectstore.RateLimitError{}, ExitUnavailable},
-		{"no answer", &UnavailableError{Cause: io.EOF}, ExitUnavailable},
-		{"refusal", &RefusalError{}, ExitRefused},
+		{"no answer", &caller.UnavailableError{Cause: io.EOF}, ExitUnavailable},
+		{"broken answer", &caller.BrokenAnswerError{}, ExitFailure},
+		{"refusal", &caller.RefusalError{}, ExitRefused},
 		{"operator not allowed", connect.NewError(connect.CodePermissionDenied, io.EOF), ExitRefused},
 		{"operator's daemon down", connect.NewError(connect.CodeUnavailable, io.EOF), ExitUnavailable},
 		{"operator's daemon failing", connect.NewError(connect.CodeInternal, io.EOF), ExitFailure},
--- a/cli/exit.go
+++ b/cli/exit.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/bronzeturn/bronzeturn/caller"
 	"github.com/bronzeturn/bronzeturn/callerapi"
+	"github.com/bronzeturn/bronzeturn/load"
 )
 
 // Exit codes of every command.
@@ -40,8 +42,8 @@
 func exitCode(err error) int {
 	var (
 		wrong   *usageError
-		refused *RefusalError
-		silent  *UnavailableError
+		refused *caller.RefusalError
+		silent  *caller.UnavailableError
 		asked   *connect.Error
 	)
 	switch {
@@ -51,7 +53,7 @@
 		return ExitUsage
 	case errors.As(err, &refused):
 		return ExitRefused
-	case errors.As(err, &silent), errors.Is(err, errNoAnswer), errors.Is(err, context.DeadlineExceeded):
+	case errors.As(err, &silent), errors.Is(err, load.ErrNoAnswer), errors.Is(err, context.DeadlineExceeded):
 		return ExitUnavailable
 	case errors.As(err, &asked):
 		return exitCodeOfConnect(asked.Code())
@@ -90,7 +92,7 @@
 	out := errorOutput{ExitCode: exitCode(err), Message: err.Error()}
 	out.Conflict = conflictOf(err)
 	out.Faults = faultsOf(err)
-	var refused *RefusalError
+	var refused *caller.RefusalError
 	if errors.As(err, &refused) {
 		out.Refusal = &refused.Detail
 	}
--- a/cli/load.go
+++ b/cli/load.go
@@ -1,25 +1,14 @@
 package cli
 
 import (
-	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
-	"sort"
-	"sync"
 	"time"
 
-	"github.com/bronzeturn/bronzeturn/callerapi"
+	"github.com/bronzeturn/bronzeturn/load"
 	"github.com/bronzeturn/bronzeturn/standin"
 )
 
-// Bounds of a load. They keep the tool from being used against others.
-const (
-	maxLoadDuration = 60 * time.Second
-	maxLoadRate     = 5000
-	maxInFlight     = 2048
-)
-
 // loadCommand sends requests at a steady rate.
 type loadCommand struct {
 	entryFlags
@@ -36,198 +25,64 @@
 	StandIns  bool           `name:"stand-ins" help:"The engines are stand-ins: check that each answer is the one to its own request."`
 }
 
-// check reports flags outside their bounds.
-func (l loadCommand) check() error {
-	switch {
-	case !(l.Rate > 0 && l.Rate <= maxLoadRate):
-		return usage("--rate must be above 0 and at most %d", maxLoadRate)
-	case l.Duration <= 0 || l.Duration > maxLoadDuration:
-		return usage("--duration must be above 0 and at most %v", maxLoadDuration)
-	case l.InFlight < 1 || l.InFlight > maxInFlight:
-		return usage("--in-flight must be from 1 to %d", maxInFlight)
-	case l.Deadline <= 0:
-		return usage("--deadline must be above 0")
-	}
-	total := 0
-	for kind, weight := range l.Mix {
-		if weight < 0 {
-			return usage("--mix: the weight of %s is below 0", kind)
-		}
-		total += weight
+// options returns the load that the flags describe.
+func (l loadCommand) options() load.Options {
+	o := load.Options{
+		Rate: l.Rate, Duration: l.Duration, Mix: l.Mix, Stream: l.Stream, Model: l.Model, Prompt: l.Prompt,
+		MaxTokens: l.MaxTokens, Deadline: l.Deadline, InFlight: l.InFlight, Seed: l.Seed,
 	}
-	if total == 0 {
-		return usage("--mix needs a kind with a weight above 0")
+	if l.StandIns {
+		o.Check = standin.CheckAnswer
 	}
-	return nil
+	return o
 }
 
 // Run implements the command.
 func (l loadCommand) Run(a *app) error {
-	if err := l.check(); err != nil {
-		return err
-	}
 	c, err := l.newCaller()
 	if err != nil {
 		return err
 	}
-	if _, err := c.addresses(a.ctx); err != nil {
+	report, err := load.Run(a.ctx, c, l.options())
+	var wrong *load.OptionError
+	if errors.As(err, &wrong) {
+		return usage("--%w", wrong)
+	}
+	if err != nil {
 		return err
 	}
-	run := &loadRun{command: l, caller: c, results: newLoadResults()}
-	report := run.send(a.ctx)
-	if err := report.print(a.out); err != nil {
+	if err := printLoad(a.out, report); err != nil {
 		return err
 	}
-	return report.verdict()
+	return report.Verdict()
 }
 
-// loadRun is one load in progress.
-type loadRun struct {
-	command loadCommand
-	caller  *caller
-	results *loadResults
-}
-
-// send sends requests when they are due, whether earlier ones are answered or
-// not, and returns when all are answered.
-func (r *loadRun) send(ctx context.Context) loadReport {
-	random := rand.New(rand.NewPCG(r.command.Seed, 0))
-	kinds := newKindPicker(r.command.Mix)
-	slots := make(chan struct{}, r.command.InFlight)
-	interval := time.Duration(float64(time.Second) / r.command.Rate)
-	start := time.Now()
-	var inFlight sync.WaitGroup
-	number := 0
-	for due := time.Duration(0); due < r.command.Duration && sleepUntil(ctx, start.Add(due)); due += interval {
-		kind := kinds.pick(random)
-		number++
-		select {
-		case slots <- struct{}{}:
-			prompt := fmt.Sprintf("%s Request %d.", r.command.Prompt, number)
-			inFlight.Go(func() {
-				defer func() { <-slots }()
-				r.one(ctx, kind, prompt)
-			})
-		default:
-			r.results.notSent()
+// printLoad writes the report.
+func printLoad(out printer, r load.Report) error {
+	if out.json {
+		return out.object(r)
+	}
+	out.printf("%d sent in %.1f s: %d answered whole, %d broken, %d not sent", r.Sent, r.Seconds, r.Answered, r.Broken, r.NotSent)
+	rows := make([][]string, 0, len(r.Kinds))
+	for _, k := range r.Kinds {
+		row := []string{k.Kind, fmt.Sprint(k.Answered), fmt.Sprint(k.Tokens)}
+		row = append(row, quantileCells(k.Total)...)
+		if k.FirstToken != nil {
+			row = append(row, quantileCells(*k.FirstToken)...)
 		}
+		rows = append(rows, row)
 	}
-	inFlight.Wait()
-	return r.results.report(time.Since(start))
-}
-
-// one sends one request and records what came of it.
-func (r *loadRun) one(ctx context.Context, kind, prompt string) {
-	ctx, cancel := context.WithTimeout(ctx, r.command.Deadline+answerGrace)
-	defer cancel()
-	got, err := r.exchange(ctx, kind, prompt)
-	if err != nil {
-		r.results.failed(err)
-		return
-	}
-	r.results.answered(kind, got)
-}
-
-// exchange sends one request and returns its answer, checked to be whole.
-func (r *loadRun) exchange(ctx context.Context, kind, prompt string) (*answer, error) {
-	body, err := completionBody(r.command.Model, prompt, r.command.Stream, r.command.MaxTokens)
-	if err != nil {
-		return nil, err
-	}
-	request := call{
-		path:           callerapi.PathChatCompletions,
-		body:           body,
-		kind:           kind,
-		idempotencyKey: newIdempotencyKey(),
-		deadline:       r.command.Deadline,
-	}
-	start := time.Now()
-	response, err := r.caller.post(ctx, request)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	if r.command.Stream && !isStream(response) {
-		return nil, &BrokenAnswerError{Reason: "not a stream"}
-	}
-	got, err := read(response, start, func(string) {})
-	if err != nil {
-		return nil, err
-	}
-	return got, r.checkStandIn(body, got)
-}
-
-// checkStandIn compares an answer with what a stand-in engine answers.
-func (r *loadRun) checkStandIn(body []byte, got *answer) error {
-	if !r.command.StandIns {
-		return nil
-	}
-	if err := standin.CheckAnswer(body, got.Text); err != nil {
-		return &BrokenAnswerError{Reason: "not the answer to this request", Cause: err}
+	out.table([]string{"KIND", "ANSWERED", "TOKENS", "P50 MS", "P95 MS", "P99 MS", "MAX MS", "FIRST TOKEN P50", "P95", "P99", "MAX"}, rows)
+	for _, code := range r.Refusals {
+		out.printf("refused with %s: %d", code.Code, code.Count)
 	}
 	return nil
 }
 
-// sleepUntil waits for the time and returns false when ctx ends first.
-func sleepUntil(ctx context.Context, t time.Time) bool {
-	wait := time.Until(t)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// kindPicker draws kinds by their weights.
-type kindPicker struct {
-	kinds []string
-	// ends are the running sums of the weights.
-	ends []int
-}
-
-func newKindPicker(mix map[string]int) kindPicker {
-	var p kindPicker
-	for kind := range mix {
-		p.kinds = append(p.kinds, kind)
-	}
-	sort.Strings(p.kinds)
-	sum := 0
-	for _, kind := range p.kinds {
-		sum += mix[kind]
-		p.ends = append(p.ends, sum)
+func quantileCells(q load.Quantiles) []string {
+	cells := make([]string, 0, 4)
+	for _, value := range []float64{q.P50, q.P95, q.P99, q.Max} {
+		cells = append(cells, fmt.Sprintf("%.1f", value))
 	}
-	return p
-}
-
-func (p kindPicker) pick(random *rand.Rand) string {
-	drawn := random.IntN(p.ends[len(p.ends)-1])
-	return p.kinds[sort.SearchInts(p.ends, drawn+1)]
-}
-
-// errNoAnswer reports a load without a single answer.
-var errNoAnswer = errors.New("no request was answered")
-
-// brokenLoadError reports a load in which answers were not whole.
-type brokenLoadError struct{ broken int64 }
-
-// Error implements error.
-func (e *brokenLoadError) Error() string {
-	return fmt.Sprintf("%d answers were not whole", e.broken)
-}
-
-// verdict returns an error when the load shows a fault. Refusals are none.
-func (r loadReport) verdict() error {
-	if r.Broken > 0 {
-		return &brokenLoadError{broken: r.Broken}
-	}
-	if r.Answered == 0 {
-		return errNoAnswer
-	}
-	return nil
+	return cells
 }
--- a/cli/load_test.go
+++ b/cli/load_test.go
@@ -1,11 +1,12 @@
 package cli
 
 import (
-	"math/rand/v2"
 	"net/http"
 	"testing"
 
+	"github.com/bronzeturn/bronzeturn/caller/callertest"
 	"github.com/bronzeturn/bronzeturn/callerapi"
+	"github.com/bronzeturn/bronzeturn/load"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -13,17 +14,17 @@
 	c := qt.New(t)
 	e := newEntry(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(callerapi.HeaderKind) == "tag" {
-			refuse(http.StatusTooManyRequests, callerapi.ErrorDetail{Code: "limit_exceeded", Ran: "no"})(w, r)
+			callertest.Refuse(http.StatusTooManyRequests, callerapi.ErrorDetail{Code: "limit_exceeded", Ran: "no"})(w, r)
 			return
 		}
-		stream(eventText, eventFinish, eventUsage, eventDone)(w, r)
+		callertest.Stream(callertest.EventText, callertest.EventFinish, callertest.EventUsage, callertest.EventDone)(w, r)
 	})
-	got := run(t, "load", "--entry", e.address(), "--rate=500", "--duration=100ms", "--mix=quick=3,tag=1", "--stream", "--json")
+	got := run(t, "load", "--entry", e.Address(), "--rate=500", "--duration=100ms", "--mix=quick=3,tag=1", "--stream", "--json")
 	c.Assert(got.code, qt.Equals, ExitOK, qt.Commentf("%s", got.stderr))
-	var report loadReport
+	var report load.Report
 	decode(t, got.stdout, &report)
 	c.Check(report.Sent+report.NotSent, qt.Equals, int64(50))
-	c.Check(report.Sent, qt.Equals, int64(e.received()))
+	c.Check(report.Sent, qt.Equals, int64(len(e.Requests())))
 	c.Assert(report.Kinds, qt.HasLen, 1)
 	c.Check(report.Kinds[0].Answered, qt.Equals, report.Answered)
 	c.Check(report.Kinds[0].Tokens, qt.Equals, 2*report.Answered)
@@ -31,7 +32,7 @@
 	c.Assert(report.Refusals, qt.HasLen, 1)
 	c.Check(report.Refusals[0].Code, qt.Equals, "limit_exceeded")
 	c.Check(report.Refusals[0].Count+report.Answered, qt.Equals, report.Sent)
-	c.Check(e.asked, qt.Equals, 1, qt.Commentf("the answer of entries is kept"))
+	c.Check(e.Asked(), qt.Equals, 1, qt.Commentf("the answer of entries is kept"))
 }
 
 func TestLoadFailsOnAnswersThatAreNotWhole(t *testing.T) {
@@ -41,15 +42,15 @@
 		args []string
 		code int
 	}{
-		{"broken streams", stream(eventText, eventBroken), nil, ExitFailure},
-		{"whole answers to a stream", whole, []string{"--stream"}, ExitFailure},
-		{"answers of another request", whole, []string{"--stand-ins"}, ExitFailure},
-		{"only refusals", refuse(http.StatusTooManyRequests, callerapi.ErrorDetail{Code: "limit_exceeded"}), nil, ExitUnavailable},
+		{"broken streams", callertest.Stream(callertest.EventText, callertest.EventBroken), nil, ExitFailure},
+		{"whole answers to a stream", callertest.Whole, []string{"--stream"}, ExitFailure},
+		{"answers of another request", callertest.Whole, []string{"--stand-ins"}, ExitFailure},
+		{"only refusals", callertest.Refuse(http.StatusTooManyRequests, callerapi.ErrorDetail{Code: "limit_exceeded"}), nil, ExitUnavailable},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			e := newEntry(t, test.chat)
-			args := []string{"load", "--entry", e.address(), "--rate=100", "--duration=20ms"}
+			args := []string{"load", "--entry", e.Address(), "--rate=100", "--duration=20ms"}
 			got := run(t, append(args, test.args...)...)
 			qt.Check(t, got.code, qt.Equals, test.code, qt.Commentf("%s%s", got.stdout, got.stderr))
 		})
@@ -62,14 +63,3 @@
 		qt.Check(t, got.code, qt.Equals, ExitUsage, qt.Commentf(flag))
 	}
 }
-
-func TestKindsAreDrawnByWeight(t *testing.T) {
-	p := newKindPicker(map[string]int{"a": 1, "b": 0, "c": 3})
-	random := rand.New(rand.NewPCG(1, 0))
-	counts := make(map[string]int)
-	for range 4000 {
-		counts[p.pick(random)]++
-	}
-	qt.Check(t, counts["b"], qt.Equals, 0)
-	qt.Check(t, counts["a"] > 900 && counts["a"] < 1100, qt.IsTrue, qt.Commentf("%v", counts))
-}
--- a/cli/operators.go
+++ b/cli/operators.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/bronzeturn/bronzeturn/caller"
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1/bronzeturnv1connect"
 	"github.com/bronzeturn/bronzeturn/operator"
@@ -55,7 +56,7 @@
 }
 
 func newOperatorClient(url string, credentials *security.Credentials) bronzeturnv1connect.OperatorServiceClient {
-	client := &http.Client{Transport: security.NewTransport(credentials, dial)}
+	client := &http.Client{Transport: security.NewTransport(credentials, caller.Dial)}
 	return operator.NewClient(client, url)
 }
 
--- a/cli/send.go
+++ b/cli/send.go
@@ -2,20 +2,33 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
+	"errors"
 	"io"
-	"net/http"
-	"slices"
-	"strings"
 	"time"
 
-	"github.com/bronzeturn/bronzeturn/callerapi"
+	"github.com/bronzeturn/bronzeturn/caller"
 )
 
 // answerGrace is the time given to an answer beyond its deadline.
 const answerGrace = 5 * time.Second
 
+// entryFlags say where and as whom to call.
+type entryFlags struct {
+	Entry string `name:"entry" env:"BRONZETURN_ENTRY" required:"" help:"Any daemon's address for callers: IP:PORT, or an http or https URL."`
+	Key   string `name:"key" env:"BRONZETURN_KEY" help:"Key of the organisation. The variable keeps it out of the process list."`
+	CA    string `name:"entry-ca" type:"path" help:"Authorities that sign the daemons' certificates, PEM. Default: those of the system."`
+}
+
+// newCaller returns a client that the flags describe.
+func (f entryFlags) newCaller() (*caller.Client, error) {
+	c, err := caller.New(caller.Options{Entry: f.Entry, Key: f.Key, Authorities: f.CA})
+	var wrong *caller.OptionError
+	if errors.As(err, &wrong) {
+		return nil, usage("--%w", wrong)
+	}
+	return c, err
+}
+
 // entriesCommand shows which addresses callers should use.
 type entriesCommand struct {
 	entryFlags
@@ -27,7 +40,7 @@
 	if err != nil {
 		return err
 	}
-	entries, err := c.addresses(a.ctx)
+	entries, err := c.Entries(a.ctx)
 	if err != nil {
 		return err
 	}
@@ -65,115 +78,82 @@
 	if err != nil {
 		return err
 	}
-	r, err := s.call()
-	if err != nil {
-		return err
-	}
 	ctx, cancel := context.WithTimeout(a.ctx, s.Deadline+answerGrace)
 	defer cancel()
-	start := time.Now()
-	response, err := c.post(ctx, r)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = response.Body.Close() }()
-	if s.Service != "" {
-		return printService(a.out, response)
-	}
-	return printAnswer(a.out, response, start)
-}
-
-// call returns the request to send.
-func (s sendCommand) call() (call, error) {
-	r := call{
-		path:           callerapi.PathChatCompletions,
-		kind:           s.Kind,
-		conversation:   s.Conversation,
-		idempotencyKey: s.IdempotencyKey,
-		priority:       s.Priority,
-		deadline:       s.Deadline,
-	}
-	if r.idempotencyKey == "new" {
-		r.idempotencyKey = newIdempotencyKey()
-	}
 	if s.Service != "" {
-		r.path = callerapi.PathServices + strings.TrimPrefix(s.Service, "/")
-		r.body = []byte(s.Prompt)
-		return r, nil
+		return s.callService(ctx, a.out, c)
 	}
-	body, err := completionBody(s.Model, s.Prompt, s.Stream, s.MaxTokens)
-	r.body = body
-	return r, err
+	return s.complete(ctx, a.out, c)
 }
 
-// completionBody returns the body of a request with one message.
-func completionBody(model, prompt string, stream bool, maxTokens int) ([]byte, error) {
-	request := completionRequest{
-		Model:     model,
-		Messages:  []message{{Role: "user", Content: prompt}},
-		Stream:    stream,
-		MaxTokens: maxTokens,
-	}
-	if stream {
-		request.StreamOptions = &streamOptions{IncludeUsage: true}
-	}
-	body, err := json.Marshal(request)
-	if err != nil {
-		return nil, fmt.Errorf("encode request: %w", err)
-	}
-	return body, nil
+// params returns how the request is to be run.
+func (s sendCommand) params() caller.Params {
+	p := caller.Params{
+		Kind:           s.Kind,
+		Conversation:   s.Conversation,
+		IdempotencyKey: s.IdempotencyKey,
+		Priority:       s.Priority,
+		Deadline:       s.Deadline,
+	}
+	if p.IdempotencyKey == "new" {
+		p.IdempotencyKey = caller.NewIdempotencyKey()
+	}
+	return p
 }
 
-// printAnswer reads and prints an answer, a stream as it comes.
-func printAnswer(out printer, response *http.Response, start time.Time) error {
+// complete asks a model and prints the answer, a stream as it comes.
+func (s sendCommand) complete(ctx context.Context, out printer, c *caller.Client) error {
+	completion := caller.Prompt(s.Prompt)
+	completion.Model = s.Model
+	completion.Stream = s.Stream
+	completion.MaxTokens = s.MaxTokens
+	streamed := false
 	onText := func(text string) {
+		streamed = true
 		if !out.json {
 			_, _ = io.WriteString(out.w, text)
 		}
 	}
-	a, err := read(response, start, onText)
+	a, err := c.Complete(ctx, s.params(), completion, onText)
 	if err != nil {
 		return err
 	}
 	if out.json {
 		return out.object(a)
 	}
-	if !isStream(response) {
+	if !streamed {
 		onText(a.Text)
 	}
 	out.printf("\n")
 	out.printf("version %s, %d prompt tokens, %d completion tokens, %v from %s",
 		a.Version, a.Usage.Prompt, a.Usage.Completion, a.Total.Round(time.Millisecond), a.Address)
-	for _, h := range a.Headers {
-		out.printf("%s: %s", h.Name, h.Value)
-	}
+	printHeaders(out, a.Headers)
 	return nil
 }
 
 // serviceOutput is the JSON shape of a plain service's answer.
 type serviceOutput struct {
-	Address string   `json:"address"`
-	Headers []header `json:"headers"`
-	Body    string   `json:"body"`
+	Address string          `json:"address"`
+	Headers []caller.Header `json:"headers"`
+	Body    string          `json:"body"`
 }
 
-// printService prints the answer of a plain service.
-func printService(out printer, response *http.Response) error {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+// callService calls a plain service and prints its answer.
+func (s sendCommand) callService(ctx context.Context, out printer, c *caller.Client) error {
+	a, err := c.CallService(ctx, s.params(), s.Service, []byte(s.Prompt))
 	if err != nil {
-		return &BrokenAnswerError{Reason: "body is not whole", Cause: err}
+		return err
 	}
-	a := newAnswer(response)
 	if out.json {
-		return out.object(serviceOutput{Address: a.Address, Headers: a.Headers, Body: string(body)})
-	}
-	out.printf("%s", body)
-	for _, h := range a.Headers {
-		out.printf("%s: %s", h.Name, h.Value)
+		return out.object(serviceOutput{Address: a.Address, Headers: a.Headers, Body: string(a.Body)})
 	}
+	out.printf("%s", a.Body)
+	printHeaders(out, a.Headers)
 	return nil
 }
 
-func sortHeaders(headers []header) {
-	slices.SortFunc(headers, func(a, b header) int { return strings.Compare(a.Name, b.Name) })
+func printHeaders(out printer, headers []caller.Header) {
+	for _, h := range headers {
+		out.printf("%s: %s", h.Name, h.Value)
+	}
 }
--- a/demo/chat.go
+++ b/demo/chat.go
@@ -12,7 +12,11 @@
 	"github.com/bronzeturn/bronzeturn/standin"
 )
 
-// Chat is one chat completion as a caller sends it. Empty headers are left out.
+// Chat is one chat completion as a test sends it, to a daemon of its choice and
+// exactly once. Programs use package caller: its client picks the daemon, tries
+// another one and turns refusals into errors. Tests of the daemons need what
+// that hides: the raw status, headers and body of one daemon's single answer.
+// Empty headers are left out.
 type Chat struct {
 	Key            string
 	Kind           string
