Run both example deployments by one demo command

Cause: a newcomer needs one command that shows requests routed, answered and billed. bronzeturn demo starts stand-ins and three daemons per deployment in one process and plays a scenario: steady traffic of several organisations, a conversation, one non-idempotent request repeated with its key at all daemons at once, plain services, refusals, a withdrawal while traffic flows. After the graceful stop it reads the bills from the store and compares them with the answers received. A promise that did not hold is a FAULT line and exit code 1. The strongest version is that of the highest prior quality for the kind that the organisation may use, without withdrawn ones and those being rolled out.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -66,9 +66,10 @@
 
 // ServiceAnswer is the answer of a plain service.
 type ServiceAnswer struct {
-	Address string   `json:"address"`
-	Headers []Header `json:"headers"`
-	Body    []byte   `json:"body"`
+	Address   string
+	RequestID string
+	Headers   []Header
+	Body      []byte
 }
 
 // newAnswer takes the headers of r.
@@ -99,7 +100,12 @@
 	if err != nil {
 		return nil, &BrokenAnswerError{Reason: "body is not whole", Cause: err}
 	}
-	return &ServiceAnswer{Address: r.Request.URL.Host, Headers: addedHeaders(r), Body: body}, nil
+	return &ServiceAnswer{
+		Address:   r.Request.URL.Host,
+		RequestID: r.Header.Get(callerapi.HeaderRequestID),
+		Headers:   addedHeaders(r),
+		Body:      body,
+	}, nil
 }
 
 // readWhole reads an answer that comes in one piece.
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -25,8 +25,15 @@
 
 // Commands are the commands whose work stands in other packages.
 type Commands struct {
-	// Demo runs stand-ins and daemons and writes its table, or JSON, to w.
-	Demo func(ctx context.Context, w io.Writer, json bool) error
+	// Demo runs stand-ins and daemons and writes its tables, or JSON, to w.
+	Demo func(ctx context.Context, w io.Writer, o DemoOptions) error
+}
+
+// DemoOptions are what the command line says about the demo.
+type DemoOptions struct {
+	JSON bool
+	// LogFile takes the log lines of the daemons. Empty: they are dropped.
+	LogFile string
 }
 
 // grammar holds the commands and the flags that all of them share.
@@ -83,12 +90,14 @@
 }
 
 // demoCommand runs the demo.
-type demoCommand struct{}
+type demoCommand struct {
+	LogFile string `type:"path" help:"Write the daemons' log lines to this file. Default: they are dropped."`
+}
 
 // Run implements the command.
-func (demoCommand) Run(a *app) error {
+func (d demoCommand) Run(a *app) error {
 	if a.commands.Demo == nil {
 		return errNoDemo
 	}
-	return a.commands.Demo(a.ctx, a.out.w, a.out.json)
+	return a.commands.Demo(a.ctx, a.out.w, DemoOptions{JSON: a.out.json, LogFile: d.LogFile})
 }
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -93,13 +94,13 @@
 func TestDemoGetsOutputAndFormat(t *testing.T) {
 	fault := errors.New("demo failed")
 	var stdout, stderr strings.Builder
-	demo := func(_ context.Context, w io.Writer, asJSON bool) error {
-		fmt.Fprintf(w, "json %v", asJSON)
+	demo := func(_ context.Context, w io.Writer, o DemoOptions) error {
+		fmt.Fprintf(w, "json %v, log %s", o.JSON, filepath.Base(o.LogFile))
 		return fault
 	}
-	code := Run(t.Context(), []string{"demo", "--json"}, &stdout, &stderr, Commands{Demo: demo})
+	code := Run(t.Context(), []string{"demo", "--json", "--log-file=demo.log"}, &stdout, &stderr, Commands{Demo: demo})
 	qt.Check(t, code, qt.Equals, ExitFailure)
-	qt.Check(t, stdout.String(), qt.Equals, "json true")
+	qt.Check(t, stdout.String(), qt.Equals, "json true, log demo.log")
 	qt.Check(t, stderr.String(), qt.Contains, fault.Error())
 	qt.Check(t, run(t, "demo").code, qt.Equals, ExitFailure)
 }
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -124,3 +124,18 @@
 	}
 	return nil
 }
+
+// WaitGeneration returns when the generation, or a later one, is in force on
+// every daemon, or ctx ends.
+func (f *Fleet) WaitGeneration(ctx context.Context, generation uint64) error {
+	for _, d := range f.Daemons {
+		for d.Generation() < generation {
+			select {
+			case <-time.After(readyInterval):
+			case <-ctx.Done():
+				return fmt.Errorf("generation %d not in force: %w", generation, ctx.Err())
+			}
+		}
+	}
+	return nil
+}
--- a/demo/platform.go
+++ b/demo/platform.go
@@ -26,6 +26,8 @@
 	// speedUp makes the engines of the demo faster than the register says, so
 	// that long reports end within the time of the demo.
 	speedUp = 8
+	// answerTokens is the usual length of an answer.
+	answerTokens = 160
 	// prefillTokensPerSecond is the rate at which engines read prompts.
 	prefillTokensPerSecond = 20_000
 	// ratingNoise is the standard deviation of one rating.
@@ -55,7 +57,7 @@
 // StartPlatform starts the stand-ins of an example with so many daemon hosts,
 // whose names DaemonName gives.
 func StartPlatform(example string, daemons int) (*Platform, error) {
-	register, rules, err := load(example)
+	register, rules, err := readExample(example)
 	if err != nil {
 		return nil, err
 	}
@@ -68,8 +70,8 @@
 	return p, nil
 }
 
-// load decodes the register and the rules of an example.
-func load(example string) (*bronzeturnv1.Register, *bronzeturnv1.Rules, error) {
+// readExample decodes the register and the rules of an example.
+func readExample(example string) (*bronzeturnv1.Register, *bronzeturnv1.Rules, error) {
 	registerFile := example + "/register.yaml"
 	data, err := examples.Files.ReadFile(registerFile)
 	if err != nil {
@@ -143,6 +145,7 @@
 			Slots:                  int(e.GetSlots()),
 			TokensPerSecond:        e.GetTokensPerSecond() * speedUp,
 			PrefillTokensPerSecond: prefillTokensPerSecond,
+			AnswerTokens:           answerTokens,
 			ReportLag:              reportLag,
 			CheckFencing:           fenced[e.GetPool()],
 		})
@@ -215,6 +218,52 @@
 	return all
 }
 
+// enginesOf names the engines that executed a request, one entry for each time.
+func (p *Platform) enginesOf(requestID string) []string {
+	var names []string
+	for name, e := range p.Engines {
+		for range e.Executions()[requestID] {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// poolsByRequest returns the pools that executed each request, joined by "+".
+func (p *Platform) poolsByRequest() map[string]string {
+	pools := make(map[string]string)
+	for _, pool := range p.Register.GetPools() {
+		for id := range p.executedIn(pool.GetName()) {
+			if pools[id] != "" {
+				pools[id] += "+"
+			}
+			pools[id] += pool.GetName()
+		}
+	}
+	return pools
+}
+
+// executedIn returns the ids of the requests that a pool executed.
+func (p *Platform) executedIn(pool string) map[string]bool {
+	ids := make(map[string]bool)
+	for _, e := range p.Register.GetEngines() {
+		if e.GetPool() != pool {
+			continue
+		}
+		for id := range p.Engines[e.GetName()].Executions() {
+			ids[id] = true
+		}
+	}
+	return ids
+}
+
+// Withdraw withdraws a version and returns the generation that says so.
+func (p *Platform) Withdraw(ctx context.Context, version, reason string) (uint64, error) {
+	publisher := config.NewPublisher(config.PublisherOptions{Store: p.Store.Store()})
+	result, err := publisher.Apply(ctx, config.Change{Withdraw: &bronzeturnv1.Withdrawal{Version: version, Reason: reason}})
+	return result.Generation, err
+}
+
 // Publish puts the register and the rules in force through the store.
 func (p *Platform) Publish(ctx context.Context) error {
 	publisher := config.NewPublisher(config.PublisherOptions{Store: p.Store.Store()})
--- /dev/null
+++ b/demo/report.go
@@ -0,0 +1,219 @@
+package demo
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/bronzeturn/bronzeturn/config"
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/ledger"
+	"github.com/bronzeturn/bronzeturn/load"
+)
+
+// noPool stands for the engine pool of plain services.
+const noPool = "-"
+
+// Row sums up the answers of one kind, version and engine pool.
+type Row struct {
+	Kind string `json:"kind"`
+	// Version is the version, or the plain service, that answered.
+	Version string `json:"version"`
+	// Pool names the engine pools that the requests ran in.
+	Pool             string `json:"pool"`
+	Answers          int64  `json:"answers"`
+	PromptTokens     int64  `json:"prompt_tokens"`
+	CompletionTokens int64  `json:"completion_tokens"`
+	// CostMicros is the price of the tokens of the answers at their versions.
+	CostMicros int64 `json:"cost_micros"`
+	// StrongestMicros is the price of the same tokens at the strongest version
+	// that each organisation may use.
+	StrongestMicros int64           `json:"strongest_cost_micros"`
+	Total           load.Quantiles  `json:"total"`
+	FirstToken      *load.Quantiles `json:"first_token,omitempty"`
+}
+
+// Bills compares the ledger with what the callers got.
+type Bills struct {
+	// Recorded is the number of bills in the ledger.
+	Recorded uint64 `json:"recorded"`
+	// Answers is the number of requests that were answered. Repeats of a request
+	// that was answered before are not counted.
+	Answers uint64 `json:"answers"`
+	// Repeats are the further answers to requests that were answered before.
+	Repeats uint64 `json:"repeats"`
+	// CostMicros is the sum of the bills for answers of models.
+	CostMicros uint64 `json:"cost_micros"`
+	// StrongestMicros is the price of the same answers at the strongest version
+	// that each organisation may use.
+	StrongestMicros int64 `json:"strongest_cost_micros"`
+}
+
+// DeploymentReport is what happened in one deployment.
+type DeploymentReport struct {
+	Deployment string            `json:"deployment"`
+	Rows       []Row             `json:"rows"`
+	Refusals   []load.CodeReport `json:"refusals"`
+	Broken     int64             `json:"broken_answers"`
+	Withdrawn  string            `json:"withdrawn_version"`
+	Bills      Bills             `json:"bills"`
+	// Faults are promises that did not hold. There must be none.
+	Faults []string `json:"faults"`
+}
+
+// Report is the result of the demo.
+type Report struct {
+	Seconds     float64            `json:"seconds"`
+	Deployments []DeploymentReport `json:"deployments"`
+}
+
+// rowKey names a row.
+type rowKey struct{ kind, version, pool string }
+
+// rowResults collects one row.
+type rowResults struct {
+	row               Row
+	total, firstToken *load.Latencies
+}
+
+// reporter turns a tally into a report.
+type reporter struct {
+	platform *Platform
+	snapshot *config.Snapshot
+	// pools are the engine pools by request id.
+	pools map[string]string
+	rows  map[rowKey]*rowResults
+}
+
+func newReporter(p *Platform) (*reporter, error) {
+	snapshot, err := config.NewSnapshot(1, p.Register, p.Rules)
+	if err != nil {
+		return nil, err
+	}
+	return &reporter{platform: p, snapshot: snapshot, pools: p.poolsByRequest(), rows: make(map[rowKey]*rowResults)}, nil
+}
+
+// report returns the report of a deployment, given the sums in the ledger.
+func (r *reporter) report(s scenario, t *tally, totals []ledger.Total) DeploymentReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := DeploymentReport{
+		Deployment: s.example, Withdrawn: s.withdrawn, Broken: t.broken,
+		Rows: []Row{}, Refusals: []load.CodeReport{}, Faults: append([]string{}, t.faults...),
+	}
+	for _, a := range t.answers {
+		if a.repeat {
+			out.Bills.Repeats++
+			continue
+		}
+		out.Bills.Answers++
+		out.Bills.StrongestMicros += r.add(a)
+	}
+	for _, total := range totals {
+		out.Bills.Recorded += total.Bills
+		if _, isService := r.snapshot.Service(total.Version); !isService {
+			out.Bills.CostMicros += total.CostMicros
+		}
+	}
+	out.Rows = r.sortedRows()
+	for code, count := range t.refusals {
+		out.Refusals = append(out.Refusals, load.CodeReport{Code: code, Count: count})
+	}
+	slices.SortFunc(out.Refusals, func(a, b load.CodeReport) int { return cmp.Compare(a.Code, b.Code) })
+	out.Faults = append(out.Faults, out.Bills.faults(out.Broken)...)
+	return out
+}
+
+// add adds an answer to its row and returns its price at the strongest version.
+func (r *reporter) add(a received) int64 {
+	key := rowKey{a.kind, a.version, cmp.Or(r.pools[a.requestID], noPool)}
+	results := r.rows[key]
+	if results == nil {
+		results = &rowResults{
+			row:   Row{Kind: a.kind, Version: a.version, Pool: key.pool},
+			total: load.NewLatencies(), firstToken: load.NewLatencies(),
+		}
+		r.rows[key] = results
+	}
+	row := &results.row
+	row.Answers++
+	results.total.Record(a.total)
+	if a.firstToken > 0 {
+		results.firstToken.Record(a.firstToken)
+	}
+	cost, strongest := r.prices(a)
+	row.PromptTokens += a.usage.Prompt
+	row.CompletionTokens += a.usage.Completion
+	row.CostMicros += cost
+	row.StrongestMicros += strongest
+	if a.service {
+		return 0
+	}
+	return strongest
+}
+
+// prices returns the price of an answer at its version and at the strongest
+// version that the organisation may use.
+func (r *reporter) prices(a received) (cost, strongest int64) {
+	if a.service {
+		service, _ := r.snapshot.Service(a.version)
+		return service.GetCallPriceMicros(), service.GetCallPriceMicros()
+	}
+	version, _ := r.snapshot.Version(a.version)
+	return priceOf(version, a), priceOf(r.strongest(a.organisation, a.kind), a)
+}
+
+// strongest returns the version of the highest believed quality for the kind
+// among those that the organisation may use, without the withdrawn ones and
+// those that are being rolled out.
+func (r *reporter) strongest(organisation, kind string) *bronzeturnv1.Version {
+	var best *bronzeturnv1.Version
+	for _, name := range r.snapshot.AllowedVersions(organisation) {
+		version, _ := r.snapshot.Version(name)
+		_, withdrawn := r.snapshot.Withdrawn(name)
+		_, rolledOut := r.snapshot.Rollout(name)
+		if withdrawn || rolledOut {
+			continue
+		}
+		if best == nil || quality(version, kind) > quality(best, kind) {
+			best = version
+		}
+	}
+	return best
+}
+
+// quality is what the register believes of a version for a kind.
+func quality(v *bronzeturnv1.Version, kind string) float64 {
+	for _, byKind := range v.GetPriorQualityByKind() {
+		if byKind.GetKind() == kind {
+			return byKind.GetQuality()
+		}
+	}
+	return v.GetPriorQuality()
+}
+
+// tokensPerPrice is the number of tokens that prices are given for.
+const tokensPerPrice = 1_000_000
+
+// priceOf returns the price of an answer's tokens, each part rounded up.
+func priceOf(v *bronzeturnv1.Version, a received) int64 {
+	part := func(tokens, price int64) int64 { return (tokens*price + tokensPerPrice - 1) / tokensPerPrice }
+	return part(a.usage.Prompt, v.GetPromptPriceMicros()) + part(a.usage.Completion, v.GetCompletionPriceMicros())
+}
+
+// sortedRows returns the rows by kind, version and pool.
+func (r *reporter) sortedRows() []Row {
+	rows := make([]Row, 0, len(r.rows))
+	for _, results := range r.rows {
+		row := results.row
+		row.Total = results.total.Quantiles()
+		if results.firstToken.Count() > 0 {
+			first := results.firstToken.Quantiles()
+			row.FirstToken = &first
+		}
+		rows = append(rows, row)
+	}
+	slices.SortFunc(rows, func(a, b Row) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Version, b.Version), cmp.Compare(a.Pool, b.Pool))
+	})
+	return rows
+}
--- /dev/null
+++ b/demo/scenario.go
@@ -0,0 +1,100 @@
+package demo
+
+import "github.com/bronzeturn/bronzeturn/examples"
+
+// task is a kind of request that an organisation sends again and again.
+type task struct {
+	organisation string
+	kind         string
+	// weight is its share of the traffic.
+	weight int
+	prompt string
+	stream bool
+	// maxTokens bounds the answer. Zero leaves its length to the engine.
+	maxTokens int
+	// keyed gives each request an idempotency key, as non-idempotent kinds need.
+	keyed bool
+}
+
+// plainCall is one call of a plain service.
+type plainCall struct {
+	organisation, service, path, body string
+	keyed                             bool
+}
+
+// scenario is what happens in one deployment during the demo.
+type scenario struct {
+	example string
+	// tasks are the steady traffic.
+	tasks []task
+	// conversation is held turn by turn while the traffic flows.
+	conversation task
+	turns        int
+	// repeated is a non-idempotent task, sent with one key to several daemons.
+	repeated task
+	services []plainCall
+	// withdrawn is the version withdrawn while traffic flows.
+	withdrawn string
+	// forbidden asks for a version that its organisation may not use.
+	forbidden        task
+	forbiddenVersion string
+}
+
+// scenarios returns what the demo plays, in its order.
+func scenarios() []scenario { return []scenario{campinaVerde(), andina()} }
+
+func campinaVerde() scenario {
+	check := "Battery 61%, lock 4 slow after rain. May the rider go on?"
+	report := "Controller log: E42 phase current 31 A, E42 phase current 33 A, E17 hall sensor. Write the fault report."
+	tag := "Ticket: bike 2207 stops uphill, display shows E42. Tag it."
+	return scenario{
+		example: examples.CampinaVerde,
+		tasks: []task{
+			{organisation: "dock-kiosks", kind: "quick", weight: 8, prompt: check, stream: true, maxTokens: 24},
+			{organisation: "rider-app", kind: "quick", weight: 6, prompt: check, stream: true, maxTokens: 24},
+			{organisation: "mobilidade-eletrica", kind: "tag", weight: 3, prompt: tag, maxTokens: 12, keyed: true},
+			{organisation: "oficina-central", kind: "report", weight: 2, prompt: report, stream: true},
+			{organisation: "oficina-serra", kind: "report", weight: 1, prompt: report},
+			{organisation: "battery-lab", kind: "report", weight: 1, prompt: report},
+			{organisation: "depot-porto", kind: "explain", weight: 1, prompt: "Explain the error history of bike 88.", stream: true},
+		},
+		conversation: task{organisation: "depot-centro", kind: "explain", prompt: "Why did bike 2207 stop again?", stream: true},
+		turns:        4,
+		repeated:     task{organisation: "oficina-porto", kind: "tag", prompt: tag, maxTokens: 12},
+		services: []plainCall{
+			{organisation: "oficina-central", service: "ticket-desk", path: "/open", body: `{"bike":2207}`, keyed: true},
+			{organisation: "dock-kiosks", service: "lock-status", path: "/4", body: `{}`},
+		},
+		withdrawn:        "dock-quick@2",
+		forbidden:        task{organisation: "dock-kiosks", kind: "report", prompt: report},
+		forbiddenVersion: "diag-large@3",
+	}
+}
+
+func andina() scenario {
+	sheet := "Load sheet for truck 14, route Godoy Cruz, please."
+	review := "Route 31: 212 crates out, 198 back, cash short by 1,450. Review the settlement."
+	reorder := "Kiosk 77 sold 40 crates of cola and 12 of tonic. Draft the reorder note."
+	return scenario{
+		example: examples.Andina,
+		tasks: []task{
+			{organisation: "driver-handhelds", kind: "sheet", weight: 6, prompt: sheet, stream: true, maxTokens: 60},
+			{organisation: "driver-handhelds", kind: "price", weight: 4, prompt: "Price list of kiosk 77.", stream: true, maxTokens: 30},
+			{organisation: "andina-central", kind: "settlement", weight: 3, prompt: review},
+			{organisation: "franquicia-godoy", kind: "settlement", weight: 2, prompt: review},
+			{organisation: "franquicia-chimbas", kind: "settlement", weight: 1, prompt: review, stream: true},
+			{organisation: "franquicia-rawson", kind: "reorder", weight: 2, prompt: reorder, keyed: true},
+			{organisation: "crate-yard", kind: "crate-tag", weight: 4, prompt: "Crate 5 of 9: label torn, two bottles missing.", maxTokens: 8},
+		},
+		conversation: task{organisation: "franquicia-merlo", kind: "settlement", prompt: "Why is route 31 short?", stream: true},
+		turns:        4,
+		repeated:     task{organisation: "franquicia-junin", kind: "reorder", prompt: reorder},
+		services: []plainCall{
+			{organisation: "franquicia-godoy", service: "pallet-orders", path: "/order", body: `{"pallets":2}`, keyed: true},
+			{organisation: "driver-handhelds", service: "price-list", path: "/77", body: `{}`},
+		},
+		withdrawn:        "hoja@2",
+		forbidden:        task{organisation: "driver-handhelds", kind: "settlement", prompt: review},
+		forbiddenVersion: "revision-grande@7",
+	}
+}
