Count the ratings of a roll-out's stage in its track

Cause: the stage compared the weights of estimates, which differ by kind; two kinds that were rated in turn made the share double with almost each rating. Ruled out: a stage per kind (the share is one per version). Before and after: the new test saw the stages begin at ratings 1, 2, 4 and 6 with the old code, now at 20, 40, 60 and 80. Conclusion: a stage also needs an estimate that rests on ratings, not on the prior alone.

--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -163,29 +163,47 @@
 }
 
 func TestShareGrowsWithEvidenceUpToTheCap(t *testing.T) {
-	track := rollout.NewController(rollout.Options{}).Track("v")
-	good := quality.Estimate{Mean: 0.9, Lower: 0.88, Upper: 0.92}
+	r := newRaters(rollout.Options{}, 13)
+	good := quality.Estimate{Mean: 0.9, Lower: 0.88, Upper: 0.92, Weight: 100}
+	// The estimates of two kinds take turns; each rating counts once.
+	small := quality.Estimate{Mean: 0.9, Lower: 0.88, Upper: 0.92, Weight: 25}
 	const maxShare = 0.2
-	shares := []float64{track.Share()}
-	for i := range 12 {
-		good.Weight = float64(i+1) * 10
-		if track.Advance(good, reference, maxShare, start) == rollout.ShareChanged {
-			shares = append(shares, track.Share())
+	shares, at := []float64{r.track.Share()}, []int{0}
+	for i := range 150 {
+		r.rate(i%5, 1)
+		e := good
+		if i%2 == 0 {
+			e = small
+		}
+		if r.track.Advance(e, reference, maxShare, r.now) == rollout.ShareChanged {
+			shares, at = append(shares, r.track.Share()), append(at, i+1)
 		}
 	}
 	qt.Assert(t, shares, qt.DeepEquals, []float64{0.02, 0.04, 0.08, 0.16, 0.32})
-	qt.Assert(t, track.Advance(good, reference, maxShare, start), qt.Equals, rollout.Unchanged)
+	qt.Assert(t, at, qt.DeepEquals, []int{0, 20, 40, 60, 80})
 
 	bad := quality.Estimate{Mean: 0.7, Lower: 0.68, Upper: 0.72, Weight: 130}
-	qt.Assert(t, track.Advance(bad, reference, maxShare, start), qt.Equals, rollout.ShareChanged)
-	qt.Assert(t, track.Share(), qt.Equals, rollout.DefaultStartShare)
+	qt.Assert(t, r.track.Advance(bad, reference, maxShare, r.now), qt.Equals, rollout.ShareChanged)
+	qt.Assert(t, r.track.Share(), qt.Equals, rollout.DefaultStartShare)
+}
+
+func TestPriorAloneDoesNotGrowTheShare(t *testing.T) {
+	r := newRaters(rollout.Options{}, 13)
+	prior := quality.Estimate{Mean: 0.95, Lower: 0.9, Upper: 0.98} // the only rater is left out
+	for range 100 {
+		r.rate(0, 1)
+		qt.Assert(t, r.track.Advance(prior, reference, 0.5, r.now), qt.Equals, rollout.Unchanged)
+	}
 }
 
 func TestUncertainEvidenceKeepsTheShare(t *testing.T) {
-	track := rollout.NewController(rollout.Options{}).Track("v")
+	r := newRaters(rollout.Options{}, 13)
 	wide := quality.Estimate{Mean: 0.9, Lower: 0.7, Upper: 1, Weight: 100}
-	qt.Assert(t, track.Advance(wide, reference, 0.5, start), qt.Equals, rollout.Unchanged)
-	qt.Assert(t, track.Share(), qt.Equals, rollout.DefaultStartShare)
+	for i := range 100 {
+		r.rate(i%5, 1)
+		qt.Assert(t, r.track.Advance(wide, reference, 0.5, r.now), qt.Equals, rollout.Unchanged)
+	}
+	qt.Assert(t, r.track.Share(), qt.Equals, rollout.DefaultStartShare)
 }
 
 func TestHigherRevisionWins(t *testing.T) {
--- a/rollout/track.go
+++ b/rollout/track.go
@@ -23,8 +23,8 @@
 	state   State
 	small   Test
 	large   Test
-	// stageWeight is the evidence that the present stage began with.
-	stageWeight float64
+	// stageRatings counts the ratings since the present stage began.
+	stageRatings float64
 	// probation is true once ratings of the trickle are judged.
 	probation bool
 }
@@ -111,6 +111,7 @@
 		t.probation = true
 	}
 	t.add(r)
+	t.stageRatings += r.Count
 	if t.alarm(r.SoleUser) {
 		t.cutOff(r.At)
 		return CutOff
@@ -126,9 +127,10 @@
 	return Cleared
 }
 
-// Advance moves a running roll-out to the next stage when enough new ratings
+// Advance moves a running roll-out to the next stage when enough judged ratings
 // show the version at its reference, and back to the first when they show it
-// below. The caller does not call it while the roll-out is paused or halted.
+// below. The estimate is that of the kind which was rated last. The caller does
+// not call it while the roll-out is paused or halted.
 func (t *Track) Advance(e quality.Estimate, reference, maxShare float64, now time.Time) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -141,14 +143,16 @@
 	default:
 		return Unchanged
 	}
-	t.stageWeight = e.Weight
+	t.stageRatings = 0
 	t.revise(now)
 	return ShareChanged
 }
 
+// mayGrow tells whether enough ratings came in this stage, and whether the
+// estimate rests on enough of them: one that leaves a large organisation out
+// may rest on the prior alone.
 func (t *Track) mayGrow(weight, maxShare float64) bool {
-	t.stageWeight = math.Min(t.stageWeight, weight) // evidence is discounted
-	if weight-t.stageWeight < t.options.StageRatings {
+	if min(t.stageRatings, weight) < t.options.StageRatings {
 		return false
 	}
 	return t.state.Stage < maxStage && t.options.shareOf(t.state.Stage) < maxShare
@@ -199,7 +203,7 @@
 	t.small.Restart()
 	t.large.Restart()
 	t.probation = false
-	t.stageWeight = 0
+	t.stageRatings = 0
 }
 
 // revise gives the state a higher revision. It is the time in milliseconds, so
