--- /dev/null
+++ b/decisions.go
@@ -0,0 +1,139 @@
+package bronzeturn
+
+import (
+	"context"
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/admission"
+	"github.com/bronzeturn/bronzeturn/balance"
+	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/hedge"
+	"github.com/bronzeturn/bronzeturn/logging"
+	"github.com/bronzeturn/bronzeturn/quality"
+	"github.com/bronzeturn/bronzeturn/retry"
+	"github.com/bronzeturn/bronzeturn/rollout"
+	"github.com/bronzeturn/bronzeturn/router"
+	"github.com/bronzeturn/bronzeturn/selection"
+)
+
+// reviewInterval is the time between two comparisons of the engines.
+const reviewInterval = time.Second
+
+// staleRetryAfter is what callers of an isolated daemon are told. The other
+// addresses can be used at once.
+const staleRetryAfter = time.Second
+
+// decisions holds the state of the decision packages.
+type decisions struct {
+	quality   *quality.Store
+	rollouts  *rollout.Controller
+	versions  *selection.Policy
+	engines   *balance.State
+	hedges    *hedge.Policy
+	budget    *retry.Budget
+	breakers  *retry.Breakers
+	admission *admission.Controller
+	sampler   *sampler
+}
+
+func newDecisions(d *Daemon) (*decisions, error) {
+	n := &decisions{
+		quality:  quality.NewStore(quality.Options{}),
+		rollouts: rollout.NewController(rollout.Options{}),
+		breakers: retry.NewBreakers(retry.DefaultBreakerOptions()),
+	}
+	n.versions = selection.NewPolicy(selection.Options{}, n.quality, n.rollouts)
+	budget := retry.DefaultBudgetOptions()
+	budget.Share = d.settings.GetRetryBudgetRatio()
+	n.budget = retry.NewBudget(budget)
+	hedging := hedge.DefaultOptions()
+	hedging.Budget.Share = d.settings.GetHedgeBudgetRatio()
+	var err error
+	if n.hedges, err = hedge.New(hedging); err != nil {
+		return nil, err
+	}
+	if n.engines, err = balance.NewState(balance.DefaultOptions()); err != nil {
+		return nil, err
+	}
+	if n.admission, err = admission.New(admissionOptions(d)); err != nil {
+		return nil, err
+	}
+	n.sampler = newSampler(d.platform.ratings, d.settings.GetRatingSampleShare(), d.rand(randSampler), logging.Part(d.log, "rating"))
+	return n, nil
+}
+
+func admissionOptions(d *Daemon) admission.Options {
+	return admission.Options{
+		Name:       d.settings.GetName(),
+		Owner:      d.fleet.members.Owner,
+		Dial:       d.fleet.directory.Dial,
+		Registerer: d.options.Registry,
+		Log:        logging.Part(d.log, "admission"),
+	}
+}
+
+// start begins the loops that feed the decisions.
+func (n *decisions) start(d *Daemon) {
+	d.fleet.provider.Subscribe(d.compiler.setSnapshot)
+	d.fleet.members.Subscribe(d.compiler.setView)
+	reporter := &loadReporter{
+		reports: d.platform.reports, state: n.engines, engines: d.compiler.visibleEngines,
+		log: logging.Part(d.log, "engine"),
+	}
+	d.goLoop("load reports", reporter.run)
+	d.goLoop("samples", n.sampler.run)
+	d.goLoop("admission", n.admission.Run)
+	d.goLoop("engine review", d.reviewEngines)
+}
+
+// reviewEngines compares the engines from time to time.
+func (d *Daemon) reviewEngines(ctx context.Context) error {
+	log := logging.Part(d.log, "balance")
+	for sleep(ctx, reviewInterval) {
+		tables := d.tables.Load()
+		if tables == nil {
+			continue
+		}
+		for _, c := range d.decisions.engines.Review(tables.Engines, time.Now()) {
+			log.Info().Str("engine", c.Engine).Str("phase", c.Phase).Float64("ratio", c.Ratio).Msg("engine reviewed")
+		}
+	}
+	return nil
+}
+
+// fresh refuses work when this daemon hears neither the store nor most of its
+// peers, since it may be the one that missed a withdrawal.
+func (d *Daemon) fresh(now time.Time) *failure.Error {
+	ok, reason := d.fleet.provider.Fresh(now, d.fleet.members.PeersHeard(), d.fleet.members.PeersKnown())
+	if ok {
+		return nil
+	}
+	return failure.New(failure.CodeConfigurationStale, failure.RanNo, "this address has no fresh configuration: %s", reason).After(staleRetryAfter)
+}
+
+// newRouter joins the parts for the way of a request.
+func newRouter(d *Daemon) *router.Router {
+	n := d.decisions
+	return router.New(router.Options{
+		DataCentre:    d.settings.GetDataCentre(),
+		MaxBodyBytes:  d.settings.GetMaxBodyBytes(),
+		Tables:        d.tables.Load,
+		Fresh:         d.fresh,
+		Versions:      n.versions,
+		Quality:       n.quality,
+		Engines:       n.engines,
+		Hedges:        n.hedges,
+		Retries:       retry.DefaultPolicy(),
+		Budget:        n.budget,
+		Breakers:      n.breakers,
+		Admission:     n.admission,
+		Ledger:        d.fleet.ledger,
+		Members:       routerMembers{members: d.fleet.members, dataCentre: d.settings.GetDataCentre(), longest: d.settings.GetEntriesKeep().AsDuration()},
+		Raters:        n.sampler,
+		EngineClient:  d.platform.engines,
+		ServiceClient: d.platform.services,
+		Seed:          d.options.Seed + randRouter,
+		Log:           logging.Part(d.log, "router"),
+		Registerer:    d.options.Registry,
+	})
+}
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -9,7 +9,6 @@
 
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
-	"google.golang.org/protobuf/proto"
 
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/objectstore"
@@ -31,37 +30,13 @@
 	failFastAfter = 3
 )
 
-// ErrQueueFull reports that a shard has too many records waiting.
-var ErrQueueFull = errors.New("ledger shard queue is full")
-
-// ErrStoreFailing reports that the object store has not answered several times
-// in a row. The record may or may not be written later.
-var ErrStoreFailing = errors.New("object store is failing")
-
-// ErrStopped reports that the ledger is stopping.
-var ErrStopped = errors.New("ledger is stopped")
-
-// pending is a record that waits for its verdict. A nil record asks for the
-// log to be read to its end.
-type pending struct {
-	ctx    context.Context
-	record *bronzeturnv1.LedgerRecord
-	done   chan result
-}
-
-// result is the fate of a pending record.
-type result struct {
-	verdict *bronzeturnv1.LedgerVerdict
-	err     error
-}
-
 // shard collects records and writes them in batches. All calls to the object
 // store are made by the goroutine in run.
 type shard struct {
 	id       uint32
 	log      *shardLog
 	owned    func() bool
-	interval time.Duration
+	writes   *rate.Limiter
 	delay    time.Duration
 	keep     time.Duration
 	idle     time.Duration
@@ -76,61 +51,14 @@
 	mu      sync.Mutex
 	queue   []*pending
 	stopped bool
+	// refuseUntil is when the store is tried again after several failures.
+	refuseUntil time.Time
 
 	// The rest belongs to run.
-	lastWrite    time.Time
 	backoffUntil time.Time
 	failures     int
 }
 
-// submit queues records and waits for their verdicts. When ctx ends first, the
-// records may still be written.
-func (s *shard) submit(ctx context.Context, records []*bronzeturnv1.LedgerRecord) ([]*bronzeturnv1.LedgerVerdict, error) {
-	waiting := make([]*pending, len(records))
-	for i, rec := range records {
-		waiting[i] = &pending{ctx: ctx, record: rec, done: make(chan result, 1)}
-	}
-	if err := s.enqueue(waiting); err != nil {
-		return nil, err
-	}
-	verdicts := make([]*bronzeturnv1.LedgerVerdict, len(records))
-	for i, p := range waiting {
-		select {
-		case r := <-p.done:
-			if r.err != nil {
-				return nil, r.err
-			}
-			verdicts[i] = r.verdict
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-	}
-	return verdicts, nil
-}
-
-// refresh reads the log to its end.
-func (s *shard) refresh(ctx context.Context) error {
-	_, err := s.submit(ctx, []*bronzeturnv1.LedgerRecord{nil})
-	return err
-}
-
-func (s *shard) enqueue(waiting []*pending) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.stopped {
-		return ErrStopped
-	}
-	if len(s.queue)+len(waiting) > maxQueue {
-		return ErrQueueFull
-	}
-	s.queue = append(s.queue, waiting...)
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-	return nil
-}
-
 // run writes batches until ctx ends.
 func (s *shard) run(ctx context.Context) error {
 	defer s.stop()
@@ -147,51 +75,47 @@
 	}
 }
 
-// waitForWork waits for a record. An idle shard that this daemon doesn't own
-// gives its memory back.
+// ownershipTick is how often an idle shard looks who its preferred writer is.
+const ownershipTick = time.Second
+
+// waitForWork waits for a record. Meanwhile a shard that this daemon has come
+// to own is read, and one that it doesn't own gives its memory back.
 func (s *shard) waitForWork(ctx context.Context) bool {
-	timer := time.NewTimer(s.idle)
-	defer timer.Stop()
+	ticker := time.NewTicker(ownershipTick)
+	defer ticker.Stop()
+	idleSince := time.Now()
 	for {
 		select {
 		case <-s.wake:
 			return true
 		case <-ctx.Done():
 			return false
-		case <-timer.C:
-			if !s.owned() {
-				s.log.unload()
-			}
-			timer.Reset(s.idle)
+		case <-ticker.C:
+		}
+		if s.owned() {
+			idleSince = time.Now()
+			s.preload(ctx)
+		} else if time.Since(idleSince) >= s.idle && s.log.ready() {
+			s.log.unload()
 		}
 	}
 }
 
-func (s *shard) takeable() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.queue) > 0
-}
-
-// stop answers everything that still waits.
-func (s *shard) stop() {
-	s.mu.Lock()
-	s.stopped = true
-	waiting := s.queue
-	s.queue = nil
-	s.mu.Unlock()
-	for _, p := range waiting {
-		p.done <- result{err: ErrStopped}
+// preload reads the log, so that the first record needs not wait for it.
+func (s *shard) preload(ctx context.Context) {
+	if s.log.loaded || time.Now().Before(s.backoffUntil) {
+		return
+	}
+	if err := s.log.load(ctx); err != nil {
+		s.failed(err)
 	}
 }
 
 // pause lets records collect: at least the batch delay, and long enough that
-// the fleet's write rate stays within its bound.
+// the fleet's write rate stays within its bound. A shard with little to do does
+// not wait for the latter.
 func (s *shard) pause(ctx context.Context) bool {
-	until := time.Now().Add(s.delay)
-	if next := s.lastWrite.Add(s.interval); next.After(until) {
-		until = next
-	}
+	until := time.Now().Add(max(s.delay, s.writes.Reserve().Delay()))
 	if s.backoffUntil.After(until) {
 		until = s.backoffUntil
 	}
@@ -216,7 +140,7 @@
 		s.failed(err)
 		return
 	}
-	batch := s.decide(s.take())
+	batch := s.attempt(s.decide(s.take()))
 	if len(batch) == 0 {
 		s.recovered()
 		return
@@ -225,7 +149,6 @@
 	for i, p := range batch {
 		records[i] = p.record
 	}
-	s.lastWrite = time.Now()
 	err := s.log.write(ctx, records)
 	s.metrics.writes.Inc()
 	if err != nil {
@@ -280,42 +203,6 @@
 	return nil
 }
 
-func (s *shard) refreshWanted() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range s.queue {
-		if p.record == nil {
-			return true
-		}
-	}
-	return false
-}
-
-// take removes the records of at most one batch from the queue and drops those
-// nobody waits for.
-func (s *shard) take() []*pending {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var taken []*pending
-	size := 0
-	for len(s.queue) > 0 && len(taken) < maxBatchRecords && size < maxBatchBytes {
-		p := s.queue[0]
-		s.queue = s.queue[1:]
-		if p.ctx.Err() != nil {
-			continue
-		}
-		size += proto.Size(p.record)
-		taken = append(taken, p)
-	}
-	return taken
-}
-
-func (s *shard) putBack(waiting []*pending) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.queue = append(append([]*pending(nil), waiting...), s.queue...)
-}
-
 // decide answers the records whose fate stands already, puts a second record
 // of the same key back for the next batch, and returns the ones to write.
 func (s *shard) decide(taken []*pending) []*pending {
@@ -349,12 +236,19 @@
 	s.metrics.failures.Inc()
 	bound := min(backoffMin<<min(s.failures, 10), backoffMax)
 	s.backoffUntil = time.Now().Add(time.Duration(s.rand.Int64N(int64(bound)) + 1))
+	var limited *objectstore.RateLimitError
+	if errors.As(err, &limited) {
+		s.backoffUntil = s.backoffUntil.Add(limited.RetryAfter)
+	}
 	if s.failures == failFastAfter {
 		s.logger.Warn().Err(err).Uint32("shard", s.id).Msg("store is failing")
 	}
 	if s.failures < failFastAfter {
 		return
 	}
+	s.mu.Lock()
+	s.refuseUntil = s.backoffUntil
+	s.mu.Unlock()
 	for _, p := range s.take() {
 		p.done <- result{err: errors.Join(ErrStoreFailing, err)}
 	}
