--- a/selection/choose.go
+++ b/selection/choose.go
@@ -33,7 +33,7 @@
 
 	// What the scan over the candidates found.
 	considered int
-	setAside   int     // versions that get no usual work: cut off or introduced
+	cutOff     bool    // whether a version that fits is cut off
 	best       option  // lowest cost at the target, the preferred ones first
 	available  int     // version of the highest quality, known only without best
 	quality    float64 // mean estimate of available
@@ -162,8 +162,11 @@
 		return
 	}
 	c.considered++
-	if c.gate(v) != rollout.GateOpen || (c.introduced(v) && c.version == none) {
-		c.setAside++
+	if c.gate(v) != rollout.GateOpen {
+		c.cutOff = true
+		return
+	}
+	if c.introduced(v) && c.version == none {
 		return
 	}
 	if c.best.version != none && !before(&o, &c.best) {
@@ -200,7 +203,8 @@
 	return c.decision(&o, ReasonLastResort), o, nil
 }
 
-// lastResort returns the best of the versions that were set aside.
+// lastResort returns the best of the versions that are cut off or introduced by
+// a roll-out.
 func (c *choice) lastResort() option {
 	best := option{version: none}
 	for _, v := range c.org.candidates {
@@ -236,7 +240,7 @@
 
 // trickle sends a small share of the key space to a version that was cut off.
 func (c *choice) trickle(share float64) (Decision, bool) {
-	if c.setAside == 0 || c.version != none || c.request.InConversation {
+	if !c.cutOff || c.version != none || c.request.InConversation {
 		return Decision{}, false
 	}
 	for _, v := range c.org.candidates {
