--- a/quality/collector_test.go
+++ b/quality/collector_test.go
@@ -216,6 +216,46 @@
 	}
 }
 
+// A daemon that heard of a lost promise too early resends its report to a
+// successor that already builds on the promised publication.
+func TestResentReportIsNotMergedWhereItIsPublished(t *testing.T) {
+	f := newFleet(3)
+	first, successor, origin := f.daemons[0], f.daemons[1], f.daemons[2]
+	f.rate(origin)
+	f.report(origin, delivered)
+	f.now = f.now.Add(time.Millisecond)
+	f.publish(first)
+	f.hear(successor)
+
+	// A publication by a fourth daemon, which the others never hear of.
+	stray, err := encode(nil, succeed(nil, &bronzeturnv1.Publisher{Aggregator: 9, Publication: 1}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := origin.collector.receive(1, stray, f.now); err != nil {
+		t.Fatal(err)
+	}
+	f.owner, origin.owner, successor.owner = 1, 1, 1
+	f.report(origin, delivered)
+	f.settle()
+	if got := f.published(); math.Abs(got-1) > 0.01 {
+		t.Fatalf("published %v ratings, want 1", got)
+	}
+}
+
+func TestRefusalAfterAnUnansweredAttemptKeepsTheReport(t *testing.T) {
+	for _, outcome := range []int{requestLost, answerLost} {
+		f := newFleet(2)
+		f.rate(f.daemons[1])
+		f.report(f.daemons[1], outcome)
+		f.report(f.daemons[1], connectFailed)
+		f.settle()
+		if got := f.published(); math.Abs(got-1) > 0.01 {
+			t.Fatalf("published %v ratings, want 1", got)
+		}
+	}
+}
+
 // The bound on what the exchange adds to the flooded table: 36 versions with 8
 // kinds, half of them with cascade, published every half minute.
 func TestPublicationBytesAreBounded(t *testing.T) {
