Measure the decisions against baselines and an oracle

Cause: nothing told how good the decisions are, or kept them from getting worse.

A test holds the seeded figures of four short cases to committed bounds, with a margin of 2% in the bad direction.

Ruled out: a run without history (it shows the first minutes of a fleet without ratings; kept as a row of its own).

Before and after: none before.

--- /dev/null
+++ b/measure/bounds.go
@@ -0,0 +1,112 @@
+package measure
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+)
+
+// boundMargin is how much worse than its bound a figure may be. Runs are
+// deterministic on one machine; processors that fuse multiplications may round
+// otherwise.
+const boundMargin = 0.02
+
+// Figures are the seeded figures of one case that must not get worse. Lower
+// is better for all of them.
+type Figures struct {
+	Case          string  `json:"case"`
+	CostPerAnswer float64 `json:"cost_micros_per_answer"`
+	BelowShare    float64 `json:"below_target_share"`
+	BadShare      float64 `json:"bad_answer_share"`
+	LostShare     float64 `json:"refused_or_failed_share"`
+	ToBad         float64 `json:"attempts_at_bad_version"`
+	ToHalted      float64 `json:"attempts_at_halted_version"`
+	// UrgentP95 and UrgentP99 are those of the slowest urgent kind, in
+	// milliseconds, or of the slowest kind without an urgent one.
+	UrgentP95 float64 `json:"urgent_p95_ms"`
+	UrgentP99 float64 `json:"urgent_p99_ms"`
+}
+
+// BoundCases are the short cases that CI checks.
+func BoundCases() []Case {
+	faults := []Fault{FaultHalfPool, FaultVersionBad, FaultRolloutHalted, FaultBulkOverrun}
+	var cases []Case
+	for i := range Scenarios {
+		cases = append(cases, Case{Scenario: Scenarios[i].Short(), Fault: faults[i], Policy: PolicyRouter, Seed: Seed})
+	}
+	return cases
+}
+
+// FiguresOf returns the figures of a result.
+func FiguresOf(r *Result) Figures {
+	f := Figures{
+		Case:          fmt.Sprintf("%s, %s", r.Scenario, r.Fault),
+		CostPerAnswer: r.CostPerAnswer(),
+		BelowShare:    r.BelowShare(),
+		BadShare:      1 - ratio(float64(r.Good), float64(r.Answered)),
+		LostShare:     ratio(float64(r.Refused+r.Failed), float64(r.Offered)),
+		ToBad:         float64(r.ToBad),
+		ToHalted:      float64(r.ToHalted),
+	}
+	anyUrgent := false
+	for _, k := range r.Kinds {
+		anyUrgent = anyUrgent || k.Urgent
+	}
+	for _, k := range r.Kinds {
+		if k.Urgent || !anyUrgent {
+			f.UrgentP95 = max(f.UrgentP95, k.P95.Seconds()*1000)
+			f.UrgentP99 = max(f.UrgentP99, k.P99.Seconds()*1000)
+		}
+	}
+	return f
+}
+
+// Worse names the figures of f that are worse than the bound allows.
+func (f Figures) Worse(bound Figures) []string {
+	var worse []string
+	for _, c := range []struct {
+		name       string
+		got, bound float64
+	}{
+		{"cost per answer", f.CostPerAnswer, bound.CostPerAnswer},
+		{"share below the target", f.BelowShare, bound.BelowShare},
+		{"share of bad answers", f.BadShare, bound.BadShare},
+		{"share refused or failed", f.LostShare, bound.LostShare},
+		{"attempts at the bad version", f.ToBad, bound.ToBad},
+		{"attempts at the halted version", f.ToHalted, bound.ToHalted},
+		{"p95", f.UrgentP95, bound.UrgentP95},
+		{"p99", f.UrgentP99, bound.UrgentP99},
+	} {
+		if c.got > c.bound*(1+boundMargin) && c.got > math.Nextafter(c.bound, math.Inf(1)) {
+			worse = append(worse, fmt.Sprintf("%s: %.4g, bound %.4g", c.name, c.got, c.bound))
+		}
+	}
+	return worse
+}
+
+// WriteBounds runs the bound cases and writes their figures.
+func WriteBounds(w io.Writer) error {
+	var all []Figures
+	for _, c := range BoundCases() {
+		r, err := Run(c)
+		if err != nil {
+			return err
+		}
+		all = append(all, FiguresOf(r))
+	}
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(all)
+}
+
+// ReadBounds reads what WriteBounds wrote.
+func ReadBounds(r io.Reader) ([]Figures, error) {
+	var all []Figures
+	d := json.NewDecoder(r)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&all); err != nil {
+		return nil, fmt.Errorf("bounds: %w", err)
+	}
+	return all, nil
+}
--- a/measure/clock.go
+++ b/measure/clock.go
@@ -37,6 +37,7 @@
 		c.now = e.at
 		e.run()
 	}
+	c.now = end
 }
 
 type eventHeap []event
--- a/measure/learn.go
+++ b/measure/learn.go
@@ -9,11 +9,6 @@
 	"github.com/bronzeturn/bronzeturn/selection"
 )
 
-// history is how long the fleet served and rated before a run. Without it a
-// run would show the first minutes of a fleet that knows nothing but priors,
-// which is FaultColdStart.
-const history = 4 * time.Hour
-
 // learn lets the router's choice of versions meet the rated part of the
 // scenario's work for a while before the run, without engines.
 func (s *sim) learn(seed uint64) {
@@ -22,7 +17,7 @@
 	for i := range s.scenario.streams {
 		total += s.scenario.streams[i].rate * ratedShare
 	}
-	now := epoch.Add(-history)
+	now := epoch.Add(-s.scenario.History)
 	for id := 0; ; id++ {
 		now = now.Add(seconds(rng.ExpFloat64() / total))
 		if !now.Before(epoch) {
--- a/measure/outcome.go
+++ b/measure/outcome.go
@@ -25,7 +25,7 @@
 		accepted = verdict.OK()
 	}
 	s.rateAnswer(r, version, accepted, good)
-	r.ended = true
+	s.end(r)
 	s.result.answered(s, r, good)
 	s.release(r)
 }
@@ -52,19 +52,25 @@
 	return s.truth.quality(r.flow.version, r.kind.GetName(), s.now)
 }
 
+// end marks a request as ended.
+func (s *sim) end(r *request) {
+	r.ended = true
+	s.open--
+}
+
 // refuse ends a request that did not run.
 func (s *sim) refuse(r *request, code failure.Code) {
 	if r.ended {
 		return
 	}
-	r.ended = true
+	s.end(r)
 	s.result.refused(r, code)
 	s.release(r)
 }
 
 // fail ends a request that got no whole answer.
 func (s *sim) fail(r *request) {
-	r.ended = true
+	s.end(r)
 	s.result.failed(r)
 	s.release(r)
 }
--- a/measure/result.go
+++ b/measure/result.go
@@ -40,8 +40,8 @@
 	latencies []time.Duration
 }
 
-func newResult(scenario *Scenario, fault Fault, policy Policy) *Result {
-	return &Result{Scenario: scenario.Name, Fault: fault, Policy: policy, Kinds: make(map[string]*KindResult)}
+func newResult(c Case) *Result {
+	return &Result{Scenario: c.Scenario.Name, Fault: c.Fault, Policy: c.Policy, Kinds: make(map[string]*KindResult)}
 }
 
 // CostPerAnswer is the cost per answered request, in micro-units.
--- a/measure/scenario.go
+++ b/measure/scenario.go
@@ -12,7 +12,7 @@
 // Fault is what goes wrong in a run.
 type Fault string
 
-// The faults. All but the cold start begin at faultAt.
+// The faults. All but the cold start begin at FaultAt.
 const (
 	FaultNone          Fault = "none"
 	FaultVersionBad    Fault = "version turns bad"
@@ -36,8 +36,10 @@
 const (
 	// warmUp is left out of all figures but the exposure to bad versions.
 	warmUp = 20 * time.Second
-	// faultAt is when faults begin.
+	// faultAt is the FaultAt of the full runs.
 	faultAt = 60 * time.Second
+	// history is the History of the full runs.
+	history = 4 * time.Hour
 	// overrun multiplies the rates of bulk kinds when bulk overruns.
 	overrun = 10
 )
@@ -58,7 +60,12 @@
 	Name       string
 	Deployment string
 	Duration   time.Duration
-	streams    []stream
+	// FaultAt is when faults begin.
+	FaultAt time.Duration
+	// History is how long the fleet served and rated before the run. Without it
+	// a run shows a fleet that knows nothing but priors, as FaultColdStart does.
+	History time.Duration
+	streams []stream
 	// bad is the version that turns bad, halted the one whose roll-out is.
 	bad, halted string
 	// pool loses half of its engines, slow is the engine that turns slow.
@@ -83,7 +90,7 @@
 // burst bring the pool of their quick kind to about 85% load.
 var Scenarios = []Scenario{
 	{
-		Name: "steady day", Deployment: examples.CampinaVerde, Duration: 240 * time.Second,
+		Name: "steady day", Deployment: examples.CampinaVerde, Duration: 240 * time.Second, FaultAt: faultAt, History: history,
 		streams: []stream{
 			{kind: "quick", rate: 80, prompt: 200, organisations: kiosks},
 			{kind: "tag", rate: 8, prompt: 400, organisations: workshops},
@@ -93,7 +100,7 @@
 		bad: "dock-quick@2", halted: "diag-small@5", pool: "diag-llm", slow: "dock-app-1", biased: "rider-app",
 	},
 	{
-		Name: "kiosk peak", Deployment: examples.CampinaVerde, Duration: 180 * time.Second,
+		Name: "kiosk peak", Deployment: examples.CampinaVerde, Duration: 180 * time.Second, FaultAt: faultAt, History: history,
 		streams: []stream{
 			{kind: "quick", rate: 225, prompt: 200, organisations: kiosks},
 			{kind: "tag", rate: 6, prompt: 400, organisations: workshops},
@@ -103,16 +110,16 @@
 		bad: "dock-quick@2", halted: "diag-small@5", pool: "dock-app", slow: "dock-app-1", biased: "rider-app",
 	},
 	{
-		Name: "nightly bulk", Deployment: examples.Andina, Duration: 300 * time.Second,
+		Name: "nightly bulk", Deployment: examples.Andina, Duration: 300 * time.Second, FaultAt: faultAt, History: history,
 		streams: []stream{
 			{kind: "settlement", rate: 3, prompt: 4000, organisations: franchisees},
 			{kind: "reorder", rate: 8, prompt: 600, organisations: franchisees},
 			{kind: "crate-tag", rate: 25, prompt: 150, organisations: crates},
 		},
-		bad: "nota@2", halted: "revision-grande@8", pool: "modelo-pool", slow: "modelo-pool-2", biased: "franquicia-merlo",
+		bad: "revision-grande@7", halted: "revision-grande@8", pool: "modelo-pool", slow: "modelo-pool-2", biased: "franquicia-merlo",
 	},
 	{
-		Name: "morning burst", Deployment: examples.Andina, Duration: 180 * time.Second,
+		Name: "morning burst", Deployment: examples.Andina, Duration: 180 * time.Second, FaultAt: faultAt, History: history,
 		streams: []stream{
 			{kind: "sheet", rate: 56, prompt: 500, organisations: handhelds},
 			{kind: "price", rate: 30, prompt: 300, organisations: handhelds},
@@ -123,6 +130,19 @@
 	},
 }
 
+// meets reports whether a fault can happen in the scenario.
+func (s *Scenario) meets(f Fault) bool {
+	return f != FaultBulkOverrun || s.Deployment == examples.Andina
+}
+
+// Short returns the scenario cut down for a test.
+func (s Scenario) Short() *Scenario {
+	s.FaultAt = warmUp + 5*time.Second
+	s.Duration = s.FaultAt + 20*time.Second
+	s.History = 10 * time.Minute
+	return &s
+}
+
 // load reads the register and the rules of the scenario's deployment.
 func (s *Scenario) load() (*bronzeturnv1.Register, *bronzeturnv1.Rules, error) {
 	file := s.Deployment + "/register.yaml"
--- a/measure/sim.go
+++ b/measure/sim.go
@@ -35,8 +35,8 @@
 	completionSpread = 0.3
 	// recentConversations bounds those of a stream that may be continued.
 	recentConversations = 20
-	// drain is how long a run goes on after the last arrival.
-	drain = 2 * time.Minute
+	// drainStep is how often a run is checked for its end after the last arrival.
+	drainStep = 5 * time.Second
 )
 
 // request is one request on its way.
@@ -89,11 +89,22 @@
 	rated    *rand.Rand
 
 	ids    int
+	open   int // requests that have not ended
 	result *Result
 }
 
-// Run measures one policy on a scenario with a fault.
-func Run(scenario *Scenario, fault Fault, policy Policy, seed uint64) (*Result, error) {
+// Case is one run: a policy that meets a scenario with a fault. Equal cases
+// give equal results.
+type Case struct {
+	Scenario *Scenario
+	Fault    Fault
+	Policy   Policy
+	Seed     uint64
+}
+
+// Run measures one case.
+func Run(c Case) (*Result, error) {
+	scenario, fault, policy, seed := c.Scenario, c.Fault, c.Policy, c.Seed
 	reg, rules, err := scenario.load()
 	if err != nil {
 		return nil, fmt.Errorf("scenario %s: %w", scenario.Name, err)
@@ -103,7 +114,7 @@
 		kinds: make(map[string]*bronzeturnv1.TaskKind), truth: newTruth(reg, rules),
 		serving: make(map[string][]*fakeEngine),
 		quality: quality.NewStore(quality.Options{}), rollouts: rollout.NewController(rollout.Options{}),
-		rated: rand.New(rand.NewPCG(seed, 3)), result: newResult(scenario, fault, policy),
+		rated: rand.New(rand.NewPCG(seed, 3)), result: newResult(c),
 	}
 	for _, k := range rules.GetKinds() {
 		s.kinds[k.GetName()] = k
@@ -121,7 +132,10 @@
 		s.startStream(&scenario.streams[i], rand.New(rand.NewPCG(seed, uint64(100+i))))
 	}
 	s.startFault()
-	s.runUntil(epoch.Add(scenario.Duration + drain))
+	s.runUntil(epoch.Add(scenario.Duration))
+	for s.open > 0 {
+		s.runUntil(s.now.Add(drainStep))
+	}
 	s.result.finish()
 	return s.result, nil
 }
@@ -187,7 +201,7 @@
 	return st.rate
 }
 
-func (s *sim) faulty() bool { return !s.now.Before(epoch.Add(faultAt)) }
+func (s *sim) faulty() bool { return !s.now.Before(epoch.Add(s.scenario.FaultAt)) }
 
 // arrive creates a request and sends it on its way.
 func (s *sim) arrive(st *stream, rng *rand.Rand, recent []*conversation) []*conversation {
@@ -206,6 +220,7 @@
 	if st.conversations > 0 {
 		recent = s.converse(r, st, rng, recent)
 	}
+	s.open++
 	s.result.offered(r)
 	s.after(r.deadline.Sub(s.now), func() { s.expire(r) })
 	s.enter(r)
@@ -231,7 +246,7 @@
 
 // startFault schedules the fault of the run.
 func (s *sim) startFault() {
-	s.after(faultAt, func() {
+	s.after(s.scenario.FaultAt, func() {
 		switch s.fault {
 		case FaultVersionBad, FaultBadRatedLate:
 			s.truth.bad, s.truth.badSince = s.scenario.bad, s.now
