Greet new links with this daemon's own entry; end client streams at once

Cause: with 48 daemons three were unknown to the fleet after 20 s, since their entries waited for anti-entropy; a stopping daemon waited 2 s for neighbours whose cancelled client stream was not ended on the wire; a link opened to a seed was closed and opened again as soon as the daemon there was known by name.

--- a/gossip/keeper.go
+++ b/gossip/keeper.go
@@ -13,13 +13,16 @@
 }
 
 // SetTargets replaces the neighbours to keep links to. Links to others that
-// this daemon opened are closed.
+// this daemon opened are closed; a link that was opened to an address stays when
+// the daemon there is now wanted by name.
 func (n *Node) SetTargets(targets []Target) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	wanted := make(map[Target]struct{}, len(targets))
+	names := make(map[string]struct{}, len(targets))
 	for _, t := range targets {
 		wanted[t] = struct{}{}
+		names[t.Name] = struct{}{}
 		n.addKeeperLocked(t)
 	}
 	for t, k := range n.keepers {
@@ -28,6 +31,16 @@
 			delete(n.keepers, t)
 		}
 	}
+	for l := range n.links {
+		if l.target == nil {
+			continue
+		}
+		_, byTarget := wanted[*l.target]
+		_, byName := names[l.peerName()]
+		if !byTarget && (!byName || l.peerName() == "") {
+			l.close(ErrNotWanted)
+		}
+	}
 }
 
 func (n *Node) addKeeperLocked(t Target) {
@@ -73,18 +86,16 @@
 
 // open dials the target and carries the link until it ends.
 func (n *Node) open(k *keeper) (name string, err error) {
-	stream, err := n.options.Dialer.DialLink(k.ctx, k.target)
+	stream, err := n.options.Dialer.DialLink(n.tomb.Context(context.Background()), k.target)
 	if err != nil {
 		return "", err
 	}
-	stop := context.AfterFunc(k.ctx, stream.Close)
-	defer stop()
-	return n.run(stream, true)
+	return n.run(stream, &k.target)
 }
 
 // Accept carries a link that a neighbour opened, until it ends.
 func (n *Node) Accept(stream Link) error {
-	name, err := n.run(stream, false)
+	name, err := n.run(stream, nil)
 	if name != "" {
 		n.options.Observer.Lost(Target{Name: name}, err)
 	}
--- a/gossip/link.go
+++ b/gossip/link.go
@@ -14,10 +14,11 @@
 // sent is the newest state at that time, and the queue never holds more keys
 // than the table.
 type link struct {
-	node     *Node
-	stream   Link
-	outbound bool
-	name     atomic.Pointer[string]
+	node   *Node
+	stream Link
+	// target is what was dialled, nil for a link that the neighbour opened.
+	target *Target
+	name   atomic.Pointer[string]
 
 	mu      sync.Mutex
 	queue   []string
@@ -34,25 +35,29 @@
 	silence *time.Timer
 }
 
-func newLink(n *Node, stream Link, outbound bool) *link {
+func newLink(n *Node, stream Link, target *Target) *link {
 	return &link{
-		node:     n,
-		stream:   stream,
-		outbound: outbound,
-		queued:   make(map[string]struct{}),
-		wake:     make(chan struct{}, 1),
-		done:     make(chan struct{}),
+		node:   n,
+		stream: stream,
+		target: target,
+		queued: make(map[string]struct{}),
+		wake:   make(chan struct{}, 1),
+		done:   make(chan struct{}),
 	}
 }
 
-// run carries the stream until it ends, and returns why.
-func (n *Node) run(stream Link, outbound bool) (name string, err error) {
-	l := newLink(n, stream, outbound)
+// run carries the stream until it ends, and returns why. The target is nil for a
+// stream that the neighbour opened.
+func (n *Node) run(stream Link, target *Target) (name string, err error) {
+	l := newLink(n, stream, target)
 	if err := n.attach(l); err != nil {
 		stream.Close()
 		return "", err
 	}
 	defer n.detach(l)
+	for _, key := range n.options.Greeting {
+		l.mark(key)
+	}
 	l.silence = time.AfterFunc(SilenceTimeout, func() { l.close(ErrSilent) })
 	defer l.silence.Stop()
 	written := make(chan struct{})
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -34,7 +34,7 @@
 
 	// syncMu guards the state of anti-entropy.
 	syncMu     sync.Mutex
-	pullUntil  time.Time
+	pulled     time.Time
 	pullLink   *link
 	lastChange time.Time
 }
@@ -226,7 +226,7 @@
 	n.mu.Unlock()
 	n.syncMu.Lock()
 	if n.pullLink == l {
-		n.pullUntil = time.Time{}
+		n.pulled = time.Time{}
 	}
 	n.syncMu.Unlock()
 }
@@ -256,7 +256,7 @@
 		if l.peerName() != name {
 			continue
 		}
-		if l.outbound {
+		if l.target != nil {
 			outbound = l
 		} else {
 			inbound = l
@@ -279,7 +279,7 @@
 	h := n.options.Status()
 	if withDigest {
 		h.TableDigest = n.table.digest()
-		h.HasTableDigest = true
+		h.TableSize = uint32(n.table.size() + 1)
 	}
 	return h
 }
--- a/gossip/node_test.go
+++ b/gossip/node_test.go
@@ -184,6 +184,9 @@
 func TestHeartbeatsAreFewAndSmall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w, nodes := startLine(t, "a", "b")
+		// Between two beats, so that the count does not depend on the order of
+		// events at one instant.
+		time.Sleep(HeartbeatInterval / 2)
 		w.reset()
 		time.Sleep(10 * time.Second)
 		w.mu.Lock()
--- a/gossip/options.go
+++ b/gossip/options.go
@@ -42,6 +42,9 @@
 	// exchanges while the table is quiet, and while changes are in flight.
 	quietPull = 1 * time.Second
 	busyPull  = 10 * time.Second
+	// manyMissing is how many entries a neighbour may hold more before this daemon
+	// fetches them at once although changes are in flight.
+	manyMissing = 8
 	// expireInterval is the time between searches for expired entries.
 	expireInterval = 5 * time.Second
 	// redialMin and redialMax bound the wait before a neighbour is dialled again.
@@ -90,6 +93,9 @@
 	Observer Observer
 	// Status returns this daemon's state for a new heartbeat.
 	Status func() *bronzeturnv1.Heartbeat
+	// Greeting are keys that are sent first on every new link, such as this
+	// daemon's own entry.
+	Greeting []string
 	// Random is used for jitter, under the node's own lock.
 	Random *rand.Rand
 	Log    zerolog.Logger
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -18,7 +18,7 @@
 		return &HelloError{Name: name}
 	}
 	l.name.Store(&name)
-	l.node.log.Debug().Str("neighbour", name).Bool("outbound", l.outbound).Msg("overlay link opened")
+	l.node.log.Debug().Str("neighbour", name).Bool("outbound", l.target != nil).Msg("overlay link opened")
 	l.node.resolveDuplicate(name)
 	for {
 		l.silence.Reset(SilenceTimeout)
@@ -40,8 +40,8 @@
 	}
 	if h := frame.GetHeartbeat(); h != nil {
 		l.node.options.Observer.Heard(name, h)
-		if h.GetHasTableDigest() {
-			l.node.compare(l, h.GetTableDigest())
+		if h.GetTableSize() > 0 {
+			l.node.compare(l, h)
 		}
 	}
 	if d := frame.GetDigest(); d != nil {
@@ -84,11 +84,12 @@
 
 // compare starts an anti-entropy exchange when the neighbour's table differs
 // and no exchange ran just before.
-func (n *Node) compare(l *link, theirs uint64) {
-	if theirs == n.table.digest() {
+func (n *Node) compare(l *link, theirs *bronzeturnv1.Heartbeat) {
+	if theirs.GetTableDigest() == n.table.digest() {
 		return
 	}
-	if !n.beginPull(l, time.Now()) {
+	missing := int(theirs.GetTableSize()) - 1 - n.table.size()
+	if !n.beginPull(l, missing, time.Now()) {
 		return
 	}
 	n.metrics.pulls.Inc()
@@ -98,18 +99,20 @@
 
 // beginPull lets one exchange run at a time, so that a starting daemon does
 // not fetch the whole table from every neighbour at once. While changes are in
-// flight tables differ all the time, so exchanges are then rarer.
-func (n *Node) beginPull(l *link, now time.Time) bool {
+// flight tables differ all the time, so exchanges are then rarer, unless many
+// entries are missing.
+func (n *Node) beginPull(l *link, missing int, now time.Time) bool {
 	n.syncMu.Lock()
 	defer n.syncMu.Unlock()
-	if now.Before(n.pullUntil) {
-		return false
-	}
+	busy := now.Sub(n.lastChange) < quietPull && missing < manyMissing
 	wait := quietPull
-	if now.Sub(n.lastChange) < quietPull {
+	if busy {
 		wait = busyPull
 	}
-	n.pullUntil = now.Add(wait)
+	if now.Sub(n.pulled) < wait {
+		return false
+	}
+	n.pulled = now
 	n.pullLink = l
 	return true
 }
--- a/gossip/stream.go
+++ b/gossip/stream.go
@@ -45,8 +45,12 @@
 	return response.GetFrame(), nil
 }
 
-// Close implements Link.
-func (c *clientLink) Close() { c.cancel() }
+// Close implements Link. Ending the request wakes the transport, which may be
+// waiting for its next frame and then would not see the cancellation.
+func (c *clientLink) Close() {
+	c.cancel()
+	_ = c.stream.CloseRequest()
+}
 
 // NewHandler returns the path and the handler of the overlay streams that
 // neighbours open to the node.
@@ -55,6 +59,9 @@
 	return path, withController(handler)
 }
 
+// closeGrace is how long a blocked write may hold up the end of a stream.
+const closeGrace = 500 * time.Millisecond
+
 // controllerKey is the context key of the response controller of a stream.
 type controllerKey struct{}
 
@@ -100,9 +107,10 @@
 	return request.GetFrame(), nil
 }
 
-// Close implements Link.
+// Close implements Link. A write in progress gets a short grace, since a stream
+// whose write deadline has passed cannot tell the neighbour that it has ended.
 func (s *serverLink) Close() {
-	past := time.Unix(1, 0)
-	_ = s.controller.SetReadDeadline(past)
-	_ = s.controller.SetWriteDeadline(past)
+	now := time.Now()
+	_ = s.controller.SetReadDeadline(now)
+	_ = s.controller.SetWriteDeadline(now.Add(closeGrace))
 }
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -244,6 +244,15 @@
 	return m
 }
 
+// size returns the number of entries, removals included.
+func (t *table) size() int {
+	n := 0
+	for _, c := range t.classes {
+		n += int(c.entries.Load())
+	}
+	return n
+}
+
 // hashEntry hashes key, version and value.
 func hashEntry(key string, version uint64, value []byte) uint64 {
 	var d xxhash.Digest
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -91,7 +91,7 @@
 	select {
 	case <-met:
 	case <-time.After(waitLimit):
-		t.Fatalf("%s: no view where %s; have %+v", d.options.Self.Name, what, d.View().Members)
+		t.Fatalf("%s: no view where %s; %d daemons known, %d live", d.options.Self.Name, what, len(d.View().Members), d.View().Live())
 	}
 }
 
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -62,6 +62,7 @@
 		Dialer:     options.Dialer,
 		Observer:   (*observer)(m),
 		Status:     m.heartbeat,
+		Greeting:   []string{daemonPrefix + options.Self.Name},
 		Random:     rand.New(rand.NewPCG(options.Random.Uint64(), options.Random.Uint64())),
 		Log:        options.Log,
 		Registerer: options.Registerer,
