--- a/selection/choose.go
+++ b/selection/choose.go
@@ -24,16 +24,16 @@
 	options *Options
 	org     *organisation
 	kind    *kind
-	row     int // first index of the kind in the tables of the binding
-	model   int // model named by the caller, or none
-	version int // version named by the caller, or none
+	rows    []row // of the kind, by version
+	model   int   // model named by the caller, or none
+	version int   // version named by the caller, or none
 	key     uint64
 	nanos   int64 // now as a Unix time
 	prompt  int64 // bounded prompt tokens
 
 	// What the scan over the candidates found.
 	considered int
-	setAside   int     // versions that get no usual work: cut off or introduced
+	cutOff     bool    // whether a version that fits is cut off
 	best       option  // lowest cost at the target, the preferred ones first
 	available  int     // version of the highest quality, known only without best
 	quality    float64 // mean estimate of available
@@ -90,7 +90,8 @@
 		return failure.New(failure.CodeUnknownKind, failure.RanNo, "the task kind is not defined")
 	}
 	c.kind = &c.plan.kinds[k]
-	c.row = k * len(c.plan.versions)
+	n := len(c.plan.versions)
+	c.rows = c.bound.rows[k*n : (k+1)*n]
 	c.model, c.version = none, none
 	c.best.version, c.available = none, none
 	if c.org = c.plan.organisations[c.request.Organisation]; c.org == nil {
@@ -156,13 +157,16 @@
 	if !c.eligible(v) {
 		return
 	}
-	o := option{version: v, cost: c.cost(v), rank: c.kind.rank[v]}
+	o := option{version: v, cost: c.cost(v), rank: int(c.rows[v].rank)}
 	if c.overSpend(o.cost) {
 		return
 	}
 	c.considered++
-	if c.gate(v) != rollout.GateOpen || (c.introduced(v) && c.version == none) {
-		c.setAside++
+	if c.gate(v) != rollout.GateOpen {
+		c.cutOff = true
+		return
+	}
+	if c.introduced(v) && c.version == none {
 		return
 	}
 	if c.best.version != none && !before(&o, &c.best) {
@@ -199,7 +203,8 @@
 	return c.decision(&o, ReasonLastResort), o, nil
 }
 
-// lastResort returns the best of the versions that were set aside.
+// lastResort returns the best of the versions that are cut off or introduced by
+// a roll-out.
 func (c *choice) lastResort() option {
 	best := option{version: none}
 	for _, v := range c.org.candidates {
@@ -221,8 +226,8 @@
 		if !c.org.allowed[rule.version] || !c.plan.usable(rule.version) || !c.eligible(rule.version) {
 			continue
 		}
-		t := c.bound.tracks[rule.version]
-		if t.GateAt(c.nanos) != rollout.GateOpen || !c.within(rule.version, math.Min(t.Share(), rule.maxShare)) {
+		share := math.Min(c.rows[rule.version].track.Share(), rule.maxShare)
+		if c.gate(rule.version) != rollout.GateOpen || !c.within(rule.version, share) {
 			continue
 		}
 		o := c.option(rule.version)
@@ -235,7 +240,7 @@
 
 // trickle sends a small share of the key space to a version that was cut off.
 func (c *choice) trickle(share float64) (Decision, bool) {
-	if c.setAside == 0 || c.version != none || c.request.InConversation {
+	if !c.cutOff || c.version != none || c.request.InConversation {
 		return Decision{}, false
 	}
 	for _, v := range c.org.candidates {
@@ -294,7 +299,10 @@
 		if !c.inTime(v, chosen.version) || c.overSpend(cost+chosen.cost) {
 			continue
 		}
-		if out, ok := c.outlook(v, cost, &chosen); ok && out.Cost < lowest {
+		if cost+c.rows[v].accepted.Flagged()*chosen.cost >= lowest {
+			continue
+		}
+		if out, ok := c.outlook(v, cost, &chosen); ok {
 			first, lowest = v, out.Cost
 		}
 	}
@@ -321,7 +329,7 @@
 // outlook returns the expected cost of a cascade, and whether its quality is
 // credibly at the target.
 func (c *choice) outlook(first int, cost float64, next *option) (cascade.Outlook, bool) {
-	cell := c.bound.accepted[c.row+first]
+	cell := c.rows[first].accepted
 	accepted := cell.EstimateAt(c.nanos)
 	out := cascade.Expect(cost, accepted.Lower, cell.Flagged(), next.cost, next.estimate.Lower)
 	return out, out.Quality >= c.kind.target
