--- a/admission/coordinator.go
+++ b/admission/coordinator.go
@@ -34,91 +34,6 @@
 	silentReserve = 10 * time.Minute
 )
 
-// fleetView is what a coordinator knows of the fleet.
-type fleetView struct {
-	live      int                    // daemons that the host list shows live
-	reachable int                    // those that this daemon hears
-	isLive    func(name string) bool // whether a daemon may still admit
-}
-
-// grant is a share that was handed out. Its spend is an absolute sum.
-type grant struct {
-	amounts  amounts
-	sequence uint64
-	expires  time.Time
-}
-
-// holder is what a coordinator knows of one daemon.
-type holder struct {
-	incarnation uint64
-	wanted      amounts
-	inUse       float64
-	grants      []grant       // that may still be in use, oldest first
-	validity    time.Duration // of the newest grant
-	heard       time.Time
-	idle        bool
-	spent       float64 // as reported by this process
-	// unproven is what the daemon may use that this coordinator did not grant,
-	// as of its last report: a share of an earlier coordinator, or none.
-	unproven amounts
-	// equalSpend is what it may spend without a share, beyond spent.
-	equalSpend float64
-	report     uint64 // number of its last report
-}
-
-// allocation is the division of one organisation's limit. It is a pure state
-// machine; the caller holds the lock.
-type allocation struct {
-	id        uint64 // of the coordinator
-	since     time.Time
-	limit     amounts
-	day       int64
-	spendBase float64 // spend that earlier coordinators counted
-	spendMore float64 // spend reported since
-	holders   map[string]*holder
-	proven    amounts // what daemons used when they first reported here
-	sequence  uint64
-	refreshed time.Time
-	levels    amounts // water levels of the wants
-	rest      amounts // what the wants leave
-	out       amounts // sum of what is handed out or set aside
-	active    int
-	near      bool
-}
-
-func newAllocation(id uint64, now time.Time, limit amounts) *allocation {
-	return &allocation{id: id, since: now, limit: limit, day: dayOf(now), holders: make(map[string]*holder)}
-}
-
-// usage is a daemon's report for one organisation. Held and wanted spend is
-// counted beyond spent.
-type usage struct {
-	daemon      string
-	incarnation uint64
-	coordinator uint64
-	sequence    uint64
-	held        amounts
-	wanted      amounts
-	inUse       float64
-	day         int64
-	spent       float64
-	told        float64
-	fleetSpent  float64
-	idle        bool
-	report      uint64
-}
-
-// grantResult answers a report. The spend of amounts counts beyond the spent of
-// the report.
-type grantResult struct {
-	amounts    amounts
-	sequence   uint64
-	day        int64
-	fleetSpent float64
-	period     time.Duration
-	validity   time.Duration
-}
-
 // report takes a daemon's report and returns its share. It returns false for
 // a report that arrived after a later one.
 func (a *allocation) report(now time.Time, u usage, view fleetView) (grantResult, bool) {
@@ -253,47 +168,6 @@
 	return part
 }
 
-// target is the daemon's part of the limit: its fair part of what all want,
-// and up to as much again from half of what the wants leave.
-func (a *allocation) target(h *holder) amounts {
-	var t amounts
-	for d := range t {
-		want := h.wanted[d]
-		t[d] = min(want, a.levels[d])
-		if a.rest[d] > 0 && a.active > 0 {
-			t[d] += min(want, a.rest[d]/2/float64(a.active))
-		}
-	}
-	t[dimConcurrent] = math.Ceil(t[dimConcurrent])
-	return t
-}
-
-// budget is what this coordinator may hand out: the part of the limit for the
-// daemons that it can reach. The others use theirs without it. While shares of
-// an earlier coordinator may be in use, it is only what the daemons that
-// reported use already.
-func (a *allocation) budget(now time.Time, view fleetView) amounts {
-	part := 1.0
-	if view.live > 0 && view.reachable < view.live {
-		part = float64(max(view.reachable, 1)) / float64(view.live)
-	}
-	var b amounts
-	for d := range b {
-		b[d] = a.limit[d] * part
-	}
-	b[dimSpend] = max(0, a.limit[dimSpend]-a.spent()) * part
-	if now.Before(a.since.Add(recoveryTime(view.live))) {
-		b = minOf(b, a.proven)
-	}
-	return b
-}
-
-// recoveryTime is how long shares of an earlier coordinator may be in use in
-// a fleet of that many daemons.
-func recoveryTime(live int) time.Duration {
-	return validityOf(min(max(farPeriod, time.Duration(live)*reportSpacing), longestPeriod)) + settleTime
-}
-
 // outstanding is what the daemon may be using now.
 func (a *allocation) outstanding(now time.Time, name string, h *holder, view fleetView) amounts {
 	var out amounts
--- /dev/null
+++ b/measure/dispatch.go
@@ -0,0 +1,204 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/balance"
+	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/hedge"
+	"github.com/bronzeturn/bronzeturn/retry"
+)
+
+// launch sends the request to engines that serve the version.
+func (s *sim) launch(r *request, version string) {
+	f := &r.flow
+	f.version, f.winner, f.live = version, nil, nil
+	f.launch++
+	f.attempts = 0
+	f.tried = [balance.MaxExclude]string{}
+	r.daemon.budget.Request(s.now)
+	s.dispatch(r)
+}
+
+// dispatch chooses an engine and sends the request, and later a hedge.
+func (s *sim) dispatch(r *request) {
+	if r.ended {
+		return
+	}
+	engine, decision, ok := s.policy.engine(s, r)
+	if !ok {
+		s.refuse(r, failure.CodeNoCapacity)
+		return
+	}
+	r.flow.sentAt = s.now
+	if s.policy.hedges() && r.kind.GetHedge() && r.kind.GetIdempotent() {
+		r.daemon.hedges.Request(s.now)
+		if delay, measured := r.daemon.hedges.Delay(r.kind.GetName()); measured {
+			launch, attempts := r.flow.launch, r.flow.attempts+1
+			s.after(delay, func() { s.hedge(r, delay, launch, attempts) })
+		}
+	}
+	s.send(r, engine, decision)
+}
+
+// hedge sends a second copy of a request that has not begun its answer.
+func (s *sim) hedge(r *request, delay time.Duration, launch, attempts int) {
+	f := &r.flow
+	if r.ended || f.winner != nil || f.launch != launch || f.attempts != attempts || len(f.live) != 1 {
+		return
+	}
+	engine, second, ok := s.policy.engine(s, r)
+	if !ok {
+		return
+	}
+	granted, _ := r.daemon.hedges.Next(hedge.Request{
+		Kind: r.kind.GetName(), Idempotent: r.kind.GetIdempotent(), Flagged: r.kind.GetHedge(),
+		Delay: delay, Elapsed: s.now.Sub(f.sentAt), Left: r.deadline.Sub(s.now),
+		SecondWait: second.ExpectedWait, SecondAnswer: second.ExpectedAnswer,
+	}, s.now)
+	if granted {
+		s.result.hedged()
+		s.send(r, engine, second)
+	}
+}
+
+// send sends one copy to an engine.
+func (s *sim) send(r *request, e *fakeEngine, d balance.Decision) {
+	f := &r.flow
+	f.attempts++
+	for i := range f.tried {
+		if f.tried[i] == "" {
+			f.tried[i] = e.GetName()
+			break
+		}
+	}
+	s.result.dispatched(s, f.version)
+	hop := remoteHop
+	if e.GetDataCentre() == r.daemon.dataCentre {
+		hop = localHop
+	}
+	a := &attempt{
+		request: r, engine: e, sentAt: s.now, launch: f.launch, expectedFirst: d.ExpectedFirstToken,
+		onFirst: func(a *attempt) { s.after(hop, func() { s.firstToken(a) }) },
+		onDone:  func(a *attempt) { s.after(hop, func() { s.answered(a) }) },
+		onFail:  func(a *attempt, ran bool) { a.over = true; s.after(hop+connectFailure, func() { s.failed(a, ran) }) },
+	}
+	f.live = append(f.live, a)
+	r.daemon.state.Dispatched(balance.Dispatched{Engine: e.GetName(), Work: work(r), PrefixHash: r.prefix, At: s.now})
+	s.after(hop, func() { e.submit(a) })
+}
+
+// work is the size of a request as the balancer sees it.
+func work(r *request) balance.Work {
+	return balance.Work{
+		Priority: r.kind.GetPriority(), PromptTokens: r.prompt,
+		ExpectedTokens: r.kind.GetExpectedCompletionTokens(),
+	}
+}
+
+// lost reports whether an attempt no longer belongs to its request's way.
+func (s *sim) lost(a *attempt) bool {
+	return a.request.ended || a.launch != a.request.flow.launch || !contains(a.request.flow.live, a)
+}
+
+// firstToken makes the first copy that begins its answer the winner.
+func (s *sim) firstToken(a *attempt) {
+	r := a.request
+	if s.lost(a) {
+		return
+	}
+	a.first = true
+	r.daemon.state.FirstToken(balance.FirstToken{
+		Engine: a.engine.GetName(), Work: work(r), Latency: s.now.Sub(a.sentAt), Expected: a.expectedFirst, At: s.now,
+	})
+	r.flow.winner = a
+	for _, other := range r.flow.live {
+		if other != a {
+			s.cancel(other)
+		}
+	}
+	r.flow.live = []*attempt{a}
+	if s.policy.hedges() && r.kind.GetHedge() {
+		r.daemon.hedges.Answered(hedge.Answered{Kind: r.kind.GetName(), Latency: s.now.Sub(r.flow.sentAt)})
+	}
+}
+
+// cancel ends a copy that is no longer wanted. What it generated is paid.
+func (s *sim) cancel(a *attempt) {
+	r := a.request
+	if !a.begun.IsZero() && !a.over {
+		generated := float64(s.now.Sub(a.begun)-a.prefill) / float64(max(a.generate, 1))
+		tokens := int64(max(0, min(generated, 1)) * float64(r.completion))
+		r.cost += s.truth.cost(r.flow.version, r.prompt, tokens)
+	}
+	if !a.over {
+		a.engine.leave(a)
+	}
+	r.daemon.state.Finished(balance.Finished{Engine: a.engine.GetName(), Work: work(r), FirstTokenSeen: a.first, Cancelled: true, At: s.now})
+}
+
+// answered takes in a whole answer.
+func (s *sim) answered(a *attempt) {
+	r := a.request
+	if s.lost(a) {
+		return
+	}
+	r.daemon.state.Finished(balance.Finished{
+		Engine: a.engine.GetName(), Work: work(r), FirstTokenSeen: a.first,
+		Tokens: r.completion, Generation: a.generate, At: s.now,
+	})
+	r.flow.live = nil
+	r.cost += s.truth.cost(r.flow.version, r.prompt, r.completion)
+	s.judge(r)
+}
+
+// failed takes in that a copy got no answer, and tries again where it is safe.
+func (s *sim) failed(a *attempt, ran bool) {
+	r := a.request
+	if s.lost(a) {
+		return
+	}
+	d := r.daemon
+	d.failedAt[a.engine] = s.now
+	kind, retryKind, outcome := balance.FailureUnreachable, retry.KindConnect, failure.RanNo
+	if ran {
+		kind, retryKind, outcome = balance.FailureError, retry.KindBroken, failure.RanUnknown
+	}
+	d.state.Failed(balance.Failed{Engine: a.engine.GetName(), Work: work(r), FirstTokenSeen: a.first, Kind: kind, At: s.now})
+	r.flow.live = without(r.flow.live, a)
+	if len(r.flow.live) > 0 {
+		return
+	}
+	sent := int64(0)
+	if a.first {
+		sent = 1
+	}
+	again, wait, _ := d.retries.Next(retry.Attempt{
+		Kind: retryKind, Ran: outcome, Idempotent: r.kind.GetIdempotent(), Number: r.flow.attempts,
+		Left: r.deadline.Sub(s.now), BytesSent: sent,
+	}, d.budget, s.now, d.rng)
+	if !again {
+		s.fail(r)
+		return
+	}
+	s.after(wait, func() { s.dispatch(r) })
+}
+
+func contains(list []*attempt, a *attempt) bool {
+	for _, o := range list {
+		if o == a {
+			return true
+		}
+	}
+	return false
+}
+
+func without(list []*attempt, a *attempt) []*attempt {
+	var kept []*attempt
+	for _, o := range list {
+		if o != a {
+			kept = append(kept, o)
+		}
+	}
+	return kept
+}
