Drop settings that did nothing; tell admission about engines and cuts

Ruled out: passing heartbeat times on to membership, whose suspicion rings depend on one interval for the whole fleet.

--- a/compiler.go
+++ b/compiler.go
@@ -25,6 +25,7 @@
 	log        zerolog.Logger
 
 	mu       sync.Mutex
+	selector subset.Selector
 	snapshot *config.Snapshot
 	live     []string
 	visible  []*bronzeturnv1.Engine
@@ -72,10 +73,24 @@
 	return c.visible
 }
 
+// sharers is how many daemons send work to the same engines as this one.
+func (c *compiler) sharers() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.snapshot == nil {
+		return 1
+	}
+	engines := len(c.snapshot.Register().GetEngines())
+	if engines == 0 {
+		return 1
+	}
+	return max(len(c.live)*len(c.visible)/engines, 1)
+}
+
 // compile builds and publishes the tables. The caller holds the lock.
 func (c *compiler) compile() {
 	register, rules := c.snapshot.Register(), c.snapshot.Rules()
-	selected := subset.Choose(c.name, c.live, register.GetEngines(), c.subsetSize)
+	selected := c.selector.Choose(c.name, c.live, register.GetEngines(), c.subsetSize)
 	c.visible = nil
 	for _, e := range register.GetEngines() {
 		if selected.Sees(e) {
--- a/decisions.go
+++ b/decisions.go
@@ -33,14 +33,16 @@
 	budget    *retry.Budget
 	breakers  *retry.Breakers
 	admission *admission.Controller
+	occupancy *occupancy
 	sampler   *sampler
 }
 
 func newDecisions(d *Daemon) (*decisions, error) {
 	n := &decisions{
-		quality:  quality.NewStore(quality.Options{}),
-		rollouts: rollout.NewController(rollout.Options{}),
-		breakers: retry.NewBreakers(retry.DefaultBreakerOptions()),
+		quality:   quality.NewStore(quality.Options{}),
+		rollouts:  rollout.NewController(rollout.Options{}),
+		breakers:  retry.NewBreakers(retry.DefaultBreakerOptions()),
+		occupancy: newOccupancy(),
 	}
 	n.versions = selection.NewPolicy(selection.Options{}, n.quality, n.rollouts)
 	budget := retry.DefaultBudgetOptions()
@@ -67,6 +69,7 @@
 		Name:       d.settings.GetName(),
 		Owner:      d.fleet.members.Owner,
 		Dial:       d.fleet.directory.Dial,
+		Reachable:  d.fleet.reachable,
 		Registerer: d.options.Registry,
 		Log:        logging.Part(d.log, "admission"),
 	}
@@ -77,13 +80,14 @@
 	d.fleet.provider.Subscribe(d.compiler.setSnapshot)
 	d.fleet.members.Subscribe(d.compiler.setView)
 	reporter := &loadReporter{
-		reports: d.platform.reports, state: n.engines, engines: d.compiler.visibleEngines,
+		reports: d.platform.reports, state: n.engines, occupancy: n.occupancy, engines: d.compiler.visibleEngines,
 		log: logging.Part(d.log, "engine"),
 	}
 	d.goLoop("load reports", reporter.run)
 	d.goLoop("samples", n.sampler.run)
 	d.goLoop("admission", n.admission.Run)
 	d.goLoop("engine review", d.reviewEngines)
+	d.goLoop("room", d.keepRoom)
 }
 
 // reviewEngines compares the engines from time to time.
--- a/feedback.go
+++ b/feedback.go
@@ -30,10 +30,11 @@
 
 // loadReporter asks the visible engines for their load, in turn.
 type loadReporter struct {
-	reports *engine.Reports
-	state   *balance.State
-	engines func() []*bronzeturnv1.Engine
-	log     zerolog.Logger
+	reports   *engine.Reports
+	state     *balance.State
+	occupancy *occupancy
+	engines   func() []*bronzeturnv1.Engine
+	log       zerolog.Logger
 
 	mu sync.Mutex
 	// sequences holds the newest cache event seen of each engine.
@@ -72,6 +73,7 @@
 		return
 	}
 	now := time.Now()
+	l.occupancy.reported(e.GetName(), load, now)
 	l.state.LoadReported(balance.LoadReported{
 		Engine:   e.GetName(),
 		Requests: int64(load.QueuedRequests + load.RunningRequests),
--- a/fleet.go
+++ b/fleet.go
@@ -81,19 +81,33 @@
 	return ledger.Config{
 		Self:        d.settings.GetName(),
 		Store:       d.platform.store,
-		Owners:      f.members,
+		Owners:      owners{f.members},
 		Dialer:      f.directory,
 		Holders:     holders{members: f.members, self: d.settings.GetName(), dataCentre: d.settings.GetDataCentre()},
 		Log:         logging.Part(d.log, "ledger"),
 		Registerer:  d.options.Registry,
 		Rand:        d.rand(randLedger),
 		Shards:      uint32(d.settings.GetLedgerShards()),
+		FleetWrites: d.settings.GetLedgerFleetWrites(),
 		Daemons:     func() int { return f.members.View().Live() },
 		BatchDelay:  d.settings.GetLedgerBatchInterval().AsDuration(),
 		BufferBytes: int(d.settings.GetOutageBufferBytes()),
 	}
 }
 
+// owners are the preferred writers of the ledger's shards.
+type owners struct{ *membership.Membership }
+
+// Second implements ledger.Seconds.
+func (o owners) Second(key string) (name string, self bool) {
+	view := o.View()
+	top := view.Top(key, 2)
+	if len(top) < 2 {
+		return "", false
+	}
+	return top[1], top[1] == view.Self
+}
+
 // holders names the daemons that hold second copies, those in other data
 // centres first.
 type holders struct {
--- /dev/null
+++ b/room.go
@@ -0,0 +1,86 @@
+package bronzeturn
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/admission"
+	"github.com/bronzeturn/bronzeturn/engine"
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+)
+
+const (
+	// roomInterval is the time between two updates of what admission knows of
+	// the engines.
+	roomInterval = time.Second
+	// roomFresh is how long a load report counts.
+	roomFresh = 10 * time.Second
+)
+
+// occupancy remembers what each engine last reported, for admission's bound on
+// bulk work. It is safe for concurrent use.
+type occupancy struct {
+	mu      sync.Mutex
+	reports map[string]occupied
+}
+
+// occupied is the last report of one engine.
+type occupied struct {
+	requests int
+	at       time.Time
+}
+
+func newOccupancy() *occupancy { return &occupancy{reports: make(map[string]occupied)} }
+
+// reported takes in a load report.
+func (o *occupancy) reported(name string, load engine.Load, at time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.reports[name] = occupied{requests: load.RunningRequests + load.QueuedRequests, at: at}
+}
+
+// rooms adds up the engines of each version. Engines without a fresh report are
+// left out.
+func (o *occupancy) rooms(engines []*bronzeturnv1.Engine, sharers int, now time.Time) map[string]admission.Room {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	rooms := make(map[string]admission.Room)
+	for _, e := range engines {
+		report, ok := o.reports[e.GetName()]
+		if !ok || now.Sub(report.at) > roomFresh {
+			continue
+		}
+		for _, version := range e.GetVersions() {
+			room := rooms[version]
+			room.Sharers = sharers
+			room.Add(int(e.GetSlots()), report.requests)
+			rooms[version] = room
+		}
+	}
+	return rooms
+}
+
+// keepRoom tells admission about the engines until ctx ends.
+func (d *Daemon) keepRoom(ctx context.Context) error {
+	for sleep(ctx, roomInterval) {
+		visible, sharers := d.compiler.visibleEngines(), d.compiler.sharers()
+		for version, room := range d.decisions.occupancy.rooms(visible, sharers, time.Now()) {
+			d.decisions.admission.SetRoom(version, room)
+		}
+	}
+	return nil
+}
+
+// reachable estimates how many live daemons this one hears, itself included,
+// from the sample that membership keeps.
+func (f *fleet) reachable() int {
+	live := f.members.View().Live()
+	known, heard := f.members.PeersKnown(), f.members.PeersHeard()
+	if known == 0 || heard >= known {
+		return live
+	}
+	others := float64(live-1) * float64(heard) / float64(known)
+	return 1 + int(math.Round(others))
+}
--- a/settings/contradiction.go
+++ b/settings/contradiction.go
@@ -6,10 +6,6 @@
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 )
 
-// minSuspectHeartbeats is the number of heartbeats that must be missed before
-// a daemon is suspected.
-const minSuspectHeartbeats = 3
-
 // contradictions returns the faults of settings that are right one by one.
 func contradictions(s *bronzeturnv1.Settings) problems {
 	var found problems
@@ -21,9 +17,6 @@
 	checkAdvertised(&found, "caller-address", s.GetCallerAddress(), "caller-listen", s.GetCallerListen())
 	checkAdvertised(&found, "peer-address", s.GetPeerAddress(), "peer-listen", s.GetPeerListen())
 	checkListeners(&found, s)
-	if s.GetSuspectTimeout().AsDuration() < minSuspectHeartbeats*s.GetHeartbeatInterval().AsDuration() {
-		found.add("suspect-timeout", "must be at least %d times --heartbeat-interval", minSuspectHeartbeats)
-	}
 	return found
 }
 
