Talk TLS between daemons when certificates are given

Cause: the directory of peers was built without the certificates of the settings, so that daemons with certificates met each other's TLS listeners in plain text and never formed a fleet. peer and security each built an HTTP/2 transport of their own. Now security.NewTransport is the one piece; peer.NewDirectory takes the credentials and reads them anew for each connection, with bytes counted below TLS. A failed handshake counts as a dial that sent nothing. A daemon built without certificates and without the flag for plain text is refused with a typed error, also when its settings did not pass the flag parser. Conclusion: one authority forms a fleet; a certificate of another one and plain text stay outside.

--- a/daemon.go
+++ b/daemon.go
@@ -33,6 +33,7 @@
 	tomb     tomb.Tomb
 
 	listeners *listeners
+	tls       *credentials
 	platform  *platform
 	fleet     *fleet
 	decisions *decisions
@@ -65,8 +66,11 @@
 
 // provision builds the parts in the order of their dependencies.
 func (d *Daemon) provision() error {
-	d.platform = newPlatform(d)
 	var err error
+	if d.tls, err = loadCredentials(d); err != nil {
+		return err
+	}
+	d.platform = newPlatform(d)
 	if d.fleet, err = newFleet(d); err != nil {
 		return fmt.Errorf("fleet: %w", err)
 	}
@@ -79,9 +83,7 @@
 	if d.orders, err = newOrders(d); err != nil {
 		return fmt.Errorf("orders: %w", err)
 	}
-	if d.servers, err = newServers(d); err != nil {
-		return fmt.Errorf("servers: %w", err)
-	}
+	d.servers = newServers(d)
 	return nil
 }
 
--- a/fleet.go
+++ b/fleet.go
@@ -39,7 +39,7 @@
 	if f.traffic, err = peer.NewTraffic(d.options.Registry); err != nil {
 		return nil, err
 	}
-	f.directory = peer.NewDirectory(peer.ResolverFunc(f.peerAddress), nil, f.traffic)
+	f.directory = peer.NewDirectory(peer.ResolverFunc(f.peerAddress), d.tls.peer, f.traffic)
 	if f.members, err = membership.New(membershipOptions(d, f)); err != nil {
 		return nil, err
 	}
--- a/peer/directory.go
+++ b/peer/directory.go
@@ -1,11 +1,10 @@
 // Package peer connects daemons with each other: one shared HTTP/2 client, the
 // listener's server, and the count of bytes between them. Both use mutual TLS
-// when given a TLS configuration, and plain text HTTP/2 otherwise.
+// when given certificates, and plain text HTTP/2 otherwise.
 package peer
 
 import (
 	"context"
-	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +12,8 @@
 	"time"
 
 	"connectrpc.com/connect"
+
+	"github.com/bronzeturn/bronzeturn/security"
 )
 
 const (
@@ -55,27 +56,19 @@
 	client    connect.HTTPClient
 }
 
-// NewDirectory returns a directory. A nil TLS configuration means plain text
-// HTTP/2. The resolver may be nil when only At is used.
-func NewDirectory(resolver Resolver, config *tls.Config, traffic *Traffic) *Directory {
-	d := &Directory{resolver: resolver, scheme: "http"}
-	protocols := new(http.Protocols)
-	if config == nil {
-		protocols.SetUnencryptedHTTP2(true)
-	} else {
-		protocols.SetHTTP2(true)
+// NewDirectory returns a directory. Nil credentials mean plain text HTTP/2;
+// otherwise each new connection presents the certificate that the files hold
+// then. The resolver may be nil when only At is used.
+func NewDirectory(resolver Resolver, credentials *security.Credentials, traffic *Traffic) *Directory {
+	d := &Directory{resolver: resolver, scheme: "http", transport: security.NewTransport(credentials, dialer(traffic))}
+	d.transport.DisableCompression = true
+	d.transport.IdleConnTimeout = idleTimeout
+	d.transport.ReadBufferSize = bufferBytes
+	d.transport.WriteBufferSize = bufferBytes
+	d.transport.HTTP2 = http2Config()
+	if credentials != nil {
 		d.scheme = "https"
-	}
-	d.transport = &http.Transport{
-		DialContext:         dialer(traffic),
-		TLSClientConfig:     config,
-		TLSHandshakeTimeout: dialTimeout,
-		Protocols:           protocols,
-		DisableCompression:  true,
-		IdleConnTimeout:     idleTimeout,
-		ReadBufferSize:      bufferBytes,
-		WriteBufferSize:     bufferBytes,
-		HTTP2:               http2Config(),
+		d.transport.DialTLSContext = handshaker(d.transport.DialTLSContext)
 	}
 	d.client = &boundedClient{client: &http.Client{Transport: d.transport}}
 	return d
@@ -140,6 +133,20 @@
 	}
 }
 
+// handshaker bounds the opening of an authenticated connection and gives its
+// failures the type of those of a plain one, since nothing was sent either.
+func handshaker(dial security.DialFunc) security.DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		c, err := dial(ctx, network, address)
+		if err == nil || IsDial(err) {
+			return c, err
+		}
+		return nil, &DialError{Address: address, Cause: err}
+	}
+}
+
 // boundedClient gives every unary call a deadline. Streams live until they are
 // ended or their connection is found silent.
 type boundedClient struct {
--- a/servers.go
+++ b/servers.go
@@ -29,19 +29,15 @@
 }
 
 // newServers builds the servers.
-func newServers(d *Daemon) (*servers, error) {
-	tlsOf, err := newTLS(d)
-	if err != nil {
-		return nil, err
-	}
+func newServers(d *Daemon) *servers {
 	answers := operator.NewServer(statusSource{d}, operatorPeers{d}, billSource{d})
 	s := &servers{
-		caller:   newHTTPServer(d.router.Handler(), tlsOf.caller),
-		operator: newHTTPServer(operatorHandler(answers), tlsOf.operator),
+		caller:   newHTTPServer(d.router.Handler(), serverTLS(d.tls.caller)),
+		operator: newHTTPServer(operatorHandler(answers), serverTLS(d.tls.operator)),
 		admin:    newHTTPServer(adminHandler(d), nil),
 	}
-	s.peer = peer.NewServer(d.listeners.peer, peerHandler(d, answers), tlsOf.peer, d.fleet.traffic)
-	return s, nil
+	s.peer = peer.NewServer(d.listeners.peer, peerHandler(d, answers), serverTLS(d.tls.peer), d.fleet.traffic)
+	return s
 }
 
 func newHTTPServer(handler http.Handler, config *tls.Config) *http.Server {
--- a/tls.go
+++ b/tls.go
@@ -8,47 +8,60 @@
 	"github.com/bronzeturn/bronzeturn/security"
 )
 
-// tlsConfigs are those of the listeners. Nil means plain text.
-type tlsConfigs struct {
-	caller   *tls.Config
-	peer     *tls.Config
-	operator *tls.Config
+// credentials are those of the listeners, and of the client towards other
+// daemons. Nil means plain text.
+type credentials struct {
+	caller   *security.Credentials
+	peer     *security.Credentials
+	operator *security.Credentials
 }
 
-// newTLS reads the certificates named by the settings.
-func newTLS(d *Daemon) (*tlsConfigs, error) {
-	c := &tlsConfigs{}
+// PlaintextError reports a listener that would talk plain text although the
+// flag that allows it is not given.
+type PlaintextError struct {
+	// Name is the listener's, Flag the one that allows plain text.
+	Name, Flag string
+}
+
+// Error implements error.
+func (e *PlaintextError) Error() string {
+	return fmt.Sprintf("certificates for %s: certificate and authority must be given, or --%s", e.Name, e.Flag)
+}
+
+// loadCredentials reads the certificates named by the settings. Peers and
+// operators must authenticate unless the settings allow plain text.
+func loadCredentials(d *Daemon) (*credentials, error) {
+	c := &credentials{}
 	var err error
-	if c.caller, err = d.serverTLS("callers", security.CallerFiles(d.settings)); err != nil {
-		return nil, err
+	if files := security.CallerFiles(d.settings); files.Cert != "" {
+		if c.caller, err = d.load("callers", files); err != nil {
+			return nil, err
+		}
 	}
 	if !d.settings.GetInsecurePlaintextPeers() {
-		if c.peer, err = d.serverTLS("peers", security.PeerFiles(d.settings)); err != nil {
+		c.peer, err = d.loadMutual("peers", "insecure-plaintext-peers", security.PeerFiles(d.settings))
+		if err != nil {
 			return nil, err
 		}
 	}
 	if !d.settings.GetInsecurePlaintextOperators() {
-		c.operator, err = d.serverTLS("operators", security.OperatorFiles(d.settings))
+		c.operator, err = d.loadMutual("operators", "insecure-plaintext-operators", security.OperatorFiles(d.settings))
 	}
 	return c, err
 }
 
-// serverTLS returns the configuration of one listener, nil without files.
-func (d *Daemon) serverTLS(name string, files security.Files) (*tls.Config, error) {
-	if files.Cert == "" {
-		return nil, nil
-	}
-	credentials, err := d.credentials(name, files)
-	if err != nil {
-		return nil, err
+// loadMutual loads files by which both sides authenticate.
+func (d *Daemon) loadMutual(name, flag string, files security.Files) (*security.Credentials, error) {
+	if files.Cert == "" || files.CA == "" {
+		return nil, &PlaintextError{Name: name, Flag: flag}
 	}
-	return credentials.Server(), nil
+	return d.load(name, files)
 }
 
-// credentials loads files and logs each later change of them.
-func (d *Daemon) credentials(name string, files security.Files) (*security.Credentials, error) {
+// load reads files and logs each later change of them.
+func (d *Daemon) load(name string, files security.Files) (*security.Credentials, error) {
 	log := logging.Part(d.log, "security")
-	credentials, err := security.Load(files, func(err error) {
+	loaded, err := security.Load(files, func(err error) {
 		if err != nil {
 			log.Error().Err(err).Str("for", name).Msg("certificates not reloaded")
 			return
@@ -58,5 +71,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("certificates for %s: %w", name, err)
 	}
-	return credentials, nil
+	return loaded, nil
+}
+
+// serverTLS returns the configuration of a listener, nil for plain text.
+func serverTLS(c *security.Credentials) *tls.Config {
+	if c == nil {
+		return nil
+	}
+	return c.Server()
 }
--- /dev/null
+++ b/tls_test.go
@@ -0,0 +1,187 @@
+package bronzeturn_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bronzeturn/bronzeturn"
+	"github.com/bronzeturn/bronzeturn/demo"
+	"github.com/bronzeturn/bronzeturn/examples"
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/operator"
+	"github.com/bronzeturn/bronzeturn/peer"
+	"github.com/bronzeturn/bronzeturn/security"
+	"github.com/bronzeturn/bronzeturn/settings"
+)
+
+// loopback is the host of all daemons in these tests.
+const loopback = "127.0.0.1"
+
+// certificates writes the certificates of one deployment and returns the folder.
+func certificates(c *qt.C) string {
+	folder := c.TempDir()
+	_, err := security.WriteDevelopment(folder, security.Development{
+		Hosts: []string{loopback}, Start: time.Now(), Validity: time.Hour,
+	})
+	c.Assert(err, qt.IsNil)
+	return folder
+}
+
+// filesOf names a certificate in a folder. The authority is trusted's.
+func filesOf(folder, trusted, name, role string) security.Files {
+	return security.Files{
+		Cert: filepath.Join(folder, name+".pem"),
+		Key:  filepath.Join(folder, name+"-key.pem"),
+		CA:   filepath.Join(trusted, role+"-ca.pem"),
+	}
+}
+
+// tlsArguments are the flags of a daemon with the certificates of folder that
+// trusts the authorities in trusted.
+func tlsArguments(folder, trusted string) []string {
+	var arguments []string
+	for _, role := range []string{"peer", "operator"} {
+		files := filesOf(folder, trusted, loopback+"-"+role, role)
+		arguments = append(arguments,
+			"--"+role+"-tls-cert", files.Cert, "--"+role+"-tls-key", files.Key, "--"+role+"-tls-ca", files.CA)
+	}
+	return arguments
+}
+
+// startDaemon runs a daemon until the test ends.
+func startDaemon(c *qt.C, p *demo.Platform, name string, seeds []string, arguments ...string) *bronzeturn.Daemon {
+	const anyPort = loopback + ":0"
+	s, err := settings.Parse(append([]string{
+		"--name", name, "--data-centre", p.DataCentre(0),
+		"--caller-listen", anyPort, "--peer-listen", anyPort,
+		"--operator-listen", anyPort, "--admin-listen", anyPort,
+		"--store-url", p.StoreURL, "--host-list-url", p.HostsURL,
+		"--seeds", strings.Join(seeds, ","),
+	}, arguments...), nil)
+	c.Assert(err, qt.IsNil)
+	d, err := bronzeturn.New(s, bronzeturn.Options{LogWriter: io.Discard})
+	c.Assert(err, qt.IsNil)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx) }()
+	c.Cleanup(func() {
+		stop()
+		c.Check(<-ended, qt.IsNil)
+	})
+	return d
+}
+
+// waitLive waits until a daemon takes requests and knows so many daemons.
+func waitLive(c *qt.C, d *bronzeturn.Daemon, live int) {
+	deadline := time.Now().Add(waitLimit)
+	for !d.Ready() || d.LiveDaemons() < live {
+		if time.Now().After(deadline) {
+			c.Fatalf("%d live daemons, %d wanted; ready %v", d.LiveDaemons(), live, d.Ready())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// localStatus asks the peer listener of a daemon for its own status.
+func localStatus(credentials *security.Credentials, address string) (*bronzeturnv1.StatusResponse, error) {
+	traffic, err := peer.NewTraffic(nil)
+	if err != nil {
+		return nil, err
+	}
+	directory := peer.NewDirectory(nil, credentials, traffic)
+	defer directory.Close()
+	client, base := directory.At(address)
+	return status(operator.NewClient(client, base), true)
+}
+
+func status(client interface {
+	Status(context.Context, *connect.Request[bronzeturnv1.StatusRequest]) (*connect.Response[bronzeturnv1.StatusResponse], error)
+}, local bool) (*bronzeturnv1.StatusResponse, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	response, err := client.Status(ctx, connect.NewRequest(&bronzeturnv1.StatusRequest{LocalOnly: local}))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+func load(c *qt.C, files security.Files) *security.Credentials {
+	credentials, err := security.Load(files, nil)
+	c.Assert(err, qt.IsNil)
+	return credentials
+}
+
+func TestDaemonsFormAFleetOnlyUnderOneAuthority(t *testing.T) {
+	c := qt.New(t)
+	p, err := demo.StartPlatform(examples.CampinaVerde, 4)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(p.Stop)
+	c.Assert(p.Publish(context.Background()), qt.IsNil)
+	good, other := certificates(c), certificates(c)
+
+	first := startDaemon(c, p, demo.DaemonName(0), nil, tlsArguments(good, good)...)
+	seeds := []string{first.PeerAddress()}
+	stranger := startDaemon(c, p, demo.DaemonName(1), seeds, tlsArguments(other, good)...)
+	plain := startDaemon(c, p, demo.DaemonName(2), seeds, "--insecure-plaintext-peers", "--insecure-plaintext-operators")
+	second := startDaemon(c, p, demo.DaemonName(3), seeds, tlsArguments(good, good)...)
+	waitLive(c, first, 2)
+	waitLive(c, second, 2)
+
+	peerFiles := filesOf(good, good, loopback+"-peer", "peer")
+	_, err = localStatus(load(c, peerFiles), first.PeerAddress())
+	c.Assert(err, qt.IsNil)
+	strangerFiles := filesOf(other, good, loopback+"-peer", "peer")
+	_, err = localStatus(load(c, strangerFiles), first.PeerAddress())
+	c.Assert(err, qt.IsNotNil, qt.Commentf("a certificate of another authority was taken"))
+	_, err = localStatus(nil, first.PeerAddress())
+	c.Assert(err, qt.IsNotNil, qt.Commentf("plain text was taken without its flag"))
+
+	c.Assert(first.LiveDaemons(), qt.Equals, 2)
+	c.Assert(stranger.LiveDaemons(), qt.Equals, 1)
+	c.Assert(plain.LiveDaemons(), qt.Equals, 1)
+
+	operatorURL := "https://" + first.OperatorAddress()
+	dial := (&net.Dialer{}).DialContext
+	transport := security.NewTransport(load(c, filesOf(good, good, "operator", "operator")), dial)
+	defer transport.CloseIdleConnections()
+	all, err := status(operator.NewClient(&http.Client{Transport: transport}, operatorURL), false)
+	c.Assert(err, qt.IsNil)
+	c.Assert(all.GetDaemons(), qt.HasLen, 2)
+	anonymous := security.NewTransport(load(c, security.Files{CA: filepath.Join(good, "operator-ca.pem")}), dial)
+	defer anonymous.CloseIdleConnections()
+	_, err = status(operator.NewClient(&http.Client{Transport: anonymous}, operatorURL), false)
+	c.Assert(err, qt.IsNotNil, qt.Commentf("an operator without a certificate was answered"))
+
+	request := demo.Chat{Key: "key-dock-kiosks", Kind: "quick", Prompt: "lock of bike 7?", Stream: true}
+	got := request.Send(context.Background(), http.DefaultClient, second.CallerAddress())
+	c.Assert(got.Check(request), qt.IsNil)
+}
+
+func TestPlaintextNeedsItsFlag(t *testing.T) {
+	c := qt.New(t)
+	s, err := settings.Parse([]string{
+		"--name", "daemon", "--data-centre", "d", "--store-url", "http://127.0.0.1:1", "--host-list-url", "http://127.0.0.1:1",
+		"--caller-listen", loopback + ":0", "--peer-listen", loopback + ":0", "--operator-listen", loopback + ":0", "--admin-listen", loopback + ":0",
+		"--insecure-plaintext-peers", "--insecure-plaintext-operators",
+	}, nil)
+	c.Assert(err, qt.IsNil)
+	var plaintext *bronzeturn.PlaintextError
+	s.InsecurePlaintextPeers = false
+	_, err = bronzeturn.New(s, bronzeturn.Options{LogWriter: io.Discard})
+	c.Assert(err, qt.ErrorAs, &plaintext)
+	c.Assert(plaintext.Flag, qt.Equals, "insecure-plaintext-peers")
+	s.InsecurePlaintextPeers, s.InsecurePlaintextOperators = true, false
+	_, err = bronzeturn.New(s, bronzeturn.Options{LogWriter: io.Discard})
+	c.Assert(err, qt.ErrorAs, &plaintext)
+	c.Assert(plaintext.Flag, qt.Equals, "insecure-plaintext-operators")
+}
