--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -27,6 +27,7 @@
 }
 
 func TestWholePathThroughProcesses(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	d := deploy(c, 3, 2)
 
@@ -75,6 +76,7 @@
 }
 
 func TestSameKeyAtAllDaemonsRunsOnce(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	d := deploy(c, 3, 2)
 	chat := demo.Chat{Key: key, Kind: "tag", IdempotencyKey: "tag-1", Prompt: "crate 9"}
@@ -92,6 +94,7 @@
 }
 
 func TestKilledDaemonLosesNoBillOfAnAnswer(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	d := deploy(c, 3, 2)
 	const requests = 30
@@ -120,6 +123,7 @@
 }
 
 func TestTermFinishesTheStreamInProgress(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	d := deploy(c, 2, 1)
 	// A slow engine makes the stream outlast the first steps of the stop.
@@ -154,6 +158,7 @@
 }
 
 func TestFrozenHolderOfAClaimNeverRunsItTwice(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	d := deploy(c, 3, 1)
 	control(c, d.engineAddresses[0], standin.Faults{SlowMillis: 1500})
@@ -183,6 +188,7 @@
 }
 
 func TestStoreOutage(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	d := deploy(c, 3, 2)
 	before := demo.Chat{Key: key, Prompt: "before"}
@@ -218,6 +224,7 @@
 }
 
 func TestWithdrawnVersionReceivesNothingOnceInForce(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	d := deploy(c, 3, 2)
 	out, code := command("withdraw", cheap, "--reason", "turned bad", "--store", "http://"+d.store)
@@ -238,6 +245,7 @@
 }
 
 func TestSilentConnectionsAreDroppedAndRetried(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	d := deploy(c, 1, 2)
 	warm := demo.Chat{Key: key, Prompt: "warm"}
@@ -255,6 +263,7 @@
 }
 
 func TestLeavingBackendGetsNothingNew(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	d := deploy(c, 2, 2)
 	hosts := hostEntries(2, 2)
