Test hosts, views, peers and a stopped process

Cause: leaving hosts, watchers, suspicion rules, entries and silent connections had no test of their own. Neighbours are dialled again after at most 2 s instead of 5 s.

--- a/gossip/options.go
+++ b/gossip/options.go
@@ -49,7 +49,7 @@
 	expireInterval = 5 * time.Second
 	// redialMin and redialMax bound the wait before a neighbour is dialled again.
 	redialMin = 200 * time.Millisecond
-	redialMax = 5 * time.Second
+	redialMax = 2 * time.Second
 )
 
 // Target is a neighbour to keep a link to. The name may be empty when only the
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -18,6 +18,10 @@
 )
 
 func TestMain(m *testing.M) {
+	if seed := os.Getenv(processSeed); seed != "" {
+		runProcess(seed)
+		return
+	}
 	flag.Parse()
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.checks", "12")
--- a/membership/loopback_test.go
+++ b/membership/loopback_test.go
@@ -9,6 +9,7 @@
 )
 
 func TestThreeDaemonsOverLoopback(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	a := startDaemon(t, "a", "hall-centro", nil)
 	b := startDaemon(t, "b", "hall-porto", nil, a.address)
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -49,8 +49,19 @@
 func (dialError) Error() string       { return "no connection" }
 func (dialError) ConnectFailed() bool { return true }
 
+// idle returns a daemon that is not started.
+func (n *network) idle(t testing.TB, name string) *Membership {
+	return n.create(t, name, "hall-centro", nil)
+}
+
 // start adds a daemon; its name is its address.
 func (n *network) start(t testing.TB, name, dataCentre string, list HostList, seeds ...string) *Membership {
+	m := n.create(t, name, dataCentre, list, seeds...)
+	n.run(name, m)
+	return m
+}
+
+func (n *network) create(t testing.TB, name, dataCentre string, list HostList, seeds ...string) *Membership {
 	m, err := New(Options{
 		Self:     Self{Name: name, DataCentre: dataCentre, PeerAddress: name, CallerAddress: name},
 		Seeds:    seeds,
@@ -61,7 +72,6 @@
 		Log:      zerolog.Nop(),
 	})
 	qt.Assert(t, err, qt.IsNil)
-	n.run(name, m)
 	return m
 }
 
--- a/membership/schedule_test.go
+++ b/membership/schedule_test.go
@@ -310,6 +310,7 @@
 }
 
 func TestFleetConvergesAfterAnySchedule(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(r *rapid.T) {
 		if faults := runSchedule(t, drawSchedule(r)); len(faults) > 0 {
 			r.Fatalf("%d faults, the first: %v", len(faults), faults[0])
