Find a silent peer connection before a call on it times out

Cause: pings took 3 s + 2 s, the same as the longest call, so a call that timed out could leave the dead connection to the next one. Ruled out: the new shared transport, which sets the same times. Changed test: TestPeersWithoutACertificateAreRefused uses certificate files, as the directory now takes credentials; it checks the same two outcomes.

--- a/peer/directory.go
+++ b/peer/directory.go
@@ -20,13 +20,15 @@
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = 1500 * time.Millisecond
 	// pingAfter is how long a connection may receive nothing before it is pinged.
-	pingAfter = 3 * time.Second
+	pingAfter = 2 * time.Second
 	// pingTimeout is how long an answer to a ping may take before the
 	// connection counts as silent and is closed.
 	pingTimeout = 2 * time.Second
 	// idleTimeout closes connections that carry no call.
 	idleTimeout = 60 * time.Second
-	// maxCall bounds a unary call whose context has no deadline.
+	// maxCall bounds a unary call whose context has no deadline. It is longer
+	// than pingAfter and pingTimeout together, so that the connection of a call
+	// that failed for silence is not used for the next one.
 	maxCall = 5 * time.Second
 	// MaxMessageBytes bounds one message between daemons.
 	MaxMessageBytes = 2 << 20
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -2,16 +2,13 @@
 
 import (
 	"context"
-	"crypto/ed25519"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
 	"errors"
 	"io"
-	"math/big"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -19,6 +16,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bronzeturn/bronzeturn/security"
 )
 
 func newTraffic(t *testing.T) *Traffic {
@@ -77,39 +76,32 @@
 }
 
 func TestPeersWithoutACertificateAreRefused(t *testing.T) {
-	pair, roots := certificate(t)
-	s := startServer(t, answer, &tls.Config{Certificates: []tls.Certificate{pair}, ClientCAs: roots, ClientAuth: tls.RequireAndVerifyClientCert})
-	with := NewDirectory(nil, &tls.Config{RootCAs: roots, ServerName: "example.com", Certificates: []tls.Certificate{pair}}, newTraffic(t))
+	folder := t.TempDir()
+	_, err := security.WriteDevelopment(folder, security.Development{Hosts: []string{"127.0.0.1"}, Start: time.Now(), Validity: time.Hour})
+	qt.Assert(t, err, qt.IsNil)
+	files := security.Files{
+		Cert: filepath.Join(folder, "127.0.0.1-peer.pem"),
+		Key:  filepath.Join(folder, "127.0.0.1-peer-key.pem"),
+		CA:   filepath.Join(folder, "peer-ca.pem"),
+	}
+	credentials := load(t, files)
+	s := startServer(t, answer, credentials.Server())
+	with := NewDirectory(nil, credentials, newTraffic(t))
 	defer with.Close()
 	got, err := call(t.Context(), with, s.Address())
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, got, qt.Equals, "HTTP/2.0 answer")
 
-	without := NewDirectory(nil, &tls.Config{RootCAs: roots, ServerName: "example.com"}, newTraffic(t))
+	without := NewDirectory(nil, load(t, security.Files{CA: files.CA}), newTraffic(t))
 	defer without.Close()
 	_, err = call(t.Context(), without, s.Address())
 	qt.Check(t, err, qt.IsNotNil)
 }
 
-// certificate returns a certificate that signs itself, for both sides.
-func certificate(t *testing.T) (tls.Certificate, *x509.CertPool) {
-	public, private, err := ed25519.GenerateKey(rand.Reader)
-	qt.Assert(t, err, qt.IsNil)
-	template := &x509.Certificate{
-		SerialNumber:          big.NewInt(1),
-		DNSNames:              []string{"example.com"},
-		NotAfter:              time.Now().Add(time.Hour),
-		IsCA:                  true,
-		BasicConstraintsValid: true,
-		ExtKeyUsage:           []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, public, private)
-	qt.Assert(t, err, qt.IsNil)
-	parsed, err := x509.ParseCertificate(der)
+func load(t *testing.T, files security.Files) *security.Credentials {
+	credentials, err := security.Load(files, nil)
 	qt.Assert(t, err, qt.IsNil)
-	roots := x509.NewCertPool()
-	roots.AddCert(parsed)
-	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: private}, roots
+	return credentials
 }
 
 func TestRefusedConnectionIsADialError(t *testing.T) {
