Add the README, with lines that start everything as processes

Cause: a newcomer needs to know what this is and how to run it. Tests: every flag and setting in the page parses; the host lists name every host of the registers.

--- a/cli/document_test.go
+++ b/cli/document_test.go
@@ -97,6 +97,55 @@
 	}
 }
 
+// readmeLines returns the lines of the README's shell blocks.
+func readmeLines(t *testing.T) []string {
+	t.Helper()
+	page, err := os.ReadFile("../README.md")
+	qt.Assert(t, err, qt.IsNil)
+	var lines []string
+	for _, block := range regexp.MustCompile("(?s)```sh\n(.*?)```").FindAllStringSubmatch(string(page), -1) {
+		lines = append(lines, strings.Split(block[1], "\n")...)
+	}
+	return lines
+}
+
+// The stand-ins' lines are parsed by the test of their program.
+func TestReadmeNamesFlagsOfTheCommandLineThatExist(t *testing.T) {
+	model, err := kong.New(&grammar{})
+	qt.Assert(t, err, qt.IsNil)
+	known := flagsOf(model.Model.Node)
+	found := 0
+	for _, line := range readmeLines(t) {
+		if !strings.Contains(line, "out/bronzeturn ") && !strings.Contains(line, "./cmd/bronzeturn ") {
+			continue
+		}
+		found++
+		for _, name := range regexp.MustCompile(`--[a-z][a-z-]+[a-z]`).FindAllString(line, -1) {
+			qt.Check(t, known[name], qt.IsTrue, qt.Commentf("%s in %s", name, line))
+		}
+	}
+	qt.Check(t, found > 5, qt.IsTrue)
+}
+
+func TestReadmeStartsDaemonsWithSettingsThatAreAccepted(t *testing.T) {
+	var environment []string
+	daemons := 0
+	for _, line := range readmeLines(t) {
+		if variables, ok := strings.CutPrefix(line, "export "); ok {
+			environment = append(environment, strings.Fields(variables)...)
+		}
+		arguments, ok := strings.CutPrefix(line, "out/bronzeturnd ")
+		if !ok {
+			continue
+		}
+		daemons++
+		arguments, _, _ = strings.Cut(arguments, " 2>")
+		_, err := settings.Parse(strings.Fields(arguments), environment)
+		qt.Check(t, err, qt.IsNil, qt.Commentf("%s", line))
+	}
+	qt.Check(t, daemons, qt.Equals, 3)
+}
+
 // literals returns the string literals of the repository's sources, tests and
 // generated files left out.
 func literals(t *testing.T) map[string]bool {
--- a/cmd/bronzeturn-standin/main_test.go
+++ b/cmd/bronzeturn-standin/main_test.go
@@ -7,9 +7,12 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"regexp"
+	"strings"
 	"syscall"
 	"testing"
 
+	"github.com/alecthomas/kong"
 	qt "github.com/frankban/quicktest"
 
 	"github.com/bronzeturn/bronzeturn/standin"
@@ -26,6 +29,22 @@
 	os.Exit(m.Run())
 }
 
+func TestReadmeStartsStandInsWithFlagsThatExist(t *testing.T) {
+	c := qt.New(t)
+	page, err := os.ReadFile("../../README.md")
+	c.Assert(err, qt.IsNil)
+	// File names in the page are relative to the root of the repository.
+	c.Chdir("../..")
+	lines := regexp.MustCompile(`(?m)^ *out/bronzeturn-standin (.*) &$`).FindAllStringSubmatch(string(page), -1)
+	c.Assert(lines, qt.HasLen, 10)
+	for _, line := range lines {
+		parser, err := kong.New(&options{})
+		c.Assert(err, qt.IsNil)
+		_, err = parser.Parse(strings.Fields(strings.ReplaceAll(line[1], "$port", "1")))
+		c.Check(err, qt.IsNil, qt.Commentf("%s", line[1]))
+	}
+}
+
 func TestEachCommandPrintsItsAddressAndStopsOnSignal(t *testing.T) {
 	commands := [][]string{
 		{"object-api"}, {"host-list"}, {"rating"}, {"weight-store", "--weights", "v=5"},
--- a/demo/run_test.go
+++ b/demo/run_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/bronzeturn/bronzeturn/examples"
 	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/hostlist"
 )
 
 // shortTraffic is enough for some requests of each part of the scenarios.
@@ -72,6 +74,25 @@
 	}
 }
 
+func TestExampleHostListsNameEveryHostOfTheRegister(t *testing.T) {
+	for _, example := range examples.Names {
+		t.Run(example, func(t *testing.T) {
+			c := qt.New(t)
+			register, _, err := readExample(example)
+			c.Assert(err, qt.IsNil)
+			data, err := examples.Files.ReadFile(example + "/hosts.json")
+			c.Assert(err, qt.IsNil)
+			var hosts []hostlist.Host
+			c.Assert(json.Unmarshal(data, &hosts), qt.IsNil)
+			want := (&Platform{Register: register}).hosts(demoDaemons)
+			byName := func(a, b hostlist.Host) int { return strings.Compare(a.Name, b.Name) }
+			slices.SortFunc(hosts, byName)
+			slices.SortFunc(want, byName)
+			c.Check(hosts, qt.DeepEquals, want)
+		})
+	}
+}
+
 func TestRepeatedRequestThatDidNotRunOnceIsAFault(t *testing.T) {
 	c := qt.New(t)
 	p, err := StartPlatform(examples.Andina, 1)
--- a/examples/examples.go
+++ b/examples/examples.go
@@ -1,13 +1,13 @@
-// Package examples holds the complete registers and rules of two deployments,
+// Package examples holds the complete registers, rules and host lists of two deployments,
 // for the demo, the tests and as a start for operators.
 package examples
 
 import "embed"
 
-// Files holds the directory of each deployment with register.yaml and
-// rules.yaml.
+// Files holds the directory of each deployment with register.yaml, rules.yaml
+// and hosts.json.
 //
-//go:embed */*.yaml
+//go:embed */*.yaml */*.json
 var Files embed.FS
 
 // Names are the deployments.
