--- a/peer/directory.go
+++ b/peer/directory.go
@@ -23,7 +23,7 @@
 	pingAfter = 2 * time.Second
 	// pingTimeout is how long an answer to a ping may take before the
 	// connection counts as silent and is closed.
-	pingTimeout = 2 * time.Second
+	pingTimeout = 1 * time.Second
 	// idleTimeout closes connections that carry no call.
 	idleTimeout = 60 * time.Second
 	// maxCall bounds a unary call whose context has no deadline. It is longer
