Let old load reports fade and give a shared prefix several holders

Cause: five sixths of the load that a daemon compares are other daemons' work, known from reports of 0.2 to 1.2 s of age. A kiosk check takes 0.3 s, so that news was over before it came: all daemons rushed to the engine that was least busy at the last report. The engine that held an organisation's prefix was compared first, saved 25 ms of reading for a check, did not pay for the way to its data centre, and drew all checks of the organisation. Now the others' work fades with the time that it still needs into the engine's average over ten reports. A prefix has up to four holders, of which a random one is compared; prompts read in under 50 ms have no affinity.

--- a/balance/affinity.go
+++ b/balance/affinity.go
@@ -7,13 +7,16 @@
 )
 
 // The prefix cache table is a fixed array of buckets with a few ways each. A
-// new entry replaces the one with the oldest news in its bucket.
+// new entry replaces the one with the oldest news in its bucket, or among the
+// holders of its prefix when there are maxHolders of them.
 const (
 	cacheShards = 64
-	cacheWays   = 4
+	cacheWays   = 8
+	maxHolders  = 4
 )
 
-// prefixCache remembers which engine last held a prompt prefix.
+// prefixCache remembers which engines lately held a prompt prefix. Prefixes
+// that many requests share are held by several engines.
 type prefixCache struct {
 	mask   uint64
 	shards [cacheShards]sync.Mutex
@@ -30,6 +33,24 @@
 	newsAt int64
 }
 
+// holds tells whether the entry still says that its engine holds the prefix.
+func (e *cacheEntry) holds(prefix uint64) bool {
+	return e.prefix == prefix && e.engine != nil && e.epoch == e.engine.cacheEpoch.Load()
+}
+
+// holder is an engine that probably holds a prefix, with the time of the last
+// news of it.
+type holder struct {
+	engine *engine
+	newsAt int64
+}
+
+// holders are the engines that probably hold one prefix.
+type holders struct {
+	list  [maxHolders]holder
+	count int
+}
+
 func newPrefixCache(entries int) *prefixCache {
 	n := 1
 	for n*cacheWays < entries {
@@ -52,20 +73,36 @@
 	b, mu := c.bucket(prefix)
 	mu.Lock()
 	defer mu.Unlock()
-	victim := &b[0]
+	entry := b.place(prefix, e)
+	if entry.prefix == prefix && entry.engine == e && entry.newsAt > at {
+		return
+	}
+	*entry = cacheEntry{prefix: prefix, engine: e, epoch: e.cacheEpoch.Load(), newsAt: at}
+}
+
+// place returns the entry of the prefix and engine, or the one to replace.
+func (b *cacheBucket) place(prefix uint64, e *engine) *cacheEntry {
+	oldest, oldestHolder, held := &b[0], (*cacheEntry)(nil), 0
 	for i := range b {
-		if b[i].prefix == prefix {
-			victim = &b[i]
-			break
+		entry := &b[i]
+		if entry.prefix == prefix && entry.engine == e {
+			return entry
+		}
+		if entry.newsAt < oldest.newsAt {
+			oldest = entry
+		}
+		if entry.prefix != prefix || entry.engine == nil {
+			continue
 		}
-		if b[i].newsAt < victim.newsAt {
-			victim = &b[i]
+		held++
+		if oldestHolder == nil || entry.newsAt < oldestHolder.newsAt {
+			oldestHolder = entry
 		}
 	}
-	if victim.prefix == prefix && victim.newsAt > at {
-		return
+	if held == maxHolders {
+		return oldestHolder
 	}
-	*victim = cacheEntry{prefix: prefix, engine: e, epoch: e.cacheEpoch.Load(), newsAt: at}
+	return oldest
 }
 
 // evict forgets the prefix unless the daemon has newer news of it.
@@ -80,18 +117,28 @@
 	}
 }
 
-// lookup returns the engine that probably holds the prefix and the time of the
-// last news, or nil.
-func (c *prefixCache) lookup(prefix uint64) (*engine, int64) {
+// lookup returns the engines that probably hold the prefix.
+func (c *prefixCache) lookup(prefix uint64) (found holders) {
 	b, mu := c.bucket(prefix)
 	mu.Lock()
 	defer mu.Unlock()
 	for i := range b {
-		if b[i].prefix == prefix && b[i].engine != nil && b[i].epoch == b[i].engine.cacheEpoch.Load() {
-			return b[i].engine, b[i].newsAt
+		if b[i].holds(prefix) && found.count < maxHolders {
+			found.list[found.count] = holder{engine: b[i].engine, newsAt: b[i].newsAt}
+			found.count++
+		}
+	}
+	return found
+}
+
+// of returns the time of the last news that the engine holds the prefix.
+func (h *holders) of(e *engine) (newsAt int64, ok bool) {
+	for i := range h.count {
+		if h.list[i].engine == e {
+			return h.list[i].newsAt, true
 		}
 	}
-	return nil, 0
+	return 0, false
 }
 
 // CacheEvent takes in news of an engine's prefix cache.
@@ -127,3 +174,9 @@
 	}
 	return belief * min(prefill, float64(o.AffinityMax)/float64(time.Second))
 }
+
+// affine tells whether a prompt is long enough for a cached prefix to matter.
+func (o *Options) affine(promptTokens int64) bool {
+	prefill := float64(promptTokens) / o.PrefillTokensPerSecond
+	return min(prefill, o.AffinityMax.Seconds()) >= o.AffinityMin.Seconds()
+}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -140,7 +140,7 @@
 	}
 	prompt, answer := s.work(ev.Work)
 	e.load.change(priorityIndex(ev.Work.Priority), 1, prompt+answer, ev.At)
-	if ev.PrefixHash != 0 {
+	if ev.PrefixHash != 0 && s.options.affine(ev.Work.PromptTokens) {
 		s.cache.store(ev.PrefixHash, e, ev.At.UnixNano())
 	}
 }
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -47,10 +47,10 @@
 	d     *Decision
 	// priority is the class of the request.
 	priority int
-	// cached is the plan index of the engine that probably holds the prefix, or
-	// -1, and cachedAt the time of the last news of it.
-	cached   int32
-	cachedAt int64
+	// holders are the engines that probably hold the prefix, and cached is the
+	// plan index of the one that is compared, or -1.
+	holders holders
+	cached  int32
 	// probe is set when an engine on probation takes the request.
 	probe int32
 }
@@ -105,16 +105,18 @@
 	return c.scan(served)
 }
 
-// affinity considers the engine that probably holds the prompt's prefix.
+// affinity considers a random one of the engines that probably hold the
+// prompt's prefix, if reading the prompt takes long enough to matter.
 func (c *choice) affinity(served *candidates) estimate {
-	if c.req.PrefixHash == 0 {
+	o := &c.state.options
+	if c.req.PrefixHash == 0 || !o.affine(c.req.Work.PromptTokens) {
 		return none
 	}
-	e, newsAt := c.state.cache.lookup(c.req.PrefixHash)
-	if e == nil {
+	c.holders = c.state.cache.lookup(c.req.PrefixHash)
+	if c.holders.count == 0 {
 		return none
 	}
-	index, ok := c.plan.index[e]
+	index, ok := c.plan.index[c.holders.list[c.rng.IntN(c.holders.count)].engine]
 	if !ok || !served.member[index] {
 		return none
 	}
@@ -126,9 +128,13 @@
 	default:
 		return none
 	}
-	c.cached, c.cachedAt = index, newsAt
+	c.cached = index
 	c.d.Reason = ReasonAffinity
-	return c.consider(index)
+	est := c.consider(index)
+	if c.plan.specs[index].GetDataCentre() != c.req.DataCentre {
+		est.cost += o.RemoteThreshold.Seconds()
+	}
+	return est
 }
 
 // sample compares the best so far with two random engines of the group. They
--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -67,7 +67,7 @@
 	e := p.engines[0]
 	work := newRequest().Work
 	at := func(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
-	own := func() float64 { return e.load.view(0, at(2000).UnixNano(), time.Minute).requests }
+	own := func() float64 { return e.load.view(0, at(2000).UnixNano(), time.Minute, 40).requests }
 
 	send(s, "engine-0", 3, at(0))
 	send(s, "engine-0", 5, at(1000))
@@ -80,7 +80,7 @@
 	s.LoadReported(LoadReported{Engine: "engine-0", Requests: 90, Tokens: 9000, AsOf: at(100)})
 	c.Assert(own(), qt.Equals, 8.0)
 	// Work of others fades when the reports stop.
-	later := e.load.view(0, at(500).Add(15*time.Second).UnixNano(), 5*time.Second)
+	later := e.load.view(0, at(500).Add(15*time.Second).UnixNano(), 5*time.Second, 40)
 	c.Assert(later.requests, qt.Equals, 7.0)
 }
 
@@ -118,11 +118,15 @@
 	s := newState(c)
 	p := s.Plan(newRegister(3), nil)
 	e := p.engines[0]
-	holds := func() bool { got, _ := s.cache.lookup(9); return got == e }
+	holds := func() bool {
+		found := s.cache.lookup(9)
+		_, ok := found.of(e)
+		return ok
+	}
 	event := func(kind CacheEventKind, at time.Time) {
 		s.CacheEvent(CacheEvent{Engine: e.name, Kind: kind, PrefixHash: 9, At: at})
 	}
-	s.Dispatched(Dispatched{Engine: e.name, PrefixHash: 9, At: epoch})
+	s.Dispatched(Dispatched{Engine: e.name, Work: Work{PromptTokens: 2000}, PrefixHash: 9, At: epoch})
 	event(CacheEvicted, epoch.Add(-time.Second))
 	c.Assert(holds(), qt.IsTrue, qt.Commentf("the eviction is older than the request"))
 	event(CacheEvicted, epoch.Add(time.Second))
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -24,13 +24,13 @@
 	size := c.plan.capacity[index]
 	slowness := e.health.slownessFactor()
 	throughput := size.slots * size.rate / slowness
-	load := e.load.view(c.priority, c.now, o.ReportFresh)
+	load := e.load.view(c.priority, c.now, o.ReportFresh, size.rate/slowness)
 
 	est := estimate{index: index}
 	est.wait = load.wait(size.slots, throughput)
 	prefill := float64(max(0, c.req.Work.PromptTokens)) / o.PrefillTokensPerSecond
-	if index == c.cached {
-		prefill -= o.saving(e, c.cachedAt, c.now, prefill)
+	if newsAt, ok := c.holders.of(e); ok {
+		prefill -= o.saving(e, newsAt, c.now, prefill)
 	}
 	est.first = est.wait + prefill
 	est.answer = est.first + float64(max(1, c.req.Work.ExpectedTokens))*slowness/size.rate
--- a/balance/load.go
+++ b/balance/load.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,10 @@
 	historyStep    = 50 * time.Millisecond
 )
 
+// usualGain is the weight of a report in the moving averages of the others'
+// work.
+const usualGain = 0.1
+
 // load is the work of one engine: what this daemon has in flight there, known
 // exactly, and what others have, known from lagging reports. The writers hold
 // mu; the choice reads the atomics without it.
@@ -26,6 +31,10 @@
 
 	foreignRequests atomic.Int64
 	foreignTokens   atomic.Int64
+	// usualRequests and usualTokens are moving averages of the others' work over
+	// reports, as float bits.
+	usualRequests atomic.Uint64
+	usualTokens   atomic.Uint64
 	// reportedAt is the AsOf of the newest report in Unix nanoseconds.
 	reportedAt atomic.Int64
 
@@ -115,9 +124,21 @@
 	}
 	l.foreignRequests.Store(requests)
 	l.foreignTokens.Store(tokens)
+	first := l.reportedAt.Load() == 0
+	follow(&l.usualRequests, float64(requests), first)
+	follow(&l.usualTokens, float64(tokens), first)
 	l.reportedAt.Store(asOf)
 }
 
+// follow moves the average towards the value. The caller holds mu.
+func follow(average *atomic.Uint64, value float64, first bool) {
+	old := math.Float64frombits(average.Load())
+	if first {
+		old = value
+	}
+	average.Store(math.Float64bits(old + usualGain*(value-old)))
+}
+
 // idle tells whether this daemon has nothing in flight.
 func (l *load) idle() bool { return sum(&l.requests) == 0 }
 
@@ -137,9 +158,10 @@
 	ahead float64
 }
 
-// view returns the load for a request of the priority. Work of others counts as
-// of the same priority; it fades when reports stop coming.
-func (l *load) view(priority int, now int64, fresh time.Duration) view {
+// view returns the load for a request of the priority, at an engine that
+// generates rate tokens a second for each request. Work of others counts as of
+// the same priority; it fades when reports stop coming.
+func (l *load) view(priority int, now int64, fresh time.Duration, rate float64) view {
 	var v view
 	for i := range priorities {
 		n := float64(l.requests[i].Load())
@@ -149,15 +171,42 @@
 			v.ahead += n
 		}
 	}
-	if f := l.foreignRequests.Load(); f > 0 {
-		weight := freshness(now-l.reportedAt.Load(), int64(fresh))
-		v.requests += weight * float64(f)
-		v.ahead += weight * float64(f)
-		v.tokens += weight * float64(l.foreignTokens.Load())
+	reportedAt := l.reportedAt.Load()
+	if reportedAt == 0 {
+		return v
 	}
+	age := now - reportedAt
+	weight := freshness(age, int64(fresh))
+	requests, tokens := l.others(age, rate)
+	v.requests += weight * requests
+	v.ahead += weight * requests
+	v.tokens += weight * tokens
 	return v
 }
 
+// others estimates the others' work from a report of the given age. What ran
+// then ends in time and is replaced by as much as usual. Without this all
+// daemons would rush to the engine that was least busy at the last report.
+func (l *load) others(age int64, rate float64) (requests, tokens float64) {
+	requests, tokens = float64(l.foreignRequests.Load()), float64(l.foreignTokens.Load())
+	usualRequests := math.Float64frombits(l.usualRequests.Load())
+	usualTokens := math.Float64frombits(l.usualTokens.Load())
+	left := remaining(max(requests, usualRequests), max(tokens, usualTokens), rate)
+	kept := 0.0
+	if left > 0 {
+		kept = math.Exp(-max(0, float64(age)) / float64(time.Second) / left)
+	}
+	return usualRequests + kept*(requests-usualRequests), usualTokens + kept*(tokens-usualTokens)
+}
+
+// remaining is the mean time in seconds that running requests still need.
+func remaining(requests, tokens, rate float64) float64 {
+	if requests <= 0 || rate <= 0 {
+		return 0
+	}
+	return tokens / requests / rate
+}
+
 // freshness is 1 up to the age fresh and falls to 0 at three times that.
 func freshness(age, fresh int64) float64 {
 	switch {
--- a/balance/options.go
+++ b/balance/options.go
@@ -18,6 +18,9 @@
 	// BatchSlowdown is the share of the work in progress that counts as wait
 	// while an engine still has free slots.
 	BatchSlowdown float64
+	// AffinityMin is the least time to read a prompt for which cached prefixes
+	// count.
+	AffinityMin time.Duration
 	// AffinityMax bounds what a cached prefix may save in the comparison.
 	AffinityMax time.Duration
 	// AffinityHalfLife halves the belief in a cached prefix since the last
@@ -64,6 +67,7 @@
 		PrefillTokensPerSecond: 8000,
 		PromptWeight:           0.05,
 		BatchSlowdown:          0.1,
+		AffinityMin:            50 * time.Millisecond,
 		AffinityMax:            500 * time.Millisecond,
 		AffinityHalfLife:       2 * time.Minute,
 		AffinityEntries:        1 << 14,
@@ -106,6 +110,7 @@
 		{o.PrefillTokensPerSecond > 0, "PrefillTokensPerSecond", "above 0"},
 		{o.PromptWeight >= 0, "PromptWeight", "at least 0"},
 		{o.BatchSlowdown >= 0 && o.BatchSlowdown <= 1, "BatchSlowdown", "from 0 to 1"},
+		{o.AffinityMin >= 0, "AffinityMin", "at least 0"},
 		{o.AffinityMax >= 0, "AffinityMax", "at least 0"},
 		{o.AffinityHalfLife > 0, "AffinityHalfLife", "above 0"},
 		{o.AffinityEntries > 0, "AffinityEntries", "above 0"},
--- a/balance/slow.go
+++ b/balance/slow.go
@@ -114,7 +114,7 @@
 	slots, requests := 0.0, 0.0
 	for _, i := range members {
 		e := p.engines[i]
-		requests += e.load.view(0, now.UnixNano(), s.options.ReportFresh).requests
+		requests += e.load.view(0, now.UnixNano(), s.options.ReportFresh, p.capacity[i].rate).requests
 		if phase(e.health.phase.Load()) == admitted && !e.closed.Load() {
 			slots += p.capacity[i].slots
 		}
