Show operators every role and its parts

Cause: status named only the watchers. Before and after: ledger writers, limit coordinators, quality aggregators and pool orders show; the new test finds each of 32 shards, the limits, versions and pools at exactly one of three daemons.

--- a/daemon_test.go
+++ b/daemon_test.go
@@ -3,14 +3,19 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	qt "github.com/frankban/quicktest"
 
 	"github.com/bronzeturn/bronzeturn/demo"
 	"github.com/bronzeturn/bronzeturn/examples"
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/operator"
+	"github.com/bronzeturn/bronzeturn/security"
 )
 
 // waitLimit bounds waits for what has to happen; it is no measure of time.
@@ -42,3 +47,40 @@
 		c.Assert(got.Check(request), qt.IsNil)
 	}
 }
+
+func TestEveryRoleHasExactlyOnePreferredDaemon(t *testing.T) {
+	c := qt.New(t)
+	p, f := startFleet(c, examples.Andina, 3)
+	const shards = 32
+	register := p.Register
+	parts := shards + len(p.Rules.GetLimits()) + len(register.GetVersions()) + len(register.GetPools())
+	holders := roleHolders(c, f)
+	for limit := time.Now().Add(waitLimit); len(holders) < parts && time.Now().Before(limit); {
+		// A daemon knows the shards once it has read the layout of the ledger.
+		holders = roleHolders(c, f)
+	}
+	c.Assert(holders, qt.HasLen, parts)
+	for part, count := range holders {
+		c.Check(count, qt.Equals, 1, qt.Commentf("%s", part))
+	}
+}
+
+// roleHolders counts the daemons that hold each part of each role.
+func roleHolders(c *qt.C, f *demo.Fleet) map[string]int {
+	holders := make(map[string]int)
+	for _, d := range f.Daemons {
+		client := operator.NewClient(plaintext, "http://"+d.OperatorAddress())
+		answer, err := client.Status(context.Background(), connect.NewRequest(&bronzeturnv1.StatusRequest{LocalOnly: true}))
+		c.Assert(err, qt.IsNil)
+		for _, role := range answer.Msg.GetDaemons()[0].GetRoles() {
+			for _, part := range role.GetParts() {
+				holders[role.GetKind().String()+"/"+part]++
+			}
+		}
+	}
+	return holders
+}
+
+// plaintext speaks HTTP/2 without TLS, as the operators' listener does under
+// its insecure flag.
+var plaintext = &http.Client{Transport: security.NewTransport(nil, (&net.Dialer{}).DialContext)}
--- /dev/null
+++ b/roles.go
@@ -0,0 +1,56 @@
+package bronzeturn
+
+import (
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/orders"
+	"github.com/bronzeturn/bronzeturn/quality"
+)
+
+// roles lists the work for the fleet that this daemon is preferred for now.
+func (d *Daemon) roles() []*bronzeturnv1.Role {
+	var roles []*bronzeturnv1.Role
+	if d.fleet.members.Watching() {
+		roles = append(roles,
+			&bronzeturnv1.Role{Kind: bronzeturnv1.RoleKind_ROLE_KIND_CONFIGURATION_WATCHER},
+			&bronzeturnv1.Role{Kind: bronzeturnv1.RoleKind_ROLE_KIND_HOST_LIST_WATCHER},
+		)
+	}
+	roles = appendRole(roles, bronzeturnv1.RoleKind_ROLE_KIND_LEDGER_WRITER, d.fleet.ledger.PreferredShards())
+	tables := d.tables.Load()
+	if tables == nil {
+		return roles
+	}
+	limits := tables.Snapshot.Rules().GetLimits()
+	roles = appendRole(roles, bronzeturnv1.RoleKind_ROLE_KIND_LIMIT_COORDINATOR, d.decisions.admission.Coordinated(limits))
+	var versions, pools []string
+	for _, v := range tables.Snapshot.Register().GetVersions() {
+		versions = append(versions, v.GetName())
+	}
+	for _, p := range tables.Snapshot.Register().GetPools() {
+		pools = append(pools, p.GetName())
+	}
+	roles = appendRole(roles, bronzeturnv1.RoleKind_ROLE_KIND_QUALITY_AGGREGATOR, d.owned(quality.TablePrefix, versions))
+	if d.orders != nil {
+		roles = appendRole(roles, bronzeturnv1.RoleKind_ROLE_KIND_POOL_ORDERS, d.owned(orders.KeyPrefix, pools))
+	}
+	return roles
+}
+
+// owned returns those names whose keys this daemon is the preferred owner of.
+func (d *Daemon) owned(prefix string, names []string) []string {
+	var owned []string
+	for _, name := range names {
+		if _, self := d.fleet.members.Owner(prefix + name); self {
+			owned = append(owned, name)
+		}
+	}
+	return owned
+}
+
+// appendRole adds a role that covers at least one part.
+func appendRole(roles []*bronzeturnv1.Role, kind bronzeturnv1.RoleKind, parts []string) []*bronzeturnv1.Role {
+	if len(parts) == 0 {
+		return roles
+	}
+	return append(roles, &bronzeturnv1.Role{Kind: kind, Parts: parts})
+}
--- a/status.go
+++ b/status.go
@@ -62,18 +62,6 @@
 	return r
 }
 
-// roles lists the work for the fleet that this daemon does.
-func (d *Daemon) roles() []*bronzeturnv1.Role {
-	var roles []*bronzeturnv1.Role
-	if d.fleet.members.Watching() {
-		roles = append(roles,
-			&bronzeturnv1.Role{Kind: bronzeturnv1.RoleKind_ROLE_KIND_CONFIGURATION_WATCHER},
-			&bronzeturnv1.Role{Kind: bronzeturnv1.RoleKind_ROLE_KIND_HOST_LIST_WATCHER},
-		)
-	}
-	return roles
-}
-
 // sightings is what this daemon knows about the others.
 func (d *Daemon) sightings() []*bronzeturnv1.Sighting {
 	var all []*bronzeturnv1.Sighting
