Keep a refusal shown until a later confirmation clears it

Cause: a watch that began before a bad head was refused confirmed the head in force afterwards and hid the refusal for good, since the bad head is not offered twice. Conclusion: a real fault in what operators see; mended.

--- a/provider/install.go
+++ b/provider/install.go
@@ -126,7 +126,7 @@
 	snapshot, err := config.Build(c.head, values)
 	if err != nil {
 		p.mu.Lock()
-		p.state.refuse(c, err)
+		p.state.refuse(c, err, time.Now())
 		p.fetched = nil
 		p.mu.Unlock()
 		p.metrics.refused.WithLabelValues(string(c.source)).Inc()
--- a/provider/provider.go
+++ b/provider/provider.go
@@ -240,7 +240,7 @@
 	digest := config.DigestOf(value)
 	p.mu.Lock()
 	known := p.state.problem != nil && p.rejected == digest
-	p.state.problem = err
+	p.state.trouble(err, time.Now())
 	p.rejected = digest
 	p.mu.Unlock()
 	p.metrics.refused.WithLabelValues(string(source)).Inc()
--- a/provider/state.go
+++ b/provider/state.go
@@ -79,8 +79,10 @@
 	pending *candidate
 	// refused is the last head that was refused whole.
 	refused *candidate
-	// problem is the last refusal that is still of interest.
-	problem error
+	// problem is the last refusal that is still of interest, problemAt when it
+	// was found.
+	problem   error
+	problemAt time.Time
 	// newest is the highest generation heard of.
 	newest uint64
 	// behindSince is when a generation above the one in force was first heard
@@ -104,13 +106,13 @@
 		return verdictOlder, nil
 	}
 	if c.generation() == s.inForce.generation() {
-		return verdictDivergent, s.diverge(s.inForce, c)
+		return verdictDivergent, s.diverge(s.inForce, c, now)
 	}
 	if s.pending != nil && c.generation() < s.pending.generation() {
 		return verdictOlder, nil
 	}
 	if s.pending != nil && c.generation() == s.pending.generation() && c.source != SourceStore {
-		return verdictDivergent, s.diverge(s.pending, c)
+		return verdictDivergent, s.diverge(s.pending, c, now)
 	}
 	s.pending = c
 	c.seen = now
@@ -119,8 +121,8 @@
 }
 
 // diverge records a head whose generation is known with another content.
-func (s *state) diverge(known, c *candidate) error {
-	s.problem = &DivergentError{Generation: c.generation(), Have: known.digest, Offered: c.digest, Source: c.source}
+func (s *state) diverge(known, c *candidate, now time.Time) error {
+	s.trouble(&DivergentError{Generation: c.generation(), Have: known.digest, Offered: c.digest, Source: c.source}, now)
 	return s.problem
 }
 
@@ -158,18 +160,25 @@
 	return true
 }
 
+// trouble records a refusal.
+func (s *state) trouble(err error, now time.Time) {
+	s.problem = err
+	s.problemAt = now
+}
+
 // refuse records that the candidate is bad. What was in force stays, and the
 // daemon does not count as behind unless a peer says that it runs a newer one.
-func (s *state) refuse(c *candidate, err error) {
+func (s *state) refuse(c *candidate, err error, now time.Time) {
 	s.refused = c
-	s.problem = err
+	s.trouble(err, now)
 	if s.pending == c {
 		s.pending = nil
 		s.behindSince = time.Time{}
 	}
 }
 
-// confirmStore takes note that the store named this head at the given time.
+// confirmStore takes note that the store named this head at the given time. A
+// call that began before the last refusal says nothing about it.
 func (s *state) confirmStore(digest config.Digest, at time.Time) {
 	if s.pending != nil && s.pending.digest == digest {
 		s.pending.confirmed = at
@@ -186,7 +195,7 @@
 		s.behindSince = time.Time{}
 	}
 	var divergent *DivergentError
-	if inForce && !errors.As(s.problem, &divergent) {
+	if inForce && at.After(s.problemAt) && !errors.As(s.problem, &divergent) {
 		s.problem = nil
 	}
 }
--- a/provider/state_test.go
+++ b/provider/state_test.go
@@ -57,7 +57,7 @@
 				}
 			case 1:
 				if s.pending != nil {
-					s.refuse(s.pending, errCut)
+					s.refuse(s.pending, errCut, now)
 				}
 			}
 			if s.inForce.generation() < before {
@@ -134,3 +134,19 @@
 		previous = next
 	}
 }
+
+func TestConfirmationBegunBeforeARefusalDoesNotHideIt(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(1000, 0)
+	good := newCandidate(1, "good", SourceStore)
+	bad := newCandidate(2, "bad", SourceStore)
+	var s state
+	_, _ = s.offer(good, start)
+	c.Assert(s.install(good), qt.IsTrue)
+	_, _ = s.offer(bad, start)
+	s.refuse(bad, ErrHeadMissing, start.Add(time.Second))
+	s.confirmStore(good.digest, start)
+	c.Assert(s.problem, qt.Equals, ErrHeadMissing)
+	s.confirmStore(good.digest, start.Add(2*time.Second))
+	c.Assert(s.problem, qt.IsNil)
+}
