--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
 	"connectrpc.com/connect"
@@ -64,6 +65,9 @@
 		{"refusal", &caller.RefusalError{}, ExitRefused},
 		{"operator not allowed", connect.NewError(connect.CodePermissionDenied, io.EOF), ExitRefused},
 		{"operator's daemon down", connect.NewError(connect.CodeUnavailable, io.EOF), ExitUnavailable},
+		{"operator's daemon reset the connection", connect.NewError(connect.CodeCanceled, fmt.Errorf("write: %w", syscall.ECONNRESET)), ExitUnavailable},
+		{"operator's daemon closed the connection", connect.NewError(connect.CodeCanceled, fmt.Errorf("write: %w", syscall.EPIPE)), ExitUnavailable},
+		{"canceled by the operator", connect.NewError(connect.CodeCanceled, context.Canceled), ExitFailure},
 		{"operator's daemon failing", connect.NewError(connect.CodeInternal, io.EOF), ExitFailure},
 	}
 	for _, test := range tests {
--- a/cli/document_test.go
+++ b/cli/document_test.go
@@ -146,6 +146,43 @@
 	qt.Check(t, daemons, qt.Equals, 3)
 }
 
+func TestReadmeAndArchitectureNameEveryPackage(t *testing.T) {
+	entries, err := os.ReadDir("..")
+	qt.Assert(t, err, qt.IsNil)
+	var packages []string
+	for _, entry := range entries {
+		sources, err := filepath.Glob(filepath.Join("..", entry.Name(), "*.go"))
+		qt.Assert(t, err, qt.IsNil)
+		if entry.IsDir() && len(sources) > 0 {
+			packages = append(packages, entry.Name())
+		}
+	}
+	qt.Assert(t, len(packages) > 30, qt.IsTrue)
+	for _, path := range []string{"../README.md", "../docs/ARCHITECTURE.md"} {
+		page, err := os.ReadFile(path)
+		qt.Assert(t, err, qt.IsNil)
+		for _, name := range packages {
+			named := strings.Contains(string(page), "`"+name+"`") || strings.Contains(string(page), "`"+name+"/")
+			qt.Check(t, named, qt.IsTrue, qt.Commentf("%s in %s", name, path))
+		}
+	}
+}
+
+var pageLink = regexp.MustCompile(`\]\(([^)#:]+)\)`)
+
+func TestReadmeAndArchitectureLinkToWhatExists(t *testing.T) {
+	for _, path := range []string{"../README.md", "../docs/ARCHITECTURE.md"} {
+		page, err := os.ReadFile(path)
+		qt.Assert(t, err, qt.IsNil)
+		links := pageLink.FindAllStringSubmatch(string(page), -1)
+		qt.Check(t, len(links) > 0, qt.IsTrue)
+		for _, link := range links {
+			_, err := os.Stat(filepath.Join(filepath.Dir(path), link[1]))
+			qt.Check(t, err, qt.IsNil, qt.Commentf("%s in %s", link[1], path))
+		}
+	}
+}
+
 // literals returns the string literals of the repository's sources, tests and
 // generated files left out.
 func literals(t *testing.T) map[string]bool {
--- a/cli/exit.go
+++ b/cli/exit.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
@@ -56,14 +57,18 @@
 	case errors.As(err, &silent), errors.Is(err, load.ErrNoAnswer), errors.Is(err, context.DeadlineExceeded):
 		return ExitUnavailable
 	case errors.As(err, &asked):
-		return exitCodeOfConnect(asked.Code())
+		return exitCodeOfConnect(asked)
 	default:
 		return exitCodeOfConfig(err)
 	}
 }
 
-func exitCodeOfConnect(code connect.Code) int {
-	switch code {
+func exitCodeOfConnect(err *connect.Error) int {
+	// Connect calls a connection that the daemon reset canceled.
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		return ExitUnavailable
+	}
+	switch err.Code() {
 	case connect.CodeUnavailable, connect.CodeDeadlineExceeded:
 		return ExitUnavailable
 	case connect.CodeInvalidArgument:
