--- a/demo/platform.go
+++ b/demo/platform.go
@@ -50,6 +50,9 @@
 
 	StoreURL, HostsURL, RatingURL, WeightsURL string
 
+	// engineConfig gives the properties of an engine's stand-in.
+	engineConfig func(*bronzeturnv1.Engine) standin.EngineConfig
+
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 }
@@ -61,15 +64,27 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	p := &Platform{Register: register, Rules: rules, Engines: make(map[string]*standin.Engine), cancel: cancel}
-	if err := p.start(ctx, daemons); err != nil {
+	p := &Platform{Register: register, Rules: rules, engineConfig: engineConfig}
+	if err := p.start(daemons); err != nil {
 		p.Stop()
 		return nil, err
 	}
 	return p, nil
 }
 
+// engineConfig gives an engine the properties that the register states, faster
+// by speedUp.
+func engineConfig(e *bronzeturnv1.Engine) standin.EngineConfig {
+	return standin.EngineConfig{
+		Versions:               e.GetVersions(),
+		Slots:                  int(e.GetSlots()),
+		TokensPerSecond:        e.GetTokensPerSecond() * speedUp,
+		PrefillTokensPerSecond: prefillTokensPerSecond,
+		AnswerTokens:           answerTokens,
+		ReportLag:              reportLag,
+	}
+}
+
 // readExample decodes the register and the rules of an example.
 func readExample(example string) (*bronzeturnv1.Register, *bronzeturnv1.Rules, error) {
 	registerFile := example + "/register.yaml"
@@ -96,7 +111,10 @@
 }
 
 // start starts each stand-in and writes its address into the register.
-func (p *Platform) start(ctx context.Context, daemons int) error {
+func (p *Platform) start(daemons int) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	p.Engines = make(map[string]*standin.Engine)
 	p.Store = standin.NewObjectAPI(standin.ObjectAPIConfig{})
 	p.Hosts = standin.NewHostList(standin.HostListConfig{Lag: hostListLag, Hosts: p.hosts(daemons)})
 	p.Rating = standin.NewRating(standin.RatingConfig{Quality: p.qualities(), Noise: ratingNoise, Lag: ratingLag})
@@ -140,15 +158,9 @@
 		fenced[pool.GetName()] = pool.GetChecksFencing()
 	}
 	for _, e := range p.Register.GetEngines() {
-		engine := standin.NewEngine(standin.EngineConfig{
-			Versions:               e.GetVersions(),
-			Slots:                  int(e.GetSlots()),
-			TokensPerSecond:        e.GetTokensPerSecond() * speedUp,
-			PrefillTokensPerSecond: prefillTokensPerSecond,
-			AnswerTokens:           answerTokens,
-			ReportLag:              reportLag,
-			CheckFencing:           fenced[e.GetPool()],
-		})
+		c := p.engineConfig(e)
+		c.CheckFencing = fenced[e.GetPool()]
+		engine := standin.NewEngine(c)
 		address, err := p.serve(ctx, engine)
 		if err != nil {
 			return err
