Prove the router's refusals and promises, and mend what the tests found

Cause: package router had no tests. Those written now run real decisions, a real ledger over a store in memory and stand-in engines in virtual time. Mended, each with the test that shows it: - Bill and claim outcome were written at the same time: a failed bill left an answer that a repeat got for nothing. Now the bill first, then the outcome; a failed bill leaves the claim unknown. - A caller that lost the connection after the answer was settled turned its claim from done to unknown. - The balancer learnt the whole latency of an unstreamed answer as that of the first token, and counted the time of bill and caller as generation. It hears of the end now when the last event comes, exactly once. - A hedge could go to an engine on probation. - A repeat held a place within its organisation's limits while it waited, and heard 'still runs' of a request that had turned out not to have run. - When no engine gave the stronger answer of a cascade the caller got an error instead of the cheap answer; held answers that did not pass the check were sampled as accepted; a silent caller of a held answer held its place for good. - Reading a body had no bound in time; a length over the limit was read before it was refused; headers had the library's bound of 1 MB. - A write deadline could end an HTTP/2 stream while the answer waited for the bill. - An engine's words, which may quote the prompt, and an unparsable deadline header got into the log. Unknown paths answered in another shape. - No attempt begins after the deadline, by the clock as well as the timer. Ruled out: writing outcome and bill together with a mark, for a second kind of claim state; a fencing number over all keys, for one hot object.

--- a/router/admit.go
+++ b/router/admit.go
@@ -15,10 +15,16 @@
 	reservation *ledger.Reservation
 	ticket      *admission.Ticket
 	used        admission.Used
+	released    bool
 }
 
-// release gives everything back and settles what was used.
+// release gives everything back and settles what was used. Only the first call
+// has an effect.
 func (g *grant) release() {
+	if g.released {
+		return
+	}
+	g.released = true
 	g.ticket.Release(g.used)
 	g.reservation.Release()
 }
--- a/router/answer.go
+++ b/router/answer.go
@@ -58,19 +58,37 @@
 func (a *answer) flush() error { return a.control.Flush() }
 
 // extendDeadline moves the write deadline, at most a few times per stall time,
-// since each move costs more than the write of one token.
+// since each move costs more than the write of one token. The deadline is never
+// less than the stall time away, since HTTP/2 ends a stream at it even when
+// nothing is being written.
 func (a *answer) extendDeadline() {
 	const movesPerStall = 4
 	if a.stall <= 0 {
 		return
 	}
-	now := time.Now()
-	if now.Sub(a.deadlineSet) < a.stall/movesPerStall {
+	now, step := time.Now(), a.stall/movesPerStall
+	if now.Sub(a.deadlineSet) < step {
 		return
 	}
 	a.deadlineSet = now
 	// A writer without deadlines, as in tests, needs none.
-	_ = a.control.SetWriteDeadline(now.Add(a.stall))
+	_ = a.control.SetWriteDeadline(now.Add(a.stall + step))
+}
+
+// clearDeadline takes the write deadline away while the answer waits for
+// something else than the caller.
+func (a *answer) clearDeadline() {
+	if a.deadlineSet.IsZero() {
+		return
+	}
+	a.deadlineSet = time.Time{}
+	_ = a.control.SetWriteDeadline(time.Time{})
+}
+
+// setReadDeadline bounds the reading of the request's body. The zero time means
+// no bound.
+func (a *answer) setReadDeadline(t time.Time) {
+	_ = a.control.SetReadDeadline(t) // A reader without deadlines needs none.
 }
 
 // fail ends the request with a failure. After the first byte of an answer the
@@ -80,8 +98,10 @@
 		writeFailure(a.w, f)
 		return
 	}
-	_ = a.write(brokenEvent(f))
-	_ = a.flush()
+	if a.call.chat.stream {
+		_ = a.write(brokenEvent(f))
+		_ = a.flush()
+	}
 	panic(http.ErrAbortHandler)
 }
 
--- a/router/answerchat.go
+++ b/router/answerchat.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/bronzeturn/bronzeturn/balance"
 	"github.com/bronzeturn/bronzeturn/engine"
 	"github.com/bronzeturn/bronzeturn/failure"
 	"github.com/bronzeturn/bronzeturn/ledger"
@@ -25,6 +24,7 @@
 // answerChat runs a request that may be dispatched, and records how it ended.
 func (r *Router) answerChat(ctx context.Context, a *answer, c *call, d *selection.Decision, g *grant, held claim) *failure.Error {
 	r.logVersion(c, d)
+	a.stall = c.kind.GetProgressTimeout().AsDuration()
 	s := &settlement{router: r, call: c, claim: held, grant: g}
 	f := r.runSteps(ctx, a, c, d, s)
 	if f != nil {
@@ -60,14 +60,11 @@
 // is recorded.
 func (r *Router) deliver(ctx context.Context, a *answer, c *call, t *attempt, s *settlement) *failure.Error {
 	defer t.close()
-	a.stall = c.kind.GetProgressTimeout().AsDuration()
 	p := &pump{router: r, answer: a, call: c, attempt: t, settlement: s}
-	err := p.run()
-	if err == nil {
-		r.finished(t, p.events)
-		return nil
+	if err := p.run(); err != nil {
+		return p.ended(ctx, err)
 	}
-	return p.ended(ctx, err)
+	return nil
 }
 
 // close ends the exchange with the engine.
@@ -76,20 +73,6 @@
 	t.cancel()
 }
 
-// finished tells the balancer that an answer is whole.
-func (r *Router) finished(t *attempt, events int64) {
-	now := time.Now()
-	r.metrics.attempts.WithLabelValues(codeOK).Inc()
-	tokens := events
-	if u, ok := t.stream.Usage(); ok {
-		tokens = u.CompletionTokens
-	}
-	r.Engines.Finished(balance.Finished{
-		Engine: t.engine, Work: t.work, FirstTokenSeen: true,
-		Tokens: tokens, Generation: now.Sub(t.firstAt), At: now,
-	})
-}
-
 // pump moves the events of one answer from the engine to the caller.
 type pump struct {
 	router     *Router
@@ -143,11 +126,13 @@
 
 // last records bill and outcome, then sends the end of the answer.
 func (p *pump) last(data []byte) error {
+	p.router.finished(p.attempt, p.events)
 	if p.answer.started {
 		// What came before must not wait for the bill.
 		if err := p.answer.flush(); err != nil {
 			return &answerError{Cause: err}
 		}
+		p.answer.clearDeadline()
 	}
 	p.keep(data)
 	usage := p.usage()
@@ -227,7 +212,6 @@
 		p.settlement.interrupted(p, true)
 		return callerGone(e, failure.RanYes)
 	default:
-		p.router.finished(p.attempt, p.events)
 		return failure.From(err)
 	}
 }
--- a/router/cascade.go
+++ b/router/cascade.go
@@ -21,7 +21,8 @@
 var checker = cascade.BasicChecker{}
 
 // runCascade holds the cheap answer back until it is checked. Only when the
-// check finds a fault does the stronger version run, and its answer is sent.
+// check finds a fault does the stronger version run, and its answer is sent. The
+// cheap answer is sent after all when no engine answers for the stronger one.
 func (r *Router) runCascade(ctx context.Context, a *answer, c *call, d *selection.Decision, s *settlement) *failure.Error {
 	cheap, f := r.start(ctx, c, d.Version, s)
 	if f != nil {
@@ -33,24 +34,30 @@
 		return r.heldFailed(ctx, cheap, held, s, err)
 	}
 	r.finished(cheap, held.events)
-	next := r.afterCheck(c, d, held)
+	next := r.afterCheck(c, d, held, s)
 	if next == "" {
 		return r.deliverHeld(a, c, cheap, held, s)
 	}
 	cheap.close()
-	s.add(d.Version, held.usage)
-	r.metrics.escalations.Inc()
 	strong, f := r.start(ctx, c, next, s)
+	if f != nil && ctx.Err() == nil {
+		// The answer at hand is better than none.
+		return r.deliverHeld(a, c, cheap, held, s)
+	}
+	s.add(d.Version, held.usage)
 	if f != nil {
 		f.Ran = failure.RanYes
 		return f
 	}
+	s.accepted = false
+	r.metrics.escalations.Inc()
 	return r.deliver(ctx, a, c, strong, s)
 }
 
 // afterCheck checks the cheap answer and returns the version to run next, or "".
-func (r *Router) afterCheck(c *call, d *selection.Decision, held *heldAnswer) string {
+func (r *Router) afterCheck(c *call, d *selection.Decision, held *heldAnswer, s *settlement) string {
 	verdict := checker.Check(held.describe(c))
+	s.accepted = verdict.OK()
 	r.Quality.Checked(quality.Checked{Version: d.Version, Kind: c.kind.GetName(), Flagged: !verdict.OK()})
 	newest := r.Tables().Snapshot
 	decision := cascade.Next(&d.Cascade, &cascade.State{
@@ -62,10 +69,9 @@
 	return decision.Version
 }
 
-// deliverHeld sends a cheap answer that passed.
+// deliverHeld sends a cheap answer that passed, or that no other replaces.
 func (r *Router) deliverHeld(a *answer, c *call, t *attempt, held *heldAnswer, s *settlement) *failure.Error {
 	defer t.close()
-	s.accepted = true
 	p := &pump{router: r, answer: a, call: c, attempt: t, settlement: s, events: held.events}
 	for _, event := range held.data[:len(held.data)-1] {
 		if err := p.forward(event); err != nil {
--- a/router/chat.go
+++ b/router/chat.go
@@ -18,11 +18,11 @@
 }
 
 // prepareChat reads headers and body of a chat completion.
-func (r *Router) prepareChat(req *http.Request, c *call) *failure.Error {
+func (r *Router) prepareChat(req *http.Request, a *answer, c *call) *failure.Error {
 	if f := r.prepareKind(req.Header, c, req.Header.Get(callerapi.HeaderKind)); f != nil {
 		return f
 	}
-	body, f := readBody(req, r.MaxBodyBytes)
+	body, f := r.readBody(req, a, c)
 	if f != nil {
 		return f
 	}
@@ -70,7 +70,7 @@
 		return f
 	}
 	defer grant.release()
-	claim, f := r.claim(ctx, a, c)
+	claim, f := r.claim(ctx, a, c, grant)
 	if f != nil || claim.replayed {
 		return f
 	}
--- a/router/claim.go
+++ b/router/claim.go
@@ -34,8 +34,8 @@
 }
 
 // claim takes the claim of the request, or answers with the outcome of the one
-// that was first.
-func (r *Router) claim(ctx context.Context, a *answer, c *call) (claim, *failure.Error) {
+// that was first. Waiting for that takes no place from other requests.
+func (r *Router) claim(ctx context.Context, a *answer, c *call, g *grant) (claim, *failure.Error) {
 	if c.idempotencyKey == "" {
 		return claim{}, nil
 	}
@@ -52,6 +52,7 @@
 	if result.First {
 		return claim{held: true, ticket: result.Ticket}, nil
 	}
+	g.release()
 	return claim{replayed: true}, r.replay(ctx, a, c, result)
 }
 
@@ -70,9 +71,10 @@
 		if err != nil {
 			return failure.From(err)
 		}
-		if ok {
-			result = settled
+		if !ok {
+			settled.State = ledger.StateNotRun
 		}
+		result = settled
 	}
 	switch result.State {
 	case ledger.StateDone:
--- a/router/launch.go
+++ b/router/launch.go
@@ -38,6 +38,12 @@
 	cancel  context.CancelFunc
 	sentAt  time.Time
 	firstAt time.Time
+	// expected is the time to the first token that the balancer expected.
+	expected time.Duration
+	// whole tells that the answer comes in one piece.
+	whole bool
+	// reported tells that the balancer knows the end.
+	reported bool
 }
 
 // begin sends the request to engines, one after the other, until one begins to
@@ -45,7 +51,10 @@
 func (r *Router) begin(ctx context.Context, l *launch) (*attempt, *failure.Error) {
 	r.Budget.Request(time.Now())
 	for {
-		decision, f := r.chooseEngine(l)
+		if f := l.late(ctx); f != nil {
+			return nil, f
+		}
+		decision, f := r.chooseEngine(l, !l.call.idempotent())
 		if f != nil {
 			return nil, f
 		}
@@ -59,9 +68,23 @@
 	}
 }
 
+// late refuses an attempt that would begin after the request has ended. It
+// compares the clock too, since the timer of the context of a process that was
+// frozen may not have run yet.
+func (l *launch) late(ctx context.Context) *failure.Error {
+	switch {
+	case !time.Now().Before(l.call.deadline):
+		return failure.New(failure.CodeDeadlinePassed, l.ran, "the deadline passed before an answer came")
+	case ctx.Err() != nil:
+		return failure.New(failure.CodeCanceled, l.ran, "the request was canceled")
+	}
+	return nil
+}
+
 // chooseEngine checks the version against the newest configuration and picks
-// an engine for it. It is called before each attempt.
-func (r *Router) chooseEngine(l *launch) (balance.Decision, *failure.Error) {
+// an engine for it. It is called before each attempt. noProbe keeps the request
+// away from engines on probation.
+func (r *Router) chooseEngine(l *launch, noProbe bool) (balance.Decision, *failure.Error) {
 	newest := r.Tables()
 	if f := checkUsable(newest.Snapshot, l.call.organisation.GetName(), l.version); f != nil {
 		f.Ran = l.ran
@@ -75,7 +98,7 @@
 		PrefixHash: l.call.chat.prefixHash,
 		Exclude:    l.tried,
 		Leaving:    r.Members.BackendLeaving,
-		NoProbe:    !l.call.idempotent(),
+		NoProbe:    noProbe,
 		MaxWait:    l.call.deadline.Sub(now),
 	}
 	var decision balance.Decision
@@ -104,7 +127,10 @@
 // calls for one launch may run at once.
 func (r *Router) send(ctx context.Context, l *launch, d *balance.Decision) (*attempt, *engine.Error) {
 	attemptCtx, cancel := context.WithCancel(ctx)
-	a := &attempt{engine: d.Engine.GetName(), version: l.version, work: l.work(), cancel: cancel, sentAt: time.Now()}
+	a := &attempt{
+		engine: d.Engine.GetName(), version: l.version, work: l.work(), cancel: cancel,
+		sentAt: time.Now(), expected: d.ExpectedFirstToken, whole: !l.call.chat.stream,
+	}
 	r.Engines.Dispatched(balance.Dispatched{Engine: a.engine, Work: a.work, PrefixHash: l.call.chat.prefixHash, At: a.sentAt})
 	err := r.open(attemptCtx, l, d, a)
 	if err != nil {
@@ -113,10 +139,7 @@
 		return nil, err
 	}
 	a.firstAt = time.Now()
-	r.Engines.FirstToken(balance.FirstToken{
-		Engine: a.engine, Work: a.work, Latency: a.firstAt.Sub(a.sentAt),
-		Expected: d.ExpectedFirstToken, At: a.firstAt,
-	})
+	r.firstToken(a)
 	return a, nil
 }
 
@@ -171,7 +194,7 @@
 	l.ran = worstRan(l.ran, err.Ran)
 	again, wait, reason := r.nextAttempt(retry.Attempt{
 		Kind:       retryKinds[err.Kind],
-		Ran:        err.Ran,
+		Ran:        l.ran,
 		Idempotent: l.call.idempotent(),
 		Number:     l.attempts,
 		Left:       time.Until(l.call.deadline),
@@ -201,8 +224,51 @@
 	}
 }
 
-// failed tells the balancer that an attempt got no answer.
+// firstToken tells the balancer that an answer began. The first token of an
+// answer that comes whole is not measured.
+func (r *Router) firstToken(a *attempt) {
+	ev := balance.FirstToken{Engine: a.engine, Work: a.work, Expected: a.expected, At: a.firstAt}
+	if !a.whole {
+		ev.Latency = a.firstAt.Sub(a.sentAt)
+	}
+	r.Engines.FirstToken(ev)
+}
+
+// finished tells the balancer that an answer is whole, unless it knows that
+// already. Call it when the last event came, since the engine is free then.
+func (r *Router) finished(a *attempt, events int64) {
+	if a.reported {
+		return
+	}
+	a.reported = true
+	now := time.Now()
+	r.metrics.attempts.WithLabelValues(codeOK).Inc()
+	tokens := max(events, 1)
+	if u, ok := a.stream.Usage(); ok {
+		tokens = u.CompletionTokens
+	}
+	r.Engines.Finished(balance.Finished{
+		Engine: a.engine, Work: a.work, FirstTokenSeen: true,
+		Tokens: tokens, Generation: a.generation(now), At: now,
+	})
+}
+
+// generation is the time from the first token to the last, estimated for an
+// answer that comes whole.
+func (a *attempt) generation(now time.Time) time.Duration {
+	if a.whole {
+		return max(a.firstAt.Sub(a.sentAt)-a.expected, 0)
+	}
+	return now.Sub(a.firstAt)
+}
+
+// failed tells the balancer that an attempt got no whole answer, unless it
+// knows the end already.
 func (r *Router) failed(a *attempt, err *engine.Error) {
+	if a.reported {
+		return
+	}
+	a.reported = true
 	now := time.Now()
 	r.metrics.attempts.WithLabelValues(string(err.Kind)).Inc()
 	kind, tells := balanceKinds[err.Kind]
--- a/router/log.go
+++ b/router/log.go
@@ -1,6 +1,9 @@
 package router
 
 import (
+	"errors"
+	"fmt"
+
 	"github.com/rs/zerolog"
 
 	"github.com/bronzeturn/bronzeturn/balance"
@@ -68,11 +71,21 @@
 func (r *Router) logFailure(c *call, f *failure.Error) {
 	e := with(r.Log.Info(), c).Str("code", string(f.Code)).Str("ran", string(f.Ran))
 	if cause := f.Unwrap(); cause != nil {
-		e.AnErr("cause", cause)
+		e.Str("cause", causeText(cause))
 	}
 	e.Msg("request failed")
 }
 
+// causeText describes a cause without the words of an engine, which may quote
+// the prompt.
+func causeText(err error) string {
+	var status *engine.StatusError
+	if errors.As(err, &status) {
+		return fmt.Sprintf("engine answered status %d", status.Status)
+	}
+	return err.Error()
+}
+
 // billed logs and counts a recorded bill, and learns from the answer.
 func (r *Router) billed(s *settlement, durability ledger.Durability) {
 	r.metrics.tokens.WithLabelValues(s.version, "prompt").Add(float64(s.promptTokens))
--- /dev/null
+++ b/router/network_test.go
@@ -0,0 +1,171 @@
+package router
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+)
+
+var (
+	errNoRoute = errors.New("connection refused")
+	errCut     = errors.New("connection cut")
+)
+
+// network carries requests to handlers in this process, without sockets, so
+// that virtual time works. It tells attempts how far they got, as
+// *http.Transport does.
+type network struct {
+	mu       sync.Mutex
+	handlers map[string]http.Handler
+	// reached lists the hosts in the order in which requests came.
+	reached []string
+	// active counts the handlers that run.
+	active int
+}
+
+func newNetwork() *network { return &network{handlers: make(map[string]http.Handler)} }
+
+// set puts a handler at a host. Nil refuses connections.
+func (n *network) set(host string, h http.Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[host] = h
+}
+
+// hosts returns the hosts that got requests so far.
+func (n *network) hosts() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]string(nil), n.reached...)
+}
+
+// busy returns how many handlers run.
+func (n *network) busy() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.active
+}
+
+// RoundTrip implements http.RoundTripper.
+func (n *network) RoundTrip(req *http.Request) (*http.Response, error) {
+	ctx := req.Context()
+	trace := httptrace.ContextClientTrace(ctx)
+	trace.GetConn(req.URL.Host)
+	n.mu.Lock()
+	handler := n.handlers[req.URL.Host]
+	n.mu.Unlock()
+	if handler == nil {
+		return nil, errNoRoute
+	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	trace.GotConn(httptrace.GotConnInfo{})
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return nil, err
+	}
+	trace.WroteHeaders()
+	n.mu.Lock()
+	n.reached = append(n.reached, req.URL.Host)
+	n.mu.Unlock()
+	x := newExchange(req, body)
+	go n.run(handler, x)
+	select {
+	case r := <-x.response:
+		return r, nil
+	case <-x.done:
+		return nil, errCut
+	case <-ctx.Done():
+		x.cancel()
+		return nil, ctx.Err()
+	}
+}
+
+// run lets the handler answer. An aborted handler cuts the connection.
+func (n *network) run(h http.Handler, x *exchange) {
+	n.count(1)
+	err := errCut
+	defer func() {
+		n.count(-1)
+		if recovered := recover(); recovered != nil && recovered != http.ErrAbortHandler {
+			panic(recovered)
+		}
+		_ = x.writer.CloseWithError(err)
+		close(x.done)
+	}()
+	h.ServeHTTP(x, x.request)
+	x.WriteHeader(http.StatusOK)
+	if x.request.Context().Err() == nil {
+		err = io.EOF
+	}
+}
+
+func (n *network) count(by int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.active += by
+}
+
+// exchange is one request at a handler. It implements http.ResponseWriter.
+type exchange struct {
+	request  *http.Request
+	cancel   context.CancelFunc
+	response chan *http.Response
+	done     chan struct{}
+	header   http.Header
+	writer   *io.PipeWriter
+	body     *exchangeBody
+	started  bool
+}
+
+func newExchange(req *http.Request, body []byte) *exchange {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(req.Context()))
+	context.AfterFunc(req.Context(), cancel)
+	reader, writer := io.Pipe()
+	context.AfterFunc(ctx, func() { _ = reader.CloseWithError(context.Canceled) })
+	inner := req.Clone(ctx)
+	inner.Body = io.NopCloser(bytes.NewReader(body))
+	return &exchange{
+		request: inner, cancel: cancel, header: make(http.Header), writer: writer,
+		response: make(chan *http.Response, 1), done: make(chan struct{}),
+		body: &exchangeBody{PipeReader: reader, cancel: cancel},
+	}
+}
+
+// exchangeBody is the answer. Closing it tells the handler that the client left.
+type exchangeBody struct {
+	*io.PipeReader
+	cancel context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (b *exchangeBody) Close() error {
+	b.cancel()
+	return b.PipeReader.Close()
+}
+
+// Header implements http.ResponseWriter.
+func (x *exchange) Header() http.Header { return x.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (x *exchange) WriteHeader(status int) {
+	if x.started {
+		return
+	}
+	x.started = true
+	x.response <- &http.Response{StatusCode: status, Header: x.header.Clone(), Body: x.body, ContentLength: -1}
+}
+
+// Write implements http.ResponseWriter.
+func (x *exchange) Write(p []byte) (int, error) {
+	x.WriteHeader(http.StatusOK)
+	return x.writer.Write(p)
+}
+
+// Flush implements http.Flusher.
+func (x *exchange) Flush() { x.WriteHeader(http.StatusOK) }
--- a/router/race.go
+++ b/router/race.go
@@ -121,7 +121,7 @@
 
 // secondEngine decides on a hedge and its engine.
 func (r *Router) secondEngine(l *launch, delay time.Duration, start time.Time) (*balance.Decision, bool) {
-	second, f := r.chooseEngine(l)
+	second, f := r.chooseEngine(l, true)
 	if f != nil {
 		return nil, false
 	}
--- a/router/request.go
+++ b/router/request.go
@@ -1,10 +1,12 @@
 package router
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -64,16 +66,26 @@
 	streamOptions map[string]json.RawMessage
 }
 
-// readBody reads at most limit bytes.
-func readBody(r *http.Request, limit int64) ([]byte, *failure.Error) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
+// readBody reads a body that is within the limit and comes before the deadline.
+func (r *Router) readBody(req *http.Request, a *answer, c *call) ([]byte, *failure.Error) {
+	tooLarge := failure.New(failure.CodeBodyTooLarge, failure.RanNo, "the body is over %d bytes", r.MaxBodyBytes)
+	if req.ContentLength > r.MaxBodyBytes {
+		return nil, tooLarge
+	}
+	a.setReadDeadline(c.deadline)
+	var body bytes.Buffer
+	body.Grow(int(max(req.ContentLength, 0)) + bytes.MinRead)
+	_, err := body.ReadFrom(io.LimitReader(req.Body, r.MaxBodyBytes+1))
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, failure.Wrap(err, failure.CodeDeadlinePassed, failure.RanNo, "the deadline passed before the body came")
+	case err != nil:
 		return nil, failure.Wrap(err, failure.CodeMalformedRequest, failure.RanNo, "the body could not be read")
+	case int64(body.Len()) > r.MaxBodyBytes:
+		return nil, tooLarge
 	}
-	if int64(len(data)) > limit {
-		return nil, failure.New(failure.CodeBodyTooLarge, failure.RanNo, "the body is over %d bytes", limit)
-	}
-	return data, nil
+	a.setReadDeadline(time.Time{})
+	return body.Bytes(), nil
 }
 
 // authenticate returns the organisation that the Authorization header names.
@@ -111,7 +123,8 @@
 	}
 	left, err := time.ParseDuration(value)
 	if err != nil {
-		return time.Time{}, failure.Wrap(err, failure.CodeMalformedRequest, failure.RanNo, "%s is not a duration", callerapi.HeaderDeadline)
+		// The error quotes the header, which is the caller's and unbounded.
+		return time.Time{}, failure.New(failure.CodeMalformedRequest, failure.RanNo, "%s is not a duration", callerapi.HeaderDeadline)
 	}
 	if left <= 0 {
 		return time.Time{}, failure.New(failure.CodeDeadlinePassed, failure.RanNo, "the deadline has passed")
--- a/router/router.go
+++ b/router/router.go
@@ -38,6 +38,16 @@
 	Call(ctx context.Context, c plainservice.Call) (*plainservice.Response, error)
 }
 
+// Balancer chooses engines and follows what they do. Each Dispatched is
+// followed by exactly one Finished or Failed.
+type Balancer interface {
+	Choose(p *balance.Plan, r *balance.Request, now time.Time, rng *rand.Rand) (balance.Decision, bool)
+	Dispatched(ev balance.Dispatched)
+	FirstToken(ev balance.FirstToken)
+	Finished(ev balance.Finished)
+	Failed(ev balance.Failed)
+}
+
 // Members tells about daemons and backend hosts.
 type Members interface {
 	// Entries returns the addresses that callers should use, best first, and
@@ -74,7 +84,7 @@
 
 	Versions  *selection.Policy
 	Quality   *quality.Store
-	Engines   *balance.State
+	Engines   Balancer
 	Hedges    *hedge.Policy
 	Retries   retry.Policy
 	Budget    *retry.Budget
@@ -113,7 +123,10 @@
 
 // Handler returns the handler of the caller listener.
 func (r *Router) Handler() http.Handler {
-	mux := bunrouter.New()
+	mux := bunrouter.New(
+		bunrouter.WithNotFoundHandler(serveUnknown),
+		bunrouter.WithMethodNotAllowedHandler(serveUnknown),
+	)
 	mux.GET(callerapi.PathEntries, r.serveEntries)
 	mux.POST(callerapi.PathChatCompletions, r.serveChat)
 	for _, method := range serviceMethods {
@@ -122,6 +135,12 @@
 	return mux
 }
 
+// serveUnknown answers a path or a method that does not exist.
+func serveUnknown(w http.ResponseWriter, _ bunrouter.Request) error {
+	writeFailure(w, failure.New(failure.CodeNotFound, failure.RanNo, "no such path or method"))
+	return nil
+}
+
 // StopAdmitting makes every new request a refusal that names other addresses.
 func (r *Router) StopAdmitting() { r.gate.close() }
 
--- a/router/serve.go
+++ b/router/serve.go
@@ -21,13 +21,16 @@
 // unknownKindLabel labels requests that failed before their kind was known.
 const unknownKindLabel = "none"
 
+// prepare reads the headers and the body of a request into the call.
+type prepare func(req *http.Request, a *answer, c *call) *failure.Error
+
 // run carries out a request after the checks that all requests share. It
 // returns nil when the caller got a whole answer.
 type run func(ctx context.Context, a *answer, c *call) *failure.Error
 
 // serve does what all requests share: admission to this daemon, identity, the
 // answer to failures, metrics.
-func (r *Router) serve(w http.ResponseWriter, req bunrouter.Request, prepare func(*http.Request, *call) *failure.Error, run run) error {
+func (r *Router) serve(w http.ResponseWriter, req bunrouter.Request, prepare prepare, run run) error {
 	c := &call{requestID: newRequestID(), received: time.Now()}
 	a := newAnswer(w, c)
 	w.Header().Set(callerapi.HeaderRequestID, c.requestID)
@@ -46,7 +49,7 @@
 }
 
 // process checks and runs one request.
-func (r *Router) process(req *http.Request, a *answer, c *call, prepare func(*http.Request, *call) *failure.Error, run run) *failure.Error {
+func (r *Router) process(req *http.Request, a *answer, c *call, prepare prepare, run run) *failure.Error {
 	if !r.gate.enter() {
 		return r.leavingFailure()
 	}
@@ -54,7 +57,7 @@
 	if f := r.identify(req, c); f != nil {
 		return f
 	}
-	if f := prepare(req, c); f != nil {
+	if f := prepare(req, a, c); f != nil {
 		return f
 	}
 	ctx, cancel := context.WithDeadline(req.Context(), c.deadline)
--- a/router/service.go
+++ b/router/service.go
@@ -29,7 +29,7 @@
 // serveService calls a plain service.
 func (r *Router) serveService(w http.ResponseWriter, req bunrouter.Request) error {
 	name := req.Param("name")
-	prepare := func(h *http.Request, c *call) *failure.Error { return r.prepareService(h, c, name) }
+	prepare := func(h *http.Request, a *answer, c *call) *failure.Error { return r.prepareService(h, a, c, name) }
 	run := func(ctx context.Context, a *answer, c *call) *failure.Error {
 		return r.runService(ctx, a, c, req.Request)
 	}
@@ -38,8 +38,9 @@
 
 // prepareService checks the right to call the service and reads the request.
 // An unknown service and one that is not allowed look alike.
-func (r *Router) prepareService(req *http.Request, c *call, name string) *failure.Error {
-	if f := r.prepareKind(req.Header, c, req.Header.Get(callerapi.HeaderKind)); f != nil {
+func (r *Router) prepareService(req *http.Request, a *answer, c *call, name string) *failure.Error {
+	f := r.prepareKind(req.Header, c, req.Header.Get(callerapi.HeaderKind))
+	if f != nil {
 		return f
 	}
 	s := c.tables.Snapshot
@@ -48,8 +49,7 @@
 		return failure.New(failure.CodeServiceNotAllowed, failure.RanNo, "the organisation may not use this service")
 	}
 	c.service = service
-	body, f := readBody(req, r.MaxBodyBytes)
-	c.body = body
+	c.body, f = r.readBody(req, a, c)
 	return f
 }
 
@@ -72,7 +72,7 @@
 	}
 	g := &grant{reservation: reservation, ticket: ticket}
 	defer g.release()
-	held, f := r.claim(ctx, a, c)
+	held, f := r.claim(ctx, a, c, g)
 	if f != nil || held.replayed {
 		return f
 	}
@@ -167,7 +167,7 @@
 	}
 	header.Set(engine.HeaderRequestID, c.requestID)
 	response, err := r.ServiceClient.Call(ctx, plainservice.Call{
-		Address: i.GetAddress(), Method: req.Method, Path: servicePath(req, c.service.GetName()),
+		Address: i.GetAddress(), Method: req.Method, Path: servicePath(req),
 		Header: header, Body: c.body, Idempotent: c.idempotent(),
 		ProgressTimeout: c.kind.GetProgressTimeout().AsDuration(),
 	})
@@ -189,11 +189,10 @@
 }
 
 // servicePath is the path below the service's name, with the query.
-func servicePath(req *http.Request, name string) string {
-	path := strings.TrimPrefix(req.URL.EscapedPath(), callerapi.PathServices+name)
-	if path == "" {
-		path = "/"
-	}
+func servicePath(req *http.Request) string {
+	rest := strings.TrimPrefix(req.URL.EscapedPath(), callerapi.PathServices)
+	_, below, _ := strings.Cut(rest, "/")
+	path := "/" + below
 	if req.URL.RawQuery != "" {
 		path += "?" + req.URL.RawQuery
 	}
--- a/router/settlement.go
+++ b/router/settlement.go
@@ -27,6 +27,8 @@
 	completionTokens int64
 	costMicros       int64
 	billed           bool
+	// settled tells that bill and outcome of a whole answer are recorded.
+	settled bool
 	// accepted tells that the check of a cascade let the answer pass.
 	accepted bool
 }
@@ -45,22 +47,19 @@
 	return (tokens*perMillion + tokensPerPriceUnit - 1) / tokensPerPriceUnit
 }
 
-// settle records bill and outcome of a whole answer. On a failure the last
-// byte of the answer must not go out.
+// settle records the bill of a whole answer, then its outcome. On a failure the
+// last byte of the answer must not go out. The outcome comes second, so that a
+// repeat never gets an answer that was not billed.
 func (s *settlement) settle(outcome *ledger.Outcome) *failure.Error {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		s.router.complete(ctx, s.call, s.claim, ledger.StateDone, outcome)
-	}()
-	f := s.bill(ctx)
-	<-done
-	if f == nil {
-		s.router.answered(s)
+	if f := s.bill(ctx); f != nil {
+		return f
 	}
-	return f
+	s.settled = true
+	s.router.complete(ctx, s.call, s.claim, ledger.StateDone, outcome)
+	s.router.answered(s)
+	return nil
 }
 
 // bill records the one bill of the request.
@@ -89,6 +88,9 @@
 // interrupted bills an answer that ended early. An answer that the caller gave
 // up is billed for what was generated; one that the engine broke costs nothing.
 func (s *settlement) interrupted(p *pump, byCaller bool) {
+	if s.settled {
+		return
+	}
 	if byCaller {
 		s.add(p.attempt.version, p.usage())
 	}
@@ -96,8 +98,12 @@
 }
 
 // abandon records a request that got no whole answer: a bill if work was done
-// for it, and the state of its claim.
+// for it, and the state of its claim. A settled request keeps its outcome, also
+// when the caller did not read the end of its answer.
 func (s *settlement) abandon(f *failure.Error) {
+	if s.settled {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
 	if s.version != "" && !s.billed {
--- /dev/null
+++ b/router/site_test.go
@@ -0,0 +1,527 @@
+package router
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bronzeturn/bronzeturn/admission"
+	"github.com/bronzeturn/bronzeturn/balance"
+	"github.com/bronzeturn/bronzeturn/callerapi"
+	"github.com/bronzeturn/bronzeturn/config"
+	"github.com/bronzeturn/bronzeturn/engine"
+	"github.com/bronzeturn/bronzeturn/failure"
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/hedge"
+	"github.com/bronzeturn/bronzeturn/ledger"
+	"github.com/bronzeturn/bronzeturn/objectstore/memstore"
+	"github.com/bronzeturn/bronzeturn/plainservice"
+	"github.com/bronzeturn/bronzeturn/quality"
+	"github.com/bronzeturn/bronzeturn/retry"
+	"github.com/bronzeturn/bronzeturn/rollout"
+	"github.com/bronzeturn/bronzeturn/selection"
+	"github.com/bronzeturn/bronzeturn/standin"
+)
+
+// The configuration of the tests.
+const (
+	cheap        = "small@1"
+	strong       = "large@1"
+	withdrawn    = "old@1"
+	secret       = "secret@1"
+	depotKey     = "key-of-the-depot"
+	kioskKey     = "key-of-the-kiosks"
+	engineCount  = 3
+	maxBodyBytes = 4 << 10
+	// serviceAddress is where the network finds the plain service.
+	serviceAddress = "127.0.0.1:100"
+)
+
+// earnedRequests fills the budgets of retries and hedges.
+const earnedRequests = 200
+
+// register has two versions on every engine, a withdrawn one, and one that only
+// the kiosks may use.
+func register() *bronzeturnv1.Register {
+	r := &bronzeturnv1.Register{
+		DataCentres: []*bronzeturnv1.DataCentre{{Name: "hall"}},
+		Models:      []*bronzeturnv1.Model{{Name: "small"}, {Name: "large"}, {Name: "old"}, {Name: "secret"}},
+		Versions: []*bronzeturnv1.Version{
+			{Name: cheap, Model: "small", PromptPriceMicros: 100_000, CompletionPriceMicros: 200_000, PriorQuality: 0.7},
+			{Name: strong, Model: "large", PromptPriceMicros: 1_000_000, CompletionPriceMicros: 3_000_000, PriorQuality: 0.95},
+			{Name: withdrawn, Model: "old", PromptPriceMicros: 100_000, CompletionPriceMicros: 200_000, PriorQuality: 0.9},
+			{Name: secret, Model: "secret", PromptPriceMicros: 100_000, CompletionPriceMicros: 200_000, PriorQuality: 0.9},
+		},
+		Organisations: []*bronzeturnv1.Organisation{
+			{Name: "depot", KeySha256: []string{digest(depotKey)}, AllowedModels: []string{"small", "large", "old"}, AllowedServices: []string{"tickets"}},
+			{Name: "kiosks", KeySha256: []string{digest(kioskKey)}, AllowedVersions: []string{cheap, secret}},
+		},
+		Pools: []*bronzeturnv1.Pool{{Name: "pool"}},
+		Services: []*bronzeturnv1.Service{{Name: "tickets", CallPriceMicros: 1000, Instances: []*bronzeturnv1.ServiceInstance{
+			{Host: "service-host", Address: serviceAddress, DataCentre: "hall"},
+		}}},
+	}
+	for i := range engineCount {
+		r.Engines = append(r.Engines, &bronzeturnv1.Engine{
+			Name: engineName(i), Pool: "pool", DataCentre: "hall", Host: "host-of-" + engineName(i),
+			Address: engineAddress(i), Versions: []string{cheap, strong, withdrawn, secret}, Slots: 4, TokensPerSecond: 100,
+		})
+	}
+	return r
+}
+
+func engineName(number int) string { return fmt.Sprintf("engine-%d", number+1) }
+
+// engineAddress is where the network finds an engine. Nothing listens there.
+func engineAddress(number int) string { return fmt.Sprintf("127.0.0.1:%d", number+1) }
+
+func digest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+const rulesText = `
+kinds:
+  - {name: default, quality_target: 0.5, idempotent: true, deadline: 30s, progress_timeout: 2s, expected_completion_tokens: 32}
+  - {name: report, quality_target: 0.85, idempotent: true, deadline: 30s, progress_timeout: 2s, expected_completion_tokens: 32}
+  - {name: tag, quality_target: 0.5, idempotent: false, deadline: 10s, progress_timeout: 2s, expected_completion_tokens: 8}
+  - {name: quick, quality_target: 0.5, idempotent: true, hedge: true, deadline: 10s, progress_timeout: 2s, expected_completion_tokens: 8}
+  - {name: review, quality_target: 0.68, idempotent: true, cascade: true, deadline: 30s, progress_timeout: 2s, expected_completion_tokens: 32}
+withdrawals:
+  - {version: old@1, reason: bad}
+`
+
+func rules(t testing.TB) *bronzeturnv1.Rules {
+	r, err := config.DecodeRules("rules", []byte(rulesText))
+	qt.Assert(t, err, qt.IsNil)
+	return r
+}
+
+// site is a router over real decisions, a real ledger over a store in memory,
+// and stand-in engines without sockets.
+type site struct {
+	*Router
+	network  *network
+	engines  []*standin.Engine
+	balancer *spyBalancer
+	ledger   *spyLedger
+	current  atomic.Pointer[Tables]
+	stale    atomic.Pointer[failure.Error]
+	leaving  sync.Map // of host
+	samples  chan AnswerSample
+	log      *logBuffer
+	handler  http.Handler
+}
+
+func newSite(t testing.TB, change ...func(*standin.EngineConfig)) *site {
+	c := qt.New(t)
+	s := &site{network: newNetwork(), log: &logBuffer{}, samples: make(chan AnswerSample, 1000)}
+	state, err := balance.NewState(balance.DefaultOptions())
+	c.Assert(err, qt.IsNil)
+	s.balancer = newSpyBalancer(state)
+	s.ledger = newSpyLedger(t)
+	hedges, err := hedge.New(hedge.DefaultOptions())
+	c.Assert(err, qt.IsNil)
+	admitting, err := admission.New(admission.Options{
+		Name:  "daemon",
+		Owner: func(string) (string, bool) { return "daemon", true },
+		Dial:  func(string) (connect.HTTPClient, string, bool) { return nil, "", false },
+	})
+	c.Assert(err, qt.IsNil)
+	store := quality.NewStore(quality.Options{})
+	s.Router = New(Options{
+		DataCentre: "hall", MaxBodyBytes: maxBodyBytes,
+		Tables: s.current.Load, Fresh: func(time.Time) *failure.Error { return s.stale.Load() },
+		Versions: selection.NewPolicy(selection.Options{ExploreShare: -1}, store, rollout.NewController(rollout.Options{})),
+		Quality:  store, Engines: s.balancer, Hedges: hedges,
+		Retries: retry.DefaultPolicy(), Budget: retry.NewBudget(retry.DefaultBudgetOptions()),
+		Breakers:  retry.NewBreakers(retry.DefaultBreakerOptions()),
+		Admission: admitting, Ledger: s.ledger, Members: siteMembers{s}, Raters: s,
+		EngineClient: engine.New(s.network), ServiceClient: plainservice.New(s.network),
+		Seed: 1, Log: zerolog.New(s.log), Registerer: prometheus.NewRegistry(),
+	})
+	for range earnedRequests {
+		s.Budget.Request(time.Now())
+	}
+	s.handler = s.Handler()
+	s.configure(t, func(*bronzeturnv1.Register, *bronzeturnv1.Rules) {})
+	for i := range engineCount {
+		cfg := standin.EngineConfig{Versions: []string{cheap, strong, withdrawn, secret}, Slots: 4, TokensPerSecond: 100, AnswerTokens: 8}
+		for _, f := range change {
+			f(&cfg)
+		}
+		s.engines = append(s.engines, standin.NewEngine(cfg))
+		s.network.set(engineAddress(i), s.engines[i])
+	}
+	s.network.set(serviceAddress, standin.NewPlainService(standin.PlainServiceConfig{Name: "tickets"}))
+	return s
+}
+
+// configure puts a changed configuration in force.
+func (s *site) configure(t testing.TB, change func(*bronzeturnv1.Register, *bronzeturnv1.Rules)) {
+	reg, rule := register(), rules(t)
+	change(reg, rule)
+	snapshot, err := config.NewSnapshot(1, proto.CloneOf(reg), proto.CloneOf(rule))
+	qt.Assert(t, err, qt.IsNil)
+	state := s.balancer.State
+	tables := &Tables{Snapshot: snapshot, Versions: selection.NewPlan(snapshot.Register(), snapshot.Rules()), Engines: state.Plan(snapshot.Register(), nil)}
+	s.Versions.Use(tables.Versions)
+	s.current.Store(tables)
+}
+
+// measureHedges lets the kind "quick" be hedged after about 60 ms.
+func (s *site) measureHedges() {
+	for range earnedRequests {
+		s.Hedges.Request(time.Now())
+		s.Hedges.Answered(hedge.Answered{Kind: "quick", Latency: 60 * time.Millisecond})
+	}
+}
+
+// withdraw takes a version out of service.
+func (s *site) withdraw(t testing.TB, version string) {
+	s.configure(t, func(_ *bronzeturnv1.Register, r *bronzeturnv1.Rules) {
+		r.Withdrawals = append(r.Withdrawals, &bronzeturnv1.Withdrawal{Version: version})
+	})
+}
+
+// all sets the handler of every engine.
+func (s *site) all(h http.Handler) {
+	for i := range engineCount {
+		s.network.set(engineAddress(i), h)
+	}
+}
+
+// Sample implements Raters.
+func (s *site) Sample(a AnswerSample) { s.samples <- a }
+
+// executions returns how often a request ran on all engines together.
+func (s *site) executions(requestID string) int {
+	total := 0
+	for _, e := range s.engines {
+		total += e.Executions()[requestID]
+	}
+	return total
+}
+
+// siteMembers implements Members.
+type siteMembers struct{ s *site }
+
+// Entries implements Members.
+func (m siteMembers) Entries(*rand.Rand) ([]string, time.Duration) {
+	return []string{"other:1"}, time.Minute
+}
+
+// BackendLeaving implements Members.
+func (m siteMembers) BackendLeaving(host string) bool {
+	_, leaving := m.s.leaving.Load(host)
+	return leaving
+}
+
+// spyBalancer counts what is reported per engine.
+type spyBalancer struct {
+	*balance.State
+	mu       sync.Mutex
+	open     map[string]int
+	fault    string
+	finished []balance.Finished
+	failed   []balance.Failed
+	first    []balance.FirstToken
+	requests []balance.Request
+	// chosen is called after each choice.
+	chosen func()
+}
+
+func newSpyBalancer(s *balance.State) *spyBalancer {
+	return &spyBalancer{State: s, open: make(map[string]int)}
+}
+
+// Choose implements Balancer.
+func (b *spyBalancer) Choose(p *balance.Plan, r *balance.Request, now time.Time, rng *rand.Rand) (balance.Decision, bool) {
+	b.mu.Lock()
+	b.requests = append(b.requests, *r)
+	chosen := b.chosen
+	b.mu.Unlock()
+	d, ok := b.State.Choose(p, r, now, rng)
+	if chosen != nil {
+		chosen()
+	}
+	return d, ok
+}
+
+// Dispatched implements Balancer.
+func (b *spyBalancer) Dispatched(ev balance.Dispatched) {
+	b.State.Dispatched(ev)
+	b.count(ev.Engine, 1)
+}
+
+// FirstToken implements Balancer.
+func (b *spyBalancer) FirstToken(ev balance.FirstToken) {
+	b.State.FirstToken(ev)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.first = append(b.first, ev)
+}
+
+// Finished implements Balancer.
+func (b *spyBalancer) Finished(ev balance.Finished) {
+	b.State.Finished(ev)
+	b.count(ev.Engine, -1)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.finished = append(b.finished, ev)
+}
+
+// Failed implements Balancer.
+func (b *spyBalancer) Failed(ev balance.Failed) {
+	b.State.Failed(ev)
+	b.count(ev.Engine, -1)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.failed = append(b.failed, ev)
+}
+
+func (b *spyBalancer) count(engine string, by int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.open[engine] += by
+	if b.open[engine] < 0 {
+		b.fault = engine + " has more ends than requests"
+	}
+}
+
+// check returns what is wrong once all requests have ended, or "".
+func (b *spyBalancer) check() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for engine, open := range b.open {
+		if open != 0 {
+			return fmt.Sprintf("%s: %d requests without an end", engine, open)
+		}
+	}
+	return b.fault
+}
+
+// spyLedger is a real ledger of one daemon. Calls can be replaced.
+type spyLedger struct {
+	*ledger.Ledger
+	mu        sync.Mutex
+	bills     []ledger.Bill
+	completed []ledger.CompleteRequest
+	// onBill may fail a bill, or block.
+	onBill func(context.Context) error
+}
+
+// self owns every key.
+type self struct{}
+
+// Owner implements ledger.Owners.
+func (self) Owner(string) (string, bool) { return "daemon", true }
+
+// Dial implements ledger.Dialer.
+func (self) Dial(string) (connect.HTTPClient, string, bool) { return nil, "", false }
+
+func newSpyLedger(t testing.TB) *spyLedger {
+	l, err := ledger.New(ledger.Config{
+		Self: "daemon", Store: memstore.New(), Owners: self{}, Dialer: self{}, Log: zerolog.Nop(),
+		Rand: rand.New(rand.NewPCG(1, 1)), Shards: 4, Slots: 16,
+	})
+	qt.Assert(t, err, qt.IsNil)
+	l.Start()
+	t.Cleanup(func() { _ = l.Stop() })
+	return &spyLedger{Ledger: l}
+}
+
+// Bill implements Ledger.
+func (l *spyLedger) Bill(ctx context.Context, b ledger.Bill) (ledger.Durability, error) {
+	l.mu.Lock()
+	onBill := l.onBill
+	l.mu.Unlock()
+	if onBill != nil {
+		if err := onBill(ctx); err != nil {
+			return 0, err
+		}
+	}
+	d, err := l.Ledger.Bill(ctx, b)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bills = append(l.bills, b)
+	return d, err
+}
+
+// Complete implements Ledger.
+func (l *spyLedger) Complete(ctx context.Context, r ledger.CompleteRequest) (ledger.Durability, error) {
+	l.mu.Lock()
+	l.completed = append(l.completed, r)
+	l.mu.Unlock()
+	return l.Ledger.Complete(ctx, r)
+}
+
+// billsOf returns the bills of a request.
+func (l *spyLedger) billsOf(requestID string) []ledger.Bill {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []ledger.Bill
+	for _, b := range l.bills {
+		if b.RequestID == requestID {
+			found = append(found, b)
+		}
+	}
+	return found
+}
+
+// logBuffer keeps log lines.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// ask is one request of a caller. Zero fields take a usual value.
+type ask struct {
+	ctx    context.Context
+	key    string // "none" for no Authorization header
+	body   string
+	path   string
+	method string
+	stream bool
+	model  string
+	prompt string
+	header map[string]string
+}
+
+func (a ask) text() string {
+	if a.body != "" {
+		return a.body
+	}
+	prompt := a.prompt
+	if prompt == "" {
+		prompt = "battery of bike 7?"
+	}
+	body := map[string]any{"messages": []any{map[string]any{"role": "user", "content": prompt}}, "stream": a.stream}
+	if a.model != "" {
+		body["model"] = a.model
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	return string(data)
+}
+
+func (a ask) request() *http.Request {
+	method, path, ctx := a.method, a.path, a.ctx
+	if method == "" {
+		method = http.MethodPost
+	}
+	if path == "" {
+		path = callerapi.PathChatCompletions
+	}
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	r := httptest.NewRequest(method, path, strings.NewReader(a.text())).WithContext(ctx)
+	switch a.key {
+	case "":
+		r.Header.Set("Authorization", "Bearer "+depotKey)
+	case "none":
+	default:
+		r.Header.Set("Authorization", "Bearer "+a.key)
+	}
+	for name, value := range a.header {
+		r.Header.Set(name, value)
+	}
+	return r
+}
+
+// got is what the caller received. cut tells that the connection was cut.
+type got struct {
+	*httptest.ResponseRecorder
+	cut bool
+}
+
+// send carries out a request and waits for its end.
+func (s *site) send(a ask) got {
+	w := httptest.NewRecorder()
+	return got{w, s.serveTo(w, a.request())}
+}
+
+// serveTo answers to w and tells whether the connection was cut.
+func (s *site) serveTo(w http.ResponseWriter, r *http.Request) (cut bool) {
+	defer func() {
+		if recovered := recover(); recovered != nil {
+			if recovered != http.ErrAbortHandler {
+				panic(recovered)
+			}
+			cut = true
+		}
+	}()
+	s.handler.ServeHTTP(w, r)
+	return false
+}
+
+func (g got) id() string { return g.Result().Header.Get(callerapi.HeaderRequestID) }
+
+func (g got) version() string { return g.Result().Header.Get(callerapi.HeaderVersion) }
+
+// failure is the error in the body, also of a broken stream.
+func (g got) failure() callerapi.ErrorDetail {
+	var body callerapi.ErrorBody
+	text := g.Body.String()
+	if at := strings.LastIndex(text, "data: "); at >= 0 {
+		text = text[at+len("data: "):]
+	}
+	_ = json.Unmarshal([]byte(text), &body) // Without an error the detail is empty.
+	return body.Error
+}
+
+// content is the text of a whole or streamed answer.
+func (g got) content() string {
+	var text strings.Builder
+	for line := range strings.Lines(g.Body.String()) {
+		var part completion
+		if json.Unmarshal([]byte(strings.TrimPrefix(line, "data: ")), &part) != nil {
+			continue // Blank lines and the end mark are not JSON.
+		}
+		for _, choice := range part.Choices {
+			text.WriteString(choice.Message.Content + choice.Delta.Content)
+		}
+	}
+	return text.String()
+}
+
+// whole tells whether the caller got the whole answer to its request.
+func (g got) whole(a ask) bool {
+	if g.cut || g.Code != http.StatusOK || (a.stream && !strings.HasSuffix(g.Body.String(), "data: [DONE]\n\n")) {
+		return false
+	}
+	return standin.CheckAnswer([]byte(a.text()), g.content()) == nil
+}
--- a/servers.go
+++ b/servers.go
@@ -17,6 +17,9 @@
 // headerTimeout bounds the reading of a request's headers.
 const headerTimeout = 5 * time.Second
 
+// maxHeaderBytes bounds the headers of a request.
+const maxHeaderBytes = 32 << 10
+
 // callerIdleTimeout is how long a caller's idle connection is kept.
 const callerIdleTimeout = 2 * time.Minute
 
@@ -50,6 +53,7 @@
 		TLSConfig:         config,
 		Protocols:         protocols,
 		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       callerIdleTimeout,
 	}
 }
