--- a/balance/health.go
+++ b/balance/health.go
@@ -27,8 +27,21 @@
 const (
 	failureGain = 0.3
 	successGain = 0.1
+	// leastFailure is the share below which failures are forgotten.
+	leastFailure = 0.01
 )
 
+// An engine that refuses work because it is full gets nothing for busyPause,
+// doubled with each refusal in a row up to maxBusyPause, so that one that refuses
+// everything does not attract work by being idle.
+const (
+	busyPause    = 250 * time.Millisecond
+	maxBusyPause = 5 * time.Second
+)
+
+// cacheLine keeps fields apart that different cores read and write often.
+type cacheLine [64]byte
+
 // warmAlready marks an engine that needs no warm-up.
 const warmAlready = -1
 
@@ -48,17 +61,24 @@
 	failureAt atomic.Int64
 	// slowness is the time per token relative to the register, as float bits.
 	slowness atomic.Uint64
+	// row counts the failures in a row, refusals the refusals in a row.
+	row      atomic.Int32
+	refusals atomic.Int32
+
+	// The choice reads what stands above, every answer writes what follows.
+	_ cacheLine
 
 	mu         sync.Mutex
 	pool       *pool
-	row        int // failures in a row
 	goodProbes int
 	ejectFor   time.Duration
 	samples    int
 	// tokenTime and firstToken are moving averages relative to what was expected.
 	tokenTime  float64
 	firstToken float64
-	nominal    float64 // registered tokens per second of one stream
+	// firstTokens counts the samples of firstToken.
+	firstTokens int
+	nominal     float64 // registered tokens per second of one stream
 }
 
 // pool counts the engines of one pool that are out, to bound their share.
@@ -134,25 +154,48 @@
 	ns := now.UnixNano()
 	share := h.failureShare(ns, o.FailureHalfLife)
 	h.setFailure(share+failureGain*(1-share), ns)
-	h.row++
+	row := h.row.Add(1)
 	h.goodProbes = 0
 	if phase(h.phase.Load()) != admitted {
 		h.extend(ns, o)
 		return false
 	}
-	return h.row >= o.EjectFailures && h.eject(failing, ns, o)
+	return int(row) >= o.EjectFailures && h.eject(failing, ns, o)
+}
+
+// refused keeps new work away from an engine that is full, for the time it asks
+// for or longer. Refusals of requests sent before the pause count once.
+func (h *health) refused(now time.Time, retryAfter time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.UnixNano() < h.busyUntil.Load() {
+		return
+	}
+	pause := maxBusyPause
+	if row := h.refusals.Add(1); busyPause<<(row-1) < maxBusyPause && row < 16 {
+		pause = busyPause << (row - 1)
+	}
+	pause = min(max(pause, retryAfter), maxBusyPause)
+	h.busyUntil.Store(now.Add(pause).UnixNano())
 }
 
 // succeeded records a whole answer. Enough of them in a row re-admit an engine
 // that was out because of errors. It tells whether the phase changed.
 func (h *health) succeeded(now time.Time, o *Options) bool {
+	if h.refusals.Load() != 0 {
+		h.refusals.Store(0)
+	}
+	if h.row.Load() == 0 && h.failure.Load() == 0 && phase(h.phase.Load()) == admitted {
+		return false // Nothing to forget: the usual case takes no lock.
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	ns := now.UnixNano()
-	h.row = 0
-	h.calm(ns, o)
-	if share := h.failureShare(ns, o.FailureHalfLife); share > 0 {
+	h.row.Store(0)
+	if share := h.failureShare(ns, o.FailureHalfLife); share > leastFailure {
 		h.setFailure(share*(1-successGain), ns)
+	} else {
+		h.setFailure(0, ns)
 	}
 	if phase(h.phase.Load()) != failing || ns < h.until.Load() {
 		return false
@@ -171,6 +214,9 @@
 	if h.pool == nil || !h.pool.take(kind, o) {
 		return false
 	}
+	if now-h.until.Load() > int64(2*o.EjectMax) {
+		h.ejectFor = 0 // The last ejection is long ago.
+	}
 	h.phase.Store(int32(kind))
 	h.extend(now, o)
 	return true
@@ -195,14 +241,6 @@
 	h.phase.Store(int32(admitted))
 	h.warmFrom.Store(now)
 	h.setFailure(0, now)
-	h.row = 0
+	h.row.Store(0)
 	h.resetSpeed()
 }
-
-// calm forgets the length of past ejections after a long time without one.
-// The caller holds mu.
-func (h *health) calm(now int64, o *Options) {
-	if phase(h.phase.Load()) == admitted && now-h.until.Load() > int64(2*o.EjectMax) {
-		h.ejectFor = 0
-	}
-}
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -198,3 +198,70 @@
 	c.Assert(out, qt.DeepEquals, []string{"engine-4", "engine-3", "engine-2"})
 	c.Assert(s.Review(p, epoch), qt.HasLen, 0)
 }
+
+func TestSingleStragglersDoNotEject(t *testing.T) {
+	c := qt.New(t)
+	s, rng := newState(c), newRand()
+	p := s.Plan(newRegister(12), nil)
+	now := epoch
+	for range 3000 {
+		now = now.Add(20 * time.Millisecond)
+		per := 25 * time.Millisecond
+		if rng.Float64() < 0.02 {
+			per *= 8
+		}
+		answer(s, fmt.Sprintf("engine-%d", rng.IntN(12)), 1, per, now)
+		c.Assert(s.Review(p, now), qt.HasLen, 0)
+	}
+}
+
+func TestASlowEngineStaysWhileThePoolIsFull(t *testing.T) {
+	c := qt.New(t)
+	s := newState(c)
+	p := s.Plan(newRegister(6), nil)
+	for i := range 6 {
+		name := fmt.Sprintf("engine-%d", i)
+		answer(s, name, s.options.SlowSamples, 25*time.Millisecond, epoch)
+		send(s, name, 6, epoch) // of 8 slots
+	}
+	answer(s, "engine-0", 30, 100*time.Millisecond, epoch)
+	c.Assert(s.Review(p, epoch), qt.HasLen, 0)
+	c.Assert(p.engines[0].health.slownessFactor() > 3, qt.IsTrue, qt.Commentf("the choice counts with it"))
+	for i := range 6 {
+		for range 3 {
+			s.Finished(Finished{Engine: fmt.Sprintf("engine-%d", i), Work: newRequest().Work, Cancelled: true, At: epoch})
+		}
+	}
+	c.Assert(s.Review(p, epoch), qt.HasLen, 1)
+}
+
+func TestAnEngineThatRefusesEverythingAttractsLessAndLess(t *testing.T) {
+	c := qt.New(t)
+	s := newState(c)
+	p := s.Plan(newRegister(3), nil)
+	refuse := func(at time.Time) time.Duration {
+		for range 5 { // requests in flight are refused together
+			send(s, "engine-0", 1, at)
+			s.Failed(Failed{Engine: "engine-0", Work: newRequest().Work, Kind: FailureBusy, At: at})
+		}
+		return time.Duration(p.engines[0].health.busyUntil.Load() - at.UnixNano())
+	}
+	now := epoch
+	for _, want := range []time.Duration{250, 500, 1000, 2000, 4000, 5000, 5000} {
+		pause := refuse(now)
+		c.Assert(pause, qt.Equals, want*time.Millisecond)
+		c.Assert(share(s, p, "engine-0", 50, now), qt.Equals, 0)
+		now = now.Add(pause)
+	}
+	succeed(s, "engine-0", 1, now)
+	c.Assert(refuse(now), qt.Equals, busyPause)
+}
+
+func TestBufferedAnswersDoNotCountAsFast(t *testing.T) {
+	c := qt.New(t)
+	s := newState(c)
+	p := s.Plan(newRegister(3), nil)
+	answer(s, "engine-0", 20, 25*time.Millisecond, epoch)
+	answer(s, "engine-0", 20, time.Microsecond, epoch)
+	c.Assert(p.engines[0].health.slownessFactor() > 0.9, qt.IsTrue)
+}
--- a/balance/options.go
+++ b/balance/options.go
@@ -18,6 +18,9 @@
 	// BatchSlowdown is the share of the work in progress that counts as wait
 	// while an engine still has free slots.
 	BatchSlowdown float64
+	// AffinityMin is the least time to read a prompt for which cached prefixes
+	// count.
+	AffinityMin time.Duration
 	// AffinityMax bounds what a cached prefix may save in the comparison.
 	AffinityMax time.Duration
 	// AffinityHalfLife halves the belief in a cached prefix since the last
@@ -39,6 +42,9 @@
 	MaxEjectedShare float64
 	// MaxSlowShare bounds the share of a pool that is out for slowness.
 	MaxSlowShare float64
+	// MaxSlowLoad bounds the share of busy slots in the rest of the pool that an
+	// ejection for slowness may leave.
+	MaxSlowLoad float64
 	// SlowFactor ejects an engine slower than this multiple of its pool's median.
 	SlowFactor float64
 	// SlowSamples is the number of answers needed before slowness is judged.
@@ -61,6 +67,7 @@
 		PrefillTokensPerSecond: 8000,
 		PromptWeight:           0.05,
 		BatchSlowdown:          0.1,
+		AffinityMin:            50 * time.Millisecond,
 		AffinityMax:            500 * time.Millisecond,
 		AffinityHalfLife:       2 * time.Minute,
 		AffinityEntries:        1 << 14,
@@ -71,6 +78,7 @@
 		EjectMax:               time.Minute,
 		MaxEjectedShare:        0.5,
 		MaxSlowShare:           0.25,
+		MaxSlowLoad:            0.8,
 		SlowFactor:             2,
 		SlowSamples:            10,
 		TrickleEvery:           time.Second,
@@ -102,6 +110,7 @@
 		{o.PrefillTokensPerSecond > 0, "PrefillTokensPerSecond", "above 0"},
 		{o.PromptWeight >= 0, "PromptWeight", "at least 0"},
 		{o.BatchSlowdown >= 0 && o.BatchSlowdown <= 1, "BatchSlowdown", "from 0 to 1"},
+		{o.AffinityMin >= 0, "AffinityMin", "at least 0"},
 		{o.AffinityMax >= 0, "AffinityMax", "at least 0"},
 		{o.AffinityHalfLife > 0, "AffinityHalfLife", "above 0"},
 		{o.AffinityEntries > 0, "AffinityEntries", "above 0"},
@@ -111,6 +120,7 @@
 		{o.EjectFor > 0 && o.EjectMax >= o.EjectFor, "EjectFor", "above 0 and at most EjectMax"},
 		{o.MaxEjectedShare >= 0 && o.MaxEjectedShare < 1, "MaxEjectedShare", "from 0 to below 1"},
 		{o.MaxSlowShare >= 0 && o.MaxSlowShare <= o.MaxEjectedShare, "MaxSlowShare", "from 0 to MaxEjectedShare"},
+		{o.MaxSlowLoad > 0 && o.MaxSlowLoad <= 1, "MaxSlowLoad", "above 0 and at most 1"},
 		{o.SlowFactor > 1, "SlowFactor", "above 1"},
 		{o.SlowSamples > 0, "SlowSamples", "above 0"},
 		{o.TrickleEvery > 0, "TrickleEvery", "above 0"},
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -53,14 +53,15 @@
 // A refusal is a *ValidationError. An unset priority becomes PRIORITY_NORMAL,
 // an unset below_target becomes BELOW_TARGET_BEST_AVAILABLE.
 func NewSnapshot(generation uint64, reg *bronzeturnv1.Register, rules *bronzeturnv1.Rules) (*Snapshot, error) {
+	return newSnapshot(generation, proto.CloneOf(reg), proto.CloneOf(rules))
+}
+
+// newSnapshot takes over the register and the rules instead of copying them.
+func newSnapshot(generation uint64, reg *bronzeturnv1.Register, rules *bronzeturnv1.Rules) (*Snapshot, error) {
 	if err := Validate(reg, rules); err != nil {
 		return nil, err
 	}
-	s := &Snapshot{
-		generation: generation,
-		register:   proto.CloneOf(reg),
-		rules:      proto.CloneOf(rules),
-	}
+	s := &Snapshot{generation: generation, register: reg, rules: rules}
 	s.indexRules()
 	s.indexVersions()
 	s.indexEngines()
@@ -100,9 +101,7 @@
 	s.engines = indexBy(s.register.GetEngines(), (*bronzeturnv1.Engine).GetName)
 	s.byVersion = make(map[string][]*bronzeturnv1.Engine)
 	s.byPool = make(map[string][]*bronzeturnv1.Engine)
-	sorted := append([]*bronzeturnv1.Engine(nil), s.register.GetEngines()...)
-	sort.Slice(sorted, func(i, j int) bool { return sorted[i].GetName() < sorted[j].GetName() })
-	for _, engine := range sorted {
+	for _, engine := range sortedBy(s.register.GetEngines(), (*bronzeturnv1.Engine).GetName) {
 		s.byPool[engine.GetPool()] = append(s.byPool[engine.GetPool()], engine)
 		for _, version := range engine.GetVersions() {
 			s.byVersion[version] = append(s.byVersion[version], engine)
--- a/daemon.go
+++ b/daemon.go
@@ -20,6 +20,7 @@
 
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/logging"
+	"github.com/bronzeturn/bronzeturn/orders"
 	"github.com/bronzeturn/bronzeturn/router"
 	"github.com/bronzeturn/bronzeturn/security"
 )
@@ -32,10 +33,14 @@
 	tomb     tomb.Tomb
 
 	listeners *listeners
+	tls       *credentials
 	platform  *platform
 	fleet     *fleet
 	decisions *decisions
+	learning  *learning
+	compiler  *compiler
 	router    *router.Router
+	orders    *orders.Runner
 	servers   *servers
 
 	tables  atomic.Pointer[router.Tables]
@@ -61,18 +66,24 @@
 
 // provision builds the parts in the order of their dependencies.
 func (d *Daemon) provision() error {
-	d.platform = newPlatform(d)
 	var err error
+	if d.tls, err = loadCredentials(d); err != nil {
+		return err
+	}
+	d.platform = newPlatform(d)
 	if d.fleet, err = newFleet(d); err != nil {
 		return fmt.Errorf("fleet: %w", err)
 	}
 	if d.decisions, err = newDecisions(d); err != nil {
 		return fmt.Errorf("decisions: %w", err)
 	}
+	d.learning = newLearning(d)
+	d.compiler = newCompiler(d)
 	d.router = newRouter(d)
-	if d.servers, err = newServers(d); err != nil {
-		return fmt.Errorf("servers: %w", err)
+	if d.orders, err = newOrders(d); err != nil {
+		return fmt.Errorf("orders: %w", err)
 	}
+	d.servers = newServers(d)
 	return nil
 }
 
@@ -88,6 +99,22 @@
 // AdminAddress is the address of metrics and health.
 func (d *Daemon) AdminAddress() string { return d.listeners.admin.Addr().String() }
 
+// Ready tells whether the daemon takes requests.
+func (d *Daemon) Ready() bool { return readiness{d}.Ready() == nil }
+
+// LiveDaemons returns how many live daemons this one knows, itself included.
+func (d *Daemon) LiveDaemons() int { return d.fleet.members.View().Live() }
+
+// Generation returns the generation of the configuration in force, zero before
+// the first one.
+func (d *Daemon) Generation() uint64 {
+	tables := d.tables.Load()
+	if tables == nil {
+		return 0
+	}
+	return tables.Snapshot.Generation()
+}
+
 // Run serves until ctx ends, then stops gracefully: the daemon leaves the
 // address answers, refuses new work with the addresses to use, finishes every
 // request in progress, flushes its records and returns. It may be called once.
@@ -109,13 +136,18 @@
 func (d *Daemon) start() {
 	d.fleet.start(d)
 	d.decisions.start(d)
+	d.learning.start(d)
 	d.servers.start(d)
+	if d.orders != nil {
+		d.tomb.Go(func() error { return d.orders.Run(&d.tomb) })
+	}
 }
 
 // goLoop runs a loop under the tomb. Its context ends with the daemon.
 func (d *Daemon) goLoop(name string, f func(ctx context.Context) error) {
+	ctx := d.tomb.Context(context.Background())
 	d.tomb.Go(func() error {
-		if err := f(d.tomb.Context(nil)); err != nil {
+		if err := f(ctx); err != nil {
 			return fmt.Errorf("%s: %w", name, err)
 		}
 		return nil
@@ -134,6 +166,7 @@
 	randProvider
 	randSampler
 	randOrders
+	randLearning
 	randRouter
 )
 
@@ -161,6 +194,7 @@
 	time.Sleep(announceTime)
 	d.router.StopAdmitting()
 	d.drain()
+	d.learning.stop()
 	d.flush()
 	d.servers.stop()
 	d.tomb.Kill(nil)
--- a/decisions.go
+++ b/decisions.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/admission"
 	"github.com/bronzeturn/bronzeturn/balance"
-	"github.com/bronzeturn/bronzeturn/config"
 	"github.com/bronzeturn/bronzeturn/failure"
-	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/hedge"
 	"github.com/bronzeturn/bronzeturn/logging"
 	"github.com/bronzeturn/bronzeturn/quality"
@@ -17,7 +14,6 @@
 	"github.com/bronzeturn/bronzeturn/rollout"
 	"github.com/bronzeturn/bronzeturn/router"
 	"github.com/bronzeturn/bronzeturn/selection"
-	"github.com/bronzeturn/bronzeturn/subset"
 )
 
 // reviewInterval is the time between two comparisons of the engines.
@@ -37,20 +33,27 @@
 	budget    *retry.Budget
 	breakers  *retry.Breakers
 	admission *admission.Controller
+	occupancy *occupancy
 	sampler   *sampler
 }
 
 func newDecisions(d *Daemon) (*decisions, error) {
 	n := &decisions{
-		quality:  quality.NewStore(quality.Options{}),
-		rollouts: rollout.NewController(rollout.Options{}),
-		breakers: retry.NewBreakers(retry.DefaultBreakerOptions()),
+		quality:   quality.NewStore(quality.Options{}),
+		rollouts:  rollout.NewController(rollout.Options{}),
+		breakers:  retry.NewBreakers(retry.DefaultBreakerOptions()),
+		occupancy: newOccupancy(),
 	}
 	n.versions = selection.NewPolicy(selection.Options{}, n.quality, n.rollouts)
 	budget := retry.DefaultBudgetOptions()
 	budget.Share = d.settings.GetRetryBudgetRatio()
 	n.budget = retry.NewBudget(budget)
+	hedging := hedge.DefaultOptions()
+	hedging.Budget.Share = d.settings.GetHedgeBudgetRatio()
 	var err error
+	if n.hedges, err = hedge.New(hedging); err != nil {
+		return nil, err
+	}
 	if n.engines, err = balance.NewState(balance.DefaultOptions()); err != nil {
 		return nil, err
 	}
@@ -66,6 +69,7 @@
 		Name:       d.settings.GetName(),
 		Owner:      d.fleet.members.Owner,
 		Dial:       d.fleet.directory.Dial,
+		Reachable:  d.fleet.reachable,
 		Registerer: d.options.Registry,
 		Log:        logging.Part(d.log, "admission"),
 	}
@@ -73,65 +77,17 @@
 
 // start begins the loops that feed the decisions.
 func (n *decisions) start(d *Daemon) {
-	d.fleet.provider.Subscribe(d.apply)
+	d.fleet.provider.Subscribe(d.compiler.setSnapshot)
+	d.fleet.members.Subscribe(d.compiler.setView)
 	reporter := &loadReporter{
-		reports: d.platform.reports, state: n.engines, engines: d.visibleEngines,
+		reports: d.platform.reports, state: n.engines, occupancy: n.occupancy, engines: d.compiler.visibleEngines,
 		log: logging.Part(d.log, "engine"),
 	}
 	d.goLoop("load reports", reporter.run)
 	d.goLoop("samples", n.sampler.run)
 	d.goLoop("admission", n.admission.Run)
 	d.goLoop("engine review", d.reviewEngines)
-}
-
-// apply compiles a configuration and swaps it in whole.
-func (d *Daemon) apply(s *config.Snapshot) {
-	n := d.decisions
-	live := d.fleet.members.View()
-	selected := subset.Choose(d.settings.GetName(), liveNames(live), s.Register().GetEngines(), int(d.settings.GetEngineSubsetSize()))
-	tables := &router.Tables{
-		Snapshot: s,
-		Versions: selection.NewPlan(s.Register(), s.Rules()),
-		Engines:  n.engines.Plan(s.Register(), selected.Sees),
-	}
-	n.versions.Use(tables.Versions)
-	n.admission.Update(s.Rules().GetLimits(), live.Live())
-	setCapacities(n.admission, s.Register(), selected)
-	d.tables.Store(tables)
-	d.log.Info().Uint64("generation", s.Generation()).Int("engines", tables.Engines.Engines()).Msg("configuration in force")
-}
-
-// setCapacities bounds the requests in progress of each version by the slots
-// of the visible engines that serve it. The engines' own queues order what
-// several daemons send at once.
-func setCapacities(a *admission.Controller, reg *bronzeturnv1.Register, selected subset.Selection) {
-	slots := make(map[string]int)
-	for _, e := range reg.GetEngines() {
-		for _, version := range e.GetVersions() {
-			if selected.Sees(e) {
-				slots[version] += int(e.GetSlots())
-			}
-		}
-	}
-	for _, v := range reg.GetVersions() {
-		a.SetCapacity(v.GetName(), slots[v.GetName()])
-	}
-}
-
-// visibleEngines are those that this daemon uses.
-func (d *Daemon) visibleEngines() []*bronzeturnv1.Engine {
-	tables := d.tables.Load()
-	if tables == nil {
-		return nil
-	}
-	var visible []*bronzeturnv1.Engine
-	selected := subset.Choose(d.settings.GetName(), liveNames(d.fleet.members.View()), tables.Snapshot.Register().GetEngines(), int(d.settings.GetEngineSubsetSize()))
-	for _, e := range tables.Snapshot.Register().GetEngines() {
-		if selected.Sees(e) {
-			visible = append(visible, e)
-		}
-	}
-	return visible
+	d.goLoop("room", d.keepRoom)
 }
 
 // reviewEngines compares the engines from time to time.
@@ -156,7 +112,7 @@
 	if ok {
 		return nil
 	}
-	return failure.New(failure.CodeConfigurationStale, failure.RanNo, "this address has no fresh configuration: %s", fmt.Sprint(reason)).After(staleRetryAfter)
+	return failure.New(failure.CodeConfigurationStale, failure.RanNo, "this address has no fresh configuration: %s", reason).After(staleRetryAfter)
 }
 
 // newRouter joins the parts for the way of a request.
--- a/fleet.go
+++ b/fleet.go
@@ -39,7 +39,7 @@
 	if f.traffic, err = peer.NewTraffic(d.options.Registry); err != nil {
 		return nil, err
 	}
-	f.directory = peer.NewDirectory(peer.ResolverFunc(f.peerAddress), nil, f.traffic)
+	f.directory = peer.NewDirectory(peer.ResolverFunc(f.peerAddress), d.tls.peer, f.traffic)
 	if f.members, err = membership.New(membershipOptions(d, f)); err != nil {
 		return nil, err
 	}
@@ -81,19 +81,33 @@
 	return ledger.Config{
 		Self:        d.settings.GetName(),
 		Store:       d.platform.store,
-		Owners:      f.members,
+		Owners:      owners{f.members},
 		Dialer:      f.directory,
 		Holders:     holders{members: f.members, self: d.settings.GetName(), dataCentre: d.settings.GetDataCentre()},
 		Log:         logging.Part(d.log, "ledger"),
 		Registerer:  d.options.Registry,
 		Rand:        d.rand(randLedger),
 		Shards:      uint32(d.settings.GetLedgerShards()),
+		FleetWrites: d.settings.GetLedgerFleetWrites(),
 		Daemons:     func() int { return f.members.View().Live() },
 		BatchDelay:  d.settings.GetLedgerBatchInterval().AsDuration(),
 		BufferBytes: int(d.settings.GetOutageBufferBytes()),
 	}
 }
 
+// owners are the preferred writers of the ledger's shards.
+type owners struct{ *membership.Membership }
+
+// Second implements ledger.Seconds.
+func (o owners) Second(key string) (name string, self bool) {
+	view := o.View()
+	top := view.Top(key, 2)
+	if len(top) < 2 {
+		return "", false
+	}
+	return top[1], top[1] == view.Self
+}
+
 // holders names the daemons that hold second copies, those in other data
 // centres first.
 type holders struct {
@@ -126,14 +140,15 @@
 	f.members.Start()
 	f.ledger.Start()
 	f.provider.Start()
+	d.goLoop("news", f.exchangeNews)
 }
 
 // stop leaves the fleet.
 func (f *fleet) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	f.provider.Stop()
-	_ = f.ledger.Stop() // Flush has reported what could not be written.
+	_ = f.provider.Stop() // Its loops end with the daemon; there is nothing to save.
+	_ = f.ledger.Stop()   // Flush has reported what could not be written.
 	_ = f.members.Stop(ctx)
 	f.directory.Close()
 }
--- a/ledger/entry.go
+++ b/ledger/entry.go
@@ -6,21 +6,24 @@
 
 // entry returns the claim in its wire form.
 func (c claim) entry(fp fingerprint) *bronzeturnv1.LedgerEntry {
+	body := &bronzeturnv1.LedgerClaimEntry{
+		State:          c.state,
+		DeadlineMicros: c.deadline,
+		Outcome:        c.outcome,
+	}
+	if c.holder != "" {
+		body.Claim = &bronzeturnv1.LedgerClaim{
+			BodySha256: c.body[:],
+			RequestId:  c.requestID,
+			Holder:     c.holder,
+		}
+	}
 	return &bronzeturnv1.LedgerEntry{
 		Fingerprint:   fp[:],
 		Nonce:         c.nonce[:],
 		ExpiresMicros: c.expires,
 		Sequence:      c.sequence,
-		Body: &bronzeturnv1.LedgerEntry_Claim{Claim: &bronzeturnv1.LedgerClaimEntry{
-			Claim: &bronzeturnv1.LedgerClaim{
-				BodySha256: c.body[:],
-				RequestId:  c.requestID,
-				Holder:     c.holder,
-			},
-			State:          c.state,
-			DeadlineMicros: c.deadline,
-			Outcome:        c.outcome,
-		}},
+		Body:          &bronzeturnv1.LedgerEntry_Claim{Claim: body},
 	}
 }
 
@@ -75,7 +78,9 @@
 	}
 	switch body := e.Body.(type) {
 	case *bronzeturnv1.LedgerEntry_Claim:
-		s.claims[fp] = claimOf(e, body.Claim)
+		c := claimOf(e, body.Claim)
+		c.holder = s.holderName(c.holder)
+		s.claims[fp] = c
 	case *bronzeturnv1.LedgerEntry_Pin:
 		s.pins[fp] = pinOf(e, body.Pin)
 	case *bronzeturnv1.LedgerEntry_Bill:
--- /dev/null
+++ b/measure/daemon.go
@@ -0,0 +1,210 @@
+package measure
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/admission"
+	"github.com/bronzeturn/bronzeturn/balance"
+	"github.com/bronzeturn/bronzeturn/failure"
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/hedge"
+	"github.com/bronzeturn/bronzeturn/retry"
+)
+
+const (
+	// slotRate is the assumed rate of a slot before measurements, as in the
+	// daemon.
+	slotRate = 200
+	// reportValid is how long a load report counts for the room of bulk work.
+	reportValid = 5 * time.Second
+	// localHop and remoteHop are one-way latencies to engines.
+	localHop  = 100 * time.Microsecond
+	remoteHop = time.Millisecond
+	// connectFailure is how long a connection to a dead engine takes to fail.
+	connectFailure = 2 * time.Millisecond
+)
+
+// daemon decides for the requests that callers sent to it.
+type daemon struct {
+	sim        *sim
+	dataCentre string
+	rng        *rand.Rand
+	state      *balance.State
+	plan       *balance.Plan
+	hedges     *hedge.Policy
+	budget     *retry.Budget
+	retries    retry.Policy
+	queues     map[string]*admission.Queue
+	waiting    map[*admission.Item]*request
+	reported   map[*fakeEngine]loadReport
+	failedAt   map[*fakeEngine]time.Time // last failure, for the baselines
+	turn       int
+}
+
+// loadReport is what an engine last reported.
+type loadReport struct {
+	requests int64
+	asOf     time.Time
+}
+
+// flow is the way of a request through a daemon.
+type flow struct {
+	queue    *admission.Queue
+	item     *admission.Item
+	started  time.Time // when it got its slot
+	version  string
+	launch   int
+	attempts int
+	tried    [balance.MaxExclude]string
+	sentAt   time.Time
+	winner   *attempt
+	live     []*attempt
+}
+
+func (s *sim) addDaemons(seed uint64) error {
+	centres := s.reg.GetDataCentres()
+	for i := range daemonCount {
+		state, err := balance.NewState(balance.DefaultOptions())
+		if err != nil {
+			return err
+		}
+		hedges, err := hedge.New(hedge.DefaultOptions())
+		if err != nil {
+			return err
+		}
+		d := &daemon{
+			sim: s, dataCentre: centres[i%len(centres)].GetName(), rng: rand.New(rand.NewPCG(seed, uint64(10+i))),
+			state: state, plan: state.Plan(s.reg, nil), hedges: hedges,
+			budget: retry.NewBudget(retry.DefaultBudgetOptions()), retries: retry.DefaultPolicy(),
+			queues: make(map[string]*admission.Queue), waiting: make(map[*admission.Item]*request),
+			reported: make(map[*fakeEngine]loadReport), failedAt: make(map[*fakeEngine]time.Time),
+		}
+		for version, engines := range s.serving {
+			slots := 0
+			for _, e := range engines {
+				slots += int(e.GetSlots())
+			}
+			d.queues[version] = admission.NewQueue(slots, slotRate)
+		}
+		s.daemons = append(s.daemons, d)
+		d.review()
+	}
+	return nil
+}
+
+// review compares the engines from time to time.
+func (d *daemon) review() {
+	d.state.Review(d.plan, d.sim.now)
+	if d.sim.now.After(epoch) {
+		d.setRooms()
+	}
+	d.sim.after(reviewEvery, d.review)
+}
+
+func (d *daemon) loadReported(e *fakeEngine, requests, tokens int64, asOf time.Time) {
+	d.reported[e] = loadReport{requests: requests, asOf: asOf}
+	d.state.LoadReported(balance.LoadReported{Engine: e.GetName(), Requests: requests, Tokens: tokens, AsOf: asOf})
+}
+
+// enter chooses a version and lets the request through admission.
+func (s *sim) enter(r *request) {
+	d := r.daemon
+	var err error
+	if r.decision, err = s.policy.version(s, r); err != nil {
+		s.refuse(r, failure.From(err).Code)
+		return
+	}
+	if r.conversation != nil && r.conversation.version == "" {
+		r.conversation.version = r.decision.Version
+	}
+	if s.policy.oracle() {
+		r.flow.started = s.now
+		s.launch(r, r.decision.Version)
+		return
+	}
+	tokens := float64(r.prompt + r.kind.GetExpectedCompletionTokens())
+	item := admission.NewItem(r.organisation, r.kind.GetPriority(), tokens)
+	r.flow.queue, r.flow.item = d.queues[r.decision.Version], item
+	outcome, _, evicted := r.flow.queue.Offer(s.now, r.deadline, item)
+	if evicted != nil {
+		s.refuse(d.waiting[evicted], failure.CodeNoCapacity)
+		delete(d.waiting, evicted)
+	}
+	switch outcome {
+	case admission.StartNow:
+		r.flow.started = s.now
+		s.launch(r, r.decision.Version)
+	case admission.WaitTurn:
+		d.waiting[item] = r
+		s.after(item.Latest().Sub(s.now), func() { d.giveUp(item) })
+	case admission.Refuse:
+		s.refuse(r, failure.CodeNoCapacity)
+	}
+}
+
+// giveUp ends a wait that took too long.
+func (d *daemon) giveUp(item *admission.Item) {
+	r := d.waiting[item]
+	if r != nil && r.flow.queue.Remove(item) {
+		delete(d.waiting, item)
+		d.sim.refuse(r, failure.CodeNoCapacity)
+	}
+}
+
+// release frees the request's slot and starts those whose turn it is.
+func (s *sim) release(r *request) {
+	if r.flow.queue == nil || r.flow.started.IsZero() {
+		return
+	}
+	tokens := float64(r.prompt + r.completion)
+	if r.flow.winner == nil {
+		tokens = 0
+	}
+	r.flow.queue.Release(r.flow.item, tokens, s.now.Sub(r.flow.started))
+	r.daemon.startWaiting(r.flow.queue)
+}
+
+// startWaiting starts the requests whose turn it is.
+func (d *daemon) startWaiting(q *admission.Queue) {
+	for item := q.Next(d.sim.now); item != nil; item = q.Next(d.sim.now) {
+		next := d.waiting[item]
+		delete(d.waiting, item)
+		next.flow.started = d.sim.now
+		d.sim.launch(next, next.decision.Version)
+	}
+}
+
+// setRooms bounds bulk work by what the engines reported.
+func (d *daemon) setRooms() {
+	for _, v := range d.sim.reg.GetVersions() {
+		q := d.queues[v.GetName()]
+		if q == nil {
+			continue
+		}
+		room := admission.Room{Sharers: daemonCount}
+		for _, e := range d.sim.serving[v.GetName()] {
+			if report, ok := d.reported[e]; ok && d.sim.now.Sub(report.asOf) < reportValid {
+				room.Add(int(e.GetSlots()), int(report.requests))
+			}
+		}
+		q.SetBulkLimit(room)
+		d.startWaiting(q)
+	}
+}
+
+// hashOf names a prompt's prefix.
+func hashOf(parts ...string) uint64 {
+	h := fnv.New64a()
+	for _, p := range parts {
+		_, _ = h.Write([]byte(p))
+		_, _ = h.Write([]byte{0})
+	}
+	return h.Sum64()
+}
+
+// urgent tells whether people wait for the answers of a kind.
+func urgent(k *bronzeturnv1.TaskKind) bool {
+	return k.GetPriority() == bronzeturnv1.Priority_PRIORITY_URGENT
+}
