--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -5,10 +5,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
 	"connectrpc.com/connect"
+	"github.com/bronzeturn/bronzeturn/caller"
 	"github.com/bronzeturn/bronzeturn/config"
 	"github.com/bronzeturn/bronzeturn/objectstore"
 	qt "github.com/frankban/quicktest"
@@ -57,10 +60,14 @@
 		{"invalid file", &config.ValidationError{Problems: []config.Problem{{}}}, ExitInvalid},
 		{"store down", &objectstore.UnavailableError{Cause: io.EOF}, ExitUnavailable},
 		{"store busy", &objectstore.RateLimitError{}, ExitUnavailable},
-		{"no answer", &UnavailableError{Cause: io.EOF}, ExitUnavailable},
-		{"refusal", &RefusalError{}, ExitRefused},
+		{"no answer", &caller.UnavailableError{Cause: io.EOF}, ExitUnavailable},
+		{"broken answer", &caller.BrokenAnswerError{}, ExitFailure},
+		{"refusal", &caller.RefusalError{}, ExitRefused},
 		{"operator not allowed", connect.NewError(connect.CodePermissionDenied, io.EOF), ExitRefused},
 		{"operator's daemon down", connect.NewError(connect.CodeUnavailable, io.EOF), ExitUnavailable},
+		{"operator's daemon reset the connection", connect.NewError(connect.CodeCanceled, fmt.Errorf("write: %w", syscall.ECONNRESET)), ExitUnavailable},
+		{"operator's daemon closed the connection", connect.NewError(connect.CodeCanceled, fmt.Errorf("write: %w", syscall.EPIPE)), ExitUnavailable},
+		{"canceled by the operator", connect.NewError(connect.CodeCanceled, context.Canceled), ExitFailure},
 		{"operator's daemon failing", connect.NewError(connect.CodeInternal, io.EOF), ExitFailure},
 	}
 	for _, test := range tests {
@@ -91,13 +98,13 @@
 func TestDemoGetsOutputAndFormat(t *testing.T) {
 	fault := errors.New("demo failed")
 	var stdout, stderr strings.Builder
-	demo := func(_ context.Context, w io.Writer, asJSON bool) error {
-		fmt.Fprintf(w, "json %v", asJSON)
+	demo := func(_ context.Context, w io.Writer, o DemoOptions) error {
+		fmt.Fprintf(w, "json %v, log %s", o.JSON, filepath.Base(o.LogFile))
 		return fault
 	}
-	code := Run(t.Context(), []string{"demo", "--json"}, &stdout, &stderr, Commands{Demo: demo})
+	code := Run(t.Context(), []string{"demo", "--json", "--log-file=demo.log"}, &stdout, &stderr, Commands{Demo: demo})
 	qt.Check(t, code, qt.Equals, ExitFailure)
-	qt.Check(t, stdout.String(), qt.Equals, "json true")
+	qt.Check(t, stdout.String(), qt.Equals, "json true, log demo.log")
 	qt.Check(t, stderr.String(), qt.Contains, fault.Error())
 	qt.Check(t, run(t, "demo").code, qt.Equals, ExitFailure)
 }
--- a/cli/document_test.go
+++ b/cli/document_test.go
@@ -97,6 +97,92 @@
 	}
 }
 
+// readmeLines returns the lines of the README's shell blocks.
+func readmeLines(t *testing.T) []string {
+	t.Helper()
+	page, err := os.ReadFile("../README.md")
+	qt.Assert(t, err, qt.IsNil)
+	var lines []string
+	for _, block := range regexp.MustCompile("(?s)```sh\n(.*?)```").FindAllStringSubmatch(string(page), -1) {
+		lines = append(lines, strings.Split(block[1], "\n")...)
+	}
+	return lines
+}
+
+// The stand-ins' lines are parsed by the test of their program.
+func TestReadmeNamesFlagsOfTheCommandLineThatExist(t *testing.T) {
+	model, err := kong.New(&grammar{})
+	qt.Assert(t, err, qt.IsNil)
+	known := flagsOf(model.Model.Node)
+	found := 0
+	for _, line := range readmeLines(t) {
+		if !strings.Contains(line, "out/bronzeturn ") && !strings.Contains(line, "./cmd/bronzeturn ") {
+			continue
+		}
+		found++
+		for _, name := range regexp.MustCompile(`--[a-z][a-z-]+[a-z]`).FindAllString(line, -1) {
+			qt.Check(t, known[name], qt.IsTrue, qt.Commentf("%s in %s", name, line))
+		}
+	}
+	qt.Check(t, found > 5, qt.IsTrue)
+}
+
+func TestReadmeStartsDaemonsWithSettingsThatAreAccepted(t *testing.T) {
+	var environment []string
+	daemons := 0
+	for _, line := range readmeLines(t) {
+		if variables, ok := strings.CutPrefix(line, "export "); ok {
+			environment = append(environment, strings.Fields(variables)...)
+		}
+		arguments, ok := strings.CutPrefix(line, "out/bronzeturnd ")
+		if !ok {
+			continue
+		}
+		daemons++
+		arguments, _, _ = strings.Cut(arguments, " 2>")
+		_, err := settings.Parse(strings.Fields(arguments), environment)
+		qt.Check(t, err, qt.IsNil, qt.Commentf("%s", line))
+	}
+	qt.Check(t, daemons, qt.Equals, 3)
+}
+
+func TestReadmeAndArchitectureNameEveryPackage(t *testing.T) {
+	entries, err := os.ReadDir("..")
+	qt.Assert(t, err, qt.IsNil)
+	var packages []string
+	for _, entry := range entries {
+		sources, err := filepath.Glob(filepath.Join("..", entry.Name(), "*.go"))
+		qt.Assert(t, err, qt.IsNil)
+		if entry.IsDir() && len(sources) > 0 {
+			packages = append(packages, entry.Name())
+		}
+	}
+	qt.Assert(t, len(packages) > 30, qt.IsTrue)
+	for _, path := range []string{"../README.md", "../docs/ARCHITECTURE.md"} {
+		page, err := os.ReadFile(path)
+		qt.Assert(t, err, qt.IsNil)
+		for _, name := range packages {
+			named := strings.Contains(string(page), "`"+name+"`") || strings.Contains(string(page), "`"+name+"/")
+			qt.Check(t, named, qt.IsTrue, qt.Commentf("%s in %s", name, path))
+		}
+	}
+}
+
+var pageLink = regexp.MustCompile(`\]\(([^)#:]+)\)`)
+
+func TestReadmeAndArchitectureLinkToWhatExists(t *testing.T) {
+	for _, path := range []string{"../README.md", "../docs/ARCHITECTURE.md"} {
+		page, err := os.ReadFile(path)
+		qt.Assert(t, err, qt.IsNil)
+		links := pageLink.FindAllStringSubmatch(string(page), -1)
+		qt.Check(t, len(links) > 0, qt.IsTrue)
+		for _, link := range links {
+			_, err := os.Stat(filepath.Join(filepath.Dir(path), link[1]))
+			qt.Check(t, err, qt.IsNil, qt.Commentf("%s in %s", link[1], path))
+		}
+	}
+}
+
 // literals returns the string literals of the repository's sources, tests and
 // generated files left out.
 func literals(t *testing.T) map[string]bool {
--- a/demo/platform.go
+++ b/demo/platform.go
@@ -26,6 +26,8 @@
 	// speedUp makes the engines of the demo faster than the register says, so
 	// that long reports end within the time of the demo.
 	speedUp = 8
+	// answerTokens is the usual length of an answer.
+	answerTokens = 160
 	// prefillTokensPerSecond is the rate at which engines read prompts.
 	prefillTokensPerSecond = 20_000
 	// ratingNoise is the standard deviation of one rating.
@@ -48,6 +50,9 @@
 
 	StoreURL, HostsURL, RatingURL, WeightsURL string
 
+	// engineConfig gives the properties of an engine's stand-in.
+	engineConfig func(*bronzeturnv1.Engine) standin.EngineConfig
+
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 }
@@ -55,21 +60,33 @@
 // StartPlatform starts the stand-ins of an example with so many daemon hosts,
 // whose names DaemonName gives.
 func StartPlatform(example string, daemons int) (*Platform, error) {
-	register, rules, err := load(example)
+	register, rules, err := readExample(example)
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	p := &Platform{Register: register, Rules: rules, Engines: make(map[string]*standin.Engine), cancel: cancel}
-	if err := p.start(ctx, daemons); err != nil {
+	p := &Platform{Register: register, Rules: rules, engineConfig: engineConfig}
+	if err := p.start(daemons); err != nil {
 		p.Stop()
 		return nil, err
 	}
 	return p, nil
 }
 
-// load decodes the register and the rules of an example.
-func load(example string) (*bronzeturnv1.Register, *bronzeturnv1.Rules, error) {
+// engineConfig gives an engine the properties that the register states, faster
+// by speedUp.
+func engineConfig(e *bronzeturnv1.Engine) standin.EngineConfig {
+	return standin.EngineConfig{
+		Versions:               e.GetVersions(),
+		Slots:                  int(e.GetSlots()),
+		TokensPerSecond:        e.GetTokensPerSecond() * speedUp,
+		PrefillTokensPerSecond: prefillTokensPerSecond,
+		AnswerTokens:           answerTokens,
+		ReportLag:              reportLag,
+	}
+}
+
+// readExample decodes the register and the rules of an example.
+func readExample(example string) (*bronzeturnv1.Register, *bronzeturnv1.Rules, error) {
 	registerFile := example + "/register.yaml"
 	data, err := examples.Files.ReadFile(registerFile)
 	if err != nil {
@@ -94,7 +111,10 @@
 }
 
 // start starts each stand-in and writes its address into the register.
-func (p *Platform) start(ctx context.Context, daemons int) error {
+func (p *Platform) start(daemons int) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	p.Engines = make(map[string]*standin.Engine)
 	p.Store = standin.NewObjectAPI(standin.ObjectAPIConfig{})
 	p.Hosts = standin.NewHostList(standin.HostListConfig{Lag: hostListLag, Hosts: p.hosts(daemons)})
 	p.Rating = standin.NewRating(standin.RatingConfig{Quality: p.qualities(), Noise: ratingNoise, Lag: ratingLag})
@@ -138,14 +158,9 @@
 		fenced[pool.GetName()] = pool.GetChecksFencing()
 	}
 	for _, e := range p.Register.GetEngines() {
-		engine := standin.NewEngine(standin.EngineConfig{
-			Versions:               e.GetVersions(),
-			Slots:                  int(e.GetSlots()),
-			TokensPerSecond:        e.GetTokensPerSecond() * speedUp,
-			PrefillTokensPerSecond: prefillTokensPerSecond,
-			ReportLag:              reportLag,
-			CheckFencing:           fenced[e.GetPool()],
-		})
+		c := p.engineConfig(e)
+		c.CheckFencing = fenced[e.GetPool()]
+		engine := standin.NewEngine(c)
 		address, err := p.serve(ctx, engine)
 		if err != nil {
 			return err
@@ -215,6 +230,52 @@
 	return all
 }
 
+// enginesOf names the engines that executed a request, one entry for each time.
+func (p *Platform) enginesOf(requestID string) []string {
+	var names []string
+	for name, e := range p.Engines {
+		for range e.Executions()[requestID] {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// poolsByRequest returns the pools that executed each request, joined by "+".
+func (p *Platform) poolsByRequest() map[string]string {
+	pools := make(map[string]string)
+	for _, pool := range p.Register.GetPools() {
+		for id := range p.executedIn(pool.GetName()) {
+			if pools[id] != "" {
+				pools[id] += "+"
+			}
+			pools[id] += pool.GetName()
+		}
+	}
+	return pools
+}
+
+// executedIn returns the ids of the requests that a pool executed.
+func (p *Platform) executedIn(pool string) map[string]bool {
+	ids := make(map[string]bool)
+	for _, e := range p.Register.GetEngines() {
+		if e.GetPool() != pool {
+			continue
+		}
+		for id := range p.Engines[e.GetName()].Executions() {
+			ids[id] = true
+		}
+	}
+	return ids
+}
+
+// Withdraw withdraws a version and returns the generation that says so.
+func (p *Platform) Withdraw(ctx context.Context, version, reason string) (uint64, error) {
+	publisher := config.NewPublisher(config.PublisherOptions{Store: p.Store.Store()})
+	result, err := publisher.Apply(ctx, config.Change{Withdraw: &bronzeturnv1.Withdrawal{Version: version, Reason: reason}})
+	return result.Generation, err
+}
+
 // Publish puts the register and the rules in force through the store.
 func (p *Platform) Publish(ctx context.Context) error {
 	publisher := config.NewPublisher(config.PublisherOptions{Store: p.Store.Store()})
--- a/membership/failure_test.go
+++ b/membership/failure_test.go
@@ -133,6 +133,63 @@
 	})
 }
 
+func TestDaemonThatDiesJustAfterItRefutedIsTakenOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(2 * time.Millisecond)
+		defer net.stopAll()
+		fleet := startFleet(t, net, 3)
+		// entry-1 hears nothing of entry-2 and goes on suspecting it, while entry-2
+		// refutes by way of entry-0; then entry-2 dies.
+		net.setCut("entry-1", "entry-2", true)
+		time.Sleep(outTime)
+		dying, _ := fleet[0].View().Member("entry-2")
+		value := encode(&bronzeturnv1.Suspicion{Incarnation: dying.Incarnation})
+		qt.Assert(t, fleet[0].node.Publish(suspectKey("entry-2", "entry-0"), 1<<40, value), qt.IsNil)
+		time.Sleep(time.Second)
+		state, _ := stateOf(fleet[0], "entry-2")
+		qt.Assert(t, state, qt.Equals, Live)
+		net.crash("entry-2")
+		time.Sleep(outTime)
+		for _, m := range fleet[:2] {
+			state, _ = stateOf(m, "entry-2")
+			qt.Check(t, state, qt.Equals, Suspected)
+		}
+	})
+}
+
+func TestPartsWithoutCommonNeighboursMeetAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(2 * time.Millisecond)
+		defer net.stopAll()
+		fleet := startFleet(t, net, 12)
+		lonely := fleet[7]
+		beside := lonely.monitored(lonely.View())
+		for _, m := range fleet {
+			if m != lonely {
+				net.setCut("entry-7", m.options.Self.Name, true)
+			}
+		}
+		time.Sleep(4 * outTime)
+		for _, name := range beside {
+			net.crash(name)
+		}
+		time.Sleep(4 * outTime)
+		for _, m := range fleet {
+			net.setCut("entry-7", m.options.Self.Name, false)
+		}
+		time.Sleep(time.Minute)
+		qt.Check(t, lonely.View().Live(), qt.Equals, 12-len(beside))
+		state, _ := stateOf(lonely, "entry-7")
+		qt.Check(t, state, qt.Equals, Live)
+		for _, m := range fleet {
+			if name := m.options.Self.Name; !net.down[name] {
+				state, _ := stateOf(m, "entry-7")
+				qt.Check(t, state, qt.Equals, Live, qt.Commentf("%s", name))
+			}
+		}
+	})
+}
+
 func TestRestartAfterTheClockWentBackIsSeen(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		net := newNetwork(2 * time.Millisecond)
