Spread parts of the configuration over three trees

Cause: with 8 fixed sources drawn at random, a daemon far from the watchers asked for a part before its sources had it and again after they had replaced it. At 10 changes a second it fell behind until it read the store. Conclusion: each daemon asks its parents in three trees with the watchers as roots and 8 children a daemon, so a part is handed on three times at 410.

--- a/configuration.go
+++ b/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -20,10 +21,14 @@
 // and the heartbeats.
 const newsInterval = 250 * time.Millisecond
 
-// partSources is how many daemons a daemon asks for parts of the configuration.
-// Each daemon asks the same few, so that its connections do not grow with the
-// fleet, and the parts still reach all within a few rounds.
-const partSources = 8
+// Parts of the configuration spread from the watchers over a few trees, which
+// order the live daemons differently. So the connections of a daemon do not
+// grow with the fleet, and a part passes few daemons on its way.
+const (
+	partTrees = 3
+	// partChildren is how many daemons ask the same one in one tree.
+	partChildren = 8
+)
 
 // newProvider builds the part that keeps the configuration in force.
 func newProvider(d *Daemon, f *fleet) (*provider.Provider, error) {
@@ -63,7 +68,8 @@
 
 // Candidates implements provider.Peers.
 func (p configurationPeers) Candidates() []string {
-	return partSourcesOf(p.self, p.members.View())
+	view := p.members.View()
+	return partSourcesOf(p.self, view.Watchers, view.Live(), view)
 }
 
 // preference orders the live daemons for a key, the same on every daemon.
@@ -71,12 +77,46 @@
 	Top(key string, n int) []string
 }
 
-// partSourcesOf returns the daemons that a daemon asks for parts. The order
-// differs from daemon to daemon, so that each is asked by about as many.
-func partSourcesOf(self string, live preference) []string {
-	names := live.Top("parts/"+self, partSources+1)
-	names = slices.DeleteFunc(names, func(name string) bool { return name == self })
-	return names[:min(len(names), partSources)]
+// partSourcesOf returns the daemons that a daemon asks for parts: its parent in
+// each tree, and others when these are fewer than the trees. Daemons whose views
+// differ ask other ones for a while, which does no harm.
+func partSourcesOf(self string, watchers []string, live int, order preference) []string {
+	var sources []string
+	add := func(name string) {
+		if name != self && !slices.Contains(sources, name) {
+			sources = append(sources, name)
+		}
+	}
+	for tree := range partTrees {
+		if parent, ok := parentOf(self, watchers, order.Top("parts/"+strconv.Itoa(tree), live)); ok {
+			add(parent)
+		}
+	}
+	for _, name := range order.Top("parts/"+self, partTrees+1) {
+		if len(sources) < partTrees {
+			add(name)
+		}
+	}
+	return sources
+}
+
+// parentOf returns the parent in the tree of an order of the daemons. The
+// watchers are its roots.
+func parentOf(self string, watchers, order []string) (parent string, ok bool) {
+	isWatcher := func(name string) bool { return slices.Contains(watchers, name) }
+	var tree, others []string
+	for _, name := range order {
+		if isWatcher(name) {
+			tree = append(tree, name)
+		} else {
+			others = append(others, name)
+		}
+	}
+	at := slices.Index(others, self)
+	if at < 0 || len(tree) == 0 {
+		return "", false
+	}
+	return append(tree, others...)[at/partChildren], true
 }
 
 // Dial implements provider.Peers.
--- a/configuration_test.go
+++ b/configuration_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -11,12 +13,13 @@
 
 // Bounds of the exchange of parts in a fleet of the target size.
 const (
-	targetDaemons = 410
-	// maxAskers bounds how many daemons ask the same one.
-	maxAskers = 24
-	// maxRounds bounds the daemons that a part passes from a watcher to any
-	// other, if every daemon had to hear from the same source each time.
-	maxRounds = 6
+	targetDaemons  = 410
+	targetWatchers = 4
+	// maxAskers bounds how many daemons ask the same one: the children in each
+	// tree, and a few that have one parent in two trees.
+	maxAskers = partTrees*partChildren + 4
+	// maxPasses bounds the daemons that hand a part on until all have it.
+	maxPasses = 3
 )
 
 func TestPartsReachTheFleetOverFewConnections(t *testing.T) {
@@ -25,12 +28,12 @@
 	for i := range targetDaemons {
 		names = append(names, fmt.Sprintf("entry-%03d", i))
 	}
-	live := rendezvous.NewSet(names)
+	live, watchers := rendezvous.NewSet(names), names[:targetWatchers]
 	asked := make(map[string]int)
 	sources := make(map[string][]string)
 	for _, name := range names {
-		sources[name] = partSourcesOf(name, live)
-		c.Assert(sources[name], qt.HasLen, partSources)
+		sources[name] = partSourcesOf(name, watchers, len(names), live)
+		c.Assert(sources[name], qt.HasLen, partTrees)
 		for _, source := range sources[name] {
 			c.Assert(source, qt.Not(qt.Equals), name)
 			asked[source]++
@@ -39,30 +42,48 @@
 	for name, n := range asked {
 		c.Check(n <= maxAskers, qt.IsTrue, qt.Commentf("%s is asked by %d", name, n))
 	}
+	c.Assert(passes(names, watchers, sources) <= maxPasses, qt.IsTrue)
+}
 
-	has := map[string]bool{names[0]: true}
-	rounds := 0
-	for len(has) < len(names) && rounds < maxRounds {
-		rounds++
-		next := make(map[string]bool)
+// passes returns how often a part is handed on until all have it, one more than
+// there are names when it does not reach all.
+func passes(names, watchers []string, sources map[string][]string) int {
+	has := make(map[string]bool)
+	for _, name := range watchers {
+		has[name] = true
+	}
+	for n := range len(names) {
+		if len(has) == len(names) {
+			return n
+		}
+		before := maps.Clone(has)
 		for _, name := range names {
-			for _, source := range sources[name] {
-				if has[source] {
-					next[name] = true
-				}
+			if slices.ContainsFunc(sources[name], func(s string) bool { return before[s] }) {
+				has[name] = true
 			}
 		}
-		for name := range next {
-			has[name] = true
-		}
 	}
-	c.Assert(has, qt.HasLen, len(names))
-	t.Logf("%d rounds", rounds)
+	return len(names) + 1
 }
 
-func TestSmallFleetAsksAllOthers(t *testing.T) {
-	live := rendezvous.NewSet([]string{"a", "b", "c"})
-	qt.Assert(t, partSourcesOf("b", live), qt.ContentEquals, []string{"a", "c"})
-	qt.Assert(t, partSourcesOf("new", live), qt.HasLen, 3)
-	qt.Assert(t, partSourcesOf("a", rendezvous.NewSet([]string{"a"})), qt.HasLen, 0)
+func TestSourcesOfPartsInSmallFleets(t *testing.T) {
+	three := rendezvous.NewSet([]string{"a", "b", "c"})
+	for _, tt := range []struct {
+		name     string
+		self     string
+		watchers []string
+		live     *rendezvous.Set
+		want     int
+	}{
+		{"watcher", "b", []string{"a", "b", "c"}, three, 2},
+		{"no watcher known", "b", nil, three, 2},
+		{"one that the others do not know yet", "new", []string{"a"}, three, 3},
+		{"alone", "a", []string{"a"}, rendezvous.NewSet([]string{"a"}), 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			sources := partSourcesOf(tt.self, tt.watchers, tt.live.Len(), tt.live)
+			qt.Assert(t, sources, qt.HasLen, tt.want)
+			qt.Assert(t, slices.Contains(sources, tt.self), qt.IsFalse)
+		})
+	}
 }
