--- a/membership/propagation_test.go
+++ b/membership/propagation_test.go
@@ -95,7 +95,7 @@
 // has the change, and bytes, processor time and memory per daemon, idle and at
 // ten changes a second. One iteration is one measurement.
 func BenchmarkPropagation(b *testing.B) {
-	for _, n := range []int{6, 48, 200} {
+	for _, n := range []int{6, 48, 200, 410} {
 		b.Run(fmt.Sprint("daemons=", n), func(b *testing.B) {
 			for b.Loop() {
 				measurePropagation(b, n)
--- /dev/null
+++ b/membership/targets.go
@@ -0,0 +1,94 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/gossip"
+)
+
+// setTargets keeps links to the neighbours among all daemons, so that one that
+// was cut off is found again, and among the live ones, so that the overlay
+// stays connected meanwhile. One daemon that is not live is probed besides, in
+// turn, since two parts of the fleet that were cut apart may have no neighbours
+// in each other.
+func (m *Membership) setTargets() {
+	m.targeting.Lock()
+	defer m.targeting.Unlock()
+	v := m.view.Load()
+	names := m.monitored(v)
+	m.watchContacts(names, time.Now())
+	if probe := m.probeName(v); probe != "" && !slices.Contains(names, probe) {
+		names = append(names, probe)
+	}
+	var targets []gossip.Target
+	for _, name := range names {
+		member, _ := v.Member(name)
+		targets = append(targets, gossip.Target{Name: name, Address: member.PeerAddress})
+	}
+	targets = append(targets, m.seedTargets(v)...)
+	m.node.SetTargets(targets)
+}
+
+// probeName returns the suspected daemon whose turn it is to be probed.
+func (m *Membership) probeName(v *View) string {
+	var suspected []string
+	for _, member := range v.Members {
+		if member.State == Suspected {
+			suspected = append(suspected, member.Name)
+		}
+	}
+	if len(suspected) == 0 {
+		return ""
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return suspected[m.probe%len(suspected)]
+}
+
+// monitored returns the names of the neighbours. Leaving daemons keep theirs,
+// since they finish requests and have to hear the fleet until they stop.
+func (m *Membership) monitored(v *View) []string {
+	self := m.options.Self
+	names := v.rings.neighbours(self.Name, self.DataCentre)
+	var live []Member
+	for _, member := range v.Members {
+		if member.State == Live {
+			live = append(live, member)
+		}
+	}
+	if len(live) == len(v.Members) {
+		return names
+	}
+	names = append(names, newRings(live).neighbours(self.Name, self.DataCentre)...)
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// seedTargets returns the seeds at which no daemon is known yet.
+func (m *Membership) seedTargets(v *View) []gossip.Target {
+	known := make(map[string]struct{}, len(v.Members)+1)
+	known[m.options.Self.PeerAddress] = struct{}{}
+	for _, member := range v.Members {
+		known[member.PeerAddress] = struct{}{}
+	}
+	var targets []gossip.Target
+	for _, address := range m.options.Seeds {
+		if _, ok := known[address]; !ok && len(targets) < maxSeedTargets {
+			targets = append(targets, gossip.Target{Address: address})
+		}
+	}
+	return targets
+}
+
+// probeDue tells whether the next suspected daemon has to be probed.
+func (m *Membership) probeDue(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.probed) < probeInterval {
+		return false
+	}
+	m.probed = now
+	m.probe = m.options.Random.IntN(maxDaemons)
+	return true
+}
