Read the host list only when it changed; 16 shards in a new ledger

Ruled out: a lower bill patience, which would settle for a copy in memory where the store could have held the bill.

--- a/daemon_test.go
+++ b/daemon_test.go
@@ -51,7 +51,7 @@
 func TestEveryRoleHasExactlyOnePreferredDaemon(t *testing.T) {
 	c := qt.New(t)
 	p, f := startFleet(c, examples.Andina, 3)
-	const shards = 32
+	const shards = 16
 	register := p.Register
 	parts := shards + len(p.Rules.GetLimits()) + len(register.GetVersions()) + len(register.GetPools())
 	holders := roleHolders(c, f)
--- a/hostlist/hostlist.go
+++ b/hostlist/hostlist.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 
 	"github.com/bronzeturn/bronzeturn/jsoncall"
 )
@@ -83,6 +84,30 @@
 	return Decode(raw)
 }
 
+// ListChanged returns the list unless its revision is still the known one. It
+// reports whether it returned a list. Most calls carry no list, which matters
+// to those that ask several times a second.
+func (c *Client) ListChanged(ctx context.Context, known uint64) (List, bool, error) {
+	var raw json.RawMessage
+	changed, err := c.calls.GetChanged(ctx, Path, Tag(known), &raw)
+	if err != nil {
+		return List{}, false, fmt.Errorf("read host list: %w", err)
+	}
+	if !changed {
+		return List{}, false, nil
+	}
+	list, err := Decode(raw)
+	return list, err == nil, err
+}
+
+// Tag is the entity tag of the list at a revision, empty for zero.
+func Tag(revision uint64) string {
+	if revision == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%q", strconv.FormatUint(revision, 10))
+}
+
 // Decode reads a list and refuses it whole when an entry is invalid.
 func Decode(data []byte) (List, error) {
 	var list List
--- a/hostlist/hostlist_test.go
+++ b/hostlist/hostlist_test.go
@@ -117,3 +117,21 @@
 		qt.Assert(t, same, qt.DeepEquals, list)
 	})
 }
+
+func TestKnownListIsNotSentAgain(t *testing.T) {
+	c := qt.New(t)
+	s, client := start(c, standin.HostListConfig{Hosts: hosts})
+	first, changed, err := client.ListChanged(context.Background(), 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(changed, qt.IsTrue)
+	again, changed, err := client.ListChanged(context.Background(), first.Revision)
+	c.Assert(err, qt.IsNil)
+	c.Assert(changed, qt.IsFalse)
+	c.Assert(again.Hosts, qt.HasLen, 0)
+
+	c.Assert(s.SetState("b1", hostlist.Leaving), qt.IsTrue)
+	next, changed, err := client.ListChanged(context.Background(), first.Revision)
+	c.Assert(err, qt.IsNil)
+	c.Assert(changed, qt.IsTrue)
+	c.Assert(next.Hosts[1].State, qt.Equals, hostlist.Leaving)
+}
--- a/jsoncall/jsoncall.go
+++ b/jsoncall/jsoncall.go
@@ -82,7 +82,23 @@
 
 // Get reads path and decodes the answer into into. The error is an *Error.
 func (c *Client) Get(ctx context.Context, path string, into any) error {
-	return c.do(ctx, http.MethodGet, path, nil, into)
+	return c.do(ctx, http.MethodGet, path, http.Header{}, nil, into)
+}
+
+// GetChanged reads path unless its entity tag is still the known one, and
+// decodes the answer into into. It reports whether there was an answer. The
+// error is an *Error.
+func (c *Client) GetChanged(ctx context.Context, path, known string, into any) (changed bool, err error) {
+	header := http.Header{}
+	if known != "" {
+		header.Set("If-None-Match", known)
+	}
+	err = c.do(ctx, http.MethodGet, path, header, nil, into)
+	var failed *Error
+	if errors.As(err, &failed) && failed.Status == http.StatusNotModified {
+		return false, nil
+	}
+	return err == nil, err
 }
 
 // Post sends in as JSON and decodes the answer into into unless it is nil. The
@@ -92,10 +108,10 @@
 	if err != nil {
 		return &Error{Method: http.MethodPost, Path: path, cause: fmt.Errorf("encode: %w", err)}
 	}
-	return c.do(ctx, http.MethodPost, path, body, into)
+	return c.do(ctx, http.MethodPost, path, http.Header{}, body, into)
 }
 
-func (c *Client) do(ctx context.Context, method, path string, body []byte, into any) error {
+func (c *Client) do(ctx context.Context, method, path string, header http.Header, body []byte, into any) error {
 	e := &Error{Method: method, Path: path}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -104,6 +120,7 @@
 		e.cause = err
 		return e
 	}
+	req.Header = header
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.client.Do(req)
 	if err != nil {
--- a/platform.go
+++ b/platform.go
@@ -79,13 +79,10 @@
 
 // Hosts implements membership.HostList.
 func (h hostList) Hosts(ctx context.Context, known uint64) (membership.Hosts, bool, error) {
-	list, err := h.client.List(ctx)
-	if err != nil {
+	list, changed, err := h.client.ListChanged(ctx, known)
+	if err != nil || !changed {
 		return membership.Hosts{}, false, err
 	}
-	if list.Revision == known {
-		return membership.Hosts{}, false, nil
-	}
 	converted := membership.Hosts{Revision: list.Revision}
 	for _, host := range list.Hosts {
 		converted.Hosts = append(converted.Hosts, membership.Host{
--- a/standin/hosts.go
+++ b/standin/hosts.go
@@ -38,7 +38,7 @@
 	h := &HostList{lag: cfg.Lag}
 	h.Replace(cfg.Hosts)
 	router := bunrouter.New().Compat()
-	router.GET(hostlist.Path, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.shown()) })
+	router.GET(hostlist.Path, h.get)
 	h.handler = router
 	control := h.newControl()
 	control.PUT(PathHosts, h.putHosts)
@@ -46,6 +46,18 @@
 	return h
 }
 
+// get answers the list, or that it is still the one that the caller knows.
+func (h *HostList) get(w http.ResponseWriter, r *http.Request) {
+	list := h.shown()
+	tag := hostlist.Tag(list.Revision)
+	w.Header().Set("ETag", tag)
+	if tag != "" && r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	writeJSON(w, list)
+}
+
 func (h *HostList) putHosts(w http.ResponseWriter, r *http.Request) {
 	var hosts []hostlist.Host
 	if !readJSON(w, r, &hosts) {
