Refuse work after a pause until the newest configuration is known

Cause: a daemon that was stopped (SIGSTOP) during a withdrawal and went on after the withdrawal was in force elsewhere answered requests with the withdrawn version. Buffered heartbeats also look fresh after the pause.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 
@@ -47,6 +48,9 @@
 	key    = "key-depot"
 )
 
+// engineSlots is how many requests an engine runs at a time.
+const engineSlots = 4
+
 // deploy starts a platform with engines, and daemons over it, and applies the
 // configuration by the command line.
 func deploy(c *qt.C, daemons, engines int) *deployment {
@@ -57,7 +61,7 @@
 	_, d.hosts = standIn(c, "host-list", "--hosts", hostFile)
 	_, d.rating = standIn(c, "rating")
 	for range engines {
-		p, address := standIn(c, "engine", "--versions", cheap+","+strong, "--slots", "4", "--tokens-per-second", "200")
+		p, address := standIn(c, "engine", "--versions", cheap+","+strong, "--slots", strconv.Itoa(engineSlots), "--tokens-per-second", "200")
 		d.engines = append(d.engines, p)
 		d.engineAddresses = append(d.engineAddresses, address)
 	}
@@ -165,7 +169,7 @@
 	for i, address := range d.engineAddresses {
 		r.Engines = append(r.Engines, &bronzeturnv1.Engine{
 			Name: fmt.Sprintf("engine-%d", i+1), Pool: "pool", DataCentre: "hall", Host: backendName(i),
-			Address: address, Versions: []string{cheap, strong}, Slots: 4, TokensPerSecond: 200,
+			Address: address, Versions: []string{cheap, strong}, Slots: engineSlots, TokensPerSecond: 200,
 		})
 	}
 	return r
--- a/provider/fetch.go
+++ b/provider/fetch.go
@@ -211,6 +211,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.state.confirmPeer(c.generation(), age, start)
+	if c.generation() == p.state.inForce.generation() {
+		p.state.firstHand = latest(p.state.firstHand, start.Add(-age))
+	}
 	return nil
 }
 
--- a/provider/freshness.go
+++ b/provider/freshness.go
@@ -18,6 +18,9 @@
 	ReasonNone Reason = "no_configuration"
 	// ReasonIsolated: neither the store nor most of the live peers were heard.
 	ReasonIsolated Reason = "isolated"
+	// ReasonResumed: the process stood still and has not yet heard, first hand,
+	// that no newer configuration came meanwhile.
+	ReasonResumed Reason = "resumed"
 	// ReasonBehind: a newer head exists and could not be put in force.
 	ReasonBehind Reason = "behind"
 )
@@ -30,6 +33,9 @@
 	Age time.Duration
 	// Behind is how long a newer head has been known, zero if there is none.
 	Behind time.Duration
+	// Unsure is how long ago the process resumed after standing still, zero if it
+	// never did or has heard first hand since that nothing newer exists.
+	Unsure time.Duration
 	// PeersHeard and PeersKnown leave out the daemon itself. Known peers are
 	// those of the live list, whether they are heard or not: a peer must not drop
 	// out of it only because it is not heard.
@@ -40,16 +46,20 @@
 // the store nor most of its peers for longer than bound may have missed a
 // withdrawal, so it refuses. If the store is down for all, no one can have
 // changed the configuration in a way that only others know, as long as most of
-// the peers are heard; then work goes on.
+// the peers are heard; then work goes on. A daemon that stood still refuses until
+// the store or a peer told it, first hand and since it resumed, that nothing newer
+// exists; while neither can, it waits and then goes by the majority alone.
 func Decide(n News, bound time.Duration) (bool, Reason) {
 	switch {
 	case !n.HasConfiguration:
 		return false, ReasonNone
+	case n.Unsure > 0 && (n.Unsure < resumeSettle || n.Behind > 0):
+		return false, ReasonResumed
 	case n.Behind > bound:
 		return false, ReasonBehind
 	case n.Behind > 0:
 		return true, ReasonCatchingUp
-	case n.Age <= bound:
+	case n.Age <= bound && n.Unsure == 0:
 		return true, ReasonConfirmed
 	case majority(n.PeersHeard, n.PeersKnown):
 		return true, ReasonMajority
--- a/provider/freshness_test.go
+++ b/provider/freshness_test.go
@@ -25,6 +25,10 @@
 		{"half of an even fleet", News{HasConfiguration: true, Age: old, PeersHeard: 204, PeersKnown: 409}, false, ReasonIsolated},
 		{"only daemon", News{HasConfiguration: true, Age: old}, true, ReasonMajority},
 		{"newer head known since a short while", News{HasConfiguration: true, Age: old, Behind: time.Second}, true, ReasonCatchingUp},
+		{"resumed, nothing heard first hand", News{HasConfiguration: true, Unsure: 1, PeersHeard: 5, PeersKnown: 5}, false, ReasonResumed},
+		{"resumed long ago, store down for all", News{HasConfiguration: true, Unsure: resumeSettle, PeersHeard: 3, PeersKnown: 5}, true, ReasonMajority},
+		{"resumed long ago, cut off", News{HasConfiguration: true, Unsure: resumeSettle, PeersHeard: 2, PeersKnown: 5}, false, ReasonIsolated},
+		{"resumed long ago, newer head known", News{HasConfiguration: true, Unsure: resumeSettle, Behind: 1, PeersHeard: 5, PeersKnown: 5}, false, ReasonResumed},
 		{"newer head not to be had", News{HasConfiguration: true, Behind: bound + 1, PeersHeard: 5, PeersKnown: 5}, false, ReasonBehind},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/provider/install.go
+++ b/provider/install.go
@@ -31,6 +31,7 @@
 	backoff := &config.Backoff{Base: retryBase, Max: retryMax, Random: p.fetchRandom}
 	since, fallback := time.Now(), p.drawFallback()
 	for {
+		p.verifyNow(ctx)
 		p.probe(ctx)
 		useStore := time.Since(since) >= fallback
 		done := p.step(ctx, useStore)
--- a/provider/provider.go
+++ b/provider/provider.go
@@ -109,6 +109,9 @@
 	rejected config.Digest
 	// ask is set when a peer is known to have a newer head.
 	ask bool
+	// verify is set after a pause, when the newest head has to be asked for.
+	verify bool
+	pauses pauseGuard
 
 	watching watchState
 
@@ -159,11 +162,13 @@
 
 // Start begins to keep the configuration in force.
 func (p *Provider) Start() {
+	p.pauses.check()
 	p.table.Subscribe(config.HeadKey, p.fromTable)
 	p.tomb.Go(func() error {
 		p.tomb.Go(p.installLoop)
 		p.tomb.Go(p.pollLoop)
 		p.tomb.Go(p.watchLoop)
+		p.tomb.Go(p.keepPulse)
 		return nil
 	})
 }
--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -331,11 +331,53 @@
 			}
 			time.Sleep(pause)
 		}
-		time.Sleep(bound)
+		time.Sleep(2 * time.Second)
 		f.inForce(c, changes+1)
 	})
 }
 
+// TestResumedDaemonWaitsForNews: the clock of the guard is set back, as it is
+// found after the process stood still.
+func TestResumedDaemonWaitsForNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(t, 5)
+		defer f.close()
+		nodes := []*node{f.start("d0", true), f.start("d1", false), f.start("d2", false)}
+		f.apply(1)
+		time.Sleep(2 * time.Second)
+		resumed := nodes[2].provider
+		fresh := func() (bool, Reason) { return resumed.Fresh(time.Now(), 2, 2) }
+
+		standStill(resumed)
+		ok, reason := fresh()
+		c.Assert(ok, qt.IsFalse)
+		c.Assert(reason, qt.Equals, ReasonResumed)
+		reads := nodes[2].storeReads()
+		time.Sleep(2 * time.Second)
+		ok, reason = fresh()
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(reason, qt.Equals, ReasonConfirmed)
+		c.Assert(nodes[2].storeReads(), qt.Equals, reads+1)
+
+		// With the store down for all, the majority counts after a while.
+		f.outage()
+		standStill(resumed)
+		ok, _ = fresh()
+		c.Assert(ok, qt.IsFalse)
+		time.Sleep(resumeSettle)
+		ok, reason = fresh()
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(reason, qt.Equals, ReasonMajority)
+	})
+}
+
+func standStill(p *Provider) {
+	p.pauses.mu.Lock()
+	defer p.pauses.mu.Unlock()
+	p.pauses.last = p.pauses.last.Add(-2 * pauseBound)
+}
+
 func TestNewRefusesMissingOptions(t *testing.T) {
 	_, err := New(Options{})
 	qt.Assert(t, errors.Is(err, ErrOptions), qt.IsTrue)
--- a/provider/state.go
+++ b/provider/state.go
@@ -90,6 +90,8 @@
 	confirmed time.Time
 	// storeConfirmed is the same, as the store told this daemon itself.
 	storeConfirmed time.Time
+	// firstHand is the same, as a peer told this daemon itself.
+	firstHand time.Time
 }
 
 // offer takes note of a head and decides what becomes of it. The generation in
--- a/provider/status.go
+++ b/provider/status.go
@@ -62,6 +62,7 @@
 // Fresh tells whether the daemon may take new work, given how many of its live
 // peers it hears. See Decide.
 func (p *Provider) Fresh(now time.Time, peersHeard, peersKnown int) (bool, Reason) {
+	resumed := p.pauses.check()
 	s := p.Status()
 	news := News{
 		HasConfiguration: s.Generation > 0,
@@ -72,6 +73,9 @@
 	if !s.BehindSince.IsZero() {
 		news.Behind = max(now.Sub(s.BehindSince), 1)
 	}
+	if p.unsure(resumed) {
+		news.Unsure = max(time.Since(resumed), 1)
+	}
 	return Decide(news, p.staleAfter)
 }
 
