--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -29,9 +29,11 @@
 	store, hosts, rating string
 	engines              []*process
 	engineAddresses      []string
-	service              string
-	daemons              []*daemon
-	register, rules      string
+	// engineRoutes are the addresses of the engines in the register.
+	engineRoutes    []string
+	service         string
+	daemons         []*daemon
+	register, rules string
 }
 
 // daemon is one bronzeturnd.
@@ -51,33 +53,56 @@
 // engineSlots is how many requests an engine runs at a time.
 const engineSlots = 4
 
+// plan is the size of a deployment and what is special about it.
+type plan struct {
+	daemons, engines int
+	// engineArgs are further flags of the engines.
+	engineArgs []string
+	// route returns the address that the register names for an engine. Nil means
+	// its own.
+	route func(address string) string
+}
+
 // deploy starts a platform with engines, and daemons over it, and applies the
 // configuration by the command line.
 func deploy(c *qt.C, daemons, engines int) *deployment {
+	return deployPlan(c, plan{daemons: daemons, engines: engines})
+}
+
+func deployPlan(c *qt.C, p plan) *deployment {
 	d := &deployment{}
 	hostFile := filepath.Join(c.TempDir(), "hosts.json")
-	writeJSON(c, hostFile, hostEntries(daemons, engines))
+	writeJSON(c, hostFile, hostEntries(p.daemons, p.engines))
 	_, d.store = standIn(c, "object-api")
 	_, d.hosts = standIn(c, "host-list", "--hosts", hostFile)
 	_, d.rating = standIn(c, "rating")
-	for range engines {
-		p, address := standIn(c, "engine", "--versions", cheap+","+strong, "--slots", strconv.Itoa(engineSlots), "--tokens-per-second", "200")
-		d.engines = append(d.engines, p)
-		d.engineAddresses = append(d.engineAddresses, address)
+	for range p.engines {
+		d.startEngine(c, p)
 	}
 	_, d.service = standIn(c, "plain-service", "--name", "tickets")
 	d.writeConfiguration(c)
-	for i := range daemons {
+	for i := range p.daemons {
 		d.startDaemon(c, demo.DaemonName(i))
 	}
 	d.apply(c)
 	for _, one := range d.daemons {
 		one.waitReady(c)
-		eventually(c, "all daemons known", func() bool { return len(entriesOf(c, one)) == min(daemons, 3) })
+		eventually(c, "all daemons known", func() bool { return len(entriesOf(c, one)) == min(p.daemons, 3) })
 	}
 	return d
 }
 
+func (d *deployment) startEngine(c *qt.C, p plan) {
+	args := []string{"engine", "--versions", cheap + "," + strong, "--slots", strconv.Itoa(engineSlots), "--tokens-per-second", "200"}
+	one, address := standIn(c, append(args, p.engineArgs...)...)
+	d.engines = append(d.engines, one)
+	d.engineAddresses = append(d.engineAddresses, address)
+	if p.route != nil {
+		address = p.route(address)
+	}
+	d.engineRoutes = append(d.engineRoutes, address)
+}
+
 // hostEntries lists the hosts of all processes.
 func hostEntries(daemons, engines int) []hostlist.Host {
 	var hosts []hostlist.Host
@@ -166,7 +191,7 @@
 		Services: []*bronzeturnv1.Service{{Name: "tickets", Idempotent: false, CallPriceMicros: 1000,
 			Instances: []*bronzeturnv1.ServiceInstance{{Host: "service-host", Address: d.service, DataCentre: "hall"}}}},
 	}
-	for i, address := range d.engineAddresses {
+	for i, address := range d.engineRoutes {
 		r.Engines = append(r.Engines, &bronzeturnv1.Engine{
 			Name: fmt.Sprintf("engine-%d", i+1), Pool: "pool", DataCentre: "hall", Host: backendName(i),
 			Address: address, Versions: []string{cheap, strong}, Slots: engineSlots, TokensPerSecond: 200,
