Let daemons find each other through the store

Cause: seeds came from the settings only; hosts are replaced at any time, so a list in settings grows stale and a new daemon could find nobody. Ruled out: one object per daemon, which has to be listed and cleaned up; the host list, which has names and no ports.

--- /dev/null
+++ b/bootstrap/bootstrap_test.go
@@ -0,0 +1,125 @@
+package bootstrap
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/objectstore/memstore"
+)
+
+// daemon records what its registrar found.
+type daemon struct {
+	name  string
+	mu    sync.Mutex
+	found map[string]bool
+	stop  context.CancelFunc
+}
+
+// start runs a registrar for a daemon to which the named ones are live.
+func start(store *memstore.Store, number int, live func(string) bool) *daemon {
+	d := &daemon{name: fmt.Sprintf("entry-%d", number), found: make(map[string]bool)}
+	r := New(Options{
+		Store: store,
+		Self:  &bronzeturnv1.Seed{Name: d.name, PeerAddress: d.name + ":1"},
+		Found: func(addresses []string) {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			for _, address := range addresses {
+				d.found[address] = true
+			}
+		},
+		Live:   live,
+		Random: rand.New(rand.NewPCG(uint64(number), 1)),
+		Log:    zerolog.Nop(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	d.stop = cancel
+	go func() { _ = r.Run(ctx) }()
+	return d
+}
+
+func (d *daemon) has(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.found[address]
+}
+
+// flaky refuses and loses some of the first calls.
+func flaky(calls int64) memstore.Fault {
+	var count atomic.Int64
+	return func(context.Context, memstore.Op, string) memstore.Verdict {
+		n := count.Add(1)
+		switch {
+		case n > calls:
+			return memstore.Pass
+		case n%3 == 0:
+			return memstore.Lose
+		case n%2 == 0:
+			return memstore.Refuse
+		default:
+			return memstore.Pass
+		}
+	}
+}
+
+func TestDaemonsThatStartTogetherFindEachOther(t *testing.T) {
+	for _, calls := range []int64{0, 60} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			store := memstore.New()
+			store.SetFault(flaky(calls))
+			var all []*daemon
+			for i := range 6 {
+				all = append(all, start(store, i, func(string) bool { return true }))
+			}
+			time.Sleep(time.Minute)
+			late := start(store, 6, func(string) bool { return true })
+			time.Sleep(time.Minute)
+			for _, d := range all {
+				c.Check(late.has(d.name+":1"), qt.IsTrue, qt.Commentf("%d faulty calls, %s", calls, d.name))
+				d.stop()
+			}
+			// Of any two, at least the later one knows the other.
+			for i, one := range all {
+				for _, other := range all[i+1:] {
+					c.Check(one.has(other.name+":1") || other.has(one.name+":1"), qt.IsTrue)
+				}
+			}
+			late.stop()
+		})
+	}
+}
+
+func TestReplacedDaemonsLeaveTheListToLiveOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := memstore.New()
+		survivor := start(store, 1000, func(string) bool { return false })
+		time.Sleep(time.Minute)
+		// More daemons than the list holds start and die at once.
+		for i := range maxSeeds + 4 {
+			d := start(store, i, func(string) bool { return true })
+			time.Sleep(time.Second)
+			d.stop()
+		}
+		time.Sleep(2 * reviewInterval)
+		late := start(store, 2000, func(string) bool { return true })
+		time.Sleep(time.Minute)
+		c.Check(late.has("entry-1000:1"), qt.IsTrue)
+		writes := store.Counts().Writes
+		time.Sleep(10 * reviewInterval)
+		c.Check(store.Counts().Writes-writes <= 1, qt.IsTrue, qt.Commentf("%d writes", store.Counts().Writes-writes))
+		survivor.stop()
+		late.stop()
+	})
+}
--- a/daemon.go
+++ b/daemon.go
@@ -167,6 +167,7 @@
 	randSampler
 	randOrders
 	randLearning
+	randBootstrap
 	randRouter
 )
 
--- a/daemon_test.go
+++ b/daemon_test.go
@@ -21,13 +21,14 @@
 // waitLimit bounds waits for what has to happen; it is no measure of time.
 const waitLimit = 30 * time.Second
 
-// startFleet starts a platform and daemons that are ready.
+// startFleet starts a platform and daemons that are ready. They find each other
+// through the store alone.
 func startFleet(c *qt.C, example string, daemons int) (*demo.Platform, *demo.Fleet) {
 	p, err := demo.StartPlatform(example, daemons)
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(p.Stop)
 	c.Assert(p.Publish(context.Background()), qt.IsNil)
-	f, err := demo.StartFleet(p, demo.FleetOptions{Daemons: daemons, Log: io.Discard})
+	f, err := demo.StartFleet(p, demo.FleetOptions{Daemons: daemons, Log: io.Discard, WithoutSeeds: true})
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { c.Check(f.Stop(), qt.IsNil) })
 	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -35,6 +35,9 @@
 	Log io.Writer
 	// Arguments are added to the settings of each daemon.
 	Arguments []string
+	// WithoutSeeds leaves the seeds out of the settings, so that the daemons
+	// find each other through the store.
+	WithoutSeeds bool
 }
 
 // StartFleet starts daemons over the platform.
@@ -50,7 +53,7 @@
 
 // startDaemon provisions one daemon and runs it.
 func (f *Fleet) startDaemon(p *Platform, o FleetOptions, number int) error {
-	s, err := settings.Parse(append(f.arguments(p, number), o.Arguments...), nil)
+	s, err := settings.Parse(append(f.arguments(p, o, number), o.Arguments...), nil)
 	if err != nil {
 		return err
 	}
@@ -76,11 +79,7 @@
 }
 
 // arguments are the settings of one daemon. Those started before are its seeds.
-func (f *Fleet) arguments(p *Platform, number int) []string {
-	var seeds []string
-	for _, d := range f.Daemons[:min(len(f.Daemons), 3)] {
-		seeds = append(seeds, d.PeerAddress())
-	}
+func (f *Fleet) arguments(p *Platform, o FleetOptions, number int) []string {
 	return []string{
 		"--name", DaemonName(number),
 		"--data-centre", p.DataCentre(number),
@@ -89,8 +88,23 @@
 		"--store-url", p.StoreURL, "--host-list-url", p.HostsURL,
 		"--rating-url", p.RatingURL, "--weight-store-url", p.WeightsURL,
 		"--insecure-plaintext-peers", "--insecure-plaintext-operators",
-		"--seeds", strings.Join(seeds, ","),
+		"--seeds", strings.Join(f.seeds(o), ","),
+	}
+}
+
+// maxSeeds is how many daemons are named to a new one.
+const maxSeeds = 3
+
+// seeds are the peer addresses of the first daemons.
+func (f *Fleet) seeds(o FleetOptions) []string {
+	var seeds []string
+	if o.WithoutSeeds {
+		return seeds
+	}
+	for _, d := range f.Daemons[:min(len(f.Daemons), maxSeeds)] {
+		seeds = append(seeds, d.PeerAddress())
 	}
+	return seeds
 }
 
 // StopDaemon begins the graceful stop of one daemon.
--- a/fleet.go
+++ b/fleet.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/bronzeturn/bronzeturn/bootstrap"
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/gossip"
 	"github.com/bronzeturn/bronzeturn/ledger"
 	"github.com/bronzeturn/bronzeturn/logging"
@@ -141,6 +143,22 @@
 	f.ledger.Start()
 	f.provider.Start()
 	d.goLoop("news", f.exchangeNews)
+	d.goLoop("bootstrap", newRegistrar(d, f).Run)
+}
+
+// newRegistrar lets this daemon find others through the store.
+func newRegistrar(d *Daemon, f *fleet) *bootstrap.Registrar {
+	return bootstrap.New(bootstrap.Options{
+		Store: d.platform.store,
+		Self:  &bronzeturnv1.Seed{Name: d.settings.GetName(), PeerAddress: d.listeners.peerAddress},
+		Found: f.members.SetFoundSeeds,
+		Live: func(name string) bool {
+			member, ok := f.members.View().Member(name)
+			return ok && member.State == membership.Live
+		},
+		Random: d.rand(randBootstrap),
+		Log:    logging.Part(d.log, "bootstrap"),
+	})
 }
 
 // stop leaves the fleet.
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -41,6 +41,8 @@
 	probe  int
 	probed time.Time
 	subs   []func(*View)
+	// foundSeeds are peer addresses that were found after the start.
+	foundSeeds []string
 }
 
 // New returns a membership that is not yet started. Its view holds this daemon
--- a/membership/targets.go
+++ b/membership/targets.go
@@ -73,7 +73,7 @@
 		known[member.PeerAddress] = struct{}{}
 	}
 	var targets []gossip.Target
-	for _, address := range m.options.Seeds {
+	for _, address := range m.seeds() {
 		if _, ok := known[address]; !ok && len(targets) < maxSeedTargets {
 			targets = append(targets, gossip.Target{Address: address})
 		}
@@ -81,6 +81,22 @@
 	return targets
 }
 
+// seeds are those of the options and the ones found since.
+func (m *Membership) seeds() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Concat(m.options.Seeds, m.foundSeeds)
+}
+
+// SetFoundSeeds replaces the peer addresses, beside those of the options, that
+// are tried until the daemons behind them are known by name.
+func (m *Membership) SetFoundSeeds(addresses []string) {
+	m.mu.Lock()
+	m.foundSeeds = slices.Clone(addresses)
+	m.mu.Unlock()
+	m.setTargets()
+}
+
 // probeDue tells whether the next suspected daemon has to be probed.
 func (m *Membership) probeDue(now time.Time) bool {
 	m.mu.Lock()
