Name the part of a log line once; publish the load of a daemon

Cause: six packages added the part that the daemon had added already, the host stood twice, and the address answers knew no load, so all daemons looked idle.

--- a/admission/fleet.go
+++ b/admission/fleet.go
@@ -129,7 +129,7 @@
 	}
 	if err != nil {
 		f.controller.metrics.reportFailed()
-		f.controller.options.Log.Debug().Str("part", "admission").Str("coordinator", owner).Err(err).Msg("Usage report failed.")
+		f.controller.options.Log.Debug().Str("coordinator", owner).Err(err).Msg("usage not reported")
 		response = &bronzeturnv1.ReportUsageResponse{}
 	}
 	f.apply(b, response)
--- a/configuration.go
+++ b/configuration.go
@@ -27,14 +27,13 @@
 
 // newProvider builds the part that keeps the configuration in force.
 func newProvider(d *Daemon, f *fleet) (*provider.Provider, error) {
-	log := logging.Part(d.log, "provider")
 	return provider.New(provider.Options{
 		Store:      d.platform.store,
-		Table:      headTable{sharedTable: sharedTable{f.members.Table()}, log: log},
+		Table:      headTable{sharedTable: sharedTable{f.members.Table()}, log: logging.Part(d.log, "provider")},
 		Peers:      configurationPeers{members: f.members, directory: f.directory, self: d.settings.GetName()},
 		Watcher:    newWatcher(f.members),
 		Random:     d.rand(randProvider),
-		Log:        log,
+		Log:        d.log,
 		Registerer: d.options.Registry,
 		StaleAfter: d.settings.GetConfigStaleAfter().AsDuration(),
 	})
--- a/daemon.go
+++ b/daemon.go
@@ -52,7 +52,7 @@
 // before Run.
 func New(settings *bronzeturnv1.Settings, options Options) (*Daemon, error) {
 	d := &Daemon{settings: settings, options: options.withDefaults()}
-	d.log = logging.New(settings, d.options.LogWriter).With().Str("daemon", settings.GetName()).Logger()
+	d.log = logging.New(settings, d.options.LogWriter)
 	var err error
 	if d.listeners, err = openListeners(d); err != nil {
 		return nil, err
--- a/fleet.go
+++ b/fleet.go
@@ -74,7 +74,7 @@
 			{Prefix: "cutoff/", MaxEntries: maxTableVersions, MaxValueBytes: maxTableBytes},
 		},
 		Random:     d.rand(randMembership),
-		Log:        logging.Part(d.log, "membership"),
+		Log:        d.log,
 		Registerer: d.options.Registry,
 	}
 }
@@ -86,7 +86,7 @@
 		Owners:      owners{f.members},
 		Dialer:      f.directory,
 		Holders:     holders{members: f.members, self: d.settings.GetName(), dataCentre: d.settings.GetDataCentre()},
-		Log:         logging.Part(d.log, "ledger"),
+		Log:         d.log,
 		Registerer:  d.options.Registry,
 		Rand:        d.rand(randLedger),
 		Shards:      uint32(d.settings.GetLedgerShards()),
--- a/orders.go
+++ b/orders.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/bronzeturn/bronzeturn/logging"
 	"github.com/bronzeturn/bronzeturn/orders"
 	"github.com/bronzeturn/bronzeturn/router"
 )
@@ -20,7 +19,7 @@
 		Weights:    d.platform.weights,
 		Source:     poolSource{d},
 		Owner:      d.fleet.members.Owner,
-		Log:        logging.Part(d.log, "orders"),
+		Log:        d.log,
 		Rand:       d.rand(randOrders),
 		Registerer: d.options.Registry,
 	}, orders.DefaultOptions(d.settings.GetName()))
--- a/ratings.go
+++ b/ratings.go
@@ -44,7 +44,7 @@
 		log:      logging.Part(d.log, "quality"),
 	}
 	shared := sharedTable{d.fleet.members.Table()}
-	l.sync = rollout.NewSync(n.rollouts, shared, logging.Part(d.log, "rollout"))
+	l.sync = rollout.NewSync(n.rollouts, shared, d.log)
 	l.exchange = quality.NewExchange(quality.ExchangeOptions{
 		Name:        d.settings.GetName(),
 		Incarnation: d.rand(randLearning).Uint64(),
--- a/room.go
+++ b/room.go
@@ -62,13 +62,33 @@
 	return rooms
 }
 
-// keepRoom tells admission about the engines until ctx ends.
+// fullLoad is the multiple of a daemon's fair part of the engine slots at which
+// it counts as fully loaded, so that callers are sent elsewhere.
+const fullLoad = 2
+
+// loadShare is the share of this daemon's capacity in use, 0 to 1: its requests in
+// progress against its fair part of the slots of the engines that it sees.
+func (d *Daemon) loadShare() float64 {
+	slots := 0
+	for _, e := range d.compiler.visibleEngines() {
+		slots += int(e.GetSlots())
+	}
+	if slots == 0 {
+		return 0
+	}
+	fair := float64(slots) / float64(d.compiler.sharers())
+	return min(float64(d.router.InProgress())/(fullLoad*fair), 1)
+}
+
+// keepRoom tells admission about the engines, and the fleet about the load of
+// this daemon, until ctx ends.
 func (d *Daemon) keepRoom(ctx context.Context) error {
 	for sleep(ctx, roomInterval) {
 		visible, sharers := d.compiler.visibleEngines(), d.compiler.sharers()
 		for version, room := range d.decisions.occupancy.rooms(visible, sharers, time.Now()) {
 			d.decisions.admission.SetRoom(version, room)
 		}
+		d.fleet.members.SetLoad(d.loadShare())
 	}
 	return nil
 }
