Count the reads of a resumed daemon from before it resumes

Cause: the test took the count after the clock was set back; the daemon's own check could run in between, so one read was already counted. TestResumedDaemon- WaitsForNews failed in 1 of 24 runs of the package. Changed test: the same assertion, exactly one read, from an earlier count.

--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -349,11 +349,11 @@
 		resumed := nodes[2].provider
 		fresh := func() (bool, Reason) { return resumed.Fresh(time.Now(), 2, 2) }
 
+		reads := nodes[2].storeReads()
 		standStill(resumed)
 		ok, reason := fresh()
 		c.Assert(ok, qt.IsFalse)
 		c.Assert(reason, qt.Equals, ReasonResumed)
-		reads := nodes[2].storeReads()
 		time.Sleep(2 * time.Second)
 		ok, reason = fresh()
 		c.Assert(ok, qt.IsTrue)
