--- a/daemon.go
+++ b/daemon.go
@@ -168,6 +168,7 @@
 	randOrders
 	randLearning
 	randBootstrap
+	randCollect
 	randRouter
 )
 
--- a/fleet.go
+++ b/fleet.go
@@ -144,6 +144,7 @@
 	f.provider.Start()
 	d.goLoop("news", f.exchangeNews)
 	d.goLoop("bootstrap", newRegistrar(d, f).Run)
+	d.goLoop("collect", d.collectParts)
 }
 
 // newRegistrar lets this daemon find others through the store.
