--- a/admission/fleet.go
+++ b/admission/fleet.go
@@ -52,13 +52,10 @@
 // Run reports usage and applies shares until ctx ends. Without it, the daemon
 // keeps to an equal part of each limit.
 func (c *Controller) Run(ctx context.Context) error {
-	t, ctx := tomb.WithContext(ctx)
-	t.Go(func() error { return c.fleet.loop(ctx, t) })
-	err := t.Wait()
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return err
+	// tomb.WithContext would race with a parent that ends at once.
+	var t tomb.Tomb
+	t.Go(func() error { return c.fleet.loop(ctx, &t) })
+	return t.Wait()
 }
 
 // loop sends the reports that are due.
--- a/compiler.go
+++ b/compiler.go
@@ -48,7 +48,7 @@
 	defer c.mu.Unlock()
 	c.snapshot = s
 	c.compile()
-	c.log.Info().Uint64("generation", s.Generation()).Int("engines", len(c.visible)).Msg("tables compiled")
+	c.log.Info().Uint64("generation", s.Generation()).Int("engines", len(c.visible)).Msg("configuration in force")
 }
 
 // setView follows the live daemons, over which engines and limits are divided.
--- a/provider/install.go
+++ b/provider/install.go
@@ -146,7 +146,7 @@
 	if !installed {
 		return
 	}
-	p.log.Info().Uint64("generation", c.generation()).Str("source", string(c.source)).Msg("configuration in force")
+	p.log.Info().Uint64("generation", c.generation()).Str("source", string(c.source)).Msg("configuration installed")
 	for _, f := range p.subscribers {
 		f(snapshot)
 	}
