Write the body for an engine without a map of all its fields

Cause: each request was encoded twice through reflection, once for the hash of a prefix that prompts under 256 bytes don't have. Conclusion: kept for the allocations.

--- a/router/choose.go
+++ b/router/choose.go
@@ -68,9 +68,15 @@
 // prefixBlocks bounds the part of a prompt that decides prefix-cache affinity.
 const prefixBlocks = 4
 
+// maxSaltBytes bounds the salt in front of a prompt, its separator included.
+const maxSaltBytes = 24
+
 // prefixHash names the beginning of a prompt, salted by organisation, in the
 // form that engines use in their cache events. It is zero for short prompts.
 func prefixHash(organisation string, messages json.RawMessage) uint64 {
+	if len(messages)+maxSaltBytes < engine.PrefixBlockBytes {
+		return 0 // The text of the prompt is no longer than its JSON.
+	}
 	body, err := encodeJSON(map[string]json.RawMessage{
 		"cache_salt": cacheSalt(organisation),
 		"messages":   messages,
--- a/router/request.go
+++ b/router/request.go
@@ -56,7 +56,9 @@
 // chatBody is the part of a chat completion request that the router reads. The
 // other fields pass through unread.
 type chatBody struct {
-	fields        map[string]json.RawMessage
+	fields map[string]json.RawMessage
+	// size is the length of the body received.
+	size          int
 	model         string
 	stream        bool
 	promptTokens  int64
@@ -158,7 +160,7 @@
 
 // parseChat reads the fields that the router needs from a chat completion body.
 func parseChat(data []byte) (chatBody, *failure.Error) {
-	var b chatBody
+	b := chatBody{size: len(data)}
 	if err := json.Unmarshal(data, &b.fields); err != nil {
 		return b, malformedJSON(err)
 	}
@@ -232,18 +234,48 @@
 // forwardBody returns the body for the engine: the version as model, and the
 // token counts asked for, since the bill needs them.
 func (b *chatBody) forwardBody(organisation, version string) ([]byte, error) {
-	fields := make(map[string]json.RawMessage, len(b.fields)+2)
-	for name, raw := range b.fields {
-		fields[name] = raw
-	}
 	model, err := json.Marshal(version)
 	if err != nil {
 		return nil, err
 	}
-	fields["model"] = model
-	fields["cache_salt"] = cacheSalt(organisation)
+	own := map[string]json.RawMessage{"model": model, "cache_salt": cacheSalt(organisation)}
 	if b.stream {
-		fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+		own["stream_options"] = includeUsage
+	}
+	body := make([]byte, 0, b.size+ownFieldBytes)
+	body = append(body, '{')
+	for name, raw := range own {
+		if body, err = appendField(body, name, raw); err != nil {
+			return nil, err
+		}
+	}
+	for name, raw := range b.fields {
+		if _, replaced := own[name]; replaced {
+			continue
+		}
+		if body, err = appendField(body, name, raw); err != nil {
+			return nil, err
+		}
+	}
+	body[len(body)-1] = '}'
+	return body, nil
+}
+
+// includeUsage asks an engine for the token counts at the end of a stream.
+var includeUsage = json.RawMessage(`{"include_usage":true}`)
+
+// ownFieldBytes is the usual size of the fields that the router sets.
+const ownFieldBytes = 160
+
+// appendField appends one field and a comma. The value was decoded as JSON
+// before, so it passes as it is.
+func appendField(body []byte, name string, raw json.RawMessage) ([]byte, error) {
+	quoted, err := json.Marshal(name)
+	if err != nil {
+		return nil, err
 	}
-	return encodeJSON(fields)
+	body = append(body, quoted...)
+	body = append(body, ':')
+	body = append(body, raw...)
+	return append(body, ','), nil
 }
