--- a/fleet.go
+++ b/fleet.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/bronzeturn/bronzeturn/bootstrap"
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/gossip"
 	"github.com/bronzeturn/bronzeturn/ledger"
 	"github.com/bronzeturn/bronzeturn/logging"
@@ -39,7 +41,7 @@
 	if f.traffic, err = peer.NewTraffic(d.options.Registry); err != nil {
 		return nil, err
 	}
-	f.directory = peer.NewDirectory(peer.ResolverFunc(f.peerAddress), nil, f.traffic)
+	f.directory = peer.NewDirectory(peer.ResolverFunc(f.peerAddress), d.tls.peer, f.traffic)
 	if f.members, err = membership.New(membershipOptions(d, f)); err != nil {
 		return nil, err
 	}
@@ -72,7 +74,7 @@
 			{Prefix: "cutoff/", MaxEntries: maxTableVersions, MaxValueBytes: maxTableBytes},
 		},
 		Random:     d.rand(randMembership),
-		Log:        logging.Part(d.log, "membership"),
+		Log:        d.log,
 		Registerer: d.options.Registry,
 	}
 }
@@ -81,19 +83,33 @@
 	return ledger.Config{
 		Self:        d.settings.GetName(),
 		Store:       d.platform.store,
-		Owners:      f.members,
+		Owners:      owners{f.members},
 		Dialer:      f.directory,
 		Holders:     holders{members: f.members, self: d.settings.GetName(), dataCentre: d.settings.GetDataCentre()},
-		Log:         logging.Part(d.log, "ledger"),
+		Log:         d.log,
 		Registerer:  d.options.Registry,
 		Rand:        d.rand(randLedger),
 		Shards:      uint32(d.settings.GetLedgerShards()),
+		FleetWrites: d.settings.GetLedgerFleetWrites(),
 		Daemons:     func() int { return f.members.View().Live() },
 		BatchDelay:  d.settings.GetLedgerBatchInterval().AsDuration(),
 		BufferBytes: int(d.settings.GetOutageBufferBytes()),
 	}
 }
 
+// owners are the preferred writers of the ledger's shards.
+type owners struct{ *membership.Membership }
+
+// Second implements ledger.Seconds.
+func (o owners) Second(key string) (name string, self bool) {
+	view := o.View()
+	top := view.Top(key, 2)
+	if len(top) < 2 {
+		return "", false
+	}
+	return top[1], top[1] == view.Self
+}
+
 // holders names the daemons that hold second copies, those in other data
 // centres first.
 type holders struct {
@@ -127,6 +143,23 @@
 	f.ledger.Start()
 	f.provider.Start()
 	d.goLoop("news", f.exchangeNews)
+	d.goLoop("bootstrap", newRegistrar(d, f).Run)
+	d.goLoop("collect", d.collectParts)
+}
+
+// newRegistrar lets this daemon find others through the store.
+func newRegistrar(d *Daemon, f *fleet) *bootstrap.Registrar {
+	return bootstrap.New(bootstrap.Options{
+		Store: d.platform.store,
+		Self:  &bronzeturnv1.Seed{Name: d.settings.GetName(), PeerAddress: d.listeners.peerAddress},
+		Found: f.members.SetFoundSeeds,
+		Live: func(name string) bool {
+			member, ok := f.members.View().Member(name)
+			return ok && member.State == membership.Live
+		},
+		Random: d.rand(randBootstrap),
+		Log:    logging.Part(d.log, "bootstrap"),
+	})
 }
 
 // stop leaves the fleet.
--- a/provider/install.go
+++ b/provider/install.go
@@ -31,6 +31,7 @@
 	backoff := &config.Backoff{Base: retryBase, Max: retryMax, Random: p.fetchRandom}
 	since, fallback := time.Now(), p.drawFallback()
 	for {
+		p.verifyNow(ctx)
 		p.probe(ctx)
 		useStore := time.Since(since) >= fallback
 		done := p.step(ctx, useStore)
@@ -126,7 +127,7 @@
 	snapshot, err := config.Build(c.head, values)
 	if err != nil {
 		p.mu.Lock()
-		p.state.refuse(c, err)
+		p.state.refuse(c, err, time.Now())
 		p.fetched = nil
 		p.mu.Unlock()
 		p.metrics.refused.WithLabelValues(string(c.source)).Inc()
--- a/servers.go
+++ b/servers.go
@@ -17,6 +17,9 @@
 // headerTimeout bounds the reading of a request's headers.
 const headerTimeout = 5 * time.Second
 
+// maxHeaderBytes bounds the headers of a request.
+const maxHeaderBytes = 32 << 10
+
 // callerIdleTimeout is how long a caller's idle connection is kept.
 const callerIdleTimeout = 2 * time.Minute
 
@@ -29,19 +32,15 @@
 }
 
 // newServers builds the servers.
-func newServers(d *Daemon) (*servers, error) {
-	tlsOf, err := newTLS(d)
-	if err != nil {
-		return nil, err
-	}
+func newServers(d *Daemon) *servers {
 	answers := operator.NewServer(statusSource{d}, operatorPeers{d}, billSource{d})
 	s := &servers{
-		caller:   newHTTPServer(d.router.Handler(), tlsOf.caller),
-		operator: newHTTPServer(operatorHandler(answers), tlsOf.operator),
+		caller:   newHTTPServer(d.router.Handler(), serverTLS(d.tls.caller)),
+		operator: newHTTPServer(operatorHandler(answers), serverTLS(d.tls.operator)),
 		admin:    newHTTPServer(adminHandler(d), nil),
 	}
-	s.peer = peer.NewServer(d.listeners.peer, peerHandler(d, answers), tlsOf.peer, d.fleet.traffic)
-	return s, nil
+	s.peer = peer.NewServer(d.listeners.peer, peerHandler(d, answers), serverTLS(d.tls.peer), d.fleet.traffic)
+	return s
 }
 
 func newHTTPServer(handler http.Handler, config *tls.Config) *http.Server {
@@ -54,6 +53,7 @@
 		TLSConfig:         config,
 		Protocols:         protocols,
 		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       callerIdleTimeout,
 	}
 }
