Read a settled pool's engines every 20 s, not every 2 s

Cause: the leader of a pool read all engines each round, 70 KB/s at 331 engines (docs/CAPACITY.md, cause 3), three times the bound for control. Ruled out: taking versions from the load reports of other daemons, which do not carry them between daemons.

--- a/orders/fake_test.go
+++ b/orders/fake_test.go
@@ -49,6 +49,8 @@
 type fakeEngines struct {
 	mu      sync.Mutex
 	engines map[string]*fakeEngine
+	// reads counts the readings of all engines.
+	reads int
 	// delay, if set, is called before an order arrives; it may block.
 	delay func(address string, o engine.Order)
 	// lose, if set, tells whether the answer to an order gets lost.
@@ -70,6 +72,7 @@
 func (f *fakeEngines) Load(ctx context.Context, address string) (engine.Load, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.reads++
 	e := f.engines[address]
 	return engine.Load{Versions: slices.Clone(e.versions), Role: e.role, RunningRequests: e.running}, ctx.Err()
 }
--- a/orders/orders_test.go
+++ b/orders/orders_test.go
@@ -310,5 +310,9 @@
 		// One renewal, a read and a write, every third of the lease at most.
 		c.Assert(calls.Writes <= 720, qt.IsTrue)
 		c.Assert(calls.Reads <= 720, qt.IsTrue)
+		// Three engines, each read every quietRead, one round later at most.
+		c.Logf("engine readings in an hour: %d", f.engines.reads)
+		c.Assert(f.engines.reads <= 3*(int(time.Hour/quietRead)+1), qt.IsTrue)
+		c.Assert(f.engines.reads >= 3*int(time.Hour/(quietRead+4*time.Second)), qt.IsTrue)
 	})
 }
--- a/orders/pool.go
+++ b/orders/pool.go
@@ -15,6 +15,11 @@
 	"github.com/bronzeturn/bronzeturn/weightstore"
 )
 
+// quietRead is the time between two readings of the engines of a pool in which
+// nothing has to change. At 331 engines and 424 bytes each, reading them in every
+// round would cost 70 KB/s (docs/CAPACITY.md).
+const quietRead = 20 * time.Second
+
 // readers bounds the engines read at the same time.
 const readers = 16
 
@@ -36,6 +41,11 @@
 	held map[string]Reason
 	// owned tells whether the last round held the lease.
 	owned bool
+	// quietUntil is when the engines are read again although nothing has to
+	// change, unless the configuration does.
+	quietUntil time.Time
+	// readGeneration is the configuration of the last reading.
+	readGeneration uint64
 }
 
 func newPool(r *Runner, name string) *pool {
@@ -86,13 +96,35 @@
 	if err != nil {
 		return
 	}
+	if p.quiet(desired.Generation, time.Now()) {
+		return
+	}
 	p.observe(ctx, desired)
 	limits := bounds{maxLoading: p.runner.options.MaxLoading, weightsFrom: p.weightsFrom}
 	decisions := decide(desired, p.seen, limits, time.Now())
 	p.forget(decisions)
+	p.rest(desired.Generation, len(decisions) == 0, time.Now())
 	p.act(ctx, decisions)
 }
 
+// quiet tells whether the last reading still stands.
+func (p *pool) quiet(generation uint64, now time.Time) bool {
+	return generation == p.readGeneration && now.Before(p.quietUntil)
+}
+
+// rest lets the next readings wait when nothing is wanted, nothing is under way
+// and every engine answered.
+func (p *pool) rest(generation uint64, settled bool, now time.Time) {
+	p.readGeneration = generation
+	p.quietUntil = time.Time{}
+	for _, o := range p.seen {
+		settled = settled && o.fresh && len(o.pending) == 0 && len(o.unwantedSince) == 0
+	}
+	if settled {
+		p.quietUntil = now.Add(quietRead)
+	}
+}
+
 // act sends the orders decided until the lease is gone.
 func (p *pool) act(ctx context.Context, decisions []decision) {
 	for _, dec := range decisions {
@@ -133,6 +165,7 @@
 		p.runner.metrics.leases.Inc()
 		clear(p.seen)
 		clear(p.held)
+		p.quietUntil = time.Time{}
 		p.log.Info().Uint64("fence", p.lease.fence()).Msg("lease taken")
 		return
 	}
