--- a/admission/fleet.go
+++ b/admission/fleet.go
@@ -52,13 +52,10 @@
 // Run reports usage and applies shares until ctx ends. Without it, the daemon
 // keeps to an equal part of each limit.
 func (c *Controller) Run(ctx context.Context) error {
-	t, ctx := tomb.WithContext(ctx)
-	t.Go(func() error { return c.fleet.loop(ctx, t) })
-	err := t.Wait()
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return err
+	// tomb.WithContext would race with a parent that ends at once.
+	var t tomb.Tomb
+	t.Go(func() error { return c.fleet.loop(ctx, &t) })
+	return t.Wait()
 }
 
 // loop sends the reports that are due.
@@ -129,7 +126,7 @@
 	}
 	if err != nil {
 		f.controller.metrics.reportFailed()
-		f.controller.options.Log.Debug().Str("part", "admission").Str("coordinator", owner).Err(err).Msg("Usage report failed.")
+		f.controller.options.Log.Debug().Str("coordinator", owner).Err(err).Msg("usage not reported")
 		response = &bronzeturnv1.ReportUsageResponse{}
 	}
 	f.apply(b, response)
--- a/fleet.go
+++ b/fleet.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/bronzeturn/bronzeturn/bootstrap"
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/gossip"
 	"github.com/bronzeturn/bronzeturn/ledger"
 	"github.com/bronzeturn/bronzeturn/logging"
@@ -72,7 +74,7 @@
 			{Prefix: "cutoff/", MaxEntries: maxTableVersions, MaxValueBytes: maxTableBytes},
 		},
 		Random:     d.rand(randMembership),
-		Log:        logging.Part(d.log, "membership"),
+		Log:        d.log,
 		Registerer: d.options.Registry,
 	}
 }
@@ -84,7 +86,7 @@
 		Owners:      owners{f.members},
 		Dialer:      f.directory,
 		Holders:     holders{members: f.members, self: d.settings.GetName(), dataCentre: d.settings.GetDataCentre()},
-		Log:         logging.Part(d.log, "ledger"),
+		Log:         d.log,
 		Registerer:  d.options.Registry,
 		Rand:        d.rand(randLedger),
 		Shards:      uint32(d.settings.GetLedgerShards()),
@@ -141,6 +143,23 @@
 	f.ledger.Start()
 	f.provider.Start()
 	d.goLoop("news", f.exchangeNews)
+	d.goLoop("bootstrap", newRegistrar(d, f).Run)
+	d.goLoop("collect", d.collectParts)
+}
+
+// newRegistrar lets this daemon find others through the store.
+func newRegistrar(d *Daemon, f *fleet) *bootstrap.Registrar {
+	return bootstrap.New(bootstrap.Options{
+		Store: d.platform.store,
+		Self:  &bronzeturnv1.Seed{Name: d.settings.GetName(), PeerAddress: d.listeners.peerAddress},
+		Found: f.members.SetFoundSeeds,
+		Live: func(name string) bool {
+			member, ok := f.members.View().Member(name)
+			return ok && member.State == membership.Live
+		},
+		Random: d.rand(randBootstrap),
+		Log:    logging.Part(d.log, "bootstrap"),
+	})
 }
 
 // stop leaves the fleet.
--- a/provider/install.go
+++ b/provider/install.go
@@ -31,6 +31,7 @@
 	backoff := &config.Backoff{Base: retryBase, Max: retryMax, Random: p.fetchRandom}
 	since, fallback := time.Now(), p.drawFallback()
 	for {
+		p.verifyNow(ctx)
 		p.probe(ctx)
 		useStore := time.Since(since) >= fallback
 		done := p.step(ctx, useStore)
@@ -145,7 +146,7 @@
 	if !installed {
 		return
 	}
-	p.log.Info().Uint64("generation", c.generation()).Str("source", string(c.source)).Msg("configuration in force")
+	p.log.Info().Uint64("generation", c.generation()).Str("source", string(c.source)).Msg("configuration installed")
 	for _, f := range p.subscribers {
 		f(snapshot)
 	}
