--- a/e2e/withdrawal_test.go
+++ b/e2e/withdrawal_test.go
@@ -85,29 +85,59 @@
 	c := qt.New(t)
 	d := deploy(c, 3, 1)
 	frozen, others := d.daemons[2], d.daemons[:2]
+	waiting := d.startWaiting(c, frozen)
+	freezeDuring(c, frozen, others, func() {
+		d.withdraw(c)
+		d.inForceAt(c, 2, others[0], others[0].name, others[1].name)
+		control(c, d.engineAddresses[0], standin.Faults{})
+	})
+	waiting.assertNotRun(c, d)
+}
+
+// TestRequestInTheQueueDoesNotUseAVersionWithdrawnMeanwhile: the version was
+// chosen before the withdrawal, and the place in the queue comes after it.
+func TestRequestInTheQueueDoesNotUseAVersionWithdrawnMeanwhile(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	d := deploy(c, 1, 1)
+	waiting := d.startWaiting(c, d.daemons[0])
+	d.withdraw(c)
+	d.inForceAt(c, 2, d.daemons[0], d.daemons[0].name)
+	control(c, d.engineAddresses[0], standin.Faults{})
+	waiting.assertNotRun(c, d)
+}
+
+// waitingRequests are accepted by a daemon whose only engine is full.
+type waitingRequests struct {
+	sending sync.WaitGroup
+	results [2]demo.Result
+}
+
+// startWaiting fills the engine with slow answers and sends further requests.
+// They return when the daemon has accepted them.
+func (d *deployment) startWaiting(c *qt.C, one *daemon) *waitingRequests {
 	control(c, d.engineAddresses[0], standin.Faults{RateFactor: 0.02})
-	var sending sync.WaitGroup
+	w := &waitingRequests{}
 	for i := range engineSlots {
-		sending.Go(func() { send(demo.Chat{Key: key, Prompt: fmt.Sprintf("long %d", i)}, frozen.callers) })
+		w.sending.Go(func() { send(demo.Chat{Key: key, Prompt: fmt.Sprintf("long %d", i)}, one.callers) })
 	}
 	eventually(c, "all slots taken", func() bool { return len(d.executions(c)) == engineSlots })
-	const waiting = 2
-	results := make([]demo.Result, waiting)
-	accepted := make(chan struct{}, waiting)
-	for i := range results {
+	accepted := make(chan struct{}, len(w.results))
+	for i := range w.results {
 		chat := demo.Chat{Key: key, Prompt: fmt.Sprintf("waiting %d", i)}
-		sending.Go(func() { results[i] = sendTold(chat, frozen.callers, accepted) })
+		w.sending.Go(func() { w.results[i] = sendTold(chat, one.callers, accepted) })
 	}
-	for range results {
+	for range w.results {
 		<-accepted
 	}
-	freezeDuring(c, frozen, others, func() {
-		d.withdraw(c)
-		d.inForceAt(c, 2, others[0], others[0].name, others[1].name)
-		control(c, d.engineAddresses[0], standin.Faults{})
-	})
-	sending.Wait()
-	for _, got := range results {
+	return w
+}
+
+// assertNotRun waits for the answers and asserts that the requests were refused
+// as not run, and did not run.
+func (w *waitingRequests) assertNotRun(c *qt.C, d *deployment) {
+	w.sending.Wait()
+	for _, got := range w.results {
 		c.Assert(got.Err, qt.IsNil)
 		c.Check(got.Failure().Ran, qt.Equals, "no", qt.Commentf("%d %s", got.Status, got.Body))
 	}
