--- a/configuration.go
+++ b/configuration.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -19,16 +21,24 @@
 // and the heartbeats.
 const newsInterval = 250 * time.Millisecond
 
+// Parts of the configuration spread from the watchers over a few trees, which
+// order the live daemons differently. So the connections of a daemon do not
+// grow with the fleet, and a part passes few daemons on its way.
+const (
+	partTrees = 3
+	// partChildren is how many daemons ask the same one in one tree.
+	partChildren = 8
+)
+
 // newProvider builds the part that keeps the configuration in force.
 func newProvider(d *Daemon, f *fleet) (*provider.Provider, error) {
-	log := logging.Part(d.log, "provider")
 	return provider.New(provider.Options{
 		Store:      d.platform.store,
-		Table:      headTable{sharedTable: sharedTable{f.members.Table()}, log: log},
+		Table:      headTable{sharedTable: sharedTable{f.members.Table()}, log: logging.Part(d.log, "provider")},
 		Peers:      configurationPeers{members: f.members, directory: f.directory, self: d.settings.GetName()},
 		Watcher:    newWatcher(f.members),
 		Random:     d.rand(randProvider),
-		Log:        log,
+		Log:        d.log,
 		Registerer: d.options.Registry,
 		StaleAfter: d.settings.GetConfigStaleAfter().AsDuration(),
 	})
@@ -57,13 +67,55 @@
 
 // Candidates implements provider.Peers.
 func (p configurationPeers) Candidates() []string {
-	var names []string
-	for _, name := range liveNames(p.members.View()) {
-		if name != p.self {
-			names = append(names, name)
+	view := p.members.View()
+	return partSourcesOf(p.self, view.Watchers, view.Live(), view)
+}
+
+// preference orders the live daemons for a key, the same on every daemon.
+type preference interface {
+	Top(key string, n int) []string
+}
+
+// partSourcesOf returns the daemons that a daemon asks for parts: its parent in
+// each tree, and others when these are fewer than the trees. Daemons whose views
+// differ ask other ones for a while, which does no harm.
+func partSourcesOf(self string, watchers []string, live int, order preference) []string {
+	var sources []string
+	add := func(name string) {
+		if name != self && !slices.Contains(sources, name) {
+			sources = append(sources, name)
+		}
+	}
+	for tree := range partTrees {
+		if parent, ok := parentOf(self, watchers, order.Top("parts/"+strconv.Itoa(tree), live)); ok {
+			add(parent)
 		}
 	}
-	return names
+	for _, name := range order.Top("parts/"+self, partTrees+1) {
+		if len(sources) < partTrees {
+			add(name)
+		}
+	}
+	return sources
+}
+
+// parentOf returns the parent in the tree of an order of the daemons. The
+// watchers are its roots.
+func parentOf(self string, watchers, order []string) (parent string, ok bool) {
+	isWatcher := func(name string) bool { return slices.Contains(watchers, name) }
+	var tree, others []string
+	for _, name := range order {
+		if isWatcher(name) {
+			tree = append(tree, name)
+		} else {
+			others = append(others, name)
+		}
+	}
+	at := slices.Index(others, self)
+	if at < 0 || len(tree) == 0 {
+		return "", false
+	}
+	return append(tree, others...)[at/partChildren], true
 }
 
 // Dial implements provider.Peers.
