Try the next version at the target when one has no room

Ruled out: choosing again after an attempt was sent, which would go round the retry budget and turned a true "not run" into "unknown" near the deadline (TestDeadlinePassesWhileWaiting failed in that try). Also: a max_tokens above the usual length no longer replaces the measured one. Shown failing: without the conversation guard and without the target guard one case each of the new test fails.

--- a/router/answerchat.go
+++ b/router/answerchat.go
@@ -40,8 +40,17 @@
 		return r.runCascade(ctx, a, c, d, s)
 	}
 	got, f := r.start(ctx, c, d.Version, s)
-	if f != nil {
-		return f
+	for f != nil {
+		if s.attempts > 0 {
+			// Whatever was sent has had its retries.
+			return f
+		}
+		next, ok := r.chooseAgain(c, d, f)
+		if !ok {
+			return f
+		}
+		d = &next
+		got, f = r.start(ctx, c, d.Version, s)
 	}
 	return r.deliver(ctx, a, c, got, s)
 }
@@ -53,7 +62,9 @@
 		return nil, failure.Wrap(err, failure.CodeMalformedRequest, failure.RanNo, "the body could not be encoded")
 	}
 	l := &launch{call: c, version: version, body: body, fence: s.claim.ticket.Fence, ran: failure.RanNo}
-	return r.begin(ctx, l)
+	got, f := r.begin(ctx, l)
+	s.attempts += l.attempts
+	return got, f
 }
 
 // deliver streams an answer to the caller. The last event waits until the bill
--- a/router/chat.go
+++ b/router/chat.go
@@ -61,11 +61,7 @@
 	if f := c.requireKey(); f != nil {
 		return f
 	}
-	decision, f := r.chooseVersion(ctx, c)
-	if f != nil {
-		return f
-	}
-	grant, f := r.admit(ctx, c, decision)
+	decision, grant, f := r.chooseAdmitted(ctx, c)
 	if f != nil {
 		return f
 	}
--- a/router/choose.go
+++ b/router/choose.go
@@ -24,8 +24,9 @@
 		Constraint:               constraint,
 		InConversation:           c.conversation != "",
 		PromptTokens:             c.chat.promptTokens,
-		ExpectedCompletionTokens: c.chat.maxTokens,
+		ExpectedCompletionTokens: c.completionHint(),
 		Deadline:                 c.deadline,
+		Tried:                    c.tried,
 	}
 	var err error
 	r.withRand(func(rng *rand.Rand) {
@@ -37,6 +38,15 @@
 	return decision, nil
 }
 
+// completionHint is the caller's bound on the answer where it is shorter than
+// usual, and zero otherwise: a generous bound tells nothing of the length.
+func (c *call) completionHint() int64 {
+	if c.chat.maxTokens < c.kind.GetExpectedCompletionTokens() {
+		return c.chat.maxTokens
+	}
+	return 0
+}
+
 // stickyKey is the key by which a request falls on one side of a roll-out.
 func (c *call) stickyKey() string {
 	if c.conversation != "" {
--- /dev/null
+++ b/router/rechoose_test.go
@@ -0,0 +1,74 @@
+package router
+
+import (
+	"testing"
+	"testing/synctest"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bronzeturn/bronzeturn/callerapi"
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+)
+
+func TestVersionWithoutCapacityIsReplacedWhereThatIsAllowed(t *testing.T) {
+	tests := []struct {
+		name    string
+		full    string
+		ask     ask
+		version string
+	}{
+		{"by the next that reaches the target", cheap, ask{}, strong},
+		{"not by one below the target", strong, ask{header: header(callerapi.HeaderKind, "report")}, ""},
+		{"not when the caller named it", cheap, ask{model: cheap}, ""},
+		{"not beyond the model that the caller named", cheap, ask{model: "small"}, ""},
+		{"not in a conversation", cheap, ask{model: "small", header: header(callerapi.HeaderConversation, "c1")}, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				s := newSite(t)
+				before := s.send(test.ask)
+				c.Assert(before.whole(test.ask), qt.IsTrue, qt.Commentf("%s", before.Body))
+				s.Admission.SetCapacity(test.full, 0)
+				if test.name == "not in a conversation" {
+					test.ask.model = "" // The conversation has its version by now.
+				}
+				got := s.send(test.ask)
+				if test.version != "" {
+					c.Assert(got.whole(test.ask), qt.IsTrue, qt.Commentf("%s", got.Body))
+					c.Assert(got.version(), qt.Equals, test.version)
+					c.Assert(s.executions(got.id()), qt.Equals, 1)
+					return
+				}
+				c.Assert(got.failure().Code, qt.Equals, "no_capacity", qt.Commentf("%s", got.Body))
+				c.Assert(got.failure().Ran, qt.Equals, "no")
+				c.Assert(got.Header().Get("Retry-After"), qt.Not(qt.Equals), "")
+				c.Assert(s.executions(got.id()), qt.Equals, 0)
+			})
+		})
+	}
+}
+
+func TestVersionWithoutAnEngineNowIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newSite(t)
+		s.configure(t, func(r *bronzeturnv1.Register, _ *bronzeturnv1.Rules) {
+			for i, e := range r.GetEngines() {
+				e.Versions = []string{cheap}
+				if i == 0 {
+					e.Versions = []string{strong}
+				}
+			}
+		})
+		for i := 1; i < engineCount; i++ {
+			s.leaving.Store("host-of-"+engineName(i), true)
+		}
+		got := s.send(ask{})
+		c.Assert(got.whole(ask{}), qt.IsTrue, qt.Commentf("%s", got.Body))
+		c.Assert(got.version(), qt.Equals, strong)
+		c.Assert(s.executions(got.id()), qt.Equals, 1)
+		c.Assert(s.ledger.billsOf(got.id()), qt.HasLen, 1)
+	})
+}
--- a/router/request.go
+++ b/router/request.go
@@ -43,6 +43,8 @@
 	body           []byte
 	service        *bronzeturnv1.Service
 	chat           chatBody
+	// tried are the versions that had no room for the request.
+	tried []string
 }
 
 // idempotent tells whether the request may run more than once.
--- a/router/settlement.go
+++ b/router/settlement.go
@@ -27,6 +27,8 @@
 	completionTokens int64
 	costMicros       int64
 	billed           bool
+	// attempts counts the requests sent to engines.
+	attempts int
 	// settled tells that bill and outcome of a whole answer are recorded.
 	settled bool
 	// accepted tells that the check of a cascade let the answer pass.
