--- a/router/bench_test.go
+++ b/router/bench_test.go
@@ -56,6 +56,19 @@
 	qt.Assert(t, perEvent < 0.01, qt.IsTrue, qt.Commentf("%v allocations per event: %v for %d, %v for %d", perEvent, few, tokens, many, 2*tokens))
 }
 
+// maxRequestAllocations bounds a whole request without sockets; 157 were
+// measured.
+const maxRequestAllocations = 200
+
+func TestRequestAllocationsAreBounded(t *testing.T) {
+	s := newSite(t)
+	s.ledger.instant = true
+	s.Log = zerolog.New(io.Discard)
+	answer := cannedStream(16)
+	allocations := testing.AllocsPerRun(100, func() { s.askCanned(t, answer) })
+	qt.Assert(t, allocations <= maxRequestAllocations, qt.IsTrue, qt.Commentf("%v allocations", allocations))
+}
+
 // BenchmarkRequest is one request of 16 streamed tokens, without sockets.
 func BenchmarkRequest(b *testing.B) {
 	s := newSite(b)
