Log refused connections by the daemon's own logger

Cause: what the listeners' servers say about failed connections, such as a certificate of another authority, went to standard error without the daemon's name and part. The TLS test looks for the line of the peer listener. After: go test -race -count=3 passes.

--- a/peer/server.go
+++ b/peer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"log"
 	"net"
 	"net/http"
 	"time"
@@ -50,6 +51,11 @@
 	}
 }
 
+// SetErrorLog takes what the server says about connections that failed, such as
+// a refused certificate. Call it before Start; without it, that goes to standard
+// error.
+func (s *Server) SetErrorLog(l *log.Logger) { s.server.ErrorLog = l }
+
 // Start begins to serve.
 func (s *Server) Start() {
 	s.tomb.Go(s.serve)
--- a/servers.go
+++ b/servers.go
@@ -4,12 +4,14 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"log"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/admin"
 	"github.com/bronzeturn/bronzeturn/gossip"
+	"github.com/bronzeturn/bronzeturn/logging"
 	"github.com/bronzeturn/bronzeturn/operator"
 	"github.com/bronzeturn/bronzeturn/peer"
 )
@@ -39,10 +41,19 @@
 		operator: newHTTPServer(operatorHandler(answers), serverTLS(d.tls.operator)),
 		admin:    newHTTPServer(adminHandler(d), nil),
 	}
+	s.caller.ErrorLog = d.errorLog("callers")
+	s.operator.ErrorLog = d.errorLog("operators")
+	s.admin.ErrorLog = d.errorLog("admin")
 	s.peer = peer.NewServer(d.listeners.peer, peerHandler(d, answers), serverTLS(d.tls.peer), d.fleet.traffic)
+	s.peer.SetErrorLog(d.errorLog("peers"))
 	return s
 }
 
+// errorLog takes what a listener's server says about connections that failed.
+func (d *Daemon) errorLog(listener string) *log.Logger {
+	return log.New(logging.Part(d.log, "http").With().Str("listener", listener).Logger(), "", 0)
+}
+
 func newHTTPServer(handler http.Handler, config *tls.Config) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
--- a/tls_test.go
+++ b/tls_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -58,7 +59,7 @@
 }
 
 // startDaemon runs a daemon until the test ends.
-func startDaemon(c *qt.C, p *demo.Platform, name string, seeds []string, arguments ...string) *bronzeturn.Daemon {
+func startDaemon(c *qt.C, p *demo.Platform, log io.Writer, name string, seeds []string, arguments ...string) *bronzeturn.Daemon {
 	const anyPort = loopback + ":0"
 	s, err := settings.Parse(append([]string{
 		"--name", name, "--data-centre", p.DataCentre(0),
@@ -68,7 +69,7 @@
 		"--seeds", strings.Join(seeds, ","),
 	}, arguments...), nil)
 	c.Assert(err, qt.IsNil)
-	d, err := bronzeturn.New(s, bronzeturn.Options{LogWriter: io.Discard})
+	d, err := bronzeturn.New(s, bronzeturn.Options{LogWriter: log})
 	c.Assert(err, qt.IsNil)
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -80,6 +81,40 @@
 	return d
 }
 
+// lines keeps the log of a daemon.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// wait waits for a line that holds the words.
+func (l *lines) wait(words string) string {
+	deadline := time.Now().Add(waitLimit)
+	for l.with(words) == "" && time.Now().Before(deadline) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return l.with(words)
+}
+
+// with returns the first line that holds the words, or "".
+func (l *lines) with(words string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for line := range strings.Lines(l.text.String()) {
+		if strings.Contains(line, words) {
+			return line
+		}
+	}
+	return ""
+}
+
 // waitLive waits until a daemon takes requests and knows so many daemons.
 func waitLive(c *qt.C, d *bronzeturn.Daemon, live int) {
 	deadline := time.Now().Add(waitLimit)
@@ -129,11 +164,12 @@
 	c.Assert(p.Publish(context.Background()), qt.IsNil)
 	good, other := certificates(c), certificates(c)
 
-	first := startDaemon(c, p, demo.DaemonName(0), nil, tlsArguments(good, good)...)
+	log := &lines{}
+	first := startDaemon(c, p, log, demo.DaemonName(0), nil, tlsArguments(good, good)...)
 	seeds := []string{first.PeerAddress()}
-	stranger := startDaemon(c, p, demo.DaemonName(1), seeds, tlsArguments(other, good)...)
-	plain := startDaemon(c, p, demo.DaemonName(2), seeds, "--insecure-plaintext-peers", "--insecure-plaintext-operators")
-	second := startDaemon(c, p, demo.DaemonName(3), seeds, tlsArguments(good, good)...)
+	stranger := startDaemon(c, p, io.Discard, demo.DaemonName(1), seeds, tlsArguments(other, good)...)
+	plain := startDaemon(c, p, io.Discard, demo.DaemonName(2), seeds, "--insecure-plaintext-peers", "--insecure-plaintext-operators")
+	second := startDaemon(c, p, io.Discard, demo.DaemonName(3), seeds, tlsArguments(good, good)...)
 	waitLive(c, first, 2)
 	waitLive(c, second, 2)
 
@@ -146,6 +182,8 @@
 	_, err = localStatus(nil, first.PeerAddress())
 	c.Assert(err, qt.IsNotNil, qt.Commentf("plain text was taken without its flag"))
 
+	c.Assert(log.wait("TLS handshake error"), qt.Contains, `"listener":"peers"`)
+
 	c.Assert(first.LiveDaemons(), qt.Equals, 2)
 	c.Assert(stranger.LiveDaemons(), qt.Equals, 1)
 	c.Assert(plain.LiveDaemons(), qt.Equals, 1)
