Demand that a broken stream is cut and says so

Cause: TestBrokenAnswerIsNeverTakenForAWholeOne passed on a scratch copy where an answer without its end was passed on as complete: it looked for the end mark alone, which the caller would also miss.

--- a/e2e/answers_test.go
+++ b/e2e/answers_test.go
@@ -26,6 +26,12 @@
 		chat := demo.Chat{Key: key, Prompt: fmt.Sprintf("cut %d", i), Stream: i%2 == 0}
 		got := send(chat, d.daemons[0].callers)
 		c.Check(got.Check(chat), qt.IsNotNil)
+		if chat.Stream {
+			// The connection is cut, so even a caller that does not know the end
+			// mark cannot take the answer for a whole one.
+			c.Check(got.Err, qt.IsNotNil, qt.Commentf("%s", got.Body))
+			c.Check(bytes.Contains(got.Body, []byte("answer_broken")), qt.IsTrue, qt.Commentf("%s", got.Body))
+		}
 		c.Check(bytes.Contains(got.Body, []byte(endMark)), qt.IsFalse, qt.Commentf("%s", got.Body))
 		if !chat.Stream {
 			c.Check(got.Status, qt.Not(qt.Equals), http.StatusOK)
