--- a/measure/daemon.go
+++ b/measure/daemon.go
@@ -11,6 +11,7 @@
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/hedge"
 	"github.com/bronzeturn/bronzeturn/retry"
+	"github.com/bronzeturn/bronzeturn/selection"
 )
 
 const (
@@ -110,7 +111,6 @@
 
 // enter chooses a version and lets the request through admission.
 func (s *sim) enter(r *request) {
-	d := r.daemon
 	var err error
 	if r.decision, err = s.policy.version(s, r); err != nil {
 		s.refuse(r, failure.From(err).Code)
@@ -124,13 +124,20 @@
 		s.launch(r, r.decision.Version)
 		return
 	}
+	s.queue(r)
+}
+
+// queue lets the request wait for a place at its version.
+func (s *sim) queue(r *request) {
+	d := r.daemon
 	tokens := float64(r.prompt + r.kind.GetExpectedCompletionTokens())
 	item := admission.NewItem(r.organisation, r.kind.GetPriority(), tokens)
 	r.flow.queue, r.flow.item = d.queues[r.decision.Version], item
 	outcome, _, evicted := r.flow.queue.Offer(s.now, r.deadline, item)
 	if evicted != nil {
-		s.refuse(d.waiting[evicted], failure.CodeNoCapacity)
+		out := d.waiting[evicted]
 		delete(d.waiting, evicted)
+		s.noRoom(out)
 	}
 	switch outcome {
 	case admission.StartNow:
@@ -140,8 +147,32 @@
 		d.waiting[item] = r
 		s.after(item.Latest().Sub(s.now), func() { d.giveUp(item) })
 	case admission.Refuse:
+		s.noRoom(r)
+	}
+}
+
+// maxRechoices bounds the versions tried for one request beyond the first, as
+// the router does.
+const maxRechoices = 2
+
+// noRoom moves a request that was not sent to the next version at the target,
+// or refuses it.
+func (s *sim) noRoom(r *request) {
+	bulk := r.kind.GetPriority() == bronzeturnv1.Priority_PRIORITY_BULK
+	if !s.policy.choosesAgain() || bulk || r.conversation != nil || r.escalated || len(r.noRoom) == maxRechoices {
+		s.refuse(r, failure.CodeNoCapacity)
+		return
+	}
+	r.noRoom = append(r.noRoom, r.decision.Version)
+	next, err := s.policy.version(s, r)
+	if err != nil || next.Reason == selection.ReasonBestAvailable || next.Reason == selection.ReasonLastResort {
 		s.refuse(r, failure.CodeNoCapacity)
+		return
 	}
+	s.release(r)
+	r.flow = flow{launch: r.flow.launch + 1}
+	r.decision = next
+	s.queue(r)
 }
 
 // giveUp ends a wait that took too long.
@@ -149,7 +180,7 @@
 	r := d.waiting[item]
 	if r != nil && r.flow.queue.Remove(item) {
 		delete(d.waiting, item)
-		d.sim.refuse(r, failure.CodeNoCapacity)
+		d.sim.noRoom(r)
 	}
 }
 
--- a/measure/dispatch.go
+++ b/measure/dispatch.go
@@ -27,7 +27,11 @@
 	}
 	engine, decision, ok := s.policy.engine(s, r)
 	if !ok {
-		s.refuse(r, failure.CodeNoCapacity)
+		if r.flow.attempts > 0 {
+			s.refuse(r, failure.CodeNoCapacity)
+			return
+		}
+		s.noRoom(r)
 		return
 	}
 	r.flow.sentAt = s.now
--- a/measure/policy.go
+++ b/measure/policy.go
@@ -56,6 +56,10 @@
 	return p == PolicyRouter || p == PolicyInformed || p == PolicyStrongest || p == PolicyCheapest
 }
 
+// choosesAgain tells whether a request is moved to another version when the
+// chosen one has no room, as the router does.
+func (p Policy) choosesAgain() bool { return p == PolicyRouter || p == PolicyInformed }
+
 // version chooses the version of a request.
 func (p Policy) version(s *sim, r *request) (selection.Decision, error) {
 	if r.conversation != nil && r.conversation.version != "" && p != PolicyRouter && p != PolicyInformed {
@@ -73,7 +77,7 @@
 	}
 	request := selection.Request{
 		Organisation: r.organisation, Kind: r.kind.GetName(), Key: r.key, InConversation: r.conversation != nil,
-		PromptTokens: r.prompt, Deadline: r.deadline,
+		PromptTokens: r.prompt, Deadline: r.deadline, Tried: r.noRoom,
 	}
 	if r.conversation != nil {
 		request.Constraint = r.conversation.version
--- a/measure/sim.go
+++ b/measure/sim.go
@@ -54,7 +54,9 @@
 	// Draws that decide what happens, the same under every policy.
 	goodDraw, checkDraw, rateDraw float64
 
-	decision  selection.Decision
+	decision selection.Decision
+	// noRoom are the versions that had no room for the request.
+	noRoom    []string
 	escalated bool
 	flow      flow
 	cost      float64
--- a/router/rechoose.go
+++ b/router/rechoose.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/bronzeturn/bronzeturn/failure"
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/selection"
 )
 
@@ -32,11 +33,15 @@
 
 // chooseAgain chooses another version for a request that certainly did not run
 // for want of capacity. A conversation keeps its version, a version that the
-// caller named is not replaced, and none below the target is taken instead.
+// caller named is not replaced, and none below the target is taken instead. Bulk
+// work does not move to dearer versions: it can come back later.
 func (r *Router) chooseAgain(c *call, d *selection.Decision, refused *failure.Error) (selection.Decision, bool) {
 	if refused.Code != failure.CodeNoCapacity || refused.Ran != failure.RanNo {
 		return selection.Decision{}, false
 	}
+	if c.priority == bronzeturnv1.Priority_PRIORITY_BULK {
+		return selection.Decision{}, false
+	}
 	if c.conversation != "" || c.chat.model == d.Version || len(c.tried) == maxRechoices {
 		return selection.Decision{}, false
 	}
--- a/router/rechoose_test.go
+++ b/router/rechoose_test.go
@@ -21,6 +21,7 @@
 		{"not by one below the target", strong, ask{header: header(callerapi.HeaderKind, "report")}, ""},
 		{"not when the caller named it", cheap, ask{model: cheap}, ""},
 		{"not beyond the model that the caller named", cheap, ask{model: "small"}, ""},
+		{"not for bulk work", cheap, ask{header: header(callerapi.HeaderPriority, "bulk")}, ""},
 		{"not in a conversation", cheap, ask{model: "small", header: header(callerapi.HeaderConversation, "c1")}, ""},
 	}
 	for _, test := range tests {
