Test a freeze that ends in a store outage after a withdrawal

Cause: the guard after a pause asks the store first; with the store down peers alone can tell of the withdrawal.

--- a/e2e/withdrawal_test.go
+++ b/e2e/withdrawal_test.go
@@ -67,6 +67,32 @@
 	c.Check(d.executions(c), qt.HasLen, answered(results))
 }
 
+// TestFrozenDaemonResumesInAnOutageWithoutTheVersion lets the store go down
+// between the withdrawal and the end of the freeze, so that peers alone can tell.
+func TestFrozenDaemonResumesInAnOutageWithoutTheVersion(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	d := deploy(c, 3, 2)
+	frozen, others := d.daemons[2], d.daemons[:2]
+	waiting := make(chan demo.Result, 1)
+	freezeDuring(c, frozen, others, func() {
+		d.withdraw(c)
+		d.inForceAt(c, 2, others[0], others[0].name, others[1].name)
+		control(c, d.store, standin.Faults{Refuse: true})
+		go func() { waiting <- send(demo.Chat{Key: key, Model: cheap, Prompt: "waiting"}, frozen.callers) }()
+	})
+	eventually(c, "work taken again", func() bool {
+		chat := demo.Chat{Key: key, Prompt: "again"}
+		got := send(chat, frozen.callers)
+		c.Check(got.Header.Get(callerapi.HeaderVersion), qt.Not(qt.Equals), cheap)
+		return got.Check(chat) == nil
+	})
+	first := <-waiting
+	c.Check(first.Failure().Ran, qt.Equals, "no", qt.Commentf("%d %s", first.Status, first.Body))
+	named := send(demo.Chat{Key: key, Model: cheap, Prompt: "named"}, frozen.callers)
+	c.Check(named.Failure().Code, qt.Equals, "version_withdrawn", qt.Commentf("%d %s", named.Status, named.Body))
+}
+
 // answered counts the requests that got an answer.
 func answered(results []demo.Result) int {
 	count := 0
