Read any refusal marked not run as a refusal

Cause: a 404 for a version that is not loaded, marked not run, counted as the caller's fault, so it was not tried elsewhere and the caller got a 400. Shown failing: the new row (version not loaded) failed before.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -202,7 +202,7 @@
 	switch {
 	case parsed.Error.Type == ErrorTypeFenced:
 		e.Kind, e.Ran = Fenced, failure.RanNo
-	case x.Status == http.StatusTooManyRequests, notRun && x.Status >= http.StatusInternalServerError:
+	case x.Status == http.StatusTooManyRequests, notRun:
 		e.Kind, e.Ran = Refused, failure.RanNo
 	case x.Status >= http.StatusBadRequest && x.Status < http.StatusInternalServerError:
 		e.Kind, e.Ran = Rejected, failure.RanNo
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -150,6 +150,7 @@
 	}{
 		{"refused by header", status("503 Busy", "X-Not-Run: true\r\n", ""), true, engine.Refused, failure.RanNo},
 		{"refused by type", status("503 Busy", "", `{"error":{"type":"not_run"}}`), true, engine.Refused, failure.RanNo},
+		{"version not loaded", status("404 None", "X-Not-Run: true\r\n", ""), true, engine.Refused, failure.RanNo},
 		{"too many requests", status("429 Busy", "", ""), true, engine.Refused, failure.RanNo},
 		{"unmarked 503", status("503 Busy", "", ""), true, engine.Failed, failure.RanUnknown},
 		{"500", status("500 Oops", "", "text"), true, engine.Failed, failure.RanUnknown},
