Ask for fresh news before each attempt, and say so to the caller

Cause: the gate at the dispatch refuses an attempt of a daemon whose news went stale, but the router read that as a busy engine and told the caller no_capacity. Before and after: the new test (stale after a refusal, after a lost answer) ends as configuration_stale with what is known of the run and other addresses.

--- a/router/launch.go
+++ b/router/launch.go
@@ -85,6 +85,9 @@
 // an engine for it. It is called before each attempt. noProbe keeps the request
 // away from engines on probation.
 func (r *Router) chooseEngine(l *launch, noProbe bool) (balance.Decision, *failure.Error) {
+	if f := r.stale(l.ran); f != nil {
+		return balance.Decision{}, f
+	}
 	newest := r.Tables()
 	if f := checkUsable(newest.Snapshot, l.call.organisation.GetName(), l.version); f != nil {
 		f.Ran = l.ran
--- a/router/rechoose_test.go
+++ b/router/rechoose_test.go
@@ -1,12 +1,15 @@
 package router
 
 import (
+	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/bronzeturn/bronzeturn/callerapi"
+	"github.com/bronzeturn/bronzeturn/failure"
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 )
 
@@ -73,3 +76,31 @@
 		c.Assert(s.ledger.billsOf(got.id()), qt.HasLen, 1)
 	})
 }
+
+func TestStaleNewsIsHonouredBeforeEachAttempt(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer http.HandlerFunc
+		ran    string
+	}{
+		{"that follows a refusal", refusing, "no"},
+		{"that follows a lost answer", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, "unknown"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				s := newSite(t)
+				s.all(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					s.stale.Store(failure.New(failure.CodeConfigurationStale, failure.RanNo, "no news").After(time.Second))
+					test.answer(w, r)
+				}))
+				got := s.send(ask{})
+				c.Assert(got.failure().Code, qt.Equals, string(failure.CodeConfigurationStale))
+				c.Assert(got.failure().Ran, qt.Equals, test.ran)
+				c.Assert(got.failure().Entries, qt.Not(qt.HasLen), 0)
+				c.Assert(s.network.hosts(), qt.HasLen, 1)
+			})
+		})
+	}
+}
--- a/router/serve.go
+++ b/router/serve.go
@@ -71,8 +71,7 @@
 	if c.tables == nil {
 		return failure.New(failure.CodeNoConfiguration, failure.RanNo, "no configuration is in force yet").After(startupRetryAfter)
 	}
-	if f := r.Fresh(c.received); f != nil {
-		f.Entries, _ = r.otherEntries()
+	if f := r.stale(failure.RanNo); f != nil {
 		return f
 	}
 	org, f := authenticate(c.tables.Snapshot, req.Header)
@@ -80,6 +79,20 @@
 	return f
 }
 
+// stale refuses work while the configuration may be out of date, and names
+// other addresses. It is asked for each request and again before each attempt;
+// ran is what is known of the attempts before.
+func (r *Router) stale(ran failure.Ran) *failure.Error {
+	f := r.Fresh(time.Now())
+	if f == nil {
+		return nil
+	}
+	refusal := *f
+	refusal.Ran = ran
+	refusal.Entries, _ = r.otherEntries()
+	return &refusal
+}
+
 // leavingFailure tells a caller which addresses to use instead.
 func (r *Router) leavingFailure() *failure.Error {
 	f := failure.New(failure.CodeLeaving, failure.RanNo, "this address takes no new requests").After(leavingRetryAfter)
--- a/router/service.go
+++ b/router/service.go
@@ -114,6 +114,9 @@
 	r.Budget.Request(time.Now())
 	ran := failure.RanNo
 	for number := 1; ; number++ {
+		if f := r.stale(ran); f != nil {
+			return nil, f
+		}
 		newest := r.Tables().Snapshot
 		if !newest.ServiceAllowed(c.organisation.GetName(), c.service.GetName()) {
 			return nil, failure.New(failure.CodeServiceNotAllowed, ran, "the organisation may not use this service")
