Read a settled pool again only when its own desired state changes

Before and after: the new test makes 20 changes elsewhere in 20 s: at most two readings of the pool, where each change made one; a change of the pool's versions is ordered within 10 s.

--- a/orders/desired.go
+++ b/orders/desired.go
@@ -27,6 +27,11 @@
 	Role string
 }
 
+// equal tells whether both ask the same of the same engine.
+func (t Target) equal(o Target) bool {
+	return t.Name == o.Name && t.Address == o.Address && t.Role == o.Role && slices.Equal(t.Versions, o.Versions)
+}
+
 // FromRegister returns the desired state of a pool's engines: the versions of
 // the register without those withdrawn.
 func FromRegister(generation uint64, engines []*bronzeturnv1.Engine, withdrawn func(version string) bool, grace time.Duration) Desired {
--- a/orders/fake_test.go
+++ b/orders/fake_test.go
@@ -77,6 +77,13 @@
 	return engine.Load{Versions: slices.Clone(e.versions), Role: e.role, RunningRequests: e.running}, ctx.Err()
 }
 
+// readings returns how often engines were read.
+func (f *fakeEngines) readings() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reads
+}
+
 func (f *fakeEngines) Order(ctx context.Context, address string, o engine.Order) (engine.State, error) {
 	if f.delay != nil {
 		f.delay(address, o)
--- a/orders/orders_test.go
+++ b/orders/orders_test.go
@@ -311,8 +311,29 @@
 		c.Assert(calls.Writes <= 720, qt.IsTrue)
 		c.Assert(calls.Reads <= 720, qt.IsTrue)
 		// Three engines, each read every quietRead, one round later at most.
-		c.Logf("engine readings in an hour: %d", f.engines.reads)
-		c.Assert(f.engines.reads <= 3*(int(time.Hour/quietRead)+1), qt.IsTrue)
-		c.Assert(f.engines.reads >= 3*int(time.Hour/(quietRead+4*time.Second)), qt.IsTrue)
+		c.Logf("engine readings in an hour: %d", f.engines.readings())
+		c.Assert(f.engines.readings() <= 3*(int(time.Hour/quietRead)+1), qt.IsTrue)
+		c.Assert(f.engines.readings() >= 3*int(time.Hour/(quietRead+4*time.Second)), qt.IsTrue)
+	})
+}
+
+func TestAPoolAtRestReadsItsEnginesWhenItsOwnVersionsChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(c, newFakeEngines(true, 3, "v@1"))
+		source := newSource(1, 3, "v@1")
+		d := f.daemon("entry-a", f.store, source, always)
+		time.Sleep(time.Minute)
+		before := f.engines.readings()
+		for generation := range uint64(20) {
+			// Changes elsewhere in the configuration, one a second.
+			source.set(generation+2, 3, "v@1")
+			time.Sleep(time.Second)
+		}
+		c.Assert(f.engines.readings()-before <= 2*3, qt.IsTrue, qt.Commentf("%d readings", f.engines.readings()-before))
+		source.set(30, 3, "v@1", "v@2")
+		time.Sleep(quietRead / 2)
+		stop(d)
+		c.Assert(f.engines.versions(0), qt.DeepEquals, []string{"v@1", "v@2"})
 	})
 }
--- a/orders/pool.go
+++ b/orders/pool.go
@@ -42,10 +42,10 @@
 	// owned tells whether the last round held the lease.
 	owned bool
 	// quietUntil is when the engines are read again although nothing has to
-	// change, unless the configuration does.
+	// change, unless what is desired of the pool does.
 	quietUntil time.Time
-	// readGeneration is the configuration of the last reading.
-	readGeneration uint64
+	// readFor is what was desired at the last reading.
+	readFor []Target
 }
 
 func newPool(r *Runner, name string) *pool {
@@ -96,26 +96,26 @@
 	if err != nil {
 		return
 	}
-	if p.quiet(desired.Generation, time.Now()) {
+	if p.quiet(desired.Engines, time.Now()) {
 		return
 	}
 	p.observe(ctx, desired)
 	limits := bounds{maxLoading: p.runner.options.MaxLoading, weightsFrom: p.weightsFrom}
 	decisions := decide(desired, p.seen, limits, time.Now())
 	p.forget(decisions)
-	p.rest(desired.Generation, len(decisions) == 0, time.Now())
+	p.rest(desired.Engines, len(decisions) == 0, time.Now())
 	p.act(ctx, decisions)
 }
 
 // quiet tells whether the last reading still stands.
-func (p *pool) quiet(generation uint64, now time.Time) bool {
-	return generation == p.readGeneration && now.Before(p.quietUntil)
+func (p *pool) quiet(desired []Target, now time.Time) bool {
+	return now.Before(p.quietUntil) && slices.EqualFunc(desired, p.readFor, Target.equal)
 }
 
 // rest lets the next readings wait when nothing is wanted, nothing is under way
 // and every engine answered.
-func (p *pool) rest(generation uint64, settled bool, now time.Time) {
-	p.readGeneration = generation
+func (p *pool) rest(desired []Target, settled bool, now time.Time) {
+	p.readFor = desired
 	p.quietUntil = time.Time{}
 	for _, o := range p.seen {
 		settled = settled && o.fresh && len(o.pending) == 0 && len(o.unwantedSince) == 0
