--- a/demo/bench_test.go
+++ b/demo/bench_test.go
@@ -52,10 +52,10 @@
 		}}},
 		engineConfig: func(*bronzeturnv1.Engine) standin.EngineConfig { return config },
 	}
-	c.Assert(p.start(1), qt.IsNil)
+	c.Assert(p.start(3), qt.IsNil)
 	c.Cleanup(p.Stop)
 	c.Assert(p.Publish(context.Background()), qt.IsNil)
-	f, err := StartFleet(p, FleetOptions{Daemons: 1, Log: io.Discard})
+	f, err := StartFleet(p, FleetOptions{Daemons: 3, Log: io.Discard})
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { c.Check(f.Stop(), qt.IsNil) })
 	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
