--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -52,6 +52,7 @@
 
 func (m *queueModel) finish(t *rapid.T) {
 	if len(m.running) == 0 {
+		// Tells rapid that this step does not apply; the test goes on.
 		t.Skip("nothing runs")
 	}
 	i := rapid.IntRange(0, len(m.running)-1).Draw(t, "index")
@@ -84,6 +85,7 @@
 		delete(m.waiting, it)
 		return
 	}
+	// Tells rapid that this step does not apply; the test goes on.
 	t.Skip("nothing waits")
 }
 
