Choose within what an organisation may still spend

Cause: the choice of a version knows spend limits, but the router passed none, so an organisation near its limit was refused though a cheaper version could be paid. Ruled out: letting the choice refuse; it does not know whether more comes in a moment or tomorrow, admission does. Shown failing: without it the case that can pay for the cheap version only is refused. Conclusion: kept; also before a cascade's second step.

--- a/router/cascade.go
+++ b/router/cascade.go
@@ -59,12 +59,15 @@
 	verdict := checker.Check(held.describe(c))
 	s.accepted = verdict.OK()
 	r.Quality.Checked(quality.Checked{Version: d.Version, Kind: c.kind.GetName(), Flagged: !verdict.OK()})
-	newest := r.Tables().Snapshot
+	newest, now := r.Tables().Snapshot, time.Now()
+	left, limited := r.Admission.SpendLeft(c.organisation.GetName(), now)
 	decision := cascade.Next(&d.Cascade, &cascade.State{
-		Verdict:     verdict,
-		Deadline:    c.deadline,
-		NextRefused: checkUsable(newest, c.organisation.GetName(), d.Cascade.Next) != nil,
-	}, time.Now())
+		Verdict:         verdict,
+		Deadline:        c.deadline,
+		SpendLimited:    limited,
+		SpendLeftMicros: left,
+		NextRefused:     checkUsable(newest, c.organisation.GetName(), d.Cascade.Next) != nil,
+	}, now)
 	r.logCascade(c, d, verdict, decision)
 	return decision.Version
 }
--- a/router/choose.go
+++ b/router/choose.go
@@ -28,9 +28,23 @@
 		Deadline:                 c.deadline,
 		Tried:                    c.tried,
 	}
+	now := time.Now()
+	req.SpendLeftMicros, req.SpendLimited = r.Admission.SpendLeft(req.Organisation, now)
+	decision, f = r.chooseWith(c, &req, now)
+	if f != nil && f.Code == failure.CodeSpendExceeded {
+		// Nothing fits what is left here. Admission refuses it, and knows when
+		// there may be more.
+		req.SpendLimited = false
+		decision, f = r.chooseWith(c, &req, now)
+	}
+	return decision, f
+}
+
+// chooseWith asks the policy once.
+func (r *Router) chooseWith(c *call, req *selection.Request, now time.Time) (decision selection.Decision, f *failure.Error) {
 	var err error
 	r.withRand(func(rng *rand.Rand) {
-		decision, err = r.Versions.Choose(c.tables.Versions, &req, time.Now(), rng)
+		decision, err = r.Versions.Choose(c.tables.Versions, req, now, rng)
 	})
 	if err != nil {
 		return decision, failure.From(err)
--- a/router/rechoose_test.go
+++ b/router/rechoose_test.go
@@ -104,3 +104,34 @@
 		})
 	}
 }
+
+func TestChoiceKeepsToWhatIsLeftToSpend(t *testing.T) {
+	report := ask{header: header(callerapi.HeaderKind, "report")}
+	for _, test := range []struct {
+		name    string
+		limit   int64
+		version string
+	}{
+		{"enough for the version at the target", 100_000, strong},
+		{"enough for the best that can be paid", 60, cheap},
+		{"enough for none", 1, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				s := newSite(t)
+				s.Admission.Update([]*bronzeturnv1.Limit{{Organisation: "depot", DailySpendMicros: test.limit}}, 1)
+				got := s.send(report)
+				if test.version != "" {
+					c.Assert(got.whole(report), qt.IsTrue, qt.Commentf("%s", got.Body))
+					c.Assert(got.version(), qt.Equals, test.version)
+					return
+				}
+				c.Assert(got.failure().Code, qt.Equals, string(failure.CodeSpendExceeded))
+				c.Assert(got.failure().Ran, qt.Equals, "no")
+				c.Assert(got.Header().Get("Retry-After"), qt.Not(qt.Equals), "")
+				c.Assert(s.executions(got.id()), qt.Equals, 0)
+			})
+		})
+	}
+}
