Forget breakers of instances that are gone; ask for load in one plain loop

Cause, found by reading the whole change: retry.Breakers.Keep was written and tested but never called, so a daemon kept a breaker for every address ever listed; the loop of the load reports handled an empty list in two places. Ruled out: dropping Keep, since hosts are replaced all the time. Behaviour: breakers of listed instances stay; the pace of the reports is the same. go test -race of the root, retry and demo passes.

--- a/compiler.go
+++ b/compiler.go
@@ -105,6 +105,7 @@
 	c.decisions.versions.Use(tables.Versions)
 	c.decisions.admission.Update(rules.GetLimits(), len(c.live))
 	c.setCapacities(register)
+	c.dropBreakers(register)
 	c.publish(tables)
 }
 
@@ -123,6 +124,21 @@
 	}
 }
 
+// dropBreakers forgets the breakers of service instances that are gone, since
+// hosts are replaced all the time.
+func (c *compiler) dropBreakers(register *bronzeturnv1.Register) {
+	listed := make(map[string]struct{})
+	for _, s := range register.GetServices() {
+		for _, i := range s.GetInstances() {
+			listed[i.GetAddress()] = struct{}{}
+		}
+	}
+	c.decisions.breakers.Keep(func(address string) bool {
+		_, ok := listed[address]
+		return ok
+	})
+}
+
 // liveNames are the daemons among which work is divided.
 func liveNames(v *membership.View) []string {
 	var names []string
--- a/feedback.go
+++ b/feedback.go
@@ -47,23 +47,26 @@
 	l.sequences = make(map[string]uint64)
 	for ctx.Err() == nil {
 		engines := l.engines()
-		pace := max(time.Second/reportCallsPerSecond, reportInterval/time.Duration(max(len(engines), 1)))
 		if len(engines) == 0 {
-			pace = reportInterval
-		}
-		for _, e := range engines {
-			go l.ask(ctx, e)
-			if backoff.Sleep(ctx, pace) != nil {
-				return nil
-			}
-		}
-		if len(engines) == 0 && backoff.Sleep(ctx, pace) != nil {
-			return nil
+			_ = backoff.Sleep(ctx, reportInterval) // The loop sees that ctx ended.
+			continue
 		}
+		l.askAll(ctx, engines)
 	}
 	return nil
 }
 
+// askAll asks each engine once, spread over at least reportInterval.
+func (l *loadReporter) askAll(ctx context.Context, engines []*bronzeturnv1.Engine) {
+	pace := max(time.Second/reportCallsPerSecond, reportInterval/time.Duration(len(engines)))
+	for _, e := range engines {
+		go l.ask(ctx, e)
+		if backoff.Sleep(ctx, pace) != nil {
+			return
+		}
+	}
+}
+
 // ask takes in the report of one engine.
 func (l *loadReporter) ask(ctx context.Context, e *bronzeturnv1.Engine) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
