--- /dev/null
+++ b/fleetbench/overlay_test.go
@@ -0,0 +1,173 @@
+package fleetbench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/gossip"
+	"github.com/bronzeturn/bronzeturn/membership"
+)
+
+// overlay joins the real member views by links in memory, for virtual time, and
+// counts what the links carry.
+type overlay struct {
+	mu      sync.Mutex
+	members map[string]*membership.Membership
+	running sync.WaitGroup
+	// frames and bytes are those sent on all links, changes the copies sent of
+	// entries under "config/".
+	frames, bytes, changes atomic.Uint64
+}
+
+var errNotStarted = errors.New("daemon is not started")
+
+// DialLink implements gossip.Dialer.
+func (o *overlay) DialLink(_ context.Context, target gossip.Target) (gossip.Link, error) {
+	o.mu.Lock()
+	m := o.members[target.Address]
+	o.mu.Unlock()
+	if m == nil {
+		return nil, errNotStarted
+	}
+	done, once := make(chan struct{}), &sync.Once{}
+	there, back := make(chan *bronzeturnv1.Frame, 64), make(chan *bronzeturnv1.Frame, 64)
+	o.running.Go(func() {
+		_ = m.Table().Accept(&memoryLink{overlay: o, out: back, in: there, done: done, once: once}) // It ends with the other side.
+	})
+	return &memoryLink{overlay: o, out: there, in: back, done: done, once: once}, nil
+}
+
+// memoryLink is one side of a link.
+type memoryLink struct {
+	overlay *overlay
+	out     chan<- *bronzeturnv1.Frame
+	in      <-chan *bronzeturnv1.Frame
+	done    chan struct{}
+	once    *sync.Once
+}
+
+func (l *memoryLink) Send(frame *bronzeturnv1.Frame) error {
+	l.overlay.frames.Add(1)
+	l.overlay.bytes.Add(uint64(proto.Size(frame)))
+	for _, e := range frame.GetEntries() {
+		if e.GetKey() == headKey {
+			l.overlay.changes.Add(1)
+		}
+	}
+	select {
+	case l.out <- frame:
+		return nil
+	case <-l.done:
+		return context.Canceled
+	}
+}
+
+func (l *memoryLink) Receive() (*bronzeturnv1.Frame, error) {
+	select {
+	case frame := <-l.in:
+		return frame, nil
+	case <-l.done:
+		return nil, context.Canceled
+	}
+}
+
+func (l *memoryLink) Close() { l.once.Do(func() { close(l.done) }) }
+
+// headKey is where the provider floods the head.
+const headKey = "config/head"
+
+// start starts daemons and waits until they know each other.
+func (o *overlay) start(t *testing.T, n int) {
+	for i := range n {
+		name := daemonName(i)
+		m, err := membership.New(membership.Options{
+			Self:   membership.Self{Name: name, DataCentre: centreName(i % 4), PeerAddress: name, CallerAddress: name},
+			Seeds:  []string{daemonName(0)},
+			Dialer: o, Random: rand.New(rand.NewPCG(uint64(i), 1)), Log: zerolog.Nop(),
+			Classes: []gossip.Class{{Prefix: "config/", MaxEntries: 1, MaxValueBytes: 64 << 10}},
+		})
+		qt.Assert(t, err, qt.IsNil)
+		o.mu.Lock()
+		o.members[name] = m
+		o.mu.Unlock()
+		m.Start()
+	}
+	time.Sleep(time.Minute)
+	for _, m := range o.members {
+		qt.Assert(t, m.View().Live(), qt.Equals, n)
+	}
+}
+
+func (o *overlay) stop() {
+	var stopping sync.WaitGroup
+	for _, m := range o.members {
+		stopping.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			_ = m.Stop(ctx) // Nothing is checked after it.
+		})
+	}
+	stopping.Wait()
+	o.running.Wait()
+}
+
+// Bounds of the overlay per daemon, whatever the size of the fleet.
+const (
+	// About six links with two heartbeats a second and side.
+	maxFramesPerSecond = 13
+	maxBytesPerSecond  = 220
+	// A head goes once over each link, and twice where it crosses itself.
+	maxHeadCopies = 4
+	// Those that watch the store and the host list, one in each data centre.
+	watchersOfFour = 4
+)
+
+func TestOverlayCostsTheSameInEveryFleet(t *testing.T) {
+	for _, daemons := range []int{6, 24, 48} {
+		t.Run(fmt.Sprintf("%d daemons", daemons), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := &overlay{members: make(map[string]*membership.Membership)}
+				defer o.stop()
+				o.start(t, daemons)
+				c := qt.New(t)
+
+				const idle = 20
+				frames, bytes := o.frames.Load(), o.bytes.Load()
+				time.Sleep(idle * time.Second)
+				frames, bytes = o.frames.Load()-frames, o.bytes.Load()-bytes
+				t.Logf("idle: %.1f frames and %.0f bytes sent a second and daemon",
+					float64(frames)/idle/float64(daemons), float64(bytes)/idle/float64(daemons))
+				c.Check(frames <= maxFramesPerSecond*idle*uint64(daemons), qt.IsTrue)
+				c.Check(bytes <= maxBytesPerSecond*idle*uint64(daemons), qt.IsTrue)
+
+				c.Assert(o.members[daemonName(0)].Table().Publish(headKey, 1, make([]byte, 3144)), qt.IsNil)
+				time.Sleep(10 * time.Second)
+				t.Logf("change: %.2f copies of the head sent a daemon", float64(o.changes.Load())/float64(daemons))
+				c.Check(o.changes.Load() <= maxHeadCopies*uint64(daemons), qt.IsTrue)
+
+				watchers := 0
+				for _, m := range o.members {
+					_, _, held := m.Table().Get(headKey)
+					c.Check(held, qt.IsTrue)
+					if m.Watching() {
+						watchers++
+					}
+				}
+				t.Logf("%d watchers", watchers)
+				c.Check(watchers, qt.Equals, watchersOfFour)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/fleetbench/platform.go
@@ -0,0 +1,231 @@
+package fleetbench
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime/pprof"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/hostlist"
+	"github.com/bronzeturn/bronzeturn/standin"
+)
+
+// Properties of the stand-ins.
+const (
+	hostListLag = 200 * time.Millisecond
+	reportLag   = 500 * time.Millisecond
+	// ownEngines is the number of engines up to which each has a stand-in of its
+	// own. Beyond it the engines share the listeners of one stand-in, and no
+	// orders are given.
+	ownEngines = 600
+	// sharedListeners is the number of listeners shared then.
+	sharedListeners = 256
+	anyPort         = "127.0.0.1:0"
+)
+
+// system is one kind of outside system.
+type system int
+
+// The outside systems.
+const (
+	systemStore system = iota
+	systemHosts
+	systemRating
+	systemWeights
+	systemEngines
+	systems
+)
+
+var systemNames = [systems]string{"object API", "host list", "rating service", "weight store", "engines"}
+
+// traffic counts the bytes of the connections of one outside system, both ways.
+type traffic struct {
+	in, out     atomic.Uint64
+	connections atomic.Int64
+}
+
+// platform holds the stand-ins of one run.
+type platform struct {
+	register *bronzeturnv1.Register
+	rules    *bronzeturnv1.Rules
+	store    *standin.ObjectAPI
+	urls     [systems]string
+	traffic  [systems]traffic
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+}
+
+// stop ends the stand-ins.
+func (p *platform) stop() {
+	p.cancel()
+	p.done.Wait()
+}
+
+// startPlatform starts the stand-ins for a register of the size.
+func startPlatform(size Size, daemons int) (*platform, error) {
+	register, rules, err := Generate(size)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &platform{register: register, rules: rules, cancel: cancel}
+	// Goroutines inherit the label, so that a profile tells the parts.
+	pprof.Do(ctx, pprof.Labels("part", "stand-ins"), func(ctx context.Context) { err = p.start(ctx, daemons) })
+	if err != nil {
+		p.stop()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *platform) start(ctx context.Context, daemons int) error {
+	p.store = standin.NewObjectAPI(standin.ObjectAPIConfig{})
+	servers := [systems]server{
+		systemStore:   p.store,
+		systemHosts:   standin.NewHostList(standin.HostListConfig{Lag: hostListLag, Hosts: p.hosts(daemons)}),
+		systemRating:  standin.NewRating(standin.RatingConfig{}),
+		systemWeights: standin.NewWeightStore(standin.WeightStoreConfig{}),
+	}
+	for kind, s := range servers {
+		if s == nil {
+			continue
+		}
+		address, err := p.serve(ctx, system(kind), s)
+		if err != nil {
+			return err
+		}
+		p.urls[kind] = "http://" + address
+	}
+	if len(p.register.GetEngines()) > ownEngines {
+		p.urls[systemWeights] = ""
+		return p.sharedEngines(ctx)
+	}
+	return p.engines(ctx)
+}
+
+// engines starts one stand-in for each engine.
+func (p *platform) engines(ctx context.Context) error {
+	for _, e := range p.register.GetEngines() {
+		address, err := p.serve(ctx, systemEngines, standin.NewEngine(standin.EngineConfig{Versions: e.GetVersions(), ReportLag: reportLag}))
+		if err != nil {
+			return err
+		}
+		e.Address = address
+	}
+	return nil
+}
+
+// sharedEngines starts one stand-in behind many listeners.
+func (p *platform) sharedEngines(ctx context.Context) error {
+	var versions []string
+	for _, v := range p.register.GetVersions() {
+		versions = append(versions, v.GetName())
+	}
+	shared := standin.NewEngine(standin.EngineConfig{Versions: versions, ReportLag: reportLag})
+	var addresses []string
+	for range sharedListeners {
+		address, err := p.serve(ctx, systemEngines, shared)
+		if err != nil {
+			return err
+		}
+		addresses = append(addresses, address)
+	}
+	for i, e := range p.register.GetEngines() {
+		e.Address = addresses[i%len(addresses)]
+	}
+	return nil
+}
+
+// server is a stand-in.
+type server interface {
+	Serve(ctx context.Context, l net.Listener) error
+}
+
+// serve runs a stand-in on a free port and counts its traffic.
+func (p *platform) serve(ctx context.Context, kind system, s server) (string, error) {
+	l, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return "", fmt.Errorf("listen for a stand-in: %w", err)
+	}
+	p.done.Go(func() {
+		_ = s.Serve(ctx, &countedListener{Listener: l, traffic: &p.traffic[kind]}) // It ends with ctx.
+	})
+	return l.Addr().String(), nil
+}
+
+// hosts lists the daemons' hosts and those of all engines.
+func (p *platform) hosts(daemons int) []hostlist.Host {
+	var hosts []hostlist.Host
+	for i := range daemons {
+		hosts = append(hosts, hostlist.Host{Name: daemonName(i), DataCentre: p.dataCentre(i), Role: hostlist.RoleEntry, State: hostlist.Live})
+	}
+	for _, e := range p.register.GetEngines() {
+		hosts = append(hosts, hostlist.Host{Name: e.GetHost(), DataCentre: e.GetDataCentre(), Role: hostlist.RoleBackend, State: hostlist.Live})
+	}
+	return hosts
+}
+
+func daemonName(i int) string { return fmt.Sprintf("entry-%03d", i) }
+
+// dataCentre is that of a daemon.
+func (p *platform) dataCentre(i int) string {
+	all := p.register.GetDataCentres()
+	return all[i%len(all)].GetName()
+}
+
+// arguments are the settings of one daemon.
+func (p *platform) arguments(i int, seeds string) []string {
+	return []string{
+		"--name", daemonName(i), "--data-centre", p.dataCentre(i),
+		"--caller-listen", anyPort, "--peer-listen", anyPort, "--operator-listen", anyPort, "--admin-listen", anyPort,
+		"--store-url", p.urls[systemStore], "--host-list-url", p.urls[systemHosts],
+		"--rating-url", p.urls[systemRating], "--weight-store-url", p.urls[systemWeights],
+		"--insecure-plaintext-peers", "--insecure-plaintext-operators", "--admin-pprof", "--seeds", seeds,
+	}
+}
+
+// countedListener counts what its connections carry.
+type countedListener struct {
+	net.Listener
+	traffic *traffic
+}
+
+// Accept implements net.Listener.
+func (l *countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.traffic.connections.Add(1)
+	return &countedConn{Conn: c, traffic: l.traffic}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	traffic *traffic
+	once    sync.Once
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.in.Add(uint64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.out.Add(uint64(n))
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.traffic.connections.Add(-1) })
+	return c.Conn.Close()
+}
