--- a/fleetbench/fleet.go
+++ b/fleetbench/fleet.go
@@ -34,12 +34,24 @@
 
 // usage is what processes use.
 type usage struct {
-	cpu        time.Duration
+	// cpu is the processor time of each process by its number; those that have
+	// ended are missing.
+	cpu        map[int]time.Duration
 	resident   uint64 // bytes
 	heap       uint64 // bytes after a collection, zero when not known
 	goroutines int
 }
 
+// since returns the processor time of all processes that still run, since an
+// earlier usage.
+func (u usage) since(before usage) time.Duration {
+	var sum time.Duration
+	for i, cpu := range u.cpu {
+		sum += cpu - before.cpu[i]
+	}
+	return sum
+}
+
 // inProcess are daemons in this process.
 type inProcess struct {
 	daemons []*bronzeturn.Daemon
@@ -115,7 +127,7 @@
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
 	return usage{
-		cpu:      time.Duration(r.Utime.Nano() + r.Stime.Nano()),
+		cpu:      map[int]time.Duration{0: time.Duration(r.Utime.Nano() + r.Stime.Nano())},
 		resident: resident, heap: m.HeapAlloc, goroutines: runtime.NumGoroutine(),
 	}, nil
 }
--- a/fleetbench/process.go
+++ b/fleetbench/process.go
@@ -91,7 +91,7 @@
 }
 
 func (f *processes) usage(ctx context.Context) (usage, error) {
-	var total usage
+	total := usage{cpu: make(map[int]time.Duration)}
 	for i, cmd := range f.commands {
 		if f.gone(i) {
 			continue
@@ -109,7 +109,7 @@
 		if err != nil {
 			return usage{}, err
 		}
-		total.cpu += cpu
+		total.cpu[i] = cpu
 		total.resident += resident
 		total.goroutines += goroutines
 	}
--- a/fleetbench/report.go
+++ b/fleetbench/report.go
@@ -16,7 +16,7 @@
 	daemons := float64(max(len(after.daemons), 1))
 	b.printf("\n%s, %.1f s, load average %s\n", name, seconds, loadAverage())
 	b.printf("  processor          %8.3f %% of a core per daemon (%s)\n",
-		100*(after.usage.cpu-before.usage.cpu).Seconds()/seconds/daemons, b.usageNote())
+		100*after.usage.since(before.usage).Seconds()/seconds/daemons, b.usageNote())
 	b.printf("  resident memory    %8.1f MB per daemon\n", megabytes(after.usage.resident)/daemons)
 	if after.usage.heap > 0 {
 		b.printf("  heap               %8.2f MB per daemon\n", megabytes(after.usage.heap)/daemons)
