--- a/fleetbench/platform.go
+++ b/fleetbench/platform.go
@@ -186,11 +186,11 @@
 	return n, err
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It counts first, so that who has got an answer
+// finds it counted.
 func (c *countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.traffic.out.Add(uint64(n))
-	return n, err
+	c.traffic.out.Add(uint64(len(b)))
+	return c.Conn.Write(b)
 }
 
 // Close implements net.Conn.
