--- a/config/backoff.go
+++ b/backoff/backoff.go
@@ -1,4 +1,6 @@
-package config
+// Package backoff waits between attempts: pauses with full jitter and sleeps that
+// end with a context.
+package backoff
 
 import (
 	"context"
--- a/bootstrap/bootstrap.go
+++ b/bootstrap/bootstrap.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bronzeturn/bronzeturn/backoff"
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/objectstore"
 )
@@ -70,34 +71,23 @@
 // ctx ends. Failures are tried again with full jitter.
 func (r *Registrar) Run(ctx context.Context) error {
 	registered := false
-	for attempt := 0; ; attempt++ {
+	pauses := &backoff.Backoff{Base: retryBase, Max: retryMax, Random: r.Random}
+	for {
 		err := r.review(ctx, !registered)
-		pause := r.backoff(attempt)
+		pause := reviewInterval/2 + time.Duration(r.Random.Int64N(int64(reviewInterval)))
 		if err == nil {
 			registered = true
-			attempt = 0
-			pause = reviewInterval/2 + r.jitter(reviewInterval)
+			pauses.Reset()
 		} else {
 			r.Log.Debug().Err(err).Msg("seeds not reviewed")
+			pause = pauses.Next()
 		}
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
+		if backoff.Sleep(ctx, pause) != nil {
 			return nil
 		}
 	}
 }
 
-func (r *Registrar) backoff(attempt int) time.Duration {
-	bound := retryBase << min(attempt, 10)
-	return r.jitter(min(bound, retryMax))
-}
-
-// jitter returns a duration between zero and the bound.
-func (r *Registrar) jitter(bound time.Duration) time.Duration {
-	return time.Duration(r.Random.Int64N(int64(bound) + 1))
-}
-
 // review reads the object, passes on what it lists, and writes this daemon to
 // its front when asked to or when too few of the listed daemons are live.
 func (r *Registrar) review(ctx context.Context, register bool) error {
--- a/collect.go
+++ b/collect.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/bronzeturn/bronzeturn/backoff"
 	"github.com/bronzeturn/bronzeturn/config"
 	"github.com/bronzeturn/bronzeturn/logging"
 )
@@ -27,7 +28,7 @@
 func (d *Daemon) collectParts(ctx context.Context) error {
 	log := logging.Part(d.log, "config")
 	random := d.rand(randCollect)
-	for sleep(ctx, collectInterval) {
+	for backoff.Sleep(ctx, collectInterval) == nil {
 		if _, self := d.fleet.members.Owner(collectKey); !self {
 			continue
 		}
--- a/config/calls.go
+++ b/config/calls.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/bronzeturn/bronzeturn/backoff"
 	"github.com/bronzeturn/bronzeturn/objectstore"
 )
 
@@ -76,7 +77,7 @@
 
 // repeat calls f until it answers, the attempts are used up, or ctx ends.
 func (c calls) repeat(ctx context.Context, f func(context.Context) error) error {
-	backoff := &Backoff{Base: backoffBase, Max: backoffMax, Random: c.random}
+	pauses := &backoff.Backoff{Base: backoffBase, Max: backoffMax, Random: c.random}
 	for attempt := 1; ; attempt++ {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		err := f(callCtx)
@@ -88,7 +89,7 @@
 		if attempt == callAttempts {
 			return fmt.Errorf("gave up after %d attempts: %w", attempt, err)
 		}
-		if Sleep(ctx, max(pause, backoff.Next())) != nil {
+		if backoff.Sleep(ctx, max(pause, pauses.Next())) != nil {
 			return err
 		}
 	}
--- a/config/publish.go
+++ b/config/publish.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 
+	"github.com/bronzeturn/bronzeturn/backoff"
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/objectstore"
 )
@@ -42,7 +43,7 @@
 // run repeats the write until its fate is known. Repeating is safe: all tries
 // carry the same condition, so at most one takes effect.
 func (w *headWrite) run(ctx context.Context) (Result, error) {
-	backoff := &Backoff{Base: backoffBase, Max: backoffMax, Random: w.calls.random}
+	pauses := &backoff.Backoff{Base: backoffBase, Max: backoffMax, Random: w.calls.random}
 	var cause error
 	for range callAttempts {
 		cause = w.calls.put(ctx, HeadKey, w.value, w.revision)
@@ -57,7 +58,7 @@
 		} else if !w.maybe {
 			return Result{}, fmt.Errorf("write head: %w", cause)
 		}
-		if Sleep(ctx, max(pause, backoff.Next())) != nil {
+		if backoff.Sleep(ctx, max(pause, pauses.Next())) != nil {
 			break
 		}
 	}
--- a/configuration.go
+++ b/configuration.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/bronzeturn/bronzeturn/backoff"
 	"github.com/bronzeturn/bronzeturn/logging"
 	"github.com/bronzeturn/bronzeturn/membership"
 	"github.com/bronzeturn/bronzeturn/peer"
@@ -167,7 +168,7 @@
 // exchangeNews carries the age of the configuration's news between the
 // provider and the heartbeats, which relay it from daemon to daemon.
 func (f *fleet) exchangeNews(ctx context.Context) error {
-	for sleep(ctx, newsInterval) {
+	for backoff.Sleep(ctx, newsInterval) == nil {
 		status := f.provider.Status()
 		f.members.SetNews(status.Generation, status.StoreConfirmed)
 		if age, ok := f.members.News(); ok && status.Generation > 0 {
--- a/decisions.go
+++ b/decisions.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/admission"
+	"github.com/bronzeturn/bronzeturn/backoff"
 	"github.com/bronzeturn/bronzeturn/balance"
 	"github.com/bronzeturn/bronzeturn/failure"
 	"github.com/bronzeturn/bronzeturn/hedge"
@@ -93,7 +94,7 @@
 // reviewEngines compares the engines from time to time.
 func (d *Daemon) reviewEngines(ctx context.Context) error {
 	log := logging.Part(d.log, "balance")
-	for sleep(ctx, reviewInterval) {
+	for backoff.Sleep(ctx, reviewInterval) == nil {
 		tables := d.tables.Load()
 		if tables == nil {
 			continue
--- a/demo/traffic.go
+++ b/demo/traffic.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bronzeturn/bronzeturn/backoff"
 	"github.com/bronzeturn/bronzeturn/caller"
 	"github.com/bronzeturn/bronzeturn/failure"
 	"github.com/bronzeturn/bronzeturn/standin"
@@ -75,7 +76,7 @@
 		running.Go(func() { part(ctx) })
 	}
 	running.Go(func() {
-		if sleep(ctx, duration/2) {
+		if backoff.Sleep(ctx, duration/2) == nil {
 			t.withdraw(ctx)
 		}
 	})
@@ -189,15 +190,3 @@
 		t.tally.failed(err)
 	}
 }
-
-// sleep waits, and reports false when ctx ends before.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/feedback.go
+++ b/feedback.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/bronzeturn/bronzeturn/backoff"
 	"github.com/bronzeturn/bronzeturn/balance"
 	"github.com/bronzeturn/bronzeturn/engine"
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
@@ -52,11 +53,11 @@
 		}
 		for _, e := range engines {
 			go l.ask(ctx, e)
-			if !sleep(ctx, pace) {
+			if backoff.Sleep(ctx, pace) != nil {
 				return nil
 			}
 		}
-		if len(engines) == 0 && !sleep(ctx, pace) {
+		if len(engines) == 0 && backoff.Sleep(ctx, pace) != nil {
 			return nil
 		}
 	}
@@ -170,15 +171,3 @@
 		s.log.Debug().Err(err).Msg("sample not submitted")
 	}
 }
-
-// sleep waits, and reports false when ctx ends before.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/load/load.go
+++ b/load/load.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/bronzeturn/bronzeturn/backoff"
 	"github.com/bronzeturn/bronzeturn/caller"
 )
 
@@ -184,12 +185,5 @@
 	if wait <= 0 {
 		return ctx.Err() == nil
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return backoff.Sleep(ctx, wait) == nil
 }
--- a/provider/install.go
+++ b/provider/install.go
@@ -6,6 +6,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"github.com/bronzeturn/bronzeturn/backoff"
 	"github.com/bronzeturn/bronzeturn/config"
 )
 
@@ -28,14 +29,14 @@
 // installLoop puts pending heads in force, one at a time.
 func (p *Provider) installLoop() error {
 	ctx := p.tomb.Context(context.Background())
-	backoff := &config.Backoff{Base: retryBase, Max: retryMax, Random: p.fetchRandom}
+	pauses := &backoff.Backoff{Base: retryBase, Max: retryMax, Random: p.fetchRandom}
 	since, fallback := time.Now(), p.drawFallback()
 	for {
 		p.verifyNow(ctx)
 		p.probe(ctx)
 		useStore := time.Since(since) >= fallback
 		done := p.step(ctx, useStore)
-		if !p.wait(done, backoff) {
+		if !p.wait(done, pauses) {
 			return tomb.ErrDying
 		}
 		if done || useStore {
@@ -68,12 +69,12 @@
 // wait returns when there may be work: on a signal, and after a pause, which is
 // short if the last step left something undone. It returns false when the
 // provider stops.
-func (p *Provider) wait(done bool, backoff *config.Backoff) bool {
+func (p *Provider) wait(done bool, pauses *backoff.Backoff) bool {
 	pause := p.drawProbe()
 	if done {
-		backoff.Reset()
+		pauses.Reset()
 	} else {
-		pause = backoff.Next()
+		pause = pauses.Next()
 	}
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
--- a/provider/watch.go
+++ b/provider/watch.go
@@ -7,6 +7,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"github.com/bronzeturn/bronzeturn/backoff"
 	"github.com/bronzeturn/bronzeturn/config"
 	"github.com/bronzeturn/bronzeturn/objectstore"
 )
@@ -24,15 +25,15 @@
 // pollLoop reads the head again and again while this daemon watches.
 func (p *Provider) pollLoop() error {
 	return p.whileWatching(func(ctx context.Context) {
-		backoff := &config.Backoff{Base: storeBackoff, Max: storePauses, Random: p.pollRandom}
+		pauses := &backoff.Backoff{Base: storeBackoff, Max: storePauses, Random: p.pollRandom}
 		for ctx.Err() == nil {
 			pause := pollInterval
 			if err := p.poll(ctx); err != nil {
-				pause = max(backoff.Next(), retryAfter(err))
+				pause = max(pauses.Next(), retryAfter(err))
 			} else {
-				backoff.Reset()
+				pauses.Reset()
 			}
-			if config.Sleep(ctx, pause) != nil {
+			if backoff.Sleep(ctx, pause) != nil {
 				return
 			}
 		}
@@ -60,14 +61,14 @@
 // watchLoop waits for changes of the head while this daemon watches.
 func (p *Provider) watchLoop() error {
 	return p.whileWatching(func(ctx context.Context) {
-		backoff := &config.Backoff{Base: storeBackoff, Max: storePauses, Random: p.watchRandom}
+		pauses := &backoff.Backoff{Base: storeBackoff, Max: storePauses, Random: p.watchRandom}
 		for ctx.Err() == nil {
 			err := p.watch(ctx)
 			if err == nil {
-				backoff.Reset()
+				pauses.Reset()
 				continue
 			}
-			if config.Sleep(ctx, max(backoff.Next(), retryAfter(err))) != nil {
+			if backoff.Sleep(ctx, max(pauses.Next(), retryAfter(err))) != nil {
 				return
 			}
 		}
--- a/ratings.go
+++ b/ratings.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/bronzeturn/bronzeturn/backoff"
 	"github.com/bronzeturn/bronzeturn/gossip"
 	"github.com/bronzeturn/bronzeturn/logging"
 	"github.com/bronzeturn/bronzeturn/quality"
@@ -84,7 +85,7 @@
 // in each daemon only, so an overlap at a change of owner can count a page of
 // ratings twice; estimates discount, and no promise rests on them.
 func (l *learning) poll(ctx context.Context) error {
-	for sleep(ctx, pollInterval) {
+	for backoff.Sleep(ctx, pollInterval) == nil {
 		if _, self := l.owner(ratingsKey); !self {
 			continue
 		}
--- a/room.go
+++ b/room.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/admission"
+	"github.com/bronzeturn/bronzeturn/backoff"
 	"github.com/bronzeturn/bronzeturn/engine"
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 )
@@ -83,7 +84,7 @@
 // keepRoom tells admission about the engines, and the fleet about the load of
 // this daemon, until ctx ends.
 func (d *Daemon) keepRoom(ctx context.Context) error {
-	for sleep(ctx, roomInterval) {
+	for backoff.Sleep(ctx, roomInterval) == nil {
 		visible, sharers := d.compiler.visibleEngines(), d.compiler.sharers()
 		for version, room := range d.decisions.occupancy.rooms(visible, sharers, time.Now()) {
 			d.decisions.admission.SetRoom(version, room)
--- a/router/launch.go
+++ b/router/launch.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/bronzeturn/bronzeturn/backoff"
 	"github.com/bronzeturn/bronzeturn/balance"
 	"github.com/bronzeturn/bronzeturn/engine"
 	"github.com/bronzeturn/bronzeturn/failure"
@@ -203,7 +204,7 @@
 		Left:       time.Until(l.call.deadline),
 	})
 	r.logRetry(l, err, again, reason)
-	if again && pause(ctx, wait) {
+	if again && backoff.Sleep(ctx, wait) == nil {
 		return nil
 	}
 	return engineFailure(ctx, err, l.ran)
@@ -217,16 +218,6 @@
 	return again, wait, reason
 }
 
-// pause waits, and reports false when ctx ends before.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // firstToken tells the balancer that an answer began. The first token of an
 // answer that comes whole is not measured.
 func (r *Router) firstToken(a *attempt) {
--- a/router/service.go
+++ b/router/service.go
@@ -10,6 +10,7 @@
 	"github.com/uptrace/bunrouter"
 
 	"github.com/bronzeturn/bronzeturn/admission"
+	"github.com/bronzeturn/bronzeturn/backoff"
 	"github.com/bronzeturn/bronzeturn/callerapi"
 	"github.com/bronzeturn/bronzeturn/engine"
 	"github.com/bronzeturn/bronzeturn/failure"
@@ -219,7 +220,7 @@
 	})
 	with(r.Log.Info(), c).Str("failure", string(err.Kind)).Str("ran", string(err.Ran)).
 		Bool("again", again).Stringer("reason", reason).Int("attempt", number).Msg("attempt failed")
-	if again && pause(ctx, wait) {
+	if again && backoff.Sleep(ctx, wait) == nil {
 		return nil
 	}
 	return serviceFailure(ctx, err, ran)
