--- a/entry/copies.go
+++ b/entry/copies.go
@@ -29,8 +29,10 @@
 func (d *Daemon) follower(kind string, random uint64, apply func(follow.Update)) *follow.Follower {
 	return follow.New(follow.Options{
 		Kind: kind, Source: d.Store, Peers: d.fleet, Apply: apply,
-		Announce: func(revision uint64) { d.fleet.announce(kind, revision) },
-		Random:   d.rand(random), Log: d.part("follow"),
+		Announce:  func(revision uint64) { d.fleet.announce(kind, revision) },
+		Daemons:   d.fleet.live,
+		Disturbed: func() { d.copies.relistOthers(kind) },
+		Random:    d.rand(random), Log: d.part("follow"),
 	})
 }
 
@@ -44,6 +46,15 @@
 	return nil, false
 }
 
+// relistOthers lists all other kinds anew.
+func (c *copies) relistOthers(kind string) {
+	for _, f := range []*follow.Follower{c.config, c.engines, c.orders} {
+		if f.Kind != kind {
+			f.Relist()
+		}
+	}
+}
+
 // start begins to follow.
 func (c *copies) start(d *Daemon) {
 	for _, f := range []*follow.Follower{c.config, c.engines, c.orders} {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -209,13 +209,13 @@
 	})
 }
 
-// Parts of the grace of a stop. Callers may keep an answer about addresses for
-// three times its time, so requests are taken for that long where the grace
-// allows it.
+// Parts of the grace of a stop.
 const (
-	staleAnswers = 3
-	// latestRefusal is the part of the grace after which no request is taken.
-	latestRefusal = 0.8
+	// streamsUntil is the part of the grace in which streams are still taken: the
+	// platform excuses those that are cut at the end only if they came early.
+	streamsUntil = 0.35
+	// answersUntil is the part in which requests with whole answers are.
+	answersUntil = 0.8
 	// stopMargin is left before the end of the grace.
 	stopMargin = 350 * time.Millisecond
 )
@@ -230,8 +230,9 @@
 	grace := d.current.Load().StopGrace
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-stopMargin))
 	defer cancel()
-	take := min(staleAnswers*d.current.Load().AddressTTL+time.Second, time.Duration(latestRefusal*float64(grace)))
-	time.Sleep(take)
+	time.Sleep(time.Duration(streamsUntil * float64(grace)))
+	d.gateway.StopStreams()
+	time.Sleep(time.Duration((answersUntil - streamsUntil) * float64(grace)))
 	d.gateway.StopAdmitting()
 	if err := d.gateway.Drain(ctx); err != nil {
 		d.log.Error().Err(err).Int("in_progress", d.gateway.InProgress()).Msg("requests cut at the end of the grace")
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -48,8 +48,9 @@
 // Source is the part of the store that a Follower reads.
 type Source interface {
 	List(ctx context.Context, kind string) (*Snapshot, error)
-	// Watch returns the changes after a revision, or none when the wait ends.
-	Watch(ctx context.Context, kind string, after uint64) (*Changes, error)
+	// Watch returns the changes after a revision, or none when the wait ends. The
+	// wait is how long the store may hold the call.
+	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (*Changes, error)
 }
 
 // Peers gives access to the copies of other daemons.
@@ -80,6 +81,24 @@
 	newsPatience = 250 * time.Millisecond
 )
 
+// A watch may go deaf unnoticed: it ends without an answer, and until then the
+// changes are missed. Daemons tell each other of new revisions, so it is enough
+// that some watch in the fleet ends soon. Each daemon's watches last as long as
+// keeps the rate of the fleet's calls constant, within bounds.
+const (
+	waitPerDaemon = 700 * time.Millisecond
+	minWait       = 1200 * time.Millisecond
+	maxWait       = 20 * time.Second
+	// waitJitter is the part by which the wait varies, so that the ends are spread.
+	waitJitter = 0.4
+)
+
+// wait returns how long the next watch is held.
+func (f *Follower) wait() time.Duration {
+	w := min(max(time.Duration(f.Daemons())*waitPerDaemon, minWait), maxWait)
+	return time.Duration(float64(w) * (1 - waitJitter*f.Random.Float64()))
+}
+
 // Update is a new state of the copy.
 type Update struct {
 	Snapshot *Snapshot
@@ -98,6 +117,11 @@
 	Apply func(Update)
 	// Announce tells other daemons of the newest revision that the store gave.
 	Announce func(revision uint64)
+	// Daemons is the number of live daemons, this one included.
+	Daemons func() int
+	// Disturbed is called when a watch ended without an answer or the history was
+	// gone: what befell one watch may have befallen the others of this daemon.
+	Disturbed func()
 	Random   *rand.Rand
 	Log      zerolog.Logger
 }
@@ -116,6 +140,11 @@
 	newest atomic.Uint64
 	kick   chan struct{}
 
+	// relist asks for a list at the next step.
+	relist atomic.Bool
+	// interrupt ends the call in progress.
+	interrupt atomic.Pointer[context.CancelFunc]
+
 	// mu keeps updates in order.
 	mu sync.Mutex
 }
@@ -161,42 +190,67 @@
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	pauses := &backoff.Backoff{Base: retryBase, Max: retryMax, Random: f.Random}
-	relist := true
+	f.relist.Store(true)
 	for ctx.Err() == nil {
-		gone, err := f.step(ctx, relist)
-		switch {
-		case err == nil:
-			relist = gone
+		err := f.step(ctx)
+		if err == nil {
 			pauses.Reset()
-		default:
-			f.failed(err)
-			_ = backoff.Sleep(ctx, pauses.Next()) // The loop ends with ctx.
+			continue
 		}
+		f.failed(err)
+		_ = backoff.Sleep(ctx, pauses.Next()) // The loop ends with ctx.
 	}
 	return nil
 }
 
-// step lists or watches once. It reports whether a list has to follow.
-func (f *Follower) step(ctx context.Context, relist bool) (gone bool, err error) {
-	old := f.snapshot.Load()
-	if relist || old == nil {
+// Relist ends a watch in progress and lists instead.
+func (f *Follower) Relist() {
+	f.relist.Store(true)
+	if cancel := f.interrupt.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
+// step lists or watches once.
+func (f *Follower) step(ctx context.Context) error {
+	if f.relist.Swap(false) || f.snapshot.Load() == nil {
 		next, err := f.Source.List(ctx, f.Kind)
 		if err != nil {
-			return true, err
+			f.relist.Store(true)
+			return err
 		}
 		f.take(next, f.answered(), false)
-		return false, nil
+		return nil
 	}
-	changes, err := f.Source.Watch(ctx, f.Kind, old.Revision)
-	if errors.Is(err, ErrHistoryGone) {
-		f.Log.Info().Str("kind", f.Kind).Uint64("revision", old.Revision).Msg("history gone, listing again")
-		return true, nil
+	return f.watch(ctx)
+}
+
+// watch waits for changes once.
+func (f *Follower) watch(ctx context.Context) error {
+	inner, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.interrupt.Store(&cancel)
+	defer f.interrupt.Store(nil)
+	if f.relist.Load() {
+		return nil // Asked for just before the call could be ended.
 	}
-	if err != nil {
-		return false, err
+	old := f.snapshot.Load()
+	changes, err := f.Source.Watch(inner, f.Kind, old.Revision, f.wait())
+	switch {
+	case err == nil:
+		f.take(old.with(changes), f.answered(), false)
+		return nil
+	case errors.Is(err, ErrHistoryGone):
+		f.Log.Info().Str("kind", f.Kind).Uint64("revision", old.Revision).Msg("history gone, listing again")
+		f.relist.Store(true)
+		f.Disturbed()
+		return nil
+	case inner.Err() != nil:
+		return nil // Relist has ended the watch, or the daemon stops.
 	}
-	f.take(old.with(changes), f.answered(), false)
-	return false, nil
+	f.relist.Store(true)
+	f.Disturbed()
+	return err
 }
 
 // with returns the state after the changes.
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -16,11 +16,11 @@
 	Window       time.Duration
 }
 
-// Each daemon uses a part of the fleet's budget that is safe without asking:
-// half of the ratio, since requests of the window before count at most once, and
-// half of the slack divided by the daemons.
+// Each daemon uses a part of the budget that is safe without asking: most
+// of the ratio, which its own requests earn, and half of the slack divided by
+// the daemons.
 const (
-	ratioPart = 0.5
+	ratioPart = 0.85
 	// burstPart and floorPart of the daemon's slack are saved up and earned anew
 	// over one window.
 	burstPart = 0.5
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -105,6 +105,10 @@
 // StartLeaving asks callers to close their connections after the next answer.
 func (g *Gateway) StartLeaving() { g.gate.leaving.Store(true) }
 
+// StopStreams refuses further streams, which may outlast what is left of the
+// grace, and still takes requests with whole answers.
+func (g *Gateway) StopStreams() { g.gate.noStreams.Store(true) }
+
 // StopAdmitting refuses every further request.
 func (g *Gateway) StopAdmitting() { g.gate.closed.Store(true) }
 
@@ -132,7 +136,9 @@
 type gate struct {
 	active  atomic.Int64
 	leaving atomic.Bool
-	closed  atomic.Bool
+	// noStreams and closed refuse further streams, and all further requests.
+	noStreams atomic.Bool
+	closed    atomic.Bool
 }
 
 var _ http.Handler = (*Gateway)(nil)
--- a/gateway/models.go
+++ b/gateway/models.go
@@ -2,16 +2,41 @@
 
 import "github.com/bronzeturn/bronzeturn/route"
 
-// ModelChoice picks the model size for requests that leave it open.
-type ModelChoice struct{}
+// ModelOptions set when an answer is taken from a larger model instead.
+type ModelOptions struct {
+	// LeastConfidence is the confidence, 0 to 100, from which on a model's own
+	// opinion of its answer is trusted.
+	LeastConfidence int
+}
+
+// DefaultModelOptions returns the documented defaults.
+func DefaultModelOptions() ModelOptions { return ModelOptions{LeastConfidence: 65} }
+
+// ModelChoice picks the model size for requests that leave it open: the smallest
+// first, and the largest when the small one doubts its own answer. The doubt is
+// known before the caller has any of the answer.
+type ModelChoice struct {
+	options ModelOptions
+}
 
 // NewModelChoice returns a choice.
-func NewModelChoice() *ModelChoice { return &ModelChoice{} }
+func NewModelChoice(o ModelOptions) *ModelChoice { return &ModelChoice{options: o} }
 
-// First returns the model that a request is run on first.
+// First returns the model that a request is run on first, "" when the route
+// names none.
 func (m *ModelChoice) First(r *route.Route) string {
 	if len(r.Models) == 0 {
 		return ""
 	}
-	return r.Models[len(r.Models)-1]
+	return r.Models[0]
+}
+
+// Larger returns the model that an answer is taken from instead, or false when
+// the answer is good enough or there is no larger model.
+func (m *ModelChoice) Larger(r *route.Route, model string, confidence int) (string, bool) {
+	if len(r.Models) == 0 || confidence < 0 || confidence >= m.options.LeastConfidence {
+		return "", false
+	}
+	largest := r.Models[len(r.Models)-1]
+	return largest, largest != model
 }
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -6,6 +6,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 	"github.com/rs/zerolog"
+
+	"github.com/bronzeturn/bronzeturn/retry"
 )
 
 // metrics count and time the requests.
@@ -70,7 +72,7 @@
 			Dur("allowed_ms", q.deadline.Sub(q.received))
 	}
 	t := &q.trace
-	return line.Strs("engines", t.engines).Strs("reasons", t.reasons).Str("model", t.model).Bool("trial", t.trial).
+	return line.Strs("engines", t.engines).Strs("reasons", t.reasons).Str("model", t.model).Ints("confidence", t.confidence).Bool("trial", t.trial).
 		Int("attempts", t.attempts).Int("resumed", t.resumed).Int("events", t.events).Dur("first_ms", t.first)
 }
 
@@ -78,7 +80,11 @@
 // another one.
 func (g *Gateway) logAttempt(t *task, to *target, e *attemptError, reason string) {
 	g.metrics.attempts.WithLabelValues(e.Kind.String(), string(e.Ran)).Inc()
-	g.Log.Warn().Str("request", t.meta.ID).Str("engine", to.engine.ID).Str("address", to.engine.Address).
+	line := g.Log.Warn()
+	if e.Kind == retry.KindDoubted {
+		line = g.Log.Info()
+	}
+	line.Str("request", t.meta.ID).Str("engine", to.engine.ID).Str("address", to.engine.Address).
 		AnErr("failure", e.Cause).Str("kind", e.Kind.String()).Str("ran", string(e.Ran)).
 		Bool("again", reason == "").Str("because", reason).Int("attempt", t.request.trace.attempts).
 		Int("events", t.stream.events).Dur("after_ms", time.Since(to.sent)).Msg("attempt failed")
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -23,6 +23,9 @@
 	// unreadyRetry is the advice while there is no configuration yet; it takes
 	// about as long to get one.
 	unreadyRetry = 300 * time.Millisecond
+	// leavingRetry is the advice of a daemon that stops: others take the request
+	// at once.
+	leavingRetry = 10 * time.Millisecond
 )
 
 // request is one request of a caller with what has been found out about it.
@@ -52,22 +55,24 @@
 
 // trace is what the log line of a request tells besides.
 type trace struct {
-	engines  []string
-	reasons  []string
-	model    string
-	trial    bool
-	attempts int
-	resumed  int
-	first    time.Duration
-	events   int
-	tokens   int
+	engines []string
+	reasons []string
+	model   string
+	// confidence is that of each answer that began.
+	confidence []int
+	trial      bool
+	attempts   int
+	resumed    int
+	first      time.Duration
+	events     int
+	tokens     int
 }
 
 // prepare checks the form and the identity of a request and reads it whole.
 func (g *Gateway) prepare(q *request, a *answer) *failure.Error {
 	q.deadline = q.received.Add(defaultWait)
 	if g.gate.closed.Load() {
-		return failure.New(failure.CodeLeaving, failure.RanNo, "the daemon is stopping").After(unreadyRetry)
+		return failure.New(failure.CodeLeaving, failure.RanNo, "the daemon is stopping").After(leavingRetry)
 	}
 	q.tables = g.Tables()
 	if q.tables == nil || q.tables.Routes == nil {
@@ -79,6 +84,9 @@
 	if f := g.authenticate(q); f != nil {
 		return f
 	}
+	if q.route.Kind == route.Stream && g.gate.noStreams.Load() {
+		return failure.New(failure.CodeLeaving, failure.RanNo, "the daemon is stopping").After(leavingRetry)
+	}
 	q.setDeadline()
 	if f := q.readBody(a); f != nil {
 		return f
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -28,6 +28,8 @@
 	minAttempt = 10 * time.Millisecond
 	// busyRetry is the advice when no engine takes a request now.
 	busyRetry = 400 * time.Millisecond
+	// minEscalation is the least time left for which a larger model is asked.
+	minEscalation = 500 * time.Millisecond
 	// emptyWait is how long a request waits for an engine to come back when a
 	// service has none, and emptyPoll the time between two looks.
 	emptyWait = 40 * time.Millisecond
@@ -296,7 +298,7 @@
 // failed tells balancer and introduction of an attempt that failed.
 func (g *Gateway) failed(t *task, to *target, e *attemptError) {
 	now := time.Now()
-	if e.Kind == retry.KindCancelled {
+	if e.Kind == retry.KindCancelled || e.Kind == retry.KindDoubted {
 		g.Engines.Finished(balance.Finished{Engine: to.engine.ID, Work: to.work, FirstTokenSeen: to.firstSeen, Cancelled: true, At: now})
 		return
 	}
@@ -323,6 +325,10 @@
 		t.runs++
 		t.ran = failure.RanUnknown
 	}
+	if e.Kind == retry.KindDoubted {
+		g.logAttempt(t, to, e, "")
+		return g.ended(ctx, t)
+	}
 	reason := g.mayGoOn(t, e)
 	if reason == "" && e.Ran != failure.RanNo || reason == "" && e.Kind == retry.KindRefused {
 		if !g.budgets.of(t.service).Take(time.Now()) {
@@ -377,6 +383,8 @@
 		return &attemptError{Kind: retry.KindBroken, Ran: failure.RanUnknown, Cause: errUnsignedAnswer}
 	case x.Status < http.StatusOK || x.Status >= http.StatusMultipleChoices:
 		return g.deliverFailure(t, to, x)
+	case g.escalates(t, receipt.Confidence):
+		return &attemptError{Kind: retry.KindDoubted, Ran: failure.RanYes, Cause: errDoubted}
 	case t.route.Kind == route.Stream:
 		return g.deliverStream(ctx, t, to, x)
 	default:
@@ -384,11 +392,33 @@
 	}
 }
 
+// escalates tells whether a larger model should answer instead, and picks it.
+// The caller must not have any of the answer, and the attempts must leave one
+// for the larger model.
+func (g *Gateway) escalates(t *task, confidence int) bool {
+	t.request.trace.confidence = append(t.request.trace.confidence, confidence)
+	if t.model == "" || t.answer.begun() || !t.route.Repeatable() || t.runs+1 >= t.route.Attempts {
+		return false
+	}
+	larger, ok := g.Models.Larger(t.route, t.model, confidence)
+	if !ok || time.Until(t.deadline) < minEscalation {
+		return false
+	}
+	if !g.budgets.of(t.service).Take(time.Now()) {
+		return false
+	}
+	t.model = larger
+	t.request.trace.model = larger
+	t.tried = nil
+	return true
+}
+
 // Reasons why an answer is not passed on.
 var (
 	errOtherInstance  = errors.New("another engine answers at this address")
 	errEngineRefused  = errors.New("the engine refused the request unseen")
 	errForeignAnswer  = errors.New("the answer belongs to another request")
 	errUnsignedAnswer = errors.New("the answer bears no mark of the engine")
+	errDoubted        = errors.New("the model doubts its answer")
 	errEngineFailure  = errors.New("the engine answered with a failure")
 )
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -31,6 +31,8 @@
 	KindRejected
 	// KindCancelled is a caller that went away.
 	KindCancelled
+	// KindDoubted is an answer that was dropped for that of a larger model.
+	KindDoubted
 )
 
 var kindNames = [...]string{
@@ -41,6 +43,7 @@
 	KindBroken:    "broken",
 	KindRejected:  "rejected",
 	KindCancelled: "cancelled",
+	KindDoubted:   "doubted",
 }
 
 // String returns the name used in logs and metrics.
