--- a/balance/affinity.go
+++ b/balance/affinity.go
@@ -131,6 +131,18 @@
 	return found
 }
 
+// holders returns the engines that probably hold the prefix, its homes among
+// them.
+func (s *State) holders(prefix uint64, homes [MaxHomes]string, now int64) holders {
+	found := s.cache.lookup(prefix)
+	for _, name := range homes {
+		if e := s.engine(name); e != nil {
+			found.add(e, now)
+		}
+	}
+	return found
+}
+
 // add notes an engine as a holder with news of now, if there is room.
 func (h *holders) add(e *engine, now int64) {
 	for i := range h.count {
@@ -177,6 +189,15 @@
 // gapDoubt is the belief left in an entry when events after it were missed.
 const gapDoubt = 0.5
 
+// shared returns the time in seconds to read the part of the prompt that may be
+// cached.
+func (o *Options) shared(w Work, prefill float64) float64 {
+	if w.PrefixTokens <= 0 {
+		return prefill
+	}
+	return min(prefill, float64(w.PrefixTokens)/o.PrefillTokensPerSecond)
+}
+
 // saving returns the time in seconds that a cached prefix probably saves.
 func (o *Options) saving(e *engine, newsAt, now int64, prefill float64) float64 {
 	belief := 1.0
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -13,11 +13,11 @@
 	maxRetryAfter     = 30 * time.Second
 )
 
-// The choice compares sampleSize engines of a group and draws at most
-// sampleDraws times to find them usable.
+// The choice draws at most sampleDraws times for each engine that it compares,
+// to find usable ones. defaultSample is how many are compared by default.
 const (
-	sampleSize  = 2
-	sampleDraws = 6
+	sampleDraws   = 3
+	defaultSample = 2
 )
 
 // minWarmShare is the share of its full work that a new engine begins with.
@@ -41,7 +41,7 @@
 type choice struct {
 	state *State
 	plan  *Plan
-	req   *Request
+	req   Request
 	now   int64
 	rng   *rand.Rand
 	d     Decision
@@ -63,7 +63,7 @@
 		return Decision{Index: -1, Reason: ReasonNotServed, RetryAfter: defaultRetryAfter}, false
 	}
 	c := choice{
-		state: s, plan: p, req: r, now: now.UnixNano(), rng: rng, d: Decision{Index: -1},
+		state: s, plan: p, req: *r, now: now.UnixNano(), rng: rng, d: Decision{Index: -1},
 		priority: priorityIndex(r.Work.Priority), cached: -1, probe: -1,
 	}
 	best := c.pick(served)
@@ -89,7 +89,11 @@
 		best = c.sample(local, best, 0, ReasonLeastWait)
 	}
 	threshold := c.state.options.RemoteThreshold.Seconds()
-	if c.probe < 0 && (best.index < 0 || best.wait > threshold) {
+	wait := best.wait
+	if c.state.options.BusyIsWait {
+		wait += best.busy
+	}
+	if c.probe < 0 && (best.index < 0 || wait > threshold) {
 		best = c.sample(remote, best, threshold, ReasonRemote)
 	}
 	if c.probe >= 0 {
@@ -108,7 +112,7 @@
 	if c.req.PrefixHash == 0 || !c.state.options.affine(c.req.Work.PromptTokens) {
 		return none
 	}
-	c.holders = c.state.cache.lookup(c.req.PrefixHash)
+	c.holders = c.state.holders(c.req.PrefixHash, c.req.Homes, c.now)
 	if home, ok := c.home(served); ok {
 		return home
 	}
@@ -127,12 +131,10 @@
 func (c *choice) home(served *candidates) (best estimate, ok bool) {
 	best = none
 	for _, name := range c.req.Homes {
-		e := c.state.engine(name)
-		index, known := c.plan.index[e]
-		if e == nil || !known || !served.member[index] || c.standing(index) != usable {
+		index, known := c.plan.index[c.state.engine(name)]
+		if !known || !served.member[index] || c.standing(index) != usable {
 			continue
 		}
-		c.holders.add(e, c.now)
 		est := c.considerHolder(index)
 		if c.probe >= 0 {
 			return none, true
@@ -170,10 +172,22 @@
 	if n == 0 {
 		return best
 	}
+	size := c.state.options.SampleSize
+	if size <= 0 {
+		size = defaultSample
+	}
+	draws, all := sampleDraws*size, n <= size
+	offset := 0
+	if all && n > defaultSample {
+		draws, offset = n, c.rng.IntN(n)
+	}
 	first := int32(-1)
 	found := 0
-	for range sampleDraws {
-		index := group[c.rng.IntN(n)]
+	for i := range draws {
+		index := group[(offset+i)%n]
+		if !all || n <= defaultSample {
+			index = group[c.rng.IntN(n)]
+		}
 		if index == first || index == c.cached {
 			continue
 		}
@@ -190,7 +204,7 @@
 			c.d.Reason = reason
 		}
 		first = index
-		if found++; found == sampleSize || found == n {
+		if found++; found == size || found == n {
 			break
 		}
 	}
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -11,7 +11,9 @@
 	wait   float64
 	first  float64
 	answer float64
-	cost   float64
+	// busy is what the work in progress adds while there are free slots.
+	busy float64
+	cost float64
 }
 
 // none is the estimate of no engine.
@@ -30,13 +32,14 @@
 	est.wait = load.wait(size.slots, throughput)
 	prefill := float64(max(0, c.req.Work.PromptTokens)) / o.PrefillTokensPerSecond
 	if newsAt, ok := c.holders.of(e); ok {
-		prefill -= o.saving(e, newsAt, c.now, prefill)
+		prefill -= o.saving(e, newsAt, c.now, o.shared(c.req.Work, prefill))
 	}
 	est.first = est.wait + prefill
 	est.answer = est.first + float64(max(1, c.req.Work.ExpectedTokens))*slowness/size.rate
 	failures := e.health.failureShare(c.now, o.FailureHalfLife)
 	penalty := failures * failures * o.FailurePenalty.Seconds()
-	est.cost = est.answer + o.BatchSlowdown*load.tokens/throughput + penalty
+	est.busy = o.BatchSlowdown * load.tokens / throughput
+	est.cost = est.answer + est.busy + penalty
 	return est
 }
 
--- a/balance/event.go
+++ b/balance/event.go
@@ -12,6 +12,9 @@
 	Priority       bronzeturnv1.Priority
 	PromptTokens   int64
 	ExpectedTokens int64
+	// PrefixTokens is the part of the prompt that other requests share, and that
+	// an engine may hold already. Zero means that any part may be.
+	PrefixTokens int64
 }
 
 // Dispatched reports a request sent to an engine. Exactly one Finished or
--- a/balance/options.go
+++ b/balance/options.go
@@ -18,6 +18,12 @@
 	// BatchSlowdown is the share of the work in progress that counts as wait
 	// while an engine still has free slots.
 	BatchSlowdown float64
+	// SampleSize is the number of engines of a data centre that are compared. All
+	// are when there are no more. Zero means 2.
+	SampleSize int
+	// BusyIsWait makes the work in progress count as wait when other data centres
+	// are considered, not only a queue.
+	BusyIsWait bool
 	// AffinityMin is the least time to read a prompt for which cached prefixes
 	// count.
 	AffinityMin time.Duration
@@ -67,6 +73,7 @@
 		PrefillTokensPerSecond: 8000,
 		PromptWeight:           0.05,
 		BatchSlowdown:          0.1,
+		SampleSize:             2,
 		AffinityMin:            50 * time.Millisecond,
 		AffinityMax:            500 * time.Millisecond,
 		AffinityHalfLife:       2 * time.Minute,
@@ -110,6 +117,7 @@
 		{o.PrefillTokensPerSecond > 0, "PrefillTokensPerSecond", "above 0"},
 		{o.PromptWeight >= 0, "PromptWeight", "at least 0"},
 		{o.BatchSlowdown >= 0 && o.BatchSlowdown <= 1, "BatchSlowdown", "from 0 to 1"},
+		{o.SampleSize >= 0, "SampleSize", "at least 0"},
 		{o.AffinityMin >= 0, "AffinityMin", "at least 0"},
 		{o.AffinityMax >= 0, "AffinityMax", "at least 0"},
 		{o.AffinityHalfLife > 0, "AffinityHalfLife", "above 0"},
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -138,13 +138,19 @@
 	return d, nil
 }
 
-// balanceOptions suits engines that batch and answer within seconds: they are
-// judged and taken back faster than the defaults say.
+// balanceOptions suits engines that batch: what a request waits for is the
+// reading of the prompts before it, so the work in progress counts in full. They
+// are judged and taken back faster than the defaults say, since answers take
+// seconds at most.
 func balanceOptions() balance.Options {
 	o := balance.DefaultOptions()
 	o.RemoteThreshold = 5 * time.Millisecond
-	o.PrefillTokensPerSecond = 15000
-	o.AffinityMin = 5 * time.Millisecond
+	o.PrefillTokensPerSecond = 30000
+	o.PromptWeight = 0.1
+	o.BatchSlowdown = 1
+	o.SampleSize = 4
+	o.BusyIsWait = true
+	o.AffinityMin = time.Millisecond
 	o.AffinityMax = time.Second
 	o.AffinityHalfLife = 30 * time.Second
 	o.FailurePenalty = 4 * time.Second
@@ -153,7 +159,7 @@
 	o.EjectMax = 6 * time.Second
 	o.TrickleEvery = 500 * time.Millisecond
 	o.TrickleSuccesses = 2
-	o.WarmUp = 2 * time.Second
+	o.WarmUp = 0
 	return o
 }
 
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -122,8 +122,8 @@
 	// Disturbed is called when a watch ended without an answer or the history was
 	// gone: what befell one watch may have befallen the others of this daemon.
 	Disturbed func()
-	Random   *rand.Rand
-	Log      zerolog.Logger
+	Random    *rand.Rand
+	Log       zerolog.Logger
 }
 
 // Follower keeps the copy of one kind.
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -59,7 +59,7 @@
 
 // nominalRate is the generation rate in tokens per second that engines are
 // compared with; what each one does is measured.
-const nominalRate = 100
+const nominalRate = 60
 
 // homes returns the engines that should read a prefix, best first: the same on
 // every daemon, without a table.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -48,9 +48,10 @@
 	session uint64
 	// prefix joins the ids of the parts of the prompt that others share, "" for
 	// none; prefixHash is its hash.
-	prefix     string
-	prefixHash uint64
-	trace      trace
+	prefix       string
+	prefixHash   uint64
+	prefixTokens int
+	trace        trace
 }
 
 // trace is what the log line of a request tells besides.
@@ -193,6 +194,7 @@
 	}
 	for _, part := range q.meta.Parts[:len(q.meta.Parts)-1] {
 		q.prefix += part.ID + "/"
+		q.prefixTokens += part.Tokens
 	}
 	q.prefixHash = xxhash.Sum64String(q.prefix)
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -149,7 +149,7 @@
 		t.trial = false
 		t.group = Group(t.service, false)
 	}
-	r := t.balanceRequest(g.DataCentre, engines)
+	r := t.balanceRequest(g.DataCentre, engines, g.Models)
 	var decision balance.Decision
 	var ok bool
 	g.withRand(func(rng *rand.Rand) { decision, ok = g.Engines.Choose(engines.Plan, r, now, rng) })
@@ -173,9 +173,9 @@
 func (t *task) mayRepeat() bool { return t.ran == failure.RanNo || t.route.Repeatable() }
 
 // balanceRequest describes the request to the balancer.
-func (t *task) balanceRequest(dataCentre string, engines *Engines) *balance.Request {
+func (t *task) balanceRequest(dataCentre string, engines *Engines, models *ModelChoice) *balance.Request {
 	r := &balance.Request{
-		Version: t.group, DataCentre: dataCentre, Work: t.work(),
+		Version: t.group, DataCentre: dataCentre, Work: t.work(models),
 		PrefixHash: t.prefixHash, NoProbe: t.route.Kind == route.Once,
 	}
 	if t.prefix != "" {
@@ -186,14 +186,18 @@
 	return r
 }
 
-// work estimates the size of the request.
-func (t *task) work() balance.Work {
-	w := balance.Work{PromptTokens: int64(t.meta.PromptTokens), ExpectedTokens: int64(t.meta.LikelyTokens)}
-	if w.ExpectedTokens == 0 {
-		w.ExpectedTokens = int64(t.meta.MaxTokens / 2)
-	}
-	w.Priority = bronzeturnv1.Priority_PRIORITY_NORMAL
-	return w
+// work estimates the size of the request, in the tokens of the largest model.
+func (t *task) work(models *ModelChoice) balance.Work {
+	expected := t.meta.LikelyTokens
+	if expected == 0 {
+		expected = t.meta.MaxTokens / 2
+	}
+	weight := models.Weight(t.route, t.model)
+	scale := func(tokens int) int64 { return int64(weight * float64(tokens)) }
+	return balance.Work{
+		Priority:     bronzeturnv1.Priority_PRIORITY_NORMAL,
+		PromptTokens: scale(t.meta.PromptTokens), ExpectedTokens: scale(expected), PrefixTokens: scale(t.prefixTokens),
+	}
 }
 
 // ended tells why no further attempt makes sense, nil while one does.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -99,8 +99,11 @@
 	now := time.Now()
 	ended := balance.Finished{Engine: to.engine.ID, Work: to.work, FirstTokenSeen: to.firstSeen, At: now}
 	if got > 1 {
+		took := now.Sub(firstAt)
+		g.Models.Observe(t.model, got, took)
 		ended.Tokens = int64(got)
-		ended.Generation = now.Sub(firstAt)
+		// Engines are compared by what they would need with the largest model.
+		ended.Generation = time.Duration(float64(took) / g.Models.Weight(t.route, t.model))
 	}
 	g.Engines.Finished(ended)
 }
