Let a few daemons watch the store and the others pull what changed

Each daemon now keeps a short history of its copy; daemons that don't watch ask one that does, and read the store themselves when that fails or is turned away.

--- a/entry/copies.go
+++ b/entry/copies.go
@@ -30,7 +30,6 @@
 	return follow.New(follow.Options{
 		Kind: kind, Source: d.Store, Peers: d.fleet, Apply: apply,
 		Announce:  func(revision uint64) { d.fleet.announce(kind, revision) },
-		Daemons:   d.fleet.live,
 		Disturbed: func() { d.copies.relistOthers(kind) },
 		Random:    d.rand(random), Log: d.part("follow"),
 	})
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -236,17 +236,20 @@
 	return list
 }
 
-// live returns the number of live daemons.
-func (f *fleet) live() int { return f.members.View().Live() }
+// Live implements follow.Peers.
+func (f *fleet) Live() int { return f.members.View().Live() }
+
+// Watching implements follow.Peers.
+func (f *fleet) Watching() bool {
+	view := f.members.View()
+	return view.Watching(view.Self)
+}
 
 // errNobody reports that no other daemon is known.
 var errNobody = errors.New("no other daemon is known")
 
-// errStaleCopy reports that the daemon asked may be out of date itself.
-var errStaleCopy = errors.New("the other daemon's copy may be out of date")
-
-// Pull implements follow.Peers: it asks one random daemon.
-func (f *fleet) Pull(ctx context.Context, kind string, after uint64) (*follow.Snapshot, error) {
+// Pull implements follow.Peers.
+func (f *fleet) Pull(ctx context.Context, kind string, after uint64) (*follow.Pulled, error) {
 	address, ok := f.somePeer()
 	if !ok {
 		return nil, errNobody
@@ -257,58 +260,68 @@
 	if err != nil {
 		return nil, fmt.Errorf("pull %s from %s: %w", kind, address, err)
 	}
-	if !answer.Msg.GetNewer() {
-		if answer.Msg.GetStale() {
-			return nil, errStaleCopy
-		}
-		return nil, nil
-	}
-	s := &follow.Snapshot{Revision: answer.Msg.GetRevision(), Items: make(map[string]follow.Item)}
-	for _, item := range answer.Msg.GetItems() {
-		s.Items[item.GetName()] = follow.Item{
+	m := answer.Msg
+	p := &follow.Pulled{Full: m.GetFull(), Failing: m.GetFailing(), AfterOutage: m.GetAfterOutage()}
+	p.Changes.Revision, p.Changes.Removed = m.GetRevision(), m.GetRemoved()
+	for _, item := range m.GetItems() {
+		p.Changes.Changed = append(p.Changes.Changed, follow.Item{
 			Name: item.GetName(), Revision: item.GetRevision(), Created: item.GetCreated(),
 			Spec: item.GetSpec(), Status: item.GetStatus(),
-		}
+		})
 	}
-	return s, nil
+	return p, nil
 }
 
-// somePeer returns the address of a random daemon that is believed to be live,
-// or else of a seed.
+// somePeer returns the address of a random daemon that watches the store, or of
+// any live one, or else of a seed.
 func (f *fleet) somePeer() (string, bool) {
-	var live []string
-	for _, m := range f.members.View().Members {
-		if m.Name != f.daemon.Settings.Name && m.State != membership.Suspected {
-			live = append(live, m.PeerAddress)
+	view := f.members.View()
+	var watching, live []string
+	for _, m := range view.Members {
+		if m.Name == view.Self || m.State == membership.Suspected {
+			continue
+		}
+		live = append(live, m.PeerAddress)
+		if view.Watching(m.Name) {
+			watching = append(watching, m.PeerAddress)
 		}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(live) == 0 {
-		live = f.seeds
+	from := watching
+	if len(from) == 0 || f.random.Float64() < anyPeer {
+		from = live
+	}
+	if len(from) == 0 {
+		from = f.seeds
 	}
-	if len(live) == 0 {
+	if len(from) == 0 {
 		return "", false
 	}
-	return live[f.random.IntN(len(live))], true
+	return from[f.random.IntN(len(from))], true
 }
 
+// anyPeer is the share of the questions that go to any live daemon, so that one
+// that is cut off from those that watch is not left behind.
+const anyPeer = 0.15
+
 // pullServer hands out this daemon's copies.
 type pullServer struct{ daemon *Daemon }
 
 // Pull implements bronzeturnv1connect.FollowServiceHandler.
 func (s pullServer) Pull(_ context.Context, r *connect.Request[bronzeturnv1.PullRequest]) (*connect.Response[bronzeturnv1.PullResponse], error) {
 	follower, ok := s.daemon.copies.of(r.Msg.GetKind())
-	if !ok || follower.Snapshot() == nil {
+	if !ok {
+		return nil, connect.NewError(connect.CodeNotFound, errNoCopy)
+	}
+	p := follower.Since(r.Msg.GetAfterRevision())
+	if p == nil {
 		return nil, connect.NewError(connect.CodeNotFound, errNoCopy)
 	}
-	copied := follower.Snapshot()
-	answer := &bronzeturnv1.PullResponse{Revision: copied.Revision, Stale: follower.Stale(time.Now())}
-	if copied.Revision <= r.Msg.GetAfterRevision() {
-		return connect.NewResponse(answer), nil
+	answer := &bronzeturnv1.PullResponse{
+		Revision: p.Changes.Revision, Full: p.Full, Failing: p.Failing, AfterOutage: p.AfterOutage, Removed: p.Changes.Removed,
 	}
-	answer.Newer = true
-	for _, item := range copied.Items {
+	for _, item := range p.Changes.Changed {
 		answer.Items = append(answer.Items, &bronzeturnv1.FollowedItem{
 			Name: item.Name, Revision: item.Revision, Created: item.Created, Spec: item.Spec, Status: item.Status,
 		})
--- a/entry/load.go
+++ b/entry/load.go
@@ -42,7 +42,7 @@
 	version := uint64(time.Now().UnixMilli()) << 12
 	empty := false
 	for {
-		pause := loadInterval + time.Duration(d.fleet.live())*loadPerDaemon
+		pause := loadInterval + time.Duration(d.fleet.Live())*loadPerDaemon
 		if backoff.Sleep(ctx, pause) != nil {
 			return nil
 		}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -1,6 +1,7 @@
-// Package follow keeps a copy of one kind of the store's objects on this daemon:
-// a list once, then a watch. While the store does not answer this daemon, it
-// asks other daemons for theirs. A copy never goes back to an older revision.
+// Package follow keeps a copy of one kind of the store's objects on this daemon.
+// A few daemons of the fleet watch the store; the others take what changed from
+// them, and read the store themselves when those do not answer or are turned
+// away. A copy never goes back to an older revision.
 package follow
 
 import (
@@ -16,32 +17,6 @@
 	"github.com/bronzeturn/bronzeturn/backoff"
 )
 
-// Item is one object.
-type Item struct {
-	Name string
-	// Revision is that of the object's last change.
-	Revision uint64
-	// Created is the revision at which the object came to be.
-	Created uint64
-	// Spec and Status are encoded as the store has them.
-	Spec, Status []byte
-}
-
-// Snapshot is an immutable state of all objects of a kind.
-type Snapshot struct {
-	// Revision is that of the store when the state was read.
-	Revision uint64
-	Items    map[string]Item
-}
-
-// Changes are what happened after a revision.
-type Changes struct {
-	// Revision is where the next watch continues.
-	Revision uint64
-	Changed  []Item
-	Removed  []string
-}
-
 // ErrHistoryGone reports that the store has forgotten the changes asked for.
 var ErrHistoryGone = errors.New("the store has forgotten this history")
 
@@ -53,11 +28,26 @@
 	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (*Changes, error)
 }
 
+// Pulled is what another daemon gave of its copy.
+type Pulled struct {
+	Changes Changes
+	// Full tells that the changes are all objects there are.
+	Full bool
+	// Failing tells that the store does not answer the other daemon now.
+	Failing bool
+	// AfterOutage tells that the store has just come back.
+	AfterOutage bool
+}
+
 // Peers gives access to the copies of other daemons.
 type Peers interface {
-	// Pull returns a copy that is newer than the revision, or nil, from some
-	// daemon that has one.
-	Pull(ctx context.Context, kind string, after uint64) (*Snapshot, error)
+	// Pull asks some daemon, one that watches if possible, for what changed after
+	// a revision.
+	Pull(ctx context.Context, kind string, after uint64) (*Pulled, error)
+	// Watching tells whether this daemon is one of those that watch the store.
+	Watching() bool
+	// Live is the number of live daemons, this one included.
+	Live() int
 }
 
 const (
@@ -66,39 +56,45 @@
 	retryBase = 50 * time.Millisecond
 	retryMax  = 400 * time.Millisecond
 	// outageAfter is how long the store may fail to answer before its return
-	// counts as the end of an outage.
+	// counts as the end of an outage, and outageEcho how long after the return
+	// changes are taken to be of the outage's making.
 	outageAfter = 500 * time.Millisecond
-	// pullInterval is the pause between two questions to other daemons while the
-	// store does not answer.
-	pullInterval = 250 * time.Millisecond
-	// pullTimeout bounds one such question.
+	outageEcho  = 2 * time.Second
+	// gatherTime lets changes that come in a burst share one watch.
+	gatherTime = 120 * time.Millisecond
+	// idlePoll is the time between two looks at whether this daemon should watch.
+	idlePoll = 200 * time.Millisecond
+	// pullTimeout bounds one question to another daemon.
 	pullTimeout = time.Second
+	// pullPause is the least time between two questions.
+	pullPause = 100 * time.Millisecond
+	// newsPatience is how long the own watch may take to bring what another
+	// daemon has already got.
+	newsPatience = 200 * time.Millisecond
 	// staleAfter is how long neither store nor daemons may have answered before
 	// the copy counts as stale.
 	staleAfter = 3 * time.Second
-	// newsPatience is how long the own watch may take to bring what another
-	// daemon has already got.
-	newsPatience = 250 * time.Millisecond
+)
+
+// A daemon that does not watch asks one that does every confirmEvery, or for
+// each daemon of the fleet confirmPerDaemon, whichever is longer, so that those
+// that watch are not asked too often. It reads the store itself when it had no
+// good answer for orphanMargin more than that.
+const (
+	confirmEvery     = 700 * time.Millisecond
+	confirmPerDaemon = 15 * time.Millisecond
+	orphanMargin     = 800 * time.Millisecond
 )
 
 // A watch may go deaf unnoticed: it ends without an answer, and until then the
 // changes are missed. Daemons tell each other of new revisions, so it is enough
-// that some watch in the fleet ends soon. Each daemon's watches last as long as
-// keeps the rate of the fleet's calls constant, within bounds.
+// that some watch in the fleet ends soon: its wait is short, and its ends are
+// spread by waitJitter.
 const (
-	waitPerDaemon = 700 * time.Millisecond
-	minWait       = 1200 * time.Millisecond
-	maxWait       = 20 * time.Second
-	// waitJitter is the part by which the wait varies, so that the ends are spread.
-	waitJitter = 0.4
+	watchWait  = 2500 * time.Millisecond
+	waitJitter = 0.5
 )
 
-// wait returns how long the next watch is held.
-func (f *Follower) wait() time.Duration {
-	w := min(max(time.Duration(f.Daemons())*waitPerDaemon, minWait), maxWait)
-	return time.Duration(float64(w) * (1 - waitJitter*f.Random.Float64()))
-}
-
 // Update is a new state of the copy.
 type Update struct {
 	Snapshot *Snapshot
@@ -115,10 +111,8 @@
 	Peers  Peers
 	// Apply takes each new state, one call at a time.
 	Apply func(Update)
-	// Announce tells other daemons of the newest revision that the store gave.
+	// Announce tells other daemons of a revision with changes.
 	Announce func(revision uint64)
-	// Daemons is the number of live daemons, this one included.
-	Daemons func() int
 	// Disturbed is called when a watch ended without an answer or the history was
 	// gone: what befell one watch may have befallen the others of this daemon.
 	Disturbed func()
@@ -134,19 +128,21 @@
 	// failingSince is the time of the first failure in a row in Unix
 	// nanoseconds, zero while the store answers.
 	failingSince atomic.Int64
+	// returned is when the store came back from its last outage.
+	returned atomic.Int64
 	// confirmed is the time of the last answer of store or daemons.
 	confirmed atomic.Int64
-	// newest is the highest object revision that another daemon spoke of.
+	// newest is the highest revision that another daemon spoke of.
 	newest atomic.Uint64
 	kick   chan struct{}
-
 	// relist asks for a list at the next step.
 	relist atomic.Bool
 	// interrupt ends the call in progress.
 	interrupt atomic.Pointer[context.CancelFunc]
 
-	// mu keeps updates in order.
-	mu sync.Mutex
+	// mu keeps updates in order and guards history.
+	mu      sync.Mutex
+	history history
 }
 
 // New returns a Follower that does nothing before Run.
@@ -157,16 +153,16 @@
 // Snapshot returns the copy, nil before the first one.
 func (f *Follower) Snapshot() *Snapshot { return f.snapshot.Load() }
 
-// Stale tells whether the copy may be out of date: the store fails and no other
+// Failing tells whether the store did not answer the last call.
+func (f *Follower) Failing() bool { return f.failingSince.Load() != 0 }
+
+// Stale tells whether the copy may be out of date: neither the store nor another
 // daemon has confirmed it lately.
 func (f *Follower) Stale(now time.Time) bool {
-	if f.snapshot.Load() == nil {
-		return true
-	}
-	return f.failingSince.Load() != 0 && now.UnixNano()-f.confirmed.Load() > int64(staleAfter)
+	return f.snapshot.Load() == nil || now.UnixNano()-f.confirmed.Load() > int64(staleAfter+watchWait)
 }
 
-// Heard takes in that another daemon holds an object of the given revision.
+// Heard takes in that another daemon holds the given revision.
 func (f *Follower) Heard(revision uint64) {
 	for {
 		old := f.newest.Load()
@@ -192,6 +188,10 @@
 	pauses := &backoff.Backoff{Base: retryBase, Max: retryMax, Random: f.Random}
 	f.relist.Store(true)
 	for ctx.Err() == nil {
+		if !f.reads(time.Now()) {
+			_ = backoff.Sleep(ctx, idlePoll) // The loop ends with ctx.
+			continue
+		}
 		err := f.step(ctx)
 		if err == nil {
 			pauses.Reset()
@@ -203,6 +203,20 @@
 	return nil
 }
 
+// reads tells whether this daemon reads the store itself now.
+func (f *Follower) reads(now time.Time) bool {
+	if f.snapshot.Load() == nil || f.Peers.Watching() {
+		return true
+	}
+	return now.UnixNano()-f.confirmed.Load() > int64(f.confirmInterval()+orphanMargin)
+}
+
+// confirmInterval is the time between two questions of a daemon that does not
+// watch.
+func (f *Follower) confirmInterval() time.Duration {
+	return max(confirmEvery, time.Duration(f.Peers.Live())*confirmPerDaemon)
+}
+
 // Relist ends a watch in progress and lists instead.
 func (f *Follower) Relist() {
 	f.relist.Store(true)
@@ -219,7 +233,8 @@
 			f.relist.Store(true)
 			return err
 		}
-		f.take(next, f.answered(), false)
+		f.answered()
+		f.take(next, false, f.echo())
 		return nil
 	}
 	return f.watch(ctx)
@@ -235,10 +250,15 @@
 		return nil // Asked for just before the call could be ended.
 	}
 	old := f.snapshot.Load()
-	changes, err := f.Source.Watch(inner, f.Kind, old.Revision, f.wait())
+	wait := time.Duration(float64(watchWait) * (1 - waitJitter*f.Random.Float64()))
+	changes, err := f.Source.Watch(inner, f.Kind, old.Revision, wait)
 	switch {
 	case err == nil:
-		f.take(old.with(changes), f.answered(), false)
+		f.answered()
+		f.change(changes, false, f.echo())
+		if !changes.empty() {
+			_ = backoff.Sleep(inner, gatherTime) // The next watch begins sooner when it is ended.
+		}
 		return nil
 	case errors.Is(err, ErrHistoryGone):
 		f.Log.Info().Str("kind", f.Kind).Uint64("revision", old.Revision).Msg("history gone, listing again")
@@ -253,35 +273,23 @@
 	return err
 }
 
-// with returns the state after the changes.
-func (s *Snapshot) with(c *Changes) *Snapshot {
-	next := &Snapshot{Revision: max(s.Revision, c.Revision), Items: s.Items}
-	if len(c.Changed) == 0 && len(c.Removed) == 0 {
-		return next
-	}
-	next.Items = make(map[string]Item, len(s.Items)+len(c.Changed))
-	for name, item := range s.Items {
-		next.Items[name] = item
-	}
-	for _, item := range c.Changed {
-		next.Items[item.Name] = item
+// answered notes an answer of the store.
+func (f *Follower) answered() {
+	now := time.Now().UnixNano()
+	f.confirmed.Store(now)
+	since := f.failingSince.Swap(0)
+	if since == 0 {
+		return
 	}
-	for _, name := range c.Removed {
-		delete(next.Items, name)
+	f.Log.Info().Str("kind", f.Kind).Dur("failed_for_ms", time.Duration(now-since)).Msg("store answers again")
+	if now-since > int64(outageAfter) {
+		f.returned.Store(now)
 	}
-	return next
 }
 
-// answered notes an answer of the store and tells whether an outage ended.
-func (f *Follower) answered() (afterOutage bool) {
-	now := time.Now()
-	f.confirmed.Store(now.UnixNano())
-	since := f.failingSince.Swap(0)
-	if since == 0 {
-		return false
-	}
-	f.Log.Info().Str("kind", f.Kind).Dur("failed_for", now.Sub(time.Unix(0, since))).Msg("store answers again")
-	return now.UnixNano()-since > int64(outageAfter)
+// echo tells whether changes of now may be of an outage's making.
+func (f *Follower) echo() bool {
+	return time.Now().UnixNano()-f.returned.Load() < int64(outageEcho)
 }
 
 // failed notes a call without an answer.
@@ -292,57 +300,99 @@
 	f.wake()
 }
 
-// take puts a state in force unless it is older than the copy.
-func (f *Follower) take(next *Snapshot, afterOutage, fromPeer bool) {
+// take puts a whole state in force unless it is older than the copy.
+func (f *Follower) take(next *Snapshot, fromPeer, afterOutage bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old := f.snapshot.Load()
-	if old != nil && next.Revision < old.Revision {
+	if old == nil {
+		old = &Snapshot{}
+	}
+	if next.Revision < old.Revision {
 		return
 	}
+	f.swap(old, next, old.diff(next), fromPeer, afterOutage)
+}
+
+// change puts changes in force. Those that the copy already has do no harm.
+func (f *Follower) change(c *Changes, fromPeer, afterOutage bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.snapshot.Load()
+	if old == nil || c.Revision < old.Revision {
+		return
+	}
+	next := old.with(c)
+	f.swap(old, next, old.diff(next), fromPeer, afterOutage)
+}
+
+// swap puts a state in force. The caller holds mu.
+func (f *Follower) swap(old, next *Snapshot, diff Changes, fromPeer, afterOutage bool) {
+	first := f.snapshot.Load() == nil
 	f.snapshot.Store(next)
-	if old != nil && next.Revision == old.Revision && !afterOutage {
+	if diff.empty() && !first {
 		return
 	}
+	f.history.add(old.Revision, diff)
 	if !fromPeer {
-		f.Announce(next.newestItem())
+		f.Announce(next.Revision)
 	}
 	f.Apply(Update{Snapshot: next, AfterOutage: afterOutage, FromPeer: fromPeer})
 }
 
-// newestItem returns the highest revision of an object.
-func (s *Snapshot) newestItem() (revision uint64) {
-	for _, item := range s.Items {
-		revision = max(revision, item.Revision)
+// Since returns what changed after a revision, for another daemon, or nil when
+// there is no copy.
+func (f *Follower) Since(after uint64) *Pulled {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.snapshot.Load()
+	if s == nil {
+		return nil
+	}
+	p := &Pulled{Failing: f.Failing() || f.Stale(time.Now()), AfterOutage: f.echo()}
+	p.Changes.Revision = s.Revision
+	if after >= s.Revision {
+		return p
+	}
+	var ok bool
+	if p.Changes, ok = f.history.since(after); !ok {
+		p.Changes, p.Full = (&Snapshot{}).diff(s), true
 	}
-	return revision
+	p.Changes.Revision = s.Revision
+	return p
 }
 
-// RunPulls asks other daemons whenever the store fails this one, or is slower
-// than to them, until ctx ends.
+// RunPulls asks other daemons, until ctx ends: regularly while this daemon does
+// not watch, and at once when the store fails it or is slower than to them.
 func (f *Follower) RunPulls(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-f.kick:
+		case <-timer.C:
 		}
-		for f.behind() && ctx.Err() == nil {
-			if backoff.Sleep(ctx, newsPatience) != nil {
-				return nil
-			}
-			if f.behind() {
-				f.pull(ctx)
-				_ = backoff.Sleep(ctx, pullInterval-newsPatience) // The loop ends with ctx.
-			}
+		if f.Peers.Watching() && f.behind() {
+			_ = backoff.Sleep(ctx, newsPatience) // The own watch may bring it.
 		}
+		if f.behind() || !f.Peers.Watching() {
+			f.pull(ctx)
+			_ = backoff.Sleep(ctx, pullPause) // The loop ends with ctx.
+		}
+		pause := f.confirmInterval()
+		if f.behind() {
+			pause = pullPause
+		}
+		timer.Reset(pause)
 	}
 }
 
-// behind tells whether other daemons should be asked.
+// behind tells whether other daemons may have more than the copy.
 func (f *Follower) behind() bool {
 	s := f.snapshot.Load()
-	return s == nil || f.failingSince.Load() != 0 || f.newest.Load() > s.Revision
+	return s == nil || f.Failing() || f.newest.Load() > s.Revision
 }
 
 // pull asks another daemon once.
@@ -353,15 +403,17 @@
 	if s := f.snapshot.Load(); s != nil {
 		after = s.Revision
 	}
-	next, err := f.Peers.Pull(ctx, f.Kind, after)
+	p, err := f.Peers.Pull(ctx, f.Kind, after)
 	if err != nil {
 		f.Log.Debug().Err(err).Str("kind", f.Kind).Msg("no daemon gave its copy")
 		return
 	}
-	f.confirmed.Store(time.Now().UnixNano())
-	if next == nil {
+	if !p.Failing {
+		f.confirmed.Store(time.Now().UnixNano())
+	}
+	if p.Full {
+		f.take((&Snapshot{}).with(&p.Changes), true, p.AfterOutage)
 		return
 	}
-	f.Log.Info().Str("kind", f.Kind).Uint64("revision", next.Revision).Uint64("before", after).Msg("copy taken from another daemon")
-	f.take(next, false, true)
+	f.change(&p.Changes, true, p.AfterOutage)
 }
