--- a/follow/follow.go
+++ b/follow/follow.go
@@ -264,6 +264,8 @@
 		f.Log.Info().Str("kind", f.Kind).Uint64("revision", old.Revision).Msg("history gone, listing again")
 		f.relist.Store(true)
 		f.Disturbed()
+		// A store that keeps saying so must not be asked without a pause.
+		_ = backoff.Sleep(ctx, retryBase) // The loop ends with ctx.
 		return nil
 	case inner.Err() != nil:
 		return nil // Relist has ended the watch, or the daemon stops.
--- /dev/null
+++ b/follow/follow_test.go
@@ -0,0 +1,397 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"flag"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+var errDown = errors.New("down")
+
+// store is a Source whose faults a test sets.
+type store struct {
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]Item
+	log      []Changes
+	changed  chan struct{}
+	down     bool
+	// deaf watches never answer, gone ones have lost their history.
+	deaf, gone bool
+	lists      int
+	watches    int
+}
+
+func newStore() *store {
+	return &store{items: map[string]Item{}, changed: make(chan struct{}), revision: 1}
+}
+
+func (s *store) set(f func(s *store)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s)
+}
+
+func (s *store) put(name, spec string) {
+	s.set(func(s *store) {
+		s.revision++
+		item := Item{Name: name, Revision: s.revision, Spec: []byte(spec)}
+		s.items[name] = item
+		s.tell(Changes{Revision: s.revision, Changed: []Item{item}})
+	})
+}
+
+func (s *store) remove(name string) {
+	s.set(func(s *store) {
+		s.revision++
+		delete(s.items, name)
+		s.tell(Changes{Revision: s.revision, Removed: []string{name}})
+	})
+}
+
+func (s *store) tell(c Changes) {
+	s.log = append(s.log, c)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) List(context.Context, string) (*Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists++
+	if s.down {
+		return nil, errDown
+	}
+	return &Snapshot{Revision: s.revision, Items: maps.Clone(s.items)}, nil
+}
+
+func (s *store) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (*Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+500*time.Millisecond)
+	defer cancel()
+	end := time.After(wait)
+	s.set(func(s *store) { s.watches++ })
+	for {
+		s.mu.Lock()
+		down, deaf, gone, changed, revision := s.down, s.deaf, s.gone, s.changed, s.revision
+		var got Changes
+		for _, c := range s.log {
+			if c.Revision > after {
+				got.Changed = append(got.Changed, c.Changed...)
+				got.Removed = append(got.Removed, c.Removed...)
+			}
+		}
+		s.mu.Unlock()
+		switch {
+		case down:
+			return nil, errDown
+		case deaf:
+			<-ctx.Done()
+			return nil, ctx.Err()
+		case gone:
+			return nil, ErrHistoryGone
+		case !got.empty():
+			got.Revision = revision
+			return &got, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return &Changes{Revision: revision}, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// peers gives the copy of one other Follower, if any.
+type peers struct {
+	mu       sync.Mutex
+	other    *Follower
+	watching bool
+	pulls    int
+}
+
+func (p *peers) Pull(_ context.Context, _ string, after uint64) (*Pulled, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pulls++
+	if p.other == nil {
+		return nil, errDown
+	}
+	if got := p.other.Since(after); got != nil {
+		return got, nil
+	}
+	return nil, errDown
+}
+
+func (p *peers) Watching() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.watching
+}
+
+func (p *peers) Live() int { return 6 }
+
+// daemon is a Follower under test with what it was given.
+type daemon struct {
+	*Follower
+	peers   *peers
+	mu      sync.Mutex
+	updates []Update
+	news    []uint64
+}
+
+// newDaemon starts a Follower that ends with the test's bubble.
+func newDaemon(ctx context.Context, s Source, watching bool, other *daemon) *daemon {
+	d := &daemon{peers: &peers{watching: watching}}
+	if other != nil {
+		d.peers.other = other.Follower
+	}
+	d.Follower = New(Options{
+		Kind: "things", Source: s, Peers: d.peers,
+		Apply: func(u Update) {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.updates = append(d.updates, u)
+		},
+		Announce:  func(r uint64) { d.news = append(d.news, r) },
+		Disturbed: func() {},
+		Random:    rand.New(rand.NewPCG(1, 2)), Log: zerolog.Nop(),
+	})
+	go func() { _ = d.Run(ctx) }()      // Ends with ctx.
+	go func() { _ = d.RunPulls(ctx) }() // Ends with ctx.
+	return d
+}
+
+func (d *daemon) spec(name string) string {
+	s := d.Snapshot()
+	if s == nil {
+		return ""
+	}
+	return string(s.Items[name].Spec)
+}
+
+// run runs f in virtual time with a context that ends with it.
+func run(t *testing.T, f func(c *qt.C, ctx context.Context)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f(qt.New(t), ctx)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestWatcherSeesChangesAtOnce(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		s := newStore()
+		s.put("a", "1")
+		d := newDaemon(ctx, s, true, nil)
+		time.Sleep(10 * time.Millisecond)
+		c.Check(d.spec("a"), qt.Equals, "1")
+		s.put("a", "2")
+		time.Sleep(time.Millisecond)
+		c.Check(d.spec("a"), qt.Equals, "2")
+		s.remove("a")
+		time.Sleep(gatherTime + time.Millisecond)
+		c.Check(d.Snapshot().Items, qt.HasLen, 0)
+	})
+}
+
+func TestBurstOfChangesSharesWatches(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		s := newStore()
+		d := newDaemon(ctx, s, true, nil)
+		time.Sleep(time.Second)
+		before := s.watches
+		for i := range 100 {
+			s.put(fmt.Sprint(i), "x")
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(gatherTime + time.Millisecond)
+		c.Check(d.Snapshot().Items, qt.HasLen, 100)
+		c.Check(s.watches-before <= 12, qt.IsTrue, qt.Commentf("%d watches", s.watches-before))
+	})
+}
+
+// TestDeafWatchIsNoticed has a store that drops its history and never answers
+// the watches that wait.
+func TestDeafWatchIsNoticed(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		s := newStore()
+		s.put("a", "1")
+		d := newDaemon(ctx, s, true, nil)
+		time.Sleep(100 * time.Millisecond)
+		s.set(func(s *store) { s.deaf = true })
+		s.put("b", "wakes the watches that hear")
+		time.Sleep(time.Second)
+		s.set(func(s *store) { s.deaf, s.gone = false, true })
+		s.put("a", "2")
+		time.Sleep(watchWait + time.Second)
+		c.Check(d.spec("a"), qt.Equals, "2")
+	})
+}
+
+func TestDaemonThatDoesNotWatchMakesNoCalls(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		s := newStore()
+		s.put("a", "1")
+		watcher := newDaemon(ctx, s, true, nil)
+		time.Sleep(100 * time.Millisecond)
+		other := newDaemon(ctx, s, false, watcher)
+		time.Sleep(100 * time.Millisecond)
+		calls := s.lists
+		time.Sleep(30 * time.Second)
+		s.put("a", "2")
+		time.Sleep(gatherTime)
+		other.Heard(s.revision)
+		time.Sleep(pullPause + time.Millisecond)
+		c.Check(other.spec("a"), qt.Equals, "2")
+		c.Check(s.lists, qt.Equals, calls)
+	})
+}
+
+func TestDaemonThatIsTurnedAwayLearnsFromAnother(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		s, refusing := newStore(), newStore()
+		s.put("a", "1")
+		watcher := newDaemon(ctx, s, true, nil)
+		time.Sleep(100 * time.Millisecond)
+		refusing.down = true
+		away := newDaemon(ctx, refusing, true, watcher)
+		time.Sleep(time.Second)
+		c.Check(away.spec("a"), qt.Equals, "1")
+		c.Check(away.Stale(time.Now()), qt.IsFalse)
+		s.put("a", "2")
+		time.Sleep(time.Second)
+		c.Check(away.spec("a"), qt.Equals, "2")
+	})
+}
+
+// TestDaemonReadsItselfWhenTheOneThatWatchesFails has the store turn away just
+// the daemon that the other one asks.
+func TestDaemonReadsItselfWhenTheOneThatWatchesFails(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		s, broken := newStore(), newStore()
+		s.put("a", "1")
+		broken.put("a", "1")
+		watcher := newDaemon(ctx, broken, true, nil)
+		time.Sleep(100 * time.Millisecond)
+		other := newDaemon(ctx, s, false, watcher)
+		time.Sleep(time.Second)
+		broken.set(func(s *store) { s.down = true })
+		s.put("a", "2")
+		time.Sleep(watchWait + confirmEvery + orphanMargin + time.Second)
+		c.Check(other.spec("a"), qt.Equals, "2")
+	})
+}
+
+func TestCopyNeverGoesBack(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		s, old := newStore(), newStore()
+		old.put("a", "1")
+		behind := newDaemon(ctx, old, true, nil)
+		time.Sleep(100 * time.Millisecond)
+		s.put("a", "1")
+		s.put("a", "2")
+		d := newDaemon(ctx, s, true, behind)
+		time.Sleep(100 * time.Millisecond)
+		c.Assert(d.spec("a"), qt.Equals, "2")
+		s.set(func(s *store) { s.down = true })
+		time.Sleep(5 * time.Second)
+		c.Check(d.peers.pulls > 0, qt.IsTrue)
+		c.Check(d.spec("a"), qt.Equals, "2")
+	})
+}
+
+func TestChangesJustAfterAnOutageAreMarked(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		s := newStore()
+		s.put("a", "1")
+		d := newDaemon(ctx, s, true, nil)
+		time.Sleep(time.Second)
+		c.Assert(d.updates[len(d.updates)-1].AfterOutage, qt.IsFalse)
+		s.set(func(s *store) { s.down = true })
+		s.put("c", "ends the watch that waits")
+		time.Sleep(3 * time.Second)
+		s.set(func(s *store) { s.down = false })
+		s.remove("a")
+		time.Sleep(time.Second)
+		last := d.updates[len(d.updates)-1]
+		c.Check(last.Snapshot.Items, qt.HasLen, 1)
+		c.Check(last.AfterOutage, qt.IsTrue)
+		time.Sleep(outageEcho)
+		s.put("b", "later")
+		time.Sleep(time.Second)
+		c.Check(d.updates[len(d.updates)-1].AfterOutage, qt.IsFalse)
+	})
+}
+
+func TestCopyIsStaleWhenNobodyConfirmsIt(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		s := newStore()
+		s.put("a", "1")
+		d := newDaemon(ctx, s, true, nil)
+		time.Sleep(time.Second)
+		c.Check(d.Stale(time.Now()), qt.IsFalse)
+		s.set(func(s *store) { s.down = true })
+		s.put("b", "ends the watch that waits")
+		time.Sleep(staleAfter + watchWait + time.Second)
+		c.Check(d.Stale(time.Now()), qt.IsTrue)
+		c.Check(d.spec("a"), qt.Equals, "1")
+	})
+}
+
+// TestWhatChangedSinceLeadsToTheSameState replays random changes to a copy that
+// falls behind by random steps.
+func TestWhatChangedSinceLeadsToTheSameState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := New(Options{Announce: func(uint64) {}, Apply: func(Update) {}, Log: zerolog.Nop()})
+		f.take(&Snapshot{Revision: 1, Items: map[string]Item{}}, false, false)
+		copied := &Snapshot{Revision: 1, Items: map[string]Item{}}
+		revision := uint64(1)
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			revision++
+			name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "name")
+			c := &Changes{Revision: revision}
+			if _, ok := f.Snapshot().Items[name]; ok && rapid.Bool().Draw(t, "remove") {
+				c.Removed = []string{name}
+			} else {
+				c.Changed = []Item{{Name: name, Revision: revision}}
+			}
+			f.change(c, false, false)
+			if rapid.IntRange(0, 20).Draw(t, "pull") > 0 {
+				continue
+			}
+			got := f.Since(copied.Revision)
+			if got.Full {
+				copied = (&Snapshot{}).with(&got.Changes)
+			} else {
+				copied = copied.with(&got.Changes)
+			}
+			if diff := copied.diff(f.Snapshot()); !diff.empty() || copied.Revision != f.Snapshot().Revision {
+				t.Fatalf("copy %v differs from %v", copied, f.Snapshot())
+			}
+		}
+	})
+}
--- /dev/null
+++ b/inventory/inventory_test.go
@@ -0,0 +1,75 @@
+package inventory
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var start = time.Unix(1000, 0)
+
+func engine(id string) Engine { return Engine{ID: id, Service: "s", Address: "192.0.2.1:1"} }
+
+func draining(id string) Engine {
+	e := engine(id)
+	e.Draining = true
+	return e
+}
+
+func newSet() *Set { return New(func(_, _ *View) {}) }
+
+func ids(s *Set) []string {
+	var all []string
+	for _, e := range s.View().Engines {
+		all = append(all, e.ID)
+	}
+	return all
+}
+
+func TestDrainingAndGoneEnginesGetNoWork(t *testing.T) {
+	c := qt.New(t)
+	s := newSet()
+	s.Replace([]Engine{engine("b"), engine("a"), engine("c")}, false, start)
+	c.Check(ids(s), qt.DeepEquals, []string{"a", "b", "c"})
+	s.Replace([]Engine{engine("a"), draining("b")}, false, start)
+	c.Check(ids(s), qt.DeepEquals, []string{"a"})
+	_, known := s.View().Engine("b")
+	c.Check(known, qt.IsFalse)
+}
+
+func TestEntriesThatLapsedInAnOutageHaveTimeToComeBack(t *testing.T) {
+	c := qt.New(t)
+	s := newSet()
+	s.Replace([]Engine{engine("a"), engine("b"), engine("c")}, false, start)
+	s.Replace([]Engine{engine("a")}, true, start)
+	c.Check(ids(s), qt.DeepEquals, []string{"a", "b", "c"})
+	s.Replace([]Engine{engine("a"), engine("b")}, false, start.Add(time.Second))
+	c.Check(s.Expire(start.Add(time.Second)).IsZero(), qt.IsFalse)
+	c.Check(ids(s), qt.DeepEquals, []string{"a", "b", "c"})
+	c.Check(s.Expire(start.Add(lapseGrace)).IsZero(), qt.IsTrue)
+	c.Check(ids(s), qt.DeepEquals, []string{"a", "b"})
+}
+
+func TestDrainingEngineDoesNotReturnWithAnOutage(t *testing.T) {
+	c := qt.New(t)
+	s := newSet()
+	s.Replace([]Engine{engine("a"), draining("b")}, false, start)
+	s.Replace([]Engine{engine("a")}, true, start)
+	c.Check(ids(s), qt.DeepEquals, []string{"a"})
+	s.Replace([]Engine{engine("a"), engine("c")}, false, start)
+	s.Replace([]Engine{engine("a")}, true, start)
+	s.Replace([]Engine{engine("a"), draining("c")}, true, start)
+	c.Check(ids(s), qt.DeepEquals, []string{"a"})
+}
+
+func TestForgottenEngineIsGoneAtOnce(t *testing.T) {
+	c := qt.New(t)
+	changes := 0
+	s := New(func(_, _ *View) { changes++ })
+	s.Replace([]Engine{engine("a"), engine("b")}, false, start)
+	s.Forget("a")
+	s.Forget("a")
+	c.Check(ids(s), qt.DeepEquals, []string{"b"})
+	c.Check(changes, qt.Equals, 2)
+}
