Measure engines by their pace relative to their service, in units of engine time

Cause: costs compared were seconds too high and mostly noise: the pace of a stream was held against one nominal rate, so engines that ran large models looked up to 20 times slow, were avoided by small requests and got the large ones (51 running on one engine, 13 on others).

--- /dev/null
+++ b/canary/canary_test.go
@@ -0,0 +1,200 @@
+package canary
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1000, 0)
+
+const duration = 24 * time.Second
+
+func newIntroduction() *Introduction {
+	return New(DefaultOptions(), Order{Service: "s", Target: "v2", ID: 5, Duration: duration}, Running, start)
+}
+
+// share is the part of many sessions that runs on the new version.
+func share(i *Introduction, now time.Time) float64 {
+	const sessions = 20000
+	n := 0
+	for s := range uint64(sessions) {
+		if i.Choose(s*7919+1, now) {
+			n++
+		}
+	}
+	return float64(n) / sessions
+}
+
+func TestNothingMovesBeforeAllDaemonsKnow(t *testing.T) {
+	i := newIntroduction()
+	qt.Check(t, share(i, start.Add(time.Second)), qt.Equals, 0.0)
+}
+
+func TestTrialIsSmallAndThenGrowsInSteps(t *testing.T) {
+	c := qt.New(t)
+	i := newIntroduction()
+	for _, step := range []struct {
+		after time.Duration
+		want  float64
+	}{{2 * time.Second, 0.07}, {11 * time.Second, 0.07}, {12 * time.Second, 0.3}, {14 * time.Second, 0.6}, {15 * time.Second, 1}} {
+		got := share(i, start.Add(step.after))
+		c.Check(got > step.want-0.01 && got < step.want+0.01, qt.IsTrue, qt.Commentf("%v after %v", got, step.after))
+	}
+}
+
+func TestSessionsInProgressStayInTheTrial(t *testing.T) {
+	c := qt.New(t)
+	i, other := newIntroduction(), newIntroduction()
+	var moved []uint64
+	for s := range uint64(1000) {
+		if i.options.Trialled(s) {
+			moved = append(moved, s)
+		}
+	}
+	i.Hold(moved[0])
+	i.Choose(moved[1], start.Add(time.Second))
+	other.Hold(moved[2])
+	i.Heard("other", other.Report(start.Add(time.Second)), start.Add(time.Second))
+	for n, s := range moved {
+		c.Check(i.Choose(s, start.Add(5*time.Second)), qt.Equals, n > 2, qt.Commentf("session %d", n))
+	}
+}
+
+// observe feeds answers of both versions.
+func observe(i *Introduction, base, baseBad, trial, trialBad int, latency, trialLatency time.Duration) {
+	for n := range base {
+		i.Observe("r", false, n < baseBad, latency)
+	}
+	for n := range trial {
+		i.Observe("r", true, n < trialBad, trialLatency)
+	}
+}
+
+func TestVersionWithErrorsIsCondemnedForGood(t *testing.T) {
+	c := qt.New(t)
+	i := newIntroduction()
+	observe(i, 500, 5, 20, 5, 0, 0)
+	v := i.Review(start.Add(4 * time.Second))
+	c.Check(v.State, qt.Equals, RolledBack)
+	c.Check(v.Reason, qt.Equals, "errors")
+	observe(i, 0, 0, 5000, 0, 0, 0)
+	c.Check(i.Review(start.Add(duration)).State, qt.Equals, RolledBack)
+	c.Check(share(i, start.Add(20*time.Second)), qt.Equals, 0.0)
+}
+
+func TestErrorsOnOneRouteCondemn(t *testing.T) {
+	i := newIntroduction()
+	for n := range 200 {
+		i.Observe("good", true, false, 0)
+		i.Observe("bad", true, n < 6, 0)
+		if n == 12 {
+			break
+		}
+	}
+	for range 200 {
+		i.Observe("good", true, false, 0)
+	}
+	v := i.Review(start.Add(5 * time.Second))
+	qt.Check(t, v.State, qt.Equals, RolledBack)
+}
+
+func TestVersionAsBadAsTheOneBeforeIsKept(t *testing.T) {
+	i := newIntroduction()
+	observe(i, 1000, 100, 100, 12, 50*time.Millisecond, 60*time.Millisecond)
+	qt.Check(t, i.Review(start.Add(5*time.Second)).State, qt.Equals, Running)
+}
+
+func TestSlowVersionIsCondemned(t *testing.T) {
+	c := qt.New(t)
+	i := newIntroduction()
+	observe(i, 200, 0, 15, 0, 200*time.Millisecond, 900*time.Millisecond)
+	v := i.Review(start.Add(5 * time.Second))
+	c.Check(v.State, qt.Equals, RolledBack)
+	c.Check(v.Reason, qt.Equals, "slow")
+	fast := newIntroduction()
+	observe(fast, 200, 0, 15, 0, 5*time.Millisecond, 12*time.Millisecond)
+	c.Check(fast.Review(start.Add(5*time.Second)).State, qt.Equals, Running)
+}
+
+func TestFleetsCountsAddUp(t *testing.T) {
+	i, other := newIntroduction(), newIntroduction()
+	observe(i, 100, 0, 6, 2, 0, 0)
+	observe(other, 100, 0, 6, 2, 0, 0)
+	now := start.Add(4 * time.Second)
+	qt.Check(t, i.Review(now).State, qt.Equals, Running)
+	i.Heard("other", other.Report(now), now)
+	qt.Check(t, i.Review(now).State, qt.Equals, RolledBack)
+}
+
+func TestReportOfAnotherOrderDoesNotCount(t *testing.T) {
+	i := newIntroduction()
+	other := New(DefaultOptions(), Order{Service: "s", Target: "v2", ID: 4, Duration: duration}, Running, start)
+	observe(other, 100, 0, 50, 50, 0, 0)
+	i.Heard("other", other.Report(start.Add(time.Second)), start.Add(time.Second))
+	qt.Check(t, i.Review(start.Add(4*time.Second)).State, qt.Equals, Running)
+}
+
+func TestRestartedDaemonGoesOnWhereTheFleetIs(t *testing.T) {
+	old := newIntroduction()
+	late := New(DefaultOptions(), old.Order(), Running, start.Add(20*time.Second))
+	now := start.Add(20 * time.Second)
+	late.Heard("old", old.Report(now), now)
+	qt.Check(t, share(late, now.Add(time.Millisecond)), qt.Equals, 1.0)
+}
+
+func TestGoodVersionIsDoneBeforeTheDeadline(t *testing.T) {
+	i := newIntroduction()
+	observe(i, 100, 0, 100, 0, 0, 0)
+	qt.Check(t, i.Review(start.Add(duration-3*time.Second)).State, qt.Equals, Running)
+	qt.Check(t, i.Review(start.Add(duration-2*time.Second)).State, qt.Equals, Done)
+	i.SetState(Done)
+	i.SetState(RolledBack)
+	qt.Check(t, i.State(), qt.Equals, Done)
+}
+
+// TestSessionsNeverHopBetweenVersions asks several daemons for the same sessions
+// at random times: in the first half no session changes its version, and later
+// none goes back unless the version was condemned.
+func TestSessionsNeverHopBetweenVersions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		daemons := []*Introduction{newIntroduction(), newIntroduction(), newIntroduction()}
+		last := map[uint64]bool{}
+		lastAt := map[uint64]time.Duration{}
+		at := time.Duration(0)
+		for at < duration-3*time.Second {
+			at += time.Duration(rapid.IntRange(1, 400).Draw(t, "pause")) * time.Millisecond
+			now := start.Add(at)
+			for n, d := range daemons {
+				for m, o := range daemons {
+					if n != m {
+						d.Heard(string(rune('a'+m)), o.Report(now), now)
+					}
+				}
+			}
+			session := uint64(rapid.IntRange(1, 200).Draw(t, "session"))
+			trial := daemons[rapid.IntRange(0, 2).Draw(t, "daemon")].Choose(session, now)
+			before, seen := last[session]
+			recent := seen && at-lastAt[session] < 5*time.Second
+			if recent && before && !trial {
+				t.Fatalf("session %d went back at %v", session, at)
+			}
+			if recent && !before && trial && at < duration/2 {
+				t.Fatalf("session %d moved in the first half at %v", session, at)
+			}
+			last[session], lastAt[session] = trial, at
+		}
+	})
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -146,7 +146,7 @@
 	o := balance.DefaultOptions()
 	o.RemoteThreshold = 5 * time.Millisecond
 	o.PrefillTokensPerSecond = 30000
-	o.PromptWeight = 0.1
+	o.PromptWeight = 0.3
 	o.BatchSlowdown = 1
 	o.SampleSize = 4
 	o.BusyIsWait = true
@@ -223,7 +223,7 @@
 	// answersUntil is the part in which requests with whole answers are.
 	answersUntil = 0.8
 	// stopMargin is left before the end of the grace.
-	stopMargin = 350 * time.Millisecond
+	stopMargin = 700 * time.Millisecond
 )
 
 // stop carries out the graceful shutdown.
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -44,7 +44,7 @@
 		register.Engines = append(register.Engines, &bronzeturnv1.Engine{
 			Name: engine.ID, Host: engine.ID, Pool: groups[0], DataCentre: engine.DataCentre,
 			Address: engine.Address, Versions: groups,
-			Slots: int32(max(engine.Slots, plainSlots)), TokensPerSecond: nominalRate,
+			Slots: int32(max(engine.Slots, plainSlots)), TokensPerSecond: streamRate(engine.Slots),
 		})
 		for _, group := range groups {
 			ids[group] = append(ids[group], engine.ID)
@@ -57,9 +57,13 @@
 	return e
 }
 
-// nominalRate is the generation rate in tokens per second that engines are
-// compared with; what each one does is measured.
-const nominalRate = 60
+// The balancer measures work in tokens of the largest model. An engine reads and
+// generates engineRate of them a second for all its streams together; what each
+// one does is measured against the others of its service.
+const engineRate = 12800
+
+// streamRate is the part of one stream.
+func streamRate(slots int) float64 { return engineRate / float64(max(slots, plainSlots)) }
 
 // homes returns the engines that should read a prefix, best first: the same on
 // every daemon, without a table.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,6 +76,7 @@
 	Options
 	metrics *metrics
 	budgets *budgets
+	paces   *paces
 	rngs    sync.Pool
 	seeds   atomic.Uint64
 	gate    gate
@@ -83,7 +84,7 @@
 
 // New returns a Gateway.
 func New(o Options) *Gateway {
-	g := &Gateway{Options: o, metrics: newMetrics(o.Registerer), budgets: newBudgets(o.Budget, o.Daemons)}
+	g := &Gateway{Options: o, metrics: newMetrics(o.Registerer), budgets: newBudgets(o.Budget, o.Daemons), paces: newPaces()}
 	g.rngs.New = func() any { return rand.New(rand.NewPCG(o.Seed, g.seeds.Add(1))) }
 	return g
 }
--- a/gateway/models.go
+++ b/gateway/models.go
@@ -1,11 +1,6 @@
 package gateway
 
-import (
-	"sync"
-	"time"
-
-	"github.com/bronzeturn/bronzeturn/route"
-)
+import "github.com/bronzeturn/bronzeturn/route"
 
 // ModelOptions set when an answer is taken from a larger model instead.
 type ModelOptions struct {
@@ -22,19 +17,11 @@
 // known before the caller has any of the answer.
 type ModelChoice struct {
 	options ModelOptions
-
-	mu sync.Mutex
-	// pace is the mean time between two events of each model's streams in
-	// seconds.
-	pace map[string]float64
 }
 
-// paceGain is the weight of one stream in the mean pace of its model.
-const paceGain = 0.05
-
 // NewModelChoice returns a choice.
 func NewModelChoice(o ModelOptions) *ModelChoice {
-	return &ModelChoice{options: o, pace: make(map[string]float64)}
+	return &ModelChoice{options: o}
 }
 
 // First returns the model that a request is run on first, "" when the route
@@ -56,31 +43,25 @@
 	return largest, largest != model
 }
 
-// Observe takes in the pace of one stream.
-func (m *ModelChoice) Observe(model string, events int, generation time.Duration) {
-	if model == "" || events < 2 || generation <= 0 {
-		return
-	}
-	pace := generation.Seconds() / float64(events-1)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if old, ok := m.pace[model]; ok {
-		pace = old + paceGain*(pace-old)
-	}
-	m.pace[model] = pace
-}
+// minWeight bounds the weight of a model from below: however cheap, its requests
+// take slots and memory.
+const minWeight = 0.03
 
-// Weight returns how much of an engine's time a model takes, relative to the
-// largest of the route; 1 while it is not known.
-func (m *ModelChoice) Weight(r *route.Route, model string) float64 {
-	if model == "" || len(r.Models) == 0 {
+// Weight returns how much of an engine's time a model takes for each token,
+// relative to the largest of the service: in the proportion of their prices.
+func (m *ModelChoice) Weight(s *route.Service, model string) float64 {
+	if s == nil || model == "" {
 		return 1
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	own, largest := m.pace[model], m.pace[r.Models[len(r.Models)-1]]
+	own, largest := 0.0, 0.0
+	for _, one := range s.Models {
+		largest = max(largest, one.Cost)
+		if one.Name == model {
+			own = one.Cost
+		}
+	}
 	if own == 0 || largest == 0 {
 		return 1
 	}
-	return min(own/largest, 1)
+	return max(own/largest, minWeight)
 }
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -72,8 +72,8 @@
 			Dur("allowed_ms", q.deadline.Sub(q.received))
 	}
 	t := &q.trace
-	return line.Strs("engines", t.engines).Strs("reasons", t.reasons).Str("model", t.model).Ints("confidence", t.confidence).Bool("trial", t.trial).
-		Int("attempts", t.attempts).Int("resumed", t.resumed).Int("events", t.events).Dur("first_ms", t.first)
+	return line.Strs("engines", t.engines).Strs("reasons", t.reasons).Strs("compared", t.compared).Str("model", t.model).Ints("confidence", t.confidence).Bool("trial", t.trial).
+		Int("attempts", t.attempts).Int("resumed", t.resumed).Int("events", t.events).Dur("first_ms", t.first).Dur("pause_ms", t.pause)
 }
 
 // logAttempt writes the line of an attempt that failed, with the decision on
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/bronzeturn/bronzeturn/balance"
 	"github.com/bronzeturn/bronzeturn/failure"
 	"github.com/bronzeturn/bronzeturn/route"
 )
@@ -41,9 +42,11 @@
 	organisation string
 	priority     int
 	service      string
-	// ranked tells that the service's engines run language models.
-	ranked bool
-	body   []byte
+	// backend is the service's entry in the configuration, nil for none; ranked
+	// tells that its engines run language models.
+	backend *route.Service
+	ranked  bool
+	body    []byte
 	// session is the hash of the session, or of the request without one.
 	session uint64
 	// prefix joins the ids of the parts of the prompt that others share, "" for
@@ -58,15 +61,21 @@
 type trace struct {
 	engines []string
 	reasons []string
-	model   string
+	// compared are the engines compared for the last attempt, with their costs.
+	compared []string
+	model    string
 	// confidence is that of each answer that began.
 	confidence []int
 	trial      bool
 	attempts   int
 	resumed    int
 	first      time.Duration
-	events     int
-	tokens     int
+	// pause is the longest time between two events, lastEvent the time of the
+	// last one.
+	pause     time.Duration
+	lastEvent time.Time
+	events    int
+	tokens    int
 }
 
 // prepare checks the form and the identity of a request and reads it whole.
@@ -203,9 +212,17 @@
 func (g *Gateway) chooseService(q *request) {
 	q.service = q.route.Pick(g.random())
 	if s, ok := q.tables.Routes.Service(q.service); ok {
-		q.ranked = s.Slots > 0
+		q.backend, q.ranked = s, s.Slots > 0
 	}
 }
 
 // wholeLatency is the time since the request came.
 func (q *request) wholeLatency() time.Duration { return time.Since(q.received) }
+
+// noteChoice keeps the engines compared with what they were expected to cost.
+func (t *trace) noteChoice(d *balance.Decision) {
+	t.compared = t.compared[:0]
+	for _, c := range d.Candidates() {
+		t.compared = append(t.compared, c.Engine+" "+c.Cost.Round(time.Millisecond).String())
+	}
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -30,6 +30,12 @@
 	busyRetry = 400 * time.Millisecond
 	// minEscalation is the least time left for which a larger model is asked.
 	minEscalation = 500 * time.Millisecond
+	// prefixHomes is the number of engines that a prefix is read on while they are
+	// not busy. With more of them, each reads it anew.
+	prefixHomes = 1
+	// plainWork is the work of a request to a plain service. It is worth about
+	// 15 ms of one of its slots.
+	plainWork = 30
 	// emptyWait is how long a request waits for an engine to come back when a
 	// service has none, and emptyPoll the time between two looks.
 	emptyWait = 40 * time.Millisecond
@@ -165,6 +171,7 @@
 		return nil, decision, false
 	}
 	t.request.trace.reasons = append(t.request.trace.reasons, decision.Reason.String())
+	t.request.trace.noteChoice(&decision)
 	return &target{engine: engine, work: r.Work, expected: decision.ExpectedFirstToken}, decision, true
 }
 
@@ -179,7 +186,7 @@
 		PrefixHash: t.prefixHash, NoProbe: t.route.Kind == route.Once,
 	}
 	if t.prefix != "" {
-		copy(r.Homes[:], engines.homes(t.group, t.prefix, balance.MaxHomes))
+		copy(r.Homes[:], engines.homes(t.group, t.prefix, prefixHomes))
 	}
 	first := max(0, len(t.tried)-balance.MaxExclude)
 	copy(r.Exclude[:], t.tried[first:])
@@ -188,11 +195,14 @@
 
 // work estimates the size of the request, in the tokens of the largest model.
 func (t *task) work(models *ModelChoice) balance.Work {
+	if !t.ranked {
+		return balance.Work{Priority: bronzeturnv1.Priority_PRIORITY_NORMAL, ExpectedTokens: plainWork}
+	}
 	expected := t.meta.LikelyTokens
 	if expected == 0 {
 		expected = t.meta.MaxTokens / 2
 	}
-	weight := models.Weight(t.route, t.model)
+	weight := models.Weight(t.backend, t.model)
 	scale := func(tokens int) int64 { return int64(weight * float64(tokens)) }
 	return balance.Work{
 		Priority:     bronzeturnv1.Priority_PRIORITY_NORMAL,
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -87,7 +87,7 @@
 		return failure.Wrap(err, failure.CodeCanceled, failure.RanYes, "the caller does not read")
 	}
 	t.stream.events++
-	t.request.trace.events++
+	t.request.trace.sawEvent(time.Now())
 	if e.id != "" {
 		t.stream.lastID = e.id
 	}
@@ -96,16 +96,11 @@
 
 // streamEnded tells of a stream that came to its proper end.
 func (g *Gateway) streamEnded(t *task, to *target, got int, firstAt time.Time) {
-	now := time.Now()
-	ended := balance.Finished{Engine: to.engine.ID, Work: to.work, FirstTokenSeen: to.firstSeen, At: now}
+	pace := time.Duration(0)
 	if got > 1 {
-		took := now.Sub(firstAt)
-		g.Models.Observe(t.model, got, took)
-		ended.Tokens = int64(got)
-		// Engines are compared by what they would need with the largest model.
-		ended.Generation = time.Duration(float64(took) / g.Models.Weight(t.route, t.model))
+		pace = time.Since(firstAt) / time.Duration(got-1)
 	}
-	g.Engines.Finished(ended)
+	g.Engines.Finished(g.finished(t, to, pace))
 }
 
 // finishStream ends the answer properly. A stream without any event has its
@@ -116,3 +111,12 @@
 	}
 	return nil
 }
+
+// sawEvent notes the time of an event that the caller got.
+func (t *trace) sawEvent(at time.Time) {
+	if t.events > 0 {
+		t.pause = max(t.pause, at.Sub(t.lastEvent))
+	}
+	t.events++
+	t.lastEvent = at
+}
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/attempt"
-	"github.com/bronzeturn/bronzeturn/balance"
 	"github.com/bronzeturn/bronzeturn/failure"
 	"github.com/bronzeturn/bronzeturn/retry"
 )
@@ -50,9 +49,7 @@
 		return failed
 	}
 	latency := time.Since(to.sent)
-	g.Engines.Finished(balance.Finished{
-		Engine: to.engine.ID, Work: to.work, Tokens: plainTokens, Generation: latency, At: time.Now(),
-	})
+	g.Engines.Finished(g.finished(t, to, latency))
 	g.Introductions.Observe(t.service, t.route.Name, t.trial, false, latency)
 	t.request.trace.first = t.wholeLatency()
 	if f := whole.deliver(t.answer); f != nil {
@@ -61,10 +58,6 @@
 	return nil
 }
 
-// plainTokens makes the latency of a whole answer comparable between engines of
-// a plain service: each counts as that many tokens.
-const plainTokens = 2
-
 // deliverFailure handles an engine's own failure: another engine may do better
 // where the request can be repeated, otherwise it is passed on as it is.
 func (g *Gateway) deliverFailure(t *task, to *target, x *attempt.Exchange) *attemptError {
--- /dev/null
+++ b/logging/bounded_test.go
@@ -0,0 +1,72 @@
+package logging
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// reader takes writes, or blocks them until it is released.
+type reader struct {
+	mu   sync.Mutex
+	got  bytes.Buffer
+	stop chan struct{}
+}
+
+func (r *reader) Write(p []byte) (int, error) {
+	if r.stop != nil {
+		<-r.stop
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.got.Write(p)
+}
+
+func (r *reader) text() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.got.String()
+}
+
+func TestLinesComeInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &reader{}
+		b := NewBounded(r)
+		for i := range 3 {
+			_, _ = fmt.Fprintf(b, "line %d\n", i)
+		}
+		time.Sleep(2 * gatherTime)
+		qt.Check(t, r.text(), qt.Equals, "line 0\nline 1\nline 2\n")
+		_, _ = fmt.Fprintln(b, "last")
+		b.Close()
+		synctest.Wait()
+		qt.Check(t, strings.HasSuffix(r.text(), "last\n"), qt.IsTrue)
+	})
+}
+
+// TestReaderThatStoppedBlocksNobody writes far more than fits while nobody reads.
+func TestReaderThatStoppedBlocksNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &reader{stop: make(chan struct{})}
+		b := NewBounded(r)
+		_, _ = fmt.Fprintln(b, "first")
+		time.Sleep(2 * gatherTime)
+		start := time.Now()
+		for i := range 3 * boundedLines {
+			_, _ = fmt.Fprintf(b, "line %d\n", i)
+		}
+		qt.Check(t, time.Since(start), qt.Equals, time.Duration(0))
+		qt.Check(t, b.Dropped(), qt.Equals, uint64(2*boundedLines))
+		close(r.stop)
+		time.Sleep(2 * gatherTime)
+		b.Close()
+		synctest.Wait()
+		qt.Check(t, strings.Contains(r.text(), fmt.Sprintf(`"dropped":%d`, 2*boundedLines)), qt.IsTrue)
+	})
+}
