--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -56,13 +56,15 @@
 	random *rand.Rand
 	// seeds are peer addresses from the settings and the store.
 	seeds []string
+	// silent are peer addresses that did not answer, with the time.
+	silent map[string]time.Time
 	// ready is the version of this daemon's entry of readiness.
 	ready uint64
 }
 
 // newFleet builds the overlay.
 func newFleet(d *Daemon) (*fleet, error) {
-	f := &fleet{daemon: d, random: d.rand(randPeers), seeds: withoutSelf(d.Settings.Seeds, d.Settings.PeerListen)}
+	f := &fleet{daemon: d, random: d.rand(randPeers), silent: make(map[string]time.Time), seeds: withoutSelf(d.Settings.Seeds, d.Settings.PeerListen)}
 	traffic, err := peer.NewTraffic(d.registry)
 	if err != nil {
 		return nil, err
@@ -258,6 +260,7 @@
 	service := bronzeturnv1connect.NewFollowServiceClient(client, base, peer.ClientOptions()...)
 	answer, err := service.Pull(ctx, connect.NewRequest(&bronzeturnv1.PullRequest{Kind: kind, AfterRevision: after}))
 	if err != nil {
+		f.avoid(address)
 		return nil, fmt.Errorf("pull %s from %s: %w", kind, address, err)
 	}
 	m := answer.Msg
@@ -278,7 +281,7 @@
 	view := f.members.View()
 	var watching, live []string
 	for _, m := range view.Members {
-		if m.Name == view.Self || m.State == membership.Suspected {
+		if m.Name == view.Self || m.State == membership.Suspected || f.avoided(m.PeerAddress) {
 			continue
 		}
 		live = append(live, m.PeerAddress)
@@ -301,6 +304,28 @@
 	return from[f.random.IntN(len(from))], true
 }
 
+// avoidFor is how long a daemon that did not answer is not asked again.
+const avoidFor = 2 * time.Second
+
+// avoid keeps questions away from a daemon for a while.
+func (f *fleet) avoid(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent[address] = time.Now()
+}
+
+// avoided tells whether a daemon did not answer lately.
+func (f *fleet) avoided(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, ok := f.silent[address]
+	if ok && time.Since(at) > avoidFor {
+		delete(f.silent, address)
+		return false
+	}
+	return ok
+}
+
 // anyPeer is the share of the questions that go to any live daemon, so that one
 // that is cut off from those that watch is not left behind.
 const anyPeer = 0.15
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -64,8 +64,9 @@
 	gatherTime = 120 * time.Millisecond
 	// idlePoll is the time between two looks at whether this daemon should watch.
 	idlePoll = 200 * time.Millisecond
-	// pullTimeout bounds one question to another daemon.
-	pullTimeout = time.Second
+	// pullTimeout bounds one question to another daemon. It is short, since the
+	// next one is asked of another.
+	pullTimeout = 400 * time.Millisecond
 	// pullPause is the least time between two questions.
 	pullPause = 100 * time.Millisecond
 	// newsPatience is how long the own watch may take to bring what another
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -16,11 +16,14 @@
 	Window       time.Duration
 }
 
-// Each daemon uses a part of the budget that is safe without asking: most
-// of the ratio, which its own requests earn, and half of the slack divided by
-// the daemons.
+// Each daemon uses a part of the budget that is safe without asking: most of the
+// ratio, which its own requests earn, and half of the slack divided by the
+// daemons.
 const (
-	ratioPart = 0.85
+	ratioPart = 0.8
+	// savedPart of the ratio lets a daemon save up for bursts by what it had to do
+	// in the window before; in a large fleet its part of the slack is below one.
+	savedPart = 0.07
 	// burstPart and floorPart of the daemon's slack are saved up and earned anew
 	// over one window.
 	burstPart = 0.5
@@ -67,6 +70,8 @@
 		Share:          ratioPart * b.options.Ratio,
 		FloorPerSecond: floorPart * slack / max(b.options.Window.Seconds(), 1),
 		Burst:          max(burstPart*slack, 1),
+		BurstShare:     savedPart * b.options.Ratio,
+		Window:         b.options.Window,
 	}
 }
 
