--- /dev/null
+++ b/e2e/entry_test.go
@@ -0,0 +1,323 @@
+package e2e
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bronzeturn/bronzeturn/platform/emulator"
+)
+
+// entryFleet is a fleet of entry daemons before an emulated platform.
+type entryFleet struct {
+	c       *qt.C
+	store   *emulator.Store
+	address string
+	record  *emulator.Record
+	engines []*emulator.Engine
+	daemons []emulator.Daemon
+	running []*process
+	bounds  emulator.Bounds
+	folder  string
+
+	mu   sync.Mutex
+	next int
+}
+
+// usualBounds are those of a small deployment.
+var usualBounds = emulator.Bounds{
+	GraceS: 4, RetryRatio: 0.9, RetryWindowS: 10, RetrySlack: 50, ExposureShare: 0.15, SessionS: 5, TTLMaxS: 5,
+}
+
+// newEntryFleet starts the platform and n daemons, and waits until all serve.
+func newEntryFleet(t *testing.T, n, desk, llm int, bounds emulator.Bounds) *entryFleet {
+	f := &entryFleet{c: qt.New(t), store: emulator.NewStore(), record: &emulator.Record{}, bounds: bounds, folder: t.TempDir()}
+	var err error
+	f.address, err = f.store.Start()
+	f.c.Assert(err, qt.IsNil)
+	t.Cleanup(f.store.Close)
+	_, err = f.store.Put("config", "main", emulator.Config(1))
+	f.c.Assert(err, qt.IsNil)
+	for i := range desk {
+		f.engine(t, emulator.EngineSpec{ID: fmt.Sprintf("desk-%d", i), Service: "desk", Zone: zoneOf(i), Version: "v1", Slots: 6})
+	}
+	for i := range llm {
+		f.engine(t, emulator.EngineSpec{ID: fmt.Sprintf("llm-%d", i), Service: "llm", Zone: zoneOf(i), Version: "v1", Slots: 32, Events: 20, EventGap: 20 * time.Millisecond})
+	}
+	for i := range n {
+		d, err := emulator.FreeDaemon(fmt.Sprintf("entry-%d", i), zoneOf(i))
+		f.c.Assert(err, qt.IsNil)
+		f.daemons = append(f.daemons, d)
+	}
+	for i := range n {
+		f.running = append(f.running, f.startDaemon(i))
+	}
+	for i := range n {
+		f.waitReady(i)
+	}
+	return f
+}
+
+func zoneOf(i int) string { return fmt.Sprintf("hall-%d", i%3) }
+
+// engine starts one engine.
+func (f *entryFleet) engine(t *testing.T, spec emulator.EngineSpec) *emulator.Engine {
+	e, err := emulator.StartEngine(f.store, f.record, spec)
+	f.c.Assert(err, qt.IsNil)
+	t.Cleanup(e.Crash)
+	f.engines = append(f.engines, e)
+	return e
+}
+
+// startDaemon starts a daemon with its settings.
+func (f *entryFleet) startDaemon(i int) *process {
+	var seeds []string
+	for _, d := range f.daemons[:min(3, len(f.daemons))] {
+		seeds = append(seeds, d.Control)
+	}
+	path := filepath.Join(f.folder, f.daemons[i].Name+".yaml")
+	f.c.Assert(f.daemons[i].WriteSettings(path, f.address, seeds, f.bounds), qt.IsNil)
+	return start(f.c, f.daemons[i].Name, "bronzeturn-entry", "--settings", path)
+}
+
+// eventually waits until something holds.
+func (f *entryFleet) eventually(what string, holds func() bool) {
+	deadline := time.Now().Add(waitLimit)
+	for !holds() {
+		if time.Now().After(deadline) {
+			f.c.Fatalf("not within %v: %s", waitLimit, what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (f *entryFleet) waitReady(i int) {
+	f.eventually("daemon ready", func() bool { return emulator.IsReady(f.daemons[i].Ready) })
+}
+
+// entryReply is what a caller got.
+type entryReply struct {
+	id, body string
+	status   int
+	err      error
+}
+
+// send makes one request to a daemon on a connection of its own.
+func (f *entryFleet) send(daemon int, method, target string, headers ...string) entryReply {
+	f.mu.Lock()
+	f.next++
+	id := fmt.Sprintf("e-%d", f.next)
+	f.mu.Unlock()
+	req, err := http.NewRequest(method, "http://"+f.daemons[daemon].Front+target, strings.NewReader("body"))
+	f.c.Check(err, qt.IsNil)
+	req.Host, req.Close = emulator.Host, true
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Authorization", "Bearer "+emulator.Key)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return entryReply{id: id, err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return entryReply{id: id, body: string(data), status: resp.StatusCode, err: err}
+}
+
+// stream asks for a stream.
+func (f *entryFleet) stream(daemon int) entryReply {
+	return f.send(daemon, http.MethodPost, "/stream/x", emulator.TokensHeader, "100,100")
+}
+
+// wholeStream is the stream that answers a request.
+func wholeStream(id string, events int) string {
+	var all strings.Builder
+	for n := 1; n <= events; n++ {
+		all.WriteString(emulator.Event(id, n))
+	}
+	return all.String()
+}
+
+func TestEntryFleetServesEveryKind(t *testing.T) {
+	f := newEntryFleet(t, 3, 2, 2, usualBounds)
+	for i := range f.daemons {
+		once := f.send(i, http.MethodPost, "/once/x")
+		f.c.Check(once.body, qt.Equals, emulator.Body(once.id, []byte("body")))
+		f.c.Check(f.send(i, http.MethodGet, "/safe/x").status, qt.Equals, http.StatusOK)
+		s := f.stream(i)
+		f.c.Check(s.err, qt.IsNil)
+		f.c.Check(s.body, qt.Equals, wholeStream(s.id, 20))
+	}
+	f.eventually("all addresses named", func() bool {
+		list, err := emulator.Resolve(f.daemons[0].Directory)
+		return err == nil && len(list) == 3
+	})
+}
+
+// TestEntryFleetOfAnotherSize has other counts and bounds than the usual ones.
+func TestEntryFleetOfAnotherSize(t *testing.T) {
+	f := newEntryFleet(t, 1, 1, 1, emulator.Bounds{GraceS: 2, RetryRatio: 0.1, RetryWindowS: 3, RetrySlack: 2, ExposureShare: 0.04, SessionS: 1, TTLMaxS: 0.4})
+	f.c.Check(f.send(0, http.MethodPost, "/once/x").status, qt.Equals, http.StatusOK)
+	s := f.stream(0)
+	f.c.Check(s.body, qt.Equals, wholeStream(s.id, 20))
+}
+
+func TestConfigurationComesIntoForceAndStays(t *testing.T) {
+	f := newEntryFleet(t, 3, 1, 1, usualBounds)
+	next := emulator.Config(2)
+	next.Tenants[0].APIKeys = []string{"key-2"}
+	_, err := f.store.Put("config", "main", next)
+	f.c.Assert(err, qt.IsNil)
+	for i := range f.daemons {
+		f.eventually("new key in force", func() bool {
+			return f.send(i, http.MethodGet, "/safe/x", "Authorization", "Bearer key-2").status == http.StatusOK
+		})
+		f.c.Check(f.send(i, http.MethodGet, "/safe/x").status, qt.Equals, http.StatusUnauthorized)
+	}
+	// A wrong one is refused whole.
+	_, err = f.store.Put("config", "main", map[string]any{"version": 3, "routes": []any{map[string]any{"pathPrefix": "none"}}})
+	f.c.Assert(err, qt.IsNil)
+	f.running[0].waitLine(f.c, "refusal of the configuration", func(line string) bool { return strings.Contains(line, "configuration refused") })
+	f.c.Check(f.send(0, http.MethodGet, "/safe/x", "Authorization", "Bearer key-2").status, qt.Equals, http.StatusOK)
+}
+
+func TestDrainingEngineGetsNothingNew(t *testing.T) {
+	f := newEntryFleet(t, 3, 3, 1, usualBounds)
+	f.c.Assert(f.engines[0].Register("draining"), qt.IsNil)
+	f.engines[1].Vanish()
+	f.eventually("both passed over", func() bool {
+		before := len(f.record.Runs(""))
+		for i := range 9 {
+			f.send(i%3, http.MethodPost, "/once/x")
+		}
+		for _, run := range f.record.Runs("")[before:] {
+			if run.Engine != "desk-2" {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestOutageOfTheStoreStopsNothing restarts a daemon while the store is away: it
+// learns the configuration from the others.
+func TestOutageOfTheStoreStopsNothing(t *testing.T) {
+	f := newEntryFleet(t, 3, 1, 1, usualBounds)
+	f.store.SetFaults(emulator.StoreFaults{Refuse: true})
+	f.c.Check(f.send(1, http.MethodPost, "/once/x").status, qt.Equals, http.StatusOK)
+	f.running[0].kill()
+	f.running[0] = f.startDaemon(0)
+	f.waitReady(0)
+	f.c.Check(f.send(0, http.MethodPost, "/once/x").status, qt.Equals, http.StatusOK)
+	f.store.SetFaults(emulator.StoreFaults{})
+	_, err := f.store.Put("config", "main", map[string]any{"version": 9, "routes": []any{}})
+	f.c.Assert(err, qt.IsNil)
+	for i := range f.daemons {
+		f.eventually("change after the outage", func() bool {
+			return f.send(i, http.MethodPost, "/once/x").status == http.StatusNotFound
+		})
+	}
+}
+
+// TestPlannedStopCutsNothing stops a daemon while it answers.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	f := newEntryFleet(t, 2, 1, 2, usualBounds)
+	replies := make(chan entryReply, 10)
+	for range 10 {
+		go func() { replies <- f.stream(0) }()
+	}
+	f.eventually("streams running", func() bool { return len(f.record.Runs("")) >= 10 })
+	f.c.Assert(f.running[0].cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	f.eventually("not ready", func() bool { return !emulator.IsReady(f.daemons[0].Ready) })
+	late := f.send(0, http.MethodPost, "/once/x")
+	f.c.Check(late.status, qt.Equals, http.StatusOK)
+	for range 10 {
+		r := <-replies
+		f.c.Check(r.err, qt.IsNil)
+		f.c.Check(r.body, qt.Equals, wholeStream(r.id, 20))
+	}
+	f.c.Check(f.running[0].exit(f.c), qt.Equals, 0)
+	list, err := emulator.Resolve(f.daemons[1].Directory)
+	f.c.Assert(err, qt.IsNil)
+	f.c.Check(list, qt.DeepEquals, []string{f.daemons[1].Front})
+}
+
+// TestSettingsAreReloaded changes the file with and without a signal.
+func TestSettingsAreReloaded(t *testing.T) {
+	f := newEntryFleet(t, 1, 1, 1, usualBounds)
+	path := filepath.Join(f.folder, f.daemons[0].Name+".yaml")
+	f.bounds.GraceS = 3
+	f.c.Assert(f.daemons[0].WriteSettings(path, f.address, nil, f.bounds), qt.IsNil)
+	f.running[0].waitLine(f.c, "reload", func(line string) bool { return strings.Contains(line, `"stop_grace_ms":3000`) })
+	f.bounds.GraceS = 0
+	f.c.Assert(f.daemons[0].WriteSettings(path, f.address, nil, f.bounds), qt.IsNil)
+	f.c.Assert(f.running[0].cmd.Process.Signal(syscall.SIGHUP), qt.IsNil)
+	f.running[0].waitLine(f.c, "refusal", func(line string) bool { return strings.Contains(line, "settings refused") })
+	f.c.Check(f.send(0, http.MethodPost, "/once/x").status, qt.Equals, http.StatusOK)
+}
+
+// introduce orders a new version and starts its engines, and sends traffic until
+// the order has a final state.
+func (f *entryFleet) introduce(t *testing.T, faults emulator.EngineFaults) string {
+	for i := range 2 {
+		e := f.engine(t, emulator.EngineSpec{ID: fmt.Sprintf("new-%d", i), Service: "desk", Zone: zoneOf(i), Version: "v2", Slots: 6})
+		e.SetFaults(faults)
+	}
+	_, err := f.store.Put("rollouts", "desk", map[string]any{"service": "desk", "target": "v2", "durationS": 8})
+	f.c.Assert(err, qt.IsNil)
+	state := ""
+	f.eventually("final state", func() bool {
+		for i := range 12 {
+			f.send(i%len(f.daemons), http.MethodPost, "/once/x")
+		}
+		o, ok := f.store.Get("rollouts", "desk")
+		state = string(o.Status)
+		return ok && (strings.Contains(state, "done") || strings.Contains(state, "rolled"))
+	})
+	return state
+}
+
+// ranOn counts the runs of the last requests on the new version.
+func (f *entryFleet) ranOn(requests int) int {
+	before := len(f.record.Runs(""))
+	for i := range requests {
+		f.send(i%len(f.daemons), http.MethodPost, "/once/x")
+	}
+	n := 0
+	for _, run := range f.record.Runs("")[before:] {
+		if strings.HasPrefix(run.Engine, "new-") {
+			n++
+		}
+	}
+	return n
+}
+
+func TestGoodVersionTakesOver(t *testing.T) {
+	f := newEntryFleet(t, 3, 2, 1, usualBounds)
+	state := f.introduce(t, emulator.EngineFaults{})
+	f.c.Check(state, qt.Equals, `{"state":"done","target":"v2"}`)
+	f.eventually("all on the new version", func() bool { return f.ranOn(12) == 12 })
+}
+
+func TestBadVersionIsTakenBack(t *testing.T) {
+	f := newEntryFleet(t, 3, 2, 1, usualBounds)
+	state := f.introduce(t, emulator.EngineFaults{Fail: true})
+	f.c.Check(strings.Contains(state, "rolled"), qt.IsTrue)
+	f.eventually("none on the new version", func() bool { return f.ranOn(12) == 0 })
+	bad := 0
+	for _, run := range f.record.Runs("") {
+		if strings.HasPrefix(run.Engine, "new-") {
+			bad++
+		}
+	}
+	f.c.Check(bad < 50, qt.IsTrue, qt.Commentf("%d requests ran on the bad version", bad))
+}
