--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -69,6 +69,10 @@
 	Body            []byte
 	ProgressTimeout time.Duration
 	PauseTimeout    time.Duration
+	// GiveUp is asked when one of these bounds is reached; the attempt goes on for
+	// as long again when it returns false. Nil gives up. It is called from another
+	// goroutine.
+	GiveUp func() bool
 }
 
 // pause returns the bound after the header.
@@ -98,12 +102,24 @@
 	ended    bool
 }
 
-// progressTimer cancels with errSilent when it runs out. It is nil for zero.
-func progressTimer(d time.Duration, cancel context.CancelCauseFunc) *time.Timer {
+// progressTimer cancels with errSilent when it runs out and giveUp agrees. It is
+// nil for zero.
+func progressTimer(d time.Duration, giveUp func() bool, cancel context.CancelCauseFunc) *time.Timer {
 	if d <= 0 {
 		return nil
 	}
-	return time.AfterFunc(d, func() { cancel(errSilent) })
+	var timer atomic.Pointer[time.Timer]
+	expired := func() {
+		if giveUp == nil || giveUp() {
+			cancel(errSilent)
+			return
+		}
+		if t := timer.Load(); t != nil {
+			t.Reset(d)
+		}
+	}
+	timer.Store(time.AfterFunc(d, expired))
+	return timer.Load()
 }
 
 // trace records how far the transport got.
@@ -150,7 +166,7 @@
 		cancel(errClosed)
 		return nil, &Error{Stage: NotSent, Reason: Network, Cause: err}
 	}
-	timer := progressTimer(r.ProgressTimeout, cancel)
+	timer := progressTimer(r.ProgressTimeout, r.GiveUp, cancel)
 	resp, err := transport.RoundTrip(req)
 	if timer != nil {
 		timer.Stop()
@@ -163,8 +179,8 @@
 		return nil, failed
 	}
 	pause := r.pause()
-	if timer == nil {
-		timer = progressTimer(pause, cancel)
+	if timer == nil || pause != r.ProgressTimeout {
+		timer = progressTimer(pause, r.GiveUp, cancel)
 	}
 	return &Exchange{
 		transport: transport, host: req.URL.Host,
--- a/e2e/entry_test.go
+++ b/e2e/entry_test.go
@@ -184,7 +184,7 @@
 		f.c.Check(f.send(i, http.MethodGet, "/safe/x").status, qt.Equals, http.StatusUnauthorized)
 	}
 	// A wrong one is refused whole.
-	_, err = f.store.Put("config", "main", map[string]any{"version": 3, "routes": []any{map[string]any{"pathPrefix": "none"}}})
+	_, err = f.store.Put("config", "main", emulator.ConfigDoc{Version: 3, Routes: []emulator.RouteDoc{{PathPrefix: "none"}}})
 	f.c.Assert(err, qt.IsNil)
 	f.running[0].waitLine(f.c, "refusal of the configuration", func(line string) bool { return strings.Contains(line, "configuration refused") })
 	f.c.Check(f.send(0, http.MethodGet, "/safe/x", "Authorization", "Bearer key-2").status, qt.Equals, http.StatusOK)
@@ -272,7 +272,7 @@
 		e := f.engine(t, emulator.EngineSpec{ID: fmt.Sprintf("new-%d", i), Service: "desk", Zone: zoneOf(i), Version: "v2", Slots: 6})
 		e.SetFaults(faults)
 	}
-	_, err := f.store.Put("rollouts", "desk", map[string]any{"service": "desk", "target": "v2", "durationS": 8})
+	_, err := f.store.Put("rollouts", "desk", emulator.OrderDoc{Service: "desk", Target: "v2", DurationS: 8})
 	f.c.Assert(err, qt.IsNil)
 	state := ""
 	f.eventually("final state", func() bool {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/attempt"
@@ -61,6 +62,8 @@
 	last *wholeAnswer
 	// stream is the state of a stream that has begun.
 	stream streamState
+	// prepaid tells that the next send was taken from the budget already.
+	prepaid atomic.Bool
 }
 
 // target is the engine chosen for one attempt.
@@ -260,9 +263,21 @@
 		Header: header, Body: t.body,
 	}
 	r.ProgressTimeout, r.PauseTimeout = g.patience(t)
+	r.GiveUp = func() bool { return g.mayGiveUp(t) }
 	return r
 }
 
+// mayGiveUp tells whether a silent engine may be left: only for another one. An
+// answer must not end because an engine is silent. It takes the second send from
+// the budget.
+func (g *Gateway) mayGiveUp(t *task) bool {
+	if !g.budgets.of(t.service).Take(time.Now()) {
+		return false
+	}
+	t.prepaid.Store(true)
+	return true
+}
+
 // Parts of a route's target that an attempt may take before another engine is
 // tried, where that is allowed.
 const (
@@ -344,7 +359,8 @@
 		return g.ended(ctx, t)
 	}
 	reason := g.mayGoOn(t, e)
-	if reason == "" && e.Ran != failure.RanNo || reason == "" && e.Kind == retry.KindRefused {
+	prepaid := t.prepaid.Swap(false)
+	if reason == "" && !prepaid && (e.Ran != failure.RanNo || e.Kind == retry.KindRefused) {
 		if !g.budgets.of(t.service).Take(time.Now()) {
 			reason = "budget_empty"
 		}
