Ask for less confidence when the larger model's answer would be late

Cause: in overload (engines lost or slow) every doubted answer still went to the largest model, which made its own and all other answers late.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -328,6 +328,7 @@
 	c.d.ExpectedWait = seconds(best.wait)
 	c.d.ExpectedFirstToken = seconds(best.first)
 	c.d.ExpectedAnswer = seconds(best.answer)
+	c.d.Backlog = seconds(best.busy)
 }
 
 // refuse completes the decision when no engine may be used. The advice is the
--- a/balance/decision.go
+++ b/balance/decision.go
@@ -104,6 +104,9 @@
 	ExpectedWait time.Duration
 	// ExpectedFirstToken adds the time to read the prompt.
 	ExpectedFirstToken time.Duration
+	// Backlog is the time that the engine needs for the work in progress, whether
+	// or not it has free slots, times BatchSlowdown.
+	Backlog time.Duration
 	// ExpectedAnswer adds the time to generate the expected tokens.
 	ExpectedAnswer time.Duration
 	// RetryAfter is when a refused caller should come back.
--- a/gateway/models.go
+++ b/gateway/models.go
@@ -5,12 +5,28 @@
 // ModelOptions set when an answer is taken from a larger model instead.
 type ModelOptions struct {
 	// LeastConfidence is the confidence, 0 to 100, from which on a model's own
-	// opinion of its answer is trusted.
+	// opinion of its answer is trusted while engines are idle.
 	LeastConfidence int
+	// LateConfidence is the same when the larger model's answer would begin just
+	// at the route's target. An answer that is late is worth a part only, so a
+	// doubtful one in time is better, and every request on a large model delays
+	// the others.
+	LateConfidence int
 }
 
 // DefaultModelOptions returns the documented defaults.
-func DefaultModelOptions() ModelOptions { return ModelOptions{LeastConfidence: 65} }
+func DefaultModelOptions() ModelOptions { return ModelOptions{LeastConfidence: 65, LateConfidence: 35} }
+
+// easyShare is the part of a route's target that a larger model may use up before
+// the confidence asked for begins to fall.
+const easyShare = 0.35
+
+// least returns the confidence to ask for when the larger model's answer is
+// expected to begin after the given part of the target.
+func (o ModelOptions) least(share float64) float64 {
+	over := min(max((share-easyShare)/(1-easyShare), 0), 1)
+	return float64(o.LeastConfidence) - over*float64(o.LeastConfidence-o.LateConfidence)
+}
 
 // ModelChoice picks the model size for requests that leave it open: the smallest
 // first, and the largest when the small one doubts its own answer. The doubt is
@@ -33,16 +49,22 @@
 	return r.Models[0]
 }
 
-// Larger returns the model that an answer is taken from instead, or false when
-// the answer is good enough or there is no larger model.
-func (m *ModelChoice) Larger(r *route.Route, model string, confidence int) (string, bool) {
-	if len(r.Models) == 0 || confidence < 0 || confidence >= m.options.LeastConfidence {
+// Larger returns the model that may answer instead, or false when there is none.
+func (m *ModelChoice) Larger(r *route.Route, model string) (string, bool) {
+	if len(r.Models) == 0 {
 		return "", false
 	}
 	largest := r.Models[len(r.Models)-1]
 	return largest, largest != model
 }
 
+// Doubts tells whether an answer should come from a larger model, whose answer is
+// expected to begin after the given part of the route's target. A negative
+// confidence was not told.
+func (m *ModelChoice) Doubts(confidence int, share float64) bool {
+	return confidence >= 0 && float64(confidence) < m.options.least(share)
+}
+
 // minWeight bounds the weight of a model from below: however cheap, its requests
 // take slots and memory.
 const minWeight = 0.03
