--- a/gateway/models.go
+++ b/gateway/models.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "github.com/bronzeturn/bronzeturn/route"
+import (
+	"slices"
+
+	"github.com/bronzeturn/bronzeturn/route"
+)
 
 // ModelOptions set when an answer is taken from a larger model instead.
 type ModelOptions struct {
@@ -12,10 +16,15 @@
 	// doubtful one in time is better, and every request on a large model delays
 	// the others.
 	LateConfidence int
+	// NearConfidence is the confidence from which on the next size is large enough,
+	// rather than the largest.
+	NearConfidence int
 }
 
 // DefaultModelOptions returns the documented defaults.
-func DefaultModelOptions() ModelOptions { return ModelOptions{LeastConfidence: 65, LateConfidence: 35} }
+func DefaultModelOptions() ModelOptions {
+	return ModelOptions{LeastConfidence: 65, LateConfidence: 25, NearConfidence: 45}
+}
 
 // easyShare is the part of a route's target that a larger model may use up before
 // the confidence asked for begins to fall.
@@ -49,13 +58,18 @@
 	return r.Models[0]
 }
 
-// Larger returns the model that may answer instead, or false when there is none.
-func (m *ModelChoice) Larger(r *route.Route, model string) (string, bool) {
-	if len(r.Models) == 0 {
+// Larger returns the model that may answer instead of one with the given
+// confidence, or false when there is none.
+func (m *ModelChoice) Larger(r *route.Route, model string, confidence int) (string, bool) {
+	at := slices.Index(r.Models, model)
+	last := len(r.Models) - 1
+	if at < 0 || at == last {
 		return "", false
 	}
-	largest := r.Models[len(r.Models)-1]
-	return largest, largest != model
+	if confidence >= m.options.NearConfidence {
+		return r.Models[at+1], true
+	}
+	return r.Models[last], true
 }
 
 // Doubts tells whether an answer should come from a larger model, whose answer is
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -430,7 +430,7 @@
 	if t.model == "" || t.answer.begun() || !t.route.Repeatable() || t.runs+1 >= t.route.Attempts {
 		return false
 	}
-	larger, ok := g.Models.Larger(t.route, t.model)
+	larger, ok := g.Models.Larger(t.route, t.model, confidence)
 	if !ok || time.Until(t.deadline) < minEscalation || !g.Models.Doubts(confidence, g.shareOfTarget(t, larger)) {
 		return false
 	}
