--- a/gateway/models.go
+++ b/gateway/models.go
@@ -23,7 +23,7 @@
 
 // DefaultModelOptions returns the documented defaults.
 func DefaultModelOptions() ModelOptions {
-	return ModelOptions{LeastConfidence: 65, LateConfidence: 25, NearConfidence: 45}
+	return ModelOptions{LeastConfidence: 57, LateConfidence: 25, NearConfidence: 35}
 }
 
 // easyShare is the part of a route's target that a larger model may use up before
