--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -56,7 +56,8 @@
 	random *rand.Rand
 	// seeds are peer addresses from the settings and the store.
 	seeds []string
-	// silent are peer addresses that did not answer, with the time.
+	// silent are peer addresses that did not answer, or whose store does not, with
+	// the time.
 	silent map[string]time.Time
 	// ready is the version of this daemon's entry of readiness.
 	ready uint64
@@ -264,6 +265,9 @@
 		return nil, fmt.Errorf("pull %s from %s: %w", kind, address, err)
 	}
 	m := answer.Msg
+	if m.GetFailing() {
+		f.avoid(address)
+	}
 	p := &follow.Pulled{Full: m.GetFull(), Failing: m.GetFailing(), AfterOutage: m.GetAfterOutage()}
 	p.Changes.Revision, p.Changes.Removed = m.GetRevision(), m.GetRemoved()
 	for _, item := range m.GetItems() {
@@ -304,7 +308,7 @@
 	return from[f.random.IntN(len(from))], true
 }
 
-// avoidFor is how long a daemon that did not answer is not asked again.
+// avoidFor is how long a daemon that gave no good answer is not asked again.
 const avoidFor = 2 * time.Second
 
 // avoid keeps questions away from a daemon for a while.
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -55,6 +55,11 @@
 	// one decides how soon a store that came back is noticed.
 	retryBase = 50 * time.Millisecond
 	retryMax  = 400 * time.Millisecond
+	// orphanRetry is how much longer a daemon that does not watch pauses for each
+	// daemon of the fleet: all of them read the store when those that watch are
+	// turned away, and calls that are refused cost as much as others. One that gets
+	// through tells the others.
+	orphanRetry = 40 * time.Millisecond
 	// outageAfter is how long the store may fail to answer before its return
 	// counts as the end of an outage, and outageEcho how long after the return
 	// changes are taken to be of the outage's making.
@@ -193,6 +198,7 @@
 			_ = backoff.Sleep(ctx, idlePoll) // The loop ends with ctx.
 			continue
 		}
+		pauses.Max = f.longestPause()
 		err := f.step(ctx)
 		if err == nil {
 			pauses.Reset()
@@ -204,6 +210,14 @@
 	return nil
 }
 
+// longestPause bounds the pause after a call that failed.
+func (f *Follower) longestPause() time.Duration {
+	if f.Peers.Watching() || f.snapshot.Load() == nil {
+		return retryMax
+	}
+	return max(retryMax, time.Duration(f.Peers.Live())*orphanRetry)
+}
+
 // reads tells whether this daemon reads the store itself now.
 func (f *Follower) reads(now time.Time) bool {
 	if f.snapshot.Load() == nil || f.Peers.Watching() {
