--- /dev/null
+++ b/cmd/bronzeturn-soak/main.go
@@ -0,0 +1,87 @@
+// Command bronzeturn-soak runs the fault soak of the entry daemon for a range of
+// seeds. It exits with 1 when a promise was broken.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/bronzeturn/bronzeturn/soak"
+)
+
+// options are the command line.
+type options struct {
+	Program  string        `help:"Path of the daemon's program." default:"target/bronzeturn-entry" type:"path"`
+	Seed     uint64        `help:"First seed." default:"1"`
+	Runs     int           `help:"Number of seeds." default:"1"`
+	Duration time.Duration `help:"Length of the disturbed part of a run." default:"20s"`
+	Daemons  int           `help:"Number of daemons." default:"4"`
+	Engines  int           `help:"Number of model engines." default:"4"`
+	Plain    int           `help:"Number of engines of the plain service." default:"3"`
+	Callers  int           `help:"Number of callers." default:"16"`
+	Keep     string        `help:"Folder for settings and logs, one folder a seed. Default: a temporary one, removed after a run that broke nothing." type:"path"`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var o options
+	kong.Parse(&o, kong.Description("Fault soak: real daemons, failures from outside, promises checked by what callers got and engines ran."))
+	code := 0
+	for seed := o.Seed; seed < o.Seed+uint64(o.Runs); seed++ {
+		if !o.one(seed) {
+			code = 1
+		}
+	}
+	return code
+}
+
+// one runs one seed and tells whether nothing broke.
+func (o *options) one(seed uint64) bool {
+	folder, err := o.folder(seed)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	report, err := os.Create(filepath.Join(folder, "faults.log"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	defer func() { _ = report.Close() }() // Nothing is written after the run.
+	r, err := soak.Run(context.Background(), soak.Options{
+		Program: o.Program, Folder: folder, Seed: seed, Duration: o.Duration, Daemons: o.Daemons,
+		Engines: o.Engines, Plain: o.Plain, Callers: o.Callers, Report: report,
+	})
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
+		return false
+	}
+	fmt.Printf("seed %d: %d failures, %d requests: %d answered, %d refused, %d failed; %d promises broken\n",
+		seed, r.Faults, r.Requests, r.Good, r.Refused, r.Failed, len(r.Broken))
+	for _, line := range r.Broken {
+		fmt.Printf("  %s\n", line)
+	}
+	if len(r.Broken) > 0 {
+		fmt.Printf("  logs in %s\n", folder)
+		return false
+	}
+	if o.Keep == "" {
+		_ = os.RemoveAll(folder)
+	}
+	return true
+}
+
+// folder makes the folder of one seed.
+func (o *options) folder(seed uint64) (string, error) {
+	if o.Keep == "" {
+		return os.MkdirTemp("", fmt.Sprintf("bronzeturn-soak-%d-", seed))
+	}
+	path := filepath.Join(o.Keep, fmt.Sprint(seed))
+	return path, os.MkdirAll(path, 0o700)
+}
