--- a/cli/cli.go
+++ b/cli/cli.go
@@ -49,6 +49,8 @@
 	Entries  entriesCommand  `cmd:"" help:"Show which addresses callers should use, and for how long."`
 	Send     sendCommand     `cmd:"" help:"Send one request, whole or streamed."`
 	Load     loadCommand     `cmd:"" help:"Send requests at a steady rate for a bounded time and check every answer."`
+	Explain  explainCommand  `cmd:"" help:"Tell the story of one request from the log files of the entry daemons."`
+	Timeline timelineCommand `cmd:"" help:"Tell what the daemons believed and when, from their log files."`
 	Certs    certsCommand    `cmd:"" help:"Create authorities and certificates for trying things out."`
 	Version  versionCommand  `cmd:"" help:"Show the version of this program."`
 }
--- /dev/null
+++ b/cli/explain.go
@@ -0,0 +1,71 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/bronzeturn/bronzeturn/explain"
+)
+
+// explainCommand tells the story of one request from log files.
+type explainCommand struct {
+	Request string   `arg:"" help:"Id of the request, as the caller sent it."`
+	Files   []string `arg:"" type:"existingfile" help:"Log files of the daemons."`
+}
+
+// timelineCommand tells what the fleet believed and when.
+type timelineCommand struct {
+	Files []string `arg:"" type:"existingfile" help:"Log files of the daemons."`
+}
+
+// errNoSuchRequest reports that no log line names the request.
+var errNoSuchRequest = errors.New("no line names this request")
+
+// Run implements the command.
+func (c *explainCommand) Run(a *app) error {
+	lines, err := readLogs(c.Files)
+	if err != nil {
+		return err
+	}
+	story := explain.Story(lines, c.Request)
+	if len(story) == 0 {
+		return fmt.Errorf("%s: %w", c.Request, errNoSuchRequest)
+	}
+	return a.tell(story)
+}
+
+// Run implements the command.
+func (c *timelineCommand) Run(a *app) error {
+	lines, err := readLogs(c.Files)
+	if err != nil {
+		return err
+	}
+	return a.tell(explain.Timeline(lines))
+}
+
+// readLogs reads all lines of the files.
+func readLogs(files []string) ([]explain.Line, error) {
+	var all []explain.Line
+	for _, path := range files {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, err
+		}
+		lines, _, err := explain.Read(file)
+		_ = file.Close() // Nothing was written.
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+// tell prints lines, for people or as JSON.
+func (a *app) tell(lines []explain.Line) error {
+	if a.out.json {
+		return a.out.object(lines)
+	}
+	return explain.Write(a.out.w, lines)
+}
--- /dev/null
+++ b/explain/explain.go
@@ -0,0 +1,220 @@
+// Package explain reads the log files of daemons and tells the story of one
+// request, or what the fleet believed and when.
+package explain
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// maxLineBytes bounds one log line.
+const maxLineBytes = 1 << 20
+
+// Before and after a request, what daemons came to believe in this time is part
+// of its story.
+const (
+	before = 5 * time.Second
+	after  = time.Second
+)
+
+// Line is one log line.
+type Line struct {
+	Time    time.Time
+	Host    string
+	Part    string
+	Level   string
+	Message string
+	// Fields are the other fields, each as its JSON text.
+	Fields []Field
+}
+
+// Field is one field of a line.
+type Field struct {
+	Name, Value string
+}
+
+// field returns the value of a field without quotes, "" when there is none.
+func (l *Line) field(name string) string {
+	for _, f := range l.Fields {
+		if f.Name == name {
+			return strings.Trim(f.Value, `"`)
+		}
+	}
+	return ""
+}
+
+// Read returns the lines of a log in the order of the file. What is not a JSON
+// object with a time is left out and counted.
+func Read(r io.Reader) (lines []Line, skipped int, err error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLineBytes)
+	for scanner.Scan() {
+		line, ok := parse(scanner.Bytes())
+		if !ok {
+			skipped++
+			continue
+		}
+		lines = append(lines, line)
+	}
+	return lines, skipped, scanner.Err()
+}
+
+// parse reads one line. Text before the object, as collectors add it, is ignored.
+func parse(text []byte) (Line, bool) {
+	start := strings.IndexByte(string(text), '{')
+	if start < 0 {
+		return Line{}, false
+	}
+	decoder := json.NewDecoder(strings.NewReader(string(text[start:])))
+	if token, err := decoder.Token(); err != nil || token != json.Delim('{') {
+		return Line{}, false
+	}
+	var l Line
+	for decoder.More() {
+		token, err := decoder.Token()
+		name, isName := token.(string)
+		var value json.RawMessage
+		if err != nil || !isName || decoder.Decode(&value) != nil {
+			return Line{}, false
+		}
+		l.set(name, value)
+	}
+	return l, !l.Time.IsZero()
+}
+
+// set files one field.
+func (l *Line) set(name string, value json.RawMessage) {
+	var text string
+	isText := json.Unmarshal(value, &text) == nil
+	switch {
+	case name == "time" && isText:
+		if at, err := time.Parse(time.RFC3339Nano, text); err == nil {
+			l.Time = at
+		}
+	case name == "host" && isText:
+		l.Host = text
+	case name == "part" && isText:
+		l.Part = text
+	case name == "level" && isText:
+		l.Level = text
+	case name == "message" && isText:
+		l.Message = text
+	default:
+		l.Fields = append(l.Fields, Field{Name: name, Value: string(value)})
+	}
+}
+
+// Messages that tell a change of what a daemon believes.
+var beliefs = []string{
+	"daemon started", "daemon takes requests", "daemon leaves", "daemon stopped", "daemon state changed",
+	"configuration in force", "configuration refused", "store does not answer", "store answers again",
+	"history gone", "copy taken from another daemon", "engine takes work", "engine takes no work",
+	"belief about an engine changed", "introduction ordered", "verdict on an introduction",
+	"introduction changed its state", "state of an introduction written", "settings reloaded", "settings refused",
+	"lines dropped",
+}
+
+// isBelief tells whether a line tells a change of what a daemon believes.
+func (l *Line) isBelief() bool {
+	return slices.ContainsFunc(beliefs, func(b string) bool { return strings.HasPrefix(l.Message, b) })
+}
+
+// byTime orders lines by their time, which hosts' clocks may set apart.
+func byTime(lines []Line) {
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+}
+
+// Timeline returns all changes of belief in the order of their time.
+func Timeline(lines []Line) []Line {
+	var kept []Line
+	for _, l := range lines {
+		if l.isBelief() {
+			kept = append(kept, l)
+		}
+	}
+	byTime(kept)
+	return kept
+}
+
+// Story returns the lines of one request, and around them what its daemon and
+// any daemon came to believe of its engines and service. It is empty when no
+// line names the request.
+func Story(lines []Line, request string) []Line {
+	var own []Line
+	for _, l := range lines {
+		if l.field("request") == request {
+			own = append(own, l)
+		}
+	}
+	if len(own) == 0 {
+		return nil
+	}
+	byTime(own)
+	about := aboutOf(own)
+	story := own
+	for _, l := range lines {
+		if l.isBelief() && about.concerns(&l) {
+			story = append(story, l)
+		}
+	}
+	byTime(story)
+	return story
+}
+
+// about is what a request had to do with.
+type about struct {
+	from, to time.Time
+	host     string
+	service  string
+	engines  map[string]bool
+}
+
+// aboutOf collects it from the request's own lines.
+func aboutOf(own []Line) about {
+	a := about{engines: make(map[string]bool)}
+	first, last := own[0].Time, own[len(own)-1].Time
+	for i := range own {
+		a.host = own[i].Host
+		if s := own[i].field("service"); s != "" {
+			a.service = s
+		}
+		if e := own[i].field("engine"); e != "" {
+			a.engines[e] = true
+		}
+	}
+	a.from, a.to = first.Add(-before), last.Add(after)
+	return a
+}
+
+// concerns tells whether a change of belief belongs to the story.
+func (a *about) concerns(l *Line) bool {
+	if l.Time.Before(a.from) || l.Time.After(a.to) {
+		return false
+	}
+	if engine := l.field("engine"); engine != "" {
+		return a.engines[engine]
+	}
+	if service := l.field("service"); service != "" {
+		return service == a.service
+	}
+	return l.Host == a.host
+}
+
+// Write prints lines for people.
+func Write(w io.Writer, lines []Line) error {
+	for _, l := range lines {
+		var fields strings.Builder
+		for _, f := range l.Fields {
+			fmt.Fprintf(&fields, " %s=%s", f.Name, strings.Trim(f.Value, `"`))
+		}
+		if _, err := fmt.Fprintf(w, "%s %-24s %s:%s\n", l.Time.Format("15:04:05.000"), l.Host, l.Message, fields.String()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,73 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const log1 = `{"level":"info","host":"h1","version":4,"time":"2026-02-01T22:57:40.000Z","message":"configuration in force"}
+   3.1 h1 {"level":"warn","host":"h1","part":"gateway","request":"r1","engine":"e1","kind":"broken","ran":"unknown","because":"may_have_run","time":"2026-02-01T22:57:44.159Z","message":"attempt failed"}
+{"level":"warn","host":"h1","part":"gateway","request":"r1","service":"s1","status":502,"time":"2026-02-01T22:57:44.160Z","message":"request ended"}
+not a line
+{"level":"info","host":"h1","part":"gateway","request":"r2","service":"s1","status":200,"time":"2026-02-01T22:57:44.170Z","message":"request ended"}
+`
+
+const log2 = `{"level":"info","host":"h2","engine":"e1","phase":"failing","time":"2026-02-01T22:57:43.500Z","message":"belief about an engine changed"}
+{"level":"info","host":"h2","engine":"e2","phase":"failing","time":"2026-02-01T22:57:43.600Z","message":"belief about an engine changed"}
+{"level":"info","host":"h2","version":4,"time":"2026-02-01T22:57:43.700Z","message":"configuration in force"}
+{"level":"info","host":"h2","service":"s1","state":"running","time":"2026-02-01T22:57:30.000Z","message":"introduction ordered"}
+`
+
+func both(c *qt.C) []Line {
+	var all []Line
+	for _, text := range []string{log1, log2} {
+		lines, _, err := Read(strings.NewReader(text))
+		c.Assert(err, qt.IsNil)
+		all = append(all, lines...)
+	}
+	return all
+}
+
+func messages(lines []Line) (all []string) {
+	for _, l := range lines {
+		all = append(all, l.Host+" "+l.Message)
+	}
+	return all
+}
+
+func TestStoryHoldsTheRequestAndWhatConcernedIt(t *testing.T) {
+	c := qt.New(t)
+	got := Story(both(c), "r1")
+	c.Check(messages(got), qt.DeepEquals, []string{
+		"h1 configuration in force", "h2 belief about an engine changed", "h1 attempt failed", "h1 request ended",
+	})
+	c.Check(Story(both(c), "r9"), qt.HasLen, 0)
+}
+
+func TestTimelineIsOrderedOverHosts(t *testing.T) {
+	c := qt.New(t)
+	got := messages(Timeline(both(c)))
+	c.Check(got, qt.DeepEquals, []string{
+		"h2 introduction ordered", "h1 configuration in force", "h2 belief about an engine changed",
+		"h2 belief about an engine changed", "h2 configuration in force",
+	})
+}
+
+func TestOtherTextIsCounted(t *testing.T) {
+	c := qt.New(t)
+	lines, skipped, err := Read(strings.NewReader(log1 + `{"time":"never"}` + "\n{\n"))
+	c.Assert(err, qt.IsNil)
+	c.Check(lines, qt.HasLen, 4)
+	c.Check(skipped, qt.Equals, 3)
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(log1)
+	f.Fuzz(func(t *testing.T, text string) {
+		lines, _, _ := Read(strings.NewReader(text)) // Must not panic.
+		_ = Timeline(lines)
+		_ = Story(lines, "r1")
+	})
+}
