--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -62,15 +62,19 @@
 // one does is measured against the others of its service.
 const engineRate = 12800
 
+// PromptPart is the work of one prompt token in generated ones.
+const PromptPart = 0.3
+
 // streamRate is the part of one stream.
 func streamRate(slots int) float64 { return engineRate / float64(max(slots, plainSlots)) }
 
-// homes returns the engines that should read a prefix, best first: the same on
-// every daemon, without a table.
-func (e *Engines) homes(group, prefix string, count int) []string {
+// home returns the engine that should read a prefix: the same on every daemon,
+// without a table. A prefix with several homes has its sessions divided among them.
+func (e *Engines) home(group, prefix string, homes int, session uint64) (string, bool) {
 	set, ok := e.members[group]
-	if !ok {
-		return nil
+	if !ok || prefix == "" || set.Len() == 0 {
+		return "", false
 	}
-	return set.Top(prefix, min(count, set.Len()))
+	top := set.Top(prefix, min(max(homes, 1), set.Len()))
+	return top[session%uint64(len(top))], true
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,6 +77,7 @@
 	metrics *metrics
 	budgets *budgets
 	paces   *paces
+	heats   *heats
 	rngs    sync.Pool
 	seeds   atomic.Uint64
 	gate    gate
@@ -84,7 +85,7 @@
 
 // New returns a Gateway.
 func New(o Options) *Gateway {
-	g := &Gateway{Options: o, metrics: newMetrics(o.Registerer), budgets: newBudgets(o.Budget, o.Daemons), paces: newPaces()}
+	g := &Gateway{Options: o, metrics: newMetrics(o.Registerer), budgets: newBudgets(o.Budget, o.Daemons), paces: newPaces(), heats: newHeats()}
 	g.rngs.New = func() any { return rand.New(rand.NewPCG(o.Seed, g.seeds.Add(1))) }
 	return g
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -31,9 +31,6 @@
 	busyRetry = 400 * time.Millisecond
 	// minEscalation is the least time left for which a larger model is asked.
 	minEscalation = 500 * time.Millisecond
-	// prefixHomes is the number of engines that a prefix is read on while they are
-	// not busy. With more of them, each reads it anew.
-	prefixHomes = 1
 	// plainWork is the work of a request to a plain service. It is worth about
 	// 15 ms of one of its slots.
 	plainWork = 30
@@ -53,6 +50,8 @@
 	group              string
 	trial, introducing bool
 	tried              []string
+	// homes is how many engines read the request's prefix.
+	homes int
 	// runs counts the sends after which the request may have run.
 	runs int
 	// ran is the worst that is known of all attempts.
@@ -101,6 +100,7 @@
 		t.model = ""
 	}
 	q.trace.model = t.model
+	t.homes = g.countHomes(t)
 	for {
 		to, f := g.choose(ctx, t)
 		if f != nil {
@@ -188,14 +188,24 @@
 		Version: t.group, DataCentre: dataCentre, Work: t.work(models),
 		PrefixHash: t.prefixHash, NoProbe: t.route.Kind == route.Once,
 	}
-	if t.prefix != "" {
-		copy(r.Homes[:], engines.homes(t.group, t.prefix, prefixHomes))
+	if home, ok := engines.home(t.group, t.prefix, t.homes, t.session); ok {
+		r.Homes[0] = home
 	}
 	first := max(0, len(t.tried)-balance.MaxExclude)
 	copy(r.Exclude[:], t.tried[first:])
 	return r
 }
 
+// countHomes returns how many engines should read the request's prefix.
+func (g *Gateway) countHomes(t *task) int {
+	if t.prefix == "" {
+		return 0
+	}
+	w := t.work(g.Models)
+	seconds := (PromptPart*float64(w.PromptTokens) + float64(w.ExpectedTokens)) / engineRate
+	return g.heats.add(t.prefixHash, seconds, g.Daemons(), time.Now())
+}
+
 // work estimates the size of the request, in the tokens of the largest model.
 func (t *task) work(models *ModelChoice) balance.Work {
 	if !t.ranked {
