--- a/gateway/request.go
+++ b/gateway/request.go
@@ -75,7 +75,6 @@
 	pause     time.Duration
 	lastEvent time.Time
 	events    int
-	tokens    int
 }
 
 // prepare checks the form and the identity of a request and reads it whole.
