--- /dev/null
+++ b/gateway/again.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/retry"
+)
+
+// again decides on another attempt, nil for yes.
+func (g *Gateway) again(ctx context.Context, t *task, to *target, e *attemptError) *failure.Error {
+	if e.Ran != failure.RanNo {
+		t.runs++
+		t.ran = failure.RanUnknown
+	}
+	if e.Kind == retry.KindDoubted {
+		g.logAttempt(t, to, e, "")
+		return g.ended(ctx, t)
+	}
+	reason := g.mayGoOn(t, e)
+	prepaid := t.prepaid.Swap(false)
+	if reason == "" && !prepaid && (e.Ran != failure.RanNo || e.Kind == retry.KindRefused) {
+		if !g.budgets.of(t.service).Take(time.Now()) {
+			reason = "budget_empty"
+		}
+	}
+	g.logAttempt(t, to, e, reason)
+	if ended := g.ended(ctx, t); ended != nil {
+		return ended
+	}
+	if reason == "" {
+		return nil
+	}
+	if t.ran == failure.RanNo {
+		f := failure.Wrap(e, failure.CodeNoCapacity, failure.RanNo, "no engine took the request")
+		return f.After(max(min(e.comeBack, busyRetry), busyRetry/4))
+	}
+	return failure.Wrap(e, failure.CodeEngineFailed, t.ran, "the engine did not answer; the request may have run")
+}
+
+// mayGoOn returns why another attempt is not allowed, "" when it is.
+func (g *Gateway) mayGoOn(t *task, e *attemptError) string {
+	switch {
+	case e.Kind == retry.KindCancelled:
+		return "ended"
+	case e.Kind == retry.KindRejected:
+		return "request_rejected"
+	case t.ran != failure.RanNo && !t.route.Repeatable():
+		return "may_have_run"
+	case t.runs >= t.route.Attempts:
+		return "attempts_used"
+	case len(t.tried) >= maxSends:
+		return "sends_used"
+	case t.answer.begun() && !t.stream.resumable(t.route):
+		return "answer_begun"
+	}
+	return ""
+}
--- /dev/null
+++ b/gateway/send.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/attempt"
+	"github.com/bronzeturn/bronzeturn/balance"
+	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/retry"
+	"github.com/bronzeturn/bronzeturn/route"
+)
+
+// try sends the request once and passes the answer on.
+func (g *Gateway) try(ctx context.Context, t *task, to *target) *attemptError {
+	t.tried = append(t.tried, to.engine.ID)
+	t.request.trace.attempts++
+	t.request.trace.engines = append(t.request.trace.engines, to.engine.ID)
+	t.request.trace.trial = t.trial
+	to.sent = time.Now()
+	g.Engines.Dispatched(balance.Dispatched{Engine: to.engine.ID, Work: to.work, PrefixHash: t.prefixHash, At: to.sent})
+	x, err := attempt.Send(ctx, g.Transport, g.attemptRequest(t, to))
+	if err != nil {
+		failed := sendError(err)
+		g.failed(t, to, failed)
+		return failed
+	}
+	defer func() { _ = x.Close() }() // Nothing is left to read that matters.
+	failed := g.deliver(ctx, t, to, x)
+	if failed != nil {
+		g.failed(t, to, failed)
+	}
+	return failed
+}
+
+// attemptRequest builds the request for the engine.
+func (g *Gateway) attemptRequest(t *task, to *target) attempt.Request {
+	header := passedOn(t.http.Header)
+	g.Codec.Strip(header)
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = []string{""} // Keeps net/http from naming itself.
+	}
+	g.Codec.Apply(header, Sent{
+		Organisation: t.organisation, Instance: to.engine.ID, Left: time.Until(t.deadline),
+		Model: t.model, Priority: t.priority, LastEvent: t.stream.lastID, Ranked: t.ranked,
+	})
+	r := attempt.Request{
+		Method: t.http.Method, URL: "http://" + to.engine.Address + t.http.RequestURI, Host: t.http.Host,
+		Header: header, Body: t.body,
+	}
+	r.ProgressTimeout, r.PauseTimeout = g.patience(t)
+	r.GiveUp = func() bool { return g.mayGiveUp(t) }
+	return r
+}
+
+// mayGiveUp tells whether a silent engine may be left: only for another one. An
+// answer must not end because an engine is silent. It takes the second send from
+// the budget.
+func (g *Gateway) mayGiveUp(t *task) bool {
+	if !g.budgets.of(t.service).Take(time.Now()) {
+		return false
+	}
+	t.prepaid.Store(true)
+	return true
+}
+
+// Parts of a route's target that an attempt may take before another engine is
+// tried, where that is allowed.
+const (
+	// answerPatience is for whole answers, of the target.
+	answerPatience = 0.7
+	// firstPatience is added to the target of a stream's first event: an engine
+	// that is that late is silent rather than busy.
+	firstPatience = 1500 * time.Millisecond
+	// pauseFactor is for the pauses of a stream, of the longest one on time.
+	pauseFactor = 1.5
+)
+
+// patience returns how long an engine may be silent before its answer begins and
+// within it. Zero means until the deadline.
+func (g *Gateway) patience(t *task) (first, pause time.Duration) {
+	if !t.route.Repeatable() || t.runs+1 >= t.route.Attempts || t.route.Target == 0 {
+		return 0, 0
+	}
+	if t.route.Kind == route.Idempotent {
+		return time.Duration(answerPatience * float64(t.route.Target)), 0
+	}
+	first = t.route.Target + firstPatience
+	return first, max(time.Duration(pauseFactor*float64(t.route.MaxPause)), firstPatience)
+}
+
+// sendError reads an error of package attempt.
+func sendError(err error) *attemptError {
+	var e *attempt.Error
+	if !errors.As(err, &e) {
+		return &attemptError{Kind: retry.KindBroken, Ran: failure.RanUnknown, Cause: err}
+	}
+	failed := &attemptError{Kind: retry.KindBroken, Ran: failure.RanUnknown, Cause: err}
+	switch {
+	case e.Reason == attempt.Canceled:
+		failed.Kind = retry.KindCancelled
+	case e.Reason == attempt.Silent:
+		failed.Kind = retry.KindSilent
+	case e.Stage == attempt.NotSent:
+		failed.Kind = retry.KindConnect
+	}
+	if e.Stage == attempt.NotSent {
+		failed.Ran = failure.RanNo
+	}
+	return failed
+}
+
+// failed tells balancer and introduction of an attempt that failed.
+func (g *Gateway) failed(t *task, to *target, e *attemptError) {
+	now := time.Now()
+	if e.Kind == retry.KindCancelled || e.Kind == retry.KindDoubted {
+		g.Engines.Finished(balance.Finished{Engine: to.engine.ID, Work: to.work, FirstTokenSeen: to.firstSeen, Cancelled: true, At: now})
+		return
+	}
+	kind, known := failureKinds[e.Kind]
+	if !known {
+		kind = balance.FailureError
+	}
+	g.Engines.Failed(balance.Failed{Engine: to.engine.ID, Work: to.work, FirstTokenSeen: to.firstSeen, Kind: kind, RetryAfter: e.comeBack, At: now})
+	if e.Kind != retry.KindRefused && e.Kind != retry.KindConnect {
+		g.Introductions.Observe(t.service, t.route.Name, t.trial, true, 0)
+	}
+}
+
+// failureKinds maps the failures of attempts to those of the balancer.
+var failureKinds = map[retry.Kind]balance.FailureKind{
+	retry.KindConnect: balance.FailureUnreachable,
+	retry.KindRefused: balance.FailureBusy,
+	retry.KindSilent:  balance.FailureSilent,
+}
