--- a/canary/canary.go
+++ b/canary/canary.go
@@ -15,6 +15,9 @@
 	// TrialShare is the part of the sessions that the new version gets before it
 	// is trusted.
 	TrialShare float64
+	// ExposureShare bounds the share of all requests between an order and its
+	// deadline that a bad version may get.
+	ExposureShare float64
 	// SettleTime is the time after an order in which no session is moved, so that
 	// all daemons learn of the order and of the sessions in progress.
 	SettleTime time.Duration
@@ -28,24 +31,28 @@
 // DefaultOptions returns the documented defaults.
 func DefaultOptions() Options {
 	return Options{
-		TrialShare:   0.07,
-		SettleTime:   1500 * time.Millisecond,
-		SessionGap:   6 * time.Second,
-		FinishMargin: 2 * time.Second,
+		TrialShare:    0.1,
+		ExposureShare: 0.15,
+		SettleTime:    1500 * time.Millisecond,
+		SessionGap:    6 * time.Second,
+		FinishMargin:  2 * time.Second,
 	}
 }
 
-// The steps after the trial: the share of the sessions that the new version gets
-// from so long after half of the time on. Each step lasts long enough for the
-// verdict to be drawn from it and to reach every daemon.
-var steps = []struct {
-	after time.Duration
-	share float64
-}{
-	{0, 0.3},
-	{1500 * time.Millisecond, 0.6},
-	{3 * time.Second, 1},
-}
+// After the trial the new version gets these shares, each for stepTime, or for
+// less where that would use up more than stepsPart of the exposure allowed. Then
+// it gets everything.
+var steps = [...]float64{0.3, 0.6}
+
+const (
+	stepTime  = 1500 * time.Millisecond
+	stepsPart = 0.45
+)
+
+// loadFactor is how much more than an engine of the version before each engine of
+// the new one gets: some versions are bad under load only, and a share that is
+// spread over all new engines would not load any.
+const loadFactor = 1.2
 
 // Evidence needed for a verdict.
 const (
@@ -62,7 +69,11 @@
 	minLatencies = 12
 	// slowFloor is added to latencies before they are compared, in milliseconds,
 	// so that short ones do not look like slowness.
-	slowFloor = 40.0
+	slowFloor = 10.0
+	// An answer is slow, and counts as bad, when it took slowAnswer times the
+	// usual time on its route and was slowDeviations beyond it.
+	slowAnswer     = 2.5
+	slowDeviations = 2.0
 )
 
 // Order asks for one introduction.
@@ -93,15 +104,26 @@
 
 // Count is what was seen of one version on one route.
 type Count struct {
-	Answers, Bad  uint64
-	LogLatencySum float64
-	Latencies     uint64
+	// Bad answers are failures, and those that took far longer than usual.
+	Answers, Bad uint64
+	// LogLatencySum and LogLatencySquares are sums over the logarithms of the
+	// latencies, Latencies their number.
+	LogLatencySum, LogLatencySquares float64
+	Latencies                        uint64
+}
+
+// spread returns mean and standard deviation of the logarithms.
+func (c Count) spread() (mean, deviation float64) {
+	n := float64(c.Latencies)
+	mean = c.LogLatencySum / n
+	return mean, math.Sqrt(max(c.LogLatencySquares/n-mean*mean, 0))
 }
 
 func (c *Count) add(o Count) {
 	c.Answers += o.Answers
 	c.Bad += o.Bad
 	c.LogLatencySum += o.LogLatencySum
+	c.LogLatencySquares += o.LogLatencySquares
 	c.Latencies += o.Latencies
 }
 
@@ -132,6 +154,8 @@
 	own    map[CountKey]Count
 	held   map[uint64]struct{}
 	others map[string]Report
+	// usual is what the fleet saw of the version before, by route.
+	usual map[string]Count
 	// condemned is the reason of a verdict against the version, "" for none.
 	condemned string
 }
@@ -140,7 +164,7 @@
 func New(o Options, order Order, state State, now time.Time) *Introduction {
 	return &Introduction{
 		options: o, order: order, state: state, since: now,
-		own: make(map[CountKey]Count), held: make(map[uint64]struct{}), others: make(map[string]Report),
+		own: make(map[CountKey]Count), held: make(map[uint64]struct{}), others: make(map[string]Report), usual: make(map[string]Count),
 	}
 }
 
@@ -212,12 +236,35 @@
 
 // moving returns the share of the sessions after the trial.
 func (i *Introduction) moving(age time.Duration) (share float64, moving bool) {
-	for _, step := range steps {
-		if age >= i.order.Duration/2+step.after {
-			share, moving = step.share, true
+	at := i.order.Duration / 2
+	if age < at {
+		return 0, false
+	}
+	for _, share := range steps {
+		at += i.stepLength(share)
+		if age < at {
+			return share, true
 		}
 	}
-	return share, moving
+	return 1, true
+}
+
+// stepLength returns how long a step lasts.
+func (i *Introduction) stepLength(share float64) time.Duration {
+	part := stepsPart / float64(len(steps)) * i.options.ExposureShare * float64(i.order.Duration)
+	return min(stepTime, time.Duration(part/share))
+}
+
+// Width returns on how many engines the new version should run now, when the
+// version before runs on so many: as many as its share keeps busy.
+func (i *Introduction) Width(before int, now time.Time) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	share, moving := i.moving(now.Sub(i.since))
+	if !moving {
+		share = i.options.TrialShare
+	}
+	return max(int(math.Ceil(share*float64(before)/loadFactor)), 1)
 }
 
 // isHeld tells whether any daemon keeps the session on the version before. The
@@ -247,12 +294,28 @@
 		c.Bad++
 	}
 	if latency > 0 {
-		c.LogLatencySum += math.Log(latency.Seconds()*1000 + slowFloor)
+		value := math.Log(latency.Seconds()*1000 + slowFloor)
+		if !bad && i.isSlow(route, value) {
+			c.Bad++
+		}
+		c.LogLatencySum += value
+		c.LogLatencySquares += value * value
 		c.Latencies++
 	}
 	i.own[key] = c
 }
 
+// isSlow compares a latency with what is usual on the route with the version
+// before, as of the last review. The caller holds mu.
+func (i *Introduction) isSlow(route string, value float64) bool {
+	usual, ok := i.usual[route]
+	if !ok || usual.Latencies < minLatencies {
+		return false
+	}
+	mean, deviation := usual.spread()
+	return value > mean+max(math.Log(slowAnswer), slowDeviations*deviation)
+}
+
 // Report returns what this daemon tells the others.
 func (i *Introduction) Report(now time.Time) Report {
 	i.mu.Lock()
@@ -302,9 +365,10 @@
 	for key, c := range sums {
 		if key.Trial {
 			v.Trial.add(c)
-		} else {
-			v.Base.add(c)
+			continue
 		}
+		v.Base.add(c)
+		i.usual[key.Route] = c
 	}
 	v.Slowdown = slowdown(sums)
 	if i.condemned == "" {
--- a/entry/introductions.go
+++ b/entry/introductions.go
@@ -15,6 +15,7 @@
 	"github.com/bronzeturn/bronzeturn/gateway"
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/inventory"
+	"github.com/bronzeturn/bronzeturn/rendezvous"
 )
 
 const (
@@ -46,6 +47,8 @@
 	recent map[string]map[uint64]time.Time
 	// waiting tells that some engine is in quarantine.
 	waiting bool
+	// ranks order the engines of each version, for introductions on a few.
+	ranks map[string]int
 }
 
 // introduction is one order with what this daemon has done about it.
@@ -58,12 +61,15 @@
 	tried       time.Time
 	reported    time.Time
 	version     uint64
+	// engines is on how many engines the new version runs.
+	engines int
 }
 
 func newIntroductions(d *Daemon) *introductions {
 	return &introductions{
 		daemon: d, byService: make(map[string]*introduction),
 		versions: make(map[string]map[string]time.Time), recent: make(map[string]map[uint64]time.Time),
+		ranks: make(map[string]int),
 	}
 }
 
@@ -94,6 +100,7 @@
 		known = &introduction{
 			Introduction: canary.New(i.daemon.Settings.Introductions, order, state, now),
 			version:      uint64(now.UnixMilli()) << 12,
+			engines:      1,
 		}
 		i.byService[order.Service] = known
 		for session, at := range i.recent[order.Service] {
@@ -128,6 +135,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := time.Now()
+	i.rank(v)
 	first := make(map[string]bool)
 	for _, e := range v.Engines {
 		if i.versions[e.Service] == nil {
@@ -144,6 +152,35 @@
 	}
 }
 
+// rank orders the engines of each version by a hash, the same on every daemon. The
+// caller holds mu.
+func (i *introductions) rank(v *inventory.View) {
+	byVersion := make(map[string][]string)
+	for _, e := range v.Engines {
+		key := e.Service + "/" + e.Version
+		byVersion[key] = append(byVersion[key], e.ID)
+	}
+	clear(i.ranks)
+	for version, ids := range byVersion {
+		for place, id := range rendezvous.Top(version, ids, len(ids)) {
+			i.ranks[id] = place
+		}
+	}
+}
+
+// width returns on how many engines the new version should run now. The caller must
+// not hold mu, which is taken after the lock of the engines.
+func (i *introductions) width(known *introduction, now time.Time) int {
+	order := known.Order()
+	before := 0
+	for _, e := range i.daemon.engines.View().Engines {
+		if e.Service == order.Service && e.Version != order.Target {
+			before++
+		}
+	}
+	return known.Width(before, now)
+}
+
 // assign implements gateway.Assign.
 func (i *introductions) assign(e inventory.Engine) []string {
 	i.mu.Lock()
@@ -170,10 +207,13 @@
 		}
 		return base
 	}
-	if isTarget {
+	switch {
+	case !isTarget:
+		return base
+	case i.ranks[e.ID] < known.engines:
 		return trial
 	}
-	return base
+	return nil
 }
 
 // release compiles the tables anew while engines are in quarantine.
@@ -269,6 +309,7 @@
 	now := time.Now()
 	verdict := known.Review(now)
 	i.report(service, known, now)
+	i.widen(service, known, now)
 	if verdict.State == known.State() {
 		return
 	}
@@ -279,15 +320,28 @@
 			Uint64("base_answers", verdict.Base.Answers).Uint64("base_bad", verdict.Base.Bad).
 			Float64("slowdown", verdict.Slowdown).Dur("age_ms", verdict.Age).Msg("verdict on an introduction")
 	}
-	if now.Sub(known.wantedSince) < i.rank(service) || now.Sub(known.tried) < writePause {
+	if now.Sub(known.wantedSince) < i.rankDelayOf(service) || now.Sub(known.tried) < writePause {
 		return
 	}
 	known.tried = now
 	i.write(ctx, service, known, verdict.State)
 }
 
-// rank returns how long this daemon waits for the ones preferred to it.
-func (i *introductions) rank(service string) time.Duration {
+// widen lets the new version run on more engines as its share grows.
+func (i *introductions) widen(service string, known *introduction, now time.Time) {
+	wanted := i.width(known, now)
+	i.mu.Lock()
+	changed := wanted != known.engines
+	known.engines = wanted
+	i.mu.Unlock()
+	if changed {
+		i.daemon.log.Info().Str("service", service).Str("target", known.Order().Target).Int("engines", wanted).Msg("introduction runs on so many engines")
+		i.daemon.compileEngines(i.daemon.engines.View())
+	}
+}
+
+// rankDelayOf returns how long this daemon waits for the ones preferred to it.
+func (i *introductions) rankDelayOf(service string) time.Duration {
 	view := i.daemon.fleet.members.View()
 	place := slices.Index(view.Top(canaryPrefix+service, view.Live()), view.Self)
 	return time.Duration(max(place, 0)) * rankDelay
@@ -338,7 +392,7 @@
 	for key, c := range r.Counts {
 		m.Counts = append(m.Counts, &bronzeturnv1.CanaryCount{
 			Route: key.Route, Trial: key.Trial, Answers: c.Answers, Bad: c.Bad,
-			LogLatencySum: c.LogLatencySum, Latencies: c.Latencies,
+			LogLatencySum: c.LogLatencySum, LogLatencySquares: c.LogLatencySquares, Latencies: c.Latencies,
 		})
 	}
 	data, err := proto.Marshal(m)
@@ -368,7 +422,8 @@
 	}
 	for _, c := range m.GetCounts() {
 		r.Counts[canary.CountKey{Route: c.GetRoute(), Trial: c.GetTrial()}] = canary.Count{
-			Answers: c.GetAnswers(), Bad: c.GetBad(), LogLatencySum: c.GetLogLatencySum(), Latencies: c.GetLatencies(),
+			Answers: c.GetAnswers(), Bad: c.GetBad(), LogLatencySum: c.GetLogLatencySum(), LogLatencySquares: c.GetLogLatencySquares(),
+			Latencies: c.GetLatencies(),
 		}
 	}
 	i.mu.Lock()
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -162,6 +162,13 @@
 	var decision balance.Decision
 	var ok bool
 	g.withRand(func(rng *rand.Rand) { decision, ok = g.Engines.Choose(engines.Plan, r, now, rng) })
+	if !ok && t.trial && t.runs == 0 {
+		// The new version runs on a few engines; none of them takes it now.
+		t.trial = false
+		t.group = Group(t.service, false)
+		r.Version = t.group
+		g.withRand(func(rng *rand.Rand) { decision, ok = g.Engines.Choose(engines.Plan, r, now, rng) })
+	}
 	if !ok && len(t.tried) > 0 && decision.Reason == balance.ReasonNoEngine && t.mayRepeat() {
 		r.Exclude = [balance.MaxExclude]string{}
 		g.withRand(func(rng *rand.Rand) { decision, ok = g.Engines.Choose(engines.Plan, r, now, rng) })
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -100,11 +100,16 @@
 	return nil
 }
 
+// paceSuffix keeps the pace of a route's streams apart from the time to their
+// first event.
+const paceSuffix = " pace"
+
 // streamEnded tells of a stream that came to its proper end.
 func (g *Gateway) streamEnded(t *task, to *target, got int, firstAt time.Time) {
 	pace := time.Duration(0)
 	if got > 1 {
 		pace = time.Since(firstAt) / time.Duration(got-1)
+		g.Introductions.Observe(t.service, t.route.Name+paceSuffix, t.trial, false, pace)
 	}
 	g.Engines.Finished(g.finished(t, to, pace))
 }
