--- a/canary/canary.go
+++ b/canary/canary.go
@@ -49,20 +49,24 @@
 	stepsPart = 0.45
 )
 
-// loadFactor is how much more than an engine of the version before each engine of
-// the new one gets: some versions are bad under load only, and a share that is
-// spread over all new engines would not load any.
-const loadFactor = 1.2
+// Some versions are bad under load only, and a share that is spread over all new
+// engines would load none of them. In the first step each new engine gets
+// stressFactor times what one of the version before gets, later loadFactor times.
+const (
+	stressFactor = 2.7
+	loadFactor   = 1.3
+)
 
 // Evidence needed for a verdict.
 const (
 	// minBad is the number of bad answers below which no version is condemned. A
 	// few failures have causes of their own, such as one engine's.
 	minBad = 4
-	// badShare is the share of bad answers that condemns, beyond badFactor times
-	// the share of the version before.
-	badShare  = 0.10
-	badFactor = 2.0
+	// A version is condemned when its share of bad answers is above that of the
+	// version before by badMargin, and by badDeviations standard deviations of the
+	// difference.
+	badMargin     = 0.04
+	badDeviations = 3.0
 	// slowFactor is the ratio of latencies that condemns, minLatencies the number
 	// of measured answers it needs.
 	slowFactor   = 2.2
@@ -74,6 +78,9 @@
 	// usual time on its route and was slowDeviations beyond it.
 	slowAnswer     = 2.5
 	slowDeviations = 2.0
+	// After the trial each new engine has more load than those of the version
+	// before, and it takes slowLoaded times the usual time.
+	slowLoaded = 4.0
 )
 
 // Order asks for one introduction.
@@ -156,6 +163,9 @@
 	others map[string]Report
 	// usual is what the fleet saw of the version before, by route.
 	usual map[string]Count
+	// grown tells that the trial is over. From then on the load differs from that of
+	// the version before.
+	grown bool
 	// condemned is the reason of a verdict against the version, "" for none.
 	condemned string
 }
@@ -261,8 +271,11 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	share, moving := i.moving(now.Sub(i.since))
-	if !moving {
-		share = i.options.TrialShare
+	switch {
+	case !moving:
+		return max(int(i.options.TrialShare*float64(before)/loadFactor), 1)
+	case share == steps[0]:
+		return max(int(share*float64(before)/stressFactor), 1)
 	}
 	return max(int(math.Ceil(share*float64(before)/loadFactor)), 1)
 }
@@ -313,7 +326,11 @@
 		return false
 	}
 	mean, deviation := usual.spread()
-	return value > mean+max(math.Log(slowAnswer), slowDeviations*deviation)
+	times := slowAnswer
+	if i.grown {
+		times = slowLoaded
+	}
+	return value > mean+max(math.Log(times), slowDeviations*deviation)
 }
 
 // Report returns what this daemon tells the others.
@@ -370,7 +387,10 @@
 		v.Base.add(c)
 		i.usual[key.Route] = c
 	}
-	v.Slowdown = slowdown(sums)
+	_, i.grown = i.moving(v.Age)
+	if !i.grown {
+		v.Slowdown = slowdown(sums)
+	}
 	if i.condemned == "" {
 		i.condemned = condemn(sums, v)
 	}
@@ -423,11 +443,15 @@
 	if trial.Bad < minBad {
 		return false
 	}
-	usual := 0.0
-	if base.Answers > 0 {
-		usual = float64(base.Bad) / float64(base.Answers)
+	n, m := float64(trial.Answers), float64(base.Answers)
+	bad, usual := float64(trial.Bad)/n, 0.0
+	if base.Answers == 0 {
+		return bad > max(badMargin, badDeviations*math.Sqrt(bad*(1-bad)/n))
 	}
-	return float64(trial.Bad)/float64(trial.Answers) > badShare+badFactor*usual
+	usual = float64(base.Bad) / m
+	both := float64(trial.Bad+base.Bad) / (n + m)
+	deviation := math.Sqrt(both * (1 - both) * (1/n + 1/m))
+	return bad-usual > max(badMargin, badDeviations*deviation)
 }
 
 // slowdown returns how much slower the new version is: the mean ratio of
