--- a/follow/pull.go
+++ b/follow/pull.go
@@ -22,7 +22,7 @@
 		if f.Peers.Watching() && f.behind() {
 			_ = backoff.Sleep(ctx, newsPatience) // The own watch may bring it.
 		}
-		if f.behind() || !f.Peers.Watching() {
+		if f.behind() || f.snapshot.Load() != nil && !f.Peers.Watching() {
 			f.pull(ctx)
 			_ = backoff.Sleep(ctx, pullPause) // The loop ends with ctx.
 		}
@@ -34,10 +34,12 @@
 	}
 }
 
-// behind tells whether other daemons may have more than the copy.
+// behind tells whether other daemons may have more than the copy. A daemon that
+// starts reads the store first: when a whole fleet starts, a few daemons could not
+// give all others their copies.
 func (f *Follower) behind() bool {
 	s := f.snapshot.Load()
-	return s == nil || f.Failing() || f.newest.Load() > s.Revision
+	return f.Failing() || s != nil && f.newest.Load() > s.Revision
 }
 
 // pull asks another daemon once.
