--- a/daemon.go
+++ b/daemon.go
@@ -8,8 +8,6 @@
 
 import (
 	"context"
-	cryptorand "crypto/rand"
-	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
@@ -21,6 +19,7 @@
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/logging"
 	"github.com/bronzeturn/bronzeturn/orders"
+	"github.com/bronzeturn/bronzeturn/process"
 	"github.com/bronzeturn/bronzeturn/router"
 	"github.com/bronzeturn/bronzeturn/security"
 )
@@ -145,13 +144,7 @@
 
 // goLoop runs a loop under the tomb. Its context ends with the daemon.
 func (d *Daemon) goLoop(name string, f func(ctx context.Context) error) {
-	ctx := d.tomb.Context(context.Background())
-	d.tomb.Go(func() error {
-		if err := f(ctx); err != nil {
-			return fmt.Errorf("%s: %w", name, err)
-		}
-		return nil
-	})
+	process.Go(&d.tomb, name, f)
 }
 
 // rand returns a random source for one part.
@@ -172,13 +165,6 @@
 	randRouter
 )
 
-// randomSeed returns a seed that differs between processes.
-func randomSeed() uint64 {
-	var data [8]byte
-	_, _ = cryptorand.Read(data[:]) // Read never fails.
-	return binary.LittleEndian.Uint64(data[:])
-}
-
 // Bounds of a stop.
 const (
 	// announceTime lets the news of leaving reach the other daemons before new
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -8,8 +8,6 @@
 
 import (
 	"context"
-	cryptorand "crypto/rand"
-	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -30,6 +28,7 @@
 	"github.com/bronzeturn/bronzeturn/gateway"
 	"github.com/bronzeturn/bronzeturn/inventory"
 	"github.com/bronzeturn/bronzeturn/logging"
+	"github.com/bronzeturn/bronzeturn/process"
 	"github.com/bronzeturn/bronzeturn/route"
 )
 
@@ -116,7 +115,7 @@
 
 // New provisions a daemon and opens its listeners. Nothing is served before Run.
 func New(o Options) (*Daemon, error) {
-	d := &Daemon{Options: o, registry: prometheus.NewRegistry(), seed: randomSeed(), started: time.Now(), loads: newLoads()}
+	d := &Daemon{Options: o, registry: prometheus.NewRegistry(), seed: process.Seed(), started: time.Now(), loads: newLoads()}
 	d.current.Store(&o.Settings)
 	d.log = logging.Plain(o.LogWriter, o.Settings.Name)
 	if o.Settings.MemoryBytes > 0 {
@@ -180,13 +179,6 @@
 	randPeers
 )
 
-// randomSeed returns a seed that differs between processes.
-func randomSeed() uint64 {
-	var data [8]byte
-	_, _ = cryptorand.Read(data[:]) // Read never fails.
-	return binary.LittleEndian.Uint64(data[:])
-}
-
 // Run serves until ctx ends, then stops gracefully. It may be called once.
 func (d *Daemon) Run(ctx context.Context) error {
 	s := &d.Settings
@@ -207,13 +199,7 @@
 
 // goLoop runs a loop under the tomb. Its context ends with the daemon.
 func (d *Daemon) goLoop(name string, f func(ctx context.Context) error) {
-	ctx := d.tomb.Context(context.Background())
-	d.tomb.Go(func() error {
-		if err := f(ctx); err != nil {
-			return fmt.Errorf("%s: %w", name, err)
-		}
-		return nil
-	})
+	process.Go(&d.tomb, name, f)
 }
 
 // Parts of the grace of a stop.
--- a/entry/introductions.go
+++ b/entry/introductions.go
@@ -2,18 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/bronzeturn/bronzeturn/backoff"
 	"github.com/bronzeturn/bronzeturn/canary"
 	"github.com/bronzeturn/bronzeturn/follow"
 	"github.com/bronzeturn/bronzeturn/gateway"
-	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/inventory"
 	"github.com/bronzeturn/bronzeturn/rendezvous"
 )
@@ -31,8 +27,6 @@
 	// quarantine is how long engines of a version that was never seen wait for an
 	// order that explains them.
 	quarantine = 5 * time.Second
-	// canaryPrefix begins the table keys of reports.
-	canaryPrefix = "canary/"
 )
 
 // introductions keep the version that each service's sessions run on.
@@ -228,7 +222,7 @@
 }
 
 // Choose implements gateway.Introductions.
-func (i *introductions) Choose(service string, session uint64, now time.Time) (trial, introducing bool) {
+func (i *introductions) Choose(service string, session uint64, now time.Time) (trial bool) {
 	i.mu.Lock()
 	known := i.byService[service]
 	running := known != nil && known.State() < canary.Done
@@ -237,9 +231,9 @@
 	}
 	i.mu.Unlock()
 	if !running {
-		return false, false
+		return false
 	}
-	return known.Choose(session, now), true
+	return known.Choose(session, now)
 }
 
 // maxRecent bounds the sessions remembered for each service.
@@ -367,69 +361,3 @@
 	}
 	line.Str("service", service).Stringer("state", state).Uint64("revision", revision).Msg("state of an introduction written")
 }
-
-// reportInterval is the time between two reports of a daemon.
-const reportInterval = 300 * time.Millisecond
-
-// report tells the other daemons what this one has seen.
-func (i *introductions) report(service string, known *introduction, now time.Time) {
-	if now.Sub(known.reported) < reportInterval {
-		return
-	}
-	known.reported = now
-	known.version++
-	key := canaryPrefix + service + "/" + i.daemon.Settings.Name
-	i.daemon.fleet.publish(key, known.version, encodeReport(known.Report(now)))
-}
-
-// maxReportSessions bounds the sessions in a report.
-const maxReportSessions = 1024
-
-// encodeReport writes a report for the table.
-func encodeReport(r canary.Report) []byte {
-	m := &bronzeturnv1.CanaryReport{Target: r.Target, Order: r.Order, AgeMs: uint64(max(r.Age.Milliseconds(), 0))}
-	m.HeldSessions = r.Held[:min(len(r.Held), maxReportSessions)]
-	for key, c := range r.Counts {
-		m.Counts = append(m.Counts, &bronzeturnv1.CanaryCount{
-			Route: key.Route, Trial: key.Trial, Answers: c.Answers, Bad: c.Bad,
-			LogLatencySum: c.LogLatencySum, LogLatencySquares: c.LogLatencySquares, Latencies: c.Latencies,
-		})
-	}
-	data, err := proto.Marshal(m)
-	if err != nil {
-		return nil // Only a message of a wrong type can't be encoded.
-	}
-	return data
-}
-
-// errShortKey reports a table key without a daemon's name.
-var errShortKey = errors.New("key names no daemon")
-
-// heard takes in the report of another daemon.
-func (i *introductions) heard(key string, _ uint64, value []byte) {
-	service, daemon, err := splitCanaryKey(key)
-	if err != nil || daemon == i.daemon.Settings.Name || len(value) == 0 {
-		return
-	}
-	var m bronzeturnv1.CanaryReport
-	if err := proto.Unmarshal(value, &m); err != nil {
-		i.daemon.log.Warn().Err(err).Str("key", key).Msg("report of a daemon not read")
-		return
-	}
-	r := canary.Report{
-		Order: m.GetOrder(), Target: m.GetTarget(), Age: time.Duration(m.GetAgeMs()) * time.Millisecond,
-		Counts: make(map[canary.CountKey]canary.Count), Held: m.GetHeldSessions(),
-	}
-	for _, c := range m.GetCounts() {
-		r.Counts[canary.CountKey{Route: c.GetRoute(), Trial: c.GetTrial()}] = canary.Count{
-			Answers: c.GetAnswers(), Bad: c.GetBad(), LogLatencySum: c.GetLogLatencySum(), LogLatencySquares: c.GetLogLatencySquares(),
-			Latencies: c.GetLatencies(),
-		}
-	}
-	i.mu.Lock()
-	known := i.byService[service]
-	i.mu.Unlock()
-	if known != nil {
-		known.Heard(daemon, r, time.Now())
-	}
-}
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -7,7 +7,6 @@
 	"log"
 	"net"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/uptrace/bunrouter"
@@ -184,12 +183,3 @@
 		_ = one.listener.Close() // Closed already when it was served.
 	}
 }
-
-// splitCanaryKey returns the service and the daemon of a report's key.
-func splitCanaryKey(key string) (service, daemon string, err error) {
-	service, daemon, ok := strings.Cut(strings.TrimPrefix(key, canaryPrefix), "/")
-	if !ok {
-		return "", "", errShortKey
-	}
-	return service, daemon, nil
-}
--- a/gateway/escalate.go
+++ b/gateway/escalate.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/balance"
 )
 
+// minEscalation is the least time left for which a larger model is asked.
+const minEscalation = 500 * time.Millisecond
+
 // escalates tells whether a larger model should answer instead, and picks it.
 // The caller must not have any of the answer, and the attempts must leave one
 // for the larger model.
@@ -41,9 +43,7 @@
 	t.model = small
 	r.NoProbe = true
 	r.Exclude = [balance.MaxExclude]string{}
-	var decision balance.Decision
-	var ok bool
-	g.withRand(func(rng *rand.Rand) { decision, ok = g.Engines.Choose(engines.Plan, r, time.Now(), rng) })
+	decision, ok := g.ask(engines, r, time.Now())
 	if !ok {
 		return 1
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,9 +39,8 @@
 
 // Introductions tells which version of a service a session runs on.
 type Introductions interface {
-	// Choose returns whether the request goes to the version being introduced,
-	// and whether there is such a version at all.
-	Choose(service string, session uint64, now time.Time) (trial, introducing bool)
+	// Choose returns whether the request goes to the version being introduced.
+	Choose(service string, session uint64, now time.Time) (trial bool)
 	// Observe takes in one answer.
 	Observe(service, route string, trial, bad bool, latency time.Duration)
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -12,7 +12,6 @@
 	"github.com/bronzeturn/bronzeturn/backoff"
 	"github.com/bronzeturn/bronzeturn/balance"
 	"github.com/bronzeturn/bronzeturn/failure"
-	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/inventory"
 	"github.com/bronzeturn/bronzeturn/retry"
 	"github.com/bronzeturn/bronzeturn/route"
@@ -29,11 +28,6 @@
 	minAttempt = 10 * time.Millisecond
 	// busyRetry is the advice when no engine takes a request now.
 	busyRetry = 400 * time.Millisecond
-	// minEscalation is the least time left for which a larger model is asked.
-	minEscalation = 500 * time.Millisecond
-	// plainWork is the work of a request to a plain service. It is worth about
-	// 15 ms of one of its slots.
-	plainWork = 30
 	// emptyWait is how long a request waits for an engine to come back when a
 	// service has none, and emptyPoll the time between two looks.
 	emptyWait = 40 * time.Millisecond
@@ -47,9 +41,9 @@
 	// model is the size it runs on, "" when the caller named one.
 	model string
 	// group of engines, and whether it is the version being introduced.
-	group              string
-	trial, introducing bool
-	tried              []string
+	group string
+	trial bool
+	tried []string
 	// homes is how many engines read the request's prefix.
 	homes int
 	// runs counts the sends after which the request may have run.
@@ -150,28 +144,18 @@
 	if engines == nil {
 		return nil, balance.Decision{Reason: balance.ReasonNotServed}, false
 	}
-	if t.runs == 0 {
-		t.trial, t.introducing = g.Introductions.Choose(t.service, t.session, now)
-	}
-	t.group = Group(t.service, t.trial)
-	if t.trial && engines.Plan.Serving(t.group) == 0 {
-		t.trial = false
-		t.group = Group(t.service, false)
-	}
+	g.chooseGroup(t, engines, now)
 	r := t.balanceRequest(g.DataCentre, engines, g.Models)
-	var decision balance.Decision
-	var ok bool
-	g.withRand(func(rng *rand.Rand) { decision, ok = g.Engines.Choose(engines.Plan, r, now, rng) })
+	decision, ok := g.ask(engines, r, now)
 	if !ok && t.trial && t.runs == 0 {
 		// The new version runs on a few engines; none of them takes it now.
-		t.trial = false
-		t.group = Group(t.service, false)
+		t.leaveTrial()
 		r.Version = t.group
-		g.withRand(func(rng *rand.Rand) { decision, ok = g.Engines.Choose(engines.Plan, r, now, rng) })
+		decision, ok = g.ask(engines, r, now)
 	}
 	if !ok && len(t.tried) > 0 && decision.Reason == balance.ReasonNoEngine && t.mayRepeat() {
 		r.Exclude = [balance.MaxExclude]string{}
-		g.withRand(func(rng *rand.Rand) { decision, ok = g.Engines.Choose(engines.Plan, r, now, rng) })
+		decision, ok = g.ask(engines, r, now)
 	}
 	if !ok {
 		return nil, decision, false
@@ -185,6 +169,30 @@
 	return &target{engine: engine, work: r.Work, expected: decision.ExpectedFirstToken}, decision, true
 }
 
+// chooseGroup settles which version the request runs on, once nothing has run of
+// it yet.
+func (g *Gateway) chooseGroup(t *task, engines *Engines, now time.Time) {
+	if t.runs == 0 {
+		t.trial = g.Introductions.Choose(t.service, t.session, now)
+	}
+	t.group = Group(t.service, t.trial)
+	if t.trial && engines.Plan.Serving(t.group) == 0 {
+		t.leaveTrial()
+	}
+}
+
+// leaveTrial keeps the request on the version before.
+func (t *task) leaveTrial() {
+	t.trial = false
+	t.group = Group(t.service, false)
+}
+
+// ask asks the balancer for an engine.
+func (g *Gateway) ask(engines *Engines, r *balance.Request, now time.Time) (decision balance.Decision, ok bool) {
+	g.withRand(func(rng *rand.Rand) { decision, ok = g.Engines.Choose(engines.Plan, r, now, rng) })
+	return decision, ok
+}
+
 // mayRepeat tells whether an engine that was tried may be tried again: only
 // when nothing can have run twice by it.
 func (t *task) mayRepeat() bool { return t.ran == failure.RanNo || t.route.Repeatable() }
@@ -203,33 +211,6 @@
 	return r
 }
 
-// countHomes returns how many engines should read the request's prefix.
-func (g *Gateway) countHomes(t *task) int {
-	if t.prefix == "" {
-		return 0
-	}
-	w := t.work(g.Models)
-	seconds := (PromptPart*float64(w.PromptTokens) + float64(w.ExpectedTokens)) / engineRate
-	return g.heats.add(t.prefixHash, seconds, g.Daemons(), time.Now())
-}
-
-// work estimates the size of the request, in the tokens of the largest model.
-func (t *task) work(models *ModelChoice) balance.Work {
-	if !t.ranked {
-		return balance.Work{Priority: bronzeturnv1.Priority_PRIORITY_NORMAL, ExpectedTokens: plainWork}
-	}
-	expected := t.meta.LikelyTokens
-	if expected == 0 {
-		expected = t.meta.MaxTokens / 2
-	}
-	weight := models.Weight(t.backend, t.model)
-	scale := func(tokens int) int64 { return int64(weight * float64(tokens)) }
-	return balance.Work{
-		Priority:     bronzeturnv1.Priority_PRIORITY_NORMAL,
-		PromptTokens: scale(t.meta.PromptTokens), ExpectedTokens: scale(expected), PrefixTokens: scale(t.prefixTokens),
-	}
-}
-
 // ended tells why no further attempt makes sense, nil while one does.
 func (g *Gateway) ended(ctx context.Context, t *task) *failure.Error {
 	switch {
--- /dev/null
+++ b/gateway/work.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/balance"
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+)
+
+// plainWork is the work of a request to a plain service. It is worth about 15 ms
+// of one of its slots.
+const plainWork = 30
+
+// countHomes returns how many engines should read the request's prefix.
+func (g *Gateway) countHomes(t *task) int {
+	if t.prefix == "" {
+		return 0
+	}
+	w := t.work(g.Models)
+	seconds := (PromptPart*float64(w.PromptTokens) + float64(w.ExpectedTokens)) / engineRate
+	return g.heats.add(t.prefixHash, seconds, g.Daemons(), time.Now())
+}
+
+// work estimates the size of the request, in the tokens of the largest model.
+func (t *task) work(models *ModelChoice) balance.Work {
+	if !t.ranked {
+		return balance.Work{Priority: bronzeturnv1.Priority_PRIORITY_NORMAL, ExpectedTokens: plainWork}
+	}
+	expected := t.meta.LikelyTokens
+	if expected == 0 {
+		expected = t.meta.MaxTokens / 2
+	}
+	weight := models.Weight(t.backend, t.model)
+	scale := func(tokens int) int64 { return int64(weight * float64(tokens)) }
+	return balance.Work{
+		Priority:     bronzeturnv1.Priority_PRIORITY_NORMAL,
+		PromptTokens: scale(t.meta.PromptTokens), ExpectedTokens: scale(expected), PrefixTokens: scale(t.prefixTokens),
+	}
+}
--- a/options.go
+++ b/options.go
@@ -7,6 +7,8 @@
 	"os"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bronzeturn/bronzeturn/process"
 )
 
 // Options replace what a daemon takes from its process: the network, the
@@ -42,7 +44,7 @@
 		o.Dial = dialer.DialContext
 	}
 	if o.Seed == 0 {
-		o.Seed = randomSeed()
+		o.Seed = process.Seed()
 	}
 	return o
 }
