--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,121 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/bronzeturn/bronzeturn/canary"
+	"github.com/bronzeturn/bronzeturn/gateway"
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/inventory"
+)
+
+// newTestIntroductions has a view of the given engines.
+func newTestIntroductions(engines ...inventory.Engine) *introductions {
+	d := &Daemon{log: zerolog.Nop()}
+	d.Settings.Introductions = canary.DefaultOptions()
+	d.introductions = newIntroductions(d)
+	d.engines = inventory.New(func(_, now *inventory.View) { d.introductions.sawEngines(now) })
+	d.engines.Replace(engines, false, time.Now())
+	return d.introductions
+}
+
+func engineOf(id, version string) inventory.Engine {
+	return inventory.Engine{ID: id, Service: "s", Version: version}
+}
+
+var order = canary.Order{Service: "s", Target: "v2", ID: 7, Duration: 20 * time.Second}
+
+func TestEngineOfAnUnknownVersionWaitsForItsOrder(t *testing.T) {
+	c := qt.New(t)
+	old, fresh := engineOf("a", "v1"), engineOf("b", "v2")
+	i := newTestIntroductions(old)
+	i.daemon.engines.Replace([]inventory.Engine{old, fresh}, false, time.Now())
+	base, trial := []string{gateway.Group("s", false)}, []string{gateway.Group("s", true)}
+	c.Check(i.assign(old), qt.DeepEquals, base)
+	c.Check(i.assign(fresh), qt.HasLen, 0)
+	i.ordered(order, canary.Running, 8)
+	c.Check(i.assign(old), qt.DeepEquals, base)
+	c.Check(i.assign(fresh), qt.DeepEquals, trial)
+	i.ordered(order, canary.Done, 9)
+	c.Check(i.assign(old), qt.HasLen, 0)
+	c.Check(i.assign(fresh), qt.DeepEquals, base)
+}
+
+func TestVersionTakenBackGetsNothing(t *testing.T) {
+	c := qt.New(t)
+	old, fresh := engineOf("a", "v1"), engineOf("b", "v2")
+	i := newTestIntroductions(old, fresh)
+	i.ordered(order, canary.RolledBack, 8)
+	c.Check(i.assign(old), qt.DeepEquals, []string{gateway.Group("s", false)})
+	c.Check(i.assign(fresh), qt.HasLen, 0)
+	c.Check(i.Choose("s", 1, time.Now()), qt.IsFalse)
+}
+
+func TestNewVersionBeginsOnOneEngine(t *testing.T) {
+	c := qt.New(t)
+	var engines []inventory.Engine
+	for _, id := range []string{"a", "b", "c"} {
+		engines = append(engines, engineOf(id, "v1"), engineOf("new-"+id, "v2"))
+	}
+	i := newTestIntroductions(engines...)
+	i.ordered(order, canary.Running, 8)
+	trial := 0
+	for _, e := range engines {
+		if groups := i.assign(e); len(groups) == 1 && groups[0] == gateway.Group("s", true) {
+			trial++
+		}
+	}
+	c.Check(trial, qt.Equals, 1)
+}
+
+func TestSessionsBeforeAnOrderAreHeld(t *testing.T) {
+	c := qt.New(t)
+	i := newTestIntroductions(engineOf("a", "v1"))
+	session := uint64(0)
+	for !i.daemon.Settings.Introductions.Trialled(session) {
+		session++
+	}
+	i.Choose("s", session, time.Now())
+	i.ordered(order, canary.Running, 8)
+	c.Check(i.byService["s"].Choose(session, time.Now().Add(4*time.Second)), qt.IsFalse)
+}
+
+func TestReportsSurviveTheirEncoding(t *testing.T) {
+	c := qt.New(t)
+	i, other := newTestIntroductions(engineOf("a", "v1")), newTestIntroductions(engineOf("a", "v1"))
+	i.daemon.Settings.Name, other.daemon.Settings.Name = "one", "two"
+	i.ordered(order, canary.Running, 8)
+	other.ordered(order, canary.Running, 8)
+	for range 20 {
+		other.Observe("s", "r", true, true, 0)
+	}
+	i.heard(canaryPrefix+"s/two", 1, encodeReport(other.byService["s"].Report(time.Now())))
+	i.heard(canaryPrefix+"s/two", 2, []byte{0xff})
+	i.heard(canaryPrefix+"nothing", 3, nil)
+	c.Check(i.byService["s"].Review(time.Now()).State, qt.Equals, canary.RolledBack)
+}
+
+func TestDelaysFade(t *testing.T) {
+	c := qt.New(t)
+	l := newLoads()
+	now := time.Now()
+	c.Check(l.delayed(1, time.Second, now), qt.IsTrue)
+	c.Check(l.delayed(1, 900*time.Millisecond, now.Add(delayPause/2)), qt.IsFalse)
+	c.Check(l.delayed(1, 3*time.Second, now.Add(delayPause/2)), qt.IsTrue)
+	c.Check(l.delays[1].left(now.Add(delayPause/2)), qt.Equals, 3*time.Second)
+	c.Check(l.delays[1].left(now.Add(delayPause/2+delayTTL/2)), qt.Equals, 1500*time.Millisecond)
+	c.Check(l.delays[1].left(now.Add(3*delayTTL)), qt.Equals, time.Duration(0))
+}
+
+func TestWorkOfDaemonsAddsUp(t *testing.T) {
+	c := qt.New(t)
+	sums := make(map[uint32]work)
+	for range 2 {
+		addLoad(sums, &bronzeturnv1.LoadSummary{Engines: []*bronzeturnv1.EngineLoad{{Engine: 5, Requests: 2, Tokens: 30}}})
+	}
+	c.Check(sums[5], qt.Equals, work{requests: 4, tokens: 60})
+}
