--- a/gateway/send.go
+++ b/gateway/send.go
@@ -23,13 +23,13 @@
 	x, err := attempt.Send(ctx, g.Transport, g.attemptRequest(t, to))
 	if err != nil {
 		failed := sendError(err)
-		g.failed(t, to, failed)
+		g.failed(ctx, t, to, failed)
 		return failed
 	}
 	defer func() { _ = x.Close() }() // Nothing is left to read that matters.
 	failed := g.deliver(ctx, t, to, x)
 	if failed != nil {
-		g.failed(t, to, failed)
+		g.failed(ctx, t, to, failed)
 	}
 	return failed
 }
@@ -111,10 +111,18 @@
 	return failed
 }
 
+// silentUntilDeadline tells whether a request ended at its deadline because the
+// engine had not begun to answer, though it had the time that the route aims at.
+// A caller that left tells nothing of the engine.
+func silentUntilDeadline(ctx context.Context, t *task, to *target) bool {
+	return errors.Is(context.Cause(ctx), errDeadline) && !to.firstSeen && time.Since(to.sent) >= max(t.route.Target, minAttempt)
+}
+
 // failed tells balancer and introduction of an attempt that failed.
-func (g *Gateway) failed(t *task, to *target, e *attemptError) {
+func (g *Gateway) failed(ctx context.Context, t *task, to *target, e *attemptError) {
 	now := time.Now()
-	if e.Kind == retry.KindCancelled || e.Kind == retry.KindDoubted {
+	silent := e.Kind == retry.KindCancelled && silentUntilDeadline(ctx, t, to)
+	if !silent && (e.Kind == retry.KindCancelled || e.Kind == retry.KindDoubted) {
 		g.Engines.Finished(balance.Finished{Engine: to.engine.ID, Work: to.work, FirstTokenSeen: to.firstSeen, Cancelled: true, At: now})
 		return
 	}
@@ -133,4 +141,6 @@
 	retry.KindConnect: balance.FailureUnreachable,
 	retry.KindRefused: balance.FailureBusy,
 	retry.KindSilent:  balance.FailureSilent,
+	// Cancelled attempts come here only when the engine was silent to the end.
+	retry.KindCancelled: balance.FailureSilent,
 }
