--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -346,6 +346,20 @@
 	})
 }
 
+func TestOlderStatesAreIgnored(t *testing.T) {
+	c := qt.New(t)
+	applied := 0
+	f := New(Options{Announce: func(uint64) {}, Apply: func(Update) { applied++ }, Log: zerolog.Nop()})
+	state := func(revision uint64) *Snapshot {
+		return &Snapshot{Revision: revision, Items: map[string]Item{"a": {Name: "a", Revision: revision}}}
+	}
+	f.take(state(5), false, false)
+	f.take(state(4), true, false)
+	f.change(&Changes{Revision: 3, Removed: []string{"a"}}, true, false)
+	c.Check(f.Snapshot().Items["a"].Revision, qt.Equals, uint64(5))
+	c.Check(applied, qt.Equals, 1)
+}
+
 func TestChangesJustAfterAnOutageAreMarked(t *testing.T) {
 	run(t, func(c *qt.C, ctx context.Context) {
 		s := newStore()
