--- a/canary/canary.go
+++ b/canary/canary.go
@@ -50,11 +50,14 @@
 )
 
 // Some versions are bad under load only, and a share that is spread over all new
-// engines would load none of them. In the first step each new engine gets
-// stressFactor times what one of the version before gets, later loadFactor times.
+// engines would load none of them. So each new engine gets up to loadFactor times
+// what one of the version before gets, and stressFactor times in the first step
+// after the trial, but no more than would fill fullSlots of its slots: beyond that
+// the callers would pay for the test.
 const (
-	stressFactor = 2.7
 	loadFactor   = 1.3
+	stressFactor = 2.7
+	fullSlots    = 0.85
 )
 
 // Evidence needed for a verdict.
@@ -266,18 +269,22 @@
 }
 
 // Width returns on how many engines the new version should run now, when the
-// version before runs on so many: as many as its share keeps busy.
-func (i *Introduction) Width(before int, now time.Time) int {
+// version before runs on so many and uses a part of their slots: as many as its
+// share keeps busy.
+func (i *Introduction) Width(before int, used float64, now time.Time) int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	share, moving := i.moving(now.Sub(i.since))
-	switch {
-	case !moving:
-		return max(int(i.options.TrialShare*float64(before)/loadFactor), 1)
-	case share == steps[0]:
-		return max(int(share*float64(before)/stressFactor), 1)
+	factor := loadFactor
+	if !moving {
+		share = i.options.TrialShare
+	} else if share == steps[0] {
+		factor = stressFactor
+	}
+	if used > 0 {
+		factor = max(min(factor, fullSlots/used), 1)
 	}
-	return max(int(math.Ceil(share*float64(before)/loadFactor)), 1)
+	return max(int(share*float64(before)/factor), 1)
 }
 
 // isHeld tells whether any daemon keeps the session on the version before. The
--- a/entry/introductions.go
+++ b/entry/introductions.go
@@ -166,13 +166,21 @@
 // not hold mu, which is taken after the lock of the engines.
 func (i *introductions) width(known *introduction, now time.Time) int {
 	order := known.Order()
-	before := 0
+	sums := i.daemon.fleetLoad()
+	before, slots, busy := 0, 0.0, 0.0
 	for _, e := range i.daemon.engines.View().Engines {
-		if e.Service == order.Service && e.Version != order.Target {
-			before++
+		if e.Service != order.Service || e.Version == order.Target {
+			continue
 		}
+		before++
+		slots += float64(max(e.Slots, 1))
+		busy += float64(sums[engineHash(e.ID)].requests)
+	}
+	used := 0.0
+	if slots > 0 {
+		used = busy / slots
 	}
-	return known.Width(before, now)
+	return known.Width(before, used, now)
 }
 
 // assign implements gateway.Assign.
--- a/entry/load.go
+++ b/entry/load.go
@@ -99,7 +99,7 @@
 			d.publishLoad(version, own)
 		}
 		empty = len(own.GetEngines()) == 0
-		d.reportLoad(own, others.sum())
+		d.reportLoad()
 	}
 }
 
@@ -167,6 +167,13 @@
 	return sums
 }
 
+// fleetLoad adds up the work of all daemons by engine.
+func (d *Daemon) fleetLoad() map[uint32]work {
+	sums := d.loads.sum()
+	addLoad(sums, d.ownLoad())
+	return sums
+}
+
 // addLoad adds one summary.
 func addLoad(sums map[uint32]work, m *bronzeturnv1.LoadSummary) {
 	for _, e := range m.GetEngines() {
@@ -176,8 +183,8 @@
 }
 
 // reportLoad tells the balancer of the work of all daemons.
-func (d *Daemon) reportLoad(own *bronzeturnv1.LoadSummary, sums map[uint32]work) {
-	addLoad(sums, own)
+func (d *Daemon) reportLoad() {
+	sums := d.fleetLoad()
 	now := time.Now()
 	for _, engine := range d.engines.View().Engines {
 		w := sums[engineHash(engine.ID)]
