--- a/canary/canary.go
+++ b/canary/canary.go
@@ -66,10 +66,12 @@
 	// few failures have causes of their own, such as one engine's.
 	minBad = 4
 	// A version is condemned when its share of bad answers is above that of the
-	// version before by badMargin, and by badDeviations standard deviations of the
-	// difference.
-	badMargin     = 0.04
-	badDeviations = 3.0
+	// version before by badMargin, or of slow ones by slowMargin, and by deviations
+	// standard deviations of the difference. Slowness needs more, since the engines
+	// of the two versions do not have the same load.
+	badMargin  = 0.1
+	slowMargin = 0.2
+	deviations = 3.0
 	// slowFactor is the ratio of latencies that condemns, minLatencies the number
 	// of measured answers it needs.
 	slowFactor   = 2.2
@@ -77,8 +79,8 @@
 	// slowFloor is added to latencies before they are compared, in milliseconds,
 	// so that short ones do not look like slowness.
 	slowFloor = 10.0
-	// An answer is slow, and counts as bad, when it took slowAnswer times the
-	// usual time on its route and was slowDeviations beyond it.
+	// An answer is slow when it took slowAnswer times the usual time on its route
+	// and was slowDeviations beyond it.
 	slowAnswer     = 2.5
 	slowDeviations = 2.0
 	// After the trial each new engine has more load than those of the version
@@ -114,8 +116,8 @@
 
 // Count is what was seen of one version on one route.
 type Count struct {
-	// Bad answers are failures, and those that took far longer than usual.
-	Answers, Bad uint64
+	// Bad answers are failures, Slow ones took far longer than usual.
+	Answers, Bad, Slow uint64
 	// LogLatencySum and LogLatencySquares are sums over the logarithms of the
 	// latencies, Latencies their number.
 	LogLatencySum, LogLatencySquares float64
@@ -132,6 +134,7 @@
 func (c *Count) add(o Count) {
 	c.Answers += o.Answers
 	c.Bad += o.Bad
+	c.Slow += o.Slow
 	c.LogLatencySum += o.LogLatencySum
 	c.LogLatencySquares += o.LogLatencySquares
 	c.Latencies += o.Latencies
@@ -270,15 +273,18 @@
 
 // Width returns on how many engines the new version should run now, when the
 // version before runs on so many and uses a part of their slots: as many as its
-// share keeps busy.
+// share keeps busy, and all once it has everything.
 func (i *Introduction) Width(before int, used float64, now time.Time) int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	share, moving := i.moving(now.Sub(i.since))
 	factor := loadFactor
-	if !moving {
+	switch {
+	case !moving:
 		share = i.options.TrialShare
-	} else if share == steps[0] {
+	case share >= 1:
+		return math.MaxInt
+	case share == steps[0]:
 		factor = stressFactor
 	}
 	if used > 0 {
@@ -315,8 +321,8 @@
 	}
 	if latency > 0 {
 		value := math.Log(latency.Seconds()*1000 + slowFloor)
-		if !bad && i.isSlow(route, value) {
-			c.Bad++
+		if i.isSlow(route, value) {
+			c.Slow++
 		}
 		c.LogLatencySum += value
 		c.LogLatencySquares += value * value
@@ -445,20 +451,24 @@
 	return ""
 }
 
-// fails compares the shares of bad answers.
+// fails compares the shares of bad answers, and of slow ones.
 func fails(trial, base Count) bool {
-	if trial.Bad < minBad {
+	return exceeds(trial.Bad, trial.Answers, base.Bad, base.Answers, badMargin) ||
+		exceeds(trial.Slow, trial.Answers, base.Slow, base.Answers, slowMargin)
+}
+
+// exceeds tells whether hits among n answers are more than usual among m.
+func exceeds(hits, n, usual, m uint64, margin float64) bool {
+	if hits < minBad {
 		return false
 	}
-	n, m := float64(trial.Answers), float64(base.Answers)
-	bad, usual := float64(trial.Bad)/n, 0.0
-	if base.Answers == 0 {
-		return bad > max(badMargin, badDeviations*math.Sqrt(bad*(1-bad)/n))
+	share := float64(hits) / float64(n)
+	if m == 0 {
+		return share > max(margin, deviations*math.Sqrt(share*(1-share)/float64(n)))
 	}
-	usual = float64(base.Bad) / m
-	both := float64(trial.Bad+base.Bad) / (n + m)
-	deviation := math.Sqrt(both * (1 - both) * (1/n + 1/m))
-	return bad-usual > max(badMargin, badDeviations*deviation)
+	both := float64(hits+usual) / float64(n+m)
+	deviation := math.Sqrt(both * (1 - both) * (1/float64(n) + 1/float64(m)))
+	return share-float64(usual)/float64(m) > max(margin, deviations*deviation)
 }
 
 // slowdown returns how much slower the new version is: the mean ratio of
--- a/entry/canaryreports.go
+++ b/entry/canaryreports.go
@@ -14,12 +14,17 @@
 // canaryPrefix begins the table keys of reports.
 const canaryPrefix = "canary/"
 
-// reportInterval is the time between two reports of a daemon.
-const reportInterval = 300 * time.Millisecond
+// reportInterval is the least time between two reports of a daemon, and
+// reportPerDaemon what each daemon of the fleet adds to it, so that reports pass
+// through the table as fast as they are made.
+const (
+	reportInterval  = 300 * time.Millisecond
+	reportPerDaemon = 20 * time.Millisecond
+)
 
 // report tells the other daemons what this one has seen.
 func (i *introductions) report(service string, known *introduction, now time.Time) {
-	if now.Sub(known.reported) < reportInterval {
+	if now.Sub(known.reported) < reportInterval+time.Duration(i.daemon.fleet.Live())*reportPerDaemon {
 		return
 	}
 	known.reported = now
@@ -37,7 +42,7 @@
 	m.HeldSessions = r.Held[:min(len(r.Held), maxReportSessions)]
 	for key, c := range r.Counts {
 		m.Counts = append(m.Counts, &bronzeturnv1.CanaryCount{
-			Route: key.Route, Trial: key.Trial, Answers: c.Answers, Bad: c.Bad,
+			Route: key.Route, Trial: key.Trial, Answers: c.Answers, Bad: c.Bad, Slow: c.Slow,
 			LogLatencySum: c.LogLatencySum, LogLatencySquares: c.LogLatencySquares, Latencies: c.Latencies,
 		})
 	}
@@ -68,7 +73,7 @@
 	}
 	for _, c := range m.GetCounts() {
 		r.Counts[canary.CountKey{Route: c.GetRoute(), Trial: c.GetTrial()}] = canary.Count{
-			Answers: c.GetAnswers(), Bad: c.GetBad(), LogLatencySum: c.GetLogLatencySum(), LogLatencySquares: c.GetLogLatencySquares(),
+			Answers: c.GetAnswers(), Bad: c.GetBad(), Slow: c.GetSlow(), LogLatencySum: c.GetLogLatencySum(), LogLatencySquares: c.GetLogLatencySquares(),
 			Latencies: c.GetLatencies(),
 		}
 	}
--- a/entry/introductions.go
+++ b/entry/introductions.go
@@ -318,8 +318,8 @@
 	if verdict.State != known.wanted {
 		known.wanted, known.wantedSince = verdict.State, now
 		i.daemon.log.Info().Str("service", service).Str("target", known.Order().Target).Stringer("verdict", verdict.State).
-			Str("reason", verdict.Reason).Uint64("trial_answers", verdict.Trial.Answers).Uint64("trial_bad", verdict.Trial.Bad).
-			Uint64("base_answers", verdict.Base.Answers).Uint64("base_bad", verdict.Base.Bad).
+			Str("reason", verdict.Reason).Uint64("trial_answers", verdict.Trial.Answers).Uint64("trial_bad", verdict.Trial.Bad).Uint64("trial_slow", verdict.Trial.Slow).
+			Uint64("base_answers", verdict.Base.Answers).Uint64("base_bad", verdict.Base.Bad).Uint64("base_slow", verdict.Base.Slow).
 			Float64("slowdown", verdict.Slowdown).Dur("age_ms", verdict.Age).Msg("verdict on an introduction")
 	}
 	if now.Sub(known.wantedSince) < i.rankDelayOf(service) || now.Sub(known.tried) < writePause {
