--- a/entry/entry.go
+++ b/entry/entry.go
@@ -48,6 +48,9 @@
 	MemoryBytes int64
 	// StopGrace is the time from SIGTERM to the end of the process.
 	StopGrace time.Duration
+	// LapseGrace is how long an engine whose entry vanished with an outage of the
+	// store is still used.
+	LapseGrace time.Duration
 	// AddressTTL is how long callers may keep an answer about addresses.
 	AddressTTL    time.Duration
 	Budget        gateway.BudgetOptions
@@ -129,7 +132,7 @@
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
 	d.introductions = newIntroductions(d)
-	d.engines = inventory.New(d.enginesChanged)
+	d.engines = inventory.New(o.Settings.LapseGrace, d.enginesChanged)
 	d.copies = newCopies(d)
 	d.gateway = newGateway(d)
 	if d.servers, err = newServers(d); err != nil {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -18,7 +18,7 @@
 	d := &Daemon{log: zerolog.Nop()}
 	d.Settings.Introductions = canary.DefaultOptions()
 	d.introductions = newIntroductions(d)
-	d.engines = inventory.New(func(_, now *inventory.View) { d.introductions.sawEngines(now) })
+	d.engines = inventory.New(time.Second, func(_, now *inventory.View) { d.introductions.sawEngines(now) })
 	d.engines.Replace(engines, false, time.Now())
 	return d.introductions
 }
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -27,11 +27,6 @@
 	Draining bool
 }
 
-// lapseGrace is how long an engine whose entry vanished during an outage of the
-// store is still used after the store is back. Engines that live have
-// registered again by then.
-const lapseGrace = 2 * time.Second
-
 // View is an immutable list of the engines that may get new work.
 type View struct {
 	// Engines are in the order of their ids.
@@ -51,22 +46,30 @@
 	return v.Engines[i], true
 }
 
+// lapse is an engine whose entry vanished with an outage.
+type lapse struct {
+	engine Engine
+	until  time.Time
+}
+
 // Set follows the registrations. It is safe for concurrent use.
 type Set struct {
 	mu      sync.Mutex
 	listed  map[string]Engine
-	lapsed  map[string]Engine
-	forget  time.Time
+	lapsed  map[string]lapse
+	grace   time.Duration
 	view    *View
 	changed func(old, now *View)
 }
 
 // New returns an empty set that calls changed after every change, one call at a
-// time.
-func New(changed func(old, now *View)) *Set {
+// time. The grace is how long an engine whose entry vanished with an outage of
+// the store is still used: most that live have registered again by then, and one
+// that has really left must get no work much longer.
+func New(grace time.Duration, changed func(old, now *View)) *Set {
 	return &Set{
-		listed: make(map[string]Engine), lapsed: make(map[string]Engine),
-		view: &View{}, changed: changed,
+		listed: make(map[string]Engine), lapsed: make(map[string]lapse),
+		grace: grace, view: &View{}, changed: changed,
 	}
 }
 
@@ -91,8 +94,7 @@
 	if outage {
 		for id, e := range s.listed {
 			if _, still := next[id]; !still && !e.Draining {
-				s.lapsed[id] = e
-				s.forget = now.Add(lapseGrace)
+				s.lapsed[id] = lapse{engine: e, until: now.Add(s.grace)}
 			}
 		}
 	}
@@ -105,15 +107,17 @@
 func (s *Set) Expire(now time.Time) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.lapsed) == 0 {
-		return time.Time{}
-	}
-	if now.Before(s.forget) {
-		return s.forget
+	var next time.Time
+	for id, l := range s.lapsed {
+		switch {
+		case !now.Before(l.until):
+			delete(s.lapsed, id)
+		case next.IsZero() || l.until.Before(next):
+			next = l.until
+		}
 	}
-	clear(s.lapsed)
 	s.rebuild()
-	return time.Time{}
+	return next
 }
 
 // Forget drops one engine at once, because another one answered at its address.
@@ -128,13 +132,14 @@
 // rebuild makes the view anew and tells of a change. The caller holds mu.
 func (s *Set) rebuild() {
 	v := &View{byID: make(map[string]int)}
-	for _, from := range []map[string]Engine{s.listed, s.lapsed} {
-		for e := range maps.Values(from) {
-			if !e.Draining {
-				v.Engines = append(v.Engines, e)
-			}
+	for e := range maps.Values(s.listed) {
+		if !e.Draining {
+			v.Engines = append(v.Engines, e)
 		}
 	}
+	for l := range maps.Values(s.lapsed) {
+		v.Engines = append(v.Engines, l.engine)
+	}
 	slices.SortFunc(v.Engines, func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
 	if slices.Equal(v.Engines, s.view.Engines) {
 		return
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -17,7 +17,10 @@
 	return e
 }
 
-func newSet() *Set { return New(func(_, _ *View) {}) }
+// lapseGrace is that of the sets under test.
+const lapseGrace = 1200 * time.Millisecond
+
+func newSet() *Set { return New(lapseGrace, func(_, _ *View) {}) }
 
 func ids(s *Set) []string {
 	var all []string
@@ -66,10 +69,24 @@
 func TestForgottenEngineIsGoneAtOnce(t *testing.T) {
 	c := qt.New(t)
 	changes := 0
-	s := New(func(_, _ *View) { changes++ })
+	s := New(lapseGrace, func(_, _ *View) { changes++ })
 	s.Replace([]Engine{engine("a"), engine("b")}, false, start)
 	s.Forget("a")
 	s.Forget("a")
 	c.Check(ids(s), qt.DeepEquals, []string{"b"})
 	c.Check(changes, qt.Equals, 2)
 }
+
+// TestEnginesThatLapseLaterDoNotKeepEarlierOnes has engines vanish one after the
+// other just after an outage: each is dropped after its own grace.
+func TestEnginesThatLapseLaterDoNotKeepEarlierOnes(t *testing.T) {
+	c := qt.New(t)
+	s := newSet()
+	s.Replace([]Engine{engine("a"), engine("b"), engine("c")}, false, start)
+	s.Replace([]Engine{engine("b"), engine("c")}, true, start)
+	s.Replace([]Engine{engine("c")}, true, start.Add(lapseGrace/2))
+	s.Expire(start.Add(lapseGrace))
+	c.Check(ids(s), qt.DeepEquals, []string{"b", "c"})
+	s.Expire(start.Add(lapseGrace * 3 / 2))
+	c.Check(ids(s), qt.DeepEquals, []string{"c"})
+}
