--- a/gateway/run.go
+++ b/gateway/run.go
@@ -224,7 +224,7 @@
 }
 
 // deliver checks the head of an answer and passes the answer on.
-func (g *Gateway) deliver(ctx context.Context, t *task, to *target, x *attempt.Exchange) *attemptError {
+func (g *Gateway) deliver(t *task, to *target, x *attempt.Exchange) *attemptError {
 	receipt := g.Codec.Receipt(x.Status, x.Header)
 	switch {
 	case receipt.Instance != "" && receipt.Instance != to.engine.ID:
@@ -241,7 +241,7 @@
 	case g.escalates(t, receipt.Confidence):
 		return &attemptError{Kind: retry.KindDoubted, Ran: failure.RanYes, Cause: errDoubted}
 	case t.route.Kind == route.Stream:
-		return g.deliverStream(ctx, t, to, x)
+		return g.deliverStream(t, to, x)
 	default:
 		return g.deliverWhole(t, to, x)
 	}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -27,7 +27,7 @@
 		return failed
 	}
 	defer func() { _ = x.Close() }() // Nothing is left to read that matters.
-	failed := g.deliver(ctx, t, to, x)
+	failed := g.deliver(t, to, x)
 	if failed != nil {
 		g.failed(ctx, t, to, failed)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"io"
 	"time"
@@ -30,7 +29,7 @@
 // deliverStream passes events on as they come, whole ones only. The header goes
 // out with the first event, so that until then another engine can take over
 // unseen.
-func (g *Gateway) deliverStream(ctx context.Context, t *task, to *target, x *attempt.Exchange) *attemptError {
+func (g *Gateway) deliverStream(t *task, to *target, x *attempt.Exchange) *attemptError {
 	s := newEvents(x)
 	got := 0
 	var firstAt time.Time
@@ -38,7 +37,8 @@
 		e, err := s.next()
 		if errors.Is(err, io.EOF) {
 			g.streamEnded(t, to, got, firstAt)
-			return t.finishStream(x)
+			t.finishStream(x)
+			return nil
 		}
 		if err == nil {
 			err = follows(t.stream.lastID, e)
@@ -116,11 +116,10 @@
 
 // finishStream ends the answer properly. A stream without any event has its
 // header still to be sent.
-func (t *task) finishStream(x *attempt.Exchange) *attemptError {
+func (t *task) finishStream(x *attempt.Exchange) {
 	if !t.answer.begun() {
 		t.answer.begin(x.Status, x.Header)
 	}
-	return nil
 }
 
 // sawEvent notes the time of an event that the caller got.
--- a/route/route.go
+++ b/route/route.go
@@ -70,8 +70,6 @@
 	Anonymous bool
 	// Resumable streams may go on at another engine.
 	Resumable bool
-	// Prefixed requests name the parts of their prompt.
-	Prefixed bool
 	// Models are what the request may be run on, the smallest first. Empty means
 	// that the request itself names the model.
 	Models []string
