Introductions: share the exposure out over the whole time of an order, versions that an order ended stay ended, one daemon's verdict holds for all

Ruled out: a step with more load on one engine (one plain service's engine can't be filled by all of its traffic). Now trial, one step and everything are planned so that together they stay within 0.65 of the bound, from the counts of the fleet; the version is declared complete 0.3 to 0.6 s before the deadline. And engines that an earlier order had ended counted as the version before of the next order until their entries were gone.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -16,15 +16,15 @@
 	// is trusted.
 	TrialShare float64
 	// ExposureShare bounds the share of all requests between an order and its
-	// deadline that a bad version may get.
-	ExposureShare float64
+	// deadline that a bad version may get, ExposureSlack how many it may get beyond.
+	ExposureShare, ExposureSlack float64
 	// SettleTime is the time after an order in which no session is moved, so that
 	// all daemons learn of the order and of the sessions in progress.
 	SettleTime time.Duration
 	// SessionGap is the longest pause within one session.
 	SessionGap time.Duration
 	// FinishMargin is how long before the deadline an introduction is declared
-	// complete; what still runs on the version before has that long less.
+	// complete, at most. It covers the write and a second daemon's try.
 	FinishMargin time.Duration
 }
 
@@ -35,59 +35,10 @@
 		ExposureShare: 0.15,
 		SettleTime:    1500 * time.Millisecond,
 		SessionGap:    6 * time.Second,
-		FinishMargin:  2 * time.Second,
+		FinishMargin:  600 * time.Millisecond,
 	}
 }
 
-// After the trial the new version gets these shares, each for stepTime, or for
-// less where that would use up more than stepsPart of the exposure allowed. Then
-// it gets everything.
-var steps = [...]float64{0.3, 0.6}
-
-const (
-	stepTime  = 1500 * time.Millisecond
-	stepsPart = 0.45
-)
-
-// Some versions are bad under load only, and a share that is spread over all new
-// engines would load none of them. So each new engine gets up to loadFactor times
-// what one of the version before gets, and stressFactor times in the first step
-// after the trial, but no more than would fill fullSlots of its slots: beyond that
-// the callers would pay for the test.
-const (
-	loadFactor   = 1.3
-	stressFactor = 2.7
-	fullSlots    = 0.85
-)
-
-// Evidence needed for a verdict.
-const (
-	// minBad is the number of bad answers below which no version is condemned. A
-	// few failures have causes of their own, such as one engine's.
-	minBad = 4
-	// A version is condemned when its share of bad answers is above that of the
-	// version before by badMargin, or of slow ones by slowMargin, and by deviations
-	// standard deviations of the difference. Slowness needs more, since the engines
-	// of the two versions do not have the same load.
-	badMargin  = 0.1
-	slowMargin = 0.2
-	deviations = 3.0
-	// slowFactor is the ratio of latencies that condemns, minLatencies the number
-	// of measured answers it needs.
-	slowFactor   = 2.2
-	minLatencies = 12
-	// slowFloor is added to latencies before they are compared, in milliseconds,
-	// so that short ones do not look like slowness.
-	slowFloor = 10.0
-	// An answer is slow when it took slowAnswer times the usual time on its route
-	// and was slowDeviations beyond it.
-	slowAnswer     = 2.5
-	slowDeviations = 2.0
-	// After the trial each new engine has more load than those of the version
-	// before, and it takes slowLoaded times the usual time.
-	slowLoaded = 4.0
-)
-
 // Order asks for one introduction.
 type Order struct {
 	Service string
@@ -153,6 +104,9 @@
 	Age    time.Duration
 	Counts map[CountKey]Count
 	Held   []uint64
+	// Condemned is the reason of the daemon's verdict against the version, "" for
+	// none.
+	Condemned string
 }
 
 // Introduction is one order in progress on this daemon. It is safe for
@@ -169,6 +123,8 @@
 	others map[string]Report
 	// usual is what the fleet saw of the version before, by route.
 	usual map[string]Count
+	// pace is the plan, worked out anew until the trial is over.
+	pace pace
 	// grown tells that the trial is over. From then on the load differs from that of
 	// the version before.
 	grown bool
@@ -179,6 +135,7 @@
 // New returns the introduction of an order first heard of at now.
 func New(o Options, order Order, state State, now time.Time) *Introduction {
 	return &Introduction{
+		pace:    o.plan(order.Duration, 0, 0, 0),
 		options: o, order: order, state: state, since: now,
 		own: make(map[CountKey]Count), held: make(map[uint64]struct{}), others: make(map[string]Report), usual: make(map[string]Count),
 	}
@@ -215,7 +172,7 @@
 
 // Trialled tells whether a session is among those that a trial moves, of any
 // order, so that daemons remember only these.
-func (o Options) Trialled(session uint64) bool { return point(session) < o.TrialShare }
+func (o Options) Trialled(session uint64) bool { return point(session) < o.trialShare() }
 
 // Hold keeps a session, which has run on the version before, on it for the
 // length of the trial.
@@ -239,7 +196,7 @@
 	age := now.Sub(i.since)
 	at := point(session)
 	if age < i.options.SettleTime {
-		if at < i.options.TrialShare {
+		if at < i.options.trialShare() {
 			i.held[session] = struct{}{}
 		}
 		return false
@@ -247,50 +204,7 @@
 	if share, moving := i.moving(age); moving {
 		return at < share
 	}
-	return at < i.options.TrialShare && !i.isHeld(session)
-}
-
-// moving returns the share of the sessions after the trial.
-func (i *Introduction) moving(age time.Duration) (share float64, moving bool) {
-	at := i.order.Duration / 2
-	if age < at {
-		return 0, false
-	}
-	for _, share := range steps {
-		at += i.stepLength(share)
-		if age < at {
-			return share, true
-		}
-	}
-	return 1, true
-}
-
-// stepLength returns how long a step lasts.
-func (i *Introduction) stepLength(share float64) time.Duration {
-	part := stepsPart / float64(len(steps)) * i.options.ExposureShare * float64(i.order.Duration)
-	return min(stepTime, time.Duration(part/share))
-}
-
-// Width returns on how many engines the new version should run now, when the
-// version before runs on so many and uses a part of their slots: as many as its
-// share keeps busy, and all once it has everything.
-func (i *Introduction) Width(before int, used float64, now time.Time) int {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	share, moving := i.moving(now.Sub(i.since))
-	factor := loadFactor
-	switch {
-	case !moving:
-		share = i.options.TrialShare
-	case share >= 1:
-		return math.MaxInt
-	case share == steps[0]:
-		factor = stressFactor
-	}
-	if used > 0 {
-		factor = max(min(factor, fullSlots/used), 1)
-	}
-	return max(int(share*float64(before)/factor), 1)
+	return at < i.options.trialShare() && !i.isHeld(session)
 }
 
 // isHeld tells whether any daemon keeps the session on the version before. The
@@ -331,26 +245,11 @@
 	i.own[key] = c
 }
 
-// isSlow compares a latency with what is usual on the route with the version
-// before, as of the last review. The caller holds mu.
-func (i *Introduction) isSlow(route string, value float64) bool {
-	usual, ok := i.usual[route]
-	if !ok || usual.Latencies < minLatencies {
-		return false
-	}
-	mean, deviation := usual.spread()
-	times := slowAnswer
-	if i.grown {
-		times = slowLoaded
-	}
-	return value > mean+max(math.Log(times), slowDeviations*deviation)
-}
-
 // Report returns what this daemon tells the others.
 func (i *Introduction) Report(now time.Time) Report {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	r := Report{Order: i.order.ID, Target: i.order.Target, Age: now.Sub(i.since), Counts: make(map[CountKey]Count, len(i.own))}
+	r := Report{Order: i.order.ID, Target: i.order.Target, Age: now.Sub(i.since), Counts: make(map[CountKey]Count, len(i.own)), Condemned: i.condemned}
 	for k, c := range i.own {
 		r.Counts[k] = c
 	}
@@ -361,7 +260,9 @@
 }
 
 // Heard takes in the report of another daemon. The oldest start that any daemon
-// knows counts, so that one that restarted goes on where the fleet is.
+// knows counts, so that one that restarted goes on where the fleet is. A verdict
+// against the version is taken over: the daemons' counts differ a little, and some
+// would declare complete what others no longer send anything to.
 func (i *Introduction) Heard(daemon string, r Report, now time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -369,6 +270,9 @@
 		return
 	}
 	i.others[daemon] = r
+	if i.condemned == "" {
+		i.condemned = r.Condemned
+	}
 	if since := now.Add(-r.Age); since.Before(i.since) {
 		i.since = since
 	}
@@ -384,6 +288,8 @@
 	// Slowdown is the ratio of latencies, zero when there are too few.
 	Slowdown float64
 	Age      time.Duration
+	// Whole is the age from which the new version gets everything.
+	Whole time.Duration
 }
 
 // Review judges the introduction. A version once condemned stays so.
@@ -400,6 +306,9 @@
 		v.Base.add(c)
 		i.usual[key.Route] = c
 	}
+	if !i.grown {
+		i.pace = i.options.plan(i.order.Duration, v.Age, v.Trial.Answers, v.Base.Answers)
+	}
 	_, i.grown = i.moving(v.Age)
 	if !i.grown {
 		v.Slowdown = slowdown(sums)
@@ -407,12 +316,13 @@
 	if i.condemned == "" {
 		i.condemned = condemn(sums, v)
 	}
+	v.Whole = i.pace.whole
 	switch {
 	case i.state == Done || i.state == RolledBack:
 		v.State = i.state
 	case i.condemned != "":
 		v.State, v.Reason = RolledBack, i.condemned
-	case v.Age >= max(i.order.Duration-i.options.FinishMargin, 0):
+	case v.Age >= i.options.finish(i.order.Duration, i.pace):
 		v.State, v.Reason = Done, "no fault found"
 	}
 	return v
@@ -434,58 +344,3 @@
 	}
 	return sums
 }
-
-// condemn returns the reason against the version, or "".
-func condemn(sums map[CountKey]Count, v Verdict) string {
-	if fails(v.Trial, v.Base) {
-		return "errors"
-	}
-	for key, trial := range sums {
-		if key.Trial && fails(trial, sums[CountKey{Route: key.Route}]) {
-			return "errors on one route"
-		}
-	}
-	if v.Slowdown > slowFactor {
-		return "slow"
-	}
-	return ""
-}
-
-// fails compares the shares of bad answers, and of slow ones.
-func fails(trial, base Count) bool {
-	return exceeds(trial.Bad, trial.Answers, base.Bad, base.Answers, badMargin) ||
-		exceeds(trial.Slow, trial.Answers, base.Slow, base.Answers, slowMargin)
-}
-
-// exceeds tells whether hits among n answers are more than usual among m.
-func exceeds(hits, n, usual, m uint64, margin float64) bool {
-	if hits < minBad {
-		return false
-	}
-	share := float64(hits) / float64(n)
-	if m == 0 {
-		return share > max(margin, deviations*math.Sqrt(share*(1-share)/float64(n)))
-	}
-	both := float64(hits+usual) / float64(n+m)
-	deviation := math.Sqrt(both * (1 - both) * (1/float64(n) + 1/float64(m)))
-	return share-float64(usual)/float64(m) > max(margin, deviations*deviation)
-}
-
-// slowdown returns how much slower the new version is: the mean ratio of
-// geometric mean latencies by route, weighted by the answers of the trial.
-func slowdown(sums map[CountKey]Count) float64 {
-	var logs, weight float64
-	for key, trial := range sums {
-		base := sums[CountKey{Route: key.Route}]
-		if !key.Trial || trial.Latencies == 0 || base.Latencies < minLatencies {
-			continue
-		}
-		n := float64(trial.Latencies)
-		logs += n * (trial.LogLatencySum/n - base.LogLatencySum/float64(base.Latencies))
-		weight += n
-	}
-	if weight < minLatencies {
-		return 0
-	}
-	return math.Exp(logs / weight)
-}
--- a/entry/canaryreports.go
+++ b/entry/canaryreports.go
@@ -38,7 +38,7 @@
 
 // encodeReport writes a report for the table.
 func encodeReport(r canary.Report) []byte {
-	m := &bronzeturnv1.CanaryReport{Target: r.Target, Order: r.Order, AgeMs: uint64(max(r.Age.Milliseconds(), 0))}
+	m := &bronzeturnv1.CanaryReport{Target: r.Target, Order: r.Order, AgeMs: uint64(max(r.Age.Milliseconds(), 0)), Condemned: r.Condemned}
 	m.HeldSessions = r.Held[:min(len(r.Held), maxReportSessions)]
 	for key, c := range r.Counts {
 		m.Counts = append(m.Counts, &bronzeturnv1.CanaryCount{
@@ -69,7 +69,7 @@
 	}
 	r := canary.Report{
 		Order: m.GetOrder(), Target: m.GetTarget(), Age: time.Duration(m.GetAgeMs()) * time.Millisecond,
-		Counts: make(map[canary.CountKey]canary.Count), Held: m.GetHeldSessions(),
+		Counts: make(map[canary.CountKey]canary.Count), Held: m.GetHeldSessions(), Condemned: m.GetCondemned(),
 	}
 	for _, c := range m.GetCounts() {
 		r.Counts[canary.CountKey{Route: c.GetRoute(), Trial: c.GetTrial()}] = canary.Count{
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -55,6 +55,39 @@
 	c.Check(i.Choose("s", 1, time.Now()), qt.IsFalse)
 }
 
+// TestEndedVersionsStayEndedWithTheNextOrder checks that engines which an earlier
+// order has ended, and which stop by and by, get nothing under the next one.
+func TestEndedVersionsStayEndedWithTheNextOrder(t *testing.T) {
+	next := order
+	next.ID, next.Target = order.ID+1, "v3"
+	back := order
+	back.ID = order.ID + 2
+	for _, test := range []struct {
+		name  string
+		state canary.State
+		next  canary.Order
+		want  map[string]bool // whether an engine of the version takes all sessions' work
+	}{
+		{"done", canary.Done, next, map[string]bool{"v1": false, "v2": true, "v3": false}},
+		{"rolled back", canary.RolledBack, next, map[string]bool{"v1": true, "v2": false, "v3": false}},
+		{"running", canary.Running, next, map[string]bool{"v1": true, "v2": true, "v3": false}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			i := newTestIntroductions(engineOf("a", "v1"), engineOf("b", "v2"), engineOf("c", "v3"))
+			i.ordered(order, canary.Running, 8)
+			i.ordered(order, test.state, 9)
+			i.ordered(test.next, canary.Pending, 10)
+			for version, want := range test.want {
+				groups := i.assign(engineOf("x", version))
+				c.Check(len(groups) == 1 && groups[0] == gateway.Group("s", false), qt.Equals, want, qt.Commentf(version))
+			}
+			i.ordered(back, canary.Pending, 11)
+			c.Check(i.isRetired(engineOf("b", "v2")), qt.IsFalse)
+		})
+	}
+}
+
 func TestNewVersionBeginsOnOneEngine(t *testing.T) {
 	c := qt.New(t)
 	var engines []inventory.Engine
--- a/entry/introductions.go
+++ b/entry/introductions.go
@@ -20,6 +20,9 @@
 	// rankDelay is how much longer each daemon waits than the one before it in
 	// order of preference until it writes a state, so that usually one does.
 	rankDelay = 700 * time.Millisecond
+	// doneDelay stands in for rankDelay when a version is to be declared complete:
+	// the deadline is near, and a second write does no harm.
+	doneDelay = 150 * time.Millisecond
 	// writeTimeout bounds the write of a state, writePause the time to the next
 	// try.
 	writeTimeout = time.Second
@@ -37,6 +40,9 @@
 	byService map[string]*introduction
 	// versions are those seen of each service, with the time of the first sight.
 	versions map[string]map[string]time.Time
+	// retired are the versions that earlier orders have ended: their engines stop by
+	// and by, and must not count as the version before of the next order.
+	retired map[string]map[string]struct{}
 	// recent are the sessions of late that a trial would move.
 	recent map[string]map[uint64]time.Time
 	// waiting tells that some engine is in quarantine.
@@ -63,7 +69,8 @@
 	return &introductions{
 		daemon: d, byService: make(map[string]*introduction),
 		versions: make(map[string]map[string]time.Time), recent: make(map[string]map[uint64]time.Time),
-		ranks: make(map[string]int),
+		retired: make(map[string]map[string]struct{}),
+		ranks:   make(map[string]int),
 	}
 }
 
@@ -91,6 +98,7 @@
 	now := time.Now()
 	known := i.byService[order.Service]
 	if known == nil || known.Order().ID != order.ID || known.Order().Target != order.Target {
+		i.retire(known, order)
 		known = &introduction{
 			Introduction: canary.New(i.daemon.Settings.Introductions, order, state, now),
 			version:      uint64(now.UnixMilli()) << 12,
@@ -113,6 +121,32 @@
 	known.revision = revision
 }
 
+// retire notes the versions that the order before has ended, when the next one
+// comes. The caller holds mu.
+func (i *introductions) retire(before *introduction, next canary.Order) {
+	retired := i.retired[next.Service]
+	if retired == nil {
+		retired = make(map[string]struct{})
+		i.retired[next.Service] = retired
+	}
+	if before != nil {
+		target := before.Order().Target
+		for version := range i.versions[next.Service] {
+			switch before.State() {
+			case canary.Done:
+				if version != target {
+					retired[version] = struct{}{}
+				}
+			case canary.RolledBack:
+				if version == target {
+					retired[version] = struct{}{}
+				}
+			}
+		}
+	}
+	delete(retired, next.Target)
+}
+
 // cancelled drops the orders that are gone from the store.
 func (i *introductions) cancelled(s *follow.Snapshot) {
 	i.mu.Lock()
@@ -210,14 +244,21 @@
 		return base
 	}
 	switch {
-	case !isTarget:
+	case !isTarget && !i.isRetired(e):
 		return base
-	case i.ranks[e.ID] < known.engines:
+	case isTarget && i.ranks[e.ID] < known.engines:
 		return trial
 	}
 	return nil
 }
 
+// isRetired tells whether an earlier order has ended the engine's version. The
+// caller holds mu.
+func (i *introductions) isRetired(e inventory.Engine) bool {
+	_, ok := i.retired[e.Service][e.Version]
+	return ok
+}
+
 // release compiles the tables anew while engines are in quarantine.
 func (i *introductions) release() {
 	i.mu.Lock()
@@ -320,9 +361,9 @@
 		i.daemon.log.Info().Str("service", service).Str("target", known.Order().Target).Stringer("verdict", verdict.State).
 			Str("reason", verdict.Reason).Uint64("trial_answers", verdict.Trial.Answers).Uint64("trial_bad", verdict.Trial.Bad).Uint64("trial_slow", verdict.Trial.Slow).
 			Uint64("base_answers", verdict.Base.Answers).Uint64("base_bad", verdict.Base.Bad).Uint64("base_slow", verdict.Base.Slow).
-			Float64("slowdown", verdict.Slowdown).Dur("age_ms", verdict.Age).Msg("verdict on an introduction")
+			Float64("slowdown", verdict.Slowdown).Dur("age_ms", verdict.Age).Dur("whole_ms", verdict.Whole).Msg("verdict on an introduction")
 	}
-	if now.Sub(known.wantedSince) < i.rankDelayOf(service) || now.Sub(known.tried) < writePause {
+	if now.Sub(known.wantedSince) < i.rankDelayOf(service, verdict.State) || now.Sub(known.tried) < writePause {
 		return
 	}
 	known.tried = now
@@ -342,11 +383,16 @@
 	}
 }
 
-// rankDelayOf returns how long this daemon waits for the ones preferred to it.
-func (i *introductions) rankDelayOf(service string) time.Duration {
+// rankDelayOf returns how long this daemon waits for the ones preferred to it
+// before it writes a state.
+func (i *introductions) rankDelayOf(service string, state canary.State) time.Duration {
+	delay := rankDelay
+	if state == canary.Done {
+		delay = doneDelay
+	}
 	view := i.daemon.fleet.members.View()
 	place := slices.Index(view.Top(canaryPrefix+service, view.Live()), view.Self)
-	return time.Duration(max(place, 0)) * rankDelay
+	return time.Duration(max(place, 0)) * delay
 }
 
 // write puts a state into the store.
