--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -22,8 +22,9 @@
 const (
 	ratioPart = 0.8
 	// savedPart of the ratio lets a daemon save up for bursts by what it had to do
-	// in the window before; in a large fleet its part of the slack is below one.
-	savedPart = 0.07
+	// in the last window; in a large fleet its part of the slack is below one. With
+	// ratioPart it makes up the ratio but for a margin.
+	savedPart = 0.17
 	// burstPart and floorPart of the daemon's slack are saved up and earned anew
 	// over one window.
 	burstPart = 0.5
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -14,11 +14,13 @@
 	FloorPerSecond float64
 	// Burst bounds the retries saved up.
 	Burst float64
-	// BurstShare adds to Burst for each request of the window before. Without it
-	// a daemon of a large fleet could save up less than one retry.
+	// BurstShare adds to Burst for each request of the last Window. Without it a
+	// daemon of a large fleet could save up less than one retry. In any window there
+	// are then at most Share retries for each request in it, BurstShare for each of
+	// the window before, and Burst.
 	BurstShare float64
-	// Window is the length of the windows that requests are counted in. It is
-	// needed with BurstShare only.
+	// Window is the length of the window that requests are counted in. It is needed
+	// with BurstShare only.
 	Window time.Duration
 }
 
@@ -35,15 +37,12 @@
 	mu     sync.Mutex
 	tokens float64
 	filled time.Time
-	// began is the start of the window, requests those within it, before those of
-	// the window before.
-	began            time.Time
-	requests, before float64
+	recent slidingCount
 }
 
 // NewBudget returns a budget that begins with one second's floor.
 func NewBudget(o BudgetOptions) *Budget {
-	return &Budget{options: o, tokens: min(o.FloorPerSecond, o.Burst)}
+	return &Budget{options: o, tokens: min(o.FloorPerSecond, o.Burst), recent: slidingCount{width: o.Window / countBuckets}}
 }
 
 // Request records one request that begins.
@@ -51,35 +50,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.fill(now)
-	b.count(now)
+	b.recent.add(now)
 	b.add(b.options.Share)
 }
 
-// count counts one request in its window. The caller holds mu.
-func (b *Budget) count(now time.Time) {
-	b.roll(now)
-	b.requests++
-}
-
-// roll begins a new window when the last one is over. The caller holds mu.
-func (b *Budget) roll(now time.Time) {
-	switch age := now.Sub(b.began); {
-	case b.options.Window <= 0 || age < b.options.Window:
-		return
-	case age < 2*b.options.Window:
-		b.before = b.requests
-	default:
-		b.before = 0
-	}
-	b.requests, b.began = 0, now
-}
-
 // Take takes the right to one retry and tells whether there was one.
 func (b *Budget) Take(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.fill(now)
-	b.roll(now)
+	b.recent.move(now)
 	b.tokens = min(b.tokens, b.burst())
 	if b.tokens < 1 {
 		return false
@@ -105,5 +85,5 @@
 
 // burst returns how many retries may be saved up now. The caller holds mu.
 func (b *Budget) burst() float64 {
-	return b.options.Burst + b.options.BurstShare*b.before
+	return b.options.Burst + b.options.BurstShare*b.recent.sum
 }
