--- a/canary/pace.go
+++ b/canary/pace.go
@@ -25,7 +25,7 @@
 	// stepTime how long it lasts at most, stepPart how much of the plan it uses.
 	stepShare = 0.3
 	stepTime  = 1500 * time.Millisecond
-	stepPart  = 0.2
+	stepPart  = 0.12
 	// leastWhole is the shortest time with everything before the deadline: less would
 	// leave no time to declare the version complete.
 	leastWhole = 700 * time.Millisecond
@@ -80,7 +80,7 @@
 
 // finish returns the age at which the version is declared complete.
 func (o Options) finish(length time.Duration, p pace) time.Duration {
-	return max(length-min(o.FinishMargin, (length-p.whole)/2), 0)
+	return max(length-min(o.FinishMargin, (length-p.whole)*3/4), 0)
 }
 
 // moving returns the share of the sessions after the trial. The caller holds mu.
--- a/entry/load.go
+++ b/entry/load.go
@@ -24,8 +24,10 @@
 	// loadInterval is the least time between two summaries of a daemon, and
 	// loadPerDaemon what each daemon of the fleet adds to it, so that the bytes
 	// that a daemon passes on stay within bounds.
-	loadInterval  = 400 * time.Millisecond
-	loadPerDaemon = 40 * time.Millisecond
+	loadInterval  = 200 * time.Millisecond
+	loadPerDaemon = 2 * time.Millisecond
+	// sumInterval is the time between two sums of what all daemons told.
+	sumInterval = 100 * time.Millisecond
 )
 
 // delayPrefix begins the table keys of engines that began an answer late.
@@ -88,18 +90,22 @@
 	d.fleet.members.Table().Subscribe(loadPrefix, func(key string, _ uint64, value []byte) { others.heard(d, key, value) })
 	version := uint64(time.Now().UnixMilli()) << 12
 	empty := false
+	var told time.Time
 	for {
-		pause := loadInterval + time.Duration(d.fleet.Live())*loadPerDaemon
-		if backoff.Sleep(ctx, pause) != nil {
+		if backoff.Sleep(ctx, sumInterval) != nil {
 			return nil
 		}
+		d.reportLoad()
+		if time.Since(told) < loadInterval+time.Duration(d.fleet.Live())*loadPerDaemon {
+			continue
+		}
+		told = time.Now()
 		own := d.ownLoad()
 		if len(own.GetEngines()) > 0 || !empty {
 			version++
 			d.publishLoad(version, own)
 		}
 		empty = len(own.GetEngines()) == 0
-		d.reportLoad()
 	}
 }
 
--- /dev/null
+++ b/gateway/pace_test.go
@@ -0,0 +1,22 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestPaceIsComparedWithinOneModel: an answer of a large model is no sign of a slow
+// engine.
+func TestPaceIsComparedWithinOneModel(t *testing.T) {
+	c := qt.New(t)
+	p := newPaces()
+	small, large := paceKind{"s", "small"}, paceKind{"s", "large"}
+	for range 50 {
+		c.Check(p.ratio(small, 10*time.Millisecond), qt.Equals, 1.0)
+		c.Check(p.ratio(large, 100*time.Millisecond), qt.Equals, 1.0)
+	}
+	c.Check(p.ratio(small, 20*time.Millisecond), qt.Equals, 2.0)
+	c.Check(p.ratio(paceKind{"other", "small"}, time.Second), qt.Equals, 1.0)
+}
