Ask the keeper of each engine before sending: package occupancy

Cause: flooded summaries of load are a second old and more in a fleet of 66, so that all daemons send to the engine that looked idle (estimates of 50 ms where the first event took 2 s), and leave it for seconds afterwards. Ruled out: slowness of engines, prefix homes, the number of engines compared. Now every engine is in the care of one daemon, which the others tell of their work and ask before they send a prompt (four engines, 25 ms at most). Cost does not grow with the fleet. The summaries and delays in the flooded table are gone.

--- /dev/null
+++ b/balance/among_test.go
@@ -0,0 +1,36 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestChoiceAmongNamedEnginesGoesByFreshCounts: of the engines named, the one where
+// the other daemons have least is taken, and others are not looked at.
+func TestChoiceAmongNamedEnginesGoesByFreshCounts(t *testing.T) {
+	c := qt.New(t)
+	s := newState(c)
+	p := s.Plan(newRegister(6), nil)
+	for engine, tokens := range map[string]int64{"engine-0": 0, "engine-1": 4000, "engine-2": 500, "engine-3": 9000} {
+		s.OthersReported(OthersReported{Engine: engine, Requests: tokens / 100, Tokens: tokens, At: epoch})
+	}
+	r := newRequest()
+	r.Among = [MaxCandidates]string{"engine-1", "engine-2", "engine-3", "unknown"}
+	for range 50 {
+		d, ok := s.Choose(p, r, epoch, newRand())
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(d.Engine.GetName(), qt.Equals, "engine-2")
+		c.Assert(d.Candidates(), qt.HasLen, 3)
+	}
+	// News that is older changes nothing.
+	s.OthersReported(OthersReported{Engine: "engine-2", Requests: 90, Tokens: 9000, At: epoch.Add(-time.Second)})
+	d, _ := s.Choose(p, r, epoch, newRand())
+	c.Check(d.Engine.GetName(), qt.Equals, "engine-2")
+	// With none of them usable the choice is as without names.
+	r.Among = [MaxCandidates]string{"unknown"}
+	d, ok := s.Choose(p, r, epoch, newRand())
+	c.Check(ok, qt.IsTrue)
+	c.Check(d.Compared(2)[0], qt.Equals, d.Engine.GetName())
+}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -213,6 +213,22 @@
 	}
 }
 
+// OthersReported takes in the other daemons' work at an engine.
+func (s *State) OthersReported(ev OthersReported) {
+	if e := s.engine(ev.Engine); e != nil {
+		e.load.reportOthers(ev)
+	}
+}
+
+// OwnLoad returns the work of this daemon at an engine.
+func (s *State) OwnLoad(engine string) (requests, tokens int64) {
+	e := s.engine(engine)
+	if e == nil {
+		return 0, 0
+	}
+	return sum(&e.load.requests), sum(&e.load.tokens)
+}
+
 // MembershipChanged takes in the state of a backend host.
 func (s *State) MembershipChanged(ev MembershipChanged) {
 	s.mu.Lock()
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -83,6 +83,9 @@
 
 // pick compares engines in the data centre, then in others, then all.
 func (c *choice) pick(served *candidates) estimate {
+	if best := c.among(served); best.index >= 0 {
+		return best
+	}
 	local, remote := served.split(c.req.DataCentre)
 	best := c.affinity(served)
 	if c.probe < 0 {
@@ -106,6 +109,35 @@
 	return c.scan(served)
 }
 
+// among compares the engines that the request names.
+func (c *choice) among(served *candidates) estimate {
+	best := none
+	if c.req.Among[0] == "" {
+		return best
+	}
+	if c.req.PrefixHash != 0 && c.state.options.affine(c.req.Work.PromptTokens) {
+		c.holders = c.state.holders(c.req.PrefixHash, c.req.Homes, c.now)
+	}
+	for _, name := range c.req.Among {
+		index, known := c.plan.index[c.state.engine(name)]
+		if name == "" || !known || !served.member[index] || c.standing(index) != usable {
+			continue
+		}
+		est, reason := c.consider(index), ReasonLeastWait
+		if c.plan.specs[index].GetDataCentre() != c.req.DataCentre {
+			est.cost += c.state.options.RemoteThreshold.Seconds()
+			reason = ReasonRemote
+		}
+		if _, holds := c.holders.of(c.plan.engines[index]); holds {
+			reason = ReasonAffinity
+		}
+		if est.cost < best.cost {
+			best, c.d.Reason = est, reason
+		}
+	}
+	return best
+}
+
 // affinity considers a random one of the engines that probably hold the
 // prompt's prefix, if reading the prompt takes long enough to matter.
 func (c *choice) affinity(served *candidates) estimate {
--- a/balance/decision.go
+++ b/balance/decision.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
@@ -24,6 +25,9 @@
 	// Homes are engines that all daemons send requests with this prefix to, best
 	// first. They count as holding it. Empty names are none.
 	Homes [MaxHomes]string
+	// Among names the only engines to compare, unless none of them is usable. Empty
+	// names are none; without any, the choice compares random ones.
+	Among [MaxCandidates]string
 	// Exclude names engines already tried. Empty names exclude nothing.
 	Exclude [MaxExclude]string
 	// Leaving tells whether a backend host gets no new work. Nil means that
@@ -115,6 +119,17 @@
 	count      int
 }
 
+// Compared returns up to n of the engines compared, the chosen one first.
+func (d *Decision) Compared(n int) []string {
+	names := []string{d.Engine.GetName()}
+	for _, c := range d.Candidates() {
+		if len(names) < n && !slices.Contains(names, c.Engine) {
+			names = append(names, c.Engine)
+		}
+	}
+	return names
+}
+
 // Candidates returns the engines compared, in the order of comparison.
 func (d *Decision) Candidates() []Candidate {
 	return d.candidates[:d.count]
--- a/balance/event.go
+++ b/balance/event.go
@@ -96,6 +96,15 @@
 	AsOf     time.Time
 }
 
+// OthersReported tells of the work that the other daemons have in progress at an
+// engine.
+type OthersReported struct {
+	Engine   string
+	Requests int64
+	Tokens   int64
+	At       time.Time
+}
+
 // CacheEventKind tells what happened to a cached prefix.
 type CacheEventKind uint8
 
--- a/balance/load.go
+++ b/balance/load.go
@@ -130,6 +130,22 @@
 	l.reportedAt.Store(asOf)
 }
 
+// reportOthers takes in the others' work as of now.
+func (l *load) reportOthers(r OthersReported) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at := r.At.UnixNano()
+	if at < l.reportedAt.Load() {
+		return
+	}
+	first := l.reportedAt.Load() == 0
+	l.foreignRequests.Store(r.Requests)
+	l.foreignTokens.Store(r.Tokens)
+	follow(&l.usualRequests, float64(r.Requests), first)
+	follow(&l.usualTokens, float64(r.Tokens), first)
+	l.reportedAt.Store(at)
+}
+
 // follow moves the average towards the value. The caller holds mu.
 func follow(average *atomic.Uint64, value float64, first bool) {
 	old := math.Float64frombits(average.Load())
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,6 +28,7 @@
 	"github.com/bronzeturn/bronzeturn/gateway"
 	"github.com/bronzeturn/bronzeturn/inventory"
 	"github.com/bronzeturn/bronzeturn/logging"
+	"github.com/bronzeturn/bronzeturn/occupancy"
 	"github.com/bronzeturn/bronzeturn/process"
 	"github.com/bronzeturn/bronzeturn/route"
 )
@@ -102,8 +103,11 @@
 	balancer      *balance.State
 	engines       *inventory.Set
 	gateway       *gateway.Gateway
-	loads         *loads
-	servers       *servers
+	// shared is the balancer with the work of all daemons, book the counts that this
+	// daemon keeps for the others.
+	shared  *sharedBalancer
+	book    *occupancy.Book
+	servers *servers
 
 	tables atomic.Pointer[gateway.Tables]
 	// current holds the settings that may change while the daemon runs.
@@ -118,7 +122,7 @@
 
 // New provisions a daemon and opens its listeners. Nothing is served before Run.
 func New(o Options) (*Daemon, error) {
-	d := &Daemon{Options: o, registry: prometheus.NewRegistry(), seed: process.Seed(), started: time.Now(), loads: newLoads()}
+	d := &Daemon{Options: o, registry: prometheus.NewRegistry(), seed: process.Seed(), started: time.Now(), book: occupancy.NewBook()}
 	d.current.Store(&o.Settings)
 	d.log = logging.Plain(o.LogWriter, o.Settings.Name)
 	if o.Settings.MemoryBytes > 0 {
@@ -131,6 +135,7 @@
 	if d.fleet, err = newFleet(d); err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
+	d.shared = newSharedBalancer(d)
 	d.introductions = newIntroductions(d)
 	d.engines = inventory.New(o.Settings.LapseGrace, d.enginesChanged)
 	d.copies = newCopies(d)
@@ -194,7 +199,7 @@
 	d.introductions.start(d)
 	d.servers.start(d)
 	d.goLoop("engines", d.expireEngines)
-	d.goLoop("load", d.exchangeLoad)
+	d.goLoop("occupancy", d.shared.sharer.Run)
 	select {
 	case <-ctx.Done():
 	case <-d.tomb.Dying():
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -20,6 +20,7 @@
 	"github.com/bronzeturn/bronzeturn/gossip"
 	"github.com/bronzeturn/bronzeturn/logging"
 	"github.com/bronzeturn/bronzeturn/membership"
+	"github.com/bronzeturn/bronzeturn/occupancy"
 	"github.com/bronzeturn/bronzeturn/peer"
 )
 
@@ -36,12 +37,9 @@
 	maxNews        = 16
 	maxDaemons     = 2048
 	maxReports     = 8192
-	maxDelays      = 8192
 	smallValue     = 128
 	maxReportBytes = 32 << 10
-	maxLoadBytes   = 16 << 10
 	reportTTL      = 2 * time.Minute
-	loadTTL        = 6 * time.Second
 	removalTTL     = 10 * time.Minute
 )
 
@@ -82,8 +80,6 @@
 			{Prefix: newsPrefix, MaxEntries: maxNews, MaxValueBytes: smallValue},
 			{Prefix: readyPrefix, MaxEntries: maxDaemons, MaxValueBytes: smallValue, RemovalTTL: removalTTL},
 			{Prefix: canaryPrefix, MaxEntries: maxReports, MaxValueBytes: maxReportBytes, TTL: reportTTL},
-			{Prefix: delayPrefix, MaxEntries: maxDelays, MaxValueBytes: smallValue, TTL: delayTTL},
-			{Prefix: loadPrefix, MaxEntries: maxDaemons, MaxValueBytes: maxLoadBytes, TTL: loadTTL},
 		},
 		Random: d.rand(randMembership), Log: d.log, Registerer: d.registry,
 	})
@@ -114,6 +110,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(gossip.NewHandler(f.members.Table()))
 	mux.Handle(bronzeturnv1connect.NewFollowServiceHandler(pullServer{f.daemon}, peer.HandlerOptions()...))
+	mux.Handle(bronzeturnv1connect.NewOccupancyServiceHandler(occupancy.Server{Book: f.daemon.book}, peer.HandlerOptions()...))
 	return mux
 }
 
--- a/entry/introductions.go
+++ b/entry/introductions.go
@@ -200,21 +200,16 @@
 // not hold mu, which is taken after the lock of the engines.
 func (i *introductions) width(known *introduction, now time.Time) int {
 	order := known.Order()
-	sums := i.daemon.fleetLoad()
-	before, slots, busy := 0, 0.0, 0.0
+	var before []string
+	slots := 0
 	for _, e := range i.daemon.engines.View().Engines {
 		if e.Service != order.Service || e.Version == order.Target {
 			continue
 		}
-		before++
-		slots += float64(max(e.Slots, 1))
-		busy += float64(sums[engineHash(e.ID)].requests)
+		before = append(before, e.ID)
+		slots += max(e.Slots, 1)
 	}
-	used := 0.0
-	if slots > 0 {
-		used = busy / slots
-	}
-	return known.Width(before, used, now)
+	return known.Width(len(before), i.daemon.busyShare(before, float64(slots)), now)
 }
 
 // assign implements gateway.Assign.
--- a/entry/load.go
+++ b/entry/load.go
@@ -2,220 +2,158 @@
 
 import (
 	"context"
-	"encoding/binary"
-	"strconv"
-	"strings"
-	"sync"
+	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"google.golang.org/protobuf/proto"
-
-	"github.com/bronzeturn/bronzeturn/backoff"
 	"github.com/bronzeturn/bronzeturn/balance"
 	"github.com/bronzeturn/bronzeturn/gateway"
-	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1/bronzeturnv1connect"
+	"github.com/bronzeturn/bronzeturn/membership"
+	"github.com/bronzeturn/bronzeturn/occupancy"
+	"github.com/bronzeturn/bronzeturn/peer"
+	"github.com/bronzeturn/bronzeturn/rendezvous"
 )
 
-// loadPrefix begins the table keys of the daemons' work at engines.
-const loadPrefix = "load/"
-
-const (
-	// loadInterval is the least time between two summaries of a daemon, and
-	// loadPerDaemon what each daemon of the fleet adds to it, so that the bytes
-	// that a daemon passes on stay within bounds.
-	loadInterval  = 200 * time.Millisecond
-	loadPerDaemon = 2 * time.Millisecond
-	// sumInterval is the time between two sums of what all daemons told.
-	sumInterval = 100 * time.Millisecond
-)
+// maxAsked is how many engines a daemon asks about before it sends a request. The
+// best of four with fresh counts is close to the best of all; more would cost calls.
+const maxAsked = 4
 
-// delayPrefix begins the table keys of engines that began an answer late.
-const delayPrefix = "delay/"
-
-const (
-	// delayTTL is how long a delay counts; it fades to nothing by then.
-	delayTTL = 2 * time.Second
-	// delayPause is the least time between two reports of one engine by a daemon.
-	delayPause = 500 * time.Millisecond
-)
-
-// loads are the other daemons' summaries, and the delays that any daemon saw.
-type loads struct {
-	mu      sync.Mutex
-	byOwner map[string]*bronzeturnv1.LoadSummary
-	delays  map[uint32]delay
+// sharedBalancer chooses engines by what all daemons have in progress there.
+type sharedBalancer struct {
+	*balance.State
+	sharer *occupancy.Sharer
 }
 
-// delay is how late an engine began an answer.
-type delay struct {
-	by time.Duration
-	at time.Time
+// newSharedBalancer returns the balancer of a daemon, and shares its work.
+func newSharedBalancer(d *Daemon) *sharedBalancer {
+	keepers := &keepers{view: d.fleet.members.View}
+	return &sharedBalancer{State: d.balancer, sharer: occupancy.New(occupancy.Options{
+		Self: d.Settings.Name, Keeper: keepers.of, Client: d.fleet.occupancyOf,
+		InFlight: d.balancer.OwnLoad, EachInFlight: d.balancer.InFlight,
+		Book: d.book, Log: d.part("occupancy"),
+	})}
 }
 
-// left returns what still counts of the delay.
-func (d delay) left(now time.Time) time.Duration {
-	age := now.Sub(d.at)
-	if age >= delayTTL {
-		return 0
+// Choose implements gateway.Balancer. Engines for prompts are compared by their
+// estimates first, and once more after their keepers told how much the other daemons
+// have in progress there. Estimates alone are old by what other daemons have sent
+// since, and send all of them to the same few engines. Requests without a prompt are
+// short, and asking would take as long as they do.
+func (b *sharedBalancer) Choose(p *balance.Plan, r *balance.Request, now time.Time, rng *rand.Rand) (balance.Decision, bool) {
+	decision, ok := b.State.Choose(p, r, now, rng)
+	if !ok || r.Work.PromptTokens == 0 || !comparing(decision.Reason) {
+		return decision, ok
+	}
+	engines := decision.Compared(maxAsked)
+	answers := b.sharer.Ask(context.Background(), engines)
+	if len(answers) == 0 {
+		return decision, ok
 	}
-	return time.Duration(float64(d.by) * (1 - age.Seconds()/delayTTL.Seconds()))
+	now = time.Now()
+	for _, a := range answers {
+		b.OthersReported(balance.OthersReported{
+			Engine: a.Engine, Requests: a.Work.Requests, Tokens: a.Work.Tokens + gateway.WorkOf(a.Work.Late), At: now,
+		})
+	}
+	again := *r
+	again.NoProbe = true
+	copy(again.Among[:], engines)
+	return b.State.Choose(p, &again, now, rng)
 }
 
-func newLoads() *loads {
-	return &loads{byOwner: make(map[string]*bronzeturnv1.LoadSummary), delays: make(map[uint32]delay)}
+// comparing tells whether a choice compared the load of engines.
+func comparing(r balance.Reason) bool {
+	return r == balance.ReasonLeastWait || r == balance.ReasonAffinity || r == balance.ReasonRemote
 }
 
-// delayed takes in a delay of an engine, and tells whether it is worth telling:
-// not much less than what is known already.
-func (l *loads) delayed(engine uint32, by time.Duration, now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	known := l.delays[engine]
-	if now.Sub(known.at) < delayPause && by < 2*known.by {
-		return false
+// Dispatched implements gateway.Balancer.
+func (b *sharedBalancer) Dispatched(ev balance.Dispatched) {
+	b.State.Dispatched(ev)
+	if ev.Work.PromptTokens > 0 {
+		b.sharer.Sent(context.Background(), ev.Engine)
 	}
-	l.delays[engine] = delay{by: by, at: now}
-	return true
 }
 
-// engineHash names an engine in a summary.
-func engineHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
-
-// exchangeLoad tells the other daemons of the work in progress and the balancer
-// of theirs, until ctx ends.
-func (d *Daemon) exchangeLoad(ctx context.Context) error {
-	others := d.loads
-	d.fleet.members.Table().Subscribe(delayPrefix, d.heardDelay)
-	d.fleet.members.Table().Subscribe(loadPrefix, func(key string, _ uint64, value []byte) { others.heard(d, key, value) })
-	version := uint64(time.Now().UnixMilli()) << 12
-	empty := false
-	var told time.Time
-	for {
-		if backoff.Sleep(ctx, sumInterval) != nil {
-			return nil
-		}
-		d.reportLoad()
-		if time.Since(told) < loadInterval+time.Duration(d.fleet.Live())*loadPerDaemon {
-			continue
-		}
-		told = time.Now()
-		own := d.ownLoad()
-		if len(own.GetEngines()) > 0 || !empty {
-			version++
-			d.publishLoad(version, own)
-		}
-		empty = len(own.GetEngines()) == 0
-	}
+// FirstToken implements gateway.Balancer.
+func (b *sharedBalancer) FirstToken(ev balance.FirstToken) {
+	b.State.FirstToken(ev)
+	b.changed(ev.Engine, ev.Work)
 }
 
-// ownLoad sums up this daemon's work in progress.
-func (d *Daemon) ownLoad() *bronzeturnv1.LoadSummary {
-	own := &bronzeturnv1.LoadSummary{}
-	d.balancer.InFlight(func(engine string, requests, tokens int64) {
-		own.Engines = append(own.Engines, &bronzeturnv1.EngineLoad{
-			Engine: engineHash(engine), Requests: uint32(requests), Tokens: uint32(tokens),
-		})
-	})
-	return own
+// Finished implements gateway.Balancer.
+func (b *sharedBalancer) Finished(ev balance.Finished) {
+	b.State.Finished(ev)
+	b.changed(ev.Engine, ev.Work)
 }
 
-// publishLoad floods the summary.
-func (d *Daemon) publishLoad(version uint64, own *bronzeturnv1.LoadSummary) {
-	data, err := proto.Marshal(own)
-	if err != nil {
-		d.log.Error().Err(err).Msg("summary of work not encoded")
-		return
-	}
-	d.fleet.publish(loadPrefix+d.Settings.Name, version, data)
+// Failed implements gateway.Balancer.
+func (b *sharedBalancer) Failed(ev balance.Failed) {
+	b.State.Failed(ev)
+	b.changed(ev.Engine, ev.Work)
 }
 
-// heard takes in another daemon's summary, or that it has expired.
-func (l *loads) heard(d *Daemon, key string, value []byte) {
-	owner := strings.TrimPrefix(key, loadPrefix)
-	if owner == d.Settings.Name {
-		return
-	}
-	var m bronzeturnv1.LoadSummary
-	if err := proto.Unmarshal(value, &m); err != nil {
-		d.log.Warn().Err(err).Str("key", key).Msg("summary of a daemon not read")
-		return
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if len(m.GetEngines()) == 0 {
-		delete(l.byOwner, owner)
-		return
+func (b *sharedBalancer) changed(engine string, w balance.Work) {
+	if w.PromptTokens > 0 {
+		b.sharer.Changed(engine)
 	}
-	l.byOwner[owner] = &m
 }
 
-// work is what daemons have in progress at one engine.
-type work struct{ requests, tokens int64 }
-
-// sum adds up the other daemons' work by engine, and what delays tell of it.
-func (l *loads) sum() map[uint32]work {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	sums := make(map[uint32]work)
-	now := time.Now()
-	for engine, late := range l.delays {
-		left := late.left(now)
-		if left <= 0 {
-			delete(l.delays, engine)
-			continue
-		}
-		sums[engine] = work{tokens: gateway.WorkOf(left)}
-	}
-	for _, m := range l.byOwner {
-		addLoad(sums, m)
-	}
-	return sums
-}
+const (
+	// leastKeepers and keepersPart are how many daemons keep count of engines: a part
+	// of the fleet, so that each daemon has connections to that many only.
+	leastKeepers = 3
+	keepersPart  = 4
+	// keepersKey ranks the daemons for it.
+	keepersKey = "occupancy"
+)
 
-// fleetLoad adds up the work of all daemons by engine.
-func (d *Daemon) fleetLoad() map[uint32]work {
-	sums := d.loads.sum()
-	addLoad(sums, d.ownLoad())
-	return sums
+// keepers tell which daemon an engine is in the care of.
+type keepers struct {
+	view func() *membership.View
+	last atomic.Pointer[keeperSet]
 }
 
-// addLoad adds one summary.
-func addLoad(sums map[uint32]work, m *bronzeturnv1.LoadSummary) {
-	for _, e := range m.GetEngines() {
-		w := sums[e.GetEngine()]
-		sums[e.GetEngine()] = work{w.requests + int64(e.GetRequests()), w.tokens + int64(e.GetTokens())}
-	}
+// keeperSet are the keepers of one view of the fleet.
+type keeperSet struct {
+	view *membership.View
+	set  *rendezvous.Set
 }
 
-// reportLoad tells the balancer of the work of all daemons.
-func (d *Daemon) reportLoad() {
-	sums := d.fleetLoad()
-	now := time.Now()
-	for _, engine := range d.engines.View().Engines {
-		w := sums[engineHash(engine.ID)]
-		d.balancer.LoadReported(balance.LoadReported{Engine: engine.ID, Requests: w.requests, Tokens: w.tokens, AsOf: now})
+// of returns the keeper of an engine, "" while the fleet is unknown.
+func (k *keepers) of(engine string) string {
+	view := k.view()
+	last := k.last.Load()
+	if last == nil || last.view != view {
+		n := max(leastKeepers, view.Live()/keepersPart)
+		last = &keeperSet{view: view, set: rendezvous.NewSet(view.Top(keepersKey, min(n, view.Live())))}
+		k.last.Store(last)
 	}
+	if last.set.Len() == 0 {
+		return ""
+	}
+	return last.set.Owner(engine)
 }
 
-// engineDelayed tells the other daemons that an engine began an answer late: it
-// has more work than the summaries say.
-func (d *Daemon) engineDelayed(engineID string, by time.Duration) {
-	now := time.Now()
-	engine := engineHash(engineID)
-	if !d.loads.delayed(engine, by, now) {
-		return
+// occupancyOf opens calls to the keeper of engines.
+func (f *fleet) occupancyOf(daemon string) bronzeturnv1connect.OccupancyServiceClient {
+	client, base, ok := f.directory.Dial(daemon)
+	if !ok {
+		return nil
 	}
-	key := delayPrefix + strconv.FormatUint(uint64(engine), 16)
-	d.fleet.publish(key, uint64(max(now.UnixMilli(), 1)), binary.AppendUvarint(nil, uint64(by.Milliseconds())))
+	return bronzeturnv1connect.NewOccupancyServiceClient(client, base, peer.ClientOptions()...)
 }
 
-// heardDelay takes in a delay that another daemon saw.
-func (d *Daemon) heardDelay(key string, _ uint64, value []byte) {
-	engine, err := strconv.ParseUint(strings.TrimPrefix(key, delayPrefix), 16, 32)
-	ms, n := binary.Uvarint(value)
-	if err != nil || n <= 0 {
-		return // Expired, or not for this version of the program.
+// busyShare estimates the part of the slots that are taken at some engines, from
+// this daemon's own work there and the number of daemons.
+func (d *Daemon) busyShare(engines []string, slots float64) float64 {
+	if slots <= 0 {
+		return 0
+	}
+	own := int64(0)
+	for _, engine := range engines {
+		requests, _ := d.balancer.OwnLoad(engine)
+		own += requests
 	}
-	d.loads.delayed(uint32(engine), time.Duration(ms)*time.Millisecond, time.Now())
+	return float64(own) * float64(max(d.fleet.Live(), 1)) / slots
 }
--- /dev/null
+++ b/occupancy/sharer.go
@@ -0,0 +1,258 @@
+package occupancy
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/bronzeturn/bronzeturn/backoff"
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1/bronzeturnv1connect"
+)
+
+const (
+	// askTimeout bounds what asking may add to a request. A keeper answers within
+	// one way there and back; one that is busy for longer is not waited for.
+	askTimeout = 25 * time.Millisecond
+	// tellTimeout bounds the telling.
+	tellTimeout = 500 * time.Millisecond
+	// tellInterval is the time between two rounds of telling. A request that was
+	// sent is told of at once, since it is what others have to know.
+	tellInterval = 60 * time.Millisecond
+	// refreshInterval is how often work that goes on is told of again, for a keeper
+	// that is new.
+	refreshInterval = time.Second
+	// avoidFor is how long a keeper that did not answer is not asked again.
+	avoidFor = 500 * time.Millisecond
+)
+
+// Options are what a Sharer needs. All fields are required.
+type Options struct {
+	// Self is this daemon's name.
+	Self string
+	// Keeper returns the daemon that an engine is in the care of, "" for none.
+	Keeper func(engine string) string
+	// Client opens calls to a daemon, nil when its address is not known.
+	Client func(daemon string) bronzeturnv1connect.OccupancyServiceClient
+	// InFlight returns this daemon's own work at an engine, EachInFlight calls f for
+	// every engine where there is any.
+	InFlight     func(engine string) (requests, tokens int64)
+	EachInFlight func(f func(engine string, requests, tokens int64))
+	Book         *Book
+	Log          zerolog.Logger
+}
+
+// Sharer tells the keepers of this daemon's work and asks them for the others'. It
+// is safe for concurrent use.
+type Sharer struct {
+	Options
+	sequence atomic.Uint64
+
+	mu sync.Mutex
+	// changed are the engines to tell of, by keeper, with the delay to report.
+	changed map[string]map[string]time.Duration
+	// silent are the keepers that did not answer, with the time.
+	silent map[string]time.Time
+}
+
+// New returns a Sharer. Telling begins with Run.
+func New(o Options) *Sharer {
+	s := &Sharer{Options: o, changed: make(map[string]map[string]time.Duration), silent: make(map[string]time.Time)}
+	// Sequences of a daemon rise over its restarts.
+	s.sequence.Store(uint64(time.Now().UnixMilli()) << 20)
+	return s
+}
+
+// hash names an engine between daemons.
+func hash(engine string) uint32 { return uint32(xxhash.Sum64String(engine)) }
+
+// Changed notes that the own work at an engine has changed.
+func (s *Sharer) Changed(engine string) { s.note(engine, 0) }
+
+// Late notes how much later than expected an engine began an answer.
+func (s *Sharer) Late(engine string, by time.Duration) { s.note(engine, by) }
+
+func (s *Sharer) note(engine string, late time.Duration) {
+	keeper := s.Keeper(engine)
+	if keeper == "" {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	engines := s.changed[keeper]
+	if engines == nil {
+		engines = make(map[string]time.Duration)
+		s.changed[keeper] = engines
+	}
+	engines[engine] = max(engines[engine], late)
+}
+
+// Sent notes a request that was sent to an engine and tells its keeper at once.
+func (s *Sharer) Sent(ctx context.Context, engine string) {
+	s.note(engine, 0)
+	keeper := s.Keeper(engine)
+	switch keeper {
+	case "":
+	case s.Self:
+		s.tell(ctx, keeper)
+	default:
+		go s.tell(ctx, keeper)
+	}
+}
+
+// Run tells the keepers of changes until ctx ends.
+func (s *Sharer) Run(ctx context.Context) error {
+	var refreshed time.Time
+	for backoff.Sleep(ctx, tellInterval) == nil {
+		now := time.Now()
+		if now.Sub(refreshed) >= refreshInterval {
+			refreshed = now
+			s.EachInFlight(func(engine string, _, _ int64) { s.Changed(engine) })
+			s.Book.Expire(now)
+		}
+		var round sync.WaitGroup
+		for _, keeper := range s.due() {
+			round.Go(func() { s.tell(ctx, keeper) })
+		}
+		round.Wait()
+	}
+	return nil
+}
+
+// due returns the keepers that there is something to tell.
+func (s *Sharer) due() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	keepers := make([]string, 0, len(s.changed))
+	for keeper := range s.changed {
+		keepers = append(keepers, keeper)
+	}
+	return keepers
+}
+
+// tell tells one keeper what has changed.
+func (s *Sharer) tell(ctx context.Context, keeper string) {
+	m := s.message(keeper)
+	if len(m.GetOwn()) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	s.exchange(ctx, keeper, m)
+}
+
+// message takes what there is to tell a keeper.
+func (s *Sharer) message(keeper string) *bronzeturnv1.ShareRequest {
+	s.mu.Lock()
+	engines := s.changed[keeper]
+	delete(s.changed, keeper)
+	s.mu.Unlock()
+	m := &bronzeturnv1.ShareRequest{Daemon: s.Self, Sequence: s.sequence.Add(1)}
+	for engine, late := range engines {
+		requests, tokens := s.InFlight(engine)
+		m.Own = append(m.Own, &bronzeturnv1.EngineLoad{
+			Engine: hash(engine), Requests: uint32(requests), Tokens: uint32(tokens), LateMs: uint32(late.Milliseconds()),
+		})
+	}
+	return m
+}
+
+// exchange calls a keeper, or the own book, and returns what it answered. A keeper
+// that fails is left alone for a while; what it was to be told follows with the
+// next refresh.
+func (s *Sharer) exchange(ctx context.Context, keeper string, m *bronzeturnv1.ShareRequest) []*bronzeturnv1.EngineLoad {
+	if keeper == s.Self {
+		return s.Book.exchange(m, time.Now())
+	}
+	client := s.Client(keeper)
+	if client == nil || s.isSilent(keeper) {
+		return nil
+	}
+	answer, err := client.Share(ctx, connect.NewRequest(m))
+	if err != nil {
+		s.failed(keeper, err)
+		return nil
+	}
+	return answer.Msg.GetOthers()
+}
+
+func (s *Sharer) isSilent(keeper string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, ok := s.silent[keeper]
+	if ok && time.Since(at) > avoidFor {
+		delete(s.silent, keeper)
+		return false
+	}
+	return ok
+}
+
+func (s *Sharer) failed(keeper string, err error) {
+	s.mu.Lock()
+	_, known := s.silent[keeper]
+	s.silent[keeper] = time.Now()
+	s.mu.Unlock()
+	if !known {
+		s.Log.Debug().Err(err).Str("keeper", keeper).Msg("keeper of engines did not answer")
+	}
+}
+
+// Answer is the others' work at one engine.
+type Answer struct {
+	Engine string
+	Work   Work
+}
+
+// Ask returns the others' work at the engines whose keepers answer in time.
+func (s *Sharer) Ask(ctx context.Context, engines []string) []Answer {
+	byKeeper := make(map[string][]string)
+	for _, engine := range engines {
+		if keeper := s.Keeper(engine); keeper != "" {
+			byKeeper[keeper] = append(byKeeper[keeper], engine)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	answers := make(chan []Answer, len(byKeeper))
+	for keeper, asked := range byKeeper {
+		if keeper == s.Self {
+			answers <- s.askOne(ctx, keeper, asked)
+			continue
+		}
+		go func() { answers <- s.askOne(ctx, keeper, asked) }()
+	}
+	var all []Answer
+	for range byKeeper {
+		all = append(all, <-answers...)
+	}
+	return all
+}
+
+// askOne asks one keeper, and tells it what has changed by the way.
+func (s *Sharer) askOne(ctx context.Context, keeper string, engines []string) []Answer {
+	m := s.message(keeper)
+	for _, engine := range engines {
+		m.Asked = append(m.Asked, hash(engine))
+	}
+	others := s.exchange(ctx, keeper, m)
+	if len(others) != len(engines) {
+		return nil
+	}
+	answers := make([]Answer, len(engines))
+	for i, o := range others {
+		answers[i] = Answer{Engine: engines[i], Work: workOf(o)}
+	}
+	return answers
+}
+
+func workOf(m *bronzeturnv1.EngineLoad) Work {
+	return Work{
+		Requests: int64(m.GetRequests()), Tokens: int64(m.GetTokens()),
+		Late: time.Duration(m.GetLateMs()) * time.Millisecond,
+	}
+}
