--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -24,7 +24,7 @@
 	e := c.plan.engines[index]
 	o := &c.state.options
 	size := c.plan.capacity[index]
-	slowness := e.health.slownessFactor(c.now, o)
+	slowness := e.health.slownessFactor()
 	throughput := size.slots * size.rate / slowness
 	load := e.load.view(c.priority, c.now, o.ReportFresh, size.rate/slowness)
 
@@ -54,22 +54,13 @@
 }
 
 // slownessFactor returns the measured time per token relative to the register,
-// within bounds. It fades to 1 when no new measurement comes, since an engine that
-// gets no work for its slowness would never be measured again, and what is within
-// the band of usual noise counts as 1.
-func (h *health) slownessFactor(now int64, o *Options) float64 {
+// within bounds.
+func (h *health) slownessFactor() float64 {
 	const lowest, highest = 0.5, 20
 	f := math.Float64frombits(h.slowness.Load())
 	if f == 0 {
 		return 1
 	}
-	if o.SlownessHalfLife > 0 {
-		age := max(now-h.slownessAt.Load(), 0)
-		f = math.Pow(f, math.Exp2(-float64(age)/float64(o.SlownessHalfLife)))
-	}
-	if band := o.SlownessBand; band > 1 {
-		f = max(f/band, min(f*band, 1))
-	}
 	return min(max(f, lowest), highest)
 }
 
--- a/balance/health.go
+++ b/balance/health.go
@@ -59,10 +59,8 @@
 	// failure is the share of failed requests as float bits, as of failureAt.
 	failure   atomic.Uint64
 	failureAt atomic.Int64
-	// slowness is the time per token relative to the register, as float bits, as of
-	// slownessAt.
-	slowness   atomic.Uint64
-	slownessAt atomic.Int64
+	// slowness is the time per token relative to the register, as float bits.
+	slowness atomic.Uint64
 	// row counts the failures in a row, refusals the refusals in a row.
 	row      atomic.Int32
 	refusals atomic.Int32
--- a/balance/options.go
+++ b/balance/options.go
@@ -55,12 +55,6 @@
 	SlowFactor float64
 	// SlowSamples is the number of answers needed before slowness is judged.
 	SlowSamples int
-	// SlownessHalfLife halves an engine's measured slowness in the estimates, as a
-	// power, since its last measurement. Zero keeps it.
-	SlownessHalfLife time.Duration
-	// SlownessBand is the factor by which a measured time per token may differ from
-	// the usual one and count as usual. Zero or 1 is no band.
-	SlownessBand float64
 	// TrickleEvery is the least time between probes of an engine on probation.
 	TrickleEvery time.Duration
 	// TrickleSuccesses in a row re-admit an engine.
@@ -137,8 +131,6 @@
 		{o.MaxSlowLoad > 0 && o.MaxSlowLoad <= 1, "MaxSlowLoad", "above 0 and at most 1"},
 		{o.SlowFactor > 1, "SlowFactor", "above 1"},
 		{o.SlowSamples > 0, "SlowSamples", "above 0"},
-		{o.SlownessHalfLife >= 0, "SlownessHalfLife", "at least 0"},
-		{o.SlownessBand >= 0, "SlownessBand", "at least 0"},
 		{o.TrickleEvery > 0, "TrickleEvery", "above 0"},
 		{o.TrickleSuccesses > 0, "TrickleSuccesses", "above 0"},
 		{o.WarmUp >= 0, "WarmUp", "at least 0"},
--- a/balance/slow.go
+++ b/balance/slow.go
@@ -222,7 +222,6 @@
 	h.tokenTime = smooth(h.tokenTime, ratio, h.samples)
 	h.samples++
 	h.slowness.Store(math.Float64bits(h.tokenTime))
-	h.slownessAt.Store(now.UnixNano())
 }
 
 // smooth returns the geometric moving average after one more value. The first
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -167,8 +167,6 @@
 	o.EjectMax = 6 * time.Second
 	o.TrickleEvery = 500 * time.Millisecond
 	o.TrickleSuccesses = 2
-	o.SlownessHalfLife = 5 * time.Second
-	o.SlownessBand = 1.5
 	o.WarmUp = 0
 	return o
 }
