--- a/bootstrap/bootstrap.go
+++ b/bootstrap/bootstrap.go
@@ -2,8 +2,9 @@
 // object API: the peer addresses of the daemons that registered last. Hosts are
 // replaced at any time, so a list in the settings alone would grow stale.
 //
-// A daemon writes once at its start. Afterwards it reads rarely, and writes
-// again only when most of the listed daemons are no longer known to be live.
+// A daemon writes once at its start, unless it has found the fleet by other means
+// and others are to be listed. Afterwards it reads rarely, and writes again only when
+// most of the listed daemons are no longer known to be live.
 package bootstrap
 
 import (
@@ -34,6 +35,9 @@
 	// retryBase and retryMax bound the pause after a failure.
 	retryBase = 200 * time.Millisecond
 	retryMax  = 15 * time.Second
+	// joinTime is how long a daemon that might not have to be listed waits to join
+	// the fleet before it decides.
+	joinTime = time.Second
 	// callTimeout bounds one store call.
 	callTimeout = 3 * time.Second
 )
@@ -45,7 +49,7 @@
 	Update(ctx context.Context, key string, value []byte, revision uint64) (objectstore.Object, error)
 }
 
-// Options configure a Registrar. All fields are required.
+// Options configure a Registrar. All fields but Spared are required.
 type Options struct {
 	Store Store
 	// Self is this daemon.
@@ -54,6 +58,9 @@
 	Found func(addresses []string)
 	// Live tells whether a daemon is known to be live.
 	Live func(name string) bool
+	// Spared tells whether this daemon has found the fleet already and need not be
+	// listed, since enough others are. Nil means never.
+	Spared func() bool
 	// Random is used for jitter by one goroutine.
 	Random *rand.Rand
 	Log    zerolog.Logger
@@ -70,11 +77,14 @@
 // Run registers this daemon and reviews the object from time to time, until
 // ctx ends. Failures are tried again with full jitter.
 func (r *Registrar) Run(ctx context.Context) error {
-	registered := false
+	registered := r.isSpared(ctx)
+	if registered && backoff.Sleep(ctx, r.longPause()) != nil {
+		return nil
+	}
 	pauses := &backoff.Backoff{Base: retryBase, Max: retryMax, Random: r.Random}
 	for {
 		err := r.review(ctx, !registered)
-		pause := reviewInterval/2 + time.Duration(r.Random.Int64N(int64(reviewInterval)))
+		pause := r.longPause()
 		if err == nil {
 			registered = true
 			pauses.Reset()
@@ -88,6 +98,17 @@
 	}
 }
 
+// longPause returns the time between two reads after the start.
+func (r *Registrar) longPause() time.Duration {
+	return reviewInterval/2 + time.Duration(r.Random.Int64N(int64(reviewInterval)))
+}
+
+// isSpared waits a little for the daemon to join the fleet, and tells whether it
+// neither has to be listed nor needs the list.
+func (r *Registrar) isSpared(ctx context.Context) bool {
+	return r.Spared != nil && (backoff.Sleep(ctx, joinTime) != nil || r.Spared())
+}
+
 // review reads the object, passes on what it lists, and writes this daemon to
 // its front when asked to or when too few of the listed daemons are live.
 func (r *Registrar) review(ctx context.Context, register bool) error {
--- a/bootstrap/bootstrap_test.go
+++ b/bootstrap/bootstrap_test.go
@@ -123,3 +123,32 @@
 		late.stop()
 	})
 }
+
+func TestSparedDaemonMakesNoCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := memstore.New()
+		joined := atomic.Bool{}
+		ctx, cancel := context.WithCancel(t.Context())
+		registrar := func(number int) *Registrar {
+			return New(Options{
+				Store: store, Self: &bronzeturnv1.Seed{Name: fmt.Sprint(number)}, Found: func([]string) {},
+				Live: func(string) bool { return true }, Spared: joined.Load,
+				Random: rand.New(rand.NewPCG(uint64(number), 1)), Log: zerolog.Nop(),
+			})
+		}
+		done := make(chan error, 2)
+		go func() { done <- registrar(1).Run(ctx) }()
+		time.Sleep(2 * joinTime)
+		c.Check(store.Counts().Writes, qt.Equals, uint64(1), qt.Commentf("one that has not joined registers"))
+		joined.Store(true)
+		go func() { done <- registrar(2).Run(ctx) }()
+		reads := store.Counts().Reads
+		time.Sleep(2 * joinTime)
+		c.Check(store.Counts().Writes, qt.Equals, uint64(1))
+		c.Check(store.Counts().Reads, qt.Equals, reads)
+		cancel()
+		c.Check(<-done, qt.IsNil)
+		c.Check(<-done, qt.IsNil)
+	})
+}
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -126,12 +127,25 @@
 			member, ok := f.members.View().Member(name)
 			return ok && member.State == membership.Live
 		},
+		Spared: f.spared,
 		Random: d.rand(randBootstrap), Log: logging.Part(d.log, "bootstrap"),
 	})
 	d.goLoop("bootstrap", registrar.Run)
 	d.goLoop("readiness", f.tellReadiness)
 }
 
+// listedDaemons is how many daemons of a fleet register in the store, for those that
+// the settings lead nowhere: with a few of them lost some are left.
+const listedDaemons = 8
+
+// spared tells whether other daemons of the fleet register in the store. All rank
+// the daemons alike; where two parts of a fleet do not know each other, some of each
+// read the list and find the other.
+func (f *fleet) spared() bool {
+	view := f.members.View()
+	return view.Live() > listedDaemons && !slices.Contains(view.Top(bootstrap.Key, listedDaemons), view.Self)
+}
+
 // found takes in addresses of other daemons that the store lists.
 func (f *fleet) found(addresses []string) {
 	f.mu.Lock()
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -22,7 +22,9 @@
 
 // Source is the part of the store that a Follower reads.
 type Source interface {
-	List(ctx context.Context, kind string) (*Snapshot, error)
+	// List returns all objects of a kind. With stale they may be as of some seconds
+	// ago, which is cheaper.
+	List(ctx context.Context, kind string, stale bool) (*Snapshot, error)
 	// Watch returns the changes after a revision, or none when the wait ends. The
 	// wait is how long the store may hold the call.
 	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (*Changes, error)
@@ -243,18 +245,28 @@
 // step lists or watches once.
 func (f *Follower) step(ctx context.Context) error {
 	if f.relist.Swap(false) || f.snapshot.Load() == nil {
-		next, err := f.Source.List(ctx, f.Kind)
-		if err != nil {
-			f.relist.Store(true)
-			return err
-		}
-		f.answered()
-		f.take(next, false, f.echo())
-		return nil
+		return f.list(ctx)
 	}
 	return f.watch(ctx)
 }
 
+// list reads all objects. The first list may be stale: the watch goes on from its
+// revision, and a daemon that does not watch asks another one at once.
+func (f *Follower) list(ctx context.Context) error {
+	first := f.snapshot.Load() == nil
+	next, err := f.Source.List(ctx, f.Kind, first)
+	if err != nil {
+		f.relist.Store(true)
+		return err
+	}
+	f.answered()
+	f.take(next, false, f.echo())
+	if first && !f.Peers.Watching() {
+		f.pull(ctx)
+	}
+	return nil
+}
+
 // watch waits for changes once.
 func (f *Follower) watch(ctx context.Context) error {
 	inner, cancel := context.WithCancel(ctx)
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -27,8 +27,8 @@
 	savedPart = 0.17
 	// burstPart and floorPart of the daemon's slack are saved up and earned anew
 	// over one window.
-	burstPart = 0.5
-	floorPart = 0.25
+	burstPart = 0.7
+	floorPart = 0.2
 )
 
 // budgets holds one retry budget for each service.
