--- a/balance/affinity.go
+++ b/balance/affinity.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"sync"
-	"time"
 )
 
 // The prefix cache table is a fixed array of buckets with a few ways each. A
@@ -198,8 +197,8 @@
 	return min(prefill, float64(w.PrefixTokens)/o.PrefillTokensPerSecond)
 }
 
-// saving returns the time in seconds that a cached prefix probably saves.
-func (o *Options) saving(e *engine, newsAt, now int64, prefill float64) float64 {
+// belief returns how probably an engine still holds a prefix.
+func (o *Options) belief(e *engine, newsAt, now int64) float64 {
 	belief := 1.0
 	if age := now - newsAt; age > 0 {
 		belief = math.Exp2(-float64(age) / float64(o.AffinityHalfLife))
@@ -207,7 +206,12 @@
 	if e.cacheGapAt.Load() > newsAt {
 		belief *= gapDoubt
 	}
-	return belief * min(prefill, float64(o.AffinityMax)/float64(time.Second))
+	return belief
+}
+
+// saving returns the time in seconds that a cached prefix saves.
+func (o *Options) saving(prefill float64) float64 {
+	return min(prefill, o.AffinityMax.Seconds())
 }
 
 // affine tells whether a prompt is long enough for a cached prefix to matter.
--- a/balance/among_test.go
+++ b/balance/among_test.go
@@ -34,3 +34,25 @@
 	c.Check(ok, qt.IsTrue)
 	c.Check(d.Compared(2)[0], qt.Equals, d.Engine.GetName())
 }
+
+// TestPrefixIsWorthAWait: an engine that holds the prefix is taken though it is
+// busier, up to what the request says that is worth.
+func TestPrefixIsWorthAWait(t *testing.T) {
+	c := qt.New(t)
+	s := newState(c)
+	p := s.Plan(newRegister(3), nil)
+	r := newRequest()
+	r.Work.PromptTokens, r.PrefixHash = 10, 77 // read in no time
+	r.Homes[0] = "engine-0"
+	r.Among = [MaxCandidates]string{"engine-0", "engine-1"}
+	busy := func(tokens int64) string {
+		s.OthersReported(OthersReported{Engine: "engine-0", Requests: 4, Tokens: tokens, At: epoch})
+		d, ok := s.Choose(p, r, epoch, newRand())
+		c.Assert(ok, qt.IsTrue)
+		return d.Engine.GetName()
+	}
+	c.Check(busy(2000), qt.Equals, "engine-1")
+	r.PrefixWorth = 2 * time.Second
+	c.Check(busy(2000), qt.Equals, "engine-0")
+	c.Check(busy(60000), qt.Equals, "engine-1")
+}
--- a/balance/decision.go
+++ b/balance/decision.go
@@ -22,6 +22,10 @@
 	Work       Work
 	// PrefixHash names the prompt's prefix within its organisation, zero for none.
 	PrefixHash uint64
+	// PrefixWorth is the time that a request may wait longer at an engine that holds
+	// its prefix, besides what reading the prefix takes: reading costs the engine and
+	// its other requests something too.
+	PrefixWorth time.Duration
 	// Homes are engines that all daemons send requests with this prefix to, best
 	// first. They count as holding it. Empty names are none.
 	Homes [MaxHomes]string
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -31,15 +31,17 @@
 	est := estimate{index: index}
 	est.wait = load.wait(size.slots, throughput)
 	prefill := float64(max(0, c.req.Work.PromptTokens)) / o.PrefillTokensPerSecond
+	held := 0.0
 	if newsAt, ok := c.holders.of(e); ok {
-		prefill -= o.saving(e, newsAt, c.now, o.shared(c.req.Work, prefill))
+		held = o.belief(e, newsAt, c.now)
+		prefill -= held * o.saving(o.shared(c.req.Work, prefill))
 	}
 	est.first = est.wait + prefill
 	est.answer = est.first + float64(max(1, c.req.Work.ExpectedTokens))*slowness/size.rate
 	failures := e.health.failureShare(c.now, o.FailureHalfLife)
 	penalty := failures * failures * o.FailurePenalty.Seconds()
 	est.busy = o.BatchSlowdown * load.tokens / throughput
-	est.cost = est.answer + est.busy + penalty
+	est.cost = est.answer + est.busy + penalty - held*c.req.PrefixWorth.Seconds()
 	return est
 }
 
--- a/canary/canary.go
+++ b/canary/canary.go
@@ -35,7 +35,7 @@
 		ExposureShare: 0.15,
 		SettleTime:    1500 * time.Millisecond,
 		SessionGap:    6 * time.Second,
-		FinishMargin:  600 * time.Millisecond,
+		FinishMargin:  700 * time.Millisecond,
 	}
 }
 
--- a/canary/pace.go
+++ b/canary/pace.go
@@ -80,7 +80,7 @@
 
 // finish returns the age at which the version is declared complete.
 func (o Options) finish(length time.Duration, p pace) time.Duration {
-	return max(length-min(o.FinishMargin, (length-p.whole)*3/4), 0)
+	return max(length-min(o.FinishMargin, (length-p.whole)*17/20), 0)
 }
 
 // moving returns the share of the sessions after the trial. The caller holds mu.
--- a/entry/introductions.go
+++ b/entry/introductions.go
@@ -22,7 +22,7 @@
 	rankDelay = 700 * time.Millisecond
 	// doneDelay stands in for rankDelay when a version is to be declared complete:
 	// the deadline is near, and a second write does no harm.
-	doneDelay = 150 * time.Millisecond
+	doneDelay = 50 * time.Millisecond
 	// writeTimeout bounds the write of a state, writePause the time to the next
 	// try.
 	writeTimeout = time.Second
--- a/gateway/work.go
+++ b/gateway/work.go
@@ -11,6 +11,11 @@
 // of one of its slots.
 const plainWork = 30
 
+// prefixTokenWorth is how much longer a request may wait for each token of its prefix
+// that an engine holds already. It lets a prefix of 5,000 tokens outweigh 0.2 s, which
+// is a tenth of a usual target.
+const prefixTokenWorth = 40 * time.Microsecond
+
 // countHomes returns how many engines should read the request's prefix.
 func (g *Gateway) countHomes(t *task) int {
 	if t.prefix == "" {
