--- a/balance/choose.go
+++ b/balance/choose.go
@@ -115,7 +115,7 @@
 	if c.req.Among[0] == "" {
 		return best
 	}
-	if c.req.PrefixHash != 0 && c.state.options.affine(c.req.Work.PromptTokens) {
+	if c.affine() {
 		c.holders = c.state.holders(c.req.PrefixHash, c.req.Homes, c.now)
 	}
 	for _, name := range c.req.Among {
@@ -141,7 +141,7 @@
 // affinity considers a random one of the engines that probably hold the
 // prompt's prefix, if reading the prompt takes long enough to matter.
 func (c *choice) affinity(served *candidates) estimate {
-	if c.req.PrefixHash == 0 || !c.state.options.affine(c.req.Work.PromptTokens) {
+	if !c.affine() {
 		return none
 	}
 	c.holders = c.state.holders(c.req.PrefixHash, c.req.Homes, c.now)
@@ -158,6 +158,11 @@
 	return c.considerHolder(index)
 }
 
+// affine tells whether an engine that holds the prefix is worth looking for.
+func (c *choice) affine() bool {
+	return c.req.PrefixHash != 0 && (c.req.PrefixWorth > 0 || c.state.options.affine(c.req.Work.PromptTokens))
+}
+
 // home considers the homes of the prefix that are usable, and returns the
 // better one.
 func (c *choice) home(served *candidates) (best estimate, ok bool) {
--- a/canary/pace.go
+++ b/canary/pace.go
@@ -37,7 +37,7 @@
 // trial, but no more than would fill fullSlots of its slots: beyond that the callers
 // would pay for the test.
 const (
-	loadFactor   = 1.3
+	loadFactor   = 1.0
 	stressFactor = 6.0
 	fullSlots    = 0.85
 )
