--- a/entry/entry.go
+++ b/entry/entry.go
@@ -123,6 +123,7 @@
 // New provisions a daemon and opens its listeners. Nothing is served before Run.
 func New(o Options) (*Daemon, error) {
 	d := &Daemon{Options: o, registry: prometheus.NewRegistry(), seed: process.Seed(), started: time.Now(), book: occupancy.NewBook()}
+	d.Store = newCountedStore(o.Store, d.registry)
 	d.current.Store(&o.Settings)
 	d.log = logging.Plain(o.LogWriter, o.Settings.Name)
 	if o.Settings.MemoryBytes > 0 {
@@ -140,6 +141,7 @@
 	d.engines = inventory.New(o.Settings.LapseGrace, d.enginesChanged)
 	d.copies = newCopies(d)
 	d.gateway = newGateway(d)
+	d.registerGauges()
 	if d.servers, err = newServers(d); err != nil {
 		return nil, err
 	}
--- a/entry/introductions.go
+++ b/entry/introductions.go
@@ -17,16 +17,8 @@
 const (
 	// reviewInterval is the time between two verdicts on an introduction.
 	reviewInterval = 200 * time.Millisecond
-	// rankDelay is how much longer each daemon waits than the one before it in
-	// order of preference until it writes a state, so that usually one does.
-	rankDelay = 700 * time.Millisecond
-	// doneDelay stands in for rankDelay when a version is to be declared complete:
-	// the deadline is near, and a second write does no harm.
-	doneDelay = 50 * time.Millisecond
-	// writeTimeout bounds the write of a state, writePause the time to the next
-	// try.
+	// writeTimeout bounds the write of a state.
 	writeTimeout = time.Second
-	writePause   = 300 * time.Millisecond
 	// quarantine is how long engines of a version that was never seen wait for an
 	// order that explains them.
 	quarantine = 5 * time.Second
@@ -55,12 +47,9 @@
 type introduction struct {
 	*canary.Introduction
 	revision uint64
-	// wanted is the state that should be written, since wantedSince.
-	wanted      canary.State
-	wantedSince time.Time
-	tried       time.Time
-	reported    time.Time
-	version     uint64
+	driver   canary.Driver
+	reported time.Time
+	version  uint64
 	// engines is on how many engines the new version runs.
 	engines int
 }
@@ -348,21 +337,16 @@
 	verdict := known.Review(now)
 	i.report(service, known, now)
 	i.widen(service, known, now)
-	if verdict.State == known.State() {
-		return
-	}
-	if verdict.State != known.wanted {
-		known.wanted, known.wantedSince = verdict.State, now
+	due, isNew := known.driver.Due(known.State(), verdict.State, i.place(service), now)
+	if isNew {
 		i.daemon.log.Info().Str("service", service).Str("target", known.Order().Target).Stringer("verdict", verdict.State).
 			Str("reason", verdict.Reason).Uint64("trial_answers", verdict.Trial.Answers).Uint64("trial_bad", verdict.Trial.Bad).Uint64("trial_slow", verdict.Trial.Slow).
 			Uint64("base_answers", verdict.Base.Answers).Uint64("base_bad", verdict.Base.Bad).Uint64("base_slow", verdict.Base.Slow).
 			Float64("slowdown", verdict.Slowdown).Dur("age_ms", verdict.Age).Dur("whole_ms", verdict.Whole).Msg("verdict on an introduction")
 	}
-	if now.Sub(known.wantedSince) < i.rankDelayOf(service, verdict.State) || now.Sub(known.tried) < writePause {
-		return
+	if due {
+		i.write(ctx, service, known, verdict.State)
 	}
-	known.tried = now
-	i.write(ctx, service, known, verdict.State)
 }
 
 // widen lets the new version run on more engines as its share grows.
@@ -378,16 +362,10 @@
 	}
 }
 
-// rankDelayOf returns how long this daemon waits for the ones preferred to it
-// before it writes a state.
-func (i *introductions) rankDelayOf(service string, state canary.State) time.Duration {
-	delay := rankDelay
-	if state == canary.Done {
-		delay = doneDelay
-	}
+// place returns this daemon's place in the order in which daemons write the state.
+func (i *introductions) place(service string) int {
 	view := i.daemon.fleet.members.View()
-	place := slices.Index(view.Top(canaryPrefix+service, view.Live()), view.Self)
-	return time.Duration(max(place, 0)) * delay
+	return slices.Index(view.Top(canaryPrefix+service, view.Live()), view.Self)
 }
 
 // write puts a state into the store.
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -170,6 +170,15 @@
 	return f.snapshot.Load() == nil || now.UnixNano()-f.confirmed.Load() > int64(staleAfter+watchWait)
 }
 
+// Unconfirmed returns the time since the store or another daemon confirmed the copy,
+// zero before the first one.
+func (f *Follower) Unconfirmed(now time.Time) time.Duration {
+	if f.snapshot.Load() == nil {
+		return 0
+	}
+	return time.Duration(now.UnixNano() - f.confirmed.Load())
+}
+
 // Heard takes in that another daemon holds the given revision.
 func (f *Follower) Heard(revision uint64) {
 	for {
--- /dev/null
+++ b/occupancy/metrics.go
@@ -0,0 +1,33 @@
+package occupancy
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+// Outcomes of calls to keepers. Those to one that did not answer just before are
+// left out.
+const (
+	outcomeAnswered = "answered"
+	outcomeFailed   = "failed"
+	outcomeLeft     = "left_out"
+)
+
+// metrics count and time the calls to keepers.
+type metrics struct {
+	calls   *prometheus.CounterVec
+	seconds prometheus.Histogram
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	f := promauto.With(r)
+	return &metrics{
+		calls: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "bronzeturn_occupancy_calls_total", Help: "Calls to the keepers of engines by outcome.",
+		}, []string{"outcome"}),
+		seconds: f.NewHistogram(prometheus.HistogramOpts{
+			Name: "bronzeturn_occupancy_call_seconds", Help: "Time of calls to the keepers of engines.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 10),
+		}),
+	}
+}
--- a/occupancy/occupancy_test.go
+++ b/occupancy/occupancy_test.go
@@ -14,6 +14,8 @@
 
 	"connectrpc.com/connect"
 	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 
@@ -143,7 +145,7 @@
 	return New(Options{
 		Self: name, Keeper: func(string) string { return keeper },
 		Client:   func(string) bronzeturnv1connect.OccupancyServiceClient { return to },
-		InFlight: o.at, EachInFlight: o.each, Book: to.book, Log: zerolog.Nop(),
+		InFlight: o.at, EachInFlight: o.each, Book: to.book, Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
 	}), o
 }
 
@@ -195,7 +197,15 @@
 		to.delay, to.err = 0, connect.NewError(connect.CodeUnavailable, errors.New("gone"))
 		c.Check(a.Ask(t.Context(), []string{"e"}), qt.HasLen, 0)
 		c.Check(to.calls.Load(), qt.Equals, int64(2))
-		none := New(Options{Self: "a", Keeper: func(string) string { return "" }, Book: NewBook()})
+		count := func(outcome string) float64 { return testutil.ToFloat64(a.metrics.calls.WithLabelValues(outcome)) }
+		c.Check(count(outcomeFailed), qt.Equals, 2.0)
+		c.Check(count(outcomeLeft), qt.Equals, 100.0)
+		time.Sleep(2 * avoidFor)
+		to.err = nil
+		c.Check(a.Ask(t.Context(), []string{"e"}), qt.HasLen, 1)
+		c.Check(count(outcomeAnswered), qt.Equals, 1.0)
+		c.Check(a.silent, qt.HasLen, 0)
+		none := New(Options{Self: "a", Keeper: func(string) string { return "" }, Book: NewBook(), Registerer: prometheus.NewRegistry()})
 		none.Sent(t.Context(), "e")
 		none.Late("e", time.Second)
 		c.Check(none.Ask(t.Context(), []string{"e"}), qt.HasLen, 0)
--- a/occupancy/sharer.go
+++ b/occupancy/sharer.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/bronzeturn/bronzeturn/backoff"
@@ -45,12 +46,14 @@
 	EachInFlight func(f func(engine string, requests, tokens int64))
 	Book         *Book
 	Log          zerolog.Logger
+	Registerer   prometheus.Registerer
 }
 
 // Sharer tells the keepers of this daemon's work and asks them for the others'. It
 // is safe for concurrent use.
 type Sharer struct {
 	Options
+	metrics  *metrics
 	sequence atomic.Uint64
 
 	mu sync.Mutex
@@ -62,7 +65,7 @@
 
 // New returns a Sharer. Telling begins with Run.
 func New(o Options) *Sharer {
-	s := &Sharer{Options: o, changed: make(map[string]map[string]time.Duration), silent: make(map[string]time.Time)}
+	s := &Sharer{Options: o, metrics: newMetrics(o.Registerer), changed: make(map[string]map[string]time.Duration), silent: make(map[string]time.Time)}
 	// Sequences of a daemon rise over its restarts.
 	s.sequence.Store(uint64(time.Now().UnixMilli()) << 20)
 	return s
@@ -171,34 +174,49 @@
 	}
 	client := s.Client(keeper)
 	if client == nil || s.isSilent(keeper) {
+		s.metrics.calls.WithLabelValues(outcomeLeft).Inc()
 		return nil
 	}
+	began := time.Now()
 	answer, err := client.Share(ctx, connect.NewRequest(m))
+	s.metrics.seconds.Observe(time.Since(began).Seconds())
 	if err != nil {
 		s.failed(keeper, err)
 		return nil
 	}
+	s.answered(keeper)
 	return answer.Msg.GetOthers()
 }
 
+// isSilent tells whether a keeper did not answer lately.
 func (s *Sharer) isSilent(keeper string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at, ok := s.silent[keeper]
-	if ok && time.Since(at) > avoidFor {
-		delete(s.silent, keeper)
-		return false
-	}
-	return ok
+	return ok && time.Since(at) <= avoidFor
 }
 
+// failed notes that a keeper did not answer.
 func (s *Sharer) failed(keeper string, err error) {
+	s.metrics.calls.WithLabelValues(outcomeFailed).Inc()
 	s.mu.Lock()
 	_, known := s.silent[keeper]
 	s.silent[keeper] = time.Now()
 	s.mu.Unlock()
 	if !known {
-		s.Log.Debug().Err(err).Str("keeper", keeper).Msg("keeper of engines did not answer")
+		s.Log.Info().Err(err).Str("keeper", keeper).Msg("keeper of engines does not answer")
+	}
+}
+
+// answered notes that a keeper answered.
+func (s *Sharer) answered(keeper string) {
+	s.metrics.calls.WithLabelValues(outcomeAnswered).Inc()
+	s.mu.Lock()
+	_, known := s.silent[keeper]
+	delete(s.silent, keeper)
+	s.mu.Unlock()
+	if known {
+		s.Log.Info().Str("keeper", keeper).Msg("keeper of engines answers again")
 	}
 }
 
