--- a/cmd/bronzeturn-entry/main.go
+++ b/cmd/bronzeturn-entry/main.go
@@ -20,9 +20,20 @@
 // options are the command line.
 type options struct {
 	Settings    string `help:"Path of the settings file. Default: the one that the platform names." type:"path" env:"BRONZETURN_ENTRY_SETTINGS"`
+	Check       bool   `help:"Check the settings, and the configuration file if one is named, and exit." env:"BRONZETURN_ENTRY_CHECK"`
+	Config      string `help:"Configuration document to check, as the store holds it." type:"path" env:"BRONZETURN_ENTRY_CONFIG"`
 	MetricsPort int    `help:"Port for metrics on the host's own address, 0 for none." default:"0" env:"BRONZETURN_METRICS_PORT"`
 }
 
+// description is shown with --help.
+const description = `Entry daemon: takes requests of callers and sends them to engines.
+
+Run it with the platform's settings:       bronzeturn-entry --settings settings.yaml
+Check settings before they are put in:     bronzeturn-entry --check --settings settings.yaml
+Check a configuration document as well:    bronzeturn-entry --check --settings settings.yaml --config main.json
+
+Exit codes: 0 stopped or checked, 1 failed, 2 settings or configuration refused.`
+
 // Exit codes.
 const (
 	exitFailure  = 1
@@ -33,7 +44,7 @@
 
 func run() int {
 	var o options
-	kong.Parse(&o, kong.Description("Entry daemon: takes requests of callers and sends them to engines."))
+	kong.Parse(&o, kong.Description(description))
 	if o.Settings == "" {
 		o.Settings = platform.SettingsPath()
 	}
@@ -42,6 +53,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
+	if o.Check {
+		return check(o)
+	}
 	if o.MetricsPort > 0 {
 		settings.Entry.MetricsListen = fmt.Sprintf("%s:%d", settings.Entry.IP, o.MetricsPort)
 	}
@@ -67,3 +81,22 @@
 	}
 	return 0
 }
+
+// check reads the configuration document, if one is named; the settings have been
+// read already.
+func check(o options) int {
+	fmt.Printf("%s: settings are in order\n", o.Settings)
+	if o.Config == "" {
+		return 0
+	}
+	data, err := os.ReadFile(o.Config)
+	if err == nil {
+		err = platform.CheckConfig(data)
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", o.Config, err)
+		return exitSettings
+	}
+	fmt.Printf("%s: configuration is in order\n", o.Config)
+	return 0
+}
