--- a/occupancy/occupancy_test.go
+++ b/occupancy/occupancy_test.go
@@ -100,6 +100,13 @@
 	o.work[engine] = w
 }
 
+// forget drops all work.
+func (o *own) forget() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	clear(o.work)
+}
+
 func (o *own) at(engine string) (requests, tokens int64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -116,12 +123,18 @@
 
 // direct calls a book without a network.
 type direct struct {
-	book  *Book
+	book  atomic.Pointer[Book]
 	calls atomic.Int64
 	err   error
 	delay time.Duration
 }
 
+func newDirect() *direct {
+	d := &direct{}
+	d.book.Store(NewBook())
+	return d
+}
+
 // Share implements bronzeturnv1connect.OccupancyServiceClient.
 func (d *direct) Share(ctx context.Context, r *connect.Request[bronzeturnv1.ShareRequest]) (*connect.Response[bronzeturnv1.ShareResponse], error) {
 	d.calls.Add(1)
@@ -135,7 +148,7 @@
 	if d.err != nil {
 		return nil, d.err
 	}
-	return Server{d.book}.Share(ctx, r)
+	return Server{d.book.Load()}.Share(ctx, r)
 }
 
 // newSharer returns the sharer of a daemon whose engines are all in the care of one
@@ -145,14 +158,14 @@
 	return New(Options{
 		Self: name, Keeper: func(string) string { return keeper },
 		Client:   func(string) bronzeturnv1connect.OccupancyServiceClient { return to },
-		InFlight: o.at, EachInFlight: o.each, Book: to.book, Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
+		InFlight: o.at, EachInFlight: o.each, Book: to.book.Load(), Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
 	}), o
 }
 
 func TestWorkIsKnownToTheOthersAtOnceAndAgainToANewKeeper(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		to := &direct{book: NewBook()}
+		to := newDirect()
 		a, work := newSharer("a", "keeper", to)
 		b, _ := newSharer("b", "keeper", to)
 		work.set("e", Work{Requests: 2, Tokens: 30})
@@ -165,7 +178,7 @@
 		c.Check(a.Ask(ctx, []string{"e"}), qt.DeepEquals, []Answer{{Engine: "e"}}, qt.Commentf("own work is not counted"))
 		done := make(chan error, 1)
 		go func() { done <- a.Run(ctx) }()
-		to.book = NewBook() // as of a keeper that has just taken over
+		to.book.Store(NewBook()) // as of a keeper that has just taken over
 		time.Sleep(refreshInterval + 2*tellInterval)
 		c.Check(b.Ask(ctx, []string{"e"})[0].Work.Requests, qt.Equals, int64(2))
 		work.set("e", Work{})
@@ -173,7 +186,7 @@
 		time.Sleep(2 * tellInterval)
 		c.Check(b.Ask(ctx, []string{"e"})[0].Work, qt.Equals, Work{})
 		before := to.calls.Load()
-		work.work = map[string]Work{}
+		work.forget()
 		time.Sleep(10 * refreshInterval)
 		c.Check(to.calls.Load(), qt.Equals, before, qt.Commentf("an idle daemon tells nothing"))
 		cancel()
@@ -184,7 +197,8 @@
 func TestKeeperThatDoesNotAnswerCostsLittle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		to := &direct{book: NewBook(), delay: time.Minute}
+		to := newDirect()
+		to.delay = time.Minute
 		a, _ := newSharer("a", "keeper", to)
 		began := time.Now()
 		for range silentAfter + 100 {
@@ -212,12 +226,12 @@
 
 func TestOwnBookIsAskedWithoutACall(t *testing.T) {
 	c := qt.New(t)
-	to := &direct{book: NewBook()}
+	to := newDirect()
 	a, work := newSharer("a", "a", to)
 	work.set("e", Work{Requests: 1, Tokens: 5})
 	a.Sent(t.Context(), "e")
-	c.Check(to.book.Others("b", hash("e"), time.Now()), qt.Equals, Work{Requests: 1, Tokens: 5})
-	to.book.Tell("b", 1, hash("e"), Work{Requests: 4}, time.Now())
+	c.Check(to.book.Load().Others("b", hash("e"), time.Now()), qt.Equals, Work{Requests: 1, Tokens: 5})
+	to.book.Load().Tell("b", 1, hash("e"), Work{Requests: 4}, time.Now())
 	c.Check(a.Ask(t.Context(), []string{"e"})[0].Work.Requests, qt.Equals, int64(4))
 	c.Check(to.calls.Load(), qt.Equals, int64(0))
 }
