--- a/balance/load.go
+++ b/balance/load.go
@@ -122,12 +122,7 @@
 	if r.Tokens == 0 && own.requests > 0 {
 		tokens = requests * own.tokens / own.requests
 	}
-	l.foreignRequests.Store(requests)
-	l.foreignTokens.Store(tokens)
-	first := l.reportedAt.Load() == 0
-	follow(&l.usualRequests, float64(requests), first)
-	follow(&l.usualTokens, float64(tokens), first)
-	l.reportedAt.Store(asOf)
+	l.setOthers(requests, tokens, asOf)
 }
 
 // reportOthers takes in the others' work as of now.
@@ -138,11 +133,16 @@
 	if at < l.reportedAt.Load() {
 		return
 	}
+	l.setOthers(r.Requests, r.Tokens, at)
+}
+
+// setOthers stores the others' work as of a time. The caller holds mu.
+func (l *load) setOthers(requests, tokens, at int64) {
 	first := l.reportedAt.Load() == 0
-	l.foreignRequests.Store(r.Requests)
-	l.foreignTokens.Store(r.Tokens)
-	follow(&l.usualRequests, float64(r.Requests), first)
-	follow(&l.usualTokens, float64(r.Tokens), first)
+	l.foreignRequests.Store(requests)
+	l.foreignTokens.Store(tokens)
+	follow(&l.usualRequests, float64(requests), first)
+	follow(&l.usualTokens, float64(tokens), first)
 	l.reportedAt.Store(at)
 }
 
--- /dev/null
+++ b/follow/read.go
@@ -0,0 +1,96 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/backoff"
+)
+
+// step lists or watches once.
+func (f *Follower) step(ctx context.Context) error {
+	if f.relist.Swap(false) || f.snapshot.Load() == nil {
+		return f.list(ctx)
+	}
+	return f.watch(ctx)
+}
+
+// list reads all objects. The first list may be stale: the watch goes on from its
+// revision, and a daemon that does not watch asks another one at once.
+func (f *Follower) list(ctx context.Context) error {
+	first := f.snapshot.Load() == nil
+	next, err := f.Source.List(ctx, f.Kind, first)
+	if err != nil {
+		f.relist.Store(true)
+		return err
+	}
+	f.answered()
+	f.take(next, false, f.echo())
+	if first && !f.Peers.Watching() {
+		f.pull(ctx)
+	}
+	return nil
+}
+
+// watch waits for changes once.
+func (f *Follower) watch(ctx context.Context) error {
+	inner, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.interrupt.Store(&cancel)
+	defer f.interrupt.Store(nil)
+	if f.relist.Load() {
+		return nil // Asked for just before the call could be ended.
+	}
+	old := f.snapshot.Load()
+	wait := time.Duration(float64(watchWait) * (1 - waitJitter*f.Random.Float64()))
+	changes, err := f.Source.Watch(inner, f.Kind, old.Revision, wait)
+	switch {
+	case err == nil:
+		f.answered()
+		f.change(changes, false, f.echo())
+		if !changes.empty() {
+			_ = backoff.Sleep(inner, gatherTime) // The next watch begins sooner when it is ended.
+		}
+		return nil
+	case errors.Is(err, ErrHistoryGone):
+		f.Log.Info().Str("kind", f.Kind).Uint64("revision", old.Revision).Msg("history gone, listing again")
+		f.relist.Store(true)
+		f.Disturbed()
+		// A store that keeps saying so must not be asked without a pause.
+		_ = backoff.Sleep(ctx, retryBase) // The loop ends with ctx.
+		return nil
+	case inner.Err() != nil:
+		return nil // Relist has ended the watch, or the daemon stops.
+	}
+	f.relist.Store(true)
+	f.Disturbed()
+	return err
+}
+
+// answered notes an answer of the store.
+func (f *Follower) answered() {
+	now := time.Now().UnixNano()
+	f.confirmed.Store(now)
+	since := f.failingSince.Swap(0)
+	if since == 0 {
+		return
+	}
+	f.Log.Info().Str("kind", f.Kind).Dur("failed_for_ms", time.Duration(now-since)).Msg("store answers again")
+	if now-since > int64(outageAfter) {
+		f.returned.Store(now)
+	}
+}
+
+// echo tells whether changes of now may be of an outage's making.
+func (f *Follower) echo() bool {
+	return time.Now().UnixNano()-f.returned.Load() < int64(outageEcho)
+}
+
+// failed notes a call without an answer.
+func (f *Follower) failed(err error) {
+	if f.failingSince.CompareAndSwap(0, time.Now().UnixNano()) {
+		f.Log.Warn().Err(err).Str("kind", f.Kind).Msg("store does not answer")
+	}
+	f.wake()
+}
