--- a/soak/faults.go
+++ b/soak/faults.go
@@ -100,6 +100,7 @@
 	d.signal(syscall.SIGCONT)
 	d.signal(s)
 	return func() {
+		d.signal(syscall.SIGCONT) // It may have been frozen while it stopped.
 		<-d.ended
 		if err := r.launch(d); err != nil {
 			r.checks.broke("daemon %s does not start again: %v", d.Name, err)
