--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,13 +1,17 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/bronzeturn/bronzeturn/platform/emulator"
 )
 
 // program is the daemon under test.
@@ -47,6 +51,32 @@
 	}
 }
 
+// TestDaemonFrozenWhileItStopsIsWoken: a run once waited for ever for the end of a
+// daemon that it had frozen after SIGTERM.
+func TestDaemonFrozenWhileItStopsIsWoken(t *testing.T) {
+	r := &run{
+		Options: Options{Program: program, Folder: t.TempDir(), Seed: 311, Daemons: 1, Plain: 1, Engines: 1, Report: os.Stderr},
+		random:  rand.New(rand.NewPCG(311, 311)), store: emulator.NewStore(), record: &emulator.Record{}, version: 1, started: time.Now(),
+	}
+	defer r.close()
+	qt.Assert(t, r.start(), qt.IsNil)
+	r.checks = newChecks(r)
+	d := r.daemons[0]
+	end := r.restart(d, syscall.SIGTERM)
+	d.signal(syscall.SIGSTOP)
+	ended := make(chan struct{})
+	go func() {
+		end()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(readyWait):
+		t.Fatal("the run waits for a daemon that is frozen")
+	}
+	qt.Check(t, r.checks.broken, qt.HasLen, 0)
+}
+
 // TestChecksNoticeBrokenPromises feeds answers that must not be.
 func TestChecksNoticeBrokenPromises(t *testing.T) {
 	c := qt.New(t)
