Ask a larger model where its answer is worth its price

Cause: one bound of confidence (57, and 35 for the size between) for all requests. Now a larger size answers when its chance of being right, less what it may lose by being late, pays more than its price over the answer there is. A request that can't have a second run goes to the size that pays best by itself. Keepers are not asked about a larger model that would not pay even in time. The values are a setting (--answer-values).

--- a/cmd/bronzeturn-entry/main.go
+++ b/cmd/bronzeturn-entry/main.go
@@ -7,22 +7,42 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strconv"
+	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kong"
 
 	"github.com/bronzeturn/bronzeturn/attempt"
 	"github.com/bronzeturn/bronzeturn/entry"
+	"github.com/bronzeturn/bronzeturn/gateway"
 	"github.com/bronzeturn/bronzeturn/logging"
 	"github.com/bronzeturn/bronzeturn/platform"
 )
 
 // options are the command line.
 type options struct {
-	Settings    string `help:"Path of the settings file. Default: the one that the platform names." type:"path" env:"BRONZETURN_ENTRY_SETTINGS"`
-	Check       bool   `help:"Check the settings, and the configuration file if one is named, and exit." env:"BRONZETURN_ENTRY_CHECK"`
-	Config      string `help:"Configuration document to check, as the store holds it." type:"path" env:"BRONZETURN_ENTRY_CONFIG"`
-	MetricsPort int    `help:"Port for metrics on the host's own address, 0 for none." default:"0" env:"BRONZETURN_METRICS_PORT"`
+	Settings     string    `help:"Path of the settings file. Default: the one that the platform names." type:"path" env:"BRONZETURN_ENTRY_SETTINGS"`
+	Check        bool      `help:"Check the settings, and the configuration file if one is named, and exit." env:"BRONZETURN_ENTRY_CHECK"`
+	Config       string    `help:"Configuration document to check, as the store holds it." type:"path" env:"BRONZETURN_ENTRY_CONFIG"`
+	MetricsPort  int       `help:"Port for metrics on the host's own address, 0 for none." default:"0" env:"BRONZETURN_METRICS_PORT"`
+	AnswerValues []float64 `help:"What a right answer of usual length is worth by the priority of its route, the most urgent first, in the unit of the models' prices. The last one holds for all further priorities." default:"${answer_values}" env:"BRONZETURN_ANSWER_VALUES"`
+}
+
+// modelOptions returns when a larger model's answer pays.
+func (o *options) modelOptions() (gateway.ModelOptions, error) {
+	models := gateway.DefaultModelOptions()
+	models.Values = o.AnswerValues
+	return models, models.Check()
+}
+
+// defaultAnswerValues writes the defaults as the flag takes them.
+func defaultAnswerValues() string {
+	var texts []string
+	for _, value := range gateway.DefaultModelOptions().Values {
+		texts = append(texts, strconv.FormatFloat(value, 'g', -1, 64))
+	}
+	return strings.Join(texts, ",")
 }
 
 // description is shown with --help.
@@ -44,7 +64,7 @@
 
 func run() int {
 	var o options
-	kong.Parse(&o, kong.Description(description))
+	kong.Parse(&o, kong.Description(description), kong.Vars{"answer_values": defaultAnswerValues()})
 	if o.Settings == "" {
 		o.Settings = platform.SettingsPath()
 	}
@@ -53,6 +73,11 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
+	models, err := o.modelOptions()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
 	if o.Check {
 		return check(o)
 	}
@@ -62,7 +87,7 @@
 	log := logging.NewBounded(os.Stdout)
 	defer log.Close()
 	d, err := entry.New(entry.Options{
-		Settings: settings.Entry, Documents: platform.Documents{}, Codec: platform.Codec{},
+		Settings: settings.Entry, Documents: platform.Documents{}, Codec: platform.Codec{}, Models: models,
 		Store:     platform.NewStore(settings.StoreAddress, attempt.KeptTransport(entry.StoreDial)),
 		LogWriter: log,
 	})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -85,6 +85,8 @@
 	Store     Store
 	Documents Documents
 	Codec     gateway.Codec
+	// Models say when a larger model's answer pays.
+	Models gateway.ModelOptions
 	// LogWriter takes one line per call and must not block.
 	LogWriter io.Writer
 }
--- a/gateway/escalate.go
+++ b/gateway/escalate.go
@@ -9,44 +9,68 @@
 // minEscalation is the least time left for which a larger model is asked.
 const minEscalation = 500 * time.Millisecond
 
+// noConfidence stands for a confidence that no model told.
+const noConfidence = -1
+
+// chooseModel picks the model of the first attempt, unless the caller named one.
+func (g *Gateway) chooseModel(t *task) {
+	if !t.meta.AnyModel || len(t.route.Models) == 0 {
+		return
+	}
+	t.sized = g.Models.Sized(t.route, t.backend, t.meta.PromptTokens, t.likelyTokens())
+	single := !t.route.Repeatable() || t.route.Attempts < 2 || !g.budgets.of(t.service).Ready(time.Now())
+	t.model = g.Models.First(t.sized, single)
+	t.request.trace.model, t.request.trace.worth = t.model, t.sized.worth
+}
+
 // escalates tells whether a larger model should answer instead, and picks it.
 // The caller must not have any of the answer, and the attempts must leave one
 // for the larger model.
 func (g *Gateway) escalates(t *task, confidence int) bool {
 	t.request.trace.confidence = append(t.request.trace.confidence, confidence)
-	if t.model == "" || t.answer.begun() || !t.route.Repeatable() || t.runs+1 >= t.route.Attempts {
+	if t.sized == nil {
 		return false
 	}
-	larger, ok := g.Models.Larger(t.route, t.model, confidence)
-	if !ok || time.Until(t.deadline) < minEscalation || !g.Models.Doubts(confidence, g.shareOfTarget(t, larger)) {
+	g.Models.Told(t.sized, t.model, confidence, t.doubted)
+	if t.answer.begun() || !t.route.Repeatable() || t.runs+1 >= t.route.Attempts {
 		return false
 	}
-	if !g.budgets.of(t.service).Take(time.Now()) {
+	draw := g.random()
+	// The cheap question first: whether it would pay if the answer were in time.
+	inTime := func(string) float64 { return 0 }
+	if _, ok := g.Models.Larger(t.sized, t.model, confidence, inTime, draw); !ok || time.Until(t.deadline) < minEscalation {
 		return false
 	}
-	t.model = larger
+	larger, ok := g.Models.Larger(t.sized, t.model, confidence, g.outlook(t), draw)
+	if !ok || !g.budgets.of(t.service).Take(time.Now()) {
+		return false
+	}
+	t.model, t.doubted = larger, confidence
 	t.request.trace.model = larger
 	t.tried = nil
 	return true
 }
 
-// shareOfTarget returns the part of the route's target that will have passed when
-// a larger model begins to answer.
-func (g *Gateway) shareOfTarget(t *task, model string) float64 {
+// outlook returns which part of the route's target will have passed when a model
+// begins to answer. It asks for an engine for the largest one; the others take less
+// time for the prompt, in proportion to their weight.
+func (g *Gateway) outlook(t *task) func(model string) float64 {
 	engines := g.Tables().Engines
 	if engines == nil || t.route.Target <= 0 {
-		return 0
+		return func(string) float64 { return 0 }
 	}
 	small := t.model
-	t.model = model
+	t.model = t.route.Models[len(t.route.Models)-1]
 	r := t.balanceRequest(g.DataCentre, engines, g.Models)
 	t.model = small
 	r.NoProbe = true
 	r.Exclude = [balance.MaxExclude]string{}
 	decision, ok := g.ask(engines, r, time.Now())
 	if !ok {
-		return 1
+		return func(string) float64 { return 1 }
+	}
+	waits, reads := t.wholeLatency()+decision.Backlog, decision.ExpectedFirstToken.Seconds()
+	return func(model string) float64 {
+		return (waits.Seconds() + reads*g.Models.Weight(t.backend, model)) / t.route.Target.Seconds()
 	}
-	begins := t.wholeLatency() + decision.Backlog + decision.ExpectedFirstToken
-	return begins.Seconds() / t.route.Target.Seconds()
 }
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -72,6 +72,9 @@
 			Dur("allowed_ms", q.deadline.Sub(q.received))
 	}
 	t := &q.trace
+	if t.worth > 0 {
+		line = line.Float64("worth", t.worth)
+	}
 	return line.Strs("engines", t.engines).Strs("reasons", t.reasons).Strs("compared", t.compared).Str("model", t.model).Ints("confidence", t.confidence).Bool("trial", t.trial).
 		Int("attempts", t.attempts).Int("resumed", t.resumed).Int("events", t.events).Dur("first_ms", t.first).Dur("pause_ms", t.pause)
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -66,6 +66,8 @@
 	// compared are the engines compared for the last attempt, with their costs.
 	compared []string
 	model    string
+	// worth is what a right answer is taken to be worth where the model was open.
+	worth float64
 	// confidence is that of each answer that began.
 	confidence []int
 	trial      bool
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -38,8 +38,13 @@
 type task struct {
 	*request
 	answer *answer
-	// model is the size it runs on, "" when the caller named one.
+	// model is the size it runs on, "" when the caller named one, and sized what its
+	// choice goes by.
 	model string
+	sized *sizedRequest
+	// doubted is the confidence of the answer that the model is to replace, or
+	// noConfidence.
+	doubted int
 	// group of engines, and whether it is the version being introduced.
 	group string
 	trial bool
@@ -88,12 +93,9 @@
 // run sends the request to engines until one answers it whole.
 func (g *Gateway) run(ctx context.Context, q *request, a *answer) *failure.Error {
 	g.budgets.of(q.service).Request(time.Now())
-	t := &task{request: q, answer: a, ran: failure.RanNo, model: g.Models.First(q.route)}
+	t := &task{request: q, answer: a, ran: failure.RanNo, doubted: noConfidence}
 	t.stream.lastID = q.meta.LastEvent
-	if !q.meta.AnyModel {
-		t.model = ""
-	}
-	q.trace.model = t.model
+	g.chooseModel(t)
 	t.homes = g.countHomes(t)
 	for {
 		to, f := g.choose(ctx, t)
--- a/gateway/work.go
+++ b/gateway/work.go
@@ -26,15 +26,20 @@
 	return g.heats.add(t.prefixHash, seconds, g.Daemons(), time.Now())
 }
 
+// likelyTokens is the expected length of the answer.
+func (t *task) likelyTokens() int {
+	if t.meta.LikelyTokens > 0 {
+		return t.meta.LikelyTokens
+	}
+	return t.meta.MaxTokens / 2
+}
+
 // work estimates the size of the request, in the tokens of the largest model.
 func (t *task) work(models *ModelChoice) balance.Work {
 	if !t.ranked {
 		return balance.Work{Priority: bronzeturnv1.Priority_PRIORITY_NORMAL, ExpectedTokens: plainWork}
 	}
-	expected := t.meta.LikelyTokens
-	if expected == 0 {
-		expected = t.meta.MaxTokens / 2
-	}
+	expected := t.likelyTokens()
 	weight := models.Weight(t.backend, t.model)
 	scale := func(tokens int) int64 { return int64(weight * float64(tokens)) }
 	return balance.Work{
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -68,6 +68,15 @@
 	return true
 }
 
+// Ready tells whether a retry could be taken now.
+func (b *Budget) Ready(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fill(now)
+	b.recent.move(now)
+	return min(b.tokens, b.burst()) >= 1
+}
+
 // fill adds the floor for the time since the last call. A clock that steps
 // back earns nothing.
 func (b *Budget) fill(now time.Time) {
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -117,3 +117,18 @@
 	}
 	c.Assert(quiet, qt.Equals, int(DefaultBudgetOptions().Burst))
 }
+
+// TestReadyTellsWhatTakeWouldDo and takes nothing.
+func TestReadyTellsWhatTakeWouldDo(t *testing.T) {
+	c := qt.New(t)
+	b := NewBudget(BudgetOptions{Share: 0.5, Burst: 5})
+	now := time.Unix(1000, 0)
+	c.Check(b.Ready(now), qt.IsFalse)
+	b.Request(now)
+	c.Check(b.Ready(now), qt.IsFalse)
+	b.Request(now)
+	c.Check(b.Ready(now), qt.IsTrue)
+	c.Check(b.Ready(now), qt.IsTrue)
+	c.Check(b.Take(now), qt.IsTrue)
+	c.Check(b.Ready(now), qt.IsFalse)
+}
