Lists of a silent store are given up after 0.35 s, then later and later

Cause: a call that began while the store was silent is never answered, and was waited for for 2 s. Now the time until an answer begins is bounded by 0.35 s, half as much again after each list that fails, up to 2 s, with jitter; a slow store's answer time counts twice. The whole call keeps its bound, so long lists are not cut. Ruled out: a fixed short bound (a store slower than it would never be read). Failing first: the test of the follower gets its copy at 2 s with the bound of before.

--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -85,9 +85,9 @@
 }
 
 // List implements follow.Source.
-func (s *countedStore) List(ctx context.Context, kind string, stale bool) (snapshot *follow.Snapshot, err error) {
+func (s *countedStore) List(ctx context.Context, kind string, o follow.ListOptions) (snapshot *follow.Snapshot, err error) {
 	defer func(began time.Time) { s.done("list", began, err) }(time.Now())
-	return s.store.List(ctx, kind, stale)
+	return s.store.List(ctx, kind, o)
 }
 
 // Watch implements follow.Source.
--- a/entry/metrics_test.go
+++ b/entry/metrics_test.go
@@ -18,7 +18,7 @@
 // failingStore answers every call with one error.
 type failingStore struct{ err error }
 
-func (s failingStore) List(context.Context, string, bool) (*follow.Snapshot, error) {
+func (s failingStore) List(context.Context, string, follow.ListOptions) (*follow.Snapshot, error) {
 	return nil, s.err
 }
 
@@ -52,7 +52,7 @@
 			c := qt.New(t)
 			s := newCountedStore(failingStore{err}, prometheus.NewRegistry())
 			ctx := t.Context()
-			_, got := s.List(ctx, "k", true)
+			_, got := s.List(ctx, "k", follow.ListOptions{Stale: true})
 			c.Check(got, qt.Equals, err)
 			_, _ = s.Watch(ctx, "k", 1, time.Second)
 			_, _ = s.Get(ctx, "k/n")
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -22,14 +22,21 @@
 
 // Source is the part of the store that a Follower reads.
 type Source interface {
-	// List returns all objects of a kind. With stale they may be as of some seconds
-	// ago, which is cheaper.
-	List(ctx context.Context, kind string, stale bool) (*Snapshot, error)
+	// List returns all objects of a kind.
+	List(ctx context.Context, kind string, o ListOptions) (*Snapshot, error)
 	// Watch returns the changes after a revision, or none when the wait ends. The
 	// wait is how long the store may hold the call.
 	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (*Changes, error)
 }
 
+// ListOptions say how a list is read.
+type ListOptions struct {
+	// Stale objects, as of some seconds ago, will do, which is cheaper.
+	Stale bool
+	// Patience bounds the time until each answer begins.
+	Patience time.Duration
+}
+
 // Pulled is what another daemon gave of its copy.
 type Pulled struct {
 	Changes Changes
@@ -67,6 +74,15 @@
 	// changes are taken to be of the outage's making.
 	outageAfter = 500 * time.Millisecond
 	outageEcho  = 2 * time.Second
+	// firstPatience is how long a list's answer may take to begin when the store has
+	// answered the one before, many times what a store takes that is well. It grows
+	// by patienceGrowth halves with each list that fails, up to mostPatience for a slow
+	// store, and is longer by up to patienceJitter, so that a store that was silent is
+	// asked again by some daemon soon after its return.
+	firstPatience  = 350 * time.Millisecond
+	mostPatience   = 2 * time.Second
+	patienceGrowth = 3
+	patienceJitter = 0.3
 	// gatherTime lets changes that come in a burst share one watch.
 	gatherTime = 120 * time.Millisecond
 	// freshRetry is how much longer a daemon without a copy pauses for each daemon of
@@ -155,8 +171,10 @@
 	kick   chan struct{}
 	// relist asks for a list at the next step.
 	relist atomic.Bool
-	// tried is the time of the last call; Run alone uses it.
-	tried time.Time
+	// tried is the time of the last call, patience the bound of the next list; Run
+	// alone uses them.
+	tried    time.Time
+	patience time.Duration
 	// interrupt ends the call in progress.
 	interrupt atomic.Pointer[context.CancelFunc]
 
@@ -167,7 +185,7 @@
 
 // New returns a Follower that does nothing before Run.
 func New(o Options) *Follower {
-	return &Follower{Options: o, kick: make(chan struct{}, 1)}
+	return &Follower{Options: o, kick: make(chan struct{}, 1), patience: firstPatience}
 }
 
 // Snapshot returns the copy, nil before the first one.
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -37,6 +37,8 @@
 	log      []Changes
 	changed  chan struct{}
 	down     bool
+	// silent lists never answer.
+	silent bool
 	// deaf watches never answer, gone ones have lost their history.
 	deaf, gone bool
 	lists      int
@@ -91,14 +93,23 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *store) List(_ context.Context, _ string, stale bool) (*Snapshot, error) {
+func (s *store) List(ctx context.Context, _ string, o ListOptions) (*Snapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
+	if s.silent {
+		s.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(o.Patience):
+		}
+		s.mu.Lock()
+		return nil, errDown
+	}
 	if s.down {
 		return nil, errDown
 	}
-	if stale && s.old != nil {
+	if o.Stale && s.old != nil {
 		return s.old, nil
 	}
 	return &Snapshot{Revision: s.revision, Items: maps.Clone(s.items)}, nil
@@ -302,7 +313,7 @@
 	run(t, func(c *qt.C, ctx context.Context) {
 		s := newStore()
 		s.put("a", "1")
-		old, err := s.List(ctx, "things", false)
+		old, err := s.List(ctx, "things", ListOptions{})
 		c.Assert(err, qt.IsNil)
 		s.put("a", "2")
 		s.put("b", "1")
@@ -321,6 +332,30 @@
 	})
 }
 
+// TestSilentStoreIsNoticedSoonAfterItsReturn has a daemon start while the store
+// answers nothing: a call that began before the return stays without an answer.
+func TestSilentStoreIsNoticedSoonAfterItsReturn(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		s := newStore()
+		s.put("a", "1")
+		s.set(func(s *store) { s.silent = true })
+		d := newDaemon(ctx, s, true, nil)
+		const silence = 500 * time.Millisecond
+		time.Sleep(silence)
+		s.set(func(s *store) { s.silent = false })
+		time.Sleep(2 * firstPatience)
+		c.Check(d.spec("a"), qt.Equals, "1")
+		// A store that stays silent is not asked more and more often.
+		s.set(func(s *store) { s.silent, s.down = true, true })
+		d.Relist()
+		before := s.tries()
+		const long = 20 * time.Second
+		time.Sleep(long)
+		calls := s.tries() - before
+		c.Check(calls <= int(long/mostPatience)+5, qt.IsTrue, qt.Commentf("%d calls", calls))
+	})
+}
+
 func TestDaemonThatDoesNotWatchMakesNoCalls(t *testing.T) {
 	run(t, func(c *qt.C, ctx context.Context) {
 		s := newStore()
--- a/follow/read.go
+++ b/follow/read.go
@@ -20,11 +20,14 @@
 // revision, and a daemon that does not watch asks another one at once.
 func (f *Follower) list(ctx context.Context) error {
 	first := f.snapshot.Load() == nil
-	next, err := f.Source.List(ctx, f.Kind, first)
+	began := time.Now()
+	next, err := f.Source.List(ctx, f.Kind, ListOptions{Stale: first, Patience: f.jittered(f.patience)})
 	if err != nil {
+		f.patience = min(patienceGrowth*f.patience/2, mostPatience)
 		f.relist.Store(true)
 		return err
 	}
+	f.patience = min(max(firstPatience, 2*time.Since(began)), mostPatience)
 	f.answered()
 	f.take(next, false, f.echo())
 	if first && !f.Peers.Watching() {
@@ -33,6 +36,11 @@
 	return nil
 }
 
+// jittered returns a patience that differs from other daemons'.
+func (f *Follower) jittered(patience time.Duration) time.Duration {
+	return time.Duration(float64(patience) * (1 + patienceJitter*f.Random.Float64()))
+}
+
 // watch waits for changes once.
 func (f *Follower) watch(ctx context.Context) error {
 	inner, cancel := context.WithCancel(ctx)
