One daemon's watches end soon, the others' later; fewer calls while the store is away; a version is complete on time

It is enough that one daemon does; the others hear of changes from it, and wait up to 5 s. Orders may be noticed late by all. While the store is away all daemons of a fleet together asked 50 times a second; now 13, and 26 after a common start, those that watch more often. A watch that ends without any answer counts as an outage since its beginning, or daemons would take engines for gone that lapsed in it. Ruled out: longer watches of engines for all (a deaf one would break the drain bound).

--- a/canary/pace.go
+++ b/canary/pace.go
@@ -83,6 +83,19 @@
 	return max(length-min(o.FinishMargin, (length-p.whole)*17/20), 0)
 }
 
+// NextReview returns when the introduction should be judged again: after the usual
+// interval, or just when it is to be declared complete, and from then on in the pace
+// in which further daemons try to write that.
+func (i *Introduction) NextReview(now time.Time, usual time.Duration) time.Duration {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	left := i.options.finish(i.order.Duration, i.pace) - now.Sub(i.since)
+	if left <= 0 {
+		return doneDelay
+	}
+	return min(usual, left)
+}
+
 // moving returns the share of the sessions after the trial. The caller holds mu.
 func (i *Introduction) moving(age time.Duration) (share float64, moving bool) {
 	switch {
--- a/entry/introductions.go
+++ b/entry/introductions.go
@@ -309,9 +309,12 @@
 
 // run reviews the introductions until ctx ends.
 func (i *introductions) run(ctx context.Context) error {
-	for backoff.Sleep(ctx, reviewInterval) == nil {
+	pause := reviewInterval
+	for backoff.Sleep(ctx, pause) == nil {
+		pause = reviewInterval
 		for service, known := range i.active() {
 			i.review(ctx, service, known)
+			pause = min(pause, known.NextReview(time.Now(), reviewInterval))
 		}
 	}
 	return nil
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -55,6 +55,9 @@
 	Pull(ctx context.Context, kind string, after uint64) (*Pulled, error)
 	// Watching tells whether this daemon is one of those that watch the store.
 	Watching() bool
+	// Leading tells whether this daemon is the one of those that watch whose watches
+	// end soon.
+	Leading() bool
 	// Live is the number of live daemons, this one included.
 	Live() int
 }
@@ -67,8 +70,8 @@
 	// orphanRetry is how much longer a daemon that does not watch pauses for each
 	// daemon of the fleet: all of them read the store when those that watch are
 	// turned away, and calls that are refused cost as much as others. One that gets
-	// through tells the others.
-	orphanRetry = 40 * time.Millisecond
+	// through tells the others, and some does each 75 ms in a fleet of any size.
+	orphanRetry = 150 * time.Millisecond
 	// outageAfter is how long the store may fail to answer before its return
 	// counts as the end of an outage, and outageEcho how long after the return
 	// changes are taken to be of the outage's making.
@@ -83,11 +86,13 @@
 	mostPatience   = 2 * time.Second
 	patienceGrowth = 3
 	patienceJitter = 0.3
-	// gatherTime lets changes that come in a burst share one watch.
-	gatherTime = 120 * time.Millisecond
-	// freshRetry is how much longer a daemon without a copy pauses for each daemon of
-	// the fleet: after a common start in an outage all of them have none.
-	freshRetry = 10 * time.Millisecond
+	// gatherTime lets changes that come in a burst share one watch; daemons that do
+	// not lead gather longer, since they hear of changes from the one that does.
+	gatherTime   = 120 * time.Millisecond
+	gatherLonger = 600 * time.Millisecond
+	// freshRetry is the same for a daemon without a copy: after a common start in an
+	// outage all of them have none.
+	freshRetry = 25 * time.Millisecond
 	// idlePoll is the time between two looks at whether this daemon should watch.
 	idlePoll = 200 * time.Millisecond
 	// leadPoll is the time between two looks at whether the lead has got an answer,
@@ -119,10 +124,12 @@
 
 // A watch may go deaf unnoticed: it ends without an answer, and until then the
 // changes are missed. Daemons tell each other of new revisions, so it is enough
-// that some watch in the fleet ends soon: its wait is short, and its ends are
-// spread by waitJitter.
+// that some watch in the fleet ends soon: that of the daemon which leads waits for
+// watchWait, the others, and those of kinds that may be late, for longWait. The ends
+// are spread by waitJitter.
 const (
 	watchWait  = 2500 * time.Millisecond
+	longWait   = 5 * time.Second
 	waitJitter = 0.5
 )
 
@@ -144,6 +151,9 @@
 	Apply func(Update)
 	// Announce tells other daemons of a revision with changes.
 	Announce func(revision uint64)
+	// Patient tells that changes are rare, and that one may come some seconds late
+	// when all watches of the fleet have gone deaf.
+	Patient bool
 	// Lead, if any, is another Follower of this daemon. While the store answers
 	// neither, only the lead goes on asking: what it hears holds for all.
 	Lead *Follower
@@ -162,6 +172,10 @@
 	// failingSince is the time of the first failure in a row in Unix
 	// nanoseconds, zero while the store answers.
 	failingSince atomic.Int64
+	// reported tells that the log has a line of the failure, answeredAt is the time
+	// of the store's last answer.
+	reported   atomic.Bool
+	answeredAt atomic.Int64
 	// returned is when the store came back from its last outage.
 	returned atomic.Int64
 	// confirmed is the time of the last answer of store or daemons.
@@ -175,8 +189,9 @@
 	// alone uses them.
 	tried    time.Time
 	patience time.Duration
-	// interrupt ends the call in progress.
+	// interrupt ends the call in progress, waiting is how long that call waits.
 	interrupt atomic.Pointer[context.CancelFunc]
+	waiting   atomic.Int64
 
 	// mu keeps updates in order and guards history.
 	mu      sync.Mutex
@@ -197,7 +212,11 @@
 // Stale tells whether the copy may be out of date: neither the store nor another
 // daemon has confirmed it lately.
 func (f *Follower) Stale(now time.Time) bool {
-	return f.snapshot.Load() == nil || now.UnixNano()-f.confirmed.Load() > int64(staleAfter+watchWait)
+	wait := watchWait // Daemons that wait longer ask others in between.
+	if f.Patient {
+		wait = longWait
+	}
+	return f.snapshot.Load() == nil || now.UnixNano()-f.confirmed.Load() > int64(staleAfter+wait)
 }
 
 // Unconfirmed returns the time since the store or another daemon confirmed the copy,
@@ -264,10 +283,10 @@
 // longestPause bounds the pause after a call that failed.
 func (f *Follower) longestPause() time.Duration {
 	switch {
-	case f.snapshot.Load() == nil:
-		return retryMax + time.Duration(f.Peers.Live())*freshRetry
 	case f.Peers.Watching():
 		return retryMax
+	case f.snapshot.Load() == nil:
+		return retryMax + time.Duration(f.Peers.Live())*freshRetry
 	}
 	return max(retryMax, time.Duration(f.Peers.Live())*orphanRetry)
 }
@@ -286,6 +305,24 @@
 	return max(confirmEvery, time.Duration(f.Peers.Live())*confirmPerDaemon)
 }
 
+// wait is how long a watch waits at most.
+func (f *Follower) wait() time.Duration {
+	if f.Patient || !f.Peers.Leading() {
+		return longWait
+	}
+	return watchWait
+}
+
+// hurry ends a long watch when this daemon has become the one that leads.
+func (f *Follower) hurry() {
+	if f.waiting.Load() <= int64(f.wait()) {
+		return
+	}
+	if cancel := f.interrupt.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
 // Relist ends a watch in progress and lists instead.
 func (f *Follower) Relist() {
 	f.relist.Store(true)
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -158,7 +158,9 @@
 	mu       sync.Mutex
 	other    *Follower
 	watching bool
-	pulls    int
+	// following daemons watch, but do not lead.
+	following bool
+	pulls     int
 }
 
 func (p *peers) Pull(_ context.Context, _ string, after uint64) (*Pulled, error) {
@@ -180,6 +182,13 @@
 	return p.watching
 }
 
+// Leading: a daemon that watches leads unless there is another one to ask.
+func (p *peers) Leading() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.watching && !p.following
+}
+
 func (p *peers) asked() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -356,6 +365,69 @@
 	})
 }
 
+// secondWatcher returns a daemon that watches and does not lead, beside one that does.
+func secondWatcher(ctx context.Context, s Source, leader *daemon) *daemon {
+	d := &daemon{peers: &peers{watching: true, following: true, other: leader.Follower}}
+	d.run(ctx, s, nil)
+	return d
+}
+
+// TestWatchesOfThoseThatDoNotLeadAreLong: they cost half the calls, are up to date all
+// the same, and are short as soon as their daemon leads.
+func TestWatchesOfThoseThatDoNotLeadAreLong(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		s, other := newStore(), newStore()
+		s.put("a", "1")
+		other.put("a", "1")
+		leader := newDaemon(ctx, s, true, nil)
+		time.Sleep(10 * time.Millisecond)
+		second := secondWatcher(ctx, other, leader)
+		const long = 60 * time.Second
+		time.Sleep(long)
+		_, short, _ := s.counts()
+		_, longer, _ := other.counts()
+		c.Check(longer <= short*6/10, qt.IsTrue, qt.Commentf("%d and %d", longer, short))
+		c.Check(second.Stale(time.Now()), qt.IsFalse)
+		// Its own watch goes deaf and the leader tells of a change.
+		other.set(func(s *store) { s.deaf = true })
+		other.put("b", "wakes the watches that hear")
+		s.put("a", "2")
+		time.Sleep(gatherTime)
+		second.Heard(leader.Snapshot().Revision)
+		time.Sleep(newsPatience + pullPause + time.Millisecond)
+		c.Check(second.spec("a"), qt.Equals, "2")
+		// The leader is gone: the watch in progress ends soon, not after longWait.
+		other.set(func(s *store) { s.deaf = false })
+		time.Sleep(2 * longWait)
+		second.peers.mu.Lock()
+		second.peers.following = false
+		second.peers.mu.Unlock()
+		_, before, _ := other.counts()
+		time.Sleep(confirmEvery + watchWait)
+		_, after, _ := other.counts()
+		c.Check(after-before >= 2, qt.IsTrue, qt.Commentf("%d watches", after-before))
+	})
+}
+
+// TestSilenceOfAWatchCountsAsOutage: a watch that ends without an answer may have
+// missed an outage as long as itself, and what vanished in it may come back.
+func TestSilenceOfAWatchCountsAsOutage(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		s := newStore()
+		s.put("a", "1")
+		d := newDaemon(ctx, s, true, nil)
+		time.Sleep(time.Second)
+		s.set(func(s *store) { s.deaf = true })
+		s.put("b", "wakes the watches that hear")
+		time.Sleep(2 * gatherTime)
+		s.set(func(s *store) { s.deaf = false })
+		s.remove("a")
+		time.Sleep(watchWait + time.Second)
+		c.Check(d.spec("a"), qt.Equals, "")
+		c.Check(d.last().AfterOutage, qt.IsTrue)
+	})
+}
+
 func TestDaemonThatDoesNotWatchMakesNoCalls(t *testing.T) {
 	run(t, func(c *qt.C, ctx context.Context) {
 		s := newStore()
--- a/follow/read.go
+++ b/follow/read.go
@@ -51,14 +51,16 @@
 		return nil // Asked for just before the call could be ended.
 	}
 	old := f.snapshot.Load()
-	wait := time.Duration(float64(watchWait) * (1 - waitJitter*f.Random.Float64()))
+	wait := time.Duration(float64(f.wait()) * (1 - waitJitter*f.Random.Float64()))
+	f.waiting.Store(int64(wait))
+	defer f.waiting.Store(0)
 	changes, err := f.Source.Watch(inner, f.Kind, old.Revision, wait)
 	switch {
 	case err == nil:
 		f.answered()
 		f.change(changes, false, f.echo())
 		if !changes.empty() {
-			_ = backoff.Sleep(inner, gatherTime) // The next watch begins sooner when it is ended.
+			_ = backoff.Sleep(inner, f.gather()) // The next watch begins sooner when it is ended.
 		}
 		return nil
 	case errors.Is(err, ErrHistoryGone):
@@ -73,17 +75,31 @@
 	}
 	f.relist.Store(true)
 	f.Disturbed()
+	if errors.Is(err, context.DeadlineExceeded) {
+		// The store may have been silent since its last answer.
+		f.failingSince.CompareAndSwap(0, f.answeredAt.Load())
+	}
 	return err
 }
 
+// gather is how long changes are gathered after some came.
+func (f *Follower) gather() time.Duration {
+	if f.Patient || f.Peers.Leading() {
+		return gatherTime
+	}
+	return gatherLonger
+}
+
 // answered notes an answer of the store.
 func (f *Follower) answered() {
 	now := time.Now().UnixNano()
 	f.confirmed.Store(now)
+	f.answeredAt.Store(now)
 	since := f.failingSince.Swap(0)
 	if since == 0 {
 		return
 	}
+	f.reported.Store(false)
 	f.Log.Info().Str("kind", f.Kind).Dur("failed_for_ms", time.Duration(now-since)).Msg("store answers again")
 	if now-since > int64(outageAfter) {
 		f.returned.Store(now)
@@ -97,7 +113,8 @@
 
 // failed notes a call without an answer.
 func (f *Follower) failed(err error) {
-	if f.failingSince.CompareAndSwap(0, time.Now().UnixNano()) {
+	if f.reported.CompareAndSwap(false, true) {
+		f.failingSince.CompareAndSwap(0, time.Now().UnixNano())
 		f.Log.Warn().Err(err).Str("kind", f.Kind).Msg("store does not answer")
 	}
 	f.wake()
