Slowness of a new version is judged by all its latencies, between events and to the first one, relative to the model

Only 9 to 25 answers of a trial are there to judge by, half of which have one event, and a large model's take ten times as long. Now latencies are counted relative to the mean of their service and model, paces apart from first events (ratio of 1.75 from eight on, four standard errors), all together condemn at five standard errors and 1.5 times from ten on, and an answer that was dropped for a larger model's tells of its version too. The new tests fail without their parts (certainty, paces, chance).

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -95,8 +95,14 @@
 type CountKey struct {
 	Route string
 	Trial bool
+	// Pace marks the times between the events of streams. They are counted apart:
+	// a version may be slow in one and not in the other.
+	Pace bool
 }
 
+// base returns the key of the version before.
+func (k CountKey) base() CountKey { return CountKey{Route: k.Route, Pace: k.Pace} }
+
 // Report is what one daemon tells the others of an introduction.
 type Report struct {
 	Order  uint64
@@ -121,8 +127,8 @@
 	own    map[CountKey]Count
 	held   map[uint64]struct{}
 	others map[string]Report
-	// usual is what the fleet saw of the version before, by route.
-	usual map[string]Count
+	// usual is what the fleet saw of the version before.
+	usual map[CountKey]Count
 	// pace is the plan, worked out anew until the trial is over.
 	pace pace
 	// grown tells that the trial is over. From then on the load differs from that of
@@ -137,7 +143,7 @@
 	return &Introduction{
 		pace:    o.plan(order.Duration, 0, 0, 0),
 		options: o, order: order, state: state, since: now,
-		own: make(map[CountKey]Count), held: make(map[uint64]struct{}), others: make(map[string]Report), usual: make(map[string]Count),
+		own: make(map[CountKey]Count), held: make(map[uint64]struct{}), others: make(map[string]Report), usual: make(map[CountKey]Count),
 	}
 }
 
@@ -225,9 +231,17 @@
 
 // Observe takes in one answer. A latency of zero was not measured.
 func (i *Introduction) Observe(route string, trial, bad bool, latency time.Duration) {
+	i.observe(CountKey{Route: route, Trial: trial}, bad, latency)
+}
+
+// ObservePace takes in the mean time between two events of a stream that came whole.
+func (i *Introduction) ObservePace(route string, trial bool, pace time.Duration) {
+	i.observe(CountKey{Route: route, Trial: trial, Pace: true}, false, pace)
+}
+
+func (i *Introduction) observe(key CountKey, bad bool, latency time.Duration) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	key := CountKey{Route: route, Trial: trial}
 	c := i.own[key]
 	c.Answers++
 	if bad {
@@ -235,7 +249,7 @@
 	}
 	if latency > 0 {
 		value := math.Log(latency.Seconds()*1000 + slowFloor)
-		if i.isSlow(route, value) {
+		if i.isSlow(key, value) {
 			c.Slow++
 		}
 		c.LogLatencySum += value
@@ -285,9 +299,12 @@
 	Reason string
 	// Trial and Base sum up the answers of the fleet.
 	Trial, Base Count
-	// Slowdown is the ratio of latencies, zero when there are too few.
-	Slowdown float64
-	Age      time.Duration
+	// Slowdown is the ratio of the latencies to the first event or answer, PaceSlowdown
+	// that of the times between events. They are zero when there are too few.
+	Slowdown, PaceSlowdown float64
+	// Slow tells that all latencies together are beyond chance.
+	Slow bool
+	Age  time.Duration
 	// Whole is the age from which the new version gets everything.
 	Whole time.Duration
 }
@@ -299,19 +316,27 @@
 	sums := i.sum()
 	v := Verdict{State: Running, Age: now.Sub(i.since)}
 	for key, c := range sums {
-		if key.Trial {
+		if !key.Trial {
+			i.usual[key] = c
+		}
+		switch {
+		case key.Pace: // Of answers that are counted already.
+		case key.Trial:
 			v.Trial.add(c)
-			continue
+		default:
+			v.Base.add(c)
 		}
-		v.Base.add(c)
-		i.usual[key.Route] = c
 	}
 	if !i.grown {
 		i.pace = i.options.plan(i.order.Duration, v.Age, v.Trial.Answers, v.Base.Answers)
 	}
 	_, i.grown = i.moving(v.Age)
 	if !i.grown {
-		v.Slowdown = slowdown(sums)
+		first := compareLatencies(sums, func(k CountKey) bool { return !k.Pace })
+		paces := compareLatencies(sums, func(k CountKey) bool { return k.Pace })
+		v.Slowdown = first.slowdown(slowFactor, minLatencies)
+		v.PaceSlowdown = paces.slowdown(slowPace, minPaces)
+		v.Slow = compareLatencies(sums, func(CountKey) bool { return true }).certain()
 	}
 	if i.condemned == "" {
 		i.condemned = condemn(sums, v)
--- a/canary/canary_test.go
+++ b/canary/canary_test.go
@@ -261,6 +261,71 @@
 	c.Check(v.State, qt.Equals, RolledBack)
 }
 
+// TestSlownessBetweenEventsCondemns has a version that begins its answers as fast as
+// the one before and goes on at a third of its pace.
+func TestSlownessBetweenEventsCondemns(t *testing.T) {
+	c := qt.New(t)
+	i := newIntroduction()
+	for n := range 400 {
+		i.Observe("r", false, false, time.Duration(150+n%100)*time.Millisecond)
+		i.ObservePace("r", false, time.Duration(80+n%50)*time.Millisecond)
+	}
+	i.Review(start.Add(3 * time.Second))
+	for n := range 14 {
+		i.Observe("r", true, false, time.Duration(170+n%100)*time.Millisecond)
+		i.ObservePace("r", true, time.Duration(240+n%50)*time.Millisecond)
+	}
+	v := i.Review(start.Add(5 * time.Second))
+	c.Check(v.State, qt.Equals, RolledBack)
+	c.Check(v.Reason, qt.Equals, "slow between events")
+	c.Check(v.Trial.Answers, qt.Equals, uint64(14))
+	c.Check(v.Slowdown < 1.3, qt.IsTrue, qt.Commentf("%v", v.Slowdown))
+}
+
+// TestFewSlowPacesMayBeChance: the paces of a version vary so much that some slow ones
+// in a small sample say nothing.
+func TestFewSlowPacesMayBeChance(t *testing.T) {
+	c := qt.New(t)
+	i := newIntroduction()
+	for n := range 400 {
+		i.ObservePace("r", false, time.Duration(10<<(n%7))*time.Millisecond)
+	}
+	i.Review(start.Add(3 * time.Second))
+	for n := range 9 {
+		i.ObservePace("r", true, time.Duration(160<<(n%2))*time.Millisecond)
+	}
+	v := i.Review(start.Add(5 * time.Second))
+	c.Check(v.PaceSlowdown, qt.Equals, slowPace)
+	c.Check(v.State, qt.Equals, Running)
+}
+
+// TestFewAnswersAreEnoughWhenAllAreSlow has a version of a plain service of which half
+// of the answers take long.
+func TestFewAnswersAreEnoughWhenAllAreSlow(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		factor int
+		want   State
+	}{{"slow", 8, RolledBack}, {"good", 1, Running}} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			i := newIntroduction()
+			for n := range 300 {
+				i.Observe("r", false, false, time.Duration(5+n%25)*time.Millisecond)
+			}
+			i.Review(start.Add(3 * time.Second))
+			for n := range 10 {
+				latency := time.Duration(6+(n*7)%25) * time.Millisecond
+				if n%2 == 0 {
+					latency *= time.Duration(test.factor)
+				}
+				i.Observe("r", true, false, latency)
+			}
+			c.Check(i.Review(start.Add(5*time.Second)).State, qt.Equals, test.want)
+		})
+	}
+}
+
 // TestVersionWhoseFaultStaysHiddenGetsNoMoreThanTheBound adds up what a version
 // gets until its deadline that shows no fault, for many durations, bounds, rates and
 // parts of the trial's sessions that were held on the version before.
--- a/canary/judge.go
+++ b/canary/judge.go
@@ -16,10 +16,25 @@
 	badDeviations       = 3.0
 	slowMargin          = 0.25
 	slowShareDeviations = 4.0
-	// slowFactor is the ratio of latencies that condemns, minLatencies the number
-	// of measured answers it needs.
-	slowFactor   = 2.2
-	minLatencies = 12
+	// slowFactor is the ratio of the latencies to the first event that condemns, slowPace
+	// that of the times between events. New engines have read no prompts yet, which
+	// delays first events only. It needs minLatencies measured answers, or minPaces,
+	// which vary less, and has to be slowDeviations standard errors from one.
+	slowFactor     = 2.2
+	slowPace       = 1.75
+	minLatencies   = 12
+	minPaces       = 8
+	slowDeviations = 4.0
+	// Fewer answers are enough when all their latencies together, minCertain at least,
+	// are certainDeviations standard errors from those of the version before, and
+	// certainFactor times as long. New engines make first events 1.3 times as long
+	// without being slow, and the first ones of all longer.
+	minCertain        = 10
+	certainDeviations = 5.0
+	certainFactor     = 1.5
+	// leastDeviation is the least standard deviation of the logarithms that is taken to
+	// be usual, for services whose answers all take the same time.
+	leastDeviation = 0.2
 	// slowFloor is added to latencies before they are compared, in milliseconds,
 	// so that short ones do not look like slowness.
 	slowFloor = 10.0
@@ -34,8 +49,8 @@
 
 // isSlow compares a latency with what is usual on the route with the version
 // before, as of the last review. The caller holds mu.
-func (i *Introduction) isSlow(route string, value float64) bool {
-	usual, ok := i.usual[route]
+func (i *Introduction) isSlow(key CountKey, value float64) bool {
+	usual, ok := i.usual[key.base()]
 	if !ok || usual.Latencies < minLatencies {
 		return false
 	}
@@ -53,12 +68,17 @@
 		return "errors"
 	}
 	for key, trial := range sums {
-		if key.Trial && fails(trial, sums[CountKey{Route: key.Route}]) {
+		if key.Trial && fails(trial, sums[key.base()]) {
 			return "errors on one route"
 		}
 	}
-	if v.Slowdown > slowFactor {
+	switch {
+	case v.Slowdown > slowFactor:
 		return "slow"
+	case v.PaceSlowdown > slowPace:
+		return "slow between events"
+	case v.Slow:
+		return "slow beyond chance"
 	}
 	return ""
 }
@@ -83,21 +103,51 @@
 	return share-float64(usual)/float64(m) > max(margin, deviations*deviation)
 }
 
-// slowdown returns how much slower the new version is: the mean ratio of
-// geometric mean latencies by route, weighted by the answers of the trial.
-func slowdown(sums map[CountKey]Count) float64 {
-	var logs, weight float64
+// latencies compares the latencies of the new version with those of the one before.
+type latencies struct {
+	// logs is the sum of the logarithms of the ratios, over so many answers, of which
+	// the version before lets expect the given variance.
+	logs, answers, variance float64
+	// deviations is the sum of the logarithms in standard deviations of their kind.
+	deviations float64
+}
+
+// compareLatencies sums up over the keys that are wanted.
+func compareLatencies(sums map[CountKey]Count, wanted func(CountKey) bool) latencies {
+	var l latencies
 	for key, trial := range sums {
-		base := sums[CountKey{Route: key.Route}]
-		if !key.Trial || trial.Latencies == 0 || base.Latencies < minLatencies {
+		base := sums[key.base()]
+		if !key.Trial || !wanted(key) || trial.Latencies == 0 || base.Latencies < minLatencies {
 			continue
 		}
 		n := float64(trial.Latencies)
-		logs += n * (trial.LogLatencySum/n - base.LogLatencySum/float64(base.Latencies))
-		weight += n
+		mean, deviation := base.spread()
+		deviation = max(deviation, leastDeviation)
+		more := trial.LogLatencySum - n*mean
+		l.logs += more
+		l.answers += n
+		l.variance += n * deviation * deviation
+		l.deviations += more / deviation
 	}
-	if weight < minLatencies {
+	return l
+}
+
+// ratio returns how many times as long the new version takes.
+func (l latencies) ratio() float64 { return math.Exp(l.logs / l.answers) }
+
+// slowdown returns the ratio, zero when there are not enough answers, and no more than
+// the given factor while it may be chance.
+func (l latencies) slowdown(factor, enough float64) float64 {
+	if l.answers < enough {
 		return 0
 	}
-	return math.Exp(logs / weight)
+	if l.logs < slowDeviations*math.Sqrt(l.variance) {
+		return min(l.ratio(), factor)
+	}
+	return l.ratio()
+}
+
+// certain tells whether all latencies together are beyond chance, and enough to matter.
+func (l latencies) certain() bool {
+	return l.answers >= minCertain && l.deviations > certainDeviations*math.Sqrt(l.answers) && l.ratio() > certainFactor
 }
--- a/entry/canaryreports.go
+++ b/entry/canaryreports.go
@@ -42,7 +42,7 @@
 	m.HeldSessions = r.Held[:min(len(r.Held), maxReportSessions)]
 	for key, c := range r.Counts {
 		m.Counts = append(m.Counts, &bronzeturnv1.CanaryCount{
-			Route: key.Route, Trial: key.Trial, Answers: c.Answers, Bad: c.Bad, Slow: c.Slow,
+			Route: key.Route, Trial: key.Trial, Pace: key.Pace, Answers: c.Answers, Bad: c.Bad, Slow: c.Slow,
 			LogLatencySum: c.LogLatencySum, LogLatencySquares: c.LogLatencySquares, Latencies: c.Latencies,
 		})
 	}
@@ -72,7 +72,7 @@
 		Counts: make(map[canary.CountKey]canary.Count), Held: m.GetHeldSessions(), Condemned: m.GetCondemned(),
 	}
 	for _, c := range m.GetCounts() {
-		r.Counts[canary.CountKey{Route: c.GetRoute(), Trial: c.GetTrial()}] = canary.Count{
+		r.Counts[canary.CountKey{Route: c.GetRoute(), Trial: c.GetTrial(), Pace: c.GetPace()}] = canary.Count{
 			Answers: c.GetAnswers(), Bad: c.GetBad(), Slow: c.GetSlow(), LogLatencySum: c.GetLogLatencySum(), LogLatencySquares: c.GetLogLatencySquares(),
 			Latencies: c.GetLatencies(),
 		}
--- a/entry/introductions.go
+++ b/entry/introductions.go
@@ -301,6 +301,16 @@
 	}
 }
 
+// ObservePace implements gateway.Introductions.
+func (i *introductions) ObservePace(service, route string, trial bool, pace time.Duration) {
+	i.mu.Lock()
+	known := i.byService[service]
+	i.mu.Unlock()
+	if known != nil && known.State() < canary.Done {
+		known.ObservePace(route, trial, pace)
+	}
+}
+
 // start begins to drive introductions and to hear of the other daemons' counts.
 func (i *introductions) start(d *Daemon) {
 	d.fleet.members.Table().Subscribe(canaryPrefix, i.heard)
@@ -345,7 +355,7 @@
 		i.daemon.log.Info().Str("service", service).Str("target", known.Order().Target).Stringer("verdict", verdict.State).
 			Str("reason", verdict.Reason).Uint64("trial_answers", verdict.Trial.Answers).Uint64("trial_bad", verdict.Trial.Bad).Uint64("trial_slow", verdict.Trial.Slow).
 			Uint64("base_answers", verdict.Base.Answers).Uint64("base_bad", verdict.Base.Bad).Uint64("base_slow", verdict.Base.Slow).
-			Float64("slowdown", verdict.Slowdown).Dur("age_ms", verdict.Age).Dur("whole_ms", verdict.Whole).Msg("verdict on an introduction")
+			Float64("slowdown", verdict.Slowdown).Float64("pace_slowdown", verdict.PaceSlowdown).Dur("age_ms", verdict.Age).Dur("whole_ms", verdict.Whole).Msg("verdict on an introduction")
 	}
 	if due {
 		i.write(ctx, service, known, verdict.State)
--- a/gateway/escalate.go
+++ b/gateway/escalate.go
@@ -26,7 +26,7 @@
 // escalates tells whether a larger model should answer instead, and picks it.
 // The caller must not have any of the answer, and the attempts must leave one
 // for the larger model.
-func (g *Gateway) escalates(t *task, confidence int) bool {
+func (g *Gateway) escalates(t *task, to *target, confidence int) bool {
 	t.request.trace.confidence = append(t.request.trace.confidence, confidence)
 	if t.sized == nil {
 		return false
@@ -45,6 +45,8 @@
 	if !ok || !g.budgets.of(t.service).Take(time.Now()) {
 		return false
 	}
+	// The answer that is dropped tells about its version too.
+	g.observeFirst(t, time.Since(to.sent))
 	t.model, t.doubted = larger, confidence
 	t.request.trace.model = larger
 	t.tried = nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,8 @@
 	Choose(service string, session uint64, now time.Time) (trial bool)
 	// Observe takes in one answer.
 	Observe(service, route string, trial, bad bool, latency time.Duration)
+	// ObservePace takes in the mean time between two events of a stream.
+	ObservePace(service, route string, trial bool, pace time.Duration)
 }
 
 // Options are what a Gateway needs. All fields are required.
--- a/gateway/pace.go
+++ b/gateway/pace.go
@@ -13,15 +13,25 @@
 	// paceTokens is the length that every answer is reported with to the balancer,
 	// which looks at the time per token only.
 	paceTokens = 100
+	// usualPace stands for the mean of a service and model where versions are compared
+	// over several models.
+	usualPace = 100 * time.Millisecond
 )
 
-// paceKind tells which answers are alike.
-type paceKind struct{ service, model string }
+// asUsual returns the time that has the given ratio to usualPace.
+func asUsual(ratio float64) time.Duration { return time.Duration(ratio * float64(usualPace)) }
+
+// paceKind tells which times are alike: those to the first event of the answers of a
+// service and model, or those that finish them.
+type paceKind struct {
+	service, model string
+	first          bool
+}
 
 // paces hold the mean time that the answers of each service and model take: for
-// streams the time between two events, for whole answers the latency. Engines are
-// judged by their ratio to it, since the absolute time says nothing across services
-// and models.
+// streams the time between two events and that to the first one, for whole answers
+// the latency. Engines and versions are judged by their ratio to it, since the
+// absolute time says nothing across services and models.
 type paces struct {
 	mu   sync.Mutex
 	mean map[paceKind]float64
@@ -43,12 +53,12 @@
 	return seconds / mean
 }
 
-// finished describes a whole answer to the balancer. The pace is zero when it
-// was not measured.
-func (g *Gateway) finished(t *task, to *target, pace time.Duration) balance.Finished {
+// finished describes a whole answer to the balancer. The ratio of its pace to the
+// usual one is zero when it was not measured.
+func (g *Gateway) finished(t *task, to *target, ratio float64) balance.Finished {
 	ended := balance.Finished{Engine: to.engine.ID, Work: to.work, FirstTokenSeen: to.firstSeen, At: time.Now()}
-	if pace > 0 {
-		seconds := g.paces.ratio(paceKind{t.service, t.model}, pace) * (paceTokens - 1) / streamRate(to.engine.Slots)
+	if ratio > 0 {
+		seconds := ratio * (paceTokens - 1) / streamRate(to.engine.Slots)
 		ended.Tokens, ended.Generation = paceTokens, time.Duration(seconds*float64(time.Second))
 	}
 	return ended
--- a/gateway/pace_test.go
+++ b/gateway/pace_test.go
@@ -12,11 +12,11 @@
 func TestPaceIsComparedWithinOneModel(t *testing.T) {
 	c := qt.New(t)
 	p := newPaces()
-	small, large := paceKind{"s", "small"}, paceKind{"s", "large"}
+	small, large := paceKind{"s", "small", false}, paceKind{"s", "large", false}
 	for range 50 {
 		c.Check(p.ratio(small, 10*time.Millisecond), qt.Equals, 1.0)
 		c.Check(p.ratio(large, 100*time.Millisecond), qt.Equals, 1.0)
 	}
 	c.Check(p.ratio(small, 20*time.Millisecond), qt.Equals, 2.0)
-	c.Check(p.ratio(paceKind{"other", "small"}, time.Second), qt.Equals, 1.0)
+	c.Check(p.ratio(paceKind{"other", "small", false}, time.Second), qt.Equals, 1.0)
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -240,7 +240,7 @@
 		return &attemptError{Kind: retry.KindBroken, Ran: failure.RanUnknown, Cause: errUnsignedAnswer}
 	case x.Status < http.StatusOK || x.Status >= http.StatusMultipleChoices:
 		return g.deliverFailure(t, to, x)
-	case g.escalates(t, receipt.Confidence):
+	case g.escalates(t, to, receipt.Confidence):
 		return &attemptError{Kind: retry.KindDoubted, Ran: failure.RanYes, Cause: errDoubted}
 	case t.route.Kind == route.Stream:
 		return g.deliverStream(t, to, x)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -78,7 +78,13 @@
 	} else {
 		t.request.trace.resumed++
 	}
-	g.Introductions.Observe(t.service, t.route.Name, t.trial, false, latency)
+	g.observeFirst(t, latency)
+}
+
+// observeFirst tells of the time that an answer took to begin.
+func (g *Gateway) observeFirst(t *task, latency time.Duration) {
+	ratio := g.paces.ratio(paceKind{t.service, t.model, true}, latency)
+	g.Introductions.Observe(t.service, t.route.Name, t.trial, false, asUsual(ratio))
 }
 
 // passEvent sends one event to the caller.
@@ -100,18 +106,16 @@
 	return nil
 }
 
-// paceSuffix keeps the pace of a route's streams apart from the time to their
-// first event.
-const paceSuffix = " pace"
-
 // streamEnded tells of a stream that came to its proper end.
 func (g *Gateway) streamEnded(t *task, to *target, got int, firstAt time.Time) {
-	pace := time.Duration(0)
-	if got > 1 {
-		pace = time.Since(firstAt) / time.Duration(got-1)
-		g.Introductions.Observe(t.service, t.route.Name+paceSuffix, t.trial, false, pace)
+	if got < 2 {
+		g.Engines.Finished(g.finished(t, to, 0))
+		return
 	}
-	g.Engines.Finished(g.finished(t, to, pace))
+	pace := time.Since(firstAt) / time.Duration(got-1)
+	ratio := g.paces.ratio(paceKind{t.service, t.model, false}, pace)
+	g.Introductions.ObservePace(t.service, t.route.Name, t.trial, asUsual(ratio))
+	g.Engines.Finished(g.finished(t, to, ratio))
 }
 
 // finishStream ends the answer properly. A stream without any event has its
