--- a/canary/canary.go
+++ b/canary/canary.go
@@ -302,9 +302,10 @@
 	// Slowdown is the ratio of the latencies to the first event or answer, PaceSlowdown
 	// that of the times between events. They are zero when there are too few.
 	Slowdown, PaceSlowdown float64
-	// Slow tells that all latencies together are beyond chance.
-	Slow bool
-	Age  time.Duration
+	// SlowPace tells that the times between events condemn the version, Slow that all
+	// latencies together are beyond chance.
+	SlowPace, Slow bool
+	Age            time.Duration
 	// Whole is the age from which the new version gets everything.
 	Whole time.Duration
 }
@@ -335,7 +336,8 @@
 		first := compareLatencies(sums, func(k CountKey) bool { return !k.Pace })
 		paces := compareLatencies(sums, func(k CountKey) bool { return k.Pace })
 		v.Slowdown = first.slowdown(slowFactor, minLatencies)
-		v.PaceSlowdown = paces.slowdown(slowPace, minPaces)
+		v.PaceSlowdown = paces.slowdown(paces.paceFactor(), minPaces)
+		v.SlowPace = v.PaceSlowdown > paces.paceFactor()
 		v.Slow = compareLatencies(sums, func(CountKey) bool { return true }).certain()
 	}
 	if i.condemned == "" {
--- a/canary/canary_test.go
+++ b/canary/canary_test.go
@@ -299,6 +299,32 @@
 	c.Check(v.State, qt.Equals, Running)
 }
 
+// TestSlowerEnginesAreNoFault: a trial runs on few engines, and with many answers it is
+// certain that these are slower than most.
+func TestSlowerEnginesAreNoFault(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		percent int
+		want    State
+	}{{"slower engines", 165, Running}, {"slow version", 280, RolledBack}} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			i := newIntroduction()
+			for n := range 2000 {
+				i.Observe("r", false, false, time.Duration(60+n%81)*time.Millisecond)
+				i.ObservePace("r", false, time.Duration(60+n%81)*time.Millisecond)
+			}
+			i.Review(start.Add(3 * time.Second))
+			for n := range 162 {
+				usual := time.Duration(60+n%81) * time.Millisecond
+				i.Observe("r", true, false, usual*time.Duration(test.percent)/100)
+				i.ObservePace("r", true, usual*time.Duration(test.percent)/100)
+			}
+			c.Check(i.Review(start.Add(6*time.Second)).State, qt.Equals, test.want)
+		})
+	}
+}
+
 // TestFewAnswersAreEnoughWhenAllAreSlow has a version of a plain service of which half
 // of the answers take long.
 func TestFewAnswersAreEnoughWhenAllAreSlow(t *testing.T) {
--- a/canary/judge.go
+++ b/canary/judge.go
@@ -32,6 +32,13 @@
 	minCertain        = 10
 	certainDeviations = 5.0
 	certainFactor     = 1.5
+	// From manyAnswers on, what the few engines of a trial differ from the others
+	// becomes certain too: good versions on slower engines were seen 1.57 times as long
+	// between events. So more is asked for then; versions that are slow by far were 2.5
+	// to 4 times as long. With fewer answers a suspicion has to do.
+	manyAnswers       = 40
+	manyCertainFactor = 1.75
+	manySlowPace      = 2.0
 	// leastDeviation is the least standard deviation of the logarithms that is taken to
 	// be usual, for services whose answers all take the same time.
 	leastDeviation = 0.2
@@ -75,7 +82,7 @@
 	switch {
 	case v.Slowdown > slowFactor:
 		return "slow"
-	case v.PaceSlowdown > slowPace:
+	case v.SlowPace:
 		return "slow between events"
 	case v.Slow:
 		return "slow beyond chance"
@@ -149,5 +156,17 @@
 
 // certain tells whether all latencies together are beyond chance, and enough to matter.
 func (l latencies) certain() bool {
-	return l.answers >= minCertain && l.deviations > certainDeviations*math.Sqrt(l.answers) && l.ratio() > certainFactor
+	factor := certainFactor
+	if l.answers >= manyAnswers {
+		factor = manyCertainFactor
+	}
+	return l.answers >= minCertain && l.deviations > certainDeviations*math.Sqrt(l.answers) && l.ratio() > factor
+}
+
+// paceFactor returns the ratio of the times between events that condemns.
+func (l latencies) paceFactor() float64 {
+	if l.answers >= manyAnswers {
+		return manySlowPace
+	}
+	return slowPace
 }
