--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -409,11 +409,11 @@
 		for n := range rounds {
 			s.put("b", fmt.Sprint("is heard, and the next watch begins ", n))
 			time.Sleep(gatherTime + time.Millisecond)
-			s.set(func(s *store) { s.deaf, s.down = true, true })
+			s.set(func(s *store) { s.deaf, s.silent = true, true })
 			s.put("b", fmt.Sprint("wakes the watch, which stays without an answer ", n))
 			time.Sleep(watchWait + slack)
 			c.Check(d.Since(0).Failing, qt.IsTrue, qt.Commentf("round %d", n))
-			s.set(func(s *store) { s.deaf, s.down = false, false })
+			s.set(func(s *store) { s.deaf, s.silent = false, false })
 			time.Sleep(4 * watchWait)
 			c.Check(d.Since(0).Failing, qt.IsFalse)
 		}
