An engine that starts again under its id is another engine; an entry of another writer names none

Now an engine is known by id and start (inventory.Engine.Key), in the balancer, homes of prefixes, occupancy, introductions and logs; an engine that started anew in an outage does not return as its old self. Objects of a list or a watch are decoded one by one; one that turns bad replaces the good one, and the log has one line for each revision.

--- a/entry/copies.go
+++ b/entry/copies.go
@@ -90,31 +90,47 @@
 		Bool("from_daemon", u.FromPeer).Msg("configuration in force")
 }
 
-// enginesListed takes in the registrations.
+// refusals are the entries that could not be used, with the revision of each, so that
+// each is reported once.
+type refusals map[string]uint64
+
+// has tells whether this revision of an entry was refused before.
+func (r refusals) has(item follow.Item) bool {
+	revision, known := r[item.Name]
+	return known && revision == item.Revision
+}
+
+// enginesListed takes in the registrations, one call at a time. An entry that cannot be
+// used names no engine; the others hold.
 func (d *Daemon) enginesListed(u follow.Update) {
 	var list []inventory.Engine
+	refused := make(refusals)
 	for _, item := range u.Snapshot.Items {
 		engine, err := d.Documents.Engine(item)
 		if err != nil {
-			d.log.Error().Err(err).Msg("registration of an engine refused")
+			refused[item.Name] = item.Revision
+			if !d.refusedEngines.has(item) {
+				d.log.Error().Err(err).Str("key", item.Name).Uint64("revision", item.Revision).Msg("registration names no engine")
+			}
 			continue
 		}
 		list = append(list, engine)
 	}
+	d.refusedEngines = refused
 	d.engines.Replace(list, u.AfterOutage, time.Now())
 }
 
 // enginesChanged logs what came and went, and compiles the tables anew.
 func (d *Daemon) enginesChanged(old, now *inventory.View) {
 	for _, e := range now.Engines {
-		if _, known := old.Engine(e.ID); !known {
-			d.log.Info().Str("engine", e.ID).Str("service", e.Service).Str("address", e.Address).Str("version", e.Version).
+		if _, known := old.Engine(e.Key()); !known {
+			d.log.Info().Str("engine", e.Key()).Str("service", e.Service).Str("address", e.Address).Str("version", e.Version).
 				Uint64("engines_view", now.Generation).Msg("engine takes work")
 		}
 	}
 	for _, e := range old.Engines {
-		if _, still := now.Engine(e.ID); !still {
-			d.log.Info().Str("engine", e.ID).Str("service", e.Service).Uint64("engines_view", now.Generation).Msg("engine takes no work")
+		if _, still := now.Engine(e.Key()); !still {
+			d.log.Info().Str("engine", e.Key()).Str("service", e.Service).Uint64("engines_view", now.Generation).Msg("engine takes no work")
 		}
 	}
 	d.introductions.sawEngines(now)
--- /dev/null
+++ b/entry/copies_test.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/bronzeturn/bronzeturn/follow"
+	"github.com/bronzeturn/bronzeturn/inventory"
+)
+
+// testDocuments decode engines whose spec is "good".
+type testDocuments struct{ Documents }
+
+var errBad = errors.New("bad entry")
+
+func (testDocuments) Engine(item follow.Item) (inventory.Engine, error) {
+	if string(item.Spec) != "good" {
+		return inventory.Engine{}, errBad
+	}
+	return inventory.Engine{ID: item.Name, Service: "s"}, nil
+}
+
+// TestBadRegistrationIsReportedOnceAndNamesNoEngine turns an engine's entry bad: it gets
+// no work from then on, the others hold, and the log has one line for each revision.
+func TestBadRegistrationIsReportedOnceAndNamesNoEngine(t *testing.T) {
+	c := qt.New(t)
+	var lines bytes.Buffer
+	d := &Daemon{log: zerolog.New(&lines)}
+	d.Documents = testDocuments{}
+	d.engines = inventory.New(time.Second, func(_, _ *inventory.View) {})
+	listed := func(revision uint64, spec string) {
+		d.enginesListed(follow.Update{Snapshot: &follow.Snapshot{Items: map[string]follow.Item{
+			"a": {Name: "a", Revision: revision, Spec: []byte(spec)},
+			"b": {Name: "b", Revision: 1, Spec: []byte("good")},
+		}}})
+	}
+	ids := func() (all []string) {
+		for _, e := range d.engines.View().Engines {
+			all = append(all, e.ID)
+		}
+		return all
+	}
+	listed(1, "good")
+	c.Check(ids(), qt.DeepEquals, []string{"a", "b"})
+	listed(2, "torn")
+	listed(2, "torn")
+	c.Check(ids(), qt.DeepEquals, []string{"b"})
+	c.Check(strings.Count(lines.String(), "names no engine"), qt.Equals, 1)
+	var line struct {
+		Key      string `json:"key"`
+		Revision uint64 `json:"revision"`
+		Error    string `json:"error"`
+	}
+	c.Assert(json.Unmarshal(lines.Bytes(), &line), qt.IsNil)
+	c.Check(line.Key, qt.Equals, "a")
+	c.Check(line.Revision, qt.Equals, uint64(2))
+	c.Check(line.Error, qt.Equals, errBad.Error())
+	listed(3, "torn")
+	c.Check(strings.Count(lines.String(), "names no engine"), qt.Equals, 2)
+	listed(4, "good")
+	c.Check(ids(), qt.DeepEquals, []string{"a", "b"})
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -104,7 +104,10 @@
 	introductions *introductions
 	balancer      *balance.State
 	engines       *inventory.Set
-	gateway       *gateway.Gateway
+	// refusedEngines are the registrations that name no engine; the follower's calls
+	// alone use it.
+	refusedEngines refusals
+	gateway        *gateway.Gateway
 	// shared is the balancer with the work of all daemons, book the counts that this
 	// daemon keeps for the others.
 	shared  *sharedBalancer
--- a/entry/introductions.go
+++ b/entry/introductions.go
@@ -166,12 +166,12 @@
 	byVersion := make(map[string][]string)
 	for _, e := range v.Engines {
 		key := e.Service + "/" + e.Version
-		byVersion[key] = append(byVersion[key], e.ID)
+		byVersion[key] = append(byVersion[key], e.Key())
 	}
 	clear(i.ranks)
-	for version, ids := range byVersion {
-		for place, id := range rendezvous.Top(version, ids, len(ids)) {
-			i.ranks[id] = place
+	for version, keys := range byVersion {
+		for place, key := range rendezvous.Top(version, keys, len(keys)) {
+			i.ranks[key] = place
 		}
 	}
 }
@@ -186,7 +186,7 @@
 		if e.Service != order.Service || e.Version == order.Target {
 			continue
 		}
-		before = append(before, e.ID)
+		before = append(before, e.Key())
 		slots += max(e.Slots, 1)
 	}
 	return known.Width(len(before), i.daemon.busyShare(before, float64(slots)), now)
@@ -221,7 +221,7 @@
 	switch {
 	case !isTarget && !i.isRetired(e):
 		return base
-	case isTarget && i.ranks[e.ID] < known.engines:
+	case isTarget && i.ranks[e.Key()] < known.engines:
 		return trial
 	}
 	return nil
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -13,7 +13,7 @@
 type Engines struct {
 	View *inventory.View
 	Plan *balance.Plan
-	// members are the ids of each group, for prefix affinity.
+	// members are the keys of each group, for prefix affinity.
 	members map[string]*rendezvous.Set
 }
 
@@ -37,22 +37,22 @@
 func NewEngines(state *balance.State, view *inventory.View, assign Assign) *Engines {
 	register := &bronzeturnv1.Register{}
 	e := &Engines{View: view, members: make(map[string]*rendezvous.Set)}
-	ids := make(map[string][]string)
+	keys := make(map[string][]string)
 	for _, engine := range view.Engines {
 		groups := assign(engine)
 		if len(groups) == 0 {
 			continue
 		}
 		register.Engines = append(register.Engines, &bronzeturnv1.Engine{
-			Name: engine.ID, Host: engine.ID, Pool: groups[0], DataCentre: engine.DataCentre,
+			Name: engine.Key(), Host: engine.Key(), Pool: groups[0], DataCentre: engine.DataCentre,
 			Address: engine.Address, Versions: groups,
 			Slots: int32(max(engine.Slots, plainSlots)), TokensPerSecond: streamRate(engine.Slots),
 		})
 		for _, group := range groups {
-			ids[group] = append(ids[group], engine.ID)
+			keys[group] = append(keys[group], engine.Key())
 		}
 	}
-	for group, names := range ids {
+	for group, names := range keys {
 		e.members[group] = rendezvous.NewSet(names)
 	}
 	e.Plan = state.Plan(register, nil)
--- a/gateway/pace.go
+++ b/gateway/pace.go
@@ -56,7 +56,7 @@
 // finished describes a whole answer to the balancer. The ratio of its pace to the
 // usual one is zero when it was not measured.
 func (g *Gateway) finished(t *task, to *target, ratio float64) balance.Finished {
-	ended := balance.Finished{Engine: to.engine.ID, Work: to.work, FirstTokenSeen: to.firstSeen, At: time.Now()}
+	ended := balance.Finished{Engine: to.engine.Key(), Work: to.work, FirstTokenSeen: to.firstSeen, At: time.Now()}
 	if ratio > 0 {
 		seconds := ratio * (paceTokens - 1) / streamRate(to.engine.Slots)
 		ended.Tokens, ended.Generation = paceTokens, time.Duration(seconds*float64(time.Second))
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -87,7 +87,7 @@
 	if e.Kind == retry.KindDoubted {
 		line = g.Log.Info()
 	}
-	line.Str("request", t.meta.ID).Str("engine", to.engine.ID).Str("address", to.engine.Address).
+	line.Str("request", t.meta.ID).Str("engine", to.engine.Key()).Str("address", to.engine.Address).
 		AnErr("failure", e.Cause).Str("kind", e.Kind.String()).Str("ran", string(e.Ran)).
 		Bool("again", reason == "").Str("because", reason).Int("attempt", t.request.trace.attempts).
 		Int("events", t.stream.events).Dur("after_ms", time.Since(to.sent)).Msg("attempt failed")
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -230,7 +230,7 @@
 	receipt := g.Codec.Receipt(x.Status, x.Header)
 	switch {
 	case receipt.Instance != "" && receipt.Instance != to.engine.ID:
-		g.Misdirected(to.engine.ID)
+		g.Misdirected(to.engine.Key())
 		return &attemptError{Kind: retry.KindConnect, Ran: failure.RanNo, Cause: errOtherInstance}
 	case receipt.NotRun:
 		return &attemptError{Kind: retry.KindRefused, Ran: failure.RanNo, Cause: errEngineRefused}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -14,12 +14,12 @@
 
 // try sends the request once and passes the answer on.
 func (g *Gateway) try(ctx context.Context, t *task, to *target) *attemptError {
-	t.tried = append(t.tried, to.engine.ID)
+	t.tried = append(t.tried, to.engine.Key())
 	t.request.trace.attempts++
-	t.request.trace.engines = append(t.request.trace.engines, to.engine.ID)
+	t.request.trace.engines = append(t.request.trace.engines, to.engine.Key())
 	t.request.trace.trial = t.trial
 	to.sent = time.Now()
-	g.Engines.Dispatched(balance.Dispatched{Engine: to.engine.ID, Work: to.work, PrefixHash: t.prefixHash, At: to.sent})
+	g.Engines.Dispatched(balance.Dispatched{Engine: to.engine.Key(), Work: to.work, PrefixHash: t.prefixHash, At: to.sent})
 	x, err := attempt.Send(ctx, g.Transport, g.attemptRequest(t, to))
 	if err != nil {
 		failed := sendError(err)
@@ -123,14 +123,14 @@
 	now := time.Now()
 	silent := e.Kind == retry.KindCancelled && silentUntilDeadline(ctx, t, to)
 	if !silent && (e.Kind == retry.KindCancelled || e.Kind == retry.KindDoubted) {
-		g.Engines.Finished(balance.Finished{Engine: to.engine.ID, Work: to.work, FirstTokenSeen: to.firstSeen, Cancelled: true, At: now})
+		g.Engines.Finished(balance.Finished{Engine: to.engine.Key(), Work: to.work, FirstTokenSeen: to.firstSeen, Cancelled: true, At: now})
 		return
 	}
 	kind, known := failureKinds[e.Kind]
 	if !known {
 		kind = balance.FailureError
 	}
-	g.Engines.Failed(balance.Failed{Engine: to.engine.ID, Work: to.work, FirstTokenSeen: to.firstSeen, Kind: kind, RetryAfter: e.comeBack, At: now})
+	g.Engines.Failed(balance.Failed{Engine: to.engine.Key(), Work: to.work, FirstTokenSeen: to.firstSeen, Kind: kind, RetryAfter: e.comeBack, At: now})
 	if e.Kind != retry.KindRefused && e.Kind != retry.KindConnect {
 		g.Introductions.Observe(t.service, t.route.Name, t.trial, true, 0)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -68,10 +68,10 @@
 	to.firstSeen = true
 	latency := at.Sub(to.sent)
 	g.Engines.FirstToken(balance.FirstToken{
-		Engine: to.engine.ID, Work: to.work, Latency: latency, Expected: to.expected, At: at,
+		Engine: to.engine.Key(), Work: to.work, Latency: latency, Expected: to.expected, At: at,
 	})
 	if delay := latency - to.expected; delay >= tellDelay {
-		g.Delayed(to.engine.ID, delay)
+		g.Delayed(to.engine.Key(), delay)
 	}
 	if t.stream.events == 0 {
 		t.request.trace.first = t.wholeLatency()
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -7,15 +7,18 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 )
 
-// Engine is one start of an engine. A restart is a new Engine, even at the same
-// address.
+// Engine is one start of an engine. A restart is another Engine, even under the same
+// id and at the same address: it holds and knows nothing of before.
 type Engine struct {
-	// ID is the instance, unique for all time.
-	ID      string
+	// ID is the instance, by which the engine knows itself. Key tells its starts apart.
+	ID string
+	// Started is when it started, by its own clock; zero when it does not tell.
+	Started time.Time
 	Service string
 	// Address is the IP and port that takes requests.
 	Address    string
@@ -27,19 +30,31 @@
 	Draining bool
 }
 
+// keySeparator stands between id and start in a key. Ids of engines do not have it.
+const keySeparator = "@"
+
+// Key names this start of the engine. Whatever is remembered of an engine is
+// remembered by its key, so that another start under the same id begins anew.
+func (e Engine) Key() string {
+	if e.Started.IsZero() {
+		return e.ID
+	}
+	return e.ID + keySeparator + strconv.FormatInt(e.Started.UnixMilli(), 10)
+}
+
 // View is an immutable list of the engines that may get new work.
 type View struct {
-	// Engines are in the order of their ids.
+	// Engines are in the order of their keys.
 	Engines []Engine
 	// Generation rises with every change.
 	Generation uint64
 
-	byID map[string]int
+	byKey map[string]int
 }
 
-// Engine returns the engine with the id.
-func (v *View) Engine(id string) (Engine, bool) {
-	i, ok := v.byID[id]
+// Engine returns the engine with the key.
+func (v *View) Engine(key string) (Engine, bool) {
+	i, ok := v.byKey[key]
 	if !ok {
 		return Engine{}, false
 	}
@@ -54,7 +69,8 @@
 
 // Set follows the registrations. It is safe for concurrent use.
 type Set struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// listed and lapsed are by key.
 	listed  map[string]Engine
 	lapsed  map[string]lapse
 	grace   time.Duration
@@ -87,17 +103,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := make(map[string]Engine, len(engines))
+	registered := make(map[string]bool, len(engines))
 	for _, e := range engines {
-		next[e.ID] = e
-		delete(s.lapsed, e.ID)
+		next[e.Key()] = e
+		registered[e.ID] = true
 	}
 	if outage {
-		for id, e := range s.listed {
-			if _, still := next[id]; !still && !e.Draining {
-				s.lapsed[id] = lapse{engine: e, until: now.Add(s.grace)}
+		for key, e := range s.listed {
+			if !e.Draining {
+				s.lapsed[key] = lapse{engine: e, until: now.Add(s.grace)}
 			}
 		}
 	}
+	// An engine that is back is listed; one that has started anew is not its old self.
+	maps.DeleteFunc(s.lapsed, func(_ string, l lapse) bool { return registered[l.engine.ID] })
 	s.listed = next
 	s.rebuild()
 }
@@ -108,10 +127,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var next time.Time
-	for id, l := range s.lapsed {
+	for key, l := range s.lapsed {
 		switch {
 		case !now.Before(l.until):
-			delete(s.lapsed, id)
+			delete(s.lapsed, key)
 		case next.IsZero() || l.until.Before(next):
 			next = l.until
 		}
@@ -120,18 +139,19 @@
 	return next
 }
 
-// Forget drops one engine at once, because another one answered at its address.
-func (s *Set) Forget(id string) {
+// Forget drops the engine with the key at once, because another one answered at its
+// address.
+func (s *Set) Forget(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.listed, id)
-	delete(s.lapsed, id)
+	delete(s.listed, key)
+	delete(s.lapsed, key)
 	s.rebuild()
 }
 
 // rebuild makes the view anew and tells of a change. The caller holds mu.
 func (s *Set) rebuild() {
-	v := &View{byID: make(map[string]int)}
+	v := &View{byKey: make(map[string]int)}
 	for e := range maps.Values(s.listed) {
 		if !e.Draining {
 			v.Engines = append(v.Engines, e)
@@ -140,12 +160,12 @@
 	for l := range maps.Values(s.lapsed) {
 		v.Engines = append(v.Engines, l.engine)
 	}
-	slices.SortFunc(v.Engines, func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(v.Engines, func(a, b Engine) int { return cmp.Compare(a.Key(), b.Key()) })
 	if slices.Equal(v.Engines, s.view.Engines) {
 		return
 	}
 	for i, e := range v.Engines {
-		v.byID[e.ID] = i
+		v.byKey[e.Key()] = i
 	}
 	old := s.view
 	v.Generation = old.Generation + 1
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -90,3 +90,46 @@
 	s.Expire(start.Add(lapseGrace * 3 / 2))
 	c.Check(ids(s), qt.DeepEquals, []string{"c"})
 }
+
+// started is a start of an engine.
+func started(id string, at time.Time) Engine {
+	e := engine(id)
+	e.Started = at
+	return e
+}
+
+func TestAnotherStartUnderTheSameIDIsAnotherEngine(t *testing.T) {
+	c := qt.New(t)
+	s := newSet()
+	before, after := started("a", start), started("a", start.Add(time.Millisecond))
+	s.Replace([]Engine{before}, false, start)
+	s.Replace([]Engine{after}, false, start)
+	_, known := s.View().Engine(before.Key())
+	c.Check(known, qt.IsFalse)
+	now, known := s.View().Engine(after.Key())
+	c.Check(known, qt.IsTrue)
+	c.Check(now.ID, qt.Equals, "a")
+}
+
+func TestEngineThatStartedAnewInAnOutageIsNotItsOldSelf(t *testing.T) {
+	c := qt.New(t)
+	s := newSet()
+	before, after := started("a", start), started("a", start.Add(time.Second))
+	s.Replace([]Engine{before}, false, start)
+	s.Replace(nil, true, start)
+	c.Check(s.View().Engines, qt.HasLen, 1)
+	s.Replace([]Engine{after}, true, start)
+	c.Check(ids(s), qt.DeepEquals, []string{"a"})
+	c.Check(s.View().Engines[0].Key(), qt.Equals, after.Key())
+}
+
+func TestForgettingOneStartKeepsTheNext(t *testing.T) {
+	c := qt.New(t)
+	s := newSet()
+	before, after := started("a", start), started("a", start.Add(time.Second))
+	s.Replace([]Engine{after}, false, start)
+	s.Forget(before.Key())
+	c.Check(s.View().Engines, qt.HasLen, 1)
+	s.Forget(after.Key())
+	c.Check(s.View().Engines, qt.HasLen, 0)
+}
