A daemon's answer confirms a copy as of the store's answer behind it

Now an answer carries how long ago the store confirmed that copy (zero while a watch waits), and the asker counts from there. Ruled out: lost news (all daemons had it 1.7 s after the first), a slow watch (none of the four had any).

Tests: TestDaemonsDoNotConfirmEachOther (fails with the age left out), TestAnswerOfADaemonIsAsOldAsTheStoresBehindIt.

--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -281,7 +282,10 @@
 	if m.GetFailing() {
 		f.avoid(address)
 	}
-	p := &follow.Pulled{Full: m.GetFull(), Failing: m.GetFailing(), AfterOutage: m.GetAfterOutage()}
+	p := &follow.Pulled{
+		Full: m.GetFull(), Failing: m.GetFailing(), AfterOutage: m.GetAfterOutage(),
+		Age: time.Duration(m.GetConfirmedMsAgo()) * time.Millisecond,
+	}
 	p.Changes.Revision, p.Changes.Removed = m.GetRevision(), m.GetRemoved()
 	for _, item := range m.GetItems() {
 		p.Changes.Changed = append(p.Changes.Changed, follow.Item{
@@ -362,6 +366,7 @@
 	}
 	answer := &bronzeturnv1.PullResponse{
 		Revision: p.Changes.Revision, Full: p.Full, Failing: p.Failing, AfterOutage: p.AfterOutage, Removed: p.Changes.Removed,
+		ConfirmedMsAgo: uint32(min(p.Age.Milliseconds(), math.MaxUint32)),
 	}
 	for _, item := range p.Changes.Changed {
 		answer.Items = append(answer.Items, &bronzeturnv1.FollowedItem{
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -46,6 +46,9 @@
 	Failing bool
 	// AfterOutage tells that the store has just come back.
 	AfterOutage bool
+	// Age is how long ago the store confirmed the other daemon's copy, as far as it
+	// knows.
+	Age time.Duration
 }
 
 // Peers gives access to the copies of other daemons.
@@ -173,7 +176,10 @@
 	answeredAt atomic.Int64
 	// returned is when the store came back from its last outage.
 	returned atomic.Int64
-	// confirmed is the time of the last answer of store or daemons.
+	// confirmed is when the store last answered this daemon or one that it learnt
+	// from. An answer of a daemon counts from the store's answer behind it: otherwise
+	// daemons that do not watch confirm each other while all that watch are turned
+	// away, and none reads the store.
 	confirmed atomic.Int64
 	// newest is the highest revision that another daemon spoke of.
 	newest atomic.Uint64
@@ -209,6 +215,25 @@
 	return f.snapshot.Load() == nil || now.UnixNano()-f.confirmed.Load() > int64(staleAfter+watchWait)
 }
 
+// age returns how long ago the store confirmed the copy, for other daemons. A watch
+// that waits would tell of changes, so the copy is of now.
+func (f *Follower) age(now time.Time) time.Duration {
+	if f.interrupt.Load() != nil && !f.Failing() {
+		return 0
+	}
+	return time.Duration(now.UnixNano() - f.confirmed.Load())
+}
+
+// confirm notes that the copy was in order at a time.
+func (f *Follower) confirm(at time.Time) {
+	for {
+		old := f.confirmed.Load()
+		if at.UnixNano() <= old || f.confirmed.CompareAndSwap(old, at.UnixNano()) {
+			return
+		}
+	}
+}
+
 // Unconfirmed returns the time since the store or another daemon confirmed the copy,
 // zero before the first one.
 func (f *Follower) Unconfirmed(now time.Time) time.Duration {
@@ -352,7 +377,8 @@
 	if s == nil {
 		return nil
 	}
-	p := &Pulled{Failing: f.Failing() || f.Stale(time.Now()), AfterOutage: f.echo()}
+	now := time.Now()
+	p := &Pulled{Failing: f.Failing() || f.Stale(now), AfterOutage: f.echo(), Age: f.age(now)}
 	p.Changes.Revision = s.Revision
 	if after >= s.Revision {
 		return p
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -626,3 +626,47 @@
 		c.Check(other.spec("a"), qt.Equals, "2")
 	})
 }
+
+// TestDaemonsDoNotConfirmEachOther has two daemons that do not watch and ask each other,
+// as when the store turns away all that watch: soon one of them reads the store itself,
+// and a change comes to both in less than what an engine that leaves is given.
+func TestDaemonsDoNotConfirmEachOther(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		s := newStore()
+		s.put("a", "1")
+		one := newDaemon(ctx, s, false, nil)
+		two := newDaemon(ctx, s, false, one)
+		one.peers.mu.Lock()
+		one.peers.other = two.Follower
+		one.peers.mu.Unlock()
+		for round := range 5 {
+			time.Sleep(4 * time.Second)
+			value := fmt.Sprint("changed ", round)
+			s.put("a", value)
+			time.Sleep(confirmEvery + orphanMargin + confirmEvery)
+			c.Check(one.spec("a"), qt.Equals, value)
+			c.Check(two.spec("a"), qt.Equals, value)
+		}
+	})
+}
+
+// TestAnswerOfADaemonIsAsOldAsTheStoresBehindIt follows the age of a confirmation over
+// two daemons.
+func TestAnswerOfADaemonIsAsOldAsTheStoresBehindIt(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		s := newStore()
+		s.put("a", "1")
+		watcher := newDaemon(ctx, s, true, nil)
+		time.Sleep(100 * time.Millisecond)
+		c.Check(watcher.Since(0).Age, qt.Equals, time.Duration(0))
+		other := newDaemon(ctx, s, false, watcher)
+		time.Sleep(confirmEvery + 50*time.Millisecond)
+		c.Check(other.Since(0).Age <= confirmEvery, qt.IsTrue)
+		other.peers.mu.Lock()
+		other.peers.other = nil
+		other.peers.mu.Unlock()
+		before := other.Since(0).Age
+		time.Sleep(300 * time.Millisecond)
+		c.Check(other.Since(0).Age, qt.Equals, before+300*time.Millisecond)
+	})
+}
--- a/follow/pull.go
+++ b/follow/pull.go
@@ -56,7 +56,7 @@
 		return
 	}
 	if !p.Failing {
-		f.confirmed.Store(time.Now().UnixNano())
+		f.confirm(time.Now().Add(-p.Age))
 	}
 	if p.Full {
 		f.take((&Snapshot{}).with(&p.Changes), true, p.AfterOutage)
