Others watch the store in the place of daemons that it turns away

A watching daemon that the store fails for 0.15 s publishes it; every daemon takes the next in rank for a watcher in its place, four tries for each at most, so that a store that is down for all is tried by few.

--- a/entry/copies.go
+++ b/entry/copies.go
@@ -90,6 +90,12 @@
 		Bool("from_daemon", u.FromPeer).Msg("configuration in force")
 }
 
+// failingFor returns how long the store has not answered for the kind that failed first,
+// zero while it answers for all of them.
+func (c *copies) failingFor(now time.Time) time.Duration {
+	return max(c.config.FailingFor(now), c.engines.FailingFor(now), c.orders.FailingFor(now))
+}
+
 // refusals are the entries that could not be used, with the revision of each, so that
 // each is reported once.
 type refusals map[string]uint64
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -62,11 +62,14 @@
 	silent map[string]time.Time
 	// ready is the version of this daemon's entry of readiness.
 	ready uint64
+	// watchers tell which daemons watch the store.
+	watchers *watchers
 }
 
 // newFleet builds the overlay.
 func newFleet(d *Daemon) (*fleet, error) {
 	f := &fleet{daemon: d, random: d.rand(randPeers), silent: make(map[string]time.Time), seeds: withoutSelf(d.Settings.Seeds, d.Settings.PeerListen)}
+	f.watchers = &watchers{fleet: f}
 	traffic, err := peer.NewTraffic(d.registry)
 	if err != nil {
 		return nil, err
@@ -81,6 +84,7 @@
 		Classes: []gossip.Class{
 			{Prefix: newsPrefix, MaxEntries: maxNews, MaxValueBytes: smallValue},
 			{Prefix: readyPrefix, MaxEntries: maxDaemons, MaxValueBytes: smallValue, RemovalTTL: removalTTL},
+			{Prefix: turnedAwayPrefix, MaxEntries: maxDaemons, MaxValueBytes: smallValue, RemovalTTL: removalTTL},
 			{Prefix: canaryPrefix, MaxEntries: maxReports, MaxValueBytes: maxReportBytes, TTL: reportTTL},
 		},
 		Random: d.rand(randMembership), Log: d.log, Registerer: d.registry,
@@ -121,6 +125,7 @@
 	f.server.Start()
 	f.members.Start()
 	f.members.Table().Subscribe(newsPrefix, f.heardNews)
+	f.members.Table().Subscribe(turnedAwayPrefix, f.watchers.heard)
 	registrar := bootstrap.New(bootstrap.Options{
 		Store: d.Store, Self: &bronzeturnv1.Seed{Name: d.Settings.Name, PeerAddress: d.Settings.PeerListen},
 		Found: f.found,
@@ -133,6 +138,7 @@
 	})
 	d.goLoop("bootstrap", registrar.Run)
 	d.goLoop("readiness", f.tellReadiness)
+	d.goLoop("watchers", f.watchers.run)
 }
 
 // listedDaemons is how many daemons of a fleet register in the store, for those that
@@ -257,10 +263,7 @@
 func (f *fleet) Live() int { return f.members.View().Live() }
 
 // Watching implements follow.Peers.
-func (f *fleet) Watching() bool {
-	view := f.members.View()
-	return view.Watching(view.Self)
-}
+func (f *fleet) Watching() bool { return f.watchers.includes(f.daemon.Settings.Name) }
 
 // errNobody reports that no other daemon is known.
 var errNobody = errors.New("no other daemon is known")
@@ -300,13 +303,14 @@
 // any live one, or else of a seed.
 func (f *fleet) somePeer() (string, bool) {
 	view := f.members.View()
+	watchers := f.watchers.names()
 	var watching, live []string
 	for _, m := range view.Members {
 		if m.Name == view.Self || m.State == membership.Suspected || f.avoided(m.PeerAddress) {
 			continue
 		}
 		live = append(live, m.PeerAddress)
-		if view.Watching(m.Name) {
+		if slices.Contains(watchers, m.Name) {
 			watching = append(watching, m.PeerAddress)
 		}
 	}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -209,6 +209,15 @@
 // Failing tells whether the store did not answer the last call.
 func (f *Follower) Failing() bool { return f.failingSince.Load() != 0 }
 
+// FailingFor returns how long the store has not answered, zero while it does.
+func (f *Follower) FailingFor(now time.Time) time.Duration {
+	since := f.failingSince.Load()
+	if since == 0 {
+		return 0
+	}
+	return time.Duration(now.UnixNano() - since)
+}
+
 // Stale tells whether the copy may be out of date: neither the store nor another
 // daemon has confirmed it lately.
 func (f *Follower) Stale(now time.Time) bool {
