The worth of an answer follows the configuration's prices; small requests count as work

(2) Work of a small size weighed by its price alone (0.07 of the largest's), though it holds an engine for 0.20 to 0.26 of the time (idle engines, prompts of 0.5 to 7 thousand tokens): engines full of it looked idle, and answers asked of the largest size in bursts came late.

bronzeturn losses tells from log files where worth went.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -51,6 +51,7 @@
 	Load     loadCommand     `cmd:"" help:"Send requests at a steady rate for a bounded time and check every answer."`
 	Explain  explainCommand  `cmd:"" help:"Tell the story of one request from the log files of the entry daemons."`
 	Timeline timelineCommand `cmd:"" help:"Tell what the daemons believed and when, from their log files."`
+	Losses   lossesCommand   `cmd:"" help:"Tell where worth went, from the daemons' log files: by route, size and time."`
 	Certs    certsCommand    `cmd:"" help:"Create authorities and certificates for trying things out."`
 	Version  versionCommand  `cmd:"" help:"Show the version of this program."`
 }
--- a/cmd/bronzeturn-entry/main.go
+++ b/cmd/bronzeturn-entry/main.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"strconv"
-	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -26,7 +24,7 @@
 	Check        bool      `help:"Check the settings, and the configuration file if one is named, and exit." env:"BRONZETURN_ENTRY_CHECK"`
 	Config       string    `help:"Configuration document to check, as the store holds it." type:"path" env:"BRONZETURN_ENTRY_CONFIG"`
 	MetricsPort  int       `help:"Port for metrics on the host's own address, 0 for none." default:"0" env:"BRONZETURN_METRICS_PORT"`
-	AnswerValues []float64 `help:"What a right answer of usual length is worth by the priority of its route, the most urgent first, in the unit of the models' prices. The last one holds for all further priorities." default:"${answer_values}" env:"BRONZETURN_ANSWER_VALUES"`
+	AnswerValues []float64 `help:"What a right answer of usual length is worth by the priority of its route, the most urgent first, in the unit of the models' prices. The last one holds for all further priorities. Without any, it follows from the size of the request and the price of the largest model." env:"BRONZETURN_ANSWER_VALUES"`
 }
 
 // modelOptions returns when a larger model's answer pays.
@@ -36,15 +34,6 @@
 	return models, models.Check()
 }
 
-// defaultAnswerValues writes the defaults as the flag takes them.
-func defaultAnswerValues() string {
-	var texts []string
-	for _, value := range gateway.DefaultModelOptions().Values {
-		texts = append(texts, strconv.FormatFloat(value, 'g', -1, 64))
-	}
-	return strings.Join(texts, ",")
-}
-
 // description is shown with --help.
 const description = `Entry daemon: takes requests of callers and sends them to engines.
 
@@ -64,7 +53,7 @@
 
 func run() int {
 	var o options
-	kong.Parse(&o, kong.Description(description), kong.Vars{"answer_values": defaultAnswerValues()})
+	kong.Parse(&o, kong.Description(description))
 	if o.Settings == "" {
 		o.Settings = platform.SettingsPath()
 	}
--- /dev/null
+++ b/explain/losses.go
@@ -0,0 +1,197 @@
+package explain
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Cause is why a request did not earn its full worth.
+type Cause string
+
+// The causes, in the order in which the first one that holds is taken.
+const (
+	// CauseNone is an answer on time that its model did not doubt.
+	CauseNone Cause = "on_time"
+	// CauseRefused is a request that did not run, CauseFailed one that got no whole
+	// answer though it may have run.
+	CauseRefused Cause = "refused"
+	CauseFailed  Cause = "failed"
+	// CauseLateFirst is an answer that began after its route's target, CauseLatePause a
+	// stream with a pause above its route's bound.
+	CauseLateFirst Cause = "late_first"
+	CauseLatePause Cause = "late_pause"
+	// CauseDoubted is an answer that is as likely wrong as right by its model's own
+	// confidence, or likelier.
+	CauseDoubted Cause = "doubted"
+)
+
+// Causes are all causes in the order of tables.
+func Causes() []Cause {
+	return []Cause{CauseNone, CauseRefused, CauseFailed, CauseLateFirst, CauseLatePause, CauseDoubted}
+}
+
+// evenChance is the chance of being right at and below which an answer counts as doubted.
+const evenChance = 0.5
+
+// Loss sums up the requests of one group.
+type Loss struct {
+	// Group names a route, a part of a route's sizes, or a time.
+	Group    string `json:"group"`
+	Requests int    `json:"requests"`
+	// ByCause counts the requests by what became of them.
+	ByCause map[Cause]int `json:"by_cause"`
+	// Worth is what right answers would have been worth, Doubt the part of it that
+	// answers are expected to miss for being wrong, Price what the model sizes cost. All
+	// are in the unit of the models' prices and zero where the size was not open.
+	Worth float64 `json:"worth"`
+	Doubt float64 `json:"doubt"`
+	Price float64 `json:"price"`
+	// Again counts second and further sends, Resumed streams that went on at another
+	// engine.
+	Again   int `json:"again"`
+	Resumed int `json:"resumed"`
+}
+
+// ended is one request as its last log line tells it.
+type ended struct {
+	at           time.Time
+	route        string
+	size         float64
+	cause        Cause
+	worth, price float64
+	doubt        float64
+	again        int
+	resumed      int
+}
+
+// number returns a field as a number, zero when there is none.
+func (l *Line) number(name string) float64 {
+	value, err := strconv.ParseFloat(l.field(name), 64)
+	if err != nil {
+		return 0 // The field is left out where it means nothing.
+	}
+	return value
+}
+
+// outputSize is the size of a generated token in those of the prompt, as in the worth of
+// an answer.
+const outputSize = 10
+
+// endedOf reads the last line of a request.
+func endedOf(l *Line) ended {
+	e := ended{
+		at: l.Time, route: l.field("route"), cause: causeOf(l), worth: l.number("worth"), price: l.number("price"),
+		size: l.number("prompt_tokens") + outputSize*l.number("answer_tokens"),
+	}
+	e.again = max(int(l.number("attempts"))-1, 0)
+	e.resumed = int(l.number("resumed"))
+	if e.cause != CauseRefused && e.cause != CauseFailed {
+		e.doubt = e.worth * (1 - l.number("chance"))
+	}
+	return e
+}
+
+// causeOf finds the first cause that holds.
+func causeOf(l *Line) Cause {
+	target, pause := l.number("target_ms"), l.number("most_pause_ms")
+	_, sized := l.lookup("chance")
+	switch {
+	case l.field("outcome") != "answered" && l.field("ran") == "no":
+		return CauseRefused
+	case l.field("outcome") != "answered" || l.number("status") >= 300:
+		return CauseFailed
+	case target > 0 && l.number("first_ms") > target:
+		return CauseLateFirst
+	case pause > 0 && l.number("pause_ms") > pause:
+		return CauseLatePause
+	case sized && l.number("chance") <= evenChance:
+		return CauseDoubted
+	}
+	return CauseNone
+}
+
+// lookup returns a field and whether the line has it.
+func (l *Line) lookup(name string) (string, bool) {
+	for _, f := range l.Fields {
+		if f.Name == name {
+			return f.Value, true
+		}
+	}
+	return "", false
+}
+
+// sizeParts are the parts of a route's requests by size that are told apart.
+var sizeParts = []struct {
+	name     string
+	from, to float64
+}{{"smaller half", 0, 0.5}, {"next fifth", 0.5, 0.7}, {"fifth below the largest tenth", 0.7, 0.9}, {"largest tenth", 0.9, 1}}
+
+// Losses tell where worth went: by route, by size within the routes whose requests have
+// one, and by time in steps. Callers' tries count as requests of their own.
+func Losses(lines []Line, step time.Duration) (byRoute, bySize, byTime []Loss) {
+	var all []ended
+	for i := range lines {
+		if lines[i].Message == "request ended" && lines[i].field("route") != "" {
+			all = append(all, endedOf(&lines[i]))
+		}
+	}
+	slices.SortStableFunc(all, func(a, b ended) int { return a.at.Compare(b.at) })
+	byTime = groupBy(all, func(e ended) string { return e.at.Truncate(step).UTC().Format(time.TimeOnly) })
+	slices.SortStableFunc(all, func(a, b ended) int { return cmp.Compare(a.route, b.route) })
+	byRoute = groupBy(all, func(e ended) string { return e.route })
+	slices.SortStableFunc(all, func(a, b ended) int {
+		return cmp.Or(cmp.Compare(a.route, b.route), cmp.Compare(a.size, b.size))
+	})
+	for len(all) > 0 {
+		n := 1
+		for n < len(all) && all[n].route == all[0].route {
+			n++
+		}
+		if all[n-1].size > 0 {
+			bySize = append(bySize, partsOf(all[:n])...)
+		}
+		all = all[n:]
+	}
+	return byRoute, bySize, byTime
+}
+
+// partsOf sums up one route's requests, which are in the order of their sizes.
+func partsOf(all []ended) []Loss {
+	var parts []Loss
+	for _, p := range sizeParts {
+		from, to := int(p.from*float64(len(all))), int(p.to*float64(len(all)))
+		if from < to {
+			parts = append(parts, sumUp(all[0].route+", "+p.name, all[from:to]))
+		}
+	}
+	return parts
+}
+
+// groupBy sums up runs of requests with the same name.
+func groupBy(all []ended, name func(ended) string) (groups []Loss) {
+	for len(all) > 0 {
+		n := 1
+		for n < len(all) && name(all[n]) == name(all[0]) {
+			n++
+		}
+		groups = append(groups, sumUp(name(all[0]), all[:n]))
+		all = all[n:]
+	}
+	return groups
+}
+
+// sumUp sums up requests.
+func sumUp(group string, all []ended) Loss {
+	sum := Loss{Group: group, Requests: len(all), ByCause: make(map[Cause]int)}
+	for _, e := range all {
+		sum.ByCause[e.cause]++
+		sum.Worth += e.worth
+		sum.Doubt += e.doubt
+		sum.Price += e.price
+		sum.Again += e.again
+		sum.Resumed += e.resumed
+	}
+	return sum
+}
--- a/gateway/escalate.go
+++ b/gateway/escalate.go
@@ -31,6 +31,8 @@
 	if t.sized == nil {
 		return false
 	}
+	t.request.trace.chance = g.Models.Right(confidence)
+	t.request.trace.price += t.sized.price(t.model)
 	g.Models.Told(t.sized, t.model, confidence, t.doubted)
 	if t.answer.begun() || !t.route.Repeatable() || t.runs+1 >= t.route.Attempts {
 		return false
--- a/gateway/models.go
+++ b/gateway/models.go
@@ -14,8 +14,11 @@
 type ModelOptions struct {
 	// Values are what a right answer of usual length is worth by the priority of its
 	// route, the most urgent first, in the unit of the models' prices. The last one
-	// holds for all further priorities.
+	// holds for all further priorities. Without any, WorthOverPrice decides.
 	Values []float64
+	// WorthOverPrice is what a right answer is worth in prices of the largest model for
+	// a prompt of the request's size, on the routes with the tightest target.
+	WorthOverPrice float64
 	// FixedPart is the part of that worth which does not grow with the length of
 	// prompt and answer.
 	FixedPart float64
@@ -33,13 +36,18 @@
 	TryPart float64
 }
 
-// DefaultModelOptions returns the documented defaults. The values are those of the
-// users' sheets. The scale follows from how much two models' confidences in answers
+// DefaultModelOptions returns the documented defaults. Nothing that a deployment tells
+// says what answers are worth to its users; that they pay for the largest model does.
+// Six of its prices is what three users' reviews and reports are worth to them (4.6 to
+// 6.0), and from 5 to 7 costs none of three deployments more than 0.01 of its worth. A
+// table by priority that suited two users cost the third 0.02.
+//
+// The scale follows from how much two models' confidences in answers
 // to the same request differ: by a standard deviation of 14 points around the mean of
 // the pair, 10 for each (27,000 pairs on the users' platform).
 func DefaultModelOptions() ModelOptions {
 	return ModelOptions{
-		Values: []float64{5, 1.2, 0.3}, FixedPart: 0.3,
+		WorthOverPrice: 6, FixedPart: 0.3,
 		EvenConfidence: 50, ConfidenceScale: 6, MostConfidence: 70, LatePart: 0.2, TryPart: 0.04,
 	}
 }
@@ -51,6 +59,9 @@
 			return fmt.Errorf("answer value %d: %v is not above zero", i+1, value)
 		}
 	}
+	if !(o.WorthOverPrice > 0) || math.IsInf(o.WorthOverPrice, 1) {
+		return fmt.Errorf("worth over price: %v is not above zero", o.WorthOverPrice)
+	}
 	return nil
 }
 
@@ -60,11 +71,6 @@
 	easyShare = 0.35
 	// promptPrice is the price of a prompt's token in that of a generated one.
 	promptPrice = 0.25
-	// outputSize is the size of a generated token in those of the prompt, by which
-	// the worth of an answer grows.
-	outputSize = 10
-	// sizeGain is the weight of one request in the mean size of its route's requests.
-	sizeGain = 0.02
 	// Before anything is known, a model asked at once is right with firstChance, the
 	// largest one with largestChance, and one of the sizes between is as sure of its
 	// answer as the smaller one before it and nextShift points more.
@@ -111,60 +117,6 @@
 	return &ModelChoice{options: o, chances: make(map[chanceKey]chance), sizes: make(map[string]float64)}
 }
 
-// sizedRequest is a request whose model is open.
-type sizedRequest struct {
-	route   *route.Route
-	service *route.Service
-	// prompt and output are its tokens, the output as expected.
-	prompt, output int
-	// worth of a right answer, by ModelChoice.Sized.
-	worth float64
-}
-
-// size is what the worth of the answer grows with.
-func (r *sizedRequest) size() float64 { return float64(r.prompt + outputSize*r.output) }
-
-// price of running the request on a model.
-func (r *sizedRequest) price(model string) float64 {
-	if r.service == nil {
-		return 0
-	}
-	for _, m := range r.service.Models {
-		if m.Name == model {
-			return m.Cost * (promptPrice*float64(r.prompt) + float64(r.output)) / 1000
-		}
-	}
-	return 0
-}
-
-// Sized describes a request and works out what a right answer is worth.
-func (m *ModelChoice) Sized(r *route.Route, s *route.Service, prompt, output int) *sizedRequest {
-	q := &sizedRequest{route: r, service: s, prompt: prompt, output: output}
-	size := q.size()
-	m.mu.Lock()
-	mean, known := m.sizes[r.Name]
-	if !known {
-		mean = size
-	}
-	m.sizes[r.Name] = mean + sizeGain*(size-mean)
-	m.mu.Unlock()
-	relative := 1.0
-	if mean > 0 {
-		relative = size / mean
-	}
-	q.worth = m.value(r.Priority) * (m.options.FixedPart + (1-m.options.FixedPart)*relative)
-	return q
-}
-
-// value of a right answer of usual length.
-func (m *ModelChoice) value(priority int) float64 {
-	values := m.options.Values
-	if len(values) == 0 {
-		return 1
-	}
-	return values[min(max(priority, 0), len(values)-1)]
-}
-
 // First returns the model that a request is run on first, "" when the route names
 // none: the smallest, or the one that pays best by itself when no second run is
 // possible.
@@ -216,6 +168,15 @@
 	return 1 - over*(1-o.LatePart)
 }
 
+// Right returns how likely an answer with the given confidence is right, even odds when
+// the model told none.
+func (m *ModelChoice) Right(confidence int) float64 {
+	if confidence < 0 {
+		return firstChance
+	}
+	return m.options.right(float64(confidence))
+}
+
 // right returns how likely an answer with the given confidence is right.
 func (o *ModelOptions) right(confidence float64) float64 {
 	return 1 / (1 + math.Exp((o.EvenConfidence-confidence)/o.ConfidenceScale))
@@ -271,9 +232,13 @@
 	return min(confidence*doubtBands/100, doubtBands-1)
 }
 
-// minWeight bounds the weight of a model from below: however cheap, its requests
-// take slots and memory.
-const minWeight = 0.03
+// minWeight bounds the weight of a model from below. Engines read prompts in chunks
+// between the steps that all their requests share, so a chunk takes a step at least
+// however cheap its model: on idle engines the smallest size took 0.20 to 0.26 of the
+// largest one's time for a prompt at 0.07 of its price. With other requests about it is
+// more; from 0.25 to 0.6 the worth stays within 0.004. By price alone (0.07) daemons took
+// engines full of small requests for idle, and worth was 0.02 lower under load.
+const minWeight = 0.4
 
 // Weight returns how much of an engine's time a model takes for each token,
 // relative to the largest of the service: in the proportion of their prices.
@@ -281,9 +246,8 @@
 	if s == nil || model == "" {
 		return 1
 	}
-	own, largest := 0.0, 0.0
+	own, largest := 0.0, s.LargestCost()
 	for _, one := range s.Models {
-		largest = max(largest, one.Cost)
 		if one.Name == model {
 			own = one.Cost
 		}
--- a/gateway/models_test.go
+++ b/gateway/models_test.go
@@ -22,6 +22,13 @@
 // at returns an outlook in which every model begins at the given part of the target.
 func at(share float64) func(string) float64 { return func(string) float64 { return share } }
 
+// byPriority are options with an operator's values: by the priority of the route.
+func byPriority() ModelOptions {
+	o := DefaultModelOptions()
+	o.Values = []float64{5, 1.2, 0.3}
+	return o
+}
+
 // noTry is a draw that tries no model out.
 const noTry = 0.99
 
@@ -45,7 +52,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			m := NewModelChoice(DefaultModelOptions())
+			m := NewModelChoice(byPriority())
 			q := m.Sized(test.route, service, 1800, 30)
 			got, ok := m.Larger(q, "small", test.confidence, at(test.begins), noTry)
 			c.Check(got, qt.Equals, test.want)
@@ -57,7 +64,7 @@
 func TestWorthGrowsWithTheLengthOfTheRequest(t *testing.T) {
 	c := qt.New(t)
 	service, urgent, _ := sizes()
-	m := NewModelChoice(DefaultModelOptions())
+	m := NewModelChoice(byPriority())
 	usual := m.Sized(urgent, service, 1000, 100).worth
 	c.Check(usual, qt.Equals, 5.0)
 	double := m.Sized(urgent, service, 2000, 200).worth
@@ -69,7 +76,7 @@
 func TestMiddleSizeIsLearnt(t *testing.T) {
 	c := qt.New(t)
 	service, urgent, _ := sizes()
-	m := NewModelChoice(DefaultModelOptions())
+	m := NewModelChoice(byPriority())
 	q := m.Sized(urgent, service, 9000, 400)
 	const doubt = 55
 	got, _ := m.Larger(q, "small", doubt, at(0), noTry)
@@ -91,7 +98,7 @@
 func TestSingleRunGoesToTheModelThatPaysBest(t *testing.T) {
 	c := qt.New(t)
 	service, urgent, cheap := sizes()
-	m := NewModelChoice(DefaultModelOptions())
+	m := NewModelChoice(byPriority())
 	dear, light := m.Sized(urgent, service, 9000, 400), m.Sized(cheap, service, 9000, 30)
 	c.Check(m.First(dear, false), qt.Equals, "small")
 	c.Check(m.First(dear, true), qt.Equals, "large")
@@ -107,4 +114,7 @@
 	c.Check(o.Check(), qt.ErrorMatches, "answer value 2: 0 is not above zero")
 	o.Values = []float64{math.NaN()}
 	c.Check(o.Check(), qt.ErrorMatches, "answer value 1: NaN is not above zero")
+	o = DefaultModelOptions()
+	o.WorthOverPrice = 0
+	c.Check(o.Check(), qt.ErrorMatches, "worth over price: 0 is not above zero")
 }
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -72,8 +72,14 @@
 			Dur("allowed_ms", q.deadline.Sub(q.received))
 	}
 	t := &q.trace
+	if q.ranked {
+		line = line.Int("prompt_tokens", q.meta.PromptTokens).Int("shared_tokens", q.prefixTokens).Int("answer_tokens", q.meta.LikelyTokens)
+	}
+	if q.route != nil {
+		line = line.Dur("target_ms", q.route.Target).Dur("most_pause_ms", q.route.MaxPause)
+	}
 	if t.worth > 0 {
-		line = line.Float64("worth", t.worth)
+		line = line.Float64("worth", t.worth).Float64("chance", t.chance).Float64("price", t.price)
 	}
 	return line.Strs("engines", t.engines).Strs("reasons", t.reasons).Strs("compared", t.compared).Str("model", t.model).Ints("confidence", t.confidence).Bool("trial", t.trial).
 		Int("attempts", t.attempts).Int("resumed", t.resumed).Int("events", t.events).Dur("first_ms", t.first).Dur("pause_ms", t.pause)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -68,8 +68,11 @@
 	model    string
 	// worth is what a right answer is taken to be worth where the model was open.
 	worth float64
-	// confidence is that of each answer that began.
+	// confidence is that of each answer that began, chance how likely the last of them
+	// is taken to be right, price what the sizes asked for it so far.
 	confidence []int
+	chance     float64
+	price      float64
 	trial      bool
 	attempts   int
 	resumed    int
--- a/route/route.go
+++ b/route/route.go
@@ -96,6 +96,18 @@
 	Slots int
 	// Models are the sizes on offer, the smallest first.
 	Models []Model
+	// Tightest is the shortest target among the routes that lead here and leave the
+	// size open, zero when none states one. Compile fills it in.
+	Tightest time.Duration
+}
+
+// LargestCost returns the price of the dearest size, zero when none has a price.
+func (s *Service) LargestCost() float64 {
+	largest := 0.0
+	for _, m := range s.Models {
+		largest = max(largest, m.Cost)
+	}
+	return largest
 }
 
 // Organisation is a customer.
@@ -196,9 +208,22 @@
 	r.Attempts = max(r.Attempts, 1)
 	host := strings.ToLower(r.Host)
 	t.hosts[host] = append(t.hosts[host], r)
+	if r.Target > 0 && len(r.Models) > 0 {
+		t.tighten(r)
+	}
 	return nil
 }
 
+// tighten notes a route's target at its services.
+func (t *Table) tighten(r *Route) {
+	for _, share := range r.Shares {
+		s, ok := t.services[share.Service]
+		if ok && (s.Tightest == 0 || r.Target < s.Tightest) {
+			s.Tightest = r.Target
+		}
+	}
+}
+
 // Match returns the route of a request: among those of the host, the one with
 // the longest prefix of the path.
 func (t *Table) Match(host, path string) (*Route, bool) {
