--- a/cli/losses.go
+++ b/cli/losses.go
@@ -1,8 +1,7 @@
 package cli
 
 import (
-	"fmt"
-	"text/tabwriter"
+	"strconv"
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/explain"
@@ -32,33 +31,31 @@
 	if a.out.json {
 		return a.out.object(t)
 	}
-	for _, table := range []struct {
-		name string
-		rows []explain.Loss
-	}{{"route", t.ByRoute}, {"route and size", t.BySize}, {"time", t.ByTime}} {
-		if err := a.lossTable(table.name, table.rows); err != nil {
-			return err
-		}
-	}
+	a.lossTable("route", t.ByRoute)
+	a.lossTable("route and size", t.BySize)
+	a.lossTable("time", t.ByTime)
 	return nil
 }
 
-// lossTable prints one table.
-func (a *app) lossTable(name string, rows []explain.Loss) error {
-	w := tabwriter.NewWriter(a.out.w, 0, 0, 2, ' ', 0)
-	header := name + "\trequests"
+// lossTable prints one table and a blank line.
+func (a *app) lossTable(name string, losses []explain.Loss) {
+	header := []string{name, "requests"}
 	for _, cause := range explain.Causes() {
-		header += "\t" + string(cause)
+		header = append(header, string(cause))
 	}
-	header += "\tagain\tresumed\tworth\tdoubt\tprice\n"
-	_, _ = fmt.Fprint(w, header) // Errors show at Flush.
-	for _, row := range rows {
-		_, _ = fmt.Fprintf(w, "%s\t%d", row.Group, row.Requests)
+	header = append(header, "again", "resumed", "worth", "doubt", "price")
+	var rows [][]string
+	for _, l := range losses {
+		row := []string{l.Group, strconv.Itoa(l.Requests)}
 		for _, cause := range explain.Causes() {
-			_, _ = fmt.Fprintf(w, "\t%d", row.ByCause[cause])
+			row = append(row, strconv.Itoa(l.ByCause[cause]))
+		}
+		row = append(row, strconv.Itoa(l.Again), strconv.Itoa(l.Resumed))
+		for _, amount := range []float64{l.Worth, l.Doubt, l.Price} {
+			row = append(row, strconv.FormatFloat(amount, 'f', 1, 64))
 		}
-		_, _ = fmt.Fprintf(w, "\t%d\t%d\t%.1f\t%.1f\t%.1f\n", row.Again, row.Resumed, row.Worth, row.Doubt, row.Price)
+		rows = append(rows, row)
 	}
-	_, _ = fmt.Fprintln(w)
-	return w.Flush()
+	a.out.table(header, rows)
+	a.out.printf("")
 }
