Daemons that watch in the place of others are not asked first

All asked the few that the new list of watchers named, small hosts that answered late or had nothing yet. Ruled out: the news (everyone heard of a watcher turned away within 0.08 s).

Substitutes read the store and announce what they find, and are asked like any other.

--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -299,18 +299,19 @@
 	return p, nil
 }
 
-// somePeer returns the address of a random daemon that watches the store, or of
-// any live one, or else of a seed.
+// somePeer returns the address of a random daemon whose turn it is first to watch the
+// store, or of any live one, or else of a seed. Those that watch in the place of others
+// are not preferred: all daemons at once would ask one or two small hosts for a whole
+// configuration, which took these three seconds where asking each other took 0.7 s.
 func (f *fleet) somePeer() (string, bool) {
 	view := f.members.View()
-	watchers := f.watchers.names()
 	var watching, live []string
 	for _, m := range view.Members {
 		if m.Name == view.Self || m.State == membership.Suspected || f.avoided(m.PeerAddress) {
 			continue
 		}
 		live = append(live, m.PeerAddress)
-		if slices.Contains(watchers, m.Name) {
+		if view.Watching(m.Name) {
 			watching = append(watching, m.PeerAddress)
 		}
 	}
