Losses cut requests into runs in one place, fields are looked up in one; the timeline knows the new lines

Found in a last read: the loop that finds runs of one route stood twice, a field's look-up twice, and requests were sorted by route before they were sorted by route and size. No daemon is touched; tests as they were.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -40,12 +40,18 @@
 
 // field returns the value of a field without quotes, "" when there is none.
 func (l *Line) field(name string) string {
+	value, _ := l.lookup(name)
+	return strings.Trim(value, `"`)
+}
+
+// lookup returns the JSON text of a field and whether the line has it.
+func (l *Line) lookup(name string) (string, bool) {
 	for _, f := range l.Fields {
 		if f.Name == name {
-			return strings.Trim(f.Value, `"`)
+			return f.Value, true
 		}
 	}
-	return ""
+	return "", false
 }
 
 // Read returns the lines of a log in the order of the file. What is not a JSON
@@ -113,7 +119,7 @@
 var beliefs = []string{
 	"daemon started", "daemon takes requests", "daemon leaves", "daemon stopped", "daemon state changed",
 	"configuration in force", "configuration refused", "store does not answer", "store answers again",
-	"history gone", "copy taken from another daemon", "engine takes work", "engine takes no work",
+	"history gone", "watchers of the store changed", "registration names no engine", "copy taken from another daemon", "engine takes work", "engine takes no work",
 	"belief about an engine changed", "introduction ordered", "verdict on an introduction",
 	"introduction changed its state", "state of an introduction written", "settings reloaded", "settings refused",
 	"lines dropped",
--- a/explain/losses.go
+++ b/explain/losses.go
@@ -112,16 +112,6 @@
 	return CauseNone
 }
 
-// lookup returns a field and whether the line has it.
-func (l *Line) lookup(name string) (string, bool) {
-	for _, f := range l.Fields {
-		if f.Name == name {
-			return f.Value, true
-		}
-	}
-	return "", false
-}
-
 // sizeParts are the parts of a route's requests by size that are told apart.
 var sizeParts = []struct {
 	name     string
@@ -138,21 +128,18 @@
 		}
 	}
 	slices.SortStableFunc(all, func(a, b ended) int { return a.at.Compare(b.at) })
-	byTime = groupBy(all, func(e ended) string { return e.at.Truncate(step).UTC().Format(time.TimeOnly) })
-	slices.SortStableFunc(all, func(a, b ended) int { return cmp.Compare(a.route, b.route) })
-	byRoute = groupBy(all, func(e ended) string { return e.route })
+	interval := func(e ended) string { return e.at.Truncate(step).UTC().Format(time.TimeOnly) }
+	for _, run := range runsOf(all, interval) {
+		byTime = append(byTime, sumUp(interval(run[0]), run))
+	}
 	slices.SortStableFunc(all, func(a, b ended) int {
 		return cmp.Or(cmp.Compare(a.route, b.route), cmp.Compare(a.size, b.size))
 	})
-	for len(all) > 0 {
-		n := 1
-		for n < len(all) && all[n].route == all[0].route {
-			n++
+	for _, run := range runsOf(all, func(e ended) string { return e.route }) {
+		byRoute = append(byRoute, sumUp(run[0].route, run))
+		if run[len(run)-1].size > 0 {
+			bySize = append(bySize, partsOf(run)...)
 		}
-		if all[n-1].size > 0 {
-			bySize = append(bySize, partsOf(all[:n])...)
-		}
-		all = all[n:]
 	}
 	return byRoute, bySize, byTime
 }
@@ -169,17 +156,17 @@
 	return parts
 }
 
-// groupBy sums up runs of requests with the same name.
-func groupBy(all []ended, name func(ended) string) (groups []Loss) {
+// runsOf cuts requests into runs of the same name.
+func runsOf(all []ended, name func(ended) string) (runs [][]ended) {
 	for len(all) > 0 {
 		n := 1
 		for n < len(all) && name(all[n]) == name(all[0]) {
 			n++
 		}
-		groups = append(groups, sumUp(name(all[0]), all[:n]))
+		runs = append(runs, all[:n])
 		all = all[n:]
 	}
-	return groups
+	return runs
 }
 
 // sumUp sums up requests.
