A daemon whose copy lies within a step of another's gets the whole state

Cause: history.since took a step as known when the asker's revision lay between its ends. A step holds what differs between its ends, so an object that the asker held and that had gone by the step's end was never removed: a daemon that listed before an engine's removal and asked one that listed after it kept the engine for good. Both tests fail before (answer not whole) and pass after. Ruled out: sending removals of names that the answering daemon does not know; it cannot know them.

--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -674,3 +674,28 @@
 		c.Check(other.Since(0).Age, qt.Equals, before+300*time.Millisecond)
 	})
 }
+
+// TestRemovalBeforeTheFirstListReachesDaemonsBehindIt has a daemon that read the store
+// before an object went ask one that read it afterwards and never saw the object.
+func TestRemovalBeforeTheFirstListReachesDaemonsBehindIt(t *testing.T) {
+	c := qt.New(t)
+	behind := New(Options{Kind: "things", Apply: func(Update) {}, Announce: func(uint64) {}})
+	behind.take(&Snapshot{Revision: 5, Items: map[string]Item{"gone": {Name: "gone", Revision: 3}, "kept": {Name: "kept", Revision: 4}}}, false, false)
+	ahead := New(Options{Kind: "things", Apply: func(Update) {}, Announce: func(uint64) {}})
+	ahead.take(&Snapshot{Revision: 10, Items: map[string]Item{"kept": {Name: "kept", Revision: 4}}}, false, false)
+	p := ahead.Since(behind.Snapshot().Revision)
+	c.Assert(p.Full, qt.IsTrue)
+	behind.take((&Snapshot{}).with(&p.Changes), true, false)
+	c.Check(behind.Snapshot().Items, qt.HasLen, 1)
+}
+
+// TestChangesWithinAStepReachDaemonsInsideIt has an object come and go within one step
+// of the daemon that is asked, and the asker's copy lie between the two.
+func TestChangesWithinAStepReachDaemonsInsideIt(t *testing.T) {
+	c := qt.New(t)
+	ahead := New(Options{Kind: "things", Apply: func(Update) {}, Announce: func(uint64) {}})
+	ahead.take(&Snapshot{Revision: 10, Items: map[string]Item{}}, false, false)
+	ahead.change(&Changes{Revision: 20, Changed: []Item{{Name: "other", Revision: 18}}, Removed: []string{"brief"}}, false, false)
+	c.Check(ahead.Since(15).Full, qt.IsTrue)
+	c.Check(ahead.Since(10).Full, qt.IsFalse)
+}
--- a/follow/snapshot.go
+++ b/follow/snapshot.go
@@ -96,12 +96,18 @@
 	h.steps = append(h.steps, step{from: from, changes: c})
 }
 
-// since returns all changes after a revision in one, or false when they are no
-// longer known.
+// since returns all changes after a revision in one, or false when they are not known:
+// they are forgotten, or the revision lies within a step. A step tells what differs
+// between its ends only; a copy of in between may hold an object that has gone since.
 func (h *history) since(after uint64) (Changes, bool) {
 	if len(h.steps) == 0 || after < h.steps[0].from || after == 0 {
 		return Changes{}, false
 	}
+	for _, s := range h.steps {
+		if s.from < after && after < s.changes.Revision {
+			return Changes{}, false
+		}
+	}
 	state := &Snapshot{Items: map[string]Item{}}
 	removed := make(map[string]struct{})
 	for _, s := range h.steps {
