Daemons that know too few others after a second look again before they register; expiry of engines rebuilds only after a change

The view of the engines was sorted anew five times a second whether or not any had lapsed. Test fails without the second look.

--- a/bootstrap/bootstrap.go
+++ b/bootstrap/bootstrap.go
@@ -36,8 +36,12 @@
 	retryBase = 200 * time.Millisecond
 	retryMax  = 15 * time.Second
 	// joinTime is how long a daemon that might not have to be listed waits to join
-	// the fleet before it decides.
-	joinTime = time.Second
+	// the fleet before it decides, and settleTime by up to how much longer one that has
+	// found some others looks again: where 295 start together, one in five still knows
+	// too few after a second, and each that registers makes two calls and may meet a
+	// conflict with others that do.
+	joinTime   = time.Second
+	settleTime = 3 * time.Second
 	// callTimeout bounds one store call.
 	callTimeout = 3 * time.Second
 )
@@ -49,7 +53,7 @@
 	Update(ctx context.Context, key string, value []byte, revision uint64) (objectstore.Object, error)
 }
 
-// Options configure a Registrar. All fields but Spared are required.
+// Options configure a Registrar. All fields but Spared and Joined are required.
 type Options struct {
 	Store Store
 	// Self is this daemon.
@@ -61,6 +65,8 @@
 	// Spared tells whether this daemon has found the fleet already and need not be
 	// listed, since enough others are. Nil means never.
 	Spared func() bool
+	// Joined tells whether this daemon knows any other. Nil means never.
+	Joined func() bool
 	// Random is used for jitter by one goroutine.
 	Random *rand.Rand
 	Log    zerolog.Logger
@@ -106,7 +112,17 @@
 // isSpared waits a little for the daemon to join the fleet, and tells whether it
 // neither has to be listed nor needs the list.
 func (r *Registrar) isSpared(ctx context.Context) bool {
-	return r.Spared != nil && (backoff.Sleep(ctx, joinTime) != nil || r.Spared())
+	if r.Spared == nil {
+		return false
+	}
+	if backoff.Sleep(ctx, joinTime) != nil || r.Spared() {
+		return true
+	}
+	if r.Joined == nil || !r.Joined() {
+		return false // Whoever has found nobody needs the list now.
+	}
+	pause := time.Duration(r.Random.Int64N(int64(settleTime)))
+	return backoff.Sleep(ctx, pause) != nil || r.Spared()
 }
 
 // review reads the object, passes on what it lists, and writes this daemon to
--- a/bootstrap/bootstrap_test.go
+++ b/bootstrap/bootstrap_test.go
@@ -152,3 +152,42 @@
 		c.Check(<-done, qt.IsNil)
 	})
 }
+
+// TestLargeFleetThatStartsTogetherMakesFewCalls starts daemons together that come to know
+// the others in one to three seconds. Those that know too few after a second look again,
+// so that few beyond those whose place it is register; one that has found nobody asks at
+// once.
+func TestLargeFleetThatStartsTogetherMakesFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const fleet, listed = 295, 8
+		c := qt.New(t)
+		store := memstore.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		began := time.Now()
+		registrar := func(number int, knows time.Duration, finds bool) *Registrar {
+			return New(Options{
+				Store: store, Self: &bronzeturnv1.Seed{Name: fmt.Sprint(number)}, Found: func([]string) {},
+				Live:   func(string) bool { return true },
+				Spared: func() bool { return number >= listed && time.Since(began) >= knows },
+				Joined: func() bool { return finds },
+				Random: rand.New(rand.NewPCG(uint64(number), 1)), Log: zerolog.Nop(),
+			})
+		}
+		done := make(chan error, fleet+1)
+		for n := range fleet {
+			knows := time.Duration(1+2*n/fleet) * time.Second
+			go func() { done <- registrar(n, knows, true).Run(ctx) }()
+		}
+		go func() { done <- registrar(fleet, time.Hour, false).Run(ctx) }()
+		time.Sleep(joinTime + time.Millisecond)
+		c.Check(store.Counts().Writes, qt.Equals, uint64(1), qt.Commentf("the one that knows nobody"))
+		time.Sleep(settleTime + time.Second)
+		counts := store.Counts()
+		// Without the second look, all 147 that know the others late register.
+		c.Check(counts.Reads+counts.Writes < 2*fleet/2, qt.IsTrue, qt.Commentf("%d reads, %d writes", counts.Reads, counts.Writes))
+		cancel()
+		for range fleet + 1 {
+			c.Check(<-done, qt.IsNil)
+		}
+	})
+}
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -127,15 +127,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var next time.Time
+	expired := false
 	for key, l := range s.lapsed {
 		switch {
 		case !now.Before(l.until):
 			delete(s.lapsed, key)
+			expired = true
 		case next.IsZero() || l.until.Before(next):
 			next = l.until
 		}
 	}
-	s.rebuild()
+	if expired {
+		s.rebuild()
+	}
 	return next
 }
 
