--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -50,8 +50,8 @@
 	return &countedStore{
 		store: store,
 		calls: f.NewCounterVec(prometheus.CounterOpts{
-			Name: "bronzeturn_entry_store_calls_total", Help: "Calls of the platform's store by operation and outcome.",
-		}, []string{"operation", "outcome"}),
+			Name: "bronzeturn_entry_store_calls_total", Help: "Calls of the platform's store by operation, cause of lists and outcome.",
+		}, []string{"operation", "cause", "outcome"}),
 		seconds: f.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "bronzeturn_entry_store_call_seconds", Help: "Time of calls of the platform's store; watches wait for changes.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 3, 9),
@@ -59,9 +59,9 @@
 	}
 }
 
-// done counts one call.
-func (s *countedStore) done(operation string, began time.Time, err error) {
-	s.calls.WithLabelValues(operation, storeOutcome(err)).Inc()
+// done counts one call. Only lists have a cause.
+func (s *countedStore) done(operation string, cause follow.Cause, began time.Time, err error) {
+	s.calls.WithLabelValues(operation, cause.String(), storeOutcome(err)).Inc()
 	s.seconds.WithLabelValues(operation).Observe(time.Since(began).Seconds())
 }
 
@@ -86,36 +86,36 @@
 
 // List implements follow.Source.
 func (s *countedStore) List(ctx context.Context, kind string, o follow.ListOptions) (snapshot *follow.Snapshot, err error) {
-	defer func(began time.Time) { s.done("list", began, err) }(time.Now())
+	defer func(began time.Time) { s.done("list", o.Cause, began, err) }(time.Now())
 	return s.store.List(ctx, kind, o)
 }
 
 // Watch implements follow.Source.
 func (s *countedStore) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (changes *follow.Changes, err error) {
-	defer func(began time.Time) { s.done("watch", began, err) }(time.Now())
+	defer func(began time.Time) { s.done("watch", follow.CauseNone, began, err) }(time.Now())
 	return s.store.Watch(ctx, kind, after, wait)
 }
 
 // Get implements bootstrap.Store.
 func (s *countedStore) Get(ctx context.Context, key string) (object objectstore.Object, err error) {
-	defer func(began time.Time) { s.done("get", began, err) }(time.Now())
+	defer func(began time.Time) { s.done("get", follow.CauseNone, began, err) }(time.Now())
 	return s.store.Get(ctx, key)
 }
 
 // Create implements bootstrap.Store.
 func (s *countedStore) Create(ctx context.Context, key string, value []byte) (object objectstore.Object, err error) {
-	defer func(began time.Time) { s.done("create", began, err) }(time.Now())
+	defer func(began time.Time) { s.done("create", follow.CauseNone, began, err) }(time.Now())
 	return s.store.Create(ctx, key, value)
 }
 
 // Update implements bootstrap.Store.
 func (s *countedStore) Update(ctx context.Context, key string, value []byte, revision uint64) (object objectstore.Object, err error) {
-	defer func(began time.Time) { s.done("update", began, err) }(time.Now())
+	defer func(began time.Time) { s.done("update", follow.CauseNone, began, err) }(time.Now())
 	return s.store.Update(ctx, key, value, revision)
 }
 
 // SetStatus implements Store.
 func (s *countedStore) SetStatus(ctx context.Context, kind, name string, revision uint64, status json.RawMessage) (err error) {
-	defer func(began time.Time) { s.done("status", began, err) }(time.Now())
+	defer func(began time.Time) { s.done("status", follow.CauseNone, began, err) }(time.Now())
 	return s.store.SetStatus(ctx, kind, name, revision, status)
 }
--- a/entry/metrics_test.go
+++ b/entry/metrics_test.go
@@ -52,7 +52,7 @@
 			c := qt.New(t)
 			s := newCountedStore(failingStore{err}, prometheus.NewRegistry())
 			ctx := t.Context()
-			_, got := s.List(ctx, "k", follow.ListOptions{Stale: true})
+			_, got := s.List(ctx, "k", follow.ListOptions{Stale: true, Cause: follow.CauseStart})
 			c.Check(got, qt.Equals, err)
 			_, _ = s.Watch(ctx, "k", 1, time.Second)
 			_, _ = s.Get(ctx, "k/n")
@@ -60,7 +60,11 @@
 			_, _ = s.Update(ctx, "k/n", nil, 1)
 			c.Check(s.SetStatus(ctx, "k", "n", 1, nil), qt.Equals, err)
 			for _, operation := range []string{"list", "watch", "get", "create", "update", "status"} {
-				c.Check(testutil.ToFloat64(s.calls.WithLabelValues(operation, outcome)), qt.Equals, 1.0, qt.Commentf(operation))
+				cause := "none"
+				if operation == "list" {
+					cause = "start"
+				}
+				c.Check(testutil.ToFloat64(s.calls.WithLabelValues(operation, cause, outcome)), qt.Equals, 1.0, qt.Commentf(operation))
 			}
 		})
 	}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -35,6 +35,8 @@
 	Stale bool
 	// Patience bounds the time until each answer begins.
 	Patience time.Duration
+	// Cause is why the list is read.
+	Cause Cause
 }
 
 // Pulled is what another daemon gave of its copy.
@@ -208,7 +210,7 @@
 	turn        float64
 	busyWatches int
 	// relist asks for a list at the next step.
-	relist atomic.Bool
+	relist causeFlag
 	// tried is the time of the last call, patience the bound of the next list; Run
 	// alone uses them.
 	tried    time.Time
@@ -325,7 +327,7 @@
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	pauses := &backoff.Backoff{Base: retryBase, Max: retryMax, Random: f.Random}
-	f.relist.Store(true)
+	f.relist.set(CauseStart)
 	f.turn = f.Random.Float64()
 	for ctx.Err() == nil {
 		if !f.reads(time.Now()) {
@@ -391,7 +393,7 @@
 
 // Relist ends a watch in progress and lists instead.
 func (f *Follower) Relist() {
-	f.relist.Store(true)
+	f.relist.set(CauseOtherWatch)
 	if cancel := f.interrupt.Load(); cancel != nil {
 		(*cancel)()
 	}
--- a/follow/read.go
+++ b/follow/read.go
@@ -10,23 +10,29 @@
 
 // step lists or watches once.
 func (f *Follower) step(ctx context.Context) error {
-	if f.relist.Swap(false) || f.snapshot.Load() == nil {
-		return f.list(ctx)
+	cause := f.relist.take()
+	if f.snapshot.Load() == nil && cause == CauseNone {
+		cause = CauseRetry
+	}
+	if cause != CauseNone {
+		return f.list(ctx, cause)
 	}
 	return f.watch(ctx)
 }
 
 // list reads all objects. The first list may be stale: the watch goes on from its
 // revision, and a daemon that does not watch then asks another one.
-func (f *Follower) list(ctx context.Context) error {
+func (f *Follower) list(ctx context.Context, cause Cause) error {
 	first := f.snapshot.Load() == nil
 	began := time.Now()
-	next, err := f.Source.List(ctx, f.Kind, ListOptions{Stale: first, Patience: f.jittered(f.patience)})
+	next, err := f.Source.List(ctx, f.Kind, ListOptions{Stale: first, Patience: f.jittered(f.patience), Cause: cause})
 	if err != nil {
 		f.patience = min(patienceGrowth*f.patience/2, mostPatience)
-		f.relist.Store(true)
+		f.relist.set(CauseRetry)
 		return err
 	}
+	f.Log.Info().Str("kind", f.Kind).Stringer("cause", cause).Uint64("revision", next.Revision).Int("objects", len(next.Items)).
+		Dur("took_ms", time.Since(began)).Msg("objects listed")
 	f.patience = min(max(firstPatience, 2*time.Since(began)), mostPatience)
 	f.answered()
 	f.take(next, false, f.echo())
@@ -47,7 +53,7 @@
 	defer cancel()
 	f.interrupt.Store(&cancel)
 	defer f.interrupt.Store(nil)
-	if f.relist.Load() {
+	if f.relist.isSet() {
 		return nil // Asked for just before the call could be ended.
 	}
 	old := f.snapshot.Load()
@@ -62,7 +68,7 @@
 		return nil
 	case errors.Is(err, ErrHistoryGone):
 		f.Log.Info().Str("kind", f.Kind).Uint64("revision", old.Revision).Msg("history gone, listing again")
-		f.relist.Store(true)
+		f.relist.set(CauseHistoryGone)
 		f.Disturbed()
 		// A store that keeps saying so must not be asked without a pause.
 		_ = backoff.Sleep(ctx, retryBase) // The loop ends with ctx.
@@ -70,7 +76,7 @@
 	case inner.Err() != nil:
 		return nil // Relist has ended the watch, or the daemon stops.
 	}
-	f.relist.Store(true)
+	f.relist.set(CauseNoAnswer)
 	f.Disturbed()
 	if errors.Is(err, context.DeadlineExceeded) {
 		// The store may have been silent since its last answer.
