--- a/explain/explain.go
+++ b/explain/explain.go
@@ -117,7 +117,7 @@
 
 // Messages that tell a change of what a daemon believes.
 var beliefs = []string{
-	"daemon started", "daemon takes requests", "daemon leaves", "daemon stopped", "daemon state changed",
+	"daemon started", "daemon takes requests", "daemon leaves", "daemon stopped", "daemon state changed", "many daemons joined", "many engines changed",
 	"configuration in force", "configuration refused", "store does not answer", "store answers again",
 	"history gone", "watchers of the store changed", "registration names no engine", "copy taken from another daemon", "engine takes work", "engine takes no work",
 	"belief about an engine changed", "introduction ordered", "verdict on an introduction",
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -231,13 +231,32 @@
 	m.setTargets()
 }
 
+// mostLines bounds the lines that one change of the view writes about daemons that are
+// new and live: when a whole fleet starts, one line names them all.
+const mostLines = 8
+
 // logChanges writes one line for every daemon whose state changed.
 func (m *Membership) logChanges(old, v *View) {
+	var joined, changed []Member
 	for _, member := range v.Members {
 		before, known := old.Member(member.Name)
-		if known && before.State == member.State {
-			continue
+		switch {
+		case known && before.State == member.State:
+		case !known && member.State == Live:
+			joined = append(joined, member)
+		default:
+			changed = append(changed, member)
+		}
+	}
+	if len(joined) > mostLines {
+		names := make([]string, len(joined))
+		for i, member := range joined {
+			names[i] = member.Name
 		}
+		m.log.Info().Strs("daemons", names).Int("live", v.Live()).Msg("many daemons joined")
+		joined = nil
+	}
+	for _, member := range slices.Concat(joined, changed) {
 		m.log.Info().Str("daemon", member.Name).Str("state", member.State.String()).
 			Str("reason", string(member.Reason)).Int("live", v.Live()).Msg("daemon state changed")
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -36,8 +36,10 @@
 	} else {
 		protocols.SetHTTP2(true)
 	}
-	settings := http2Config()
-	settings.MaxConcurrentStreams = maxStreams
+	// A server does not ping: callers do, which finds silent connections, and streams
+	// carry heartbeats of their own. With pings from both ends, a fleet of 295 in which
+	// each asks 74 others would send 22,000 of them a second when nothing else happens.
+	settings := &http.HTTP2Config{MaxConcurrentStreams: maxStreams}
 	return &Server{
 		listener: &countedListener{Listener: listener, traffic: traffic},
 		server: &http.Server{
