Watches of a follower with a lead wait four times as long; a daemon that is turned away asks less often while others are answered

A store that leaves a daemon without answers leaves the watch with the lead without one too, whose end relists the other kinds; single silent connections show by keep-alive probes after 2 s. Tests: with the old waits 1.60 calls a second for one daemon (bound 1, from six for three) and over 30 calls in 20 s when turned away.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -73,6 +73,10 @@
 	// one decides how soon a store that came back is noticed.
 	retryBase = 50 * time.Millisecond
 	retryMax  = 400 * time.Millisecond
+	// turnedAwayRetry bounds the pause of a daemon that watches while the store answers
+	// others, which confirm its copy: the store is there, and refused calls cost as much
+	// as others.
+	turnedAwayRetry = 2 * time.Second
 	// orphanRetry is how much longer a daemon that does not watch pauses for each
 	// daemon of the fleet when no other answers it: many may be in that place, and calls
 	// that are refused cost as much as others. With 150 ms one of 66 daemons had a change
@@ -144,8 +148,13 @@
 // store leaves without an answer tells the others that nothing has changed until its
 // watch ends. With waits of up to 5 s on all but one, keys that had been taken away
 // were let in for 3.04 s by daemons that asked it.
+//
+// A Follower with a lead waits longer, followWait: a store that leaves this daemon
+// without answers leaves the lead's watch without one too, and the lead's end then
+// relists all kinds. It halves the calls of a fleet in which nothing happens.
 const (
 	watchWait  = 2500 * time.Millisecond
+	followWait = 10 * time.Second
 	waitJitter = 0.5
 )
 
@@ -248,7 +257,7 @@
 // Stale tells whether the copy may be out of date: neither the store nor another
 // daemon has confirmed it lately.
 func (f *Follower) Stale(now time.Time) bool {
-	return f.snapshot.Load() == nil || now.UnixNano()-f.confirmed.Load() > int64(staleAfter+watchWait)
+	return f.snapshot.Load() == nil || f.age(now) > staleAfter+watchWait
 }
 
 // age returns how long ago the store confirmed the copy, for other daemons. A watch
@@ -363,6 +372,8 @@
 	switch {
 	case f.snapshot.Load() == nil:
 		return retryBase, retryMax + live*freshRetry
+	case f.Peers.Watching() && now.UnixNano()-f.confirmed.Load() < int64(answeredLately):
+		return retryBase, turnedAwayRetry
 	case f.Peers.Watching():
 		return retryBase, retryMax
 	case f.othersAnswer(now):
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -207,6 +207,8 @@
 	peers   *peers
 	mu      sync.Mutex
 	updates []Update
+	// disturbed, if any, is called when the follower tells that its watch was disturbed.
+	disturbed func()
 }
 
 // newDaemon starts a Follower that ends with the test's bubble.
@@ -236,9 +238,16 @@
 			defer d.mu.Unlock()
 			d.updates = append(d.updates, u)
 		},
-		Announce:  func(uint64) {},
-		Disturbed: func() {},
-		Random:    rand.New(rand.NewPCG(1, 2)), Log: zerolog.Nop(),
+		Announce: func(uint64) {},
+		Disturbed: func() {
+			d.mu.Lock()
+			disturbed := d.disturbed
+			d.mu.Unlock()
+			if disturbed != nil {
+				disturbed()
+			}
+		},
+		Random: rand.New(rand.NewPCG(1, 2)), Log: zerolog.Nop(),
 	})
 	go func() { _ = d.Run(ctx) }()      // Ends with ctx.
 	go func() { _ = d.RunPulls(ctx) }() // Ends with ctx.
@@ -703,3 +712,65 @@
 	c.Check(ahead.Since(15).Full, qt.IsTrue)
 	c.Check(ahead.Since(10).Full, qt.IsFalse)
 }
+
+// TestSteadyCopyCostsFewCalls counts the calls of a daemon that watches three kinds in
+// which nothing happens: three such daemons make at most 6 calls a second.
+func TestSteadyCopyCostsFewCalls(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		s := newStore()
+		s.put("a", "1")
+		lead := newDaemon(ctx, s, true, nil)
+		first, second := newDaemonWithLead(ctx, s, lead), newDaemonWithLead(ctx, s, lead)
+		time.Sleep(time.Second)
+		before := s.tries()
+		const span = 60
+		time.Sleep(span * time.Second)
+		rate := float64(s.tries()-before) / span
+		c.Check(rate <= 1, qt.IsTrue, qt.Commentf("%.2f calls a second", rate))
+		for _, d := range []*daemon{lead, first, second} {
+			c.Check(d.Stale(time.Now()), qt.IsFalse)
+			c.Check(d.Since(0).Failing, qt.IsFalse)
+		}
+	})
+}
+
+// TestSilenceTowardsTheLeadEndsTheOthersWatches has a store leave all watches of a daemon
+// without an answer: the copies that wait longer are listed again when the lead notices.
+func TestSilenceTowardsTheLeadEndsTheOthersWatches(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		s := newStore()
+		s.put("a", "1")
+		lead := newDaemon(ctx, s, true, nil)
+		other := newDaemonWithLead(ctx, s, lead)
+		lead.mu.Lock()
+		lead.disturbed = other.Relist
+		lead.mu.Unlock()
+		time.Sleep(time.Second)
+		s.set(func(s *store) { s.deaf = true })
+		time.Sleep(3 * time.Second) // Both watches are deaf ones now.
+		s.put("a", "2")
+		time.Sleep(watchWait + time.Second)
+		c.Check(other.spec("a"), qt.Equals, "2")
+	})
+}
+
+// TestDaemonThatIsTurnedAwayAsksLessOften counts the calls of a daemon that the store
+// refuses while it answers another.
+func TestDaemonThatIsTurnedAwayAsksLessOften(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		s, refusing := newStore(), newStore()
+		s.put("a", "1")
+		refusing.put("a", "1")
+		watcher := newDaemon(ctx, s, true, nil)
+		away := newDaemon(ctx, refusing, true, watcher)
+		time.Sleep(time.Second)
+		refusing.set(func(s *store) { s.down = true })
+		time.Sleep(watchWait)
+		before := refusing.tries()
+		time.Sleep(20 * time.Second)
+		c.Check(refusing.tries()-before <= 30, qt.IsTrue, qt.Commentf("%d calls", refusing.tries()-before))
+		refusing.set(func(s *store) { s.down = false })
+		time.Sleep(turnedAwayRetry + 100*time.Millisecond)
+		c.Check(away.Failing(), qt.IsFalse)
+	})
+}
