Only a daemon that the store fails asks seeds for copies

Cause: in a start of all, 295 daemons that know nobody yet would have a question for each of three kinds waiting at three seeds.

--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -325,15 +325,41 @@
 			return address, true
 		}
 	}
-	f.mu.Lock()
-	above := f.random.Float64() < askAbove
-	f.mu.Unlock()
-	if above {
+	if f.chance(askAbove) {
 		if address, ok := f.someOf(t.above); ok {
 			return address, true
 		}
 	}
-	return f.someOf(f.others())
+	if address, ok := f.someOf(f.others()); ok || usual {
+		return address, ok
+	}
+	return f.someSeed()
+}
+
+// chance is true for a share of the calls.
+func (f *fleet) chance(share float64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.Float64() < share
+}
+
+// someSeed returns the address of a seed for a daemon that knows no other. Only one that
+// the store fails asks seeds: in a start of all they would have to answer everybody.
+func (f *fleet) someSeed() (string, bool) {
+	if len(f.members.View().Members) > 1 {
+		return "", false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return pick(f.random, f.seeds)
+}
+
+// pick returns a random one of the list, if there is any.
+func pick(random *rand.Rand, list []string) (string, bool) {
+	if len(list) == 0 {
+		return "", false
+	}
+	return list[random.IntN(len(list))], true
 }
 
 // firstAnswering returns the address of the first of the daemons that is not avoided.
@@ -359,8 +385,7 @@
 	return names
 }
 
-// someOf returns the address of a random one of the daemons that is not avoided, or of a
-// seed when this daemon knows no other.
+// someOf returns the address of a random one of the daemons that is not avoided.
 func (f *fleet) someOf(names []string) (string, bool) {
 	view := f.members.View()
 	var from []string
@@ -371,13 +396,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(from) == 0 && len(view.Members) <= 1 {
-		from = f.seeds
-	}
-	if len(from) == 0 {
-		return "", false
-	}
-	return from[f.random.IntN(len(from))], true
+	return pick(f.random, from)
 }
 
 // askAbove is the share of the questions out of turn that go to daemons that get changes
