What daemons count of a new version is added up over the tree

Cause: at 295 daemons each flooded its counts every 6.2 s, the first time just at the order, empty. Sessions that are to stay on their version were known to the others as late, which is where PINNED comes from at this size. Now each daemon sends the sums of itself and all below to its parent, three roots exchange theirs, answers bring the fleet's sums down; verdicts alone are flooded. Ruled out: judging by a few daemons only (they know no more), shorter floods (the table's rate of 16 KB/s), wider bounds (they let slow versions through on small fleets).

--- a/entry/canaryreports.go
+++ b/entry/canaryreports.go
@@ -9,36 +9,62 @@
 
 	"github.com/bronzeturn/bronzeturn/canary"
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/tally"
 )
 
-// canaryPrefix begins the table keys of reports.
+// canaryPrefix begins the table keys of verdicts.
 const canaryPrefix = "canary/"
 
-// reportInterval is the least time between two reports of a daemon, and
-// reportPerDaemon what each daemon of the fleet adds to it, so that reports pass
-// through the table as fast as they are made.
-const (
-	reportInterval  = 300 * time.Millisecond
-	reportPerDaemon = 20 * time.Millisecond
-)
-
-// report tells the other daemons what this one has seen.
-func (i *introductions) report(service string, known *introduction, now time.Time) {
-	if now.Sub(known.reported) < reportInterval+time.Duration(i.daemon.fleet.Live())*reportPerDaemon {
+// tellVerdict floods this daemon's verdict against a version, once: all daemons have to
+// stop sending to it at once. What they count is added up over the tree.
+func (i *introductions) tellVerdict(service string, known *introduction, now time.Time) {
+	report := known.Report(now)
+	if known.told || report.Condemned == "" {
+		return
+	}
+	known.told = true
+	report.Counts, report.Held = nil, nil
+	data, err := proto.Marshal(reportMessage(report))
+	if err != nil {
+		i.daemon.log.Error().Err(err).Str("service", service).Msg("verdict not encoded")
 		return
 	}
-	known.reported = now
-	known.version++
-	key := canaryPrefix + service + "/" + i.daemon.Settings.Name
-	i.daemon.fleet.publish(key, known.version, encodeReport(known.Report(now)))
+	i.daemon.fleet.publish(canaryPrefix+service+"/"+i.daemon.Settings.Name, uint64(now.UnixMilli()), data)
+}
+
+// counted returns what this daemon has counted of each introduction in progress.
+func (i *introductions) counted() map[string]*tally.Report {
+	now := time.Now()
+	reports := make(map[string]*tally.Report)
+	for service, known := range i.active() {
+		reports[service] = reportMessage(known.Report(now))
+	}
+	return reports
+}
+
+// fleetName stands for all other daemons together.
+const fleetName = "fleet"
+
+// othersCounted takes in what the other daemons have counted of a service.
+func (i *introductions) othersCounted(service string, others *tally.Report) {
+	if known := i.known(service); known != nil {
+		known.Heard(fleetName, reportOf(others), time.Now())
+	}
+}
+
+// known returns the introduction of a service, nil for none.
+func (i *introductions) known(service string) *introduction {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.byService[service]
 }
 
 // maxReportSessions bounds the sessions in a report.
 const maxReportSessions = 1024
 
-// encodeReport writes a report for the table.
-func encodeReport(r canary.Report) []byte {
-	m := &bronzeturnv1.CanaryReport{Target: r.Target, Order: r.Order, AgeMs: uint64(max(r.Age.Milliseconds(), 0)), Condemned: r.Condemned}
+// reportMessage encodes a report.
+func reportMessage(r canary.Report) *tally.Report {
+	m := &tally.Report{Target: r.Target, Order: r.Order, AgeMs: uint64(max(r.Age.Milliseconds(), 0)), Condemned: r.Condemned}
 	m.HeldSessions = r.Held[:min(len(r.Held), maxReportSessions)]
 	for key, c := range r.Counts {
 		m.Counts = append(m.Counts, &bronzeturnv1.CanaryCount{
@@ -46,17 +72,28 @@
 			LogLatencySum: c.LogLatencySum, LogLatencySquares: c.LogLatencySquares, Latencies: c.Latencies,
 		})
 	}
-	data, err := proto.Marshal(m)
-	if err != nil {
-		return nil // Only a message of a wrong type can't be encoded.
+	return m
+}
+
+// reportOf decodes a report.
+func reportOf(m *tally.Report) canary.Report {
+	r := canary.Report{
+		Order: m.GetOrder(), Target: m.GetTarget(), Age: time.Duration(m.GetAgeMs()) * time.Millisecond,
+		Counts: make(map[canary.CountKey]canary.Count), Held: m.GetHeldSessions(), Condemned: m.GetCondemned(),
+	}
+	for _, c := range m.GetCounts() {
+		r.Counts[canary.CountKey{Route: c.GetRoute(), Trial: c.GetTrial(), Pace: c.GetPace()}] = canary.Count{
+			Answers: c.GetAnswers(), Bad: c.GetBad(), Slow: c.GetSlow(), LogLatencySum: c.GetLogLatencySum(), LogLatencySquares: c.GetLogLatencySquares(),
+			Latencies: c.GetLatencies(),
+		}
 	}
-	return data
+	return r
 }
 
 // errShortKey reports a table key without a daemon's name.
 var errShortKey = errors.New("key names no daemon")
 
-// heard takes in the report of another daemon.
+// heard takes in the verdict of another daemon.
 func (i *introductions) heard(key string, _ uint64, value []byte) {
 	service, daemon, err := splitCanaryKey(key)
 	if err != nil || daemon == i.daemon.Settings.Name || len(value) == 0 {
@@ -64,24 +101,11 @@
 	}
 	var m bronzeturnv1.CanaryReport
 	if err := proto.Unmarshal(value, &m); err != nil {
-		i.daemon.log.Warn().Err(err).Str("key", key).Msg("report of a daemon not read")
+		i.daemon.log.Warn().Err(err).Str("key", key).Msg("verdict of a daemon not read")
 		return
 	}
-	r := canary.Report{
-		Order: m.GetOrder(), Target: m.GetTarget(), Age: time.Duration(m.GetAgeMs()) * time.Millisecond,
-		Counts: make(map[canary.CountKey]canary.Count), Held: m.GetHeldSessions(), Condemned: m.GetCondemned(),
-	}
-	for _, c := range m.GetCounts() {
-		r.Counts[canary.CountKey{Route: c.GetRoute(), Trial: c.GetTrial(), Pace: c.GetPace()}] = canary.Count{
-			Answers: c.GetAnswers(), Bad: c.GetBad(), Slow: c.GetSlow(), LogLatencySum: c.GetLogLatencySum(), LogLatencySquares: c.GetLogLatencySquares(),
-			Latencies: c.GetLatencies(),
-		}
-	}
-	i.mu.Lock()
-	known := i.byService[service]
-	i.mu.Unlock()
-	if known != nil {
-		known.Heard(daemon, r, time.Now())
+	if known := i.known(service); known != nil {
+		known.Heard(daemon, reportOf(&m), time.Now())
 	}
 }
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/bronzeturn/bronzeturn/canary"
 	"github.com/bronzeturn/bronzeturn/gateway"
@@ -116,6 +117,22 @@
 	c.Check(i.byService["s"].Choose(session, time.Now().Add(4*time.Second)), qt.IsFalse)
 }
 
+// TestCountsOfTheOthersLeadToAVerdict has the fleet's sums bring what this daemon has not
+// seen itself.
+func TestCountsOfTheOthersLeadToAVerdict(t *testing.T) {
+	c := qt.New(t)
+	i, other := newTestIntroductions(engineOf("a", "v1")), newTestIntroductions(engineOf("a", "v1"))
+	i.ordered(order, canary.Running, 8)
+	other.ordered(order, canary.Running, 8)
+	for range 20 {
+		other.Observe("s", "r", true, true, 0)
+	}
+	c.Check(i.byService["s"].Review(time.Now()).State, qt.Equals, canary.Running)
+	i.othersCounted("s", other.counted()["s"])
+	i.othersCounted("unknown", other.counted()["s"])
+	c.Check(i.byService["s"].Review(time.Now()).State, qt.Equals, canary.RolledBack)
+}
+
 func TestReportsSurviveTheirEncoding(t *testing.T) {
 	c := qt.New(t)
 	i, other := newTestIntroductions(engineOf("a", "v1")), newTestIntroductions(engineOf("a", "v1"))
@@ -125,7 +142,9 @@
 	for range 20 {
 		other.Observe("s", "r", true, true, 0)
 	}
-	i.heard(canaryPrefix+"s/two", 1, encodeReport(other.byService["s"].Report(time.Now())))
+	report, err := proto.Marshal(reportMessage(other.byService["s"].Report(time.Now())))
+	c.Assert(err, qt.IsNil)
+	i.heard(canaryPrefix+"s/two", 1, report)
 	i.heard(canaryPrefix+"s/two", 2, []byte{0xff})
 	i.heard(canaryPrefix+"nothing", 3, nil)
 	c.Check(i.byService["s"].Review(time.Now()).State, qt.Equals, canary.RolledBack)
--- a/entry/introductions.go
+++ b/entry/introductions.go
@@ -9,6 +9,7 @@
 	"github.com/bronzeturn/bronzeturn/gateway"
 	"github.com/bronzeturn/bronzeturn/inventory"
 	"github.com/bronzeturn/bronzeturn/rendezvous"
+	"github.com/bronzeturn/bronzeturn/tally"
 )
 
 // quarantine is how long engines of a version that was never seen wait for an order
@@ -18,6 +19,8 @@
 // introductions keep the version that each service's sessions run on.
 type introductions struct {
 	daemon *Daemon
+	// tally adds up what all daemons count.
+	tally *tally.Tally
 
 	mu        sync.Mutex
 	byService map[string]*introduction
@@ -39,19 +42,25 @@
 	*canary.Introduction
 	revision uint64
 	driver   canary.Driver
-	reported time.Time
-	version  uint64
+	// told tells that the verdict against the version was flooded; the reviews alone
+	// use it.
+	told bool
 	// engines is on how many engines the new version runs.
 	engines int
 }
 
 func newIntroductions(d *Daemon) *introductions {
-	return &introductions{
+	i := &introductions{
 		daemon: d, byService: make(map[string]*introduction),
 		versions: make(map[string]map[string]time.Time), recent: make(map[string]map[uint64]time.Time),
 		retired: make(map[string]map[string]struct{}),
 		ranks:   make(map[string]int),
 	}
+	i.tally = tally.New(tally.Options{
+		Self: d.Settings.Name, Place: d.fleet.tallyPlace, Client: d.fleet.tallyOf,
+		Own: i.counted, Others: i.othersCounted, Log: d.part("tally"),
+	})
+	return i
 }
 
 // ordersChanged takes in the orders of the store.
@@ -81,7 +90,6 @@
 		i.retire(known, order)
 		known = &introduction{
 			Introduction: canary.New(i.daemon.Settings.Introductions, order, state, now),
-			version:      uint64(now.UnixMilli()) << 12,
 			engines:      1,
 		}
 		i.byService[order.Service] = known
--- a/entry/passing_test.go
+++ b/entry/passing_test.go
@@ -128,6 +128,17 @@
 	}
 }
 
+// sentSoFar returns the bytes sent, and begins anew when asked to.
+func (h *host) sentSoFar(reset bool) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	sent := h.sent
+	if reset {
+		h.sent = 0
+	}
+	return sent
+}
+
 // Pull implements follow.Peers.
 func (h *host) Pull(ctx context.Context, _ string, after uint64, wait time.Duration) (*follow.Pulled, error) {
 	from := h.place.parents[0]
@@ -214,7 +225,7 @@
 	s.calls = 0
 	s.mu.Unlock()
 	for _, h := range f.hosts {
-		h.sent = 0
+		h.sentSoFar(true)
 	}
 	for i := range 200 {
 		s.put(fmt.Sprint("new-", i))
@@ -227,9 +238,11 @@
 			c.Assert(time.Since(began) < time.Minute, qt.IsTrue)
 		}
 	}
+	s.mu.Lock()
 	r := result{last: time.Since(began), calls: s.calls}
+	s.mu.Unlock()
 	for _, h := range f.hosts {
-		r.busiest = max(r.busiest, h.sent)
+		r.busiest = max(r.busiest, h.sentSoFar(false))
 	}
 	return r
 }
--- a/entry/review.go
+++ b/entry/review.go
@@ -20,6 +20,7 @@
 func (i *introductions) start(d *Daemon) {
 	d.fleet.members.Table().Subscribe(canaryPrefix, i.heard)
 	d.goLoop("introductions", i.run)
+	d.goLoop("tally", i.tally.Run)
 }
 
 // run reviews the introductions until ctx ends.
@@ -53,7 +54,7 @@
 func (i *introductions) review(ctx context.Context, service string, known *introduction) {
 	now := time.Now()
 	verdict := known.Review(now)
-	i.report(service, known, now)
+	i.tellVerdict(service, known, now)
 	i.widen(service, known, now)
 	due, isNew := known.driver.Due(known.State(), verdict.State, i.place(service), now)
 	if isNew {
--- /dev/null
+++ b/tally/tally_test.go
@@ -0,0 +1,192 @@
+package tally
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1/bronzeturnv1connect"
+)
+
+// way is the time of a message between daemons of two data centres.
+const way = 1400 * time.Microsecond
+
+var errDown = errors.New("down")
+
+// member is one daemon of a fleet under test.
+type member struct {
+	*Tally
+	place   atomic.Pointer[Place]
+	answers atomic.Uint64
+	// heard are the answers that all others have counted, as it knows.
+	heard atomic.Uint64
+	down  atomic.Bool
+	calls atomic.Uint64
+}
+
+// client calls a member.
+type client struct{ to *member }
+
+// Add implements bronzeturnv1connect.TallyServiceClient.
+func (c client) Add(_ context.Context, r *connect.Request[bronzeturnv1.AddRequest]) (*connect.Response[bronzeturnv1.AddResponse], error) {
+	time.Sleep(way)
+	if c.to.down.Load() {
+		return nil, errDown
+	}
+	c.to.calls.Add(1)
+	answer := c.to.Add(r.Msg)
+	time.Sleep(way)
+	return connect.NewResponse(answer), nil
+}
+
+// reportWith returns a report with so many answers of the new version.
+func reportWith(answers uint64, sessions ...uint64) *Report {
+	return &Report{Order: 7, Target: "v2", HeldSessions: sessions, Counts: []*bronzeturnv1.CanaryCount{
+		{Route: "r", Trial: true, Answers: answers, Latencies: answers, LogLatencySum: float64(answers)},
+	}}
+}
+
+// answersOf returns the answers in a report.
+func answersOf(r *Report) uint64 {
+	n := uint64(0)
+	for _, c := range r.GetCounts() {
+		n += c.GetAnswers()
+	}
+	return n
+}
+
+// newFleet starts three roots and below them, in each of some branches, levels of 2, 16
+// and the rest.
+func newFleet(ctx context.Context, size, branches int) map[string]*member {
+	fleet := make(map[string]*member)
+	add := func(name string, place Place) {
+		m := &member{}
+		place.Live = size
+		m.place.Store(&place)
+		m.answers.Store(1)
+		m.Tally = New(Options{
+			Self: name, Place: func() Place { return *m.place.Load() },
+			Client: func(daemon string) bronzeturnv1connect.TallyServiceClient { return client{fleet[daemon]} },
+			Own:    func() map[string]*Report { return map[string]*Report{"s": reportWith(m.answers.Load())} },
+			Others: func(_ string, others *Report) { m.heard.Store(answersOf(others)) },
+			Log:    zerolog.Nop(),
+		})
+		fleet[name] = m
+	}
+	roots := []string{"root-0", "root-1", "root-2"}
+	for i, name := range roots {
+		add(name, Place{Roots: append(append([]string(nil), roots[:i]...), roots[i+1:]...)})
+	}
+	for i := range size - len(roots) {
+		branch, at := i%branches, i/branches
+		first, level := at%2, fmt.Sprint("d-", branch, "-")
+		switch {
+		case at < 2:
+			add(fmt.Sprint(level, at), Place{Depth: 1, Parents: []string{roots[(branch+at)%3], roots[(branch+at+1)%3]}})
+		case at < 18:
+			add(fmt.Sprint(level, at), Place{Depth: 2, Parents: []string{fmt.Sprint(level, first), fmt.Sprint(level, 1-first)}})
+		default:
+			add(fmt.Sprint(level, at), Place{Depth: 3, Parents: []string{fmt.Sprint(level, 2+at%16), fmt.Sprint(level, 2+(at+1)%16)}})
+		}
+	}
+	for _, m := range fleet {
+		go func() { _ = m.Run(ctx) }() // Ends with ctx.
+	}
+	return fleet
+}
+
+// TestSumsReachTheWholeFleetSoon: pattern of a bad version on a large fleet, where each
+// daemon sees a few answers a second. All know nearly all counts within the 5 s that a
+// bad version may go on after it shows, less 2 s for the verdict's way and for work that is
+// under way, and nobody has more calls than a small host bears.
+func TestSumsReachTheWholeFleetSoon(t *testing.T) {
+	for _, test := range []struct{ size, branches int }{{6, 3}, {91, 4}, {295, 5}, {410, 4}} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			fleet := newFleet(ctx, test.size, test.branches)
+			time.Sleep(5 * time.Second)
+			for name, m := range fleet {
+				c.Check(m.heard.Load(), qt.Equals, uint64(test.size-1), qt.Commentf(name))
+			}
+			before := fleet["root-0"].calls.Load()
+			for _, m := range fleet {
+				m.answers.Store(11)
+			}
+			began := time.Now()
+			for name, m := range fleet {
+				for m.heard.Load() != uint64(11*(test.size-1)) {
+					time.Sleep(10 * time.Millisecond)
+					c.Assert(time.Since(began) < 3*time.Second, qt.IsTrue, qt.Commentf("%s knows of %d", name, m.heard.Load()))
+				}
+			}
+			rate := float64(fleet["root-0"].calls.Load()-before) / time.Since(began).Seconds()
+			t.Logf("%d daemons: all know after %v, a root has %.1f calls a second", test.size, time.Since(began), rate)
+			c.Check(rate < 40, qt.IsTrue)
+		})
+	}
+}
+
+// TestLossOfDaemonsOnTheWayIsBridged takes a root and a daemon of each level away: those
+// below send to the next one, nothing counts twice for long, and what the lost ones had
+// counted themselves is forgotten.
+func TestLossOfDaemonsOnTheWayIsBridged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		const size = 295
+		fleet := newFleet(ctx, size, 5)
+		time.Sleep(5 * time.Second)
+		lost := []string{"root-1", "d-0-0", "d-3-5", "d-4-30"}
+		for _, name := range lost {
+			fleet[name].down.Store(true)
+			fleet[name].place.Store(&Place{}) // It is cut off both ways.
+		}
+		time.Sleep(2*keepFor + 2*time.Second)
+		for name, m := range fleet {
+			if !m.down.Load() {
+				c.Check(m.heard.Load(), qt.Equals, uint64(size-1-len(lost)), qt.Commentf(name))
+			}
+		}
+	})
+}
+
+// TestNothingGoesRoundInACircle has two daemons take each other for their parent, as
+// daemons with different views may: neither takes in what comes from its own level.
+func TestNothingGoesRoundInACircle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		fleet := newFleet(ctx, 13, 1)
+		fleet["d-0-0"].place.Store(&Place{Depth: 2, Parents: []string{"d-0-1"}})
+		fleet["d-0-1"].place.Store(&Place{Depth: 2, Parents: []string{"d-0-0"}})
+		time.Sleep(time.Minute)
+		for name, m := range fleet {
+			c.Check(m.heard.Load() < 13, qt.IsTrue, qt.Commentf("%s counts %d", name, m.heard.Load()))
+		}
+	})
+}
+
+func TestSumsAreOfOneIntroduction(t *testing.T) {
+	c := qt.New(t)
+	other := reportWith(50)
+	other.Order = 8
+	total := sum(reportWith(3, 9, 4), reportWith(2, 4, 5), other, nil)
+	c.Check(answersOf(total), qt.Equals, uint64(5))
+	c.Check(total.GetHeldSessions(), qt.DeepEquals, []uint64{4, 5, 9})
+	c.Check(answersOf(without(total, reportWith(3))), qt.Equals, uint64(2))
+	c.Check(answersOf(without(total, reportWith(9))), qt.Equals, uint64(0))
+	c.Check(answersOf(without(total, other)), qt.Equals, uint64(5))
+}
