--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -14,10 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"connectrpc.com/connect"
-
 	"github.com/bronzeturn/bronzeturn/bootstrap"
-	"github.com/bronzeturn/bronzeturn/follow"
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1/bronzeturnv1connect"
 	"github.com/bronzeturn/bronzeturn/gossip"
@@ -37,13 +31,13 @@
 
 // Bounds of these entries.
 const (
-	maxNews        = 16
-	maxDaemons     = 2048
-	maxReports     = 8192
-	smallValue     = 128
-	maxReportBytes = 32 << 10
-	reportTTL      = 2 * time.Minute
-	removalTTL     = 10 * time.Minute
+	maxNews     = 16
+	maxDaemons  = 2048
+	maxVerdicts = 8192
+	smallValue  = 128
+	maxVerdict  = 1 << 10
+	verdictTTL  = 2 * time.Minute
+	removalTTL  = 10 * time.Minute
 )
 
 // fleet is what this daemon shares with the others.
@@ -89,7 +83,7 @@
 			{Prefix: newsPrefix, MaxEntries: maxNews, MaxValueBytes: smallValue},
 			{Prefix: readyPrefix, MaxEntries: maxDaemons, MaxValueBytes: smallValue, RemovalTTL: removalTTL},
 			{Prefix: turnedAwayPrefix, MaxEntries: maxDaemons, MaxValueBytes: smallValue, RemovalTTL: removalTTL},
-			{Prefix: canaryPrefix, MaxEntries: maxReports, MaxValueBytes: maxReportBytes, TTL: reportTTL},
+			{Prefix: canaryPrefix, MaxEntries: maxVerdicts, MaxValueBytes: maxVerdict, TTL: verdictTTL},
 		},
 		Random: d.rand(randMembership), Log: d.log, Registerer: d.registry,
 	})
@@ -277,184 +271,3 @@
 // the store: with a few of them in sight, each of a large fleet would take it for its
 // turn and make ten calls. It serves with the list that it reads first.
 const joinTime = time.Second
-
-// errNobody reports that no other daemon is known.
-var errNobody = errors.New("no other daemon is known")
-
-// Depth implements follow.Peers.
-func (f *fleet) Depth() int { return f.tree().depth }
-
-// Pull implements follow.Peers.
-func (f *fleet) Pull(ctx context.Context, kind string, after uint64, wait time.Duration) (*follow.Pulled, error) {
-	address, ok := f.source(wait > 0)
-	if !ok {
-		return nil, errNobody
-	}
-	client, base := f.directory.At(address)
-	service := bronzeturnv1connect.NewFollowServiceClient(client, base, peer.ClientOptions()...)
-	answer, err := service.Pull(ctx, connect.NewRequest(&bronzeturnv1.PullRequest{
-		Kind: kind, AfterRevision: after, WaitMs: uint32(wait.Milliseconds()),
-	}))
-	if err != nil {
-		f.avoid(address)
-		return nil, fmt.Errorf("pull %s from %s: %w", kind, address, err)
-	}
-	m := answer.Msg
-	if m.GetFailing() {
-		f.avoid(address)
-	}
-	p := &follow.Pulled{
-		Full: m.GetFull(), Failing: m.GetFailing(), AfterOutage: m.GetAfterOutage(),
-		Age: time.Duration(m.GetConfirmedMsAgo()) * time.Millisecond,
-	}
-	p.Changes.Revision, p.Changes.Removed = m.GetRevision(), m.GetRemoved()
-	for _, item := range m.GetItems() {
-		p.Changes.Changed = append(p.Changes.Changed, follow.Item{
-			Name: item.GetName(), Revision: item.GetRevision(), Created: item.GetCreated(),
-			Spec: item.GetSpec(), Status: item.GetStatus(),
-		})
-	}
-	return p, nil
-}
-
-// source returns the peer address of the daemon to ask: for changes to wait for, the one
-// that passes them on to this daemon; otherwise one that may have got them another way.
-func (f *fleet) source(usual bool) (string, bool) {
-	t := f.tree()
-	if usual {
-		if address, ok := f.firstAnswering(t.parents); ok {
-			return address, true
-		}
-	}
-	if f.chance(askAbove) {
-		if address, ok := f.someOf(t.above); ok {
-			return address, true
-		}
-	}
-	if address, ok := f.someOf(f.others()); ok || usual {
-		return address, ok
-	}
-	return f.someSeed()
-}
-
-// chance is true for a share of the calls.
-func (f *fleet) chance(share float64) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.random.Float64() < share
-}
-
-// someSeed returns the address of a seed for a daemon that knows no other. Only one that
-// the store fails asks seeds: in a start of all they would have to answer everybody.
-func (f *fleet) someSeed() (string, bool) {
-	if len(f.members.View().Members) > 1 {
-		return "", false
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return pick(f.random, f.seeds)
-}
-
-// pick returns a random one of the list, if there is any.
-func pick(random *rand.Rand, list []string) (string, bool) {
-	if len(list) == 0 {
-		return "", false
-	}
-	return list[random.IntN(len(list))], true
-}
-
-// firstAnswering returns the address of the first of the daemons that is not avoided.
-func (f *fleet) firstAnswering(names []string) (string, bool) {
-	view := f.members.View()
-	for _, name := range names {
-		if m, ok := view.Member(name); ok && !f.avoided(m.PeerAddress) {
-			return m.PeerAddress, true
-		}
-	}
-	return "", false
-}
-
-// others returns the names of the daemons that are not known to be down.
-func (f *fleet) others() []string {
-	view := f.members.View()
-	var names []string
-	for _, m := range view.Members {
-		if m.Name != view.Self && m.State != membership.Suspected {
-			names = append(names, m.Name)
-		}
-	}
-	return names
-}
-
-// someOf returns the address of a random one of the daemons that is not avoided.
-func (f *fleet) someOf(names []string) (string, bool) {
-	view := f.members.View()
-	var from []string
-	for _, name := range names {
-		if m, ok := view.Member(name); ok && m.Name != view.Self && !f.avoided(m.PeerAddress) {
-			from = append(from, m.PeerAddress)
-		}
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return pick(f.random, from)
-}
-
-// askAbove is the share of the questions out of turn that go to daemons that get changes
-// before this one; the others go to any daemon. A change that did not come by the usual
-// way has missed most of the former too when it was lost near the root.
-const askAbove = 0.5
-
-// avoidFor is how long a daemon that gave no good answer is not asked again.
-const avoidFor = 2 * time.Second
-
-// avoid keeps questions away from a daemon for a while.
-func (f *fleet) avoid(address string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.silent[address] = time.Now()
-}
-
-// avoided tells whether a daemon did not answer lately.
-func (f *fleet) avoided(address string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	at, ok := f.silent[address]
-	if ok && time.Since(at) > avoidFor {
-		delete(f.silent, address)
-		return false
-	}
-	return ok
-}
-
-// mostPullWait bounds how long another daemon's question may wait here.
-const mostPullWait = 5 * time.Second
-
-// pullServer hands out this daemon's copies.
-type pullServer struct{ daemon *Daemon }
-
-// Pull implements bronzeturnv1connect.FollowServiceHandler.
-func (s pullServer) Pull(ctx context.Context, r *connect.Request[bronzeturnv1.PullRequest]) (*connect.Response[bronzeturnv1.PullResponse], error) {
-	follower, ok := s.daemon.copies.of(r.Msg.GetKind())
-	if !ok {
-		return nil, connect.NewError(connect.CodeNotFound, errNoCopy)
-	}
-	wait := min(time.Duration(r.Msg.GetWaitMs())*time.Millisecond, mostPullWait)
-	p := follower.Await(ctx, r.Msg.GetAfterRevision(), wait)
-	if p == nil {
-		return nil, connect.NewError(connect.CodeNotFound, errNoCopy)
-	}
-	answer := &bronzeturnv1.PullResponse{
-		Revision: p.Changes.Revision, Full: p.Full, Failing: p.Failing, AfterOutage: p.AfterOutage, Removed: p.Changes.Removed,
-		ConfirmedMsAgo: uint32(min(p.Age.Milliseconds(), math.MaxUint32)),
-	}
-	for _, item := range p.Changes.Changed {
-		answer.Items = append(answer.Items, &bronzeturnv1.FollowedItem{
-			Name: item.Name, Revision: item.Revision, Created: item.Created, Spec: item.Spec, Status: item.Status,
-		})
-	}
-	return connect.NewResponse(answer), nil
-}
-
-// errNoCopy reports that this daemon has no copy of the kind.
-var errNoCopy = errors.New("no copy of this kind")
