--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -31,13 +31,13 @@
 
 // Bounds of these entries.
 const (
-	maxNews     = 16
-	maxDaemons  = 2048
-	maxVerdicts = 8192
-	smallValue  = 128
-	maxVerdict  = 1 << 10
-	verdictTTL  = 2 * time.Minute
-	removalTTL  = 10 * time.Minute
+	maxNews         = 16
+	maxDaemons      = 2048
+	maxVerdicts     = 8192
+	smallValue      = 128
+	maxVerdictBytes = 1 << 10
+	verdictTTL      = 2 * time.Minute
+	removalTTL      = 10 * time.Minute
 )
 
 // fleet is what this daemon shares with the others.
@@ -83,7 +83,7 @@
 			{Prefix: newsPrefix, MaxEntries: maxNews, MaxValueBytes: smallValue},
 			{Prefix: readyPrefix, MaxEntries: maxDaemons, MaxValueBytes: smallValue, RemovalTTL: removalTTL},
 			{Prefix: turnedAwayPrefix, MaxEntries: maxDaemons, MaxValueBytes: smallValue, RemovalTTL: removalTTL},
-			{Prefix: canaryPrefix, MaxEntries: maxVerdicts, MaxValueBytes: maxVerdict, TTL: verdictTTL},
+			{Prefix: canaryPrefix, MaxEntries: maxVerdicts, MaxValueBytes: maxVerdictBytes, TTL: verdictTTL},
 		},
 		Random: d.rand(randMembership), Log: d.log, Registerer: d.registry,
 	})
