Daemons that the store fails have a question waiting instead of asking ten times a second

Cause: found by reading. In an outage of the store for all, the daemons that tried it count it as failing, and each asked another for each of three kinds every 0.1 s: about 3,000 questions a second when a third of 295 daemons have tried. A question that waits brings a change as soon, and 0.7 s bounds a daemon that does not answer, as at other times.

--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -774,3 +774,28 @@
 		c.Check(away.Failing(), qt.IsFalse)
 	})
 }
+
+// TestDaemonsInAnOutageAskEachOtherSeldom counts the questions of a daemon that the store
+// fails, as it fails the one that it asks: a question waits for a change rather than being
+// asked ten times a second, and the change comes at once all the same.
+func TestDaemonsInAnOutageAskEachOtherSeldom(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		s, refusing := newStore(), newStore()
+		s.put("a", "1")
+		refusing.put("a", "1")
+		watcher := newDaemon(ctx, s, true, nil)
+		time.Sleep(100 * time.Millisecond)
+		other := newDaemon(ctx, refusing, true, watcher)
+		time.Sleep(time.Second)
+		refusing.set(func(s *store) { s.down = true })
+		s.set(func(s *store) { s.down = true })
+		time.Sleep(watchWait + time.Second)
+		before := other.peers.asked()
+		time.Sleep(20 * time.Second)
+		c.Check(other.peers.asked()-before <= 40, qt.IsTrue, qt.Commentf("%d questions", other.peers.asked()-before))
+		s.set(func(s *store) { s.down = false })
+		s.put("a", "2")
+		time.Sleep(retryMax + 50*time.Millisecond)
+		c.Check(other.spec("a"), qt.Equals, "2")
+	})
+}
--- a/follow/pull.go
+++ b/follow/pull.go
@@ -7,9 +7,10 @@
 	"github.com/bronzeturn/bronzeturn/backoff"
 )
 
-// RunPulls takes changes from other daemons until ctx ends. A daemon that does not watch
-// always has a question waiting at the one that passes changes on to it; any daemon asks
-// another at once when the store fails it or news did not come by their usual way.
+// RunPulls takes changes from other daemons until ctx ends. A daemon that does not watch,
+// or that the store fails, always has a question waiting at the one that passes changes on
+// to it; any daemon asks another at once when it has no copy and the store fails it, or
+// when news did not come by their usual way.
 func (f *Follower) RunPulls(ctx context.Context) error {
 	for ctx.Err() == nil {
 		switch {
@@ -17,7 +18,7 @@
 			if !f.pull(ctx, 0) || f.behind() {
 				_ = backoff.Sleep(ctx, pullPause) // The loop ends with ctx.
 			}
-		case f.snapshot.Load() != nil && !f.Peers.Watching():
+		case f.snapshot.Load() != nil && (f.Failing() || !f.Peers.Watching()):
 			if !f.pull(ctx, passWait) {
 				_ = backoff.Sleep(ctx, pullPause) // The loop ends with ctx.
 			}
@@ -39,13 +40,16 @@
 	}
 }
 
-// behind tells whether other daemons may have what does not come by the usual way: the
-// store does not answer, or news heard of is overdue. A daemon that starts reads the
-// store first: when a whole fleet starts, a few daemons could not give all others their
-// copies.
+// behind tells whether other daemons may have what does not come by the usual way: news
+// heard of is overdue, or the store does not answer a daemon without a copy. A daemon that
+// starts reads the store first: when a whole fleet starts, a few daemons could not give
+// all others their copies.
 func (f *Follower) behind() bool {
 	s := f.snapshot.Load()
-	return f.Failing() || s != nil && f.overdue.Load() > s.Revision
+	if s == nil {
+		return f.Failing()
+	}
+	return f.overdue.Load() > s.Revision
 }
 
 // pull asks another daemon once, and tells whether it answered.
