--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bronzeturn/bronzeturn/backoff"
 	"github.com/bronzeturn/bronzeturn/bootstrap"
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1/bronzeturnv1connect"
@@ -208,20 +209,15 @@
 
 // tellReadiness tells the others when this daemon begins to take requests.
 func (f *fleet) tellReadiness(ctx context.Context) error {
-	ticker := time.NewTicker(readyPoll)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-		if f.daemon.Ready() == nil {
-			f.publishReady()
-			f.daemon.log.Info().Dur("after_ms", time.Since(f.daemon.started)).Msg("daemon takes requests")
-			return nil
+	for backoff.Sleep(ctx, readyPoll) == nil {
+		if f.daemon.Ready() != nil {
+			continue
 		}
+		f.publishReady()
+		f.daemon.log.Info().Dur("after_ms", time.Since(f.daemon.started)).Msg("daemon takes requests")
+		return nil
 	}
+	return nil
 }
 
 // publishReady publishes the own readiness.
--- a/entry/watchers.go
+++ b/entry/watchers.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bronzeturn/bronzeturn/backoff"
 	"github.com/bronzeturn/bronzeturn/membership"
 )
 
@@ -133,16 +134,10 @@
 
 // run publishes whether the store answers this daemon while it watches, until ctx ends.
 func (w *watchers) run(ctx context.Context) error {
-	ticker := time.NewTicker(turnedAwayPoll)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			w.review(time.Now())
-		}
+	for backoff.Sleep(ctx, turnedAwayPoll) == nil {
+		w.review(time.Now())
 	}
+	return nil
 }
 
 // review looks once whether this daemon is turned away, and publishes a change. What is
