One piece of code weighs daemons by capacity, one looks an introduction up

Read of the whole change: the tree and the keepers of engines each built the weighted set of some daemons; Observe and ObservePace each looked the introduction up that known() does. Behaviour stays.

--- a/entry/introductions.go
+++ b/entry/introductions.go
@@ -292,20 +292,14 @@
 
 // Observe implements gateway.Introductions.
 func (i *introductions) Observe(service, route string, trial, bad bool, latency time.Duration) {
-	i.mu.Lock()
-	known := i.byService[service]
-	i.mu.Unlock()
-	if known != nil && known.State() < canary.Done {
+	if known := i.known(service); known != nil && known.State() < canary.Done {
 		known.Observe(route, trial, bad, latency)
 	}
 }
 
 // ObservePace implements gateway.Introductions.
 func (i *introductions) ObservePace(service, route string, trial bool, pace time.Duration) {
-	i.mu.Lock()
-	known := i.byService[service]
-	i.mu.Unlock()
-	if known != nil && known.State() < canary.Done {
+	if known := i.known(service); known != nil && known.State() < canary.Done {
 		known.ObservePace(route, trial, pace)
 	}
 }
--- a/entry/load.go
+++ b/entry/load.go
@@ -130,7 +130,12 @@
 	last := k.last.Load()
 	if last == nil || last.view != view {
 		n := min(max(leastKeepers, view.Live()/keepersPart), mostKeepers)
-		last = &keeperSet{view: view, set: weightedSet(view, view.Top(keepersKey, min(n, view.Live())))}
+		var members []membership.Member
+		for _, name := range view.Top(keepersKey, min(n, view.Live())) {
+			m, _ := view.Member(name)
+			members = append(members, m)
+		}
+		last = &keeperSet{view: view, set: weighted(members)}
 		k.last.Store(last)
 	}
 	if last.set.Len() == 0 {
@@ -139,12 +144,11 @@
 	return last.set.Owner(engine)
 }
 
-// weightedSet returns the set of some daemons with what their hosts can carry.
-func weightedSet(view *membership.View, names []string) *rendezvous.Set {
-	capacities := make(map[string]float64, len(names))
-	for _, name := range names {
-		m, _ := view.Member(name)
-		capacities[name] = m.Capacity
+// weighted returns the set of some daemons with what their hosts can carry.
+func weighted(members []membership.Member) *rendezvous.Set {
+	capacities := make(map[string]float64, len(members))
+	for _, m := range members {
+		capacities[m.Name] = m.Capacity
 	}
 	return rendezvous.NewWeighted(capacities)
 }
--- a/entry/tree.go
+++ b/entry/tree.go
@@ -79,7 +79,7 @@
 	first, size := 0, treeHeads // The level that the daemon is compared with.
 	for at >= first+size {
 		level := branch[first : first+size]
-		p.parents = append(rankedFor(self, level), p.parents...)
+		p.parents = append(weighted(level).Top(self, size), p.parents...)
 		p.above = append(p.above, namesOf(level)...)
 		first, size = first+size, size*treeFanout
 		p.depth++
@@ -88,16 +88,6 @@
 	return p
 }
 
-// rankedFor returns the names of some daemons in the order in which a daemon asks them,
-// which prefers hosts in proportion to what they can carry.
-func rankedFor(self string, members []membership.Member) []string {
-	capacities := make(map[string]float64, len(members))
-	for _, m := range members {
-		capacities[m.Name] = m.Capacity
-	}
-	return rendezvous.NewWeighted(capacities).Top(self, len(members))
-}
-
 // namesOf returns the names of some daemons.
 func namesOf(members []membership.Member) []string {
 	names := make([]string, len(members))
