Evacuations, cold engines and homes are known; denials draw on the budget

What the platform newly tells was not decoded, and requests went where they must not.

The objects are followed like the other kinds, where the settings say that data centres are evacuated; the others make no call for it. Engines there drop out of the tables that decide, so choices, retries, resumption, homes of prefixes and a new version's few engines keep out of them; what is in progress ends whole. Compiling an old view after a newer one would have brought engines back: the newer one is kept. Each daemon waits an exponentially distributed time between two sends to one cold engine, with a mean that makes all of them a Poisson process six deviations below the bound. Ruled out: a token for each host (75 at once are above the bound), a part of the traffic (a burst breaks it). An engine that took no connection counts as cold. They draw on it now, and two in a row in a data centre have requests go elsewhere for a second. - Homes of routes and organisations bind the choice of engines; the directory names daemons of the caller's region while there are some.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -298,9 +298,9 @@
 }
 
 // barred tells whether the engine must not get the request at all: its host is
-// leaving or gone, or it was tried before.
+// leaving or gone, it was tried before, or the request skips it.
 func (c *choice) barred(e *engine, index int32) bool {
-	if e.closed.Load() {
+	if e.closed.Load() || c.req.Skip != nil && c.req.Skip(e.name) {
 		return true
 	}
 	for i := range c.req.Exclude {
--- a/balance/decision.go
+++ b/balance/decision.go
@@ -37,6 +37,9 @@
 	// Leaving tells whether a backend host gets no new work. Nil means that
 	// MembershipChanged events tell all.
 	Leaving func(host string) bool
+	// Skip tells whether an engine gets nothing now for a reason that the balancer does
+	// not know, as slow start. Nil means that none is skipped.
+	Skip func(engine string) bool
 	// NoProbe keeps the request away from engines on probation. Set it for
 	// requests that may run only once.
 	NoProbe bool
--- a/e2e/entry_test.go
+++ b/e2e/entry_test.go
@@ -35,6 +35,7 @@
 // usualBounds are those of a small deployment.
 var usualBounds = emulator.Bounds{
 	GraceS: 4, RetryRatio: 0.9, RetryWindowS: 10, RetrySlack: 50, ExposureShare: 0.15, SessionS: 5, TTLMaxS: 5,
+	ColdOverage: 1.5, ColdSlack: 5,
 }
 
 // newEntryFleet starts the platform and n daemons, and waits until all serve.
@@ -190,6 +191,76 @@
 	f.c.Check(f.send(0, http.MethodGet, "/safe/x", "Authorization", "Bearer key-2").status, qt.Equals, http.StatusOK)
 }
 
+// runsIn counts the requests of now that ran in a data centre, of n at each daemon.
+func (f *entryFleet) runsIn(zone string, n int) (count int) {
+	before := len(f.record.Runs(""))
+	for range n {
+		for i := range f.daemons {
+			f.c.Check(f.send(i, http.MethodPost, "/once/x").status, qt.Equals, http.StatusOK)
+		}
+	}
+	zones := make(map[string]string)
+	for _, e := range f.engines {
+		zones[e.Spec.ID] = e.Spec.Zone
+	}
+	for _, run := range f.record.Runs("")[before:] {
+		if zones[run.Engine] == zone {
+			count++
+		}
+	}
+	return count
+}
+
+// TestEvacuatedDataCentreGetsNothingNew evacuates a data centre, keeps it evacuated while
+// the store is down and a daemon starts anew, and takes it back.
+func TestEvacuatedDataCentreGetsNothingNew(t *testing.T) {
+	f := newEntryFleet(t, 3, 6, 1, usualBounds)
+	zone := zoneOf(1)
+	f.c.Check(f.runsIn(zone, 6) > 0, qt.IsTrue)
+	f.c.Assert(f.store.Evacuate(zone), qt.IsNil)
+	f.eventually("nothing new in the data centre", func() bool { return f.runsIn(zone, 4) == 0 })
+	f.c.Check(f.runsIn(zone, 6), qt.Equals, 0)
+
+	f.store.SetFaults(emulator.StoreFaults{Refuse: true})
+	f.running[2].kill()
+	f.running[2] = f.startDaemon(2)
+	f.waitReady(2)
+	f.c.Check(f.runsIn(zone, 6), qt.Equals, 0, qt.Commentf("a daemon that starts in an outage knows of the evacuation"))
+	f.store.SetFaults(emulator.StoreFaults{})
+
+	f.store.TakeBack(zone)
+	f.eventually("work in the data centre again", func() bool { return f.runsIn(zone, 4) > 0 })
+}
+
+// TestColdEngineGetsNoMoreThanItBears starts an engine beside busy ones, which all daemons
+// see idle at the same moment.
+func TestColdEngineGetsNoMoreThanItBears(t *testing.T) {
+	f := newEntryFleet(t, 3, 1, 1, usualBounds)
+	time.Sleep(2500 * time.Millisecond) // The daemons know the fleet by then.
+	cold := f.engine(t, emulator.EngineSpec{ID: "desk-cold", Service: "desk", Zone: zoneOf(0), Version: "v1", Slots: 6, ColdFor: 2 * time.Second})
+	var senders sync.WaitGroup
+	for i := range 9 {
+		senders.Go(func() {
+			for time.Now().Before(cold.ColdUntil().Add(time.Second)) {
+				f.send(i%3, http.MethodPost, "/once/x")
+			}
+		})
+	}
+	senders.Wait()
+	var while, warm []time.Time
+	for _, run := range f.record.Runs("") {
+		switch {
+		case run.Engine != cold.Spec.ID:
+		case run.At.Before(cold.ColdUntil()):
+			while = append(while, run.At)
+		default:
+			warm = append(warm, run.At)
+		}
+	}
+	f.c.Check(len(while) <= 2*usualBounds.MostCold(), qt.IsTrue, qt.Commentf("%d requests in two seconds", len(while)))
+	f.c.Check(len(warm) > 2*usualBounds.MostCold(), qt.IsTrue, qt.Commentf("%d requests in a second when it was warm", len(warm)))
+}
+
 func TestDrainingEngineGetsNothingNew(t *testing.T) {
 	f := newEntryFleet(t, 3, 3, 1, usualBounds)
 	f.c.Assert(f.engines[0].Register("draining"), qt.IsNil)
--- a/entry/copies.go
+++ b/entry/copies.go
@@ -14,6 +14,8 @@
 // copies follow the store's objects.
 type copies struct {
 	config, engines, orders *follow.Follower
+	// evacuations is nil where data centres are not evacuated.
+	evacuations *follow.Follower
 }
 
 // newCopies builds the followers.
@@ -22,6 +24,9 @@
 	c.config = d.follower(d.Documents.ConfigKind(), nil, randConfig, d.configChanged)
 	c.engines = d.follower(d.Documents.EngineKind(), c.config, randEngines, d.enginesListed)
 	c.orders = d.follower(d.Documents.OrderKind(), c.config, randOrders, d.ordersChanged)
+	if d.Settings.Evacuations {
+		c.evacuations = d.follower(d.Documents.EvacuationKind(), c.config, randEvacuations, d.evacuationsChanged)
+	}
 	return c
 }
 
@@ -35,9 +40,18 @@
 	})
 }
 
+// all returns the followers.
+func (c *copies) all() []*follow.Follower {
+	followers := []*follow.Follower{c.config, c.engines, c.orders}
+	if c.evacuations != nil {
+		followers = append(followers, c.evacuations)
+	}
+	return followers
+}
+
 // of returns the follower of a kind.
 func (c *copies) of(kind string) (*follow.Follower, bool) {
-	for _, f := range []*follow.Follower{c.config, c.engines, c.orders} {
+	for _, f := range c.all() {
 		if f.Kind == kind {
 			return f, true
 		}
@@ -47,7 +61,7 @@
 
 // relistOthers lists all other kinds anew.
 func (c *copies) relistOthers(kind string) {
-	for _, f := range []*follow.Follower{c.config, c.engines, c.orders} {
+	for _, f := range c.all() {
 		if f.Kind != kind {
 			f.Relist()
 		}
@@ -56,7 +70,7 @@
 
 // start begins to follow.
 func (c *copies) start(d *Daemon) {
-	for _, f := range []*follow.Follower{c.config, c.engines, c.orders} {
+	for _, f := range c.all() {
 		d.goLoop("follow "+f.Kind, f.Run)
 		d.goLoop("pull "+f.Kind, f.RunPulls)
 	}
@@ -64,7 +78,12 @@
 
 // complete tells whether there is a copy of everything that requests need.
 func (c *copies) complete() bool {
-	return c.config.Snapshot() != nil && c.engines.Snapshot() != nil && c.orders.Snapshot() != nil
+	for _, f := range c.all() {
+		if f.Snapshot() == nil {
+			return false
+		}
+	}
+	return true
 }
 
 // configChanged puts a configuration in force. A wrong one is refused whole.
@@ -93,13 +112,17 @@
 // failingFor returns how long the store has not answered for the kind that failed first,
 // zero while it answers for all of them.
 func (c *copies) failingFor(now time.Time) time.Duration {
-	return max(c.config.FailingFor(now), c.engines.FailingFor(now), c.orders.FailingFor(now))
+	longest := time.Duration(0)
+	for _, f := range c.all() {
+		longest = max(longest, f.FailingFor(now))
+	}
+	return longest
 }
 
 // registration is one entry as it was decoded.
 type registration struct {
+	inventory.Registration
 	revision uint64
-	engine   inventory.Engine
 	err      error
 }
 
@@ -113,26 +136,31 @@
 	if known, ok := r[item.Name]; ok && known.revision == item.Revision {
 		return known, false
 	}
-	engine, err := documents.Engine(item)
-	return registration{revision: item.Revision, engine: engine, err: err}, true
+	decoded, err := documents.Engine(item)
+	return registration{Registration: decoded, revision: item.Revision, err: err}, true
 }
 
 // enginesListed takes in the registrations, one call at a time. An entry that cannot be
 // used names no engine; the others hold.
 func (d *Daemon) enginesListed(u follow.Update) {
 	list := make([]inventory.Engine, 0, len(u.Snapshot.Items))
+	var told []inventory.Registration
 	next := make(registrations, len(u.Snapshot.Items))
 	for name, item := range u.Snapshot.Items {
 		reg, isNew := d.registrations.decode(item, d.Documents)
 		next[name] = reg
+		if reg.err == nil {
+			list = append(list, reg.Engine)
+		}
 		switch {
-		case reg.err == nil:
-			list = append(list, reg.engine)
+		case isNew && reg.err == nil:
+			told = append(told, reg.Registration)
 		case isNew:
 			d.log.Error().Err(reg.err).Str("key", item.Name).Uint64("revision", item.Revision).Msg("registration names no engine")
 		}
 	}
 	d.registrations = next
+	d.toldCold(told, time.Now())
 	d.engines.Replace(list, u.AfterOutage, time.Now())
 }
 
@@ -179,9 +207,24 @@
 	return keys
 }
 
-// compileEngines puts a view of the engines in force.
+// assign implements gateway.Assign. Engines of an evacuated data centre get no work.
+func (d *Daemon) assign(e inventory.Engine) []string {
+	if d.evacuated.includes(e.DataCentre) {
+		return nil
+	}
+	return d.introductions.assign(e)
+}
+
+// compileEngines puts a view of the engines in force, with the newest orders and
+// evacuations. A view that is older than the one in force does not replace it: changes
+// of different kinds come at the same time, and each has the engines compiled.
 func (d *Daemon) compileEngines(v *inventory.View) {
-	engines := gateway.NewEngines(d.balancer, v, d.introductions.assign)
+	d.compiling.Lock()
+	defer d.compiling.Unlock()
+	if t := d.tables.Load(); t != nil && t.Engines != nil && t.Engines.View.Generation > v.Generation {
+		v = t.Engines.View
+	}
+	engines := gateway.NewEngines(d.balancer, v, d.assign)
 	d.update(func(t *gateway.Tables) { t.Engines = engines })
 }
 
@@ -209,6 +252,7 @@
 	for backoff.Sleep(ctx, expirePoll) == nil {
 		d.engines.Expire(time.Now())
 		d.introductions.release()
+		d.logSlowStarts("engine is warm", d.slowStarts.Expire(time.Now()))
 		d.reviewEngines()
 	}
 	return nil
--- a/entry/copies_test.go
+++ b/entry/copies_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/bronzeturn/bronzeturn/follow"
@@ -20,11 +21,11 @@
 
 var errBad = errors.New("bad entry")
 
-func (testDocuments) Engine(item follow.Item) (inventory.Engine, error) {
+func (testDocuments) Engine(item follow.Item) (inventory.Registration, error) {
 	if string(item.Spec) != "good" {
-		return inventory.Engine{}, errBad
+		return inventory.Registration{}, errBad
 	}
-	return inventory.Engine{ID: item.Name, Service: "s"}, nil
+	return inventory.Registration{Engine: inventory.Engine{ID: item.Name, Service: "s"}}, nil
 }
 
 // TestBadRegistrationIsReportedOnceAndNamesNoEngine turns an engine's entry bad: it gets
@@ -32,7 +33,8 @@
 func TestBadRegistrationIsReportedOnceAndNamesNoEngine(t *testing.T) {
 	c := qt.New(t)
 	var lines bytes.Buffer
-	d := &Daemon{log: zerolog.New(&lines)}
+	d := &Daemon{log: zerolog.New(&lines), registry: prometheus.NewRegistry()}
+	d.slowStarts = newSlowStarts(d)
 	d.Documents = testDocuments{}
 	d.engines = inventory.New(time.Second, func(_, _ *inventory.View) {})
 	listed := func(revision uint64, spec string) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +32,7 @@
 	"github.com/bronzeturn/bronzeturn/occupancy"
 	"github.com/bronzeturn/bronzeturn/process"
 	"github.com/bronzeturn/bronzeturn/route"
+	"github.com/bronzeturn/bronzeturn/slowstart"
 )
 
 // Settings of one daemon. All fields are required unless they say otherwise.
@@ -38,7 +40,10 @@
 	// Name is unique in the fleet.
 	Name       string
 	DataCentre string
-	IP         string
+	// Regions are the regions of the data centres by name. Without them, requests that are
+	// bound to regions have no engine.
+	Regions map[string]string
+	IP      string
 	// Listeners, as IP and port. Others use the same addresses.
 	CallerListen, ReadyListen, PeerListen, DirectoryListen string
 	// MetricsListen serves metrics, "" for none besides ReadyListen.
@@ -57,6 +62,12 @@
 	// LapseGrace is how long an engine whose entry vanished with an outage of the
 	// store is still used.
 	LapseGrace time.Duration
+	// ColdOverage and ColdSlack bound what a cold engine gets within a second from all
+	// daemons together: ColdOverage times what its service bears, and ColdSlack requests.
+	ColdOverage, ColdSlack float64
+	// Evacuations tells that operators may ask that the engines of a data centre get
+	// nothing more. Where they don't, nothing is read from the store for it.
+	Evacuations bool
 	// AddressTTL is how long callers may keep an answer about addresses.
 	AddressTTL    time.Duration
 	Budget        gateway.BudgetOptions
@@ -76,11 +87,15 @@
 	ConfigKind() string
 	EngineKind() string
 	OrderKind() string
+	EvacuationKind() string
 	Config(s *follow.Snapshot) (route.Config, bool, error)
-	Engine(item follow.Item) (inventory.Engine, error)
+	Engine(item follow.Item) (inventory.Registration, error)
 	Order(item follow.Item) (canary.Order, canary.State, error)
+	// Evacuated returns the names of the data centres whose evacuation is asked for.
+	Evacuated(s *follow.Snapshot) []string
 	OrderStatus(target string, state canary.State) (json.RawMessage, error)
 	AddressesPath() string
+	AddressQuestion(r *http.Request) AddressQuestion
 	AnswerAddresses(w http.ResponseWriter, list []string, keepSeconds float64) error
 }
 
@@ -109,6 +124,8 @@
 	introductions *introductions
 	balancer      *balance.State
 	engines       *inventory.Set
+	evacuated     evacuated
+	slowStarts    *slowstart.Pacer
 	// registrations are those of the newest list; the follower's calls alone use it.
 	registrations registrations
 	gateway       *gateway.Gateway
@@ -119,6 +136,9 @@
 	servers *servers
 
 	tables atomic.Pointer[gateway.Tables]
+	// compiling is held while the engines in force are compiled. The set of engines calls
+	// for it with its own lock held, so nothing under it may ask the set.
+	compiling sync.Mutex
 	// current holds the settings that may change while the daemon runs.
 	current atomic.Pointer[Settings]
 	leaving atomic.Bool
@@ -166,6 +186,7 @@
 	if d.fleet, err = newFleet(d); err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
+	d.slowStarts = newSlowStarts(d)
 	d.shared = newSharedBalancer(d)
 	d.introductions = newIntroductions(d)
 	d.engines = inventory.New(o.Settings.LapseGrace, d.enginesChanged)
@@ -217,6 +238,8 @@
 	randEngines
 	randOrders
 	randPeers
+	randEvacuations
+	randSlowStarts
 )
 
 // Run serves until ctx ends, then stops gracefully. It may be called once.
--- /dev/null
+++ b/entry/evacuations_test.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/bronzeturn/bronzeturn/balance"
+	"github.com/bronzeturn/bronzeturn/canary"
+	"github.com/bronzeturn/bronzeturn/follow"
+	"github.com/bronzeturn/bronzeturn/gateway"
+	"github.com/bronzeturn/bronzeturn/inventory"
+)
+
+// namesAsEvacuated take the names of the objects for those of data centres.
+type namesAsEvacuated struct{ testDocuments }
+
+func (namesAsEvacuated) Evacuated(s *follow.Snapshot) (names []string) {
+	for name := range s.Items {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// evacuationTest is a daemon with engines in three data centres and no network.
+type evacuationTest struct {
+	*Daemon
+	c        *qt.C
+	revision uint64
+}
+
+func newEvacuationTest(t *testing.T, engines ...inventory.Engine) *evacuationTest {
+	c := qt.New(t)
+	d := &Daemon{log: zerolog.Nop(), registry: prometheus.NewRegistry()}
+	d.slowStarts = newSlowStarts(d)
+	d.Documents = namesAsEvacuated{}
+	d.Settings.Introductions = canary.DefaultOptions()
+	d.introductions = newIntroductions(d)
+	state, err := balance.NewState(balance.DefaultOptions())
+	c.Assert(err, qt.IsNil)
+	d.balancer = state
+	d.engines = inventory.New(time.Second, d.enginesChanged)
+	d.engines.Replace(engines, false, time.Now())
+	return &evacuationTest{Daemon: d, c: c}
+}
+
+// evacuate has just the named data centres evacuated.
+func (e *evacuationTest) evacuate(names ...string) {
+	e.revision++
+	s := &follow.Snapshot{Revision: e.revision, Items: map[string]follow.Item{}}
+	for _, name := range names {
+		s.Items[name] = follow.Item{Name: name}
+	}
+	e.evacuationsChanged(follow.Update{Snapshot: s})
+}
+
+// working returns the ids of the engines that a group may use.
+func (e *evacuationTest) working(trial bool) (ids []string) {
+	for _, engine := range e.engines.View().Engines {
+		if slices.Contains(e.assign(engine), gateway.Group("s", trial)) {
+			ids = append(ids, engine.ID)
+		}
+	}
+	return ids
+}
+
+// enginesOf returns engines of a version in each of the data centres a, b and c.
+func enginesOf(version string, each int) (list []inventory.Engine) {
+	for _, dataCentre := range []string{"a", "b", "c"} {
+		for i := range each {
+			list = append(list, inventory.Engine{
+				ID: fmt.Sprintf("%s-%s-%d", dataCentre, version, i), Service: "s", Version: version, DataCentre: dataCentre, Slots: 4, Address: "192.0.2.1:1",
+			})
+		}
+	}
+	return list
+}
+
+func TestEnginesOfAnEvacuatedDataCentreGetNothingNew(t *testing.T) {
+	e := newEvacuationTest(t, enginesOf("v1", 1)...)
+	for _, test := range []struct{ evacuated, working []string }{
+		{nil, []string{"a-v1-0", "b-v1-0", "c-v1-0"}},
+		{[]string{"b"}, []string{"a-v1-0", "c-v1-0"}},
+		{[]string{"a", "b"}, []string{"c-v1-0"}},
+		{[]string{"a", "b", "c"}, nil},
+		{[]string{"nowhere"}, []string{"a-v1-0", "b-v1-0", "c-v1-0"}},
+		{[]string{"c", "nowhere"}, []string{"a-v1-0", "b-v1-0"}},
+		{nil, []string{"a-v1-0", "b-v1-0", "c-v1-0"}},
+	} {
+		e.evacuate(test.evacuated...)
+		e.c.Check(e.working(false), qt.DeepEquals, test.working, qt.Commentf("%v", test.evacuated))
+		e.c.Check(e.tables.Load().Engines.Plan.Serving(gateway.Group("s", false)), qt.Equals, len(test.working))
+	}
+}
+
+// TestNewVersionRunsOutsideTheEvacuatedDataCentre checks each choice of one: the few
+// engines that a new version begins on are among those that get work.
+func TestNewVersionRunsOutsideTheEvacuatedDataCentre(t *testing.T) {
+	e := newEvacuationTest(t, append(enginesOf("v1", 3), enginesOf("v2", 3)...)...)
+	e.introductions.ordered(order, canary.Running, 1)
+	for _, dataCentre := range []string{"a", "b", "c"} {
+		e.evacuate(dataCentre)
+		trial := e.working(true)
+		e.c.Check(trial, qt.HasLen, 1, qt.Commentf("%s evacuated", dataCentre))
+		e.c.Check(trial[0][:1], qt.Not(qt.Equals), dataCentre)
+		e.c.Check(e.working(false), qt.HasLen, 6)
+	}
+	e.evacuate()
+	e.c.Check(e.working(true), qt.HasLen, 1)
+	e.c.Check(e.working(false), qt.HasLen, 9)
+}
+
+// TestAnOldViewOfTheEnginesDoesNotReplaceANewerOne has a change of another kind compile
+// the engines with the view that it had read before one of them went.
+func TestAnOldViewOfTheEnginesDoesNotReplaceANewerOne(t *testing.T) {
+	e := newEvacuationTest(t, enginesOf("v1", 1)...)
+	old := e.engines.View()
+	e.engines.Replace(enginesOf("v1", 1)[1:], false, time.Now())
+	e.compileEngines(old)
+	_, there := e.tables.Load().Engines.View.Engine("a-v1-0")
+	e.c.Check(there, qt.IsFalse)
+}
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -235,25 +235,6 @@
 	f.publish(readyPrefix+f.daemon.Settings.Name, f.ready, value)
 }
 
-// addresses returns the caller addresses of the daemons that take requests.
-func (f *fleet) addresses() []string {
-	view := f.members.View()
-	ready := make(map[string]string)
-	f.members.Table().Each(readyPrefix, func(key string, _ uint64, value []byte) {
-		ready[strings.TrimPrefix(key, readyPrefix)] = string(value)
-	})
-	var list []string
-	for _, m := range view.Members {
-		if m.State == membership.Live && ready[m.Name] != "" {
-			list = append(list, ready[m.Name])
-		}
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list
-}
-
 // Live implements follow.Peers.
 func (f *fleet) Live() int { return f.members.View().Live() }
 
--- a/entry/introductions.go
+++ b/entry/introductions.go
@@ -173,6 +173,9 @@
 func (i *introductions) rank(v *inventory.View) {
 	byVersion := make(map[string][]string)
 	for _, e := range v.Engines {
+		if i.daemon.evacuated.includes(e.DataCentre) {
+			continue // A new version's few engines must be among those that get work.
+		}
 		key := e.Service + "/" + e.Version
 		byVersion[key] = append(byVersion[key], e.Key())
 	}
@@ -191,7 +194,7 @@
 	var before []string
 	slots := 0
 	for _, e := range i.daemon.engines.View().Engines {
-		if e.Service != order.Service || e.Version == order.Target {
+		if e.Service != order.Service || e.Version == order.Target || i.daemon.evacuated.includes(e.DataCentre) {
 			continue
 		}
 		before = append(before, e.Key())
--- a/entry/load.go
+++ b/entry/load.go
@@ -23,12 +23,13 @@
 type sharedBalancer struct {
 	*balance.State
 	sharer *occupancy.Sharer
+	daemon *Daemon
 }
 
 // newSharedBalancer returns the balancer of a daemon, and shares its work.
 func newSharedBalancer(d *Daemon) *sharedBalancer {
 	keepers := &keepers{view: d.fleet.members.View}
-	return &sharedBalancer{State: d.balancer, sharer: occupancy.New(occupancy.Options{
+	return &sharedBalancer{daemon: d, State: d.balancer, sharer: occupancy.New(occupancy.Options{
 		Self: d.Settings.Name, Keeper: keepers.of, Client: d.fleet.occupancyOf,
 		InFlight: d.balancer.OwnLoad, EachInFlight: d.balancer.InFlight,
 		Book: d.book, Log: d.part("occupancy"), Registerer: d.registry,
@@ -91,6 +92,9 @@
 func (b *sharedBalancer) Failed(ev balance.Failed) {
 	b.State.Failed(ev)
 	b.changed(ev.Engine, ev.Work)
+	if ev.Kind == balance.FailureUnreachable {
+		b.unreachable(&ev)
+	}
 }
 
 func (b *sharedBalancer) changed(engine string, w balance.Work) {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -29,6 +29,7 @@
 		return d.copies.config.Unconfirmed(time.Now()).Seconds()
 	})
 	gauge("bronzeturn_entry_engines", "Engines that take work.", func() float64 { return float64(len(d.engines.View().Engines)) })
+	gauge("bronzeturn_entry_evacuated_data_centres", "Data centres whose engines get nothing new.", func() float64 { return float64(len(d.evacuated.list())) })
 	gauge("bronzeturn_entry_daemons_live", "Daemons of the fleet that are live, this one included.", func() float64 { return float64(d.fleet.Live()) })
 	gauge("bronzeturn_entry_ready", "1 while the daemon takes requests.", func() float64 {
 		if d.Ready() != nil {
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -9,8 +9,6 @@
 	"net/http"
 	"time"
 
-	"github.com/uptrace/bunrouter"
-
 	"github.com/bronzeturn/bronzeturn/admin"
 	"github.com/bronzeturn/bronzeturn/attempt"
 	"github.com/bronzeturn/bronzeturn/gateway"
@@ -59,11 +57,11 @@
 // newGateway builds the way of requests.
 func newGateway(d *Daemon) *gateway.Gateway {
 	return gateway.New(gateway.Options{
-		DataCentre: d.Settings.DataCentre, Codec: d.Codec, Tables: d.readyTables,
+		DataCentre: d.Settings.DataCentre, Regions: d.Settings.Regions, Codec: d.Codec, Tables: d.readyTables,
 		Stale:   func(now time.Time) bool { return d.copies.config.Stale(now) },
 		Outage:  func() bool { return d.copies.config.Failing() },
 		Daemons: d.fleet.Live, Misdirected: d.engines.Forget, Delayed: d.shared.sharer.Late,
-		Engines: d.shared, Introductions: d.introductions, Models: gateway.NewModelChoice(d.Models),
+		Engines: d.shared, SlowStarts: d.slowStarts, Introductions: d.introductions, Models: gateway.NewModelChoice(d.Models),
 		Transport: attempt.FreshTransport(engineDial), Budget: d.Settings.Budget,
 		Seed: d.seed, Log: d.part("gateway"), Registerer: d.registry,
 	})
@@ -147,20 +145,6 @@
 	return log.New(d.part("http").With().Str("listener", listener).Logger(), "", 0)
 }
 
-// directoryHandler answers which addresses to use.
-func (d *Daemon) directoryHandler() http.Handler {
-	mux := bunrouter.New()
-	mux.GET(d.Documents.AddressesPath(), func(w http.ResponseWriter, _ bunrouter.Request) error {
-		list := d.fleet.addresses()
-		if len(list) == 0 {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return nil
-		}
-		return d.Documents.AnswerAddresses(w, list, d.current.Load().AddressTTL.Seconds())
-	})
-	return mux
-}
-
 // start begins to serve.
 func (s *servers) start(d *Daemon) {
 	for _, one := range s.all {
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -54,6 +54,15 @@
 	return "", false
 }
 
+// list returns a field that is a list of texts, nil where it is anything else.
+func (l *Line) list(name string) (texts []string) {
+	value, _ := l.lookup(name)
+	if json.Unmarshal([]byte(value), &texts) != nil {
+		return nil
+	}
+	return texts
+}
+
 // Read returns the lines of a log in the order of the file. What is not a JSON
 // object with a time is left out and counted.
 func Read(r io.Reader) (lines []Line, skipped int, err error) {
@@ -121,6 +130,7 @@
 	"configuration in force", "configuration refused", "store does not answer", "store answers again",
 	"history gone", "watchers of the store changed", "registration names no engine", "copy taken from another daemon", "engine takes work", "engine takes no work",
 	"belief about an engine changed", "introduction ordered", "verdict on an introduction",
+	"data centre evacuated", "evacuation over", "engine is cold", "engine is warm", "engine took no connection", "the list of engines is doubted",
 	"introduction changed its state", "state of an introduction written", "settings reloaded", "settings refused",
 	"lines dropped",
 }
@@ -192,6 +202,9 @@
 		if e := own[i].field("engine"); e != "" {
 			a.engines[e] = true
 		}
+		for _, e := range own[i].list("engines") {
+			a.engines[e] = true
+		}
 	}
 	a.from, a.to = first.Add(-before), last.Add(after)
 	return a
@@ -205,6 +218,9 @@
 	if engine := l.field("engine"); engine != "" {
 		return a.engines[engine]
 	}
+	if engines := l.list("engines"); len(engines) > 0 {
+		return slices.ContainsFunc(engines, func(e string) bool { return a.engines[e] })
+	}
 	if service := l.field("service"); service != "" {
 		return service == a.service
 	}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -46,6 +46,20 @@
 	c.Check(Story(both(c), "r9"), qt.HasLen, 0)
 }
 
+func TestStoryHoldsWhatManyEnginesHaveInCommon(t *testing.T) {
+	c := qt.New(t)
+	lines, _, err := Read(strings.NewReader(`{"host":"h1","engines":["e7","e1"],"time":"2026-02-01T22:57:43.000Z","message":"engine is cold"}
+{"host":"h1","engines":["e8"],"time":"2026-02-01T22:57:43.100Z","message":"engine is cold"}
+{"host":"h1","data_centre":"hall-1","engines":20,"time":"2026-02-01T22:57:43.200Z","message":"data centre evacuated, its engines get nothing new"}
+{"host":"h1","request":"r1","engines":["e1"],"time":"2026-02-01T22:57:44.000Z","message":"request ended"}
+`))
+	c.Assert(err, qt.IsNil)
+	c.Check(messages(Story(lines, "r1")), qt.DeepEquals, []string{
+		"h1 engine is cold", "h1 data centre evacuated, its engines get nothing new", "h1 request ended",
+	})
+	c.Check(Timeline(lines), qt.HasLen, 3)
+}
+
 func TestTimelineIsOrderedOverHosts(t *testing.T) {
 	c := qt.New(t)
 	got := messages(Timeline(both(c)))
--- a/gateway/again.go
+++ b/gateway/again.go
@@ -20,7 +20,7 @@
 	}
 	reason := g.mayGoOn(t, e)
 	prepaid := t.prepaid.Swap(false)
-	if reason == "" && !prepaid && (e.Ran != failure.RanNo || e.Kind == retry.KindRefused) {
+	if reason == "" && !prepaid && e.reached() {
 		if !g.budgets.of(t.service).Take(time.Now()) {
 			reason = "budget_empty"
 		}
@@ -39,6 +39,12 @@
 	return failure.Wrap(e, failure.CodeEngineFailed, t.ran, "the engine did not answer; the request may have run")
 }
 
+// reached tells whether the attempt came to an engine: every one that did counts as a
+// second send when another follows, also one that the engine turned down unseen.
+func (e *attemptError) reached() bool {
+	return e.Ran != failure.RanNo || e.Kind == retry.KindRefused || e.Kind == retry.KindMisdirected
+}
+
 // mayGoOn returns why another attempt is not allowed, "" when it is.
 func (g *Gateway) mayGoOn(t *task, e *attemptError) string {
 	switch {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,15 @@
 	Failed(ev balance.Failed)
 }
 
+// SlowStarts bound what the fleet sends to engines that are cold.
+type SlowStarts interface {
+	// Passed tells whether an engine is cold and may not be sent to now.
+	Passed(engine string, now time.Time) bool
+	// Take takes the right to send one request to an engine now, and tells whether there
+	// was one.
+	Take(engine string, now time.Time) bool
+}
+
 // Introductions tells which version of a service a session runs on.
 type Introductions interface {
 	// Choose returns whether the request goes to the version being introduced.
@@ -50,7 +59,9 @@
 // Options are what a Gateway needs. All fields are required.
 type Options struct {
 	DataCentre string
-	Codec      Codec
+	// Regions are the regions of the data centres by name.
+	Regions map[string]string
+	Codec   Codec
 	// Tables returns the newest tables, nil before the first configuration.
 	Tables func() *Tables
 	// Stale tells whether the configuration may be out of date, so that no
@@ -66,6 +77,7 @@
 	Misdirected func(engineID string)
 
 	Engines       Balancer
+	SlowStarts    SlowStarts
 	Introductions Introductions
 	Models        *ModelChoice
 	Transport     http.RoundTripper
@@ -83,6 +95,7 @@
 	budgets *budgets
 	paces   *paces
 	heats   *heats
+	denials *denials
 	rngs    sync.Pool
 	seeds   atomic.Uint64
 	gate    gate
@@ -90,7 +103,7 @@
 
 // New returns a Gateway.
 func New(o Options) *Gateway {
-	g := &Gateway{Options: o, metrics: newMetrics(o.Registerer), budgets: newBudgets(o.Budget, o.Daemons), paces: newPaces(), heats: newHeats()}
+	g := &Gateway{Options: o, metrics: newMetrics(o.Registerer), budgets: newBudgets(o.Budget, o.Daemons), paces: newPaces(), heats: newHeats(), denials: newDenials()}
 	g.rngs.New = func() any { return rand.New(rand.NewPCG(o.Seed, g.seeds.Add(1))) }
 	return g
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -43,7 +43,9 @@
 	// organisation is empty on anonymous routes.
 	organisation string
 	priority     int
-	service      string
+	// homes are where it may be worked on.
+	homes   route.Homes
+	service string
 	// backend is the service's entry in the configuration, nil for none; ranked
 	// tells that its engines run language models.
 	backend *route.Service
@@ -150,6 +152,7 @@
 
 // authenticate finds the organisation that holds the key.
 func (g *Gateway) authenticate(q *request) *failure.Error {
+	q.homes = route.HomesFor(q.route, nil)
 	if q.route.Anonymous || !q.tables.Routes.NeedsKeys() {
 		return nil
 	}
@@ -158,6 +161,7 @@
 		return g.unknown(failure.CodeUnauthenticated, "the key is missing or not valid")
 	}
 	q.organisation = org.Name
+	q.homes = route.HomesFor(q.route, org)
 	if org.HasPriority {
 		q.priority = org.Priority
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -49,8 +49,8 @@
 	group string
 	trial bool
 	tried []string
-	// homes is how many engines read the request's prefix.
-	homes int
+	// prefixHomes is how many engines read the request's prefix.
+	prefixHomes int
 	// runs counts the sends after which the request may have run.
 	runs int
 	// ran is the worst that is known of all attempts.
@@ -96,7 +96,7 @@
 	t := &task{request: q, answer: a, ran: failure.RanNo, doubted: noConfidence}
 	t.stream.lastID = q.meta.LastEvent
 	g.chooseModel(t)
-	t.homes = g.countHomes(t)
+	t.prefixHomes = g.countHomes(t)
 	for {
 		to, f := g.choose(ctx, t)
 		if f != nil {
@@ -148,16 +148,16 @@
 	}
 	g.chooseGroup(t, engines, now)
 	r := t.balanceRequest(g.DataCentre, engines, g.Models)
-	decision, ok := g.ask(engines, r, now)
+	decision, ok := g.askSure(t, engines, r, now)
 	if !ok && t.trial && t.runs == 0 {
 		// The new version runs on a few engines; none of them takes it now.
 		t.leaveTrial()
 		r.Version = t.group
-		decision, ok = g.ask(engines, r, now)
+		decision, ok = g.askSure(t, engines, r, now)
 	}
 	if !ok && len(t.tried) > 0 && decision.Reason == balance.ReasonNoEngine && t.mayRepeat() {
 		r.Exclude = [balance.MaxExclude]string{}
-		decision, ok = g.ask(engines, r, now)
+		decision, ok = g.askSure(t, engines, r, now)
 	}
 	if !ok {
 		return nil, decision, false
@@ -189,10 +189,51 @@
 	t.group = Group(t.service, false)
 }
 
-// ask asks the balancer for an engine.
+// mostTakes bounds how often a choice is made again because a request before it took
+// what this daemon may send to the cold engine that was chosen.
+const mostTakes = 4
+
+// askSure asks the balancer for an engine where the list of engines is not doubted, or for
+// any when there is none.
+func (g *Gateway) askSure(t *task, engines *Engines, r *balance.Request, now time.Time) (balance.Decision, bool) {
+	r.Skip = func(engine string) bool { return g.mayNot(t, engines, engine, now) }
+	if !g.denials.any.Load() {
+		return g.ask(engines, r, now)
+	}
+	sure := *r
+	sure.Skip = func(engine string) bool {
+		e, known := engines.View.Engine(engine)
+		return r.Skip(engine) || known && g.denials.doubted(place{t.service, e.DataCentre}, now)
+	}
+	if decision, ok := g.ask(engines, &sure, now); ok {
+		return decision, true
+	}
+	return g.ask(engines, r, now)
+}
+
+// mayNot tells whether an engine must not get the request now: it is cold and has had what
+// this daemon may send it, or it stands outside the request's homes.
+func (g *Gateway) mayNot(t *task, engines *Engines, engine string, now time.Time) bool {
+	if g.SlowStarts.Passed(engine, now) {
+		return true
+	}
+	if !t.homes.Bound {
+		return false
+	}
+	e, known := engines.View.Engine(engine)
+	return !known || !t.homes.Allow(g.Regions[e.DataCentre])
+}
+
+// ask asks the balancer for an engine that may be sent to now.
 func (g *Gateway) ask(engines *Engines, r *balance.Request, now time.Time) (decision balance.Decision, ok bool) {
-	g.withRand(func(rng *rand.Rand) { decision, ok = g.Engines.Choose(engines.Plan, r, now, rng) })
-	return decision, ok
+	for range mostTakes {
+		g.withRand(func(rng *rand.Rand) { decision, ok = g.Engines.Choose(engines.Plan, r, now, rng) })
+		if !ok || g.SlowStarts.Take(decision.Engine.GetName(), now) {
+			return decision, ok
+		}
+	}
+	decision.Reason = balance.ReasonNoEngine
+	return decision, false
 }
 
 // mayRepeat tells whether an engine that was tried may be tried again: only
@@ -205,7 +246,7 @@
 		Version: t.group, DataCentre: dataCentre, Work: t.work(models),
 		PrefixHash: t.prefixHash, PrefixWorth: time.Duration(t.prefixTokens) * prefixTokenWorth, NoProbe: t.route.Kind == route.Once,
 	}
-	if home, ok := engines.home(t.group, t.prefix, t.homes, t.session); ok {
+	if home, ok := engines.home(t.group, t.prefix, t.prefixHomes, t.session); ok {
 		r.Homes[0] = home
 	}
 	first := max(0, len(t.tried)-balance.MaxExclude)
@@ -228,10 +269,13 @@
 // deliver checks the head of an answer and passes the answer on.
 func (g *Gateway) deliver(t *task, to *target, x *attempt.Exchange) *attemptError {
 	receipt := g.Codec.Receipt(x.Status, x.Header)
+	if receipt.Genuine {
+		g.denials.kept(t.placeOf(to))
+	}
 	switch {
 	case receipt.Instance != "" && receipt.Instance != to.engine.ID:
-		g.Misdirected(to.engine.Key())
-		return &attemptError{Kind: retry.KindConnect, Ran: failure.RanNo, Cause: errOtherInstance}
+		g.misdirected(t, to)
+		return &attemptError{Kind: retry.KindMisdirected, Ran: failure.RanNo, Cause: errOtherInstance}
 	case receipt.NotRun:
 		return &attemptError{Kind: retry.KindRefused, Ran: failure.RanNo, Cause: errEngineRefused}
 	case receipt.RequestID != t.meta.ID:
@@ -249,6 +293,19 @@
 	}
 }
 
+// misdirected takes in that another engine answered than the one that was meant.
+func (g *Gateway) misdirected(t *task, to *target) {
+	g.Misdirected(to.engine.Key())
+	p := t.placeOf(to)
+	if g.denials.denied(p, time.Now()) {
+		g.Log.Info().Str("request", t.meta.ID).Str("service", p.service).Str("data_centre", p.dataCentre).
+			Dur("tables_age_ms", time.Since(g.Tables().Changed)).Msg("the list of engines is doubted")
+	}
+}
+
+// placeOf returns where a target is.
+func (t *task) placeOf(to *target) place { return place{t.service, to.engine.DataCentre} }
+
 // Reasons why an answer is not passed on.
 var (
 	errOtherInstance  = errors.New("another engine answers at this address")
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -131,16 +131,17 @@
 		kind = balance.FailureError
 	}
 	g.Engines.Failed(balance.Failed{Engine: to.engine.Key(), Work: to.work, FirstTokenSeen: to.firstSeen, Kind: kind, RetryAfter: e.comeBack, At: now})
-	if e.Kind != retry.KindRefused && e.Kind != retry.KindConnect {
+	if e.Kind != retry.KindRefused && e.Kind != retry.KindConnect && e.Kind != retry.KindMisdirected {
 		g.Introductions.Observe(t.service, t.route.Name, t.trial, true, 0)
 	}
 }
 
 // failureKinds maps the failures of attempts to those of the balancer.
 var failureKinds = map[retry.Kind]balance.FailureKind{
-	retry.KindConnect: balance.FailureUnreachable,
-	retry.KindRefused: balance.FailureBusy,
-	retry.KindSilent:  balance.FailureSilent,
+	retry.KindConnect:     balance.FailureUnreachable,
+	retry.KindMisdirected: balance.FailureUnreachable,
+	retry.KindRefused:     balance.FailureBusy,
+	retry.KindSilent:      balance.FailureSilent,
 	// Cancelled attempts come here only when the engine was silent to the end.
 	retry.KindCancelled: balance.FailureSilent,
 }
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -30,6 +30,13 @@
 	Draining bool
 }
 
+// Registration is what an engine says of itself.
+type Registration struct {
+	Engine Engine
+	// ColdFor is how much longer the engine is cold, as of when it said so.
+	ColdFor time.Duration
+}
+
 // keySeparator stands between id and start in a key. Ids of engines do not have it.
 const keySeparator = "@"
 
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -20,6 +20,8 @@
 	KindConnect Kind = iota + 1
 	// KindRefused is a target that refused the work, for example when full.
 	KindRefused
+	// KindMisdirected is a target that is not the one that was meant, and says so.
+	KindMisdirected
 	// KindError is an error answer of the target.
 	KindError
 	// KindSilent is a connection without progress for the allowed time.
@@ -36,14 +38,15 @@
 )
 
 var kindNames = [...]string{
-	KindConnect:   "connect",
-	KindRefused:   "refused",
-	KindError:     "error",
-	KindSilent:    "silent",
-	KindBroken:    "broken",
-	KindRejected:  "rejected",
-	KindCancelled: "cancelled",
-	KindDoubted:   "doubted",
+	KindConnect:     "connect",
+	KindRefused:     "refused",
+	KindMisdirected: "misdirected",
+	KindError:       "error",
+	KindSilent:      "silent",
+	KindBroken:      "broken",
+	KindRejected:    "rejected",
+	KindCancelled:   "cancelled",
+	KindDoubted:     "doubted",
 }
 
 // String returns the name used in logs and metrics.
--- a/route/route.go
+++ b/route/route.go
@@ -70,6 +70,8 @@
 	Anonymous bool
 	// Resumable streams may go on at another engine.
 	Resumable bool
+	// Homes are the regions whose engines may work on the requests; none means all.
+	Homes []string
 	// Models are what the request may be run on, the smallest first. Empty means
 	// that the request itself names the model.
 	Models []string
@@ -96,6 +98,10 @@
 	Slots int
 	// Models are the sizes on offer, the smallest first.
 	Models []Model
+	// ColdFor is how long an engine is cold after its start, and ColdPerSecond how many
+	// requests a second it bears then. Zero means that it bears any number.
+	ColdFor       time.Duration
+	ColdPerSecond float64
 	// Tightest is the shortest target among the routes that lead here and leave the
 	// size open, zero when none states one. Compile fills it in.
 	Tightest time.Duration
@@ -114,6 +120,8 @@
 type Organisation struct {
 	Name string
 	Keys []string
+	// Homes are the regions whose engines may work on its requests; none means all.
+	Homes []string
 	// Priority replaces that of the route when HasPriority is set.
 	Priority    int
 	HasPriority bool
@@ -170,7 +178,11 @@
 		keys:     make(map[keyDigest]*Organisation),
 	}
 	for i := range c.Services {
-		t.services[c.Services[i].Name] = &c.Services[i]
+		s := &c.Services[i]
+		if s.ColdFor < 0 || s.ColdPerSecond < 0 {
+			return nil, &FieldError{Path: fmt.Sprintf("services[%d].cold", i), Reason: "is negative"}
+		}
+		t.services[s.Name] = s
 	}
 	for i := range c.Routes {
 		if err := t.addRoute(i, &c.Routes[i]); err != nil {
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -188,11 +189,33 @@
 		}
 	}
 	c.checkBudget()
+	c.checkColdEngines()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return Result{Requests: c.requests, Good: c.good, Refused: c.refused, Failed: c.failed, Broken: c.broken}
 }
 
+// checkColdEngines counts what cold engines got within any second, from all daemons.
+func (c *checks) checkColdEngines() {
+	runs := make(map[string][]time.Time)
+	for _, run := range c.run.record.Runs("") {
+		runs[run.Engine] = append(runs[run.Engine], run.At)
+	}
+	for _, e := range c.run.engines {
+		times := slices.DeleteFunc(runs[e.Spec.ID], func(at time.Time) bool { return at.After(e.ColdUntil()) })
+		slices.SortFunc(times, time.Time.Compare)
+		for i, first := 0, 0; i < len(times); i++ {
+			for times[i].Sub(times[first]) >= time.Second {
+				first++
+			}
+			if got := i - first + 1; got > bounds.MostCold() {
+				c.broke("%s got %d requests within a second while it was cold", e.Spec.ID, got)
+				break
+			}
+		}
+	}
+}
+
 // checkBudget adds up the second runs in every window. Runs that were refused
 // unseen are not on record, so this is the lower bound.
 func (c *checks) checkBudget() {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -65,12 +65,19 @@
 	{"engine full", engineFault(emulator.EngineFaults{Full: true})},
 	{"engine replaced", func(r *run) func() {
 		e := r.engine()
-		if r.addEngine(e.Spec.Service) != nil {
+		if r.addEngine(e.Spec.Service, coldFor) != nil {
 			return nil
 		}
 		e.Vanish()
 		return func() { e.Crash() }
 	}},
+	{"data centre evacuated", func(r *run) func() {
+		zone := r.engine().Spec.Zone
+		if err := r.store.Evacuate(zone); err != nil {
+			r.checks.broke("evacuation of %s not written: %v", zone, err)
+		}
+		return func() { r.store.TakeBack(zone) }
+	}},
 }
 
 // daemon picks a random daemon.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -38,8 +38,12 @@
 // bounds are those of the emulated deployment.
 var bounds = emulator.Bounds{
 	GraceS: 4, RetryRatio: 0.9, RetryWindowS: 10, RetrySlack: 60, ExposureShare: 0.15, SessionS: 3, TTLMaxS: 2,
+	ColdOverage: 1.5, ColdSlack: 5,
 }
 
+// coldFor is how long an engine that replaces another one is cold.
+const coldFor = 2 * time.Second
+
 // run is one run in progress.
 type run struct {
 	Options
@@ -111,12 +115,12 @@
 		return err
 	}
 	for range r.Plain {
-		if err := r.addEngine("desk"); err != nil {
+		if err := r.addEngine("desk", 0); err != nil {
 			return err
 		}
 	}
 	for range r.Engines {
-		if err := r.addEngine("llm"); err != nil {
+		if err := r.addEngine("llm", 0); err != nil {
 			return err
 		}
 	}
@@ -148,11 +152,11 @@
 	return r.waitReady()
 }
 
-// addEngine starts one engine of a service.
-func (r *run) addEngine(service string) error {
+// addEngine starts one engine of a service, which is cold for so long.
+func (r *run) addEngine(service string, cold time.Duration) error {
 	r.nextID++
 	spec := emulator.EngineSpec{
-		ID: fmt.Sprintf("%s-%d", service, r.nextID), Service: service, Zone: fmt.Sprintf("hall-%d", r.nextID%3), Version: "v1", Slots: 16,
+		ID: fmt.Sprintf("%s-%d", service, r.nextID), Service: service, Zone: fmt.Sprintf("hall-%d", r.nextID%3), Version: "v1", Slots: 16, ColdFor: cold,
 	}
 	if service == "llm" {
 		spec.Slots, spec.Events, spec.EventGap = 64, streamEvents, 30*time.Millisecond
