A repeat without a session belongs where its prompt's own part was read

Cause: a request without a session was kept together with others by its id, and a caller's repeat has a new one. Where a prefix has several homes, a stream that was cut by the loss of a daemon came back to another home, which read its whole prompt anew (12,000 tokens of a fault report); after all daemons were killed the first events of 1,500 such requests took 0.6 s in the middle. Now the part of the prompt that is its own names it.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -212,11 +212,7 @@
 
 // identify derives the hashes by which requests are kept together.
 func (q *request) identify() {
-	name := q.meta.Session
-	if name == "" {
-		name = q.meta.ID
-	}
-	q.session = xxhash.Sum64String(name)
+	q.session = xxhash.Sum64String(q.conversation())
 	if len(q.meta.Parts) < 2 {
 		return
 	}
@@ -227,6 +223,19 @@
 	q.prefixHash = xxhash.Sum64String(q.prefix)
 }
 
+// conversation names what the request belongs to: its session, or the part of its prompt
+// that is its own. A caller's repeat has another id but the same prompt, and finds that
+// part where it was read before.
+func (q *request) conversation() string {
+	switch parts := q.meta.Parts; {
+	case q.meta.Session != "":
+		return q.meta.Session
+	case len(parts) > 0:
+		return parts[len(parts)-1].ID
+	}
+	return q.meta.ID
+}
+
 // chooseService divides the requests of a route among its services.
 func (g *Gateway) chooseService(q *request) {
 	q.service = q.route.Pick(g.random())
