--- a/gateway/escalate.go
+++ b/gateway/escalate.go
@@ -43,15 +43,13 @@
 	if _, ok := g.Models.Larger(t.sized, t.model, confidence, inTime, draw); !ok || time.Until(t.deadline) < minEscalation {
 		return false
 	}
-	outlook := g.outlook(t)
-	larger, ok := g.Models.Larger(t.sized, t.model, confidence, outlook, draw)
+	larger, ok := g.Models.Larger(t.sized, t.model, confidence, g.outlook(t), draw)
 	if !ok || !g.budgets.of(t.service).Take(time.Now()) {
 		return false
 	}
 	// The answer that is dropped tells about its version too.
 	g.observeFirst(t, time.Since(to.sent))
 	t.model, t.doubted = larger, confidence
-	t.foretold = time.Duration(outlook(larger) * float64(t.route.Target))
 	t.request.trace.model = larger
 	t.tried = nil
 	return true
@@ -80,10 +78,3 @@
 		return (waits.Seconds() + reads*g.Models.Weight(t.backend, model)) / t.route.Target.Seconds()
 	}
 }
-
-// forecastCame takes in that the answer began of a model for which a time was foretold.
-func (g *Gateway) forecastCame(t *task) {
-	if t.foretold > 0 {
-		g.Models.Began(t.sized, t.foretold, t.request.trace.first)
-	}
-}
--- a/gateway/models.go
+++ b/gateway/models.go
@@ -5,7 +5,6 @@
 	"math"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/bronzeturn/bronzeturn/route"
 )
@@ -96,8 +95,6 @@
 	mu sync.Mutex
 	// chances are how likely each model's answer is right.
 	chances map[chanceKey]chance
-	// foresights are how forecasts came true, by service.
-	foresights map[string]*foresight
 	// sizes are the mean sizes of the requests of each route.
 	sizes map[string]float64
 }
@@ -117,7 +114,7 @@
 
 // NewModelChoice returns a choice that has learnt nothing yet.
 func NewModelChoice(o ModelOptions) *ModelChoice {
-	return &ModelChoice{options: o, chances: make(map[chanceKey]chance), foresights: make(map[string]*foresight), sizes: make(map[string]float64)}
+	return &ModelChoice{options: o, chances: make(map[chanceKey]chance), sizes: make(map[string]float64)}
 }
 
 // First returns the model that a request is run on first, "" when the route names
@@ -153,7 +150,7 @@
 	larger := q.route.Models[slices.Index(q.route.Models, model)+1:]
 	best, most := "", o.right(float64(confidence))*q.worth
 	for _, one := range larger {
-		chance := m.chance(q, one, band(confidence)) * m.timely(q, begins(one))
+		chance := m.chance(q, one, band(confidence)) * o.timely(begins(one))
 		if gain := chance*q.worth - q.price(one); gain > most {
 			best, most = one, gain
 		}
@@ -164,34 +161,11 @@
 	return best, best != ""
 }
 
-// timely returns the part of its worth that an answer is expected to keep which is foretold
-// to begin after the given part of the route's target.
-func (m *ModelChoice) timely(q *sizedRequest, share float64) float64 {
-	m.mu.Lock()
-	share = m.foresight(q).corrected(share)
-	m.mu.Unlock()
+// timely returns the part of its worth that an answer is expected to keep when it
+// begins after the given part of the route's target.
+func (o *ModelOptions) timely(share float64) float64 {
 	over := min(max((share-easyShare)/(1-easyShare), 0), 1)
-	return 1 - over*(1-m.options.LatePart)
-}
-
-// Began takes in how long a larger model's answer took to begin, since the request came,
-// for which a time was foretold.
-func (m *ModelChoice) Began(q *sizedRequest, foretold, took time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.foresight(q).took(foretold, took)
-}
-
-// foresight returns that of the request's service. The caller holds mu.
-func (m *ModelChoice) foresight(q *sizedRequest) *foresight {
-	service := q.serviceName()
-	f, known := m.foresights[service]
-	if !known {
-		first := newForesight()
-		f = &first
-		m.foresights[service] = f
-	}
-	return f
+	return 1 - over*(1-o.LatePart)
 }
 
 // Right returns how likely an answer with the given confidence is right, even odds when
@@ -225,9 +199,13 @@
 
 // chance returns how likely a model's answer is right.
 func (m *ModelChoice) chance(q *sizedRequest, model string, band int) float64 {
+	service := ""
+	if q.service != nil {
+		service = q.service.Name
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.chanceOf(q, chanceKey{q.serviceName(), model, band}).value
+	return m.chanceOf(q, chanceKey{service, model, band}).value
 }
 
 // chanceOf returns what was learnt, or the chance to begin with. The caller holds mu.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -45,9 +45,6 @@
 	// doubted is the confidence of the answer that the model is to replace, or
 	// noConfidence.
 	doubted int
-	// foretold is when its answer was taken to begin, since the request came; zero when
-	// no larger model was asked.
-	foretold time.Duration
 	// group of engines, and whether it is the version being introduced.
 	group string
 	trial bool
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -75,7 +75,6 @@
 	}
 	if t.stream.events == 0 {
 		t.request.trace.first = t.wholeLatency()
-		g.forecastCame(t)
 	} else {
 		t.request.trace.resumed++
 	}
--- a/gateway/weight_test.go
+++ b/gateway/weight_test.go
@@ -68,8 +68,6 @@
 	// engine is set when it has read the request.
 	engine string
 	work   balance.Work
-	// foretold is when the largest size was taken to begin, since the request came.
-	foretold time.Duration
 }
 
 // The smallest size is right up to simSkill of the hardness; its confidence has a noise of
@@ -172,12 +170,9 @@
 	s.state.Finished(balance.Finished{Engine: e.engine, Work: e.work, FirstTokenSeen: true, At: e.at})
 	right := e.large || e.hardness < simSkill
 	if !e.large && s.doubted(c, &e) {
-		s.send(c, simEvent{at: e.at, came: e.came, tokens: e.tokens, hardness: e.hardness, large: true, foretold: e.foretold})
+		s.send(c, simEvent{at: e.at, came: e.came, tokens: e.tokens, hardness: e.hardness, large: true})
 		return
 	}
-	if e.large {
-		s.models.Began(s.models.Sized(&simRoute, &simService, e.tokens, 10), e.foretold, e.at.Sub(e.came))
-	}
 	worth := 1.0
 	if !right {
 		worth = simWrong
@@ -193,8 +188,9 @@
 	noise := simNoise * s.random.NormFloat64()
 	confidence := int(min(max(50+simSlope*(simSkill-e.hardness)+noise, 0), 100))
 	d, _ := s.ask(c, e, true)
-	e.foretold = e.at.Sub(e.came) + d.Backlog + d.ExpectedFirstToken
-	begins := func(string) float64 { return e.foretold.Seconds() / simRoute.Target.Seconds() }
+	begins := func(string) float64 {
+		return (e.at.Sub(e.came) + d.Backlog + d.ExpectedFirstToken).Seconds() / simRoute.Target.Seconds()
+	}
 	q := s.models.Sized(&simRoute, &simService, e.tokens, 10)
 	_, larger := s.models.Larger(q, "small", confidence, begins, noTry)
 	return larger
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -52,7 +52,6 @@
 	g.Engines.Finished(g.finished(t, to, g.paces.ratio(paceKind{t.service, t.model, false}, latency)))
 	g.Introductions.Observe(t.service, t.route.Name, t.trial, false, latency)
 	t.request.trace.first = t.wholeLatency()
-	g.forecastCame(t)
 	if f := whole.deliver(t.answer); f != nil {
 		t.answer.fail(f)
 	}
--- a/gateway/worth.go
+++ b/gateway/worth.go
@@ -25,14 +25,6 @@
 // size is what the worth of the answer grows with.
 func (r *sizedRequest) size() float64 { return float64(r.prompt + outputSize*r.output) }
 
-// serviceName returns the name of the service, "" where the configuration has none.
-func (r *sizedRequest) serviceName() string {
-	if r.service == nil {
-		return ""
-	}
-	return r.service.Name
-}
-
 // price of running the request on a model.
 func (r *sizedRequest) price(model string) float64 {
 	if r.service == nil {
