Slow start: a test of the equal shares that were not taken

75 daemons that each use an equal share at once send 75 requests in the first second, where 29 are borne; the random waits stay below in every second.

--- a/slowstart/slowstart_test.go
+++ b/slowstart/slowstart_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -90,6 +91,21 @@
 	}
 }
 
+// TestEqualSharesWouldComeTogether is the way that was not taken: a share of the rate for
+// each daemon, used at once by all that see an engine idle and cold at the same moment.
+func TestEqualSharesWouldComeTogether(t *testing.T) {
+	const daemons, perSecond = 75, 29
+	gap := time.Duration(daemons / rate(perSecond) * float64(time.Second))
+	var sent []time.Time
+	for range daemons {
+		for at := start; at.Before(start.Add(3 * time.Second)); at = at.Add(gap) {
+			sent = append(sent, at)
+		}
+	}
+	slices.SortFunc(sent, time.Time.Compare)
+	qt.Check(t, mostInASecond(sent), qt.Equals, daemons)
+}
+
 // TestSumOverDaemonsHolds divides any traffic in any way among the daemons of a fleet.
 // Some of them are cut off from the others, some learn late that the engine is cold; the
 // sum over all of them stays within the bound in every second.
