An engine's measured speed is believed by the number of its answers

Cause: each daemon of a fleet sees an engine's answers seconds apart (75 daemons, 60 engines: one in eleven seconds), and a single one set what the engine was taken to need for all its work. A measured time now counts like so many answers beside eight of the usual speed; a daemon of a small fleet sees many and goes by them as before.

--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -265,3 +265,20 @@
 	answer(s, "engine-0", 20, time.Microsecond, epoch)
 	c.Assert(p.engines[0].health.slownessFactor() > 0.9, qt.IsTrue)
 }
+
+// TestFewAnswersTellLittleOfAnEnginesSpeed is the load of a large fleet: each daemon sees
+// an engine's answers seconds apart, and one that took twice the usual time tells of the
+// work that the engine had just then. The choice goes by it more with each such answer.
+func TestFewAnswersTellLittleOfAnEnginesSpeed(t *testing.T) {
+	c := qt.New(t)
+	const twice = 2.0
+	before := 1.0
+	for _, answers := range []int{1, 3, 8, 30, 200} {
+		got := believed(twice, answers)
+		c.Check(got > before && got < twice, qt.IsTrue, qt.Commentf("%d answers: %v", answers, got))
+		before = got
+	}
+	c.Check(believed(twice, 1) < 1.1, qt.IsTrue)
+	c.Check(believed(twice, 200) > 1.9, qt.IsTrue)
+	c.Check(believed(1/twice, 200) < 0.53, qt.IsTrue)
+}
--- a/balance/slow.go
+++ b/balance/slow.go
@@ -221,7 +221,18 @@
 	}
 	h.tokenTime = smooth(h.tokenTime, ratio, h.samples)
 	h.samples++
-	h.slowness.Store(math.Float64bits(h.tokenTime))
+	h.slowness.Store(math.Float64bits(believed(h.tokenTime, h.samples)))
+}
+
+// speedPrior is how many answers of the usual speed every engine is taken to have given
+// before it was measured.
+const speedPrior = 8
+
+// believed returns what the choice goes by of a measured time per token. A few answers
+// tell more of the work that the engine had just then than of its speed: in a fleet of
+// many daemons each sees an engine's answers seconds apart.
+func believed(tokenTime float64, samples int) float64 {
+	return math.Pow(tokenTime, float64(samples)/float64(samples+speedPrior))
 }
 
 // smooth returns the geometric moving average after one more value. The first
