--- a/entry/servers.go
+++ b/entry/servers.go
@@ -116,22 +116,39 @@
 		{"callers", d.Settings.CallerListen, d.gateway},
 		{"readiness", d.Settings.ReadyListen, watch},
 		{"directory", d.Settings.DirectoryListen, d.directoryHandler()},
-		{"metrics", d.Settings.MetricsListen, watch},
 	}
 	for _, w := range wanted {
-		if w.address == "" {
-			continue
-		}
-		l, err := net.Listen("tcp", w.address)
-		if err != nil {
+		if err := s.open(d, w.name, w.address, w.handler); err != nil {
 			s.stop()
-			return nil, &ListenError{Setting: w.name, Address: w.address, Cause: err}
+			return nil, err
 		}
-		s.all = append(s.all, &server{name: w.name, listener: l, http: d.httpServer(w.name, w.handler)})
 	}
+	s.openMetrics(d, watch)
 	return s, nil
 }
 
+// open opens one listener, unless the address is empty.
+func (s *servers) open(d *Daemon, name, address string, handler http.Handler) error {
+	if address == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return &ListenError{Setting: name, Address: address, Cause: err}
+	}
+	s.all = append(s.all, &server{name: name, listener: l, http: d.httpServer(name, handler)})
+	return nil
+}
+
+// openMetrics opens the listener that serves nothing but metrics. Its port is the same on
+// every host, while the platform draws the others: a host where it is taken serves callers
+// all the same, and its metrics on the readiness address.
+func (s *servers) openMetrics(d *Daemon, handler http.Handler) {
+	if err := s.open(d, "metrics", d.Settings.MetricsListen, handler); err != nil {
+		d.log.Error().Err(err).Msg("metrics have no address of their own")
+	}
+}
+
 // httpServer returns a server of plain HTTP/1.1.
 func (d *Daemon) httpServer(name string, handler http.Handler) *http.Server {
 	return &http.Server{
