--- a/entry/slowstart.go
+++ b/entry/slowstart.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/balance"
@@ -64,6 +65,7 @@
 	if len(engines) == 0 {
 		return
 	}
+	slices.Sort(engines)
 	d.log.Info().Strs("engines", engines).Int("daemons", d.fleet.Live()).Msg(text)
 }
 
