--- /dev/null
+++ b/follow/copy.go
@@ -0,0 +1,100 @@
+package follow
+
+import (
+	"context"
+	"time"
+)
+
+// take puts a whole state in force unless it is older than the copy.
+func (f *Follower) take(next *Snapshot, fromPeer, afterOutage bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.snapshot.Load()
+	if old == nil {
+		old = &Snapshot{}
+	}
+	if next.Revision < old.Revision {
+		return
+	}
+	f.swap(old, next, old.diff(next), fromPeer, afterOutage)
+}
+
+// change puts changes in force. Those that the copy already has do no harm.
+func (f *Follower) change(c *Changes, fromPeer, afterOutage bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.snapshot.Load()
+	if old == nil || c.Revision < old.Revision {
+		return
+	}
+	next := old.with(c)
+	f.swap(old, next, old.diff(next), fromPeer, afterOutage)
+}
+
+// swap puts a state in force. The caller holds mu.
+func (f *Follower) swap(old, next *Snapshot, diff Changes, fromPeer, afterOutage bool) {
+	first := f.snapshot.Load() == nil
+	f.snapshot.Store(next)
+	if diff.empty() && !first {
+		return
+	}
+	f.history.add(old.Revision, diff)
+	close(f.updated)
+	f.updated = make(chan struct{})
+	if !fromPeer {
+		f.Announce(next.Revision)
+	}
+	f.Apply(Update{Snapshot: next, AfterOutage: afterOutage, FromPeer: fromPeer})
+}
+
+// Await returns what changed after a revision, for another daemon, as soon as something
+// did, the wait ends or ctx does; or nil when there is no copy then.
+func (f *Follower) Await(ctx context.Context, after uint64, wait time.Duration) *Pulled {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		p, updated := f.sinceAnd(after)
+		if p != nil && (p.Full || !p.Changes.empty()) {
+			return p
+		}
+		select {
+		case <-updated:
+		case <-ctx.Done():
+			return f.Since(after)
+		}
+	}
+}
+
+// Since returns what changed after a revision, for another daemon, or nil when
+// there is no copy.
+func (f *Follower) Since(after uint64) *Pulled {
+	p, _ := f.sinceAnd(after)
+	return p
+}
+
+// sinceAnd also returns what is closed with the next change.
+func (f *Follower) sinceAnd(after uint64) (*Pulled, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.since(after), f.updated
+}
+
+// since returns what changed after a revision. The caller holds mu.
+func (f *Follower) since(after uint64) *Pulled {
+	s := f.snapshot.Load()
+	if s == nil {
+		return nil
+	}
+	now := time.Now()
+	p := &Pulled{Failing: f.Failing() || f.Stale(now), AfterOutage: f.echo(), Age: f.age(now)}
+	p.Changes.Revision = s.Revision
+	if after >= s.Revision {
+		return p
+	}
+	var ok bool
+	if p.Changes, ok = f.history.since(after); !ok {
+		p.Changes, p.Full = (&Snapshot{}).diff(s), true
+	}
+	p.Changes.Revision = s.Revision
+	return p
+}
