A forecast takes nothing from a cold engine

Found by reading: whether a larger model would be in time is asked of the balancer about engines to which nothing is sent, and that took this daemon's right to send to a cold one (three rights for two sends in the test, before). The forecast leaves out what the request's homes leave out, too.

--- a/entry/directory.go
+++ b/entry/directory.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"strings"
 
 	"github.com/uptrace/bunrouter"
@@ -60,8 +59,8 @@
 			near = append(near, address)
 		}
 	}
-	if q.Region == "" || len(near) == 0 {
-		return all
+	if q.Region != "" && len(near) > 0 {
+		return near
 	}
-	return slices.Clip(near)
+	return all
 }
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -90,7 +90,7 @@
 // askSure asks the balancer for an engine where the list of engines is not doubted, or for
 // any when there is none.
 func (g *Gateway) askSure(t *task, engines *Engines, r *balance.Request, now time.Time) (balance.Decision, bool) {
-	r.Skip = func(engine string) bool { return g.mayNot(t, engines, engine, now) }
+	r.Skip = g.skips(t, engines, now)
 	if !g.denials.any.Load() {
 		return g.ask(engines, r, now)
 	}
@@ -105,17 +105,19 @@
 	return g.ask(engines, r, now)
 }
 
-// mayNot tells whether an engine must not get the request now: it is cold and has had what
-// this daemon may send it, or it stands outside the request's homes.
-func (g *Gateway) mayNot(t *task, engines *Engines, engine string, now time.Time) bool {
-	if g.SlowStarts.Passed(engine, now) {
-		return true
-	}
-	if !t.homes.Bound {
-		return false
+// skips tells which engines must not get the request now: those that are cold and have had
+// what this daemon may send them, and those outside the request's homes.
+func (g *Gateway) skips(t *task, engines *Engines, now time.Time) func(engine string) bool {
+	return func(engine string) bool {
+		if g.SlowStarts.Passed(engine, now) {
+			return true
+		}
+		if !t.homes.Bound {
+			return false
+		}
+		e, known := engines.View.Engine(engine)
+		return !known || !t.homes.Allow(g.Regions[e.DataCentre])
 	}
-	e, known := engines.View.Engine(engine)
-	return !known || !t.homes.Allow(g.Regions[e.DataCentre])
 }
 
 // mostTakes bounds how often a choice is made again because a request before it took
@@ -125,7 +127,7 @@
 // ask asks the balancer for an engine that may be sent to now.
 func (g *Gateway) ask(engines *Engines, r *balance.Request, now time.Time) (decision balance.Decision, ok bool) {
 	for range mostTakes {
-		g.withRand(func(rng *rand.Rand) { decision, ok = g.Engines.Choose(engines.Plan, r, now, rng) })
+		decision, ok = g.compare(engines, r, now)
 		if !ok || g.SlowStarts.Take(decision.Engine.GetName(), now) {
 			return decision, ok
 		}
@@ -134,6 +136,12 @@
 	return decision, false
 }
 
+// compare asks the balancer which engine would be best, for a request that is not sent yet.
+func (g *Gateway) compare(engines *Engines, r *balance.Request, now time.Time) (decision balance.Decision, ok bool) {
+	g.withRand(func(rng *rand.Rand) { decision, ok = g.Engines.Choose(engines.Plan, r, now, rng) })
+	return decision, ok
+}
+
 // mayRepeat tells whether an engine that was tried may be tried again: only
 // when nothing can have run twice by it.
 func (t *task) mayRepeat() bool { return t.ran == failure.RanNo || t.route.Repeatable() }
--- a/gateway/escalate.go
+++ b/gateway/escalate.go
@@ -69,7 +69,9 @@
 	t.model = small
 	r.NoProbe = true
 	r.Exclude = [balance.MaxExclude]string{}
-	decision, ok := g.ask(engines, r, time.Now())
+	now := time.Now()
+	r.Skip = g.skips(t, engines, now)
+	decision, ok := g.compare(engines, r, now)
 	if !ok {
 		return func(string) float64 { return 1 }
 	}
