Keys of engines are worked out once

Cause: each change of one engine sorts and compiles all of them, and every comparison made the keys of two anew.

--- /dev/null
+++ b/entry/change_bench_test.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/bronzeturn/bronzeturn/balance"
+	"github.com/bronzeturn/bronzeturn/canary"
+	"github.com/bronzeturn/bronzeturn/follow"
+	"github.com/bronzeturn/bronzeturn/inventory"
+)
+
+// sameEngines decode every entry to an engine of its name.
+type sameEngines struct{ Documents }
+
+func (sameEngines) Engine(item follow.Item) (inventory.Registration, error) {
+	return inventory.Registration{Engine: inventory.Engine{
+		ID: item.Name, Started: time.UnixMilli(1_780_000_000_000), Service: "s", Address: "192.0.2.1:1", DataCentre: "a", Version: "v1", Slots: 4,
+	}}, nil
+}
+
+// BenchmarkOneEngineChanges is what a daemon pays when one engine comes or goes, from its
+// list of entries to the tables in force.
+func BenchmarkOneEngineChanges(b *testing.B) {
+	for _, engines := range []int{216, 3000} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			d := newChangingDaemon(b)
+			with := &follow.Snapshot{Items: make(map[string]follow.Item)}
+			for i := range engines {
+				name := fmt.Sprintf("i-%08x", i*7919)
+				with.Items[name] = follow.Item{Name: name, Revision: 1}
+			}
+			without := &follow.Snapshot{Items: maps.Clone(with.Items)}
+			delete(without.Items, "i-00000000")
+			for b.Loop() {
+				d.enginesListed(follow.Update{Snapshot: with})
+				d.enginesListed(follow.Update{Snapshot: without})
+			}
+		})
+	}
+}
+
+// newChangingDaemon returns a daemon without network that follows its engines.
+func newChangingDaemon(b *testing.B) *Daemon {
+	d := &Daemon{log: zerolog.Nop(), registry: prometheus.NewRegistry()}
+	d.Documents = sameEngines{}
+	d.slowStarts = newSlowStarts(d)
+	d.Settings.Introductions = canary.DefaultOptions()
+	d.introductions = newIntroductions(d)
+	state, err := balance.NewState(balance.DefaultOptions())
+	if err != nil {
+		b.Fatal(err)
+	}
+	d.balancer = state
+	d.engines = inventory.New(time.Second, d.enginesChanged)
+	return d
+}
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -28,6 +28,10 @@
 	Slots   int
 	// Draining engines finish what they have and get nothing new.
 	Draining bool
+
+	// key is what Key returns, worked out once for the engines of a Set: with thousands
+	// of them it took most of the time of a change.
+	key string
 }
 
 // Registration is what an engine says of itself.
@@ -43,6 +47,9 @@
 // Key names this start of the engine. Whatever is remembered of an engine is
 // remembered by its key, so that another start under the same id begins anew.
 func (e Engine) Key() string {
+	if e.key != "" {
+		return e.key
+	}
 	if e.Started.IsZero() {
 		return e.ID
 	}
@@ -112,7 +119,8 @@
 	next := make(map[string]Engine, len(engines))
 	registered := make(map[string]bool, len(engines))
 	for _, e := range engines {
-		next[e.Key()] = e
+		e.key = e.Key()
+		next[e.key] = e
 		registered[e.ID] = true
 	}
 	if outage {
--- /dev/null
+++ b/inventory/key_test.go
@@ -0,0 +1,26 @@
+package inventory
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestKeysOfAViewAreThoseOfItsEngines compares the keys that a set has worked out with
+// those of engines that it has not seen.
+func TestKeysOfAViewAreThoseOfItsEngines(t *testing.T) {
+	c := qt.New(t)
+	s := newSet()
+	given := []Engine{engine("a"), started("b", start)}
+	s.Replace(given, false, start)
+	for i, e := range s.View().Engines {
+		c.Check(e.Key(), qt.Equals, given[i].Key())
+		again, known := s.View().Engine(given[i].Key())
+		c.Check(known, qt.IsTrue)
+		c.Check(again, qt.Equals, e)
+	}
+	generation := s.View().Generation
+	s.Replace(s.View().Engines, false, start)
+	s.Replace(given, false, start)
+	c.Check(s.View().Generation, qt.Equals, generation)
+}
