--- a/canary/canary_test.go
+++ b/canary/canary_test.go
@@ -325,6 +325,31 @@
 	}
 }
 
+// TestEnginesThatHaveReadNoPromptsYetAreNoFault is the start of a version on one new engine:
+// it reads whole prompts of which the others hold the larger part, and its first thirty
+// answers all begin later.
+func TestEnginesThatHaveReadNoPromptsYetAreNoFault(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		percent int
+		want    State
+	}{{"whole prompts", 170, Running}, {"slow version", 250, RolledBack}} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			i := newIntroduction()
+			for n := range 2200 {
+				i.Observe("r", false, false, time.Duration(150+n%101)*time.Millisecond)
+			}
+			i.Review(start.Add(3 * time.Second))
+			for n := range 31 {
+				usual := time.Duration(150+(n*37)%101) * time.Millisecond
+				i.Observe("r", true, false, usual*time.Duration(test.percent)/100)
+			}
+			c.Check(i.Review(start.Add(5*time.Second)).State, qt.Equals, test.want)
+		})
+	}
+}
+
 // TestFewAnswersAreEnoughWhenAllAreSlow has a version of a plain service of which half
 // of the answers take long.
 func TestFewAnswersAreEnoughWhenAllAreSlow(t *testing.T) {
