--- a/canary/pace.go
+++ b/canary/pace.go
@@ -128,5 +128,11 @@
 	if used > 0 {
 		factor = max(min(factor, fullSlots/used), 1)
 	}
-	return max(int(share*float64(before)/factor), 1)
+	wanted := share * float64(before) / factor
+	if !moving {
+		// One engine in place of nearly two would have nearly twice the usual load, and
+		// its answers would look slow.
+		wanted = math.Round(wanted)
+	}
+	return max(int(wanted), 1)
 }
