The prior of an engine's speed is an option that the entry daemon sets

One daemon there sees all answers of its engines; it goes by the first one as before (prior 0, bounds untouched). The entry daemon keeps eight.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -166,7 +166,7 @@
 	if ev.Cancelled {
 		return
 	}
-	e.health.observeGeneration(ev.Tokens, ev.Generation, ev.At)
+	e.health.observeGeneration(ev.Tokens, ev.Generation, ev.At, s.options.SpeedPrior)
 	if e.health.succeeded(ev.At, &s.options) {
 		s.note(e, 0, ev.At)
 	}
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -271,14 +271,15 @@
 // work that the engine had just then. The choice goes by it more with each such answer.
 func TestFewAnswersTellLittleOfAnEnginesSpeed(t *testing.T) {
 	c := qt.New(t)
-	const twice = 2.0
+	const twice, prior = 2.0, 8
 	before := 1.0
 	for _, answers := range []int{1, 3, 8, 30, 200} {
-		got := believed(twice, answers)
+		got := believed(twice, answers, prior)
 		c.Check(got > before && got < twice, qt.IsTrue, qt.Commentf("%d answers: %v", answers, got))
 		before = got
 	}
-	c.Check(believed(twice, 1) < 1.1, qt.IsTrue)
-	c.Check(believed(twice, 200) > 1.9, qt.IsTrue)
-	c.Check(believed(1/twice, 200) < 0.53, qt.IsTrue)
+	c.Check(believed(twice, 1, prior) < 1.1, qt.IsTrue)
+	c.Check(believed(twice, 200, prior) > 1.9, qt.IsTrue)
+	c.Check(believed(1/twice, 200, prior) < 0.53, qt.IsTrue)
+	c.Check(believed(twice, 1, 0), qt.Equals, twice)
 }
--- a/balance/options.go
+++ b/balance/options.go
@@ -51,6 +51,11 @@
 	// MaxSlowLoad bounds the share of busy slots in the rest of the pool that an
 	// ejection for slowness may leave.
 	MaxSlowLoad float64
+	// SpeedPrior is how many answers of the usual speed an engine is taken to have given
+	// before it was measured. A few answers tell more of the work that the engine had just
+	// then than of its speed: in a fleet of many daemons each sees an engine's answers
+	// seconds apart. Zero goes by the first one.
+	SpeedPrior int
 	// SlowFactor ejects an engine slower than this multiple of its pool's median.
 	SlowFactor float64
 	// SlowSamples is the number of answers needed before slowness is judged.
@@ -129,6 +134,7 @@
 		{o.MaxEjectedShare >= 0 && o.MaxEjectedShare < 1, "MaxEjectedShare", "from 0 to below 1"},
 		{o.MaxSlowShare >= 0 && o.MaxSlowShare <= o.MaxEjectedShare, "MaxSlowShare", "from 0 to MaxEjectedShare"},
 		{o.MaxSlowLoad > 0 && o.MaxSlowLoad <= 1, "MaxSlowLoad", "above 0 and at most 1"},
+		{o.SpeedPrior >= 0, "SpeedPrior", "at least 0"},
 		{o.SlowFactor > 1, "SlowFactor", "above 1"},
 		{o.SlowSamples > 0, "SlowSamples", "above 0"},
 		{o.TrickleEvery > 0, "TrickleEvery", "above 0"},
--- a/balance/slow.go
+++ b/balance/slow.go
@@ -205,8 +205,8 @@
 }
 
 // observeGeneration records the time per token of an answer, relative to the
-// register.
-func (h *health) observeGeneration(tokens int64, generation time.Duration, now time.Time) {
+// register. The prior is Options.SpeedPrior.
+func (h *health) observeGeneration(tokens int64, generation time.Duration, now time.Time, prior int) {
 	if tokens < 2 || generation <= 0 {
 		return
 	}
@@ -221,18 +221,13 @@
 	}
 	h.tokenTime = smooth(h.tokenTime, ratio, h.samples)
 	h.samples++
-	h.slowness.Store(math.Float64bits(believed(h.tokenTime, h.samples)))
+	h.slowness.Store(math.Float64bits(believed(h.tokenTime, h.samples, prior)))
 }
 
-// speedPrior is how many answers of the usual speed every engine is taken to have given
-// before it was measured.
-const speedPrior = 8
-
-// believed returns what the choice goes by of a measured time per token. A few answers
-// tell more of the work that the engine had just then than of its speed: in a fleet of
-// many daemons each sees an engine's answers seconds apart.
-func believed(tokenTime float64, samples int) float64 {
-	return math.Pow(tokenTime, float64(samples)/float64(samples+speedPrior))
+// believed returns what the choice goes by of a time per token that was measured over some
+// answers, beside so many of the usual time.
+func believed(tokenTime float64, samples, prior int) float64 {
+	return math.Pow(tokenTime, float64(samples)/float64(samples+prior))
 }
 
 // smooth returns the geometric moving average after one more value. The first
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -221,6 +221,7 @@
 	o.TrickleEvery = 500 * time.Millisecond
 	o.TrickleSuccesses = 2
 	o.WarmUp = 0
+	o.SpeedPrior = 8
 	return o
 }
 
