--- a/gateway/denials.go
+++ b/gateway/denials.go
@@ -15,7 +15,7 @@
 	doubtFor = time.Second
 )
 
-// place is the engines of a service in one data centre.
+// place names the engines of one service in one data centre.
 type place struct{ service, dataCentre string }
 
 // denials remember where engines answered under other instances than the list of engines
--- a/slowstart/slowstart.go
+++ b/slowstart/slowstart.go
@@ -90,8 +90,9 @@
 	return !wasCold
 }
 
-// Unreachable takes in that an engine did not take a connection. If it is back under the
-// same name before its entry tells so, it is cold. It reports whether that is news.
+// Unreachable takes in that an engine did not take a connection: it counts as cold, since
+// it may be back under the same name before its entry tells so. It reports whether that is
+// news.
 func (p *Pacer) Unreachable(engine, service string, now time.Time) bool {
 	cold := p.Limit(service).For
 	return cold > 0 && p.Told(engine, service, cold, now)
