Sight: which requests are the same work, and whether an engine ended

No line told which requests ask for the same, nor whether an engine ended or its connections broke. No request is handled otherwise.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,6 +31,7 @@
 	"github.com/bronzeturn/bronzeturn/logging"
 	"github.com/bronzeturn/bronzeturn/occupancy"
 	"github.com/bronzeturn/bronzeturn/process"
+	"github.com/bronzeturn/bronzeturn/quarantine"
 	"github.com/bronzeturn/bronzeturn/route"
 	"github.com/bronzeturn/bronzeturn/slowstart"
 )
@@ -129,6 +130,7 @@
 	// registrations are those of the newest list; the follower's calls alone use it.
 	registrations registrations
 	gateway       *gateway.Gateway
+	crashes       *quarantine.Detector
 	// shared is the balancer with the work of all daemons, book the counts that this
 	// daemon keeps for the others.
 	shared  *sharedBalancer
@@ -191,6 +193,7 @@
 	d.introductions = newIntroductions(d)
 	d.engines = inventory.New(o.Settings.LapseGrace, d.enginesChanged)
 	d.copies = newCopies(d)
+	d.crashes = newCrashDetector(d)
 	d.gateway = newGateway(d)
 	d.registerGauges()
 	if d.servers, err = newServers(d); err != nil {
--- a/entry/introductions.go
+++ b/entry/introductions.go
@@ -12,9 +12,9 @@
 	"github.com/bronzeturn/bronzeturn/tally"
 )
 
-// quarantine is how long engines of a version that was never seen wait for an order
+// orderWait is how long engines of a version that was never seen wait for an order
 // that explains them.
-const quarantine = 5 * time.Second
+const orderWait = 5 * time.Second
 
 // introductions keep the version that each service's sessions run on.
 type introductions struct {
@@ -31,7 +31,7 @@
 	retired map[string]map[string]struct{}
 	// recent are the sessions of late that a trial would move.
 	recent map[string]map[uint64]time.Time
-	// waiting tells that some engine is in quarantine.
+	// waiting tells that some engine waits for an order.
 	waiting bool
 	// ranks order the engines of each version, for introductions on a few.
 	ranks map[string]int
@@ -210,7 +210,7 @@
 	base, trial := []string{gateway.Group(e.Service, false)}, []string{gateway.Group(e.Service, true)}
 	known := i.byService[e.Service]
 	if known == nil {
-		if since := i.versions[e.Service][e.Version]; time.Since(since) < quarantine {
+		if since := i.versions[e.Service][e.Version]; time.Since(since) < orderWait {
 			i.waiting = true
 			return nil
 		}
@@ -245,7 +245,7 @@
 	return ok
 }
 
-// release compiles the tables anew while engines are in quarantine.
+// release compiles the tables anew while engines wait for an order.
 func (i *introductions) release() {
 	i.mu.Lock()
 	waiting := i.waiting
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bronzeturn/bronzeturn/balance"
+	"github.com/bronzeturn/bronzeturn/inventory"
+	"github.com/bronzeturn/bronzeturn/quarantine"
 	"github.com/bronzeturn/bronzeturn/route"
 )
 
@@ -56,6 +58,16 @@
 	ObservePace(service, route string, trial bool, pace time.Duration)
 }
 
+// Crashes hears what tells of engines that end under requests.
+type Crashes interface {
+	// Broke takes in that an answer broke off though the request had been sent.
+	Broke(e inventory.Engine, h quarantine.Hash, now time.Time)
+	// Refused takes in that an engine's host refused a connection.
+	Refused(engine string, now time.Time)
+	// Replaced takes in that another start answers at the engine's address.
+	Replaced(engine string, now time.Time)
+}
+
 // Options are what a Gateway needs. All fields are required.
 type Options struct {
 	DataCentre string
@@ -79,6 +91,7 @@
 	Engines       Balancer
 	SlowStarts    SlowStarts
 	Introductions Introductions
+	Crashes       Crashes
 	Models        *ModelChoice
 	Transport     http.RoundTripper
 	Budget        BudgetOptions
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 	"github.com/rs/zerolog"
 
+	"github.com/bronzeturn/bronzeturn/quarantine"
 	"github.com/bronzeturn/bronzeturn/retry"
 )
 
@@ -67,6 +68,9 @@
 	if q.tables != nil && q.tables.Engines != nil {
 		line = line.Uint64("engines_view", q.tables.Engines.View.Generation).Dur("tables_age_ms", q.received.Sub(q.tables.Changed))
 	}
+	if q.hash != (quarantine.Hash{}) {
+		line = line.Stringer("hash", q.hash)
+	}
 	if q.route != nil {
 		line = line.Str("route", q.route.Name).Str("service", q.service).Str("organisation", q.organisation).Int("priority", q.priority).
 			Dur("allowed_ms", q.deadline.Sub(q.received))
@@ -93,7 +97,7 @@
 	if e.Kind == retry.KindDoubted {
 		line = g.Log.Info()
 	}
-	line.Str("request", t.meta.ID).Str("engine", to.engine.Key()).Str("address", to.engine.Address).
+	line.Str("request", t.meta.ID).Stringer("hash", t.hash).Str("engine", to.engine.Key()).Str("address", to.engine.Address).
 		AnErr("failure", e.Cause).Str("kind", e.Kind.String()).Str("ran", string(e.Ran)).
 		Bool("again", reason == "").Str("because", reason).Int("attempt", t.request.trace.attempts).
 		Int("events", t.stream.events).Dur("after_ms", time.Since(to.sent)).Msg("attempt failed")
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -13,6 +13,7 @@
 
 	"github.com/bronzeturn/bronzeturn/balance"
 	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/quarantine"
 	"github.com/bronzeturn/bronzeturn/route"
 )
 
@@ -51,6 +52,8 @@
 	backend *route.Service
 	ranked  bool
 	body    []byte
+	// hash identifies what the request asks for, whatever its id.
+	hash quarantine.Hash
 	// session is the hash of the session, or of the request without one.
 	session uint64
 	// prefix joins the ids of the parts of the prompt that others share, "" for
@@ -190,13 +193,15 @@
 	if q.http.ContentLength > limit {
 		return tooLarge
 	}
+	hasher := quarantine.NewHasher(q.organisation, q.http.Method, q.http.Host, q.http.RequestURI)
+	defer func() { q.hash = hasher.Sum() }()
 	if q.http.ContentLength == 0 {
 		return nil
 	}
 	a.w.boundRead(q.deadline)
 	var body bytes.Buffer
 	body.Grow(int(max(q.http.ContentLength, 0)) + bytes.MinRead)
-	_, err := body.ReadFrom(io.LimitReader(q.http.Body, limit+1))
+	_, err := body.ReadFrom(io.TeeReader(io.LimitReader(q.http.Body, limit+1), hasher))
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return failure.Wrap(err, failure.CodeBodyTimeout, failure.RanNo, "the deadline passed before the body came")
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/attempt"
@@ -121,6 +122,7 @@
 // failed tells balancer and introduction of an attempt that failed.
 func (g *Gateway) failed(ctx context.Context, t *task, to *target, e *attemptError) {
 	now := time.Now()
+	g.tellCrashes(t, to, e, now)
 	silent := e.Kind == retry.KindCancelled && silentUntilDeadline(ctx, t, to)
 	if !silent && (e.Kind == retry.KindCancelled || e.Kind == retry.KindDoubted) {
 		g.Engines.Finished(balance.Finished{Engine: to.engine.Key(), Work: to.work, FirstTokenSeen: to.firstSeen, Cancelled: true, At: now})
@@ -136,6 +138,24 @@
 	}
 }
 
+// tellCrashes passes on what a failed attempt tells of the engine's end.
+func (g *Gateway) tellCrashes(t *task, to *target, e *attemptError, now time.Time) {
+	switch {
+	case e.Kind == retry.KindMisdirected:
+		g.Crashes.Replaced(to.engine.Key(), now)
+	case e.Kind == retry.KindConnect && errors.Is(e.Cause, syscall.ECONNREFUSED):
+		g.Crashes.Refused(to.engine.Key(), now)
+	case e.Kind == retry.KindBroken && e.cut():
+		g.Crashes.Broke(to.engine, t.hash, now)
+	}
+}
+
+// cut tells whether the connection ended before the answer did.
+func (e *attemptError) cut() bool {
+	var failed *attempt.Error
+	return errors.As(e.Cause, &failed) && failed.Reason == attempt.Network && failed.Stage != attempt.NotSent
+}
+
 // failureKinds maps the failures of attempts to those of the balancer.
 var failureKinds = map[retry.Kind]balance.FailureKind{
 	retry.KindConnect:     balance.FailureUnreachable,
--- /dev/null
+++ b/quarantine/hash_test.go
@@ -0,0 +1,57 @@
+package quarantine
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+func hashOf(organisation, method, host, target string, pieces ...[]byte) Hash {
+	h := NewHasher(organisation, method, host, target)
+	for _, p := range pieces {
+		_, _ = h.Write(p)
+	}
+	return h.Sum()
+}
+
+func TestHashDependsOnTheWholeRequestAndOnNothingElse(t *testing.T) {
+	c := qt.New(t)
+	first := hashOf("org-1", "POST", "a.example", "/x/1?q=2", []byte("body"))
+	c.Check(hashOf("org-1", "POST", "a.example", "/x/1?q=2", []byte("bo"), []byte("dy")), qt.Equals, first)
+	for _, other := range []Hash{
+		hashOf("org-2", "POST", "a.example", "/x/1?q=2", []byte("body")),
+		hashOf("org-1", "PUT", "a.example", "/x/1?q=2", []byte("body")),
+		hashOf("org-1", "POST", "b.example", "/x/1?q=2", []byte("body")),
+		hashOf("org-1", "POST", "a.example", "/x/1?q=3", []byte("body")),
+		hashOf("org-1", "POST", "a.example", "/x/1?q=2", []byte("bodi")),
+		hashOf("org-1", "POST", "a.example", "/x/1?q=2"),
+		hashOf("org-1P", "OST", "a.example", "/x/1?q=2", []byte("body")),
+	} {
+		c.Check(other, qt.Not(qt.Equals), first)
+	}
+}
+
+func TestHashIsReadBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var h Hash
+		copy(h[:], rapid.SliceOfN(rapid.Byte(), len(h), len(h)).Draw(t, "hash"))
+		read, ok := ParseHash(h.String())
+		if !ok || read != h {
+			t.Fatalf("%s read as %s, %v", h, read, ok)
+		}
+		text := rapid.String().Draw(t, "text")
+		if read, ok := ParseHash(text); ok && read.String() != text {
+			t.Fatalf("%q read as %s", text, read)
+		}
+	})
+}
+
+// BenchmarkHash is what a hash adds to a request with a long prompt.
+func BenchmarkHash(b *testing.B) {
+	body := make([]byte, 48<<10)
+	b.SetBytes(int64(len(body)))
+	for b.Loop() {
+		hashOf("org-1", "POST", "a.example", "/x/1", body)
+	}
+}
--- /dev/null
+++ b/quarantine/main_test.go
@@ -0,0 +1,16 @@
+package quarantine
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
