--- /dev/null
+++ b/e2e/crashing_test.go
@@ -0,0 +1,164 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bronzeturn/bronzeturn/platform/emulator"
+)
+
+// Bounds on a request that crashes the engines that run it, as operators ask for them.
+const (
+	// mostCrashes is how many engines it may crash while the fleet learns, learnWithin how
+	// long after that it may still reach some, and mostRetries how many times it may do so
+	// ever after.
+	mostCrashes = 3
+	learnWithin = 3 * time.Second
+	mostRetries = 3
+)
+
+// crashBody begins the bodies of requests that crash engines.
+const crashBody = "crash"
+
+// crashes makes engines end by such requests and come back.
+var crashes = emulator.CrashSpec{
+	Body: crashBody, After: 30 * time.Millisecond, Back: time.Second, Lapse: 1500 * time.Millisecond,
+}
+
+// newCrashFleet starts n daemons before engines that such requests crash.
+func newCrashFleet(t *testing.T, n, llm int) *entryFleet {
+	f := newEntryFleet(t, 0, 2, 0, usualBounds)
+	t.Cleanup(f.record.Close)
+	for i := range llm {
+		f.engine(t, emulator.EngineSpec{
+			ID: fmt.Sprintf("llm-%d", i), Service: "llm", Zone: zoneOf(i), Version: "v1", Slots: 32, Events: 20,
+			EventGap: 20 * time.Millisecond, Crashes: crashes,
+		})
+	}
+	f.addDaemons(n)
+	return f
+}
+
+// harmlessLoad sends streams with bodies of their own at a rate until stop is closed, each repeated
+// once by its caller, and counts those that were served and not by the time of sending.
+type harmlessLoad struct {
+	mu             sync.Mutex
+	served, missed []time.Time
+}
+
+func (l *harmlessLoad) run(f *entryFleet, perSecond int, stop <-chan struct{}) *sync.WaitGroup {
+	var all sync.WaitGroup
+	all.Go(func() {
+		ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+		defer ticker.Stop()
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-ticker.C:
+			}
+			all.Go(func() { l.one(f, n) })
+		}
+	})
+	return &all
+}
+
+func (l *harmlessLoad) one(f *entryFleet, n int) {
+	at := time.Now()
+	good := false
+	for try := 0; try < 2 && !good; try++ {
+		daemon := (n + try) % len(f.daemons)
+		reply := f.streamOf(daemon, fmt.Sprintf("harmless %d", n))
+		good = reply.err == nil && reply.status == http.StatusOK && reply.body == wholeStream(reply.id, 20)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if good {
+		l.served = append(l.served, at)
+	} else {
+		l.missed = append(l.missed, at)
+	}
+}
+
+// since counts the requests sent from a moment on.
+func (l *harmlessLoad) since(from time.Time) (served, missed int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	count := func(times []time.Time) (n int) {
+		for _, at := range times {
+			if !at.Before(from) {
+				n++
+			}
+		}
+		return n
+	}
+	return count(l.served), count(l.missed)
+}
+
+// insist sends a request again and again to all daemons in turn, whatever they answer.
+func (f *entryFleet) insist(body string, every time.Duration, stop <-chan struct{}) *sync.WaitGroup {
+	var all sync.WaitGroup
+	all.Go(func() {
+		ticker := time.NewTicker(every)
+		defer ticker.Stop()
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-ticker.C:
+			}
+			all.Go(func() { f.streamOf(n%len(f.daemons), body) })
+		}
+	})
+	return &all
+}
+
+// lateArrivals counts how often a request reached engines later than learnWithin after it
+// had crashed mostCrashes of them, and how many it crashed in all.
+func (f *entryFleet) lateArrivals(body string) (late, ended int) {
+	var times []time.Time
+	for _, c := range f.record.Crashes() {
+		if c.Body == body {
+			times = append(times, c.At)
+		}
+	}
+	if len(times) < mostCrashes {
+		return 0, len(times)
+	}
+	after := times[mostCrashes-1].Add(learnWithin)
+	arrivals := f.record.Arrivals(func(a emulator.Arrival) bool { return a.Body == body && a.At.After(after) })
+	return len(arrivals), len(times)
+}
+
+// TestRequestThatCrashesEnginesIsKeptAwayFromThem is an incident: engines of one service
+// ended in rows, some forty within a quarter of a minute, and of ten requests to them only
+// one or two were served. One request crashed each engine that began it. Its caller
+// repeated it, and so did the daemons, always under other ids.
+func TestRequestThatCrashesEnginesIsKeptAwayFromThem(t *testing.T) {
+	c := qt.New(t)
+	f := newCrashFleet(t, 4, 9)
+	stop := make(chan struct{})
+	harmless := &harmlessLoad{}
+	background := harmless.run(f, 40, stop)
+	time.Sleep(time.Second)
+	from := time.Now()
+	insisting := f.insist(crashBody+" 1", 200*time.Millisecond, stop)
+	time.Sleep(12 * time.Second)
+	close(stop)
+	insisting.Wait()
+	background.Wait()
+
+	late, ended := f.lateArrivals(crashBody + " 1")
+	served, missed := harmless.since(from.Add(6 * time.Second))
+	allServed, allMissed := harmless.since(from)
+	t.Logf("%d engines ended, %d late arrivals; of others %d served and %d not, from the sixth second on %d and %d",
+		ended, late, allServed, allMissed, served, missed)
+	c.Check(ended >= mostCrashes, qt.IsTrue, qt.Commentf("%d engines ended", ended))
+	c.Check(late <= mostRetries, qt.IsTrue, qt.Commentf("reached engines %d times more", late))
+	c.Check(missed*100 <= served, qt.IsTrue, qt.Commentf("%d others served, %d not", served, missed))
+}
--- a/e2e/entry_test.go
+++ b/e2e/entry_test.go
@@ -53,18 +53,24 @@
 	for i := range llm {
 		f.engine(t, emulator.EngineSpec{ID: fmt.Sprintf("llm-%d", i), Service: "llm", Zone: zoneOf(i), Version: "v1", Slots: 32, Events: 20, EventGap: 20 * time.Millisecond})
 	}
-	for i := range n {
+	f.addDaemons(n)
+	return f
+}
+
+// addDaemons starts n daemons and waits until they serve.
+func (f *entryFleet) addDaemons(n int) {
+	first := len(f.daemons)
+	for i := first; i < first+n; i++ {
 		d, err := emulator.FreeDaemon(fmt.Sprintf("entry-%d", i), zoneOf(i))
 		f.c.Assert(err, qt.IsNil)
 		f.daemons = append(f.daemons, d)
 	}
-	for i := range n {
+	for i := first; i < first+n; i++ {
 		f.running = append(f.running, f.startDaemon(i))
 	}
-	for i := range n {
+	for i := first; i < first+n; i++ {
 		f.waitReady(i)
 	}
-	return f
 }
 
 func zoneOf(i int) string { return fmt.Sprintf("hall-%d", i%3) }
@@ -113,11 +119,16 @@
 
 // send makes one request to a daemon on a connection of its own.
 func (f *entryFleet) send(daemon int, method, target string, headers ...string) entryReply {
+	return f.sendBody(daemon, method, target, "body", headers...)
+}
+
+// sendBody makes one request with a body.
+func (f *entryFleet) sendBody(daemon int, method, target, body string, headers ...string) entryReply {
 	f.mu.Lock()
 	f.next++
 	id := fmt.Sprintf("e-%d", f.next)
 	f.mu.Unlock()
-	req, err := http.NewRequest(method, "http://"+f.daemons[daemon].Front+target, strings.NewReader("body"))
+	req, err := http.NewRequest(method, "http://"+f.daemons[daemon].Front+target, strings.NewReader(body))
 	f.c.Check(err, qt.IsNil)
 	req.Host, req.Close = emulator.Host, true
 	req.Header.Set("Request-Id", id)
@@ -139,6 +150,11 @@
 	return f.send(daemon, http.MethodPost, "/stream/x", emulator.TokensHeader, "100,100")
 }
 
+// streamOf asks for a stream with a body.
+func (f *entryFleet) streamOf(daemon int, body string) entryReply {
+	return f.sendBody(daemon, http.MethodPost, "/stream/x", body, emulator.TokensHeader, "100,100")
+}
+
 // wholeStream is the stream that answers a request.
 func wholeStream(id string, events int) string {
 	var all strings.Builder
