Requests that crash engines are kept away from them

What callers saw: engines of one service ended in rows, some forty within a quarter of a minute, and of ten requests to them one or two were served.

Cause: one request crashes each engine that begins it. A daemon took the end of an engine for the engine's fault and sent the request on; its caller came again under another id, at any daemon. Nothing linked one arrival with the next: neither inside an attempt, nor between attempts, nor between daemons, nor over their ends. The same class: every end of an engine was held against engine and version, none against what ran there.

Mend: a request is known by a hash of what it asks for. Daemons flood the ends of engines that they see, with the hashes of what was cut; a request that was at three of them and has not ended well anywhere since, and whose ends no other one explains better, reaches no engine any more (package quarantine). What ended well anywhere is harmless. Until then suspects go to the engine that their hash ranks first, so that copies of the culprit end one engine at a time and those cut with it run elsewhere. Convictions are kept in the store; two retries are left for the life of a record, each given out by a conditional write. A broken answer is held against a version only when no such request explains it.

Ruled out: overload (with one request kept away no engine ended any more under the same load) and the network (connections were refused, engines came back under other ids).

--- a/e2e/crashing_test.go
+++ b/e2e/crashing_test.go
@@ -137,8 +137,13 @@
 
 // TestRequestThatCrashesEnginesIsKeptAwayFromThem is an incident: engines of one service
 // ended in rows, some forty within a quarter of a minute, and of ten requests to them only
-// one or two were served. One request crashed each engine that began it. Its caller
-// repeated it, and so did the daemons, always under other ids.
+// one or two were served. One request crashed each engine that began it; its caller
+// repeated it, and so did the daemons, under other ids. The cause: a daemon took the end of
+// an engine for the engine's fault and sent the request to the next one, and nothing linked
+// one arrival of the same work with another, neither within a daemon nor between daemons.
+// What proved it: with requests named by what they ask for, those cut at each end had one
+// in common, and kept away from engines it ended four of them here, where seventy-nine
+// ended before.
 func TestRequestThatCrashesEnginesIsKeptAwayFromThem(t *testing.T) {
 	c := qt.New(t)
 	f := newCrashFleet(t, 4, 9)
--- a/entry/change_bench_test.go
+++ b/entry/change_bench_test.go
@@ -50,6 +50,7 @@
 	d := &Daemon{log: zerolog.Nop(), registry: prometheus.NewRegistry()}
 	d.Documents = sameEngines{}
 	d.slowStarts = newSlowStarts(d)
+	d.quarantine = newQuarantine(d)
 	d.Settings.Introductions = canary.DefaultOptions()
 	d.introductions = newIntroductions(d)
 	state, err := balance.NewState(balance.DefaultOptions())
--- a/entry/copies.go
+++ b/entry/copies.go
@@ -8,12 +8,13 @@
 	"github.com/bronzeturn/bronzeturn/follow"
 	"github.com/bronzeturn/bronzeturn/gateway"
 	"github.com/bronzeturn/bronzeturn/inventory"
+	"github.com/bronzeturn/bronzeturn/quarantine"
 	"github.com/bronzeturn/bronzeturn/route"
 )
 
 // copies follow the store's objects.
 type copies struct {
-	config, engines, orders *follow.Follower
+	config, engines, orders, quarantine *follow.Follower
 	// evacuations is nil where data centres are not evacuated.
 	evacuations *follow.Follower
 }
@@ -24,6 +25,7 @@
 	c.config = d.follower(d.Documents.ConfigKind(), nil, randConfig, d.configChanged)
 	c.engines = d.follower(d.Documents.EngineKind(), c.config, randEngines, d.enginesListed)
 	c.orders = d.follower(d.Documents.OrderKind(), c.config, randOrders, d.ordersChanged)
+	c.quarantine = d.follower(quarantine.Kind, c.config, randQuarantine, d.quarantineChanged)
 	if d.Settings.Evacuations {
 		c.evacuations = d.follower(d.Documents.EvacuationKind(), c.config, randEvacuations, d.evacuationsChanged)
 	}
@@ -42,7 +44,7 @@
 
 // all returns the followers.
 func (c *copies) all() []*follow.Follower {
-	followers := []*follow.Follower{c.config, c.engines, c.orders}
+	followers := []*follow.Follower{c.config, c.engines, c.orders, c.quarantine}
 	if c.evacuations != nil {
 		followers = append(followers, c.evacuations)
 	}
@@ -161,9 +163,26 @@
 	}
 	d.registrations = next
 	d.toldCold(told, time.Now())
+	d.toldReplaced(told, time.Now())
 	d.engines.Replace(list, u.AfterOutage, time.Now())
 }
 
+// toldReplaced tells the quarantine of engines at whose addresses others have started.
+func (d *Daemon) toldReplaced(told []inventory.Registration, now time.Time) {
+	if len(told) == 0 {
+		return
+	}
+	started := make(map[string]string, len(told))
+	for _, r := range told {
+		started[r.Engine.Address] = r.Engine.Key()
+	}
+	for _, e := range d.engines.View().Engines {
+		if key, ok := started[e.Address]; ok && e.Address != "" && key != e.Key() {
+			d.quarantine.Replaced(e.Key(), now)
+		}
+	}
+}
+
 // mostLines bounds the lines that one change of the engines writes: when a whole service
 // comes or goes, one line names them all.
 const mostLines = 8
--- a/entry/copies_test.go
+++ b/entry/copies_test.go
@@ -35,6 +35,7 @@
 	var lines bytes.Buffer
 	d := &Daemon{log: zerolog.New(&lines), registry: prometheus.NewRegistry()}
 	d.slowStarts = newSlowStarts(d)
+	d.quarantine = newQuarantine(d)
 	d.Documents = testDocuments{}
 	d.engines = inventory.New(time.Second, func(_, _ *inventory.View) {})
 	listed := func(revision uint64, spec string) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -79,6 +79,7 @@
 type Store interface {
 	follow.Source
 	bootstrap.Store
+	quarantine.Store
 	// SetStatus writes the status of an object if its revision is the given one.
 	SetStatus(ctx context.Context, kind, name string, revision uint64, status json.RawMessage) error
 }
@@ -89,6 +90,8 @@
 	EngineKind() string
 	OrderKind() string
 	EvacuationKind() string
+	// Value returns what the product has stored in an object of its own.
+	Value(item follow.Item) ([]byte, error)
 	Config(s *follow.Snapshot) (route.Config, bool, error)
 	Engine(item follow.Item) (inventory.Registration, error)
 	Order(item follow.Item) (canary.Order, canary.State, error)
@@ -130,7 +133,7 @@
 	// registrations are those of the newest list; the follower's calls alone use it.
 	registrations registrations
 	gateway       *gateway.Gateway
-	crashes       *quarantine.Detector
+	quarantine    *quarantine.Quarantine
 	// shared is the balancer with the work of all daemons, book the counts that this
 	// daemon keeps for the others.
 	shared  *sharedBalancer
@@ -193,7 +196,7 @@
 	d.introductions = newIntroductions(d)
 	d.engines = inventory.New(o.Settings.LapseGrace, d.enginesChanged)
 	d.copies = newCopies(d)
-	d.crashes = newCrashDetector(d)
+	d.quarantine = newQuarantine(d)
 	d.gateway = newGateway(d)
 	d.registerGauges()
 	if d.servers, err = newServers(d); err != nil {
@@ -244,6 +247,7 @@
 	randPeers
 	randEvacuations
 	randSlowStarts
+	randQuarantine
 )
 
 // Run serves until ctx ends, then stops gracefully. It may be called once.
@@ -256,6 +260,7 @@
 	d.introductions.start(d)
 	d.servers.start(d)
 	d.goLoop("engines", d.expireEngines)
+	d.goLoop("quarantine", d.quarantine.Run)
 	d.goLoop("occupancy", d.shared.sharer.Run)
 	select {
 	case <-ctx.Done():
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -115,6 +115,12 @@
 	return s.store.Update(ctx, key, value, revision)
 }
 
+// Delete implements quarantine.Store.
+func (s *countedStore) Delete(ctx context.Context, key string, revision uint64) (err error) {
+	defer func(began time.Time) { s.done("delete", follow.CauseNone, began, err) }(time.Now())
+	return s.store.Delete(ctx, key, revision)
+}
+
 // SetStatus implements Store.
 func (s *countedStore) SetStatus(ctx context.Context, kind, name string, revision uint64, status json.RawMessage) (err error) {
 	defer func(began time.Time) { s.done("status", follow.CauseNone, began, err) }(time.Now())
--- a/entry/metrics_test.go
+++ b/entry/metrics_test.go
@@ -38,6 +38,8 @@
 	return objectstore.Object{}, s.err
 }
 
+func (s failingStore) Delete(context.Context, string, uint64) error { return s.err }
+
 func (s failingStore) SetStatus(context.Context, string, string, uint64, json.RawMessage) error {
 	return s.err
 }
@@ -58,8 +60,9 @@
 			_, _ = s.Get(ctx, "k/n")
 			_, _ = s.Create(ctx, "k/n", nil)
 			_, _ = s.Update(ctx, "k/n", nil, 1)
+			_ = s.Delete(ctx, "k/n", 1)
 			c.Check(s.SetStatus(ctx, "k", "n", 1, nil), qt.Equals, err)
-			for _, operation := range []string{"list", "watch", "get", "create", "update", "status"} {
+			for _, operation := range []string{"list", "watch", "get", "create", "update", "delete", "status"} {
 				cause := "none"
 				if operation == "list" {
 					cause = "start"
--- a/failure/failure.go
+++ b/failure/failure.go
@@ -42,7 +42,10 @@
 	CodeNotFound           Code = "not_found"
 	CodeCanceled           Code = "canceled"
 	CodeAnswerNotKept      Code = "answer_not_kept"
-	CodeInternal           Code = "internal"
+	// CodeQuarantined refuses a request that crashes the engines that run it.
+	CodeQuarantined Code = "quarantined"
+
+	CodeInternal Code = "internal"
 )
 
 // Ran tells whether the request ran on a backend server.
@@ -139,6 +142,7 @@
 	CodeNotFound:           http.StatusNotFound,
 	CodeCanceled:           statusClientClosedRequest,
 	CodeAnswerNotKept:      http.StatusGone,
+	CodeQuarantined:        http.StatusServiceUnavailable,
 	CodeInternal:           http.StatusInternalServerError,
 }
 
--- a/gateway/again.go
+++ b/gateway/again.go
@@ -14,6 +14,14 @@
 		t.runs++
 		t.ran = failure.RanUnknown
 	}
+	if e.cut() {
+		// Where the next attempt may go depends on whether the engine has ended.
+		g.Quarantine.Wait(ctx, to.engine.Key())
+	}
+	if e.stopped() {
+		g.logAttempt(t, to, e, "quarantined")
+		return g.quarantined(t)
+	}
 	if e.Kind == retry.KindDoubted {
 		g.logAttempt(t, to, e, "")
 		return g.ended(ctx, t)
@@ -21,7 +29,7 @@
 	reason := g.mayGoOn(t, e)
 	prepaid := t.prepaid.Swap(false)
 	if reason == "" && !prepaid && e.reached() {
-		if !g.budgets.of(t.service).Take(time.Now()) {
+		if !g.takeBudget(t) {
 			reason = "budget_empty"
 		}
 	}
@@ -39,6 +47,22 @@
 	return failure.Wrap(e, failure.CodeEngineFailed, t.ran, "the engine did not answer; the request may have run")
 }
 
+// oftenCut is at how many ends of engines a request was that leaves the last of the budget
+// to others: it is likelier than they to crash the next one.
+const oftenCut = 2
+
+// spareShare is the part of the budget that such requests leave.
+const spareShare = 0.5
+
+// takeBudget takes the right to a second send.
+func (g *Gateway) takeBudget(t *task) bool {
+	budget := g.budgets.of(t.service)
+	if g.Quarantine.Ends(t.hash) >= oftenCut {
+		return budget.TakeSpare(time.Now(), spareShare)
+	}
+	return budget.Take(time.Now())
+}
+
 // reached tells whether the attempt came to an engine: every one that did counts as a
 // second send when another follows, also one that the engine turned down unseen.
 func (e *attemptError) reached() bool {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -46,6 +46,9 @@
 	}
 	g.chooseGroup(t, engines, now)
 	r := t.balanceRequest(g.DataCentre, engines, g.Models)
+	if g.Quarantine.Ends(t.hash) > 0 {
+		r.Among[0] = engines.forSuspect(t.group, t.hash, t.tried)
+	}
 	decision, ok := g.askSure(t, engines, r, now)
 	if !ok && t.trial && t.runs == 0 {
 		// The new version runs on a few engines; none of them takes it now.
@@ -75,6 +78,10 @@
 	if t.runs == 0 {
 		t.trial = g.Introductions.Choose(t.service, t.session, now)
 	}
+	if t.trial && !t.answer.begun() && g.Quarantine.Ends(t.hash) > 0 {
+		// The version before tells whether the request or the new version ends engines.
+		t.trial = false
+	}
 	t.group = Group(t.service, t.trial)
 	if t.trial && engines.Plan.Serving(t.group) == 0 {
 		t.leaveTrial()
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/balance"
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/inventory"
+	"github.com/bronzeturn/bronzeturn/quarantine"
 	"github.com/bronzeturn/bronzeturn/rendezvous"
 )
 
@@ -73,6 +75,22 @@
 // streamRate is the part of one stream.
 func streamRate(slots int) float64 { return engineRate / float64(max(slots, plainSlots)) }
 
+// forSuspect returns the engine for a request that was at the end of others, "" for none:
+// the same on every daemon, so that copies of the request that crashes engines end one of
+// them at a time, and those that it has cut with itself go to other ones.
+func (e *Engines) forSuspect(group string, h quarantine.Hash, tried []string) string {
+	set, ok := e.members[group]
+	if !ok {
+		return ""
+	}
+	for _, key := range set.Top(string(h[:]), min(len(tried)+1, set.Len())) {
+		if !slices.Contains(tried, key) {
+			return key
+		}
+	}
+	return ""
+}
+
 // home returns the engine that should read a prefix: the same on every daemon,
 // without a table. A prefix with several homes has its sessions divided among them.
 func (e *Engines) home(group, prefix string, homes int, session uint64) (string, bool) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,12 +58,28 @@
 	ObservePace(service, route string, trial bool, pace time.Duration)
 }
 
-// Crashes hears what tells of engines that end under requests.
-type Crashes interface {
-	// Broke takes in that an answer broke off though the request had been sent.
-	Broke(e inventory.Engine, h quarantine.Hash, now time.Time)
-	// Refused takes in that an engine's host refused a connection.
-	Refused(engine string, now time.Time)
+// Quarantine says which requests crash engines and must not be sent, and hears what tells
+// of engines that end under requests.
+type Quarantine interface {
+	// Held tells whether a request must not be sent, Refused counts that it was refused.
+	Held(h quarantine.Hash) bool
+	Refused(h quarantine.Hash) quarantine.Record
+	// Retry takes the right to send a request that is held once more, and tells whether
+	// there was one.
+	Retry(ctx context.Context, h quarantine.Hash, now time.Time) bool
+	// Ends returns at how many ends of engines a request was that has not ended well since.
+	Ends(h quarantine.Hash) int
+	// Sending begins a send; its context ends when the request comes to be held.
+	Sending(ctx context.Context, h quarantine.Hash) (sending context.Context, done func())
+	// Completed takes in that a request ended well.
+	Completed(h quarantine.Hash, now time.Time)
+	// Broke takes in that an answer broke off though the request had been sent. It calls
+	// blame once it is known that no request explains it.
+	Broke(e inventory.Engine, h quarantine.Hash, now time.Time, blame func())
+	// Wait waits a little until it is known what broke an engine's answer off.
+	Wait(ctx context.Context, engine string)
+	// ConnectionRefused takes in that an engine's host refused a connection.
+	ConnectionRefused(engine string, now time.Time)
 	// Replaced takes in that another start answers at the engine's address.
 	Replaced(engine string, now time.Time)
 }
@@ -91,7 +107,7 @@
 	Engines       Balancer
 	SlowStarts    SlowStarts
 	Introductions Introductions
-	Crashes       Crashes
+	Quarantine    Quarantine
 	Models        *ModelChoice
 	Transport     http.RoundTripper
 	Budget        BudgetOptions
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -56,6 +56,8 @@
 	stream streamState
 	// prepaid tells that the next send was taken from the budget already.
 	prepaid atomic.Bool
+	// retrying tells that the next send of a request in quarantine is allowed.
+	retrying bool
 }
 
 // target is the engine chosen for one attempt.
@@ -92,6 +94,9 @@
 	g.chooseModel(t)
 	t.prefixHomes = g.countHomes(t)
 	for {
+		if f := g.screen(ctx, t); f != nil {
+			return g.settle(t, f)
+		}
 		to, f := g.choose(ctx, t)
 		if f != nil {
 			return g.settle(t, f)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -9,6 +9,7 @@
 	"github.com/bronzeturn/bronzeturn/attempt"
 	"github.com/bronzeturn/bronzeturn/balance"
 	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/quarantine"
 	"github.com/bronzeturn/bronzeturn/retry"
 	"github.com/bronzeturn/bronzeturn/route"
 )
@@ -21,16 +22,23 @@
 	t.request.trace.trial = t.trial
 	to.sent = time.Now()
 	g.Engines.Dispatched(balance.Dispatched{Engine: to.engine.Key(), Work: to.work, PrefixHash: t.prefixHash, At: to.sent})
-	x, err := attempt.Send(ctx, g.Transport, g.attemptRequest(t, to))
+	sending, done := g.Quarantine.Sending(ctx, t.hash)
+	defer done()
+	if g.Quarantine.Held(t.hash) && !t.retrying {
+		g.Engines.Finished(balance.Finished{Engine: to.engine.Key(), Work: to.work, Cancelled: true, At: time.Now()})
+		return &attemptError{Kind: retry.KindCancelled, Ran: failure.RanNo, Cause: quarantine.ErrQuarantined}
+	}
+	t.retrying = false
+	x, err := attempt.Send(sending, g.Transport, g.attemptRequest(t, to))
 	if err != nil {
-		failed := sendError(err)
+		failed := sendError(err).under(sending)
 		g.failed(ctx, t, to, failed)
 		return failed
 	}
 	defer func() { _ = x.Close() }() // Nothing is left to read that matters.
 	failed := g.deliver(t, to, x)
 	if failed != nil {
-		g.failed(ctx, t, to, failed)
+		g.failed(ctx, t, to, failed.under(sending))
 	}
 	return failed
 }
@@ -122,7 +130,7 @@
 // failed tells balancer and introduction of an attempt that failed.
 func (g *Gateway) failed(ctx context.Context, t *task, to *target, e *attemptError) {
 	now := time.Now()
-	g.tellCrashes(t, to, e, now)
+	g.tellQuarantine(to, e, now)
 	silent := e.Kind == retry.KindCancelled && silentUntilDeadline(ctx, t, to)
 	if !silent && (e.Kind == retry.KindCancelled || e.Kind == retry.KindDoubted) {
 		g.Engines.Finished(balance.Finished{Engine: to.engine.Key(), Work: to.work, FirstTokenSeen: to.firstSeen, Cancelled: true, At: now})
@@ -133,20 +141,25 @@
 		kind = balance.FailureError
 	}
 	g.Engines.Failed(balance.Failed{Engine: to.engine.Key(), Work: to.work, FirstTokenSeen: to.firstSeen, Kind: kind, RetryAfter: e.comeBack, At: now})
-	if e.Kind != retry.KindRefused && e.Kind != retry.KindConnect && e.Kind != retry.KindMisdirected {
-		g.Introductions.Observe(t.service, t.route.Name, t.trial, true, 0)
+	if e.Kind == retry.KindRefused || e.Kind == retry.KindConnect || e.Kind == retry.KindMisdirected {
+		return
+	}
+	service, route, trial := t.service, t.route.Name, t.trial
+	blame := func() { g.Introductions.Observe(service, route, trial, true, 0) }
+	if e.cut() {
+		g.Quarantine.Broke(to.engine, t.hash, now, blame)
+		return
 	}
+	blame()
 }
 
-// tellCrashes passes on what a failed attempt tells of the engine's end.
-func (g *Gateway) tellCrashes(t *task, to *target, e *attemptError, now time.Time) {
+// tellQuarantine passes on what a failed attempt tells of the engine's end.
+func (g *Gateway) tellQuarantine(to *target, e *attemptError, now time.Time) {
 	switch {
 	case e.Kind == retry.KindMisdirected:
-		g.Crashes.Replaced(to.engine.Key(), now)
+		g.Quarantine.Replaced(to.engine.Key(), now)
 	case e.Kind == retry.KindConnect && errors.Is(e.Cause, syscall.ECONNREFUSED):
-		g.Crashes.Refused(to.engine.Key(), now)
-	case e.Kind == retry.KindBroken && e.cut():
-		g.Crashes.Broke(to.engine, t.hash, now)
+		g.Quarantine.ConnectionRefused(to.engine.Key(), now)
 	}
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -37,6 +37,7 @@
 		e, err := s.next()
 		if errors.Is(err, io.EOF) {
 			g.streamEnded(t, to, got, firstAt)
+			g.Quarantine.Completed(t.hash, time.Now())
 			t.finishStream(x)
 			return nil
 		}
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -30,7 +30,7 @@
 	// dialTimeout bounds one attempt. No answer tells nothing.
 	dialTimeout = 350 * time.Millisecond
 	// gatherFor is the time in which answers that one end cuts are put together.
-	gatherFor = 40 * time.Millisecond
+	gatherFor = 5 * time.Millisecond
 	// mostCuts bounds the engines remembered.
 	mostCuts = 4096
 )
@@ -54,6 +54,8 @@
 	Requests []Hash
 	At       time.Time
 	Cause    Cause
+	// Blames count the broken answers against the engine's version.
+	Blames []func()
 }
 
 // DetectorOptions are what a Detector needs. All fields are required.
@@ -85,8 +87,15 @@
 	probing  bool
 	// probed is the end of the last probe.
 	probed time.Time
+	// blames count the broken answers against the engine's version, once it is known what
+	// broke them.
+	blames []func()
+	// decided is closed when it is known whether the engine ended, isDecided tells so.
+	decided   chan struct{}
+	isDecided bool
 	// cause is empty until the engine is known to have ended.
-	cause   Cause
+	cause Cause
+	// telling is set while a call is about to be made.
 	telling bool
 }
 
@@ -95,13 +104,16 @@
 	return &Detector{DetectorOptions: o, cuts: make(map[string]*cut)}
 }
 
-// Broke takes in that an answer broke off.
-func (d *Detector) Broke(e inventory.Engine, h Hash, now time.Time) {
+// Broke takes in that an answer broke off. It calls blame, or passes it on with the end of
+// the engine.
+func (d *Detector) Broke(e inventory.Engine, h Hash, now time.Time, blame func()) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c := d.of(e, now)
 	c.requests[h] = now
 	c.last = now
+	c.blames = append(c.blames, blame)
+	c.reopen()
 	if c.cause != "" {
 		d.tellSoon(c)
 		return
@@ -146,7 +158,7 @@
 	c := d.cuts[e.Key()]
 	if c == nil {
 		d.forget(now)
-		c = &cut{engine: e, requests: make(map[Hash]time.Time), first: now}
+		c = &cut{engine: e, requests: make(map[Hash]time.Time), first: now, decided: make(chan struct{})}
 		d.cuts[e.Key()] = c
 	}
 	return c
@@ -174,12 +186,45 @@
 			d.Refused(c.engine.Key(), time.Now())
 			return
 		}
+		if err != nil {
+			break // Nothing answers; a second attempt would take as long.
+		}
 	}
+	d.spared(c)
+}
+
+// spared takes in that an engine whose answers broke off takes connections.
+func (d *Detector) spared(c *cut) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	c.probing, c.probed = false, time.Now()
-	if c.cause == "" {
-		d.Log.Info().Str("engine", c.engine.Key()).Int("requests", len(c.requests)).Msg("engine cut answers and takes connections")
+	if c.cause != "" {
+		d.mu.Unlock()
+		return
+	}
+	d.Log.Info().Str("engine", c.engine.Key()).Int("requests", len(c.requests)).Msg("engine cut answers and takes connections")
+	blames := c.blames
+	c.blames = nil
+	c.decide()
+	d.mu.Unlock()
+	for _, blame := range blames {
+		blame()
+	}
+}
+
+// Wait waits until it is known whether an engine whose answer broke off has ended, or ctx
+// ends.
+func (d *Detector) Wait(ctx context.Context, engine string) {
+	d.mu.Lock()
+	c := d.cuts[engine]
+	if c == nil {
+		d.mu.Unlock()
+		return
+	}
+	decided := c.decided
+	d.mu.Unlock()
+	select {
+	case <-decided:
+	case <-ctx.Done():
 	}
 }
 
@@ -198,11 +243,31 @@
 	requests := slices.Collect(maps.Keys(c.requests))
 	clear(c.requests)
 	c.telling = false
-	end := End{Engine: c.engine, Requests: requests, At: c.first, Cause: c.cause}
+	end := End{Engine: c.engine, Requests: requests, At: c.first, Cause: c.cause, Blames: c.blames}
+	c.blames = nil
 	d.mu.Unlock()
 	slices.SortFunc(requests, func(a, b Hash) int { return slices.Compare(a[:], b[:]) })
 	d.Log.Warn().Str("engine", end.Engine.Key()).Str("address", end.Engine.Address).Str("version", end.Engine.Version).
 		Str("cause", string(end.Cause)).Dur("after_ms", time.Since(end.At)).Strs("hashes", Strings(requests)).
 		Msg("engine ended")
 	d.Ended(end)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c.decide()
+}
+
+// decide wakes those who wait. The caller holds the lock of the detector.
+func (c *cut) decide() {
+	if !c.isDecided {
+		c.isDecided = true
+		close(c.decided)
+	}
+}
+
+// reopen makes those wait who come from now on. The caller holds the lock of the detector.
+func (c *cut) reopen() {
+	if c.isDecided {
+		c.isDecided = false
+		c.decided = make(chan struct{})
+	}
 }
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -55,13 +55,17 @@
 }
 
 // Take takes the right to one retry and tells whether there was one.
-func (b *Budget) Take(now time.Time) bool {
+func (b *Budget) Take(now time.Time) bool { return b.TakeSpare(now, 0) }
+
+// TakeSpare takes the right to one retry only when a share of what may be saved up is left
+// after it, for retries that matter more.
+func (b *Budget) TakeSpare(now time.Time, share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.fill(now)
 	b.recent.move(now)
 	b.tokens = min(b.tokens, b.burst())
-	if b.tokens < 1 {
+	if b.tokens < 1+share*b.burst() {
 		return false
 	}
 	b.tokens--
