--- a/e2e/crashing_test.go
+++ b/e2e/crashing_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -167,3 +168,97 @@
 	c.Check(late <= mostRetries, qt.IsTrue, qt.Commentf("reached engines %d times more", late))
 	c.Check(missed*100 <= served, qt.IsTrue, qt.Commentf("%d others served, %d not", served, missed))
 }
+
+// TestQuarantineOutlastsOutagesAndTheLossOfAllDaemons: four such requests at once, the
+// store silent when they are convicted, one daemon lost meanwhile, all of them later.
+func TestQuarantineOutlastsOutagesAndTheLossOfAllDaemons(t *testing.T) {
+	c := qt.New(t)
+	f := newCrashFleet(t, 4, 12)
+	stop := make(chan struct{})
+	harmless := &harmlessLoad{}
+	background := harmless.run(f, 20, stop)
+	time.Sleep(500 * time.Millisecond)
+	f.store.SetFaults(emulator.StoreFaults{Refuse: true})
+	var insisting []*sync.WaitGroup
+	bodies := []string{crashBody + " 1", crashBody + " 2", crashBody + " 3", crashBody + " 4"}
+	for _, body := range bodies {
+		insisting = append(insisting, f.insist(body, 300*time.Millisecond, stop))
+	}
+	time.Sleep(time.Second)
+	f.restart(0)
+	time.Sleep(2 * time.Second)
+	f.store.SetFaults(emulator.StoreFaults{})
+	time.Sleep(4 * time.Second)
+	for i := range f.daemons {
+		f.running[i].kill()
+	}
+	for i := range f.daemons {
+		f.running[i] = f.startDaemon(i)
+	}
+	for i := range f.daemons {
+		f.waitReady(i)
+	}
+	from := time.Now()
+	time.Sleep(5 * time.Second)
+	close(stop)
+	for _, all := range insisting {
+		all.Wait()
+	}
+	background.Wait()
+
+	for _, body := range bodies {
+		late, ended := f.lateArrivals(body)
+		t.Logf("%s: %d engines ended, %d late arrivals", body, ended, late)
+		c.Check(late <= mostRetries, qt.IsTrue, qt.Commentf("%s reached engines %d times more", body, late))
+	}
+	served, missed := harmless.since(from)
+	t.Logf("after the loss of all daemons %d others served, %d not", served, missed)
+	c.Check(missed*100 <= served, qt.IsTrue, qt.Commentf("%d others served, %d not", served, missed))
+}
+
+// restart kills a daemon and starts it again.
+func (f *entryFleet) restart(i int) {
+	f.running[i].kill()
+	f.running[i] = f.startDaemon(i)
+	f.waitReady(i)
+}
+
+// TestPopularRequestsSurviveEnginesThatEnd: a third of the engines crash, again and again,
+// while a few requests of many callers run at all of them.
+func TestPopularRequestsSurviveEnginesThatEnd(t *testing.T) {
+	c := qt.New(t)
+	f := newCrashFleet(t, 3, 9)
+	popular := func(n int) entryReply { return f.streamOf(n%len(f.daemons), fmt.Sprintf("popular %d", n%4)) }
+	stop := make(chan struct{})
+	var asking sync.WaitGroup
+	for n := range 24 {
+		asking.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					popular(n)
+				}
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	for range 5 {
+		live := f.record.Live(f.engines)
+		for _, e := range live[:len(live)/3] {
+			e.CrashAndReturn()
+		}
+		time.Sleep(1500 * time.Millisecond)
+	}
+	close(stop)
+	asking.Wait()
+	time.Sleep(2 * time.Second)
+	for n := range 12 {
+		reply := popular(n)
+		c.Check(reply.status, qt.Equals, http.StatusOK, qt.Commentf("%s", reply.body))
+	}
+	for _, p := range f.running {
+		c.Check(strings.Contains(p.output(), `"message":"request put into quarantine"`), qt.IsFalse)
+	}
+}
