Tests: versions and requests that crash engines

Real programs: a good version is brought in while three requests crash engines of both versions, one that crashes on everything is taken back.

--- a/e2e/crashing_test.go
+++ b/e2e/crashing_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -262,3 +263,62 @@
 		c.Check(strings.Contains(p.output(), `"message":"request put into quarantine"`), qt.IsFalse)
 	}
 }
+
+// introduceModel starts engines of a new version and orders its introduction, and returns the
+// state that the fleet brings it to.
+func (f *entryFleet) introduceModel(t *testing.T, n int, crashes emulator.CrashSpec, within time.Duration) (state string) {
+	for i := range n {
+		f.engine(t, emulator.EngineSpec{
+			ID: fmt.Sprintf("new-%d", i), Service: "llm", Zone: zoneOf(i), Version: "v2", Slots: 32, Events: 20,
+			EventGap: 20 * time.Millisecond, Crashes: crashes,
+		})
+	}
+	_, err := f.store.Put("rollouts", "llm", emulator.OrderDoc{Service: "llm", Target: "v2", DurationS: within.Seconds()})
+	f.c.Assert(err, qt.IsNil)
+	for deadline := time.Now().Add(within + 5*time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		o, _ := f.store.Get("rollouts", "llm")
+		var status struct{ State string }
+		if json.Unmarshal(o.Status, &status) == nil && status.State != "" && status.State != "running" {
+			return status.State
+		}
+	}
+	return "none"
+}
+
+// TestGoodVersionIsNotTakenBackForARequestThatCrashesEveryVersion: such requests come all the
+// while, also at the few engines of the new version.
+func TestGoodVersionIsNotTakenBackForARequestThatCrashesEveryVersion(t *testing.T) {
+	f := newCrashFleet(t, 3, 6)
+	stop := make(chan struct{})
+	harmless := &harmlessLoad{}
+	background := harmless.run(f, 60, stop)
+	time.Sleep(time.Second)
+	var insisting []*sync.WaitGroup
+	for i := range 3 {
+		insisting = append(insisting, f.insist(fmt.Sprint(crashBody, " ", i), 150*time.Millisecond, stop))
+	}
+	f.c.Check(f.introduceModel(t, 6, crashes, 12*time.Second), qt.Equals, "done")
+	close(stop)
+	for _, all := range insisting {
+		all.Wait()
+	}
+	background.Wait()
+}
+
+// TestVersionThatCrashesOnEverythingIsTakenBack: no request is at fault.
+func TestVersionThatCrashesOnEverythingIsTakenBack(t *testing.T) {
+	f := newCrashFleet(t, 3, 6)
+	stop := make(chan struct{})
+	harmless := &harmlessLoad{}
+	background := harmless.run(f, 60, stop)
+	time.Sleep(time.Second)
+	onAll := crashes
+	onAll.Body = "harmless"
+	f.c.Check(f.introduceModel(t, 6, onAll, 12*time.Second), qt.Equals, "rolled_back")
+	from := time.Now()
+	time.Sleep(2 * time.Second)
+	close(stop)
+	background.Wait()
+	served, missed := harmless.since(from)
+	f.c.Check(missed*100 <= served, qt.IsTrue, qt.Commentf("%d served, %d not", served, missed))
+}
