Operators see what is in quarantine and clear entries; a broken answer waits less

A request whose answer broke off at an engine that lives waited 0.1 s for the second connection attempt; it goes on after the first one now.

--- a/entry/servers.go
+++ b/entry/servers.go
@@ -12,6 +12,7 @@
 	"github.com/bronzeturn/bronzeturn/admin"
 	"github.com/bronzeturn/bronzeturn/attempt"
 	"github.com/bronzeturn/bronzeturn/gateway"
+	"github.com/bronzeturn/bronzeturn/quarantine"
 )
 
 const (
@@ -108,7 +109,10 @@
 // newServers opens the listeners, or none.
 func newServers(d *Daemon) (*servers, error) {
 	s := &servers{}
-	watch := admin.NewHandler(admin.Options{Metrics: d.registry, Readiness: d})
+	watch := http.NewServeMux()
+	watch.Handle("/", admin.NewHandler(admin.Options{Metrics: d.registry, Readiness: d}))
+	watch.Handle(quarantine.Path, d.quarantine.Handler())
+	watch.Handle(quarantine.Path+"/", d.quarantine.Handler())
 	wanted := []struct {
 		name, address string
 		handler       http.Handler
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -130,7 +130,7 @@
 	"configuration in force", "configuration refused", "store does not answer", "store answers again",
 	"history gone", "watchers of the store changed", "registration names no engine", "copy taken from another daemon", "engine takes work", "engine takes no work",
 	"belief about an engine changed", "introduction ordered", "verdict on an introduction",
-	"data centre evacuated", "evacuation over", "engine is cold", "engine is warm", "engine took no connection", "the list of engines is doubted", "engine ended", "engine cut answers",
+	"data centre evacuated", "evacuation over", "engine is cold", "engine is warm", "engine took no connection", "the list of engines is doubted", "engine ended", "engine cut answers", "request put into quarantine", "request released from quarantine", "request is in quarantine by the store", "record of a quarantine", "sends of a request in quarantine ended",
 	"introduction changed its state", "state of an introduction written", "settings reloaded", "settings refused",
 	"lines dropped",
 }
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -177,34 +177,37 @@
 
 // probe finds out whether an engine whose answer broke off still takes connections.
 func (d *Detector) probe(c *cut) {
+	var err error
 	for _, pause := range []time.Duration{0, secondDial} {
 		time.Sleep(pause)
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-		err := d.Dial(ctx, c.engine.Address)
+		err = d.Dial(ctx, c.engine.Address)
 		cancel()
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			d.Refused(c.engine.Key(), time.Now())
 			return
 		}
+		d.mu.Lock()
+		c.decide() // It lives, as far as requests can wait to know.
+		d.mu.Unlock()
 		if err != nil {
 			break // Nothing answers; a second attempt would take as long.
 		}
 	}
-	d.spared(c)
+	d.spared(c, err)
 }
 
-// spared takes in that an engine whose answers broke off takes connections.
-func (d *Detector) spared(c *cut) {
+// spared takes in that an engine whose answers broke off does not refuse connections.
+func (d *Detector) spared(c *cut, dialled error) {
 	d.mu.Lock()
 	c.probing, c.probed = false, time.Now()
 	if c.cause != "" {
 		d.mu.Unlock()
 		return
 	}
-	d.Log.Info().Str("engine", c.engine.Key()).Int("requests", len(c.requests)).Msg("engine cut answers and takes connections")
+	d.Log.Info().Str("engine", c.engine.Key()).Int("requests", len(c.requests)).AnErr("connection", dialled).Msg("engine cut answers and did not end")
 	blames := c.blames
 	c.blames = nil
-	c.decide()
 	d.mu.Unlock()
 	for _, blame := range blames {
 		blame()
--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -122,7 +122,10 @@
 		blame := func() { blamed++ }
 		d, _ := watched(&listener{})
 		d.Broke(engineA, one, time.Now(), blame)
+		began := time.Now()
 		d.Wait(context.Background(), "a")
+		c.Check(time.Since(began) < secondDial, qt.IsTrue)
+		time.Sleep(time.Second)
 		synctest.Wait()
 		c.Check(blamed, qt.Equals, 1)
 		d, ends := watched(refused)
--- /dev/null
+++ b/quarantine/handler.go
@@ -0,0 +1,58 @@
+package quarantine
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/uptrace/bunrouter"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+)
+
+// Path is where operators see what is in quarantine. DELETE with a hash behind it clears
+// one entry.
+const Path = "/quarantine"
+
+// Handler returns the operators' view: the list, and the clearing of an entry. It has no
+// authentication, so its listener belongs on a private address.
+func (q *Quarantine) Handler() http.Handler {
+	router := bunrouter.New().Compat()
+	router.GET(Path, q.serveList)
+	router.DELETE(Path+"/:hash", q.serveClear)
+	return router
+}
+
+// serveList answers with a QuarantineList as JSON.
+func (q *Quarantine) serveList(w http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
+	list := &bronzeturnv1.QuarantineList{}
+	for _, r := range q.Entries() {
+		list.Entries = append(list.Entries, &bronzeturnv1.QuarantineEntry{
+			Hash: r.Hash.String(), Service: r.Service, Versions: r.Versions, Engines: r.Engines,
+			FirstAgeMs: now.Sub(r.First).Milliseconds(), LastAgeMs: now.Sub(r.Last).Milliseconds(),
+			Tied: r.Tied, RetriesLeft: uint32(r.RetriesLeft), Daemon: r.Daemon,
+		})
+	}
+	data, err := protojson.Marshal(list)
+	if err != nil {
+		q.Log.Error().Err(err).Msg("list of the quarantine not encoded")
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data) // An operator who is gone can't be told.
+}
+
+// serveClear clears one entry: 204, 404 when it is not in quarantine, 400 for no hash.
+func (q *Quarantine) serveClear(w http.ResponseWriter, r *http.Request) {
+	h, ok := ParseHash(bunrouter.ParamsFromContext(r.Context()).ByName("hash"))
+	switch {
+	case !ok:
+		w.WriteHeader(http.StatusBadRequest)
+	case !q.Clear(h):
+		w.WriteHeader(http.StatusNotFound)
+	default:
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
--- /dev/null
+++ b/quarantine/handler_test.go
@@ -0,0 +1,49 @@
+package quarantine
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+)
+
+func TestOperatorsSeeAndClearEntries(t *testing.T) {
+	ofFleet(t, 2, func(f *testFleet) {
+		f.convictAt(culprit)
+		time.Sleep(2 * time.Second)
+		ask := func(method, path string) (int, string) {
+			w := httptest.NewRecorder()
+			f.daemons[0].Handler().ServeHTTP(w, httptest.NewRequest(method, path, nil))
+			data, err := io.ReadAll(w.Result().Body)
+			f.c.Assert(err, qt.IsNil)
+			return w.Code, string(data)
+		}
+		code, text := ask(http.MethodGet, Path)
+		f.c.Check(code, qt.Equals, http.StatusOK)
+		var list bronzeturnv1.QuarantineList
+		f.c.Assert(protojson.Unmarshal([]byte(text), &list), qt.IsNil)
+		f.c.Assert(list.GetEntries(), qt.HasLen, 1)
+		entry := list.GetEntries()[0]
+		f.c.Check(entry.GetHash(), qt.Equals, culprit.String())
+		f.c.Check(entry.GetEngines(), qt.DeepEquals, []string{"e0", "e1", "e2"})
+		f.c.Check(entry.GetRetriesLeft(), qt.Equals, uint32(lifeRetries))
+		f.c.Check(entry.GetFirstAgeMs() >= 2000, qt.IsTrue)
+
+		code, _ = ask(http.MethodDelete, Path+"/none")
+		f.c.Check(code, qt.Equals, http.StatusBadRequest)
+		code, _ = ask(http.MethodDelete, Path+"/"+a.String())
+		f.c.Check(code, qt.Equals, http.StatusNotFound)
+		code, _ = ask(http.MethodDelete, Path+"/"+culprit.String())
+		f.c.Check(code, qt.Equals, http.StatusNoContent)
+		time.Sleep(2 * time.Second)
+		f.c.Check(f.held(culprit), qt.HasLen, 0)
+		_, text = ask(http.MethodGet, Path)
+		f.c.Check(text, qt.Equals, "{}")
+	})
+}
--- a/quarantine/ways_test.go
+++ b/quarantine/ways_test.go
@@ -19,6 +19,8 @@
 	// ranked sends suspects to the engine that their hash ranks first, rather than to the
 	// one with least work.
 	ranked bool
+	// rankedFrom is the number of ends from which on it does, 1 when it is 0.
+	rankedFrom int
 	// waits has requests that were at enough ends wait for their verdict.
 	waits bool
 	// convicts tells which requests are held.
@@ -54,6 +56,7 @@
 	{name: "count, ranked", ranked: true, convicts: byCount},
 	{name: "explanation, least work", convicts: byExplanation},
 	{name: "explanation, ranked", ranked: true, convicts: byExplanation},
+	{name: "the same from two ends on", ranked: true, rankedFrom: 2, waits: true, convicts: byExplanation},
 	{name: inForce, ranked: true, waits: true, convicts: byExplanation},
 }
 
@@ -277,7 +280,7 @@
 	if len(up) == 0 {
 		return nil
 	}
-	if s.ranked && s.evidence.Ends(r.hash) > 0 {
+	if s.ranked && s.evidence.Ends(r.hash) >= max(s.rankedFrom, 1) {
 		return byKey[rendezvous.Owner(string(r.hash[:]), keys)]
 	}
 	first, second := up[s.random.IntN(len(up))], up[s.random.IntN(len(up))]
