Command line, soak and tests of the quarantine

bronzeturn quarantine shows what entry daemons keep away from engines, and clears an entry. The soak crashes engines and has callers repeat requests that crash them beside its other failures, and checks once all is calm that such requests reach hardly any engine.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -40,20 +40,21 @@
 type grammar struct {
 	JSON bool `name:"json" help:"Write one JSON document instead of text for people."`
 
-	Demo     demoCommand     `cmd:"" help:"Run stand-ins and three daemons on loopback with the traffic of both examples."`
-	Check    checkCommand    `cmd:"" help:"Validate register and rules files offline."`
-	Apply    applyCommand    `cmd:"" help:"Put register and rules files in force by a conditional update."`
-	Withdraw withdrawCommand `cmd:"" help:"Withdraw a version, so that it gets no new work."`
-	Status   statusCommand   `cmd:"" help:"Show each daemon and how far the newest configuration has come."`
-	Bills    billsCommand    `cmd:"" help:"Show what was billed, by organisation, version and day."`
-	Entries  entriesCommand  `cmd:"" help:"Show which addresses callers should use, and for how long."`
-	Send     sendCommand     `cmd:"" help:"Send one request, whole or streamed."`
-	Load     loadCommand     `cmd:"" help:"Send requests at a steady rate for a bounded time and check every answer."`
-	Explain  explainCommand  `cmd:"" help:"Tell the story of one request from the log files of the entry daemons."`
-	Timeline timelineCommand `cmd:"" help:"Tell what the daemons believed and when, from their log files."`
-	Losses   lossesCommand   `cmd:"" help:"Tell where worth went, from the daemons' log files: by route, size and time."`
-	Certs    certsCommand    `cmd:"" help:"Create authorities and certificates for trying things out."`
-	Version  versionCommand  `cmd:"" help:"Show the version of this program."`
+	Demo       demoCommand       `cmd:"" help:"Run stand-ins and three daemons on loopback with the traffic of both examples."`
+	Check      checkCommand      `cmd:"" help:"Validate register and rules files offline."`
+	Apply      applyCommand      `cmd:"" help:"Put register and rules files in force by a conditional update."`
+	Withdraw   withdrawCommand   `cmd:"" help:"Withdraw a version, so that it gets no new work."`
+	Status     statusCommand     `cmd:"" help:"Show each daemon and how far the newest configuration has come."`
+	Bills      billsCommand      `cmd:"" help:"Show what was billed, by organisation, version and day."`
+	Entries    entriesCommand    `cmd:"" help:"Show which addresses callers should use, and for how long."`
+	Send       sendCommand       `cmd:"" help:"Send one request, whole or streamed."`
+	Load       loadCommand       `cmd:"" help:"Send requests at a steady rate for a bounded time and check every answer."`
+	Explain    explainCommand    `cmd:"" help:"Tell the story of one request from the log files of the entry daemons."`
+	Timeline   timelineCommand   `cmd:"" help:"Tell what the daemons believed and when, from their log files."`
+	Losses     lossesCommand     `cmd:"" help:"Tell where worth went, from the daemons' log files: by route, size and time."`
+	Quarantine quarantineCommand `cmd:"" help:"Show the requests that entry daemons keep away from engines because they crash them, or clear one."`
+	Certs      certsCommand      `cmd:"" help:"Create authorities and certificates for trying things out."`
+	Version    versionCommand    `cmd:"" help:"Show the version of this program."`
 }
 
 // app is what a command gets to work with.
--- /dev/null
+++ b/cli/quarantine.go
@@ -0,0 +1,113 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/bronzeturn/bronzeturn/caller"
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/quarantine"
+)
+
+// quarantineTimeout bounds a question, quarantineBytes its answer.
+const (
+	quarantineTimeout = 5 * time.Second
+	quarantineBytes   = 8 << 20
+)
+
+// quarantineCommand shows the requests that are kept away from engines, or clears one.
+type quarantineCommand struct {
+	Daemon string `required:"" env:"BRONZETURN_ENTRY_ADMIN" help:"Address of any entry daemon for readiness or metrics, IP:PORT."`
+	Clear  string `help:"Hash of the request to clear, on all daemons. It may crash engines again." placeholder:"HASH"`
+}
+
+// Run implements the command.
+func (c *quarantineCommand) Run(a *app) error {
+	if _, _, err := net.SplitHostPort(c.Daemon); err != nil {
+		return usage("--daemon must be IP:PORT")
+	}
+	if c.Clear != "" {
+		return c.clear(a)
+	}
+	data, status, err := c.ask(a.ctx, http.MethodGet, quarantine.Path)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return fmt.Errorf("daemon %s answered with status %d", c.Daemon, status)
+	}
+	list := &bronzeturnv1.QuarantineList{}
+	if err := protojson.Unmarshal(data, list); err != nil {
+		return fmt.Errorf("answer of %s: %w", c.Daemon, err)
+	}
+	if a.out.json {
+		return a.out.message(list)
+	}
+	a.quarantineTable(list)
+	return nil
+}
+
+// quarantineTable prints the entries.
+func (a *app) quarantineTable(list *bronzeturnv1.QuarantineList) {
+	if len(list.GetEntries()) == 0 {
+		a.out.printf("nothing is in quarantine")
+		return
+	}
+	var rows [][]string
+	for _, e := range list.GetEntries() {
+		rows = append(rows, []string{
+			e.GetHash(), e.GetService(), strings.Join(e.GetVersions(), ","), strings.Join(e.GetEngines(), ","),
+			ageOf(e.GetFirstAgeMs()), ageOf(e.GetLastAgeMs()), strconv.FormatBool(e.GetTied()),
+			strconv.FormatUint(uint64(e.GetRetriesLeft()), 10), e.GetDaemon(),
+		})
+	}
+	a.out.table([]string{"hash", "service", "versions", "crashed", "first", "last", "tied", "retries left", "told by"}, rows)
+}
+
+// ageOf prints an age.
+func ageOf(ms int64) string {
+	return (time.Duration(ms) * time.Millisecond).Round(time.Second).String() + " ago"
+}
+
+// clear clears one entry.
+func (c *quarantineCommand) clear(a *app) error {
+	if _, ok := quarantine.ParseHash(c.Clear); !ok {
+		return usage("--clear must be a hash as the list shows it")
+	}
+	_, status, err := c.ask(a.ctx, http.MethodDelete, quarantine.Path+"/"+c.Clear)
+	switch {
+	case err != nil:
+		return err
+	case status == http.StatusNotFound:
+		return fmt.Errorf("%s is not in quarantine", c.Clear)
+	case status != http.StatusNoContent:
+		return fmt.Errorf("daemon %s answered with status %d", c.Daemon, status)
+	}
+	a.out.printf("%s is cleared; it reaches engines again", c.Clear)
+	return nil
+}
+
+// ask makes one call and returns the answer's body and status.
+func (c *quarantineCommand) ask(ctx context.Context, method, path string) ([]byte, int, error) {
+	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Daemon+path, nil)
+	if err != nil {
+		return nil, 0, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, 0, &caller.UnavailableError{Address: c.Daemon, Cause: err}
+	}
+	defer func() { _ = resp.Body.Close() }() // Read to its end below.
+	data, err := io.ReadAll(io.LimitReader(resp.Body, quarantineBytes))
+	return data, resp.StatusCode, err
+}
--- a/e2e/crashing_test.go
+++ b/e2e/crashing_test.go
@@ -10,7 +10,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/encoding/protojson"
 
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/platform/emulator"
 )
 
@@ -322,3 +324,26 @@
 	served, missed := harmless.since(from)
 	f.c.Check(missed*100 <= served, qt.IsTrue, qt.Commentf("%d served, %d not", served, missed))
 }
+
+// TestOperatorSeesAndClearsARequestInQuarantine, at any daemon and for all of them.
+func TestOperatorSeesAndClearsARequestInQuarantine(t *testing.T) {
+	f := newCrashFleet(t, 2, 5)
+	f.eventually("in quarantine", func() bool {
+		f.streamOf(0, crashBody)
+		reply := f.streamOf(1, crashBody)
+		return reply.status == http.StatusServiceUnavailable && strings.Contains(reply.body, "crashes engines")
+	})
+	daemon := f.daemons[1].Ready
+	var list bronzeturnv1.QuarantineList
+	f.eventually("listed with its record", func() bool {
+		text, code := command("quarantine", "--json", "--daemon", daemon)
+		return code == 0 && protojson.Unmarshal([]byte(text), &list) == nil && len(list.GetEntries()) == 1 && list.GetEntries()[0].GetDaemon() != ""
+	})
+	text, code := command("quarantine", "--daemon", daemon, "--clear", list.GetEntries()[0].GetHash())
+	f.c.Assert(code, qt.Equals, 0, qt.Commentf("%s", text))
+	before := len(f.record.Crashes())
+	f.eventually("free again at the other daemon", func() bool {
+		f.streamOf(0, crashBody)
+		return len(f.record.Crashes()) > before
+	})
+}
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -79,17 +79,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.Front+target, strings.NewReader("body"))
+	req, err := c.request(ctx, d, id, target, "body")
 	if err != nil {
-		c.broke("request not made: %v", err)
 		return false
 	}
-	req.Host, req.Close = emulator.Host, true
-	req.Header.Set("Request-Id", id)
-	req.Header.Set("Authorization", "Bearer "+emulator.Key)
-	if strings.HasPrefix(target, "/stream") {
-		req.Header.Set(emulator.TokensHeader, "100,100")
-	}
 	once := strings.HasPrefix(target, "/once")
 	if once {
 		c.noteOnce(id)
@@ -104,6 +97,22 @@
 	return c.check(id, target, once, resp.StatusCode, string(body), err)
 }
 
+// request builds one request.
+func (c *checks) request(ctx context.Context, d *daemon, id, target, body string) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.Front+target, strings.NewReader(body))
+	if err != nil {
+		c.broke("request not made: %v", err)
+		return nil, err
+	}
+	req.Host, req.Close = emulator.Host, true
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Authorization", "Bearer "+emulator.Key)
+	if strings.HasPrefix(target, "/stream") {
+		req.Header.Set(emulator.TokensHeader, "100,100")
+	}
+	return req, nil
+}
+
 // check compares an answer with what the engines send.
 func (c *checks) check(id, target string, once bool, status int, body string, err error) bool {
 	want := emulator.Body(id, []byte("body"))
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -63,6 +63,8 @@
 	{"engine gives foreign answers", engineFault(emulator.EngineFaults{Foreign: true})},
 	{"engine breaks streams", engineFault(emulator.EngineFaults{BreakAfter: 3, Short: true})},
 	{"engine full", engineFault(emulator.EngineFaults{Full: true})},
+	{"engine crashes", func(r *run) func() { r.engine().CrashAndReturn(); return nil }},
+	{"request crashes engines", func(r *run) func() { return r.insist() }},
 	{"engine replaced", func(r *run) func() {
 		e := r.engine()
 		if r.addEngine(e.Spec.Service, coldFor) != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -57,6 +57,8 @@
 	version int
 	started time.Time
 	nextID  int
+	// crashing are the bodies of requests that crash engines.
+	crashing []string
 }
 
 // daemon is one process under test.
@@ -100,6 +102,7 @@
 	callers.Wait()
 	r.heal()
 	r.checks.recovery()
+	r.checks.quarantine()
 	result := r.checks.result()
 	result.Seed, result.Faults = o.Seed, faults
 	return result, nil
@@ -160,6 +163,7 @@
 	}
 	if service == "llm" {
 		spec.Slots, spec.Events, spec.EventGap = 64, streamEvents, 30*time.Millisecond
+		spec.Crashes = crashes
 	}
 	e, err := emulator.StartEngine(r.store, r.record, spec)
 	if err == nil {
@@ -229,5 +233,6 @@
 	for _, e := range r.engines {
 		e.Crash()
 	}
+	r.record.Close()
 	r.store.Close()
 }
