--- a/quarantine/record_test.go
+++ b/quarantine/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"reflect"
 	"testing"
 	"time"
 
@@ -32,7 +33,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		qt.Assert(t, got, qt.DeepEquals, r)
+		if !reflect.DeepEqual(got, r) {
+			t.Fatalf("%+v read as %+v", r, got)
+		}
 	})
 }
 
