--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -132,3 +132,20 @@
 	c.Check(b.Take(now), qt.IsTrue)
 	c.Check(b.Ready(now), qt.IsFalse)
 }
+
+func TestSpareIsLeftToOthers(t *testing.T) {
+	c := qt.New(t)
+	b := NewBudget(BudgetOptions{FloorPerSecond: 10, Burst: 10})
+	c.Check(b.Take(epoch), qt.IsTrue)
+	full := epoch.Add(time.Minute)
+	spare := 0
+	for b.TakeSpare(full, 0.5) {
+		spare++
+	}
+	c.Check(spare, qt.Equals, 5)
+	rest := 0
+	for b.Take(full) {
+		rest++
+	}
+	c.Check(rest, qt.Equals, 5)
+}
