A silent store holds up no verdict

Cause: judging, reporting and writing of records shared one loop. A daemon whose store does not answer waited up to a second for each record, and neither told the others what it had seen nor convicted meanwhile; a request that asked for a retry waited as long. Writing has a loop of its own now, and a retry is given up after 0.3 s. Seen failing: TestSilentStoreHoldsUpNoVerdict (second to sixth request not held). Also: requests that end well after one end are not told to other daemons (each cost a message; TestRequestsThatEndWellAfterOneEndCostNoMessage failed), and a record follows when requests turn out to be tied after it was written (TestTiedRequestsAreToldApartByOneRetryEach failed once judging was quicker).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -261,6 +261,7 @@
 	d.servers.start(d)
 	d.goLoop("engines", d.expireEngines)
 	d.goLoop("quarantine", d.quarantine.Run)
+	d.goLoop("quarantine records", d.quarantine.RunWrites)
 	d.goLoop("occupancy", d.shared.sharer.Run)
 	select {
 	case <-ctx.Done():
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -131,9 +131,8 @@
 	return ok && good.After(at.Add(-vouchFor))
 }
 
-// Completed takes in that a request ended well here. It reports whether the request was
-// suspect, so that other daemons should be told.
-func (e *Evidence) Completed(h Hash, now time.Time) (wasSuspect bool) {
+// Completed takes in that a request ended well here, and returns at how many ends it was.
+func (e *Evidence) Completed(h Hash, now time.Time) (ends int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.vouch(h, now)
@@ -147,7 +146,7 @@
 }
 
 // vouch notes that a request ended well. The caller holds mu.
-func (e *Evidence) vouch(h Hash, now time.Time) (wasSuspect bool) {
+func (e *Evidence) vouch(h Hash, now time.Time) (ends int) {
 	if len(e.vouched) >= mostVouched {
 		e.dropVouched(now)
 	}
@@ -174,12 +173,14 @@
 	e.acquit(h)
 }
 
-// acquit drops all that is held against a request. The caller holds mu.
-func (e *Evidence) acquit(h Hash) (wasSuspect bool) {
+// acquit drops all that is held against a request and returns at how many ends it was. The
+// caller holds mu.
+func (e *Evidence) acquit(h Hash) (ends int) {
 	s, ok := e.suspects[h]
 	if !ok {
-		return false
+		return 0
 	}
+	ends = len(s.ends)
 	for _, known := range s.ends {
 		delete(known.requests, h)
 		e.count--
@@ -187,7 +188,7 @@
 	delete(e.suspects, h)
 	delete(e.accused, h)
 	e.any.Store(len(e.suspects) > 0)
-	return true
+	return ends
 }
 
 // forget drops ends that are old, and the oldest while there is no room for another one
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -21,15 +21,16 @@
 
 const (
 	// settlePause is the time between two looks at the evidence while a conviction waits,
-	// tendPause while there is something to write.
+	// writeRest that between two looks at the records while there is something to write.
 	settlePause = 50 * time.Millisecond
-	tendPause   = 250 * time.Millisecond
+	writeRest   = 250 * time.Millisecond
 	// settlePoll is the time between two looks of a request that waits for its verdict.
 	settlePoll = 10 * time.Millisecond
 	// writePause is how long each daemon leaves it to the one before it to write a record.
 	writePause = time.Second
-	// writeTimeout bounds a write.
+	// writeTimeout bounds a write, retryTimeout one that a request waits for.
 	writeTimeout = time.Second
+	retryTimeout = 300 * time.Millisecond
 	// blameWait is how long the broken answers of an engine that ended are not held against
 	// its version: by then the request that crashed it is mostly known.
 	blameWait = 2 * time.Second
@@ -76,7 +77,8 @@
 	evidence *Evidence
 	sends    *sends
 	metrics  *metrics
-	wake     chan struct{}
+	// wake tells Run of news, toWrite tells RunWrites.
+	wake, toWrite chan struct{}
 	// held is what Held goes by, replaced as a whole.
 	held atomic.Pointer[map[Hash]Record]
 
@@ -110,7 +112,7 @@
 		return f.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
 	}
 	q := &Quarantine{
-		Options: o, evidence: NewEvidence(), sends: newSends(), wake: make(chan struct{}, 1),
+		Options: o, evidence: NewEvidence(), sends: newSends(), wake: make(chan struct{}, 1), toWrite: make(chan struct{}, 1),
 		convicted: make(map[Hash]*conviction), records: make(map[Hash]Record), released: make(map[Hash]bool), tried: make(map[Hash]time.Time),
 		metrics: &metrics{
 			ended:   counter("bronzeturn_quarantine_engines_ended_total", "Engines that ended while they worked on requests of this daemon."),
@@ -180,9 +182,14 @@
 // Replaced takes in that another start answers or registers at the engine's address.
 func (q *Quarantine) Replaced(engine string, now time.Time) { q.detector.Replaced(engine, now) }
 
+// toldFrom is at how many ends a request was whose good end other daemons are told of. Most
+// of those that one end cuts end well elsewhere, and this daemon speaks up for them when
+// they are at another one.
+const toldFrom = 2
+
 // Completed takes in that a request ended well.
 func (q *Quarantine) Completed(h Hash, now time.Time) {
-	if q.evidence.Completed(h, now) || q.Held(h) {
+	if q.evidence.Completed(h, now) >= toldFrom || q.Held(h) {
 		q.tellHarmless(h)
 		q.release(h, "it ended well")
 	}
@@ -196,13 +203,13 @@
 	q.mu.Lock()
 	q.report.Harmless = append(q.report.Harmless, bytesOf(hashes)...)
 	q.mu.Unlock()
-	q.rouse()
+	rouse(q.wake)
 }
 
-// rouse makes Run look at what there is to do.
-func (q *Quarantine) rouse() {
+// rouse wakes who waits on a channel.
+func rouse(wake chan<- struct{}) {
 	select {
-	case q.wake <- struct{}{}:
+	case wake <- struct{}{}:
 	default:
 	}
 }
@@ -215,7 +222,7 @@
 	q.mu.Lock()
 	q.report.Engines = append(q.report.Engines, messageOf(end))
 	q.mu.Unlock()
-	q.rouse()
+	rouse(q.wake)
 	time.AfterFunc(blameWait, func() {
 		if q.evidence.Explains(end.Engine.Key(), q.Held) {
 			return
@@ -240,54 +247,59 @@
 	for _, h := range hashesOf(m.GetCleared()) {
 		q.forget(h, "cleared by an operator")
 	}
-	q.rouse()
+	rouse(q.wake)
 }
 
-// Run reports and judges until ctx ends.
+// Run reports and judges until ctx ends. It never waits for the store.
 func (q *Quarantine) Run(ctx context.Context) error {
+	return repeat(ctx, q.wake, func() time.Duration {
+		now := time.Now()
+		q.flush()
+		q.judge(now)
+		if q.evidence.unsettled(now) {
+			return settlePause
+		}
+		return 0
+	})
+}
+
+// RunWrites brings the store's records in line with the verdicts until ctx ends.
+func (q *Quarantine) RunWrites(ctx context.Context) error {
+	return repeat(ctx, q.toWrite, func() time.Duration {
+		if q.write(ctx, time.Now()) {
+			return writeRest
+		}
+		return 0
+	})
+}
+
+// repeat calls f after each wake, and again after the time that it returns, zero for at the
+// next wake.
+func repeat(ctx context.Context, wake <-chan struct{}, f func() time.Duration) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-q.wake:
+		case <-wake:
 		}
-		for {
-			pause := q.tend(ctx, time.Now())
-			if pause == 0 {
-				break
-			}
-			if !q.rest(ctx, pause) {
+		for pause := f(); pause > 0; pause = f() {
+			rest(ctx, wake, pause)
+			if ctx.Err() != nil {
 				return nil
 			}
 		}
 	}
 }
 
-// rest waits for a pause or news, and reports false when ctx has ended.
-func (q *Quarantine) rest(ctx context.Context, pause time.Duration) bool {
+// rest waits for a pause, a wake or the end of ctx.
+func rest(ctx context.Context, wake <-chan struct{}, pause time.Duration) {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-q.wake:
+	case <-wake:
 	case <-ctx.Done():
 	}
-	return ctx.Err() == nil
-}
-
-// tend reports, judges and writes, and returns when to do so again, zero for at the next
-// news.
-func (q *Quarantine) tend(ctx context.Context, now time.Time) time.Duration {
-	q.flush()
-	q.judge(now)
-	more := q.write(ctx, now)
-	switch {
-	case q.evidence.unsettled(now):
-		return settlePause
-	case more:
-		return tendPause
-	}
-	return 0
 }
 
 // flush publishes what other daemons have to be told.
@@ -355,8 +367,7 @@
 	}
 	for h := range q.convicted {
 		if _, still := verdicts[h]; !still && q.evidence.Ends(h) >= Conviction {
-			changed = true
-			q.releaseLocked(h, "another request explains the ends")
+			changed = q.releaseLocked(h, "another request explains the ends") || changed
 		}
 	}
 	if changed {
@@ -392,22 +403,24 @@
 func (q *Quarantine) release(h Hash, reason string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.releaseLocked(h, reason)
-	q.compile()
+	if q.releaseLocked(h, reason) {
+		q.compile()
+	}
 }
 
-// releaseLocked lets a request go. The caller holds mu and calls compile after it.
-func (q *Quarantine) releaseLocked(h Hash, reason string) {
+// releaseLocked lets a request go and tells whether it was held. The caller holds mu and
+// calls compile after it.
+func (q *Quarantine) releaseLocked(h Hash, reason string) bool {
 	_, recorded := q.records[h]
 	_, known := q.convicted[h]
 	if recorded && !q.released[h] {
 		q.released[h] = true
-		q.rouse()
 	} else if !known {
-		return
+		return false
 	}
 	delete(q.convicted, h)
 	q.Log.Info().Stringer("hash", h).Str("reason", reason).Msg("request released from quarantine")
+	return true
 }
 
 // forget drops all that is held against a request.
@@ -416,8 +429,9 @@
 	q.release(h, reason)
 }
 
-// compile replaces what Held goes by. The caller holds mu.
+// compile replaces what Held goes by, and has the records looked at. The caller holds mu.
 func (q *Quarantine) compile() {
+	rouse(q.toWrite)
 	held := make(map[Hash]Record, len(q.records)+len(q.convicted))
 	for h, r := range q.records {
 		if !q.released[h] {
@@ -456,7 +470,6 @@
 	}
 	q.records = next
 	q.compile()
-	q.rouse()
 }
 
 // removed takes in that a record is gone from the store. The caller holds mu.
@@ -485,6 +498,6 @@
 	q.report.Cleared = append(q.report.Cleared, h[:])
 	q.mu.Unlock()
 	q.forget(h, "cleared by an operator")
-	q.rouse()
+	rouse(q.wake)
 	return true
 }
--- a/quarantine/write.go
+++ b/quarantine/write.go
@@ -104,7 +104,7 @@
 		switch {
 		case q.released[h]:
 			list = append(list, change{r, true})
-		case c != nil && len(c.Engines) > len(r.Engines), c != nil && r.Tied && !c.Tied:
+		case c != nil && len(c.Engines) > len(r.Engines), c != nil && r.Tied != c.Tied:
 			r.Verdict = c.Verdict
 			list = append(list, change{r, false})
 		}
@@ -153,7 +153,7 @@
 	}
 	r.RetriesLeft--
 	r.Retried = now
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, retryTimeout)
 	defer cancel()
 	if !q.update(ctx, r) {
 		return false
