--- a/quarantine/write.go
+++ b/quarantine/records.go
@@ -70,11 +70,19 @@
 	if errors.As(err, &conflict) {
 		return
 	}
-	q.Log.Info().Err(err).Stringer("hash", r.Hash).Dur("after_ms", now.Sub(c.since)).Uint64("revision", object.Revision).Msg("record of a quarantine written")
-	if err == nil {
-		r.Revision = object.Revision
-		q.keep(r)
+	if err != nil {
+		q.notWritten(r.Hash, err)
+		return
 	}
+	q.Log.Info().Stringer("hash", r.Hash).Dur("after_ms", now.Sub(c.since)).Uint64("revision", object.Revision).Msg("record of a quarantine written")
+	r.Revision = object.Revision
+	q.keep(r)
+}
+
+// notWritten logs a write that failed, or whose answer did not come. It is tried again
+// while the store's record differs.
+func (q *Quarantine) notWritten(h Hash, err error) {
+	q.Log.Warn().Err(err).Stringer("hash", h).Msg("record of a quarantine not written")
 }
 
 // keep takes in a record that this daemon has written.
@@ -118,8 +126,11 @@
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	if c.remove {
-		err := q.Store.Delete(ctx, key(c.Hash), c.Revision)
-		q.Log.Info().Err(err).Stringer("hash", c.Hash).Msg("record of a quarantine removed")
+		if err := q.Store.Delete(ctx, key(c.Hash), c.Revision); err != nil {
+			q.notWritten(c.Hash, err)
+			return
+		}
+		q.Log.Info().Stringer("hash", c.Hash).Msg("record of a quarantine removed")
 		return
 	}
 	q.update(ctx, c.Record)
@@ -133,11 +144,12 @@
 		return false
 	}
 	object, err := q.Store.Update(ctx, key(r.Hash), data, r.Revision)
-	q.Log.Info().Err(err).Stringer("hash", r.Hash).Bool("tied", r.Tied).Int("retries_left", r.RetriesLeft).
-		Uint64("revision", object.Revision).Msg("record of a quarantine changed")
 	if err != nil {
+		q.notWritten(r.Hash, err)
 		return false
 	}
+	q.Log.Info().Stringer("hash", r.Hash).Bool("tied", r.Tied).Int("retries_left", r.RetriesLeft).
+		Uint64("revision", object.Revision).Msg("record of a quarantine changed")
 	r.Revision = object.Revision
 	q.keep(r)
 	return true
@@ -170,3 +182,40 @@
 	serving := q.Serving(r.Service)
 	return len(serving) > 0 && !slices.ContainsFunc(serving, func(version string) bool { return slices.Contains(r.Versions, version) })
 }
+
+// Listed takes in the records of the store as of a revision, one call at a time.
+func (q *Quarantine) Listed(records []Record, revision uint64) {
+	next := make(map[Hash]Record, len(records))
+	for _, r := range records {
+		next[r.Hash] = r
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for h, r := range q.records {
+		switch _, still := next[h]; {
+		case r.Revision > revision || still && r.Revision > next[h].Revision:
+			next[h] = r // This daemon has written it since.
+		case !still:
+			q.removed(h)
+		}
+	}
+	for h, r := range next {
+		if _, known := q.records[h]; !known {
+			q.Log.Info().Stringer("hash", h).Str("service", r.Service).Strs("engines", r.Engines).Str("daemon", r.Daemon).
+				Int("retries_left", r.RetriesLeft).Uint64("revision", r.Revision).Msg("request is in quarantine by the store")
+		}
+	}
+	q.records = next
+	q.compile()
+}
+
+// removed takes in that a record is gone from the store. The caller holds mu.
+func (q *Quarantine) removed(h Hash) {
+	if !q.released[h] {
+		q.evidence.Forget(h) // An operator has removed it.
+		q.Log.Info().Stringer("hash", h).Str("reason", "its record was removed").Msg("request released from quarantine")
+	}
+	delete(q.released, h)
+	delete(q.convicted, h)
+	delete(q.tried, h)
+}
