--- a/gateway/screen.go
+++ b/gateway/screen.go
@@ -36,7 +36,7 @@
 	g.Log.Warn().Str("request", t.meta.ID).Stringer("hash", t.hash).Strs("crashed", known.Engines).Bool("tied", known.Tied).
 		Dur("first_age_ms", now.Sub(known.First)).Dur("last_age_ms", now.Sub(known.Last)).Str("told_by", known.Daemon).
 		Str("ran", string(t.ran)).Msg("request in quarantine refused")
-	return failure.New(failure.CodeQuarantined, t.ran, "the request crashes engines; operators were told").After(quarantineRetry)
+	return failure.New(failure.CodeQuarantined, t.ran, "the request crashes engines").After(quarantineRetry)
 }
 
 // under notes that the attempt ended because its request came to be held.
