A popular request that several engines ended under at once clears itself

Cause: on the slow machine none of them had ended well yet when a third of the engines ended together, so that each was at three ends at once; the conviction then cut the answers in progress at the engines that lived, which would have cleared it, and nothing was left to do so.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,8 +71,9 @@
 	Retry(ctx context.Context, h quarantine.Hash, now time.Time) bool
 	// Ends returns at how many ends of engines a request was that has not ended well since.
 	Ends(h quarantine.Hash) int
-	// Sending begins a send; its context ends when the request comes to be held.
-	Sending(ctx context.Context, h quarantine.Hash) (sending context.Context, done func())
+	// Sending begins a send; its context ends when the request comes to be held before an
+	// engine has begun to answer.
+	Sending(ctx context.Context, h quarantine.Hash) (context.Context, *quarantine.Send)
 	// Completed takes in that a request ended well.
 	Completed(h quarantine.Hash, now time.Time)
 	// Broke takes in that an answer broke off though the request had been sent. It calls
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -22,8 +22,8 @@
 	t.request.trace.trial = t.trial
 	to.sent = time.Now()
 	g.Engines.Dispatched(balance.Dispatched{Engine: to.engine.Key(), Work: to.work, PrefixHash: t.prefixHash, At: to.sent})
-	sending, done := g.Quarantine.Sending(ctx, t.hash)
-	defer done()
+	sending, send := g.Quarantine.Sending(ctx, t.hash)
+	defer send.Done()
 	if g.Quarantine.Held(t.hash) && !t.retrying {
 		g.Engines.Finished(balance.Finished{Engine: to.engine.Key(), Work: to.work, Cancelled: true, At: time.Now()})
 		return &attemptError{Kind: retry.KindCancelled, Ran: failure.RanNo, Cause: quarantine.ErrQuarantined}
@@ -35,6 +35,7 @@
 		g.failed(ctx, t, to, failed)
 		return failed
 	}
+	send.Begun()
 	defer func() { _ = x.Close() }() // Nothing is left to read that matters.
 	failed := g.deliver(t, to, x)
 	if failed != nil {
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -18,6 +18,9 @@
 	// harmless there: popular requests run at many engines, of which several may end at
 	// once for reasons of their own.
 	vouchFor = time.Minute
+	// togetherFor is within how long ends count as one event: daemons find and tell them with
+	// that much difference, and a request that crashes one engine after the other takes longer.
+	togetherFor = 100 * time.Millisecond
 	// evidenceFor is how long ends of engines are remembered.
 	evidenceFor = 10 * time.Minute
 	// mostEnds bounds the ends remembered, mostHeld the requests of all of them together,
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -151,9 +151,9 @@
 	return (*q.held.Load())[h]
 }
 
-// Sending begins a send. The context that it returns ends when the request is convicted;
-// done must be called when the send has ended.
-func (q *Quarantine) Sending(ctx context.Context, h Hash) (sending context.Context, done func()) {
+// Sending begins a send. The context that it returns ends when the request is convicted
+// before the engine has begun to answer.
+func (q *Quarantine) Sending(ctx context.Context, h Hash) (context.Context, *Send) {
 	return q.sends.begin(ctx, h)
 }
 
--- a/quarantine/sends.go
+++ b/quarantine/sends.go
@@ -14,50 +14,71 @@
 
 type sendShard struct {
 	mu     sync.Mutex
-	byHash map[Hash]map[*send]struct{}
+	byHash map[Hash]map[*Send]struct{}
 }
 
-// send is one send in progress.
-type send struct{ cancel context.CancelCauseFunc }
+// Send is one send in progress.
+type Send struct {
+	cancel context.CancelCauseFunc
+	shard  *sendShard
+	hash   Hash
+	// begun is guarded by the shard's lock.
+	begun bool
+}
+
+// Begun tells that the engine has begun to answer: should the request be convicted, this
+// answer may still end well and clear it.
+func (s *Send) Begun() {
+	s.shard.mu.Lock()
+	defer s.shard.mu.Unlock()
+	s.begun = true
+}
+
+// Done tells that the send has ended. It must be called.
+func (s *Send) Done() {
+	s.shard.mu.Lock()
+	defer s.shard.mu.Unlock()
+	delete(s.shard.byHash[s.hash], s)
+	if len(s.shard.byHash[s.hash]) == 0 {
+		delete(s.shard.byHash, s.hash)
+	}
+	s.cancel(nil)
+}
 
 func newSends() *sends {
 	s := &sends{}
 	for i := range s.shards {
-		s.shards[i].byHash = make(map[Hash]map[*send]struct{})
+		s.shards[i].byHash = make(map[Hash]map[*Send]struct{})
 	}
 	return s
 }
 
-// begin adds a send. The context that it returns ends when the request is convicted; done
-// must be called when the send has ended.
-func (s *sends) begin(ctx context.Context, h Hash) (sending context.Context, done func()) {
+// begin adds a send. The context that it returns ends when the request is convicted before
+// the engine has begun to answer.
+func (s *sends) begin(ctx context.Context, h Hash) (context.Context, *Send) {
 	sending, cancel := context.WithCancelCause(ctx)
-	one := &send{cancel: cancel}
 	shard := &s.shards[h[0]%sendShards]
+	one := &Send{cancel: cancel, shard: shard, hash: h}
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
 	if shard.byHash[h] == nil {
-		shard.byHash[h] = make(map[*send]struct{}, 1)
+		shard.byHash[h] = make(map[*Send]struct{}, 1)
 	}
 	shard.byHash[h][one] = struct{}{}
-	return sending, func() {
-		shard.mu.Lock()
-		defer shard.mu.Unlock()
-		delete(shard.byHash[h], one)
-		if len(shard.byHash[h]) == 0 {
-			delete(shard.byHash, h)
-		}
-		cancel(nil)
-	}
+	return sending, one
 }
 
-// end ends the sends of a request and returns how many there were.
-func (s *sends) end(h Hash) int {
+// end ends the sends of a request to which no engine has begun to answer, and returns how
+// many there were.
+func (s *sends) end(h Hash) (ended int) {
 	shard := &s.shards[h[0]%sendShards]
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
 	for one := range shard.byHash[h] {
-		one.cancel(ErrQuarantined)
+		if !one.begun {
+			one.cancel(ErrQuarantined)
+			ended++
+		}
 	}
-	return len(shard.byHash[h])
+	return ended
 }
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -17,8 +17,8 @@
 	Engines  []string
 	// First and Last are when the first and the last of them ended.
 	First, Last time.Time
-	// Tied tells that others were at all the same ends, so that one of them may have
-	// crashed the engines in its place.
+	// Tied tells that something else may have ended the engines: others were at all the same
+	// ends, or all of these came together, as when a rack loses power.
 	Tied bool
 }
 
@@ -135,7 +135,8 @@
 	ends := slices.SortedFunc(maps.Values(s.ends), func(a, b *end) int {
 		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.engine, b.engine))
 	})
-	v := Verdict{Hash: h, Service: ends[0].service, First: ends[0].at, Last: ends[len(ends)-1].at, Tied: tied}
+	v := Verdict{Hash: h, Service: ends[0].service, First: ends[0].at, Last: ends[len(ends)-1].at}
+	v.Tied = tied || v.Last.Sub(v.First) < togetherFor
 	for _, known := range ends {
 		v.Engines = append(v.Engines, known.engine)
 		if !slices.Contains(v.Versions, known.version) {
