The model of the ways keeps no list that nothing reads

Found in the last read of the change: the model noted the engines that had cut a request and never looked at them. Assertions and outcomes as before; go vet, staticcheck and the package's tests pass.

--- a/quarantine/ways_test.go
+++ b/quarantine/ways_test.go
@@ -90,11 +90,10 @@
 }
 
 type simRequest struct {
-	hash     Hash
-	culprit  bool
-	sends    int
-	tries    int
-	excluded []string
+	hash    Hash
+	culprit bool
+	sends   int
+	tries   int
 }
 
 // outcome is what a way led to.
@@ -243,7 +242,6 @@
 	s.known = append(s.known, simReport{s.now.Add(simKnown), told})
 	s.outcome.ended++
 	for _, one := range cut {
-		one.request.excluded = append(one.request.excluded, e.key)
 		s.send(one.request)
 	}
 }
@@ -263,7 +261,7 @@
 	}
 	r.sends++
 	if r.sends > simSends {
-		r.sends, r.excluded = 1, nil
+		r.sends = 1
 		r.tries++
 	}
 	e := s.choose(r)
