Quarantine chat requests that crash engines

When a caller repeated a chat request that crashes engines, all engines of a pool crashed one after the other. The router now consults package quarantine before each send and reports broken answers, refused connections and completed answers to it. Quarantine records are kept in the store; a daemon is not ready for requests until it has attempted to list them once.

Engines in the register do not report their start time, so two ends of one engine looked like one. Each daemon now numbers the starts by the ends that it observes or is told of (quarantine.StartTracker). Rejected alternative: start ids agreed between daemons, which need a store call for each end. A request that is linked to the end of an engine is not hedged.

Known limitation: a report of an end that arrives more than a second late counts as another end.

--- a/daemon.go
+++ b/daemon.go
@@ -31,16 +31,17 @@
 	log      zerolog.Logger
 	tomb     tomb.Tomb
 
-	listeners *listeners
-	tls       *credentials
-	platform  *platform
-	fleet     *fleet
-	decisions *decisions
-	learning  *learning
-	compiler  *compiler
-	router    *router.Router
-	orders    *orders.Runner
-	servers   *servers
+	listeners  *listeners
+	tls        *credentials
+	platform   *platform
+	fleet      *fleet
+	decisions  *decisions
+	learning   *learning
+	quarantine *requestQuarantine
+	compiler   *compiler
+	router     *router.Router
+	orders     *orders.Runner
+	servers    *servers
 
 	tables  atomic.Pointer[router.Tables]
 	leaving atomic.Bool
@@ -78,6 +79,7 @@
 	}
 	d.learning = newLearning(d)
 	d.compiler = newCompiler(d)
+	d.quarantine = newQuarantine(d)
 	d.router = newRouter(d)
 	if d.orders, err = newOrders(d); err != nil {
 		return fmt.Errorf("orders: %w", err)
@@ -136,6 +138,7 @@
 	d.fleet.start(d)
 	d.decisions.start(d)
 	d.learning.start(d)
+	d.quarantine.start(d)
 	d.servers.start(d)
 	if d.orders != nil {
 		d.tomb.Go(func() error { return d.orders.Run(&d.tomb) })
@@ -163,6 +166,7 @@
 	randBootstrap
 	randCollect
 	randRouter
+	randQuarantine
 )
 
 // Bounds of a stop.
--- a/decisions.go
+++ b/decisions.go
@@ -149,6 +149,7 @@
 		Ledger:        d.fleet.ledger,
 		Members:       routerMembers{members: d.fleet.members, dataCentre: d.settings.GetDataCentre(), longest: d.settings.GetEntriesKeep().AsDuration()},
 		Raters:        n.sampler,
+		Quarantine:    d.quarantine,
 		EngineClient:  gatedEngines{gate: d.dispatchGate(), next: d.platform.engines},
 		ServiceClient: gatedServices{gate: d.dispatchGate(), next: d.platform.services},
 		Seed:          d.options.Seed + randRouter,
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -81,6 +81,11 @@
 // Unwrap returns the cause, or nil.
 func (e *Error) Unwrap() error { return e.cause }
 
+// NewError returns an Error for a failure outside the exchange with an engine.
+func NewError(kind Kind, ran failure.Ran, cause error) *Error {
+	return &Error{Kind: kind, Ran: ran, cause: cause}
+}
+
 // Request is one request to one engine.
 type Request struct {
 	// Address is IP and port of the engine.
--- a/fleet.go
+++ b/fleet.go
@@ -71,6 +71,7 @@
 		Classes: []gossip.Class{
 			{Prefix: "config/", MaxEntries: 1, MaxValueBytes: maxHeadBytes},
 			{Prefix: "quality/", MaxEntries: maxTableVersions, MaxValueBytes: maxTableBytes},
+			{Prefix: crashPrefix, MaxEntries: maxCrashReports, MaxValueBytes: maxCrashReportBytes, TTL: crashReportTTL},
 			{Prefix: "cutoff/", MaxEntries: maxTableVersions, MaxValueBytes: maxTableBytes},
 		},
 		Random:     d.rand(randMembership),
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -46,7 +46,7 @@
 	Delete(ctx context.Context, key string, revision uint64) error
 }
 
-// Options are what a Quarantine needs. All fields are required.
+// Options are what a Quarantine needs. All fields except Starts are required.
 type Options struct {
 	// Self is this daemon's name.
 	Self string
@@ -58,7 +58,9 @@
 	// Place is this daemon's place in the order in which daemons write a record, from 0.
 	Place func(h Hash) int
 	// Serving returns the versions of a service that take work.
-	Serving    func(service string) []string
+	Serving func(service string) []string
+	// Starts tracks the starts of engines. It is nil where engines report their start time.
+	Starts     *StartTracker
 	Log        zerolog.Logger
 	Registerer prometheus.Registerer
 }
@@ -192,6 +194,9 @@
 // ended takes in the end of an engine that this daemon found or was told of.
 func (q *Quarantine) ended(end End) {
 	now := time.Now()
+	if q.Starts != nil {
+		q.Starts.Ended(end.Engine, now)
+	}
 	q.metrics.ended.Inc()
 	q.tellHarmless(q.evidence.Add(end, now)...)
 	q.mu.Lock()
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -25,6 +25,9 @@
 func (q *Quarantine) Heard(m *bronzeturnv1.CrashReport, now time.Time) {
 	for _, one := range m.GetEngines() {
 		end := endOf(one, now)
+		if q.Starts != nil {
+			end.Engine = q.Starts.Told(end.Engine, now)
+		}
 		q.tellHarmless(q.evidence.Add(end, now)...)
 		q.detector.Told(end.Engine, now)
 	}
--- /dev/null
+++ b/quarantine/starts.go
@@ -0,0 +1,76 @@
+package quarantine
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/inventory"
+)
+
+const (
+	// sameEndWindow is the time within which two reports of the end of an engine count as
+	// one end. It exceeds the delay between daemons and is shorter than the time in which an
+	// engine loads its weights and crashes again.
+	sameEndWindow = time.Second
+	// maxTrackedEngines is the number of tracked engines from which entries older than
+	// evidenceFor are removed.
+	maxTrackedEngines = 4096
+)
+
+// StartTracker identifies the starts of engines that do not report their start time, by the
+// ends that this daemon observed or was told of. Without it, two ends of one engine would
+// count as one. It is safe for concurrent use.
+type StartTracker struct {
+	mu   sync.Mutex
+	byID map[string]engineStarts
+}
+
+// engineStarts holds the last two starts of an engine, each identified by the time at which
+// this daemon learned of the end before it. The first start is the zero time.
+type engineStarts struct {
+	current, previous time.Time
+}
+
+// NewStartTracker returns a StartTracker without any ends.
+func NewStartTracker() *StartTracker { return &StartTracker{byID: make(map[string]engineStarts)} }
+
+// Current returns e with its current start.
+func (s *StartTracker) Current(e inventory.Engine) inventory.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.Started = s.byID[e.ID].current
+	return e
+}
+
+// Ended records the end of the given start of an engine. It ignores ends of earlier starts.
+func (s *StartTracker) Ended(e inventory.Engine, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e.Started.Equal(s.byID[e.ID].current) {
+		s.advance(e.ID, now)
+	}
+}
+
+// Told records an end that another daemon found, unless it is already known, and returns e
+// with the start that ended, as this daemon identifies it.
+func (s *StartTracker) Told(e inventory.Engine, now time.Time) inventory.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.byID[e.ID]
+	if !known.current.IsZero() && now.Sub(known.current) < sameEndWindow {
+		e.Started = known.previous
+		return e
+	}
+	e.Started = known.current
+	s.advance(e.ID, now)
+	return e
+}
+
+// advance makes now the current start of an engine. The caller holds mu.
+func (s *StartTracker) advance(id string, now time.Time) {
+	if len(s.byID) >= maxTrackedEngines {
+		maps.DeleteFunc(s.byID, func(_ string, one engineStarts) bool { return now.Sub(one.current) > evidenceFor })
+	}
+	s.byID[id] = engineStarts{current: now, previous: s.byID[id].current}
+}
--- a/router/answerchat.go
+++ b/router/answerchat.go
@@ -81,6 +81,12 @@
 // close ends the exchange with the engine.
 func (t *attempt) close() {
 	_ = t.stream.Close()
+	t.release()
+}
+
+// release ends the send in the quarantine and cancels its context.
+func (t *attempt) release() {
+	t.send.Done()
 	t.cancel()
 }
 
--- a/router/chat.go
+++ b/router/chat.go
@@ -27,6 +27,7 @@
 		return f
 	}
 	c.body = body
+	c.hash = hashChat(c)
 	c.chat, f = parseChat(body)
 	if f != nil {
 		return f
--- a/router/crashing_test.go
+++ b/router/crashing_test.go
@@ -10,11 +10,10 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// TestChatRequestThatCrashesEnginesIsKeptAway: a caller repeats a request under which
-// each engine ends that begins it. It may end three engines while that is found out, and
-// three more ever after. What was found for opaque requests (package quarantine) has no
-// counterpart here yet: engines of the register have no instances, so that two ends of one
-// engine cannot be told apart.
+// TestChatRequestThatCrashesEnginesIsKeptAway guards against a repeated request crashing every
+// engine of a pool. It may crash three engines before it is quarantined and three more
+// afterwards. The engines do not report their start time, so quarantine.StartTracker has to
+// distinguish their ends.
 func TestChatRequestThatCrashesEnginesIsKeptAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const most, repeats = 3 + 3, 30
--- a/router/launch.go
+++ b/router/launch.go
@@ -10,6 +10,8 @@
 	"github.com/bronzeturn/bronzeturn/balance"
 	"github.com/bronzeturn/bronzeturn/engine"
 	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/inventory"
+	"github.com/bronzeturn/bronzeturn/quarantine"
 	"github.com/bronzeturn/bronzeturn/retry"
 )
 
@@ -27,6 +29,8 @@
 	// attempts counts those sent, ran is the worst that is known of them.
 	attempts int
 	ran      failure.Ran
+	// retrying is set while one send of a quarantined request is permitted.
+	retrying bool
 }
 
 // attempt is one request at one engine that began to answer.
@@ -45,6 +49,11 @@
 	whole bool
 	// reported tells that the balancer knows the end.
 	reported bool
+	// engineStart, hash and send identify the engine, the request and the send in progress to
+	// the quarantine.
+	engineStart inventory.Engine
+	hash        quarantine.Hash
+	send        *quarantine.Send
 }
 
 // begin sends the request to engines, one after the other, until one begins to
@@ -55,14 +64,22 @@
 		if f := l.late(ctx); f != nil {
 			return nil, f
 		}
+		if f := r.screen(ctx, l); f != nil {
+			return nil, f
+		}
 		decision, f := r.chooseEngine(l, !l.call.idempotent())
 		if f != nil {
 			return nil, f
 		}
 		got, err := r.race(ctx, l, &decision)
+		l.retrying = false
 		if err == nil {
 			return got, nil
 		}
+		if isQuarantined(err) {
+			l.ran = worstRan(l.ran, err.Ran)
+			return nil, r.quarantined(l)
+		}
 		if f := r.again(ctx, l, err); f != nil {
 			return nil, f
 		}
@@ -131,17 +148,25 @@
 // calls for one launch may run at once.
 func (r *Router) send(ctx context.Context, l *launch, d *balance.Decision) (*attempt, *engine.Error) {
 	attemptCtx, cancel := context.WithCancel(ctx)
+	sendCtx, send := r.Quarantine.Sending(attemptCtx, l.call.hash)
 	a := &attempt{
 		engine: d.Engine.GetName(), version: l.version, work: l.work(), cancel: cancel,
 		sentAt: time.Now(), expected: d.ExpectedFirstToken, whole: !l.call.chat.stream,
+		engineStart: r.engineOf(l, d), hash: l.call.hash, send: send,
 	}
 	r.Engines.Dispatched(balance.Dispatched{Engine: a.engine, Work: a.work, PrefixHash: l.call.chat.prefixHash, At: a.sentAt})
-	err := r.open(attemptCtx, l, d, a)
+	err := r.open(sendCtx, l, d, a)
 	if err != nil {
-		cancel()
+		err = quarantinedCause(sendCtx, err)
+		a.release()
 		r.failed(a, err)
+		if err.Kind == engine.Broken {
+			// The choice of the next engine depends on whether this one has ended.
+			r.Quarantine.Wait(ctx, a.engineStart.Key())
+		}
 		return nil, err
 	}
+	a.send.Begun()
 	a.firstAt = time.Now()
 	r.firstToken(a)
 	return a, nil
@@ -149,6 +174,11 @@
 
 // open sends the request and reads the first event.
 func (r *Router) open(ctx context.Context, l *launch, d *balance.Decision, a *attempt) *engine.Error {
+	// The request may have been convicted between the last check and Sending, which cancels
+	// the context only for later convictions.
+	if r.Quarantine.Held(l.call.hash) && !l.retrying {
+		return newQuarantinedError(failure.RanNo)
+	}
 	stream, err := r.EngineClient.Open(ctx, engine.Request{
 		Address:         d.Engine.GetAddress(),
 		RequestID:       l.call.requestID,
@@ -237,6 +267,7 @@
 	a.reported = true
 	now := time.Now()
 	r.metrics.attempts.WithLabelValues(codeOK).Inc()
+	r.Quarantine.Completed(a.hash, now)
 	tokens := max(events, 1)
 	if u, ok := a.stream.Usage(); ok {
 		tokens = u.CompletionTokens
@@ -265,6 +296,7 @@
 	a.reported = true
 	now := time.Now()
 	r.metrics.attempts.WithLabelValues(string(err.Kind)).Inc()
+	r.tellQuarantine(a, err)
 	kind, tells := balanceKinds[err.Kind]
 	if !tells {
 		r.Engines.Finished(balance.Finished{Engine: a.engine, Work: a.work, FirstTokenSeen: !a.firstAt.IsZero(), Cancelled: true, At: now})
--- a/router/network_test.go
+++ b/router/network_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"syscall"
+	"time"
 )
 
 var (
@@ -25,9 +27,17 @@
 	reached []string
 	// active counts the handlers that run.
 	active int
+	// aborted is when a handler of a host last aborted its answer.
+	aborted map[string]time.Time
 }
 
-func newNetwork() *network { return &network{handlers: make(map[string]http.Handler)} }
+// restartDelay is how long a host refuses probe connections after its handler has aborted,
+// like a crashed engine that restarts.
+const restartDelay = 500 * time.Millisecond
+
+func newNetwork() *network {
+	return &network{handlers: make(map[string]http.Handler), aborted: make(map[string]time.Time)}
+}
 
 // set puts a handler at a host. Nil refuses connections.
 func (n *network) set(host string, h http.Handler) {
@@ -43,6 +53,16 @@
 	return append([]string(nil), n.reached...)
 }
 
+// dial returns ECONNREFUSED if a host has no handler or is restarting.
+func (n *network) dial(_ context.Context, host string) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if at, ok := n.aborted[host]; n.handlers[host] == nil || ok && time.Since(at) < restartDelay {
+		return syscall.ECONNREFUSED
+	}
+	return nil
+}
+
 // busy returns how many handlers run.
 func (n *network) busy() int {
 	n.mu.Lock()
@@ -98,9 +118,15 @@
 	err := errCut
 	defer func() {
 		n.count(-1)
-		if recovered := recover(); recovered != nil && recovered != http.ErrAbortHandler {
+		recovered := recover()
+		if recovered != nil && recovered != http.ErrAbortHandler {
 			panic(recovered)
 		}
+		if recovered != nil {
+			n.mu.Lock()
+			n.aborted[x.request.URL.Host] = time.Now()
+			n.mu.Unlock()
+		}
 		_ = x.writer.CloseWithError(err)
 		close(x.done)
 	}()
--- /dev/null
+++ b/router/quarantine.go
@@ -0,0 +1,122 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/balance"
+	"github.com/bronzeturn/bronzeturn/callerapi"
+	"github.com/bronzeturn/bronzeturn/engine"
+	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/inventory"
+	"github.com/bronzeturn/bronzeturn/quarantine"
+)
+
+// Retry-After advice for requests that crash engines.
+const (
+	// quarantineRetry is long because a quarantined request is not accepted again soon.
+	quarantineRetry = 10 * time.Minute
+	// uncertainRetry applies while the crashes may be due to another request.
+	uncertainRetry = 2 * time.Second
+)
+
+// Quarantine decides which requests must not be sent because they crash engines. It is
+// notified of engines that end while they process requests.
+type Quarantine interface {
+	// CurrentStart returns e with its current start.
+	CurrentStart(e inventory.Engine) inventory.Engine
+	// Settle waits for a pending decision on whether a request must not be sent.
+	Settle(ctx context.Context, h quarantine.Hash)
+	// Held reports whether a request must not be sent. Refused counts a refusal and returns
+	// the record of the request.
+	Held(h quarantine.Hash) bool
+	Refused(h quarantine.Hash) quarantine.Record
+	// Retry reports whether a held request may be sent once more, and uses up that permission.
+	Retry(ctx context.Context, h quarantine.Hash, now time.Time) bool
+	// Ends returns the number of engines that ended while they processed a request, zero once
+	// it has completed since.
+	Ends(h quarantine.Hash) int
+	// Sending registers a send. The returned context is canceled if the request is convicted
+	// before the engine begins to answer.
+	Sending(ctx context.Context, h quarantine.Hash) (context.Context, *quarantine.Send)
+	// Completed records that a request completed.
+	Completed(h quarantine.Hash, now time.Time)
+	// Broke records a broken answer. It calls blame once it is known that no quarantined
+	// request explains it.
+	Broke(e inventory.Engine, h quarantine.Hash, now time.Time, blame func())
+	// Wait waits, for a bounded time, until the cause of an engine's broken answer is known.
+	Wait(ctx context.Context, engine string)
+	// ConnectionRefused records that an engine's host refused a connection.
+	ConnectionRefused(engine string, now time.Time)
+}
+
+// hashChat returns the hash that identifies a chat request across repeats.
+func hashChat(c *call) quarantine.Hash {
+	h := quarantine.NewHasher(c.organisation.GetName(), http.MethodPost, "", callerapi.PathChatCompletions)
+	_, _ = h.Write(c.body) // Writes to a hash do not fail.
+	return h.Sum()
+}
+
+// screen returns a failure if the request must not be sent because it crashes engines. It
+// must be called before each send.
+func (r *Router) screen(ctx context.Context, l *launch) *failure.Error {
+	h := l.call.hash
+	r.Quarantine.Settle(ctx, h)
+	if !r.Quarantine.Held(h) {
+		return nil
+	}
+	if r.Quarantine.Retry(ctx, h, time.Now()) {
+		l.retrying = true
+		return nil
+	}
+	return r.quarantined(l)
+}
+
+// quarantined logs and returns the refusal of a request that crashes engines.
+func (r *Router) quarantined(l *launch) *failure.Error {
+	record, now := r.Quarantine.Refused(l.call.hash), time.Now()
+	with(r.Log.Warn(), l.call).Stringer("hash", l.call.hash).Strs("crashed", record.Engines).Bool("tied", record.Tied).
+		Dur("first_age_ms", now.Sub(record.First)).Dur("last_age_ms", now.Sub(record.Last)).Str("told_by", record.Daemon).
+		Str("ran", string(l.ran)).Msg("request in quarantine refused")
+	advice := quarantineRetry
+	if record.Tied {
+		advice = uncertainRetry
+	}
+	return failure.New(failure.CodeQuarantined, l.ran, "the request crashes engines").After(advice)
+}
+
+// engineOf returns the chosen engine with its current start.
+func (r *Router) engineOf(l *launch, d *balance.Decision) inventory.Engine {
+	return r.Quarantine.CurrentStart(inventory.Engine{ID: d.Engine.GetName(), Address: d.Engine.GetAddress(), Version: l.version})
+}
+
+// tellQuarantine reports to the quarantine a failed attempt that may be due to the end of the engine.
+func (r *Router) tellQuarantine(a *attempt, err *engine.Error) {
+	now := time.Now()
+	switch {
+	case err.Kind == engine.Broken:
+		r.Quarantine.Broke(a.engineStart, a.hash, now, func() {})
+	case err.Kind == engine.Unreachable && errors.Is(err, syscall.ECONNREFUSED):
+		r.Quarantine.ConnectionRefused(a.engineStart.Key(), now)
+	}
+}
+
+// newQuarantinedError returns the error of a send whose request is in quarantine.
+func newQuarantinedError(ran failure.Ran) *engine.Error {
+	return engine.NewError(engine.Canceled, ran, quarantine.ErrQuarantined)
+}
+
+// quarantinedCause returns err, or an error that names the quarantine as the cause if it
+// canceled the send.
+func quarantinedCause(sendCtx context.Context, err *engine.Error) *engine.Error {
+	if !errors.Is(context.Cause(sendCtx), quarantine.ErrQuarantined) {
+		return err
+	}
+	return newQuarantinedError(err.Ran)
+}
+
+// isQuarantined reports whether a send failed because its request is in quarantine.
+func isQuarantined(err *engine.Error) bool { return errors.Is(err, quarantine.ErrQuarantined) }
--- a/router/race.go
+++ b/router/race.go
@@ -20,11 +20,12 @@
 }
 
 // race sends the request to the chosen engine and, when the hedging policy says
-// so, to a second one. The first to begin its answer wins, the other is
+// so, to a second one. A request that is linked to the end of an engine gets no second copy,
+// which could crash another engine. The first to begin its answer wins, the other is
 // canceled. Both count as attempts.
 func (r *Router) race(ctx context.Context, l *launch, first *balance.Decision) (*attempt, *engine.Error) {
 	l.count(first.Engine.GetName())
-	if !l.mayHedge() {
+	if !l.mayHedge() || l.retrying || r.Quarantine.Ends(l.call.hash) > 0 {
 		return r.send(ctx, l, first)
 	}
 	start := time.Now()
--- a/router/request.go
+++ b/router/request.go
@@ -14,6 +14,7 @@
 	"github.com/bronzeturn/bronzeturn/config"
 	"github.com/bronzeturn/bronzeturn/failure"
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/quarantine"
 )
 
 // Bounds on what callers send.
@@ -41,8 +42,10 @@
 	received       time.Time
 	deadline       time.Time
 	body           []byte
-	service        *bronzeturnv1.Service
-	chat           chatBody
+	// hash identifies a chat request across repeats.
+	hash    quarantine.Hash
+	service *bronzeturnv1.Service
+	chat    chatBody
 	// tried are the versions that had no room for the request.
 	tried []string
 }
--- a/router/router.go
+++ b/router/router.go
@@ -93,6 +93,8 @@
 	Ledger    Ledger
 	Members   Members
 	Raters    Raters
+	// Quarantine blocks requests that crash engines.
+	Quarantine Quarantine
 
 	EngineClient  EngineClient
 	ServiceClient ServiceClient
--- a/router/site_test.go
+++ b/router/site_test.go
@@ -30,10 +30,12 @@
 	"github.com/bronzeturn/bronzeturn/failure"
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/hedge"
+	"github.com/bronzeturn/bronzeturn/inventory"
 	"github.com/bronzeturn/bronzeturn/ledger"
 	"github.com/bronzeturn/bronzeturn/objectstore/memstore"
 	"github.com/bronzeturn/bronzeturn/plainservice"
 	"github.com/bronzeturn/bronzeturn/quality"
+	"github.com/bronzeturn/bronzeturn/quarantine"
 	"github.com/bronzeturn/bronzeturn/retry"
 	"github.com/bronzeturn/bronzeturn/rollout"
 	"github.com/bronzeturn/bronzeturn/selection"
@@ -154,6 +156,7 @@
 		Retries: retry.DefaultPolicy(), Budget: retry.NewBudget(retry.DefaultBudgetOptions()),
 		Breakers:  retry.NewBreakers(retry.DefaultBreakerOptions()),
 		Admission: admitting, Ledger: s.ledger, Members: siteMembers{s}, Raters: s,
+		Quarantine:   newSiteQuarantine(t, s.network, s.log),
 		EngineClient: engine.New(s.network), ServiceClient: plainservice.New(s.network),
 		Seed: 1, Log: zerolog.New(s.log), Registerer: prometheus.NewRegistry(),
 	})
@@ -174,6 +177,51 @@
 	return s
 }
 
+// maxProbeDuration exceeds the time for which the quarantine probes an engine after a broken
+// answer.
+const maxProbeDuration = 2 * time.Second
+
+// siteQuarantine is the quarantine of a single daemon with an in-memory store.
+type siteQuarantine struct {
+	*quarantine.Quarantine
+	starts *quarantine.StartTracker
+	// probeStarted is set once an answer broke off, so that cleanup waits for the probes.
+	probeStarted atomic.Bool
+}
+
+func newSiteQuarantine(t testing.TB, n *network, log *logBuffer) *siteQuarantine {
+	q := &siteQuarantine{starts: quarantine.NewStartTracker()}
+	q.Quarantine = quarantine.New(quarantine.Options{
+		Self: "daemon", Dial: n.dial, Store: memstore.New(), Starts: q.starts,
+		Publish: func(*bronzeturnv1.CrashReport) {}, Place: func(quarantine.Hash) int { return 0 },
+		Serving: func(string) []string { return []string{cheap, strong, secret} },
+		Log:     zerolog.New(log), Registerer: prometheus.NewRegistry(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var loops sync.WaitGroup
+	loops.Go(func() { _ = q.Run(ctx) })
+	loops.Go(func() { _ = q.RunWrites(ctx) })
+	t.Cleanup(func() {
+		if q.probeStarted.Load() {
+			time.Sleep(maxProbeDuration)
+		}
+		cancel()
+		loops.Wait()
+	})
+	return q
+}
+
+// CurrentStart implements Quarantine.
+func (q *siteQuarantine) CurrentStart(e inventory.Engine) inventory.Engine {
+	return q.starts.Current(e)
+}
+
+// Broke implements Quarantine.
+func (q *siteQuarantine) Broke(e inventory.Engine, h quarantine.Hash, now time.Time, blame func()) {
+	q.probeStarted.Store(true)
+	q.Quarantine.Broke(e, h, now, blame)
+}
+
 // configure puts a changed configuration in force.
 func (s *site) configure(t testing.TB, change func(*bronzeturnv1.Register, *bronzeturnv1.Rules)) {
 	reg, rule := register(), rules(t)
--- a/servers.go
+++ b/servers.go
@@ -14,6 +14,7 @@
 	"github.com/bronzeturn/bronzeturn/logging"
 	"github.com/bronzeturn/bronzeturn/operator"
 	"github.com/bronzeturn/bronzeturn/peer"
+	"github.com/bronzeturn/bronzeturn/quarantine"
 )
 
 // headerTimeout bounds the reading of a request's headers.
@@ -88,11 +89,15 @@
 }
 
 func adminHandler(d *Daemon) http.Handler {
-	return admin.NewHandler(admin.Options{
+	mux := http.NewServeMux()
+	mux.Handle("/", admin.NewHandler(admin.Options{
 		Metrics:   d.options.Registry,
 		Readiness: readiness{d},
 		Pprof:     d.settings.GetAdminPprof(),
-	})
+	}))
+	mux.Handle(quarantine.Path, d.quarantine.Handler())
+	mux.Handle(quarantine.Path+"/", d.quarantine.Handler())
+	return mux
 }
 
 // start begins to serve on all listeners.
@@ -157,8 +162,9 @@
 
 // Reasons why a daemon takes no requests.
 var (
-	errLeaving         = errors.New("daemon is leaving")
-	errNoConfiguration = errors.New("no configuration in force")
+	errLeaving             = errors.New("daemon is leaving")
+	errNoConfiguration     = errors.New("no configuration in force")
+	errNoQuarantineRecords = errors.New("requests that crash engines are not known yet")
 )
 
 // Ready implements admin.Readiness.
@@ -169,6 +175,9 @@
 	if r.d.tables.Load() == nil {
 		return errNoConfiguration
 	}
+	if !r.d.quarantine.listAttempted.Load() {
+		return errNoQuarantineRecords
+	}
 	if f := r.d.fresh(time.Now()); f != nil {
 		return f
 	}
