balance: allocate engine health and load state on first use

A heap profile of one daemon with 10,000 registered engines shows 54 MB, of which 40 MB are balancer state: 4,052 bytes per engine, 3,072 of them the ring buffer of its load history, whether or not the daemon uses the engine.

Allocate an engine's health and load state on its first event, and drop it when the engine is idle, admitted or no longer planned, and has had no event for five minutes. The load history grows on demand while it covers less than 6.4 s. Review and InFlight iterate over the engines with such state instead of over all engines.

Rejected alternative: only shrinking the ring buffer. Memory use would still grow with the fleet, and load reports of busy engines would lose the history they need.

TestEjectedShareIsBounded reads the pool from the configuration, since an engine may have no activity, and checks that each activity counts in that pool.

--- a/balance/affinity_test.go
+++ b/balance/affinity_test.go
@@ -99,7 +99,7 @@
 			}
 			s.LoadReported(LoadReported{Engine: "engine-0", AsOf: now})
 			view := func(age time.Duration) float64 {
-				return p.engines[0].load.view(0, now.Add(age).UnixNano(), time.Minute, 40).requests
+				return p.engines[0].activity().load.view(0, now.Add(age).UnixNano(), time.Minute, 40).requests
 			}
 			c.Check(view(0) < test.atOnce+0.1, qt.IsTrue, qt.Commentf("%v", view(0)))
 			c.Check(view(3*time.Second)-test.afterLong < 0.1, qt.IsTrue, qt.Commentf("%v", view(3*time.Second)))
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -21,6 +21,7 @@
 	cache   *prefixCache
 	// engines is replaced as a whole, so that events read it without a lock.
 	engines atomic.Pointer[map[string]*engine]
+	active  activeEngines
 
 	// mu guards what changes with a configuration or a host's state.
 	mu    sync.Mutex
@@ -32,11 +33,14 @@
 
 // engine is the running state of one engine.
 type engine struct {
-	name   string
-	health health
-	_      cacheLine
-	load   load
-	_      cacheLine
+	name string
+	// active is nil until the first event.
+	active atomic.Pointer[activity]
+	// poolConfig is taken from the newest configuration.
+	poolConfig atomic.Pointer[poolConfig]
+	// warmFrom is the start of the warm-up in Unix nanoseconds, 0 before the first choice
+	// that considers the engine.
+	warmFrom atomic.Int64
 	// closed is set while the host is leaving or gone.
 	closed atomic.Bool
 	// cacheEpoch rises when the engine's prefix cache was cleared.
@@ -55,6 +59,7 @@
 		options: o,
 		cache:   newPrefixCache(o.AffinityEntries),
 		hosts:   make(map[string]HostState),
+		active:  activeEngines{engines: make(map[*engine]struct{})},
 	}
 	s.engines.Store(&map[string]*engine{})
 	return s, nil
@@ -73,7 +78,7 @@
 		if !ok {
 			e = &engine{name: spec.GetName()}
 			if len(old) == 0 {
-				e.health.warmFrom.Store(warmAlready)
+				e.warmFrom.Store(warmAlready)
 			}
 		}
 		e.host = spec.GetHost()
@@ -83,7 +88,7 @@
 	}
 	regroup(specs, list)
 	for name, e := range old {
-		if next[name] == nil && !e.load.idle() {
+		if next[name] == nil && !e.activity().load.idle() {
 			next[name] = e
 		}
 	}
@@ -95,25 +100,33 @@
 // those that are out again.
 func regroup(specs []*bronzeturnv1.Engine, list []*engine) {
 	pools := make(map[string]*pool)
-	for _, spec := range specs {
+	configs := make(map[poolConfig]*poolConfig)
+	for i, spec := range specs {
 		p := pools[spec.GetPool()]
 		if p == nil {
 			p = &pool{}
 			pools[spec.GetPool()] = p
 		}
 		p.members++
+		config := poolConfig{pool: p, nominal: newCapacity(spec).rate}
+		if configs[config] == nil {
+			configs[config] = &config
+		}
+		list[i].poolConfig.Store(configs[config])
 	}
-	for i, spec := range specs {
-		list[i].health.join(pools[spec.GetPool()], newCapacity(spec).rate)
+	for _, e := range list {
+		if a := e.active.Load(); a != nil {
+			a.health.join(e.poolConfig.Load())
+		}
 	}
 }
 
 // join moves the engine into a pool and takes its place among those out along.
-func (h *health) join(p *pool, nominal float64) {
+func (h *health) join(config *poolConfig) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.pool = p
-	h.nominal = nominal
+	p := config.pool
+	h.pool, h.nominal = p, config.nominal
 	if kind := phase(h.phase.Load()); kind != admitted {
 		p.mu.Lock()
 		p.count(kind, 1)
@@ -139,7 +152,7 @@
 		return
 	}
 	prompt, answer := s.work(ev.Work)
-	e.load.change(priorityIndex(ev.Work.Priority), 1, prompt+answer, ev.At)
+	s.changeLoad(e, ev.Work, 1, prompt+answer, ev.At)
 	if ev.PrefixHash != 0 && s.options.affine(ev.Work.PromptTokens) {
 		s.cache.store(ev.PrefixHash, e, ev.At.UnixNano())
 	}
@@ -152,8 +165,8 @@
 		return
 	}
 	prompt, _ := s.work(ev.Work)
-	e.load.change(priorityIndex(ev.Work.Priority), 0, -prompt, ev.At)
-	e.health.observeFirstToken(ev.Latency, ev.Expected, ev.At)
+	s.changeLoad(e, ev.Work, 0, -prompt, ev.At)
+	s.active.getOrCreate(e, ev.At).health.observeFirstToken(ev.Latency, ev.Expected, ev.At)
 }
 
 // Finished takes in that an answer ended.
@@ -166,8 +179,9 @@
 	if ev.Cancelled {
 		return
 	}
-	e.health.observeGeneration(ev.Tokens, ev.Generation, ev.At, s.options.SpeedPrior)
-	if e.health.succeeded(ev.At, &s.options) {
+	h := &s.active.getOrCreate(e, ev.At).health
+	h.observeGeneration(ev.Tokens, ev.Generation, ev.At, s.options.SpeedPrior)
+	if h.succeeded(ev.At, &s.options) {
 		s.note(e, 0, ev.At)
 	}
 }
@@ -179,11 +193,12 @@
 		return
 	}
 	s.end(e, ev.Work, ev.FirstTokenSeen, ev.At)
+	h := &s.active.getOrCreate(e, ev.At).health
 	if ev.Kind == FailureBusy {
-		e.health.refused(ev.At, ev.RetryAfter)
+		h.refused(ev.At, ev.RetryAfter)
 		return
 	}
-	if e.health.failed(ev.At, &s.options) {
+	if h.failed(ev.At, &s.options) {
 		s.note(e, 0, ev.At)
 	}
 }
@@ -194,14 +209,22 @@
 	if firstTokenSeen {
 		prompt = 0
 	}
-	e.load.change(priorityIndex(w.Priority), -1, -prompt-answer, at)
+	s.changeLoad(e, w, -1, -prompt-answer, at)
+}
+
+// changeLoad adds to the work in flight at an engine. It retries if the engine's activity
+// is evicted concurrently.
+func (s *State) changeLoad(e *engine, w Work, requests, tokens int64, at time.Time) {
+	for !s.active.getOrCreate(e, at).load.change(priorityIndex(w.Priority), requests, tokens, at) {
+	}
 }
 
 // InFlight calls f for every engine at which this daemon has work.
 func (s *State) InFlight(f func(engine string, requests, tokens int64)) {
-	for name, e := range *s.engines.Load() {
-		if requests := sum(&e.load.requests); requests > 0 {
-			f(name, requests, sum(&e.load.tokens))
+	for _, e := range s.active.list() {
+		l := &e.activity().load
+		if requests := sum(&l.requests); requests > 0 {
+			f(e.name, requests, sum(&l.tokens))
 		}
 	}
 }
@@ -209,15 +232,17 @@
 // LoadReported takes in an engine's load report.
 func (s *State) LoadReported(ev LoadReported) {
 	if e := s.engine(ev.Engine); e != nil {
-		e.load.report(ev)
+		s.active.getOrCreate(e, ev.AsOf).load.report(ev)
 	}
 }
 
 // OthersReported takes in the other daemons' work at an engine.
 func (s *State) OthersReported(ev OthersReported) {
-	if e := s.engine(ev.Engine); e != nil {
-		e.load.reportOthers(ev)
+	e := s.engine(ev.Engine)
+	if e == nil || ev.Requests == 0 && ev.Tokens == 0 && e.active.Load() == nil {
+		return // An engine without an activity already counts as idle.
 	}
+	s.active.getOrCreate(e, ev.At).load.reportOthers(ev)
 }
 
 // OwnLoad returns the work of this daemon at an engine.
@@ -226,7 +251,8 @@
 	if e == nil {
 		return 0, 0
 	}
-	return sum(&e.load.requests), sum(&e.load.tokens)
+	l := &e.activity().load
+	return sum(&l.requests), sum(&l.tokens)
 }
 
 // MembershipChanged takes in the state of a backend host.
@@ -252,7 +278,7 @@
 		known = true
 		closed := ev.State != HostLive
 		if e.closed.Swap(closed) && !closed {
-			e.health.warmFrom.Store(ev.At.UnixNano())
+			e.warmFrom.Store(ev.At.UnixNano())
 		}
 	}
 	return known
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -285,11 +285,12 @@
 // standing tells whether the engine may be used by this request.
 func (c *choice) standing(index int32) standing {
 	e := c.plan.engines[index]
-	if c.barred(e, index) || e.health.busyUntil.Load() > c.now {
+	h := &e.activity().health
+	if c.barred(e, index) || h.busyUntil.Load() > c.now {
 		return unusable
 	}
-	if kind := phase(e.health.phase.Load()); kind != admitted {
-		return c.probation(e, kind)
+	if kind := phase(h.phase.Load()); kind != admitted {
+		return c.probation(h, kind)
 	}
 	if c.cold(e) {
 		return warming
@@ -313,10 +314,10 @@
 
 // probation tells the standing of an engine that is out. A due probe is taken
 // by this request: no other gets it until the next one is due.
-func (c *choice) probation(e *engine, kind phase) standing {
-	last := e.health.probeAt.Load()
-	due := c.now >= e.health.until.Load() && c.now-last >= int64(c.state.options.TrickleEvery)
-	if due && !c.req.NoProbe && e.health.probeAt.CompareAndSwap(last, c.now) {
+func (c *choice) probation(h *health, kind phase) standing {
+	last := h.probeAt.Load()
+	due := c.now >= h.until.Load() && c.now-last >= int64(c.state.options.TrickleEvery)
+	if due && !c.req.NoProbe && h.probeAt.CompareAndSwap(last, c.now) {
 		return probing
 	}
 	if kind == slow {
@@ -328,17 +329,17 @@
 // cold tells whether a warming engine is passed over this time. Its share
 // grows with the time since it was first seen.
 func (c *choice) cold(e *engine) bool {
-	from := e.health.warmFrom.Load()
+	from := e.warmFrom.Load()
 	if from == warmAlready {
 		return false
 	}
 	if from == 0 {
-		e.health.warmFrom.CompareAndSwap(0, c.now)
+		e.warmFrom.CompareAndSwap(0, c.now)
 		from = c.now
 	}
 	age := c.now - from
 	if age >= int64(c.state.options.WarmUp) {
-		e.health.warmFrom.CompareAndSwap(from, warmAlready)
+		e.warmFrom.CompareAndSwap(from, warmAlready)
 		return false
 	}
 	share := float64(age) / float64(c.state.options.WarmUp)
@@ -378,7 +379,8 @@
 		if c.barred(e, index) {
 			continue
 		}
-		earliest = min(earliest, max(e.health.busyUntil.Load(), e.health.until.Load()))
+		h := &e.activity().health
+		earliest = min(earliest, max(h.busyUntil.Load(), h.until.Load()))
 	}
 	if earliest == math.MaxInt64 {
 		c.d.RetryAfter = defaultRetryAfter
--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -67,7 +67,7 @@
 	e := p.engines[0]
 	work := newRequest().Work
 	at := func(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
-	own := func() float64 { return e.load.view(0, at(2000).UnixNano(), time.Minute, 40).requests }
+	own := func() float64 { return e.activity().load.view(0, at(2000).UnixNano(), time.Minute, 40).requests }
 
 	send(s, "engine-0", 3, at(0))
 	send(s, "engine-0", 5, at(1000))
@@ -80,7 +80,7 @@
 	s.LoadReported(LoadReported{Engine: "engine-0", Requests: 90, Tokens: 9000, AsOf: at(100)})
 	c.Assert(own(), qt.Equals, 8.0)
 	// Work of others fades when the reports stop.
-	later := e.load.view(0, at(500).Add(15*time.Second).UnixNano(), 5*time.Second, 40)
+	later := e.activity().load.view(0, at(500).Add(15*time.Second).UnixNano(), 5*time.Second, 40)
 	c.Assert(later.requests, qt.Equals, 7.0)
 }
 
@@ -92,7 +92,7 @@
 	p := s.Plan(newRegister(3), nil) // engine-3 leaves with work in flight
 	c.Assert(p.Engines(), qt.Equals, 3)
 	p = s.Plan(newRegister(4), nil)
-	c.Assert(sum(&p.engines[3].load.requests), qt.Equals, int64(2))
+	c.Assert(sum(&p.engines[3].activity().load.requests), qt.Equals, int64(2))
 }
 
 func TestPrefixAffinityYieldsToQueueing(t *testing.T) {
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -24,9 +24,10 @@
 	e := c.plan.engines[index]
 	o := &c.state.options
 	size := c.plan.capacity[index]
-	slowness := e.health.slownessFactor()
+	a := e.activity()
+	slowness := a.health.slownessFactor()
 	throughput := size.slots * size.rate / slowness
-	load := e.load.view(c.priority, c.now, o.ReportFresh, size.rate/slowness)
+	load := a.load.view(c.priority, c.now, o.ReportFresh, size.rate/slowness)
 
 	est := estimate{index: index}
 	est.wait = load.wait(size.slots, throughput)
@@ -38,7 +39,7 @@
 	}
 	est.first = est.wait + prefill
 	est.answer = est.first + float64(max(1, c.req.Work.ExpectedTokens))*slowness/size.rate
-	failures := e.health.failureShare(c.now, o.FailureHalfLife)
+	failures := a.health.failureShare(c.now, o.FailureHalfLife)
 	penalty := failures * failures * o.FailurePenalty.Seconds()
 	est.busy = o.BatchSlowdown * load.tokens / throughput
 	est.cost = est.answer + est.busy + penalty - held*c.req.PrefixWorth.Seconds()
--- a/balance/health.go
+++ b/balance/health.go
@@ -54,8 +54,8 @@
 	until     atomic.Int64
 	probeAt   atomic.Int64
 	busyUntil atomic.Int64
-	// warmFrom is the start of the warm-up, 0 when not yet seen by a choice.
-	warmFrom atomic.Int64
+	// warmFrom points to the engine's field of that name.
+	warmFrom *atomic.Int64
 	// failure is the share of failed requests as float bits, as of failureAt.
 	failure   atomic.Uint64
 	failureAt atomic.Int64
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -52,10 +52,10 @@
 	}
 	c.Assert(probes, qt.Equals, 1)
 	fail(s, "engine-0", 1, now) // the probe fails: twice the time
-	c.Assert(p.engines[0].health.until.Load(), qt.Equals, now.Add(2*s.options.EjectFor).UnixNano())
+	c.Assert(p.engines[0].activity().health.until.Load(), qt.Equals, now.Add(2*s.options.EjectFor).UnixNano())
 	now = now.Add(2 * s.options.EjectFor)
 	succeed(s, "engine-0", s.options.TrickleSuccesses, now)
-	c.Assert(phase(p.engines[0].health.phase.Load()), qt.Equals, admitted)
+	c.Assert(phase(p.engines[0].activity().health.phase.Load()), qt.Equals, admitted)
 	early := share(s, p, "engine-0", 300, now)
 	late := share(s, p, "engine-0", 300, now.Add(s.options.WarmUp))
 	c.Assert(early*2 < late, qt.IsTrue, qt.Commentf("warm-up: %d then %d", early, late))
@@ -66,7 +66,7 @@
 	s := newState(c)
 	p := s.Plan(newRegister(3), nil)
 	fail(s, "engine-0", 20, epoch)
-	c.Assert(p.engines[0].health.until.Load(), qt.Equals, epoch.Add(s.options.EjectFor).UnixNano())
+	c.Assert(p.engines[0].activity().health.until.Load(), qt.Equals, epoch.Add(s.options.EjectFor).UnixNano())
 }
 
 func TestEjectedShareIsBounded(t *testing.T) {
@@ -88,16 +88,22 @@
 			}
 			out := 0
 			for _, e := range p.engines {
-				if phase(e.health.phase.Load()) != admitted {
+				if phase(e.activity().health.phase.Load()) != admitted {
 					out++
 				}
 			}
 			if limit := allowed(n, s.options.MaxEjectedShare); out > limit {
 				t.Fatalf("%d of %d engines out, at most %d allowed", out, n, limit)
 			}
-			if pool := p.engines[0].health.pool; pool.out != out {
+			pool := p.engines[0].poolConfig.Load().pool
+			if pool.out != out {
 				t.Fatalf("pool counts %d out, there are %d", pool.out, out)
 			}
+			for _, e := range s.active.list() {
+				if e.activity().health.pool != pool {
+					t.Fatalf("%s counts in another pool", e.name)
+				}
+			}
 		}
 	})
 }
@@ -226,7 +232,7 @@
 	}
 	answer(s, "engine-0", 30, 100*time.Millisecond, epoch)
 	c.Assert(s.Review(p, epoch), qt.HasLen, 0)
-	c.Assert(p.engines[0].health.slownessFactor() > 3, qt.IsTrue, qt.Commentf("the choice counts with it"))
+	c.Assert(p.engines[0].activity().health.slownessFactor() > 3, qt.IsTrue, qt.Commentf("the slowness still raises the cost estimate"))
 	for i := range 6 {
 		for range 3 {
 			s.Finished(Finished{Engine: fmt.Sprintf("engine-%d", i), Work: newRequest().Work, Cancelled: true, At: epoch})
@@ -244,7 +250,7 @@
 			send(s, "engine-0", 1, at)
 			s.Failed(Failed{Engine: "engine-0", Work: newRequest().Work, Kind: FailureBusy, At: at})
 		}
-		return time.Duration(p.engines[0].health.busyUntil.Load() - at.UnixNano())
+		return time.Duration(p.engines[0].activity().health.busyUntil.Load() - at.UnixNano())
 	}
 	now := epoch
 	for _, want := range []time.Duration{250, 500, 1000, 2000, 4000, 5000, 5000} {
@@ -263,7 +269,7 @@
 	p := s.Plan(newRegister(3), nil)
 	answer(s, "engine-0", 20, 25*time.Millisecond, epoch)
 	answer(s, "engine-0", 20, time.Microsecond, epoch)
-	c.Assert(p.engines[0].health.slownessFactor() > 0.9, qt.IsTrue)
+	c.Assert(p.engines[0].activity().health.slownessFactor() > 0.9, qt.IsTrue)
 }
 
 // TestFewAnswersTellLittleOfAnEnginesSpeed is the load of a large fleet: each daemon sees
--- /dev/null
+++ b/balance/history.go
@@ -0,0 +1,92 @@
+package balance
+
+import (
+	"time"
+)
+
+// The history must cover the delay of load reports. A ring of historyEntries covers at least
+// historySpan, even if the load changes in every step.
+const (
+	historyEntries = 128
+	historyStep    = 50 * time.Millisecond
+	historySpan    = historyEntries * historyStep
+	// initialHistoryEntries is small because most engines see few changes within historySpan.
+	initialHistoryEntries = 4
+)
+
+// moment is the daemon's own work in flight at an engine from time at on, in Unix
+// nanoseconds.
+type moment struct {
+	at       int64
+	requests int64
+	tokens   int64
+}
+
+// history is a ring buffer of the most recent moments. It grows up to historyEntries while
+// it covers less than historySpan.
+type history struct {
+	ring []moment
+	// next is the index to write next. In a full ring it holds the oldest moment.
+	next int
+	// overwritten reports whether any moment has been overwritten.
+	overwritten bool
+}
+
+// record appends a moment. Moments within historyStep share an entry.
+func (h *history) record(m moment) {
+	if n := len(h.ring); n > 0 {
+		last := &h.ring[(h.next+n-1)%n]
+		if last.at != 0 && m.at-last.at < int64(historyStep) {
+			m.at = last.at
+			*last = m
+			return
+		}
+	}
+	if h.mustGrow(m.at) {
+		h.grow()
+	}
+	h.overwritten = h.overwritten || h.ring[h.next].at != 0
+	h.ring[h.next] = m
+	h.next = (h.next + 1) % len(h.ring)
+}
+
+// mustGrow reports whether recording a moment at now requires a larger ring to keep moments
+// within historySpan.
+func (h *history) mustGrow(now int64) bool {
+	n := len(h.ring)
+	if n == 0 {
+		return true
+	}
+	oldest := h.ring[h.next].at
+	return n < historyEntries && oldest != 0 && now-oldest < int64(historySpan)
+}
+
+// grow doubles the ring, or allocates it.
+func (h *history) grow() {
+	n := len(h.ring)
+	ring := make([]moment, max(2*n, initialHistoryEntries))
+	copy(ring, h.ring[h.next:])
+	copy(ring[n-h.next:], h.ring[:h.next])
+	h.ring, h.next = ring, n
+}
+
+// at returns the work in flight at time t. For a time before the oldest moment in the ring
+// it returns that moment if earlier ones were overwritten, and zero otherwise.
+func (h *history) at(t int64) moment {
+	var oldest moment
+	n := len(h.ring)
+	for i := 1; i <= n; i++ {
+		m := h.ring[(h.next+n-i)%n]
+		if m.at == 0 {
+			break
+		}
+		if m.at <= t {
+			return m
+		}
+		oldest = m
+	}
+	if !h.overwritten {
+		return moment{}
+	}
+	return oldest
+}
--- a/balance/load.go
+++ b/balance/load.go
@@ -12,12 +12,6 @@
 // priorities is the number of values of Priority.
 const priorities = int(bronzeturnv1.Priority_PRIORITY_URGENT) + 1
 
-// The history has to reach back further than load reports lag.
-const (
-	historyEntries = 128
-	historyStep    = 50 * time.Millisecond
-)
-
 // usualGain is the weight of a report in the moving averages of the others'
 // work.
 const usualGain = 0.1
@@ -41,15 +35,9 @@
 	_ cacheLine
 
 	mu      sync.Mutex
-	history [historyEntries]moment
-	next    int
-}
-
-// moment is the daemon's own work at an engine from a time on.
-type moment struct {
-	at       int64
-	requests int64
-	tokens   int64
+	history history
+	// retired is set when the activity is evicted; no changes are accepted from then on.
+	retired bool
 }
 
 // priorityIndex maps a priority to its class. Unspecified counts as normal.
@@ -61,50 +49,36 @@
 }
 
 // change adds to the work in flight. Sums never fall below zero, so that an
-// event of a request sent before the engine was known does no lasting harm.
-func (l *load) change(priority int, requests, tokens int64, at time.Time) {
+// event of a request sent before the engine was known does no lasting harm. It
+// returns false, without any change, if the load is retired.
+func (l *load) change(priority int, requests, tokens int64, at time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.retired {
+		return false
+	}
 	addClamped(&l.requests[priority], requests)
 	addClamped(&l.tokens[priority], tokens)
 	if l.requests[priority].Load() == 0 {
 		l.tokens[priority].Store(0)
 	}
-	l.record(at.UnixNano())
-}
-
-func addClamped(v *atomic.Int64, n int64) {
-	v.Store(max(0, v.Load()+n))
+	l.history.record(moment{at: at.UnixNano(), requests: sum(&l.requests), tokens: sum(&l.tokens)})
+	return true
 }
 
-// record appends the present sums to the history. Changes within one step
-// share an entry. The caller holds mu.
-func (l *load) record(at int64) {
-	m := moment{at: at, requests: sum(&l.requests), tokens: sum(&l.tokens)}
-	last := (l.next + historyEntries - 1) % historyEntries
-	if prev := l.history[last]; prev.at != 0 && at-prev.at < int64(historyStep) {
-		m.at = prev.at
-		l.history[last] = m
-		return
+// retire marks an idle load as retired. It returns false if the load is not idle.
+func (l *load) retire() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.idle() {
+		return false
 	}
-	l.history[l.next] = m
-	l.next = (l.next + 1) % historyEntries
+	l.retired = true
+	return true
 }
 
-// at returns the work in flight at a time in the past. The caller holds mu.
-func (l *load) at(t int64) moment {
-	var oldest moment
-	for i := 1; i <= historyEntries; i++ {
-		m := l.history[(l.next+historyEntries-i)%historyEntries]
-		if m.at == 0 {
-			return moment{}
-		}
-		if m.at <= t {
-			return m
-		}
-		oldest = m
-	}
-	return oldest
+func addClamped(v *atomic.Int64, n int64) {
+	v.Store(max(0, v.Load()+n))
 }
 
 // report takes in a load report. What this daemon had in flight at the time of
@@ -116,7 +90,7 @@
 	if asOf < l.reportedAt.Load() {
 		return
 	}
-	own := l.at(asOf)
+	own := l.history.at(asOf)
 	requests := max(0, r.Requests-own.requests)
 	tokens := max(0, r.Tokens-own.tokens)
 	if r.Tokens == 0 && own.requests > 0 {
--- a/balance/slow.go
+++ b/balance/slow.go
@@ -47,7 +47,7 @@
 	}
 	s.changes = append(s.changes, Change{
 		Engine: e.name,
-		Phase:  phase(e.health.phase.Load()).String(),
+		Phase:  phase(e.activity().health.phase.Load()).String(),
 		Ratio:  ratio,
 		At:     at,
 	})
@@ -57,9 +57,11 @@
 // re-admits those that are no longer, and returns all changes since the last
 // review for the log. Call it about once a second.
 func (s *State) Review(p *Plan, now time.Time) []Change {
-	for _, pool := range slices.Sorted(maps.Keys(p.pools)) {
-		s.reviewPool(p, p.pools[pool], now)
+	active := s.activeByPool(p)
+	for _, pool := range slices.Sorted(maps.Keys(active)) {
+		s.reviewPool(p, p.pools[pool], active[pool], now)
 	}
+	s.active.evictIdle(p, now)
 	s.changesMu.Lock()
 	defer s.changesMu.Unlock()
 	changes := s.changes
@@ -77,11 +79,27 @@
 	slots      float64
 }
 
-// reviewPool judges the engines of one pool, the slowest first, so that the
+// activeByPool returns the indices of the plan's engines that have an activity, grouped by
+// pool and in ascending order.
+func (s *State) activeByPool(p *Plan) map[string][]int32 {
+	active := make(map[string][]int32)
+	for _, e := range s.active.list() {
+		if i, ok := p.index[e]; ok {
+			pool := p.specs[i].GetPool()
+			active[pool] = append(active[pool], i)
+		}
+	}
+	for _, engines := range active {
+		slices.Sort(engines)
+	}
+	return active
+}
+
+// reviewPool judges the active engines of one pool, the slowest first, so that the
 // bound on those out holds back the least slow.
-func (s *State) reviewPool(p *Plan, members []int32, now time.Time) {
+func (s *State) reviewPool(p *Plan, members, active []int32, now time.Time) {
 	var speeds []speed
-	for _, i := range members {
+	for _, i := range active {
 		v := p.engines[i].speed()
 		v.slots = p.capacity[i].slots
 		speeds = append(speeds, v)
@@ -97,11 +115,12 @@
 	slices.SortStableFunc(speeds, func(a, b speed) int { return cmp.Compare(b.ratio, a.ratio) })
 	spare := s.spareSlots(p, members, now)
 	for _, v := range speeds {
-		if !v.engine.health.judge(v, spare >= v.slots, now.UnixNano(), &s.options) {
+		h := &v.engine.activity().health
+		if !h.judge(v, spare >= v.slots, now.UnixNano(), &s.options) {
 			continue
 		}
 		s.note(v.engine, v.ratio, now)
-		if phase(v.engine.health.phase.Load()) == slow {
+		if phase(h.phase.Load()) == slow {
 			spare -= v.slots
 		}
 	}
@@ -114,8 +133,9 @@
 	slots, requests := 0.0, 0.0
 	for _, i := range members {
 		e := p.engines[i]
-		requests += e.load.view(0, now.UnixNano(), s.options.ReportFresh, p.capacity[i].rate).requests
-		if phase(e.health.phase.Load()) == admitted && !e.closed.Load() {
+		a := e.activity()
+		requests += a.load.view(0, now.UnixNano(), s.options.ReportFresh, p.capacity[i].rate).requests
+		if phase(a.health.phase.Load()) == admitted && !e.closed.Load() {
 			slots += p.capacity[i].slots
 		}
 	}
@@ -145,7 +165,7 @@
 }
 
 func (e *engine) speed() speed {
-	h := &e.health
+	h := &e.activity().health
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return speed{engine: e, samples: h.samples, tokenTime: h.tokenTime, firstToken: h.firstToken}
