--- a/balance/activity.go
+++ b/balance/activity.go
@@ -97,7 +97,7 @@
 	defer t.mu.Unlock()
 	for e := range t.engines {
 		a := e.active.Load()
-		_, planned := p.index[e]
+		_, planned := p.indexOf(e)
 		inUse := planned && phase(a.health.phase.Load()) != admitted
 		if inUse || now.UnixNano()-a.lastEventAt.Load() < int64(activityTTL) {
 			continue
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -6,7 +6,6 @@
 package balance
 
 import (
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,13 +18,20 @@
 type State struct {
 	options Options
 	cache   *prefixCache
-	// engines is replaced as a whole, so that events read it without a lock.
-	engines atomic.Pointer[map[string]*engine]
+	table   engineTable
 	active  activeEngines
 
 	// mu guards what changes with a configuration or a host's state.
 	mu    sync.Mutex
 	hosts map[string]HostState
+	// plan is the newest plan; generation is incremented with each plan.
+	plan       *Plan
+	generation uint64
+	// pendingRemoval holds engines that left the plan with work in flight.
+	pendingRemoval []*engine
+	// nextID is the lowest ID never allocated; freeIDs holds those of removed engines.
+	nextID  int32
+	freeIDs []int32
 
 	changesMu sync.Mutex
 	changes   []Change
@@ -47,7 +53,11 @@
 	cacheEpoch atomic.Uint32
 	// cacheGapAt is the time of the last gap in cache events in Unix nanoseconds.
 	cacheGapAt atomic.Int64
+	// id is unique among the engines in the table and indexes Plan.index. IDs of removed
+	// engines are reused.
+	id         int32
 	host       string // guarded by State.mu
+	generation uint64 // of the last plan that processed the engine; guarded by State.mu
 }
 
 // NewState returns an empty state, or an OptionError.
@@ -61,39 +71,80 @@
 		hosts:   make(map[string]HostState),
 		active:  activeEngines{engines: make(map[*engine]struct{})},
 	}
-	s.engines.Store(&map[string]*engine{})
 	return s, nil
 }
 
-// adopt returns the running state of the engines, made where missing, and
-// drops the idle state of those that are gone.
-func (s *State) adopt(specs []*bronzeturnv1.Engine) []*engine {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	old := *s.engines.Load()
-	next := make(map[string]*engine, len(specs))
-	list := make([]*engine, len(specs))
-	for i, spec := range specs {
-		e, ok := old[spec.GetName()]
-		if !ok {
-			e = &engine{name: spec.GetName()}
-			if len(old) == 0 {
-				e.warmFrom.Store(warmAlready)
-			}
+// adopt fills in the running state of the engines in a plan, creating it where missing,
+// and removes the state of idle engines that left the plan. The caller holds mu.
+func (s *State) adopt(p *Plan) {
+	previous := s.plan
+	if previous == nil {
+		previous = &Plan{}
+	}
+	s.generation++
+	p.engines = make([]*engine, len(p.specs))
+	pos := 0 // Position in the previous plan.
+	for i, spec := range p.specs {
+		var e *engine
+		switch {
+		case pos < len(previous.specs) && previous.specs[pos] == spec:
+			e, pos = previous.engines[pos], pos+1
+		case pos+1 < len(previous.specs) && previous.specs[pos+1] == spec:
+			e, pos = previous.engines[pos+1], pos+2
+		default:
+			e = s.adoptEngine(spec, previous)
 		}
-		e.host = spec.GetHost()
-		e.closed.Store(s.hosts[e.host] != 0)
-		next[e.name] = e
-		list[i] = e
+		e.generation = s.generation
+		p.engines[i] = e
 	}
-	regroup(specs, list)
-	for name, e := range old {
-		if next[name] == nil && !e.activity().load.idle() {
-			next[name] = e
+	s.removeUnplanned(previous)
+	s.plan = p
+}
+
+// adoptEngine returns the running state of an engine, creating it if necessary. The caller
+// holds mu.
+func (s *State) adoptEngine(spec *bronzeturnv1.Engine, previous *Plan) *engine {
+	e := s.engine(spec.GetName())
+	if e == nil {
+		e = &engine{name: spec.GetName(), id: s.allocateID()}
+		if len(previous.engines) == 0 {
+			e.warmFrom.Store(warmAlready)
 		}
+		s.table.add(e)
 	}
-	s.engines.Store(&next)
-	return list
+	e.host = spec.GetHost()
+	e.closed.Store(s.hosts[e.host] != 0)
+	return e
+}
+
+// removeUnplanned removes the idle engines that are not in the current plan. Engines with
+// work in flight are checked again with the next plan. The caller holds mu.
+func (s *State) removeUnplanned(previous *Plan) {
+	engines := append(s.pendingRemoval, previous.engines...)
+	s.pendingRemoval = nil
+	for _, e := range engines {
+		switch {
+		case e.generation == s.generation:
+		case e.activity().load.idle():
+			s.table.remove(e)
+			s.freeIDs = append(s.freeIDs, e.id)
+			e.generation = s.generation // Skips duplicates in engines.
+		default:
+			s.pendingRemoval = append(s.pendingRemoval, e)
+			e.generation = s.generation
+		}
+	}
+}
+
+// allocateID returns an unused engine ID. The caller holds mu.
+func (s *State) allocateID() int32 {
+	if n := len(s.freeIDs); n > 0 {
+		id := s.freeIDs[n-1]
+		s.freeIDs = s.freeIDs[:n-1]
+		return id
+	}
+	s.nextID++
+	return s.nextID - 1
 }
 
 // regroup assigns the engines to the pools of a new configuration and counts
@@ -109,10 +160,12 @@
 		}
 		p.members++
 		config := poolConfig{pool: p, nominal: newCapacity(spec).rate}
-		if configs[config] == nil {
-			configs[config] = &config
+		shared := configs[config]
+		if shared == nil {
+			shared = &poolConfig{pool: config.pool, nominal: config.nominal}
+			configs[config] = shared
 		}
-		list[i].poolConfig.Store(configs[config])
+		list[i].poolConfig.Store(shared)
 	}
 	for _, e := range list {
 		if a := e.active.Load(); a != nil {
@@ -135,7 +188,7 @@
 }
 
 func (s *State) engine(name string) *engine {
-	return (*s.engines.Load())[name]
+	return s.table.get(name)
 }
 
 // work returns the tokens of a request's prompt and answer in the unit of
@@ -271,15 +324,15 @@
 // any. An engine that was closed warms up when it comes back. The caller holds mu.
 func (s *State) markHost(ev MembershipChanged) bool {
 	known := false
-	for e := range maps.Values(*s.engines.Load()) {
+	s.table.each(func(e *engine) {
 		if e.host != ev.Host {
-			continue
+			return
 		}
 		known = true
 		closed := ev.State != HostLive
 		if e.closed.Swap(closed) && !closed {
 			e.warmFrom.Store(ev.At.UnixNano())
 		}
-	}
+	})
 	return known
 }
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -119,7 +119,7 @@
 		c.holders = c.state.holders(c.req.PrefixHash, c.req.Homes, c.now)
 	}
 	for _, name := range c.req.Among {
-		index, known := c.plan.index[c.state.engine(name)]
+		index, known := c.plan.indexOf(c.state.engine(name))
 		if name == "" || !known || !served.member[index] || c.standing(index) != usable {
 			continue
 		}
@@ -151,7 +151,7 @@
 	if c.holders.count == 0 {
 		return none
 	}
-	index, ok := c.plan.index[c.holders.list[c.rng.IntN(c.holders.count)].engine]
+	index, ok := c.plan.indexOf(c.holders.list[c.rng.IntN(c.holders.count)].engine)
 	if !ok || !served.member[index] {
 		return none
 	}
@@ -168,7 +168,7 @@
 func (c *choice) home(served *candidates) (best estimate, ok bool) {
 	best = none
 	for _, name := range c.req.Homes {
-		index, known := c.plan.index[c.state.engine(name)]
+		index, known := c.plan.indexOf(c.state.engine(name))
 		if !known || !served.member[index] || c.standing(index) != usable {
 			continue
 		}
--- a/balance/plan.go
+++ b/balance/plan.go
@@ -10,9 +10,10 @@
 	engines  []*engine
 	specs    []*bronzeturnv1.Engine
 	capacity []capacity
-	index    map[*engine]int32
+	// index maps engine IDs to indexes into engines, -1 for engines not in the plan.
+	index    []int32
 	versions map[string]*candidates
-	pools    map[string][]int32
+	pools    map[string]*poolMembers
 }
 
 // capacity is the registered size of an engine.
@@ -22,6 +23,9 @@
 	rate float64
 }
 
+// poolMembers are the engines of one pool, as indexes into Plan.engines.
+type poolMembers struct{ indexes []int32 }
+
 // Values used when the register does not tell.
 const (
 	defaultSlots = 1
@@ -70,7 +74,7 @@
 // engines that the daemon sees; nil means all. The running state of engines
 // that stay is kept, that of engines that are gone is dropped once idle.
 func (s *State) Plan(reg *bronzeturnv1.Register, visible func(*bronzeturnv1.Engine) bool) *Plan {
-	p := &Plan{versions: make(map[string]*candidates), pools: make(map[string][]int32)}
+	p := newPlan(len(reg.GetEngines()))
 	for _, spec := range reg.GetEngines() {
 		if visible != nil && !visible(spec) {
 			continue
@@ -80,19 +84,50 @@
 	for _, c := range p.versions {
 		c.finish(len(p.specs))
 	}
-	p.engines = s.adopt(p.specs)
-	p.index = make(map[*engine]int32, len(p.engines))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.adopt(p)
+	regroup(p.specs, p.engines)
+	p.index = make([]int32, s.nextID)
+	for i := range p.index {
+		p.index[i] = -1
+	}
 	for i, e := range p.engines {
-		p.index[e] = int32(i)
+		p.index[e.id] = int32(i)
 	}
 	return p
 }
 
+// indexOf returns the index of an engine and whether it is in the plan. e may be nil.
+func (p *Plan) indexOf(e *engine) (int32, bool) {
+	if e == nil || int(e.id) >= len(p.index) {
+		return -1, false
+	}
+	i := p.index[e.id]
+	if i < 0 || p.engines[i] != e {
+		return -1, false // The ID has been reused.
+	}
+	return i, true
+}
+
+// newPlan returns an empty plan with capacity for n engines.
+func newPlan(n int) *Plan {
+	return &Plan{
+		specs: make([]*bronzeturnv1.Engine, 0, n), capacity: make([]capacity, 0, n),
+		versions: make(map[string]*candidates), pools: make(map[string]*poolMembers),
+	}
+}
+
 func (p *Plan) add(spec *bronzeturnv1.Engine) {
 	index := int32(len(p.specs))
 	p.specs = append(p.specs, spec)
 	p.capacity = append(p.capacity, newCapacity(spec))
-	p.pools[spec.GetPool()] = append(p.pools[spec.GetPool()], index)
+	pool := p.pools[spec.GetPool()]
+	if pool == nil {
+		pool = &poolMembers{}
+		p.pools[spec.GetPool()] = pool
+	}
+	pool.indexes = append(pool.indexes, index)
 	for _, version := range spec.GetVersions() {
 		c, ok := p.versions[version]
 		if !ok {
--- a/balance/slow.go
+++ b/balance/slow.go
@@ -59,7 +59,7 @@
 func (s *State) Review(p *Plan, now time.Time) []Change {
 	active := s.activeByPool(p)
 	for _, pool := range slices.Sorted(maps.Keys(active)) {
-		s.reviewPool(p, p.pools[pool], active[pool], now)
+		s.reviewPool(p, p.pools[pool].indexes, active[pool], now)
 	}
 	s.active.evictIdle(p, now)
 	s.changesMu.Lock()
@@ -84,7 +84,7 @@
 func (s *State) activeByPool(p *Plan) map[string][]int32 {
 	active := make(map[string][]int32)
 	for _, e := range s.active.list() {
-		if i, ok := p.index[e]; ok {
+		if i, ok := p.indexOf(e); ok {
 			pool := p.specs[i].GetPool()
 			active[pool] = append(active[pool], i)
 		}
--- a/entry/change_bench_test.go
+++ b/entry/change_bench_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,26 +27,38 @@
 // BenchmarkOneEngineChanges is what a daemon pays when one engine comes or goes, from its
 // list of entries to the tables in force.
 func BenchmarkOneEngineChanges(b *testing.B) {
-	for _, engines := range []int{216, 3000} {
+	for _, engines := range []int{216, 3000, 10_000, 20_000} {
 		b.Run(fmt.Sprint(engines), func(b *testing.B) {
 			d := newChangingDaemon(b)
-			with := &follow.Snapshot{Items: make(map[string]follow.Item)}
-			for i := range engines {
-				name := fmt.Sprintf("i-%08x", i*7919)
-				with.Items[name] = follow.Item{Name: name, Revision: 1}
-			}
-			without := &follow.Snapshot{Items: maps.Clone(with.Items)}
-			delete(without.Items, "i-00000000")
+			all := engineEntries(engines)
+			follower := follow.New(follow.Options{
+				Kind: "engines", Apply: d.enginesListed, Announce: func(uint64) {}, Log: zerolog.Nop(),
+			})
+			follower.Take(follow.NewSnapshot(1, slices.Values(all)))
+			revision := uint64(1)
 			for b.Loop() {
-				d.enginesListed(follow.Update{Snapshot: with})
-				d.enginesListed(follow.Update{Snapshot: without})
+				revision += 2
+				restored := all[0]
+				restored.Revision = revision
+				follower.Change(&follow.Changes{Revision: revision - 1, Removed: []string{all[0].Name}})
+				follower.Change(&follow.Changes{Revision: revision, Changed: []follow.Item{restored}})
 			}
 		})
 	}
 }
 
+// engineEntries returns the entries of n engines.
+func engineEntries(n int) []follow.Item {
+	var entries []follow.Item
+	for i := range n {
+		name := fmt.Sprintf("i-%08x", i*7919)
+		entries = append(entries, follow.Item{Name: name, Revision: 1, Spec: make([]byte, entryBytes)})
+	}
+	return entries
+}
+
 // newChangingDaemon returns a daemon without network that follows its engines.
-func newChangingDaemon(b *testing.B) *Daemon {
+func newChangingDaemon(b testing.TB) *Daemon {
 	d := &Daemon{log: zerolog.Nop(), registry: prometheus.NewRegistry()}
 	d.Documents = sameEngines{}
 	d.slowStarts = newSlowStarts(d)
--- a/entry/copies.go
+++ b/entry/copies.go
@@ -121,66 +121,27 @@
 	return longest
 }
 
-// registration is one entry as it was decoded.
-type registration struct {
-	inventory.Registration
-	revision uint64
-	err      error
-}
-
-// registrations are the entries of the newest list by name. An entry is decoded again
-// only when it has changed: while 200 engines register, each of them would otherwise
-// cost the decoding of all that did before.
-type registrations map[string]registration
-
-// decode takes an entry from those known, or decodes it and tells that it is new.
-func (r registrations) decode(item follow.Item, documents Documents) (reg registration, isNew bool) {
-	if known, ok := r[item.Name]; ok && known.revision == item.Revision {
-		return known, false
-	}
-	decoded, err := documents.Engine(item)
-	return registration{Registration: decoded, revision: item.Revision, err: err}, true
-}
-
-// enginesListed takes in the registrations, one call at a time. An entry that cannot be
-// used names no engine; the others hold.
+// enginesListed applies changes to the registrations. Calls must not overlap. An entry that
+// cannot be decoded is logged and counts as removed; the others are applied.
 func (d *Daemon) enginesListed(u follow.Update) {
-	list := make([]inventory.Engine, 0, len(u.Snapshot.Items))
+	change := inventory.Change{Removed: u.Changes.Removed, Outage: u.AfterOutage}
 	var told []inventory.Registration
-	next := make(registrations, len(u.Snapshot.Items))
-	for name, item := range u.Snapshot.Items {
-		reg, isNew := d.registrations.decode(item, d.Documents)
-		next[name] = reg
-		if reg.err == nil {
-			list = append(list, reg.Engine)
+	for _, item := range u.Changes.Changed {
+		reg, err := d.Documents.Engine(item)
+		if err != nil {
+			d.log.Error().Err(err).Str("key", item.Name).Uint64("revision", item.Revision).Msg("registration names no engine")
+			change.Removed = append(change.Removed, item.Name)
+			continue
 		}
-		switch {
-		case isNew && reg.err == nil:
-			told = append(told, reg.Registration)
-		case isNew:
-			d.log.Error().Err(reg.err).Str("key", item.Name).Uint64("revision", item.Revision).Msg("registration names no engine")
-		}
-	}
-	d.registrations = next
-	d.toldCold(told, time.Now())
-	d.toldReplaced(told, time.Now())
-	d.engines.Replace(list, u.AfterOutage, time.Now())
-}
-
-// toldReplaced tells the quarantine of engines at whose addresses others have started.
-func (d *Daemon) toldReplaced(told []inventory.Registration, now time.Time) {
-	if len(told) == 0 {
-		return
-	}
-	started := make(map[string]string, len(told))
-	for _, r := range told {
-		started[r.Engine.Address] = r.Engine.Key()
+		change.Registered = append(change.Registered, reg.Engine)
+		told = append(told, reg)
 	}
-	for _, e := range d.engines.View().Engines {
-		if key, ok := started[e.Address]; ok && e.Address != "" && key != e.Key() {
-			d.quarantine.Replaced(e.Key(), now)
-		}
+	now := time.Now()
+	d.toldCold(told, now)
+	for _, e := range change.Registered {
+		d.quarantine.Registered(e, now)
 	}
+	d.engines.Apply(change, now)
 }
 
 // mostLines bounds the lines that one change of the engines writes: when a whole service
@@ -206,19 +167,31 @@
 	d.compileEngines(now)
 }
 
-// difference returns the engines of one view that another does not have.
-func difference(of, without *inventory.View) []inventory.Engine {
-	var list []inventory.Engine
+// difference returns the engines of one view whose keys another does not have. Both views
+// are sorted by key.
+func difference(of, without *inventory.View) []*inventory.Engine {
+	var list []*inventory.Engine
+	rest := without.Engines
 	for _, e := range of.Engines {
-		if _, known := without.Engine(e.Key()); !known {
-			list = append(list, e)
+		if len(rest) > 0 && rest[0] == e {
+			rest = rest[1:]
+			continue
+		}
+		key := e.Key()
+		for len(rest) > 0 && rest[0].Key() < key {
+			rest = rest[1:]
 		}
+		if len(rest) > 0 && rest[0].Key() == key {
+			rest = rest[1:]
+			continue
+		}
+		list = append(list, e)
 	}
 	return list
 }
 
 // keysOf returns the keys of engines.
-func keysOf(engines []inventory.Engine) []string {
+func keysOf(engines []*inventory.Engine) []string {
 	keys := make([]string, len(engines))
 	for i, e := range engines {
 		keys[i] = e.Key()
@@ -243,7 +216,11 @@
 	if t := d.tables.Load(); t != nil && t.Engines != nil && t.Engines.View.Generation > v.Generation {
 		v = t.Engines.View
 	}
-	engines := gateway.NewEngines(d.balancer, v, d.assign)
+	var previous *gateway.Engines
+	if t := d.tables.Load(); t != nil {
+		previous = t.Engines
+	}
+	engines := previous.Recompile(d.balancer, v, d.assigner())
 	d.update(func(t *gateway.Tables) { t.Engines = engines })
 }
 
--- a/entry/copies_test.go
+++ b/entry/copies_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -38,11 +39,14 @@
 	d.quarantine = newQuarantine(d)
 	d.Documents = testDocuments{}
 	d.engines = inventory.New(time.Second, func(_, _ *inventory.View) {})
+	follower := follow.New(follow.Options{
+		Kind: "engines", Apply: d.enginesListed, Announce: func(uint64) {}, Log: zerolog.Nop(),
+	})
 	listed := func(revision uint64, spec string) {
-		d.enginesListed(follow.Update{Snapshot: &follow.Snapshot{Items: map[string]follow.Item{
-			"a": {Name: "a", Revision: revision, Spec: []byte(spec)},
-			"b": {Name: "b", Revision: 1, Spec: []byte("good")},
-		}}})
+		follower.Take(follow.NewSnapshot(revision, slices.Values([]follow.Item{
+			{Name: "a", Revision: revision, Spec: []byte(spec)},
+			{Name: "b", Revision: 1, Spec: []byte("good")},
+		})))
 	}
 	ids := func() (all []string) {
 		for _, e := range d.engines.View().Engines {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -130,8 +130,6 @@
 	engines       *inventory.Set
 	evacuated     evacuated
 	slowStarts    *slowstart.Pacer
-	// registrations are those of the newest list; the follower's calls alone use it.
-	registrations registrations
 	gateway       *gateway.Gateway
 	quarantine    *quarantine.Quarantine
 	// shared is the balancer with the work of all daemons, book the counts that this
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -83,7 +83,7 @@
 				c.Check(len(groups) == 1 && groups[0] == gateway.Group("s", false), qt.Equals, want, qt.Commentf(version))
 			}
 			i.ordered(back, canary.Pending, 11)
-			c.Check(i.isRetired(engineOf("b", "v2")), qt.IsFalse)
+			c.Check(i.isRetired("s", "v2"), qt.IsFalse)
 		})
 	}
 }
--- a/entry/evacuations_test.go
+++ b/entry/evacuations_test.go
@@ -21,8 +21,8 @@
 type namesAsEvacuated struct{ testDocuments }
 
 func (namesAsEvacuated) Evacuated(s *follow.Snapshot) (names []string) {
-	for name := range s.Items {
-		names = append(names, name)
+	for item := range s.All() {
+		names = append(names, item.Name)
 	}
 	slices.Sort(names)
 	return names
@@ -53,17 +53,17 @@
 // evacuate has just the named data centres evacuated.
 func (e *evacuationTest) evacuate(names ...string) {
 	e.revision++
-	s := &follow.Snapshot{Revision: e.revision, Items: map[string]follow.Item{}}
+	var items []follow.Item
 	for _, name := range names {
-		s.Items[name] = follow.Item{Name: name}
+		items = append(items, follow.Item{Name: name})
 	}
-	e.evacuationsChanged(follow.Update{Snapshot: s})
+	e.evacuationsChanged(follow.Update{Snapshot: follow.NewSnapshot(e.revision, slices.Values(items))})
 }
 
 // working returns the ids of the engines that a group may use.
 func (e *evacuationTest) working(trial bool) (ids []string) {
 	for _, engine := range e.engines.View().Engines {
-		if slices.Contains(e.assign(engine), gateway.Group("s", trial)) {
+		if slices.Contains(e.assign(*engine), gateway.Group("s", trial)) {
 			ids = append(ids, engine.ID)
 		}
 	}
--- a/entry/introductions.go
+++ b/entry/introductions.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -33,7 +34,8 @@
 	recent map[string]map[uint64]time.Time
 	// waiting tells that some engine waits for an order.
 	waiting bool
-	// ranks order the engines of each version, for introductions on a few.
+	// ranks order the engines of the versions being introduced, for introductions limited to
+	// some of them.
 	ranks map[string]int
 }
 
@@ -66,7 +68,7 @@
 // ordersChanged takes in the orders of the store.
 func (d *Daemon) ordersChanged(u follow.Update) {
 	i := d.introductions
-	for _, item := range u.Snapshot.Items {
+	for item := range u.Snapshot.All() {
 		order, state, err := d.Documents.Order(item)
 		if err != nil {
 			d.log.Error().Err(err).Msg("order refused")
@@ -82,6 +84,7 @@
 
 // ordered takes in one order and its state.
 func (i *introductions) ordered(order canary.Order, state canary.State, revision uint64) {
+	view := i.daemon.engines.View() // Lock order: the inventory's lock before mu.
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := time.Now()
@@ -93,6 +96,7 @@
 			engines:      1,
 		}
 		i.byService[order.Service] = known
+		i.rank(view)
 		for session, at := range i.recent[order.Service] {
 			if now.Sub(at) < i.daemon.Settings.Introductions.SessionGap {
 				known.Hold(session)
@@ -140,7 +144,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for service := range i.byService {
-		if _, ok := s.Items[service]; !ok {
+		if _, ok := s.Item(service); !ok {
 			delete(i.byService, service)
 		}
 	}
@@ -151,40 +155,51 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := time.Now()
-	i.rank(v)
 	first := make(map[string]bool)
+	var service, version string
 	for _, e := range v.Engines {
-		if i.versions[e.Service] == nil {
-			i.versions[e.Service] = make(map[string]time.Time)
-			first[e.Service] = true
+		if e.Service == service && e.Version == version {
+			continue // Skips the lookups for runs of the same version.
+		}
+		service, version = e.Service, e.Version
+		if i.versions[service] == nil {
+			i.versions[service] = make(map[string]time.Time)
+			first[service] = true
 		}
-		if _, ok := i.versions[e.Service][e.Version]; !ok {
+		if _, ok := i.versions[service][version]; !ok {
 			at := now
-			if first[e.Service] {
+			if first[service] {
 				at = time.Time{}
 			}
-			i.versions[e.Service][e.Version] = at
+			i.versions[service][version] = at
 		}
 	}
+	i.rank(v)
 }
 
-// rank orders the engines of each version by a hash, the same on every daemon. The
-// caller holds mu.
+// rank orders the engines of each version being introduced by a hash that is the same on
+// every daemon. The caller holds mu.
 func (i *introductions) rank(v *inventory.View) {
-	byVersion := make(map[string][]string)
-	for _, e := range v.Engines {
-		if i.daemon.evacuated.includes(e.DataCentre) {
-			continue // A new version's few engines must be among those that get work.
+	clear(i.ranks)
+	for service, known := range i.byService {
+		if known.State() < canary.Done {
+			i.rankVersion(v, service, known.Order().Target)
 		}
-		key := e.Service + "/" + e.Version
-		byVersion[key] = append(byVersion[key], e.Key())
 	}
-	clear(i.ranks)
-	for version, keys := range byVersion {
-		for place, key := range rendezvous.Top(version, keys, len(keys)) {
-			i.ranks[key] = place
+}
+
+// rankVersion orders the engines of one version. The caller holds mu.
+func (i *introductions) rankVersion(v *inventory.View, service, version string) {
+	var keys []string
+	for _, e := range v.Engines {
+		// Engines of evacuated data centres get no work and must not take up ranks.
+		if e.Service == service && e.Version == version && !i.daemon.evacuated.includes(e.DataCentre) {
+			keys = append(keys, e.Key())
 		}
 	}
+	for place, key := range rendezvous.Top(service+"/"+version, keys, len(keys)) {
+		i.ranks[key] = place
+	}
 }
 
 // width returns on how many engines the new version should run now. The caller must
@@ -207,41 +222,94 @@
 func (i *introductions) assign(e inventory.Engine) []string {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	base, trial := []string{gateway.Group(e.Service, false)}, []string{gateway.Group(e.Service, true)}
-	known := i.byService[e.Service]
+	return i.assignment(e.Service, e.Version).groupsOf(e.Key(), i.ranks)
+}
+
+// assignment holds the groups that the engines of one version serve.
+type assignment struct {
+	// groups is empty for a version that gets no work.
+	groups []string
+	// limited restricts the groups to the engines with a rank below width.
+	limited bool
+	width   int
+}
+
+// groupsOf returns the groups that the engine with the key serves.
+func (a assignment) groupsOf(key string, ranks map[string]int) []string {
+	if a.limited && ranks[key] >= a.width {
+		return nil
+	}
+	return a.groups
+}
+
+// assignment returns the assignment of a version. The caller holds mu.
+func (i *introductions) assignment(service, version string) assignment {
+	base := assignment{groups: []string{gateway.Group(service, false)}}
+	known := i.byService[service]
 	if known == nil {
-		if since := i.versions[e.Service][e.Version]; time.Since(since) < orderWait {
+		if since := i.versions[service][version]; time.Since(since) < orderWait {
 			i.waiting = true
-			return nil
+			return assignment{}
 		}
 		return base
 	}
-	isTarget := e.Version == known.Order().Target
+	isTarget := version == known.Order().Target
 	switch known.State() {
 	case canary.Done:
 		if isTarget {
 			return base
 		}
-		return nil
+		return assignment{}
 	case canary.RolledBack:
 		if isTarget {
-			return nil
+			return assignment{}
 		}
 		return base
 	}
 	switch {
-	case !isTarget && !i.isRetired(e):
+	case !isTarget && !i.isRetired(service, version):
 		return base
-	case isTarget && i.ranks[e.Key()] < known.engines:
-		return trial
+	case isTarget:
+		return assignment{groups: []string{gateway.Group(service, true)}, limited: true, width: known.engines}
+	}
+	return assignment{}
+}
+
+// versionKey identifies a version of a service.
+type versionKey struct{ service, version string }
+
+// assigner returns a gateway.Assign for a single compilation. It computes the assignment of
+// each version once.
+func (d *Daemon) assigner() gateway.Assign {
+	evacuated := d.evacuated.list()
+	i := d.introductions
+	var versions []versionKey
+	var assignments []assignment
+	return func(e inventory.Engine) []string {
+		if slices.Contains(evacuated, e.DataCentre) {
+			return nil
+		}
+		key := versionKey{e.Service, e.Version}
+		index := slices.Index(versions, key)
+		if index < 0 {
+			i.mu.Lock()
+			index = len(versions)
+			versions, assignments = append(versions, key), append(assignments, i.assignment(e.Service, e.Version))
+			i.mu.Unlock()
+		}
+		a := assignments[index]
+		if !a.limited {
+			return a.groups
+		}
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		return a.groupsOf(e.Key(), i.ranks)
 	}
-	return nil
 }
 
-// isRetired tells whether an earlier order has ended the engine's version. The
-// caller holds mu.
-func (i *introductions) isRetired(e inventory.Engine) bool {
-	_, ok := i.retired[e.Service][e.Version]
+// isRetired reports whether an earlier order has ended a version. The caller holds mu.
+func (i *introductions) isRetired(service, version string) bool {
+	_, ok := i.retired[service][version]
 	return ok
 }
 
--- a/entry/passing_test.go
+++ b/entry/passing_test.go
@@ -55,7 +55,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
-	return &follow.Snapshot{Revision: s.revision, Items: maps.Clone(s.items)}, nil
+	return follow.NewSnapshot(s.revision, maps.Values(s.items)), nil
 }
 
 // Watch implements follow.Source.
@@ -233,7 +233,7 @@
 	}
 	began := time.Now()
 	for _, h := range f.hosts {
-		for len(h.follower.Snapshot().Items) < 400 {
+		for h.follower.Snapshot().Len() < 400 {
 			time.Sleep(5 * time.Millisecond)
 			c.Assert(time.Since(began) < time.Minute, qt.IsTrue)
 		}
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -77,16 +77,16 @@
 // request; the others hold.
 func (d *Daemon) quarantineChanged(u follow.Update) {
 	var records []quarantine.Record
-	for name, item := range u.Snapshot.Items {
+	for item := range u.Snapshot.All() {
 		data, err := d.Documents.Value(item)
 		if err == nil {
 			var r quarantine.Record
-			if r, err = quarantine.DecodeRecord(name, item.Revision, data); err == nil {
+			if r, err = quarantine.DecodeRecord(item.Name, item.Revision, data); err == nil {
 				records = append(records, r)
 			}
 		}
 		if err != nil {
-			d.log.Error().Err(err).Str("key", name).Uint64("revision", item.Revision).Msg("record of a quarantine not read")
+			d.log.Error().Err(err).Str("key", item.Name).Uint64("revision", item.Revision).Msg("record of a quarantine not read")
 		}
 	}
 	d.quarantine.Listed(records, u.Snapshot.Revision)
@@ -99,7 +99,7 @@
 		return nil
 	}
 	for _, e := range t.Engines.View.Engines {
-		if e.Service == service && !slices.Contains(versions, e.Version) && len(d.assign(e)) > 0 {
+		if e.Service == service && !slices.Contains(versions, e.Version) && len(d.assign(*e)) > 0 {
 			versions = append(versions, e.Version)
 		}
 	}
--- a/follow/copy.go
+++ b/follow/copy.go
@@ -5,6 +5,12 @@
 	"time"
 )
 
+// Take applies a complete state read from the store unless it is older than the copy.
+func (f *Follower) Take(next *Snapshot) { f.take(next, false, false) }
+
+// Change applies changes read from the store.
+func (f *Follower) Change(c *Changes) { f.change(c, false, false) }
+
 // take puts a whole state in force unless it is older than the copy.
 func (f *Follower) take(next *Snapshot, fromPeer, afterOutage bool) {
 	f.mu.Lock()
@@ -16,7 +22,7 @@
 	if next.Revision < old.Revision {
 		return
 	}
-	f.swap(old, next, old.diff(next), fromPeer, afterOutage)
+	f.swap(old, next, old.Diff(next), fromPeer, afterOutage)
 }
 
 // change puts changes in force. Those that the copy already has do no harm.
@@ -28,7 +34,7 @@
 		return
 	}
 	next := old.with(c)
-	f.swap(old, next, old.diff(next), fromPeer, afterOutage)
+	f.swap(old, next, old.Diff(next), fromPeer, afterOutage)
 }
 
 // swap puts a state in force. The caller holds mu.
@@ -38,13 +44,15 @@
 	if diff.empty() && !first {
 		return
 	}
-	f.history.add(old.Revision, diff)
+	if !first {
+		f.history.add(old.Revision, diff) // The first list has no previous state.
+	}
 	close(f.updated)
 	f.updated = make(chan struct{})
 	if !fromPeer {
 		f.Announce(next.Revision)
 	}
-	f.Apply(Update{Snapshot: next, AfterOutage: afterOutage, FromPeer: fromPeer})
+	f.Apply(Update{Snapshot: next, Changes: diff, AfterOutage: afterOutage, FromPeer: fromPeer})
 }
 
 // Await returns what changed after a revision, for another daemon, as soon as something
@@ -93,7 +101,7 @@
 	}
 	var ok bool
 	if p.Changes, ok = f.history.since(after); !ok {
-		p.Changes, p.Full = (&Snapshot{}).diff(s), true
+		p.Changes, p.Full = (&Snapshot{}).Diff(s), true
 	}
 	p.Changes.Revision = s.Revision
 	return p
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -158,6 +158,8 @@
 // Update is a new state of the copy.
 type Update struct {
 	Snapshot *Snapshot
+	// Changes is the difference from the previous state.
+	Changes Changes
 	// AfterOutage tells that the store has just come back.
 	AfterOutage bool
 	// FromPeer tells that another daemon gave the state.
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -112,7 +113,7 @@
 	if o.Stale && s.old != nil {
 		return s.old, nil
 	}
-	return &Snapshot{Revision: s.revision, Items: maps.Clone(s.items)}, nil
+	return NewSnapshot(s.revision, maps.Values(s.items)), nil
 }
 
 func (s *store) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (*Changes, error) {
@@ -265,7 +266,8 @@
 	if s == nil {
 		return ""
 	}
-	return string(s.Items[name].Spec)
+	item, _ := s.Item(name)
+	return string(item.Spec)
 }
 
 // run runs f in virtual time with a context that ends with it.
@@ -290,7 +292,7 @@
 		c.Check(d.spec("a"), qt.Equals, "2")
 		s.remove("a")
 		time.Sleep(gatherTime + time.Millisecond)
-		c.Check(d.Snapshot().Items, qt.HasLen, 0)
+		c.Check(d.Snapshot().Len(), qt.Equals, 0)
 	})
 }
 
@@ -305,7 +307,7 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		time.Sleep(gatherTime + time.Millisecond)
-		c.Check(d.Snapshot().Items, qt.HasLen, 100)
+		c.Check(d.Snapshot().Len(), qt.Equals, 100)
 		_, after, _ := s.counts()
 		c.Check(after-before <= 12, qt.IsTrue, qt.Commentf("%d watches", after-before))
 	})
@@ -531,12 +533,13 @@
 	applied := 0
 	f := New(Options{Announce: func(uint64) {}, Apply: func(Update) { applied++ }, Log: zerolog.Nop()})
 	state := func(revision uint64) *Snapshot {
-		return &Snapshot{Revision: revision, Items: map[string]Item{"a": {Name: "a", Revision: revision}}}
+		return NewSnapshot(revision, slices.Values([]Item{{Name: "a", Revision: revision}}))
 	}
 	f.take(state(5), false, false)
 	f.take(state(4), true, false)
 	f.change(&Changes{Revision: 3, Removed: []string{"a"}}, true, false)
-	c.Check(f.Snapshot().Items["a"].Revision, qt.Equals, uint64(5))
+	a, _ := f.Snapshot().Item("a")
+	c.Check(a.Revision, qt.Equals, uint64(5))
 	c.Check(applied, qt.Equals, 1)
 }
 
@@ -554,7 +557,7 @@
 		s.remove("a")
 		time.Sleep(time.Second)
 		last := d.last()
-		c.Check(last.Snapshot.Items, qt.HasLen, 1)
+		c.Check(last.Snapshot.Len(), qt.Equals, 1)
 		c.Check(last.AfterOutage, qt.IsTrue)
 		time.Sleep(outageEcho)
 		s.put("b", "later")
@@ -583,14 +586,14 @@
 func TestWhatChangedSinceLeadsToTheSameState(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := New(Options{Announce: func(uint64) {}, Apply: func(Update) {}, Log: zerolog.Nop()})
-		f.take(&Snapshot{Revision: 1, Items: map[string]Item{}}, false, false)
-		copied := &Snapshot{Revision: 1, Items: map[string]Item{}}
+		f.take(&Snapshot{Revision: 1}, false, false)
+		copied := &Snapshot{Revision: 1}
 		revision := uint64(1)
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			revision++
 			name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "name")
 			c := &Changes{Revision: revision}
-			if _, ok := f.Snapshot().Items[name]; ok && rapid.Bool().Draw(t, "remove") {
+			if _, ok := f.Snapshot().Item(name); ok && rapid.Bool().Draw(t, "remove") {
 				c.Removed = []string{name}
 			} else {
 				c.Changed = []Item{{Name: name, Revision: revision}}
@@ -605,7 +608,7 @@
 			} else {
 				copied = copied.with(&got.Changes)
 			}
-			if diff := copied.diff(f.Snapshot()); !diff.empty() || copied.Revision != f.Snapshot().Revision {
+			if diff := copied.Diff(f.Snapshot()); !diff.empty() || copied.Revision != f.Snapshot().Revision {
 				t.Fatalf("copy %v differs from %v", copied, f.Snapshot())
 			}
 		}
@@ -693,13 +696,13 @@
 func TestRemovalBeforeTheFirstListReachesDaemonsBehindIt(t *testing.T) {
 	c := qt.New(t)
 	behind := New(Options{Kind: "things", Apply: func(Update) {}, Announce: func(uint64) {}})
-	behind.take(&Snapshot{Revision: 5, Items: map[string]Item{"gone": {Name: "gone", Revision: 3}, "kept": {Name: "kept", Revision: 4}}}, false, false)
+	behind.take(NewSnapshot(5, slices.Values([]Item{{Name: "gone", Revision: 3}, {Name: "kept", Revision: 4}})), false, false)
 	ahead := New(Options{Kind: "things", Apply: func(Update) {}, Announce: func(uint64) {}})
-	ahead.take(&Snapshot{Revision: 10, Items: map[string]Item{"kept": {Name: "kept", Revision: 4}}}, false, false)
+	ahead.take(NewSnapshot(10, slices.Values([]Item{{Name: "kept", Revision: 4}})), false, false)
 	p := ahead.Since(behind.Snapshot().Revision)
 	c.Assert(p.Full, qt.IsTrue)
 	behind.take((&Snapshot{}).with(&p.Changes), true, false)
-	c.Check(behind.Snapshot().Items, qt.HasLen, 1)
+	c.Check(behind.Snapshot().Len(), qt.Equals, 1)
 }
 
 // TestChangesWithinAStepReachDaemonsInsideIt has an object come and go within one step
@@ -707,7 +710,7 @@
 func TestChangesWithinAStepReachDaemonsInsideIt(t *testing.T) {
 	c := qt.New(t)
 	ahead := New(Options{Kind: "things", Apply: func(Update) {}, Announce: func(uint64) {}})
-	ahead.take(&Snapshot{Revision: 10, Items: map[string]Item{}}, false, false)
+	ahead.take(&Snapshot{Revision: 10}, false, false)
 	ahead.change(&Changes{Revision: 20, Changed: []Item{{Name: "other", Revision: 18}}, Removed: []string{"brief"}}, false, false)
 	c.Check(ahead.Since(15).Full, qt.IsTrue)
 	c.Check(ahead.Since(10).Full, qt.IsFalse)
--- a/follow/read.go
+++ b/follow/read.go
@@ -31,7 +31,7 @@
 		f.relist.set(CauseRetry)
 		return err
 	}
-	f.Log.Info().Str("kind", f.Kind).Stringer("cause", cause).Uint64("revision", next.Revision).Int("objects", len(next.Items)).
+	f.Log.Info().Str("kind", f.Kind).Stringer("cause", cause).Uint64("revision", next.Revision).Int("objects", next.Len()).
 		Dur("took_ms", time.Since(began)).Msg("objects listed")
 	f.patience = min(max(firstPatience, 2*time.Since(began)), mostPatience)
 	f.answered()
--- a/follow/snapshot.go
+++ b/follow/snapshot.go
@@ -1,6 +1,9 @@
 package follow
 
-import "bytes"
+import (
+	"bytes"
+	"iter"
+)
 
 // Item is one object.
 type Item struct {
@@ -18,11 +21,44 @@
 	return i.Revision == o.Revision && bytes.Equal(i.Spec, o.Spec) && bytes.Equal(i.Status, o.Status)
 }
 
-// Snapshot is an immutable state of all objects of a kind.
+// Snapshot is an immutable state of all objects of a kind. Successive snapshots share
+// unmodified objects.
 type Snapshot struct {
 	// Revision is that of the store when the state was read.
 	Revision uint64
-	Items    map[string]Item
+	items    items
+}
+
+// NewSnapshot returns a snapshot of the objects at a revision.
+func NewSnapshot(revision uint64, objects iter.Seq[Item]) *Snapshot {
+	edit := items{}.edit()
+	for item := range objects {
+		edit.put(&item)
+	}
+	return &Snapshot{Revision: revision, items: edit.items}
+}
+
+// Len returns the number of objects.
+func (s *Snapshot) Len() int { return s.items.count }
+
+// Item returns the object with the name and whether it exists.
+func (s *Snapshot) Item(name string) (Item, bool) {
+	item := s.items.get(name)
+	if item == nil {
+		return Item{}, false
+	}
+	return *item, true
+}
+
+// All returns the objects in no particular order.
+func (s *Snapshot) All() iter.Seq[Item] {
+	return func(yield func(Item) bool) {
+		for item := range s.items.all() {
+			if !yield(*item) {
+				return
+			}
+		}
+	}
 }
 
 // Changes are what happened after a revision.
@@ -36,41 +72,51 @@
 // empty tells whether nothing happened.
 func (c *Changes) empty() bool { return len(c.Changed) == 0 && len(c.Removed) == 0 }
 
-// with returns the state after the changes.
+// with returns the state after the changes. Changed objects older than the known ones are
+// ignored.
 func (s *Snapshot) with(c *Changes) *Snapshot {
-	next := &Snapshot{Revision: max(s.Revision, c.Revision), Items: s.Items}
-	if c.empty() && s.Items != nil {
+	next := &Snapshot{Revision: max(s.Revision, c.Revision), items: s.items}
+	if c.empty() {
 		return next
 	}
-	next.Items = make(map[string]Item, len(s.Items)+len(c.Changed))
-	for name, item := range s.Items {
-		next.Items[name] = item
-	}
+	edit := s.items.edit()
 	for _, item := range c.Changed {
-		if item.Revision >= next.Items[item.Name].Revision {
-			next.Items[item.Name] = item
+		if known := edit.get(item.Name); known == nil || item.Revision >= known.Revision {
+			edit.put(&item)
 		}
 	}
 	for _, name := range c.Removed {
-		delete(next.Items, name)
+		edit.remove(name)
 	}
+	next.items = edit.items
 	return next
 }
 
-// diff returns the changes that lead from one state to another.
-func (s *Snapshot) diff(next *Snapshot) Changes {
+// Diff returns the changes that lead from s to next.
+func (s *Snapshot) Diff(next *Snapshot) Changes {
 	c := Changes{Revision: next.Revision}
-	for name, item := range next.Items {
-		if old, ok := s.Items[name]; !ok || !old.equal(item) {
-			c.Changed = append(c.Changed, item)
+	for n := range itemShards {
+		c.addShardDiff(s.items.shard(n), next.items.shard(n))
+	}
+	return c
+}
+
+// addShardDiff adds the differences between two states of a shard.
+func (c *Changes) addShardDiff(old, next []*Item) {
+	if len(old) == len(next) && (len(old) == 0 || &old[0] == &next[0]) {
+		return // Shared between both states.
+	}
+	for _, item := range next {
+		pos, known := find(old, item.Name)
+		if !known || old[pos] != item && !old[pos].equal(*item) {
+			c.Changed = append(c.Changed, *item)
 		}
 	}
-	for name := range s.Items {
-		if _, ok := next.Items[name]; !ok {
-			c.Removed = append(c.Removed, name)
+	for _, item := range old {
+		if _, still := find(next, item.Name); !still {
+			c.Removed = append(c.Removed, item.Name)
 		}
 	}
-	return c
 }
 
 // maxHistory bounds the steps remembered. A daemon that is further behind gets
@@ -108,7 +154,7 @@
 			return Changes{}, false
 		}
 	}
-	state := &Snapshot{Items: map[string]Item{}}
+	state := &Snapshot{}
 	removed := make(map[string]struct{})
 	for _, s := range h.steps {
 		if s.changes.Revision <= after {
@@ -122,7 +168,7 @@
 		}
 		state = state.with(&s.changes)
 	}
-	c := (&Snapshot{}).diff(state)
+	c := (&Snapshot{}).Diff(state)
 	for name := range removed {
 		c.Removed = append(c.Removed, name)
 	}
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -15,6 +15,9 @@
 type Engines struct {
 	View *inventory.View
 	Plan *balance.Plan
+	// specs are the plan's entries for the engines of the view, nil for engines without
+	// groups.
+	specs []*bronzeturnv1.Engine
 	// members are the keys of each group, for prefix affinity.
 	members map[string]*rendezvous.Set
 }
@@ -37,28 +40,62 @@
 // NewEngines compiles a view. The balancer's state keeps what it knows of the
 // engines that stay.
 func NewEngines(state *balance.State, view *inventory.View, assign Assign) *Engines {
-	register := &bronzeturnv1.Register{}
-	e := &Engines{View: view, members: make(map[string]*rendezvous.Set)}
+	return (*Engines)(nil).Recompile(state, view, assign)
+}
+
+// Recompile compiles a newer view, reusing the parts of e that did not change. e may be
+// nil.
+func (e *Engines) Recompile(state *balance.State, view *inventory.View, assign Assign) *Engines {
+	if e == nil {
+		e = &Engines{View: &inventory.View{}}
+	}
+	next := &Engines{View: view, specs: make([]*bronzeturnv1.Engine, len(view.Engines)), members: make(map[string]*rendezvous.Set)}
+	register := &bronzeturnv1.Register{Engines: make([]*bronzeturnv1.Engine, 0, len(view.Engines))}
 	keys := make(map[string][]string)
-	for _, engine := range view.Engines {
-		groups := assign(engine)
+	pos := 0 // Position in the previous view.
+	for i, engine := range view.Engines {
+		groups := assign(*engine)
 		if len(groups) == 0 {
 			continue
 		}
-		register.Engines = append(register.Engines, &bronzeturnv1.Engine{
-			Name: engine.Key(), Host: engine.Key(), Pool: groups[0], DataCentre: engine.DataCentre,
-			Address: engine.Address, Versions: groups,
-			Slots: int32(max(engine.Slots, plainSlots)), TokensPerSecond: streamRate(engine.Slots),
-		})
+		var spec *bronzeturnv1.Engine
+		if spec, pos = e.findSpec(engine, pos); spec == nil || !slices.Equal(spec.Versions, groups) {
+			spec = newSpec(engine, groups)
+		}
+		next.specs[i] = spec
+		register.Engines = append(register.Engines, spec)
 		for _, group := range groups {
 			keys[group] = append(keys[group], engine.Key())
 		}
 	}
 	for group, names := range keys {
-		e.members[group] = rendezvous.NewSet(names)
+		next.members[group] = e.members[group].WithNames(names)
+	}
+	next.Plan = state.Plan(register, nil)
+	return next
+}
+
+// findSpec returns the plan's entry for an engine, or nil, and the position in the view at
+// which to start the search for the next engine.
+func (e *Engines) findSpec(engine *inventory.Engine, from int) (*bronzeturnv1.Engine, int) {
+	for ; from < len(e.View.Engines); from++ {
+		switch known := e.View.Engines[from]; {
+		case known == engine:
+			return e.specs[from], from + 1
+		case known.Key() > engine.Key():
+			return nil, from
+		}
+	}
+	return nil, from
+}
+
+// newSpec returns a plan entry for an engine.
+func newSpec(engine *inventory.Engine, groups []string) *bronzeturnv1.Engine {
+	key := engine.Key()
+	return &bronzeturnv1.Engine{
+		Name: key, Host: key, Pool: groups[0], DataCentre: engine.DataCentre, Address: engine.Address, Versions: groups,
+		Slots: int32(max(engine.Slots, plainSlots)), TokensPerSecond: streamRate(engine.Slots),
 	}
-	e.Plan = state.Plan(register, nil)
-	return e
 }
 
 // The balancer measures work in tokens of the largest model. An engine reads and
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -5,9 +5,9 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -58,38 +58,58 @@
 
 // View is an immutable list of the engines that may get new work.
 type View struct {
-	// Engines are in the order of their keys.
-	Engines []Engine
+	// Engines are sorted by key. Successive views share unmodified engines, which must not
+	// be modified.
+	Engines []*Engine
 	// Generation rises with every change.
 	Generation uint64
-
-	byKey map[string]int
 }
 
 // Engine returns the engine with the key.
 func (v *View) Engine(key string) (Engine, bool) {
-	i, ok := v.byKey[key]
-	if !ok {
+	pos, known := find(v.Engines, key)
+	if !known {
 		return Engine{}, false
 	}
-	return v.Engines[i], true
+	return *v.Engines[pos], true
+}
+
+// find returns the position of a key in a list sorted by key and whether it is present.
+func find(engines []*Engine, key string) (int, bool) {
+	return slices.BinarySearchFunc(engines, key, func(e *Engine, key string) int { return cmp.Compare(e.key, key) })
 }
 
 // lapse is an engine whose entry vanished with an outage.
 type lapse struct {
-	engine Engine
+	engine *Engine
 	until  time.Time
 }
 
-// Set follows the registrations. It is safe for concurrent use.
+// Change is a change to the registrations.
+type Change struct {
+	// Registered are the new and changed registrations.
+	Registered []Engine
+	// Removed are the ids of engines that are no longer registered.
+	Removed []string
+	// Outage reports whether the store has just recovered from an outage. Removed engines
+	// then stay in use until the grace period ends.
+	Outage bool
+}
+
+// Set follows the registrations. The cost of a change is proportional to its size, except
+// for copying the view's slice of pointers. It is safe for concurrent use.
 type Set struct {
 	mu sync.Mutex
-	// listed and lapsed are by key.
-	listed  map[string]Engine
-	lapsed  map[string]lapse
-	grace   time.Duration
-	view    *View
-	changed func(old, now *View)
+	// listed and lapsed are keyed by id.
+	listed map[string]*Engine
+	lapsed map[string]lapse
+	// forgotten are the keys of listed engines that Forget has removed from the view.
+	forgotten map[string]struct{}
+	// interned are the names of services, data centres and versions, shared by all engines.
+	interned map[string]string
+	grace    time.Duration
+	view     *View
+	changed  func(old, now *View)
 }
 
 // New returns an empty set that calls changed after every change, one call at a
@@ -98,8 +118,8 @@
 // that has really left must get no work much longer.
 func New(grace time.Duration, changed func(old, now *View)) *Set {
 	return &Set{
-		listed: make(map[string]Engine), lapsed: make(map[string]lapse),
-		grace: grace, view: &View{}, changed: changed,
+		listed: make(map[string]*Engine), lapsed: make(map[string]lapse), forgotten: make(map[string]struct{}),
+		interned: make(map[string]string), grace: grace, view: &View{}, changed: changed,
 	}
 }
 
@@ -110,30 +130,101 @@
 	return s.view
 }
 
-// Replace takes in the registrations of now. With outage set, the store has just
-// come back from an outage: engines whose entries are missing stay in use until
-// Expire finds them missing after the grace.
+// Replace applies a complete list of registrations.
 func (s *Set) Replace(engines []Engine, outage bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	next := make(map[string]Engine, len(engines))
-	registered := make(map[string]bool, len(engines))
+	registered := make(map[string]struct{}, len(engines))
 	for _, e := range engines {
-		e.key = e.Key()
-		next[e.key] = e
-		registered[e.ID] = true
-	}
-	if outage {
-		for key, e := range s.listed {
-			if !e.Draining {
-				s.lapsed[key] = lapse{engine: e, until: now.Add(s.grace)}
-			}
+		registered[e.ID] = struct{}{}
+	}
+	c := Change{Registered: engines, Outage: outage}
+	for id := range s.listed {
+		if _, still := registered[id]; !still {
+			c.Removed = append(c.Removed, id)
 		}
 	}
-	// An engine that is back is listed; one that has started anew is not its old self.
-	maps.DeleteFunc(s.lapsed, func(_ string, l lapse) bool { return registered[l.engine.ID] })
-	s.listed = next
-	s.rebuild()
+	clear(s.forgotten)
+	s.apply(c, now)
+}
+
+// Apply applies a change.
+func (s *Set) Apply(c Change, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(c, now)
+}
+
+// apply applies a change. The caller holds mu.
+func (s *Set) apply(c Change, now time.Time) {
+	edit := newViewEdit(s.view)
+	for _, id := range c.Removed {
+		s.remove(id, c.Outage, now, edit)
+	}
+	for _, e := range c.Registered {
+		s.register(e, edit)
+	}
+	s.commit(edit)
+}
+
+// register adds or updates an engine. The caller holds mu.
+func (s *Set) register(e Engine, edit *viewEdit) {
+	e.key = e.Key()
+	e.ID = e.key[:len(e.ID)]
+	e.Service, e.DataCentre, e.Version = s.intern(e.Service), s.intern(e.DataCentre), s.intern(e.Version)
+	previous := s.listed[e.ID]
+	if l, lapsed := s.lapsed[e.ID]; lapsed {
+		// It is registered again, or has restarted and counts as another engine.
+		delete(s.lapsed, e.ID)
+		edit.remove(l.engine)
+	}
+	if previous != nil && *previous == e {
+		if _, forgotten := s.forgotten[e.key]; !forgotten && !e.Draining {
+			edit.put(previous)
+		}
+		return
+	}
+	if previous != nil {
+		edit.remove(previous)
+		delete(s.forgotten, previous.key)
+	}
+	s.listed[e.ID] = &e
+	if !e.Draining {
+		edit.put(&e)
+	}
+}
+
+// intern returns a shared copy of a string. The caller holds mu.
+func (s *Set) intern(name string) string {
+	if known, ok := s.interned[name]; ok {
+		return known
+	}
+	if len(s.interned) >= maxInterned {
+		clear(s.interned)
+	}
+	name = strings.Clone(name)
+	s.interned[name] = name
+	return name
+}
+
+// maxInterned bounds the number of interned strings.
+const maxInterned = 1024
+
+// remove removes a registration. After an outage, an engine that takes work stays in use
+// for the grace period. The caller holds mu.
+func (s *Set) remove(id string, outage bool, now time.Time, edit *viewEdit) {
+	e := s.listed[id]
+	if e == nil {
+		return
+	}
+	_, forgotten := s.forgotten[e.key]
+	delete(s.listed, id)
+	delete(s.forgotten, e.key)
+	if outage && !e.Draining && !forgotten {
+		s.lapsed[id] = lapse{engine: e, until: now.Add(s.grace)}
+		return
+	}
+	edit.remove(e)
 }
 
 // Expire drops the engines that are still missing after the grace. It returns
@@ -142,52 +233,47 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var next time.Time
-	expired := false
-	for key, l := range s.lapsed {
+	edit := newViewEdit(s.view)
+	for id, l := range s.lapsed {
 		switch {
 		case !now.Before(l.until):
-			delete(s.lapsed, key)
-			expired = true
+			delete(s.lapsed, id)
+			edit.remove(l.engine)
 		case next.IsZero() || l.until.Before(next):
 			next = l.until
 		}
 	}
-	if expired {
-		s.rebuild()
-	}
+	s.commit(edit)
 	return next
 }
 
 // Forget drops the engine with the key at once, because another one answered at its
-// address.
+// address. Its entry is ignored until it changes or Replace is called.
 func (s *Set) Forget(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.listed, key)
-	delete(s.lapsed, key)
-	s.rebuild()
-}
-
-// rebuild makes the view anew and tells of a change. The caller holds mu.
-func (s *Set) rebuild() {
-	v := &View{byKey: make(map[string]int)}
-	for e := range maps.Values(s.listed) {
-		if !e.Draining {
-			v.Engines = append(v.Engines, e)
-		}
+	pos, known := find(s.view.Engines, key)
+	if !known {
+		return
 	}
-	for l := range maps.Values(s.lapsed) {
-		v.Engines = append(v.Engines, l.engine)
+	e := s.view.Engines[pos]
+	if s.listed[e.ID] == e {
+		s.forgotten[key] = struct{}{}
 	}
-	slices.SortFunc(v.Engines, func(a, b Engine) int { return cmp.Compare(a.Key(), b.Key()) })
-	if slices.Equal(v.Engines, s.view.Engines) {
+	delete(s.lapsed, e.ID)
+	edit := newViewEdit(s.view)
+	edit.remove(e)
+	s.commit(edit)
+}
+
+// commit replaces the view with the edited one and calls changed if they differ. The
+// caller holds mu.
+func (s *Set) commit(edit *viewEdit) {
+	engines, changed := edit.result()
+	if !changed {
 		return
 	}
-	for i, e := range v.Engines {
-		v.byKey[e.Key()] = i
-	}
 	old := s.view
-	v.Generation = old.Generation + 1
-	s.view = v
-	s.changed(old, v)
+	s.view = &View{Engines: engines, Generation: old.Generation + 1}
+	s.changed(old, s.view)
 }
--- a/inventory/key_test.go
+++ b/inventory/key_test.go
@@ -17,10 +17,14 @@
 		c.Check(e.Key(), qt.Equals, given[i].Key())
 		again, known := s.View().Engine(given[i].Key())
 		c.Check(known, qt.IsTrue)
-		c.Check(again, qt.Equals, e)
+		c.Check(again, qt.Equals, *e)
 	}
 	generation := s.View().Generation
-	s.Replace(s.View().Engines, false, start)
+	var listed []Engine
+	for _, e := range s.View().Engines {
+		listed = append(listed, *e)
+	}
+	s.Replace(listed, false, start)
 	s.Replace(given, false, start)
 	c.Check(s.View().Generation, qt.Equals, generation)
 }
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -131,6 +131,26 @@
 // Replaced takes in that another start answers or registers at the engine's address.
 func (d *Detector) Replaced(engine string, now time.Time) { d.ended(engine, CauseReplaced, now) }
 
+// Registered records the registration of an engine: other starts at its address with recent
+// interrupted answers have ended.
+func (d *Detector) Registered(e inventory.Engine, now time.Time) {
+	if e.Address == "" {
+		return
+	}
+	key := e.Key()
+	d.mu.Lock()
+	var replaced []string
+	for known, c := range d.cuts {
+		if c.engine.Address == e.Address && known != key {
+			replaced = append(replaced, known)
+		}
+	}
+	d.mu.Unlock()
+	for _, known := range replaced {
+		d.Replaced(known, now)
+	}
+}
+
 // Told takes in that another daemon found the end of an engine.
 func (d *Detector) Told(e inventory.Engine, now time.Time) {
 	d.mu.Lock()
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -231,3 +231,7 @@
 	rouse(q.wake)
 	return true
 }
+
+// Registered records the registration of an engine: earlier starts at its address have
+// ended.
+func (q *Quarantine) Registered(e inventory.Engine, now time.Time) { q.detector.Registered(e, now) }
--- a/rendezvous/rendezvous.go
+++ b/rendezvous/rendezvous.go
@@ -22,15 +22,27 @@
 }
 
 // NewSet returns the set of names. The order of names does not matter.
-func NewSet(names []string) *Set {
+func NewSet(names []string) *Set { return (*Set)(nil).WithNames(names) }
+
+// WithNames returns the set of names, reusing the hashes of those that are in s. s may be
+// nil. The order of names does not matter.
+func (s *Set) WithNames(names []string) *Set {
 	sorted := slices.Clone(names)
 	slices.Sort(sorted)
 	sorted = slices.Compact(sorted)
-	hashes := make([]uint64, len(sorted))
+	next := &Set{names: sorted, hashes: make([]uint64, len(sorted))}
+	pos := 0
 	for i, name := range sorted {
-		hashes[i] = xxhash.Sum64String(name)
+		for s != nil && pos < len(s.names) && s.names[pos] < name {
+			pos++
+		}
+		if s != nil && pos < len(s.names) && s.names[pos] == name {
+			next.hashes[i] = s.hashes[pos]
+			continue
+		}
+		next.hashes[i] = xxhash.Sum64String(name)
 	}
-	return &Set{names: sorted, hashes: hashes}
+	return next
 }
 
 // NewWeighted returns the set of names with their weights: a name of twice the weight
