Limit lists of names in log lines to 32 entries

When thousands of engines registered within seconds, each daemon logged all of their keys: one line of a daemon in the fleet of 10,001 engines held more than 250 names. Lists of engines and daemons in such lines now hold the first 32 names, and the line includes the total count.

--- a/entry/copies.go
+++ b/entry/copies.go
@@ -8,6 +8,7 @@
 	"github.com/bronzeturn/bronzeturn/follow"
 	"github.com/bronzeturn/bronzeturn/gateway"
 	"github.com/bronzeturn/bronzeturn/inventory"
+	"github.com/bronzeturn/bronzeturn/logging"
 	"github.com/bronzeturn/bronzeturn/quarantine"
 	"github.com/bronzeturn/bronzeturn/route"
 )
@@ -152,8 +153,9 @@
 func (d *Daemon) enginesChanged(old, now *inventory.View) {
 	came, went := difference(now, old), difference(old, now)
 	if len(came)+len(went) > mostLines {
-		d.log.Info().Strs("came", keysOf(came)).Strs("went", keysOf(went)).Int("engines", len(now.Engines)).
-			Uint64("engines_view", now.Generation).Msg("many engines changed")
+		d.log.Info().Int("came_count", len(came)).Strs("came", logging.FirstNames(keysOf(came))).
+			Int("went_count", len(went)).Strs("went", logging.FirstNames(keysOf(went))).
+			Int("engines", len(now.Engines)).Uint64("engines_view", now.Generation).Msg("many engines changed")
 		came, went = nil, nil
 	}
 	for _, e := range came {
--- a/entry/slowstart.go
+++ b/entry/slowstart.go
@@ -6,6 +6,7 @@
 
 	"github.com/bronzeturn/bronzeturn/balance"
 	"github.com/bronzeturn/bronzeturn/inventory"
+	"github.com/bronzeturn/bronzeturn/logging"
 	"github.com/bronzeturn/bronzeturn/slowstart"
 )
 
@@ -66,7 +67,7 @@
 		return
 	}
 	slices.Sort(engines)
-	d.log.Info().Strs("engines", engines).Int("daemons", d.fleet.Live()).Msg(text)
+	d.log.Info().Int("count", len(engines)).Strs("engines", logging.FirstNames(engines)).Int("daemons", d.fleet.Live()).Msg(text)
 }
 
 // unreachable takes in that an engine did not take a connection. Back under the same name
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -13,6 +13,7 @@
 
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/gossip"
+	"github.com/bronzeturn/bronzeturn/logging"
 )
 
 // Membership keeps the view of the fleet. It is safe for concurrent use.
@@ -253,7 +254,7 @@
 		for i, member := range joined {
 			names[i] = member.Name
 		}
-		m.log.Info().Strs("daemons", names).Int("live", v.Live()).Msg("many daemons joined")
+		m.log.Info().Int("count", len(names)).Strs("daemons", logging.FirstNames(names)).Int("live", v.Live()).Msg("many daemons joined")
 		joined = nil
 	}
 	for _, member := range slices.Concat(joined, changed) {
