Align periodic loops of a daemon to shared wake-ups

An idle entry daemon runs a dozen loops that poll every 100 to 500 ms, in addition to the heartbeats of its links. Each woke the process at its own time. On a host with a fifth of a core, each wake-up costs CPU time, and it causes several more wake-ups of the runtime's monitor thread. Loops with an interval now wait for multiples of that interval on a clock that each process offsets by a random phase. Loops in one process thus share wake-ups, while the daemons of a fleet do not wake together. A link's first heartbeat comes up to 500 ms sooner than before.

Longer intervals were ruled out because they would delay the detection of changes.

--- /dev/null
+++ b/backoff/tick.go
@@ -0,0 +1,27 @@
+package backoff
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+// phase is the offset of this process's ticks from the wall clock, in nanoseconds.
+var phase atomic.Int64
+
+// SetPhase sets the offset of this process's ticks, which keeps the daemons of a fleet from
+// waking in lockstep.
+func SetPhase(d time.Duration) { phase.Store(int64(d)) }
+
+// UntilTick returns the time until the next tick: the next multiple of interval on the wall
+// clock, offset by the phase. Periodic loops that wait for ticks share wake-ups, which reduces
+// the CPU usage of an idle process.
+func UntilTick(interval time.Duration) time.Duration {
+	now := time.Now().UnixNano() + phase.Load()
+	return interval - time.Duration(now%int64(interval))
+}
+
+// Tick waits for the next tick of interval. It returns the cause of ctx if ctx ends first.
+func Tick(ctx context.Context, interval time.Duration) error {
+	return Sleep(ctx, UntilTick(interval))
+}
--- /dev/null
+++ b/backoff/tick_test.go
@@ -0,0 +1,53 @@
+package backoff
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestLoopsShareTicks guards against loops with the same interval waking separately when they
+// start at different times.
+func TestLoopsShareTicks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const interval, loops, rounds = 200 * time.Millisecond, 7, 5
+		const startIntervals = 2 // The loops start within this many intervals.
+		c := qt.New(t)
+		defer SetPhase(0)
+		for _, offset := range []time.Duration{0, 130 * time.Millisecond, 999 * time.Millisecond} {
+			SetPhase(offset)
+			start := time.Now()
+			wakeups := make(chan time.Time, loops*rounds)
+			for i := range loops {
+				time.Sleep(time.Duration(i) * 13 * time.Millisecond)
+				go func() {
+					for range rounds {
+						_ = Tick(context.Background(), interval)
+						wakeups <- time.Now()
+					}
+				}()
+			}
+			time.Sleep((rounds + 1) * interval)
+			loopsByTime := make(map[time.Time]int)
+			for range loops * rounds {
+				loopsByTime[<-wakeups]++
+			}
+			c.Check(len(loopsByTime) <= rounds+startIntervals, qt.IsTrue, qt.Commentf("%d wake-ups", len(loopsByTime)))
+			for at := range loopsByTime {
+				c.Check(at.Sub(start) <= (rounds+startIntervals)*interval, qt.IsTrue)
+			}
+		}
+	})
+}
+
+// TestTickReturnsWhenContextEnds guards against Tick blocking after its context is canceled.
+func TestTickReturnsWhenContextEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		qt.Check(t, Tick(ctx, time.Hour), qt.Equals, context.Canceled)
+	})
+}
--- a/entry/copies.go
+++ b/entry/copies.go
@@ -247,7 +247,7 @@
 
 // expireEngines drops the engines that did not come back after an outage.
 func (d *Daemon) expireEngines(ctx context.Context) error {
-	for backoff.Sleep(ctx, expirePoll) == nil {
+	for backoff.Tick(ctx, expirePoll) == nil {
 		d.engines.Expire(time.Now())
 		d.introductions.release()
 		d.logSlowStarts("engine is warm", d.slowStarts.Expire(time.Now()))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/rs/zerolog"
 	"gopkg.in/tomb.v2"
 
+	"github.com/bronzeturn/bronzeturn/backoff"
 	"github.com/bronzeturn/bronzeturn/balance"
 	"github.com/bronzeturn/bronzeturn/bootstrap"
 	"github.com/bronzeturn/bronzeturn/canary"
@@ -155,6 +156,7 @@
 // New provisions a daemon and opens its listeners. Nothing is served before Run.
 func New(o Options) (*Daemon, error) {
 	d := &Daemon{Options: o, registry: prometheus.NewRegistry(), seed: process.Seed(), started: time.Now(), book: occupancy.NewBook()}
+	backoff.SetPhase(time.Duration(rand.New(rand.NewPCG(d.seed, randTickPhase)).Int64N(int64(time.Second))))
 	d.Store = newCountedStore(o.Store, d.registry)
 	d.current.Store(&o.Settings)
 	d.log = logging.Plain(o.LogWriter, o.Settings.Name)
@@ -226,6 +228,7 @@
 	randEvacuations
 	randSlowStarts
 	randQuarantine
+	randTickPhase
 )
 
 // Run serves until ctx ends, then stops gracefully. It may be called once.
--- a/entry/heap.go
+++ b/entry/heap.go
@@ -46,7 +46,7 @@
 func (d *Daemon) adjustHeapGrowth(ctx context.Context) error {
 	percent := heapGrowthFor(d.Settings.Cores, 0)
 	live := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
-	for backoff.Sleep(ctx, heapPollInterval) == nil {
+	for backoff.Tick(ctx, heapPollInterval) == nil {
 		metrics.Read(live)
 		target := heapGrowthFor(d.Settings.Cores, live[0].Value.Uint64())
 		if max(target-percent, percent-target) < minHeapGrowthChange {
--- a/entry/review.go
+++ b/entry/review.go
@@ -25,13 +25,18 @@
 
 // run reviews the introductions until ctx ends.
 func (i *introductions) run(ctx context.Context) error {
-	pause := reviewInterval
-	for backoff.Sleep(ctx, pause) == nil {
-		pause = reviewInterval
+	err := backoff.Tick(ctx, reviewInterval)
+	for err == nil {
+		pause := reviewInterval
 		for service, known := range i.active() {
 			i.review(ctx, service, known)
 			pause = min(pause, known.NextReview(time.Now(), reviewInterval))
 		}
+		if pause < reviewInterval {
+			err = backoff.Sleep(ctx, pause) // A deadline, not an interval.
+			continue
+		}
+		err = backoff.Tick(ctx, reviewInterval)
 	}
 	return nil
 }
--- a/entry/watchers.go
+++ b/entry/watchers.go
@@ -134,7 +134,7 @@
 
 // run publishes whether the store answers this daemon while it watches, until ctx ends.
 func (w *watchers) run(ctx context.Context) error {
-	for backoff.Sleep(ctx, turnedAwayPoll) == nil {
+	for backoff.Tick(ctx, turnedAwayPoll) == nil {
 		w.review(time.Now())
 	}
 	return nil
--- a/follow/pull.go
+++ b/follow/pull.go
@@ -32,7 +32,7 @@
 
 // rest waits until there may be something to ask.
 func (f *Follower) rest(ctx context.Context) {
-	timer := time.NewTimer(idlePoll)
+	timer := time.NewTimer(backoff.UntilTick(idlePoll))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/follow/run.go
+++ b/follow/run.go
@@ -14,11 +14,11 @@
 	f.turn = f.Random.Float64()
 	for ctx.Err() == nil {
 		if !f.reads(time.Now()) {
-			_ = backoff.Sleep(ctx, idlePoll) // The loop ends with ctx.
+			_ = backoff.Tick(ctx, idlePoll) // The loop ends with ctx.
 			continue
 		}
 		if f.waitsForLead(time.Now()) {
-			_ = backoff.Sleep(ctx, leadPoll) // The loop ends with ctx.
+			_ = backoff.Tick(ctx, leadPoll) // The loop ends with ctx.
 			continue
 		}
 		pauses.Base, pauses.Max = f.pauses(time.Now())
--- a/gossip/link.go
+++ b/gossip/link.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bronzeturn/bronzeturn/backoff"
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 )
 
@@ -151,14 +152,15 @@
 	if err := l.stream.Send(hello); err != nil {
 		return err
 	}
-	ticker := time.NewTicker(HeartbeatInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(backoff.UntilTick(HeartbeatInterval))
+	defer timer.Stop()
 	var flush <-chan time.Time
 	for beats := 1; ; {
 		select {
 		case <-l.done:
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(backoff.UntilTick(HeartbeatInterval))
 			frame := &bronzeturnv1.Frame{Heartbeat: l.node.heartbeat(beats%digestEvery == 0)}
 			beats++
 			if err := l.stream.Send(frame); err != nil {
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -93,13 +93,15 @@
 
 // Run exchanges sums until ctx ends.
 func (t *Tally) Run(ctx context.Context) error {
-	pause := quietInterval
-	for backoff.Sleep(ctx, pause) == nil {
-		pause = quietInterval
-		if own := t.Own(); len(own) > 0 {
-			t.round(ctx, own)
-			pause = t.Place().interval()
+	_ = backoff.Tick(ctx, quietInterval) // The loop ends with ctx.
+	for ctx.Err() == nil {
+		own := t.Own()
+		if len(own) == 0 {
+			_ = backoff.Tick(ctx, quietInterval) // The loop ends with ctx.
+			continue
 		}
+		t.round(ctx, own)
+		_ = backoff.Sleep(ctx, t.Place().interval()) // The loop ends with ctx.
 	}
 	return nil
 }
