gossip: refer refused daemons to other neighbours

When a large fleet starts, all daemons dial the same few seeds, each of which is limited to 64 links. The remaining daemons were refused, learnt nothing from the refusal and kept redialling the same seeds.

A daemon at its link limit now sends a refused daemon up to 24 random daemon entries plus its own entry, and the refused daemon links to those. Daemons that do not know this frame treat it as a refusal, as before.

The test network dropped frames in flight when the sender closed its side. It now delivers them, as a real connection does.

--- a/gossip/errors.go
+++ b/gossip/errors.go
@@ -60,6 +60,9 @@
 	ErrReplaced = errors.New("overlay link replaced")
 	// ErrNotWanted reports a link to a neighbour that is no longer chosen.
 	ErrNotWanted = errors.New("overlay link not wanted")
+	// ErrReferred reports that a neighbour at its link limit refused the link and sent
+	// entries of other daemons.
+	ErrReferred = errors.New("overlay neighbour at link limit sent referral")
 	// ErrTooManyLinks reports that the bound on links is reached.
 	ErrTooManyLinks = errors.New("too many overlay links")
 )
--- a/gossip/link.go
+++ b/gossip/link.go
@@ -54,6 +54,9 @@
 func (n *Node) run(stream Link, target *Target) (name string, err error) {
 	l := newLink(n, stream, target)
 	if err := n.attach(l); err != nil {
+		if errors.Is(err, ErrTooManyLinks) && target == nil {
+			n.sendReferral(stream)
+		}
 		stream.Close()
 		return "", err
 	}
--- a/gossip/options.go
+++ b/gossip/options.go
@@ -32,6 +32,9 @@
 	maxControl = 64
 	// maxLinks bounds the links of one daemon, both directions together.
 	maxLinks = 64
+	// maxReferralEntries bounds the random daemon entries in a referral. It is large enough
+	// for a refused daemon to find neighbours below their link limit while many daemons join.
+	maxReferralEntries = 24
 	// entryRate bounds the entries sent on all links, in bytes per second, and
 	// entryBurst what may be sent at once.
 	entryRate  = 16 << 10
@@ -96,6 +99,10 @@
 	// Greeting are keys that are sent first on every new link, such as this
 	// daemon's own entry.
 	Greeting []string
+	// Referral is the key prefix of daemon entries. A daemon refused at the link limit
+	// is sent a random selection of them, so that it can link to other daemons. If empty, no
+	// referrals are sent.
+	Referral string
 	// Random is used for jitter, under the node's own lock.
 	Random *rand.Rand
 	Log    zerolog.Logger
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -13,6 +13,13 @@
 	if err != nil {
 		return err
 	}
+	// A first frame with entries but no hello is a referral.
+	if frame.GetHello() == nil && len(frame.GetEntries()) > 0 {
+		for _, e := range frame.GetEntries() {
+			l.takeEntry(e)
+		}
+		return ErrReferred
+	}
 	name := frame.GetHello().GetName()
 	if name == "" || len(name) > MaxKeyBytes || name == l.node.options.Name {
 		return &HelloError{Name: name}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -66,6 +66,7 @@
 		Observer:   (*observer)(m),
 		Status:     m.heartbeat,
 		Greeting:   []string{daemonPrefix + options.Self.Name},
+		Referral:   daemonPrefix,
 		Random:     rand.New(rand.NewPCG(options.Random.Uint64(), options.Random.Uint64())),
 		Log:        options.Log,
 		Registerer: options.Registerer,
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -27,6 +27,8 @@
 	cut     map[[2]string]bool
 	random  *rand.Rand
 	delay   time.Duration
+	// dials counts dial attempts by target address.
+	dials map[string]int
 }
 
 func newNetwork(delay time.Duration) *network {
@@ -35,6 +37,7 @@
 		down:    make(map[string]bool),
 		paused:  make(map[string]bool),
 		cut:     make(map[[2]string]bool),
+		dials:   make(map[string]int),
 		random:  rand.New(rand.NewPCG(3, 4)),
 		delay:   delay,
 	}
@@ -142,6 +145,7 @@
 func (d *networkDialer) DialLink(ctx context.Context, target gossip.Target) (gossip.Link, error) {
 	n, to := d.network, target.Address
 	n.mu.Lock()
+	n.dials[to]++
 	cut, down, m := n.cut[[2]string{d.from, to}], n.down[to], n.daemons[to]
 	n.mu.Unlock()
 	if cut {
@@ -175,6 +179,9 @@
 
 type end struct {
 	in, out *pipe
+	// closed is set once this side has closed the link. It stops receiving, while the other
+	// side still receives frames in flight.
+	closed bool
 }
 
 // Send implements gossip.Link.
@@ -196,7 +203,7 @@
 	n.mu.Lock()
 	for {
 		reset := p.closed || n.down[p.from] || n.down[p.to]
-		if reset && (len(p.frames) == 0 || n.down[p.to]) && !n.stuckLocked(p.from, p.to) || e.out.closed {
+		if reset && (len(p.frames) == 0 || n.down[p.to]) && !n.stuckLocked(p.from, p.to) || e.closed {
 			n.mu.Unlock()
 			return nil, errReset
 		}
@@ -216,6 +223,7 @@
 // Close implements gossip.Link. The other side sees it once the network lets it.
 func (e *end) Close() {
 	e.in.network.change(func() {
+		e.closed = true
 		e.in.closed = true
 		e.out.closed = true
 	})
