quarantine: share retry advice and log fields of refused requests

Both daemons had a copy of the retry advice for callers and of the log fields for requests refused in quarantine. Both are now methods of quarantine.Record: RetryAfter and MarshalZerologObject. The log lines and the advice are unchanged.

--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -15,14 +15,6 @@
 	"github.com/bronzeturn/bronzeturn/quarantine"
 )
 
-// Retry-After advice for requests that crash engines.
-const (
-	// quarantineRetry is long because a quarantined request is not accepted again soon.
-	quarantineRetry = 10 * time.Minute
-	// uncertainRetry applies while the crashes may be due to another request.
-	uncertainRetry = 2 * time.Second
-)
-
 // Quarantine decides which requests must not be sent because they crash engines. It is
 // notified of engines that end while they process requests.
 type Quarantine interface {
@@ -77,15 +69,9 @@
 
 // quarantined logs and returns the refusal of a request that crashes engines.
 func (r *Router) quarantined(l *launch) *failure.Error {
-	record, now := r.Quarantine.Refused(l.call.hash), time.Now()
-	with(r.Log.Warn(), l.call).Stringer("hash", l.call.hash).Strs("crashed", record.Engines).Bool("tied", record.Tied).
-		Dur("first_age_ms", now.Sub(record.First)).Dur("last_age_ms", now.Sub(record.Last)).Str("told_by", record.Daemon).
-		Str("ran", string(l.ran)).Msg("request in quarantine refused")
-	advice := quarantineRetry
-	if record.Tied {
-		advice = uncertainRetry
-	}
-	return failure.New(failure.CodeQuarantined, l.ran, "the request crashes engines").After(advice)
+	record := r.Quarantine.Refused(l.call.hash)
+	with(r.Log.Warn(), l.call).Stringer("hash", l.call.hash).EmbedObject(&record).Str("ran", string(l.ran)).Msg("request in quarantine refused")
+	return failure.New(failure.CodeQuarantined, l.ran, "the request crashes engines").After(record.RetryAfter())
 }
 
 // engineOf returns the chosen engine with its current start.
