follow: send object names instead of the full copy where history is missing

A daemon has no history before its first list, so it cannot tell which objects were removed before it. Each of up to eight daemons that pull from it and were slightly behind received the full copy, 3.3 MB of engines in the fleet. The response now contains the objects that changed after the requested revision and the names of all objects. The client removes the objects that are not named, unless they are newer than the response. The same holds for revisions between two lists and beyond the history. The full copy is only sent to clients without a copy, and when the changes exceed one part or the names exceed 512 KB. Clients declare support for names in the request.

A list that changed nothing was not recorded in the history, so a client at a revision within it was told that nothing had changed, and could keep an object that was created and removed there. It is recorded now.

--- a/entry/pull.go
+++ b/entry/pull.go
@@ -30,7 +30,7 @@
 		return nil, errNobody
 	}
 	return f.pullFrom(ctx, address, &bronzeturnv1.PullRequest{
-		Kind: kind, AfterRevision: after, WaitMs: uint32(wait.Milliseconds()), Parts: true,
+		Kind: kind, AfterRevision: after, WaitMs: uint32(wait.Milliseconds()), Parts: true, Names: true,
 	})
 }
 
@@ -62,6 +62,9 @@
 		Age: time.Duration(m.GetConfirmedMsAgo()) * time.Millisecond,
 	}
 	p.Changes.Revision, p.Changes.Removed = m.GetRevision(), m.GetRemoved()
+	if m.GetAllNamed() {
+		p.Names = append([]string{}, m.GetNames()...)
+	}
 	for _, item := range m.GetItems() {
 		p.Changes.Changed = append(p.Changes.Changed, follow.Item{
 			Name: item.GetName(), Revision: item.GetRevision(), Created: item.GetCreated(),
@@ -200,6 +203,7 @@
 	answer := &bronzeturnv1.PullResponse{
 		Revision: p.Changes.Revision, Full: p.Full, Failing: p.Failing, AfterOutage: p.AfterOutage, Removed: p.Changes.Removed,
 		ConfirmedMsAgo: uint32(min(p.Age.Milliseconds(), math.MaxUint32)), NextPart: uint32(p.NextPart),
+		Names: p.Names, AllNamed: p.Names != nil,
 	}
 	for _, item := range p.Changes.Changed {
 		answer.Items = append(answer.Items, &bronzeturnv1.FollowedItem{
@@ -217,8 +221,8 @@
 	}
 	wait := min(time.Duration(r.GetWaitMs())*time.Millisecond, mostPullWait)
 	p := follower.Await(ctx, r.GetAfterRevision(), wait)
-	if p != nil && p.NextPart > 0 && !r.GetParts() {
-		p = follower.SinceInOnePart(r.GetAfterRevision()) // The client does not support partial responses.
+	if p != nil && (p.NextPart > 0 && !r.GetParts() || p.Names != nil && !r.GetNames()) {
+		p = follower.SinceInOnePart(r.GetAfterRevision()) // The client does not support such a response.
 	}
 	return p
 }
--- a/follow/copy.go
+++ b/follow/copy.go
@@ -44,11 +44,14 @@
 func (f *Follower) swap(next *Snapshot, diff Changes, s step, fromPeer, afterOutage bool) {
 	first := f.snapshot.Load() == nil
 	f.snapshot.Store(next)
-	if s.changes.empty() && !first {
-		return
+	empty := s.changes.empty()
+	// The first list has no previous state. An empty net difference is recorded, since
+	// objects may have come and gone within it.
+	if !first && (!empty || s.netOnly && s.from < next.Revision) {
+		f.history.add(s)
 	}
-	if !first {
-		f.history.add(s) // The first list has no previous state.
+	if empty && !first {
+		return
 	}
 	close(f.updated)
 	f.updated = make(chan struct{})
@@ -65,7 +68,7 @@
 	defer cancel()
 	for {
 		p, updated := f.sinceAnd(after)
-		if p != nil && (p.Full || !p.Changes.empty()) {
+		if p != nil && (p.Full || p.Names != nil || !p.Changes.empty()) {
 			return p
 		}
 		select {
@@ -103,8 +106,12 @@
 		return p
 	}
 	changes, ok := f.history.since(after)
+	if !ok && after > 0 {
+		changes.Changed, p.Names = s.changedSince(after)
+		ok = namesSize(p.Names) <= maxNamesBytes
+	}
 	if !ok || changes.size() > partBytes {
-		changes, p.Full = Changes{}, true
+		changes, p.Full, p.Names = Changes{}, true, nil
 		changes.Changed, p.NextPart = s.part(0)
 	}
 	p.Changes = changes
@@ -112,17 +119,31 @@
 	return p
 }
 
+// reconcile applies a response with the names of all objects of another daemon unless it is
+// older than the copy.
+func (f *Follower) reconcile(p *Pulled) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.snapshot.Load()
+	if old == nil || p.Changes.Revision < old.Revision {
+		return
+	}
+	next := old.reconciled(p)
+	diff := old.Diff(next)
+	f.swap(next, diff, step{from: old.Revision, changes: diff, netOnly: true}, true, p.AfterOutage)
+}
+
 // SinceInOnePart returns what changed after a revision in a single response of any size,
-// for clients that do not support partial responses, or nil when there is no copy.
+// for clients that support neither partial responses nor names, or nil when there is no copy.
 func (f *Follower) SinceInOnePart(after uint64) *Pulled {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.since(after)
-	if p == nil || p.NextPart == 0 {
+	if p == nil || p.NextPart == 0 && p.Names == nil {
 		return p
 	}
 	s := f.snapshot.Load()
-	p.NextPart = 0
+	p.NextPart, p.Names = 0, nil
 	changes, ok := f.history.since(after)
 	if p.Full = !ok; p.Full {
 		changes = (&Snapshot{}).Diff(s)
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -46,6 +46,9 @@
 	NextPart int
 	// FetchNext requests the next part. It is nil when there is none.
 	FetchNext func(ctx context.Context) (*Pulled, error)
+	// Names are those of all objects of the other daemon, if its history does not tell which
+	// objects were removed after the requested revision. Otherwise Names is nil.
+	Names []string
 	// Failing tells that the store does not answer the other daemon now.
 	Failing bool
 	// AfterOutage tells that the store has just come back.
--- a/follow/pull.go
+++ b/follow/pull.go
@@ -76,6 +76,10 @@
 	if !p.Failing {
 		f.confirm(answered.Add(-p.Age))
 	}
+	if p.Names != nil {
+		f.reconcile(p)
+		return true
+	}
 	if p.Full {
 		f.take((&Snapshot{}).with(&p.Changes), true, p.AfterOutage)
 		return true
--- a/follow/snapshot.go
+++ b/follow/snapshot.go
@@ -152,6 +152,48 @@
 	return objects, 0
 }
 
+// maxNamesBytes limits the size of the object names in one response. Beyond it, the full
+// copy is sent in parts.
+const maxNamesBytes = 512 << 10
+
+// namesSize returns the approximate encoded size of the names in bytes.
+func namesSize(names []string) int {
+	size := 0
+	for _, name := range names {
+		size += len(name)
+	}
+	return size
+}
+
+// changedSince returns the objects that changed after a revision and the names of all
+// objects.
+func (s *Snapshot) changedSince(revision uint64) (changed []Item, names []string) {
+	names = make([]string, 0, s.Len())
+	for item := range s.items.all() {
+		names = append(names, item.Name)
+		if item.Revision > revision {
+			changed = append(changed, *item)
+		}
+	}
+	return changed, names
+}
+
+// reconciled returns the state after a response with the names of all objects of another
+// daemon. Objects that are not named are removed unless they are newer than the response.
+func (s *Snapshot) reconciled(p *Pulled) *Snapshot {
+	known := make(map[string]struct{}, len(p.Names))
+	for _, name := range p.Names {
+		known[name] = struct{}{}
+	}
+	c := p.Changes
+	for item := range s.items.all() {
+		if _, ok := known[item.Name]; !ok && item.Revision <= p.Changes.Revision {
+			c.Removed = append(c.Removed, item.Name)
+		}
+	}
+	return s.with(&c)
+}
+
 // Diff returns the changes that lead from s to next.
 func (s *Snapshot) Diff(next *Snapshot) Changes {
 	c := Changes{Revision: next.Revision}
@@ -180,7 +222,7 @@
 }
 
 // maxHistory bounds the steps remembered. A daemon that is further behind gets
-// the whole state.
+// the names of all objects, or the whole state.
 const maxHistory = 128
 
 // step is one change of the copy, from a revision on.
