gossip: refer newcomers when the table cannot be sent soon

Each daemon sends at most 1 MiB of entries at once and 16 KB/s from then on. A seed that accepts 64 joining daemons at the same time owes each of them its table (26 KB at 240 daemons, worked out), so the last ones wait for seconds with a link that brings nothing and no reason to dial others.

A daemon with at least 16 links, more than it has neighbours in the fleet, refers a newcomer to others when it may not send its whole table now.

--- a/gossip/node.go
+++ b/gossip/node.go
@@ -211,7 +211,7 @@
 	if n.stopped || n.draining {
 		return ErrStopped
 	}
-	if len(n.links) >= maxLinks {
+	if len(n.links) >= maxLinks || l.target == nil && n.exhausted() {
 		return ErrTooManyLinks
 	}
 	n.links[l] = struct{}{}
@@ -219,6 +219,12 @@
 	return nil
 }
 
+// exhausted tells whether this daemon has many links and may not send its table to another
+// neighbour now: it would wait for seconds while others could serve it. The caller holds mu.
+func (n *Node) exhausted() bool {
+	return len(n.links) >= spareLinks && n.limiter.Tokens() < float64(n.table.size()*entryBytes)
+}
+
 func (n *Node) detach(l *link) {
 	n.mu.Lock()
 	delete(n.links, l)
--- a/gossip/options.go
+++ b/gossip/options.go
@@ -32,6 +32,11 @@
 	maxControl = 64
 	// maxLinks bounds the links of one daemon, both directions together.
 	maxLinks = 64
+	// spareLinks is how many links a daemon accepts whatever it may send: more than it has
+	// neighbours in the fleet.
+	spareLinks = 16
+	// entryBytes is the usual size of an entry.
+	entryBytes = 100
 	// maxReferralEntries bounds the random daemon entries in a referral. It is large enough
 	// for a refused daemon to find neighbours below their link limit while many daemons join.
 	maxReferralEntries = 24
