quarantine: share crash report publishing and the check before each send

The entry and the chat daemon each had a copy of the table prefix, the bounds, the encoding and decoding of crash reports, the probe of an engine, the rank of a daemon for a key (a third copy was in the reviews of introductions) and the steps before each send. Each now exists once: quarantine.TableClass, PublishWith, ReceiveEntry, DialWith, Admit, CurrentStart, and membership.View.Place.

--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -20,6 +20,7 @@
 	"github.com/bronzeturn/bronzeturn/membership"
 	"github.com/bronzeturn/bronzeturn/occupancy"
 	"github.com/bronzeturn/bronzeturn/peer"
+	"github.com/bronzeturn/bronzeturn/quarantine"
 )
 
 // Keys of the flooded table that the entry daemon adds.
@@ -84,7 +85,7 @@
 			{Prefix: newsPrefix, MaxEntries: maxNews, MaxValueBytes: smallValue},
 			{Prefix: readyPrefix, MaxEntries: maxDaemons, MaxValueBytes: smallValue, RemovalTTL: removalTTL},
 			{Prefix: turnedAwayPrefix, MaxEntries: maxDaemons, MaxValueBytes: smallValue, RemovalTTL: removalTTL},
-			{Prefix: crashPrefix, MaxEntries: maxCrashReports, MaxValueBytes: maxCrashReportBytes, TTL: crashReportTTL},
+			quarantine.TableClass(),
 			{Prefix: canaryPrefix, MaxEntries: maxVerdicts, MaxValueBytes: maxVerdictBytes, TTL: verdictTTL},
 		},
 		Random: d.rand(randMembership), Log: d.log, Registerer: d.registry,
@@ -127,7 +128,7 @@
 	f.members.Start()
 	f.members.Table().Subscribe(newsPrefix, f.heardNews)
 	f.members.Table().Subscribe(turnedAwayPrefix, f.watchers.heard)
-	f.members.Table().Subscribe(crashPrefix, d.heardCrashes)
+	f.members.Table().Subscribe(quarantine.TablePrefix, d.quarantine.ReceiveEntry)
 	registrar := bootstrap.New(bootstrap.Options{
 		Store: d.Store, Self: &bronzeturnv1.Seed{Name: d.Settings.Name, PeerAddress: d.Settings.PeerListen},
 		Found: f.found,
--- a/entry/review.go
+++ b/entry/review.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/backoff"
@@ -88,8 +87,7 @@
 
 // place returns this daemon's place in the order in which daemons write the state.
 func (i *introductions) place(service string) int {
-	view := i.daemon.fleet.members.View()
-	return slices.Index(view.Top(canaryPrefix+service, view.Live()), view.Self)
+	return i.daemon.fleet.members.View().Place(canaryPrefix + service)
 }
 
 // write puts a state into the store.
--- a/fleet.go
+++ b/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/bronzeturn/bronzeturn/membership"
 	"github.com/bronzeturn/bronzeturn/peer"
 	"github.com/bronzeturn/bronzeturn/provider"
+	"github.com/bronzeturn/bronzeturn/quarantine"
 )
 
 // Bounds of the flooded table beyond those of membership.
@@ -71,7 +72,7 @@
 		Classes: []gossip.Class{
 			{Prefix: "config/", MaxEntries: 1, MaxValueBytes: maxHeadBytes},
 			{Prefix: "quality/", MaxEntries: maxTableVersions, MaxValueBytes: maxTableBytes},
-			{Prefix: crashPrefix, MaxEntries: maxCrashReports, MaxValueBytes: maxCrashReportBytes, TTL: crashReportTTL},
+			quarantine.TableClass(),
 			{Prefix: "cutoff/", MaxEntries: maxTableVersions, MaxValueBytes: maxTableBytes},
 		},
 		Random:     d.rand(randMembership),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,11 +64,9 @@
 	// Held tells whether a request must not be sent, Refused counts that it was refused.
 	Held(h quarantine.Hash) bool
 	Refused(h quarantine.Hash) quarantine.Record
-	// Settle waits until it is known whether a suspect must not be sent.
-	Settle(ctx context.Context, h quarantine.Hash)
-	// Retry takes the right to send a request that is held once more, and tells whether
-	// there was one.
-	Retry(ctx context.Context, h quarantine.Hash, now time.Time) bool
+	// Admit reports whether a request may be sent now, after waiting for a pending verdict.
+	// isRetry is set if the request is held and this send uses up one of its retries.
+	Admit(ctx context.Context, h quarantine.Hash) (ok, isRetry bool)
 	// Ends returns at how many ends of engines a request was that has not ended well since.
 	Ends(h quarantine.Hash) int
 	// Sending begins a send; its context ends when the request comes to be held before an
--- a/gateway/screen.go
+++ b/gateway/screen.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/bronzeturn/bronzeturn/failure"
 	"github.com/bronzeturn/bronzeturn/quarantine"
@@ -14,15 +13,12 @@
 // screen refuses a request that crashes engines, nil for any other. It has to be asked
 // before each send.
 func (g *Gateway) screen(ctx context.Context, t *task) *failure.Error {
-	g.Quarantine.Settle(ctx, t.hash)
-	if !g.Quarantine.Held(t.hash) {
-		return nil
+	ok, isRetry := g.Quarantine.Admit(ctx, t.hash)
+	if !ok {
+		return g.quarantined(t)
 	}
-	if g.Quarantine.Retry(ctx, t.hash, time.Now()) {
-		t.retrying = true
-		return nil
-	}
-	return g.quarantined(t)
+	t.retrying = t.retrying || isRetry
+	return nil
 }
 
 // quarantined returns the refusal of a request that crashes engines.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -126,6 +126,26 @@
 	return q
 }
 
+// CurrentStart returns e with its current start, or e unchanged if engines report their start
+// time.
+func (q *Quarantine) CurrentStart(e inventory.Engine) inventory.Engine {
+	if q.Starts == nil {
+		return e
+	}
+	return q.Starts.Current(e)
+}
+
+// Admit reports whether a request may be sent now, after waiting for a pending verdict.
+// isRetry is set if the request is held and this send uses up one of its retries.
+func (q *Quarantine) Admit(ctx context.Context, h Hash) (ok, isRetry bool) {
+	q.Settle(ctx, h)
+	if !q.Held(h) {
+		return true, false
+	}
+	isRetry = q.Retry(ctx, h, time.Now())
+	return isRetry, isRetry
+}
+
 // Ends returns at how many ends of engines a request was that has not ended well since.
 func (q *Quarantine) Ends(h Hash) int { return q.evidence.Ends(h) }
 
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -20,14 +20,13 @@
 type Quarantine interface {
 	// CurrentStart returns e with its current start.
 	CurrentStart(e inventory.Engine) inventory.Engine
-	// Settle waits for a pending decision on whether a request must not be sent.
-	Settle(ctx context.Context, h quarantine.Hash)
+	// Admit reports whether a request may be sent now, after waiting for a pending verdict.
+	// isRetry is set if the request is held and this send uses up one of its retries.
+	Admit(ctx context.Context, h quarantine.Hash) (ok, isRetry bool)
 	// Held reports whether a request must not be sent. Refused counts a refusal and returns
 	// the record of the request.
 	Held(h quarantine.Hash) bool
 	Refused(h quarantine.Hash) quarantine.Record
-	// Retry reports whether a held request may be sent once more, and uses up that permission.
-	Retry(ctx context.Context, h quarantine.Hash, now time.Time) bool
 	// Ends returns the number of engines that ended while they processed a request, zero once
 	// it has completed since.
 	Ends(h quarantine.Hash) int
@@ -55,16 +54,12 @@
 // screen returns a failure if the request must not be sent because it crashes engines. It
 // must be called before each send.
 func (r *Router) screen(ctx context.Context, l *launch) *failure.Error {
-	h := l.call.hash
-	r.Quarantine.Settle(ctx, h)
-	if !r.Quarantine.Held(h) {
-		return nil
+	ok, isRetry := r.Quarantine.Admit(ctx, l.call.hash)
+	if !ok {
+		return r.quarantined(l)
 	}
-	if r.Quarantine.Retry(ctx, h, time.Now()) {
-		l.retrying = true
-		return nil
-	}
-	return r.quarantined(l)
+	l.retrying = l.retrying || isRetry
+	return nil
 }
 
 // quarantined logs and returns the refusal of a request that crashes engines.
--- a/router/site_test.go
+++ b/router/site_test.go
@@ -184,15 +184,14 @@
 // siteQuarantine is the quarantine of a single daemon with an in-memory store.
 type siteQuarantine struct {
 	*quarantine.Quarantine
-	starts *quarantine.StartTracker
 	// probeStarted is set once an answer broke off, so that cleanup waits for the probes.
 	probeStarted atomic.Bool
 }
 
 func newSiteQuarantine(t testing.TB, n *network, log *logBuffer) *siteQuarantine {
-	q := &siteQuarantine{starts: quarantine.NewStartTracker()}
+	q := &siteQuarantine{}
 	q.Quarantine = quarantine.New(quarantine.Options{
-		Self: "daemon", Dial: n.dial, Store: memstore.New(), Starts: q.starts,
+		Self: "daemon", Dial: n.dial, Store: memstore.New(), Starts: quarantine.NewStartTracker(),
 		Publish: func(*bronzeturnv1.CrashReport) {}, Place: func(quarantine.Hash) int { return 0 },
 		Serving: func(string) []string { return []string{cheap, strong, secret} },
 		Log:     zerolog.New(log), Registerer: prometheus.NewRegistry(),
@@ -211,11 +210,6 @@
 	return q
 }
 
-// CurrentStart implements Quarantine.
-func (q *siteQuarantine) CurrentStart(e inventory.Engine) inventory.Engine {
-	return q.starts.Current(e)
-}
-
 // Broke implements Quarantine.
 func (q *siteQuarantine) Broke(e inventory.Engine, h quarantine.Hash, now time.Time, blame func()) {
 	q.probeStarted.Store(true)
