inventory: move Set.Replace to the tests

Set.Replace has had no caller outside tests since the inventory applies changes. It also cleared the engines dropped by Forget, which no test relied on.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -19,7 +19,7 @@
 	d.Settings.Introductions = canary.DefaultOptions()
 	d.introductions = newIntroductions(d)
 	d.engines = inventory.New(time.Second, func(_, now *inventory.View) { d.introductions.sawEngines(now) })
-	d.engines.Replace(engines, false, time.Now())
+	d.engines.Apply(inventory.Change{Registered: engines}, time.Now())
 	return d.introductions
 }
 
@@ -33,7 +33,7 @@
 	c := qt.New(t)
 	old, fresh := engineOf("a", "v1"), engineOf("b", "v2")
 	i := newTestIntroductions(old)
-	i.daemon.engines.Replace([]inventory.Engine{old, fresh}, false, time.Now())
+	i.daemon.engines.Apply(inventory.Change{Registered: []inventory.Engine{old, fresh}}, time.Now())
 	base, trial := []string{gateway.Group("s", false)}, []string{gateway.Group("s", true)}
 	c.Check(i.assign(old), qt.DeepEquals, base)
 	c.Check(i.assign(fresh), qt.HasLen, 0)
--- a/entry/evacuations_test.go
+++ b/entry/evacuations_test.go
@@ -46,7 +46,7 @@
 	c.Assert(err, qt.IsNil)
 	d.balancer = state
 	d.engines = inventory.New(time.Second, d.enginesChanged)
-	d.engines.Replace(engines, false, time.Now())
+	d.engines.Apply(inventory.Change{Registered: engines}, time.Now())
 	return &evacuationTest{Daemon: d, c: c}
 }
 
@@ -121,7 +121,7 @@
 func TestAnOldViewOfTheEnginesDoesNotReplaceANewerOne(t *testing.T) {
 	e := newEvacuationTest(t, enginesOf("v1", 1)...)
 	old := e.engines.View()
-	e.engines.Replace(enginesOf("v1", 1)[1:], false, time.Now())
+	e.engines.Apply(inventory.Change{Removed: []string{"a-v1-0"}}, time.Now())
 	e.compileEngines(old)
 	_, there := e.tables.Load().Engines.View.Engine("a-v1-0")
 	e.c.Check(there, qt.IsFalse)
--- a/gateway/engines_test.go
+++ b/gateway/engines_test.go
@@ -21,7 +21,7 @@
 		list = append(list, inventory.Engine{ID: id, Started: at, Service: "s", Address: "192.0.2.1:1", DataCentre: "hall-1", Slots: 4})
 	}
 	set := inventory.New(time.Second, func(_, _ *inventory.View) {})
-	set.Replace(list, false, testStart)
+	set.Apply(inventory.Change{Registered: list}, testStart)
 	return set.View()
 }
 
--- a/gateway/weight_test.go
+++ b/gateway/weight_test.go
@@ -120,7 +120,7 @@
 		list = append(list, inventory.Engine{ID: string(rune('a' + i)), Service: "s", Address: "192.0.2.1:1", DataCentre: "hall-1", Slots: 48})
 	}
 	set := inventory.New(time.Second, func(_, _ *inventory.View) {})
-	set.Replace(list, false, testStart)
+	set.Apply(inventory.Change{Registered: list}, testStart)
 	return &simulation{
 		state: state, engines: NewEngines(state, set.View(), allWork), models: NewModelChoice(DefaultModelOptions()),
 		random: rand.New(rand.NewPCG(seed, 4)), free: make(map[string]time.Time), weight: weight,
--- a/inventory/apply_test.go
+++ b/inventory/apply_test.go
@@ -42,11 +42,11 @@
 			for _, e := range listed {
 				all = append(all, e)
 			}
-			full.Replace(all, outage, now)
+			replace(full, all, outage, now)
 			incremental.Expire(now)
 			full.Expire(now)
 			if a, b := keys(incremental), keys(full); !slices.Equal(a, b) {
-				t.Fatalf("Apply gives %v, Replace gives %v", a, b)
+				t.Fatalf("Apply gives %v, replace gives %v", a, b)
 			}
 		}
 	})
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -130,33 +130,10 @@
 	return s.view
 }
 
-// Replace applies a complete list of registrations.
-func (s *Set) Replace(engines []Engine, outage bool, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	registered := make(map[string]struct{}, len(engines))
-	for _, e := range engines {
-		registered[e.ID] = struct{}{}
-	}
-	c := Change{Registered: engines, Outage: outage}
-	for id := range s.listed {
-		if _, still := registered[id]; !still {
-			c.Removed = append(c.Removed, id)
-		}
-	}
-	clear(s.forgotten)
-	s.apply(c, now)
-}
-
 // Apply applies a change.
 func (s *Set) Apply(c Change, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.apply(c, now)
-}
-
-// apply applies a change. The caller holds mu.
-func (s *Set) apply(c Change, now time.Time) {
 	edit := newViewEdit(s.view)
 	for _, id := range c.Removed {
 		s.remove(id, c.Outage, now, edit)
@@ -248,7 +225,7 @@
 }
 
 // Forget drops the engine with the key at once, because another one answered at its
-// address. Its entry is ignored until it changes or Replace is called.
+// address. Its entry is ignored until it changes.
 func (s *Set) Forget(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -22,6 +22,21 @@
 
 func newSet() *Set { return New(lapseGrace, func(_, _ *View) {}) }
 
+// replace applies a complete list of registrations.
+func replace(s *Set, engines []Engine, outage bool, now time.Time) {
+	registered := make(map[string]struct{}, len(engines))
+	for _, e := range engines {
+		registered[e.ID] = struct{}{}
+	}
+	c := Change{Registered: engines, Outage: outage}
+	for id := range s.listed {
+		if _, still := registered[id]; !still {
+			c.Removed = append(c.Removed, id)
+		}
+	}
+	s.Apply(c, now)
+}
+
 func ids(s *Set) []string {
 	var all []string
 	for _, e := range s.View().Engines {
@@ -33,9 +48,9 @@
 func TestDrainingAndGoneEnginesGetNoWork(t *testing.T) {
 	c := qt.New(t)
 	s := newSet()
-	s.Replace([]Engine{engine("b"), engine("a"), engine("c")}, false, start)
+	replace(s, []Engine{engine("b"), engine("a"), engine("c")}, false, start)
 	c.Check(ids(s), qt.DeepEquals, []string{"a", "b", "c"})
-	s.Replace([]Engine{engine("a"), draining("b")}, false, start)
+	replace(s, []Engine{engine("a"), draining("b")}, false, start)
 	c.Check(ids(s), qt.DeepEquals, []string{"a"})
 	_, known := s.View().Engine("b")
 	c.Check(known, qt.IsFalse)
@@ -44,10 +59,10 @@
 func TestEntriesThatLapsedInAnOutageHaveTimeToComeBack(t *testing.T) {
 	c := qt.New(t)
 	s := newSet()
-	s.Replace([]Engine{engine("a"), engine("b"), engine("c")}, false, start)
-	s.Replace([]Engine{engine("a")}, true, start)
+	replace(s, []Engine{engine("a"), engine("b"), engine("c")}, false, start)
+	replace(s, []Engine{engine("a")}, true, start)
 	c.Check(ids(s), qt.DeepEquals, []string{"a", "b", "c"})
-	s.Replace([]Engine{engine("a"), engine("b")}, false, start.Add(time.Second))
+	replace(s, []Engine{engine("a"), engine("b")}, false, start.Add(time.Second))
 	c.Check(s.Expire(start.Add(time.Second)).IsZero(), qt.IsFalse)
 	c.Check(ids(s), qt.DeepEquals, []string{"a", "b", "c"})
 	c.Check(s.Expire(start.Add(lapseGrace)).IsZero(), qt.IsTrue)
@@ -57,12 +72,12 @@
 func TestDrainingEngineDoesNotReturnWithAnOutage(t *testing.T) {
 	c := qt.New(t)
 	s := newSet()
-	s.Replace([]Engine{engine("a"), draining("b")}, false, start)
-	s.Replace([]Engine{engine("a")}, true, start)
+	replace(s, []Engine{engine("a"), draining("b")}, false, start)
+	replace(s, []Engine{engine("a")}, true, start)
 	c.Check(ids(s), qt.DeepEquals, []string{"a"})
-	s.Replace([]Engine{engine("a"), engine("c")}, false, start)
-	s.Replace([]Engine{engine("a")}, true, start)
-	s.Replace([]Engine{engine("a"), draining("c")}, true, start)
+	replace(s, []Engine{engine("a"), engine("c")}, false, start)
+	replace(s, []Engine{engine("a")}, true, start)
+	replace(s, []Engine{engine("a"), draining("c")}, true, start)
 	c.Check(ids(s), qt.DeepEquals, []string{"a"})
 }
 
@@ -70,7 +85,7 @@
 	c := qt.New(t)
 	changes := 0
 	s := New(lapseGrace, func(_, _ *View) { changes++ })
-	s.Replace([]Engine{engine("a"), engine("b")}, false, start)
+	replace(s, []Engine{engine("a"), engine("b")}, false, start)
 	s.Forget("a")
 	s.Forget("a")
 	c.Check(ids(s), qt.DeepEquals, []string{"b"})
@@ -82,9 +97,9 @@
 func TestEnginesThatLapseLaterDoNotKeepEarlierOnes(t *testing.T) {
 	c := qt.New(t)
 	s := newSet()
-	s.Replace([]Engine{engine("a"), engine("b"), engine("c")}, false, start)
-	s.Replace([]Engine{engine("b"), engine("c")}, true, start)
-	s.Replace([]Engine{engine("c")}, true, start.Add(lapseGrace/2))
+	replace(s, []Engine{engine("a"), engine("b"), engine("c")}, false, start)
+	replace(s, []Engine{engine("b"), engine("c")}, true, start)
+	replace(s, []Engine{engine("c")}, true, start.Add(lapseGrace/2))
 	s.Expire(start.Add(lapseGrace))
 	c.Check(ids(s), qt.DeepEquals, []string{"b", "c"})
 	s.Expire(start.Add(lapseGrace * 3 / 2))
@@ -102,8 +117,8 @@
 	c := qt.New(t)
 	s := newSet()
 	before, after := started("a", start), started("a", start.Add(time.Millisecond))
-	s.Replace([]Engine{before}, false, start)
-	s.Replace([]Engine{after}, false, start)
+	replace(s, []Engine{before}, false, start)
+	replace(s, []Engine{after}, false, start)
 	_, known := s.View().Engine(before.Key())
 	c.Check(known, qt.IsFalse)
 	now, known := s.View().Engine(after.Key())
@@ -115,10 +130,10 @@
 	c := qt.New(t)
 	s := newSet()
 	before, after := started("a", start), started("a", start.Add(time.Second))
-	s.Replace([]Engine{before}, false, start)
-	s.Replace(nil, true, start)
+	replace(s, []Engine{before}, false, start)
+	replace(s, nil, true, start)
 	c.Check(s.View().Engines, qt.HasLen, 1)
-	s.Replace([]Engine{after}, true, start)
+	replace(s, []Engine{after}, true, start)
 	c.Check(ids(s), qt.DeepEquals, []string{"a"})
 	c.Check(s.View().Engines[0].Key(), qt.Equals, after.Key())
 }
@@ -127,7 +142,7 @@
 	c := qt.New(t)
 	s := newSet()
 	before, after := started("a", start), started("a", start.Add(time.Second))
-	s.Replace([]Engine{after}, false, start)
+	replace(s, []Engine{after}, false, start)
 	s.Forget(before.Key())
 	c.Check(s.View().Engines, qt.HasLen, 1)
 	s.Forget(after.Key())
--- a/inventory/key_test.go
+++ b/inventory/key_test.go
@@ -12,7 +12,7 @@
 	c := qt.New(t)
 	s := newSet()
 	given := []Engine{engine("a"), started("b", start)}
-	s.Replace(given, false, start)
+	replace(s, given, false, start)
 	for i, e := range s.View().Engines {
 		c.Check(e.Key(), qt.Equals, given[i].Key())
 		again, known := s.View().Engine(given[i].Key())
@@ -24,7 +24,7 @@
 	for _, e := range s.View().Engines {
 		listed = append(listed, *e)
 	}
-	s.Replace(listed, false, start)
-	s.Replace(given, false, start)
+	replace(s, listed, false, start)
+	replace(s, given, false, start)
 	c.Check(s.View().Generation, qt.Equals, generation)
 }
