router: hash the body of a chat request once

The claim of a request with an idempotency key and the quarantine each hashed the body. The quarantine's hash is now computed from the digest that the claim needs.

This changes the quarantine hash of chat requests.

--- a/router/claim.go
+++ b/router/claim.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/failure"
@@ -42,7 +41,7 @@
 	result, err := r.Ledger.Claim(ctx, ledger.ClaimRequest{
 		Organisation: c.organisation.GetName(),
 		Key:          c.ledgerKey(),
-		BodySHA256:   sha256.Sum256(c.body),
+		BodySHA256:   c.bodySHA256(),
 		RequestID:    c.requestID,
 		Deadline:     c.deadline,
 	})
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -47,7 +47,8 @@
 // hashChat returns the hash that identifies a chat request across repeats.
 func hashChat(c *call) quarantine.Hash {
 	h := quarantine.NewHasher(c.organisation.GetName(), http.MethodPost, "", callerapi.PathChatCompletions)
-	_, _ = h.Write(c.body) // Writes to a hash do not fail.
+	digest := c.bodySHA256()
+	_, _ = h.Write(digest[:]) // Writes to a hash do not fail.
 	return h.Sum()
 }
 
--- a/router/request.go
+++ b/router/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"encoding/json"
 	"errors"
 	"io"
@@ -42,6 +43,8 @@
 	received       time.Time
 	deadline       time.Time
 	body           []byte
+	// digest caches the result of bodySHA256. It is nil before the first call.
+	digest *[sha256.Size]byte
 	// hash identifies a chat request across repeats.
 	hash    quarantine.Hash
 	service *bronzeturnv1.Service
@@ -50,6 +53,15 @@
 	tried []string
 }
 
+// bodySHA256 returns the SHA-256 digest of the body, computed on the first call.
+func (c *call) bodySHA256() [sha256.Size]byte {
+	if c.digest == nil {
+		digest := sha256.Sum256(c.body)
+		c.digest = &digest
+	}
+	return *c.digest
+}
+
 // idempotent tells whether the request may run more than once.
 func (c *call) idempotent() bool {
 	if c.service != nil {
