--- a/follow/copy.go
+++ b/follow/copy.go
@@ -142,14 +142,12 @@
 	if p == nil || p.NextPart == 0 && p.Names == nil {
 		return p
 	}
-	s := f.snapshot.Load()
-	p.NextPart, p.Names = 0, nil
 	changes, ok := f.history.since(after)
-	if p.Full = !ok; p.Full {
-		changes = (&Snapshot{}).Diff(s)
+	if !ok {
+		changes = (&Snapshot{}).Diff(f.snapshot.Load())
 	}
-	p.Changes = changes
-	p.Changes.Revision = s.Revision
+	changes.Revision = p.Changes.Revision
+	p.Changes, p.Full, p.Names, p.NextPart = changes, !ok, nil, 0
 	return p
 }
 
