gossip: pull the table from daemons that can send it

At 480 daemons the worst daemon knew 8 others for 1.5 s with six links open, while the seed's rate limiter was 97 KB in debt. Pulling from the seed a second time exceeds 5 s. Ruled out: machine load (the test runs in virtual time) and dials refused by the seed (the worst daemons have six links).

Omit the table digest from heartbeats while the entry rate is used up, so that no neighbour pulls from that daemon. Pull without waiting from a neighbour whose table is at least twice as large as that of the neighbour of the last pull, if at least 8 entries are missing.

--- a/gossip/node.go
+++ b/gossip/node.go
@@ -33,10 +33,12 @@
 	random   *rand.Rand
 
 	// syncMu guards the state of anti-entropy.
-	syncMu     sync.Mutex
-	pulled     time.Time
-	pullLink   *link
-	lastChange time.Time
+	syncMu   sync.Mutex
+	pulled   time.Time
+	pullLink *link
+	// pullTableSize is the number of entries that the neighbour of the last pull held.
+	pullTableSize int
+	lastChange    time.Time
 }
 
 // New returns a node that is not yet started.
@@ -233,6 +235,7 @@
 	n.syncMu.Lock()
 	if n.pullLink == l {
 		n.pulled = time.Time{}
+		n.pullTableSize = 0
 	}
 	n.syncMu.Unlock()
 }
@@ -280,10 +283,11 @@
 	return time.Duration(n.random.Int64N(int64(limit)))
 }
 
-// heartbeat returns this daemon's next heartbeat.
+// heartbeat returns this daemon's next heartbeat. The digest is left out while the
+// entry rate is used up, so that neighbours pull the table from other daemons.
 func (n *Node) heartbeat(withDigest bool) *bronzeturnv1.Heartbeat {
 	h := n.options.Status()
-	if withDigest {
+	if withDigest && n.limiter.Tokens() >= 1 {
 		h.TableDigest = n.table.digest()
 		h.TableSize = uint32(n.table.size() + 1)
 	}
--- a/gossip/options.go
+++ b/gossip/options.go
@@ -53,6 +53,9 @@
 	// manyMissing is how many entries a neighbour may hold more before this daemon
 	// fetches them at once although changes are in flight.
 	manyMissing = 8
+	// largerTableFactor is the least ratio of a neighbour's table size to that of the
+	// neighbour of the last pull at which the next pull starts without waiting.
+	largerTableFactor = 2
 	// expireInterval is the time between searches for expired entries.
 	expireInterval = 5 * time.Second
 	// redialMin and redialMax bound the wait before a neighbour is dialled again.
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -95,8 +95,7 @@
 	if theirs.GetTableDigest() == n.table.digest() {
 		return
 	}
-	missing := int(theirs.GetTableSize()) - 1 - n.table.size()
-	if !n.beginPull(l, missing, time.Now()) {
+	if !n.beginPull(l, int(theirs.GetTableSize())-1, time.Now()) {
 		return
 	}
 	n.metrics.pulls.Inc()
@@ -107,19 +106,25 @@
 // beginPull lets one exchange run at a time, so that a starting daemon does
 // not fetch the whole table from every neighbour at once. While changes are in
 // flight tables differ all the time, so exchanges are then rarer, unless many
-// entries are missing.
-func (n *Node) beginPull(l *link, missing int, now time.Time) bool {
+// entries are missing. neighbourSize is the number of entries in the neighbour's
+// table. If it is at least largerTableFactor times that of the last pull, and at least
+// manyMissing entries are missing, the exchange starts without waiting, because
+// the neighbour of the last pull may itself have just joined.
+func (n *Node) beginPull(l *link, neighbourSize int, now time.Time) bool {
 	n.syncMu.Lock()
 	defer n.syncMu.Unlock()
+	missing := neighbourSize - n.table.size()
 	busy := now.Sub(n.lastChange) < quietPull && missing < manyMissing
 	wait := quietPull
 	if busy {
 		wait = busyPull
 	}
-	if now.Sub(n.pulled) < wait {
+	larger := missing >= manyMissing && neighbourSize >= largerTableFactor*n.pullTableSize
+	if now.Sub(n.pulled) < wait && !larger {
 		return false
 	}
 	n.pulled = now
 	n.pullLink = l
+	n.pullTableSize = neighbourSize
 	return true
 }
