entry: compress pull responses between daemons

In whole-fleet trials (984 hosts, 10,001 engines), all engines register within seconds of the hosts starting. Each daemon receives each registration once and forwards it to up to eight others. A batch of 500 changes is about 235 KB, so sending eight of them over a 20 Mbit/s link takes 0.75 s. Hosts at the same tree level differ by 1,500 engines (3,140 and 4,640 known, 4.8 s after the start).

Compress responses of 1 KiB and more as one S2 block if the client supports it. S2 is used instead of gzip because gzip writers take over 0.6 MB each (read from the standard library's source), on hosts with 184 MB. Responses to older daemons are unchanged.

--- a/entry/pull.go
+++ b/entry/pull.go
@@ -30,7 +30,7 @@
 		return nil, errNobody
 	}
 	return f.pullFrom(ctx, address, &bronzeturnv1.PullRequest{
-		Kind: kind, AfterRevision: after, WaitMs: uint32(wait.Milliseconds()), Parts: true, Names: true,
+		Kind: kind, AfterRevision: after, WaitMs: uint32(wait.Milliseconds()), Parts: true, Names: true, Compressed: true,
 	})
 }
 
@@ -43,13 +43,20 @@
 		f.avoid(address)
 		return nil, fmt.Errorf("pull %s from %s: %w", r.GetKind(), address, err)
 	}
-	p := decodePullResponse(answer.Msg)
+	content, err := decompressPullResponse(answer.Msg)
+	if err != nil {
+		f.avoid(address)
+		return nil, fmt.Errorf("pull %s from %s: %w", r.GetKind(), address, err)
+	}
+	p := decodePullResponse(content)
 	if p.Failing {
 		f.avoid(address)
 	}
 	if p.NextPart > 0 {
 		p.FetchNext = func(ctx context.Context) (*follow.Pulled, error) {
-			return f.pullFrom(ctx, address, &bronzeturnv1.PullRequest{Kind: r.GetKind(), Parts: true, Part: uint32(p.NextPart)})
+			return f.pullFrom(ctx, address, &bronzeturnv1.PullRequest{
+				Kind: r.GetKind(), Parts: true, Part: uint32(p.NextPart), Compressed: true,
+			})
 		}
 	}
 	return p, nil
@@ -210,6 +217,12 @@
 			Name: item.Name, Revision: item.Revision, Created: item.Created, Spec: item.Spec, Status: item.Status,
 		})
 	}
+	if r.Msg.GetCompressed() {
+		var err error
+		if answer, err = compressPullResponse(answer); err != nil {
+			return nil, connect.NewError(connect.CodeInternal, err)
+		}
+	}
 	return connect.NewResponse(answer), nil
 }
 
