follow: store objects compressed, and only their names in the history

Every daemon holds the entries of all engines in order to pass them on. In addition, the history stored the content of each change a second time.

Objects of a kind have similar content. The content of each object is now stored as a single string. The history stores only the names of the changed objects; their content is read from the current copy when a daemon requests the difference.

Test data: engineEntries now returns entries with the usual fields instead of zero bytes, which would compress to nothing. The bound of TestMemoryPerEngineIsBounded is lowered from 1,200 to 800 bytes.

--- a/entry/change_bench_test.go
+++ b/entry/change_bench_test.go
@@ -52,11 +52,19 @@
 	var entries []follow.Item
 	for i := range n {
 		name := fmt.Sprintf("i-%08x", i*7919)
-		entries = append(entries, follow.Item{Name: name, Revision: 1, Spec: make([]byte, entryBytes)})
+		entries = append(entries, follow.Item{Name: name, Revision: 1, Spec: engineSpec(name, i)})
 	}
 	return entries
 }
 
+// engineSpec returns the entry of the i-th engine. Entries differ in id, address, zone,
+// sequence and start time; identical entries would compress to almost nothing.
+func engineSpec(id string, i int) []byte {
+	return fmt.Appendf(nil, `{"id":%q,"service":"diag-llm","address":"10.%d.%d.%d:%d","zone":"hall-%d","version":"v1",`+
+		`"slots":16,"state":"ready","coldFor":0,"phase":"both","models":[{"name":"diag-small","version":1,"adapters":[]}],`+
+		`"sequence":%d,"born":%d}`, id, i%5, i/250, i%250, 8200+i%40, i%5, 1+i%3, 1781440087000+37*i)
+}
+
 // newChangingDaemon returns a daemon without network that follows its engines.
 func newChangingDaemon(b testing.TB) *Daemon {
 	d := &Daemon{log: zerolog.Nop(), registry: prometheus.NewRegistry()}
--- a/entry/compress_test.go
+++ b/entry/compress_test.go
@@ -19,9 +19,7 @@
 		id := fmt.Sprintf("i-%010x", i*7919*7919)
 		m.Items = append(m.Items, &bronzeturnv1.FollowedItem{
 			Name: id, Revision: uint64(i + 1), Created: uint64(i + 1),
-			Spec: fmt.Appendf(nil, `{"id":%q,"service":"diag-llm","address":"10.%d.%d.%d:%d","zone":"hall-%d","version":"v1",`+
-				`"slots":16,"state":"ready","models":[{"name":"diag-small","version":1,"adapters":[]}],"sequence":%d,"born":%d}`,
-				id, i%5, i/250, i%250, 8200+i%40, i%5, 1+i%3, 1781440087000+i),
+			Spec: engineSpec(id, i),
 		})
 	}
 	return m
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -24,7 +24,7 @@
 // included: every daemon keeps all engines, and 10,000 of them must fit into 12 MB so that
 // small hosts have memory left for requests.
 func TestMemoryPerEngineIsBounded(t *testing.T) {
-	const engines, maxBytes = 10_000, 1200
+	const engines, maxBytes = 10_000, 800
 	c := qt.New(t)
 	d := newChangingDaemon(t)
 	follower := follow.New(follow.Options{Kind: "engines", Apply: d.enginesListed, Announce: func(uint64) {}, Log: zerolog.Nop()})
@@ -60,3 +60,25 @@
 		qt.New(t).Check(allocations < maxAllocations, qt.IsTrue, qt.Commentf("%v allocations with %d engines", allocations, engines))
 	}
 }
+
+// TestMemoryOfRegistrationsIsBounded guards against storing the content of changes in the
+// history in addition to the copy: all engines register within seconds of a fleet's start.
+func TestMemoryOfRegistrationsIsBounded(t *testing.T) {
+	const engines, batch, maxBytes = 10_000, 250, 800
+	c := qt.New(t)
+	d := newChangingDaemon(t)
+	follower := follow.New(follow.Options{Kind: "engines", Apply: d.enginesListed, Announce: func(uint64) {}, Log: zerolog.Nop()})
+	follower.Take(follow.NewSnapshot(1, slices.Values([]follow.Item(nil))))
+	before := heapBytes()
+	for chunk := range slices.Chunk(engineEntries(engines), batch) {
+		revision := follower.Snapshot().Revision + batch
+		for i := range chunk {
+			chunk[i].Revision = revision
+		}
+		follower.Change(&follow.Changes{Revision: revision, Changed: chunk})
+	}
+	perEngine := (heapBytes() - before) / engines
+	c.Check(perEngine < maxBytes, qt.IsTrue, qt.Commentf("%d bytes per engine", perEngine))
+	runtime.KeepAlive(follower)
+	runtime.KeepAlive(d)
+}
--- a/follow/copy.go
+++ b/follow/copy.go
@@ -23,7 +23,7 @@
 		return
 	}
 	diff := old.Diff(next)
-	f.swap(next, diff, step{from: old.Revision, changes: diff, netOnly: true}, fromPeer, afterOutage)
+	f.swap(next, diff, newStep(old.Revision, &diff, true), fromPeer, afterOutage)
 }
 
 // change puts changes in force. Those that the copy already has do no harm.
@@ -36,7 +36,8 @@
 	}
 	next := old.with(c)
 	diff := old.Diff(next)
-	f.swap(next, diff, step{from: old.Revision, changes: diff.withRemoved(c.Removed)}, fromPeer, afterOutage)
+	affected := diff.withRemoved(c.Removed)
+	f.swap(next, diff, newStep(old.Revision, &affected, false), fromPeer, afterOutage)
 }
 
 // swap puts a state in force and adds the step that led to it to the history. The caller
@@ -44,7 +45,7 @@
 func (f *Follower) swap(next *Snapshot, diff Changes, s step, fromPeer, afterOutage bool) {
 	first := f.snapshot.Load() == nil
 	f.snapshot.Store(next)
-	empty := s.changes.empty()
+	empty := len(s.names) == 0
 	// The first list has no previous state. An empty net difference is recorded, since
 	// objects may have come and gone within it.
 	if !first && (!empty || s.netOnly && s.from < next.Revision) {
@@ -105,7 +106,7 @@
 	if after >= s.Revision {
 		return p
 	}
-	changes, ok := f.history.since(after)
+	changes, ok := f.history.since(after, s)
 	if !ok && after > 0 {
 		changes.Changed, p.Names = s.changedSince(after)
 		ok = namesSize(p.Names) <= maxNamesBytes
@@ -130,7 +131,7 @@
 	}
 	next := old.reconciled(p)
 	diff := old.Diff(next)
-	f.swap(next, diff, step{from: old.Revision, changes: diff, netOnly: true}, true, p.AfterOutage)
+	f.swap(next, diff, newStep(old.Revision, &diff, true), true, p.AfterOutage)
 }
 
 // SinceInOnePart returns what changed after a revision in a single response of any size,
@@ -142,9 +143,10 @@
 	if p == nil || p.NextPart == 0 && p.Names == nil {
 		return p
 	}
-	changes, ok := f.history.since(after)
+	current := f.snapshot.Load()
+	changes, ok := f.history.since(after, current)
 	if !ok {
-		changes = (&Snapshot{}).Diff(f.snapshot.Load())
+		changes = (&Snapshot{}).Diff(current)
 	}
 	changes.Revision = p.Changes.Revision
 	p.Changes, p.Full, p.Names, p.NextPart = changes, !ok, nil, 0
--- a/follow/items.go
+++ b/follow/items.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/klauspost/compress/s2"
 )
 
 // itemShards is the number of shards of a set of items. A change copies the shard table
@@ -16,20 +17,23 @@
 type items struct {
 	// shards are indexed by the hash of the item's name, each sorted by name. It is nil for
 	// the empty set.
-	shards *[itemShards][]*Item
+	shards *[itemShards][]*object
 	count  int
+	// dict is the dictionary for objects that are added. It is nil until the set has
+	// minDictObjects objects and another one of suitable size is added.
+	dict *s2.Dict
 }
 
 // shardOf returns the index of the shard for a name.
 func shardOf(name string) int { return int(xxhash.Sum64String(name) % itemShards) }
 
 // find returns the position of a name in a shard and whether it is present.
-func find(shard []*Item, name string) (int, bool) {
-	return slices.BinarySearchFunc(shard, name, func(i *Item, name string) int { return cmp.Compare(i.Name, name) })
+func find(shard []*object, name string) (int, bool) {
+	return slices.BinarySearchFunc(shard, name, func(o *object, name string) int { return cmp.Compare(o.name, name) })
 }
 
 // get returns the item with the name, or nil.
-func (s items) get(name string) *Item {
+func (s items) get(name string) *object {
 	if s.shards == nil {
 		return nil
 	}
@@ -42,7 +46,7 @@
 }
 
 // shard returns the n-th shard, which must not be modified.
-func (s items) shard(n int) []*Item {
+func (s items) shard(n int) []*object {
 	if s.shards == nil {
 		return nil
 	}
@@ -50,8 +54,8 @@
 }
 
 // all returns the items in no particular order.
-func (s items) all() iter.Seq[*Item] {
-	return func(yield func(*Item) bool) {
+func (s items) all() iter.Seq[*object] {
+	return func(yield func(*object) bool) {
 		if s.shards == nil {
 			return
 		}
@@ -74,7 +78,7 @@
 
 // edit returns an itemsEdit that leaves s unmodified.
 func (s items) edit() *itemsEdit {
-	e := &itemsEdit{items: items{shards: &[itemShards][]*Item{}, count: s.count}}
+	e := &itemsEdit{items: items{shards: &[itemShards][]*object{}, count: s.count, dict: s.dict}}
 	if s.shards != nil {
 		*e.shards = *s.shards
 	}
@@ -82,7 +86,7 @@
 }
 
 // mutableShard returns the n-th shard, copied if it is still shared.
-func (e *itemsEdit) mutableShard(n int) []*Item {
+func (e *itemsEdit) mutableShard(n int) []*object {
 	if !e.owned[n] {
 		e.owned[n] = true
 		e.shards[n] = slices.Clone(e.shards[n])
@@ -92,14 +96,18 @@
 
 // put inserts or replaces an item.
 func (e *itemsEdit) put(item *Item) {
+	if e.dict == nil && e.count >= minDictObjects {
+		e.dict = newDict(item)
+	}
+	o := newObject(item, e.dict)
 	n := shardOf(item.Name)
 	shard := e.mutableShard(n)
 	pos, ok := find(shard, item.Name)
 	if ok {
-		shard[pos] = item
+		shard[pos] = o
 		return
 	}
-	e.shards[n] = slices.Insert(shard, pos, item)
+	e.shards[n] = slices.Insert(shard, pos, o)
 	e.count++
 }
 
--- a/follow/snapshot.go
+++ b/follow/snapshot.go
@@ -20,6 +20,9 @@
 // size returns the approximate encoded size of the object in bytes.
 func (i *Item) size() int { return len(i.Name) + len(i.Spec) + len(i.Status) }
 
+// content returns the spec followed by the status.
+func (i *Item) content() []byte { return slices.Concat(i.Spec, i.Status) }
+
 // equal tells whether two states of an object are the same.
 func (i Item) equal(o Item) bool {
 	return i.Revision == o.Revision && bytes.Equal(i.Spec, o.Spec) && bytes.Equal(i.Status, o.Status)
@@ -47,18 +50,18 @@
 
 // Item returns the object with the name and whether it exists.
 func (s *Snapshot) Item(name string) (Item, bool) {
-	item := s.items.get(name)
-	if item == nil {
+	o := s.items.get(name)
+	if o == nil {
 		return Item{}, false
 	}
-	return *item, true
+	return o.item(), true
 }
 
 // All returns the objects in no particular order.
 func (s *Snapshot) All() iter.Seq[Item] {
 	return func(yield func(Item) bool) {
-		for item := range s.items.all() {
-			if !yield(*item) {
+		for o := range s.items.all() {
+			if !yield(o.item()) {
 				return
 			}
 		}
@@ -120,7 +123,7 @@
 	}
 	edit := s.items.edit()
 	for _, item := range c.Changed {
-		if known := edit.get(item.Name); known == nil || item.Revision >= known.Revision {
+		if known := edit.get(item.Name); known == nil || item.Revision >= known.revision {
 			edit.put(&item)
 		}
 	}
@@ -144,9 +147,9 @@
 		if size >= partBytes {
 			return objects, n
 		}
-		for _, item := range s.items.shard(n) {
-			objects = append(objects, *item)
-			size += item.size()
+		for _, o := range s.items.shard(n) {
+			objects = append(objects, o.item())
+			size += o.size()
 		}
 	}
 	return objects, 0
@@ -169,10 +172,10 @@
 // objects.
 func (s *Snapshot) changedSince(revision uint64) (changed []Item, names []string) {
 	names = make([]string, 0, s.Len())
-	for item := range s.items.all() {
-		names = append(names, item.Name)
-		if item.Revision > revision {
-			changed = append(changed, *item)
+	for o := range s.items.all() {
+		names = append(names, o.name)
+		if o.revision > revision {
+			changed = append(changed, o.item())
 		}
 	}
 	return changed, names
@@ -186,9 +189,9 @@
 		known[name] = struct{}{}
 	}
 	c := p.Changes
-	for item := range s.items.all() {
-		if _, ok := known[item.Name]; !ok && item.Revision <= p.Changes.Revision {
-			c.Removed = append(c.Removed, item.Name)
+	for o := range s.items.all() {
+		if _, ok := known[o.name]; !ok && o.revision <= p.Changes.Revision {
+			c.Removed = append(c.Removed, o.name)
 		}
 	}
 	return s.with(&c)
@@ -204,79 +207,19 @@
 }
 
 // addShardDiff adds the differences between two states of a shard.
-func (c *Changes) addShardDiff(old, next []*Item) {
+func (c *Changes) addShardDiff(old, next []*object) {
 	if len(old) == len(next) && (len(old) == 0 || &old[0] == &next[0]) {
 		return // Shared between both states.
 	}
-	for _, item := range next {
-		pos, known := find(old, item.Name)
-		if !known || old[pos] != item && !old[pos].equal(*item) {
-			c.Changed = append(c.Changed, *item)
+	for _, o := range next {
+		pos, known := find(old, o.name)
+		if !known || old[pos] != o && !old[pos].equal(o) {
+			c.Changed = append(c.Changed, o.item())
 		}
 	}
-	for _, item := range old {
-		if _, still := find(next, item.Name); !still {
-			c.Removed = append(c.Removed, item.Name)
+	for _, o := range old {
+		if _, still := find(next, o.name); !still {
+			c.Removed = append(c.Removed, o.name)
 		}
 	}
 }
-
-// maxHistory bounds the steps remembered. A daemon that is further behind gets
-// the names of all objects, or the whole state.
-const maxHistory = 128
-
-// step is one change of the copy, from a revision on.
-type step struct {
-	from    uint64
-	changes Changes
-	// netOnly tells that the changes are the difference between two complete snapshots,
-	// without objects that were created and removed in between. Other steps include the
-	// names of such objects and can be applied to any revision within the step.
-	netOnly bool
-}
-
-// history remembers the last changes of a copy.
-type history struct {
-	steps []step
-}
-
-// add notes one change.
-func (h *history) add(s step) {
-	if len(h.steps) == maxHistory {
-		h.steps = append(h.steps[:0], h.steps[1:]...)
-	}
-	h.steps = append(h.steps, s)
-}
-
-// since returns all changes after a revision in one, or false when they are not known:
-// they are no longer in the history, or the revision lies within a netOnly step. A copy at
-// such a revision may hold an object whose removal the step does not include.
-func (h *history) since(after uint64) (Changes, bool) {
-	if len(h.steps) == 0 || after < h.steps[0].from || after == 0 {
-		return Changes{}, false
-	}
-	for _, s := range h.steps {
-		if s.netOnly && s.from < after && after < s.changes.Revision {
-			return Changes{}, false
-		}
-	}
-	state := &Snapshot{}
-	removed := make(map[string]struct{})
-	for _, s := range h.steps {
-		if s.changes.Revision <= after {
-			continue
-		}
-		for _, item := range s.changes.Changed {
-			delete(removed, item.Name)
-		}
-		for _, name := range s.changes.Removed {
-			removed[name] = struct{}{}
-		}
-		state = state.with(&s.changes)
-	}
-	c := (&Snapshot{}).Diff(state)
-	for name := range removed {
-		c.Removed = append(c.Removed, name)
-	}
-	return c, true
-}
