follow: resume lists after a failed page, get slow first lists from other daemons

When all daemons of a fleet restart at once (loss of all hosts), each one reads all objects from the store. For 984 daemons and 10,001 entries of 0.47 KB this is 4.6 GB, or 37 s of the store's 1,000 Mbit/s link (calculated), while the limit until service is 18 s. A page whose response did not begin in time (350 ms initially) failed the whole list, which then restarted from its first page and added load to a store that was already busy.

Source.List now returns a single page. The follower resumes after the last page it received, also after a failure, and watches from the lowest revision of all pages. If the first list takes more than a second, it is dropped in favor of a copy from another daemon: daemons that watch the store continue reading it, the others request the copy from their parents in the tree that distributes changes. A parent without a copy holds the request until it has one. A daemon that receives no copy within a few seconds (randomized per daemon) resumes reading the store. Lists that take less than a second, which covers all earlier deployments, are read as before. The timeout for each further part of a copy is raised from 0.4 s to 1.6 s, because a daemon that has already responded is known to be up, and a failure discards all parts.

Test: 200 daemons, 2,000 engines, store link with eight times the bandwidth of a host link.

--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -86,7 +86,7 @@
 }
 
 // List implements follow.Source.
-func (s *countedStore) List(ctx context.Context, kind string, o follow.ListOptions) (snapshot *follow.Snapshot, err error) {
+func (s *countedStore) List(ctx context.Context, kind string, o follow.ListOptions) (page *follow.Page, err error) {
 	defer func(began time.Time) { s.done("list", o.Cause, began, err) }(time.Now())
 	return s.store.List(ctx, kind, o)
 }
--- a/entry/metrics_test.go
+++ b/entry/metrics_test.go
@@ -18,7 +18,7 @@
 // failingStore answers every call with one error.
 type failingStore struct{ err error }
 
-func (s failingStore) List(context.Context, string, follow.ListOptions) (*follow.Snapshot, error) {
+func (s failingStore) List(context.Context, string, follow.ListOptions) (*follow.Page, error) {
 	return nil, s.err
 }
 
--- a/entry/passing_test.go
+++ b/entry/passing_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -37,6 +38,10 @@
 	log      []follow.Item
 	changed  chan struct{}
 	calls    int
+	// pageSize is the maximum number of objects per list page, zero for no limit.
+	pageSize int
+	// link is the network link that transmits list responses.
+	link link
 }
 
 func (s *memoryStore) put(name string) {
@@ -51,11 +56,22 @@
 }
 
 // List implements follow.Source.
-func (s *memoryStore) List(context.Context, string, follow.ListOptions) (*follow.Snapshot, error) {
+func (s *memoryStore) List(ctx context.Context, _ string, o follow.ListOptions) (*follow.Page, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.calls++
-	return follow.NewSnapshot(s.revision, maps.Values(s.items)), nil
+	page := &follow.Page{Revision: s.revision}
+	for _, name := range slices.Sorted(maps.Keys(s.items)) {
+		if name <= o.After {
+			continue
+		}
+		if s.pageSize > 0 && len(page.Items) == s.pageSize {
+			page.Next = page.Items[s.pageSize-1].Name
+			break
+		}
+		page.Items = append(page.Items, s.items[name])
+	}
+	s.mu.Unlock()
+	return page, s.link.send(ctx, entryBytes*len(page.Items))
 }
 
 // Watch implements follow.Source.
@@ -89,10 +105,17 @@
 
 // host is one daemon's follower and its link.
 type host struct {
+	link
 	follower *follow.Follower
 	fleet    *testFleet
 	name     string
 	place    *treePlace
+}
+
+// link is a simulated network link that transmits messages sequentially.
+type link struct {
+	// rate is the bandwidth in bytes per second, zero for no transmission delay.
+	rate float64
 
 	mu   sync.Mutex
 	free time.Time
@@ -109,17 +132,20 @@
 
 var errNotAnswered = errors.New("not answered in time")
 
-// send takes the time that a message needs on the host's link, after those before it.
-func (h *host) send(ctx context.Context, bytes int) error {
-	h.mu.Lock()
+// send blocks until the link has transmitted the messages queued before and this one.
+func (l *link) send(ctx context.Context, bytes int) error {
+	if l.rate == 0 {
+		return nil
+	}
+	l.mu.Lock()
 	now := time.Now()
-	if h.free.Before(now) {
-		h.free = now
+	if l.free.Before(now) {
+		l.free = now
 	}
-	h.free = h.free.Add(time.Duration(float64(bytes) / linkBytes * float64(time.Second)))
-	h.sent += bytes
-	done := h.free.Add(way)
-	h.mu.Unlock()
+	l.free = l.free.Add(time.Duration(float64(bytes) / l.rate * float64(time.Second)))
+	l.sent += bytes
+	done := l.free.Add(way)
+	l.mu.Unlock()
 	select {
 	case <-time.After(time.Until(done)):
 		return nil
@@ -129,12 +155,12 @@
 }
 
 // sentSoFar returns the bytes sent, and begins anew when asked to.
-func (h *host) sentSoFar(reset bool) int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	sent := h.sent
+func (l *link) sentSoFar(reset bool) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sent := l.sent
 	if reset {
-		h.sent = 0
+		l.sent = 0
 	}
 	return sent
 }
@@ -155,7 +181,35 @@
 	if p == nil {
 		return nil, errNotAnswered
 	}
-	return p, other.send(ctx, questionSize+entryBytes*len(p.Changes.Changed))
+	h.setFetchNext(p, other)
+	return p, other.send(ctx, responseSize(p))
+}
+
+// setFetchNext sets p.FetchNext to request the next part of the copy from another daemon.
+func (h *host) setFetchNext(p *follow.Pulled, other *host) {
+	if p.NextPart == 0 {
+		return
+	}
+	p.FetchNext = func(ctx context.Context) (*follow.Pulled, error) {
+		if err := h.send(ctx, questionSize); err != nil {
+			return nil, err
+		}
+		part := other.follower.Part(p.NextPart)
+		h.setFetchNext(part, other)
+		return part, other.send(ctx, responseSize(part))
+	}
+}
+
+// compressionRatio is the compression ratio of full copies in transit.
+const compressionRatio = 4
+
+// responseSize returns the size of a pull response in bytes.
+func responseSize(p *follow.Pulled) int {
+	size := entryBytes * len(p.Changes.Changed)
+	if p.Full {
+		size /= compressionRatio
+	}
+	return questionSize + size
 }
 
 // Watching implements follow.Peers.
@@ -172,11 +226,11 @@
 	branches, watching := centres(size, count)
 	f := &testFleet{hosts: make(map[string]*host), watching: watching, random: rand.New(rand.NewPCG(1, 2))}
 	for _, name := range watching {
-		f.hosts[name] = &host{fleet: f, name: name, place: &treePlace{}}
+		f.hosts[name] = &host{link: link{rate: linkBytes}, fleet: f, name: name, place: &treePlace{}}
 	}
 	for _, branch := range branches {
 		for _, name := range namesOf(branch) {
-			f.hosts[name] = &host{fleet: f, name: name, place: placeOf(name, branch, watching)}
+			f.hosts[name] = &host{link: link{rate: linkBytes}, fleet: f, name: name, place: placeOf(name, branch, watching)}
 		}
 	}
 	for i, h := range f.hosts {
@@ -280,3 +334,40 @@
 		c.Check(star.busiest > linkBytes, qt.IsTrue)
 	})
 }
+
+// TestFleetStartWithManyEngines guards against a fleet start that takes as long as the store
+// needs to send all engines to all daemons, and against lists that restart when a page is late.
+// 200 daemons start at once without copies of 2,000 engines. The store's link has eight times
+// the bandwidth of a host's link; sending all lists over it takes 6 s.
+func TestFleetStartWithManyEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const daemons, engines, pageSize = 200, 2000, 200
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := &memoryStore{revision: 1, items: map[string]follow.Item{}, changed: make(chan struct{}), pageSize: pageSize}
+		for i := range engines {
+			s.put(fmt.Sprintf("engine-%05d", i))
+		}
+		s.link.rate = 8 * linkBytes
+		f := newTestFleet(ctx, s, daemons, 5, placeInTree)
+		began := time.Now()
+		daemonsWithCopy := func() int {
+			n := 0
+			for _, h := range f.hosts {
+				if snapshot := h.follower.Snapshot(); snapshot != nil && snapshot.Len() == engines {
+					n++
+				}
+			}
+			return n
+		}
+		for daemonsWithCopy() < daemons && time.Since(began) < 30*time.Second {
+			time.Sleep(20 * time.Millisecond)
+		}
+		pages := s.link.sentSoFar(false) / (entryBytes * pageSize)
+		t.Logf("%d of %d daemons have a full copy after %v, the store sent %d pages", daemonsWithCopy(), daemons, time.Since(began), pages)
+		c.Check(daemonsWithCopy(), qt.Equals, daemons)
+		c.Check(time.Since(began) < 5*time.Second, qt.IsTrue)
+		c.Check(pages < daemons*engines/pageSize/2, qt.IsTrue)
+	})
+}
--- a/entry/pull.go
+++ b/entry/pull.go
@@ -40,7 +40,10 @@
 	service := bronzeturnv1connect.NewFollowServiceClient(client, base, peer.ClientOptions()...)
 	answer, err := service.Pull(ctx, connect.NewRequest(r))
 	if err != nil {
-		f.avoid(address)
+		// A daemon without a copy may receive one soon, so keep asking it for a first copy.
+		if r.GetAfterRevision() > 0 || connect.CodeOf(err) != connect.CodeNotFound {
+			f.avoid(address)
+		}
 		return nil, fmt.Errorf("pull %s from %s: %w", r.GetKind(), address, err)
 	}
 	content, err := decompressPullResponse(answer.Msg)
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -20,15 +20,26 @@
 
 // Source is the part of the store that a Follower reads.
 type Source interface {
-	// List returns all objects of a kind.
-	List(ctx context.Context, kind string, o ListOptions) (*Snapshot, error)
+	// List returns one page of the objects of a kind.
+	List(ctx context.Context, kind string, o ListOptions) (*Page, error)
 	// Watch returns the changes after a revision, or none when the wait ends. The
 	// wait is how long the store may hold the call.
 	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (*Changes, error)
 }
 
-// ListOptions say how a list is read.
+// Page is one page of a paginated list.
+type Page struct {
+	// Revision is the store's revision when the page was read.
+	Revision uint64
+	Items    []Item
+	// Next is the value of ListOptions.After for the next page, or "" if this is the last one.
+	Next string
+}
+
+// ListOptions say how a page of a list is read.
 type ListOptions struct {
+	// After is Page.Next of the previous page, or "" for the first page.
+	After string
 	// Stale objects, as of some seconds ago, will do, which is cheaper.
 	Stale bool
 	// Patience bounds the time until each answer begins.
@@ -127,6 +138,10 @@
 	// pullTimeout bounds one question to another daemon beyond its wait. It is short,
 	// since the next one is asked of another.
 	pullTimeout = 400 * time.Millisecond
+	// partTimeout bounds the request for each further part of a copy. It is longer than
+	// pullTimeout because the other daemon is known to answer, possibly serves several daemons
+	// at once, and a failure discards all parts received so far.
+	partTimeout = 4 * pullTimeout
 	// pullPause is the least time between two questions when the first brought nothing.
 	pullPause = 100 * time.Millisecond
 	// passWait is how long a question to the daemon that passes changes on waits for
@@ -226,10 +241,14 @@
 	busyWatches int
 	// relist asks for a list at the next step.
 	relist causeFlag
-	// tried is the time of the last call, patience the bound of the next list; Run
-	// alone uses them.
+	// tried is the time of the last call, patience the bound of the next page of a list,
+	// partial the list in progress; Run alone uses them.
 	tried    time.Time
 	patience time.Duration
+	partial  partialList
+	// awaitingPeerCopy tells RunPulls to ask other daemons for a copy, because this daemon has
+	// none and its list is slow.
+	awaitingPeerCopy atomic.Bool
 	// interrupt ends the call in progress.
 	interrupt atomic.Pointer[context.CancelFunc]
 
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -45,7 +45,13 @@
 	lists      int
 	watches    int
 	// old is what a list that may be stale gives, nil for the newest.
-	old *Snapshot
+	old *Page
+	// pageSize is the maximum number of objects per page, zero for no limit. Requests for
+	// which failPage returns true fail; its argument counts all list requests.
+	pageSize int
+	failPage func(list int) bool
+	// pageDelay is the time before each page is returned.
+	pageDelay time.Duration
 }
 
 func newStore() *store {
@@ -94,10 +100,15 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *store) List(ctx context.Context, _ string, o ListOptions) (*Snapshot, error) {
+func (s *store) List(ctx context.Context, _ string, o ListOptions) (*Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
+	if s.pageDelay > 0 {
+		s.mu.Unlock()
+		time.Sleep(s.pageDelay)
+		s.mu.Lock()
+	}
 	if s.silent {
 		s.mu.Unlock()
 		select {
@@ -107,13 +118,24 @@
 		s.mu.Lock()
 		return nil, errDown
 	}
-	if s.down {
+	if s.down || s.failPage != nil && s.failPage(s.lists) {
 		return nil, errDown
 	}
 	if o.Stale && s.old != nil {
 		return s.old, nil
 	}
-	return NewSnapshot(s.revision, maps.Values(s.items)), nil
+	page := &Page{Revision: s.revision}
+	for _, name := range slices.Sorted(maps.Keys(s.items)) {
+		if name <= o.After {
+			continue
+		}
+		if s.pageSize > 0 && len(page.Items) == s.pageSize {
+			page.Next = page.Items[s.pageSize-1].Name
+			break
+		}
+		page.Items = append(page.Items, s.items[name])
+	}
+	return page, nil
 }
 
 func (s *store) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (*Changes, error) {
@@ -331,6 +353,71 @@
 	})
 }
 
+// TestFailedPageDoesNotRestartTheList guards against long lists that never complete because
+// each failed page restarts them. Every third page request fails.
+func TestFailedPageDoesNotRestartTheList(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		const pages = 12
+		s := newStore()
+		for i := range 10 * pages {
+			s.put(fmt.Sprintf("engine-%03d", i), "1")
+		}
+		s.set(func(s *store) { s.pageSize, s.failPage = 10, func(list int) bool { return list%3 == 0 } })
+		d := newDaemon(ctx, s, true, nil)
+		time.Sleep(3 * time.Second)
+		c.Check(d.Snapshot().Len(), qt.Equals, 10*pages)
+		lists, _, _ := s.counts()
+		c.Check(lists <= pages*3/2, qt.IsTrue, qt.Commentf("%d page requests", lists))
+	})
+}
+
+// TestChangesDuringAListAreNotMissed guards against a watch that starts from a revision later
+// than the first page's. Objects of pages already read change while later pages are read.
+func TestChangesDuringAListAreNotMissed(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		s := newStore()
+		for i := range 50 {
+			s.put(fmt.Sprintf("engine-%03d", i), "1")
+		}
+		s.set(func(s *store) { s.pageSize, s.pageDelay = 10, 100*time.Millisecond })
+		d := newDaemon(ctx, s, true, nil)
+		time.Sleep(250 * time.Millisecond)
+		s.put("engine-000", "2")
+		s.remove("engine-001")
+		s.put("engine-0005", "new")
+		time.Sleep(time.Second)
+		c.Check(d.spec("engine-000"), qt.Equals, "2")
+		c.Check(d.spec("engine-0005"), qt.Equals, "new")
+		c.Check(d.Snapshot().Len(), qt.Equals, 50)
+	})
+}
+
+// TestSlowListIsReplacedByPeerCopy guards against every daemon reading a long list in full from
+// the store. A daemon that does not watch takes the copy of another daemon, and reads the
+// store itself if no other daemon has a copy.
+func TestSlowListIsReplacedByPeerCopy(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		const pages = 60
+		s := newStore()
+		for i := range pages {
+			s.put(fmt.Sprintf("engine-%03d", i), "1")
+		}
+		watcher := newDaemon(ctx, s, true, nil)
+		time.Sleep(time.Second)
+		s.set(func(s *store) { s.pageSize, s.pageDelay = 1, 100*time.Millisecond })
+		before, _, _ := s.counts()
+		other := newDaemon(ctx, s, false, watcher)
+		time.Sleep(2 * time.Second)
+		c.Check(other.Snapshot().Len(), qt.Equals, pages)
+		lists, _, _ := s.counts()
+		c.Check(lists-before <= 11, qt.IsTrue, qt.Commentf("%d page requests", lists-before))
+
+		alone := newDaemon(ctx, s, false, nil)
+		time.Sleep(30 * time.Second)
+		c.Check(alone.Snapshot().Len(), qt.Equals, pages)
+	})
+}
+
 // TestFirstListMayBeStale: the store's cheap answer is old, and both a daemon that
 // watches and one that does not are up to date at once all the same.
 func TestFirstListMayBeStale(t *testing.T) {
--- a/follow/pull.go
+++ b/follow/pull.go
@@ -9,9 +9,9 @@
 )
 
 // RunPulls takes changes from other daemons until ctx ends. A daemon that does not watch,
-// or that the store fails, always has a question waiting at the one that passes changes on
-// to it; any daemon asks another at once when it has no copy and the store fails it, or
-// when news did not come by their usual way.
+// whose store calls fail, or whose first list is slow, always has a question waiting at the
+// one that passes changes on to it; any daemon asks another at once when it has no copy and
+// its store calls fail, or when news did not come by their usual way.
 func (f *Follower) RunPulls(ctx context.Context) error {
 	for ctx.Err() == nil {
 		switch {
@@ -19,7 +19,8 @@
 			if !f.pull(ctx, 0) || f.behind() {
 				_ = backoff.Sleep(ctx, pullPause) // The loop ends with ctx.
 			}
-		case f.snapshot.Load() != nil && (f.Failing() || !f.Peers.Watching()):
+		case f.snapshot.Load() == nil && f.awaitingPeerCopy.Load(),
+			f.snapshot.Load() != nil && (f.Failing() || !f.Peers.Watching()):
 			if !f.pull(ctx, passWait) {
 				_ = backoff.Sleep(ctx, pullPause) // The loop ends with ctx.
 			}
@@ -93,11 +94,11 @@
 var errOlderPart = errors.New("a part of the copy is older than the first one")
 
 // fetchParts requests the remaining parts of a copy and appends their objects to p. The
-// timeout applies to each part, since a large copy can take longer than pullTimeout. News
+// timeout applies to each part, since a large copy can take longer as a whole. News
 // does not interrupt the transfer.
 func (f *Follower) fetchParts(ctx context.Context, p *Pulled) error {
 	for fetch := p.FetchNext; fetch != nil; {
-		requestCtx, cancel := context.WithTimeout(ctx, pullTimeout)
+		requestCtx, cancel := context.WithTimeout(ctx, partTimeout)
 		part, err := fetch(requestCtx)
 		cancel()
 		if err != nil {
--- a/follow/read.go
+++ b/follow/read.go
@@ -20,20 +20,34 @@
 	return f.watch(ctx)
 }
 
-// list reads all objects. The first list may be stale: the watch goes on from its
-// revision, and a daemon that does not watch then asks another one.
+// list reads all objects, page by page. After a failed page, the next call resumes after the
+// last page received. The first list may be stale: the watch goes on from its revision, and
+// a daemon that does not watch then asks another one.
 func (f *Follower) list(ctx context.Context, cause Cause) error {
 	first := f.snapshot.Load() == nil
 	began := time.Now()
-	next, err := f.Source.List(ctx, f.Kind, ListOptions{Stale: first, Patience: f.jittered(f.patience), Cause: cause})
-	if err != nil {
-		f.patience = min(patienceGrowth*f.patience/2, mostPatience)
-		f.relist.set(CauseRetry)
-		return err
+	f.partial.resumeOrRestart(began)
+	for more := true; more; {
+		asked := time.Now()
+		page, err := f.Source.List(ctx, f.Kind, ListOptions{
+			After: f.partial.next, Stale: first, Patience: f.jittered(f.patience), Cause: cause,
+		})
+		if err != nil {
+			f.patience = min(patienceGrowth*f.patience/2, mostPatience)
+			f.relist.set(CauseRetry)
+			return err
+		}
+		f.patience = min(max(firstPatience, 2*time.Since(asked)), mostPatience)
+		more = f.partial.addPage(page)
+		if first && more && f.partial.exceedsSlowLimit(time.Now()) && f.awaitPeerCopy(ctx) {
+			f.partial = partialList{}
+			return nil
+		}
 	}
+	next := f.partial.snapshot()
 	f.Log.Info().Str("kind", f.Kind).Stringer("cause", cause).Uint64("revision", next.Revision).Int("objects", next.Len()).
-		Dur("took_ms", time.Since(began)).Msg("objects listed")
-	f.patience = min(max(firstPatience, 2*time.Since(began)), mostPatience)
+		Int("pages", f.partial.pages).Dur("took_ms", time.Since(began)).Msg("objects listed")
+	f.partial = partialList{}
 	f.answered()
 	f.take(next, false, f.echo())
 	if first {
