Reduce wake-ups of idle daemons

An idle daemon wakes about 400 times a second (voluntary context switches, ten daemons on the emulator, GOMAXPROCS=1), and the whole fleet has 984 daemons. A system call trace of one daemon over 3 s shows 70 expired timers, 119 readiness events and 746 sleeps of 20 microseconds in the monitor thread of the Go runtime. Because epoll waits in whole milliseconds, the monitor thread polls for up to a millisecond around each expired timer, about ten sleeps per timer. Distinct timers therefore cost the most, followed by messages that arrive at different times.

- Idle loops poll every 500 ms instead of every 100 or 200 ms.
This covers the checks for the daemon's turn to read the store, for the store turning the daemon away, for expired engines and for active introductions.
A change of the daemons that watch the store wakes the first two.
- Requests from other daemons that wait for changes time out on a 500 ms tick, so that the responses for all kinds and all children of a daemon share a wake-up and packets.
- Link silence is checked on heartbeat ticks instead of with a timer that each frame resets.
- The membership tick, the refresh of the sharer and the check of the settings file use the shared ticks.

Ruled out as causes: more than one thread running Go code (each daemon has one processor), and garbage collection.

--- a/backoff/tick.go
+++ b/backoff/tick.go
@@ -13,6 +13,10 @@
 // waking in lockstep.
 func SetPhase(d time.Duration) { phase.Store(int64(d)) }
 
+// IdleInterval is the interval of periodic loops that are idle. It equals the heartbeat interval
+// of the overlay, so that idle loops and heartbeats share two wake-ups a second.
+const IdleInterval = 500 * time.Millisecond
+
 // UntilTick returns the time until the next tick: the next multiple of interval on the wall
 // clock, offset by the phase. Periodic loops that wait for ticks share wake-ups, which reduces
 // the CPU usage of an idle process.
@@ -21,6 +25,16 @@
 	return interval - time.Duration(now%int64(interval))
 }
 
+// UntilLastTickWithin returns the time until the last tick of interval that is at most limit
+// away, or limit if there is no such tick.
+func UntilLastTickWithin(interval, limit time.Duration) time.Duration {
+	first := UntilTick(interval)
+	if first > limit {
+		return limit
+	}
+	return first + (limit-first)/interval*interval
+}
+
 // Tick waits for the next tick of interval. It returns the cause of ctx if ctx ends first.
 func Tick(ctx context.Context, interval time.Duration) error {
 	return Sleep(ctx, UntilTick(interval))
--- a/backoff/tick_test.go
+++ b/backoff/tick_test.go
@@ -51,3 +51,22 @@
 		qt.Check(t, Tick(ctx, time.Hour), qt.Equals, context.Canceled)
 	})
 }
+
+// TestUntilLastTickWithinEndsOnTick guards against a wait that ends between ticks although a
+// tick is within its limit.
+func TestUntilLastTickWithinEndsOnTick(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const interval = 500 * time.Millisecond
+		c := qt.New(t)
+		for range 50 {
+			time.Sleep(37 * time.Millisecond)
+			for _, limit := range []time.Duration{time.Millisecond, 300 * time.Millisecond, 700 * time.Millisecond, 5 * time.Second} {
+				wait := UntilLastTickWithin(interval, limit)
+				c.Check(wait > 0 && wait <= limit, qt.IsTrue)
+				onTick := time.Now().Add(wait).UnixNano()%int64(interval) == 0
+				c.Check(onTick || UntilTick(interval) > limit, qt.IsTrue)
+				c.Check(!onTick || limit-wait < interval, qt.IsTrue)
+			}
+		}
+	})
+}
--- a/entry/copies.go
+++ b/entry/copies.go
@@ -247,11 +247,16 @@
 
 // expireEngines drops the engines that did not come back after an outage.
 func (d *Daemon) expireEngines(ctx context.Context) error {
-	for backoff.Tick(ctx, expirePoll) == nil {
-		d.engines.Expire(time.Now())
+	interval := expirePoll
+	for backoff.Tick(ctx, interval) == nil {
+		expiryPending := !d.engines.Expire(time.Now()).IsZero()
 		d.introductions.release()
 		d.logSlowStarts("engine is warm", d.slowStarts.Expire(time.Now()))
 		d.reviewEngines()
+		interval = expirePoll
+		if !expiryPending && d.gateway.InProgress() == 0 && len(d.introductions.active()) == 0 {
+			interval = backoff.IdleInterval
+		}
 	}
 	return nil
 }
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -68,7 +68,7 @@
 // newFleet builds the overlay.
 func newFleet(d *Daemon) (*fleet, error) {
 	f := &fleet{daemon: d, random: d.rand(randPeers), silent: make(map[string]time.Time), seeds: withoutSelf(d.Settings.Seeds, d.Settings.PeerListen)}
-	f.watchers = &watchers{fleet: f}
+	f.watchers = &watchers{fleet: f, wake: make(chan struct{}, 1)}
 	traffic, err := peer.NewTraffic(d.registry)
 	if err != nil {
 		return nil, err
@@ -128,6 +128,7 @@
 	f.members.Start()
 	f.members.Table().Subscribe(newsPrefix, f.heardNews)
 	f.members.Table().Subscribe(turnedAwayPrefix, f.watchers.heard)
+	f.members.Subscribe(func(*membership.View) { f.watchers.notifyChange() })
 	f.members.Table().Subscribe(quarantine.TablePrefix, d.quarantine.ReceiveEntry)
 	registrar := bootstrap.New(bootstrap.Options{
 		Store: d.Store, Self: &bronzeturnv1.Seed{Name: d.Settings.Name, PeerAddress: d.Settings.PeerListen},
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -4,6 +4,8 @@
 	"context"
 	"os"
 	"time"
+
+	"github.com/bronzeturn/bronzeturn/backoff"
 )
 
 // reloadPoll is the time between two looks at the settings file, which may
@@ -32,8 +34,8 @@
 	if err != nil {
 		d.log.Warn().Err(err).Msg("settings file cannot be looked at")
 	}
-	ticker := time.NewTicker(reloadPoll)
-	defer ticker.Stop()
+	timer := time.NewTimer(backoff.UntilTick(reloadPoll))
+	defer timer.Stop()
 	for {
 		signalled := false
 		select {
@@ -41,7 +43,8 @@
 			return
 		case <-signals:
 			signalled = true
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(backoff.UntilTick(reloadPoll))
 		}
 		now, err := stampOf(path)
 		if err != nil || now == last && !signalled {
--- a/entry/review.go
+++ b/entry/review.go
@@ -26,8 +26,13 @@
 func (i *introductions) run(ctx context.Context) error {
 	err := backoff.Tick(ctx, reviewInterval)
 	for err == nil {
+		active := i.active()
+		if len(active) == 0 {
+			err = backoff.Tick(ctx, backoff.IdleInterval)
+			continue
+		}
 		pause := reviewInterval
-		for service, known := range i.active() {
+		for service, known := range active {
 			i.review(ctx, service, known)
 			pause = min(pause, known.NextReview(time.Now(), reviewInterval))
 		}
--- a/entry/watchers.go
+++ b/entry/watchers.go
@@ -84,6 +84,8 @@
 	// changes counts the changes of who is turned away.
 	changes atomic.Uint64
 	last    atomic.Pointer[watcherSet]
+	// wake makes run review before the next tick.
+	wake chan struct{}
 	// since is when this daemon last published of itself; the loop of run alone uses it.
 	since time.Time
 }
@@ -128,18 +130,50 @@
 // heard takes in a change of who is turned away.
 func (w *watchers) heard(key string, _ uint64, value []byte) {
 	w.changes.Add(1)
+	w.notifyChange()
 	w.fleet.daemon.log.Info().Str("daemon", strings.TrimPrefix(key, turnedAwayPrefix)).Bool("turned_away", len(value) > 0).
 		Msg("watchers of the store changed")
 }
 
 // run publishes whether the store answers this daemon while it watches, until ctx ends.
 func (w *watchers) run(ctx context.Context) error {
-	for backoff.Tick(ctx, turnedAwayPoll) == nil {
+	for w.wait(ctx) == nil {
 		w.review(time.Now())
 	}
 	return nil
 }
 
+// wait waits for the next tick or a change of the watchers. It returns the cause of ctx if ctx
+// ends first. The ticks are less frequent for a daemon that neither watches the store nor is
+// turned away, because it has nothing to publish until the watchers change.
+func (w *watchers) wait(ctx context.Context) error {
+	interval := backoff.IdleInterval
+	if self := w.fleet.daemon.Settings.Name; w.includes(self) || w.isTurnedAway(self) {
+		interval = turnedAwayPoll
+	}
+	timer := time.NewTimer(backoff.UntilTick(interval))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case <-w.wake:
+	case <-timer.C:
+	}
+	return nil
+}
+
+// notifyChange wakes run and the followers when the daemons that watch the store may have
+// changed.
+func (w *watchers) notifyChange() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+	for _, follower := range w.fleet.daemon.copies.all() {
+		follower.WatchersChanged()
+	}
+}
+
 // review looks once whether this daemon is turned away, and publishes a change. What is
 // published may be of the process before this one.
 func (w *watchers) review(now time.Time) {
--- a/follow/copy.go
+++ b/follow/copy.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/bronzeturn/bronzeturn/backoff"
 )
 
 // Take applies a complete state read from the store unless it is older than the copy.
@@ -65,7 +67,9 @@
 // Await returns what changed after a revision, for another daemon, as soon as something
 // did, the wait ends or ctx does; or nil when there is no copy then.
 func (f *Follower) Await(ctx context.Context, after uint64, wait time.Duration) *Pulled {
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	// The timeout is shortened to a tick, so that the responses for several kinds and daemons
+	// share wake-ups and packets.
+	ctx, cancel := context.WithTimeout(ctx, backoff.UntilLastTickWithin(backoff.IdleInterval, wait))
 	defer cancel()
 	for {
 		p, updated := f.sinceAnd(after)
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -230,6 +230,8 @@
 	// one that did not come by its usual way in time.
 	newest, overdue atomic.Uint64
 	kick            chan struct{}
+	// watchersChanged wakes Run when the daemons that watch the store may have changed.
+	watchersChanged chan struct{}
 	// asking ends the question to another daemon that is waiting.
 	asking atomic.Pointer[context.CancelFunc]
 	// heardPeer is when another daemon last answered, in Unix nanoseconds.
@@ -261,7 +263,7 @@
 
 // New returns a Follower that does nothing before Run.
 func New(o Options) *Follower {
-	return &Follower{Options: o, kick: make(chan struct{}, 1), patience: firstPatience, updated: make(chan struct{})}
+	return &Follower{Options: o, kick: make(chan struct{}, 1), watchersChanged: make(chan struct{}, 1), patience: firstPatience, updated: make(chan struct{})}
 }
 
 // Snapshot returns the copy, nil before the first one.
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -18,6 +18,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
+
+	"github.com/bronzeturn/bronzeturn/backoff"
 )
 
 func TestMain(m *testing.M) {
@@ -1073,3 +1075,45 @@
 	c.Check(newerExists, qt.IsTrue)
 	c.Check(behind.Snapshot().Len(), qt.Equals, after.Len()+1)
 }
+
+// TestWaitsForChangesEndTogether guards against separate wake-ups for calls to Await that start
+// at different times.
+func TestWaitsForChangesEndTogether(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		s := newStore()
+		s.put("a", "1")
+		d := newDaemon(ctx, s, true, nil)
+		time.Sleep(time.Second)
+		const waits = 12
+		ends := make(chan time.Time, waits)
+		for range waits {
+			go func() {
+				d.Await(ctx, d.Snapshot().Revision, passWait)
+				ends <- time.Now()
+			}()
+			time.Sleep(15 * time.Millisecond)
+		}
+		first := <-ends
+		for range waits - 1 {
+			c.Check(<-ends, qt.Equals, first)
+		}
+	})
+}
+
+// TestWatchersChangedWakesFollower guards against a new watcher that first reads the store at
+// its next idle tick.
+func TestWatchersChangedWakesFollower(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		s := newStore()
+		watcher := newDaemon(ctx, s, true, nil)
+		other := newDaemon(ctx, s, false, watcher)
+		time.Sleep(time.Second + backoff.UntilTick(backoff.IdleInterval) + time.Millisecond)
+		before := s.tries()
+		other.peers.mu.Lock()
+		other.peers.watching = true
+		other.peers.mu.Unlock()
+		other.WatchersChanged()
+		time.Sleep(time.Millisecond)
+		c.Check(s.tries(), qt.Equals, before+1)
+	})
+}
--- a/follow/run.go
+++ b/follow/run.go
@@ -13,8 +13,8 @@
 	f.relist.set(CauseStart)
 	f.turn = f.Random.Float64()
 	for ctx.Err() == nil {
-		if !f.reads(time.Now()) {
-			_ = backoff.Tick(ctx, idlePoll) // The loop ends with ctx.
+		if now := time.Now(); !f.reads(now) {
+			f.waitIdle(ctx, now)
 			continue
 		}
 		if f.waitsForLead(time.Now()) {
@@ -35,6 +35,37 @@
 	return nil
 }
 
+// waitIdle waits for the next tick, a call to WatchersChanged or the end of ctx. The ticks are
+// more frequent once the copy has been unconfirmed for more than half of orphanLimit.
+func (f *Follower) waitIdle(ctx context.Context, now time.Time) {
+	interval := backoff.IdleInterval
+	if 2*f.Unconfirmed(now) > f.orphanLimit() {
+		interval = idlePoll
+	}
+	timer := time.NewTimer(backoff.UntilTick(interval))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-f.watchersChanged:
+	case <-timer.C:
+	}
+}
+
+// WatchersChanged wakes an idle Run, because this daemon may have started or stopped watching
+// the store.
+func (f *Follower) WatchersChanged() {
+	select {
+	case f.watchersChanged <- struct{}{}:
+	default:
+	}
+}
+
+// orphanLimit returns how long the copy of a daemon that does not watch the store may remain
+// unconfirmed before the daemon may read the store.
+func (f *Follower) orphanLimit() time.Duration {
+	return time.Duration(max(f.Peers.Depth(), 1))*passWait + orphanMargin
+}
+
 // waitsForLead tells whether the lead asks the store for this Follower too.
 func (f *Follower) waitsForLead(now time.Time) bool {
 	return f.Lead != nil && f.Failing() && f.Lead.Failing() && now.Sub(f.tried) < leadPatience
@@ -68,12 +99,11 @@
 	if f.snapshot.Load() == nil || f.Peers.Watching() {
 		return true
 	}
-	unconfirmed := time.Duration(now.UnixNano() - f.confirmed.Load())
-	limit := time.Duration(max(f.Peers.Depth(), 1))*passWait + orphanMargin
+	limit := f.orphanLimit()
 	if f.othersAnswer(now) {
 		limit += time.Duration(f.turn * float64(f.Peers.Live()) * float64(spareRetry))
 	}
-	return unconfirmed > limit
+	return f.Unconfirmed(now) > limit
 }
 
 // Relist ends a watch in progress and lists instead.
--- a/gossip/link.go
+++ b/gossip/link.go
@@ -36,6 +36,8 @@
 	once    sync.Once
 	cause   error
 	silence *time.Timer
+	// lastReceived is when the last frame arrived, in Unix nanoseconds.
+	lastReceived atomic.Int64
 }
 
 func newLink(n *Node, stream Link, target *Target) *link {
@@ -64,7 +66,8 @@
 	for _, key := range n.options.Greeting {
 		l.mark(key)
 	}
-	l.silence = time.AfterFunc(SilenceTimeout, func() { l.close(ErrSilent) })
+	l.lastReceived.Store(time.Now().UnixNano())
+	l.silence = time.AfterFunc(SilenceTimeout, l.checkSilence)
 	defer l.silence.Stop()
 	written := make(chan struct{})
 	started := n.spawn(func() error {
@@ -95,6 +98,18 @@
 	})
 }
 
+// checkSilence closes the link if no frame has arrived for SilenceTimeout. Otherwise it
+// schedules the next check on a heartbeat tick: resetting a timer for each frame would cost an
+// additional wake-up for each link.
+func (l *link) checkSilence() {
+	remaining := SilenceTimeout - time.Duration(time.Now().UnixNano()-l.lastReceived.Load())
+	if remaining <= 0 {
+		l.close(ErrSilent)
+		return
+	}
+	l.silence.Reset(backoff.UntilLastTickWithin(HeartbeatInterval, remaining))
+}
+
 // peerName returns the neighbour's name, or "" before its hello.
 func (l *link) peerName() string {
 	if name := l.name.Load(); name != nil {
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -28,7 +28,7 @@
 	l.node.log.Debug().Str("neighbour", name).Bool("outbound", l.target != nil).Msg("overlay link opened")
 	l.node.resolveDuplicate(name)
 	for {
-		l.silence.Reset(SilenceTimeout)
+		l.lastReceived.Store(time.Now().UnixNano())
 		l.handle(name, frame)
 		if frame.GetGoodbye() {
 			return ErrGoodbye
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"gopkg.in/tomb.v2"
 
+	"github.com/bronzeturn/bronzeturn/backoff"
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/gossip"
 	"github.com/bronzeturn/bronzeturn/logging"
@@ -177,8 +178,8 @@
 // Building takes time in proportion to the fleet and to what fails in it, so the
 // pause before it grows with the time that the last one took.
 func (m *Membership) run() error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(backoff.UntilTick(tickInterval))
+	defer timer.Stop()
 	var rebuild <-chan time.Time
 	pause := rebuildDelay
 	for {
@@ -194,7 +195,8 @@
 			started := time.Now()
 			m.rebuild()
 			pause = max(rebuildDelay, rebuildRest*time.Since(started))
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(backoff.UntilTick(tickInterval))
 			now := time.Now()
 			m.tick(now)
 			if m.probeDue(now) {
--- a/occupancy/sharer.go
+++ b/occupancy/sharer.go
@@ -126,13 +126,14 @@
 // daemon of a large fleet has a few requests a second, and a look every tellInterval
 // would wake it three times as often.
 func (s *Sharer) Run(ctx context.Context) error {
-	refresh := time.NewTicker(refreshInterval)
+	refresh := time.NewTimer(backoff.UntilTick(refreshInterval))
 	defer refresh.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-refresh.C:
+			refresh.Reset(backoff.UntilTick(refreshInterval))
 			s.EachInFlight(func(engine string, _, _ int64) { s.Changed(engine) })
 			s.Book.Expire(time.Now())
 			continue
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -30,7 +30,7 @@
 	baseInterval = 150 * time.Millisecond
 	perDaemon    = 700 * time.Microsecond
 	// quietInterval is the time between two looks at whether something is.
-	quietInterval = 200 * time.Millisecond
+	quietInterval = backoff.IdleInterval
 	// callTimeout bounds one exchange.
 	callTimeout = 500 * time.Millisecond
 	// keepFor is how long the sums of a daemon that is not heard again count.
