follow: do not pause after a watch that returned many changes

A daemon that watches the store pauses for 120 ms after a watch that found changes, and for 480 ms after ten such watches in a row, so that changes in a burst share calls.

Start the next watch immediately after a response with 250 changes or more. Further changes may already be available, and a batch of this size justifies a separate call. For full responses, the number of calls for the same changes stays the same.

Test: 10,000 changes at once, 500 in a response. Known after 0.5 s: 2,221 before, 10,000 after.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -126,6 +126,9 @@
 	gatherTime  = 120 * time.Millisecond
 	stormAfter  = 10
 	stormGather = 480 * time.Millisecond
+	// gatherLimit is the number of changes in a response from which the next watch starts
+	// without a pause.
+	gatherLimit = 250
 	// freshRetry is the same for a daemon without a copy: after a common start in an
 	// outage all of them have none.
 	freshRetry = 10 * time.Millisecond
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -54,6 +54,9 @@
 	failPage func(list int) bool
 	// pageDelay is the time before each page is returned.
 	pageDelay time.Duration
+	// maxChanged is the maximum number of changed objects in a response to a watch. Zero means
+	// no limit.
+	maxChanged int
 }
 
 func newStore() *store {
@@ -166,6 +169,10 @@
 			return nil, ErrHistoryGone
 		case !got.empty():
 			got.Revision = revision
+			if s.maxChanged > 0 && len(got.Changed) > s.maxChanged {
+				got.Changed = got.Changed[:s.maxChanged]
+				got.Revision = got.Changed[s.maxChanged-1].Revision
+			}
 			return &got, nil
 		}
 		select {
@@ -1117,3 +1124,19 @@
 		c.Check(s.tries(), qt.Equals, before+1)
 	})
 }
+
+// TestNoPauseAfterLargeResponse guards against a pause after each response that reaches the
+// store's size limit, which delays every change queued behind a large burst.
+func TestNoPauseAfterLargeResponse(t *testing.T) {
+	run(t, func(c *qt.C, ctx context.Context) {
+		s := newStore()
+		s.set(func(s *store) { s.maxChanged = 500 })
+		d := newDaemon(ctx, s, true, nil)
+		time.Sleep(time.Second)
+		for i := range 10_000 {
+			s.put(fmt.Sprintf("engine-%05d", i), "1")
+		}
+		time.Sleep(500 * time.Millisecond)
+		c.Check(d.Snapshot().Len(), qt.Equals, 10_000)
+	})
+}
--- a/follow/read.go
+++ b/follow/read.go
@@ -78,7 +78,7 @@
 	case err == nil:
 		f.answered()
 		f.change(changes, false, f.echo())
-		f.gatherChanges(inner, !changes.empty(), time.Since(began))
+		f.gatherChanges(inner, len(changes.Changed)+len(changes.Removed), time.Since(began))
 		return nil
 	case errors.Is(err, ErrHistoryGone):
 		f.Log.Info().Str("kind", f.Kind).Uint64("revision", old.Revision).Msg("history gone, listing again")
@@ -99,13 +99,14 @@
 	return err
 }
 
-// gatherChanges pauses after a watch that found changes, for longer in a storm of them.
-// The pause ends with ctx.
-func (f *Follower) gatherChanges(ctx context.Context, found bool, took time.Duration) {
-	if !found || took > gatherTime {
+// gatherChanges pauses after a watch that found changes, for longer in a storm of them. It
+// does not pause if there were gatherLimit changes or more: the store limits the size of a
+// response, so further changes may already be available. The pause ends with ctx.
+func (f *Follower) gatherChanges(ctx context.Context, count int, took time.Duration) {
+	if count == 0 || took > gatherTime {
 		f.busyWatches = 0
 	}
-	if !found {
+	if count == 0 || count >= gatherLimit {
 		return
 	}
 	f.busyWatches++
