follow, gossip: clear stale failures, time link silence on the monotonic clock

- follow: a daemon that does not watch the store, and whose first list failed once, remained in the failing state indefinitely if it got its copy from another daemon, because it makes no store calls of its own that would end the state.
Daemons that take changes from it then avoid it for 2 s at a time and do not count their copies as confirmed.
The state now ends when another daemon confirms that the store answers, and when a slow list is replaced by a peer copy.
TestSlowListIsReplacedByPeerCopy now fails the first page once and checks the state; it failed with the second of these alone.
- gossip: the arrival time of a link's last frame was kept on the wall clock, so a forward step of more than 2 s would have closed all links.
It is now kept as the time since the link was opened, on the monotonic clock.
- follow: a failed list was resumed even if the next list had another cause, such as history that the store no longer has.
Now only a retry resumes it.
- backoff: TickOrWake waits for a tick or a wake-up, and replaces three copies of the same code.

--- a/backoff/tick.go
+++ b/backoff/tick.go
@@ -39,3 +39,17 @@
 func Tick(ctx context.Context, interval time.Duration) error {
 	return Sleep(ctx, UntilTick(interval))
 }
+
+// TickOrWake waits for the next tick of interval or a value on wake, whichever comes first. It
+// returns the cause of ctx if ctx ends before either.
+func TickOrWake(ctx context.Context, interval time.Duration, wake <-chan struct{}) error {
+	timer := time.NewTimer(UntilTick(interval))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-wake:
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+	return nil
+}
--- a/backoff/tick_test.go
+++ b/backoff/tick_test.go
@@ -70,3 +70,22 @@
 		}
 	})
 }
+
+// TestTickOrWakeReturnsEarly guards against TickOrWake missing a wake-up or blocking after its
+// context is canceled.
+func TestTickOrWakeReturnsEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		wake := make(chan struct{}, 1)
+		start := time.Now()
+		c.Check(TickOrWake(context.Background(), time.Second, wake), qt.IsNil)
+		c.Check(time.Since(start), qt.Equals, time.Second)
+		wake <- struct{}{}
+		start = time.Now()
+		c.Check(TickOrWake(context.Background(), time.Hour, wake), qt.IsNil)
+		c.Check(time.Since(start), qt.Equals, time.Duration(0))
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		c.Check(TickOrWake(ctx, time.Hour, wake), qt.Equals, context.Canceled)
+	})
+}
--- a/entry/watchers.go
+++ b/entry/watchers.go
@@ -151,15 +151,7 @@
 	if self := w.fleet.daemon.Settings.Name; w.includes(self) || w.isTurnedAway(self) {
 		interval = turnedAwayPoll
 	}
-	timer := time.NewTimer(backoff.UntilTick(interval))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	case <-w.wake:
-	case <-timer.C:
-	}
-	return nil
+	return backoff.TickOrWake(ctx, interval, w.wake)
 }
 
 // notifyChange wakes run and the followers when the daemons that watch the store may have
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -405,7 +405,8 @@
 
 // TestSlowListIsReplacedByPeerCopy guards against every daemon reading a long list in full from
 // the store. A daemon that does not watch takes the copy of another daemon, and reads the
-// store itself if no other daemon has a copy.
+// store itself if no other daemon has a copy. It also guards against a daemon that still reports
+// a failed page after it has taken a copy.
 func TestSlowListIsReplacedByPeerCopy(t *testing.T) {
 	run(t, func(c *qt.C, ctx context.Context) {
 		const pages = 60
@@ -417,10 +418,12 @@
 		time.Sleep(time.Second)
 		s.set(func(s *store) { s.pageSize, s.pageDelay = 1, 100*time.Millisecond })
 		before, _, _ := s.counts()
+		s.set(func(s *store) { s.failPage = func(list int) bool { return list == before+1 } })
 		other := newDaemon(ctx, s, false, watcher)
 		time.Sleep(2 * time.Second)
 		c.Check(other.Snapshot().Len(), qt.Equals, pages)
 		lists, _, _ := s.counts()
+		c.Check(other.Failing(), qt.IsFalse)
 		c.Check(lists-before <= 4, qt.IsTrue, qt.Commentf("%d page requests", lists-before))
 
 		alone := newDaemon(ctx, s, false, nil)
--- a/follow/listing.go
+++ b/follow/listing.go
@@ -14,8 +14,8 @@
 
 const (
 	// slowListAfter is how long the first list may take before the daemon asks other daemons
-	// for a copy. Most lists finish earlier, but when a large
-	// fleet starts, the store cannot send all objects to all daemons before callers time out.
+	// for a copy. Most lists finish earlier, but when a large fleet starts, the store cannot
+	// send all objects to all daemons before callers time out.
 	slowListAfter = 250 * time.Millisecond
 	// peerCopyTimeout is how long a daemon waits for a copy from another daemon before it
 	// resumes reading the store. peerCopyHopTimeout is added per level of the tree.
@@ -63,10 +63,10 @@
 	slowReported bool
 }
 
-// resumeOrRestart keeps the pages of a list in progress. It starts a new list when there is
-// none or when it began more than maxListAge ago.
-func (l *partialList) resumeOrRestart(now time.Time) {
-	if l.pages == 0 || now.Sub(l.began) > maxListAge {
+// resumeOrRestart keeps the pages of a failed list if cause is CauseRetry and the list began at
+// most maxListAge ago. Otherwise it starts a new list.
+func (l *partialList) resumeOrRestart(cause Cause, now time.Time) {
+	if cause != CauseRetry || l.pages == 0 || now.Sub(l.began) > maxListAge {
 		*l = partialList{began: now}
 	}
 }
--- a/follow/pull.go
+++ b/follow/pull.go
@@ -25,27 +25,15 @@
 				_ = backoff.Sleep(ctx, pullPause) // The loop ends with ctx.
 			}
 		default:
-			f.rest(ctx)
+			_ = backoff.TickOrWake(ctx, idlePoll, f.kick) // The loop ends with ctx.
 		}
 	}
 	return nil
 }
 
-// rest waits until there may be something to ask.
-func (f *Follower) rest(ctx context.Context) {
-	timer := time.NewTimer(backoff.UntilTick(idlePoll))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-f.kick:
-	case <-timer.C:
-	}
-}
-
 // behind tells whether other daemons may have what does not come by the usual way: news
 // heard of is overdue, or the store does not answer a daemon without a copy. A daemon that
-// starts reads the store first: when a whole fleet starts, a few daemons could not give
-// all others their copies.
+// starts reads the store first; awaitPeerCopy handles a store that is slow to list.
 func (f *Follower) behind() bool {
 	s := f.snapshot.Load()
 	if s == nil {
@@ -76,6 +64,7 @@
 	f.heardPeer.Store(time.Now().UnixNano())
 	if !p.Failing {
 		f.confirm(answered.Add(-p.Age))
+		f.clearFailure()
 	}
 	if p.Names != nil {
 		f.reconcile(p)
@@ -89,6 +78,16 @@
 	return true
 }
 
+// clearFailure ends the failing state of a daemon that does not watch the store, after another
+// daemon has confirmed that the store answers. Such a daemon makes no store calls that could end
+// the state, and daemons that take changes from it would avoid it indefinitely.
+func (f *Follower) clearFailure() {
+	if !f.Peers.Watching() {
+		f.failingSince.Store(0)
+		f.reported.Store(false)
+	}
+}
+
 // errOlderPart reports a part that is older than the first one: the other daemon has
 // started again meanwhile.
 var errOlderPart = errors.New("a part of the copy is older than the first one")
--- a/follow/read.go
+++ b/follow/read.go
@@ -20,13 +20,13 @@
 	return f.watch(ctx)
 }
 
-// list reads all objects, page by page. After a failed page, the next call resumes after the
-// last page received. The first list may be stale: the watch goes on from its revision, and
+// list reads all objects, page by page. After a failed page, a retry resumes after the last
+// page received. The first list may be stale: the watch goes on from its revision, and
 // a daemon that does not watch then asks another one.
 func (f *Follower) list(ctx context.Context, cause Cause) error {
 	first := f.snapshot.Load() == nil
 	began := time.Now()
-	f.partial.resumeOrRestart(began)
+	f.partial.resumeOrRestart(cause, began)
 	for more := true; more; {
 		asked := time.Now()
 		page, err := f.Source.List(ctx, f.Kind, ListOptions{
@@ -41,6 +41,7 @@
 		more = f.partial.addPage(page)
 		if first && more && f.partial.exceedsSlowLimit(time.Now()) && f.awaitPeerCopy(ctx) {
 			f.partial = partialList{}
+			f.answered()
 			return nil
 		}
 	}
--- a/follow/run.go
+++ b/follow/run.go
@@ -42,13 +42,7 @@
 	if 2*f.Unconfirmed(now) > f.orphanLimit() {
 		interval = idlePoll
 	}
-	timer := time.NewTimer(backoff.UntilTick(interval))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-f.watchersChanged:
-	case <-timer.C:
-	}
+	_ = backoff.TickOrWake(ctx, interval, f.watchersChanged) // The loop ends with ctx.
 }
 
 // WatchersChanged wakes an idle Run, because this daemon may have started or stopped watching
--- a/gossip/link.go
+++ b/gossip/link.go
@@ -40,7 +40,10 @@
 	once    sync.Once
 	cause   error
 	silence *time.Timer
-	// lastReceived is when the last frame arrived, in Unix nanoseconds.
+	// opened is when the link was opened.
+	opened time.Time
+	// lastReceived is when the last frame arrived, in nanoseconds since opened. The monotonic
+	// clock keeps steps of the wall clock from closing links.
 	lastReceived atomic.Int64
 }
 
@@ -49,6 +52,7 @@
 		node:   n,
 		stream: stream,
 		target: target,
+		opened: time.Now(),
 		queued: make(map[string]struct{}),
 		wake:   make(chan struct{}, 1),
 		done:   make(chan struct{}),
@@ -70,7 +74,6 @@
 	for _, key := range n.options.Greeting {
 		l.mark(key)
 	}
-	l.lastReceived.Store(time.Now().UnixNano())
 	l.silence = time.AfterFunc(SilenceTimeout, l.checkSilence)
 	defer l.silence.Stop()
 	written := make(chan struct{})
@@ -106,7 +109,7 @@
 // schedules the next check on a heartbeat tick: resetting a timer for each frame would cost an
 // additional wake-up for each link.
 func (l *link) checkSilence() {
-	remaining := SilenceTimeout - time.Duration(time.Now().UnixNano()-l.lastReceived.Load())
+	remaining := SilenceTimeout - (time.Since(l.opened) - time.Duration(l.lastReceived.Load()))
 	if remaining <= 0 {
 		l.close(ErrSilent)
 		return
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -29,7 +29,7 @@
 	l.node.log.Debug().Str("neighbour", name).Bool("outbound", l.target != nil).Msg("overlay link opened")
 	l.node.resolveDuplicate(name)
 	for {
-		l.lastReceived.Store(time.Now().UnixNano())
+		l.lastReceived.Store(int64(time.Since(l.opened)))
 		l.handle(name, frame)
 		if frame.GetGoodbye() {
 			return ErrGoodbye
