follow: log when confirmation by another daemon clears the failing state

A daemon that does not watch the store clears its failing state when another daemon has confirmed that the store answers, but logged nothing when it did so. It now logs this, with how long its last store call had counted as failed. No other change of behaviour.

--- a/follow/pull.go
+++ b/follow/pull.go
@@ -82,10 +82,16 @@
 // daemon has confirmed that the store answers. Such a daemon makes no store calls that could end
 // the state, and daemons that take changes from it would avoid it indefinitely.
 func (f *Follower) clearFailure() {
-	if !f.Peers.Watching() {
-		f.failingSince.Store(0)
-		f.reported.Store(false)
+	if f.Peers.Watching() {
+		return
 	}
+	since := f.failingSince.Swap(0)
+	if since == 0 {
+		return
+	}
+	f.reported.Store(false)
+	f.Log.Info().Str("kind", f.Kind).Dur("failed_for_ms", time.Duration(time.Now().UnixNano()-since)).
+		Msg("failing state cleared: another daemon confirmed that the store answers")
 }
 
 // errOlderPart reports a part that is older than the first one: the other daemon has
