membership: wake only the receiver of a frame in the test network

The network of the tests has one condition variable, so that each frame wakes the receivers of all links; with 240 daemons that is most of the work of the test. Each direction of a link has its own now.

--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -20,7 +20,7 @@
 // gone; a paused daemon neither sends nor receives, but accepts connections.
 type network struct {
 	mu      sync.Mutex
-	cond    *sync.Cond
+	pipes   []*pipe
 	daemons map[string]*Membership
 	down    map[string]bool
 	paused  map[string]bool
@@ -32,7 +32,7 @@
 }
 
 func newNetwork(delay time.Duration) *network {
-	n := &network{
+	return &network{
 		daemons: make(map[string]*Membership),
 		down:    make(map[string]bool),
 		paused:  make(map[string]bool),
@@ -41,8 +41,6 @@
 		random:  rand.New(rand.NewPCG(3, 4)),
 		delay:   delay,
 	}
-	n.cond = sync.NewCond(&n.mu)
-	return n
 }
 
 var errReset = errors.New("connection reset")
@@ -90,9 +88,11 @@
 // change alters the network and wakes every link.
 func (n *network) change(f func()) {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	f()
-	n.mu.Unlock()
-	n.cond.Broadcast()
+	for _, p := range n.pipes {
+		p.changed.Broadcast()
+	}
 }
 
 // crash ends a daemon without a goodbye; its connections are reset.
@@ -169,12 +169,19 @@
 type pipe struct {
 	network  *network
 	from, to string
-	frames   []*bronzeturnv1.Frame
-	closed   bool
+	// changed wakes the receiver. It belongs to the pipe alone: with one for the network, each
+	// frame would wake the receivers of all links.
+	changed *sync.Cond
+	frames  []*bronzeturnv1.Frame
+	closed  bool
 }
 
 func newPipe(n *network, from, to string) *pipe {
-	return &pipe{network: n, from: from, to: to}
+	p := &pipe{network: n, from: from, to: to, changed: sync.NewCond(&n.mu)}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.pipes = append(n.pipes, p)
+	return p
 }
 
 type end struct {
@@ -193,7 +200,7 @@
 		return errReset
 	}
 	e.out.frames = append(e.out.frames, frame)
-	n.cond.Broadcast()
+	e.out.changed.Broadcast()
 	return nil
 }
 
@@ -210,7 +217,7 @@
 		if len(p.frames) > 0 && !n.stuckLocked(p.from, p.to) {
 			break
 		}
-		n.cond.Wait()
+		p.changed.Wait()
 	}
 	frame := p.frames[0]
 	p.frames = p.frames[1:]
@@ -222,9 +229,10 @@
 
 // Close implements gossip.Link. The other side sees it once the network lets it.
 func (e *end) Close() {
-	e.in.network.change(func() {
-		e.closed = true
-		e.in.closed = true
-		e.out.closed = true
-	})
+	n := e.in.network
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	e.closed, e.in.closed, e.out.closed = true, true, true
+	e.in.changed.Broadcast()
+	e.out.changed.Broadcast()
 }
