gateway, canary: refuse sessions of a stopped version until they lapse

Cause: no daemon remembered on which version a session last ran. The engines of the first order's old version have stopped; a session's next request went to the version in between, or to the newest one in the first half of its order. The log lines of ended requests now name session and version.

Change: daemons remember the version of each session's last run and tell each other, when an order ends and during the next one, which sessions last ran on versions that have stopped. Their requests are refused unrun while an order is in progress, with the time at which the session lapses as Retry-After, or held until that is short enough for the caller to honour it.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -21,8 +21,9 @@
 	// SettleTime is the time after an order in which no session is moved, so that
 	// all daemons learn of the order and of the sessions in progress.
 	SettleTime time.Duration
-	// SessionGap is the longest pause within one session.
-	SessionGap time.Duration
+	// SessionGap is the longest pause within one session, with a margin for what daemons
+	// learn late. SessionLapse is the pause after which a request begins a new session.
+	SessionGap, SessionLapse time.Duration
 	// FinishMargin is how long before the deadline an introduction is declared
 	// complete, at most. It covers the write and a second daemon's try.
 	FinishMargin time.Duration
@@ -35,6 +36,7 @@
 		ExposureShare: 0.15,
 		SettleTime:    1500 * time.Millisecond,
 		SessionGap:    6 * time.Second,
+		SessionLapse:  5100 * time.Millisecond,
 		FinishMargin:  700 * time.Millisecond,
 	}
 }
@@ -110,6 +112,8 @@
 	Age    time.Duration
 	Counts map[CountKey]Count
 	Held   []uint64
+	// Stopped are the sessions that last ran on versions that have stopped.
+	Stopped []StoppedSession
 	// Condemned is the reason of the daemon's verdict against the version, "" for
 	// none.
 	Condemned string
--- a/entry/canaryreports.go
+++ b/entry/canaryreports.go
@@ -32,12 +32,18 @@
 	i.daemon.fleet.publish(canaryPrefix+service+"/"+i.daemon.Settings.Name, uint64(now.UnixMilli()), data)
 }
 
-// counted returns what this daemon has counted of each introduction in progress.
+// counted returns what this daemon has counted of each introduction in progress, and the
+// sessions left over by those that have just ended.
 func (i *introductions) counted() map[string]*tally.Report {
 	now := time.Now()
 	reports := make(map[string]*tally.Report)
 	for service, known := range i.active() {
-		reports[service] = reportMessage(known.Report(now))
+		reports[service] = reportMessage(i.withStopped(service, known.Report(now), now))
+	}
+	for service, known := range i.settling(now) {
+		r := known.Report(now)
+		r.Counts, r.Held = nil, nil
+		reports[service] = reportMessage(i.withStopped(service, r, now))
 	}
 	return reports
 }
@@ -47,9 +53,13 @@
 
 // othersCounted takes in what the other daemons have counted of a service.
 func (i *introductions) othersCounted(service string, others *tally.Report) {
-	if known := i.known(service); known != nil {
-		known.Heard(fleetName, reportOf(others), time.Now())
+	known := i.known(service)
+	if known == nil {
+		return
 	}
+	report, now := reportOf(others), time.Now()
+	known.Heard(fleetName, report, now)
+	i.heardStopped(service, report, now)
 }
 
 // known returns the introduction of a service, nil for none.
@@ -66,6 +76,9 @@
 func reportMessage(r canary.Report) *tally.Report {
 	m := &tally.Report{Target: r.Target, Order: r.Order, AgeMs: uint64(max(r.Age.Milliseconds(), 0)), Condemned: r.Condemned}
 	m.HeldSessions = r.Held[:min(len(r.Held), maxReportSessions)]
+	for _, s := range r.Stopped[:min(len(r.Stopped), maxReportSessions)] {
+		m.StoppedSessions = append(m.StoppedSessions, &bronzeturnv1.StoppedSession{Session: s.Session, EndedMs: int32(s.Ended.Milliseconds())})
+	}
 	for key, c := range r.Counts {
 		m.Counts = append(m.Counts, &bronzeturnv1.CanaryCount{
 			Route: key.Route, Trial: key.Trial, Pace: key.Pace, Answers: c.Answers, Bad: c.Bad, Slow: c.Slow,
@@ -81,6 +94,9 @@
 		Order: m.GetOrder(), Target: m.GetTarget(), Age: time.Duration(m.GetAgeMs()) * time.Millisecond,
 		Counts: make(map[canary.CountKey]canary.Count), Held: m.GetHeldSessions(), Condemned: m.GetCondemned(),
 	}
+	for _, s := range m.GetStoppedSessions() {
+		r.Stopped = append(r.Stopped, canary.StoppedSession{Session: s.GetSession(), Ended: time.Duration(s.GetEndedMs()) * time.Millisecond})
+	}
 	for _, c := range m.GetCounts() {
 		r.Counts[canary.CountKey{Route: c.GetRoute(), Trial: c.GetTrial(), Pace: c.GetPace()}] = canary.Count{
 			Answers: c.GetAnswers(), Bad: c.GetBad(), Slow: c.GetSlow(), LogLatencySum: c.GetLogLatencySum(), LogLatencySquares: c.GetLogLatencySquares(),
--- a/entry/introductions.go
+++ b/entry/introductions.go
@@ -32,6 +32,8 @@
 	retired map[string]map[string]struct{}
 	// recent are the sessions of late that a trial would move.
 	recent map[string]map[uint64]time.Time
+	// sessions remember the version that the sessions of each service last ran on.
+	sessions map[string]*canary.Sessions
 	// waiting tells that some engine waits for an order.
 	waiting bool
 	// ranks order the engines of the versions being introduced, for introductions limited to
@@ -49,14 +51,17 @@
 	told bool
 	// engines is on how many engines the new version runs.
 	engines int
+	// ended is when this daemon learnt that the order had come to its end.
+	ended time.Time
 }
 
 func newIntroductions(d *Daemon) *introductions {
 	i := &introductions{
 		daemon: d, byService: make(map[string]*introduction),
 		versions: make(map[string]map[string]time.Time), recent: make(map[string]map[uint64]time.Time),
-		retired: make(map[string]map[string]struct{}),
-		ranks:   make(map[string]int),
+		retired:  make(map[string]map[string]struct{}),
+		sessions: make(map[string]*canary.Sessions),
+		ranks:    make(map[string]int),
 	}
 	i.tally = tally.New(tally.Options{
 		Self: d.Settings.Name, Place: d.fleet.tallyPlace, Client: d.fleet.tallyOf,
@@ -107,6 +112,9 @@
 	}
 	if before := known.State(); before != state {
 		known.SetState(state)
+		if known.State() >= canary.Done {
+			known.ended = now
+		}
 		i.daemon.log.Info().Str("service", order.Service).Str("target", order.Target).
 			Stringer("before", before).Stringer("state", known.State()).Uint64("revision", revision).Msg("introduction changed its state")
 	}
@@ -122,17 +130,9 @@
 		i.retired[next.Service] = retired
 	}
 	if before != nil {
-		target := before.Order().Target
 		for version := range i.versions[next.Service] {
-			switch before.State() {
-			case canary.Done:
-				if version != target {
-					retired[version] = struct{}{}
-				}
-			case canary.RolledBack:
-				if version == target {
-					retired[version] = struct{}{}
-				}
+			if before.ends(version) {
+				retired[version] = struct{}{}
 			}
 		}
 	}
--- a/failure/failure.go
+++ b/failure/failure.go
@@ -44,6 +44,9 @@
 	CodeAnswerNotKept      Code = "answer_not_kept"
 	// CodeQuarantined refuses a request that crashes the engines that run it.
 	CodeQuarantined Code = "quarantined"
+	// CodeVersionStopped refuses a request whose session ran on a version that has stopped,
+	// until the session has lapsed.
+	CodeVersionStopped Code = "version_stopped"
 
 	CodeInternal Code = "internal"
 )
@@ -143,6 +146,7 @@
 	CodeCanceled:           statusClientClosedRequest,
 	CodeAnswerNotKept:      http.StatusGone,
 	CodeQuarantined:        http.StatusServiceUnavailable,
+	CodeVersionStopped:     http.StatusServiceUnavailable,
 	CodeInternal:           http.StatusInternalServerError,
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,6 +56,11 @@
 	Observe(service, route string, trial, bad bool, latency time.Duration)
 	// ObservePace takes in the mean time between two events of a stream.
 	ObservePace(service, route string, trial bool, pace time.Duration)
+	// Ran takes in that a request of the session has run on a version and ended.
+	Ran(service string, session uint64, version string, now time.Time)
+	// Lapses returns when the session lapses, if it last ran on a version that has stopped
+	// and another version is being introduced, and else the zero time.
+	Lapses(service string, session uint64, now time.Time) time.Time
 }
 
 // Quarantine says which requests crash engines and must not be sent, and hears what tells
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -76,6 +76,9 @@
 			Dur("allowed_ms", q.deadline.Sub(q.received))
 	}
 	t := &q.trace
+	if q.meta.Session != "" {
+		line = line.Str("session", q.sessionName())
+	}
 	if q.ranked {
 		line = line.Int("prompt_tokens", q.meta.PromptTokens).Int("shared_tokens", q.prefixTokens).Int("answer_tokens", q.meta.LikelyTokens)
 	}
@@ -85,7 +88,7 @@
 	if t.worth > 0 {
 		line = line.Float64("worth", t.worth).Float64("chance", t.chance).Float64("price", t.price)
 	}
-	return line.Strs("engines", t.engines).Strs("reasons", t.reasons).Strs("compared", t.compared).Str("model", t.model).Ints("confidence", t.confidence).Bool("trial", t.trial).
+	return line.Strs("engines", t.engines).Str("version", t.version).Strs("reasons", t.reasons).Strs("compared", t.compared).Str("model", t.model).Ints("confidence", t.confidence).Bool("trial", t.trial).
 		Int("attempts", t.attempts).Int("resumed", t.resumed).Int("events", t.events).Dur("first_ms", t.first).Dur("pause_ms", t.pause)
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -69,6 +70,8 @@
 	// compared are the engines compared for the last attempt, with their costs.
 	compared []string
 	model    string
+	// version is that of the last engine the request was sent to.
+	version string
 	// worth is what a right answer is taken to be worth where the model was open.
 	worth float64
 	// confidence is that of each answer that began, chance how likely the last of them
@@ -239,6 +242,9 @@
 	return q.meta.ID
 }
 
+// sessionName returns the session's hash as it stands in the log.
+func (q *request) sessionName() string { return fmt.Sprintf("%016x", q.session) }
+
 // chooseService divides the requests of a route among its services.
 func (g *Gateway) chooseService(q *request) {
 	q.service = q.route.Pick(g.random())
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -91,6 +91,9 @@
 	g.budgets.of(q.service).Request(time.Now())
 	t := &task{request: q, answer: a, ran: failure.RanNo, doubted: noConfidence}
 	t.stream.lastID = q.meta.LastEvent
+	if f := g.refuseStopped(ctx, t); f != nil {
+		return f
+	}
 	g.chooseModel(t)
 	t.prefixHomes = g.countHomes(t)
 	for {
@@ -103,6 +106,7 @@
 		}
 		err := g.try(ctx, t, to)
 		if err == nil {
+			g.noteVersion(t)
 			return nil
 		}
 		if f := g.again(ctx, t, to, err); f != nil {
@@ -113,6 +117,9 @@
 
 // settle passes on an engine's own answer rather than a failure of ours.
 func (g *Gateway) settle(t *task, f *failure.Error) *failure.Error {
+	if t.runs > 0 {
+		g.noteVersion(t)
+	}
 	if t.last == nil || t.answer.begun() {
 		return f
 	}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -19,7 +19,7 @@
 	t.tried = append(t.tried, to.engine.Key())
 	t.request.trace.attempts++
 	t.request.trace.engines = append(t.request.trace.engines, to.engine.Key())
-	t.request.trace.trial = t.trial
+	t.request.trace.trial, t.request.trace.version = t.trial, to.engine.Version
 	to.sent = time.Now()
 	g.Engines.Dispatched(balance.Dispatched{Engine: to.engine.Key(), Work: to.work, PrefixHash: t.prefixHash, At: to.sent})
 	sending, send := g.Quarantine.Sending(ctx, t.hash)
--- a/tally/report.go
+++ b/tally/report.go
@@ -1,6 +1,7 @@
 package tally
 
 import (
+	"cmp"
 	"slices"
 
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
@@ -41,6 +42,7 @@
 			total.Condemned = r.GetCondemned()
 		}
 		total.HeldSessions = append(total.HeldSessions, r.GetHeldSessions()...)
+		total.StoppedSessions = append(total.StoppedSessions, r.GetStoppedSessions()...)
 		for _, c := range r.GetCounts() {
 			add(counts, c, 1)
 		}
@@ -48,15 +50,29 @@
 	slices.Sort(total.HeldSessions)
 	total.HeldSessions = slices.Compact(total.HeldSessions)
 	total.HeldSessions = total.HeldSessions[:min(len(total.HeldSessions), mostSessions)]
+	total.StoppedSessions = latestRuns(total.StoppedSessions)
 	total.Counts = listOf(counts)
 	return total
 }
 
+// latestRuns keeps the run that ended last of each session, and of all the latest.
+func latestRuns(runs []*bronzeturnv1.StoppedSession) []*bronzeturnv1.StoppedSession {
+	slices.SortFunc(runs, func(a, b *bronzeturnv1.StoppedSession) int {
+		return cmp.Or(cmp.Compare(a.GetSession(), b.GetSession()), cmp.Compare(b.GetEndedMs(), a.GetEndedMs()))
+	})
+	runs = slices.CompactFunc(runs, func(a, b *bronzeturnv1.StoppedSession) bool { return a.GetSession() == b.GetSession() })
+	if len(runs) <= mostSessions {
+		return runs
+	}
+	slices.SortFunc(runs, func(a, b *bronzeturnv1.StoppedSession) int { return cmp.Compare(b.GetEndedMs(), a.GetEndedMs()) })
+	return runs[:mostSessions]
+}
+
 // without returns a total less what one daemon has put into it.
 func without(total, own *Report) *Report {
 	rest := &Report{
 		Order: total.GetOrder(), Target: total.GetTarget(), AgeMs: total.GetAgeMs(),
-		HeldSessions: total.GetHeldSessions(), Condemned: total.GetCondemned(),
+		HeldSessions: total.GetHeldSessions(), StoppedSessions: total.GetStoppedSessions(), Condemned: total.GetCondemned(),
 	}
 	counts := make(map[countKey]*bronzeturnv1.CanaryCount)
 	for _, c := range total.GetCounts() {
--- a/tally/tally_test.go
+++ b/tally/tally_test.go
@@ -179,6 +179,36 @@
 	})
 }
 
+// TestSumsHoldTheLastRunOfEachSession guards against sessions that another daemon's older or
+// foreign report brings back.
+func TestSumsHoldTheLastRunOfEachSession(t *testing.T) {
+	c := qt.New(t)
+	runs := func(ended ...int32) *Report {
+		r := reportWith(1)
+		for session, ms := range ended {
+			r.StoppedSessions = append(r.StoppedSessions, &bronzeturnv1.StoppedSession{Session: uint64(session), EndedMs: ms})
+		}
+		return r
+	}
+	foreign := runs(900, 900, 900)
+	foreign.Order = 8
+	total := sum(runs(-300, 20), runs(-200, 10, -5), foreign)
+	var got []int32
+	for session, run := range total.GetStoppedSessions() {
+		c.Check(run.GetSession(), qt.Equals, uint64(session))
+		got = append(got, run.GetEndedMs())
+	}
+	c.Check(got, qt.DeepEquals, []int32{-200, 20, -5})
+	c.Check(without(total, runs(-300)).GetStoppedSessions(), qt.HasLen, 3)
+	var many []int32
+	for n := range int32(mostSessions + 10) {
+		many = append(many, n)
+	}
+	kept := sum(runs(many...)).GetStoppedSessions()
+	c.Check(kept, qt.HasLen, mostSessions)
+	c.Check(kept[0].GetEndedMs(), qt.Equals, int32(mostSessions+9)) // The latest are kept.
+}
+
 func TestSumsAreOfOneIntroduction(t *testing.T) {
 	c := qt.New(t)
 	other := reportWith(50)
