entry: count answers for the version of the engine that gave them

Cause: an answer counted for whichever order was in progress when it ended, as trial or not by the choice made when its request began. Ten streams that had begun in the last second of the first order's trial ended in the second order and condemned its version.

Change: gateway.Introductions takes the engine's version. The order's target is the trial, versions that an earlier order has ended do not count, all others are the version before. The test fails when answers of the earlier target count for the trial, and when those of ended versions count.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -125,7 +125,7 @@
 	i.ordered(order, canary.Running, 8)
 	other.ordered(order, canary.Running, 8)
 	for range 20 {
-		other.Observe("s", "r", true, true, 0)
+		other.Observe("s", "r", "v2", true, 0)
 	}
 	c.Check(i.byService["s"].Review(time.Now()).State, qt.Equals, canary.Running)
 	i.othersCounted("s", other.counted()["s"])
@@ -133,6 +133,39 @@
 	c.Check(i.byService["s"].Review(time.Now()).State, qt.Equals, canary.RolledBack)
 }
 
+// TestAnswersOfAnEarlierTrialDoNotCondemnTheNextVersion guards against a good version that is
+// taken back for what streams of the version before did, which began in the trial of the
+// order before and outlasted it.
+func TestAnswersOfAnEarlierTrialDoNotCondemnTheNextVersion(t *testing.T) {
+	c := qt.New(t)
+	next := order
+	next.ID, next.Target = order.ID+1, "v3"
+	i := newTestIntroductions(engineOf("a", "v1"), engineOf("b", "v2"), engineOf("c", "v3"))
+	i.ordered(order, canary.Running, 8)
+	i.ordered(order, canary.Done, 9)
+	i.ordered(next, canary.Running, 10)
+	for range 40 {
+		i.Observe("s", "r", "v1", true, 0)
+		i.Observe("s", "r", "v2", false, 100*time.Millisecond)
+		i.ObservePace("s", "r", "v1", time.Second)
+		i.ObservePace("s", "r", "v2", 100*time.Millisecond)
+	}
+	verdict := i.byService["s"].Review(time.Now())
+	c.Check(verdict.State, qt.Equals, canary.Running)
+	c.Check(verdict.Trial, qt.Equals, canary.Count{})
+	c.Check(verdict.Base.Answers, qt.Equals, uint64(40))
+	c.Check(verdict.Base.Bad, qt.Equals, uint64(0))
+	// Slow streams of the version before are no sign against the next one.
+	for range 40 {
+		i.ObservePace("s", "r", "v2", 2*time.Second)
+	}
+	c.Check(i.byService["s"].Review(time.Now()).State, qt.Equals, canary.Running)
+	for range 40 {
+		i.Observe("s", "r", "v3", true, 0)
+	}
+	c.Check(i.byService["s"].Review(time.Now()).State, qt.Equals, canary.RolledBack)
+}
+
 func TestReportsSurviveTheirEncoding(t *testing.T) {
 	c := qt.New(t)
 	i, other := newTestIntroductions(engineOf("a", "v1")), newTestIntroductions(engineOf("a", "v1"))
@@ -140,7 +173,7 @@
 	i.ordered(order, canary.Running, 8)
 	other.ordered(order, canary.Running, 8)
 	for range 20 {
-		other.Observe("s", "r", true, true, 0)
+		other.Observe("s", "r", "v2", true, 0)
 	}
 	report, err := proto.Marshal(reportMessage(other.byService["s"].Report(time.Now())))
 	c.Assert(err, qt.IsNil)
--- a/entry/introductions.go
+++ b/entry/introductions.go
@@ -362,15 +362,33 @@
 }
 
 // Observe implements gateway.Introductions.
-func (i *introductions) Observe(service, route string, trial, bad bool, latency time.Duration) {
-	if known := i.known(service); known != nil && known.State() < canary.Done {
+func (i *introductions) Observe(service, route, version string, bad bool, latency time.Duration) {
+	if known, trial := i.judged(service, version); known != nil {
 		known.Observe(route, trial, bad, latency)
 	}
 }
 
 // ObservePace implements gateway.Introductions.
-func (i *introductions) ObservePace(service, route string, trial bool, pace time.Duration) {
-	if known := i.known(service); known != nil && known.State() < canary.Done {
+func (i *introductions) ObservePace(service, route, version string, pace time.Duration) {
+	if known, trial := i.judged(service, version); known != nil {
 		known.ObservePace(route, trial, pace)
 	}
 }
+
+// judged returns the introduction in progress that answers of a version count for, nil for
+// none, and whether it is the version being introduced. Streams outlast orders: those of
+// versions that an earlier order has ended do not count, and those that began in the trial of
+// an earlier order count for the version before.
+func (i *introductions) judged(service, version string) (known *introduction, trial bool) {
+	known = i.known(service)
+	if known == nil || known.State() >= canary.Done {
+		return nil, false
+	}
+	if version == known.Order().Target {
+		return known, true
+	}
+	if i.stoppedVersions(service)(version) {
+		return nil, false
+	}
+	return known, false
+}
--- a/gateway/escalate.go
+++ b/gateway/escalate.go
@@ -48,7 +48,7 @@
 		return false
 	}
 	// The answer that is dropped tells about its version too.
-	g.observeFirst(t, time.Since(to.sent))
+	g.observeFirst(t, to, time.Since(to.sent))
 	t.model, t.doubted = larger, confidence
 	t.request.trace.model = larger
 	t.tried = nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,10 +52,10 @@
 type Introductions interface {
 	// Choose returns whether the request goes to the version being introduced.
 	Choose(service string, session uint64, now time.Time) (trial bool)
-	// Observe takes in one answer.
-	Observe(service, route string, trial, bad bool, latency time.Duration)
+	// Observe takes in one answer of an engine of the version.
+	Observe(service, route, version string, bad bool, latency time.Duration)
 	// ObservePace takes in the mean time between two events of a stream.
-	ObservePace(service, route string, trial bool, pace time.Duration)
+	ObservePace(service, route, version string, pace time.Duration)
 	// Ran takes in that a request of the session has run on a version and ended.
 	Ran(service string, session uint64, version string, now time.Time)
 	// Lapses returns when the session lapses, if it last ran on a version that has stopped
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -145,8 +145,8 @@
 	if e.Kind == retry.KindRefused || e.Kind == retry.KindConnect || e.Kind == retry.KindMisdirected {
 		return
 	}
-	service, route, trial := t.service, t.route.Name, t.trial
-	blame := func() { g.Introductions.Observe(service, route, trial, true, 0) }
+	service, route, version := t.service, t.route.Name, to.engine.Version
+	blame := func() { g.Introductions.Observe(service, route, version, true, 0) }
 	if e.cut() {
 		g.Quarantine.Broke(to.engine, t.hash, now, blame)
 		return
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -79,13 +79,13 @@
 	} else {
 		t.request.trace.resumed++
 	}
-	g.observeFirst(t, latency)
+	g.observeFirst(t, to, latency)
 }
 
 // observeFirst tells of the time that an answer took to begin.
-func (g *Gateway) observeFirst(t *task, latency time.Duration) {
+func (g *Gateway) observeFirst(t *task, to *target, latency time.Duration) {
 	ratio := g.paces.ratio(paceKind{t.service, t.model, true}, latency)
-	g.Introductions.Observe(t.service, t.route.Name, t.trial, false, asUsual(ratio))
+	g.Introductions.Observe(t.service, t.route.Name, to.engine.Version, false, asUsual(ratio))
 }
 
 // passEvent sends one event to the caller.
@@ -115,7 +115,7 @@
 	}
 	pace := time.Since(firstAt) / time.Duration(got-1)
 	ratio := g.paces.ratio(paceKind{t.service, t.model, false}, pace)
-	g.Introductions.ObservePace(t.service, t.route.Name, t.trial, asUsual(ratio))
+	g.Introductions.ObservePace(t.service, t.route.Name, to.engine.Version, asUsual(ratio))
 	g.Engines.Finished(g.finished(t, to, ratio))
 }
 
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -50,7 +50,7 @@
 	}
 	latency := time.Since(to.sent)
 	g.Engines.Finished(g.finished(t, to, g.paces.ratio(paceKind{t.service, t.model, false}, latency)))
-	g.Introductions.Observe(t.service, t.route.Name, t.trial, false, latency)
+	g.Introductions.Observe(t.service, t.route.Name, to.engine.Version, false, latency)
 	g.Quarantine.Completed(t.hash, time.Now())
 	t.request.trace.first = t.wholeLatency()
 	if f := whole.deliver(t.answer); f != nil {
