provider: ask at once after a pause, and let requests wait for the answer

Callers saw: 503 configuration_stale, "resumed", from a daemon that had got no processor for over a second: for its first requests while the store answers, and for 5 s while it does not (e2e.TestStoreOutage on a starved machine, once).

Cause: the daemon may have missed a withdrawal and has to ask before it takes work; it refused instead of waiting the milliseconds that the answer takes. In an outage it waited 5 s for heartbeats although its peers had answered within 5 ms that they know nothing newer, and it asked them only after the store had answered or timed out.

Steady load alone did not show the failure again.

Change: the store and the peers are asked at once; most of the live peers, asked since the daemon resumed, count like most of them heard; requests wait up to 300 ms. The tests of withdrawals across a freeze pass unchanged.

--- a/decisions.go
+++ b/decisions.go
@@ -10,6 +10,7 @@
 	"github.com/bronzeturn/bronzeturn/failure"
 	"github.com/bronzeturn/bronzeturn/hedge"
 	"github.com/bronzeturn/bronzeturn/logging"
+	"github.com/bronzeturn/bronzeturn/provider"
 	"github.com/bronzeturn/bronzeturn/quality"
 	"github.com/bronzeturn/bronzeturn/retry"
 	"github.com/bronzeturn/bronzeturn/rollout"
@@ -106,15 +107,42 @@
 	return nil
 }
 
+const (
+	// newsWait bounds how long a request waits for a daemon that stood still to
+	// learn whether its configuration is the newest. The store or the peers tell
+	// it within some round trips, unless none of them answers.
+	newsWait = 300 * time.Millisecond
+	// newsPoll is the time between two looks.
+	newsPoll = 5 * time.Millisecond
+)
+
 // fresh refuses work when this daemon hears neither the store nor most of its
 // peers, since it may be the one that missed a withdrawal.
 func (d *Daemon) fresh(now time.Time) *failure.Error {
-	ok, reason := d.fleet.provider.Fresh(now, d.fleet.members.PeersHeard(), d.fleet.members.PeersKnown())
+	_, f := d.news(now)
+	return f
+}
+
+// awaitFresh is fresh for a request: one that reaches a daemon which has just
+// resumed waits until the daemon has asked for the newest configuration.
+func (d *Daemon) awaitFresh(now time.Time) *failure.Error {
+	reason, f := d.news(now)
+	for waited := time.Duration(0); f != nil && reason == provider.ReasonResumed && waited < newsWait; waited += newsPoll {
+		time.Sleep(newsPoll)
+		reason, f = d.news(time.Now())
+	}
+	return f
+}
+
+// news tells whether this daemon may take work, and why.
+func (d *Daemon) news(now time.Time) (provider.Reason, *failure.Error) {
+	members := d.fleet.members
+	ok, reason := d.fleet.provider.Fresh(now, members.PeersHeard(), members.PeersKnown(), members.View().Live()-1)
 	if ok {
 		d.publishNewest()
-		return nil
+		return reason, nil
 	}
-	return failure.New(failure.CodeConfigurationStale, failure.RanNo, "this address has no fresh configuration: %s", reason).After(staleRetryAfter)
+	return reason, failure.New(failure.CodeConfigurationStale, failure.RanNo, "this address has no fresh configuration: %s", reason).After(staleRetryAfter)
 }
 
 // publishNewest compiles a configuration that the provider has installed and the
@@ -137,7 +165,7 @@
 		DataCentre:    d.settings.GetDataCentre(),
 		MaxBodyBytes:  d.settings.GetMaxBodyBytes(),
 		Tables:        d.tables.Load,
-		Fresh:         d.fresh,
+		Fresh:         d.awaitFresh,
 		Versions:      n.versions,
 		Quality:       n.quality,
 		Engines:       n.engines,
--- a/dispatch.go
+++ b/dispatch.go
@@ -59,5 +59,5 @@
 }
 
 func (d *Daemon) dispatchGate() dispatchGate {
-	return dispatchGate{fresh: d.fresh, tables: d.tables.Load}
+	return dispatchGate{fresh: d.awaitFresh, tables: d.tables.Load}
 }
--- a/provider/fetch.go
+++ b/provider/fetch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -179,18 +180,22 @@
 
 // askPeers asks a few peers for their heads.
 func (p *Provider) askPeers(ctx context.Context) {
+	var asking sync.WaitGroup
 	for _, name := range p.draw() {
 		client, ok := p.dial(name)
 		if !ok {
 			continue
 		}
-		if err := p.askPeer(ctx, client); err != nil {
-			p.log.Debug().Str("peer", name).Err(err).Msg("head not read from peer")
-		}
+		asking.Go(func() {
+			if err := p.askPeer(ctx, name, client); err != nil {
+				p.log.Debug().Str("peer", name).Err(err).Msg("head not read from peer")
+			}
+		})
 	}
+	asking.Wait()
 }
 
-func (p *Provider) askPeer(ctx context.Context, client bronzeturnv1connect.ConfigurationServiceClient) error {
+func (p *Provider) askPeer(ctx context.Context, name string, client bronzeturnv1connect.ConfigurationServiceClient) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	start := time.Now()
@@ -211,6 +216,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.state.confirmPeer(c.generation(), age, start)
+	if c.generation() <= p.state.inForce.generation() {
+		p.noteAsked(name, start)
+	}
 	if c.generation() == p.state.inForce.generation() {
 		p.state.firstHand = latest(p.state.firstHand, start.Add(-age))
 	}
--- a/provider/freshness.go
+++ b/provider/freshness.go
@@ -40,6 +40,10 @@
 	// those of the live list, whether they are heard or not: a peer must not drop
 	// out of it only because it is not heard.
 	PeersHeard, PeersKnown int
+	// PeersAsked of PeersLive have told this daemon, when it asked them since it
+	// resumed, that they know no newer head. Live ones are all that are not known to
+	// have ended; unlike PeersKnown they are no sample.
+	PeersAsked, PeersLive int
 }
 
 // Decide tells whether a daemon may take new work. A daemon that heard neither
@@ -48,12 +52,15 @@
 // changed the configuration in a way that only others know, as long as most of
 // the peers are heard; then work goes on. A daemon that stood still refuses until
 // the store or a peer told it, first hand and since it resumed, that nothing newer
-// exists; while neither can, it waits and then goes by the majority alone.
+// exists. While neither can, most of the peers have to have told it when asked, or
+// it waits and then goes by the majority that is heard.
 func Decide(n News, bound time.Duration) (bool, Reason) {
+	heard := majority(n.PeersHeard, n.PeersKnown)
+	asked := heard && n.PeersAsked > 0 && majority(n.PeersAsked, n.PeersLive)
 	switch {
 	case !n.HasConfiguration:
 		return false, ReasonNone
-	case n.Unsure > 0 && (n.Unsure < resumeSettle || n.Behind > 0):
+	case n.Unsure > 0 && (n.Behind > 0 || n.Unsure < resumeSettle && !asked):
 		return false, ReasonResumed
 	case n.Behind > bound:
 		return false, ReasonBehind
@@ -61,7 +68,7 @@
 		return true, ReasonCatchingUp
 	case n.Age <= bound && n.Unsure == 0:
 		return true, ReasonConfirmed
-	case majority(n.PeersHeard, n.PeersKnown):
+	case heard:
 		return true, ReasonMajority
 	default:
 		return false, ReasonIsolated
--- a/provider/pause.go
+++ b/provider/pause.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 )
@@ -88,16 +89,42 @@
 	p.signal()
 }
 
-// verifyNow asks the store and a few peers for the head, after a pause.
+// verifyNow asks the store and a few peers for the head, after a pause. All are
+// asked at once, since any of them may be silent.
 func (p *Provider) verifyNow(ctx context.Context) {
 	p.mu.Lock()
 	verify := p.verify
 	p.verify = false
 	p.mu.Unlock()
-	if verify {
-		p.askStore(ctx)
+	if !verify {
+		return
 	}
-	if verify && p.unsure(p.pauses.check()) {
-		p.askPeers(ctx)
+	var asking sync.WaitGroup
+	asking.Go(func() { p.askStore(ctx) })
+	p.askPeers(ctx)
+	asking.Wait()
+}
+
+// askedSince returns how many peers have told, when asked since then, that they
+// know no newer head.
+func (p *Provider) askedSince(resumed time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	asked := 0
+	for _, at := range p.state.asked {
+		if !at.Before(resumed) {
+			asked++
+		}
+	}
+	return asked
+}
+
+// noteAsked takes in that a peer knows no newer head. The caller holds p.mu.
+func (p *Provider) noteAsked(name string, at time.Time) {
+	resumed := p.pauses.check()
+	if p.state.asked == nil {
+		p.state.asked = make(map[string]time.Time)
 	}
+	maps.DeleteFunc(p.state.asked, func(_ string, at time.Time) bool { return at.Before(resumed) })
+	p.state.asked[name] = at
 }
--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -70,10 +70,10 @@
 		c.Assert(n.provider.Status().Generation, qt.Equals, uint64(2))
 		c.Assert(n.provider.Status().Source, qt.Not(qt.Equals), SourceStore)
 		time.Sleep(time.Minute)
-		ok, reason := n.provider.Fresh(time.Now(), 5, 5)
+		ok, reason := n.provider.Fresh(time.Now(), 5, 5, 5)
 		c.Assert(ok, qt.IsTrue)
 		c.Assert(reason, qt.Equals, ReasonMajority)
-		ok, reason = n.provider.Fresh(time.Now(), 2, 5)
+		ok, reason = n.provider.Fresh(time.Now(), 2, 5, 5)
 		c.Assert(ok, qt.IsFalse)
 		c.Assert(reason, qt.Equals, ReasonIsolated)
 	})
@@ -100,19 +100,19 @@
 func TestDaemonCutOffFromStoreAndPeersGoesStale(t *testing.T) {
 	run(t, 3, 1, func(c *qt.C, f *fleet) {
 		n := f.nodes["d02"]
-		ok, reason := n.provider.Fresh(time.Now(), 2, 2)
+		ok, reason := n.provider.Fresh(time.Now(), 2, 2, 2)
 		c.Assert(ok, qt.IsTrue)
 		c.Assert(reason, qt.Equals, ReasonConfirmed)
 		f.setCut("d02", true)
 		f.apply(2)
 		time.Sleep(DefaultStaleAfter + 5*time.Second)
-		ok, reason = n.provider.Fresh(time.Now(), 0, 2)
+		ok, reason = n.provider.Fresh(time.Now(), 0, 2, 2)
 		c.Assert(ok, qt.IsFalse)
 		c.Assert(reason, qt.Equals, ReasonIsolated)
 		f.setCut("d02", false)
 		time.Sleep(5 * time.Second)
 		f.inForce(c, 2)
-		ok, _ = n.provider.Fresh(time.Now(), 2, 2)
+		ok, _ = n.provider.Fresh(time.Now(), 2, 2, 2)
 		c.Assert(ok, qt.IsTrue)
 	})
 }
@@ -170,7 +170,7 @@
 		c.Assert(errors.As(p.Status().Rejected, &invalid), qt.IsTrue, qt.Commentf("%v", p.Status().Rejected))
 		c.Assert(invalid.Problems[0].Path, qt.Equals, "rules.kinds[0].quality_target")
 		c.Assert(p.Status().Accepted, qt.Equals, uint64(2))
-		ok, reason := p.Fresh(time.Now(), 2, 2)
+		ok, reason := p.Fresh(time.Now(), 2, 2, 2)
 		c.Assert(ok, qt.IsTrue, qt.Commentf("%s", reason))
 		f.write([]byte("garbage"))
 		time.Sleep(5 * time.Second)
@@ -279,7 +279,7 @@
 			for _, name := range f.names() {
 				p := f.nodes[name].provider
 				p.Confirm(7, 0)
-				ok, reason := p.Fresh(time.Now(), 1, 1)
+				ok, reason := p.Fresh(time.Now(), 1, 1, 1)
 				c.Assert(ok, qt.IsTrue, qt.Commentf("%s: %s", name, reason))
 			}
 			time.Sleep(time.Second)
@@ -293,11 +293,11 @@
 		p := f.nodes["d01"].provider
 		p.Confirm(7, 0)
 		c.Assert(p.Status().Accepted, qt.Equals, uint64(7))
-		ok, reason := p.Fresh(time.Now(), 1, 1)
+		ok, reason := p.Fresh(time.Now(), 1, 1, 1)
 		c.Assert(ok, qt.IsTrue)
 		c.Assert(reason, qt.Equals, ReasonCatchingUp)
 		time.Sleep(DefaultStaleAfter + time.Second)
-		ok, reason = p.Fresh(time.Now(), 1, 1)
+		ok, reason = p.Fresh(time.Now(), 1, 1, 1)
 		c.Assert(ok, qt.IsFalse)
 		c.Assert(reason, qt.Equals, ReasonBehind)
 	})
@@ -326,7 +326,7 @@
 				p := f.nodes[name].provider
 				behind := time.Duration(result.Generation-p.Status().Generation) * pause
 				c.Assert(behind <= bound, qt.IsTrue, qt.Commentf("%s is %v behind", name, behind))
-				ok, reason := p.Fresh(time.Now(), 5, 5)
+				ok, reason := p.Fresh(time.Now(), 5, 5, 5)
 				c.Assert(ok, qt.IsTrue, qt.Commentf("%s: %s", name, reason))
 			}
 			time.Sleep(pause)
@@ -347,7 +347,7 @@
 		f.apply(1)
 		time.Sleep(2 * time.Second)
 		resumed := nodes[2].provider
-		fresh := func() (bool, Reason) { return resumed.Fresh(time.Now(), 2, 2) }
+		fresh := func() (bool, Reason) { return resumed.Fresh(time.Now(), 2, 2, 2) }
 
 		reads := nodes[2].storeReads()
 		standStill(resumed)
@@ -372,6 +372,36 @@
 	})
 }
 
+// TestResumedDaemonAsksMostPeersDuringAnOutage guards against daemons that refuse all work for
+// seconds after a pause though most of their peers tell at once that nothing newer exists.
+func TestResumedDaemonAsksMostPeersDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(t, 5)
+		defer f.close()
+		nodes := []*node{f.start("d0", true), f.start("d1", false), f.start("d2", false)}
+		f.apply(1)
+		time.Sleep(2 * time.Second)
+		resumed := nodes[2].provider
+		f.outage()
+		time.Sleep(20 * time.Second)
+		for range 2 { // What was asked after an earlier pause does not count.
+			standStill(resumed)
+			ok, reason := resumed.Fresh(time.Now(), 2, 2, 2)
+			c.Assert(ok, qt.IsFalse)
+			c.Assert(reason, qt.Equals, ReasonResumed)
+			time.Sleep(300 * time.Millisecond)
+			ok, reason = resumed.Fresh(time.Now(), 2, 2, 2)
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(reason, qt.Equals, ReasonMajority)
+			// Not where the peers that answered are no majority.
+			ok, _ = resumed.Fresh(time.Now(), 5, 5, 5)
+			c.Assert(ok, qt.IsFalse)
+			time.Sleep(2 * time.Second)
+		}
+	})
+}
+
 func standStill(p *Provider) {
 	p.pauses.mu.Lock()
 	defer p.pauses.mu.Unlock()
--- a/provider/state.go
+++ b/provider/state.go
@@ -94,6 +94,8 @@
 	storeConfirmed time.Time
 	// firstHand is the same, as a peer told this daemon itself.
 	firstHand time.Time
+	// asked are the peers that know no newer head, with the time of the question.
+	asked map[string]time.Time
 }
 
 // offer takes note of a head and decides what becomes of it. The generation in
--- a/provider/status.go
+++ b/provider/status.go
@@ -59,9 +59,9 @@
 	return s
 }
 
-// Fresh tells whether the daemon may take new work, given how many of its live
-// peers it hears. See Decide.
-func (p *Provider) Fresh(now time.Time, peersHeard, peersKnown int) (bool, Reason) {
+// Fresh tells whether the daemon may take new work, given how many of a sample of
+// its peers it hears, and how many live peers there are. See Decide.
+func (p *Provider) Fresh(now time.Time, peersHeard, peersKnown, peersLive int) (bool, Reason) {
 	resumed := p.pauses.check()
 	s := p.Status()
 	news := News{
@@ -69,12 +69,14 @@
 		Age:              s.NewsAge(now),
 		PeersHeard:       peersHeard,
 		PeersKnown:       peersKnown,
+		PeersLive:        peersLive,
 	}
 	if !s.BehindSince.IsZero() {
 		news.Behind = max(now.Sub(s.BehindSince), 1)
 	}
 	if p.unsure(resumed) {
 		news.Unsure = max(time.Since(resumed), 1)
+		news.PeersAsked = p.askedSince(resumed)
 	}
 	return Decide(news, p.staleAfter)
 }
--- a/router/router.go
+++ b/router/router.go
@@ -79,7 +79,8 @@
 	MaxBodyBytes int64
 	// Tables returns the newest configuration, nil before the first one.
 	Tables func() *Tables
-	// Fresh returns a failure when this daemon's news is too old to take work.
+	// Fresh returns a failure when this daemon's news is too old to take work. It may
+	// wait a little for news.
 	Fresh func(now time.Time) *failure.Error
 
 	Versions  *selection.Policy
