ledger: set how long claims wait for the store

Callers saw: 503 ledger_unavailable, "the claim could not be recorded", in e2e.TestSameKeyAtAllDaemonsRunsOnce on a starved machine, once.

Cause: claims are given up after 1.5 s and calls of the store after 2 s, and the store can get no processor for longer. The refusal is true and tells when to come back. Provoked by stopping the stand-in of the store for 2 s: 27 of 27 requests of three rounds refused, none ran. Which process stood still in the run of the sighting is not known. Steady load alone did not show it.

The test's deployment sets 30 s; its check is unchanged. A new test stops the store for 3 s in each of three rounds: all requests are answered and one runs; it fails with the default patience.

--- a/e2e/starved_test.go
+++ b/e2e/starved_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -12,6 +13,9 @@
 	"github.com/bronzeturn/bronzeturn/standin"
 )
 
+// patient is a deployment whose claims wait for a platform that gets no processor for seconds.
+var patient = plan{daemons: 3, engines: 2, daemonArgs: []string{"--claim-patience", "30s"}}
+
 // standStill stops the process for a while, as when it gets no processor.
 func (p *process) standStill(c *qt.C, length time.Duration) {
 	c.Assert(p.cmd.Process.Signal(syscall.SIGSTOP), qt.IsNil)
@@ -51,3 +55,26 @@
 		c.Check(got.Check(chat), qt.IsNil, qt.Commentf("%d %s", got.Status, got.Body))
 	}
 }
+
+// TestClaimsWaitForAStoreThatStandsStill guards against refusals of requests that run once at
+// most, and against second runs, when the store gets no processor for longer than one of its
+// calls may take. The daemons' patience is set to outlast it.
+func TestClaimsWaitForAStoreThatStandsStill(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	d := deployPlan(c, patient)
+	for round := range 3 {
+		chat := demo.Chat{Key: key, Kind: "tag", IdempotencyKey: fmt.Sprint("tag-", round), Prompt: "crate 9"}
+		results := make([]demo.Result, 9)
+		var sending sync.WaitGroup
+		sending.Go(func() { d.storeProcess.standStill(c, 3*time.Second) })
+		for i := range results {
+			sending.Go(func() { results[i] = send(chat, d.daemons[i%3].callers) })
+		}
+		sending.Wait()
+		for _, got := range results {
+			c.Check(got.Check(chat), qt.IsNil, qt.Commentf("%d %s", got.Status, got.Body))
+		}
+		c.Check(total(d.executions(c)), qt.Equals, round+1)
+	}
+}
--- a/fleet.go
+++ b/fleet.go
@@ -83,20 +83,22 @@
 
 func ledgerConfig(d *Daemon, f *fleet) ledger.Config {
 	return ledger.Config{
-		Self:         d.settings.GetName(),
-		Store:        d.platform.store,
-		Owners:       owners{f.members},
-		Dialer:       f.directory,
-		Holders:      holders{members: f.members, self: d.settings.GetName(), dataCentre: d.settings.GetDataCentre()},
-		Log:          d.log,
-		Registerer:   d.options.Registry,
-		Rand:         d.rand(randLedger),
-		Shards:       uint32(d.settings.GetLedgerShards()),
-		FleetWrites:  d.settings.GetLedgerFleetWrites(),
-		Daemons:      func() int { return f.members.View().Live() },
-		BatchDelay:   d.settings.GetLedgerBatchInterval().AsDuration(),
-		BillPatience: d.settings.GetBillPatience().AsDuration(),
-		BufferBytes:  int(d.settings.GetOutageBufferBytes()),
+		Self:          d.settings.GetName(),
+		Store:         d.platform.store,
+		Owners:        owners{f.members},
+		Dialer:        f.directory,
+		Holders:       holders{members: f.members, self: d.settings.GetName(), dataCentre: d.settings.GetDataCentre()},
+		Log:           d.log,
+		Registerer:    d.options.Registry,
+		Rand:          d.rand(randLedger),
+		Shards:        uint32(d.settings.GetLedgerShards()),
+		FleetWrites:   d.settings.GetLedgerFleetWrites(),
+		Daemons:       func() int { return f.members.View().Live() },
+		BatchDelay:    d.settings.GetLedgerBatchInterval().AsDuration(),
+		BillPatience:  d.settings.GetBillPatience().AsDuration(),
+		DecideTimeout: d.settings.GetClaimPatience().AsDuration(),
+		StoreTimeout:  max(ledger.DefaultStoreTimeout, d.settings.GetClaimPatience().AsDuration()),
+		BufferBytes:   int(d.settings.GetOutageBufferBytes()),
 	}
 }
 
