--- a/cmd/bronzeturn-standin/commands.go
+++ b/cmd/bronzeturn-standin/commands.go
@@ -85,6 +85,7 @@
 	CheckFencing           bool          `help:"Refuse orders and requests with an old fencing number."`
 	LoadTime               time.Duration `help:"Time to load a version." default:"2s"`
 	Role                   string        `help:"Role at the start." default:"general"`
+	CrashOn                string        `help:"Text that ends the engine when it begins a request with it in the prompt."`
 }
 
 // Run runs a model engine.
@@ -94,7 +95,7 @@
 		TokensPerSecond: c.TokensPerSecond, PrefillTokensPerSecond: c.PrefillTokensPerSecond,
 		AnswerTokens: c.AnswerTokens, CacheBlocks: c.CacheBlocks,
 		CacheEventLag: c.CacheEventLag, CacheEventGap: c.CacheEventGap, ReportLag: c.ReportLag,
-		CheckFencing: c.CheckFencing, LoadTime: c.LoadTime, Role: c.Role,
+		CheckFencing: c.CheckFencing, LoadTime: c.LoadTime, Role: c.Role, CrashOn: c.CrashOn,
 	}))
 }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,6 +48,11 @@
 	LoadTime time.Duration
 	// Role is the role at the start.
 	Role string
+	// CrashOn is a text that ends the engine as it begins a request with it in the
+	// prompt. Empty for none.
+	CrashOn string
+	// Crash ends the process. Nil means os.Exit.
+	Crash func()
 }
 
 const (
@@ -129,6 +136,8 @@
 	cached   int
 	tokens   []string
 	finish   string
+	// crashes tells that the engine ends under the request.
+	crashes bool
 }
 
 var errMalformed = errors.New("malformed request")
@@ -151,6 +160,7 @@
 		return nil, err
 	}
 	j.prefixes = engine.PromptPrefixes(text, maxPrefixBlocks)
+	j.crashes = e.cfg.CrashOn != "" && strings.Contains(string(text), e.cfg.CrashOn)
 	j.prompt = (len(text) + bytesPerToken - 1) / bytesPerToken
 	// Absent headers read as zero, which is their default.
 	j.priority, _ = strconv.Atoi(r.Header.Get(engine.HeaderPriority))
@@ -214,6 +224,9 @@
 		refuse(w, http.StatusConflict, engine.ErrorTypeFenced, "a higher fencing number was met")
 		return
 	}
+	if j.crashes {
+		e.crash()
+	}
 	e.sample()
 	hits := e.cache.use(time.Now(), j.prefixes)
 	j.cached = min(hits*engine.PrefixBlockBytes/bytesPerToken, j.prompt)
@@ -224,6 +237,15 @@
 	g.run(left)
 }
 
+// crash ends the engine without an answer.
+func (e *Engine) crash() {
+	if e.cfg.Crash != nil {
+		e.cfg.Crash()
+		return
+	}
+	os.Exit(1)
+}
+
 // start counts the execution, unless a higher fencing number was met for the
 // same request id.
 func (e *Engine) start(j *job) bool {
