gateway: serve resumed streams whose version has stopped

A caller that resumes a stream after its engine has stopped was refused like a new request of its session, and its answer would have paused for up to 5 s.

--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -19,9 +19,10 @@
 // refuseStopped refuses a request whose session cannot go on at its version, which has
 // stopped, while the next version of the service is being introduced. The caller is told to
 // come back when its session has lapsed, to begin a new one at the version that serves. A
-// caller that could not wait that long is served at once.
+// caller that could not wait that long is served at once, and so is one that resumes a stream,
+// whose answer would pause.
 func (g *Gateway) refuseStopped(ctx context.Context, t *task) *failure.Error {
-	if t.meta.Session == "" {
+	if t.meta.Session == "" || t.meta.LastEvent != "" {
 		return nil
 	}
 	now := time.Now()
