canary, tally: tell of stopped sessions for 1.5 s only

Found on reading the change: after each order daemons told of the sessions of the stopped version in every round until these lapsed, 5 to 9 s.

Each session is told of for 1.5 s, some rounds of the tally; whoever hears of it remembers it.

--- a/canary/sessions.go
+++ b/canary/sessions.go
@@ -15,8 +15,13 @@
 	sweepPause  = 100 * time.Millisecond
 )
 
-// toldPrecision is how much the times of a run differ between daemons at most.
-const toldPrecision = 200 * time.Millisecond
+const (
+	// toldPrecision is how much the times of a run differ between daemons at most.
+	toldPrecision = 200 * time.Millisecond
+	// tellFor is how long a daemon tells of a session: some rounds of the fleet's tally, so that
+	// it reaches all, and no longer, since in a large fleet there are thousands.
+	tellFor = 1500 * time.Millisecond
+)
 
 // Sessions remembers on which version the sessions of one service last ran, until they
 // lapse. A request that comes later belongs to a new session. It is safe for concurrent use.
@@ -37,6 +42,8 @@
 	// that have stopped are told.
 	version string
 	ended   time.Time
+	// told is when the others were first told of it, zero for never.
+	told time.Time
 }
 
 // StoppedSession is a session that last ran on a version that has stopped.
@@ -97,14 +104,22 @@
 	return run.ended.Add(s.lapse)
 }
 
-// Stopped returns the sessions that have last run on this daemon, on versions that have
-// stopped, and have not lapsed. The times are relative to that of an order.
+// Stopped returns the sessions that the others should be told of: they have last run on this
+// daemon, on versions that have stopped, and have not lapsed. The times are relative to that of
+// an order.
 func (s *Sessions) Stopped(stopped func(version string) bool, ordered, now time.Time) []StoppedSession {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var found []StoppedSession
 	for session, run := range s.last {
-		if run.version != "" && now.Sub(run.ended) < s.lapse && stopped(run.version) {
+		if run.version == "" || now.Sub(run.ended) >= s.lapse || !stopped(run.version) {
+			continue
+		}
+		if run.told.IsZero() {
+			run.told = now
+			s.last[session] = run
+		}
+		if now.Sub(run.told) < tellFor {
 			found = append(found, StoppedSession{Session: session, Ended: run.ended.Sub(ordered)})
 		}
 	}
--- a/tally/report.go
+++ b/tally/report.go
@@ -10,8 +10,12 @@
 // Report is what one or several daemons have counted of one introduction.
 type Report = bronzeturnv1.CanaryReport
 
-// mostSessions bounds the sessions of a sum.
-const mostSessions = 4096
+// mostSessions bounds the sessions of a sum that are held, mostStopped those that have last run
+// on versions that have stopped.
+const (
+	mostSessions = 4096
+	mostStopped  = 4096
+)
 
 // countKey names a count within a report.
 type countKey struct {
@@ -55,17 +59,14 @@
 	return total
 }
 
-// latestRuns keeps the run that ended last of each session, and of all the latest.
+// latestRuns bounds the runs to the latest. A session may be among them more than once, with
+// its runs at several daemons.
 func latestRuns(runs []*bronzeturnv1.StoppedSession) []*bronzeturnv1.StoppedSession {
-	slices.SortFunc(runs, func(a, b *bronzeturnv1.StoppedSession) int {
-		return cmp.Or(cmp.Compare(a.GetSession(), b.GetSession()), cmp.Compare(b.GetEndedMs(), a.GetEndedMs()))
-	})
-	runs = slices.CompactFunc(runs, func(a, b *bronzeturnv1.StoppedSession) bool { return a.GetSession() == b.GetSession() })
-	if len(runs) <= mostSessions {
+	if len(runs) <= mostStopped {
 		return runs
 	}
 	slices.SortFunc(runs, func(a, b *bronzeturnv1.StoppedSession) int { return cmp.Compare(b.GetEndedMs(), a.GetEndedMs()) })
-	return runs[:mostSessions]
+	return runs[:mostStopped]
 }
 
 // without returns a total less what one daemon has put into it.
