Observe the request limits that engines state in their answers

The headers of answers that come from the engine and belong to the request are read into Receipt.Limit; package backpressure keeps the limit by engine, logs its start and end, and counts the requests sent meanwhile, first and further attempts apart. Nothing acts on it yet.

--- /dev/null
+++ b/backpressure/metrics.go
@@ -0,0 +1,35 @@
+package backpressure
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+// metrics counts the engines with a request limit and the requests sent to them.
+type metrics struct{ sends *prometheus.CounterVec }
+
+// Values of the label attempt.
+const (
+	attemptFirst   = "first"
+	attemptFurther = "further"
+)
+
+// newMetrics registers the metrics. The function limited returns the number of engines with
+// a request limit.
+func newMetrics(r prometheus.Registerer, limited func() float64) *metrics {
+	f := promauto.With(r)
+	f.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "bronzeturn_backpressure_limited_engines", Help: "Number of engines that state a request limit.",
+	}, limited)
+	return &metrics{sends: f.NewCounterVec(prometheus.CounterOpts{
+		Name: "bronzeturn_backpressure_limited_sends_total", Help: "Requests sent to engines that state a request limit.",
+	}, []string{"attempt"})}
+}
+
+func (m *metrics) recordSend(further bool) {
+	attempt := attemptFirst
+	if further {
+		attempt = attemptFurther
+	}
+	m.sends.WithLabelValues(attempt).Inc()
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,6 +24,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/bronzeturn/bronzeturn/backoff"
+	"github.com/bronzeturn/bronzeturn/backpressure"
 	"github.com/bronzeturn/bronzeturn/balance"
 	"github.com/bronzeturn/bronzeturn/bootstrap"
 	"github.com/bronzeturn/bronzeturn/canary"
@@ -136,6 +137,7 @@
 	engines       *inventory.Set
 	evacuated     evacuated
 	slowStarts    *slowstart.Pacer
+	limits        *backpressure.Limits
 	gateway       *gateway.Gateway
 	quarantine    *quarantine.Quarantine
 	// shared is the balancer that takes the work of all daemons into account, occupancyStore the
@@ -179,6 +181,7 @@
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
 	d.slowStarts = newSlowStarts(d)
+	d.limits = backpressure.NewLimits(backpressure.Options{Log: d.logger("backpressure"), Registerer: d.registry})
 	d.shared = newSharedBalancer(d)
 	d.introductions = newIntroductions(d)
 	d.engines = inventory.New(o.Settings.LapseGrace, d.enginesChanged)
--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -65,6 +65,9 @@
 	// Confidence is the confidence of the model in its answer, 0 to 100, or -1 if the
 	// model reported none.
 	Confidence int
+	// Limit is the number of requests per second that the engine accepts from all daemons
+	// together, or backpressure.NoLimit if the engine states none.
+	Limit float64
 }
 
 // Codec reads and writes the headers of a deployment.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"github.com/bronzeturn/bronzeturn/backpressure"
 	"github.com/bronzeturn/bronzeturn/balance"
 	"github.com/bronzeturn/bronzeturn/inventory"
 	"github.com/bronzeturn/bronzeturn/quarantine"
@@ -49,6 +50,15 @@
 	Take(engine string, now time.Time) bool
 }
 
+// Limits tracks the request limits that engines state in their answers.
+type Limits interface {
+	// Observe records what an answer of an engine says.
+	Observe(a backpressure.Answer)
+	// Sent records that a request is sent to an engine. further is set if it is not the
+	// first attempt of the request.
+	Sent(engine string, further bool)
+}
+
 // Introductions assigns sessions to versions of a service while a new version is being
 // introduced (canary release), and collects the measurements that it is judged by.
 type Introductions interface {
@@ -123,6 +133,7 @@
 
 	Engines       Balancer
 	SlowStarts    SlowStarts
+	Limits        Limits
 	Introductions Introductions
 	Quarantine    Quarantine
 	Models        *ModelChoice
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/attempt"
+	"github.com/bronzeturn/bronzeturn/backpressure"
 	"github.com/bronzeturn/bronzeturn/balance"
 	"github.com/bronzeturn/bronzeturn/failure"
 	"github.com/bronzeturn/bronzeturn/inventory"
@@ -150,6 +151,7 @@
 	if receipt.Genuine {
 		g.mismatches.recordMatch(t.locationOf(to))
 	}
+	g.observeLimit(t, to, receipt)
 	switch {
 	case receipt.Instance != "" && receipt.Instance != to.engine.ID:
 		g.reportMisdirected(t, to)
@@ -171,6 +173,18 @@
 	}
 }
 
+// observeLimit records what an answer says about the engine's request limit. Answers of other
+// engines and to other requests are ignored. A refusal can state a limit but does not end one,
+// so that an engine that refuses all requests does not get more of them.
+func (g *Gateway) observeLimit(t *task, to *target, r Receipt) {
+	own := r.Instance == "" || r.Instance == to.engine.ID
+	complete := r.Genuine && r.RequestID == t.meta.ID && !r.NotRun
+	refused := r.NotRun && r.Limit >= 0
+	if own && (complete || refused) {
+		g.Limits.Observe(backpressure.Answer{Engine: to.engine.Key(), Limit: r.Limit, Sent: to.sent, At: time.Now()})
+	}
+}
+
 // reportMisdirected records that the answer came from another instance than the target.
 func (g *Gateway) reportMisdirected(t *task, to *target) {
 	g.Misdirected(to.engine.Key())
