backpressure: keep the fleet within the request limit of an engine

Change: each daemon sends an engine with a limit at most one request per interval (daemons / (0.7 x limit)), from a random time on. Permits that are not used lapse, so that daemons that were idle together send no burst. Every attempt, first or further, chooses its engine with the same filter and takes the permit. While a daemon does not know the fleet it sends such engines nothing. An answer to a request sent later than the limit was last stated, and which does not state it, ends it.

Why 0.7: superposed periodic senders of a large fleet are nearly a Poisson process.

--- a/backpressure/limits.go
+++ b/backpressure/limits.go
@@ -1,8 +1,16 @@
 // Package backpressure tracks what engines ask of their senders in the headers of their
-// answers.
+// answers, and keeps this daemon to its share of it.
+//
+// An engine in need states the number of requests per second that it accepts from all daemons
+// together. Every daemon knows the size of the fleet and sends such an engine at most one
+// request per interval, which is the number of daemons divided by the limit. The intervals of
+// the daemons begin at random times, so the requests of all of them spread evenly, without
+// any coordination.
 package backpressure
 
 import (
+	"maps"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +22,18 @@
 // NoLimit is the limit of an engine that states none.
 const NoLimit = -1
 
+const (
+	// limitShare is the share of a limit that the daemons use. The rest is left for daemons
+	// that have not learned of the limit yet, and for intervals that happen to coincide.
+	limitShare = 0.7
+	// minPerSecond is the minimum rate of requests to an engine, whatever its limit. An engine
+	// that gets no requests cannot state that its limit has ended.
+	minPerSecond = 0.1
+	// unusedPermits is the mean number of permits to send to one engine that all daemons
+	// together have while they have no requests. It bounds the burst when requests resume.
+	unusedPermits = 1
+)
+
 // Answer is what one answer of an engine says about the engine's request limit.
 type Answer struct {
 	Engine string
@@ -26,11 +46,17 @@
 
 // Options configures Limits. All fields are required.
 type Options struct {
+	// Daemons returns the number of live daemons of the fleet. While it is zero, because this
+	// daemon does not know the fleet yet, nothing is sent to engines with a limit.
+	Daemons func() int
+	// Random is used by one goroutine at a time.
+	Random     *rand.Rand
 	Log        zerolog.Logger
 	Registerer prometheus.Registerer
 }
 
-// Limits tracks the request limits of engines. It is safe for concurrent use.
+// Limits tracks the request limits of engines and when this daemon may send to each of them.
+// It is safe for concurrent use.
 type Limits struct {
 	Options
 	metrics *metrics
@@ -38,7 +64,7 @@
 	limited atomic.Int64
 
 	mu      sync.RWMutex
-	engines map[string]limit
+	engines map[string]*limit
 }
 
 // limit is the limit that an engine has stated.
@@ -46,11 +72,18 @@
 	perSecond float64
 	// statedAt is when the last answer that stated it arrived.
 	statedAt time.Time
+	// daemons is the highest number of daemons seen since the limit was first stated. It is
+	// used instead of a lower current number, so that a daemon that is partitioned from the
+	// others does not use their shares.
+	daemons int
+	// next is when this daemon's next permit begins, zero while the number of daemons is
+	// unknown.
+	next time.Time
 }
 
 // NewLimits returns Limits without any limited engines.
 func NewLimits(o Options) *Limits {
-	l := &Limits{Options: o, engines: make(map[string]limit)}
+	l := &Limits{Options: o, engines: make(map[string]*limit)}
 	l.metrics = newMetrics(o.Registerer, func() float64 { return float64(l.limited.Load()) })
 	return l
 }
@@ -64,20 +97,106 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known, wasLimited := l.engines[a.Engine]
+	known := l.engines[a.Engine]
 	switch {
 	case a.Limit >= 0:
-		l.engines[a.Engine] = limit{perSecond: a.Limit, statedAt: a.At}
-		if !wasLimited || known.perSecond != a.Limit {
-			l.Log.Info().Str("engine", a.Engine).Float64("per_second", a.Limit).Msg("engine states a request limit")
-		}
-	case wasLimited && a.Sent.After(known.statedAt):
+		l.set(a.Engine, a.Limit, a.At)
+	case known != nil && a.Sent.After(known.statedAt):
 		delete(l.engines, a.Engine)
 		l.Log.Info().Str("engine", a.Engine).Dur("after_ms", a.At.Sub(known.statedAt)).Msg("engine states no request limit any more")
 	}
 	l.limited.Store(int64(len(l.engines)))
 }
 
+// set records that an engine has stated a limit. The caller holds mu.
+func (l *Limits) set(engine string, perSecond float64, now time.Time) {
+	e := l.engines[engine]
+	if e == nil {
+		e = &limit{perSecond: perSecond}
+		l.engines[engine] = e
+		l.start(e, now)
+	}
+	if e.statedAt.IsZero() || e.perSecond != perSecond {
+		l.Log.Info().Str("engine", engine).Float64("per_second", perSecond).Int("daemons", e.daemons).Msg("engine states a request limit")
+	}
+	e.change(perSecond, now)
+	e.statedAt = now
+}
+
+// start draws the time of the first permit, unless the number of daemons is unknown. The
+// caller holds mu.
+func (l *Limits) start(e *limit, now time.Time) {
+	if live := l.Daemons(); live > 0 {
+		e.daemons = max(e.daemons, live)
+		e.next = now.Add(time.Duration(l.Random.Float64() * float64(e.interval())))
+	}
+}
+
+// change sets a new rate. The remaining time until the next permit is scaled with it.
+func (e *limit) change(perSecond float64, now time.Time) {
+	before := e.interval()
+	e.perSecond = perSecond
+	if left := e.next.Sub(now); left > 0 && before > 0 {
+		e.next = now.Add(time.Duration(float64(left) / float64(before) * float64(e.interval())))
+	}
+}
+
+// fleetRate returns the number of requests per second that all daemons together may send.
+func (e *limit) fleetRate() float64 { return limitShare * max(e.perSecond, minPerSecond) }
+
+// interval returns the time between two permits of one daemon.
+func (e *limit) interval() time.Duration {
+	return time.Duration(float64(e.daemons) / e.fleetRate() * float64(time.Second))
+}
+
+// permit returns the time from which the daemon's current permit is valid, or its next one if
+// none is valid now. A permit that is not used lapses.
+func (e *limit) permit(now time.Time) time.Time {
+	lifetime := time.Duration(unusedPermits / e.fleetRate() * float64(time.Second))
+	lapsed := now.Sub(e.next) - lifetime
+	if interval := e.interval(); lapsed > 0 && interval > lifetime {
+		return e.next.Add((lapsed/interval + 1) * interval)
+	}
+	return e.next
+}
+
+// allows reports whether the daemon has a valid permit.
+func (e *limit) allows(now time.Time) bool { return !e.next.IsZero() && !e.permit(now).After(now) }
+
+// Throttled reports whether an engine has a limit and this daemon may not send to it now.
+func (l *Limits) Throttled(engine string, now time.Time) bool {
+	if l.limited.Load() == 0 {
+		return false
+	}
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	e := l.engines[engine]
+	return e != nil && !e.allows(now) && (!e.next.IsZero() || l.Daemons() == 0)
+}
+
+// Take reports whether this daemon may send a request to an engine now and, if so, uses up
+// the permit. Engines without a limit are always permitted.
+func (l *Limits) Take(engine string, now time.Time) bool {
+	if l.limited.Load() == 0 {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.engines[engine]
+	if e == nil {
+		return true
+	}
+	if e.next.IsZero() {
+		l.start(e, now)
+	}
+	if !e.allows(now) {
+		return false
+	}
+	e.daemons = max(e.daemons, l.Daemons())
+	e.next = now.Add(e.interval())
+	return true
+}
+
 // Sent records that a request is sent to an engine. further is set if it is not the first
 // attempt of the request.
 func (l *Limits) Sent(engine string, further bool) {
@@ -86,7 +205,18 @@
 	}
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	if _, limited := l.engines[engine]; limited {
+	if l.engines[engine] != nil {
 		l.metrics.recordSend(further)
 	}
 }
+
+// Retain drops the limits of the engines for which used returns false.
+func (l *Limits) Retain(used func(engine string) bool) {
+	if l.limited.Load() == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.engines, func(engine string, _ *limit) bool { return !used(engine) })
+	l.limited.Store(int64(len(l.engines)))
+}
--- a/backpressure/limits_test.go
+++ b/backpressure/limits_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"flag"
+	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
 )
 
 func TestMain(m *testing.M) {
@@ -24,10 +27,170 @@
 // at returns the time that is the given number of milliseconds after start.
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
-// newLimits returns Limits and their log.
+// newLimits returns the Limits of the only daemon of a fleet, and their log.
 func newLimits() (*Limits, *strings.Builder) {
 	log := &strings.Builder{}
-	return NewLimits(Options{Log: zerolog.New(log), Registerer: prometheus.NewRegistry()}), log
+	return newFleetLimits(1, func() int { return 1 }, zerolog.New(log)), log
+}
+
+// newFleetLimits returns the Limits of one daemon of a fleet. The function daemons returns the
+// number of daemons that it sees.
+func newFleetLimits(seed uint64, daemons func() int, log zerolog.Logger) *Limits {
+	return NewLimits(Options{Daemons: daemons, Random: rand.New(rand.NewPCG(seed, 1)), Log: log, Registerer: prometheus.NewRegistry()})
+}
+
+// newFleet returns the Limits of a fleet whose daemons all know its size.
+func newFleet(size int, seed uint64) []*Limits {
+	all := make([]*Limits, size)
+	for i := range all {
+		all[i] = newFleetLimits(seed*10_000+uint64(i), func() int { return size }, zerolog.Nop())
+	}
+	return all
+}
+
+const (
+	// knownAfter is the time after which a limit must be kept, by the daemons that got an answer
+	// which states it toldBefore or earlier. window is the time over which requests are counted,
+	// overage and slack are the bound: overage times what the limit allows in window, plus slack.
+	knownAfter = 3 * time.Second
+	toldBefore = 500 * time.Millisecond
+	window     = 4 * time.Second
+	overage    = 1.5
+	slack      = 5
+)
+
+// mostWithin returns the maximum number of sends within any window.
+func mostWithin(times []time.Time) (most int) {
+	first := 0
+	for i, at := range times {
+		for at.Sub(times[first]) >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// tick is the resolution of the simulation.
+const tick = 10 * time.Millisecond
+
+// simulate has a fleet send to an engine whose answers state a limit, and returns the times at
+// which daemons that knew it sent. wants reports whether a daemon has a request for the engine at
+// a time.
+func simulate(fleet []*Limits, limit float64, length time.Duration, wants func(daemon int, at time.Duration) bool) (sent []time.Time) {
+	told := make([]time.Time, len(fleet))
+	for passed := time.Duration(0); passed < length; passed += tick {
+		now := start.Add(passed)
+		for i, l := range fleet {
+			if wants(i, passed) && !l.Throttled("e", now) && l.Take("e", now) {
+				if told[i].IsZero() {
+					told[i] = now
+				}
+				if now.Sub(told[i]) >= toldBefore {
+					sent = append(sent, now)
+				}
+				l.Observe(Answer{Engine: "e", Limit: limit, Sent: now, At: now.Add(tick)})
+			}
+		}
+	}
+	return sent
+}
+
+// after returns the times from knownAfter on.
+func after(times []time.Time) []time.Time {
+	i := slices.IndexFunc(times, func(at time.Time) bool { return !at.Before(start.Add(knownAfter)) })
+	if i < 0 {
+		return nil
+	}
+	return times[i:]
+}
+
+// TestLimitHoldsOverAllDaemons draws the size of the fleet, the limit and how the traffic is
+// distributed over daemons and time.
+func TestLimitHoldsOverAllDaemons(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.SampledFrom([]int{1, 3, 6, 30, 66}).Draw(t, "daemons")
+		limit := rapid.SampledFrom([]float64{0, 0.3, 1.4, 2.5, 2.9, 8, 40}).Draw(t, "limit")
+		share := rapid.SampledFrom([]float64{0.002, 0.05, 1}).Draw(t, "share of time with a request")
+		pause := time.Duration(rapid.SampledFrom([]int{0, 5, 20}).Draw(t, "pause")) * time.Second
+		random := rand.New(rand.NewPCG(uint64(size), rapid.Uint64().Draw(t, "seed")))
+		busy := make([]float64, size)
+		for i := range busy {
+			busy[i] = share * random.Float64()
+		}
+		sent := simulate(newFleet(size, random.Uint64()%1000), limit, 45*time.Second, func(daemon int, at time.Duration) bool {
+			idle := at > knownAfter && at < knownAfter+pause
+			return !idle && random.Float64() < busy[daemon]
+		})
+		if got, allowed := mostWithin(after(sent)), overage*limit*window.Seconds()+slack; float64(got) > allowed {
+			t.Fatalf("%d requests in %v, allowed %v", got, window, allowed)
+		}
+	})
+}
+
+// TestLimitIsUsed checks that a fleet with enough traffic uses most of what a limit allows.
+func TestLimitIsUsed(t *testing.T) {
+	for _, size := range []int{1, 6, 66} {
+		const limit, length = 2.5, 120 * time.Second
+		sent := simulate(newFleet(size, 7), limit, length, func(int, time.Duration) bool { return true })
+		perSecond := float64(len(after(sent))) / (length - knownAfter).Seconds()
+		qt.Check(t, perSecond > 0.9*limitShare*limit, qt.IsTrue, qt.Commentf("%d daemons send %.2f a second", size, perSecond))
+	}
+}
+
+// TestIdleFleetSendsNoBurst has all daemons of a fleet send again at the same time.
+func TestIdleFleetSendsNoBurst(t *testing.T) {
+	fleet := newFleet(100, 3)
+	for _, l := range fleet {
+		l.Observe(Answer{Engine: "e", Limit: 2, Sent: start, At: start})
+	}
+	now, sent := start.Add(time.Hour), 0
+	for _, l := range fleet {
+		if l.Take("e", now) {
+			sent++
+		}
+	}
+	qt.Check(t, sent > 0 && sent <= 3*unusedPermits, qt.IsTrue, qt.Commentf("%d sends at once", sent))
+}
+
+// TestUnknownFleetSizeSendsNothingToLimitedEngines guards against a daemon that has just started
+// and uses the whole limit for itself.
+func TestUnknownFleetSizeSendsNothingToLimitedEngines(t *testing.T) {
+	c := qt.New(t)
+	daemons := 0
+	l := newFleetLimits(1, func() int { return daemons }, zerolog.Nop())
+	l.Observe(Answer{Engine: "e", Limit: 2, Sent: at(0), At: at(0)})
+	c.Check(l.Throttled("e", at(9000)), qt.IsTrue)
+	c.Check(l.Take("e", at(9000)), qt.IsFalse)
+	c.Check(l.Take("other", at(9000)), qt.IsTrue)
+	daemons = 10
+	c.Check(l.Take("e", at(9000)), qt.IsFalse, qt.Commentf("the first permit is at a random time"))
+	interval := l.engines["e"].interval()
+	c.Check(interval.Round(time.Millisecond), qt.Equals, 7143*time.Millisecond)
+	first := l.engines["e"].next
+	c.Check(first.Before(at(9000).Add(interval)), qt.IsTrue)
+	c.Check(l.Throttled("e", first), qt.IsFalse)
+	daemons = 4
+	c.Check(l.Take("e", first), qt.IsTrue)
+	c.Check(l.engines["e"].interval(), qt.Equals, interval, qt.Commentf("a daemon that sees fewer others keeps its share"))
+}
+
+// TestChangedLimitScalesTheWait guards against an engine whose limit changes with every answer:
+// the wait for the next permit must neither begin anew nor end early.
+func TestChangedLimitScalesTheWait(t *testing.T) {
+	c := qt.New(t)
+	l, _ := newLimits()
+	l.Observe(Answer{Engine: "e", Limit: 1, Sent: at(0), At: at(0)})
+	e := l.engines["e"]
+	e.next = at(1000)
+	l.Observe(Answer{Engine: "e", Limit: 2, Sent: at(0), At: at(500)})
+	c.Check(e.next, qt.Equals, at(750))
+	l.Observe(Answer{Engine: "e", Limit: 2, Sent: at(0), At: at(600)})
+	c.Check(e.next, qt.Equals, at(750))
+	l.Observe(Answer{Engine: "e", Limit: 0.5, Sent: at(0), At: at(650)})
+	c.Check(e.next, qt.Equals, at(1050))
+	l.Retain(func(engine string) bool { return engine != "e" })
+	c.Check(l.Take("e", at(700)), qt.IsTrue)
 }
 
 func TestLimitHoldsUntilALaterRequestIsAnsweredWithoutIt(t *testing.T) {
--- a/entry/copies.go
+++ b/entry/copies.go
@@ -249,14 +249,16 @@
 const expirePollInterval = 200 * time.Millisecond
 
 // expireEngines periodically removes the engines that did not register again after an outage of
-// the store, recompiles the tables while engines wait for an order, ends slow starts and reviews
-// the engines' speed, until ctx is done. It runs less often while there is nothing to do.
+// the store, recompiles the tables while engines wait for an order, ends slow starts, drops the
+// request limits of engines that are gone and reviews the engines' speed, until ctx is done. It
+// runs less often while there is nothing to do.
 func (d *Daemon) expireEngines(ctx context.Context) error {
 	interval := expirePollInterval
 	for backoff.Tick(ctx, interval) == nil {
 		expiryPending := !d.engines.Expire(time.Now()).IsZero()
 		d.introductions.recompileWaiting()
 		d.logSlowStarts("engine is warm", d.slowStarts.Expire(time.Now()))
+		d.limits.Retain(d.isUsed)
 		d.reviewEngines()
 		interval = expirePollInterval
 		if !expiryPending && d.gateway.InProgress() == 0 && len(d.introductions.active()) == 0 {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -181,7 +181,7 @@
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
 	d.slowStarts = newSlowStarts(d)
-	d.limits = backpressure.NewLimits(backpressure.Options{Log: d.logger("backpressure"), Registerer: d.registry})
+	d.limits = newLimits(d)
 	d.shared = newSharedBalancer(d)
 	d.introductions = newIntroductions(d)
 	d.engines = inventory.New(o.Settings.LapseGrace, d.enginesChanged)
@@ -238,6 +238,7 @@
 	randSlowStarts
 	randQuarantine
 	randTickPhase
+	randLimits
 )
 
 // Run serves until ctx is done, then stops gracefully. It must be called at most once.
--- a/entry/slowstart.go
+++ b/entry/slowstart.go
@@ -13,7 +13,7 @@
 // newSlowStarts returns the pacer of requests to cold engines.
 func newSlowStarts(d *Daemon) *slowstart.Pacer {
 	return slowstart.New(slowstart.Options{
-		Limit: d.coldLimit, Daemons: d.daemonsForSlowStarts, Random: d.rand(randSlowStarts), Registerer: d.registry,
+		Limit: d.coldLimit, Daemons: d.sharingDaemons, Random: d.rand(randSlowStarts), Registerer: d.registry,
 	})
 }
 
@@ -36,9 +36,9 @@
 // whole fleet. When 295 daemons start together, all but a few know the others by then.
 const fleetKnownAfter = 2 * joinTime
 
-// daemonsForSlowStarts returns the number of daemons that share the limit of a cold engine, or
+// sharingDaemons returns the number of daemons that share the rate of requests to an engine, or
 // zero before fleetKnownAfter, when that number is not known.
-func (d *Daemon) daemonsForSlowStarts() int {
+func (d *Daemon) sharingDaemons() int {
 	if time.Since(d.started) < fleetKnownAfter {
 		return 0
 	}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -115,11 +115,11 @@
 }
 
 // skipFilter returns a filter of the engines that must not get the request now: cold ones
-// that have had their share of this daemon's requests, and those outside the request's
-// regions.
+// and ones with a request limit that have had their share of this daemon's requests, and those
+// outside the request's regions.
 func (g *Gateway) skipFilter(t *task, engines *Engines, now time.Time) func(engine string) bool {
 	return func(engine string) bool {
-		if g.SlowStarts.Throttled(engine, now) {
+		if g.SlowStarts.Throttled(engine, now) || g.Limits.Throttled(engine, now) {
 			return true
 		}
 		if !t.regions.Limited {
@@ -131,14 +131,14 @@
 }
 
 // maxTakes bounds how often an engine is chosen anew because a concurrent request took the
-// last permit for the cold engine that was chosen.
+// last permit for the engine that was chosen.
 const maxTakes = 4
 
-// chooseSendable chooses an engine and acquires the permit to send to it, if it is cold.
+// chooseSendable chooses an engine and acquires the permit to send to it, if it needs one.
 func (g *Gateway) chooseSendable(engines *Engines, r *balance.Request, now time.Time) (decision balance.Decision, ok bool) {
 	for range maxTakes {
 		decision, ok = g.queryBalancer(engines, r, now)
-		if !ok || g.SlowStarts.Take(decision.Engine.GetName(), now) {
+		if !ok || g.takePermit(decision.Engine.GetName(), now) {
 			return decision, ok
 		}
 	}
@@ -146,6 +146,12 @@
 	return decision, false
 }
 
+// takePermit acquires the permits to send one request to an engine. The permit of a slow start
+// is lost if the engine's request limit allows no request.
+func (g *Gateway) takePermit(engine string, now time.Time) bool {
+	return g.SlowStarts.Take(engine, now) && g.Limits.Take(engine, now)
+}
+
 // queryBalancer returns the balancer's choice. It acquires no permit and sends nothing.
 func (g *Gateway) queryBalancer(engines *Engines, r *balance.Request, now time.Time) (decision balance.Decision, ok bool) {
 	g.withRand(func(rng *rand.Rand) { decision, ok = g.Engines.Choose(engines.Plan, r, now, rng) })
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,8 +50,14 @@
 	Take(engine string, now time.Time) bool
 }
 
-// Limits tracks the request limits that engines state in their answers.
+// Limits tracks the request limits that engines state in their answers, and keeps this daemon
+// to its share of them.
 type Limits interface {
+	// Throttled reports whether an engine has a limit and must be passed over now.
+	Throttled(engine string, now time.Time) bool
+	// Take acquires the permit to send one request to an engine now, and reports whether
+	// there was one.
+	Take(engine string, now time.Time) bool
 	// Observe records what an answer of an engine says.
 	Observe(a backpressure.Answer)
 	// Sent records that a request is sent to an engine. further is set if it is not the
