entry: daemons tell each other of request limits and their ends

The first daemon that gets an answer with a limit, a limit that differs by a tenth, or none after a limit, publishes it in the flooded table; daemons that learn of the same change at once publish the same entry. An answer of the last second goes before news, which may be older.

Without the subscription e2e.TestDaemonsShareRequestLimits fails (the second daemon never logs the limit); with it, it passes.

--- a/backpressure/limits.go
+++ b/backpressure/limits.go
@@ -5,7 +5,8 @@
 // together. Every daemon knows the size of the fleet and sends such an engine at most one
 // request per interval, which is the number of daemons divided by the limit. The intervals of
 // the daemons begin at random times, so the requests of all of them spread evenly, without
-// any coordination.
+// any coordination. The first daemon that learns of a limit, or of its end, tells the others: in
+// a large fleet a daemon may wait minutes for its next permit.
 package backpressure
 
 import (
@@ -32,6 +33,9 @@
 	// unusedPermits is the mean number of permits to send to one engine that all daemons
 	// together have while they have no requests. It bounds the burst when requests resume.
 	unusedPermits = 1
+	// newsDelay is the time that news from other daemons may take. An answer that is more
+	// recent goes before them.
+	newsDelay = time.Second
 )
 
 // Answer is what one answer of an engine says about the engine's request limit.
@@ -50,7 +54,10 @@
 	// daemon does not know the fleet yet, nothing is sent to engines with a limit.
 	Daemons func() int
 	// Random is used by one goroutine at a time.
-	Random     *rand.Rand
+	Random *rand.Rand
+	// Share tells the other daemons what an engine has stated: a limit, or NoLimit if it had
+	// one before. It is called for every answer of an engine with a limit.
+	Share      func(engine string, perSecond float64)
 	Log        zerolog.Logger
 	Registerer prometheus.Registerer
 }
@@ -70,8 +77,10 @@
 // limit is the limit that an engine has stated.
 type limit struct {
 	perSecond float64
-	// statedAt is when the last answer that stated it arrived.
+	// statedAt is when the last answer that stated it arrived, or the news of it.
 	statedAt time.Time
+	// answeredAt is when the last answer to this daemon that stated it arrived.
+	answeredAt time.Time
 	// daemons is the highest number of daemons seen since the limit was first stated. It is
 	// used instead of a lower current number, so that a daemon that is partitioned from the
 	// others does not use their shares.
@@ -95,25 +104,48 @@
 	if a.Limit < 0 && l.limited.Load() == 0 {
 		return
 	}
+	if l.observe(a) {
+		l.Share(a.Engine, a.Limit)
+	}
+}
+
+// observe implements Observe and reports whether the other daemons must be told.
+func (l *Limits) observe(a Answer) (share bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.engines[a.Engine]
 	switch {
 	case a.Limit >= 0:
-		l.set(a.Engine, a.Limit, a.At)
+		l.set(a.Engine, a.Limit, a.At).answeredAt = a.At
+		return true
 	case known != nil && a.Sent.After(known.statedAt):
-		delete(l.engines, a.Engine)
-		l.Log.Info().Str("engine", a.Engine).Dur("after_ms", a.At.Sub(known.statedAt)).Msg("engine states no request limit any more")
+		l.end(a.Engine)
+		return true
+	}
+	return false
+}
+
+// ObserveShared records what an engine has stated to another daemon: a limit, or NoLimit.
+func (l *Limits) ObserveShared(engine string, perSecond float64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.engines[engine]
+	switch {
+	case known != nil && now.Sub(known.answeredAt) < newsDelay:
+	case perSecond >= 0:
+		l.set(engine, perSecond, now)
+	case known != nil:
+		l.end(engine)
 	}
-	l.limited.Store(int64(len(l.engines)))
 }
 
 // set records that an engine has stated a limit. The caller holds mu.
-func (l *Limits) set(engine string, perSecond float64, now time.Time) {
+func (l *Limits) set(engine string, perSecond float64, now time.Time) *limit {
 	e := l.engines[engine]
 	if e == nil {
 		e = &limit{perSecond: perSecond}
 		l.engines[engine] = e
+		l.limited.Store(int64(len(l.engines)))
 		l.start(e, now)
 	}
 	if e.statedAt.IsZero() || e.perSecond != perSecond {
@@ -121,6 +153,14 @@
 	}
 	e.change(perSecond, now)
 	e.statedAt = now
+	return e
+}
+
+// end records that an engine states no limit any more. The caller holds mu.
+func (l *Limits) end(engine string) {
+	delete(l.engines, engine)
+	l.limited.Store(int64(len(l.engines)))
+	l.Log.Info().Str("engine", engine).Msg("engine states no request limit any more")
 }
 
 // start draws the time of the first permit, unless the number of daemons is unknown. The
--- a/backpressure/limits_test.go
+++ b/backpressure/limits_test.go
@@ -33,10 +33,12 @@
 	return newFleetLimits(1, func() int { return 1 }, zerolog.New(log)), log
 }
 
-// newFleetLimits returns the Limits of one daemon of a fleet. The function daemons returns the
-// number of daemons that it sees.
+// newFleetLimits returns the Limits of one daemon of a fleet, which tells the others nothing. The
+// function daemons returns the number of daemons that it sees.
 func newFleetLimits(seed uint64, daemons func() int, log zerolog.Logger) *Limits {
-	return NewLimits(Options{Daemons: daemons, Random: rand.New(rand.NewPCG(seed, 1)), Log: log, Registerer: prometheus.NewRegistry()})
+	return NewLimits(Options{
+		Daemons: daemons, Random: rand.New(rand.NewPCG(seed, 1)), Share: func(string, float64) {}, Log: log, Registerer: prometheus.NewRegistry(),
+	})
 }
 
 // newFleet returns the Limits of a fleet whose daemons all know its size.
@@ -222,3 +224,27 @@
 	c.Check(testutil.ToFloat64(l.metrics.sends.WithLabelValues(attemptFirst)), qt.Equals, 1.0)
 	c.Check(testutil.ToFloat64(l.metrics.sends.WithLabelValues(attemptFurther)), qt.Equals, 1.0)
 }
+
+// TestSharedStatementsYieldToRecentAnswers guards against old news from other daemons that end or
+// change a limit which the engine has just stated.
+func TestSharedStatementsYieldToRecentAnswers(t *testing.T) {
+	c := qt.New(t)
+	l, _ := newLimits()
+	var shared []float64
+	l.Share = func(_ string, perSecond float64) { shared = append(shared, perSecond) }
+	l.ObserveShared("e", NoLimit, at(0))
+	c.Check(l.limited.Load(), qt.Equals, int64(0))
+	l.ObserveShared("e", 3, at(0))
+	c.Check(l.engines["e"].perSecond, qt.Equals, 3.0)
+	l.Observe(Answer{Engine: "e", Limit: NoLimit, Sent: at(-10), At: at(10)})
+	c.Check(l.limited.Load(), qt.Equals, int64(1), qt.Commentf("the request was sent before the news of the limit arrived"))
+	l.Observe(Answer{Engine: "e", Limit: 2, Sent: at(20), At: at(30)})
+	l.ObserveShared("e", NoLimit, at(500))
+	l.ObserveShared("e", 9, at(500))
+	c.Check(l.engines["e"].perSecond, qt.Equals, 2.0)
+	l.ObserveShared("e", NoLimit, at(1500))
+	c.Check(l.limited.Load(), qt.Equals, int64(0))
+	l.Observe(Answer{Engine: "e", Limit: 2, Sent: at(1600), At: at(1700)})
+	l.Observe(Answer{Engine: "e", Limit: NoLimit, Sent: at(1800), At: at(1900)})
+	c.Check(shared, qt.DeepEquals, []float64{2, 2, NoLimit})
+}
--- a/e2e/limit_test.go
+++ b/e2e/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -74,3 +75,24 @@
 		f.c.Check(len(times) > int(2*limit*limitWindow.Seconds()), qt.IsTrue, qt.Commentf("%s got %d requests after the end of its limit", e.Spec.ID, len(times)))
 	}
 }
+
+// TestDaemonsShareRequestLimits guards against a daemon that gets few permits of an engine and
+// keeps to its limit long after it has ended: news of the limit and of its end come from the
+// daemon that got an answer.
+func TestDaemonsShareRequestLimits(t *testing.T) {
+	f := newEntryFleet(t, 2, 1, 1, defaultBounds)
+	logs := func(daemon int, text string) {
+		f.running[daemon].waitLine(f.c, text, func(line string) bool {
+			return strings.Contains(line, text) && strings.Contains(line, "desk-0")
+		})
+	}
+	f.engines[0].SetFaults(emulator.EngineFaults{Limit: 20})
+	f.c.Check(f.send(0, http.MethodPost, "/once/x").status, qt.Equals, http.StatusOK)
+	logs(1, "engine states a request limit")
+	f.engines[0].SetFaults(emulator.EngineFaults{})
+	f.eventually("a request allowed by the limit", func() bool {
+		return f.send(0, http.MethodPost, "/once/x").status == http.StatusOK
+	})
+	logs(1, "engine states no request limit any more")
+	f.c.Check(f.record.Runs("")[0].Engine, qt.Equals, "desk-0")
+}
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -86,6 +86,7 @@
 			{Prefix: readyPrefix, MaxEntries: maxDaemonEntries, MaxValueBytes: maxSmallValueBytes, RemovalTTL: removalTTL},
 			{Prefix: turnedAwayPrefix, MaxEntries: maxDaemonEntries, MaxValueBytes: maxSmallValueBytes, RemovalTTL: removalTTL},
 			quarantine.TableClass(),
+			{Prefix: limitPrefix, MaxEntries: maxLimitEntries, MaxValueBytes: maxSmallValueBytes, TTL: limitTTL, RemovalTTL: limitTTL},
 			{Prefix: canaryPrefix, MaxEntries: maxVerdictEntries, MaxValueBytes: maxVerdictBytes, TTL: verdictTTL},
 		},
 		Random: d.rand(randMembership), Log: d.log, Registerer: d.registry,
@@ -130,6 +131,7 @@
 	f.members.Table().Subscribe(turnedAwayPrefix, f.watchers.turnedAwayChanged)
 	f.members.Subscribe(func(*membership.View) { f.watchers.notifyChange() })
 	f.members.Table().Subscribe(quarantine.TablePrefix, d.quarantine.ReceiveEntry)
+	f.members.Table().Subscribe(limitPrefix, f.receiveLimit)
 	registrar := bootstrap.New(bootstrap.Options{
 		Store: d.Store, Self: &bronzeturnv1.Seed{Name: d.Settings.Name, PeerAddress: d.Settings.PeerListen},
 		OnAddresses: f.addFoundSeeds,
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -1,11 +1,33 @@
 package entry
 
-import "github.com/bronzeturn/bronzeturn/backpressure"
+import (
+	"math"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bronzeturn/bronzeturn/backpressure"
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+)
+
+// limitPrefix is the key prefix in the gossip table for the request limits that engines state, by
+// the key of the engine.
+const limitPrefix = "limit/"
+
+const (
+	maxLimitEntries = 8192
+	// limitTTL is how long a daemon that joins the fleet learns of a limit from the table. The
+	// next answer that states the limit after that time renews the entry.
+	limitTTL = 2 * time.Minute
+	// minLimitChange is the relative change of a limit from which on the other daemons are told.
+	minLimitChange = 0.1
+)
 
 // newLimits returns the request limits that engines state in their answers.
 func newLimits(d *Daemon) *backpressure.Limits {
 	return backpressure.NewLimits(backpressure.Options{
-		Daemons: d.sharingDaemons, Random: d.rand(randLimits), Log: d.logger("backpressure"), Registerer: d.registry,
+		Daemons: d.sharingDaemons, Random: d.rand(randLimits), Share: d.fleet.shareLimit, Log: d.logger("backpressure"), Registerer: d.registry,
 	})
 }
 
@@ -14,3 +36,50 @@
 	_, used := d.engines.View().Engine(engine)
 	return used
 }
+
+// shareLimit publishes the limit that an engine has stated, or its end, unless the table has it
+// already. Daemons that learn of the same change at the same time publish the same entry.
+func (f *fleet) shareLimit(engine string, perSecond float64) {
+	key := limitPrefix + engine
+	version, value, known := f.members.Table().Get(key)
+	published := float64(backpressure.NoLimit)
+	if known && len(value) > 0 {
+		published = f.decodeLimit(key, value)
+	}
+	if math.Abs(perSecond-published) <= minLimitChange*math.Abs(published) {
+		return
+	}
+	if perSecond < 0 {
+		f.publish(key, version+1, nil)
+		return
+	}
+	value, err := proto.Marshal(&bronzeturnv1.EngineLimit{PerSecond: &perSecond})
+	if err != nil {
+		f.daemon.log.Error().Err(err).Str("engine", engine).Msg("request limit not encoded")
+		return
+	}
+	f.publish(key, version+1, value)
+}
+
+// receiveLimit records a limit that another daemon has published, or its end. Expired entries
+// have version zero and say nothing.
+func (f *fleet) receiveLimit(key string, version uint64, value []byte) {
+	if version == 0 {
+		return
+	}
+	perSecond := float64(backpressure.NoLimit)
+	if len(value) > 0 {
+		perSecond = f.decodeLimit(key, value)
+	}
+	f.daemon.limits.ObserveShared(strings.TrimPrefix(key, limitPrefix), perSecond, time.Now())
+}
+
+// decodeLimit decodes the value of a limit's entry. An invalid value counts as no limit.
+func (f *fleet) decodeLimit(key string, value []byte) float64 {
+	var m bronzeturnv1.EngineLimit
+	if err := proto.Unmarshal(value, &m); err != nil || !(m.GetPerSecond() >= 0) {
+		f.daemon.log.Error().Err(err).Str("key", key).Msg("published request limit is not valid")
+		return backpressure.NoLimit
+	}
+	return m.GetPerSecond()
+}
