gateway: refuse at once what request limits keep from all engines

Change: when every engine that may get the request has a limit and the next permit begins later than a request may wait, it is refused at once (503, not run), with a Retry-After that hands out the permits one after the other in the order of the refusals; beyond 5 s they are spread over 2.5 to 5 s. A stream that has begun waits for an engine as long as a pause may last.

Without the change platform.TestRequestIsRefusedAtOnceWhenAllEnginesAreLimited fails (Retry-After 0.4 for every caller) and platform.TestBrokenStreamWaitsForALimitedEngine fails (the stream breaks off); both pass with it.

--- a/backpressure/limits.go
+++ b/backpressure/limits.go
@@ -214,6 +214,28 @@
 	return e != nil && !e.allows(now) && (!e.next.IsZero() || l.Daemons() == 0)
 }
 
+// NextPermit returns when this daemon's next permit to send to an engine begins, and the interval
+// between two permits. For an engine without a limit it returns now.
+func (l *Limits) NextPermit(engine string, now time.Time) (at time.Time, interval time.Duration) {
+	if l.limited.Load() == 0 {
+		return now, 0
+	}
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	e := l.engines[engine]
+	switch {
+	case e == nil:
+		return now, 0
+	case e.next.IsZero():
+		return now.Add(unknownInterval), unknownInterval
+	}
+	return e.permit(now), e.interval()
+}
+
+// unknownInterval is the assumed interval between two permits while the number of daemons is
+// unknown.
+const unknownInterval = time.Second
+
 // Take reports whether this daemon may send a request to an engine now and, if so, uses up
 // the permit. Engines without a limit are always permitted.
 func (l *Limits) Take(engine string, now time.Time) bool {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -11,8 +11,8 @@
 	"github.com/bronzeturn/bronzeturn/route"
 )
 
-// noEngineWait is how long a request waits for an engine if none can take it, and
-// noEnginePoll the interval between two tries.
+// noEngineWait is how long a request that has not been answered in part waits for an engine if
+// none can take it, and noEnginePoll the interval between two tries.
 const (
 	noEngineWait = 40 * time.Millisecond
 	noEnginePoll = 10 * time.Millisecond
@@ -29,7 +29,10 @@
 		if ok {
 			return to, nil
 		}
-		if waited >= noEngineWait || backoff.Sleep(ctx, noEnginePoll) != nil {
+		if f := g.refuseLimited(t, t.waitForEngine()-waited); f != nil {
+			return nil, f
+		}
+		if waited >= t.waitForEngine() || backoff.Sleep(ctx, noEnginePoll) != nil {
 			f := failure.New(failure.CodeNoCapacity, t.ran, "no engine takes the request now: %s", decision.Reason)
 			return nil, f.WithRetryAfter(min(max(decision.RetryAfter, busyRetryAfter/4), busyRetryAfter))
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,6 +58,9 @@
 	// Take acquires the permit to send one request to an engine now, and reports whether
 	// there was one.
 	Take(engine string, now time.Time) bool
+	// NextPermit returns when this daemon's next permit to send to an engine begins, and the
+	// interval between two permits. For an engine without a limit it returns now.
+	NextPermit(engine string, now time.Time) (at time.Time, interval time.Duration)
 	// Observe records what an answer of an engine says.
 	Observe(a backpressure.Answer)
 	// Sent records that a request is sent to an engine. further is set if it is not the
@@ -159,6 +162,7 @@
 	paceBaselines *paceBaselines
 	prefixLoads   *prefixLoads
 	mismatches    *mismatches
+	returns       *returns
 	rngs          sync.Pool
 	seeds         atomic.Uint64
 	gate          gate
@@ -166,7 +170,7 @@
 
 // New returns a Gateway.
 func New(o Options) *Gateway {
-	g := &Gateway{Options: o, metrics: newMetrics(o.Registerer), budgets: newBudgets(o.Budget, o.Daemons), paceBaselines: newPaceBaselines(), prefixLoads: newPrefixLoads(), mismatches: newMismatches()}
+	g := &Gateway{Options: o, metrics: newMetrics(o.Registerer), budgets: newBudgets(o.Budget, o.Daemons), paceBaselines: newPaceBaselines(), prefixLoads: newPrefixLoads(), mismatches: newMismatches(), returns: newReturns()}
 	g.rngs.New = func() any { return rand.New(rand.NewPCG(o.Seed, g.seeds.Add(1))) }
 	return g
 }
--- a/rendezvous/rendezvous.go
+++ b/rendezvous/rendezvous.go
@@ -69,6 +69,9 @@
 	return s
 }
 
+// Names returns the names in order. The slice must not be modified.
+func (s *Set) Names() []string { return s.names }
+
 // Len returns the number of names.
 func (s *Set) Len() int { return len(s.names) }
 
