Observe engines that state in their answers that they leave

The header is read into Receipt.Leaving; the daemon logs the first such answer of an engine and counts all of them. Nothing acts on it yet.

--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -68,6 +68,8 @@
 	// Limit is the number of requests per second that the engine accepts from all daemons
 	// together, or backpressure.NoLimit if the engine states none.
 	Limit float64
+	// Leaving is set if the engine states that it finishes its current requests and then ends.
+	Leaving bool
 }
 
 // Codec reads and writes the headers of a deployment.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -139,6 +139,8 @@
 	Delayed func(engineID string, delay time.Duration)
 	// Misdirected is called when another engine answers at the address of engineID.
 	Misdirected func(engineID string)
+	// Leaving is called for every answer of an engine that states that it leaves.
+	Leaving func(engine string)
 
 	Engines       Balancer
 	SlowStarts    SlowStarts
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -17,6 +17,7 @@
 	latency  *prometheus.HistogramVec
 	first    *prometheus.HistogramVec
 	attempts *prometheus.CounterVec
+	leaving  prometheus.Counter
 }
 
 // newMetrics registers the metrics.
@@ -36,6 +37,9 @@
 		attempts: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "bronzeturn_gateway_failed_attempts_total", Help: "Attempts at engines that gave no answer to pass on.",
 		}, []string{"kind", "ran"}),
+		leaving: f.NewCounter(prometheus.CounterOpts{
+			Name: "bronzeturn_gateway_leaving_answers_total", Help: "Answers of engines that state that they leave.",
+		}),
 	}
 }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -151,7 +151,7 @@
 	if receipt.Genuine {
 		g.mismatches.recordMatch(t.locationOf(to))
 	}
-	g.observeLimit(t, to, receipt)
+	g.observe(t, to, receipt)
 	switch {
 	case receipt.Instance != "" && receipt.Instance != to.engine.ID:
 		g.reportMisdirected(t, to)
@@ -173,16 +173,22 @@
 	}
 }
 
-// observeLimit records what an answer says about the engine's request limit. Answers of other
+// observe records what an answer says about further requests to the engine. Answers of other
 // engines and to other requests are ignored. A refusal can state a limit but does not end one,
 // so that an engine that refuses all requests does not get more of them.
-func (g *Gateway) observeLimit(t *task, to *target, r Receipt) {
+func (g *Gateway) observe(t *task, to *target, r Receipt) {
 	own := r.Instance == "" || r.Instance == to.engine.ID
 	complete := r.Genuine && r.RequestID == t.meta.ID && !r.NotRun
-	refused := r.NotRun && r.Limit >= 0
-	if own && (complete || refused) {
+	if !own || !complete && !r.NotRun {
+		return
+	}
+	if complete || r.Limit >= 0 {
 		g.Limits.Observe(backpressure.Answer{Engine: to.engine.Key(), Limit: r.Limit, Sent: to.sent, At: time.Now()})
 	}
+	if r.Leaving {
+		g.metrics.leaving.Inc()
+		g.Leaving(to.engine.Key())
+	}
 }
 
 // reportMisdirected records that the answer came from another instance than the target.
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -105,6 +105,9 @@
 	lapsed map[string]lapsedEngine
 	// excluded are the keys of listed engines that Exclude has removed from the view.
 	excluded map[string]struct{}
+	// leaving maps the keys of engines that have stated in answers that they leave to the time
+	// of the first such answer.
+	leaving map[string]time.Time
 	// interned are the names of services, data centres and versions, shared by all engines.
 	interned map[string]string
 	grace    time.Duration
@@ -119,7 +122,7 @@
 // it.
 func New(grace time.Duration, changed func(old, now *View)) *Set {
 	return &Set{
-		listed: make(map[string]*Engine), lapsed: make(map[string]lapsedEngine), excluded: make(map[string]struct{}),
+		listed: make(map[string]*Engine), lapsed: make(map[string]lapsedEngine), excluded: make(map[string]struct{}), leaving: make(map[string]time.Time),
 		interned: make(map[string]string), grace: grace, view: &View{}, changed: changed,
 	}
 }
@@ -244,6 +247,17 @@
 	s.commit(edit)
 }
 
+// Leave records that an engine has stated that it leaves, and reports whether that was unknown.
+func (s *Set) Leave(key string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.leaving[key]; known {
+		return false
+	}
+	s.leaving[key] = now
+	return true
+}
+
 // commit replaces the view with the edited one and calls changed if they differ. The
 // caller holds mu.
 func (s *Set) commit(edit *viewEdit) {
