inventory: an engine that states that it leaves gets no new requests

Cause: which engines get requests followed from registrations only. The store was away, so the engine's own report reached nobody; its answers said so too, but the header was read nowhere. Ruled out: further attempts alone (the first arrival of the reported request was at that engine); a registration that goes before the answer could not be at work, as nothing read the answer, but would have been the next fault.

Change: the first answer of an engine that states it removes the engine from the view, and that holds until it starts again (another key): neither a changed registration that still says ready, nor the grace period after an outage of the store, nor a late registration brings it back. The daemon tells the others in the flooded table, once.

--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -86,6 +86,7 @@
 			{Prefix: readyPrefix, MaxEntries: maxDaemonEntries, MaxValueBytes: maxSmallValueBytes, RemovalTTL: removalTTL},
 			{Prefix: turnedAwayPrefix, MaxEntries: maxDaemonEntries, MaxValueBytes: maxSmallValueBytes, RemovalTTL: removalTTL},
 			quarantine.TableClass(),
+			{Prefix: leavingPrefix, MaxEntries: maxLeavingEntries, MaxValueBytes: maxSmallValueBytes, TTL: leavingTTL, RemovalTTL: leavingTTL},
 			{Prefix: limitPrefix, MaxEntries: maxLimitEntries, MaxValueBytes: maxSmallValueBytes, TTL: limitTTL, RemovalTTL: limitTTL},
 			{Prefix: canaryPrefix, MaxEntries: maxVerdictEntries, MaxValueBytes: maxVerdictBytes, TTL: verdictTTL},
 		},
@@ -132,6 +133,7 @@
 	f.members.Subscribe(func(*membership.View) { f.watchers.notifyChange() })
 	f.members.Table().Subscribe(quarantine.TablePrefix, d.quarantine.ReceiveEntry)
 	f.members.Table().Subscribe(limitPrefix, f.receiveLimit)
+	f.members.Table().Subscribe(leavingPrefix, f.receiveLeaving)
 	registrar := bootstrap.New(bootstrap.Options{
 		Store: d.Store, Self: &bronzeturnv1.Seed{Name: d.Settings.Name, PeerAddress: d.Settings.PeerListen},
 		OnAddresses: f.addFoundSeeds,
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -83,10 +83,3 @@
 	}
 	return m.GetPerSecond()
 }
-
-// engineLeaves records that an engine has stated in an answer that it leaves.
-func (d *Daemon) engineLeaves(engine string) {
-	if d.engines.Leave(engine, time.Now()) {
-		d.log.Info().Str("engine", engine).Msg("engine states that it leaves")
-	}
-}
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -160,7 +161,7 @@
 		edit.remove(l.engine)
 	}
 	if previous != nil && *previous == e {
-		if _, excluded := s.excluded[e.key]; !excluded && !e.Draining {
+		if _, excluded := s.excluded[e.key]; !excluded && !s.leaves(&e) {
 			edit.put(previous)
 		}
 		return
@@ -170,11 +171,19 @@
 		delete(s.excluded, previous.key)
 	}
 	s.listed[e.ID] = &e
-	if !e.Draining {
+	if !s.leaves(&e) {
 		edit.put(&e)
 	}
 }
 
+// leaves reports whether an engine leaves, by its registration or by its answers. An engine that
+// leaves does not return, and its registration may be late, so the first of them counts. The
+// caller holds mu.
+func (s *Set) leaves(e *Engine) bool {
+	_, stated := s.leaving[e.key]
+	return stated || e.Draining
+}
+
 // intern returns a shared copy of a string. The caller holds mu.
 func (s *Set) intern(name string) string {
 	if known, ok := s.interned[name]; ok {
@@ -201,7 +210,7 @@
 	_, excluded := s.excluded[e.key]
 	delete(s.listed, id)
 	delete(s.excluded, e.key)
-	if outage && !e.Draining && !excluded {
+	if outage && !excluded && !s.leaves(e) {
 		s.lapsed[id] = lapsedEngine{engine: e, until: now.Add(s.grace)}
 		return
 	}
@@ -213,6 +222,7 @@
 func (s *Set) Expire(now time.Time) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.forgetLeft(now)
 	var next time.Time
 	edit := newViewEdit(s.view)
 	for id, l := range s.lapsed {
@@ -247,7 +257,8 @@
 	s.commit(edit)
 }
 
-// Leave records that an engine has stated that it leaves, and reports whether that was unknown.
+// Leave removes an engine from the view at once, because it has stated in an answer that it
+// leaves, and reports whether that was unknown. The engine does not come back under the same key.
 func (s *Set) Leave(key string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -255,9 +266,30 @@
 		return false
 	}
 	s.leaving[key] = now
+	if pos, used := find(s.view.Engines, key); used {
+		e := s.view.Engines[pos]
+		delete(s.lapsed, e.ID)
+		edit := newViewEdit(s.view)
+		edit.remove(e)
+		s.commit(edit)
+	}
 	return true
 }
 
+// keepLeaving is how long an engine that leaves is remembered without a registration, which may
+// come back late.
+const keepLeaving = 10 * time.Minute
+
+// forgetLeft forgets the engines that left long ago. The caller holds mu.
+func (s *Set) forgetLeft(now time.Time) {
+	maps.DeleteFunc(s.leaving, func(key string, since time.Time) bool {
+		id, _, _ := strings.Cut(key, keySeparator)
+		e := s.listed[id]
+		listed := e != nil && e.key == key
+		return !listed && now.Sub(since) >= keepLeaving
+	})
+}
+
 // commit replaces the view with the edited one and calls changed if they differ. The
 // caller holds mu.
 func (s *Set) commit(edit *viewEdit) {
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -92,6 +92,36 @@
 	c.Check(changes, qt.Equals, 2)
 }
 
+// TestEngineThatLeavesStaysRemoved guards against an engine that has stated in an answer that it
+// leaves and gets requests again because of its registration.
+func TestEngineThatLeavesStaysRemoved(t *testing.T) {
+	c := qt.New(t)
+	s := newSet()
+	replace(s, []Engine{engine("a"), engine("b")}, false, start)
+	c.Check(s.Leave("a", start), qt.IsTrue)
+	c.Check(s.Leave("a", start), qt.IsFalse)
+	c.Check(ids(s), qt.DeepEquals, []string{"b"})
+	again := engine("a")
+	again.Slots++
+	replace(s, []Engine{again, engine("b")}, false, start)
+	c.Check(ids(s), qt.DeepEquals, []string{"b"}, qt.Commentf("its registration changes and still says ready"))
+	replace(s, []Engine{engine("b")}, true, start)
+	c.Check(ids(s), qt.DeepEquals, []string{"b"}, qt.Commentf("its registration is lost in an outage of the store"))
+	s.Expire(start.Add(gracePeriod))
+	replace(s, []Engine{engine("a"), engine("b")}, false, start.Add(gracePeriod))
+	c.Check(ids(s), qt.DeepEquals, []string{"b"}, qt.Commentf("it registers again after the outage"))
+	restarted := engine("a")
+	restarted.Started = start.Add(time.Minute)
+	replace(s, []Engine{restarted, engine("b")}, false, start.Add(time.Minute))
+	c.Check(ids(s), qt.DeepEquals, []string{"a", "b"}, qt.Commentf("it has restarted"))
+	c.Check(s.Leave("unregistered", start), qt.IsTrue)
+	replace(s, []Engine{engine("unregistered")}, false, start)
+	c.Check(ids(s), qt.DeepEquals, []string(nil))
+	replace(s, []Engine{engine("b")}, false, start)
+	s.Expire(start.Add(keepLeaving))
+	c.Check(s.leaving, qt.HasLen, 0)
+}
+
 // TestGracePeriodIsPerEngine has the registrations of two engines disappear one after the
 // other after an outage. Each engine is removed at the end of its own grace period.
 func TestGracePeriodIsPerEngine(t *testing.T) {
