--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -68,6 +68,9 @@
 	// Limit is the number of requests per second that the engine accepts from all daemons
 	// together, or backpressure.NoLimit if the engine states none.
 	Limit float64
+	// RetryAfter is the time for which the engine asks this daemon for no requests, zero if it
+	// does not ask.
+	RetryAfter time.Duration
 	// Leaving is set if the engine states that it finishes its current requests and then ends.
 	Leaving bool
 }
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -107,5 +107,5 @@
 	line.Str("request", t.meta.ID).Stringer("hash", t.hash).Str("engine", to.engine.Key()).Str("address", to.engine.Address).
 		AnErr("failure", e.Cause).Str("kind", e.Kind.String()).Str("ran", string(e.Ran)).
 		Bool("again", reason == "").Str("because", reason).Int("attempt", t.request.trace.attempts).
-		Int("events", t.stream.events).Dur("after_ms", time.Since(to.sent)).Msg("attempt failed")
+		Int("events", t.stream.events).Dur("retry_after_ms", to.retryAfter).Dur("after_ms", time.Since(to.sent)).Msg("attempt failed")
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -71,6 +71,8 @@
 	// expected is the time to the first token.
 	expected time.Duration
 	sent     time.Time
+	// retryAfter is the time for which the engine asked for no requests, zero if it did not ask.
+	retryAfter time.Duration
 	// firstSeen is set once the first token has been reported to the balancer.
 	firstSeen bool
 }
@@ -185,6 +187,7 @@
 	if complete || r.Limit >= 0 {
 		g.Limits.Observe(backpressure.Answer{Engine: to.engine.Key(), Limit: r.Limit, Sent: to.sent, At: time.Now()})
 	}
+	to.retryAfter = r.RetryAfter
 	if r.Leaving {
 		g.metrics.leaving.Inc()
 		g.Leaving(to.engine.Key())
