balance: keep the pause that an engine asks for, in full

Cause: the entry edge had a field for the engine's Retry-After, which nothing set. The balancer, which both edges share, would have kept it in part only: cut off at 5 s, ignored in answers to requests sent before another pause began, ignored for answers that are errors rather than refusals, and forgotten after 5 min without an event. So the daemon made its own pauses of 0.25, 0.5, 1 and 2 s, and callers at once after each of them all reached the engine. Ruled out: retries of one request at the same engine (the arrivals were of different requests).

Change: the entry edge passes Retry-After on; the balancer keeps the end of the pause apart from its own pauses, for any failed answer, never shortened, and no choice, probe or last resort uses the engine before. The chat edge, which read the header already, gets the same.

--- a/balance/activity.go
+++ b/balance/activity.go
@@ -72,7 +72,8 @@
 	return a
 }
 
-// storeMax stores at if it is greater than the current value.
+// storeMax stores at if it is greater than the current value. Of concurrent calls, one may be
+// lost.
 func storeMax(v *atomic.Int64, at int64) {
 	if v.Load() < at {
 		v.Store(at)
@@ -90,15 +91,15 @@
 	return all
 }
 
-// evictIdle drops the activities of engines that are admitted or not in the plan, have no
-// work in flight and have had no event for activityTTL.
+// evictIdle drops the activities of engines that are admitted and not paused or not in the
+// plan, have no work in flight and have had no event for activityTTL.
 func (t *activeEngines) evictIdle(p *Plan, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for e := range t.engines {
 		a := e.active.Load()
 		_, planned := p.indexOf(e)
-		inUse := planned && phase(a.health.phase.Load()) != admitted
+		inUse := planned && (phase(a.health.phase.Load()) != admitted || a.health.unavailableUntil() > now.UnixNano())
 		if inUse || now.UnixNano()-a.lastEventAt.Load() < int64(activityTTL) {
 			continue
 		}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -249,8 +249,9 @@
 	}
 	s.removeRequest(e, ev.Work, ev.FirstTokenSeen, ev.At)
 	h := &s.active.getOrCreate(e, ev.At).health
+	h.pause(ev.At, ev.RetryAfter)
 	if ev.Kind == FailureBusy {
-		h.refused(ev.At, ev.RetryAfter)
+		h.refused(ev.At)
 		return
 	}
 	if h.failed(ev.At, &s.options) {
@@ -274,6 +275,15 @@
 	}
 }
 
+// PausedUntil returns the end of the pause that an engine asked for, or a time in the past.
+func (s *State) PausedUntil(engine string) time.Time {
+	e := s.engine(engine)
+	if e == nil {
+		return time.Time{}
+	}
+	return time.Unix(0, e.activity().health.pausedUntil.Load())
+}
+
 // InFlight calls f for every engine at which this daemon has requests in flight.
 func (s *State) InFlight(f func(engine string, requests, tokens int64)) {
 	for _, e := range s.active.list() {
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -293,7 +293,7 @@
 func (c *choice) eligibility(index int32) eligibility {
 	e := c.plan.engines[index]
 	h := &e.activity().health
-	if c.excluded(e, index) || h.busyUntil.Load() > c.now {
+	if c.excluded(e, index) || h.unavailableUntil() > c.now {
 		return unusable
 	}
 	if kind := phase(h.phase.Load()); kind != admitted {
@@ -390,7 +390,7 @@
 			continue
 		}
 		h := &e.activity().health
-		earliest = min(earliest, max(h.busyUntil.Load(), h.until.Load()))
+		earliest = min(earliest, max(h.unavailableUntil(), h.until.Load()))
 	}
 	if earliest == math.MaxInt64 {
 		c.d.RetryAfter = defaultRetryAfter
--- a/balance/event.go
+++ b/balance/event.go
@@ -80,8 +80,8 @@
 	Work           Work
 	FirstTokenSeen bool
 	Kind           FailureKind
-	// RetryAfter is the retry delay that the engine asked for with FailureBusy, or
-	// zero.
+	// RetryAfter is the time for which the engine asked for no requests, or zero. It is
+	// kept in full.
 	RetryAfter time.Duration
 	At         time.Time
 }
--- a/balance/health.go
+++ b/balance/health.go
@@ -55,6 +55,8 @@
 	until     atomic.Int64
 	probeAt   atomic.Int64
 	busyUntil atomic.Int64
+	// pausedUntil is the end of the pause that the engine asked for.
+	pausedUntil atomic.Int64
 	// warmFrom points to engine.warmFrom.
 	warmFrom *atomic.Int64
 	// failure is the share of failed requests at time failureAt, as float bits.
@@ -166,10 +168,24 @@
 	return int(failures) >= o.EjectFailures && h.eject(failing, ns, o)
 }
 
+// pause keeps requests from an engine for the time that it asked for. Unlike ejections and
+// the pauses of refused, its end is the engine's to set: it is never shortened.
+func (h *health) pause(now time.Time, retryAfter time.Duration) {
+	if retryAfter <= 0 {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	storeMax(&h.pausedUntil, now.Add(retryAfter).UnixNano())
+}
+
+// unavailableUntil returns when the engine may get requests again, as far as it is paused.
+func (h *health) unavailableUntil() int64 { return max(h.busyUntil.Load(), h.pausedUntil.Load()) }
+
 // refused pauses an engine that is full, for busyPause doubled with each consecutive
-// refusal, or for retryAfter if that is longer, and for maxBusyPause at most. Refusals
-// during the pause, of requests sent before it, are not counted.
-func (h *health) refused(now time.Time, retryAfter time.Duration) {
+// refusal and for maxBusyPause at most. Refusals during the pause, of requests sent before
+// it, are not counted.
+func (h *health) refused(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if now.UnixNano() < h.busyUntil.Load() {
@@ -179,7 +195,6 @@
 	if refusals := h.consecutiveRefusals.Add(1); busyPause<<(refusals-1) < maxBusyPause && refusals < 16 {
 		pause = busyPause << (refusals - 1)
 	}
-	pause = min(max(pause, retryAfter), maxBusyPause)
 	h.busyUntil.Store(now.Add(pause).UnixNano())
 }
 
--- a/gateway/again.go
+++ b/gateway/again.go
@@ -44,7 +44,7 @@
 	}
 	if t.ran == failure.RanNo {
 		f := failure.Wrap(e, failure.CodeNoCapacity, failure.RanNo, "no engine took the request")
-		return f.WithRetryAfter(max(min(e.retryAfter, busyRetryAfter), busyRetryAfter/4))
+		return f.WithRetryAfter(max(min(to.retryAfter, busyRetryAfter), busyRetryAfter/4))
 	}
 	return failure.Wrap(e, failure.CodeEngineFailed, t.ran, "the engine did not answer; the request may have run")
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -82,8 +82,6 @@
 	Kind  retry.Kind
 	Ran   failure.Ran
 	Cause error
-	// retryAfter is the engine's Retry-After.
-	retryAfter time.Duration
 }
 
 // Error implements error.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -143,7 +143,7 @@
 	if !known {
 		kind = balance.FailureError
 	}
-	g.Engines.Failed(balance.Failed{Engine: to.engine.Key(), Work: to.work, FirstTokenSeen: to.firstSeen, Kind: kind, RetryAfter: e.retryAfter, At: now})
+	g.Engines.Failed(balance.Failed{Engine: to.engine.Key(), Work: to.work, FirstTokenSeen: to.firstSeen, Kind: kind, RetryAfter: to.retryAfter, At: now})
 	if e.Kind == retry.KindRefused || e.Kind == retry.KindConnect || e.Kind == retry.KindMisdirected {
 		return
 	}
