gateway: refuse at once what pauses keep from all engines

Change: pauses count like request limits when the daemon decides whether it can know that no engine will get the request in time. Callers are told to come back from the end of the first pause on, 0.1 s apart for each engine.

Before: platform.TestRequestIsRefusedAtOnceWhenAllEnginesArePaused fails (Retry-After is bounded by 0.4 s). After: passes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,6 +39,8 @@
 	FirstToken(ev balance.FirstToken)
 	Finished(ev balance.Finished)
 	Failed(ev balance.Failed)
+	// PausedUntil returns the end of the pause that an engine asked for, or a time in the past.
+	PausedUntil(engine string) time.Time
 }
 
 // SlowStarts limits the rate of requests that the fleet sends to cold engines.
--- a/gateway/limited.go
+++ b/gateway/heldback.go
@@ -8,8 +8,8 @@
 	"github.com/bronzeturn/bronzeturn/route"
 )
 
-// permits describes when this daemon may send to the engines of a group whose request limits all
-// keep it from sending now.
+// permits describes when this daemon may send to the engines of a group that all ask it to send
+// nothing now, because of their request limits or for a pause.
 type permits struct {
 	// soonest is when the first permit begins.
 	soonest time.Time
@@ -17,8 +17,11 @@
 	perSecond float64
 }
 
+// pauseReturnInterval is the interval at which callers come back to an engine after its pause.
+const pauseReturnInterval = 100 * time.Millisecond
+
 // awaitedPermits returns the permits of the request's group. It returns false if an engine that
-// the request may be sent to has no request limit or has a permit now.
+// the request may be sent to does not ask for less.
 func (g *Gateway) awaitedPermits(t *task, now time.Time) (p permits, ok bool) {
 	engines := g.Tables().Engines
 	if engines == nil {
@@ -34,6 +37,9 @@
 			continue
 		}
 		at, interval := g.Limits.NextPermit(name, now)
+		if paused := g.Engines.PausedUntil(name); paused.After(at) {
+			at, interval = paused, max(interval, pauseReturnInterval)
+		}
 		if !at.After(now) {
 			return permits{}, false
 		}
@@ -46,19 +52,20 @@
 	return p, ok
 }
 
-// refuseLimited returns the refusal of a request that no engine may get soon because of the
-// engines' request limits, and nil if one may get it within the time wait.
-func (g *Gateway) refuseLimited(t *task, wait time.Duration) *failure.Error {
+// refuseHeldBack returns the refusal of a request that no engine may get soon because of the
+// engines' request limits and pauses, and nil if one may get it within the time wait.
+func (g *Gateway) refuseHeldBack(t *task, wait time.Duration) *failure.Error {
 	now := time.Now()
 	p, ok := g.awaitedPermits(t, now)
 	if !ok || p.soonest.Sub(now) <= wait {
 		return nil
 	}
-	f := failure.New(failure.CodeNoCapacity, t.ran, "all engines have reached their request limits")
+	f := failure.New(failure.CodeNoCapacity, t.ran, "all engines have reached their request limits or asked for a pause")
 	return f.WithRetryAfter(g.returns.assign(t.group, p, now, g.random()))
 }
 
-// maxReturnDelay is the maximum Retry-After of a request refused because of request limits.
+// maxReturnDelay is the maximum Retry-After of a request refused because of request limits and
+// pauses.
 const maxReturnDelay = 5 * time.Second
 
 // returns spreads the times at which refused callers are told to come back over the permits to
