--- a/engine/engine.go
+++ b/engine/engine.go
@@ -201,7 +201,7 @@
 	body, cause := readLimited(x, maxErrorBytes)
 	var parsed errorBody
 	_ = json.Unmarshal(body, &parsed) // An unreadable body leaves the type empty.
-	e := &Error{Status: x.Status, Kind: KindFailed, Ran: failure.RanUnknown, RetryAfter: retryAfter(x.Header)}
+	e := &Error{Status: x.Status, Kind: KindFailed, Ran: failure.RanUnknown, RetryAfter: attempt.RetryAfter(x.Header)}
 	e.cause = cause
 	if cause == nil {
 		e.cause = &StatusError{Status: x.Status, Type: parsed.Error.Type, Message: parsed.Error.Message}
@@ -229,14 +229,3 @@
 func (e *StatusError) Error() string {
 	return fmt.Sprintf("status %d, type %q: %s", e.Status, e.Type, e.Message)
 }
-
-// maxRetryAfter bounds the delay that an engine may ask for.
-const maxRetryAfter = time.Hour
-
-func retryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
-	if err != nil || !(seconds > 0) {
-		return 0
-	}
-	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
-}
