router: keep the pause that a plain service asks for

Change: the client reports Retry-After of 429 and 503, the instance's circuit breaker keeps calls and probes from it until the pause ends, and callers are told when the first instance may be called again.

--- a/plainservice/plainservice.go
+++ b/plainservice/plainservice.go
@@ -46,7 +46,9 @@
 	Ran  failure.Ran
 	// Status is the HTTP status, zero if none was received.
 	Status int
-	cause  error
+	// RetryAfter is the time for which the instance asked for no calls, zero if it did not ask.
+	RetryAfter time.Duration
+	cause      error
 }
 
 // Error implements error.
@@ -78,6 +80,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// RetryAfter is the time for which the instance asked for no calls, zero if it did not ask.
+	RetryAfter time.Duration
 }
 
 // Client calls plain services. It is safe for concurrent use.
@@ -120,9 +124,18 @@
 		return nil, &Error{Kind: KindBroken, Ran: failure.RanYes, Status: x.Status, cause: errTooLong}
 	}
 	if x.Status >= http.StatusBadRequest && x.Header.Get(HeaderNotRun) == "true" {
-		return nil, &Error{Kind: KindRefused, Ran: failure.RanNo, Status: x.Status, cause: errNotRun}
+		return nil, &Error{Kind: KindRefused, Ran: failure.RanNo, Status: x.Status, RetryAfter: retryAfter(x), cause: errNotRun}
 	}
-	return &Response{Status: x.Status, Header: endToEnd(x.Header), Body: body}, nil
+	return &Response{Status: x.Status, Header: endToEnd(x.Header), Body: body, RetryAfter: retryAfter(x)}, nil
+}
+
+// retryAfter returns the time for which the instance asks for no calls. Other statuses use the
+// header for the time until a result is ready or a page has moved.
+func retryAfter(x *attempt.Exchange) time.Duration {
+	if x.Status != http.StatusTooManyRequests && x.Status != http.StatusServiceUnavailable {
+		return 0
+	}
+	return attempt.RetryAfter(x.Header)
 }
 
 // hopByHop lists the headers that apply to a single connection only (RFC 9110, section 7.6.1).
--- a/retry/breaker.go
+++ b/retry/breaker.go
@@ -56,6 +56,8 @@
 	openFor  time.Duration
 	// until is the end of the Open state, or in HalfOpen the timeout of the probe.
 	until time.Time
+	// pausedUntil is the end of the pause that the target asked for.
+	pausedUntil time.Time
 }
 
 // NewBreaker returns a closed breaker.
@@ -68,6 +70,9 @@
 func (b *Breaker) Allow(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if now.Before(b.pausedUntil) {
+		return false
+	}
 	if b.state == Closed {
 		return true
 	}
@@ -83,6 +88,26 @@
 	return true
 }
 
+// Pause keeps calls from the target, probes included, until the given time, unless it asked for
+// a longer pause before.
+func (b *Breaker) Pause(until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if until.After(b.pausedUntil) {
+		b.pausedUntil = until
+	}
+}
+
+// NextCall returns the earliest time at which Allow may permit a call.
+func (b *Breaker) NextCall() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.state != Closed && b.until.After(b.pausedUntil) {
+		return b.until
+	}
+	return b.pausedUntil
+}
+
 // Success records a call that the target answered. It closes the breaker,
 // unless the breaker is open: the answer then belongs to a call made before it
 // opened.
--- a/retry/breaker_test.go
+++ b/retry/breaker_test.go
@@ -100,3 +100,19 @@
 	s.Keep(func(name string) bool { return name == "b" })
 	c.Assert(s.Target("a"), qt.Not(qt.Equals), a)
 }
+
+func TestBreakerKeepsARequestedPause(t *testing.T) {
+	c := qt.New(t)
+	o := DefaultBreakerOptions()
+	b := NewBreaker(o)
+	pause := 2 * o.MaxOpen
+	b.Pause(epoch.Add(pause))
+	b.Pause(epoch.Add(time.Second))
+	b.Success()
+	c.Check(b.Allow(epoch.Add(pause-1)), qt.IsFalse)
+	c.Check(b.NextCall(), qt.Equals, epoch.Add(pause))
+	c.Check(b.Allow(epoch.Add(pause)), qt.IsTrue)
+	open(b, epoch)
+	c.Check(b.Allow(epoch.Add(o.OpenFor)), qt.IsFalse, qt.Commentf("no probe in the pause"))
+	c.Check(b.Allow(epoch.Add(pause)), qt.IsTrue)
+}
--- a/router/service.go
+++ b/router/service.go
@@ -152,15 +152,20 @@
 			}
 		}
 	}
+	retryAfter := time.Duration(0)
 	for offset := range usable {
 		instance := usable[(number-1+offset)%len(usable)]
-		if r.Breakers.Target(instance.GetAddress()).Allow(now) {
+		breaker := r.Breakers.Target(instance.GetAddress())
+		if wait := breaker.NextCall().Sub(now); offset == 0 || wait < retryAfter {
+			retryAfter = wait
+		}
+		if breaker.Allow(now) {
 			withRequestFields(r.Log.Info(), c).Str("service", c.service.GetName()).Str("instance", instance.GetAddress()).
 				Int("attempt", number).Int("candidates", len(usable)).Msg("instance chosen")
 			return instance, nil
 		}
 	}
-	return nil, failure.New(failure.CodeNoCapacity, ran, "no instance of the service takes calls").WithRetryAfter(busyRetryAfter)
+	return nil, failure.New(failure.CodeNoCapacity, ran, "no instance of the service takes calls").WithRetryAfter(max(retryAfter, busyRetryAfter))
 }
 
 // callInstance calls one instance once and reports the result to its circuit breaker.
@@ -180,6 +185,7 @@
 	breaker := r.Breakers.Target(i.GetAddress())
 	if err == nil {
 		breaker.Success()
+		breaker.Pause(time.Now().Add(response.RetryAfter))
 		return response, nil
 	}
 	var typed *plainservice.Error
@@ -190,6 +196,7 @@
 		breaker.Abandon(time.Now())
 	} else {
 		breaker.Failure(time.Now())
+		breaker.Pause(time.Now().Add(typed.RetryAfter))
 	}
 	return nil, typed
 }
@@ -237,7 +244,7 @@
 	case err.Kind == plainservice.KindCanceled:
 		return failure.Wrap(err, failure.CodeCanceled, ran, "the request was canceled")
 	case ran == failure.RanNo:
-		return failure.Wrap(err, failure.CodeNoCapacity, ran, "the service did not take the call").WithRetryAfter(busyRetryAfter)
+		return failure.Wrap(err, failure.CodeNoCapacity, ran, "the service did not take the call").WithRetryAfter(max(err.RetryAfter, busyRetryAfter))
 	default:
 		return failure.Wrap(err, failure.CodeOutcomeUnknown, ran, "the service did not answer; the call may have run")
 	}
