soak: engines that limit requests, ask for pauses or leave unannounced

The checks know which daemon sent each request that reached an engine (by the caller that sent it there), what the engine's answer stated, and when each daemon was started or signalled, so that they can count as the users do.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -39,9 +39,11 @@
 	// notRun are the ids of requests that were answered as not run and must not
 	// have run, atMostOnce those of requests that may run at most once.
 	notRun, atMostOnce []string
+	// daemonOf holds the daemon that each request was sent to, by the id of the request.
+	daemonOf map[string]*daemon
 }
 
-func newChecks(r *run) *checks { return &checks{run: r} }
+func newChecks(r *run) *checks { return &checks{run: r, daemonOf: make(map[string]*daemon)} }
 
 // reportViolation records the violation of a guarantee, with the time since the
 // start of the run.
@@ -64,19 +66,21 @@
 	}
 }
 
-// newID returns a unique request id and counts the request.
-func (c *checks) newID() string {
+// newID returns a unique id for a request to a daemon and counts the request.
+func (c *checks) newID(d *daemon) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.next++
 	c.requests++
-	return fmt.Sprintf("s%d-%d", c.run.Seed, c.next)
+	id := fmt.Sprintf("s%d-%d", c.run.Seed, c.next)
+	c.daemonOf[id] = d
+	return id
 }
 
 // send sends one request, checks the answer, and reports whether it was complete
 // and correct. With cancelsEarly, the caller cancels after 50 ms.
 func (c *checks) send(d *daemon, target string, cancelsEarly bool) bool {
-	id := c.newID()
+	id := c.newID(d)
 	wait := callTimeout
 	if cancelsEarly {
 		wait = 50 * time.Millisecond
@@ -205,6 +209,7 @@
 	}
 	c.checkRetryBudget()
 	c.checkColdEngines()
+	c.checkBackpressure()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return Result{Requests: c.requests, Succeeded: c.succeeded, Refused: c.refused, Failed: c.failed, Violations: c.violations}
--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -59,7 +59,7 @@
 func (c *checks) sendCrashRequest(d *daemon, body string) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	id := c.newID()
+	id := c.newID(d)
 	req, err := c.request(ctx, d, id, "/stream/x", body)
 	if err != nil {
 		return
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -64,6 +64,22 @@
 	{"engine gives foreign answers", engineFault(emulator.EngineFaults{WrongRequestID: true})},
 	{"engine breaks streams", engineFault(emulator.EngineFaults{BreakAfter: 3, TruncateBody: true})},
 	{"engine full", engineFault(emulator.EngineFaults{Full: true})},
+	{"engine limits requests", func(r *run) func() {
+		r.randomEngine().SetFaults(emulator.EngineFaults{Limit: statedLimit}) // Until its next fault ends.
+		return nil
+	}},
+	{"engine asks for pauses", func(r *run) func() {
+		r.randomEngine().SetFaults(emulator.EngineFaults{Full: true, RetryAfter: statedPause}) // Until its next fault ends.
+		return nil
+	}},
+	{"engine leaves unannounced", func(r *run) func() {
+		e := r.randomEngine()
+		if r.addEngine(e.Spec.Service, coldDuration) != nil {
+			return nil
+		}
+		e.SetFaults(emulator.EngineFaults{Leaving: true})
+		return func() { e.Deregister(); e.Crash() }
+	}},
 	{"engine crashes", func(r *run) func() { r.randomEngine().CrashAndRestart(); return nil }},
 	{"request crashes engines", func(r *run) func() { return r.startCrashRequests() }},
 	{"engine replaced", func(r *run) func() {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -70,6 +70,8 @@
 	ended   chan struct{}
 	stopped bool
 	log     *os.File
+	// disturbed holds the times at which the process was started or got a signal.
+	disturbed []time.Time
 }
 
 // Result is the result of a run.
@@ -187,6 +189,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.cmd, d.ended, d.stopped, d.log = cmd, make(chan struct{}), false, log
+	d.disturbed = append(d.disturbed, time.Now())
 	go func(ended chan struct{}) {
 		_ = cmd.Wait() // Faults end daemons, so any exit status is expected.
 		_ = log.Close()
@@ -199,6 +202,7 @@
 func (d *daemon) signal(s syscall.Signal) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.disturbed = append(d.disturbed, time.Now())
 	_ = d.cmd.Process.Signal(s) // An error means that the process has already exited.
 }
 
