entry: tell of the end of a limit whose entry has expired

Found on review: entries of limits expire after two minutes. A daemon that saw the end of a limit right then compared it with no entry, took that for no change, and told nobody, so that the others kept to the limit until their own next permit. entry.TestChangesOfALimitAreShared has the comparison, which now tells a removal from an entry that is missing.

--- a/entry/limits.go
+++ b/entry/limits.go
@@ -42,11 +42,7 @@
 func (f *fleet) shareLimit(engine string, perSecond float64) {
 	key := limitPrefix + engine
 	version, value, known := f.members.Table().Get(key)
-	published := float64(backpressure.NoLimit)
-	if known && len(value) > 0 {
-		published = f.decodeLimit(key, value)
-	}
-	if math.Abs(perSecond-published) <= minLimitChange*math.Abs(published) {
+	if known && !limitChanged(f.decodeLimit(key, value), perSecond) {
 		return
 	}
 	if perSecond < 0 {
@@ -61,21 +57,30 @@
 	f.publish(key, version+1, value)
 }
 
+// limitChanged reports whether a limit differs so much from the published one, or one of them from
+// no limit, that the other daemons are told.
+func limitChanged(published, stated float64) bool {
+	if published < 0 || stated < 0 {
+		return published >= 0 || stated >= 0
+	}
+	return math.Abs(stated-published) > minLimitChange*published
+}
+
 // receiveLimit records a limit that another daemon has published, or its end. Expired entries
 // have version zero and say nothing.
 func (f *fleet) receiveLimit(key string, version uint64, value []byte) {
 	if version == 0 {
 		return
 	}
-	perSecond := float64(backpressure.NoLimit)
-	if len(value) > 0 {
-		perSecond = f.decodeLimit(key, value)
-	}
-	f.daemon.limits.ObserveShared(strings.TrimPrefix(key, limitPrefix), perSecond, time.Now())
+	f.daemon.limits.ObserveShared(strings.TrimPrefix(key, limitPrefix), f.decodeLimit(key, value), time.Now())
 }
 
-// decodeLimit decodes the value of a limit's entry. An invalid value counts as no limit.
+// decodeLimit decodes the value of a limit's entry. A removal means no limit, and an invalid value
+// counts as one.
 func (f *fleet) decodeLimit(key string, value []byte) float64 {
+	if len(value) == 0 {
+		return backpressure.NoLimit
+	}
 	var m bronzeturnv1.EngineLimit
 	if err := proto.Unmarshal(value, &m); err != nil || !(m.GetPerSecond() >= 0) {
 		f.daemon.log.Error().Err(err).Str("key", key).Msg("published request limit is not valid")
