balance: a step of the wall clock does not end a pause

The end of the pause keeps its monotonic clock reading; the balancer's own pauses and ejections stay as they were. Not shown by a test: a step of the clock cannot be made in one. retry.Breaker.Pause takes the time asked for, as the balancer does.

--- a/balance/activity.go
+++ b/balance/activity.go
@@ -72,8 +72,7 @@
 	return a
 }
 
-// storeMax stores at if it is greater than the current value. Of concurrent calls, one may be
-// lost.
+// storeMax stores at if it is greater than the current value.
 func storeMax(v *atomic.Int64, at int64) {
 	if v.Load() < at {
 		v.Store(at)
@@ -99,7 +98,7 @@
 	for e := range t.engines {
 		a := e.active.Load()
 		_, planned := p.indexOf(e)
-		inUse := planned && (phase(a.health.phase.Load()) != admitted || a.health.unavailableUntil() > now.UnixNano())
+		inUse := planned && (phase(a.health.phase.Load()) != admitted || a.health.paused(now))
 		if inUse || now.UnixNano()-a.lastEventAt.Load() < int64(activityTTL) {
 			continue
 		}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -275,13 +275,13 @@
 	}
 }
 
-// PausedUntil returns the end of the pause that an engine asked for, or a time in the past.
+// PausedUntil returns the end of the last pause that an engine asked for, or the zero time.
 func (s *State) PausedUntil(engine string) time.Time {
 	e := s.engine(engine)
 	if e == nil {
 		return time.Time{}
 	}
-	return time.Unix(0, e.activity().health.pausedUntil.Load())
+	return e.activity().health.pauseEnd()
 }
 
 // InFlight calls f for every engine at which this daemon has requests in flight.
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -46,9 +46,11 @@
 	state *State
 	plan  *Plan
 	req   Request
-	now   int64
-	rng   *rand.Rand
-	d     Decision
+	// at and now are the time of the choice; now is in Unix nanoseconds.
+	at  time.Time
+	now int64
+	rng *rand.Rand
+	d   Decision
 	// priority is the index of the request's priority.
 	priority int
 	// holders are the engines that probably hold the prefix. comparedHolder is
@@ -68,7 +70,7 @@
 		return Decision{Index: -1, Reason: ReasonNotServed, RetryAfter: defaultRetryAfter}, false
 	}
 	c := choice{
-		state: s, plan: p, req: *r, now: now.UnixNano(), rng: rng, d: Decision{Index: -1},
+		state: s, plan: p, req: *r, at: now, now: now.UnixNano(), rng: rng, d: Decision{Index: -1},
 		priority: priorityIndex(r.Work.Priority), comparedHolder: -1, probe: -1,
 	}
 	best := c.pick(served)
@@ -293,7 +295,7 @@
 func (c *choice) eligibility(index int32) eligibility {
 	e := c.plan.engines[index]
 	h := &e.activity().health
-	if c.excluded(e, index) || h.unavailableUntil() > c.now {
+	if c.excluded(e, index) || h.busyUntil.Load() > c.now || h.paused(c.at) {
 		return unusable
 	}
 	if kind := phase(h.phase.Load()); kind != admitted {
@@ -390,7 +392,8 @@
 			continue
 		}
 		h := &e.activity().health
-		earliest = min(earliest, max(h.unavailableUntil(), h.until.Load()))
+		pause := h.pauseEnd().Sub(c.at)
+		earliest = min(earliest, max(h.busyUntil.Load(), h.until.Load(), c.now+int64(max(pause, 0))))
 	}
 	if earliest == math.MaxInt64 {
 		c.d.RetryAfter = defaultRetryAfter
--- a/balance/health.go
+++ b/balance/health.go
@@ -55,8 +55,9 @@
 	until     atomic.Int64
 	probeAt   atomic.Int64
 	busyUntil atomic.Int64
-	// pausedUntil is the end of the pause that the engine asked for.
-	pausedUntil atomic.Int64
+	// pausedUntil is the end of the pause that the engine asked for, nil for none. Its
+	// monotonic clock reading keeps steps of the wall clock from ending the pause early.
+	pausedUntil atomic.Pointer[time.Time]
 	// warmFrom points to engine.warmFrom.
 	warmFrom *atomic.Int64
 	// failure is the share of failed requests at time failureAt, as float bits.
@@ -176,11 +177,21 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	storeMax(&h.pausedUntil, now.Add(retryAfter).UnixNano())
+	if until := now.Add(retryAfter); until.After(h.pauseEnd()) {
+		h.pausedUntil.Store(&until)
+	}
+}
+
+// pauseEnd returns the end of the pause that the engine asked for, or the zero time.
+func (h *health) pauseEnd() time.Time {
+	if until := h.pausedUntil.Load(); until != nil {
+		return *until
+	}
+	return time.Time{}
 }
 
-// unavailableUntil returns when the engine may get requests again, as far as it is paused.
-func (h *health) unavailableUntil() int64 { return max(h.busyUntil.Load(), h.pausedUntil.Load()) }
+// paused reports whether the engine has asked for no requests now.
+func (h *health) paused(now time.Time) bool { return h.pauseEnd().After(now) }
 
 // refused pauses an engine that is full, for busyPause doubled with each consecutive
 // refusal and for maxBusyPause at most. Refusals during the pause, of requests sent before
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,7 +39,7 @@
 	FirstToken(ev balance.FirstToken)
 	Finished(ev balance.Finished)
 	Failed(ev balance.Failed)
-	// PausedUntil returns the end of the pause that an engine asked for, or a time in the past.
+	// PausedUntil returns the end of the last pause that an engine asked for, or the zero time.
 	PausedUntil(engine string) time.Time
 }
 
--- a/retry/breaker.go
+++ b/retry/breaker.go
@@ -88,12 +88,15 @@
 	return true
 }
 
-// Pause keeps calls from the target, probes included, until the given time, unless it asked for
-// a longer pause before.
-func (b *Breaker) Pause(until time.Time) {
+// Pause keeps calls, probes included, from a target that has asked for none for some time. It
+// does not shorten an earlier pause.
+func (b *Breaker) Pause(now time.Time, retryAfter time.Duration) {
+	if retryAfter <= 0 {
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if until.After(b.pausedUntil) {
+	if until := now.Add(retryAfter); until.After(b.pausedUntil) {
 		b.pausedUntil = until
 	}
 }
--- a/retry/breaker_test.go
+++ b/retry/breaker_test.go
@@ -106,8 +106,8 @@
 	o := DefaultBreakerOptions()
 	b := NewBreaker(o)
 	pause := 2 * o.MaxOpen
-	b.Pause(epoch.Add(pause))
-	b.Pause(epoch.Add(time.Second))
+	b.Pause(epoch, pause)
+	b.Pause(epoch, time.Second)
 	b.Success()
 	c.Check(b.Allow(epoch.Add(pause-1)), qt.IsFalse)
 	c.Check(b.NextCall(), qt.Equals, epoch.Add(pause))
--- a/router/service.go
+++ b/router/service.go
@@ -185,7 +185,7 @@
 	breaker := r.Breakers.Target(i.GetAddress())
 	if err == nil {
 		breaker.Success()
-		breaker.Pause(time.Now().Add(response.RetryAfter))
+		breaker.Pause(time.Now(), response.RetryAfter)
 		return response, nil
 	}
 	var typed *plainservice.Error
@@ -196,7 +196,7 @@
 		breaker.Abandon(time.Now())
 	} else {
 		breaker.Failure(time.Now())
-		breaker.Pause(time.Now().Add(typed.RetryAfter))
+		breaker.Pause(time.Now(), typed.RetryAfter)
 	}
 	return nil, typed
 }
