soak: callers use open connections until their process is gone

Callers opened a connection for each request, so a stopping daemon met none that had been open before. Each caller now keeps its connections; repeats of requests that crash engines and the check of the recovery still open new ones.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -57,11 +57,14 @@
 // once.
 var targets = []string{"/once/x", "/safe/x", "/stream/x"}
 
-// sendRequests sends random requests, one after the other, until ctx ends.
+// sendRequests sends random requests, one after the other, until ctx ends. Like callers that do
+// not look for news of daemons, it uses open connections until their process is gone.
 func (c *checks) sendRequests(ctx context.Context, random *rand.Rand) {
+	connections := &http.Transport{}
+	defer connections.CloseIdleConnections()
 	for ctx.Err() == nil {
 		d := c.run.daemons[random.IntN(len(c.run.daemons))]
-		c.send(d, targets[random.IntN(len(targets))], random.IntN(8) == 0)
+		c.send(connections, d, targets[random.IntN(len(targets))], random.IntN(8) == 0)
 		time.Sleep(time.Duration(random.IntN(40)) * time.Millisecond)
 	}
 }
@@ -77,9 +80,12 @@
 	return id
 }
 
+// newConnections is a transport that opens a connection for each request.
+var newConnections = &http.Transport{DisableKeepAlives: true}
+
 // send sends one request, checks the answer, and reports whether it was complete
 // and correct. With cancelsEarly, the caller cancels after 50 ms.
-func (c *checks) send(d *daemon, target string, cancelsEarly bool) bool {
+func (c *checks) send(connections http.RoundTripper, d *daemon, target string, cancelsEarly bool) bool {
 	id := c.newID(d)
 	wait := callTimeout
 	if cancelsEarly {
@@ -95,7 +101,7 @@
 	if atMostOnce {
 		c.recordAtMostOnce(id)
 	}
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	resp, err := connections.RoundTrip(req)
 	if err != nil {
 		c.count(&c.failed)
 		return false
@@ -112,7 +118,7 @@
 		c.reportViolation("building the request failed: %v", err)
 		return nil, err
 	}
-	req.Host, req.Close = emulator.Host, true
+	req.Host = emulator.Host
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Authorization", "Bearer "+emulator.Key)
 	if strings.HasPrefix(target, "/stream") {
@@ -180,7 +186,7 @@
 	deadline := time.Now().Add(recoveryTime)
 	for _, d := range c.run.daemons {
 		for _, target := range targets {
-			for !c.send(d, target, false) {
+			for !c.send(newConnections, d, target, false) {
 				if time.Now().After(deadline) {
 					c.reportViolation("%s does not serve %s again within %v", d.Name, target, recoveryTime)
 					break
--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return
 	}
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	resp, err := newConnections.RoundTrip(req)
 	if err != nil {
 		return // The daemon may be down.
 	}
