--- a/backpressure/limits.go
+++ b/backpressure/limits.go
@@ -1,7 +1,7 @@
 // Package backpressure tracks what engines ask of their senders in the headers of their
 // answers, and keeps this daemon to its share of it.
 //
-// An engine in need states the number of requests per second that it accepts from all daemons
+// An engine that is short of capacity states the number of requests per second that it accepts from all daemons
 // together. Every daemon knows the size of the fleet and sends such an engine at most one
 // request per interval, which is the number of daemons divided by the limit. The intervals of
 // the daemons begin at random times, so the requests of all of them spread evenly, without
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -29,7 +29,7 @@
 		if ok {
 			return to, nil
 		}
-		if f := g.refuseHeldBack(t, t.waitForEngine()-waited); f != nil {
+		if f := g.refuseThrottled(t, t.waitForEngine()-waited); f != nil {
 			return nil, f
 		}
 		if waited >= t.waitForEngine() || backoff.Sleep(ctx, noEnginePoll) != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -166,7 +166,7 @@
 	paceBaselines *paceBaselines
 	prefixLoads   *prefixLoads
 	mismatches    *mismatches
-	returns       *returns
+	retries       *retrySchedule
 	rngs          sync.Pool
 	seeds         atomic.Uint64
 	gate          gate
@@ -174,7 +174,7 @@
 
 // New returns a Gateway.
 func New(o Options) *Gateway {
-	g := &Gateway{Options: o, metrics: newMetrics(o.Registerer), budgets: newBudgets(o.Budget, o.Daemons), paceBaselines: newPaceBaselines(), prefixLoads: newPrefixLoads(), mismatches: newMismatches(), returns: newReturns()}
+	g := &Gateway{Options: o, metrics: newMetrics(o.Registerer), budgets: newBudgets(o.Budget, o.Daemons), paceBaselines: newPaceBaselines(), prefixLoads: newPrefixLoads(), mismatches: newMismatches(), retries: newRetrySchedule()}
 	g.rngs.New = func() any { return rand.New(rand.NewPCG(o.Seed, g.seeds.Add(1))) }
 	return g
 }
--- a/gateway/heldback.go
+++ b/gateway/throttled.go
@@ -17,11 +17,12 @@
 	perSecond float64
 }
 
-// pauseReturnInterval is the interval at which callers come back to an engine after its pause.
-const pauseReturnInterval = 100 * time.Millisecond
+// pausedRetryInterval is the interval at which callers are told to come back to an engine after its
+// pause.
+const pausedRetryInterval = 100 * time.Millisecond
 
-// awaitedPermits returns the permits of the request's group. It returns false if an engine that
-// the request may be sent to does not ask for less.
+// awaitedPermits returns the permits of the request's group. It returns false if neither a limit nor
+// a pause keeps the request from one of the engines.
 func (g *Gateway) awaitedPermits(t *task, now time.Time) (p permits, ok bool) {
 	engines := g.Tables().Engines
 	if engines == nil {
@@ -38,7 +39,7 @@
 		}
 		at, interval := g.Limits.NextPermit(name, now)
 		if paused := g.Engines.PausedUntil(name); paused.After(at) {
-			at, interval = paused, max(interval, pauseReturnInterval)
+			at, interval = paused, max(interval, pausedRetryInterval)
 		}
 		if !at.After(now) {
 			return permits{}, false
@@ -52,43 +53,43 @@
 	return p, ok
 }
 
-// refuseHeldBack returns the refusal of a request that no engine may get soon because of the
-// engines' request limits and pauses, and nil if one may get it within the time wait.
-func (g *Gateway) refuseHeldBack(t *task, wait time.Duration) *failure.Error {
+// refuseThrottled returns the refusal of a request that no engine may get within the time wait
+// because of the engines' request limits and pauses, and nil if one may.
+func (g *Gateway) refuseThrottled(t *task, wait time.Duration) *failure.Error {
 	now := time.Now()
 	p, ok := g.awaitedPermits(t, now)
 	if !ok || p.soonest.Sub(now) <= wait {
 		return nil
 	}
 	f := failure.New(failure.CodeNoCapacity, t.ran, "all engines have reached their request limits or asked for a pause")
-	return f.WithRetryAfter(g.returns.assign(t.group, p, now, g.random()))
+	return f.WithRetryAfter(g.retries.assign(t.group, p, now, g.random()))
 }
 
-// maxReturnDelay is the maximum Retry-After of a request refused because of request limits and
+// maxRetryDelay is the maximum Retry-After of a request refused because of request limits and
 // pauses.
-const maxReturnDelay = 5 * time.Second
+const maxRetryDelay = 5 * time.Second
 
-// returns spreads the times at which refused callers are told to come back over the permits to
+// retrySchedule spreads the times at which refused callers are told to come back over the permits to
 // send, in the order of the refusals. It is safe for concurrent use.
-type returns struct {
+type retrySchedule struct {
 	mu sync.Mutex
 	// next is when the first permit begins that no caller was told to come back for, by group.
 	next map[string]time.Time
 }
 
-func newReturns() *returns { return &returns{next: make(map[string]time.Time)} }
+func newRetrySchedule() *retrySchedule { return &retrySchedule{next: make(map[string]time.Time)} }
 
 // assign returns the time after which a caller should come back. Callers for whom there is no
-// permit within maxReturnDelay are spread over the second half of it by random, which is in [0, 1).
-func (r *returns) assign(group string, p permits, now time.Time, random float64) time.Duration {
+// permit within maxRetryDelay are spread over the second half of it by random, which is in [0, 1).
+func (r *retrySchedule) assign(group string, p permits, now time.Time, random float64) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	at := r.next[group]
 	if at.Before(p.soonest) {
 		at = p.soonest
 	}
-	if at.Sub(now) > maxReturnDelay {
-		return time.Duration((1 + random) / 2 * float64(maxReturnDelay))
+	if at.Sub(now) > maxRetryDelay {
+		return time.Duration((1 + random) / 2 * float64(maxRetryDelay))
 	}
 	r.next[group] = at.Add(time.Duration(float64(time.Second) / p.perSecond))
 	return at.Sub(now)
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -251,6 +251,11 @@
 	if s.listed[e.ID] == e {
 		s.excluded[key] = struct{}{}
 	}
+	s.drop(e)
+}
+
+// drop removes an engine from the view at once. The caller holds mu.
+func (s *Set) drop(e *Engine) {
 	delete(s.lapsed, e.ID)
 	edit := newViewEdit(s.view)
 	edit.remove(e)
@@ -267,11 +272,7 @@
 	}
 	s.leaving[key] = now
 	if pos, used := find(s.view.Engines, key); used {
-		e := s.view.Engines[pos]
-		delete(s.lapsed, e.ID)
-		edit := newViewEdit(s.view)
-		edit.remove(e)
-		s.commit(edit)
+		s.drop(s.view.Engines[pos])
 	}
 	return true
 }
