--- a/attempt/dialer.go
+++ b/attempt/dialer.go
@@ -23,9 +23,12 @@
 	ProbeCount             int
 }
 
+// DialFunc opens a connection to an address, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Dialer returns a dial function. Its connections fail instead of hanging if the other
 // host is unreachable or has lost their state.
-func (o DialOptions) Dialer() func(ctx context.Context, network, address string) (net.Conn, error) {
+func (o DialOptions) Dialer() DialFunc {
 	d := &net.Dialer{
 		Timeout: o.Connect,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -51,9 +54,9 @@
 // NewUnpooledTransport returns a transport that opens a connection for each request and
 // closes it afterwards. So an answer cannot belong to an earlier request, and a
 // connection cannot have gone silent before it is used.
-func NewUnpooledTransport(o DialOptions) *http.Transport {
+func NewUnpooledTransport(dial DialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:            o.Dialer(),
+		DialContext:            dial,
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/rs/zerolog"
 	"gopkg.in/tomb.v2"
 
+	"github.com/bronzeturn/bronzeturn/attempt"
 	"github.com/bronzeturn/bronzeturn/backoff"
 	"github.com/bronzeturn/bronzeturn/backpressure"
 	"github.com/bronzeturn/bronzeturn/balance"
@@ -120,6 +121,8 @@
 	Models gateway.ModelOptions
 	// LogWriter receives one line per call and must not block.
 	LogWriter io.Writer
+	// DialEngine opens connections to engines. Nil means TCP with the time-outs of engineDial.
+	DialEngine attempt.DialFunc
 }
 
 // Daemon is the process that runs on an entry host. All daemons have the same role.
@@ -167,6 +170,9 @@
 	d := &Daemon{Options: o, registry: prometheus.NewRegistry(), seed: process.Seed(), started: time.Now(), occupancyStore: occupancy.NewStore()}
 	backoff.SetPhase(time.Duration(rand.New(rand.NewPCG(d.seed, randTickPhase)).Int64N(int64(time.Second))))
 	d.Store = newCountedStore(o.Store, d.registry)
+	if d.DialEngine == nil {
+		d.DialEngine = engineDial.Dialer()
+	}
 	d.current.Store(&o.Settings)
 	d.log = logging.NewJSON(o.LogWriter, o.Settings.Name)
 	debug.SetGCPercent(heapGrowthFor(o.Settings.Cores, 0))
