relay: connect to engines through other daemons where the own path is broken

Cause: an entry daemon had one path to an engine, its own, and took each failure of that path for a failure of the engine. It tried up to six engines over equally broken paths, 350 ms each, and refused. Ruled out: requests held by hung connections (every refused request had made attempts), callers that find other daemons by the directory (they keep an answer for up to 15 s, and the rule counts first tries).

Change: the function that opens connections asks another daemon to connect if the direct path has failed or has not answered within 100 ms; the first path to connect wins. A path found broken is tried again every 250 ms beside the others and used as soon as it works. The other daemon forwards bytes over its own path only and never through a third one. Everything that is decided or counted for a request stays with the daemon that has the caller: budgets, permits, limits, pauses, exposure, quarantine, deadline, log. A connection that was never opened has not run; one that ends by a reset, or with the daemon between, ends with an error and not as a complete answer. A daemon connects its peers to registered engines only.

A refused connection counts as the end of an engine only if another engine accepts a connection over the same daemon's links: with all links reset, every engine seemed to have crashed, and the requests in progress were suspects of the quarantine.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -36,6 +36,7 @@
 	"github.com/bronzeturn/bronzeturn/occupancy"
 	"github.com/bronzeturn/bronzeturn/process"
 	"github.com/bronzeturn/bronzeturn/quarantine"
+	"github.com/bronzeturn/bronzeturn/relay"
 	"github.com/bronzeturn/bronzeturn/route"
 	"github.com/bronzeturn/bronzeturn/slowstart"
 )
@@ -147,7 +148,9 @@
 	// counts that this daemon keeps for the others.
 	shared         *sharedBalancer
 	occupancyStore *occupancy.Store
-	servers        *servers
+	// relay connects to engines.
+	relay   *relay.Relay
+	servers *servers
 
 	tables atomic.Pointer[gateway.Tables]
 	// compileMu serialises the compilation of the engines. The set of engines triggers a
@@ -191,6 +194,7 @@
 	d.shared = newSharedBalancer(d)
 	d.introductions = newIntroductions(d)
 	d.engines = inventory.New(o.Settings.LapseGrace, d.enginesChanged)
+	d.relay = newRelay(d)
 	d.copies = newCopies(d)
 	d.quarantine = newQuarantine(d)
 	d.gateway = newGateway(d)
@@ -245,6 +249,7 @@
 	randQuarantine
 	randTickPhase
 	randLimits
+	randRelay
 )
 
 // Run serves until ctx is done, then stops gracefully. It must be called at most once.
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -121,6 +121,7 @@
 	mux.Handle(bronzeturnv1connect.NewFollowServiceHandler(pullServer{f.daemon}, peer.HandlerOptions()...))
 	mux.Handle(bronzeturnv1connect.NewTallyServiceHandler(tallyServer{f.daemon}, peer.HandlerOptions()...))
 	mux.Handle(bronzeturnv1connect.NewOccupancyServiceHandler(occupancy.Server{Store: f.daemon.occupancyStore}, peer.HandlerOptions()...))
+	mux.Handle(bronzeturnv1connect.NewRelayServiceHandler(relayServer{f.daemon}, peer.HandlerOptions()...))
 	return mux
 }
 
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -11,7 +11,7 @@
 func newQuarantine(d *Daemon) *quarantine.Quarantine {
 	return quarantine.New(quarantine.Options{
 		Self:    d.Settings.Name,
-		Dial:    quarantine.DialWith(d.DialEngine),
+		Dial:    quarantine.DialWith(d.relay.Dial),
 		Publish: quarantine.PublishWith(d.Settings.Name, d.fleet.publish, d.log),
 		Store:   d.Store,
 		Rank:    func(h quarantine.Hash) int { return d.fleet.members.View().Rank(quarantine.RankKey(h)) },
--- /dev/null
+++ b/relay/server.go
@@ -0,0 +1,133 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/prometheus/client_golang/prometheus"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+)
+
+// serverStream is a call of RelayService.Connect.
+type serverStream = connect.BidiStream[bronzeturnv1.ConnectRequest, bronzeturnv1.ConnectResponse]
+
+// Server forwards connections of other daemons.
+type Server struct {
+	relay *Relay
+	// active is the number of connections that are forwarded now.
+	active  atomic.Int64
+	metrics *serverMetrics
+}
+
+// Connect implements bronzeturnv1connect.RelayServiceHandler.
+func (s *Server) Connect(ctx context.Context, stream *serverStream) error {
+	ctx, cancel := context.WithTimeout(ctx, maxLifetime)
+	defer cancel()
+	defer s.active.Add(-1)
+	busy := s.active.Add(1) > maxForwarded
+	request, err := stream.Receive()
+	if err != nil {
+		return err
+	}
+	conn, outcome := s.open(ctx, request, busy)
+	s.metrics.requests.WithLabelValues(outcomeNames[outcome]).Inc()
+	if conn != nil {
+		defer func() { _ = conn.Close() }() // Closing early ends the work of the backend server.
+	}
+	if err := stream.Send(&bronzeturnv1.ConnectResponse{Outcome: outcome}); err != nil || conn == nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	go func() {
+		forwardRequest(stream, conn)
+		cancel()
+	}()
+	return forwardAnswer(conn, stream)
+}
+
+// open opens the connection that another daemon has requested, over this daemon's own path.
+func (s *Server) open(ctx context.Context, r *bronzeturnv1.ConnectRequest, busy bool) (net.Conn, bronzeturnv1.ConnectOutcome) {
+	address := r.GetAddress()
+	switch {
+	case busy:
+		return nil, bronzeturnv1.ConnectOutcome_CONNECT_OUTCOME_BUSY
+	case !s.relay.Backends().known(address):
+		return nil, bronzeturnv1.ConnectOutcome_CONNECT_OUTCOME_UNKNOWN_ADDRESS
+	case s.relay.paths.failedRecently(address, time.Now()):
+		return nil, bronzeturnv1.ConnectOutcome_CONNECT_OUTCOME_UNREACHABLE
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.GetWithinMs())*time.Millisecond)
+	defer cancel()
+	conn, err := s.relay.Options.Dial(ctx, "tcp", address)
+	switch {
+	case err == nil:
+		s.relay.directWorks(address)
+		return conn, bronzeturnv1.ConnectOutcome_CONNECT_OUTCOME_CONNECTED
+	case errors.Is(err, syscall.ECONNREFUSED) && s.relay.linksWork(ctx, address):
+		return nil, bronzeturnv1.ConnectOutcome_CONNECT_OUTCOME_REFUSED
+	}
+	s.relay.paths.fails(address, false, time.Now())
+	return nil, bronzeturnv1.ConnectOutcome_CONNECT_OUTCOME_UNREACHABLE
+}
+
+// forwardRequest copies bytes to the backend server until the request stream ends.
+func forwardRequest(stream *serverStream, conn net.Conn) {
+	for {
+		m, err := stream.Receive()
+		if err != nil {
+			return
+		}
+		if _, err := conn.Write(m.GetData()); err != nil {
+			return // forwardAnswer reports the state of the connection.
+		}
+	}
+}
+
+// forwardAnswer copies bytes from the backend server until the connection ends.
+func forwardAnswer(conn net.Conn, stream *serverStream) error {
+	buffer := make([]byte, chunkBytes)
+	for {
+		n, err := conn.Read(buffer)
+		if n > 0 {
+			if err := stream.Send(&bronzeturnv1.ConnectResponse{Data: buffer[:n]}); err != nil {
+				return err
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return connect.NewError(connect.CodeAborted, err)
+		}
+	}
+}
+
+// outcomeNames are the values of the outcome label.
+var outcomeNames = map[bronzeturnv1.ConnectOutcome]string{
+	bronzeturnv1.ConnectOutcome_CONNECT_OUTCOME_CONNECTED:       "connected",
+	bronzeturnv1.ConnectOutcome_CONNECT_OUTCOME_REFUSED:         "refused",
+	bronzeturnv1.ConnectOutcome_CONNECT_OUTCOME_UNREACHABLE:     "unreachable",
+	bronzeturnv1.ConnectOutcome_CONNECT_OUTCOME_UNKNOWN_ADDRESS: "unknown_address",
+	bronzeturnv1.ConnectOutcome_CONNECT_OUTCOME_BUSY:            "busy",
+}
+
+// serverMetrics are the metrics of the connections forwarded for other daemons.
+type serverMetrics struct {
+	requests *prometheus.CounterVec
+}
+
+func newServerMetrics(registerer prometheus.Registerer) *serverMetrics {
+	m := &serverMetrics{requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "bronzeturn_relay_requests_total", Help: "Connections to backend servers that other daemons have requested, by outcome.",
+	}, []string{"outcome"})}
+	registerer.MustRegister(m.requests)
+	return m
+}
