Connect to engines and plain services of the chat edge through other daemons

The relay of the entry edge serves here as well. Daemons forward to all engines and plain services of the register, not only to those of their own subset.

--- a/compiler.go
+++ b/compiler.go
@@ -10,6 +10,7 @@
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/logging"
 	"github.com/bronzeturn/bronzeturn/membership"
+	"github.com/bronzeturn/bronzeturn/relay"
 	"github.com/bronzeturn/bronzeturn/router"
 	"github.com/bronzeturn/bronzeturn/selection"
 	"github.com/bronzeturn/bronzeturn/subset"
@@ -29,6 +30,8 @@
 	snapshot *config.Snapshot
 	live     []string
 	visible  []*bronzeturnv1.Engine
+	// backends are the engines and plain services in the snapshot's register.
+	backends *relay.Backends
 }
 
 func newCompiler(d *Daemon) *compiler {
@@ -51,6 +54,7 @@
 		return
 	}
 	c.snapshot = s
+	c.backends = backendsOf(s.Register())
 	c.compile()
 	c.log.Info().Uint64("generation", s.Generation()).Int("engines", len(c.visible)).Msg("configuration in force")
 }
--- a/daemon.go
+++ b/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/bronzeturn/bronzeturn/logging"
 	"github.com/bronzeturn/bronzeturn/orders"
 	"github.com/bronzeturn/bronzeturn/process"
+	"github.com/bronzeturn/bronzeturn/relay"
 	"github.com/bronzeturn/bronzeturn/router"
 	"github.com/bronzeturn/bronzeturn/security"
 )
@@ -39,6 +40,7 @@
 	decisions  *decisions
 	learning   *learning
 	quarantine *requestQuarantine
+	relay      *relay.Relay
 	compiler   *compiler
 	router     *router.Router
 	orders     *orders.Runner
@@ -80,6 +82,7 @@
 	}
 	d.learning = newLearning(d)
 	d.compiler = newCompiler(d)
+	d.relay = newRelay(d)
 	d.quarantine = newQuarantine(d)
 	d.router = newRouter(d)
 	if d.orders, err = newOrders(d); err != nil {
@@ -170,6 +173,7 @@
 	randCollect
 	randRouter
 	randQuarantine
+	randRelay
 )
 
 // Times of a shutdown.
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"sync"
 	"time"
@@ -39,6 +40,9 @@
 	// WithoutSeeds configures no seeds, so that the daemons discover each other
 	// through the store.
 	WithoutSeeds bool
+	// Dial returns the function with which a daemon opens connections to external systems. Nil
+	// means the daemon's default.
+	Dial func(number int) func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // StartFleet starts the daemons on the platform. It does not wait until they are
@@ -59,11 +63,11 @@
 	if err != nil {
 		return err
 	}
-	d, err := bronzeturn.New(s, bronzeturn.Options{
-		LogWriter:      o.Log,
-		Seed:           uint64(number) + 1,
-		ProgramVersion: bronzeturn.Version(),
-	})
+	options := bronzeturn.Options{LogWriter: o.Log, Seed: uint64(number) + 1, ProgramVersion: bronzeturn.Version()}
+	if o.Dial != nil {
+		options.Dial = o.Dial(number)
+	}
+	d, err := bronzeturn.New(s, options)
 	if err != nil {
 		return fmt.Errorf("%s: %w", DaemonName(number), err)
 	}
--- a/platform.go
+++ b/platform.go
@@ -42,8 +42,8 @@
 // own, so that closing the connections of an unresponsive one does not close those
 // of others.
 func newPlatform(d *Daemon) *platform {
-	transport := attempt.NewTransports(newTransport(d))
-	client := &http.Client{Transport: newTransport(d)}
+	transport := attempt.NewTransports(newTransport(d.dialBackend))
+	client := &http.Client{Transport: newTransport(d.options.Dial)}
 	p := &platform{
 		store:    httpstore.New(d.settings.GetStoreUrl(), client),
 		hosts:    hostlist.New(d.settings.GetHostListUrl(), client),
@@ -60,12 +60,12 @@
 	return p
 }
 
-// newTransport returns a transport for external systems. It ignores the proxy
-// settings of the environment.
-func newTransport(d *Daemon) *http.Transport {
+// newTransport returns a transport for external systems that opens connections
+// with dial. It ignores the proxy settings of the environment.
+func newTransport(dial attempt.DialFunc) *http.Transport {
 	return &http.Transport{
 		Proxy:               nil,
-		DialContext:         d.options.Dial,
+		DialContext:         dial,
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConns:        maxIdleTotal,
 		MaxIdleConnsPerHost: maxIdlePerHost,
--- a/quarantine.go
+++ b/quarantine.go
@@ -45,7 +45,7 @@
 	}
 	return &requestQuarantine{daemon: d, Quarantine: quarantine.New(quarantine.Options{
 		Self:    d.settings.GetName(),
-		Dial:    quarantine.DialWith(d.options.Dial),
+		Dial:    quarantine.DialWith(d.dialBackend),
 		Publish: quarantine.PublishWith(d.settings.GetName(), publish, log),
 		Store:   d.platform.store,
 		Rank:    func(h quarantine.Hash) int { return d.fleet.members.View().Rank(quarantine.RankKey(h)) },
--- a/servers.go
+++ b/servers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/admin"
+	"github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1/bronzeturnv1connect"
 	"github.com/bronzeturn/bronzeturn/gossip"
 	"github.com/bronzeturn/bronzeturn/logging"
 	"github.com/bronzeturn/bronzeturn/operator"
@@ -84,6 +85,7 @@
 	mux.Handle(d.fleet.ledger.Handler(peer.HandlerOptions()...))
 	mux.Handle(d.learning.exchange.Handler(peer.HandlerOptions()...))
 	mux.Handle(d.decisions.admission.Handler(peer.HandlerOptions()...))
+	mux.Handle(bronzeturnv1connect.NewRelayServiceHandler(d.relay.Server(), peer.HandlerOptions()...))
 	mux.Handle(s.Handler())
 	return mux
 }
