entry: connections to engines outlast a silence of a second and more

An engine may fall silent for a second or so and go on. Connections that wait for an answer ended earlier: the kernel counts the times of keep-alive probes in whole seconds, so that one second instead of the configured half passed between two of them, and once TCP_USER_TIMEOUT is set it decides when probes give up, whatever their number. With 1.5 s, a connection ended two seconds after the engine was last heard from, as soon as one probe was unanswered: a silence of one second sufficed if it began right before the probe, and a request that must not be repeated was lost.

Now the shortest silence that ends an idle connection is two seconds, and one to an engine that is gone ends after three at the latest. A socket whose peer does not acknowledge could not be made on loopback, so there is no test with real connections.

--- a/attempt/dialer.go
+++ b/attempt/dialer.go
@@ -18,11 +18,31 @@
 	// Unacked bounds how long sent data may stay unacknowledged (TCP_USER_TIMEOUT).
 	Unacked time.Duration
 	// ProbeAfter is the idle time after which TCP keep-alive probes start, ProbeEvery
-	// the time between probes. The connection ends after ProbeCount unanswered probes.
+	// the time between probes. Both are rounded up to whole seconds, the unit of the
+	// kernel's settings. The connection ends when Unacked has passed since the peer was
+	// last heard from and a probe is unanswered; ProbeCount applies if Unacked is zero.
 	ProbeAfter, ProbeEvery time.Duration
 	ProbeCount             int
 }
 
+// ToleratedSilence returns the shortest time for which a peer can be silent before its idle
+// connection ends, and the longest time after which the connection to a peer that stays silent
+// has ended.
+func (o DialOptions) ToleratedSilence() (shortest, longest time.Duration) {
+	after, every := wholeSeconds(o.ProbeAfter), wholeSeconds(o.ProbeEvery)
+	end := after + every
+	for end < o.Unacked {
+		end += every
+	}
+	// The silence may begin right before the first probe, after a time without data.
+	return end - after, end
+}
+
+// wholeSeconds rounds a duration up to seconds.
+func wholeSeconds(d time.Duration) time.Duration {
+	return (d + time.Second - 1).Truncate(time.Second)
+}
+
 // DialFunc opens a connection to an address, as net.Dialer.DialContext does.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -28,10 +28,11 @@
 
 // engineDial holds the time-outs of connections to engines. A host that is down does not answer
 // connection attempts. The kernel retransmits a lost packet of an attempt after one second, which
-// is later than Connect, so an attempt that loses a packet fails as well.
+// is later than Connect, so an attempt that loses a packet fails as well. A connection that waits
+// for an answer must outlast an engine that is silent for a second or somewhat more.
 var engineDial = attempt.DialOptions{
-	Connect: 350 * time.Millisecond, Unacked: 1500 * time.Millisecond,
-	ProbeAfter: time.Second, ProbeEvery: 500 * time.Millisecond, ProbeCount: 2,
+	Connect: 350 * time.Millisecond, Unacked: 2500 * time.Millisecond,
+	ProbeAfter: time.Second, ProbeEvery: time.Second, ProbeCount: 2,
 }
 
 // StoreDial holds the time-outs of connections to the store.
