Order the states of the store by era and revision

Cause: states were ordered by the store's revision alone. Ruled out: a store that rejects the lists (they succeed 30 times a second), changes that arrive late (they never arrive).

Change: a revision consists of the store's era and its counter (package revision), composed by the adapter from each answer. A watch answered in another era counts as one without history, a list that spans two eras is read again, a conditional write of an earlier era is a conflict. Daemons tell each other eras; one that knows none is answered for the current era, and its own answers are not taken once there is one.

Nothing that was confirmed is reverted by the older state: a configuration gives way only to one whose version is not lower; engines that leave or were removed stay out of use, those that the copy lacks in use, evacuations in force, until they are written again or for a bounded time. A daemon that starts asks a seed what is in force before it takes requests, 100 ms for each seed at most.

--- a/entry/copies.go
+++ b/entry/copies.go
@@ -10,6 +10,7 @@
 	"github.com/bronzeturn/bronzeturn/inventory"
 	"github.com/bronzeturn/bronzeturn/logging"
 	"github.com/bronzeturn/bronzeturn/quarantine"
+	"github.com/bronzeturn/bronzeturn/revision"
 	"github.com/bronzeturn/bronzeturn/route"
 )
 
@@ -102,16 +103,35 @@
 		table, err = route.Compile(config)
 	}
 	if err != nil {
-		d.log.Error().Err(err).Uint64("revision", config.Revision).Msg("configuration refused, the previous one stays in force")
+		d.log.Error().Err(err).Uint64("revision", revision.Counter(config.Revision)).Msg("configuration refused, the previous one stays in force")
 		return
 	}
-	old := d.tables.Load()
-	if old != nil && old.Routes != nil && old.Routes.Revision >= table.Revision {
-		return
+	d.putInForce(table, u)
+}
+
+// putInForce puts a configuration in force unless that would revert a newer one. Within an era of
+// the store its revisions tell which is newer. A restored store may have an older configuration
+// than the one in force, which the operators write again; their version numbers never decrease.
+func (d *Daemon) putInForce(table *route.Table, u follow.Update) {
+	if old := d.tables.Load(); old != nil && old.Routes != nil {
+		switch {
+		case old.Routes.Revision >= table.Revision:
+			return
+		case revision.Era(old.Routes.Revision) < revision.Era(table.Revision) && old.Routes.Version > table.Version:
+			d.log.Warn().Int64("version", table.Version).Int64("in_force", old.Routes.Version).Uint64("era", revision.Era(table.Revision)).
+				Msg("the restored store has an older configuration; the newer one stays in force")
+			return
+		}
 	}
+	d.install(table, u)
+}
+
+// install puts a configuration in force.
+func (d *Daemon) install(table *route.Table, u follow.Update) {
 	d.update(func(t *gateway.Tables) { t.Routes = table })
-	d.log.Info().Int64("version", table.Version).Uint64("revision", table.Revision).Int("routes", table.Routes()).
-		Bool("from_daemon", u.FromPeer).Msg("configuration in force")
+	d.log.Info().Int64("version", table.Version).Uint64("era", revision.Era(table.Revision)).Uint64("revision", revision.Counter(table.Revision)).
+		Int("routes", table.Routes()).Bool("from_daemon", u.FromPeer).Msg("configuration in force")
+	d.confirmed.configInForce(table.Version, u)
 }
 
 // failingFor returns how long the store has not answered for the kind that has been failing
@@ -127,7 +147,7 @@
 // registrationsChanged applies changes to the registrations of engines. Calls must not overlap.
 // An entry that cannot be decoded is logged and counts as removed; the others are applied.
 func (d *Daemon) registrationsChanged(u follow.Update) {
-	change := inventory.Change{Removed: u.Changes.Removed, Outage: u.AfterOutage}
+	change := inventory.Change{Removed: u.Changes.Removed, Outage: u.AfterOutage || u.Restored, Restored: u.Restored}
 	var registrations []inventory.Registration
 	for _, item := range u.Changes.Changed {
 		reg, err := d.Documents.Engine(item)
@@ -145,6 +165,9 @@
 		d.quarantine.Registered(e, now)
 	}
 	d.engines.Apply(change, now)
+	if u.Restored {
+		d.confirmed.shareLeaving()
+	}
 }
 
 // maxEngineLines is the maximum number of log lines for one change of the engines. Larger
@@ -259,6 +282,9 @@
 		d.introductions.recompileWaiting()
 		d.logSlowStarts("engine is warm", d.slowStarts.Expire(time.Now()))
 		d.limits.Retain(d.isUsed)
+		if d.evacuated.expire(time.Now()) {
+			d.recompileEngines()
+		}
 		d.reviewEngines()
 		interval = expirePollInterval
 		if !expiryPending && d.gateway.InProgress() == 0 && len(d.introductions.active()) == 0 {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -136,6 +136,7 @@
 
 	fleet         *fleet
 	copies        *copies
+	confirmed     *confirmed
 	introductions *introductions
 	balancer      *balance.State
 	engines       *inventory.Set
@@ -195,6 +196,7 @@
 	d.introductions = newIntroductions(d)
 	d.engines = inventory.New(o.Settings.LapseGrace, d.enginesChanged)
 	d.relay = newRelay(d)
+	d.confirmed = newConfirmed(d)
 	d.copies = newCopies(d)
 	d.quarantine = newQuarantine(d)
 	d.gateway = newGateway(d)
@@ -262,6 +264,7 @@
 	d.copies.start(d)
 	d.introductions.start(d)
 	d.servers.start(d)
+	d.goLoop("in force", d.confirmed.run)
 	d.goLoop("engines", d.expireEngines)
 	d.goLoop("heap", d.adjustHeapGrowth)
 	d.goLoop("quarantine", d.quarantine.Run)
--- a/entry/evacuations_test.go
+++ b/entry/evacuations_test.go
@@ -128,3 +128,26 @@
 	_, found := e.tables.Load().Engines.View.Engine("a-v1-0")
 	e.c.Check(found, qt.IsFalse)
 }
+
+// TestEvacuationSurvivesARestore guards against requests to an evacuated data centre because a
+// restored store lacks the evacuation, and against an evacuation that never ends.
+func TestEvacuationSurvivesARestore(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	var e evacuated
+	e.set([]string{"b"}, false, now)
+	e.set(nil, true, now.Add(time.Second))
+	c.Check(e.list(), qt.DeepEquals, []string{"b"})
+	e.set([]string{"c"}, false, now.Add(2*time.Second))
+	c.Check(e.list(), qt.DeepEquals, []string{"b", "c"})
+	e.set([]string{"b", "c"}, false, now.Add(3*time.Second))
+	c.Check(e.keptNames(), qt.HasLen, 0, qt.Commentf("it has been requested again"))
+	e.set([]string{"c"}, false, now.Add(4*time.Second))
+	c.Check(e.list(), qt.DeepEquals, []string{"c"})
+
+	e.Keep([]string{"a"}, now)
+	c.Check(e.list(), qt.DeepEquals, []string{"a", "c"})
+	c.Check(e.expire(now.Add(keptEvacuationTTL-time.Second)), qt.IsFalse)
+	c.Check(e.expire(now.Add(keptEvacuationTTL)), qt.IsTrue)
+	c.Check(e.list(), qt.DeepEquals, []string{"c"})
+}
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -21,12 +21,15 @@
 	"github.com/bronzeturn/bronzeturn/occupancy"
 	"github.com/bronzeturn/bronzeturn/peer"
 	"github.com/bronzeturn/bronzeturn/quarantine"
+	"github.com/bronzeturn/bronzeturn/revision"
 )
 
 // Key prefixes of entries in the gossip table.
 const (
 	// revisionPrefix is for the latest revision of each kind that any daemon has.
-	revisionPrefix = "news/"
+	revisionPrefix = "revisions/"
+	// counterPrefix is for its counter, for daemons of an earlier version that know no eras.
+	counterPrefix = "news/"
 	// readyPrefix is for the caller addresses of the daemons that accept requests.
 	readyPrefix = "ready/"
 )
@@ -83,6 +86,8 @@
 		Seeds: f.seeds, Dialer: &gossip.StreamDialer{Directory: f.directory},
 		Classes: []gossip.Class{
 			{Prefix: revisionPrefix, MaxEntries: maxRevisionEntries, MaxValueBytes: maxSmallValueBytes},
+			{Prefix: inForcePrefix, MaxEntries: maxRevisionEntries, MaxValueBytes: maxSmallValueBytes},
+			{Prefix: counterPrefix, MaxEntries: maxRevisionEntries, MaxValueBytes: maxSmallValueBytes},
 			{Prefix: readyPrefix, MaxEntries: maxDaemonEntries, MaxValueBytes: maxSmallValueBytes, RemovalTTL: removalTTL},
 			{Prefix: turnedAwayPrefix, MaxEntries: maxDaemonEntries, MaxValueBytes: maxSmallValueBytes, RemovalTTL: removalTTL},
 			quarantine.TableClass(),
@@ -135,6 +140,7 @@
 	f.members.Subscribe(func(*membership.View) { f.watchers.notifyChange() })
 	f.members.Table().Subscribe(quarantine.TablePrefix, d.quarantine.ReceiveEntry)
 	f.members.Table().Subscribe(limitPrefix, f.receiveLimit)
+	f.members.Table().Subscribe(inForcePrefix, d.confirmed.receiveInForce)
 	f.members.Table().Subscribe(refusalPrefix, f.receiveRefusal)
 	f.members.Table().Subscribe(leavingPrefix, f.receiveLeaving)
 	registrar := bootstrap.New(bootstrap.Options{
@@ -203,9 +209,10 @@
 }
 
 // announce publishes the latest revision of a kind that the store has returned.
-func (f *fleet) announce(kind string, revision uint64) {
-	if revision > 0 {
-		f.publish(revisionPrefix+kind, revision, []byte{1})
+func (f *fleet) announce(kind string, at uint64) {
+	if at > 0 {
+		f.publish(revisionPrefix+kind, at, []byte{1})
+		f.publish(counterPrefix+kind, revision.Counter(at), []byte{1})
 	}
 }
 
--- a/entry/pull.go
+++ b/entry/pull.go
@@ -15,6 +15,7 @@
 	"github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1/bronzeturnv1connect"
 	"github.com/bronzeturn/bronzeturn/membership"
 	"github.com/bronzeturn/bronzeturn/peer"
+	"github.com/bronzeturn/bronzeturn/revision"
 )
 
 // errNoPeer reports that there is no other daemon to pull from.
@@ -30,7 +31,7 @@
 		return nil, errNoPeer
 	}
 	return f.pullFrom(ctx, address, &bronzeturnv1.PullRequest{
-		Kind: kind, AfterRevision: after, WaitMs: uint32(wait.Milliseconds()), Parts: true, Names: true, Compressed: true,
+		Kind: kind, Eras: true, AfterEra: revision.Era(after), AfterRevision: revision.Counter(after), WaitMs: uint32(wait.Milliseconds()), Parts: true, Names: true, Compressed: true,
 	})
 }
 
@@ -52,6 +53,10 @@
 		return nil, fmt.Errorf("pull %s from %s: %w", r.GetKind(), address, err)
 	}
 	p := decodePullResponse(content)
+	if r.GetPart() == 0 && revision.Era(p.Changes.Revision) < r.GetAfterEra() {
+		f.avoid(address)
+		return nil, fmt.Errorf("pull %s from %s: %w", r.GetKind(), address, errOlderEra)
+	}
 	if p.Failing {
 		f.avoid(address)
 	}
@@ -65,23 +70,43 @@
 	return p, nil
 }
 
+// errOlderEra reports that the other daemon has not learned yet that the store has been restored.
+var errOlderEra = errors.New("the copy is of an earlier era of the store")
+
 // decodePullResponse converts a response. It leaves FetchNext unset.
 func decodePullResponse(m *bronzeturnv1.PullResponse) *follow.PullResponse {
 	p := &follow.PullResponse{
 		Full: m.GetFull(), Failing: m.GetFailing(), AfterOutage: m.GetAfterOutage(), NextPart: int(m.GetNextPart()),
 		Age: time.Duration(m.GetConfirmedMsAgo()) * time.Millisecond,
 	}
-	p.Changes.Revision, p.Changes.Removed = m.GetRevision(), m.GetRemoved()
+	p.Changes.Revision, p.Changes.Removed = revision.In(m.GetEra(), m.GetRevision()), m.GetRemoved()
 	if m.GetAllNamed() {
 		p.Names = append([]string{}, m.GetNames()...)
 	}
-	for _, item := range m.GetItems() {
-		p.Changes.Changed = append(p.Changes.Changed, follow.Item{
-			Name: item.GetName(), Revision: item.GetRevision(), Created: item.GetCreated(),
+	p.Changes.Changed = decodeItems(m.GetItems())
+	return p
+}
+
+// encodeItems converts objects for another daemon.
+func encodeItems(items []follow.Item) (encoded []*bronzeturnv1.FollowedItem) {
+	for _, item := range items {
+		encoded = append(encoded, &bronzeturnv1.FollowedItem{
+			Name: item.Name, Era: revision.Era(item.Revision), Revision: revision.Counter(item.Revision), Created: revision.Counter(item.Created),
+			Spec: item.Spec, Status: item.Status,
+		})
+	}
+	return encoded
+}
+
+// decodeItems converts objects of another daemon.
+func decodeItems(encoded []*bronzeturnv1.FollowedItem) (items []follow.Item) {
+	for _, item := range encoded {
+		items = append(items, follow.Item{
+			Name: item.GetName(), Revision: revision.In(item.GetEra(), item.GetRevision()), Created: revision.In(item.GetEra(), item.GetCreated()),
 			Spec: item.GetSpec(), Status: item.GetStatus(),
 		})
 	}
-	return p
+	return items
 }
 
 // pullSource returns the peer address of the daemon to pull from. To wait for changes, that is
@@ -213,15 +238,11 @@
 		return nil, connect.NewError(connect.CodeNotFound, errNoCopy)
 	}
 	answer := &bronzeturnv1.PullResponse{
-		Revision: p.Changes.Revision, Full: p.Full, Failing: p.Failing, AfterOutage: p.AfterOutage, Removed: p.Changes.Removed,
+		Era: revision.Era(p.Changes.Revision), Revision: revision.Counter(p.Changes.Revision), Full: p.Full, Failing: p.Failing, AfterOutage: p.AfterOutage, Removed: p.Changes.Removed,
 		ConfirmedMsAgo: uint32(min(p.Age.Milliseconds(), math.MaxUint32)), NextPart: uint32(p.NextPart),
 		Names: p.Names, AllNamed: p.Names != nil,
 	}
-	for _, item := range p.Changes.Changed {
-		answer.Items = append(answer.Items, &bronzeturnv1.FollowedItem{
-			Name: item.Name, Revision: item.Revision, Created: item.Created, Spec: item.Spec, Status: item.Status,
-		})
-	}
+	answer.Items = encodeItems(p.Changes.Changed)
 	if r.Msg.GetCompressed() {
 		var err error
 		if answer, err = compressPullResponse(answer); err != nil {
@@ -238,12 +259,23 @@
 		return follower.Part(int(r.GetPart()))
 	}
 	wait := min(time.Duration(r.GetWaitMs())*time.Millisecond, maxPullWait)
-	p := follower.AwaitChanges(ctx, r.GetAfterRevision(), wait)
+	after := afterRevision(follower, r)
+	p := follower.AwaitChanges(ctx, after, wait)
 	if p != nil && (p.NextPart > 0 && !r.GetParts() || p.Names != nil && !r.GetNames()) {
-		p = follower.ChangesSinceInOnePart(r.GetAfterRevision()) // The client does not support such a response.
+		p = follower.ChangesSinceInOnePart(after) // The client does not support such a response.
 	}
 	return p
 }
 
+// afterRevision returns the revision after which a request asks for changes. A client that knows no
+// eras has copies of the current one.
+func afterRevision(follower *follow.Follower, r *bronzeturnv1.PullRequest) uint64 {
+	era := r.GetAfterEra()
+	if s := follower.Snapshot(); !r.GetEras() && r.GetAfterRevision() > 0 && s != nil {
+		era = revision.Era(s.Revision)
+	}
+	return revision.In(era, r.GetAfterRevision())
+}
+
 // errNoCopy reports that this daemon has no copy of the kind.
 var errNoCopy = errors.New("no copy of this kind")
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -84,7 +84,7 @@
 // every kind of object.
 func (d *Daemon) readyTables() *gateway.Tables {
 	t := d.tables.Load()
-	if t == nil || t.Routes == nil || !d.copies.complete() {
+	if t == nil || t.Routes == nil || !d.copies.complete() || !d.confirmed.seedsAsked.Load() {
 		return nil
 	}
 	return t
--- a/follow/copy.go
+++ b/follow/copy.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/backoff"
+	"github.com/bronzeturn/bronzeturn/revision"
 )
 
 // ApplySnapshot applies a complete state read from the store unless it is older than the copy.
@@ -45,15 +46,22 @@
 // install stores a state as the copy and adds the step that led to it to the history. The
 // caller holds mu.
 func (f *Follower) install(next *Snapshot, diff Changes, s step, fromPeer, afterOutage bool) {
-	first := f.snapshot.Load() == nil
+	previous := f.snapshot.Load()
+	first := previous == nil
+	restored := !first && revision.Era(next.Revision) > revision.Era(previous.Revision)
 	f.snapshot.Store(next)
+	if restored {
+		f.Log.Warn().Str("kind", f.Kind).Uint64("era", revision.Era(next.Revision)).Uint64("revision", revision.Counter(next.Revision)).
+			Uint64("revision_before", revision.Counter(previous.Revision)).Int("changed", len(diff.Changed)).Int("removed", len(diff.Removed)).
+			Bool("from_daemon", fromPeer).Msg("the store has been restored from a copy")
+	}
 	empty := len(s.names) == 0
 	// The first list has no previous state. An empty net difference is recorded, since
 	// objects may have been created and removed within it.
 	if !first && (!empty || s.netOnly && s.from < next.Revision) {
 		f.history.add(s)
 	}
-	if empty && !first {
+	if empty && !first && !restored {
 		return
 	}
 	close(f.updated)
@@ -61,7 +69,7 @@
 	if !fromPeer {
 		f.Announce(next.Revision)
 	}
-	f.Apply(Update{Snapshot: next, Changes: diff, AfterOutage: afterOutage, FromPeer: fromPeer})
+	f.Apply(Update{Snapshot: next, Changes: diff, AfterOutage: afterOutage, FromPeer: fromPeer, Restored: restored})
 }
 
 // AwaitChanges returns the changes after a revision, for another daemon, as soon as there are
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -2,7 +2,8 @@
 //
 // A few daemons of the fleet, the watchers, watch the store. The others pull changes
 // from them along a tree, and read the store themselves when the watchers do not answer
-// or are rejected by the store. A copy never goes back to an older revision.
+// or are rejected by the store. A copy never goes back to an older revision. Revisions are those
+// of package revision, so the state of a restored store is newer than any before.
 package follow
 
 import (
@@ -200,6 +201,10 @@
 	AfterOutage bool
 	// FromPeer reports whether the state was received from another daemon.
 	FromPeer bool
+	// Restored reports whether the store has come back from a copy since the previous state.
+	// Objects may be missing or older than they were; what was confirmed before counts until
+	// they are written again.
+	Restored bool
 }
 
 // Options configures a Follower. All fields but Lead are required.
--- a/follow/listing.go
+++ b/follow/listing.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/backoff"
+	"github.com/bronzeturn/bronzeturn/revision"
 )
 
 // maxListAge is the age at which a failed list restarts from its first page instead of
@@ -71,6 +72,11 @@
 	}
 }
 
+// ofOtherEra reports whether a page was read in another era than the pages before.
+func (l *partialList) ofOtherEra(p *Page) bool {
+	return l.pages > 0 && revision.Era(p.Revision) != revision.Era(l.revision)
+}
+
 // addPage appends a page and reports whether there are more.
 func (l *partialList) addPage(p *Page) bool {
 	if l.pages == 0 || p.Revision < l.revision {
--- a/follow/object.go
+++ b/follow/object.go
@@ -4,6 +4,8 @@
 	"fmt"
 
 	"github.com/klauspost/compress/s2"
+
+	"github.com/bronzeturn/bronzeturn/revision"
 )
 
 // Size limits of a dictionary. The content of a single object serves as the dictionary, since
@@ -79,9 +81,10 @@
 // size returns the approximate encoded size of the object in bytes.
 func (o *object) size() int { return len(o.name) + int(o.contentBytes) }
 
-// equal reports whether two states of an object have the same revision, spec and status.
+// equal reports whether two states of an object have the same counter of the revision, spec and
+// status. The era may differ: a restored store has the objects of before with its new era.
 func (o *object) equal(other *object) bool {
-	if o.revision != other.revision || o.specBytes != other.specBytes || o.contentBytes != other.contentBytes {
+	if revision.Counter(o.revision) != revision.Counter(other.revision) || o.specBytes != other.specBytes || o.contentBytes != other.contentBytes {
 		return false
 	}
 	if o.dict == other.dict {
--- a/follow/read.go
+++ b/follow/read.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/backoff"
+	"github.com/bronzeturn/bronzeturn/revision"
 )
 
 // readOnce makes one list or one watch.
@@ -38,6 +39,10 @@
 			return err
 		}
 		f.listTimeout = min(max(listTimeoutMin, 2*time.Since(asked)), listTimeoutMax)
+		if f.partial.ofOtherEra(page) {
+			f.partial = partialList{began: asked} // The store has been restored in between.
+			continue
+		}
 		more = f.partial.addPage(page)
 		if first && more && f.partial.exceedsSlowLimit(time.Now()) && f.awaitPeerCopy(ctx) {
 			f.partial = partialList{}
@@ -46,7 +51,7 @@
 		}
 	}
 	next := f.partial.snapshot()
-	f.Log.Info().Str("kind", f.Kind).Stringer("cause", cause).Uint64("revision", next.Revision).Int("objects", next.Len()).
+	f.Log.Info().Str("kind", f.Kind).Stringer("cause", cause).Uint64("era", revision.Era(next.Revision)).Uint64("revision", revision.Counter(next.Revision)).Int("objects", next.Len()).
 		Int("pages", f.partial.pages).Dur("took_ms", time.Since(began)).Msg("objects listed")
 	f.partial = partialList{}
 	f.recordAnswer()
@@ -82,7 +87,7 @@
 		f.pauseForBatch(inner, len(changes.Changed)+len(changes.Removed), time.Since(began))
 		return nil
 	case errors.Is(err, ErrHistoryGone):
-		f.Log.Info().Str("kind", f.Kind).Uint64("revision", old.Revision).Msg("history gone, listing again")
+		f.Log.Info().Str("kind", f.Kind).Uint64("era", revision.Era(old.Revision)).Uint64("revision", revision.Counter(old.Revision)).Msg("history gone, listing again")
 		f.relist.set(CauseHistoryGone)
 		f.OnWatchFailure()
 		// Avoid a busy loop if the store keeps giving this response.
--- a/follow/snapshot.go
+++ b/follow/snapshot.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"iter"
 	"slices"
+
+	"github.com/bronzeturn/bronzeturn/revision"
 )
 
 // Item is one object.
@@ -23,9 +25,10 @@
 // content returns the spec followed by the status.
 func (i *Item) content() []byte { return slices.Concat(i.Spec, i.Status) }
 
-// equal reports whether two states of an object have the same revision, spec and status.
+// equal reports whether two states of an object have the same counter of the revision, spec and
+// status. The era may differ: a restored store has the objects of before with its new era.
 func (i Item) equal(o Item) bool {
-	return i.Revision == o.Revision && bytes.Equal(i.Spec, o.Spec) && bytes.Equal(i.Status, o.Status)
+	return revision.Counter(i.Revision) == revision.Counter(o.Revision) && bytes.Equal(i.Spec, o.Spec) && bytes.Equal(i.Status, o.Status)
 }
 
 // Snapshot is an immutable state of all objects of a kind. Successive snapshots share
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -9,6 +9,7 @@
 
 	"github.com/bronzeturn/bronzeturn/quarantine"
 	"github.com/bronzeturn/bronzeturn/retry"
+	"github.com/bronzeturn/bronzeturn/revision"
 )
 
 // metrics holds the counters and latency histograms of requests.
@@ -68,7 +69,7 @@
 // the tables that it was handled by.
 func (q *request) describe(line *zerolog.Event) *zerolog.Event {
 	if q.tables != nil && q.tables.Routes != nil {
-		line = line.Int64("config", q.tables.Routes.Version).Uint64("config_revision", q.tables.Routes.Revision)
+		line = line.Int64("config", q.tables.Routes.Version).Uint64("config_revision", revision.Counter(q.tables.Routes.Revision))
 	}
 	if q.tables != nil && q.tables.Engines != nil {
 		line = line.Uint64("engines_view", q.tables.Engines.View.Generation).Dur("tables_age_ms", q.received.Sub(q.tables.Changed))
--- a/gen/bronzeturn/v1/bronzeturnv1connect/follow.connect.go
+++ b/gen/bronzeturn/v1/bronzeturnv1connect/follow.connect.go
@@ -35,12 +35,17 @@
 const (
 	// FollowServicePullProcedure is the fully-qualified name of the FollowService's Pull RPC.
 	FollowServicePullProcedure = "/bronzeturn.v1.FollowService/Pull"
+	// FollowServiceInForceProcedure is the fully-qualified name of the FollowService's InForce RPC.
+	FollowServiceInForceProcedure = "/bronzeturn.v1.FollowService/InForce"
 )
 
 // FollowServiceClient is a client for the bronzeturn.v1.FollowService service.
 type FollowServiceClient interface {
 	// Pull returns the changes to the copy of one kind of objects since the client's revision.
 	Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullResponse], error)
+	// InForce returns what is in force on the daemon although the store may lack it, because it has
+	// come back from a copy.
+	InForce(context.Context, *connect.Request[v1.InForceRequest]) (*connect.Response[v1.InForceResponse], error)
 }
 
 // NewFollowServiceClient constructs a client for the bronzeturn.v1.FollowService service. By
@@ -60,12 +65,19 @@
 			connect.WithSchema(followServiceMethods.ByName("Pull")),
 			connect.WithClientOptions(opts...),
 		),
+		inForce: connect.NewClient[v1.InForceRequest, v1.InForceResponse](
+			httpClient,
+			baseURL+FollowServiceInForceProcedure,
+			connect.WithSchema(followServiceMethods.ByName("InForce")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // followServiceClient implements FollowServiceClient.
 type followServiceClient struct {
-	pull *connect.Client[v1.PullRequest, v1.PullResponse]
+	pull    *connect.Client[v1.PullRequest, v1.PullResponse]
+	inForce *connect.Client[v1.InForceRequest, v1.InForceResponse]
 }
 
 // Pull calls bronzeturn.v1.FollowService.Pull.
@@ -73,10 +85,18 @@
 	return c.pull.CallUnary(ctx, req)
 }
 
+// InForce calls bronzeturn.v1.FollowService.InForce.
+func (c *followServiceClient) InForce(ctx context.Context, req *connect.Request[v1.InForceRequest]) (*connect.Response[v1.InForceResponse], error) {
+	return c.inForce.CallUnary(ctx, req)
+}
+
 // FollowServiceHandler is an implementation of the bronzeturn.v1.FollowService service.
 type FollowServiceHandler interface {
 	// Pull returns the changes to the copy of one kind of objects since the client's revision.
 	Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullResponse], error)
+	// InForce returns what is in force on the daemon although the store may lack it, because it has
+	// come back from a copy.
+	InForce(context.Context, *connect.Request[v1.InForceRequest]) (*connect.Response[v1.InForceResponse], error)
 }
 
 // NewFollowServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -92,10 +112,18 @@
 		connect.WithSchema(followServiceMethods.ByName("Pull")),
 		connect.WithHandlerOptions(opts...),
 	)
+	followServiceInForceHandler := connect.NewUnaryHandler(
+		FollowServiceInForceProcedure,
+		svc.InForce,
+		connect.WithSchema(followServiceMethods.ByName("InForce")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/bronzeturn.v1.FollowService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FollowServicePullProcedure:
 			followServicePullHandler.ServeHTTP(w, r)
+		case FollowServiceInForceProcedure:
+			followServiceInForceHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -108,3 +136,7 @@
 func (UnimplementedFollowServiceHandler) Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bronzeturn.v1.FollowService.Pull is not implemented"))
 }
+
+func (UnimplementedFollowServiceHandler) InForce(context.Context, *connect.Request[v1.InForceRequest]) (*connect.Response[v1.InForceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bronzeturn.v1.FollowService.InForce is not implemented"))
+}
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -95,8 +95,18 @@
 	// Outage reports whether the store has just recovered from an outage. Removed engines
 	// then stay in use until the grace period ends.
 	Outage bool
+	// Restored reports whether the store has come back from a copy since the last change.
+	// Engines that left or were removed before, and that the copy still has, stay out of use
+	// until they register again or restoredGrace has passed. Removed must be set to the engines
+	// that the copy lacks, Outage to true.
+	Restored bool
 }
 
+// restoredGrace is how long the registration of an engine that had been removed before the store
+// was restored is ignored, unless it changes. The store removes registrations that are not
+// renewed for some seconds.
+const restoredGrace = 10 * time.Second
+
 // Set follows the registrations. The cost of a change is proportional to its size, except
 // for copying the view's slice of pointers. It is safe for concurrent use.
 type Set struct {
@@ -109,6 +119,10 @@
 	// leaving maps the keys of engines that have stated in answers that they leave to the time
 	// of the first such answer.
 	leaving map[string]time.Time
+	// gone maps the keys of the engines whose registrations were removed to the time of the
+	// removal. doubted maps the keys of those that a restored store has nevertheless to the
+	// time until which they are ignored.
+	gone, doubted map[string]time.Time
 	// interned are the names of services, data centres and versions, shared by all engines.
 	interned map[string]string
 	grace    time.Duration
@@ -124,6 +138,7 @@
 func New(grace time.Duration, changed func(old, now *View)) *Set {
 	return &Set{
 		listed: make(map[string]*Engine), lapsed: make(map[string]lapsedEngine), excluded: make(map[string]struct{}), leaving: make(map[string]time.Time),
+		gone: make(map[string]time.Time), doubted: make(map[string]time.Time),
 		interned: make(map[string]string), grace: grace, view: &View{}, changed: changed,
 	}
 }
@@ -145,10 +160,74 @@
 	}
 	for _, e := range c.Registered {
 		s.register(e, edit)
+		if e.Draining {
+			s.recordLeaving(e.Key(), now)
+		}
+	}
+	if c.Restored {
+		s.doubtGone(now, edit)
+	} else {
+		for _, e := range c.Registered {
+			delete(s.gone, e.Key())
+		}
+	}
+	s.commit(edit)
+}
+
+// recordLeaving records that an engine leaves. The caller holds mu.
+func (s *Set) recordLeaving(key string, now time.Time) {
+	if _, known := s.leaving[key]; !known {
+		s.leaving[key] = now
+	}
+}
+
+// doubtGone takes the engines out of use that a restored store has although they had been removed.
+// The caller holds mu.
+func (s *Set) doubtGone(now time.Time, edit *viewEdit) {
+	for _, e := range s.listed {
+		if _, gone := s.gone[e.key]; gone {
+			s.doubted[e.key] = now.Add(restoredGrace)
+			edit.remove(e)
+		}
+	}
+}
+
+// Doubt takes the engines with the keys out of use until they register again or restoredGrace has
+// passed, because another daemon knows that they had been removed before the store was restored.
+func (s *Set) Doubt(keys []string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	edit := newViewEdit(s.view)
+	for _, key := range keys {
+		s.doubted[key] = now.Add(restoredGrace)
+		if pos, used := find(s.view.Engines, key); used {
+			edit.remove(s.view.Engines[pos])
+		}
 	}
 	s.commit(edit)
 }
 
+// Doubted returns the keys of the engines that are ignored, because they had been removed before
+// the store was restored.
+func (s *Set) Doubted() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.doubted))
+}
+
+// RegisteredLeaving returns the keys of the engines that leave although their registrations do not
+// say so.
+func (s *Set) RegisteredLeaving() (keys []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.listed {
+		if _, leaves := s.leaving[e.key]; leaves && !e.Draining {
+			keys = append(keys, e.key)
+		}
+	}
+	return keys
+}
+
 // register adds or updates an engine. The caller holds mu.
 func (s *Set) register(e Engine, edit *viewEdit) {
 	e.key = e.Key()
@@ -160,6 +239,7 @@
 		delete(s.lapsed, e.ID)
 		edit.remove(l.engine)
 	}
+	delete(s.doubted, e.key)
 	if previous != nil && *previous == e {
 		if _, excluded := s.excluded[e.key]; !excluded && !s.leaves(&e) {
 			edit.put(previous)
@@ -210,6 +290,10 @@
 	_, excluded := s.excluded[e.key]
 	delete(s.listed, id)
 	delete(s.excluded, e.key)
+	delete(s.doubted, e.key)
+	if !outage {
+		s.gone[e.key] = now
+	}
 	if outage && !excluded && !s.leaves(e) {
 		s.lapsed[id] = lapsedEngine{engine: e, until: now.Add(s.grace)}
 		return
@@ -225,6 +309,7 @@
 	s.forgetLeft(now)
 	var next time.Time
 	edit := newViewEdit(s.view)
+	s.endDoubts(now, edit)
 	for id, l := range s.lapsed {
 		switch {
 		case !now.Before(l.until):
@@ -238,6 +323,21 @@
 	return next
 }
 
+// endDoubts puts the engines back into use whose registrations a restored store still has after
+// restoredGrace. The caller holds mu.
+func (s *Set) endDoubts(now time.Time, edit *viewEdit) {
+	for key, until := range s.doubted {
+		if now.Before(until) {
+			continue
+		}
+		delete(s.doubted, key)
+		id, _, _ := strings.Cut(key, keySeparator)
+		if e := s.listed[id]; e != nil && e.key == key && !s.leaves(e) {
+			edit.put(e)
+		}
+	}
+}
+
 // Exclude removes the engine with the key from the view at once, because another engine
 // answered at its address. Its registration is ignored until it changes.
 func (s *Set) Exclude(key string) {
@@ -289,8 +389,13 @@
 		listed := e != nil && e.key == key
 		return !listed && now.Sub(since) >= keepLeaving
 	})
+	maps.DeleteFunc(s.gone, func(_ string, at time.Time) bool { return now.Sub(at) >= keepGone })
 }
 
+// keepGone is how long an engine whose registration was removed is remembered. It exceeds the age
+// of the copy from which a store may come back.
+const keepGone = time.Minute
+
 // commit replaces the view with the edited one and calls changed if they differ. The
 // caller holds mu.
 func (s *Set) commit(edit *viewEdit) {
