Write again what the system itself had stored when the store was restored

A store that comes back from a copy has lost what the daemons wrote, too: verdicts on introductions, records of the quarantine, the registrations by which daemons find each other.

- An order that the copy still shows as running, or that the operators have written again under another ID, is the one that the fleet knows; its final state is written again by the daemons in their order of rank.
A version that was rolled back got a second trial before.
- Records of the quarantine that the copy lacks stay in force and are written again with the retries that were left.
- Daemons that had registered register again.

entry.TestVerdictSurvivesARestore, quarantine.TestQuarantineSurvivesARestore and bootstrap.TestDaemonsRegisterAgainAfterARestore; they use what the change adds, so there is no run of them on the code before.

--- a/bootstrap/bootstrap.go
+++ b/bootstrap/bootstrap.go
@@ -76,10 +76,36 @@
 // Registrar registers this daemon and finds other daemons.
 type Registrar struct {
 	Options
+	restored chan struct{}
+	// listed is set once this daemon has written itself into the list. It is used by Run only.
+	listed bool
 }
 
 // New returns a Registrar.
-func New(o Options) *Registrar { return &Registrar{Options: o} }
+func New(o Options) *Registrar { return &Registrar{Options: o, restored: make(chan struct{}, 1)} }
+
+// StoreRestored makes this daemon register again if it has registered before, because the store has
+// come back from a copy and may have lost the registration.
+func (r *Registrar) StoreRestored() {
+	select {
+	case r.restored <- struct{}{}:
+	default:
+	}
+}
+
+// pause sleeps, and reports whether the store has been restored meanwhile.
+func (r *Registrar) pause(ctx context.Context, d time.Duration) (restored bool, err error) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false, context.Cause(ctx)
+	case <-r.restored:
+		return true, nil
+	case <-timer.C:
+		return false, nil
+	}
+}
 
 // Run registers this daemon and reviews the object periodically until ctx ends. It retries
 // failed reviews with full jitter.
@@ -99,9 +125,13 @@
 			r.Log.Debug().Err(err).Msg("review of seeds failed")
 			pause = pauses.Next()
 		}
-		if backoff.Sleep(ctx, pause) != nil {
+		restored, ended := r.pause(ctx, pause)
+		if ended != nil {
 			return nil
 		}
+		if restored && r.listed {
+			registered = false
+		}
 	}
 }
 
@@ -197,6 +227,7 @@
 	if err != nil {
 		return fmt.Errorf("write seeds: %w", err)
 	}
+	r.listed = true
 	r.Log.Info().Int("listed", len(seeds.GetSeeds())).Msg("registered as seed")
 	return nil
 }
--- a/bootstrap/bootstrap_test.go
+++ b/bootstrap/bootstrap_test.go
@@ -23,6 +23,7 @@
 	mu    sync.Mutex
 	found map[string]bool
 	stop  context.CancelFunc
+	*Registrar
 }
 
 // start runs a registrar whose IsLive function is live.
@@ -43,7 +44,7 @@
 		Log:    zerolog.Nop(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	d.stop = cancel
+	d.stop, d.Registrar = cancel, r
 	go func() { _ = r.Run(ctx) }()
 	return d
 }
@@ -226,3 +227,28 @@
 		}
 	})
 }
+
+// TestDaemonsRegisterAgainAfterARestore guards against daemons that start and find nobody, because
+// a restored store has lost the registrations.
+func TestDaemonsRegisterAgainAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := memstore.New()
+		live := func(string) bool { return true }
+		daemons := []*daemon{start(store, 1, live), start(store, 2, live)}
+		time.Sleep(time.Minute)
+		object, err := store.Get(t.Context(), Key)
+		c.Assert(err, qt.IsNil)
+		c.Assert(store.Delete(t.Context(), Key, object.Revision), qt.IsNil)
+		for _, d := range daemons {
+			d.StoreRestored()
+		}
+		time.Sleep(time.Minute)
+		added := start(store, 3, live)
+		time.Sleep(time.Minute)
+		c.Check(added.has("entry-1:1") && added.has("entry-2:1"), qt.IsTrue)
+		for _, d := range append(daemons, added) {
+			d.stop()
+		}
+	})
+}
--- a/entry/copies.go
+++ b/entry/copies.go
@@ -38,7 +38,12 @@
 // lead goes on asking the store. A nil lead means that the follower asks for itself.
 func (d *Daemon) follower(kind string, lead *follow.Follower, random uint64, apply func(follow.Update)) *follow.Follower {
 	return follow.New(follow.Options{
-		Kind: kind, Source: d.Store, Peers: d.fleet, Apply: apply, Lead: lead,
+		Kind: kind, Source: d.Store, Peers: d.fleet, Apply: func(u follow.Update) {
+			apply(u)
+			if u.Restored {
+				d.fleet.registrar.StoreRestored()
+			}
+		}, Lead: lead,
 		Announce:       func(revision uint64) { d.fleet.announce(kind, revision) },
 		OnWatchFailure: func() { d.copies.relistOthers(kind) },
 		Random:         d.rand(random), Log: d.logger("follow"),
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -9,8 +10,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bronzeturn/bronzeturn/canary"
+	"github.com/bronzeturn/bronzeturn/follow"
 	"github.com/bronzeturn/bronzeturn/gateway"
 	"github.com/bronzeturn/bronzeturn/inventory"
+	"github.com/bronzeturn/bronzeturn/revision"
 )
 
 // newTestIntroductions returns the introductions of a daemon that knows the given engines.
@@ -89,6 +92,33 @@
 	}
 }
 
+// TestVerdictSurvivesARestore guards against a second trial of a version that was rolled back,
+// because a restored store lacks the verdict or the order, and against never writing it again.
+func TestVerdictSurvivesARestore(t *testing.T) {
+	c := qt.New(t)
+	old, fresh := engineOf("a", "v1"), engineOf("b", "v2")
+	i := newTestIntroductions(old, fresh)
+	i.applyOrder(order, canary.Running, revision.In(1, 8))
+	i.applyOrder(order, canary.RolledBack, revision.In(1, 9))
+	c.Check(i.active(), qt.HasLen, 0)
+	checkRolledBack := func(when string) {
+		c.Check(i.assign(fresh), qt.HasLen, 0, qt.Commentf(when))
+		c.Check(i.assign(old), qt.DeepEquals, []string{gateway.Group("s", false)}, qt.Commentf(when))
+		c.Check(i.active(), qt.HasLen, 1, qt.Commentf("the verdict is to be written, %s", when))
+	}
+	i.applyOrder(order, canary.Running, revision.In(2, 8))
+	checkRolledBack("with the older state")
+	i.dropCancelled(follow.NewSnapshot(revision.In(3, 8), slices.Values([]follow.Item{})))
+	again := order
+	again.ID = 12
+	i.applyOrder(again, canary.Pending, revision.In(3, 12))
+	checkRolledBack("with the order written again")
+	i.applyOrder(again, canary.RolledBack, revision.In(3, 13))
+	c.Check(i.active(), qt.HasLen, 0)
+	i.dropCancelled(follow.NewSnapshot(revision.In(3, 14), slices.Values([]follow.Item{})))
+	c.Check(i.get("s"), qt.IsNil, qt.Commentf("the order was deleted"))
+}
+
 func TestNewVersionBeginsOnOneEngine(t *testing.T) {
 	c := qt.New(t)
 	var engines []inventory.Engine
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -64,6 +64,8 @@
 	readyVersion uint64
 	// watchers determines which daemons watch the store.
 	watchers *watchers
+	// registrar registers this daemon in the store. It is set by start.
+	registrar *bootstrap.Registrar
 	// lastTree caches this daemon's place in the tree.
 	lastTree atomic.Pointer[treePlace]
 }
@@ -143,7 +145,7 @@
 	f.members.Table().Subscribe(inForcePrefix, d.confirmed.receiveInForce)
 	f.members.Table().Subscribe(refusalPrefix, f.receiveRefusal)
 	f.members.Table().Subscribe(leavingPrefix, f.receiveLeaving)
-	registrar := bootstrap.New(bootstrap.Options{
+	f.registrar = bootstrap.New(bootstrap.Options{
 		Store: d.Store, Self: &bronzeturnv1.Seed{Name: d.Settings.Name, PeerAddress: d.Settings.PeerListen},
 		OnAddresses: f.addFoundSeeds,
 		IsLive: func(name string) bool {
@@ -153,7 +155,7 @@
 		SkipRegistration: f.othersRegister, HasJoined: func() bool { return f.members.View().Live() > 1 },
 		Random: d.rand(randBootstrap), Log: logging.Part(d.log, "bootstrap"),
 	})
-	d.goLoop("bootstrap", registrar.Run)
+	d.goLoop("bootstrap", f.registrar.Run)
 	d.goLoop("readiness", f.publishWhenReady)
 	d.goLoop("watchers", f.watchers.run)
 }
--- a/entry/introductions.go
+++ b/entry/introductions.go
@@ -10,6 +10,7 @@
 	"github.com/bronzeturn/bronzeturn/gateway"
 	"github.com/bronzeturn/bronzeturn/inventory"
 	"github.com/bronzeturn/bronzeturn/rendezvous"
+	"github.com/bronzeturn/bronzeturn/revision"
 	"github.com/bronzeturn/bronzeturn/tally"
 )
 
@@ -45,7 +46,11 @@
 // introduction is the state of one order on this daemon.
 type introduction struct {
 	*canary.Introduction
+	// id is the ID of the order in the store, revision that of the order's last change there,
+	// and stored its state there.
+	id       uint64
 	revision uint64
+	stored   canary.State
 	driver   canary.Driver
 	// verdictPublished is set once the verdict against the version has been published. Only
 	// the goroutine of run uses it.
@@ -90,15 +95,16 @@
 }
 
 // applyOrder applies one order and its state.
-func (i *introductions) applyOrder(order canary.Order, state canary.State, revision uint64) {
+func (i *introductions) applyOrder(order canary.Order, state canary.State, at uint64) {
 	view := i.daemon.engines.View() // Lock order: the inventory's lock before mu.
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := time.Now()
 	intro := i.byService[order.Service]
-	if intro == nil || intro.Order().ID != order.ID || intro.Order().Target != order.Target {
+	if intro == nil || !intro.continues(order, at) {
 		i.retire(intro, order)
 		intro = &introduction{
+			id:           order.ID,
 			Introduction: canary.New(i.daemon.Settings.Introductions, order, state, now),
 			engines:      1,
 		}
@@ -118,9 +124,19 @@
 			intro.ended = now
 		}
 		i.daemon.log.Info().Str("service", order.Service).Str("target", order.Target).
-			Stringer("before", before).Stringer("state", intro.State()).Uint64("revision", revision).Msg("introduction changed its state")
+			Stringer("before", before).Stringer("state", intro.State()).Uint64("revision", revision.Counter(at)).Msg("introduction changed its state")
 	}
-	intro.revision = revision
+	intro.id, intro.revision, intro.stored = order.ID, at, state
+}
+
+// continues reports whether an order in the store is the one that the introduction belongs to. An
+// order that the operators have written again, because the store was restored from a copy that
+// lacked it, has another ID.
+func (intro *introduction) continues(order canary.Order, at uint64) bool {
+	if intro.Order().Target != order.Target {
+		return false
+	}
+	return intro.id == order.ID || revision.Era(at) > revision.Era(intro.revision)
 }
 
 // retire records the versions that the previous order has ended, when the next order arrives.
@@ -141,12 +157,14 @@
 	delete(retired, next.Target)
 }
 
-// dropCancelled removes the introductions whose orders were deleted from the store.
+// dropCancelled removes the introductions whose orders were deleted from the store. Orders that a
+// restored store lacks are written again.
 func (i *introductions) dropCancelled(s *follow.Snapshot) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	for service := range i.byService {
-		if _, ok := s.Item(service); !ok {
+	for service, intro := range i.byService {
+		lost := revision.Era(intro.revision) < revision.Era(s.Revision)
+		if _, ok := s.Item(service); !ok && !lost {
 			delete(i.byService, service)
 		}
 	}
--- a/entry/review.go
+++ b/entry/review.go
@@ -6,6 +6,7 @@
 
 	"github.com/bronzeturn/bronzeturn/backoff"
 	"github.com/bronzeturn/bronzeturn/canary"
+	"github.com/bronzeturn/bronzeturn/revision"
 )
 
 const (
@@ -34,6 +35,10 @@
 		}
 		pause := reviewInterval
 		for service, intro := range active {
+			if intro.State() >= canary.Done {
+				i.writeAgain(ctx, service, intro)
+				continue
+			}
 			i.review(ctx, service, intro)
 			pause = min(pause, intro.NextReview(time.Now(), reviewInterval))
 		}
@@ -46,13 +51,14 @@
 	return nil
 }
 
-// active returns the introductions that are not in a final state, by service.
+// active returns the introductions that are not in a final state, and those whose final state a
+// restored store has lost, by service.
 func (i *introductions) active() map[string]*introduction {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	found := make(map[string]*introduction)
 	for service, intro := range i.byService {
-		if intro.State() < canary.Done {
+		if intro.State() < canary.Done || intro.stored != intro.State() {
 			found[service] = intro
 		}
 	}
@@ -78,6 +84,17 @@
 	}
 }
 
+// writeAgain writes the final state of an introduction that a restored store has lost, when it is
+// this daemon's turn.
+func (i *introductions) writeAgain(ctx context.Context, service string, intro *introduction) {
+	i.mu.Lock()
+	stored := intro.stored
+	i.mu.Unlock()
+	if due, _ := intro.driver.Due(stored, intro.State(), i.writeRank(service), time.Now()); due {
+		i.write(ctx, service, intro, intro.State())
+	}
+}
+
 // updateEngineCount adjusts the number of engines on which the new version runs to its share.
 func (i *introductions) updateEngineCount(service string, intro *introduction, now time.Time) {
 	wanted := i.wantedEngines(intro, now)
@@ -100,7 +117,7 @@
 // write writes the state of an introduction to the store.
 func (i *introductions) write(ctx context.Context, service string, intro *introduction, state canary.State) {
 	i.mu.Lock()
-	revision := intro.revision
+	at := intro.revision
 	i.mu.Unlock()
 	d := i.daemon
 	status, err := d.Documents.OrderStatus(intro.Order().Target, state)
@@ -110,10 +127,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	err = d.Store.SetStatus(ctx, d.Documents.OrderKind(), service, revision, status)
+	err = d.Store.SetStatus(ctx, d.Documents.OrderKind(), service, at, status)
 	line := d.log.Info()
 	if err != nil {
 		line = d.log.Warn().Err(err)
 	}
-	line.Str("service", service).Stringer("state", state).Uint64("revision", revision).Msg("state of an introduction written")
+	line.Str("service", service).Stringer("state", state).Uint64("revision", revision.Counter(at)).Msg("state of an introduction written")
 }
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -22,6 +22,7 @@
 	"github.com/bronzeturn/bronzeturn/objectstore"
 	"github.com/bronzeturn/bronzeturn/objectstore/memstore"
 	"github.com/bronzeturn/bronzeturn/rendezvous"
+	"github.com/bronzeturn/bronzeturn/revision"
 )
 
 // testFleet is a set of daemons' quarantines with a store, on virtual time.
@@ -34,6 +35,8 @@
 
 	// newest is the store's newest revision.
 	newest atomic.Uint64
+	// era is the store's era.
+	era atomic.Uint64
 
 	mu sync.Mutex
 	// unavailable makes the store refuse calls, silent makes it not answer them.
@@ -152,12 +155,12 @@
 func (d *testDaemon) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		// Writes during the listing count as newer than the list.
-		newest := d.fleet.newest.Load()
-		objects, err := d.fleet.store.List(ctx, Kind+"/", "", 1000)
+		newest := d.fleet.inEra(d.fleet.newest.Load())
+		objects, err := d.fleet.currentStore().List(ctx, Kind+"/", "", 1000)
 		if err == nil && !d.fleet.isUnavailable() {
 			var records []Record
 			for _, o := range objects {
-				r, err := DecodeRecord(o.Key[len(Kind)+1:], o.Revision, o.Value)
+				r, err := DecodeRecord(o.Key[len(Kind)+1:], d.fleet.inEra(o.Revision), o.Value)
 				d.fleet.c.Check(err, qt.IsNil)
 				records = append(records, r)
 			}
@@ -176,23 +179,23 @@
 	if d.fleet.isUnavailable() {
 		return objectstore.Object{}, errUnavailable
 	}
-	return d.fleet.wrote(d.fleet.store.Create(ctx, key, value))
+	return d.fleet.wrote(d.fleet.currentStore().Create(ctx, key, value))
 }
 
-func (d *testDaemon) Update(ctx context.Context, key string, value []byte, revision uint64) (objectstore.Object, error) {
+func (d *testDaemon) Update(ctx context.Context, key string, value []byte, at uint64) (objectstore.Object, error) {
 	d.fleet.waitIfSilent(ctx)
 	if d.fleet.isUnavailable() {
 		return objectstore.Object{}, errUnavailable
 	}
-	return d.fleet.wrote(d.fleet.store.Update(ctx, key, value, revision))
+	return d.fleet.wrote(d.fleet.currentStore().Update(ctx, key, value, revision.Counter(at)))
 }
 
-func (d *testDaemon) Delete(ctx context.Context, key string, revision uint64) error {
+func (d *testDaemon) Delete(ctx context.Context, key string, at uint64) error {
 	d.fleet.waitIfSilent(ctx)
 	if d.fleet.isUnavailable() {
 		return errUnavailable
 	}
-	return d.fleet.store.Delete(ctx, key, revision)
+	return d.fleet.currentStore().Delete(ctx, key, revision.Counter(at))
 }
 
 // wrote records the revision of a write.
@@ -200,9 +203,28 @@
 	if o.Revision > f.newest.Load() {
 		f.newest.Store(o.Revision)
 	}
+	o.Revision = f.inEra(o.Revision)
 	return o, err
 }
 
+// inEra returns a revision of the store in its era.
+func (f *testFleet) inEra(counter uint64) uint64 { return revision.In(f.era.Load(), counter) }
+
+func (f *testFleet) currentStore() *memstore.Store {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.store
+}
+
+// loseStore replaces the store by an empty one, as if it had come back from an old copy.
+func (f *testFleet) loseStore() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.store = memstore.New()
+	f.newest.Store(1)
+	f.era.Add(1)
+}
+
 func (f *testFleet) isUnavailable() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -251,7 +273,7 @@
 
 // records returns the records in the store.
 func (f *testFleet) records() map[Hash]Record {
-	objects, err := f.store.List(context.Background(), Kind+"/", "", 1000)
+	objects, err := f.currentStore().List(context.Background(), Kind+"/", "", 1000)
 	f.c.Assert(err, qt.IsNil)
 	found := make(map[Hash]Record)
 	for _, o := range objects {
@@ -402,6 +424,27 @@
 	})
 }
 
+// TestQuarantineSurvivesARestore guards against releasing requests whose records a restored store
+// lacks, and against records that nobody writes again or that allow further retries.
+func TestQuarantineSurvivesARestore(t *testing.T) {
+	runFleet(t, 3, func(f *testFleet) {
+		f.crashThreeEngines(crasher)
+		time.Sleep(3 * time.Second)
+		before := f.records()
+		f.c.Assert(before, qt.HasLen, 1)
+		f.loseStore()
+		time.Sleep(5 * time.Second)
+		f.c.Check(f.held(crasher), qt.HasLen, 3)
+		after := f.records()
+		f.c.Assert(after, qt.HasLen, 1)
+		f.c.Check(after[crasher].RetriesLeft, qt.Equals, before[crasher].RetriesLeft)
+		f.c.Check(after[crasher].Engines, qt.DeepEquals, before[crasher].Engines)
+		f.add("started later")
+		time.Sleep(time.Second)
+		f.c.Check(f.held(crasher), qt.HasLen, 4)
+	})
+}
+
 // TestEachRetryIsGrantedToOneDaemon guards against granting a retry to several daemons that ask
 // at the same time. One retry is enough to distinguish two tied requests.
 func TestEachRetryIsGrantedToOneDaemon(t *testing.T) {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -89,6 +89,9 @@
 	records  map[Hash]Record
 	// released are requests with a record that have proved harmless.
 	released map[Hash]bool
+	// era is the era of the store's last list, restoredAt when it began.
+	era        uint64
+	restoredAt time.Time
 	// lastWriteAttempt is when this daemon last tried to write a record.
 	lastWriteAttempt map[Hash]time.Time
 	// pendingReport collects what has not been published to the other daemons yet.
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/objectstore"
+	"github.com/bronzeturn/bronzeturn/revision"
 )
 
 // writeRecords brings the store's records in line with the verdicts, as far as it is this
@@ -16,7 +17,13 @@
 	for _, v := range q.missingRecords() {
 		more = true
 		if q.writeDue(v.Hash, v.since, now) {
-			q.createRecord(ctx, v, now)
+			q.createRecord(ctx, Record{Verdict: v.Verdict, RetriesLeft: maxRetries, Daemon: q.Self}, v.since, now)
+		}
+	}
+	for r, since := range q.lostRecords() {
+		more = true
+		if q.writeDue(r.Hash, since, now) {
+			q.createRecord(ctx, *r, since, now)
 		}
 	}
 	for _, c := range q.staleRecords() {
@@ -43,6 +50,23 @@
 	return list
 }
 
+// lostRecords returns the records that a restored store lacks, with the time since which they have
+// been missing.
+func (q *Quarantine) lostRecords() map[*Record]time.Time {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	lost := make(map[*Record]time.Time)
+	for _, r := range q.records {
+		if q.isLost(&r) && !q.released[r.Hash] {
+			lost[&r] = q.restoredAt
+		}
+	}
+	return lost
+}
+
+// isLost reports whether a record is of an earlier era than the store's. The caller holds mu.
+func (q *Quarantine) isLost(r *Record) bool { return revision.Era(r.Revision) < q.era }
+
 // writeDue reports whether it is this daemon's turn to write a record that has been missing
 // since the given time.
 func (q *Quarantine) writeDue(h Hash, since, now time.Time) bool {
@@ -57,8 +81,7 @@
 
 // createRecord writes a new record. If another daemon has written it already, it arrives with
 // the next list of the store's records.
-func (q *Quarantine) createRecord(ctx context.Context, v activeVerdict, now time.Time) {
-	r := Record{Verdict: v.Verdict, RetriesLeft: maxRetries, Daemon: q.Self}
+func (q *Quarantine) createRecord(ctx context.Context, r Record, since, now time.Time) {
 	data, err := r.encode()
 	if err != nil {
 		q.Log.Error().Err(err).Stringer("hash", r.Hash).Msg("record not encoded")
@@ -75,7 +98,7 @@
 		q.logWriteFailure(r.Hash, err)
 		return
 	}
-	q.Log.Info().Stringer("hash", r.Hash).Dur("after_ms", now.Sub(v.since)).Uint64("revision", object.Revision).Msg("record of a quarantine written")
+	q.Log.Info().Stringer("hash", r.Hash).Dur("after_ms", now.Sub(since)).Uint64("revision", revision.Counter(object.Revision)).Msg("record of a quarantine written")
 	r.Revision = object.Revision
 	q.applyWritten(r)
 }
@@ -111,6 +134,7 @@
 	for h, r := range q.records {
 		v := q.verdicts[h]
 		switch {
+		case q.isLost(&r):
 		case q.released[h]:
 			list = append(list, recordChange{r, true})
 		case v != nil && len(v.Engines) > len(r.Engines), v != nil && r.Tied != v.Tied:
@@ -150,7 +174,7 @@
 		return false
 	}
 	q.Log.Info().Stringer("hash", r.Hash).Bool("tied", r.Tied).Int("retries_left", r.RetriesLeft).
-		Uint64("revision", object.Revision).Msg("record of a quarantine changed")
+		Uint64("revision", revision.Counter(object.Revision)).Msg("record of a quarantine changed")
 	r.Revision = object.Revision
 	q.applyWritten(r)
 	return true
@@ -184,17 +208,23 @@
 	return len(serving) > 0 && !slices.ContainsFunc(serving, func(version string) bool { return slices.Contains(r.Versions, version) })
 }
 
-// ApplyRecords applies the store's records as of a revision. Calls must not overlap.
-func (q *Quarantine) ApplyRecords(records []Record, revision uint64) {
+// ApplyRecords applies the store's records as of a revision. Records that a restored store lacks stay
+// in force and are written again. Calls must not overlap.
+func (q *Quarantine) ApplyRecords(records []Record, at uint64) {
 	next := make(map[Hash]Record, len(records))
 	for _, r := range records {
 		next[r.Hash] = r
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if era := revision.Era(at); era > q.era {
+		q.era, q.restoredAt = era, time.Now()
+	}
 	for h, r := range q.records {
 		switch _, still := next[h]; {
-		case r.Revision > revision || still && r.Revision > next[h].Revision:
+		case q.isLost(&r) && !still && !q.released[h]:
+			next[h] = r
+		case r.Revision > at || still && r.Revision > next[h].Revision:
 			next[h] = r // This daemon wrote it after the list was taken.
 		case !still:
 			q.recordRemoved(h)
@@ -203,7 +233,7 @@
 	for h, r := range next {
 		if _, known := q.records[h]; !known {
 			q.Log.Info().Stringer("hash", h).Str("service", r.Service).Strs("engines", r.Engines).Str("daemon", r.Daemon).
-				Int("retries_left", r.RetriesLeft).Uint64("revision", r.Revision).Msg("request is in quarantine by the store")
+				Int("retries_left", r.RetriesLeft).Uint64("revision", revision.Counter(r.Revision)).Msg("request is in quarantine by the store")
 		}
 	}
 	q.records = next
