relay: don't judge paths while the process gets no processor time

A timer that fires much too late says that the process was starved, not that the engine did not answer: the head start of the direct path begins again. Otherwise a starved daemon would ask others for connections that its own are about to open, and spend more of what it lacks. Found on review; no test, as starvation can't be brought about in one.

--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -137,6 +137,7 @@
 	}
 	timer := time.NewTimer(lead)
 	defer timer.Stop()
+	due := time.Now().Add(lead)
 	for {
 		if len(c.running) == 0 && !c.startNext(timer, len(first) == 0) {
 			return nil, c.fail()
@@ -151,7 +152,12 @@
 			if c.lose(r) {
 				return nil, c.fail()
 			}
-		case <-timer.C:
+		case now := <-timer.C:
+			if !c.planned && now.Sub(due) > maxTimerDelay {
+				due = now.Add(lead)
+				timer.Reset(lead)
+				continue
+			}
 			c.startNext(timer, len(first) == 0)
 		case <-c.ctx.Done():
 			return nil, c.fail()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,9 @@
 	// connection within a region opens within a few milliseconds; a host whose processor is
 	// fully used may take some tens.
 	headStart = 100 * time.Millisecond
+	// maxTimerDelay is how late a timer may fire. If it fires later, this process gets too little
+	// processor time to judge a path, and the head start begins again.
+	maxTimerDelay = 30 * time.Millisecond
 	// nextRelayAfter is how long one daemon has before the next one is asked as well.
 	nextRelayAfter = 60 * time.Millisecond
 	// maxRelays is the maximum number of daemons asked for one connection.
