relay: a planned stop completes the connections forwarded for other daemons

A daemon that stops cut the requests of partitioned daemons that it forwards, as only its own requests counted as in progress. It takes no further ones now and waits for those in progress until the end of its grace period, on both edges. relay.TestStoppingDaemonCompletesForwardedConnections.

--- a/daemon.go
+++ b/daemon.go
@@ -190,6 +190,7 @@
 	d.leaving.Store(true)
 	d.log.Info().Int("in_progress", d.router.InProgress()).Msg("daemon leaves")
 	d.fleet.members.Leave()
+	d.relay.Server().StopAdmitting()
 	time.Sleep(leaveAnnounceTime)
 	d.router.StopAdmitting()
 	d.drain()
@@ -203,13 +204,17 @@
 	return err
 }
 
-// drain waits for the requests in progress, up to the stop timeout.
+// drain waits for the requests in progress and for the connections that are forwarded for
+// other daemons, up to the stop timeout.
 func (d *Daemon) drain() {
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.GetStopTimeout().AsDuration())
 	defer cancel()
 	if err := d.router.Drain(ctx); err != nil {
 		d.log.Error().Err(err).Int("in_progress", d.router.InProgress()).Msg("stop timeout reached with requests in progress")
 	}
+	if err := d.relay.Server().Drain(ctx); err != nil {
+		d.log.Error().Err(err).Int("connections", d.relay.Server().Forwarding()).Msg("stop timeout reached with connections of other daemons")
+	}
 }
 
 // flush writes the ledger records that are still in memory.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -301,6 +301,7 @@
 	d.log.Info().Int("in_progress", d.gateway.InProgress()).Msg("daemon leaves")
 	d.fleet.leave()
 	d.gateway.DisableKeepAlives()
+	d.relay.Server().StopAdmitting()
 	grace := d.current.Load().StopGrace
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-stopMargin))
 	defer cancel()
@@ -311,6 +312,9 @@
 	if err := d.gateway.Drain(ctx); err != nil {
 		d.log.Error().Err(err).Int("in_progress", d.gateway.InProgress()).Msg("requests in progress aborted at the end of the grace period")
 	}
+	if err := d.relay.Server().Drain(ctx); err != nil {
+		d.log.Error().Err(err).Int("connections", d.relay.Server().Forwarding()).Msg("connections of other daemons closed at the end of the grace period")
+	}
 	d.servers.stop()
 	d.tomb.Kill(nil)
 	d.fleet.stop()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -355,3 +355,26 @@
 		}
 	}
 }
+
+// TestStoppingDaemonCompletesForwardedConnections guards against a planned stop that cuts requests
+// of other daemons.
+func TestStoppingDaemonCompletesForwardedConnections(t *testing.T) {
+	c := qt.New(t)
+	backend := startBackend(t, echo)
+	all := startDaemons(t, 2, backend)
+	all[0].setPath(refused)
+	conn, err := all[0].Dial(t.Context(), "tcp", backend)
+	c.Assert(err, qt.IsNil)
+	server := all[1].Server()
+	server.StopAdmitting()
+	_, err = all[0].Dial(t.Context(), "tcp", backend)
+	c.Check(err, qt.IsNotNil, qt.Commentf("a new connection through a daemon that stops"))
+	ended, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	c.Check(server.Drain(ended), qt.IsNotNil)
+	checkEcho(c, conn)
+	c.Check(conn.Close(), qt.IsNil)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	c.Check(server.Drain(ctx), qt.IsNil)
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/bronzeturn/bronzeturn/backoff"
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 )
 
@@ -23,15 +24,35 @@
 	relay *Relay
 	// active is the number of connections that are forwarded now.
 	active  atomic.Int64
+	closed  atomic.Bool
 	metrics *serverMetrics
 }
 
+// StopAdmitting makes the server open no further connections.
+func (s *Server) StopAdmitting() { s.closed.Store(true) }
+
+// Forwarding returns the number of connections that are forwarded now.
+func (s *Server) Forwarding() int { return int(s.active.Load()) }
+
+// Drain waits until no connection is forwarded, or ctx ends.
+func (s *Server) Drain(ctx context.Context) error {
+	for s.Forwarding() > 0 {
+		if err := backoff.Sleep(ctx, drainPoll); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// drainPoll is the interval at which Drain checks for forwarded connections.
+const drainPoll = 20 * time.Millisecond
+
 // Connect implements bronzeturnv1connect.RelayServiceHandler.
 func (s *Server) Connect(ctx context.Context, stream *serverStream) error {
 	ctx, cancel := context.WithTimeout(ctx, maxLifetime)
 	defer cancel()
 	defer s.active.Add(-1)
-	busy := s.active.Add(1) > maxForwarded
+	busy := s.active.Add(1) > maxForwarded || s.closed.Load()
 	request, err := stream.Receive()
 	if err != nil {
 		return err
