soak: a store that is restored from a copy, engines that are brittle

The emulated operators and engines write again what was lost up to half a second later, unless something else was written by then. The engines of a service may be brittle; their crashes count when no daemon was started or signalled in the three seconds before.

--- a/soak/backpressure.go
+++ b/soak/backpressure.go
@@ -26,8 +26,58 @@
 	// time after which an engine that leaves must get no more requests.
 	maxInPause = 2
 	drainTime  = 2 * time.Second
+
+	// statedTolerance is the number of refusals per second that brittle engines tolerate.
+	// brittleKnownAfter is the time after which daemons must spare them. toleratedFalls and
+	// toleratedFallShare bound the crashes of a service's engines.
+	statedTolerance    = 4
+	brittleKnownAfter  = 3 * time.Second
+	toleratedFalls     = 2
+	toleratedFallShare = 0.1
 )
 
+// setBrittle makes the engines of a service brittle.
+func (r *run) setBrittle(service string) {
+	for _, e := range r.engines {
+		if e.Spec.Service == service {
+			e.SetFaults(emulator.EngineFaults{Brittle: statedTolerance})
+		}
+	}
+	r.brittleSince[service] = time.Now()
+}
+
+// checkFalls checks the crashes of brittle engines. Those within a short time after a daemon was
+// started or signalled do not count.
+func (c *checks) checkFalls() {
+	for service, since := range c.run.brittleSince {
+		engines := 0
+		for _, e := range c.run.engines {
+			if e.Spec.Service == service {
+				engines++
+			}
+		}
+		falls := 0
+		for _, f := range c.run.record.Falls(service) {
+			if f.At.Sub(since) >= brittleKnownAfter && c.run.undisturbed(f.At.Add(-brittleKnownAfter), f.At) {
+				falls++
+			}
+		}
+		if allowed := toleratedFalls + toleratedFallShare*float64(engines); float64(falls) > allowed {
+			c.reportViolation("%d of the %d brittle engines of %s crashed, allowed %.1f", falls, engines, service, allowed)
+		}
+	}
+}
+
+// undisturbed reports whether no daemon was started or signalled in a time.
+func (r *run) undisturbed(from, to time.Time) bool {
+	for _, d := range r.daemons {
+		if !d.undisturbed(from, to) {
+			return false
+		}
+	}
+	return true
+}
+
 // engineArrival is a request that reached an engine, with the daemon that sent it.
 type engineArrival struct {
 	emulator.Arrival
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -216,6 +216,7 @@
 	c.checkRetryBudget()
 	c.checkColdEngines()
 	c.checkBackpressure()
+	c.checkFalls()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return Result{Requests: c.requests, Succeeded: c.succeeded, Refused: c.refused, Failed: c.failed, Violations: c.violations}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -23,6 +23,9 @@
 	maxFaultDuration = 2500 * time.Millisecond
 )
 
+// maxRewriteDelay is the longest time after which what a restored store has lost is written again.
+const maxRewriteDelay = 500 * time.Millisecond
+
 // faults are the faults from which a run selects at random. They may overlap.
 var faults = []fault{
 	{"daemon killed", func(r *run) func() { return r.restart(r.randomDaemon(), syscall.SIGKILL) }},
@@ -53,6 +56,10 @@
 		return func() { r.store.SetFaults(emulator.StoreFaults{}) }
 	}},
 	{"history forgotten", func(r *run) func() { r.store.DropHistory(); return nil }},
+	{"store restored from a copy", func(r *run) func() {
+		r.store.Save()
+		return func() { r.store.RestoreAndRewrite(time.Duration(r.random.Int64N(int64(maxRewriteDelay)))) }
+	}},
 	{"configuration changed", func(r *run) func() {
 		r.configVersion++
 		_, _ = r.store.Put("config", "main", emulator.Config(r.configVersion)) // The emulated store accepts every document.
@@ -72,6 +79,10 @@
 		r.randomEngine().SetFaults(emulator.EngineFaults{Full: true, RetryAfter: statedPause}) // Until its next fault ends.
 		return nil
 	}},
+	{"engines are brittle", func(r *run) func() {
+		r.setBrittle(r.randomEngine().Spec.Service)
+		return nil // Until the next fault of each engine ends.
+	}},
 	{"engine leaves unannounced", func(r *run) func() {
 		e := r.randomEngine()
 		if r.addEngine(e.Spec.Service, coldDuration) != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -58,6 +58,8 @@
 	configVersion int
 	started       time.Time
 	nextID        int
+	// brittleSince maps the services with brittle engines to the time of the last such fault.
+	brittleSince map[string]time.Time
 	// crashBodies are the bodies of the requests that crash engines.
 	crashBodies []string
 }
@@ -88,7 +90,7 @@
 func Run(ctx context.Context, o Options) (Result, error) {
 	r := &run{
 		Options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: emulator.NewStore(), record: &emulator.Record{},
-		configVersion: 1, started: time.Now(),
+		configVersion: 1, started: time.Now(), brittleSince: make(map[string]time.Time),
 	}
 	defer r.close()
 	if err := r.start(); err != nil {
