--- a/relay/relay.go
+++ b/relay/relay.go
@@ -37,18 +37,15 @@
 	chunkBytes = 16 << 10
 )
 
-// RefusalError reports that a daemon did not connect.
+// RefusalError reports that the daemon that was asked to connect did not.
 type RefusalError struct {
-	// Daemon is the name of the daemon that was asked, or empty for this daemon itself.
+	// Daemon is the name of the daemon.
 	Daemon  string
 	Outcome bronzeturnv1.ConnectOutcome
 }
 
 // Error implements error.
 func (e *RefusalError) Error() string {
-	if e.Daemon == "" {
-		return "connect: " + outcomeNames[e.Outcome]
-	}
 	return fmt.Sprintf("connect through %s: %s", e.Daemon, outcomeNames[e.Outcome])
 }
 
