entry: one decision at a time about the configuration in force

What another daemon has in force was compared with the version here and installed in two steps, while the store's news may install a newer one in between. Found on review; the window is too short for a test. Also found: a daemon that starts forgot which engines are doubted when its first list came (inventory.TestEngineThatAnotherDaemonDoubtsIsIgnored failed with this case added); daemons that start ask the seeds in random order.

--- a/entry/confirmed.go
+++ b/entry/confirmed.go
@@ -127,10 +127,13 @@
 	return c.requestFrom(ctx, address)
 }
 
-// askSeeds asks the seeds one after the other for what is in force there, and reports whether one
+// askSeeds asks the seeds in random order, one after the other, for what is in force there, and reports whether one
 // has answered.
 func (c *confirmed) askSeeds(ctx context.Context) bool {
-	for _, address := range withoutSelf(c.daemon.Settings.Seeds, c.daemon.Settings.PeerListen) {
+	seeds := withoutSelf(c.daemon.Settings.Seeds, c.daemon.Settings.PeerListen)
+	// When a fleet starts, the same few seeds are asked by all daemons.
+	c.daemon.rand(randSeeds).Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	for _, address := range seeds {
 		ctx, cancel := context.WithTimeout(ctx, seedTimeout)
 		err := c.requestFrom(ctx, address)
 		cancel()
@@ -180,6 +183,8 @@
 	if err != nil {
 		return fmt.Errorf("configuration in force elsewhere: %w", err)
 	}
+	d.configMu.Lock()
+	defer d.configMu.Unlock()
 	if table.Version > c.version() {
 		d.install(table, follow.Update{Snapshot: snapshot, FromPeer: true})
 	}
--- a/entry/copies.go
+++ b/entry/copies.go
@@ -118,6 +118,8 @@
 // the store its revisions tell which is newer. A restored store may have an older configuration
 // than the one in force, which the operators write again; their version numbers never decrease.
 func (d *Daemon) putInForce(table *route.Table, u follow.Update) {
+	d.configMu.Lock()
+	defer d.configMu.Unlock()
 	if old := d.tables.Load(); old != nil && old.Routes != nil {
 		switch {
 		case old.Routes.Revision >= table.Revision:
@@ -131,7 +133,7 @@
 	d.install(table, u)
 }
 
-// install puts a configuration in force.
+// install puts a configuration in force. The caller holds configMu.
 func (d *Daemon) install(table *route.Table, u follow.Update) {
 	d.update(func(t *gateway.Tables) { t.Routes = table })
 	d.log.Info().Int64("version", table.Version).Uint64("era", revision.Era(table.Revision)).Uint64("revision", revision.Counter(table.Revision)).
@@ -157,7 +159,7 @@
 	for _, item := range u.Changes.Changed {
 		reg, err := d.Documents.Engine(item)
 		if err != nil {
-			d.log.Error().Err(err).Str("key", item.Name).Uint64("revision", item.Revision).Msg("registration names no engine")
+			d.log.Error().Err(err).Str("key", item.Name).Uint64("revision", revision.Counter(item.Revision)).Msg("registration names no engine")
 			change.Removed = append(change.Removed, item.Name)
 			continue
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -154,6 +154,8 @@
 	servers *servers
 
 	tables atomic.Pointer[gateway.Tables]
+	// configMu serialises the decisions which configuration is in force.
+	configMu sync.Mutex
 	// compileMu serialises the compilation of the engines. The set of engines triggers a
 	// compilation while it holds its own lock, so code that holds compileMu must not call the
 	// set.
@@ -253,6 +255,7 @@
 	randLimits
 	randRelay
 	randBrittle
+	randSeeds
 )
 
 // Run serves until ctx is done, then stops gracefully. It must be called at most once.
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -5,6 +5,7 @@
 
 	"github.com/bronzeturn/bronzeturn/follow"
 	"github.com/bronzeturn/bronzeturn/quarantine"
+	"github.com/bronzeturn/bronzeturn/revision"
 )
 
 // newQuarantine returns the quarantine, which withholds requests that crash engines.
@@ -33,7 +34,7 @@
 			}
 		}
 		if err != nil {
-			d.log.Error().Err(err).Str("key", item.Name).Uint64("revision", item.Revision).Msg("record of a quarantine not read")
+			d.log.Error().Err(err).Str("key", item.Name).Uint64("revision", revision.Counter(item.Revision)).Msg("record of a quarantine not read")
 		}
 	}
 	d.quarantine.ApplyRecords(records, u.Snapshot.Revision)
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -239,9 +239,8 @@
 		delete(s.lapsed, e.ID)
 		edit.remove(l.engine)
 	}
-	delete(s.doubted, e.key)
 	if previous != nil && *previous == e {
-		if _, excluded := s.excluded[e.key]; !excluded && !s.leaves(&e) {
+		if _, excluded := s.excluded[e.key]; !excluded && s.usable(&e) {
 			edit.put(previous)
 		}
 		return
@@ -249,13 +248,21 @@
 	if previous != nil {
 		edit.remove(previous)
 		delete(s.excluded, previous.key)
+		delete(s.doubted, previous.key)
 	}
 	s.listed[e.ID] = &e
-	if !s.leaves(&e) {
+	if s.usable(&e) {
 		edit.put(&e)
 	}
 }
 
+// usable reports whether an engine may get requests by what is known beside its registration. The
+// caller holds mu.
+func (s *Set) usable(e *Engine) bool {
+	_, doubted := s.doubted[e.key]
+	return !doubted && !s.leaves(e)
+}
+
 // leaves reports whether an engine leaves, by its registration or by its answers. An engine that
 // leaves does not return, and its registration may be late, so the first of them counts. The
 // caller holds mu.
@@ -332,7 +339,7 @@
 		}
 		delete(s.doubted, key)
 		id, _, _ := strings.Cut(key, keySeparator)
-		if e := s.listed[id]; e != nil && e.key == key && !s.leaves(e) {
+		if e := s.listed[id]; e != nil && e.key == key && s.usable(e) {
 			edit.put(e)
 		}
 	}
--- a/inventory/restore_test.go
+++ b/inventory/restore_test.go
@@ -64,4 +64,9 @@
 	s.Expire(start.Add(restoredGrace))
 	c.Check(keys(s), qt.DeepEquals, []string{"b"})
 	c.Check(s.Doubted(), qt.HasLen, 0)
+
+	starting := newSet()
+	starting.Doubt([]string{"a"}, start)
+	starting.Apply(Change{Registered: []Engine{engine("a"), engine("b")}}, start)
+	c.Check(keys(starting), qt.DeepEquals, []string{"b"}, qt.Commentf("a daemon that has no list yet"))
 }
