balance: a pause outlives a time in which its engine is out of use

Found by the soak, seed 47207 (12 s, four daemons): desk-3 asked entry-3 for a pause of 5 s and got 16 requests from it in that time. Its data centre was evacuated 1.4 s after that and came back 1.8 s later, and the balancer forgets an idle engine that is not in its plan, with the pause.

TestPauseOutlivesATimeOutOfThePlan failed before and passes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,7 +29,7 @@
 	// plan is the newest plan; generation is incremented with each plan.
 	plan       *Plan
 	generation uint64
-	// pendingRemoval holds engines that left the plan with work in flight.
+	// pendingRemoval holds engines that left the plan with work in flight or in a pause.
 	pendingRemoval []*engine
 	// nextID is the lowest ID never allocated; freeIDs holds those of removed engines.
 	nextID  int32
@@ -119,15 +119,16 @@
 	return e
 }
 
-// removeUnplanned removes the idle engines that are not in the current plan. Engines with
-// work in flight are checked again with the next plan. The caller holds mu.
+// removeUnplanned removes the idle engines that are not in the current plan. Engines with work in
+// flight, and those that have asked for a pause and may come back into the plan before its end,
+// are checked again with the next plan. The caller holds mu.
 func (s *State) removeUnplanned(previous *Plan) {
 	engines := append(s.pendingRemoval, previous.engines...)
 	s.pendingRemoval = nil
 	for _, e := range engines {
 		switch {
 		case e.generation == s.generation:
-		case e.activity().load.idle():
+		case e.activity().load.idle() && !e.activity().health.paused(time.Now()):
 			s.table.remove(e)
 			s.freeIDs = append(s.freeIDs, e.id)
 			e.generation = s.generation // Skips duplicates in engines.
--- a/balance/pause_test.go
+++ b/balance/pause_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 )
 
 // TestRequestedPauseIsKeptInFull guards against requests to an engine that asked for none: because
@@ -51,3 +53,18 @@
 	c.Check(s.active.list(), qt.HasLen, 0)
 	c.Check(s.PausedUntil("unknown").IsZero(), qt.IsTrue)
 }
+
+// TestPauseOutlivesATimeOutOfThePlan guards against requests to a paused engine that was out of use
+// for a moment, as when its data centre is evacuated and comes back.
+func TestPauseOutlivesATimeOutOfThePlan(t *testing.T) {
+	c := qt.New(t)
+	s := newState(c)
+	register := newRegister(2)
+	s.Plan(register, nil)
+	now := time.Now()
+	send(s, "engine-0", 1, now)
+	s.Failed(Failed{Engine: "engine-0", Work: newRequest().Work, Kind: FailureBusy, RetryAfter: time.Minute, At: now})
+	s.Plan(register, func(e *bronzeturnv1.Engine) bool { return e.GetName() != "engine-0" })
+	s.Plan(register, nil)
+	c.Check(s.PausedUntil("engine-0").Equal(now.Add(time.Minute)), qt.IsTrue)
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -36,7 +36,7 @@
 }
 
 // seeds are the seeds that CI runs, including every seed that has exposed a defect.
-var seeds = []uint64{1}
+var seeds = []uint64{1, 47207}
 
 func TestGuaranteesHoldUnderFaults(t *testing.T) {
 	for _, seed := range seeds {
