backpressure: tell the tolerance that is known of a brittle engine

A refusal that does not repeat it, of a request sent before the engine became brittle, was told with -1, which the other daemons cannot read. Found on review; TestRefusalWithoutAStatementIsShared failed before ([-1], wanted [5]).

--- a/backpressure/brittle.go
+++ b/backpressure/brittle.go
@@ -122,13 +122,14 @@
 	if a.Tolerated < 0 && b.known.Load() == 0 {
 		return
 	}
-	if b.observe(a) {
-		b.Share(a.Engine, a.Tolerated)
+	if tolerated, share := b.observe(a); share {
+		b.Share(a.Engine, tolerated)
 	}
 }
 
-// observe implements Observe and reports whether the other daemons must be told of a refusal.
-func (b *Brittle) observe(a Answer) (share bool) {
+// observe implements Observe and reports whether the other daemons must be told of a refusal, and
+// how many refusals the engine tolerates.
+func (b *Brittle) observe(a Answer) (tolerated float64, share bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if a.Tolerated < 0 {
@@ -137,11 +138,8 @@
 		b.set(a.Engine, a.Tolerated, a.At)
 	}
 	e := b.engines[a.Engine]
-	if e == nil {
-		return false
-	}
-	if !a.Refused {
-		return false
+	if e == nil || !a.Refused {
+		return 0, false
 	}
 	b.refusals.Inc()
 	// The refused request is still counted as in progress.
@@ -149,10 +147,10 @@
 	e.share = min(e.share, e.window)
 	e.widenAt = a.At.Add(b.pause(e.tolerated))
 	if a.At.Sub(e.sharedAt) < refusalNewsTime {
-		return false
+		return 0, false
 	}
 	e.sharedAt = a.At
-	return true
+	return e.tolerated, true
 }
 
 // ObserveShared records that an engine has refused a request of another daemon.
--- a/backpressure/brittle_test.go
+++ b/backpressure/brittle_test.go
@@ -231,6 +231,21 @@
 	c.Check(b.Take("other", at(30)), qt.IsTrue, qt.Commentf("the service is not brittle any more"))
 }
 
+// TestRefusalWithoutAStatementIsShared guards against news that other daemons cannot read: an old
+// answer may refuse a request without stating that the engine is brittle.
+func TestRefusalWithoutAStatementIsShared(t *testing.T) {
+	c := qt.New(t)
+	inFlight := 1
+	b := newBrittle(&inFlight)
+	var shared []float64
+	b.Share = func(_ string, tolerated float64) { shared = append(shared, tolerated) }
+	b.Observe(states(5, 10, 20))
+	old := states(NotBrittle, 5, 30)
+	old.Refused = true
+	b.Observe(old)
+	c.Check(shared, qt.DeepEquals, []float64{5})
+}
+
 // TestRefusedCallersComeBackWhenTheEngineMayBeTried checks the time that refused callers are told.
 func TestRefusedCallersComeBackWhenTheEngineMayBeTried(t *testing.T) {
 	c := qt.New(t)
