--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -20,10 +20,11 @@
 			q.createRecord(ctx, Record{Verdict: v.Verdict, RetriesLeft: maxRetries, Daemon: q.Self}, v.since, now)
 		}
 	}
-	for r, since := range q.lostRecords() {
+	lost, since := q.lostRecords()
+	for _, r := range lost {
 		more = true
 		if q.writeDue(r.Hash, since, now) {
-			q.createRecord(ctx, *r, since, now)
+			q.createRecord(ctx, r, since, now)
 		}
 	}
 	for _, c := range q.staleRecords() {
@@ -50,18 +51,17 @@
 	return list
 }
 
-// lostRecords returns the records that a restored store lacks, with the time since which they have
+// lostRecords returns the records that a restored store lacks, and the time since which they have
 // been missing.
-func (q *Quarantine) lostRecords() map[*Record]time.Time {
+func (q *Quarantine) lostRecords() (lost []Record, since time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	lost := make(map[*Record]time.Time)
 	for _, r := range q.records {
 		if q.isLost(&r) && !q.released[r.Hash] {
-			lost[&r] = q.restoredAt
+			lost = append(lost, r)
 		}
 	}
-	return lost
+	return lost, q.restoredAt
 }
 
 // isLost reports whether a record is of an earlier era than the store's. The caller holds mu.
