--- a/entry/evacuations.go
+++ b/entry/evacuations.go
@@ -28,7 +28,7 @@
 
 // keptEvacuationTTL is how long an evacuation that a restored store lacks remains in force if the
 // operators do not request it again.
-const keptEvacuationTTL = 30 * time.Second
+const keptEvacuationTTL = 10 * time.Second
 
 // set replaces the evacuations in the store. If the store has been restored, those that it lacks
 // remain in force for some time.
