relay: a request without a connection is not sent

Cause: the call that asks another daemon to connect carried the values of the context of the dial, among them the trace of the request that waits for the connection. The trace took the connection to the other daemon for the one to the engine, so that each refused connection counted as a request that may have run: it was not tried elsewhere and the caller got 502.

The call has a context of its own. relay.TestRequestWithoutAConnectionIsNotSent failed before (stage 1) and passes. The tests of partitions did not see it, as their relayed connections succeed, nor did those of crashed engines with few daemons.

--- a/relay/conn.go
+++ b/relay/conn.go
@@ -40,9 +40,10 @@
 func (a relayedAddr) String() string { return string(a) }
 
 // connectThrough opens a connection to an address through another daemon. The connection
-// outlives ctx.
+// outlives ctx, and the call to the daemon has none of its values: the trace of the request that
+// waits for the connection would record the call's own connection as the one to the backend server.
 func connectThrough(ctx context.Context, client bronzeturnv1connect.RelayServiceClient, daemon, address string, timeout time.Duration) (net.Conn, error) {
-	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	inner, cancel := context.WithCancel(context.Background())
 	stop := context.AfterFunc(ctx, cancel)
 	c := &relayedConn{daemon: daemon, address: relayedAddr(address), cancel: cancel, stream: client.Connect(inner)}
 	err := c.open(address, timeout)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -19,6 +19,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"github.com/bronzeturn/bronzeturn/attempt"
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1/bronzeturnv1connect"
 	"github.com/bronzeturn/bronzeturn/peer"
@@ -378,3 +379,20 @@
 	defer cancel()
 	c.Check(server.Drain(ctx), qt.IsNil)
 }
+
+// TestRequestWithoutAConnectionIsNotSent guards against taking the connection to another daemon for
+// the one to the backend server: a request that got no connection has certainly not run.
+func TestRequestWithoutAConnectionIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	backend := listener.Addr().String()
+	c.Assert(listener.Close(), qt.IsNil)
+	all := startDaemons(t, 3, backend)
+	_, err = attempt.Send(t.Context(), attempt.NewUnpooledTransport(all[0].Dial), attempt.Request{
+		Method: http.MethodPost, URL: "http://" + backend + "/", Body: []byte("request"),
+	})
+	var failed *attempt.Error
+	c.Assert(errors.As(err, &failed), qt.IsTrue)
+	c.Check(failed.Stage, qt.Equals, attempt.NotSent, qt.Commentf("%v", err))
+}
