--- a/entry/confirmed.go
+++ b/entry/confirmed.go
@@ -127,8 +127,8 @@
 	return c.requestFrom(ctx, address)
 }
 
-// askSeeds asks the seeds in random order, one after the other, for what is in force there, and reports whether one
-// has answered.
+// askSeeds asks the seeds in random order, one after the other, for what is in force there, and reports whether
+// one has answered.
 func (c *confirmed) askSeeds(ctx context.Context) bool {
 	seeds := withoutSelf(c.daemon.Settings.Seeds, c.daemon.Settings.PeerListen)
 	// When a fleet starts, the same few seeds are asked by all daemons.
