losses: sum up by organisation, priority and data centre, and what refused callers did

The tables by route, size and time did not show whose requests wait or are refused under load, nor whether a caller that was refused came back. The new tables are made from the same log lines.

--- a/cli/losses.go
+++ b/cli/losses.go
@@ -18,6 +18,7 @@
 	ByRoute []explain.Loss `json:"by_route"`
 	BySize  []explain.Loss `json:"by_size"`
 	ByTime  []explain.Loss `json:"by_time"`
+	Load    explain.Load   `json:"load"`
 }
 
 // Run implements the command.
@@ -28,15 +29,40 @@
 	}
 	var t lossesOutput
 	t.ByRoute, t.BySize, t.ByTime = explain.Losses(lines, c.Step)
+	t.Load = explain.SumUpLoad(lines)
 	if a.out.json {
 		return a.out.object(t)
 	}
 	a.printLosses("route", t.ByRoute)
 	a.printLosses("route and size", t.BySize)
 	a.printLosses("time", t.ByTime)
+	a.printShares("organisation", t.Load.ByOrganisation)
+	a.printShares("priority", t.Load.ByPriority)
+	a.printShares("data centre", t.Load.ByDataCentre)
+	r := t.Load.Returns
+	a.out.printf("%d refused, of which %d returned, of which %d were served", r.Refused, r.Returned, r.Served)
 	return nil
 }
 
+// printShares prints one table followed by a blank line.
+func (a *app) printShares(name string, shares []explain.Share) {
+	header := []string{name, "requests"}
+	for _, cause := range explain.Causes() {
+		header = append(header, string(cause))
+	}
+	header = append(header, "waited", "wait p95")
+	var rows [][]string
+	for _, s := range shares {
+		row := []string{s.Group, strconv.Itoa(s.Requests)}
+		for _, cause := range explain.Causes() {
+			row = append(row, strconv.Itoa(s.ByCause[cause]))
+		}
+		rows = append(rows, append(row, strconv.Itoa(s.Waited), s.WaitP95.Round(time.Millisecond).String()))
+	}
+	a.out.table(header, rows)
+	a.out.printf("")
+}
+
 // printLosses prints one table followed by a blank line.
 func (a *app) printLosses(name string, losses []explain.Loss) {
 	header := []string{name, "requests"}
--- a/explain/losses.go
+++ b/explain/losses.go
@@ -59,8 +59,15 @@
 
 // endedRequest holds the data of a request's last log line, "request ended".
 type endedRequest struct {
-	at           time.Time
-	route        string
+	at    time.Time
+	host  string
+	route string
+	// organisation and priority are those of the request, hash identifies its content.
+	organisation, priority, hash string
+	// waited and attempts tell how long the request waited for a grant and how often it was
+	// sent to an engine.
+	waited       time.Duration
+	attempts     int
 	size         float64
 	cause        Cause
 	worth, price float64
@@ -85,7 +92,9 @@
 // parseEndedRequest reads the last log line of a request.
 func parseEndedRequest(l *Line) endedRequest {
 	e := endedRequest{
-		at: l.Time, route: l.field("route"), cause: causeOf(l), worth: l.number("worth"), price: l.number("price"),
+		at: l.Time, host: l.Host, route: l.field("route"), cause: causeOf(l), worth: l.number("worth"), price: l.number("price"),
+		organisation: l.field("organisation"), priority: l.field("priority"), hash: l.field("hash"),
+		waited: time.Duration(l.number("waited_ms") * float64(time.Millisecond)), attempts: int(l.number("attempts")),
 		size: l.number("prompt_tokens") + outputSize*l.number("answer_tokens"),
 	}
 	e.resends = max(int(l.number("attempts"))-1, 0)
@@ -124,13 +133,7 @@
 // Losses sums up the requests of a log by route, by size within the routes whose requests
 // have one, and by intervals of length step. Each retry of a caller counts as a request.
 func Losses(lines []Line, step time.Duration) (byRoute, bySize, byTime []Loss) {
-	var all []endedRequest
-	for i := range lines {
-		if lines[i].Message == "request ended" && lines[i].field("route") != "" {
-			all = append(all, parseEndedRequest(&lines[i]))
-		}
-	}
-	slices.SortStableFunc(all, func(a, b endedRequest) int { return a.at.Compare(b.at) })
+	all := endedRequests(lines)
 	interval := func(e endedRequest) string { return e.at.Truncate(step).UTC().Format(time.TimeOnly) }
 	for _, run := range runsOf(all, interval) {
 		byTime = append(byTime, sumUp(interval(run[0]), run))
@@ -147,6 +150,18 @@
 	return byRoute, bySize, byTime
 }
 
+// endedRequests returns the requests that ended, in the order of time.
+func endedRequests(lines []Line) []endedRequest {
+	var all []endedRequest
+	for i := range lines {
+		if lines[i].Message == "request ended" && lines[i].field("route") != "" {
+			all = append(all, parseEndedRequest(&lines[i]))
+		}
+	}
+	slices.SortStableFunc(all, func(a, b endedRequest) int { return a.at.Compare(b.at) })
+	return all
+}
+
 // sumUpBySize sums up one route's requests, sorted by size, for each size class.
 func sumUpBySize(all []endedRequest) []Loss {
 	var parts []Loss
