--- a/balance/choose.go
+++ b/balance/choose.go
@@ -378,7 +378,7 @@
 	c.d.ExpectedWait = seconds(best.wait)
 	c.d.ExpectedFirstToken = seconds(best.firstToken)
 	c.d.ExpectedAnswer = seconds(best.answer)
-	c.d.Backlog = seconds(best.backlog)
+	c.d.Backlog, c.d.Requests = seconds(best.backlog), best.requests
 }
 
 // refuse completes the decision when no engine may be used. RetryAfter is the
--- a/balance/decision.go
+++ b/balance/decision.go
@@ -119,6 +119,8 @@
 	// Backlog is the time that the engine needs for the work in progress, whether
 	// or not it has free slots, times BatchSlowdown.
 	Backlog time.Duration
+	// Requests is the estimated number of requests in progress at the engine.
+	Requests float64
 	// ExpectedAnswer is ExpectedFirstToken plus the time to generate the expected
 	// tokens.
 	ExpectedAnswer time.Duration
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -14,7 +14,9 @@
 	// backlog is the cost added for the work in progress, also while there are
 	// free slots.
 	backlog float64
-	cost    float64
+	// requests is the number of requests in progress at the engine.
+	requests float64
+	cost     float64
 }
 
 // noEstimate stands for no engine. Its cost exceeds that of any engine.
@@ -42,7 +44,7 @@
 	est.answer = est.firstToken + float64(max(1, c.req.Work.ExpectedTokens))*slowness/size.rate
 	failures := a.health.failureShare(c.now, o.FailureHalfLife)
 	penalty := failures * failures * o.FailurePenalty.Seconds()
-	est.backlog = o.BatchSlowdown * load.tokens / throughput
+	est.backlog, est.requests = o.BatchSlowdown*load.tokens/throughput, load.requests
 	est.cost = est.answer + est.backlog + penalty - hit*c.req.PrefixWorth.Seconds()
 	return est
 }
--- a/gateway/escalate.go
+++ b/gateway/escalate.go
@@ -40,11 +40,12 @@
 	draw := g.random()
 	// First the cheap check: whether the larger model would pay if its answer were in time.
 	inTime := func(string) float64 { return 0 }
+	t.sized.delayCost = 0
 	if _, ok := g.Models.Larger(t.sized, t.model, confidence, inTime, draw); !ok || time.Until(t.deadline) < minEscalation {
 		return false
 	}
 	larger, ok := g.Models.Larger(t.sized, t.model, confidence, g.startEstimator(t), draw)
-	if !ok || !g.budgets.forService(t.service).Take(time.Now()) {
+	if !ok || !g.takeEscalation(t.service) {
 		return false
 	}
 	// The latency of the dropped answer counts for its version.
@@ -55,10 +56,28 @@
 	return true
 }
 
+// escalationReserve is the share of the retry budget that escalations leave to other attempts
+// of loaded services. A retry saves a request, an escalation only improves its answer. When
+// engines that ran a third of the streams crashed, escalations had used up the budget and
+// the streams broke off.
+const escalationReserve = 0.5
+
+// takeEscalation takes one escalation from the retry budget and reports whether there was one.
+func (g *Gateway) takeEscalation(service string) bool {
+	reserve := 0.0
+	if g.schedulesLoad() {
+		reserve = escalationReserve
+	}
+	return g.budgets.forService(service).TakeUnreserved(time.Now(), reserve)
+}
+
+// schedulesLoad reports whether decisions take into account what they cost other requests.
+func (g *Gateway) schedulesLoad() bool { return g.SchedulesLoad != nil && g.SchedulesLoad() }
+
 // startEstimator returns a function that estimates the share of the route's target that will
 // have passed when a model begins to answer. The estimate is based on the balancer's choice
 // for the largest model. For the other models the time for the prompt is scaled by their
-// weight.
+// weight. It also sets the delay cost of the request.
 func (g *Gateway) startEstimator(t *task) func(model string) float64 {
 	engines := g.Tables().Engines
 	if engines == nil || t.route.Target <= 0 {
@@ -76,6 +95,9 @@
 	if !ok {
 		return func(string) float64 { return 1 }
 	}
+	if g.schedulesLoad() {
+		t.sized.delayCost = g.Models.DelayCost(t.backend, decision.Backlog, decision.Requests)
+	}
 	waits, reads := t.elapsed()+decision.Backlog, decision.ExpectedFirstToken.Seconds()
 	return func(model string) float64 {
 		return (waits.Seconds() + reads*g.Models.Weight(t.backend, model)) / t.route.Target.Seconds()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -144,6 +144,10 @@
 	// Leaving is called for every answer of an engine that states that it leaves.
 	Leaving func(engine string)
 
+	// SchedulesLoad reports whether decisions take into account what they cost other
+	// requests. Nil means that they do not.
+	SchedulesLoad func() bool
+
 	Engines       Balancer
 	SlowStarts    SlowStarts
 	Limits        Limits
--- a/gateway/models.go
+++ b/gateway/models.go
@@ -101,6 +101,8 @@
 	chances map[chanceKey]chance
 	// sizes holds the mean size of the requests of each route.
 	sizes map[string]float64
+	// worths holds the mean worth of the requests to each service.
+	worths map[string]float64
 }
 
 // chanceKey identifies a chance: a model that is asked first (band -1), or after a smaller
@@ -118,7 +120,7 @@
 
 // NewModelChoice returns a ModelChoice that holds the priors only.
 func NewModelChoice(o ModelOptions) *ModelChoice {
-	return &ModelChoice{options: o, chances: make(map[chanceKey]chance), sizes: make(map[string]float64)}
+	return &ModelChoice{options: o, chances: make(map[chanceKey]chance), sizes: make(map[string]float64), worths: make(map[string]float64)}
 }
 
 // First returns the model that a request is sent to first, or "" if the route names none.
@@ -155,7 +157,7 @@
 	best, most := "", o.chanceRight(float64(confidence))*q.worth
 	for _, one := range larger {
 		chance := m.chance(q, one, band(confidence)) * o.timelyShare(begins(one))
-		if gain := chance*q.worth - q.price(one); gain > most {
+		if gain := chance*q.worth - q.price(one) - m.delay(q, one); gain > most {
 			best, most = one, gain
 		}
 	}
--- a/gateway/worth.go
+++ b/gateway/worth.go
@@ -21,6 +21,9 @@
 	prompt, output int
 	// worth is the worth of a right answer, set by ModelChoice.Sized.
 	worth float64
+	// delayCost is the worth that other requests lose for each second for which this one
+	// occupies an engine, see ModelChoice.DelayCost.
+	delayCost float64
 }
 
 // size returns the size of the request, with which the worth of its answer grows.
@@ -55,6 +58,7 @@
 		relative = size / mean
 	}
 	q.worth = m.value(r, s, mean) * (m.options.FixedWorthShare + (1-m.options.FixedWorthShare)*relative)
+	m.recordWorth(s, q.worth)
 	return q
 }
 
