--- a/gateway/delaycost.go
+++ b/gateway/delaycost.go
@@ -11,8 +11,8 @@
 // requests are on time all the same. From fullBacklogShare on, each delay makes some of them
 // late.
 const (
-	freeBacklogShare = 0.1
-	fullBacklogShare = 0.5
+	freeBacklogShare = 0.25
+	fullBacklogShare = 1
 )
 
 // DelayCost returns the worth that other requests lose for each second of an engine's time,
--- a/gateway/escalate.go
+++ b/gateway/escalate.go
@@ -40,7 +40,7 @@
 	draw := g.random()
 	// First the cheap check: whether the larger model would pay if its answer were in time.
 	inTime := func(string) float64 { return 0 }
-	t.sized.delayCost = 0
+	t.sized.delayCost, t.sized.completes = 0, nil
 	if _, ok := g.Models.Larger(t.sized, t.model, confidence, inTime, draw); !ok || time.Until(t.deadline) < minEscalation {
 		return false
 	}
@@ -77,7 +77,8 @@
 // startEstimator returns a function that estimates the share of the route's target that will
 // have passed when a model begins to answer. The estimate is based on the balancer's choice
 // for the largest model. For the other models the time for the prompt is scaled by their
-// weight. It also sets the delay cost of the request.
+// weight. It also sets the delay cost of the request and its
+// chances to be complete in time.
 func (g *Gateway) startEstimator(t *task) func(model string) float64 {
 	engines := g.Tables().Engines
 	if engines == nil || t.route.Target <= 0 {
@@ -96,6 +97,10 @@
 		return func(string) float64 { return 1 }
 	}
 	if g.schedulesLoad() {
+		left := time.Until(t.deadline) - decision.Backlog - decision.ExpectedFirstToken
+		t.sized.completes = func(model string) float64 {
+			return g.answerLengths.completes(t.service, model, t.meta.LikelyTokens, left)
+		}
 		t.sized.delayCost = g.Models.DelayCost(t.backend, decision.Backlog, decision.Requests)
 	}
 	waits, reads := t.elapsed()+decision.Backlog, decision.ExpectedFirstToken.Seconds()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -168,6 +168,7 @@
 	metrics       *metrics
 	budgets       *budgets
 	paceBaselines *paceBaselines
+	answerLengths *answerLengths
 	prefixLoads   *prefixLoads
 	mismatches    *mismatches
 	retries       *retrySchedule
@@ -178,7 +179,7 @@
 
 // New returns a Gateway.
 func New(o Options) *Gateway {
-	g := &Gateway{Options: o, metrics: newMetrics(o.Registerer), budgets: newBudgets(o.Budget, o.Daemons), paceBaselines: newPaceBaselines(), prefixLoads: newPrefixLoads(), mismatches: newMismatches(), retries: newRetrySchedule()}
+	g := &Gateway{Options: o, metrics: newMetrics(o.Registerer), budgets: newBudgets(o.Budget, o.Daemons), paceBaselines: newPaceBaselines(), answerLengths: newAnswerLengths(), prefixLoads: newPrefixLoads(), mismatches: newMismatches(), retries: newRetrySchedule()}
 	g.rngs.New = func() any { return rand.New(rand.NewPCG(o.Seed, g.seeds.Add(1))) }
 	return g
 }
--- a/gateway/models.go
+++ b/gateway/models.go
@@ -156,7 +156,10 @@
 	larger := q.route.Models[slices.Index(q.route.Models, model)+1:]
 	best, most := "", o.chanceRight(float64(confidence))*q.worth
 	for _, one := range larger {
-		chance := m.chance(q, one, band(confidence)) * o.timelyShare(begins(one))
+		if q.completion(one) < minCompletion {
+			continue
+		}
+		chance := m.chance(q, one, band(confidence)) * o.timelyShare(begins(one)) * q.completion(one)
 		if gain := chance*q.worth - q.price(one) - m.delay(q, one); gain > most {
 			best, most = one, gain
 		}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -117,6 +117,7 @@
 	}
 	pace := time.Since(firstAt) / time.Duration(got-1)
 	ratio := g.paceBaselines.ratio(paceKind{t.service, t.model, false}, pace)
+	g.answerLengths.observe(t.service, t.model, t.meta.LikelyTokens, t.stream.events, pace)
 	g.Introductions.ObservePace(t.service, t.route.Name, to.engine.Version, scaledPace(ratio))
 	g.Engines.Finished(g.finished(t, to, ratio))
 }
--- a/gateway/worth.go
+++ b/gateway/worth.go
@@ -24,11 +24,22 @@
 	// delayCost is the worth that other requests lose for each second for which this one
 	// occupies an engine, see ModelChoice.DelayCost.
 	delayCost float64
+	// completes returns the chance that a model's answer is complete before the deadline. Nil
+	// means that it is certain.
+	completes func(model string) float64
 }
 
 // size returns the size of the request, with which the worth of its answer grows.
 func (r *sizedRequest) size() float64 { return float64(r.prompt + outputTokenSize*r.output) }
 
+// completion returns the chance that a model's answer is complete before the deadline.
+func (r *sizedRequest) completion(model string) float64 {
+	if r.completes == nil {
+		return 1
+	}
+	return r.completes(model)
+}
+
 // price returns the price of running the request on a model.
 func (r *sizedRequest) price(model string) float64 {
 	if r.service == nil {
