occupancy, balance: share the pace of engines between daemons

Reports carry the sum and number of logarithms of pace ratios, cumulative over periods of 10 s, so that late and repeated reports do not count twice and a lost one is made up for by the next. Answers carry the mean of all daemons and its weight. The balancer uses it in place of the daemon's own mean where it has more weight and the engines of the pool differ by a factor of 1.5 beyond the noise of their answers. The review of slow engines still uses own measurements only.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -158,10 +158,11 @@
 	for i, spec := range specs {
 		p := pools[spec.GetPool()]
 		if p == nil {
-			p = &pool{}
+			p = &pool{pace: poolPaceOf(list[i], spec.GetPool())}
 			pools[spec.GetPool()] = p
 		}
 		p.members++
+		p.engines = append(p.engines, list[i])
 		config := poolConfig{pool: p, nominal: newCapacity(spec).rate}
 		shared := configs[config]
 		if shared == nil {
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -26,7 +26,7 @@
 	o := &c.state.options
 	size := c.plan.capacity[index]
 	a := e.activity()
-	slowness := a.health.slownessFactor()
+	slowness := e.slownessFactor(c.now, o.SpeedPrior)
 	throughput := size.slots * size.rate / slowness
 	load := a.load.view(c.priority, c.now, o.ReportFresh, size.rate/slowness)
 
@@ -61,11 +61,15 @@
 // slownessFactor returns the measured time per token relative to that of the
 // registered rate, clamped to [lowest, highest], or 1 before any measurement.
 func (h *health) slownessFactor() float64 {
-	const lowest, highest = 0.5, 20
 	f := math.Float64frombits(h.slowness.Load())
 	if f == 0 {
 		return 1
 	}
+	return clampSlowness(f)
+}
+
+func clampSlowness(f float64) float64 {
+	const lowest, highest = 0.5, 20
 	return min(max(f, lowest), highest)
 }
 
--- a/balance/event.go
+++ b/balance/event.go
@@ -53,6 +53,10 @@
 	// first token is a good approximation of Generation.
 	Tokens     int64
 	Generation time.Duration
+	// PaceRatio is the ratio of the answer's pace to the mean of its service and model, above 1
+	// for a slow answer, zero if it was not measured. It is shared with other daemons; this
+	// package uses Generation.
+	PaceRatio float64
 	// Cancelled answers do not affect the engine's health.
 	Cancelled bool
 	At        time.Time
@@ -108,6 +112,16 @@
 	At       time.Time
 }
 
+// PaceReported reports the pace of an engine's answers that all daemons have measured.
+type PaceReported struct {
+	Engine string
+	// MeanLog is the mean natural logarithm of the pace ratios, above zero for a slow engine.
+	MeanLog float64
+	// Weight is the number of answers in the mean, recent ones counting most.
+	Weight float64
+	At     time.Time
+}
+
 // CacheEventKind is the kind of a CacheEvent.
 type CacheEventKind uint8
 
--- a/balance/health.go
+++ b/balance/health.go
@@ -65,7 +65,11 @@
 	failureAt atomic.Int64
 	// slowness is the time per token relative to that of the registered rate, as
 	// float bits.
-	slowness            atomic.Uint64
+	slowness atomic.Uint64
+	// ownWeight is the number of answers that slowness represents.
+	ownWeight atomic.Int32
+	// fleet is the pace last reported for the fleet, nil before the first report.
+	fleet               atomic.Pointer[fleetPace]
 	consecutiveFailures atomic.Int32
 	consecutiveRefusals atomic.Int32
 
@@ -92,6 +96,11 @@
 	members     int
 	ejected     int
 	ejectedSlow int
+
+	// engines are the members. They do not change once the pool is in use.
+	engines []*engine
+	// pace is kept across configuration changes.
+	pace *poolPace
 }
 
 // maxEjected returns the number of members that may be ejected for a maximum
--- a/balance/slow.go
+++ b/balance/slow.go
@@ -56,6 +56,10 @@
 // Review compares the latencies of the engines of each pool, ejects slow engines,
 // re-admits those that are no longer slow, and returns all changes since the last
 // review for logging. Call it about once a second.
+//
+// It uses only latencies that this daemon measured. With the fleet's means, all daemons
+// would eject an engine at the same moment, each relying on spare slots that the others fill
+// as well, and probes would be judged by answers from before the ejection.
 func (s *State) Review(p *Plan, now time.Time) []Change {
 	active := s.activeByPool(p)
 	for _, pool := range slices.Sorted(maps.Keys(active)) {
@@ -209,6 +213,7 @@
 	h.firstTokens = 0
 	h.tokenTime = 0
 	h.firstToken = 0
+	h.ownWeight.Store(0)
 }
 
 // observeFirstToken records the latency of a first token relative to the expected
@@ -242,8 +247,12 @@
 	if ratio < minTokenTime {
 		return
 	}
+	if h.samples > 0 && h.pool != nil {
+		h.pool.pace.observeDeviation(math.Log(ratio / h.tokenTime))
+	}
 	h.tokenTime = smooth(h.tokenTime, ratio, h.samples)
 	h.samples++
+	h.ownWeight.Store(int32(min(h.samples, maxOwnWeight)))
 	h.slowness.Store(math.Float64bits(shrunkSlowness(h.tokenTime, h.samples, prior)))
 }
 
--- a/entry/load.go
+++ b/entry/load.go
@@ -58,6 +58,7 @@
 		b.PeerLoadReported(balance.PeerLoadReported{
 			Engine: a.Engine, Requests: a.Load.Requests, Tokens: a.Load.Tokens + gateway.WorkOf(a.Load.Delay), At: now,
 		})
+		b.PaceReported(balance.PaceReported{Engine: a.Engine, MeanLog: a.Pace.MeanLog, Weight: a.Pace.Weight, At: now})
 	}
 	again := *r
 	again.NoProbe = true
@@ -87,6 +88,9 @@
 // Finished implements gateway.Balancer.
 func (b *sharedBalancer) Finished(ev balance.Finished) {
 	b.State.Finished(ev)
+	if ev.Work.PromptTokens > 0 && !ev.Cancelled && ev.PaceRatio != 0 {
+		b.occupancy.PaceMeasured(ev.Engine, ev.PaceRatio)
+	}
 	b.workChanged(ev.Engine, ev.Work)
 }
 
--- a/gateway/pace.go
+++ b/gateway/pace.go
@@ -61,6 +61,7 @@
 	if ratio > 0 {
 		seconds := ratio * (paceTokens - 1) / streamRate(to.engine.Slots)
 		ended.Tokens, ended.Generation = paceTokens, time.Duration(seconds*float64(time.Second))
+		ended.PaceRatio = ratio
 	}
 	return ended
 }
--- a/occupancy/book.go
+++ b/occupancy/book.go
@@ -44,6 +44,7 @@
 	byDaemon map[string]report
 	delay    time.Duration
 	delayAt  time.Time
+	pace     paceMean
 }
 
 // report is the last report of one daemon.
@@ -70,11 +71,7 @@
 	shard := s.shard(engine)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
-	state := shard.engines[engine]
-	if state == nil {
-		state = &engineState{byDaemon: make(map[string]report)}
-		shard.engines[engine] = state
-	}
+	state := shard.getOrCreate(engine)
 	if load.Delay > state.remainingDelay(now) {
 		state.delay, state.delayAt = load.Delay, now
 	}
@@ -84,6 +81,16 @@
 	state.byDaemon[daemon] = report{load: load, sequence: sequence, at: now}
 }
 
+// getOrCreate returns the state of an engine. The caller holds mu.
+func (s *shard) getOrCreate(engine uint32) *engineState {
+	state := s.engines[engine]
+	if state == nil {
+		state = &engineState{byDaemon: make(map[string]report)}
+		s.engines[engine] = state
+	}
+	return state
+}
+
 // LoadOfOthers returns the load of all daemons but the given one at an engine.
 func (s *Store) LoadOfOthers(daemon string, engine uint32, now time.Time) Load {
 	shard := s.shard(engine)
@@ -113,7 +120,8 @@
 	return time.Duration(float64(e.delay) * (1 - age.Seconds()/delayTTL.Seconds()))
 }
 
-// Expire removes reports that are older than reportTTL.
+// Expire removes load reports that are older than reportTTL, and pace reports older than
+// paceReportTTL.
 func (s *Store) Expire(now time.Time) {
 	for i := range s.shards {
 		s.shards[i].expire(now)
@@ -129,7 +137,8 @@
 				delete(state.byDaemon, name)
 			}
 		}
-		if len(state.byDaemon) == 0 {
+		state.pace.expire(now)
+		if len(state.byDaemon) == 0 && len(state.pace.counted) == 0 {
 			delete(s.engines, engine)
 		}
 	}
--- a/occupancy/server.go
+++ b/occupancy/server.go
@@ -22,13 +22,16 @@
 func (s *Store) exchange(m *bronzeturnv1.ShareRequest, now time.Time) []*bronzeturnv1.EngineLoad {
 	for _, own := range m.GetOwn() {
 		s.Record(m.GetDaemon(), m.GetSequence(), own.GetEngine(), loadOf(own), now)
+		s.RecordPace(m.GetDaemon(), own.GetEngine(), paceReportOf(m, own), now)
 	}
 	others := make([]*bronzeturnv1.EngineLoad, 0, len(m.GetAsked()))
 	for _, engine := range m.GetAsked() {
 		load := s.LoadOfOthers(m.GetDaemon(), engine, now)
-		others = append(others, &bronzeturnv1.EngineLoad{
+		answer := &bronzeturnv1.EngineLoad{
 			Engine: engine, Requests: uint32(load.Requests), Tokens: uint32(load.Tokens), LateMs: uint32(load.Delay.Milliseconds()),
-		})
+		}
+		s.Pace(engine, now).put(answer)
+		others = append(others, answer)
 	}
 	return others
 }
--- a/occupancy/sharer.go
+++ b/occupancy/sharer.go
@@ -59,6 +59,7 @@
 	Options
 	metrics  *metrics
 	sequence atomic.Uint64
+	pace     paceSums
 	// wake signals Run that there is load to report.
 	wake chan struct{}
 
@@ -186,13 +187,14 @@
 	engines := c.changed[keeper]
 	delete(c.changed, keeper)
 	c.mu.Unlock()
-	m := &bronzeturnv1.ShareRequest{Daemon: c.Self, Sequence: c.sequence.Add(1)}
+	m := &bronzeturnv1.ShareRequest{Daemon: c.Self}
 	for engine, delay := range engines {
 		requests, tokens := c.InFlight(engine)
 		m.Own = append(m.Own, &bronzeturnv1.EngineLoad{
 			Engine: hash(engine), Requests: uint32(requests), Tokens: uint32(tokens), LateMs: uint32(delay.Milliseconds()),
 		})
 	}
+	c.pace.complete(m, &c.sequence, time.Now())
 	return m
 }
 
@@ -251,10 +253,12 @@
 	}
 }
 
-// EngineLoad is the load of the other daemons at one engine.
+// EngineLoad is the load of the other daemons at one engine, and its pace as measured by
+// all daemons.
 type EngineLoad struct {
 	Engine string
 	Load   Load
+	Pace   Pace
 }
 
 // QueryLoads returns the load of the other daemons at those of the engines whose
@@ -295,7 +299,7 @@
 	}
 	answers := make([]EngineLoad, len(engines))
 	for i, o := range others {
-		answers[i] = EngineLoad{Engine: engines[i], Load: loadOf(o)}
+		answers[i] = EngineLoad{Engine: engines[i], Load: loadOf(o), Pace: paceOf(o)}
 	}
 	return answers
 }
