balance, occupancy: judge the noise of paces by the fleet's variance

A daemon of a large fleet sees too few answers to estimate the noise itself, so reports also carry the sum of squares and answers the variance.

--- a/balance/event.go
+++ b/balance/event.go
@@ -117,6 +117,8 @@
 	Engine string
 	// MeanLog is the mean natural logarithm of the pace ratios, above zero for a slow engine.
 	MeanLog float64
+	// Variance is the variance of the logarithms of single answers.
+	Variance float64
 	// Weight is the number of answers in the mean, recent ones counting most.
 	Weight float64
 	At     time.Time
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -27,19 +26,23 @@
 	// moving average with smoothing factor speedGain equals that of the mean of
 	// (2-speedGain)/speedGain values.
 	maxOwnWeight = 19
-	// priorDeviation is the assumed standard deviation of the logarithm of an engine's pace
-	// ratios, with the weight of priorDeviations measured deviations. It is that of buffered
-	// answers of very different lengths; 0.4 gave false differences in the first second.
-	priorDeviation  = 1
-	priorDeviations = 4
-	// maxDeviations is the number of deviations that the moving average covers.
-	maxDeviations = 100
+	// priorVariance is the assumed variance of the logarithm of an engine's pace ratios, with
+	// the weight of priorAnswers answers. It is that of answers of very different lengths that
+	// are not streamed.
+	priorVariance = 1
+	priorAnswers  = 4
+	// newMargin and heldMargin are the numbers of standard deviations by which the differences
+	// between engines must exceed those expected from noise, to be used and to remain in use.
+	// Means are compared several times a second for as long as a daemon runs, so that a margin
+	// of 3 would give false differences within the hour for three engines.
+	newMargin  = 6
+	heldMargin = 2
 )
 
 // fleetPace is the pace of an engine as measured by all daemons.
 type fleetPace struct {
-	meanLog, weight float64
-	at              int64 // Unix nanoseconds
+	meanLog, variance, weight float64
+	at                        int64 // Unix nanoseconds
 }
 
 // poolPace decides whether the fleet's means are used in a pool.
@@ -49,12 +52,6 @@
 	unlike atomic.Bool
 	// checkedAt is the time of the last comparison in Unix nanoseconds.
 	checkedAt atomic.Int64
-
-	mu sync.Mutex
-	// variance is the moving average of the squared deviation of the logarithm of a pace
-	// ratio from the average of its engine; deviations is the number of values in it.
-	variance   float64
-	deviations int
 }
 
 // poolPaceOf returns the pace state of the named pool that the engine was in, or a new one.
@@ -62,22 +59,15 @@
 	if config := e.poolConfig.Load(); config != nil && config.pool.pace.name == name {
 		return config.pool.pace
 	}
-	return &poolPace{name: name, variance: priorDeviation * priorDeviation, deviations: priorDeviations}
-}
-
-// observeDeviation records the deviation of the logarithm of a pace ratio from the average of
-// its engine.
-func (p *poolPace) observeDeviation(log float64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.deviations = min(p.deviations+1, maxDeviations)
-	p.variance += (log*log - p.variance) / float64(p.deviations)
+	return &poolPace{name: name}
 }
 
 // PaceReported handles the pace of an engine that all daemons measured. Implausible values
 // are ignored.
 func (s *State) PaceReported(ev PaceReported) {
-	plausible := math.Abs(ev.MeanLog) <= math.Log(maxPaceRatio) && ev.Weight > 0 && !math.IsInf(ev.Weight, 0)
+	maxLog := math.Log(maxPaceRatio)
+	plausible := math.Abs(ev.MeanLog) <= maxLog && ev.Variance >= 0 && ev.Variance <= maxLog*maxLog &&
+		ev.Weight > 0 && !math.IsInf(ev.Weight, 0)
 	e := s.engine(ev.Engine)
 	if !plausible || e == nil {
 		return
@@ -87,7 +77,7 @@
 	if last := h.fleet.Load(); last != nil && last.at > at {
 		return
 	}
-	h.fleet.Store(&fleetPace{meanLog: ev.MeanLog, weight: ev.Weight, at: at})
+	h.fleet.Store(&fleetPace{meanLog: ev.MeanLog, variance: ev.Variance, weight: ev.Weight, at: at})
 	if config := e.poolConfig.Load(); config != nil {
 		config.pool.checkPace(at)
 	}
@@ -99,36 +89,53 @@
 	if now-last < int64(paceCheckInterval) || !p.pace.checkedAt.CompareAndSwap(last, now) {
 		return
 	}
-	p.pace.mu.Lock()
-	deviation := math.Sqrt(p.pace.variance)
-	p.pace.mu.Unlock()
-	// The most extreme of n means of equal engines deviates by at most sqrt(2 ln n) standard
-	// errors on average; one more makes a false difference rare. Once a difference was found,
-	// half of that suffices, so that it is not lost when an engine gets fewer answers.
-	margin := deviation * (1 + math.Sqrt(2*math.Log(float64(len(p.engines)))))
+	margin := float64(newMargin)
 	if p.pace.unlike.Load() {
-		margin /= 2
+		margin = heldMargin
 	}
-	p.pace.unlike.Store(p.paceSpread(now, margin) >= math.Log(minPaceSpread))
+	p.pace.unlike.Store(paceSpread(p.measuredPaces(now), margin) >= math.Log(minPaceSpread))
 }
 
-// paceSpread returns the difference between the highest and the lowest mean logarithm in the
-// pool, each moved towards the other by margin divided by the square root of its weight. It
-// returns 0 if too few engines are measured.
-func (p *pool) paceSpread(now int64, margin float64) float64 {
-	lowest, highest, measured := math.Inf(1), math.Inf(-1), 0
+// measuredPaces returns the means of the pool's engines that are recent and have enough weight.
+func (p *pool) measuredPaces(now int64) []*fleetPace {
+	var measured []*fleetPace
 	for _, e := range p.engines {
 		f := e.activity().health.fleet.Load()
-		if f == nil || now-f.at > int64(paceTTL) || f.weight < minPaceWeight {
-			continue
+		if f != nil && now-f.at <= int64(paceTTL) && f.weight >= minPaceWeight {
+			measured = append(measured, f)
 		}
-		measured++
-		allowed := margin / math.Sqrt(f.weight)
-		lowest, highest = min(lowest, f.meanLog+allowed), max(highest, f.meanLog-allowed)
 	}
-	if measured < minPacedEngines {
+	return measured
+}
+
+// paceSpread estimates the difference between the logarithms of the paces of the slowest and
+// the fastest engine. The means differ by noise also where all engines are alike. So each is
+// moved towards the common mean by the share of noise in the variance of the means. This
+// variance exceeds that of noise alone only if the weighted sum of squares does so by margin
+// standard deviations of its chi-square distribution. It returns 0 for too few engines.
+func paceSpread(paces []*fleetPace, margin float64) float64 {
+	if len(paces) < minPacedEngines {
 		return 0
 	}
+	weights, logs, variances := 0.0, 0.0, 0.0
+	for _, f := range paces {
+		weights += f.weight
+		logs += f.weight * f.meanLog
+		variances += f.weight * f.variance
+	}
+	mean := logs / weights
+	noise := (variances + priorAnswers*priorVariance) / (weights + priorAnswers)
+	squares := 0.0
+	for _, f := range paces {
+		squares += f.weight * (f.meanLog - mean) * (f.meanLog - mean)
+	}
+	freedom := float64(len(paces) - 1)
+	between := max(0, squares-noise*(freedom+margin*math.Sqrt(2*freedom))) / weights
+	lowest, highest := math.Inf(1), math.Inf(-1)
+	for _, f := range paces {
+		estimate := (f.meanLog - mean) * between / (between + noise/f.weight)
+		lowest, highest = min(lowest, estimate), max(highest, estimate)
+	}
 	return highest - lowest
 }
 
--- a/balance/slow.go
+++ b/balance/slow.go
@@ -247,9 +247,6 @@
 	if ratio < minTokenTime {
 		return
 	}
-	if h.samples > 0 && h.pool != nil {
-		h.pool.pace.observeDeviation(math.Log(ratio / h.tokenTime))
-	}
 	h.tokenTime = smooth(h.tokenTime, ratio, h.samples)
 	h.samples++
 	h.ownWeight.Store(int32(min(h.samples, maxOwnWeight)))
--- a/entry/load.go
+++ b/entry/load.go
@@ -58,7 +58,9 @@
 		b.PeerLoadReported(balance.PeerLoadReported{
 			Engine: a.Engine, Requests: a.Load.Requests, Tokens: a.Load.Tokens + gateway.WorkOf(a.Load.Delay), At: now,
 		})
-		b.PaceReported(balance.PaceReported{Engine: a.Engine, MeanLog: a.Pace.MeanLog, Weight: a.Pace.Weight, At: now})
+		b.PaceReported(balance.PaceReported{
+			Engine: a.Engine, MeanLog: a.Pace.MeanLog, Variance: a.Pace.Variance, Weight: a.Pace.Weight, At: now,
+		})
 	}
 	again := *r
 	again.NoProbe = true
--- a/occupancy/pace.go
+++ b/occupancy/pace.go
@@ -23,7 +23,7 @@
 	// maxPaceSamples is the maximum number of samples for one engine and period. More are
 	// dropped by the daemon, and reports of more are ignored by the keeper.
 	maxPaceSamples = 100_000
-	// Units of EngineLoad.pace_log and pace_weight in messages.
+	// Units of EngineLoad.pace_log, pace_square and pace_weight in messages.
 	paceLogUnit    = 0.001
 	paceWeightUnit = 0.1
 )
@@ -37,6 +37,8 @@
 type Pace struct {
 	// MeanLog is the mean natural logarithm of the pace ratios; above zero is slow.
 	MeanLog float64
+	// Variance is the variance of the logarithms, within and between the daemons.
+	Variance float64
 	// Weight is the number of samples, halved for every paceHalfLife of their age.
 	Weight float64
 }
@@ -46,15 +48,16 @@
 	// Sequence is that of the message, Period identifies the period.
 	Sequence uint64
 	Period   uint32
-	// LogSum is the sum of the natural logarithms of Count pace ratios.
-	LogSum float64
-	Count  int64
+	// LogSum is the sum of the natural logarithms of Count pace ratios, SquareSum that of
+	// the squares of these logarithms.
+	LogSum, SquareSum float64
+	Count             int64
 }
 
 // paceMean is the decaying mean of the samples of one engine. The shard's lock guards it.
 type paceMean struct {
-	logSum, weight float64
-	at             time.Time
+	logSum, squareSum, weight float64
+	at                        time.Time
 	// counted holds the last report of each daemon. It is nil before the first.
 	counted map[string]countedPace
 }
@@ -82,13 +85,11 @@
 	if known && r.Sequence <= last.Sequence {
 		return
 	}
-	logSum, count := r.LogSum, r.Count
+	added := r
 	if known && r.Period == last.Period {
-		logSum, count = logSum-last.LogSum, count-last.Count
+		added.LogSum, added.SquareSum, added.Count = r.LogSum-last.LogSum, r.SquareSum-last.SquareSum, r.Count-last.Count
 	}
-	// The rounding of sums in messages adds up to one unit to a difference.
-	plausible := math.Abs(logSum) <= float64(count)*maxPaceLog+paceLogUnit
-	if !plausible || count < 0 || r.Count > maxPaceSamples {
+	if r.Count > maxPaceSamples || !added.plausible() {
 		return
 	}
 	p.decay(now)
@@ -96,8 +97,17 @@
 		p.counted = make(map[string]countedPace)
 	}
 	p.counted[daemon] = countedPace{PaceReport: r, at: now}
-	p.logSum += logSum
-	p.weight += float64(count)
+	p.logSum += added.LogSum
+	p.squareSum += added.SquareSum
+	p.weight += float64(added.Count)
+}
+
+// plausible reports whether pace ratios within the bounds can have these sums.
+func (r *PaceReport) plausible() bool {
+	const rounding = 2 * paceLogUnit // of the differences of two sums in messages
+	count := float64(r.Count)
+	return r.Count >= 0 && math.Abs(r.LogSum) <= count*maxPaceLog+rounding &&
+		r.SquareSum >= -rounding && r.SquareSum <= count*maxPaceLog*maxPaceLog+rounding
 }
 
 // decay reduces the weight of the samples to that at now.
@@ -108,6 +118,7 @@
 	}
 	factor := math.Exp2(-age.Seconds() / paceHalfLife.Seconds())
 	p.logSum *= factor
+	p.squareSum *= factor
 	p.weight *= factor
 	p.at = now
 }
@@ -131,7 +142,12 @@
 		return Pace{}
 	}
 	state.pace.decay(now)
-	return Pace{MeanLog: state.pace.logSum / state.pace.weight, Weight: state.pace.weight}
+	return state.pace.pace()
+}
+
+func (p *paceMean) pace() Pace {
+	mean := p.logSum / p.weight
+	return Pace{MeanLog: mean, Variance: max(0, p.squareSum/p.weight-mean*mean), Weight: p.weight}
 }
 
 // put sets the pace in a response. A weight below one unit counts as none.
@@ -140,17 +156,23 @@
 		return
 	}
 	m.PaceLog = int32(math.Round(p.MeanLog / paceLogUnit))
+	m.PaceSquare = uint32(math.Round(p.Variance / paceLogUnit))
 	m.PaceWeight = uint32(p.Weight / paceWeightUnit)
 }
 
 func paceOf(m *bronzeturnv1.EngineLoad) Pace {
-	return Pace{MeanLog: float64(m.GetPaceLog()) * paceLogUnit, Weight: float64(m.GetPaceWeight()) * paceWeightUnit}
+	return Pace{
+		MeanLog:  float64(m.GetPaceLog()) * paceLogUnit,
+		Variance: float64(m.GetPaceSquare()) * paceLogUnit,
+		Weight:   float64(m.GetPaceWeight()) * paceWeightUnit,
+	}
 }
 
 func paceReportOf(m *bronzeturnv1.ShareRequest, own *bronzeturnv1.EngineLoad) PaceReport {
 	return PaceReport{
 		Sequence: m.GetSequence(), Period: m.GetPacePeriod(),
-		LogSum: float64(own.GetPaceLog()) * paceLogUnit, Count: int64(own.GetPaceWeight()),
+		LogSum: float64(own.GetPaceLog()) * paceLogUnit, SquareSum: float64(own.GetPaceSquare()) * paceLogUnit,
+		Count: int64(own.GetPaceWeight()),
 	}
 }
 
@@ -163,10 +185,12 @@
 	engines map[uint32]*paceSum
 }
 
-// paceSum is the sum and number of the samples for one engine, and what of it has been sent.
-type paceSum struct {
-	logSum, sentLogSum float64
-	count, sentCount   int64
+// paceSum holds the samples for one engine, and those of them that have been sent.
+type paceSum struct{ all, sent paceTotal }
+
+type paceTotal struct {
+	logSum, squareSum float64
+	count             int64
 }
 
 // PaceMeasured records the pace of an answer relative to the mean of its service. It is
@@ -188,9 +212,10 @@
 		sum = &paceSum{}
 		p.engines[engine] = sum
 	}
-	if sum.count < maxPaceSamples {
-		sum.logSum += log
-		sum.count++
+	if sum.all.count < maxPaceSamples {
+		sum.all.logSum += log
+		sum.all.squareSum += log * log
+		sum.all.count++
 	}
 }
 
@@ -206,8 +231,10 @@
 	p.began = now
 	p.period = uint32(now.UnixMilli()) // Differs between the processes of a daemon.
 	for engine, sum := range p.engines {
-		*sum = paceSum{logSum: sum.logSum - sum.sentLogSum, count: sum.count - sum.sentCount}
-		if sum.count == 0 {
+		*sum = paceSum{all: paceTotal{
+			sum.all.logSum - sum.sent.logSum, sum.all.squareSum - sum.sent.squareSum, sum.all.count - sum.sent.count,
+		}}
+		if sum.all.count == 0 {
 			delete(p.engines, engine)
 		}
 	}
@@ -226,7 +253,8 @@
 			continue
 		}
 		m.PacePeriod = p.period
-		own.PaceLog, own.PaceWeight = int32(math.Round(sum.logSum/paceLogUnit)), uint32(sum.count)
-		sum.sentLogSum, sum.sentCount = sum.logSum, sum.count
+		own.PaceLog, own.PaceWeight = int32(math.Round(sum.all.logSum/paceLogUnit)), uint32(sum.all.count)
+		own.PaceSquare = uint32(math.Round(max(0, sum.all.squareSum) / paceLogUnit))
+		sum.sent = sum.all
 	}
 }
