--- a/entry/pace_play_test.go
+++ b/entry/pace_play_test.go
@@ -21,6 +21,7 @@
 	paces   []float64 // time per token of each engine
 	load    float64   // demand relative to the capacity
 	first   float64   // share of the demand at the first daemon, 0 for equal shares
+	rate    float64   // tokens per second of one stream at pace 1
 	noise   float64   // standard deviation of the logarithm of an answer's pace
 	length  time.Duration
 	seed    uint64
@@ -39,15 +40,6 @@
 	done     []*played
 }
 
-// played is one request.
-type played struct {
-	daemon, engine        int
-	tokens                float64
-	arrived, began, ended time.Time
-	generation            time.Duration
-	work                  balance.Work
-}
-
 type playEvent struct {
 	at time.Time
 	f  func(now time.Time)
@@ -63,7 +55,6 @@
 
 const (
 	playSlots = 4
-	playRate  = 100 // tokens per second of one stream at pace 1
 	// One request in five has playLong tokens, the others have playShort. Daemons expect the mean.
 	playLong, playShort, playMean = 500, 100, 180
 	playGain                      = 0.02 // smoothing of the daemon's baseline, as in package gateway
@@ -81,9 +72,9 @@
 	register, capacity := &bronzeturnv1.Register{}, 0.0
 	for i, pace := range p.paces {
 		p.ids[engineName(i)] = i
-		capacity += playSlots * playRate / pace / playMean
+		capacity += playSlots * p.rate / pace / playMean
 		register.Engines = append(register.Engines, &bronzeturnv1.Engine{
-			Name: engineName(i), Pool: "s", Host: engineName(i), Versions: []string{"s"}, Slots: playSlots, TokensPerSecond: playRate,
+			Name: engineName(i), Pool: "s", Host: engineName(i), Versions: []string{"s"}, Slots: playSlots, TokensPerSecond: p.rate,
 		})
 	}
 	for range p.daemons {
@@ -100,7 +91,7 @@
 		if arrivals.IntN(5) == 0 {
 			r.tokens = playLong
 		}
-		r.generation = time.Duration(r.tokens / playRate * math.Exp(p.noise*arrivals.NormFloat64()) * float64(time.Second))
+		r.generation = time.Duration(r.tokens / p.rate * math.Exp(p.noise*arrivals.NormFloat64()) * float64(time.Second))
 		heap.Push(&p.events, playEvent{at, func(now time.Time) { p.send(r, now) }})
 	}
 	for at := playStart; at.Before(playStart.Add(p.length)); at = at.Add(time.Second) {
@@ -117,31 +108,6 @@
 	return p.done
 }
 
-// send chooses an engine as sharedBalancer does.
-func (p *pacePlay) send(r *played, now time.Time) {
-	s, request := p.states[r.daemon], &balance.Request{Version: "s", Work: r.work}
-	decision, ok := s.Choose(p.plans[r.daemon], request, now, p.rng)
-	if ok {
-		names := decision.Compared(maxQueriedEngines)
-		for _, name := range names {
-			id := uint32(p.ids[name])
-			load := p.store.LoadOfOthers(fmt.Sprintf("daemon-%d", r.daemon), id, now)
-			s.PeerLoadReported(balance.PeerLoadReported{Engine: name, Requests: load.Requests, Tokens: load.Tokens, At: now})
-			if pace := p.store.Pace(id, now); p.shared {
-				s.PaceReported(balance.PaceReported{Engine: name, MeanLog: pace.MeanLog, Variance: pace.Variance, Weight: pace.Weight, At: now})
-			}
-		}
-		request.NoProbe = true
-		copy(request.Candidates[:], names)
-		decision, _ = s.Choose(p.plans[r.daemon], request, now, p.rng)
-	}
-	r.engine = decision.Index
-	s.Dispatched(balance.Dispatched{Engine: engineName(r.engine), Work: r.work, At: now})
-	p.report(r, now)
-	p.queues[r.engine] = append(p.queues[r.engine], r)
-	p.begin(r.engine, now)
-}
-
 // begin starts the requests at the head of an engine's queue that find a free slot.
 func (p *pacePlay) begin(engine int, now time.Time) {
 	for p.running[engine] < playSlots && len(p.queues[engine]) > 0 {
@@ -165,7 +131,7 @@
 		mean = pace
 	}
 	p.baseline[r.daemon] = mean + playGain*(pace-mean)
-	generation := time.Duration(pace / mean * 99 / playRate * float64(time.Second))
+	generation := time.Duration(pace / mean * 99 / p.rate * float64(time.Second))
 	p.states[r.daemon].Finished(balance.Finished{
 		Engine: engineName(r.engine), Work: r.work, FirstTokenSeen: true, Tokens: 100, Generation: generation, At: now,
 	})
@@ -179,15 +145,3 @@
 	p.report(r, now)
 	p.begin(r.engine, now)
 }
-
-// report reports the load and the paces of a request's daemon at its engine.
-func (p *pacePlay) report(r *played, now time.Time) {
-	p.sequence++
-	daemon, id := fmt.Sprintf("daemon-%d", r.daemon), uint32(r.engine)
-	requests, tokens := p.states[r.daemon].OwnLoad(engineName(r.engine))
-	p.store.Record(daemon, p.sequence, id, occupancy.Load{Requests: requests, Tokens: tokens}, now)
-	if sums := p.paced[[2]int{r.daemon, r.engine}]; sums != nil {
-		sums.Sequence = p.sequence
-		p.store.RecordPace(daemon, id, *sums, now)
-	}
-}
