--- a/balance/options.go
+++ b/balance/options.go
@@ -55,7 +55,8 @@
 	// SpeedPrior is the weight, in answers, of the prior assumption that an engine has
 	// its registered speed. In a fleet of many daemons, each daemon sees an engine's
 	// answers seconds apart, and the latency of a few answers depends more on the
-	// engine's momentary load than on its speed. Zero means no prior.
+	// engine's momentary load than on its speed. The mean that all daemons measured is weighted
+	// against the same prior. Zero means no prior.
 	SpeedPrior int
 	// SlowFactor is the multiple of its pool's median latency above which an engine
 	// is ejected.
--- a/occupancy/pace_test.go
+++ b/occupancy/pace_test.go
@@ -71,6 +71,17 @@
 	c.Check(store.shard(5).engines, qt.HasLen, 0)
 }
 
+// TestSumsOutliveTheirPeriod guards against counting the samples of a period again when a daemon
+// reports after a pause.
+func TestSumsOutliveTheirPeriod(t *testing.T) {
+	c := qt.New(t)
+	store, now := NewStore(), start.Add(pacePeriod)
+	store.RecordPace("a", 5, PaceReport{Sequence: 1, Period: 1, Count: 8}, start)
+	store.Expire(now)
+	store.RecordPace("a", 5, PaceReport{Sequence: 2, Period: 1, Count: 9}, now)
+	c.Check(store.Pace(5, now).Weight, qt.Equals, 5.0)
+}
+
 // TestNewKeeperCountsOnlyTheCurrentPeriod guards against a new keeper that counts all answers
 // of a long-running daemon as recent ones.
 func TestNewKeeperCountsOnlyTheCurrentPeriod(t *testing.T) {
