gateway: the delay cost begins at half of the shortest target

Engines generate the answers in progress together, so a backlog of half of the target does not make new requests late. Escalations leave a quarter of the retry budget rather than a half: in the first seconds after a start the budget is nearly empty.

--- a/gateway/delaycost.go
+++ b/gateway/delaycost.go
@@ -8,11 +8,12 @@
 
 // Work at an engine delays the requests in progress there and those that follow. As long as
 // the engine's backlog takes less than freeBacklogShare of the service's shortest target, the
-// requests are on time all the same. From fullBacklogShare on, each delay makes some of them
-// late.
+// requests are on time all the same, since engines generate the answers in progress together
+// and a new request waits only for the prompts ahead of it. From fullBacklogShare on, each
+// delay makes some of them late.
 const (
-	freeBacklogShare = 0.25
-	fullBacklogShare = 1
+	freeBacklogShare = 0.5
+	fullBacklogShare = 1.5
 )
 
 // DelayCost returns the worth that other requests lose for each second of an engine's time,
--- a/gateway/escalate.go
+++ b/gateway/escalate.go
@@ -60,7 +60,7 @@
 // of loaded services. A retry saves a request, an escalation only improves its answer. When
 // engines that ran a third of the streams crashed, escalations had used up the budget and
 // the streams broke off.
-const escalationReserve = 0.5
+const escalationReserve = 0.25
 
 // takeEscalation takes one escalation from the retry budget and reports whether there was one.
 func (g *Gateway) takeEscalation(service string) bool {
