--- a/scheduler/loads_test.go
+++ b/scheduler/loads_test.go
@@ -29,9 +29,9 @@
 
 // tally counts what became of a load's callers after the warm-up.
 type tally struct {
-	callers, tries, served, inTime, toldServed, toldTries, newServed int
-	slowestRefusal                                                   time.Duration
-	took                                                             []time.Duration
+	callers, tries, served, inTime, toldServed, toldTries, newServed, refused, late int
+	slowestRefusal                                                                  time.Duration
+	took                                                                            []time.Duration
 }
 
 func (t *tally) share(n, of int) float64 { return float64(n) / float64(max(1, of)) }
@@ -61,8 +61,8 @@
 func (p *play) log(t *testing.T, busy float64, loads ...*load) {
 	for _, l := range loads {
 		c := p.tallies[l]
-		t.Logf("%s: callers %d tries %d served %d in time %.3f; told: tries %d served %d; new served %d; slowest refusal %v",
-			l.org, c.callers, c.tries, c.served, c.share(c.inTime, c.callers), c.toldTries, c.toldServed, c.newServed, c.slowestRefusal)
+		t.Logf("%s: callers %d tries %d served %d in time %.3f; told: tries %d served %d; new served %d; refused %d, after 50 ms %d, slowest %v",
+			l.org, c.callers, c.tries, c.served, c.share(c.inTime, c.callers), c.toldTries, c.toldServed, c.newServed, c.refused, c.late, c.slowestRefusal)
 	}
 	t.Logf("busy %.3f, refused by full engines %d", busy, p.full)
 }
--- a/scheduler/play_test.go
+++ b/scheduler/play_test.go
@@ -167,7 +167,14 @@
 func (p *play) refused(r scheduler.Refusal) {
 	c := p.waiting[r.ID]
 	delete(p.waiting, r.ID)
-	p.count(c, func(t *tally) { t.slowestRefusal = max(t.slowestRefusal, p.now.Sub(c.came)) })
+	p.count(c, func(t *tally) {
+		took := p.now.Sub(c.came)
+		t.slowestRefusal = max(t.slowestRefusal, took)
+		t.refused++
+		if took > 50*ms {
+			t.late++
+		}
+	})
 	left := c.born.Add(c.deadline).Sub(p.now)
 	switch {
 	case c.repeat > 0:
