gateway: order attempts at contended services through a Dispatcher

Each attempt waits for a ticket before its engine is chosen, and reports its end exactly once. A request whose attempt was refused as full, or that finds all engines busy, returns to the queue. An attempt at a silent engine is abandoned only if another engine can take the request. Without a Dispatcher nothing changes.

--- a/gateway/again.go
+++ b/gateway/again.go
@@ -11,10 +11,7 @@
 // checkRetry returns nil if another attempt may follow the failed one, and otherwise the
 // failure that ends the request.
 func (g *Gateway) checkRetry(ctx context.Context, t *task, to *target, e *attemptError) *failure.Error {
-	if e.Ran != failure.RanNo {
-		t.runs++
-		t.ran = failure.RanUnknown
-	}
+	t.recordFailure(to, e)
 	if e.connectionLost() {
 		// Whether the request may be sent again, and where, depends on whether the engine
 		// has crashed.
@@ -49,6 +46,19 @@
 	return failure.Wrap(e, failure.CodeEngineFailed, t.ran, "the engine did not answer; the request may have run")
 }
 
+// recordFailure records a failed attempt.
+func (t *task) recordFailure(to *target, e *attemptError) {
+	t.lastError = e
+	if e.Ran != failure.RanNo {
+		t.runs++
+		t.ran = failure.RanUnknown
+		t.queuedSince = time.Time{}
+	}
+	if e.Kind != retry.KindRefused && e.Kind != retry.KindDoubted {
+		t.failedAt = append(t.failedAt, to.engine.Key())
+	}
+}
+
 // suspectCrashes is the number of engine crashes from which on a request leaves a part of the
 // retry budget to others, as it is more likely than they to crash the next engine.
 const suspectCrashes = 2
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -18,23 +18,24 @@
 	noEnginePoll = 10 * time.Millisecond
 )
 
-// choose picks the engine for the next attempt, by the current tables.
-func (g *Gateway) choose(ctx context.Context, t *task) (*target, *failure.Error) {
+// choose picks the engine for the next attempt, by the current tables. busy is set if there is
+// none because all engines are busy.
+func (g *Gateway) choose(ctx context.Context, t *task, ticket *attemptTicket) (to *target, busy bool, f *failure.Error) {
 	waited := time.Duration(0)
 	for {
 		if f := g.checkTimeLeft(ctx, t); f != nil {
-			return nil, f
+			return nil, false, f
 		}
-		to, decision, ok := g.pickEngine(t)
+		to, decision, ok := g.pickEngine(t, ticket.engine())
 		if ok {
-			return to, nil
+			return to, false, nil
 		}
 		if f := g.refuseThrottled(t, t.waitForEngine()-waited); f != nil {
-			return nil, f
+			return nil, false, f
 		}
-		if waited >= t.waitForEngine() || backoff.Sleep(ctx, noEnginePoll) != nil {
+		if g.noteBusy(t, ticket, decision.Reason) || waited >= t.waitForEngine() || backoff.Sleep(ctx, noEnginePoll) != nil {
 			f := failure.New(failure.CodeNoCapacity, t.ran, "no engine takes the request now: %s", decision.Reason)
-			return nil, f.WithRetryAfter(min(max(decision.RetryAfter, busyRetryAfter/4), busyRetryAfter))
+			return nil, decision.Reason == balance.ReasonNoEngine, f.WithRetryAfter(min(max(decision.RetryAfter, busyRetryAfter/4), busyRetryAfter))
 		}
 		waited += noEnginePoll
 	}
@@ -42,8 +43,9 @@
 
 // pickEngine picks an engine by the current tables, without waiting. The fallbacks are the
 // version in force if no engine of the new version is available, and then, where
-// repeating is safe, the engines that were tried before.
-func (g *Gateway) pickEngine(t *task) (*target, balance.Decision, bool) {
+// repeating is safe, the engines that were tried before. preferred is the key of the engine to
+// use if possible, "" for none.
+func (g *Gateway) pickEngine(t *task, preferred string) (*target, balance.Decision, bool) {
 	now := time.Now()
 	engines := g.Tables().Engines
 	if engines == nil {
@@ -54,6 +56,7 @@
 	if g.Quarantine.Crashes(t.hash) > 0 {
 		r.Candidates[0] = engines.forSuspect(t.group, t.hash, t.tried)
 	}
+	preferEngine(r, preferred)
 	decision, ok := g.chooseUnsuspected(t, engines, r, now)
 	if !ok && t.trial && t.runs == 0 {
 		// The new version runs on few engines, and none of them is available.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -118,7 +118,7 @@
 	Replaced(engine string, now time.Time)
 }
 
-// Options configures a Gateway. All fields are required.
+// Options configures a Gateway. All fields are required unless stated otherwise.
 type Options struct {
 	DataCentre string
 	// Regions maps the name of each data centre to its region.
@@ -150,8 +150,11 @@
 	Introductions Introductions
 	Quarantine    Quarantine
 	Models        *ModelChoice
-	Transport     http.RoundTripper
-	Budget        BudgetOptions
+	// Dispatcher orders the attempts at contended services. Nil means that every attempt is
+	// sent at once.
+	Dispatcher Dispatcher
+	Transport  http.RoundTripper
+	Budget     BudgetOptions
 
 	Seed       uint64
 	Log        zerolog.Logger
@@ -167,6 +170,7 @@
 	prefixLoads   *prefixLoads
 	mismatches    *mismatches
 	retries       *retrySchedule
+	runTimes      *runTimes
 	rngs          sync.Pool
 	seeds         atomic.Uint64
 	gate          gate
@@ -174,7 +178,7 @@
 
 // New returns a Gateway.
 func New(o Options) *Gateway {
-	g := &Gateway{Options: o, metrics: newMetrics(o.Registerer), budgets: newBudgets(o.Budget, o.Daemons), paceBaselines: newPaceBaselines(), prefixLoads: newPrefixLoads(), mismatches: newMismatches(), retries: newRetrySchedule()}
+	g := &Gateway{Options: o, metrics: newMetrics(o.Registerer), budgets: newBudgets(o.Budget, o.Daemons), paceBaselines: newPaceBaselines(), prefixLoads: newPrefixLoads(), mismatches: newMismatches(), retries: newRetrySchedule(), runTimes: newRunTimes()}
 	g.rngs.New = func() any { return rand.New(rand.NewPCG(o.Seed, g.seeds.Add(1))) }
 	return g
 }
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -62,7 +62,7 @@
 		g.metrics.first.WithLabelValues(kind).Observe(q.trace.first.Seconds())
 	}
 	line = line.Str("request", q.meta.ID).Str("outcome", outcome).Int("status", a.status).Bool("broken", a.broken)
-	q.describe(line).Dur("took_ms", took).Msg("request ended")
+	q.describeWait(q.describe(line), a).Dur("took_ms", took).Msg("request ended")
 }
 
 // describe adds the fields of the request to a log line, with the versions and the age of
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -81,6 +81,7 @@
 	chance     float64
 	price      float64
 	trial      bool
+	queue      queueTrace
 	attempts   int
 	resumed    int
 	first      time.Duration
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -53,6 +53,12 @@
 	runs int
 	// ran tells whether the request may have run in any attempt so far.
 	ran failure.Ran
+	// failedAt holds the keys of the tried engines that did not merely refuse the request.
+	failedAt []string
+	// queuedSince is when the request first waited for its turn since it may last have run.
+	queuedSince time.Time
+	// lastError is the reason why the last attempt failed.
+	lastError *attemptError
 	// failedAnswer is the last error answer of an engine. It is passed on if no attempt
 	// succeeds.
 	failedAnswer *bufferedAnswer
@@ -75,6 +81,9 @@
 	retryAfter time.Duration
 	// firstSeen is set once the first token has been reported to the balancer.
 	firstSeen bool
+	// leaving is set if the engine stated that it leaves.
+	leaving bool
+	ticket  *attemptTicket
 }
 
 // attemptError is the reason why an attempt gave no answer that can be passed on.
@@ -105,11 +114,10 @@
 		if f := g.checkQuarantine(ctx, t); f != nil {
 			return g.finalFailure(t, f)
 		}
-		to, f := g.choose(ctx, t)
+		to, err, f := g.attemptOnce(ctx, t)
 		if f != nil {
 			return g.finalFailure(t, f)
 		}
-		err := g.sendOnce(ctx, t, to)
 		if err == nil {
 			g.recordVersion(t)
 			return nil
@@ -185,6 +193,7 @@
 		Engine: to.engine.Key(), Limit: r.Limit, Tolerated: r.Tolerated, Refused: r.NotRun, Sent: to.sent, At: time.Now(),
 	})
 	to.retryAfter = r.RetryAfter
+	to.leaving = r.Leaving
 	if r.Leaving {
 		g.metrics.leaving.Inc()
 		g.Leaving(to.engine.Key())
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -30,6 +30,7 @@
 		return &attemptError{Kind: retry.KindCancelled, Ran: failure.RanNo, Cause: quarantine.ErrQuarantined}
 	}
 	t.quarantineRetry = false
+	to.ticket.sent(to.engine.Key())
 	x, err := attempt.Send(sending, g.Transport, g.attemptRequest(t, to))
 	if err != nil {
 		failed := sendError(err).withQuarantineCause(sending)
@@ -61,7 +62,7 @@
 		Header: header, Body: t.body,
 	}
 	r.ProgressTimeout, r.PauseTimeout = g.attemptTimeouts(t)
-	r.GiveUp = func() bool { return g.mayGiveUp(t) }
+	r.GiveUp = g.abandonCheck(t, to)
 	return r
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -35,6 +35,7 @@
 	for {
 		e, err := s.next()
 		if errors.Is(err, io.EOF) {
+			g.endRun(t, to)
 			g.reportStreamEnd(t, to, got, firstAt)
 			g.Quarantine.Completed(t.hash, time.Now())
 			t.finishStream(x)
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -49,6 +49,7 @@
 		return failed
 	}
 	latency := time.Since(to.sent)
+	g.endRun(t, to)
 	g.Engines.Finished(g.finished(t, to, g.paceBaselines.ratio(paceKind{t.service, t.model, false}, latency)))
 	g.Introductions.Observe(t.service, t.route.Name, to.engine.Version, false, latency)
 	g.Quarantine.Completed(t.hash, time.Now())
