--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -144,6 +144,10 @@
 	// Leaving is called for every answer of an engine that states that it leaves.
 	Leaving func(engine string)
 
+	// SchedulesLoad reports whether decisions take into account what they cost other
+	// requests. Nil means that they do not.
+	SchedulesLoad func() bool
+
 	Engines       Balancer
 	SlowStarts    SlowStarts
 	Limits        Limits
@@ -167,6 +171,7 @@
 	metrics       *metrics
 	budgets       *budgets
 	paceBaselines *paceBaselines
+	answerLengths *answerLengths
 	prefixLoads   *prefixLoads
 	mismatches    *mismatches
 	retries       *retrySchedule
@@ -178,7 +183,7 @@
 
 // New returns a Gateway.
 func New(o Options) *Gateway {
-	g := &Gateway{Options: o, metrics: newMetrics(o.Registerer), budgets: newBudgets(o.Budget, o.Daemons), paceBaselines: newPaceBaselines(), prefixLoads: newPrefixLoads(), mismatches: newMismatches(), retries: newRetrySchedule(), runTimes: newRunTimes()}
+	g := &Gateway{Options: o, metrics: newMetrics(o.Registerer), budgets: newBudgets(o.Budget, o.Daemons), paceBaselines: newPaceBaselines(), answerLengths: newAnswerLengths(), prefixLoads: newPrefixLoads(), mismatches: newMismatches(), retries: newRetrySchedule(), runTimes: newRunTimes()}
 	g.rngs.New = func() any { return rand.New(rand.NewPCG(o.Seed, g.seeds.Add(1))) }
 	return g
 }
