--- a/entry/entry.go
+++ b/entry/entry.go
@@ -77,6 +77,11 @@
 	// engines of a data centre receive no new requests. If it is not set, the evacuations in the
 	// store are not read.
 	Evacuations bool
+	// Scheduling enables the ordering of the requests of all daemons to contended services.
+	Scheduling bool
+	// Weights are the shares of organisations in a contended service, relative to each other.
+	// They must be positive and finite. An organisation without an entry has weight 1.
+	Weights map[string]float64
 	// AddressTTL is how long callers may cache the addresses that they were given.
 	AddressTTL    time.Duration
 	Budget        gateway.BudgetOptions
@@ -145,6 +150,9 @@
 	limits        *backpressure.Backpressure
 	gateway       *gateway.Gateway
 	quarantine    *quarantine.Quarantine
+	// dispatcher is nil if the requests to contended services are not ordered.
+	dispatcher  requestDispatcher
+	engineLists engineLists
 	// shared is the balancer that takes the work of all daemons into account, occupancyStore the
 	// counts that this daemon keeps for the others.
 	shared         *sharedBalancer
@@ -273,6 +281,9 @@
 	d.goLoop("quarantine", d.quarantine.Run)
 	d.goLoop("quarantine records", d.quarantine.RunWrites)
 	d.goLoop("occupancy", d.shared.occupancy.Run)
+	if d.dispatcher != nil {
+		d.goLoop("dispatch", d.dispatcher.Run)
+	}
 	select {
 	case <-ctx.Done():
 	case <-d.tomb.Dying():
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -74,6 +74,25 @@
 	return next
 }
 
+// Serving returns the engines that may get requests for a service, of the version in force and of
+// the one being introduced.
+func (e *Engines) Serving(service string) (serving []inventory.Engine) {
+	seen := make(map[string]bool)
+	for _, trial := range []bool{false, true} {
+		set, ok := e.members[Group(service, trial)]
+		if !ok {
+			continue
+		}
+		for _, key := range set.Names() {
+			if engine, known := e.View.Engine(key); known && !seen[key] {
+				seen[key] = true
+				serving = append(serving, engine)
+			}
+		}
+	}
+	return serving
+}
+
 // findSpec returns the plan's entry for an engine, or nil, and the position in the view at
 // which to start the search for the next engine.
 func (e *Engines) findSpec(engine *inventory.Engine, from int) (*bronzeturnv1.Engine, int) {
