--- a/cli/explain.go
+++ b/cli/explain.go
@@ -32,7 +32,13 @@
 	if len(timeline) == 0 {
 		return fmt.Errorf("%s: %w", c.Request, errNoSuchRequest)
 	}
-	return a.printLines(timeline)
+	if err := a.printLines(timeline); err != nil || a.out.json {
+		return err
+	}
+	for _, sentence := range explain.QueueSentences(timeline, c.Request) {
+		a.out.printf("%s", sentence)
+	}
+	return nil
 }
 
 // Run implements the command.
--- a/cmd/bronzeturn-entry/main.go
+++ b/cmd/bronzeturn-entry/main.go
@@ -25,6 +25,8 @@
 	Config       string    `help:"File with a configuration document to check, in the format of the store." type:"path" env:"BRONZETURN_ENTRY_CONFIG"`
 	MetricsPort  int       `help:"Additional port for metrics on the host's address, 0 for none." default:"0" env:"BRONZETURN_METRICS_PORT"`
 	AnswerValues []float64 `help:"Worth of a right answer of usual length for each route priority, the most urgent first, in the unit of the models' prices. The last value applies to all further priorities. Default: the worth follows from the size of the request and the price of the largest model." env:"BRONZETURN_ANSWER_VALUES"`
+
+	OrganisationWeights string `help:"Shares of organisations in the capacity of a contended service, relative to each other, as NAME=WEIGHT,... Organisations that are not named have weight 1. Takes effect only where the settings enable scheduling." placeholder:"NAME=WEIGHT,..." env:"BRONZETURN_ORGANISATION_WEIGHTS"`
 }
 
 // modelOptions returns the options of the choice among models, checked.
@@ -40,6 +42,7 @@
 Run it with the platform's settings:       bronzeturn-entry --settings settings.yaml
 Check settings before deployment:          bronzeturn-entry --check --settings settings.yaml
 Check a configuration document as well:    bronzeturn-entry --check --settings settings.yaml --config main.json
+Give an organisation a double share:       bronzeturn-entry --settings settings.yaml --organisation-weights acme=2
 
 Exit codes: 0 stopped or checked, 1 failed, 2 settings or configuration refused.`
 
@@ -67,6 +70,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
+	if settings.Entry.Weights, err = entry.ParseWeights(o.OrganisationWeights); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
 	if o.Check {
 		return check(o)
 	}
