gateway: hold a grant for another engine before a silent one is abandoned

A contended service may have a free slot for a moment while other requests wait. An attempt that was abandoned for it could be refused, and end with 502 for want of capacity.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -113,6 +113,10 @@
 	if g.Dispatcher == nil {
 		return nil, nil
 	}
+	if spare, wait := t.spare.take(); spare != nil {
+		t.request.trace.recordWait(&wait)
+		return spare, nil
+	}
 	ticket, wait, f := g.Dispatcher.Acquire(ctx, g.dispatchRequest(t, time.Now()))
 	t.request.trace.recordWait(&wait)
 	if f == nil {
@@ -241,37 +245,3 @@
 	}
 	return scheduler.Failed
 }
-
-// abandonCheck returns the function that decides whether the attempt may be abandoned because
-// its engine is silent. Without another engine that can take the request, abandoning it would
-// lose the engine's work and end the request. At a contended service, silence is usually
-// the wait in the engine's queue, and another engine must have a free slot.
-func (g *Gateway) abandonCheck(t *task, to *target) func() bool {
-	engines := g.Tables().Engines
-	if g.Dispatcher == nil || engines == nil {
-		return func() bool { return g.mayGiveUp(t) }
-	}
-	// The function runs in another goroutine, so it must not read what attempts change.
-	service, tried := t.service, slices.Clone(t.tried)
-	probe := t.balanceRequest(g.DataCentre, engines, g.Models)
-	probe.NoProbe = true
-	probe.Exclude = [balance.MaxExclude]string{to.engine.Key()}
-	return func() bool {
-		if g.Dispatcher.Contended(service) && !g.Dispatcher.FreeEngine(service, tried) {
-			return false
-		}
-		return g.engineUsable(t, *probe) && g.mayGiveUp(t)
-	}
-}
-
-// engineUsable reports whether the balancer finds an engine for a request now. It uses only
-// those fields of t that do not change.
-func (g *Gateway) engineUsable(t *task, r balance.Request) bool {
-	engines, now := g.Tables().Engines, time.Now()
-	if engines == nil {
-		return false
-	}
-	r.Skip = g.skipFilter(t, engines, now)
-	_, ok := g.queryBalancer(engines, &r, now)
-	return ok
-}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -57,6 +57,8 @@
 	failedAt []string
 	// queuedSince is when the request first waited for its turn since it may last have run.
 	queuedSince time.Time
+	// spare is the ticket for the next attempt, if the last one was abandoned.
+	spare spareTicket
 	// lastError is the reason why the last attempt failed.
 	lastError *attemptError
 	// failedAnswer is the last error answer of an engine. It is passed on if no attempt
@@ -104,6 +106,7 @@
 func (g *Gateway) run(ctx context.Context, q *request, a *answer) *failure.Error {
 	g.budgets.forService(q.service).Request(time.Now())
 	t := &task{request: q, answer: a, ran: failure.RanNo, replacedConfidence: noConfidence}
+	defer t.spare.close()
 	t.stream.lastID = q.meta.LastEvent
 	if f := g.refuseStoppedVersion(ctx, t); f != nil {
 		return f
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -31,7 +31,7 @@
 	}
 	t.quarantineRetry = false
 	to.ticket.sent(to.engine.Key())
-	x, err := attempt.Send(sending, g.Transport, g.attemptRequest(t, to))
+	x, err := attempt.Send(sending, g.Transport, g.attemptRequest(ctx, t, to))
 	if err != nil {
 		failed := sendError(err).withQuarantineCause(sending)
 		g.reportFailure(ctx, t, to, failed)
@@ -47,7 +47,7 @@
 }
 
 // attemptRequest builds the request for the engine.
-func (g *Gateway) attemptRequest(t *task, to *target) attempt.Request {
+func (g *Gateway) attemptRequest(ctx context.Context, t *task, to *target) attempt.Request {
 	header := withoutHopByHop(t.http.Header)
 	g.Codec.Strip(header)
 	if _, ok := header["User-Agent"]; !ok {
@@ -63,7 +63,9 @@
 		Header: header, Body: t.body,
 	}
 	r.ProgressTimeout, r.PauseTimeout = g.attemptTimeouts(t)
-	r.GiveUp = g.abandonCheck(t, to)
+	if r.ProgressTimeout > 0 || r.PauseTimeout > 0 {
+		r.GiveUp = g.abandonCheck(ctx, t, to)
+	}
 	return r
 }
 
