Load is scheduled where settings ask for it or engines differ in speed; budget reserve only on demand

A deployment whose engines differ in speed by a factor of 1.5 or more schedules load as well: daemons that send each engine an equal part overload the slow ones. Elsewhere the gateway treats the Dispatcher as absent.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,6 +22,8 @@
 	cache   *prefixCache
 	table   engineTable
 	active  activeEngines
+	// unlikePools is the number of pools whose engines are known to differ in speed.
+	unlikePools atomic.Int64
 
 	// mu guards the fields that change with the configuration or a host's state.
 	mu    sync.Mutex
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -80,21 +80,33 @@
 	}
 	h.fleet.Store(&fleetPace{meanLog: ev.MeanLog, variance: ev.Variance, weight: ev.Weight, at: at})
 	if config := e.poolConfig.Load(); config != nil {
-		config.pool.checkPace(at)
+		s.unlikePools.Add(config.pool.checkPace(at))
 	}
 }
 
-// checkPace compares the means of the pool's engines, once per paceCheckInterval.
-func (p *pool) checkPace(now int64) {
+// HasUnlikeEngines reports whether the engines of a pool are known to differ in speed, so that
+// the fleet's means are used there.
+func (s *State) HasUnlikeEngines() bool { return s.unlikePools.Load() > 0 }
+
+// checkPace compares the means of the pool's engines, once per paceCheckInterval. It returns the
+// change of the number of pools whose engines are unlike.
+func (p *pool) checkPace(now int64) (change int64) {
 	last := p.pace.checkedAt.Load()
 	if now-last < int64(paceCheckInterval) || !p.pace.checkedAt.CompareAndSwap(last, now) {
-		return
+		return 0
 	}
 	margin := float64(newMargin)
 	if p.pace.unlike.Load() {
 		margin = heldMargin
 	}
-	p.pace.unlike.Store(paceSpread(p.measuredPaces(now), margin) >= math.Log(minPaceSpread))
+	unlike := paceSpread(p.measuredPaces(now), margin) >= math.Log(minPaceSpread)
+	switch was := p.pace.unlike.Swap(unlike); {
+	case unlike && !was:
+		return 1
+	case !unlike && was:
+		return -1
+	}
+	return 0
 }
 
 // measuredPaces returns the means of the pool's engines that are recent and have enough weight.
--- a/entry/scheduling.go
+++ b/entry/scheduling.go
@@ -71,6 +71,13 @@
 	}
 }
 
+// schedulesLoad reports whether decisions take into account what they cost other requests: where
+// the settings ask for it, and where engines differ in speed. There, daemons that decide alone and
+// send each engine an equal part of the requests overload the slow engines.
+func (d *Daemon) schedulesLoad() bool {
+	return d.Settings.Scheduling || d.balancer.HasUnlikeEngines()
+}
+
 // weightOf returns the share of an organisation relative to others, 1 by default.
 func (d *Daemon) weightOf(organisation string) float64 {
 	if weight, ok := d.Settings.Weights[organisation]; ok {
--- a/gateway/abandon.go
+++ b/gateway/abandon.go
@@ -55,8 +55,8 @@
 // lose the engine's work and end the request. At a contended service, silence is usually
 // the wait in the engine's queue, and another engine must have a free slot.
 func (g *Gateway) abandonCheck(ctx context.Context, t *task, to *target) func() bool {
-	engines := g.Tables().Engines
-	if g.Dispatcher == nil || engines == nil {
+	engines, dispatcher := g.Tables().Engines, g.dispatcher()
+	if dispatcher == nil || engines == nil {
 		return func() bool { return g.mayGiveUp(t) }
 	}
 	// The function runs in another goroutine, so it must not read what attempts change.
@@ -70,10 +70,10 @@
 		if !g.engineUsable(t, *probe) {
 			return false
 		}
-		if !g.Dispatcher.Contended(next.Service) {
+		if !dispatcher.Contended(next.Service) {
 			return g.mayGiveUp(t)
 		}
-		return g.Dispatcher.FreeEngine(next.Service, tried) && g.reserveNext(ctx, t, next)
+		return dispatcher.FreeEngine(next.Service, tried) && g.reserveNext(ctx, t, next)
 	}
 }
 
--- a/gateway/again.go
+++ b/gateway/again.go
@@ -68,11 +68,15 @@
 
 // takeBudget takes one attempt from the retry budget and reports whether there was one.
 func (g *Gateway) takeBudget(t *task) bool {
-	budget := g.budgets.forService(t.service)
+	budget, now := g.budgets.forService(t.service), time.Now()
 	if g.Quarantine.Crashes(t.hash) >= suspectCrashes {
-		return budget.TakeUnreserved(time.Now(), reservedBudgetShare)
+		return budget.TakeUnreserved(now, reservedBudgetShare)
 	}
-	return budget.Take(time.Now())
+	if budget.Take(now) {
+		return true
+	}
+	g.budgets.recordDenied(t.service, now)
+	return false
 }
 
 // reachedEngine reports whether the attempt reached an engine. If so, the next attempt is
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -39,13 +39,15 @@
 
 	mu        sync.Mutex
 	byService map[string]*retry.Budget
+	// denied is when a retry was last denied for want of budget, by service.
+	denied map[string]time.Time
 	// maxDaemons is the highest number of daemons seen. It never falls, so that a daemon
 	// that is partitioned from the others does not use their shares.
 	maxDaemons int
 }
 
 func newBudgets(o BudgetOptions, daemons func() int) *budgets {
-	return &budgets{options: o, daemons: daemons, byService: make(map[string]*retry.Budget)}
+	return &budgets{options: o, daemons: daemons, byService: make(map[string]*retry.Budget), denied: make(map[string]time.Time)}
 }
 
 // forService returns the budget of a service. If the fleet has grown, all budgets are
@@ -65,6 +67,20 @@
 	return budget
 }
 
+// recordDenied records that a retry was denied for want of budget.
+func (b *budgets) recordDenied(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.denied[service] = now
+}
+
+// lastDenied returns when a retry was last denied, or the zero time.
+func (b *budgets) lastDenied(service string) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.denied[service]
+}
+
 // daemonShare returns the options of this daemon's share of a budget.
 func (b *budgets) daemonShare() retry.BudgetOptions {
 	slack := b.options.Slack / float64(max(b.maxDaemons, 1))
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -28,6 +28,14 @@
 	FreeEngine(service string, except []string) bool
 }
 
+// dispatcher returns the Dispatcher, or nil if load is not scheduled.
+func (g *Gateway) dispatcher() Dispatcher {
+	if !g.schedulesLoad() {
+		return nil
+	}
+	return g.Dispatcher
+}
+
 // attemptTicket is the ticket of one attempt. A nil *attemptTicket is the ticket of a gateway
 // without a Dispatcher. It must not be used concurrently.
 type attemptTicket struct {
@@ -110,14 +118,15 @@
 
 // acquire waits for the ticket of the next attempt.
 func (g *Gateway) acquire(ctx context.Context, t *task) (*attemptTicket, *failure.Error) {
-	if g.Dispatcher == nil {
+	dispatcher := g.dispatcher()
+	if dispatcher == nil {
 		return nil, nil
 	}
 	if spare, wait := t.spare.take(); spare != nil {
 		t.request.trace.recordWait(&wait)
 		return spare, nil
 	}
-	ticket, wait, f := g.Dispatcher.Acquire(ctx, g.dispatchRequest(t, time.Now()))
+	ticket, wait, f := dispatcher.Acquire(ctx, g.dispatchRequest(t, time.Now()))
 	t.request.trace.recordWait(&wait)
 	if f == nil {
 		return &attemptTicket{ticket: ticket, contended: wait.Contended}, nil
@@ -132,7 +141,7 @@
 // attempt may have run, the request fails with that attempt: a refusal would state that it
 // has not run.
 func (g *Gateway) withoutCapacity(t *task, f *failure.Error) *failure.Error {
-	if g.Dispatcher == nil || f.Code != failure.CodeNoCapacity || t.ran == failure.RanNo || t.lastError == nil {
+	if g.dispatcher() == nil || f.Code != failure.CodeNoCapacity || t.ran == failure.RanNo || t.lastError == nil {
 		return f
 	}
 	return failure.Wrap(t.lastError, failure.CodeEngineFailed, t.ran, "the engine did not answer; the request may have run")
--- a/gateway/escalate.go
+++ b/gateway/escalate.go
@@ -58,22 +58,31 @@
 }
 
 // escalationReserve is the share of the retry budget that escalations leave to other attempts
-// of loaded services. A retry saves a request, an escalation only improves its answer. When
-// engines that ran a third of the streams crashed, escalations had used up the budget and
-// the streams broke off.
-const escalationReserve = 0.25
+// while these are denied for want of budget, and for escalationPause after. A retry saves a
+// request, an escalation only improves its answer. When engines that ran a third of the streams
+// crashed, escalations had used up the budget and the streams broke off. At other times there is
+// no reserve: a permanent one of half of the budget cost a fifth of the escalations.
+const (
+	escalationReserve = 0.5
+	escalationPause   = 2 * time.Second
+)
 
 // takeEscalation takes one escalation from the retry budget and reports whether there was one.
 func (g *Gateway) takeEscalation(service string) bool {
-	reserve := 0.0
-	if g.schedulesLoad() {
+	now, reserve := time.Now(), 0.0
+	if g.schedulesLoad() && now.Sub(g.budgets.lastDenied(service)) < escalationPause {
 		reserve = escalationReserve
 	}
-	return g.budgets.forService(service).TakeUnreserved(time.Now(), reserve)
+	return g.budgets.forService(service).TakeUnreserved(now, reserve)
 }
 
 // schedulesLoad reports whether decisions take into account what they cost other requests.
-func (g *Gateway) schedulesLoad() bool { return g.SchedulesLoad != nil && g.SchedulesLoad() }
+func (g *Gateway) schedulesLoad() bool {
+	if g.SchedulesLoad == nil {
+		return g.Dispatcher != nil
+	}
+	return g.SchedulesLoad()
+}
 
 // startEstimator returns a function that estimates the share of the route's target that will
 // have passed when a model begins to answer. The estimate is based on the balancer's choice
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -145,7 +145,8 @@
 	Leaving func(engine string)
 
 	// SchedulesLoad reports whether decisions take into account what they cost other
-	// requests. Nil means that they do not.
+	// requests, and attempts are ordered by the Dispatcher. Nil means that they do if there
+	// is a Dispatcher.
 	SchedulesLoad func() bool
 
 	Engines       Balancer
--- a/gateway/runtime.go
+++ b/gateway/runtime.go
@@ -77,5 +77,6 @@
 
 // contended reports whether a service is contended.
 func (g *Gateway) contended(service string) bool {
-	return g.Dispatcher != nil && g.Dispatcher.Contended(service)
+	dispatcher := g.dispatcher()
+	return dispatcher != nil && dispatcher.Contended(service)
 }
