--- a/scheduler/accounts.go
+++ b/scheduler/accounts.go
@@ -22,6 +22,7 @@
 	// tag is the virtual time at which the next request starts, in seconds of work per weight.
 	tag            float64
 	weight         float64
+	lastGrant      uint64 // serial, decides between equal tags
 	flows          [classes]flow
 	waiting        int
 	parked         int // see Scheduler.parked
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -48,6 +48,9 @@
 	if a.tag != b.tag {
 		return a.tag < b.tag
 	}
+	if a.lastGrant != b.lastGrant {
+		return a.lastGrant < b.lastGrant
+	}
 	return a.org.number < b.org.number
 }
 func (f *flow) position() *int   { return &f.index }
--- a/scheduler/running.go
+++ b/scheduler/running.go
@@ -10,6 +10,8 @@
 	*item
 	engine uint32 // 0 if the daemon chooses
 	serial uint64
+	// previous is the account's lastGrant before this one.
+	previous uint64
 }
 
 // daemon is what one daemon has in progress.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -191,6 +191,9 @@
 	it := g.item
 	a := s.rejoin(now, it)
 	a.granted--
+	if a.lastGrant == g.serial {
+		a.lastGrant = g.previous
+	}
 	s.wait(it)
 	a.charge(-it.work / it.Weight)
 	return true
@@ -228,12 +231,14 @@
 
 func (s *Scheduler) grant(it *item, engine uint32) Grant {
 	a := it.flow.account
+	ahead := int(s.serial - it.startedBefore)
+	previous := a.lastGrant
+	s.serial++
+	a.lastGrant = s.serial
 	a.rank.started(it)
 	s.drop(it)
 	a.granted++
-	ahead := int(s.serial - it.startedBefore)
-	s.serial++
-	s.daemon(it.ID.Daemon).granted[it.ID.Number] = &grant{item: it, engine: engine, serial: s.serial}
+	s.daemon(it.ID.Daemon).granted[it.ID.Number] = &grant{item: it, engine: engine, serial: s.serial, previous: previous}
 	s.occupy(engine, 1)
 	return Grant{ID: it.ID, Engine: engine, Ahead: ahead, Serial: s.serial}
 }
