--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // classes is the number of classes of a rank.
@@ -47,6 +48,9 @@
 	if a.tag != b.tag {
 		return a.tag < b.tag
 	}
+	if a.lastGrant != b.lastGrant {
+		return a.lastGrant < b.lastGrant
+	}
 	return a.org.number < b.org.number
 }
 func (f *flow) position() *int   { return &f.index }
@@ -90,19 +94,22 @@
 	flows   heap[*flow]
 	work    float64
 	waiting int
-	// arrived is the work that was queued, rate its rate as of the rank's weighedAt.
+	// arrived is the work that was queued, rate its rate as of queue.weighedAt.
 	arrived meter
 	rate    float64
 }
 
 // queue holds the waiting requests of a service.
 type queue struct {
-	ranks   map[int]*rank
-	active  []*rank // those with waiting requests, most urgent first
-	orgs    map[string]*organisation
-	bySize  heap[*organisation]
-	waiting int
-	number  uint64
+	ranks  map[int]*rank
+	active []*rank // those with waiting requests, most urgent first
+	// recent holds the ranks that wait or were asked for recently, most urgent first.
+	recent    []*rank
+	weighedAt time.Time
+	orgs      map[string]*organisation
+	bySize    heap[*organisation]
+	waiting   int
+	number    uint64
 	// total counts accounts; above limit, those that are idle are removed.
 	total, limit int
 }
