--- /dev/null
+++ b/dispatch/queue.go
@@ -0,0 +1,286 @@
+package dispatch
+
+import (
+	"time"
+
+	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/scheduler"
+)
+
+// queue feeds a Scheduler with the full states that daemons report. A message replaces what was
+// known of its daemon. It is used by coordinators, and by daemons that decide alone. Callers
+// must not use it concurrently.
+type queue struct {
+	sched   Scheduler
+	members map[string]*member
+	// running counts the requests in progress, and grants that were not taken up yet, by engine.
+	running map[uint32]int
+	engines map[uint32]int // slots by hash
+	// slots is the sum of all engines, inProgress that of running, undecided the number of
+	// requests that wait in the Scheduler.
+	slots, inProgress, undecided int
+	// heard is the number of daemons that were heard at expiredAt.
+	heard     int
+	expiredAt time.Time
+	touched   []*member // scratch space of decide
+}
+
+// member is what is known of one daemon.
+type member struct {
+	name                  string
+	incarnation, sequence uint64
+	heard                 time.Time
+	// listed holds the requests that the last message listed as waiting.
+	listed map[uint64]*listed
+	// running are the counts that were last passed to the Scheduler.
+	running map[uint32]int
+	// finished is the number of the last finished run that was counted.
+	finished uint64
+	// held receives the answer to the call that is held, nil if there is none.
+	held chan *bronzeturnv1.SyncResponse
+}
+
+// listed is a request that a daemon lists as waiting. Its decision is sent with each answer
+// until the daemon does not list it any more, since an answer may get lost. The capacity of a
+// grant stays in use meanwhile: the daemon may have taken up the grant after it sent a message
+// that still lists the request as waiting.
+type listed struct {
+	sequence uint64 // of the last message that listed the request
+	grant    *bronzeturnv1.Grant
+	refusal  *bronzeturnv1.Refusal
+	// parked is set while the request is withdrawn because its daemon is silent.
+	parked bool
+}
+
+func newQueue(s Scheduler) *queue {
+	return &queue{sched: s, members: make(map[string]*member), running: make(map[uint32]int), engines: make(map[uint32]int)}
+}
+
+// setEngines replaces the engines.
+func (q *queue) setEngines(engines []Engine, now time.Time) {
+	clear(q.engines)
+	q.slots = 0
+	list := make([]scheduler.Engine, 0, len(engines))
+	for _, e := range engines {
+		h := hash(e.Key)
+		q.engines[h] = e.Slots
+		q.slots += e.Slots
+		list = append(list, scheduler.Engine{Hash: h, Slots: e.Slots})
+	}
+	q.sched.SetEngines(now, list)
+}
+
+// apply replaces the state of the calling daemon. It returns nil if the message is older than
+// what is known.
+func (q *queue) apply(m *bronzeturnv1.SyncRequest, now time.Time) *member {
+	mb := q.members[m.GetDaemon()]
+	if mb != nil && (m.GetIncarnation() < mb.incarnation || m.GetIncarnation() == mb.incarnation && m.GetSequence() <= mb.sequence) {
+		return nil
+	}
+	if mb == nil || m.GetIncarnation() > mb.incarnation {
+		if mb != nil {
+			q.remove(mb, now)
+		}
+		mb = &member{
+			name: m.GetDaemon(), incarnation: m.GetIncarnation(),
+			listed: make(map[uint64]*listed), running: make(map[uint32]int),
+		}
+		q.members[mb.name] = mb
+	}
+	mb.sequence, mb.heard = m.GetSequence(), now
+	for i, f := range m.GetFinished() {
+		if number := m.GetFirstFinished() + uint64(i); number > mb.finished {
+			mb.finished = number
+			q.sched.Ended(now, finishedOf(f))
+		}
+	}
+	q.replaceListed(mb, m, now)
+	q.replaceRunning(mb, m, now)
+	return mb
+}
+
+// replaceListed offers the requests that are new to the queue and withdraws those that a daemon
+// does not list any more.
+func (q *queue) replaceListed(mb *member, m *bronzeturnv1.SyncRequest, now time.Time) {
+	for _, w := range m.GetWaiting() {
+		l := mb.listed[w.GetNumber()]
+		if l == nil {
+			l = &listed{parked: true}
+			mb.listed[w.GetNumber()] = l
+		}
+		l.sequence = m.GetSequence()
+		if l.parked {
+			l.parked = false
+			q.undecided++
+			q.sched.Offer(now, requestOf(mb.name, w, now))
+		}
+		if g := l.grant; g != nil && g.GetEngine() != 0 && !q.known(g.GetEngine()) {
+			q.sched.Requeue(now, scheduler.ID{Daemon: mb.name, Number: g.GetNumber()})
+			l.grant = nil
+			q.undecided++
+		}
+	}
+	for number, l := range mb.listed {
+		if l.sequence == m.GetSequence() {
+			continue
+		}
+		delete(mb.listed, number)
+		q.withdraw(mb, number, l, now)
+	}
+}
+
+// undecided reports whether a request waits in the Scheduler.
+func (l *listed) undecided() bool { return l.grant == nil && l.refusal == nil && !l.parked }
+
+// withdraw removes a request from the Scheduler if it waits there.
+func (q *queue) withdraw(mb *member, number uint64, l *listed, now time.Time) {
+	if l.undecided() {
+		l.parked = true
+		q.undecided--
+		q.sched.Withdraw(now, scheduler.ID{Daemon: mb.name, Number: number})
+	}
+}
+
+func (q *queue) known(engine uint32) bool { _, ok := q.engines[engine]; return ok }
+
+// replaceRunning replaces the running requests of a daemon. Grants that it has not taken up
+// count as running.
+func (q *queue) replaceRunning(mb *member, m *bronzeturnv1.SyncRequest, now time.Time) {
+	q.uncount(mb)
+	for _, r := range m.GetRunning() {
+		mb.running[r.GetEngine()] += int(r.GetRequests())
+	}
+	for _, l := range mb.listed {
+		if l.grant != nil {
+			mb.running[l.grant.GetEngine()]++
+		}
+	}
+	for engine, n := range mb.running {
+		q.running[engine] += n
+		q.inProgress += n
+	}
+	q.sched.SetRunning(now, mb.name, mb.running)
+}
+
+// uncount removes the running requests of a daemon from the counts.
+func (q *queue) uncount(mb *member) {
+	for engine, n := range mb.running {
+		q.inProgress -= n
+		if q.running[engine] -= n; q.running[engine] <= 0 {
+			delete(q.running, engine)
+		}
+	}
+	clear(mb.running)
+}
+
+// remove forgets a daemon.
+func (q *queue) remove(mb *member, now time.Time) {
+	q.uncount(mb)
+	for _, l := range mb.listed {
+		if l.undecided() {
+			q.undecided--
+		}
+	}
+	q.sched.RemoveDaemon(now, mb.name)
+	delete(q.members, mb.name)
+	mb.release(&bronzeturnv1.SyncResponse{Coordinator: true})
+}
+
+// expire forgets daemons that were not heard for the given time. It withdraws the requests of
+// daemons that were expected to call again, because requests wait there, but did not: grants
+// would not reach them. It counts the daemons that were heard.
+func (q *queue) expire(heardFor time.Duration, now time.Time) {
+	if now.Sub(q.expiredAt) < expireInterval {
+		return
+	}
+	q.heard, q.expiredAt = 0, now
+	for _, mb := range q.members {
+		silent := now.Sub(mb.heard)
+		switch {
+		case silent > heardFor:
+			q.remove(mb, now)
+		case silent > answerTimeout && len(mb.listed) > 0 && mb.held == nil:
+			for number, l := range mb.listed {
+				q.withdraw(mb, number, l, now)
+			}
+		default:
+			q.heard++
+		}
+	}
+}
+
+// decide collects the decisions of the Scheduler. It returns the daemons that they concern, some
+// of them several times. The slice is valid until the next call.
+func (q *queue) decide(now time.Time) []*member {
+	q.touched = q.touched[:0]
+	for {
+		g, ok := q.sched.Next(now)
+		if !ok {
+			break
+		}
+		mb, l := q.find(g.ID)
+		if l == nil || !l.undecided() {
+			continue
+		}
+		l.grant = &bronzeturnv1.Grant{Number: g.ID.Number, Engine: g.Engine, Ahead: uint32(max(g.Ahead, 0))}
+		mb.running[g.Engine]++
+		q.running[g.Engine]++
+		q.inProgress++
+		q.undecided--
+		q.touched = append(q.touched, mb)
+	}
+	for _, r := range q.sched.Refusals(now) {
+		if mb, l := q.find(r.ID); l != nil && l.undecided() {
+			l.refusal = refusalOf(r)
+			q.undecided--
+			q.touched = append(q.touched, mb)
+		}
+	}
+	return q.touched
+}
+
+func (q *queue) find(id scheduler.ID) (*member, *listed) {
+	mb := q.members[id.Daemon]
+	if mb == nil {
+		return nil, nil
+	}
+	return mb, mb.listed[id.Number]
+}
+
+// answer returns the decisions for a daemon. It returns false if there are none.
+func (q *queue) answer(mb *member) (*bronzeturnv1.SyncResponse, bool) {
+	r := &bronzeturnv1.SyncResponse{Coordinator: true}
+	for _, l := range mb.listed {
+		switch {
+		case l.grant != nil:
+			r.Grants = append(r.Grants, l.grant)
+		case l.refusal != nil:
+			r.Refusals = append(r.Refusals, l.refusal)
+		}
+	}
+	if q.undecided == 0 {
+		r.Free = q.free()
+	}
+	return r, len(r.Grants)+len(r.Refusals) > 0
+}
+
+// free returns some engines with a free slot.
+func (q *queue) free() []uint32 {
+	var free []uint32
+	for engine, slots := range q.engines {
+		if q.running[engine] < slots {
+			if free = append(free, engine); len(free) == maxFree {
+				break
+			}
+		}
+	}
+	return free
+}
+
+// release answers the call that is held, if there is one.
+func (mb *member) release(r *bronzeturnv1.SyncResponse) {
+	if mb.held != nil {
+		mb.held <- r
+		mb.held = nil
+	}
+}
