--- a/dispatch/client.go
+++ b/dispatch/client.go
@@ -20,7 +20,7 @@
 	// maxOpen limits the calls of a service that are open at the same time. The coordinator
 	// answers an older call when a newer one arrives, so more are open only on a slow network.
 	maxOpen = 4
-	// ownerInterval is how often the coordinator's name is read while requests wait.
+	// ownerInterval is how often the coordinator's name is read while a service is contended.
 	ownerInterval = 50 * time.Millisecond
 	// heardIntervals is for how many calling intervals a daemon counts as present.
 	heardIntervals = 3
@@ -116,11 +116,7 @@
 		s.call(ctx, now)
 		due = s.callDue(live)
 	}
-	next = now.Add(keepInterval(live))
-	if len(s.waiting) > 0 {
-		next = now.Add(ownerInterval)
-	}
-	next = earlier(next, due, now)
+	next = earlier(now.Add(ownerInterval), due, now)
 	if c.local != nil {
 		next = earlier(next, s.decideAlone(live, now), now)
 	} else if !c.silent.IsZero() {
@@ -257,7 +253,8 @@
 	for _, f := range s.finished {
 		m.Finished = append(m.Finished, finishedMessage(f))
 	}
-	if len(m.Waiting) > 0 && s.client.local == nil {
+	m.Alone = s.client.local != nil
+	if len(m.Waiting) > 0 && !m.Alone {
 		m.HoldMs = milliseconds(holdTime)
 	}
 	return m
--- a/dispatch/coordinator.go
+++ b/dispatch/coordinator.go
@@ -16,8 +16,14 @@
 	enginesInterval = 100 * time.Millisecond
 	// busyShare is the share of the capacity in use from which a service stays contended.
 	busyShare = 0.8
+	// tickInterval is the greatest time between two decisions. It is less than the time that a
+	// daemon waits for an answer, so that it is left out before it decides alone.
+	tickInterval = 50 * time.Millisecond
 	// expireInterval is how often a coordinator looks for daemons that have become silent.
 	expireInterval = 10 * time.Millisecond
+	// minShare is the least share of the capacity that a coordinator uses. It gives room for one
+	// request, since the room is rounded up.
+	minShare = 1e-6
 	// maxHold limits the time that a caller may have its call held.
 	maxHold = time.Second
 	// maxFree is the number of free engines that an answer names.
@@ -121,12 +127,12 @@
 // whether the service is still contended.
 func (c *coordinator) decide(now time.Time) bool {
 	live := c.service.d.live()
-	c.queue.expire(heardIntervals*keepInterval(live), now)
-	heard := c.queue.heard
+	c.queue.expire(heardIntervals*keepInterval(live), live, now)
+	share := c.queue.share
 	if c.queue.members[c.service.d.Self] == nil {
-		heard++
+		share += 1 / float64(live)
 	}
-	c.queue.sched.SetShare(now, min(float64(heard)/float64(live), 1))
+	c.queue.sched.SetShare(now, min(max(share, minShare), 1))
 	for _, mb := range c.queue.decide(now) {
 		if mb.held == nil {
 			continue
@@ -141,7 +147,7 @@
 
 // setTimer has tick called when time alone changes something.
 func (c *coordinator) setTimer(now time.Time) {
-	next := now.Add(enginesInterval)
+	next := now.Add(tickInterval)
 	if wake := c.queue.sched.Wake(now); !wake.IsZero() && wake.Before(next) {
 		next = wake
 	}
--- a/dispatch/fake_test.go
+++ b/dispatch/fake_test.go
@@ -17,13 +17,14 @@
 	waiting []scheduler.Request
 	running map[string]map[uint32]int
 	granted map[scheduler.ID]scheduler.Request
+	at      map[scheduler.ID]uint32 // engines of granted requests
 	refused []scheduler.Refusal
 }
 
 const fifoRetryAfter = 300 * time.Millisecond
 
 func newFIFO() Scheduler {
-	return &fifo{share: 1, running: map[string]map[uint32]int{}, granted: map[scheduler.ID]scheduler.Request{}}
+	return &fifo{share: 1, running: map[string]map[uint32]int{}, granted: map[scheduler.ID]scheduler.Request{}, at: map[scheduler.ID]uint32{}}
 }
 
 func (f *fifo) SetEngines(_ time.Time, engines []scheduler.Engine) {
@@ -93,7 +94,7 @@
 			continue
 		}
 		f.waiting = slices.Delete(f.waiting, i, i+1)
-		f.granted[r.ID] = r
+		f.granted[r.ID], f.at[r.ID] = r, best
 		if f.running[r.ID.Daemon] == nil {
 			f.running[r.ID.Daemon] = map[uint32]int{}
 		}
@@ -124,6 +125,9 @@
 func (f *fifo) Requeue(now time.Time, id scheduler.ID) {
 	if r, ok := f.granted[id]; ok {
 		delete(f.granted, id)
+		if running := f.running[id.Daemon]; running[f.at[id]] > 0 {
+			running[f.at[id]]--
+		}
 		f.Offer(now, r)
 	}
 }
--- a/dispatch/fallback.go
+++ b/dispatch/fallback.go
@@ -12,10 +12,11 @@
 // limits the processor time for daemons with many waiting requests.
 const decideInterval = 2 * time.Millisecond
 
-// fallBack has this daemon decide alone. s.mu is held.
+// fallBack has this daemon decide alone, and has the coordinator told. s.mu is held.
 func (s *service) fallBack() {
 	if s.client.local == nil {
 		s.client.local = newQueue(s.d.NewScheduler())
+		s.client.now = true
 		s.client.localAt, s.client.enginesAt = time.Time{}, time.Time{}
 	}
 }
@@ -33,7 +34,9 @@
 		c.local.setEngines(s.d.Engines(s.name), now)
 	}
 	c.local.sched.SetShare(now, 1/float64(live))
-	mb := c.local.apply(s.message(now), now)
+	m := s.message(now)
+	m.Alone = false
+	mb := c.local.apply(m, now)
 	c.local.decide(now)
 	if answer, decided := c.local.answer(mb); decided {
 		s.handle(answer, true, now)
--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -28,6 +28,11 @@
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
 		_ = flag.Set("rapid.seed", "1")
 	}
+	// Each check simulates seconds of load on a fleet. 100 of them take over a minute with the
+	// race detector.
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.checks", "30")
+	}
 	os.Exit(m.Run())
 }
 
@@ -45,11 +50,15 @@
 	// after is called with each answer, and may delay it or have it lost.
 	after func(ctx context.Context, from, to string, r *bronzeturnv1.SyncResponse) error
 	live  atomic.Int64
+	// liveOf returns the number of live daemons as a daemon sees it, if it is set.
+	liveOf func(daemon string) int
 
 	running, most int
 	// runs are the requests that an engine has started.
 	runs int
 	log  io.Writer
+	// lateBy is the most by which an Acquire took longer than its MaxWait.
+	lateBy time.Duration
 }
 
 type testDaemon struct {
@@ -59,6 +68,21 @@
 	announced atomic.Int64
 	stop      context.CancelFunc
 	ended     chan struct{}
+	dead      atomic.Bool
+}
+
+// kill ends a daemon without a message to the others. Its requests end at the engines, but none
+// starts any more, and calls to it hang.
+func (d *testDaemon) kill() {
+	d.dead.Store(true)
+	d.fleet.setFault(func(ctx context.Context, from, to string, _ *bronzeturnv1.SyncRequest) error {
+		if from == d.Self {
+			return errTestNetwork
+		}
+		return freeze(d.Self)(ctx, from, to, nil)
+	})
+	d.stop()
+	<-d.ended
 }
 
 // newFleet starts daemons named d0, d1 and so on. d0 is the coordinator.
@@ -78,7 +102,7 @@
 		Self: name, Incarnation: incarnation,
 		Coordinator: func(string) string { f.mu.Lock(); defer f.mu.Unlock(); return f.owner(name) },
 		Client:      func(to string) bronzeturnv1connect.DispatchServiceClient { return testClient{d, name, to} },
-		Live:        func() int { return int(f.live.Load()) },
+		Live:        func() int { return f.liveAt(name) },
 		Engines:     func(string) []Engine { f.mu.Lock(); defer f.mu.Unlock(); return f.engines },
 		Announce:    func(service string) { d.announced.Add(1); f.gossip(service) }, NewScheduler: newFIFO,
 		Log: zerolog.New(f.log), Registerer: prometheus.NewRegistry(),
@@ -94,6 +118,15 @@
 	return d
 }
 
+func (f *testFleet) liveAt(daemon string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.liveOf != nil {
+		return f.liveOf(daemon)
+	}
+	return int(f.live.Load())
+}
+
 // stop ends all daemons.
 func (f *testFleet) stop() {
 	for _, d := range f.daemons {
@@ -215,7 +248,10 @@
 // run makes a request that takes the given time at its engine. It returns its wait.
 func (d *testDaemon) run(ctx context.Context, maxWait, work time.Duration) (Wait, *failure.Error) {
 	ticket, wait, refusal := d.Acquire(ctx, request(maxWait))
-	if refusal != nil {
+	d.fleet.mu.Lock()
+	d.fleet.lateBy = max(d.fleet.lateBy, wait.Waited-maxWait)
+	d.fleet.mu.Unlock()
+	if refusal != nil || d.dead.Load() {
 		return wait, refusal
 	}
 	d.fleet.began()
@@ -227,3 +263,9 @@
 }
 
 func newRegistry() prometheus.Registerer { return prometheus.NewRegistry() }
+
+func (f *testFleet) setLive(live func(string) int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.liveOf = live
+}
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -19,8 +19,8 @@
 	// slots is the sum of all engines, inProgress that of running, undecided the number of
 	// requests that wait in the Scheduler.
 	slots, inProgress, undecided int
-	// heard is the number of daemons that were heard at expiredAt.
-	heard     int
+	// share is the part of the capacity that may be used, as of expiredAt.
+	share     float64
 	expiredAt time.Time
 	touched   []*member // scratch space of decide
 }
@@ -36,6 +36,8 @@
 	running map[uint32]int
 	// finished is the number of the last finished run that was counted.
 	finished uint64
+	// alone is set if the daemon decides alone.
+	alone bool
 	// held receives the answer to the call that is held, nil if there is none.
 	held chan *bronzeturnv1.SyncResponse
 }
@@ -48,6 +50,8 @@
 	sequence uint64 // of the last message that listed the request
 	grant    *bronzeturnv1.Grant
 	refusal  *bronzeturnv1.Refusal
+	// sent is set if an answer contained the grant, so that the request may have started.
+	sent bool
 	// parked is set while the request is withdrawn because its daemon is silent.
 	parked bool
 }
@@ -87,7 +91,7 @@
 		}
 		q.members[mb.name] = mb
 	}
-	mb.sequence, mb.heard = m.GetSequence(), now
+	mb.sequence, mb.heard, mb.alone = m.GetSequence(), now, m.GetAlone()
 	for i, f := range m.GetFinished() {
 		if number := m.GetFirstFinished() + uint64(i); number > mb.finished {
 			mb.finished = number
@@ -109,15 +113,15 @@
 			mb.listed[w.GetNumber()] = l
 		}
 		l.sequence = m.GetSequence()
-		if l.parked {
+		if mb.alone {
+			q.withdraw(mb, w.GetNumber(), l, now)
+		} else if l.parked {
 			l.parked = false
 			q.undecided++
 			q.sched.Offer(now, requestOf(mb.name, w, now))
 		}
 		if g := l.grant; g != nil && g.GetEngine() != 0 && !q.known(g.GetEngine()) {
-			q.sched.Requeue(now, scheduler.ID{Daemon: mb.name, Number: g.GetNumber()})
-			l.grant = nil
-			q.undecided++
+			q.requeue(mb, l, now)
 		}
 	}
 	for number, l := range mb.listed {
@@ -173,6 +177,20 @@
 	clear(mb.running)
 }
 
+// requeue returns a granted request to its old position. mb.running may still contain a grant of
+// an earlier message.
+func (q *queue) requeue(mb *member, l *listed, now time.Time) {
+	engine := l.grant.GetEngine()
+	if mb.running[engine] > 0 {
+		mb.running[engine]--
+		q.running[engine]--
+		q.inProgress--
+	}
+	q.sched.Requeue(now, scheduler.ID{Daemon: mb.name, Number: l.grant.GetNumber()})
+	l.grant, l.sent = nil, false
+	q.undecided++
+}
+
 // remove forgets a daemon.
 func (q *queue) remove(mb *member, now time.Time) {
 	q.uncount(mb)
@@ -186,27 +204,48 @@
 	mb.release(&bronzeturnv1.SyncResponse{Coordinator: true})
 }
 
-// expire forgets daemons that were not heard for the given time. It withdraws the requests of
-// daemons that were expected to call again, because requests wait there, but did not: grants
-// would not reach them. It counts the daemons that were heard.
-func (q *queue) expire(heardFor time.Duration, now time.Time) {
+// expire forgets daemons that were not heard for the given time, and computes the share of the
+// capacity that may be used: an equal share of each live daemon that is heard. It withdraws the
+// requests of daemons that were expected to call again, because requests wait there, but did not:
+// grants would not reach them. Grants that were not sent are withdrawn, too.
+func (q *queue) expire(heardFor time.Duration, live int, now time.Time) {
 	if now.Sub(q.expiredAt) < expireInterval {
 		return
 	}
-	q.heard, q.expiredAt = 0, now
+	q.expiredAt, q.share = now, 0
 	for _, mb := range q.members {
 		silent := now.Sub(mb.heard)
-		switch {
-		case silent > heardFor:
+		if silent > heardFor {
 			q.remove(mb, now)
-		case silent > answerTimeout && len(mb.listed) > 0 && mb.held == nil:
-			for number, l := range mb.listed {
-				q.withdraw(mb, number, l, now)
+			continue
+		}
+		if silent <= answerTimeout || len(mb.listed) == 0 || mb.held != nil {
+			q.share += q.shareOf(mb, live)
+			continue
+		}
+		mb.alone = true
+		for number, l := range mb.listed {
+			if l.grant != nil && !l.sent {
+				q.requeue(mb, l, now)
 			}
-		default:
-			q.heard++
+			q.withdraw(mb, number, l, now)
 		}
+		q.share += q.shareOf(mb, live)
+	}
+}
+
+// shareOf returns the share of the capacity that may be used because a daemon is known. One that
+// decides alone uses an equal share itself, of which its last message tells a part.
+func (q *queue) shareOf(mb *member, live int) float64 {
+	equal := 1 / float64(live)
+	if !mb.alone || q.slots == 0 {
+		return equal
+	}
+	running := 0
+	for _, n := range mb.running {
+		running += n
 	}
+	return min(equal, float64(running)/float64(q.slots))
 }
 
 // decide collects the decisions of the Scheduler. It returns the daemons that they concern, some
@@ -253,6 +292,7 @@
 	for _, l := range mb.listed {
 		switch {
 		case l.grant != nil:
+			l.sent = true
 			r.Grants = append(r.Grants, l.grant)
 		case l.refusal != nil:
 			r.Refusals = append(r.Refusals, l.refusal)
