--- a/dispatch/client.go
+++ b/dispatch/client.go
@@ -56,6 +56,10 @@
 	// answered is when the coordinator answered last, silent since when it has not answered,
 	// zero if no call is open.
 	answered, silent time.Time
+	// aloneSince is when the coordinator was lost.
+	aloneSince time.Time
+	// others is the number of requests of other daemons that were in progress at its last answer.
+	others int
 	// local decides while the coordinator does not answer, else nil.
 	local *queue
 	// localAt is when it decided last, enginesAt when it read the engines.
@@ -111,10 +115,10 @@
 	defer s.mu.Unlock()
 	c := &s.client
 	if owner != c.owner || c.called.IsZero() {
-		s.ownerChanged(owner)
+		s.ownerChanged(owner, now)
 	}
 	if c.local == nil && !c.silent.IsZero() && now.Sub(c.silent) >= answerTimeout {
-		s.fallBack()
+		s.fallBack(now)
 	}
 	due := s.callDue(live)
 	if !now.Before(due) && owner != "" {
@@ -141,11 +145,11 @@
 }
 
 // ownerChanged has the new coordinator called at once.
-func (s *service) ownerChanged(owner string) {
+func (s *service) ownerChanged(owner string, now time.Time) {
 	c := &s.client
 	c.owner, c.open, c.silent, c.failed, c.now = owner, 0, time.Time{}, false, true
 	if owner == "" {
-		s.fallBack()
+		s.fallBack(now)
 	}
 }
 
@@ -218,7 +222,7 @@
 	case !answer.GetCoordinator():
 		s.d.metrics.calls.WithLabelValues(s.name, outcomeNotCoordinator).Inc()
 		c.failed = true
-		s.fallBack()
+		s.fallBack(now)
 	default:
 		s.d.metrics.calls.WithLabelValues(s.name, outcomeAnswered).Inc()
 		s.answered(m, answer, now)
@@ -229,6 +233,9 @@
 func (s *service) answered(m *bronzeturnv1.SyncRequest, answer *bronzeturnv1.SyncResponse, now time.Time) {
 	c := &s.client
 	c.answered, c.failed, c.local, c.silent = now, false, nil, time.Time{}
+	if !answer.GetOutdated() {
+		c.others = int(answer.GetOthers())
+	}
 	if c.open > 0 {
 		c.silent = now
 	}
--- a/dispatch/coordinator.go
+++ b/dispatch/coordinator.go
@@ -82,9 +82,9 @@
 	c.readEngines(now)
 	mb := c.queue.apply(m, now)
 	if mb == nil {
-		return nil, &bronzeturnv1.SyncResponse{Coordinator: true}, false
+		return nil, outdated(), false
 	}
-	mb.release(&bronzeturnv1.SyncResponse{Coordinator: true})
+	mb.release(outdated())
 	announce = c.decide(now)
 	answer, decided := c.queue.answer(mb)
 	if decided || m.GetHoldMs() == 0 {
@@ -106,9 +106,11 @@
 	if c.queue != nil {
 		if mb := c.queue.members[daemon]; mb != nil && mb.held == held {
 			mb.held = nil
+			answer, _ := c.queue.answer(mb)
+			return answer
 		}
 	}
-	return &bronzeturnv1.SyncResponse{Coordinator: true}
+	return outdated()
 }
 
 func (c *coordinator) coordinates() bool {
--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -247,7 +247,9 @@
 
 // run makes a request that takes the given time at its engine. It returns its wait.
 func (d *testDaemon) run(ctx context.Context, maxWait, work time.Duration) (Wait, *failure.Error) {
-	ticket, wait, refusal := d.Acquire(ctx, request(maxWait))
+	r := request(maxWait)
+	r.Work = work
+	ticket, wait, refusal := d.Acquire(ctx, r)
 	d.fleet.mu.Lock()
 	d.fleet.lateBy = max(d.fleet.lateBy, wait.Waited-maxWait)
 	d.fleet.mu.Unlock()
--- a/dispatch/operation_test.go
+++ b/dispatch/operation_test.go
@@ -138,6 +138,7 @@
 		_, refusal := f.d(1).run(t.Context(), time.Second, 0)
 		c.Check(refusal == nil, qt.IsTrue)
 		c.Check(time.Since(began), qt.Equals, 50*time.Millisecond)
+		<-f.d(1).ended
 		c.Check(f.d(1).Contended(testService), qt.IsFalse)
 		blocker.Done(scheduler.Answered)
 	})
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -201,7 +201,7 @@
 	}
 	q.sched.RemoveDaemon(now, mb.name)
 	delete(q.members, mb.name)
-	mb.release(&bronzeturnv1.SyncResponse{Coordinator: true})
+	mb.release(outdated())
 }
 
 // expire forgets daemons that were not heard for the given time, and computes the share of the
@@ -288,7 +288,11 @@
 
 // answer returns the decisions for a daemon. It returns false if there are none.
 func (q *queue) answer(mb *member) (*bronzeturnv1.SyncResponse, bool) {
-	r := &bronzeturnv1.SyncResponse{Coordinator: true}
+	own := 0
+	for _, n := range mb.running {
+		own += n
+	}
+	r := &bronzeturnv1.SyncResponse{Coordinator: true, Others: uint32(max(q.inProgress-own, 0))}
 	for _, l := range mb.listed {
 		switch {
 		case l.grant != nil:
@@ -317,6 +321,11 @@
 	return free
 }
 
+// outdated returns the answer to a call that does not tell the state of its daemon any more.
+func outdated() *bronzeturnv1.SyncResponse {
+	return &bronzeturnv1.SyncResponse{Coordinator: true, Outdated: true}
+}
+
 // release answers the call that is held, if there is one.
 func (mb *member) release(r *bronzeturnv1.SyncResponse) {
 	if mb.held != nil {
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -153,7 +153,9 @@
 			refusal: noCapacity(cause, time.Duration(f.GetRetryAfterMs())*time.Millisecond), cause: cause, local: local,
 		}
 	}
-	s.free, s.freeAt = r.GetFree(), now
+	if !r.GetOutdated() {
+		s.free, s.freeAt = r.GetFree(), now
+	}
 }
 
 // grant starts a request. s.mu is held.
