--- a/entry/entry.go
+++ b/entry/entry.go
@@ -197,6 +197,9 @@
 	if d.balancer, err = balance.NewState(balanceOptions()); err != nil {
 		return nil, fmt.Errorf("balance: %w", err)
 	}
+	if d.dispatcher, err = newDispatcher(d); err != nil {
+		return nil, err
+	}
 	if d.fleet, err = newFleet(d); err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
--- a/entry/scheduling.go
+++ b/entry/scheduling.go
@@ -47,8 +47,8 @@
 }
 
 // dispatchClient returns a client for a coordinator, or nil if the daemon is unknown.
-func (f *fleet) dispatchClient(daemon string) bronzeturnv1connect.DispatchServiceClient {
-	client, base, ok := f.directory.Dial(daemon)
+func (d *Daemon) dispatchClient(daemon string) bronzeturnv1connect.DispatchServiceClient {
+	client, base, ok := d.fleet.directory.Dial(daemon)
 	if !ok {
 		return nil
 	}
