--- a/explain/explain.go
+++ b/explain/explain.go
@@ -134,6 +134,7 @@
 	"belief about an engine changed", "introduction ordered", "verdict on an introduction",
 	"data centre evacuated", "evacuation over", "engine is cold", "engine is warm", "engine took no connection", "the list of engines is doubted", "engine ended", "engine cut answers", "request put into quarantine", "request released from quarantine", "request is in quarantine by the store", "record of a quarantine", "sends of a request in quarantine ended",
 	"introduction changed its state", "state of an introduction written", "settings reloaded", "settings refused",
+	"service is contended", "service is not contended any more", "coordinator does not answer", "coordinator answers again", "coordinator of the service has changed",
 	"lines dropped",
 }
 
