--- a/dispatch/coordinator.go
+++ b/dispatch/coordinator.go
@@ -204,5 +204,5 @@
 	if c.queue == nil {
 		return scheduler.Status{}, false
 	}
-	return c.queue.sched.Status(), true
+	return c.queue.sched.Status(time.Now()), true
 }
--- a/dispatch/fake_test.go
+++ b/dispatch/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -58,6 +59,12 @@
 
 // count returns the running requests at an engine and in total.
 func (f *fifo) count(engine uint32) (at, all int) {
+	for id := range f.granted {
+		all++
+		if f.at[id] == engine {
+			at++
+		}
+	}
 	for _, running := range f.running {
 		for e, n := range running {
 			all += n
@@ -95,10 +102,6 @@
 		}
 		f.waiting = slices.Delete(f.waiting, i, i+1)
 		f.granted[r.ID], f.at[r.ID] = r, best
-		if f.running[r.ID.Daemon] == nil {
-			f.running[r.ID.Daemon] = map[uint32]int{}
-		}
-		f.running[r.ID.Daemon][best]++
 		return scheduler.Grant{ID: r.ID, Engine: best, Ahead: i}, true
 	}
 	return scheduler.Grant{}, false
@@ -125,15 +128,15 @@
 func (f *fifo) Requeue(now time.Time, id scheduler.ID) {
 	if r, ok := f.granted[id]; ok {
 		delete(f.granted, id)
-		if running := f.running[id.Daemon]; running[f.at[id]] > 0 {
-			running[f.at[id]]--
-		}
 		f.Offer(now, r)
 	}
 }
 
+func (f *fifo) Returned(_ time.Time, id scheduler.ID) { delete(f.granted, id) }
+
 func (f *fifo) RemoveDaemon(_ time.Time, daemon string) {
 	delete(f.running, daemon)
+	maps.DeleteFunc(f.granted, func(id scheduler.ID, _ scheduler.Request) bool { return id.Daemon == daemon })
 	f.waiting = slices.DeleteFunc(f.waiting, func(r scheduler.Request) bool { return r.ID.Daemon == daemon })
 }
 
@@ -147,7 +150,7 @@
 	return wake
 }
 
-func (f *fifo) Status() scheduler.Status {
+func (f *fifo) Status(time.Time) scheduler.Status {
 	_, all := f.count(0)
 	return scheduler.Status{Room: f.room(), Running: all, Waiting: len(f.waiting)}
 }
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -32,7 +32,7 @@
 	heard                 time.Time
 	// listed holds the requests that the last message listed as waiting.
 	listed map[uint64]*listed
-	// running are the counts that were last passed to the Scheduler.
+	// running counts its requests in progress and its grants, by engine.
 	running map[uint32]int
 	// finished is the number of the last finished run that was counted.
 	finished uint64
@@ -130,6 +130,9 @@
 		}
 		delete(mb.listed, number)
 		q.withdraw(mb, number, l, now)
+		if l.grant != nil {
+			q.sched.Returned(now, scheduler.ID{Daemon: mb.name, Number: number})
+		}
 	}
 }
 
@@ -154,6 +157,7 @@
 	for _, r := range m.GetRunning() {
 		mb.running[r.GetEngine()] += int(r.GetRequests())
 	}
+	q.sched.SetRunning(now, mb.name, mb.running)
 	for _, l := range mb.listed {
 		if l.grant != nil {
 			mb.running[l.grant.GetEngine()]++
@@ -163,7 +167,6 @@
 		q.running[engine] += n
 		q.inProgress += n
 	}
-	q.sched.SetRunning(now, mb.name, mb.running)
 }
 
 // uncount removes the running requests of a daemon from the counts.
--- a/dispatch/queue_test.go
+++ b/dispatch/queue_test.go
@@ -54,9 +54,9 @@
 	c.Check(q.grants(message("a", 1, 0, 1, 2), start), qt.DeepEquals, map[uint64]bool{1: true})
 	c.Check(q.grants(message("b", 2, 0, 5), start), qt.HasLen, 0)
 	c.Check(q.grants(message("a", 3, 0, 1, 2), start), qt.DeepEquals, map[uint64]bool{1: true})
-	c.Check(q.sched.Status().Running, qt.Equals, 1)
+	c.Check(q.sched.Status(time.Now()).Running, qt.Equals, 1)
 	c.Check(q.grants(message("a", 4, 1, 2), start), qt.HasLen, 0, qt.Commentf("the request runs"))
-	c.Check(q.sched.Status().Running, qt.Equals, 1)
+	c.Check(q.sched.Status(time.Now()).Running, qt.Equals, 1)
 	c.Check(q.grants(message("a", 5, 0, 2), start), qt.DeepEquals, map[uint64]bool{2: true})
 }
 
@@ -71,12 +71,12 @@
 		c.Check(q.apply(m, start), qt.IsNil)
 	}
 	c.Check(q.undecided, qt.Equals, 1)
-	c.Check(q.sched.Status().Waiting, qt.Equals, 1)
+	c.Check(q.sched.Status(time.Now()).Waiting, qt.Equals, 1)
 	restarted := message("a", 1, 0, 1)
 	restarted.Incarnation = 2
 	c.Check(q.grants(restarted, start), qt.DeepEquals, map[uint64]bool{1: true}, qt.Commentf("a new process starts with low sequences"))
 	c.Check(q.apply(message("a", 100, 5, 8), start), qt.IsNil, qt.Commentf("the old process has ended"))
-	c.Check(q.sched.Status().Running, qt.Equals, 1)
+	c.Check(q.sched.Status(time.Now()).Running, qt.Equals, 1)
 }
 
 // TestFinishedRunsCountOnce guards against engines whose run times are learnt several times from
@@ -125,7 +125,7 @@
 	q.apply(message("b", 2, 0, 1), now)
 	q.expire(time.Second, 2, now)
 	c.Check(q.inProgress, qt.Equals, 1, qt.Commentf("the request that runs still counts"))
-	c.Check(q.sched.Status().Running, qt.Equals, 1)
+	c.Check(q.sched.Status(time.Now()).Running, qt.Equals, 1)
 	c.Check(q.share, qt.Equals, 0.75, qt.Commentf("half for b, and the running request of a"))
 	c.Check(q.undecided, qt.Equals, 1)
 	now = start.Add(time.Second + time.Millisecond)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -77,7 +77,9 @@
 	// engines of a data centre receive no new requests. If it is not set, the evacuations in the
 	// store are not read.
 	Evacuations bool
-	// Scheduling enables the ordering of the requests of all daemons to contended services.
+	// Scheduling enables the scheduling of load: the requests of all daemons to contended
+	// services are ordered, and decisions take into account what they cost other requests. It is
+	// enabled in any case while engines of a service differ in speed.
 	Scheduling bool
 	// Weights are the shares of organisations in a contended service, relative to each other.
 	// They must be positive and finite. An organisation without an entry has weight 1.
@@ -150,7 +152,7 @@
 	limits        *backpressure.Backpressure
 	gateway       *gateway.Gateway
 	quarantine    *quarantine.Quarantine
-	// dispatcher is nil if the requests to contended services are not ordered.
+	// dispatcher orders the requests to contended services while load is scheduled.
 	dispatcher  requestDispatcher
 	engineLists engineLists
 	// shared is the balancer that takes the work of all daemons into account, occupancyStore the
@@ -197,6 +199,9 @@
 	if d.balancer, err = balance.NewState(balanceOptions()); err != nil {
 		return nil, fmt.Errorf("balance: %w", err)
 	}
+	if d.dispatcher, err = newDispatcher(d); err != nil {
+		return nil, fmt.Errorf("dispatch: %w", err)
+	}
 	if d.fleet, err = newFleet(d); err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
@@ -281,9 +286,7 @@
 	d.goLoop("quarantine", d.quarantine.Run)
 	d.goLoop("quarantine records", d.quarantine.RunWrites)
 	d.goLoop("occupancy", d.shared.occupancy.Run)
-	if d.dispatcher != nil {
-		d.goLoop("dispatch", d.dispatcher.Run)
-	}
+	d.goLoop("dispatch", d.dispatcher.Run)
 	select {
 	case <-ctx.Done():
 	case <-d.tomb.Dying():
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -102,7 +102,7 @@
 
 // tableClasses returns the classes of the entries in the gossip table.
 func (f *fleet) tableClasses() []gossip.Class {
-	classes := []gossip.Class{
+	return []gossip.Class{
 		{Prefix: revisionPrefix, MaxEntries: maxRevisionEntries, MaxValueBytes: maxSmallValueBytes},
 		{Prefix: inForcePrefix, MaxEntries: maxRevisionEntries, MaxValueBytes: maxSmallValueBytes},
 		{Prefix: counterPrefix, MaxEntries: maxRevisionEntries, MaxValueBytes: maxSmallValueBytes},
@@ -112,12 +112,9 @@
 		{Prefix: leavingPrefix, MaxEntries: maxLeavingEntries, MaxValueBytes: maxSmallValueBytes, TTL: leavingTTL, RemovalTTL: leavingTTL},
 		{Prefix: limitPrefix, MaxEntries: maxLimitEntries, MaxValueBytes: maxSmallValueBytes, TTL: limitTTL, RemovalTTL: limitTTL},
 		{Prefix: refusalPrefix, MaxEntries: maxRefusalEntries, MaxValueBytes: maxSmallValueBytes, TTL: refusalTTL, RemovalTTL: refusalTTL},
+		{Prefix: contendedPrefix, MaxEntries: maxContendedEntries, MaxValueBytes: maxSmallValueBytes, TTL: contendedTTL, RemovalTTL: contendedTTL},
 		{Prefix: canaryPrefix, MaxEntries: maxVerdictEntries, MaxValueBytes: maxVerdictBytes, TTL: verdictTTL},
 	}
-	if f.daemon.dispatcher != nil {
-		classes = append(classes, contendedClass())
-	}
-	return classes
 }
 
 // withoutSelf returns the addresses except the daemon's own.
@@ -139,9 +136,7 @@
 	mux.Handle(bronzeturnv1connect.NewTallyServiceHandler(tallyServer{f.daemon}, peer.HandlerOptions()...))
 	mux.Handle(bronzeturnv1connect.NewOccupancyServiceHandler(occupancy.Server{Store: f.daemon.occupancyStore}, peer.HandlerOptions()...))
 	mux.Handle(bronzeturnv1connect.NewRelayServiceHandler(relayServer{f.daemon}, peer.HandlerOptions()...))
-	if f.daemon.dispatcher != nil {
-		mux.Handle(bronzeturnv1connect.NewDispatchServiceHandler(f.daemon.dispatcher, peer.HandlerOptions()...))
-	}
+	mux.Handle(bronzeturnv1connect.NewDispatchServiceHandler(f.daemon.dispatcher, peer.HandlerOptions()...))
 	return mux
 }
 
@@ -157,9 +152,7 @@
 	f.members.Table().Subscribe(inForcePrefix, d.confirmed.receiveInForce)
 	f.members.Table().Subscribe(refusalPrefix, f.receiveRefusal)
 	f.members.Table().Subscribe(leavingPrefix, f.receiveLeaving)
-	if d.dispatcher != nil {
-		f.members.Table().Subscribe(contendedPrefix, f.receiveContended)
-	}
+	f.members.Table().Subscribe(contendedPrefix, f.receiveContended)
 	f.registrar = bootstrap.New(bootstrap.Options{
 		Store: d.Store, Self: &bronzeturnv1.Seed{Name: d.Settings.Name, PeerAddress: d.Settings.PeerListen},
 		OnAddresses: f.addFoundSeeds,
--- a/entry/scheduling.go
+++ b/entry/scheduling.go
@@ -9,8 +9,8 @@
 	"github.com/bronzeturn/bronzeturn/dispatch"
 	"github.com/bronzeturn/bronzeturn/gateway"
 	"github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1/bronzeturnv1connect"
-	"github.com/bronzeturn/bronzeturn/gossip"
 	"github.com/bronzeturn/bronzeturn/peer"
+	"github.com/bronzeturn/bronzeturn/scheduler"
 )
 
 // contendedPrefix is the key prefix in the gossip table for contended services, by the name of the
@@ -35,9 +35,23 @@
 	Run(ctx context.Context) error
 }
 
-// contendedClass returns the class of the entries for contended services.
-func contendedClass() gossip.Class {
-	return gossip.Class{Prefix: contendedPrefix, MaxEntries: maxContendedEntries, MaxValueBytes: maxSmallValueBytes, TTL: contendedTTL, RemovalTTL: contendedTTL}
+// newDispatcher returns the Dispatcher of this daemon. It is called before the fleet exists.
+func newDispatcher(d *Daemon) (requestDispatcher, error) {
+	schedulers, err := dispatch.NewScheduler(scheduler.Options{Seed: uint32(d.seed)})
+	if err != nil {
+		return nil, err
+	}
+	return dispatch.New(dispatch.Options{
+		Self: d.Settings.Name, Incarnation: uint64(d.started.UnixMilli()),
+		Coordinator: func(service string) string { return d.fleet.coordinatorOf(service) },
+		Client: func(daemon string) bronzeturnv1connect.DispatchServiceClient {
+			return d.fleet.dispatchClient(daemon)
+		},
+		Live:    func() int { return d.fleet.Live() },
+		Engines: d.serviceEngines, Weight: d.weightOf,
+		Announce:     func(service string) { d.fleet.announceContended(service) },
+		NewScheduler: schedulers, Log: d.logger("dispatch"), Registerer: d.registry,
+	}), nil
 }
 
 // coordinatorOf returns the name of the daemon that orders the requests to a service, or "" while
