--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -19,6 +19,12 @@
 	// contention.
 	minFull    = 3
 	fullWindow = time.Second
+	// Requests in progress that take overload times the slots of all engines, if the other
+	// daemons have as many as this one, are a sign of contention. It shows before the queues of
+	// the engines are full. Fewer than minInProgress requests of this daemon say nothing about
+	// the others.
+	overload      = 1.25
+	minInProgress = 4
 	// maxFull is the number of refusals that are remembered.
 	maxFull = 16
 	// maxFinished limits the finished runs that are kept for the next call. More than these are
@@ -43,7 +49,9 @@
 	// chosen yet.
 	running map[uint32]int
 	unsent  int
-	waiting map[uint64]*waiter
+	// inProgress is the sum of both.
+	inProgress int
+	waiting    map[uint64]*waiter
 	// finished are the runs that no coordinator has confirmed, firstFinished the number of the
 	// first of them.
 	finished      []scheduler.Finished
@@ -156,16 +164,25 @@
 	return refusals >= minFull && (other || len(s.d.Engines(s.name)) == 1)
 }
 
+// overloaded reports whether the engines are probably full, given the number of this daemon's
+// requests in progress.
+func (s *service) overloaded(inProgress int) bool {
+	if inProgress < minInProgress {
+		return false
+	}
+	slots := 0
+	for _, e := range s.d.Engines(s.name) {
+		slots += e.Slots
+	}
+	return slots > 0 && float64(inProgress*s.d.live()) >= overload*float64(slots)
+}
+
 // counts returns the numbers of running and waiting requests of this daemon, and when the
 // coordinator answered last.
 func (s *service) counts() (running, waiting int, answered time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	running = s.unsent
-	for _, n := range s.running {
-		running += n
-	}
-	return running, len(s.waiting), s.client.answered
+	return s.inProgress, len(s.waiting), s.client.answered
 }
 
 // freeEngine reports whether another engine has a free slot. Without a recent answer of the
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -23,8 +23,12 @@
 func (s *service) direct(work time.Duration) *ticket {
 	t := &ticket{s: s, work: work}
 	s.mu.Lock()
-	s.unsent++
+	s.count(0)
+	inProgress := s.inProgress
 	s.mu.Unlock()
+	if s.overloaded(inProgress) {
+		s.announce(time.Now())
+	}
 	return t
 }
 
@@ -90,6 +94,7 @@
 
 // count counts a request at an engine. s.mu is held.
 func (s *service) count(engine uint32) {
+	s.inProgress++
 	if engine == 0 {
 		s.unsent++
 		return
@@ -99,6 +104,7 @@
 
 // uncount ends the count of a request at an engine. s.mu is held.
 func (s *service) uncount(engine uint32) {
+	s.inProgress--
 	switch {
 	case engine == 0:
 		s.unsent--
--- a/scheduler/returns.go
+++ b/scheduler/returns.go
@@ -105,6 +105,9 @@
 	a := it.flow.account
 	if ap := s.returns.find(now, it.Key, it.Organisation); ap != nil && ap.at.After(now) {
 		out.RetryAfter, out.Appointment, out.Cause = ap.at.Sub(now), ap.firm, CauseEarly
+		if !ap.firm {
+			out.RetryAfter = max(out.RetryAfter, it.Deadline.Sub(now))
+		}
 		if ap.firm && a.tag < a.rank.virtual+maxEarlyDebt {
 			a.charge(earlyCharge * it.work / it.Weight)
 		}
@@ -116,7 +119,8 @@
 }
 
 // appoint returns the time after which the caller of a refused request should return, and
-// whether it is an appointment.
+// whether it is an appointment. Without one it is not before the caller's deadline: a caller that
+// returns earlier is most likely refused again, and each try takes capacity from others.
 func (s *Scheduler) appoint(now time.Time, it *item) (time.Duration, bool) {
 	a := it.flow.account
 	// Returning requests start when the lanes before that of first sends have drained.
@@ -136,7 +140,7 @@
 	if after < left {
 		s.returns.add(it.Key, it.Organisation, now.Add(after), false)
 	}
-	return after, false
+	return max(after, left), false
 }
 
 // drained returns the time until the waiting requests up to a rank have started.
