--- a/dispatch/client.go
+++ b/dispatch/client.go
@@ -48,6 +48,8 @@
 // the service.
 type client struct {
 	owner string
+	// movedAt is when the coordinator changed last.
+	movedAt time.Time
 	// open is the number of calls in progress, called when the last one was made.
 	open   int
 	called time.Time
@@ -147,6 +149,9 @@
 // ownerChanged has the new coordinator called at once.
 func (s *service) ownerChanged(owner string, now time.Time) {
 	c := &s.client
+	if !c.called.IsZero() && c.owner != "" {
+		c.movedAt = now
+	}
 	c.owner, c.open, c.silent, c.failed, c.now = owner, 0, time.Time{}, false, true
 	if owner == "" {
 		s.fallBack(now)
@@ -265,7 +270,7 @@
 	for _, f := range s.finished {
 		m.Finished = append(m.Finished, finishedMessage(f))
 	}
-	m.Alone = s.client.local != nil
+	m.Alone, m.Moved = s.client.local != nil, now.Sub(s.client.movedAt) < settleTime
 	if len(m.Waiting) > 0 && !m.Alone {
 		m.HoldMs = milliseconds(holdTime)
 	}
--- a/dispatch/coordinator.go
+++ b/dispatch/coordinator.go
@@ -21,6 +21,10 @@
 	tickInterval = 50 * time.Millisecond
 	// expireInterval is how often a coordinator looks for daemons that have become silent.
 	expireInterval = 10 * time.Millisecond
+	// settleTime is how long a coordinator that takes over waits for the first calls of all
+	// daemons before it decides. They notice the change within ownerInterval. Grants of its
+	// predecessor would otherwise be unknown to it.
+	settleTime = 2 * ownerInterval
 	// minShare is the least share of the capacity that a coordinator uses. It gives room for one
 	// request, since the room is rounded up.
 	minShare = 1e-6
@@ -38,7 +42,9 @@
 	mu        sync.Mutex
 	queue     *queue
 	enginesAt time.Time
-	timer     *time.Timer
+	// settled is when it decides even if some daemons have not called.
+	settled time.Time
+	timer   *time.Timer
 }
 
 // Sync implements bronzeturnv1connect.DispatchServiceHandler.
@@ -77,7 +83,10 @@
 	}
 	if c.queue == nil {
 		c.queue = newQueue(c.service.d.NewScheduler())
-		c.enginesAt = time.Time{}
+		c.enginesAt, c.settled = time.Time{}, time.Time{}
+		if m.GetMoved() {
+			c.settled = now.Add(settleTime)
+		}
 	}
 	c.readEngines(now)
 	mb := c.queue.apply(m, now)
@@ -135,6 +144,10 @@
 		share += 1 / float64(live)
 	}
 	c.queue.sched.SetShare(now, min(max(share, minShare), 1))
+	if now.Before(c.settled) && len(c.queue.members) < live {
+		c.setTimer(now)
+		return true
+	}
 	for _, mb := range c.queue.decide(now) {
 		if mb.held == nil {
 			continue
