gateway: slow engines are not silent; requests that may have run wait until their deadline

In the demonstration with engines of unlike speed, engines at 0.4 of the mean speed took 250 ms and were abandoned as silent after 210 ms: 35 of 2,030 runs ended without their sender, and one request whose second attempt found no engine was answered 502.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -198,8 +198,10 @@
 
 // maxWait returns how long the request may wait for its next turn. first is the expected time
 // in a slot until the route's target is met, whole the expected time until the end. The time
-// that the request has already waited since it may last have run counts. A stream that has
-// begun waits at least as long as a pause may last, rather than break off.
+// that the request has already waited since it may last have run counts. A request that may
+// have run waits as long as it can be answered before its deadline, since it cannot be refused
+// any more: it would fail for want of capacity. A stream that has begun waits at least as long as
+// a pause may last, rather than break off.
 func (t *task) maxWait(first, whole time.Duration, now time.Time) time.Duration {
 	if t.queuedSince.IsZero() {
 		t.queuedSince = now
@@ -209,8 +211,11 @@
 		wait = min(max(t.route.Target-first, minQueueWait), maxQueueWait)
 	}
 	wait = max(wait-now.Sub(t.queuedSince), minQueueWait)
-	if t.answer.begun() {
+	switch {
+	case t.answer.begun():
 		wait = max(wait, t.route.MaxPause)
+	case t.runs > 0:
+		wait = t.deadline.Sub(now)
 	}
 	return max(min(wait, t.deadline.Sub(now)-whole), 0)
 }
--- a/gateway/runtime.go
+++ b/gateway/runtime.go
@@ -62,6 +62,19 @@
 	return first, first + time.Duration(float64(w.ExpectedTokens)/streamRate(t.backend.Slots)*float64(time.Second))
 }
 
+// slowRunFactor is the multiple of the route's mean run time up to which an engine counts as slow
+// rather than silent. An engine at 0.4 of the mean speed takes 2.5 times the mean.
+const slowRunFactor = 3
+
+// slowRunTime returns how long an engine may take for a buffered answer before it counts as silent,
+// zero if load is not scheduled.
+func (g *Gateway) slowRunTime(t *task) time.Duration {
+	if g.dispatcher() == nil {
+		return 0
+	}
+	return slowRunFactor * g.runTimes.expected(runKind{t.service, t.route.Name})
+}
+
 // endRun ends the ticket of an attempt that the engine has answered completely. The engine's slot
 // is free now, while the caller may still read. Runs that were sent without waiting for their
 // turn and ended in contention do not count for the mean: they include the wait in the engine's queue.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -99,7 +99,7 @@
 		return 0, 0
 	}
 	if t.route.Kind == route.Idempotent {
-		return time.Duration(bufferedTimeoutShare * float64(t.route.Target)), 0
+		return max(time.Duration(bufferedTimeoutShare*float64(t.route.Target)), g.slowRunTime(t)), 0
 	}
 	first = t.route.Target + firstEventGrace
 	return first, max(time.Duration(pauseTimeoutFactor*float64(t.route.MaxPause)), firstEventGrace)
