--- a/scheduler/returns.go
+++ b/scheduler/returns.go
@@ -17,6 +17,9 @@
 	patience = 3
 	// minRetryAfter applies to refusals without an appointment.
 	minRetryAfter = 100 * time.Millisecond
+	// deadlineMargin is added to the time that a caller has left where it should not return before
+	// its deadline. Its clock started earlier than the daemon's.
+	deadlineMargin = 100 * time.Millisecond
 	// earlyBound is the part of its bound within which a request must be expected to start that
 	// comes before the time its caller was given. Under overload the expected wait stays near
 	// the bound and varies, so with the whole bound repeating at once succeeds more often than
@@ -106,7 +109,7 @@
 	if ap := s.returns.find(now, it.Key, it.Organisation); ap != nil && ap.at.After(now) {
 		out.RetryAfter, out.Appointment, out.Cause = ap.at.Sub(now), ap.firm, CauseEarly
 		if !ap.firm {
-			out.RetryAfter = max(out.RetryAfter, it.Deadline.Sub(now))
+			out.RetryAfter = max(out.RetryAfter, it.Deadline.Sub(now)+deadlineMargin)
 		}
 		if ap.firm && a.tag < a.rank.virtual+maxEarlyDebt {
 			a.charge(earlyCharge * it.work / it.Weight)
@@ -140,7 +143,7 @@
 	if after < left {
 		s.returns.add(it.Key, it.Organisation, now.Add(after), false)
 	}
-	return max(after, left), false
+	return max(after, left+deadlineMargin), false
 }
 
 // drained returns the time until the waiting requests up to a rank have started.
