--- a/dispatch/message.go
+++ b/dispatch/message.go
@@ -30,6 +30,7 @@
 		WorkUs: microseconds(w.request.Work), Key: w.request.Key, Class: classMessage(w.request.Class),
 		AgeMs: milliseconds(now.Sub(w.arrived)), StartWithinMs: milliseconds(w.startBy.Sub(now)),
 		LeftMs: milliseconds(w.request.Deadline.Sub(now)), Excluded: w.excluded,
+		OwnChoice: w.request.OwnChoice,
 	}
 }
 
@@ -45,6 +46,7 @@
 		Key: w.GetKey(), Class: classOf(w.GetClass()), Arrived: now.Add(-time.Duration(w.GetAgeMs()) * time.Millisecond),
 		StartBy:  now.Add(time.Duration(w.GetStartWithinMs()) * time.Millisecond),
 		Deadline: now.Add(time.Duration(w.GetLeftMs()) * time.Millisecond), Excluded: w.GetExcluded(),
+		OwnChoice: w.GetOwnChoice(),
 	}
 }
 
--- a/entry/scheduling_test.go
+++ b/entry/scheduling_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/bronzeturn/bronzeturn/balance"
 	"github.com/bronzeturn/bronzeturn/canary"
 	"github.com/bronzeturn/bronzeturn/dispatch"
+	"github.com/bronzeturn/bronzeturn/gateway"
 	"github.com/bronzeturn/bronzeturn/inventory"
 )
 
@@ -103,3 +106,32 @@
 	e.Daemon.engines.Exclude(engineKey(e, "a"))
 	e.c.Check(e.serviceEngines("s"), qt.HasLen, 0)
 }
+
+// TestLoadIsScheduledWhereItIsAskedFor guards against deployments that are served in another way
+// than before although neither their settings nor their engines call for it.
+func TestLoadIsScheduledWhereItIsAskedFor(t *testing.T) {
+	c := qt.New(t)
+	state, err := balance.NewState(balanceOptions())
+	c.Assert(err, qt.IsNil)
+	d := &Daemon{balancer: state}
+	view := &inventory.View{}
+	for _, id := range []string{"a", "b", "c", "d"} {
+		view.Engines = append(view.Engines, &inventory.Engine{ID: id, Service: "s", Slots: 16})
+	}
+	gateway.NewEngines(state, view, func(inventory.Engine) []string { return []string{"s"} })
+	report := func(factor float64) {
+		now := time.Now().Add(time.Duration(factor) * time.Second) // Past the interval between comparisons.
+		for i, e := range view.Engines {
+			state.PaceReported(balance.PaceReported{Engine: e.Key(), MeanLog: math.Log(factor) * float64(i%2), Variance: 0.1, Weight: 200, At: now})
+		}
+		state.PaceReported(balance.PaceReported{Engine: view.Engines[0].Key(), Variance: 0.1, Weight: 200, At: now.Add(time.Second)})
+	}
+	c.Check(d.schedulesLoad(), qt.IsFalse)
+	report(1.2)
+	c.Check(d.schedulesLoad(), qt.IsFalse)
+	report(3)
+	c.Check(d.schedulesLoad(), qt.IsTrue)
+	d = &Daemon{}
+	d.Settings.Scheduling = true
+	c.Check(d.schedulesLoad(), qt.IsTrue)
+}
