--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -45,10 +45,6 @@
 	Model string
 	// Priority is 0 for the most urgent requests.
 	Priority int
-	// RoutePriority orders requests of the same Priority, 0 for the most urgent ones. It is
-	// used if HasRoutePriority is set.
-	RoutePriority    int
-	HasRoutePriority bool
 	// LastEvent makes the engine resume a stream after the event with this id.
 	LastEvent string
 	// HasPriorities is set if the engines of the service support priorities.
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -151,8 +151,8 @@
 // wait in the queue of its service. A request that has been there polls for an engine first, as
 // one is about to become free.
 func (g *Gateway) noteBusy(t *task, ticket *attemptTicket, reason balance.Reason) bool {
-	if ticket == nil || reason != balance.ReasonNoEngine {
-		return false
+	if ticket == nil || reason != balance.ReasonNoEngine || t.trial {
+		return false // The few engines of a new version say nothing about the service.
 	}
 	if _, throttled := g.awaitedPermits(t, time.Now()); throttled {
 		return false // The engines are not busy, but accept only a limited rate.
--- a/gateway/escalate.go
+++ b/gateway/escalate.go
@@ -25,8 +25,9 @@
 
 // tryEscalate reports whether a larger model should answer instead. If so, it has set the
 // model and taken the attempt from the retry budget. It escalates only if none of the
-// answer has been sent to the caller, an attempt is left for the larger model, and the service
-// is not contended: there, the second attempt would take the place of another request.
+// answer has been sent to the caller, an attempt is left for the larger model, and an engine has
+// a free slot if the service is contended: otherwise the second attempt would take the place of
+// another request.
 func (g *Gateway) tryEscalate(t *task, to *target, confidence int) bool {
 	t.request.trace.confidence = append(t.request.trace.confidence, confidence)
 	if t.sized == nil {
@@ -35,7 +36,7 @@
 	t.request.trace.chance = g.Models.ChanceRight(confidence)
 	t.request.trace.price += t.sized.price(t.model)
 	g.Models.ObserveConfidence(t.sized, t.model, confidence, t.replacedConfidence)
-	if t.answer.begun() || g.contended(t.service) || !t.route.Repeatable() || t.runs+1 >= t.route.Attempts {
+	if t.answer.begun() || g.slotsTaken(t.service) || !t.route.Repeatable() || t.runs+1 >= t.route.Attempts {
 		return false
 	}
 	draw := g.random()
--- a/gateway/runtime.go
+++ b/gateway/runtime.go
@@ -93,3 +93,8 @@
 	dispatcher := g.dispatcher()
 	return dispatcher != nil && dispatcher.Contended(service)
 }
+
+// slotsTaken reports whether a service is contended and no engine is known to have a free slot.
+func (g *Gateway) slotsTaken(service string) bool {
+	return g.contended(service) && !g.Dispatcher.FreeEngine(service, nil)
+}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -56,7 +56,6 @@
 	g.Codec.Apply(header, Sent{
 		Organisation: t.organisation, Instance: to.engine.ID, Left: time.Until(t.deadline),
 		Model: t.model, Priority: t.priority, LastEvent: t.stream.lastID, HasPriorities: t.runsModels,
-		RoutePriority: t.route.Priority, HasRoutePriority: g.schedulesLoad(),
 	})
 	r := attempt.Request{
 		Method: t.http.Method, URL: "http://" + to.engine.Address + t.http.RequestURI, Host: t.http.Host,
