--- a/gateway/dispatch_wait_test.go
+++ b/gateway/dispatch_wait_test.go
@@ -154,14 +154,20 @@
 	b.c.Check(d.outcomes(b.c)[len(d.tickets)-1], qt.Equals, scheduler.Canceled)
 }
 
-// TestNoEscalationWhileContended guards against second attempts that take the place of requests
-// that wait.
-func TestNoEscalationWhileContended(t *testing.T) {
-	d := &fakeDispatcher{}
-	d.contended.Store(true)
-	b := newBench(t, d, confident("5"), confident("5"))
-	b.c.Check(b.send(context.Background(), "/sized/", testAnyModel, "1").Code, qt.Equals, http.StatusOK)
-	b.c.Check(d.outcomes(b.c), qt.DeepEquals, []scheduler.Outcome{scheduler.Answered})
+// TestNoEscalationWithoutAFreeSlot guards against second attempts that take the place of requests
+// that wait, and against doubtful answers of a contended service whose engines have free slots.
+func TestNoEscalationWithoutAFreeSlot(t *testing.T) {
+	for free, want := range map[bool][]scheduler.Outcome{
+		false: {scheduler.Answered}, true: {scheduler.Canceled, scheduler.Answered},
+	} {
+		d := &fakeDispatcher{}
+		d.contended.Store(true)
+		d.free.Store(free)
+		b := newBench(t, d, confident("5"), confident("95"))
+		b.inOrder()
+		b.c.Check(b.send(context.Background(), "/sized/", testAnyModel, "1").Code, qt.Equals, http.StatusOK)
+		b.c.Check(d.outcomes(b.c), qt.DeepEquals, want, qt.Commentf("free slot: %v", free))
+	}
 }
 
 // TestRequestsAreDescribed guards against requests that are ordered by the wrong values.
