--- a/gateway/duration_test.go
+++ b/gateway/duration_test.go
@@ -14,8 +14,8 @@
 	c := qt.New(t)
 	service, _, short := mixedService()
 	m, lengths := NewModelChoice(DefaultModelOptions()), newAnswerLengths()
-	for i := range 200 {
-		tokens := 200 + i
+	for i := range 400 {
+		tokens := 100 + 5*i
 		lengths.observe(service.Name, "small", tokens, tokens/7+i%11, 30*time.Millisecond)
 		lengths.observe(service.Name, "large", tokens, tokens/7+i%11, 180*time.Millisecond)
 	}
@@ -28,6 +28,17 @@
 	}
 }
 
+// TestEstimatesFarOffAreNotTrusted guards against long estimates of callers that keep answers from
+// larger models although the answers are no longer than others.
+func TestEstimatesFarOffAreNotTrusted(t *testing.T) {
+	c := qt.New(t)
+	lengths := newAnswerLengths()
+	for i := range 400 {
+		lengths.observe("s", "large", 50+i*37%3000, 30+i%20, 180*time.Millisecond)
+	}
+	c.Check(lengths.completes("s", "large", 3000, 19*time.Second) > 0.9, qt.IsTrue)
+}
+
 // TestCompletionIsCertainWhileLittleIsKnown guards against conclusions from a few answers, and
 // from none.
 func TestCompletionIsCertainWhileLittleIsKnown(t *testing.T) {
--- a/gateway/escalate.go
+++ b/gateway/escalate.go
@@ -112,7 +112,9 @@
 		t.sized.completes = func(model string) float64 {
 			return g.answerLengths.completes(t.service, model, t.meta.LikelyTokens, left)
 		}
-		t.sized.delayCost = g.Models.DelayCost(t.backend, decision.Backlog, decision.Requests)
+		if g.ChargesDelay {
+			t.sized.delayCost = g.Models.DelayCost(t.backend, decision.Backlog, decision.Requests)
+		}
 	}
 	waits, reads := t.elapsed()+decision.Backlog, decision.ExpectedFirstToken.Seconds()
 	return func(model string) float64 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -148,6 +148,8 @@
 	// requests, and attempts are ordered by the Dispatcher. Nil means that they do if there
 	// is a Dispatcher.
 	SchedulesLoad func() bool
+	// ChargesDelay makes escalations pay for the delay that they cause to other requests.
+	ChargesDelay bool
 
 	Engines       Balancer
 	SlowStarts    SlowStarts
