gateway: the delay cost begins at a quarter of the shortest target

It is charged only where the settings enable scheduling, so the quality that it costs on calm engines elsewhere does not count.

--- a/gateway/delaycost.go
+++ b/gateway/delaycost.go
@@ -7,13 +7,13 @@
 )
 
 // Work at an engine delays the requests in progress there and those that follow. As long as
-// the engine's backlog takes less than freeBacklogShare times the service's shortest target, the
+// the engine's backlog takes less than freeBacklogShare of the service's shortest target, the
 // requests are on time all the same, since engines generate the answers in progress together
-// and a new request waits only for the prompts ahead of it. From fullBacklogShare times on,
-// each delay makes some of them late.
+// and a new request waits only for the prompts ahead of it. From fullBacklogShare on, each
+// delay makes some of them late.
 const (
-	freeBacklogShare = 1
-	fullBacklogShare = 2
+	freeBacklogShare = 0.25
+	fullBacklogShare = 1
 )
 
 // DelayCost returns the worth that other requests lose for each second of an engine's time,
