--- a/gateway/abandon.go
+++ b/gateway/abandon.go
@@ -52,8 +52,8 @@
 
 // abandonCheck returns the function that decides whether the attempt may be abandoned because
 // its engine is silent. Without another engine that can take the request, abandoning it would
-// lose the engine's work and end the request. At a contended service, silence is usually
-// the wait in the engine's queue, and another engine must have a free slot.
+// lose the engine's work and end the request. Silence may be the wait in the engine's queue, so
+// another engine must have a free slot.
 func (g *Gateway) abandonCheck(ctx context.Context, t *task, to *target) func() bool {
 	engines, dispatcher := g.Tables().Engines, g.dispatcher()
 	if dispatcher == nil || engines == nil {
@@ -67,13 +67,13 @@
 	probe.NoProbe = true
 	probe.Exclude = [balance.MaxExclude]string{to.engine.Key()}
 	return func() bool {
-		if !g.engineUsable(t, *probe) {
+		if !g.engineUsable(t, *probe) || !dispatcher.FreeEngine(next.Service, tried) {
 			return false
 		}
 		if !dispatcher.Contended(next.Service) {
 			return g.mayGiveUp(t)
 		}
-		return dispatcher.FreeEngine(next.Service, tried) && g.reserveNext(ctx, t, next)
+		return g.reserveNext(ctx, t, next)
 	}
 }
 
--- a/gateway/dispatch_test.go
+++ b/gateway/dispatch_test.go
@@ -137,6 +137,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			b := newBench(t, &fakeDispatcher{}, test.engines...)
 			b.inOrder()
+			b.dispatcher.free.Store(true)
 			b.quarantine.held.Store(test.held)
 			ctx, leave := context.WithCancel(context.Background())
 			defer leave()
--- a/gateway/dispatch_wait_test.go
+++ b/gateway/dispatch_wait_test.go
@@ -90,20 +90,21 @@
 	b.c.Check(requests[2].Tried, qt.DeepEquals, []string{b.keys[1]})
 }
 
-// TestWaitingEngineIsNotAbandonedWhileContended guards against attempts that wait in an engine's
-// queue being abandoned, although no other engine has room, so that the engine works for nobody.
-func TestWaitingEngineIsNotAbandonedWhileContended(t *testing.T) {
-	for _, free := range []bool{false, true} {
-		t.Run(fmt.Sprintf("free=%v", free), func(t *testing.T) {
+// TestWaitingEngineIsNotAbandonedWithoutAFreeOne guards against attempts that wait in an engine's
+// queue being abandoned, although no other engine has room, so that the engine works for nobody
+// and the request fails.
+func TestWaitingEngineIsNotAbandonedWithoutAFreeOne(t *testing.T) {
+	for _, test := range []struct{ contended, free bool }{{false, false}, {false, true}, {true, false}, {true, true}} {
+		t.Run(fmt.Sprintf("%+v", test), func(t *testing.T) {
 			d := &fakeDispatcher{}
-			d.contended.Store(true)
-			d.free.Store(free)
+			d.contended.Store(test.contended)
+			d.free.Store(test.free)
 			// The engine answers after four times the time after which it may be abandoned.
 			b := newBench(t, d, answersAfter(560*time.Millisecond), answers)
 			b.inOrder()
 			b.c.Check(b.send(context.Background(), "/safe/").Code, qt.Equals, http.StatusOK)
 			b.c.Check(d.lastExcepted(), qt.DeepEquals, []string{b.keys[0]})
-			if free {
+			if test.free {
 				b.c.Check(d.outcomes(b.c), qt.DeepEquals, []scheduler.Outcome{scheduler.Failed, scheduler.Answered})
 				return
 			}
