attempt, gateway, balance: faults found on review

- GiveUp may block for the next ticket.
The timer now knows starts and stops, and what was acquired for the next attempt is given back.
- A request that may have run got no time to wait if its whole work did not fit in the time left, and failed with 502.
- The last allowed send was abandoned, without another one to follow.
- Busy engines of a region made the service contended; attempts that no caller is told of took appointments.
- HasUnlikeEngines stayed true after an engine restarted or its pool was gone, and requests could read a pool's engines while the pool was built.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -74,8 +74,10 @@
 	PauseTimeout    time.Duration
 	// GiveUp is called when one of these timeouts expires. If it returns false, the
 	// timeout starts again; otherwise, or if GiveUp is nil, the attempt is canceled.
-	// It is called from another goroutine.
+	// It is called from another goroutine, and may block: progress made meanwhile keeps the
+	// attempt. In that case Kept is called if GiveUp has returned true.
 	GiveUp func() bool
+	Kept   func()
 }
 
 // pause returns the timeout that applies after the header of the answer.
@@ -100,31 +102,11 @@
 	body     io.ReadCloser
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
-	timer    *time.Timer
+	timer    *progressTimer
 	progress time.Duration
 	ended    bool
 }
 
-// progressTimer returns a timer that cancels with errSilent when it expires, unless
-// giveUp returns false, which restarts it. It returns nil if d is zero.
-func progressTimer(d time.Duration, giveUp func() bool, cancel context.CancelCauseFunc) *time.Timer {
-	if d <= 0 {
-		return nil
-	}
-	var timer atomic.Pointer[time.Timer]
-	expired := func() {
-		if giveUp == nil || giveUp() {
-			cancel(errSilent)
-			return
-		}
-		if t := timer.Load(); t != nil {
-			t.Reset(d)
-		}
-	}
-	timer.Store(time.AfterFunc(d, expired))
-	return timer.Load()
-}
-
 // trace records how far the transport got with a request.
 type trace struct {
 	started atomic.Bool
@@ -169,11 +151,9 @@
 		cancel(errClosed)
 		return nil, &Error{Stage: NotSent, Reason: Network, Cause: err}
 	}
-	timer := progressTimer(r.ProgressTimeout, r.GiveUp, cancel)
+	timer := newProgressTimer(r.ProgressTimeout, &r, cancel)
 	resp, err := transport.RoundTrip(req)
-	if timer != nil {
-		timer.Stop()
-	}
+	timer.stop()
 	if err != nil {
 		reason := reasonOf(inner)
 		failed := &Error{Stage: seen.stage(err, reason != Network), Reason: reason, Cause: err}
@@ -182,9 +162,7 @@
 		return nil, failed
 	}
 	pause := r.pause()
-	if timer == nil || pause != r.ProgressTimeout {
-		timer = progressTimer(pause, r.GiveUp, cancel)
-	}
+	timer = newProgressTimer(pause, &r, cancel)
 	return &Exchange{
 		transport: transport, host: req.URL.Host,
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
@@ -282,13 +260,9 @@
 // Read implements io.Reader for the body. It returns io.EOF only after a complete body;
 // any other error is an *Error of stage Answered.
 func (x *Exchange) Read(p []byte) (int, error) {
-	if x.timer != nil {
-		x.timer.Reset(x.progress)
-	}
+	x.timer.start(x.progress)
 	n, err := x.body.Read(p)
-	if x.timer != nil {
-		x.timer.Stop()
-	}
+	x.timer.stop()
 	switch {
 	case err == nil:
 		return n, nil
@@ -320,9 +294,7 @@
 // Close ends the exchange. If the body has not been read to its end, the connection is
 // closed, so that the peer can stop its work.
 func (x *Exchange) Close() error {
-	if x.timer != nil {
-		x.timer.Stop()
-	}
+	x.timer.stop()
 	x.cancel(errClosed)
 	return x.body.Close()
 }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,8 +22,9 @@
 	cache   *prefixCache
 	table   engineTable
 	active  activeEngines
-	// unlikePools is the number of pools whose engines are known to differ in speed.
-	unlikePools atomic.Int64
+	// unlikeUntil is until when a pool counts as one whose engines differ in speed, in Unix
+	// nanoseconds.
+	unlikeUntil atomic.Int64
 
 	// mu guards the fields that change with the configuration or a host's state.
 	mu    sync.Mutex
@@ -157,6 +158,7 @@
 func assignPools(specs []*bronzeturnv1.Engine, list []*engine) {
 	pools := make(map[string]*pool)
 	configs := make(map[poolConfig]*poolConfig)
+	configOf := make([]*poolConfig, len(list))
 	for i, spec := range specs {
 		p := pools[spec.GetPool()]
 		if p == nil {
@@ -171,9 +173,10 @@
 			shared = &poolConfig{pool: config.pool, nominal: config.nominal}
 			configs[config] = shared
 		}
-		list[i].poolConfig.Store(shared)
+		configOf[i] = shared
 	}
-	for _, e := range list {
+	for i, e := range list { // The pools are complete now and may be read.
+		e.poolConfig.Store(configOf[i])
 		if a := e.active.Load(); a != nil {
 			a.health.setPool(e.poolConfig.Load())
 		}
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -80,33 +80,30 @@
 	}
 	h.fleet.Store(&fleetPace{meanLog: ev.MeanLog, variance: ev.Variance, weight: ev.Weight, at: at})
 	if config := e.poolConfig.Load(); config != nil {
-		s.unlikePools.Add(config.pool.checkPace(at))
+		if config.pool.checkPace(at) {
+			s.unlikeUntil.Store(at + int64(paceTTL))
+		}
 	}
 }
 
-// HasUnlikeEngines reports whether the engines of a pool are known to differ in speed, so that
-// the fleet's means are used there.
-func (s *State) HasUnlikeEngines() bool { return s.unlikePools.Load() > 0 }
+// HasUnlikeEngines reports whether the engines of a pool were found to differ in speed within
+// paceTTL, so that the fleet's means are used there.
+func (s *State) HasUnlikeEngines(now time.Time) bool { return s.unlikeUntil.Load() > now.UnixNano() }
 
-// checkPace compares the means of the pool's engines, once per paceCheckInterval. It returns the
-// change of the number of pools whose engines are unlike.
-func (p *pool) checkPace(now int64) (change int64) {
+// checkPace compares the means of the pool's engines, once per paceCheckInterval. It reports
+// whether it compared them and found them unlike.
+func (p *pool) checkPace(now int64) bool {
 	last := p.pace.checkedAt.Load()
 	if now-last < int64(paceCheckInterval) || !p.pace.checkedAt.CompareAndSwap(last, now) {
-		return 0
+		return false
 	}
 	margin := float64(newMargin)
 	if p.pace.unlike.Load() {
 		margin = heldMargin
 	}
 	unlike := paceSpread(p.measuredPaces(now), margin) >= math.Log(minPaceSpread)
-	switch was := p.pace.unlike.Swap(unlike); {
-	case unlike && !was:
-		return 1
-	case !unlike && was:
-		return -1
-	}
-	return 0
+	p.pace.unlike.Store(unlike)
+	return unlike
 }
 
 // measuredPaces returns the means of the pool's engines that are recent and have enough weight.
--- a/entry/scheduling.go
+++ b/entry/scheduling.go
@@ -89,7 +89,7 @@
 // the settings ask for it, and where engines differ in speed. There, daemons that decide alone and
 // send each engine an equal part of the requests overload the slow engines.
 func (d *Daemon) schedulesLoad() bool {
-	return d.Settings.Scheduling || d.balancer.HasUnlikeEngines()
+	return d.Settings.Scheduling || d.balancer.HasUnlikeEngines(time.Now())
 }
 
 // weightOf returns the share of an organisation relative to others, 1 by default.
--- a/gateway/abandon.go
+++ b/gateway/abandon.go
@@ -41,7 +41,14 @@
 	return ticket, s.wait
 }
 
-// close ends the ticket if it was not needed, and prevents that another one is stored.
+// keep ends what was acquired for the next attempt, as the present one goes on.
+func (t *task) keep() {
+	t.budgetTaken.Store(false)
+	ticket, _ := t.spare.take()
+	ticket.end(scheduler.Canceled)
+}
+
+// close ends the ticket if it was not needed, and prevents another one from being stored.
 func (s *spareTicket) close() {
 	s.mu.Lock()
 	s.closed = true
@@ -78,7 +85,7 @@
 }
 
 // reserveNext acquires the ticket and the budget for an attempt after one at a silent engine, and
-// reports whether it did. It uses only those fields of t that do not change.
+// reports whether it did. It blocks for minQueueWait and the grace of the Dispatcher at most. It uses only those fields of t that do not change.
 func (g *Gateway) reserveNext(ctx context.Context, t *task, next dispatch.Request) bool {
 	if !g.budgets.forService(t.service).Ready(time.Now()) {
 		return false
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -151,8 +151,8 @@
 // wait in the queue of its service. A request that has been there polls for an engine first, as
 // one is about to become free.
 func (g *Gateway) noteBusy(t *task, ticket *attemptTicket, reason balance.Reason) bool {
-	if ticket == nil || reason != balance.ReasonNoEngine || t.trial {
-		return false // The few engines of a new version say nothing about the service.
+	if ticket == nil || reason != balance.ReasonNoEngine || t.trial || t.regions.Limited {
+		return false // The few engines of a new version or a region say nothing about the service.
 	}
 	if _, throttled := g.awaitedPermits(t, time.Now()); throttled {
 		return false // The engines are not busy, but accept only a limited rate.
@@ -167,9 +167,13 @@
 	if t.route.Kind != route.Stream {
 		first = whole
 	}
+	class, key := t.class(), uint64(0)
+	if class == scheduler.First {
+		key = binary.BigEndian.Uint64(t.hash[:]) // Other attempts are not refused to the caller.
+	}
 	return dispatch.Request{
 		Service: t.service, Organisation: t.organisation, Rank: t.priority, Work: whole,
-		Key: binary.BigEndian.Uint64(t.hash[:]), Class: t.class(), MaxWait: t.maxWait(first, whole, now), Deadline: t.deadline,
+		Key: key, Class: class, MaxWait: t.maxWait(first, whole, now), Deadline: t.deadline,
 		Tried: g.failedEngines(t), OwnChoice: t.runsModels || t.regions.Limited || g.Quarantine.Crashes(t.hash) > 0,
 	}
 }
@@ -217,7 +221,11 @@
 	case t.runs > 0:
 		wait = t.deadline.Sub(now)
 	}
-	return max(min(wait, t.deadline.Sub(now)-whole), 0)
+	limit := t.deadline.Sub(now) - whole
+	if t.answer.begun() || t.runs > 0 {
+		limit = t.deadline.Sub(now) - minAttempt // It cannot be refused, and only a part may be missing.
+	}
+	return max(min(wait, limit), 0)
 }
 
 // failedEngines returns the engines that must not get the request again: those at which it
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -63,7 +63,7 @@
 	}
 	r.ProgressTimeout, r.PauseTimeout = g.attemptTimeouts(t)
 	if r.ProgressTimeout > 0 || r.PauseTimeout > 0 {
-		r.GiveUp = g.abandonCheck(ctx, t, to)
+		r.GiveUp, r.Kept = g.abandonCheck(ctx, t, to), func() { t.keep() }
 	}
 	return r
 }
@@ -94,7 +94,7 @@
 // attemptTimeouts returns how long an engine may be silent before its answer begins, and
 // between two events. Zero means until the deadline.
 func (g *Gateway) attemptTimeouts(t *task) (first, pause time.Duration) {
-	if !t.route.Repeatable() || t.runs+1 >= t.route.Attempts || t.route.Target == 0 {
+	if !t.route.Repeatable() || t.runs+1 >= t.route.Attempts || len(t.tried) >= maxSends || t.route.Target == 0 {
 		return 0, 0
 	}
 	if t.route.Kind == route.Idempotent {
