attempt: arm the progress timer after its due time is set; gateway: tests that do not depend on wall-clock time

A timer that fired before its due time was set was taken for an earlier one and never fired again (seen once in TestWaitingEngineIsNotAbandonedWithoutAFreeOne). Two tests depended on a connection within 50 and 100 ms.

--- a/attempt/progress.go
+++ b/attempt/progress.go
@@ -14,8 +14,8 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
-	// due is when the timer expires, zero while it is stopped. Each start and stop increments
-	// generation.
+	// due is when the timer expires at the earliest, zero while it is stopped. Each start and
+	// stop increments generation.
 	due        time.Time
 	generation uint64
 }
@@ -25,11 +25,10 @@
 	if d <= 0 {
 		return nil
 	}
-	p := &progressTimer{request: r, cancel: cancel}
+	p := &progressTimer{request: r, cancel: cancel, due: time.Now().Add(d)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.timer = time.AfterFunc(d, func() { p.expired(d) })
-	p.due = time.Now().Add(d)
 	return p
 }
 
--- a/cmd/bronzeturn-entry/main.go
+++ b/cmd/bronzeturn-entry/main.go
@@ -26,7 +26,7 @@
 	MetricsPort  int       `help:"Additional port for metrics on the host's address, 0 for none." default:"0" env:"BRONZETURN_METRICS_PORT"`
 	AnswerValues []float64 `help:"Worth of a right answer of usual length for each route priority, the most urgent first, in the unit of the models' prices. The last value applies to all further priorities. Default: the worth follows from the size of the request and the price of the largest model." env:"BRONZETURN_ANSWER_VALUES"`
 
-	OrganisationWeights string `help:"Shares of organisations in the capacity of a contended service, relative to each other, as NAME=WEIGHT,... Organisations that are not named have weight 1. Takes effect only where the settings enable scheduling." placeholder:"NAME=WEIGHT,..." env:"BRONZETURN_ORGANISATION_WEIGHTS"`
+	OrganisationWeights string `help:"Shares of organisations in the capacity of a contended service, relative to each other, as NAME=WEIGHT,... Organisations that are not named have weight 1. Takes effect only where load is scheduled." placeholder:"NAME=WEIGHT,..." env:"BRONZETURN_ORGANISATION_WEIGHTS"`
 }
 
 // modelOptions returns the options of the choice among models, checked.
--- a/gateway/dispatch_test.go
+++ b/gateway/dispatch_test.go
@@ -64,12 +64,12 @@
 		target  string
 		headers []string
 		engines []testEngine
-		// leaveAfter is when the caller leaves, zero for never.
-		leaveAfter time.Duration
-		held       bool
-		status     int
-		outcomes   []scheduler.Outcome
-		classes    []scheduler.Class
+		// leaves is set if the caller leaves once the engine has received the request.
+		leaves   bool
+		held     bool
+		status   int
+		outcomes []scheduler.Outcome
+		classes  []scheduler.Class
 		// unsent is the number of tickets for which nothing was sent.
 		unsent int
 	}{
@@ -110,7 +110,7 @@
 			outcomes: []scheduler.Outcome{scheduler.Failed}, classes: []scheduler.Class{scheduler.First},
 		},
 		{
-			name: "caller leaves", target: "/once/", engines: []testEngine{answersAfter(hang)}, leaveAfter: 100 * time.Millisecond, status: 502,
+			name: "caller leaves", target: "/once/", leaves: true, status: 502,
 			outcomes: []scheduler.Outcome{scheduler.Canceled}, classes: []scheduler.Class{scheduler.First},
 		},
 		{
@@ -135,15 +135,18 @@
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			ctx, leave := context.WithCancel(context.Background())
+			defer leave()
+			if test.leaves {
+				test.engines = []testEngine{func(_ int, _ http.ResponseWriter, r *http.Request) {
+					leave()
+					<-r.Context().Done()
+				}}
+			}
 			b := newBench(t, &fakeDispatcher{}, test.engines...)
 			b.inOrder()
 			b.dispatcher.free.Store(true)
 			b.quarantine.held.Store(test.held)
-			ctx, leave := context.WithCancel(context.Background())
-			defer leave()
-			if test.leaveAfter > 0 {
-				time.AfterFunc(test.leaveAfter, leave)
-			}
 			w := b.send(ctx, test.target, test.headers...)
 			b.c.Check(w.Code, qt.Equals, test.status)
 			b.c.Check(b.dispatcher.outcomes(b.c), qt.DeepEquals, test.outcomes)
--- a/gateway/dispatch_wait_test.go
+++ b/gateway/dispatch_wait_test.go
@@ -174,15 +174,19 @@
 // TestRequestsAreDescribed guards against requests that are ordered by the wrong values.
 func TestRequestsAreDescribed(t *testing.T) {
 	b := newBench(t, &fakeDispatcher{}, answers)
+	kind := runKind{"desk", "safe"}
+	b.gateway.runTimes.observe(kind, 10*time.Millisecond)
 	b.send(context.Background(), "/safe/")
+	afterOne := b.gateway.runTimes.expected(kind)
 	b.send(context.Background(), "/safe/")
 	b.send(context.Background(), "/stream/")
 	plain, again, model := b.dispatcher.requests[0], b.dispatcher.requests[1], b.dispatcher.requests[2]
 	b.c.Check(plain.Service, qt.Equals, "desk")
 	b.c.Check(plain.Rank, qt.Equals, 2)
 	b.c.Check(plain.OwnChoice, qt.IsFalse)
-	b.c.Check(plain.Work, qt.Equals, defaultRunTime)
-	b.c.Check(again.Work > 0 && again.Work < defaultRunTime, qt.IsTrue, qt.Commentf("%s", again.Work))
+	b.c.Check(plain.Work, qt.Equals, 10*time.Millisecond)
+	b.c.Check(again.Work, qt.Equals, afterOne)
+	b.c.Check(again.Work, qt.Not(qt.Equals), plain.Work, qt.Commentf("the first run counts"))
 	b.c.Check(plain.Key, qt.Not(qt.Equals), uint64(0))
 	b.c.Check(again.Key, qt.Equals, plain.Key, qt.Commentf("a caller that returns sends the same content"))
 	b.c.Check(model.Key, qt.Not(qt.Equals), plain.Key)
