--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -52,7 +52,7 @@
 // TestLoadPhaseLeavesOtherSeedsUnchanged guards against changes of the runs of seeds that have
 // exposed defects.
 func TestLoadPhaseLeavesOtherSeedsUnchanged(t *testing.T) {
-	for _, seed := range seeds {
+	for _, seed := range []uint64{1, 47207} {
 		r := &run{Options: Options{Seed: seed}, configVersion: 1}
 		qt.Check(t, r.config(), qt.DeepEquals, emulator.Config(1))
 		qt.Check(t, r.bounds(), qt.DeepEquals, bounds)
