scheduler, dispatch: rename by the usual terms

patience is returnDivisor, strays elsewhere, memory refusalCache, firm precedence, parked blocked (scheduler) and withdrawn (dispatch), asked recordArrival. No change of behaviour.

--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -53,8 +53,8 @@
 	retryAt  time.Time // of the refused caller
 	// sent is set if an answer contained the grant, so that the request may have started.
 	sent bool
-	// parked is set while the request is withdrawn because its daemon is silent.
-	parked bool
+	// withdrawn is set while the request is withdrawn because its daemon is silent.
+	withdrawn bool
 }
 
 func newQueue(s Scheduler) *queue {
@@ -110,14 +110,14 @@
 	for _, w := range m.GetWaiting() {
 		l := mb.listed[w.GetNumber()]
 		if l == nil {
-			l = &listed{parked: true}
+			l = &listed{withdrawn: true}
 			mb.listed[w.GetNumber()] = l
 		}
 		l.sequence = m.GetSequence()
 		if mb.alone {
 			q.withdraw(mb, w.GetNumber(), l, now)
-		} else if l.parked {
-			l.parked = false
+		} else if l.withdrawn {
+			l.withdrawn = false
 			q.undecided++
 			q.sched.Offer(now, requestOf(mb.name, w, now))
 		}
@@ -138,12 +138,12 @@
 }
 
 // undecided reports whether a request waits in the Scheduler.
-func (l *listed) undecided() bool { return l.grant == nil && l.refusal == nil && !l.parked }
+func (l *listed) undecided() bool { return l.grant == nil && l.refusal == nil && !l.withdrawn }
 
 // withdraw removes a request from the Scheduler if it waits there.
 func (q *queue) withdraw(mb *member, number uint64, l *listed, now time.Time) {
 	if l.undecided() {
-		l.parked = true
+		l.withdrawn = true
 		q.undecided--
 		q.sched.Withdraw(now, scheduler.ID{Daemon: mb.name, Number: number})
 	}
--- a/scheduler/accounts.go
+++ b/scheduler/accounts.go
@@ -25,7 +25,7 @@
 	lastGrant      uint64 // serial, decides between equal tags
 	flows          [classes]flow
 	waiting        int
-	parked         int // see Scheduler.parked
+	blocked        int // see Scheduler.blocked
 	asked, granted uint64
 	lastAsked      time.Time
 	// demand is the work asked for, demandRate its rate as of queue.weighedAt. recent is
@@ -102,7 +102,7 @@
 	for value, r := range q.ranks {
 		r.weigh(now)
 		for o, a := range r.accounts {
-			if a.recent || a.waiting+a.parked > 0 || now.Sub(a.lastAsked) < accountLife {
+			if a.recent || a.waiting+a.blocked > 0 || now.Sub(a.lastAsked) < accountLife {
 				continue
 			}
 			delete(r.accounts, o)
--- a/scheduler/engines.go
+++ b/scheduler/engines.go
@@ -79,9 +79,9 @@
 	return pool{engines: map[uint32]*engine{}, pace: 1, turnaround: o.Turnaround.Seconds(), seed: o.Seed}
 }
 
-// set replaces the engines. It keeps what is known of those that stay. strays are the requests
+// set replaces the engines. It keeps what is known of those that stay. elsewhere are the requests
 // that run at engines that are not in the list.
-func (p *pool) set(list []Engine, meanWork float64, strays map[uint32]int) {
+func (p *pool) set(list []Engine, meanWork float64, elsewhere map[uint32]int) {
 	for _, e := range p.engines {
 		e.gone = true
 	}
@@ -89,9 +89,9 @@
 		in.Slots = min(max(in.Slots, 1), maxSlots)
 		e := p.engines[in.Hash]
 		if e == nil {
-			e = &engine{order: mix(in.Hash ^ p.seed), pace: p.pace, running: strays[in.Hash]}
+			e = &engine{order: mix(in.Hash ^ p.seed), pace: p.pace, running: elsewhere[in.Hash]}
 			p.engines[in.Hash] = e
-			delete(strays, in.Hash)
+			delete(elsewhere, in.Hash)
 		}
 		e.Engine, e.gone = in, false
 	}
@@ -100,7 +100,7 @@
 		if e.gone {
 			delete(p.engines, h)
 			if e.running != 0 {
-				strays[h] = e.running
+				elsewhere[h] = e.running
 			}
 			p.excluded = slices.DeleteFunc(p.excluded, func(x *engine) bool { return x == e })
 		}
--- a/scheduler/machine_props_test.go
+++ b/scheduler/machine_props_test.go
@@ -123,12 +123,12 @@
 	if len(m.waiting) != len(s.items)+len(s.pending) || s.waiting() != len(s.items) {
 		t.Fatalf("%d wait, scheduler has %d items, %d in queues, %d refusals", len(m.waiting), len(s.items), s.waiting(), len(s.pending))
 	}
-	run := s.undecided + total(s.strays)
+	run := s.undecided + total(s.elsewhere)
 	for _, e := range s.pool.engines {
 		run += e.running
 	}
 	if running := len(m.granted) + len(m.running); run != running {
-		t.Fatalf("%d run, scheduler counts %d, at other engines %v", running, run, s.strays)
+		t.Fatalf("%d run, scheduler counts %d, at other engines %v", running, run, s.elsewhere)
 	}
 	room, counted, free := 0, 0, 0
 	for _, e := range s.pool.engines {
--- a/scheduler/projection.go
+++ b/scheduler/projection.go
@@ -70,7 +70,7 @@
 }
 
 // asked counts a request of an account.
-func (r *rank) asked(now time.Time, a *account, work float64) {
+func (r *rank) recordArrival(now time.Time, a *account, work float64) {
 	a.lastAsked = now
 	a.demand.add(now, work)
 	if !a.recent {
@@ -80,7 +80,7 @@
 }
 
 // asked lists the rank as one that competes, and brings the measurements of all up to date.
-func (q *queue) asked(now time.Time, r *rank) {
+func (q *queue) recordArrival(now time.Time, r *rank) {
 	if !r.listed {
 		r.listed = true
 		i, _ := slices.BinarySearchFunc(q.recent, r, compareRanks)
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -17,7 +17,7 @@
 	work    float64
 	flow    *flow
 	expiry  int // position in the heap by StartBy
-	parked  bool
+	blocked bool
 	// startedBefore is the number of grants when the request arrived.
 	startedBefore uint64
 }
--- a/scheduler/memory.go
+++ b/scheduler/refusals.go
@@ -5,8 +5,8 @@
 // maxMemory bounds the refusals that are remembered.
 const maxMemory = 10_000
 
-// memory holds the refusals of the last second, so that they can be repeated.
-type memory struct {
+// refusalCache holds the refusals of the last second, so that they can be repeated.
+type refusalCache struct {
 	byID  map[ID]Refusal
 	order []remembered
 	head  int
@@ -17,20 +17,20 @@
 	until time.Time
 }
 
-func (m *memory) add(now time.Time, r Refusal) {
+func (m *refusalCache) add(now time.Time, r Refusal) {
 	m.forget(now)
 	m.byID[r.ID] = r
 	m.order = append(m.order, remembered{r.ID, now.Add(refusalMemory)})
 }
 
-func (m *memory) find(now time.Time, id ID) (Refusal, bool) {
+func (m *refusalCache) find(now time.Time, id ID) (Refusal, bool) {
 	m.forget(now)
 	r, ok := m.byID[id]
 	return r, ok
 }
 
 // forget removes refusals that are old or too many.
-func (m *memory) forget(now time.Time) {
+func (m *refusalCache) forget(now time.Time) {
 	for m.head < len(m.order) && (now.After(m.order[m.head].until) || len(m.order)-m.head > maxMemory) {
 		delete(m.byID, m.order[m.head].id)
 		m.head++
@@ -41,7 +41,7 @@
 	}
 }
 
-func (m *memory) removeDaemon(name string) {
+func (m *refusalCache) removeDaemon(name string) {
 	for id := range m.byID {
 		if id.Daemon == name {
 			delete(m.byID, id)
--- a/scheduler/returns.go
+++ b/scheduler/returns.go
@@ -13,8 +13,8 @@
 	// minReturn is the earliest appointment: an earlier one would cost a second call for less
 	// than a run.
 	minReturn = 50 * time.Millisecond
-	// patience is the divisor of the time that a caller has left: callers return within a third.
-	patience = 3
+	// returnDivisor is the divisor of the time that a caller has left: callers return within a third.
+	returnDivisor = 3
 	// minRetryAfter applies to refusals without an appointment.
 	minRetryAfter = 100 * time.Millisecond
 	// deadlineMargin is added to the time that a caller has left where it should not return before
@@ -39,9 +39,9 @@
 	key          uint64
 	organisation string
 	at           time.Time
-	// firm is set if the caller takes precedence at that time.
-	firm  bool
-	index int
+	// precedence is set if the caller takes precedence at that time.
+	precedence bool
+	index      int
 }
 
 func (a *appointment) before(b *appointment) bool { return a.at.Before(b.at) }
@@ -71,7 +71,7 @@
 		return false
 	}
 	r.remove(a)
-	return a.firm
+	return a.precedence
 }
 
 // use removes the appointment of a request that waits now.
@@ -87,16 +87,16 @@
 }
 
 // add records when a caller was told to return and reports whether it did. The second half of
-// the memory is for firm appointments.
-func (r *returns) add(key uint64, organisation string, at time.Time, firm bool) bool {
+// the memory is for appointments with precedence.
+func (r *returns) add(key uint64, organisation string, at time.Time, precedence bool) bool {
 	limit := maxAppointments
-	if !firm {
+	if !precedence {
 		limit /= 2
 	}
 	if key == 0 || r.byKey[key] != nil || len(r.byKey) >= limit {
 		return false
 	}
-	a := &appointment{key: key, organisation: organisation, at: at, firm: firm}
+	a := &appointment{key: key, organisation: organisation, at: at, precedence: precedence}
 	r.byKey[key] = a
 	r.byTime.update(a)
 	return true
@@ -107,11 +107,11 @@
 	out := Refusal{ID: it.ID, Cause: cause}
 	a := it.flow.account
 	if ap := s.returns.find(now, it.Key, it.Organisation); ap != nil && ap.at.After(now) {
-		out.RetryAfter, out.Appointment, out.Cause = ap.at.Sub(now), ap.firm, CauseEarly
-		if !ap.firm {
+		out.RetryAfter, out.Appointment, out.Cause = ap.at.Sub(now), ap.precedence, CauseEarly
+		if !ap.precedence {
 			out.RetryAfter = max(out.RetryAfter, it.Deadline.Sub(now)+deadlineMargin)
 		}
-		if ap.firm && a.tag < a.rank.virtual+maxEarlyDebt {
+		if ap.precedence && a.tag < a.rank.virtual+maxEarlyDebt {
 			a.charge(earlyCharge * it.work / it.Weight)
 		}
 	} else {
@@ -133,7 +133,7 @@
 		at = a.nextReturn
 	}
 	after, left := at.Sub(now), it.Deadline.Sub(now)
-	inTime := after <= left/patience && after+it.Request.Work < left
+	inTime := after <= left/returnDivisor && after+it.Request.Work < left
 	if inTime && s.pool.serves(it.Excluded) && s.returns.add(it.Key, it.Organisation, at, true) {
 		a.nextReturn = at.Add(seconds(it.work / (returnShare * a.rank.accountRate(a, b.rate))))
 		return after, true
--- a/scheduler/running.go
+++ b/scheduler/running.go
@@ -41,17 +41,17 @@
 		s.refresh(e)
 		return
 	}
-	s.strays[hash] += n
-	if s.strays[hash] == 0 {
-		delete(s.strays, hash)
+	s.elsewhere[hash] += n
+	if s.elsewhere[hash] == 0 {
+		delete(s.elsewhere, hash)
 	}
 }
 
 // refresh updates an engine after a change, and lets requests that only waited for it compete
 // again.
 func (s *Scheduler) refresh(e *engine) {
-	if n := s.pool.refresh(e, s.meanWork); n > 0 && len(s.parked) > 0 {
-		s.unpark(e, n)
+	if n := s.pool.refresh(e, s.meanWork); n > 0 && len(s.blocked) > 0 {
+		s.unblock(e, n)
 	}
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -21,18 +21,18 @@
 	share   float64
 	items   map[ID]*item // those that wait
 	expiry  heap[*item]
-	// parked holds waiting requests for which every free engine is excluded.
-	parked []*item
-	// strays counts the requests that run at engines that are not in the list. undecided counts
+	// blocked holds waiting requests for which every free engine is excluded.
+	blocked []*item
+	// elsewhere counts the requests that run at engines that are not in the list; undecided counts
 	// grants whose daemon has not yet named an engine.
-	strays    map[uint32]int
+	elsewhere map[uint32]int
 	undecided int
 	daemons   map[string]*daemon
 	meanWork  float64 // seconds
 	drain     drain
 	returns   returns
 	pending   []Refusal
-	refused   memory
+	refused   refusalCache
 	seq       uint64
 	serial    uint64 // of the last grant
 	review    review
@@ -46,16 +46,16 @@
 	o = o.withDefaults()
 	return &Scheduler{
 		options: o, queue: newQueue(), pool: newPool(o), share: 1, meanWork: o.DefaultWork.Seconds(),
-		items: map[ID]*item{}, strays: map[uint32]int{}, daemons: map[string]*daemon{},
-		returns: returns{byKey: map[uint64]*appointment{}}, refused: memory{byID: map[ID]Refusal{}},
+		items: map[ID]*item{}, elsewhere: map[uint32]int{}, daemons: map[string]*daemon{},
+		returns: returns{byKey: map[uint64]*appointment{}}, refused: refusalCache{byID: map[ID]Refusal{}},
 	}, nil
 }
 
 // SetEngines replaces the engines of the service.
 func (s *Scheduler) SetEngines(now time.Time, list []Engine) {
 	s.advance(now)
-	s.pool.set(list, s.meanWork, s.strays)
-	s.unparkAll()
+	s.pool.set(list, s.meanWork, s.elsewhere)
+	s.unblockAll()
 	s.review.dirty, s.review.engines = true, true
 }
 
@@ -82,7 +82,7 @@
 // places returns how many more requests may start.
 func (s *Scheduler) places() int { return max(0, s.room()-s.pool.counted-s.undecided) }
 
-func (s *Scheduler) waiting() int { return s.queue.waiting + len(s.parked) }
+func (s *Scheduler) waiting() int { return s.queue.waiting + len(s.blocked) }
 
 // advance brings the state that depends on time up to date.
 func (s *Scheduler) advance(now time.Time) {
@@ -147,8 +147,8 @@
 	it.flow = &a.flows[r.Class-1]
 	a.weight = r.Weight
 	a.asked++
-	a.rank.asked(now, a, it.work)
-	s.queue.asked(now, a.rank)
+	a.rank.recordArrival(now, a, it.work)
+	s.queue.recordArrival(now, a.rank)
 	return it
 }
 
@@ -164,7 +164,7 @@
 func (s *Scheduler) drop(it *item) {
 	delete(s.items, it.ID)
 	s.expiry.remove(it)
-	if it.parked {
+	if it.blocked {
 		s.unlist(it)
 	} else {
 		s.queue.remove(it)
@@ -224,7 +224,7 @@
 		if s.pool.free.len() == 0 {
 			break
 		}
-		s.park(it)
+		s.block(it)
 	}
 	return Grant{}, false
 }
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -14,7 +14,7 @@
 	for _, o := range s.queue.orgs {
 		for _, a := range o.ranks {
 			st.Usage = append(st.Usage, Usage{
-				Organisation: o.name, Rank: a.rank.value, Waiting: a.waiting + a.parked, Asked: a.asked, Granted: a.granted,
+				Organisation: o.name, Rank: a.rank.value, Waiting: a.waiting + a.blocked, Asked: a.asked, Granted: a.granted,
 			})
 		}
 	}
