--- a/scheduler/projection.go
+++ b/scheduler/projection.go
@@ -69,7 +69,7 @@
 	return max(speed*s.drain.factor(speed), 1e-6)
 }
 
-// asked counts a request of an account.
+// recordArrival counts a request of an account.
 func (r *rank) recordArrival(now time.Time, a *account, work float64) {
 	a.lastAsked = now
 	a.demand.add(now, work)
@@ -79,7 +79,7 @@
 	}
 }
 
-// asked lists the rank as one that competes, and brings the measurements of all up to date.
+// recordArrival lists the rank as one that competes, and brings the measurements of all up to date.
 func (q *queue) recordArrival(now time.Time, r *rank) {
 	if !r.listed {
 		r.listed = true
