attempt: one progress timer for both phases; dispatch: bound the services that others name

The second timer of an attempt cost the chat edge three allocations more than its bound of 200. Contention of a service whose engines are not known yet was ignored; the number of such services is bounded instead.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -151,7 +151,7 @@
 		cancel(errClosed)
 		return nil, &Error{Stage: NotSent, Reason: Network, Cause: err}
 	}
-	timer := newProgressTimer(r.ProgressTimeout, &r, cancel)
+	timer := newProgressTimer(r.ProgressTimeout, r, cancel)
 	resp, err := transport.RoundTrip(req)
 	timer.stop()
 	if err != nil {
@@ -162,7 +162,9 @@
 		return nil, failed
 	}
 	pause := r.pause()
-	timer = newProgressTimer(pause, &r, cancel)
+	if timer == nil || pause != r.ProgressTimeout {
+		timer = newProgressTimer(pause, r, cancel)
+	}
 	return &Exchange{
 		transport: transport, host: req.URL.Host,
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
--- a/attempt/progress.go
+++ b/attempt/progress.go
@@ -9,8 +9,10 @@
 // progressTimer cancels an attempt with errSilent when it expires, unless Request.GiveUp returns
 // false, which starts it again. A nil progressTimer never expires.
 type progressTimer struct {
-	request *Request
-	cancel  context.CancelCauseFunc
+	// giveUp and kept are those of the Request.
+	giveUp func() bool
+	kept   func()
+	cancel context.CancelCauseFunc
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -21,11 +23,11 @@
 }
 
 // newProgressTimer returns a running timer, or nil if d is zero.
-func newProgressTimer(d time.Duration, r *Request, cancel context.CancelCauseFunc) *progressTimer {
+func newProgressTimer(d time.Duration, r Request, cancel context.CancelCauseFunc) *progressTimer {
 	if d <= 0 {
 		return nil
 	}
-	p := &progressTimer{request: r, cancel: cancel, due: time.Now().Add(d)}
+	p := &progressTimer{giveUp: r.GiveUp, kept: r.Kept, cancel: cancel, due: time.Now().Add(d)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.timer = time.AfterFunc(d, func() { p.expired(d) })
@@ -70,13 +72,13 @@
 	if due.IsZero() || time.Now().Before(due) {
 		return // Of an earlier start.
 	}
-	giveUp := p.request.GiveUp == nil || p.request.GiveUp()
+	giveUp := p.giveUp == nil || p.giveUp()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
 	case generation != p.generation:
-		if giveUp && p.request.Kept != nil {
-			p.request.Kept()
+		if giveUp && p.kept != nil {
+			p.kept()
 		}
 	case giveUp:
 		p.due = time.Time{}
--- a/attempt/progress_test.go
+++ b/attempt/progress_test.go
@@ -21,7 +21,7 @@
 			ctx, cancel := context.WithCancelCause(t.Context())
 			defer cancel(nil)
 			var asked, kept atomic.Int32
-			r := &Request{Kept: func() { kept.Add(1) }, GiveUp: func() bool {
+			r := Request{Kept: func() { kept.Add(1) }, GiveUp: func() bool {
 				asked.Add(1)
 				time.Sleep(60 * time.Millisecond)
 				return answer
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -93,10 +93,14 @@
 	}
 }
 
-// knows reports whether a service that another daemon names has state or engines here. No state
-// is kept for other names.
+// maxServices bounds the services without engines here that other daemons name. Their engines may
+// just not be known yet.
+const maxServices = 256
+
+// knows reports whether state is kept for a service that another daemon names.
 func (d *Dispatcher) knows(service string) bool {
-	return (*d.services.Load())[service] != nil || len(d.Engines(service)) > 0
+	services := *d.services.Load()
+	return services[service] != nil || len(services) < maxServices || len(d.Engines(service)) > 0
 }
 
 // Contended reports whether a service is contended.
