gateway: log the parts of prompts, and answers that end with their connection

The lines of requests and attempts had the hash of the whole request only, so that they could not show what different requests have in common, nor whether an answer that broke off had a length.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -95,6 +95,9 @@
 	Header http.Header
 	// Length is the content length of the answer, or -1 if it is unknown.
 	Length int64
+	// UntilClose is set if the body has neither a length nor chunks and ends with the connection.
+	// Its end then looks the same as that of a peer whose process ends.
+	UntilClose bool
 
 	transport http.RoundTripper
 	host      string
@@ -168,11 +171,17 @@
 	return &Exchange{
 		transport: transport, host: req.URL.Host,
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+		UntilClose: endsWithConnection(req, resp),
 		body: resp.Body, ctx: inner, cancel: cancel,
 		timer: timer, progress: pause,
 	}, nil
 }
 
+// endsWithConnection reports whether the end of the connection is the end of the body.
+func endsWithConnection(req *http.Request, resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && req.Method != http.MethodHead
+}
+
 // idleDropper is a transport that can close its idle connections to one host,
 // such as Transports.
 type idleDropper interface {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -61,7 +61,9 @@
 	prefix       string
 	prefixHash   uint64
 	prefixTokens int
-	trace        trace
+	// parts identify these parts in the log.
+	parts []quarantine.Hash
+	trace trace
 }
 
 // trace collects the attempts, choices and times of a request for its log line.
@@ -221,16 +223,25 @@
 // setAffinity derives the hashes that route related requests to the same engine.
 func (q *request) setAffinity() {
 	q.session = xxhash.Sum64String(q.affinityKey())
-	if len(q.meta.Parts) < 2 {
+	shared := q.sharedParts()
+	if len(shared) == 0 {
 		return
 	}
-	for _, part := range q.meta.Parts[:len(q.meta.Parts)-1] {
+	for _, part := range shared {
 		q.prefix += part.ID + "/"
 		q.prefixTokens += part.Tokens
 	}
 	q.prefixHash = xxhash.Sum64String(q.prefix)
 }
 
+// sharedParts returns the prompt parts that may be shared with other requests: all but the last.
+func (q *request) sharedParts() []Part {
+	if len(q.meta.Parts) < 2 {
+		return nil
+	}
+	return q.meta.Parts[:len(q.meta.Parts)-1]
+}
+
 // affinityKey returns the session, or else the id of the last prompt part, which is the
 // request's own, or else the request's id. A caller's retry has another id but the same
 // prompt, so that it goes to the engine that has already cached this part.
@@ -253,6 +264,9 @@
 	if s, ok := q.tables.Routes.Service(q.service); ok {
 		q.backend, q.runsModels = s, s.Slots > 0
 	}
+	for _, part := range q.sharedParts() {
+		q.parts = append(q.parts, quarantine.PartHash(q.service, part.ID))
+	}
 }
 
 // elapsed returns the time since the request was received.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -85,7 +85,9 @@
 	firstSeen bool
 	// leaving is set if the engine stated that it leaves.
 	leaving bool
-	ticket  *attemptTicket
+	// untilClose is set if the body of its answer ends with the connection.
+	untilClose bool
+	ticket     *attemptTicket
 }
 
 // attemptError is the reason why an attempt gave no answer that can be passed on.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -38,6 +38,7 @@
 		return failed
 	}
 	send.Begun()
+	to.untilClose = x.UntilClose
 	defer func() { _ = x.Close() }() // The answer has been read or is not needed.
 	failed := g.deliver(t, to, x)
 	if failed != nil {
--- a/quarantine/hash.go
+++ b/quarantine/hash.go
@@ -56,6 +56,10 @@
 	return h
 }
 
+// PartHash returns the hash that identifies a part of prompts to the engines of a service, whatever
+// request it occurs in.
+func PartHash(service, part string) Hash { return NewHasher("", "PART", service, part).Sum() }
+
 // Write adds a part of the body. It never fails.
 func (h *Hasher) Write(p []byte) (int, error) { return h.digest.Write(p) }
 
