--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -172,7 +172,7 @@
 		transport: transport, host: req.URL.Host,
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		UntilClose: endsWithConnection(req, resp),
-		body: resp.Body, ctx: inner, cancel: cancel,
+		body:       resp.Body, ctx: inner, cancel: cancel,
 		timer: timer, progress: pause,
 	}, nil
 }
