relay: confirm refused connections when all daemons notice them at once

Callers saw one engine after the other crash for minutes: a daemon whose answers were cut asks whether the engine refuses connections, and believes a refusal only if another daemon confirms it. That daemon answered 'unreachable' without looking if it had failed at the address itself within 250 ms, which all had, as all lose their answers at the same moment; and it checked its own links at two random backend servers, which were often down as well. A recent refusal no longer counts as a broken path, links are checked at backend servers that are not known to be down, and a daemon whose own links work believes its own refusal if no other daemon connects. TestSimultaneousRefusalsAreConfirmed fails before. Ruled out: the probe's time-out (all probes ended with a refusal).

--- a/relay/backends.go
+++ b/relay/backends.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 )
 
@@ -32,8 +33,12 @@
 	return known
 }
 
-// maxOthers is the maximum number of addresses that others returns.
-const maxOthers = 2
+// maxOthers is the maximum number of addresses that others returns, maxLinkChecks that of the
+// backend servers that one check of the links connects to.
+const (
+	maxOthers     = 12
+	maxLinkChecks = 4
+)
 
 // others returns a few random addresses of backend servers other than the given one.
 func (b *Backends) others(address string, random *lockedRand) (others []string) {
@@ -41,7 +46,8 @@
 		if len(b.Addresses) == 0 || len(others) == maxOthers {
 			break
 		}
-		if other := b.Addresses[random.intN(len(b.Addresses))]; other != address {
+		other := b.Addresses[random.intN(len(b.Addresses))]
+		if other != address && !slices.Contains(others, other) {
 			others = append(others, other)
 		}
 	}
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -65,18 +66,38 @@
 
 // linksWork reports whether another backend server accepts a connection over this daemon's own
 // path now. If so, a refusal by the one at address comes from its host and not from the network.
-func (r *Relay) linksWork(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, headStart)
+func (r *Relay) linksWork(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), headStart)
 	defer cancel()
-	for _, other := range r.Backends().others(address, r.random) {
-		if conn, err := r.Options.Dial(ctx, "tcp", other); err == nil {
+	others := r.Backends().others(address, r.random)
+	// Many backend servers may be down at once. Those that are not known to be are tried first.
+	slices.SortStableFunc(others, func(a, b string) int { return compareBool(r.paths.hasFailed(a), r.paths.hasFailed(b)) })
+	for _, other := range others[:min(len(others), maxLinkChecks)] {
+		conn, err := r.Options.Dial(ctx, "tcp", other)
+		if err == nil {
+			r.directWorks(other)
 			_ = conn.Close() // It was opened for the check only.
 			return true
 		}
+		if ctx.Err() == nil {
+			r.paths.fails(other, err, time.Now())
+		}
 	}
 	return false
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // Server returns the server for the calls of other daemons.
 func (r *Relay) Server() *Server { return r.server }
 
@@ -108,7 +129,7 @@
 
 // directFails records that a backend server was reached through another daemon only.
 func (r *Relay) directFails(address, daemon string) {
-	if r.paths.fails(address, true, time.Now()) {
+	if r.paths.breaks(address, time.Now()) {
 		r.Log.Warn().Str("address", address).Str("through", daemon).Msg("direct path to a backend server is broken; connecting through other daemons")
 	}
 }
--- a/relay/paths.go
+++ b/relay/paths.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -17,6 +19,8 @@
 	broken bool
 	// failedAt is when the path was last found not to work, triedAt when it was last tried.
 	failedAt, triedAt time.Time
+	// refused is set if the last failure was a refused connection.
+	refused bool
 }
 
 // pathTTL is how long a failure is remembered if the path is not used any more.
@@ -51,19 +55,34 @@
 	return wasBroken
 }
 
-// fails records that the direct path did not work. broken is set if the backend server was
-// reached through another daemon. It reports whether that is new.
-func (p *paths) fails(address string, broken bool, now time.Time) (newlyBroken bool) {
+// fails records that the direct path did not work, with the error of the attempt.
+func (p *paths) fails(address string, err error, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	s := p.failure(address, now)
+	s.failedAt = now
+	s.refused = errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// failure returns the state of a path that has failed. The caller holds mu.
+func (p *paths) failure(address string, now time.Time) *pathState {
 	s, ok := p.failed[address]
 	if !ok {
 		p.expire(now)
 		s = &pathState{}
 		p.failed[address] = s
 	}
-	newlyBroken = broken && !s.broken
-	s.broken = s.broken || broken
+	return s
+}
+
+// breaks records that the backend server was reached through another daemon only. It reports
+// whether that is new.
+func (p *paths) breaks(address string, now time.Time) (newlyBroken bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.failure(address, now)
+	newlyBroken = !s.broken
+	s.broken = true
 	s.failedAt = now
 	if newlyBroken {
 		s.triedAt = now
@@ -80,13 +99,22 @@
 	}
 }
 
-// failedRecently reports whether the direct path has been found not to work within the last
-// probeInterval.
-func (p *paths) failedRecently(address string, now time.Time) bool {
+// silentRecently reports whether the direct path has been found not to work within the last
+// probeInterval, and the connection was not refused. A refusal costs no time, and must be
+// confirmed anew: it may be the backend server's.
+func (p *paths) silentRecently(address string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s, ok := p.failed[address]
-	return ok && now.Sub(s.failedAt) < probeInterval
+	return ok && !s.refused && now.Sub(s.failedAt) < probeInterval
+}
+
+// hasFailed reports whether the last attempt over the direct path has failed.
+func (p *paths) hasFailed(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, failed := p.failed[address]
+	return failed
 }
 
 // brokenCount returns the number of direct paths that are broken.
--- a/relay/race.go
+++ b/relay/race.go
@@ -134,7 +134,7 @@
 func (c *race) lose(r result) (refused bool) {
 	if r.path == directPath {
 		c.failed.Direct = r.err
-		c.relay.paths.fails(c.address, false, time.Now())
+		c.relay.paths.fails(c.address, r.err, time.Now())
 		return false
 	}
 	c.failed.Relayed = append(c.failed.Relayed, r.err)
@@ -153,6 +153,7 @@
 	if len(c.failed.Relayed) == 0 {
 		return c.failed.Direct
 	}
+	c.failed.Refused = errors.Is(c.failed.Direct, syscall.ECONNREFUSED) && c.relay.linksWork(c.address)
 	return &c.failed
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -8,6 +8,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
@@ -84,6 +85,9 @@
 	Direct error
 	// Relayed are the errors of the paths through other daemons.
 	Relayed []error
+	// Refused is set if the direct path failed by a refusal that comes from the host of the backend
+	// server, as this daemon's links to others work.
+	Refused bool
 }
 
 // Error implements error.
@@ -93,5 +97,10 @@
 
 // Unwrap returns the errors of the paths through other daemons, which include ECONNREFUSED if
 // one of them has found that the host of the backend server refuses connections. The error of
-// the direct path is left out: alone, it may come from a broken network.
-func (e *PathError) Unwrap() []error { return e.Relayed }
+// the direct path is included if Refused is set: otherwise it may come from a broken network.
+func (e *PathError) Unwrap() []error {
+	if e.Refused {
+		return append(slices.Clone(e.Relayed), e.Direct)
+	}
+	return e.Relayed
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -248,6 +248,34 @@
 	c.Check(errors.Is(err, syscall.ECONNREFUSED), qt.IsFalse, qt.Commentf("%v", err))
 }
 
+// TestSimultaneousRefusalsAreConfirmed guards against taking the end of a backend server for a broken
+// network when all daemons notice it at once, or when most other backend servers have ended too.
+func TestSimultaneousRefusalsAreConfirmed(t *testing.T) {
+	c := qt.New(t)
+	ended := make([]string, 9)
+	for i := range ended {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		ended[i] = listener.Addr().String()
+		c.Assert(listener.Close(), qt.IsNil)
+	}
+	all := startDaemons(t, 6, ended[0])
+	for _, address := range ended[1:] {
+		all[0].Backends().Add(address, "hall-1") // All daemons share the list.
+	}
+	for _, address := range ended {
+		var dialing sync.WaitGroup
+		errs := make([]error, len(all))
+		for i, d := range all {
+			dialing.Go(func() { _, errs[i] = d.Dial(t.Context(), "tcp", address) })
+		}
+		dialing.Wait()
+		for _, err := range errs {
+			c.Check(errors.Is(err, syscall.ECONNREFUSED), qt.IsTrue, qt.Commentf("%v", err))
+		}
+	}
+}
+
 // TestResetIsNotTheEndOfAnAnswer guards against taking an answer that was cut off for a complete
 // one: an answer may end with its connection.
 func TestResetIsNotTheEndOfAnAnswer(t *testing.T) {
--- a/relay/server.go
+++ b/relay/server.go
@@ -82,20 +82,20 @@
 		return nil, bronzeturnv1.ConnectOutcome_CONNECT_OUTCOME_BUSY
 	case !s.relay.Backends().known(address):
 		return nil, bronzeturnv1.ConnectOutcome_CONNECT_OUTCOME_UNKNOWN_ADDRESS
-	case s.relay.paths.failedRecently(address, time.Now()):
+	case s.relay.paths.silentRecently(address, time.Now()):
 		return nil, bronzeturnv1.ConnectOutcome_CONNECT_OUTCOME_UNREACHABLE
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.GetWithinMs())*time.Millisecond)
 	defer cancel()
 	conn, err := s.relay.Options.Dial(ctx, "tcp", address)
-	switch {
-	case err == nil:
+	if err == nil {
 		s.relay.directWorks(address)
 		return conn, bronzeturnv1.ConnectOutcome_CONNECT_OUTCOME_CONNECTED
-	case errors.Is(err, syscall.ECONNREFUSED) && s.relay.linksWork(ctx, address):
+	}
+	s.relay.paths.fails(address, err, time.Now())
+	if errors.Is(err, syscall.ECONNREFUSED) && s.relay.linksWork(address) {
 		return nil, bronzeturnv1.ConnectOutcome_CONNECT_OUTCOME_REFUSED
 	}
-	s.relay.paths.fails(address, false, time.Now())
 	return nil, bronzeturnv1.ConnectOutcome_CONNECT_OUTCOME_UNREACHABLE
 }
 
