--- a/gateway/again.go
+++ b/gateway/again.go
@@ -69,7 +69,7 @@
 // takeBudget takes one attempt from the retry budget and reports whether there was one.
 func (g *Gateway) takeBudget(t *task) bool {
 	budget, now := g.budgets.forService(t.service), time.Now()
-	if g.Quarantine.Crashes(t.hash) >= suspectCrashes {
+	if g.Quarantine.Suspicion(t.content).Crashes >= suspectCrashes {
 		return budget.TakeUnreserved(now, reservedBudgetShare)
 	}
 	if budget.Take(now) {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -53,8 +53,8 @@
 	}
 	g.chooseGroup(t, engines, now)
 	r := t.balanceRequest(g.DataCentre, engines, g.Models)
-	if g.Quarantine.Crashes(t.hash) > 0 {
-		r.Candidates[0] = engines.forSuspect(t.group, t.hash, t.tried)
+	if s := g.Quarantine.Suspicion(t.content); s.Crashes > 0 {
+		r.Candidates[0] = engines.forSuspect(t.group, s.Key, t.tried)
 	}
 	preferEngine(r, preferred)
 	decision, ok := g.chooseUnsuspected(t, engines, r, now)
@@ -86,7 +86,7 @@
 	if t.runs == 0 {
 		t.trial = g.Introductions.Choose(t.service, t.session, now)
 	}
-	if t.trial && !t.answer.begun() && g.Quarantine.Crashes(t.hash) > 0 {
+	if t.trial && !t.answer.begun() && g.Quarantine.Suspicion(t.content).Crashes > 0 {
 		// The version in force shows whether the request or the new version crashes engines.
 		t.trial = false
 	}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -169,12 +169,12 @@
 	}
 	class, key := t.class(), uint64(0)
 	if class == scheduler.First {
-		key = binary.BigEndian.Uint64(t.hash[:]) // Other attempts are not refused to the caller.
+		key = binary.BigEndian.Uint64(t.content.Request[:]) // Other attempts are not refused to the caller.
 	}
 	return dispatch.Request{
 		Service: t.service, Organisation: t.organisation, Rank: t.priority, Work: whole,
 		Key: key, Class: class, MaxWait: t.maxWait(first, whole, now), Deadline: t.deadline,
-		Tried: g.failedEngines(t), OwnChoice: t.runsModels || t.regions.Limited || g.Quarantine.Crashes(t.hash) > 0,
+		Tried: g.failedEngines(t), OwnChoice: t.runsModels || t.regions.Limited || g.Quarantine.Suspicion(t.content).Crashes > 0,
 	}
 }
 
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -131,15 +131,15 @@
 func streamRate(slots int) float64 { return engineRate / float64(max(slots, defaultSlots)) }
 
 // forSuspect returns the engine for a request during which other engines crashed, "" for
-// none. It is the same on every daemon, so that copies of a request that crashes engines
-// crash one engine at a time, and other requests that were interrupted by these crashes go
-// to other engines.
-func (e *Engines) forSuspect(group string, h quarantine.Hash, tried []string) string {
+// none. suspect is what the requests at these crashes have in common. The engine is the same on
+// every daemon, so that requests that crash engines crash one engine at a time, and other requests
+// that were interrupted by these crashes go to other engines.
+func (e *Engines) forSuspect(group string, suspect quarantine.Hash, tried []string) string {
 	set, ok := e.members[group]
 	if !ok {
 		return ""
 	}
-	for _, key := range set.Top(string(h[:]), min(len(tried)+1, set.Len())) {
+	for _, key := range set.Top(string(suspect[:]), min(len(tried)+1, set.Len())) {
 		if !slices.Contains(tried, key) {
 			return key
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,23 +92,23 @@
 // this daemon's sends, lost connections and refused connections.
 type Quarantine interface {
 	// Held reports whether a request is in quarantine and must not be sent.
-	Held(h quarantine.Hash) bool
+	Held(c quarantine.Content) bool
 	// Refused counts a refusal of a request in quarantine and returns its record.
-	Refused(h quarantine.Hash) quarantine.Record
+	Refused(c quarantine.Content) quarantine.Record
 	// Admit reports whether a request may be sent now, after waiting for a pending verdict.
 	// isRetry is set if the request is held and this send uses up one of its retries.
-	Admit(ctx context.Context, h quarantine.Hash) (ok, isRetry bool)
-	// Crashes returns how many engines ended while the request ran on them, since it last
-	// completed.
-	Crashes(h quarantine.Hash) int
+	Admit(ctx context.Context, c quarantine.Content) (ok, isRetry bool)
+	// Suspicion returns what speaks against a request: engines that ended while it ran on them, or
+	// while others ran that have a part of its prompt in common.
+	Suspicion(c quarantine.Content) quarantine.Suspicion
 	// Sending registers a send. The returned context is cancelled if the request is put
 	// into quarantine before the engine has begun to answer.
-	Sending(ctx context.Context, h quarantine.Hash) (context.Context, *quarantine.Send)
+	Sending(ctx context.Context, c quarantine.Content) (context.Context, *quarantine.Send)
 	// Completed records that a request was answered completely.
-	Completed(h quarantine.Hash, now time.Time)
+	Completed(c quarantine.Content, now time.Time)
 	// AnswerInterrupted records that the connection was lost after the request had been sent.
 	// It calls blame once it is known that no request in quarantine explains the loss.
-	AnswerInterrupted(e inventory.Engine, h quarantine.Hash, now time.Time, blame func())
+	AnswerInterrupted(e inventory.Engine, c quarantine.Content, now time.Time, blame func())
 	// Wait waits for a short time until it is known why an engine's connections were lost.
 	Wait(ctx context.Context, engine string)
 	// ConnectionRefused records that an engine's host refused a connection.
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -74,8 +74,8 @@
 	if q.tables != nil && q.tables.Engines != nil {
 		line = line.Uint64("engines_view", q.tables.Engines.View.Generation).Dur("tables_age_ms", q.received.Sub(q.tables.Changed))
 	}
-	if q.hash != (quarantine.Hash{}) {
-		line = line.Stringer("hash", q.hash).Strs("parts", quarantine.Strings(q.parts))
+	if q.content.Request != (quarantine.Hash{}) {
+		line = line.Stringer("hash", q.content.Request).Strs("parts", quarantine.Strings(q.parts))
 	}
 	if q.route != nil {
 		line = line.Str("route", q.route.Name).Str("service", q.service).Str("organisation", q.organisation).Int("priority", q.priority).
@@ -105,7 +105,7 @@
 	if e.Kind == retry.KindDoubted {
 		line = g.Log.Info()
 	}
-	line.Str("request", t.meta.ID).Stringer("hash", t.hash).Strs("parts", quarantine.Strings(t.parts)).Str("engine", to.engine.Key()).Str("address", to.engine.Address).
+	line.Str("request", t.meta.ID).Stringer("hash", t.content.Request).Strs("parts", quarantine.Strings(t.parts)).Str("engine", to.engine.Key()).Str("address", to.engine.Address).
 		AnErr("failure", e.Cause).Str("kind", e.Kind.String()).Str("ran", string(e.Ran)).
 		Bool("until_close", to.untilClose).Bool("again", reason == "").Str("because", reason).Int("attempt", t.request.trace.attempts).
 		Int("events", t.stream.events).Dur("retry_after_ms", to.retryAfter).Dur("after_ms", time.Since(to.sent)).Msg("attempt failed")
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -52,8 +52,8 @@
 	backend    *route.Service
 	runsModels bool
 	body       []byte
-	// hash identifies the content of the request, independent of its id.
-	hash quarantine.Hash
+	// content identifies the request independently of its id.
+	content quarantine.Content
 	// session is the hash of affinityKey.
 	session uint64
 	// prefix joins the ids of the prompt parts that may be shared with other requests, ""
@@ -199,7 +199,7 @@
 		return tooLarge
 	}
 	hasher := quarantine.NewHasher(q.organisation, q.http.Method, q.http.Host, q.http.RequestURI)
-	defer func() { q.hash = hasher.Sum() }()
+	defer func() { q.content.Request = hasher.Sum() }()
 	if q.http.ContentLength == 0 {
 		return nil
 	}
@@ -264,9 +264,12 @@
 	if s, ok := q.tables.Routes.Service(q.service); ok {
 		q.backend, q.runsModels = s, s.Slots > 0
 	}
+	var ids []string
 	for _, part := range q.sharedParts() {
+		ids = append(ids, part.ID)
 		q.parts = append(q.parts, quarantine.PartHash(q.service, part.ID))
 	}
+	q.content.Shared = quarantine.SharedKeys(q.service, q.organisation, ids)
 }
 
 // elapsed returns the time since the request was received.
--- a/gateway/screen.go
+++ b/gateway/screen.go
@@ -13,7 +13,7 @@
 // checkQuarantine returns the refusal of a request in quarantine, and nil for any other. It
 // must be called before each attempt.
 func (g *Gateway) checkQuarantine(ctx context.Context, t *task) *failure.Error {
-	ok, isRetry := g.Quarantine.Admit(ctx, t.hash)
+	ok, isRetry := g.Quarantine.Admit(ctx, t.content)
 	if !ok {
 		return g.quarantineError(t)
 	}
@@ -23,8 +23,8 @@
 
 // quarantineError counts, logs and returns the refusal of a request in quarantine.
 func (g *Gateway) quarantineError(t *task) *failure.Error {
-	known := g.Quarantine.Refused(t.hash)
-	g.Log.Warn().Str("request", t.meta.ID).Stringer("hash", t.hash).EmbedObject(&known).Str("ran", string(t.ran)).Msg("request in quarantine refused")
+	known := g.Quarantine.Refused(t.content)
+	g.Log.Warn().Str("request", t.meta.ID).Stringer("hash", t.content.Request).EmbedObject(&known).Str("ran", string(t.ran)).Msg("request in quarantine refused")
 	return failure.New(failure.CodeQuarantined, t.ran, "the request crashes engines").WithRetryAfter(known.RetryAfter())
 }
 
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -23,9 +23,9 @@
 	to.sent = time.Now()
 	g.Limits.Sent(to.engine.Key(), t.request.trace.attempts > 1)
 	g.Engines.Dispatched(balance.Dispatched{Engine: to.engine.Key(), Work: to.work, PrefixHash: t.prefixHash, At: to.sent})
-	sending, send := g.Quarantine.Sending(ctx, t.hash)
+	sending, send := g.Quarantine.Sending(ctx, t.content)
 	defer send.Done()
-	if g.Quarantine.Held(t.hash) && !t.quarantineRetry {
+	if g.Quarantine.Held(t.content) && !t.quarantineRetry {
 		g.Engines.Finished(balance.Finished{Engine: to.engine.Key(), Work: to.work, Cancelled: true, At: time.Now()})
 		return &attemptError{Kind: retry.KindCancelled, Ran: failure.RanNo, Cause: quarantine.ErrQuarantined}
 	}
@@ -154,7 +154,7 @@
 	service, route, version := t.service, t.route.Name, to.engine.Version
 	blame := func() { g.Introductions.Observe(service, route, version, true, 0) }
 	if e.connectionLost() {
-		g.Quarantine.AnswerInterrupted(to.engine, t.hash, now, blame)
+		g.Quarantine.AnswerInterrupted(to.engine, t.content, now, blame)
 		return
 	}
 	blame()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -37,7 +37,7 @@
 		if errors.Is(err, io.EOF) {
 			g.endRun(t, to)
 			g.reportStreamEnd(t, to, got, firstAt)
-			g.Quarantine.Completed(t.hash, time.Now())
+			g.Quarantine.Completed(t.content, time.Now())
 			t.finishStream(x)
 			return nil
 		}
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -52,7 +52,7 @@
 	g.endRun(t, to)
 	g.Engines.Finished(g.finished(t, to, g.paceBaselines.ratio(paceKind{t.service, t.model, false}, latency)))
 	g.Introductions.Observe(t.service, t.route.Name, to.engine.Version, false, latency)
-	g.Quarantine.Completed(t.hash, time.Now())
+	g.Quarantine.Completed(t.content, time.Now())
 	t.request.trace.first = t.elapsed()
 	if f := buffered.deliver(t.answer); f != nil {
 		t.answer.fail(f)
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"maps"
@@ -54,7 +55,7 @@
 // include all unplanned ends of engine processes, such as by a loss of power.
 type Crash struct {
 	Engine   inventory.Engine
-	Requests []Hash
+	Requests []Content
 	At       time.Time
 	Cause    Cause
 	// CountFailures count the interrupted answers as failures of the engine's version.
@@ -86,7 +87,7 @@
 	engine inventory.Engine
 	// requests are the interrupted requests that have not been reported yet, with the times of
 	// their interruption.
-	requests map[Hash]time.Time
+	requests map[Hash]interruption
 	first    time.Time
 	last     time.Time
 	probing  bool
@@ -104,6 +105,12 @@
 	reportScheduled bool
 }
 
+// interruption is the interruption of the answer to a request.
+type interruption struct {
+	content Content
+	at      time.Time
+}
+
 // NewDetector returns a Detector.
 func NewDetector(o DetectorOptions) *Detector {
 	return &Detector{DetectorOptions: o, states: make(map[string]*engineState)}
@@ -111,11 +118,11 @@
 
 // AnswerInterrupted records that an answer was interrupted. It calls countFailure if the engine
 // has not crashed, or else passes it on with the crash.
-func (d *Detector) AnswerInterrupted(e inventory.Engine, h Hash, now time.Time, countFailure func()) {
+func (d *Detector) AnswerInterrupted(e inventory.Engine, c Content, now time.Time, countFailure func()) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.stateOf(e, now)
-	s.requests[h] = now
+	s.requests[c.Request] = interruption{c, now}
 	s.last = now
 	s.countFailures = append(s.countFailures, countFailure)
 	s.reopen()
@@ -174,7 +181,7 @@
 		return
 	}
 	s.cause = cause
-	maps.DeleteFunc(s.requests, func(_ Hash, at time.Time) bool { return now.Sub(at) > crashDetectionWindow })
+	maps.DeleteFunc(s.requests, func(_ Hash, one interruption) bool { return now.Sub(one.at) > crashDetectionWindow })
 	d.scheduleReport(s)
 }
 
@@ -184,7 +191,7 @@
 	s := d.states[e.Key()]
 	if s == nil {
 		d.evict(now)
-		s = &engineState{engine: e, requests: make(map[Hash]time.Time), first: now, decided: make(chan struct{})}
+		s = &engineState{engine: e, requests: make(map[Hash]interruption), first: now, decided: make(chan struct{})}
 		d.states[e.Key()] = s
 	}
 	return s
@@ -271,15 +278,17 @@
 // report calls OnCrash with the interrupted requests.
 func (d *Detector) report(s *engineState) {
 	d.mu.Lock()
-	requests := slices.Collect(maps.Keys(s.requests))
+	var requests []Content
+	for _, h := range slices.SortedFunc(maps.Keys(s.requests), func(a, b Hash) int { return bytes.Compare(a[:], b[:]) }) {
+		requests = append(requests, s.requests[h].content)
+	}
 	clear(s.requests)
 	s.reportScheduled = false
 	crash := Crash{Engine: s.engine, Requests: requests, At: s.first, Cause: s.cause, CountFailures: s.countFailures}
 	s.countFailures = nil
 	d.mu.Unlock()
-	slices.SortFunc(requests, func(a, b Hash) int { return slices.Compare(a[:], b[:]) })
 	d.Log.Warn().Str("engine", crash.Engine.Key()).Str("address", crash.Engine.Address).Str("version", crash.Engine.Version).
-		Str("cause", string(crash.Cause)).Dur("after_ms", time.Since(crash.At)).Strs("hashes", Strings(requests)).
+		Str("cause", string(crash.Cause)).Dur("after_ms", time.Since(crash.At)).Strs("hashes", requestHashes(requests)).
 		Msg("engine ended")
 	d.OnCrash(crash)
 	d.mu.Lock()
@@ -287,6 +296,15 @@
 	s.decide()
 }
 
+// requestHashes returns the hashes of requests, as in logs.
+func requestHashes(requests []Content) []string {
+	texts := make([]string, len(requests))
+	for i, c := range requests {
+		texts[i] = c.Request.String()
+	}
+	return texts
+}
+
 // decide wakes waiting callers. The caller holds the detector's mutex.
 func (s *engineState) decide() {
 	if !s.isDecided {
--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -39,19 +39,19 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		d, crashes := newTestDetector(refused)
-		d.AnswerInterrupted(engineA, two, time.Now(), ignoreFailure)
-		d.AnswerInterrupted(engineA, one, time.Now(), ignoreFailure)
+		d.AnswerInterrupted(engineA, Content{Request: two}, time.Now(), ignoreFailure)
+		d.AnswerInterrupted(engineA, Content{Request: one}, time.Now(), ignoreFailure)
 		time.Sleep(time.Second)
 		synctest.Wait()
 		c.Assert(*crashes, qt.HasLen, 1)
-		c.Check((*crashes)[0].Requests, qt.DeepEquals, []Hash{one, two})
+		c.Check((*crashes)[0].Requests, qt.DeepEquals, wholes(one, two))
 		c.Check((*crashes)[0].Cause, qt.Equals, CauseRefused)
 		// An answer interrupted later by the same crash is reported as well.
-		d.AnswerInterrupted(engineA, Hash{3}, time.Now(), ignoreFailure)
+		d.AnswerInterrupted(engineA, Content{Request: Hash{3}}, time.Now(), ignoreFailure)
 		time.Sleep(time.Second)
 		synctest.Wait()
 		c.Assert(*crashes, qt.HasLen, 2)
-		c.Check((*crashes)[1].Requests, qt.DeepEquals, []Hash{{3}})
+		c.Check((*crashes)[1].Requests, qt.DeepEquals, wholes(Hash{3}))
 	})
 }
 
@@ -60,7 +60,7 @@
 		c := qt.New(t)
 		for _, l := range []*listener{{}, {err: context.DeadlineExceeded}} {
 			d, crashes := newTestDetector(l)
-			d.AnswerInterrupted(engineA, one, time.Now(), ignoreFailure)
+			d.AnswerInterrupted(engineA, Content{Request: one}, time.Now(), ignoreFailure)
 			time.Sleep(2 * time.Second)
 			synctest.Wait()
 			synctest.Wait()
@@ -74,7 +74,7 @@
 		c := qt.New(t)
 		d, crashes := newTestDetector(&listener{})
 		d.Refused("a", time.Now())
-		d.AnswerInterrupted(engineA, one, time.Now(), ignoreFailure)
+		d.AnswerInterrupted(engineA, Content{Request: one}, time.Now(), ignoreFailure)
 		time.Sleep(crashDetectionWindow + time.Second)
 		synctest.Wait()
 		d.Refused("a", time.Now()) // It was shut down, long after.
@@ -88,7 +88,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		d, crashes := newTestDetector(&listener{})
-		d.AnswerInterrupted(engineA, one, time.Now(), ignoreFailure)
+		d.AnswerInterrupted(engineA, Content{Request: one}, time.Now(), ignoreFailure)
 		time.Sleep(time.Second)
 		synctest.Wait()
 		d.Replaced("a", time.Now())
@@ -107,11 +107,11 @@
 		time.Sleep(time.Second)
 		synctest.Wait()
 		c.Assert(*crashes, qt.HasLen, 0) // It has no interrupted answers of its own.
-		d.AnswerInterrupted(engineA, one, time.Now(), ignoreFailure)
+		d.AnswerInterrupted(engineA, Content{Request: one}, time.Now(), ignoreFailure)
 		time.Sleep(time.Second)
 		synctest.Wait()
 		c.Assert(*crashes, qt.HasLen, 1)
-		c.Check((*crashes)[0].Requests, qt.DeepEquals, []Hash{one})
+		c.Check((*crashes)[0].Requests, qt.DeepEquals, wholes(one))
 	})
 }
 
@@ -121,7 +121,7 @@
 		failures := 0
 		countFailure := func() { failures++ }
 		d, _ := newTestDetector(&listener{})
-		d.AnswerInterrupted(engineA, one, time.Now(), countFailure)
+		d.AnswerInterrupted(engineA, Content{Request: one}, time.Now(), countFailure)
 		began := time.Now()
 		d.Wait(context.Background(), "a")
 		c.Check(time.Since(began) < secondDialDelay, qt.IsTrue)
@@ -129,14 +129,14 @@
 		synctest.Wait()
 		c.Check(failures, qt.Equals, 1)
 		d, crashes := newTestDetector(refused)
-		d.AnswerInterrupted(engineA, one, time.Now(), countFailure)
+		d.AnswerInterrupted(engineA, Content{Request: one}, time.Now(), countFailure)
 		d.Wait(context.Background(), "a")
 		synctest.Wait()
 		c.Check(failures, qt.Equals, 1)
 		c.Assert(*crashes, qt.HasLen, 1)
 		c.Check((*crashes)[0].CountFailures, qt.HasLen, 1)
 		// Callers wait for the next interruption by the same crash as well.
-		d.AnswerInterrupted(engineA, two, time.Now(), countFailure)
+		d.AnswerInterrupted(engineA, Content{Request: two}, time.Now(), countFailure)
 		d.Wait(context.Background(), "a")
 		synctest.Wait()
 		c.Check(*crashes, qt.HasLen, 2)
@@ -151,7 +151,7 @@
 			OnCrash: func(Crash) {}, Log: zerolog.Nop(),
 		})
 		for range 1000 {
-			d.AnswerInterrupted(engineA, one, time.Now(), ignoreFailure)
+			d.AnswerInterrupted(engineA, Content{Request: one}, time.Now(), ignoreFailure)
 			time.Sleep(10 * time.Millisecond)
 			synctest.Wait()
 		}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -12,6 +12,13 @@
 	// CrashThreshold is the number of engine crashes after which a request that was in progress at
 	// all of them is put into quarantine.
 	CrashThreshold = 3
+	// wideThreshold is the number of crashes, one after the other, that a verdict on a part of
+	// prompts needs if more than one in narrowShare of the requests interrupted by them had it.
+	wideThreshold = 5
+	narrowShare   = 4
+	// minSharedSuspicion is the number of crashes from which on a part of prompts makes a request
+	// suspect. Each crash interrupts many requests, and most of their parts are harmless.
+	minSharedSuspicion = 2
 	// minSuspectAge is the time after the first crash of a suspect within which other daemons
 	// may still report that it completed there before. No verdict is given earlier.
 	minSuspectAge = 150 * time.Millisecond
@@ -19,17 +26,19 @@
 	// harmless there. Popular requests run at many engines, several of which may crash at once
 	// for unrelated reasons.
 	harmlessWindow = time.Minute
+	// toldInterval is the least time between two announcements that the same key is harmless.
+	toldInterval = harmlessWindow / 3
 	// simultaneousWindow is the time within which crashes count as one event. Detection and
 	// reporting differ by that much between daemons, and a request that crashes one engine
 	// after the other takes longer.
 	simultaneousWindow = 100 * time.Millisecond
 	// evidenceTTL is how long crashes are kept.
 	evidenceTTL = 10 * time.Minute
-	// maxCrashes bounds the crashes kept, maxCrashRequests the total of their requests,
-	// maxCompleted the completed requests.
-	maxCrashes       = 1024
-	maxCrashRequests = 32768
-	maxCompleted     = 8192
+	// maxCrashes bounds the crashes kept, maxCrashKeys the total of the keys of their requests,
+	// maxCompleted the keys of completed requests.
+	maxCrashes   = 1024
+	maxCrashKeys = 32768
+	maxCompleted = 16384
 )
 
 // Evidence holds the engine crashes that all daemons have detected and the requests that were
@@ -44,9 +53,9 @@
 	suspects map[Hash]*suspect
 	// overThreshold are the suspects of at least as many crashes as a verdict needs.
 	overThreshold map[Hash]*suspect
-	// completed is when requests completed, here or as reported by other daemons.
-	completed map[Hash]time.Time
-	// count is the total number of requests of all crashes.
+	// completed are the keys of requests that completed, here or as reported by other daemons.
+	completed map[Hash]completion
+	// count is the total number of keys of the requests of all crashes.
 	count int
 }
 
@@ -54,142 +63,254 @@
 type crash struct {
 	engine, service, version string
 	at                       time.Time
-	requests                 map[Hash]struct{}
+	// contents are the interrupted requests by their hashes.
+	contents map[Hash]Content
+	// explained is set if a verdict on other requests than those that are asked about explains it.
+	explained bool
 }
 
-// suspect is a request that was in progress at crashes and has not completed since.
+// has reports whether one of the interrupted requests had a key.
+func (c *crash) has(key Hash) bool {
+	if _, ok := c.contents[key]; ok {
+		return true
+	}
+	for _, content := range c.contents {
+		if slices.Contains(content.Shared, key) {
+			return true
+		}
+	}
+	return false
+}
+
+// suspect is a key of requests that were in progress at crashes, none of which has completed since.
 type suspect struct {
 	crashes map[string]*crash
 	// since is when the first of them became known.
 	since time.Time
+	// shared is set if different requests may have the key.
+	shared bool
+	// convicted is set if the last evaluation gave a verdict on it that is not tied.
+	convicted bool
+}
+
+// completion is the last completion of a request with a key.
+type completion struct {
+	at time.Time
+	// told is when all daemons last learned of it, the zero time if they have not.
+	told time.Time
 }
 
 // NewEvidence returns an empty Evidence.
 func NewEvidence() *Evidence {
-	return &Evidence{crashes: make(map[string]*crash), suspects: make(map[Hash]*suspect), overThreshold: make(map[Hash]*suspect), completed: make(map[Hash]time.Time)}
+	return &Evidence{crashes: make(map[string]*crash), suspects: make(map[Hash]*suspect), overThreshold: make(map[Hash]*suspect), completed: make(map[Hash]completion)}
 }
 
-// Add records the crash of an engine. It returns those of the interrupted requests that this
-// daemon knows to be harmless.
+// Add records the crash of an engine. It returns those keys of the interrupted requests that this
+// daemon knows to be harmless and that have not been announced lately.
 func (e *Evidence) Add(reported Crash, now time.Time) (harmless []Hash) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	key := reported.Engine.Key()
 	known := e.crashes[key]
 	if known == nil {
-		e.evict(now, len(reported.Requests))
+		keys := 0
+		for _, content := range reported.Requests {
+			keys += content.size()
+		}
+		e.evict(now, keys)
 		known = &crash{
 			engine: key, service: reported.Engine.Service, version: reported.Engine.Version, at: now,
-			requests: make(map[Hash]struct{}),
+			contents: make(map[Hash]Content, len(reported.Requests)),
 		}
 		e.crashes[key] = known
 	}
-	for _, h := range reported.Requests {
-		if _, again := known.requests[h]; again || e.count >= maxCrashRequests {
+	for _, content := range reported.Requests {
+		if _, again := known.contents[content.Request]; again || e.count+content.size() > maxCrashKeys {
 			continue
 		}
-		if e.recentlyCompleted(h, known.at) {
-			harmless = append(harmless, h)
+		if e.recentlyCompleted(content.Request, known.at) {
+			harmless = e.appendUntold(harmless, content.Request, now)
 			continue
 		}
-		known.requests[h] = struct{}{}
-		e.count++
-		e.addSuspect(h, known, now)
+		known.contents[content.Request] = content
+		e.count += content.size()
+		for key := range content.keys() {
+			if e.recentlyCompleted(key, known.at) {
+				harmless = e.appendUntold(harmless, key, now)
+				continue
+			}
+			e.addSuspect(key, key != content.Request, known, now)
+		}
 	}
 	e.hasSuspects.Store(len(e.suspects) > 0)
 	return harmless
 }
 
-// addSuspect records that a request was in progress at a crash. The caller holds mu.
-func (e *Evidence) addSuspect(h Hash, known *crash, now time.Time) {
-	s := e.suspects[h]
+// appendUntold appends a key that is harmless unless this has been announced lately. The caller
+// holds mu.
+func (e *Evidence) appendUntold(list []Hash, key Hash, now time.Time) []Hash {
+	good := e.completed[key]
+	if !good.told.IsZero() && now.Sub(good.told) < toldInterval {
+		return list
+	}
+	good.told = now
+	e.completed[key] = good
+	return append(list, key)
+}
+
+// addSuspect records that a request with a key was in progress at a crash. The caller holds mu.
+func (e *Evidence) addSuspect(key Hash, shared bool, known *crash, now time.Time) {
+	s := e.suspects[key]
 	if s == nil {
-		s = &suspect{crashes: make(map[string]*crash), since: now}
-		e.suspects[h] = s
+		s = &suspect{crashes: make(map[string]*crash), since: now, shared: shared}
+		e.suspects[key] = s
 	}
 	s.crashes[known.engine] = known
 	if len(s.crashes) >= CrashThreshold {
-		e.overThreshold[h] = s
+		e.overThreshold[key] = s
 	}
 }
 
-// recentlyCompleted reports whether a request completed within harmlessWindow before the given
-// time, or after it. The caller holds mu.
-func (e *Evidence) recentlyCompleted(h Hash, at time.Time) bool {
-	good, ok := e.completed[h]
-	return ok && good.After(at.Add(-harmlessWindow))
+// recentlyCompleted reports whether a request with a key completed within harmlessWindow before the
+// given time, or after it. The caller holds mu.
+func (e *Evidence) recentlyCompleted(key Hash, at time.Time) bool {
+	good, ok := e.completed[key]
+	return ok && good.at.After(at.Add(-harmlessWindow))
+}
+
+// CompletionAge returns how long ago a request with a key last completed, as far as is known.
+func (e *Evidence) CompletionAge(key Hash, now time.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return now.Sub(e.completed[key].at)
 }
 
-// Completed records that a request completed here. It returns the number of crashes that it was
-// suspected of.
-func (e *Evidence) Completed(h Hash, now time.Time) (crashes int) {
+// Completed records that a request with a key completed here. It returns the number of crashes that
+// the key was suspected of.
+func (e *Evidence) Completed(key Hash, now time.Time) (crashes int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.recordCompletion(h, now)
+	return e.recordCompletion(key, completion{at: now, told: e.completed[key].told})
 }
 
-// CompletedByPeer records that a request completed at another daemon.
-func (e *Evidence) CompletedByPeer(h Hash, now time.Time) {
+// CompletedByPeer records that a request with a key completed at another daemon at the given time,
+// as all daemons have learned now.
+func (e *Evidence) CompletedByPeer(key Hash, at, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.recordCompletion(h, now)
+	good := e.completed[key]
+	if at.After(good.at) {
+		good.at = at
+	}
+	good.told = now
+	e.recordCompletion(key, good)
 }
 
-// recordCompletion records that a request completed. The caller holds mu.
-func (e *Evidence) recordCompletion(h Hash, now time.Time) (crashes int) {
+// recordCompletion records that a request with a key completed. The caller holds mu.
+func (e *Evidence) recordCompletion(key Hash, good completion) (crashes int) {
 	if len(e.completed) >= maxCompleted {
-		e.evictCompleted(now)
+		e.evictCompleted(good.at)
 	}
-	e.completed[h] = now
-	return e.removeSuspect(h)
+	e.completed[key] = good
+	return e.removeSuspect(key)
 }
 
 // evictCompleted makes room for completed requests: it drops expired ones, and arbitrary others
 // until a quarter of the table is free. The caller holds mu.
 func (e *Evidence) evictCompleted(now time.Time) {
-	maps.DeleteFunc(e.completed, func(_ Hash, at time.Time) bool { return now.Sub(at) > harmlessWindow })
-	for h := range e.completed {
-		if len(e.completed) < maxCompleted*3/4 {
+	maps.DeleteFunc(e.completed, func(_ Hash, good completion) bool { return now.Sub(good.at) > harmlessWindow })
+	for key := range e.completed {
+		if len(e.completed) <= maxCompleted*3/4 {
 			return
 		}
-		delete(e.completed, h)
+		delete(e.completed, key)
 	}
 }
 
-// Forget discards all evidence against a request, on behalf of an operator.
-func (e *Evidence) Forget(h Hash) {
+// Forget discards all evidence against the requests with a key.
+func (e *Evidence) Forget(key Hash) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.removeSuspect(h)
+	s, ok := e.suspects[key]
+	if !ok {
+		return
+	}
+	for _, known := range maps.Clone(s.crashes) {
+		for _, content := range maps.Clone(known.contents) {
+			if content.has(key) {
+				e.removeContent(known, content)
+			}
+		}
+	}
+	e.removeSuspect(key)
 }
 
-// removeSuspect discards all evidence against a request and returns the number of crashes that
-// it was suspected of. The caller holds mu.
-func (e *Evidence) removeSuspect(h Hash) (crashes int) {
-	s, ok := e.suspects[h]
+// ForgetCrashes discards the crashes at which requests with a key were in progress. Otherwise what
+// else these requests have in common would be the next suspect.
+func (e *Evidence) ForgetCrashes(key Hash) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s, ok := e.suspects[key]; ok {
+		for _, known := range maps.Clone(s.crashes) {
+			e.removeCrash(known)
+		}
+	}
+}
+
+// removeSuspect discards all evidence against a key and returns the number of crashes that it was
+// suspected of. The caller holds mu.
+func (e *Evidence) removeSuspect(key Hash) (crashes int) {
+	s, ok := e.suspects[key]
 	if !ok {
 		return 0
 	}
 	crashes = len(s.crashes)
-	for _, known := range s.crashes {
-		delete(known.requests, h)
-		e.count--
+	for _, known := range maps.Clone(s.crashes) {
+		if content, whole := known.contents[key]; whole {
+			e.removeContent(known, content)
+		}
+		e.removeCrashOf(key, known)
 	}
-	delete(e.suspects, h)
-	delete(e.overThreshold, h)
-	e.hasSuspects.Store(len(e.suspects) > 0)
 	return crashes
 }
 
+// removeContent removes an interrupted request from a crash, with those of its keys that no other
+// interrupted request had. The caller holds mu.
+func (e *Evidence) removeContent(known *crash, content Content) {
+	delete(known.contents, content.Request)
+	e.count -= content.size()
+	for key := range content.keys() {
+		if !known.has(key) {
+			e.removeCrashOf(key, known)
+		}
+	}
+}
+
+// removeCrashOf removes a crash from those that a key is suspected of. The caller holds mu.
+func (e *Evidence) removeCrashOf(key Hash, known *crash) {
+	s, ok := e.suspects[key]
+	if !ok {
+		return
+	}
+	delete(s.crashes, known.engine)
+	if len(s.crashes) < CrashThreshold {
+		delete(e.overThreshold, key)
+	}
+	if len(s.crashes) == 0 {
+		delete(e.suspects, key)
+	}
+	e.hasSuspects.Store(len(e.suspects) > 0)
+}
+
 // evict drops expired crashes, and the oldest ones until there is room for another one with the
-// given number of requests. The caller holds mu.
-func (e *Evidence) evict(now time.Time, requests int) {
+// given number of keys. The caller holds mu.
+func (e *Evidence) evict(now time.Time, keys int) {
 	for _, known := range e.crashes {
 		if now.Sub(known.at) > evidenceTTL {
 			e.removeCrash(known)
 		}
 	}
-	for len(e.crashes) > 0 && (len(e.crashes) >= maxCrashes || e.count+requests > maxCrashRequests) {
+	for len(e.crashes) > 0 && (len(e.crashes) >= maxCrashes || e.count+keys > maxCrashKeys) {
 		e.removeCrash(slices.MinFunc(slices.Collect(maps.Values(e.crashes)), func(a, b *crash) int { return a.at.Compare(b.at) }))
 	}
 }
@@ -197,17 +318,69 @@
 // removeCrash drops one crash. The caller holds mu.
 func (e *Evidence) removeCrash(known *crash) {
 	delete(e.crashes, known.engine)
-	e.count -= len(known.requests)
-	for h := range known.requests {
-		s := e.suspects[h]
-		delete(s.crashes, known.engine)
-		if len(s.crashes) < CrashThreshold {
-			delete(e.overThreshold, h)
+	for _, content := range known.contents {
+		e.count -= content.size()
+		for key := range content.keys() {
+			e.removeCrashOf(key, known)
+		}
+	}
+}
+
+// Suspicion is what the crashes that no verdict explains say against a request.
+type Suspicion struct {
+	// Crashes is their number at which the request, or one that shares a part with it, was in
+	// progress.
+	Crashes int
+	// Key is what these requests have in common.
+	Key Hash
+}
+
+// Suspicion returns what speaks against a request, the zero value if nothing does.
+func (e *Evidence) Suspicion(c Content) (worst Suspicion) {
+	if !e.hasSuspects.Load() {
+		return Suspicion{}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for key := range c.keys() {
+		s, ok := e.suspects[key]
+		if !ok {
+			continue
+		}
+		crashes := s.unexplained()
+		if s.shared && (len(crashes) < minSharedSuspicion || !isNarrow(crashes, []Hash{key})) {
+			continue
+		}
+		if len(crashes) > worst.Crashes {
+			worst = Suspicion{Crashes: len(crashes), Key: key}
 		}
-		if len(s.crashes) == 0 {
-			delete(e.suspects, h)
+	}
+	return worst
+}
+
+// unexplained returns the crashes of a suspect that no verdict on others explains.
+func (s *suspect) unexplained() (list []*crash) {
+	for _, known := range s.crashes {
+		if s.convicted || !known.explained {
+			list = append(list, known)
+		}
+	}
+	return list
+}
+
+// isNarrow reports whether only a small share of the requests that crashes interrupted had all of
+// the given keys.
+func isNarrow(crashes []*crash, keys []Hash) bool {
+	having, all := 0, 0
+	for _, known := range crashes {
+		all += len(known.contents)
+		for _, content := range known.contents {
+			if content.hasAll(keys) {
+				having++
+			}
 		}
 	}
+	return having*narrowShare <= all
 }
 
 // Crashes returns the number of crashes that a request is suspected of.
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -13,7 +13,15 @@
 
 // addCrash adds the crash of an engine to the evidence.
 func addCrash(e *Evidence, engine string, at time.Time, requests ...Hash) []Hash {
-	return e.Add(Crash{Engine: inventory.Engine{ID: engine, Service: "llm", Version: "v1"}, Requests: requests, At: at}, at)
+	return e.Add(Crash{Engine: inventory.Engine{ID: engine, Service: "llm", Version: "v1"}, Requests: wholes(requests...), At: at}, at)
+}
+
+// wholes returns requests that have nothing in common with others.
+func wholes(hashes ...Hash) (list []Content) {
+	for _, h := range hashes {
+		list = append(list, Content{Request: h})
+	}
+	return list
 }
 
 // verdictHashes returns the hashes of the verdicts, and of the tied ones among them.
@@ -50,7 +58,7 @@
 	all, tied := verdictHashes(e, at(0.3))
 	c.Check(all, qt.DeepEquals, []Hash{crasher})
 	c.Check(tied, qt.HasLen, 0)
-	c.Check(e.Explains("e1", func(h Hash) bool { return h == crasher }), qt.IsTrue)
+	c.Check(e.Explains("e1", func(c Content) bool { return c.Request == crasher }), qt.IsTrue)
 }
 
 // TestSimultaneousCrashesAreTied guards against verdicts on a request that several engines ran
@@ -114,7 +122,7 @@
 	}
 	c.Check(e.Completed(a, at(0.1)), qt.Equals, 4)
 	c.Check(e.Completed(Hash{0xd}, at(0.1)), qt.Equals, 0)
-	e.CompletedByPeer(b, at(0.1))
+	e.CompletedByPeer(b, at(0.1), at(0.1))
 	all, _ := verdictHashes(e, at(1))
 	c.Check(all, qt.HasLen, 0)
 	c.Check(e.Suspects(), qt.Equals, 0)
@@ -153,7 +161,7 @@
 				addCrash(e, fmt.Sprint(round, "/", i), at(now), a, b)
 			}
 			// The remaining engines complete both within minSuspectAge.
-			e.CompletedByPeer(a, at(now+0.1))
+			e.CompletedByPeer(a, at(now+0.1), at(now+0.1))
 			e.Completed(b, at(now+0.1))
 			now += rapid.Float64Range(0.2, 90).Draw(t, "pause")
 			if all, _ := verdictHashes(e, at(now)); len(all) > 0 {
@@ -178,7 +186,7 @@
 	}
 	c.Check(len(e.crashes) <= maxCrashes, qt.IsTrue)
 	c.Check(e.Suspects(), qt.Equals, e.count)
-	c.Check(e.count <= maxCrashRequests, qt.IsTrue)
+	c.Check(e.count <= maxCrashKeys, qt.IsTrue)
 	c.Check(len(e.completed) <= maxCompleted, qt.IsTrue)
 	addCrash(e, "last", at(4+evidenceTTL.Seconds()+1))
 	c.Check(len(e.crashes), qt.Equals, 1)
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -255,7 +255,7 @@
 	f.mu.Unlock()
 	for d, hashes := range interrupted {
 		for _, h := range hashes {
-			d.AnswerInterrupted(e, h, time.Now(), ignoreFailure)
+			d.AnswerInterrupted(e, Content{Request: h}, time.Now(), ignoreFailure)
 		}
 	}
 }
@@ -264,7 +264,7 @@
 func (f *testFleet) held(h Hash) (names []string) {
 	synctest.Wait()
 	for _, d := range f.daemons {
-		if d.Held(h) {
+		if d.Held(Content{Request: h}) {
 			names = append(names, d.name)
 		}
 	}
@@ -371,7 +371,7 @@
 		before := f.messages
 		f.mu.Unlock()
 		for _, h := range interrupted {
-			f.daemons[0].Completed(h, time.Now())
+			f.daemons[0].Completed(Content{Request: h}, time.Now())
 			time.Sleep(20 * time.Millisecond)
 		}
 		f.mu.Lock()
@@ -491,7 +491,7 @@
 		}
 		time.Sleep(2 * time.Second)
 		f.c.Assert(f.daemons[1].Retry(f.t.Context(), a, time.Now()), qt.IsTrue)
-		f.daemons[1].Completed(a, time.Now())
+		f.daemons[1].Completed(Content{Request: a}, time.Now())
 		time.Sleep(2 * time.Second)
 		f.c.Check(f.held(a), qt.HasLen, 0)
 		f.c.Check(f.held(crasher), qt.HasLen, 3)
@@ -543,7 +543,7 @@
 		f.versions = []string{"v2"}
 		f.mu.Unlock()
 		f.c.Assert(f.daemons[0].Retry(f.t.Context(), crasher, time.Now()), qt.IsTrue)
-		f.daemons[0].Completed(crasher, time.Now())
+		f.daemons[0].Completed(Content{Request: crasher}, time.Now())
 		time.Sleep(2 * time.Second)
 		f.c.Check(f.held(crasher), qt.HasLen, 0)
 		f.c.Check(f.records(), qt.HasLen, 0)
@@ -577,9 +577,9 @@
 // the queue of another engine.
 func TestSendsInProgressAreCancelled(t *testing.T) {
 	runFleet(t, 2, func(f *testFleet) {
-		waiting, send := f.daemons[1].Sending(f.t.Context(), crasher)
+		waiting, send := f.daemons[1].Sending(f.t.Context(), Content{Request: crasher})
 		defer send.Done()
-		other, otherSend := f.daemons[1].Sending(f.t.Context(), a)
+		other, otherSend := f.daemons[1].Sending(f.t.Context(), Content{Request: a})
 		defer otherSend.Done()
 		f.crashThreeEngines(crasher)
 		time.Sleep(time.Second)
@@ -594,7 +594,7 @@
 // and the first one that completes releases the request.
 func TestCompletionElsewhereReleasesRequest(t *testing.T) {
 	runFleet(t, 3, func(f *testFleet) {
-		running, send := f.daemons[1].Sending(f.t.Context(), a)
+		running, send := f.daemons[1].Sending(f.t.Context(), Content{Request: a})
 		defer send.Done()
 		send.Begun()
 		for i := range 4 {
@@ -604,7 +604,7 @@
 		f.c.Check(f.held(a), qt.HasLen, 3)
 		f.c.Check(f.records()[a].Tied, qt.IsTrue)
 		f.c.Check(running.Err(), qt.IsNil)
-		f.daemons[1].Completed(a, time.Now())
+		f.daemons[1].Completed(Content{Request: a}, time.Now())
 		time.Sleep(2 * time.Second)
 		f.c.Check(f.held(a), qt.HasLen, 0)
 		f.c.Check(f.records(), qt.HasLen, 0)
@@ -623,7 +623,7 @@
 			f.down[id] = true
 			f.mu.Unlock()
 			for _, h := range hashes {
-				f.daemons[0].AnswerInterrupted(e, h, time.Now(), func() { mu.Lock(); defer mu.Unlock(); counted[id[:1]]++ })
+				f.daemons[0].AnswerInterrupted(e, Content{Request: h}, time.Now(), func() { mu.Lock(); defer mu.Unlock(); counted[id[:1]]++ })
 			}
 		}
 		for i := range 5 {
--- a/quarantine/handler.go
+++ b/quarantine/handler.go
@@ -32,6 +32,7 @@
 			Hash: r.Hash.String(), Service: r.Service, Versions: r.Versions, Engines: r.Engines,
 			FirstAgeMs: now.Sub(r.First).Milliseconds(), LastAgeMs: now.Sub(r.Last).Milliseconds(),
 			Tied: r.Tied, RetriesLeft: uint32(r.RetriesLeft), Daemon: r.Daemon,
+			Shared: r.Shared, With: Strings(r.With),
 		})
 	}
 	data, err := protojson.Marshal(list)
--- a/quarantine/hash.go
+++ b/quarantine/hash.go
@@ -1,7 +1,8 @@
 // Package quarantine identifies the requests that crash the engines that run them, and keeps
 // them away from engines. Such a request comes back with other ids, because its caller repeats
-// it or daemons retry it. So it is identified by its content, and the crashes that all daemons
-// detect count together.
+// it or daemons retry it, or different requests share what crashes engines, such as a part of their
+// prompts. So requests are identified by their content, as a whole and in parts, and the crashes
+// that all daemons detect count together.
 package quarantine
 
 import (
@@ -10,6 +11,8 @@
 	"encoding/hex"
 	"hash"
 	"io"
+	"iter"
+	"slices"
 )
 
 // Hash identifies the work that a request asks for, independently of its id, connection,
@@ -56,9 +59,69 @@
 	return h
 }
 
+// Content identifies a request by the keys under which it may be held.
+type Content struct {
+	// Request is the hash of the whole request.
+	Request Hash
+	// Shared identify what other requests may have in common with it, the narrowest first.
+	Shared []Hash
+}
+
+// keys returns all keys of the request, the narrowest first.
+func (c *Content) keys() iter.Seq[Hash] {
+	return func(yield func(Hash) bool) {
+		if !yield(c.Request) {
+			return
+		}
+		for _, key := range c.Shared {
+			if !yield(key) {
+				return
+			}
+		}
+	}
+}
+
+// size returns the number of keys.
+func (c *Content) size() int { return 1 + len(c.Shared) }
+
+// has reports whether a request has a key.
+func (c *Content) has(key Hash) bool { return key == c.Request || slices.Contains(c.Shared, key) }
+
+// hasAll reports whether a request has all of the given keys.
+func (c *Content) hasAll(keys []Hash) bool {
+	return !slices.ContainsFunc(keys, func(key Hash) bool { return !c.has(key) })
+}
+
+// maxSharedParts bounds the parts of a prompt that have keys. Of longer prompts, these are the first
+// and the last ones.
+const maxSharedParts = 16
+
+// SharedKeys returns the keys for the parts of a prompt, in the order of the prompt, that other
+// requests may share. A part has a key within the organisation and one for all of them: the latter
+// is held only if requests of several organisations have crashed engines under it, so that no
+// organisation can have another one's requests held. Later parts of a prompt occur in fewer requests.
+func SharedKeys(service, organisation string, parts []string) []Hash {
+	if len(parts) > maxSharedParts {
+		parts = slices.Concat(parts[:maxSharedParts/2], parts[len(parts)-maxSharedParts/2:])
+	}
+	keys := make([]Hash, 0, 2*len(parts))
+	for _, scope := range []string{organisation, ""} {
+		for _, part := range slices.Backward(parts) {
+			if key := partHash(service, scope, part); !slices.Contains(keys, key) {
+				keys = append(keys, key)
+			}
+		}
+	}
+	return keys
+}
+
 // PartHash returns the hash that identifies a part of prompts to the engines of a service, whatever
 // request it occurs in.
-func PartHash(service, part string) Hash { return NewHasher("", "PART", service, part).Sum() }
+func PartHash(service, part string) Hash { return partHash(service, "", part) }
+
+func partHash(service, organisation, part string) Hash {
+	return NewHasher(organisation, "PART", service, part).Sum()
+}
 
 // Write adds a part of the body. It never fails.
 func (h *Hasher) Write(p []byte) (int, error) { return h.digest.Write(p) }
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 )
 
@@ -15,7 +16,7 @@
 	changed := false
 	for h, v := range verdicts {
 		known := q.verdicts[h]
-		if known == nil || known.Tied != v.Tied {
+		if known == nil || known.Tied != v.Tied || !slices.Equal(known.With, v.With) {
 			changed = true
 			q.addVerdict(v, now)
 			// Sends that still wait in an engine's queue must not be started.
@@ -42,7 +43,7 @@
 	}
 	q.verdicts[v.Hash] = &activeVerdict{Verdict: v, since: since}
 	delete(q.released, v.Hash)
-	q.Log.Warn().Stringer("hash", v.Hash).Str("service", v.Service).Strs("versions", v.Versions).Strs("engines", v.Engines).
+	q.Log.Warn().Stringer("hash", v.Hash).Bool("shared", v.Shared).Strs("with", Strings(v.With)).Str("service", v.Service).Strs("versions", v.Versions).Strs("engines", v.Engines).
 		Bool("tied", v.Tied).Dur("first_age_ms", now.Sub(v.First)).Dur("last_age_ms", now.Sub(v.Last)).
 		Msg("request put into quarantine")
 }
@@ -53,7 +54,7 @@
 	if v.Tied {
 		return
 	}
-	if cancelled := q.sends.cancelAll(v.Hash); cancelled > 0 {
+	if cancelled := q.sends.cancelAll(&v); cancelled > 0 {
 		q.Log.Info().Stringer("hash", v.Hash).Int("sends", cancelled).Msg("sends of a request in quarantine ended")
 	}
 }
@@ -82,9 +83,9 @@
 	return true
 }
 
-// forget discards all evidence against a request and releases it.
-func (q *Quarantine) forget(h Hash, reason string) {
-	q.evidence.Forget(h)
+// clear discards the crashes that requests with a key are held for and releases them.
+func (q *Quarantine) clear(h Hash, reason string) {
+	q.evidence.ForgetCrashes(h)
 	q.release(h, reason)
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -143,54 +143,69 @@
 }
 
 // Admit reports whether a request may be sent now, after waiting for a pending verdict.
-// isRetry is set if the request is held and this send uses up one of its retries.
-func (q *Quarantine) Admit(ctx context.Context, h Hash) (ok, isRetry bool) {
-	q.AwaitVerdict(ctx, h)
-	if !q.Held(h) {
+// isRetry is set if the request is held and this send uses up one of the retries.
+func (q *Quarantine) Admit(ctx context.Context, c Content) (ok, isRetry bool) {
+	q.AwaitVerdict(ctx, c)
+	r, held := q.record(c)
+	if !held {
 		return true, false
 	}
-	isRetry = q.Retry(ctx, h, time.Now())
+	isRetry = q.Retry(ctx, r.Hash, time.Now())
 	return isRetry, isRetry
 }
 
-// Crashes returns the number of engine crashes at which a request was in progress, 0 if it has
-// completed since.
-func (q *Quarantine) Crashes(h Hash) int { return q.evidence.Crashes(h) }
+// Suspicion returns what speaks against a request that is not held, the zero value if nothing does.
+func (q *Quarantine) Suspicion(c Content) Suspicion { return q.evidence.Suspicion(c) }
 
 // Held reports whether a request must not be sent to an engine.
-func (q *Quarantine) Held(h Hash) bool {
-	_, held := (*q.held.Load())[h]
+func (q *Quarantine) Held(c Content) bool {
+	_, held := q.record(c)
 	return held
 }
 
+// record returns the record that a request is held by.
+func (q *Quarantine) record(c Content) (Record, bool) {
+	held := *q.held.Load()
+	if len(held) == 0 {
+		return Record{}, false
+	}
+	for key := range c.keys() {
+		if r, ok := held[key]; ok && r.covers(c) {
+			return r, true
+		}
+	}
+	return Record{}, false
+}
+
 // AwaitVerdict waits until it is decided whether a request that was in progress at enough
 // crashes is held, or until ctx ends. If it were sent meanwhile, it might crash another engine.
-func (q *Quarantine) AwaitVerdict(ctx context.Context, h Hash) {
+func (q *Quarantine) AwaitVerdict(ctx context.Context, c Content) {
 	// The verdict follows with the next evaluation of the evidence.
-	left := time.Until(q.evidence.verdictTime(h).Add(evaluateInterval))
-	for ; left > 0 && !q.Held(h); left -= verdictPollInterval {
+	left := time.Until(q.evidence.verdictTime(c).Add(evaluateInterval))
+	for ; left > 0 && !q.Held(c); left -= verdictPollInterval {
 		if backoff.Sleep(ctx, min(left, verdictPollInterval)) != nil {
 			return
 		}
 	}
 }
 
-// Refused counts a refused request and returns its record.
-func (q *Quarantine) Refused(h Hash) Record {
+// Refused counts a refused request and returns the record that it is held by.
+func (q *Quarantine) Refused(c Content) Record {
 	q.metrics.refused.Inc()
-	return (*q.held.Load())[h]
+	r, _ := q.record(c) // It may have been released meanwhile.
+	return r
 }
 
 // Sending registers a send. The returned context is cancelled if the request is put into
 // quarantine before the engine begins to answer.
-func (q *Quarantine) Sending(ctx context.Context, h Hash) (context.Context, *Send) {
-	return q.sends.begin(ctx, h)
+func (q *Quarantine) Sending(ctx context.Context, c Content) (context.Context, *Send) {
+	return q.sends.begin(ctx, c)
 }
 
 // AnswerInterrupted records that an answer was interrupted. It calls countFailure once it is
 // known that no quarantined request explains the interruption.
-func (q *Quarantine) AnswerInterrupted(e inventory.Engine, h Hash, now time.Time, countFailure func()) {
-	q.detector.AnswerInterrupted(e, h, now, countFailure)
+func (q *Quarantine) AnswerInterrupted(e inventory.Engine, c Content, now time.Time, countFailure func()) {
+	q.detector.AnswerInterrupted(e, c, now, countFailure)
 }
 
 // Wait waits for a short time until it is known whether an engine with an interrupted answer
@@ -213,10 +228,14 @@
 const minCrashesToAnnounce = 2
 
 // Completed records that a request completed.
-func (q *Quarantine) Completed(h Hash, now time.Time) {
-	if q.evidence.Completed(h, now) >= minCrashesToAnnounce || q.Held(h) {
-		q.announceHarmless(h)
-		q.release(h, "it completed")
+func (q *Quarantine) Completed(c Content, now time.Time) {
+	held := *q.held.Load()
+	for key := range c.keys() {
+		crashes := q.evidence.Completed(key, now)
+		if _, isHeld := held[key]; isHeld || crashes >= minCrashesToAnnounce {
+			q.announceHarmless(key)
+			q.release(key, "it completed")
+		}
 	}
 }
 
@@ -250,13 +269,13 @@
 // Clear discards all evidence against a request, here and at the other daemons, on behalf of an
 // operator. It reports false if the request is not in quarantine.
 func (q *Quarantine) Clear(h Hash) bool {
-	if !q.Held(h) {
+	if _, held := (*q.held.Load())[h]; !held {
 		return false
 	}
 	q.mu.Lock()
 	q.pendingReport.Cleared = append(q.pendingReport.Cleared, h[:])
 	q.mu.Unlock()
-	q.forget(h, "cleared by an operator")
+	q.clear(h, "cleared by an operator")
 	notify(q.wake)
 	return true
 }
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -23,7 +23,7 @@
 	holdPeriod = time.Hour
 )
 
-// Record keeps one request away from engines. It is stored in the object store.
+// Record keeps the requests that a verdict is on away from engines. It is stored in the object store.
 type Record struct {
 	Verdict
 	// RetriesLeft is how many more times the request may be sent, Retried the time of the last
@@ -56,6 +56,7 @@
 		Hash: r.Hash[:], Service: r.Service, Versions: r.Versions, Engines: r.Engines,
 		FirstMs: r.First.UnixMilli(), LastMs: r.Last.UnixMilli(), Tied: r.Tied,
 		RetriesLeft: uint32(r.RetriesLeft), RetriedMs: unixMillis(r.Retried), Daemon: r.Daemon,
+		Shared: r.Shared, With: encodeHashes(r.With),
 	})
 }
 
@@ -72,7 +73,7 @@
 	}
 	return Record{
 		Verdict: Verdict{
-			Hash: h, Service: m.GetService(), Versions: m.GetVersions(), Engines: m.GetEngines(),
+			Hash: h, With: decodeHashes(m.GetWith()), Shared: m.GetShared(), Service: m.GetService(), Versions: m.GetVersions(), Engines: m.GetEngines(),
 			First: time.UnixMilli(m.GetFirstMs()), Last: time.UnixMilli(m.GetLastMs()), Tied: m.GetTied(),
 		},
 		RetriesLeft: int(m.GetRetriesLeft()), Retried: timeFromMillis(m.GetRetriedMs()), Daemon: m.GetDaemon(), Revision: revision,
@@ -99,20 +100,33 @@
 
 // encodeCrash encodes a crash for other daemons.
 func encodeCrash(crash Crash) *bronzeturnv1.EndedEngine {
-	return &bronzeturnv1.EndedEngine{
+	m := &bronzeturnv1.EndedEngine{
 		Id: crash.Engine.ID, StartedMs: unixMillis(crash.Engine.Started), Service: crash.Engine.Service,
-		Version: crash.Engine.Version, Address: crash.Engine.Address, Requests: encodeHashes(crash.Requests),
+		Version: crash.Engine.Version, Address: crash.Engine.Address,
 	}
+	for _, content := range crash.Requests {
+		m.Requests = append(m.Requests, content.Request[:])
+		m.Shared = append(m.Shared, &bronzeturnv1.SharedKeys{Keys: encodeHashes(content.Shared)})
+	}
+	return m
 }
 
 // decodeCrash decodes a crash that another daemon reported.
 func decodeCrash(m *bronzeturnv1.EndedEngine, now time.Time) Crash {
-	return Crash{
+	crash := Crash{
 		Engine: inventory.Engine{
 			ID: m.GetId(), Started: timeFromMillis(m.GetStartedMs()), Service: m.GetService(), Version: m.GetVersion(), Address: m.GetAddress(),
 		},
-		Requests: decodeHashes(m.GetRequests()), At: now, Cause: CauseReported,
+		At: now, Cause: CauseReported,
+	}
+	for i, request := range decodeHashes(m.GetRequests()) {
+		content := Content{Request: request}
+		if i < len(m.GetShared()) { // Daemons of an earlier version do not send it.
+			content.Shared = decodeHashes(m.GetShared()[i].GetKeys())
+		}
+		crash.Requests = append(crash.Requests, content)
 	}
+	return crash
 }
 
 func encodeHashes(hashes []Hash) [][]byte {
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -137,7 +137,7 @@
 		case q.isLost(&r):
 		case q.released[h]:
 			list = append(list, recordChange{r, true})
-		case v != nil && len(v.Engines) > len(r.Engines), v != nil && r.Tied != v.Tied:
+		case v != nil && (len(v.Engines) > len(r.Engines) || r.Tied != v.Tied || !slices.Equal(r.With, v.With)):
 			r.Verdict = v.Verdict
 			list = append(list, recordChange{r, false})
 		}
@@ -232,7 +232,7 @@
 	}
 	for h, r := range next {
 		if _, known := q.records[h]; !known {
-			q.Log.Info().Stringer("hash", h).Str("service", r.Service).Strs("engines", r.Engines).Str("daemon", r.Daemon).
+			q.Log.Info().Stringer("hash", h).Bool("shared", r.Shared).Strs("with", Strings(r.With)).Str("service", r.Service).Strs("engines", r.Engines).Str("daemon", r.Daemon).
 				Int("retries_left", r.RetriesLeft).Uint64("revision", revision.Counter(r.Revision)).Msg("request is in quarantine by the store")
 		}
 	}
--- a/quarantine/refusal.go
+++ b/quarantine/refusal.go
@@ -27,6 +27,6 @@
 // logged when a request is refused.
 func (r *Record) MarshalZerologObject(e *zerolog.Event) {
 	now := time.Now()
-	e.Strs("crashed", r.Engines).Bool("tied", r.Tied).
+	e.Stringer("held_by", r.Hash).Bool("shared", r.Shared).Strs("crashed", r.Engines).Bool("tied", r.Tied).
 		Dur("first_age_ms", now.Sub(r.First)).Dur("last_age_ms", now.Sub(r.Last)).Str("told_by", r.Daemon)
 }
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"slices"
 	"time"
 
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
@@ -10,13 +9,17 @@
 // maxReportHashes bounds the hashes in one report.
 const maxReportHashes = 200
 
-// announceHarmless announces completed requests to the other daemons.
-func (q *Quarantine) announceHarmless(hashes ...Hash) {
-	if len(hashes) == 0 {
+// announceHarmless announces keys of completed requests to the other daemons.
+func (q *Quarantine) announceHarmless(keys ...Hash) {
+	if len(keys) == 0 {
 		return
 	}
+	now := time.Now()
 	q.mu.Lock()
-	q.pendingReport.Harmless = append(q.pendingReport.Harmless, encodeHashes(hashes)...)
+	for _, key := range keys {
+		q.pendingReport.Harmless = append(q.pendingReport.Harmless, key[:])
+		q.pendingReport.HarmlessAgesMs = append(q.pendingReport.HarmlessAgesMs, uint64(q.evidence.CompletionAge(key, now).Milliseconds()))
+	}
 	q.mu.Unlock()
 	notify(q.wake)
 }
@@ -31,12 +34,17 @@
 		q.announceHarmless(q.evidence.Add(crash, now)...)
 		q.detector.PeerReported(crash.Engine, now)
 	}
-	for _, h := range decodeHashes(m.GetHarmless()) {
-		q.evidence.CompletedByPeer(h, now)
+	ages := m.GetHarmlessAgesMs()
+	for i, h := range decodeHashes(m.GetHarmless()) {
+		var age time.Duration // Daemons of an earlier version do not send it.
+		if i < len(ages) {
+			age = time.Duration(ages[i]) * time.Millisecond
+		}
+		q.evidence.CompletedByPeer(h, now.Add(-age), now)
 		q.release(h, "it completed at another daemon")
 	}
 	for _, h := range decodeHashes(m.GetCleared()) {
-		q.forget(h, "cleared by an operator")
+		q.clear(h, "cleared by an operator")
 	}
 	notify(q.wake)
 }
@@ -44,7 +52,10 @@
 // flush publishes the pending report.
 func (q *Quarantine) flush() {
 	q.mu.Lock()
-	m := &bronzeturnv1.CrashReport{Engines: q.pendingReport.Engines, Harmless: q.pendingReport.Harmless, Cleared: q.pendingReport.Cleared}
+	m := &bronzeturnv1.CrashReport{
+		Engines: q.pendingReport.Engines, Harmless: q.pendingReport.Harmless, HarmlessAgesMs: q.pendingReport.HarmlessAgesMs,
+		Cleared: q.pendingReport.Cleared,
+	}
 	q.pendingReport.Reset()
 	q.mu.Unlock()
 	for _, part := range split(m) {
@@ -65,17 +76,26 @@
 		return parts[len(parts)-1]
 	}
 	for _, e := range m.GetEngines() {
-		for requests := range slices.Chunk(e.GetRequests(), maxReportHashes) {
-			p := part(len(requests))
-			p.Engines = append(p.Engines, &bronzeturnv1.EndedEngine{
-				Id: e.GetId(), StartedMs: e.GetStartedMs(), Service: e.GetService(), Version: e.GetVersion(),
-				Address: e.GetAddress(), Requests: requests,
-			})
+		var last *bronzeturnv1.CrashReport
+		var ended *bronzeturnv1.EndedEngine
+		for i, request := range e.GetRequests() {
+			shared := e.GetShared()[i]
+			p := part(1 + len(shared.GetKeys()))
+			if p != last {
+				last = p
+				ended = &bronzeturnv1.EndedEngine{
+					Id: e.GetId(), StartedMs: e.GetStartedMs(), Service: e.GetService(), Version: e.GetVersion(), Address: e.GetAddress(),
+				}
+				p.Engines = append(p.Engines, ended)
+			}
+			ended.Requests = append(ended.Requests, request)
+			ended.Shared = append(ended.Shared, shared)
 		}
 	}
-	for _, h := range m.GetHarmless() {
+	for i, h := range m.GetHarmless() {
 		p := part(1)
 		p.Harmless = append(p.Harmless, h)
+		p.HarmlessAgesMs = append(p.HarmlessAgesMs, m.GetHarmlessAgesMs()[i])
 	}
 	for _, h := range m.GetCleared() {
 		p := part(1)
--- a/quarantine/sends.go
+++ b/quarantine/sends.go
@@ -13,15 +13,15 @@
 type sends struct{ shards [sendShards]sendShard }
 
 type sendShard struct {
-	mu     sync.Mutex
-	byHash map[Hash]map[*Send]struct{}
+	mu  sync.Mutex
+	all map[*Send]struct{}
 }
 
 // Send is a send in progress.
 type Send struct {
-	cancel context.CancelCauseFunc
-	shard  *sendShard
-	hash   Hash
+	cancel  context.CancelCauseFunc
+	shard   *sendShard
+	content Content
 	// begun is guarded by the shard's mutex.
 	begun bool
 }
@@ -38,44 +38,44 @@
 func (s *Send) Done() {
 	s.shard.mu.Lock()
 	defer s.shard.mu.Unlock()
-	delete(s.shard.byHash[s.hash], s)
-	if len(s.shard.byHash[s.hash]) == 0 {
-		delete(s.shard.byHash, s.hash)
-	}
+	delete(s.shard.all, s)
 	s.cancel(nil)
 }
 
 func newSends() *sends {
 	s := &sends{}
 	for i := range s.shards {
-		s.shards[i].byHash = make(map[Hash]map[*Send]struct{})
+		s.shards[i].all = make(map[*Send]struct{})
 	}
 	return s
 }
 
 // begin registers a send. The returned context is cancelled if the request is put into
 // quarantine before the engine begins to answer.
-func (s *sends) begin(ctx context.Context, h Hash) (context.Context, *Send) {
+func (s *sends) begin(ctx context.Context, c Content) (context.Context, *Send) {
 	sending, cancel := context.WithCancelCause(ctx)
-	shard := &s.shards[h[0]%sendShards]
-	send := &Send{cancel: cancel, shard: shard, hash: h}
+	shard := &s.shards[c.Request[0]%sendShards]
+	send := &Send{cancel: cancel, shard: shard, content: c}
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
-	if shard.byHash[h] == nil {
-		shard.byHash[h] = make(map[*Send]struct{}, 1)
-	}
-	shard.byHash[h][send] = struct{}{}
+	shard.all[send] = struct{}{}
 	return sending, send
 }
 
-// cancelAll cancels the sends of a request that no engine has begun to answer, and returns
-// their number.
-func (s *sends) cancelAll(h Hash) (cancelled int) {
-	shard := &s.shards[h[0]%sendShards]
-	shard.mu.Lock()
-	defer shard.mu.Unlock()
-	for send := range shard.byHash[h] {
-		if !send.begun {
+// cancelAll cancels the sends of the requests that a verdict is on and that no engine has begun to
+// answer, and returns their number.
+func (s *sends) cancelAll(v *Verdict) (cancelled int) {
+	for i := range s.shards {
+		cancelled += s.shards[i].cancelAll(v)
+	}
+	return cancelled
+}
+
+func (s *sendShard) cancelAll(v *Verdict) (cancelled int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for send := range s.all {
+		if !send.begun && v.covers(send.content) {
 			send.cancel(ErrQuarantined)
 			cancelled++
 		}
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -5,13 +5,20 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
-// Verdict is the decision that a request crashes engines.
+// Verdict is the decision that requests crash engines: one request, or all that have certain keys in
+// common.
 type Verdict struct {
+	// Hash is the key of these requests. With are further keys that a request must have as well,
+	// while the evidence does not tell which of them matters.
 	Hash Hash
-	// Service and Versions are what it crashed, Engines the keys of the engines in the order of
+	With []Hash
+	// Shared is set if different requests may have the key.
+	Shared bool
+	// Service and Versions are what they crashed, Engines the keys of the engines in the order of
 	// their crashes.
 	Service  string
 	Versions []string
@@ -23,18 +30,32 @@
 	Tied bool
 }
 
-// Evaluate returns the requests that crash engines, in the order of their hashes.
+// covers reports whether the verdict is on a request.
+func (v *Verdict) covers(c Content) bool { return c.has(v.Hash) && c.hasAll(v.With) }
+
+// keys returns all keys that the verdict is on.
+func (v *Verdict) keys() []Hash { return append([]Hash{v.Hash}, v.With...) }
+
+// Evaluate returns the verdicts on requests that crash engines, in the order of their hashes.
 //
-// A request gets a verdict by the crashes that no other request explains better: the request
-// that was in progress at most crashes is taken first, and the crashes that it explains do not
-// count against the others. Requests that were in progress at the same crashes are tied, since
-// the evidence cannot distinguish them.
+// A key gets a verdict by the crashes that no other key explains better: the key whose requests were
+// in progress at most crashes is taken first, and the crashes that it explains do not count against
+// the others. The evidence cannot distinguish keys that occurred at the same crashes. If one request
+// at each of them had all these keys, the verdict is on requests that have them all: the others show
+// which of the keys matters, by completing or by crashing another engine. If different requests had
+// different ones of them, the verdicts are tied.
 func (e *Evidence) Evaluate(now time.Time) []Verdict {
 	if !e.hasSuspects.Load() {
 		return nil
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	for _, known := range e.crashes {
+		known.explained = false
+	}
+	for _, s := range e.overThreshold {
+		s.convicted = false
+	}
 	candidates := e.candidates(now)
 	explained := make(map[string]bool)
 	var verdicts []Verdict
@@ -43,12 +64,12 @@
 		if len(leading) == 0 {
 			break
 		}
-		sole, tied := e.partition(leading, explained)
-		for _, h := range sole {
-			verdicts = append(verdicts, candidates[h].verdict(h, false))
+		sole, tied := partition(e.groupByCrashes(leading, explained))
+		for _, g := range sole {
+			verdicts = append(verdicts, e.verdictsOn(g, false)...)
 		}
-		for _, h := range tied {
-			verdicts = append(verdicts, candidates[h].verdict(h, true))
+		for _, g := range tied {
+			verdicts = append(verdicts, e.verdictsOn(g, true)...)
 		}
 		for _, h := range leading {
 			for key := range candidates[h].crashes {
@@ -57,48 +78,170 @@
 			delete(candidates, h)
 		}
 	}
+	e.markExplained(verdicts)
 	slices.SortFunc(verdicts, func(a, b Verdict) int { return bytes.Compare(a.Hash[:], b.Hash[:]) })
 	return verdicts
 }
 
-// partition divides suspects with equally many unexplained crashes. It returns in sole those
-// that were in progress at a crash where none of the others was, and in tied those of the rest
-// that have crashes which the sole ones do not explain. The caller holds mu.
-func (e *Evidence) partition(leading []Hash, explained map[string]bool) (sole, tied []Hash) {
-	present := make(map[string]int)
-	for _, h := range leading {
-		for key := range e.suspects[h].crashes {
-			present[key]++
+// markExplained records which crashes and suspects the verdicts that are not tied are about. The
+// caller holds mu.
+func (e *Evidence) markExplained(verdicts []Verdict) {
+	for _, v := range verdicts {
+		if v.Tied {
+			continue
+		}
+		for _, engine := range v.Engines {
+			e.crashes[engine].explained = true
+		}
+		for _, key := range v.keys() {
+			if s, ok := e.suspects[key]; ok {
+				s.convicted = true
+			}
 		}
 	}
-	bySole := maps.Clone(explained)
-	var rest []Hash
-	for _, h := range leading {
-		if !e.suspects[h].anyCrash(func(key string) bool { return present[key] == 1 && !explained[key] }) {
-			rest = append(rest, h)
+}
+
+// group is a set of suspects with the same unexplained crashes.
+type group struct {
+	keys    []Hash
+	crashes []*crash
+}
+
+// groupByCrashes divides suspects by their unexplained crashes. The caller holds mu.
+func (e *Evidence) groupByCrashes(keys []Hash, explained map[string]bool) []*group {
+	slices.SortFunc(keys, func(a, b Hash) int { return bytes.Compare(a[:], b[:]) })
+	byCrashes := make(map[string]*group)
+	var groups []*group
+	for _, key := range keys {
+		var engines []string
+		for engine := range e.suspects[key].crashes {
+			if !explained[engine] {
+				engines = append(engines, engine)
+			}
+		}
+		slices.Sort(engines)
+		id := strings.Join(engines, " ")
+		g := byCrashes[id]
+		if g == nil {
+			g = &group{}
+			for _, engine := range engines {
+				g.crashes = append(g.crashes, e.crashes[engine])
+			}
+			byCrashes[id] = g
+			groups = append(groups, g)
+		}
+		g.keys = append(g.keys, key)
+	}
+	return groups
+}
+
+// partition divides groups with equally many crashes. It returns in sole those with a crash that
+// none of the others has, and in tied those of the rest that have crashes which the sole ones do
+// not explain.
+func partition(groups []*group) (sole, tied []*group) {
+	present := make(map[*crash]int)
+	for _, g := range groups {
+		for _, known := range g.crashes {
+			present[known]++
+		}
+	}
+	bySole := make(map[*crash]bool)
+	var rest []*group
+	for _, g := range groups {
+		if !slices.ContainsFunc(g.crashes, func(known *crash) bool { return present[known] == 1 }) {
+			rest = append(rest, g)
 			continue
 		}
-		sole = append(sole, h)
-		for key := range e.suspects[h].crashes {
-			bySole[key] = true
+		sole = append(sole, g)
+		for _, known := range g.crashes {
+			bySole[known] = true
 		}
 	}
-	for _, h := range rest {
-		if e.suspects[h].anyCrash(func(key string) bool { return !bySole[key] }) {
-			tied = append(tied, h)
+	for _, g := range rest {
+		if slices.ContainsFunc(g.crashes, func(known *crash) bool { return !bySole[known] }) {
+			tied = append(tied, g)
 		}
 	}
 	return sole, tied
 }
 
-// anyCrash reports whether the predicate holds for one of the crashes.
-func (s *suspect) anyCrash(holds func(engine string) bool) bool {
-	for key := range s.crashes {
-		if holds(key) {
-			return true
+// verdictsOn returns the verdicts on the keys of a group: one for each of the largest sets of them
+// that an interrupted request had. The caller holds mu.
+func (e *Evidence) verdictsOn(g *group, tied bool) (verdicts []Verdict) {
+	sets := largestSets(g)
+	for _, keys := range sets {
+		s := e.suspects[keys[0]]
+		if s.shared && !isNarrow(g.crashes, keys) && countEvents(g.crashes) < wideThreshold {
+			continue // The engines may as well have crashed for another reason.
+		}
+		if !s.shared {
+			keys = keys[:1] // One request has all of its keys.
 		}
+		verdicts = append(verdicts, s.verdict(keys, tied || len(sets) > 1))
 	}
-	return false
+	return verdicts
+}
+
+// largestSets returns the sets of a group's keys that interrupted requests had, without those that
+// are contained in others. Keys are in the order of the requests' keys.
+func largestSets(g *group) [][]Hash {
+	if len(g.keys) == 1 {
+		return [][]Hash{g.keys}
+	}
+	found := make(map[string][]Hash)
+	for _, known := range g.crashes {
+		for _, content := range known.contents {
+			var keys []Hash
+			for key := range content.keys() {
+				if slices.Contains(g.keys, key) {
+					keys = append(keys, key)
+				}
+			}
+			if id := setID(keys); len(keys) > 0 && (found[id] == nil || compareHashes(keys, found[id]) < 0) {
+				found[id] = keys
+			}
+		}
+	}
+	var largest [][]Hash
+	for _, id := range slices.Sorted(maps.Keys(found)) {
+		keys := found[id]
+		contained := false
+		for _, other := range found {
+			contained = contained || len(other) > len(keys) && isSubset(keys, other)
+		}
+		if !contained {
+			largest = append(largest, keys)
+		}
+	}
+	return largest
+}
+
+// setID identifies a set of keys regardless of their order.
+func setID(keys []Hash) string {
+	sorted := slices.SortedFunc(slices.Values(keys), func(a, b Hash) int { return bytes.Compare(a[:], b[:]) })
+	return strings.Join(Strings(sorted), " ")
+}
+
+// compareHashes orders lists of keys.
+func compareHashes(a, b []Hash) int {
+	return slices.CompareFunc(a, b, func(x, y Hash) int { return bytes.Compare(x[:], y[:]) })
+}
+
+// isSubset reports whether all keys are among others.
+func isSubset(keys, others []Hash) bool {
+	return !slices.ContainsFunc(keys, func(key Hash) bool { return !slices.Contains(others, key) })
+}
+
+// countEvents returns the number of crashes, of which those within simultaneousWindow count as one.
+func countEvents(crashes []*crash) (events int) {
+	var last time.Time
+	for _, known := range slices.SortedFunc(slices.Values(crashes), func(a, b *crash) int { return a.at.Compare(b.at) }) {
+		if events == 0 || known.at.Sub(last) >= simultaneousWindow {
+			events++
+			last = known.at
+		}
+	}
+	return events
 }
 
 // candidates returns the suspects of enough crashes that have been suspects for at least
@@ -134,12 +277,18 @@
 	return leading
 }
 
-// verdict returns the Verdict on a suspect.
-func (s *suspect) verdict(h Hash, tied bool) Verdict {
+// verdict returns the Verdict on requests with all of the given keys, of which the suspect's is the
+// first.
+func (s *suspect) verdict(keys []Hash, tied bool) Verdict {
 	crashes := slices.SortedFunc(maps.Values(s.crashes), func(a, b *crash) int {
 		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.engine, b.engine))
 	})
-	v := Verdict{Hash: h, Service: crashes[0].service, First: crashes[0].at, Last: crashes[len(crashes)-1].at}
+	v := Verdict{
+		Hash: keys[0], Shared: s.shared, Service: crashes[0].service, First: crashes[0].at, Last: crashes[len(crashes)-1].at,
+	}
+	if len(keys) > 1 {
+		v.With = slices.Clone(keys[1:])
+	}
 	v.Tied = tied || v.Last.Sub(v.First) < simultaneousWindow
 	for _, known := range crashes {
 		v.Engines = append(v.Engines, known.engine)
@@ -151,34 +300,35 @@
 }
 
 // Explains reports whether one of the held requests was in progress at the crash of an engine.
-func (e *Evidence) Explains(engine string, isHeld func(Hash) bool) bool {
+func (e *Evidence) Explains(engine string, isHeld func(Content) bool) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	known, ok := e.crashes[engine]
 	if !ok {
 		return false
 	}
-	for h := range known.requests {
-		if isHeld(h) {
+	for _, content := range known.contents {
+		if isHeld(content) {
 			return true
 		}
 	}
 	return false
 }
 
-// verdictTime returns when the verdict on a suspect of enough crashes is due, or the zero time
-// for any other request.
-func (e *Evidence) verdictTime(h Hash) time.Time {
+// verdictTime returns when the verdict on a request is due that, or a part of which, is suspected of
+// enough crashes, or the zero time for any other request.
+func (e *Evidence) verdictTime(c Content) (due time.Time) {
 	if !e.hasSuspects.Load() {
 		return time.Time{}
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s, overThreshold := e.overThreshold[h]
-	if !overThreshold {
-		return time.Time{}
+	for key := range c.keys() {
+		if s, overThreshold := e.overThreshold[key]; overThreshold && due.Before(s.since.Add(minSuspectAge)) {
+			due = s.since.Add(minSuspectAge)
+		}
 	}
-	return s.since.Add(minSuspectAge)
+	return due
 }
 
 // hasPending reports whether a verdict is delayed by minSuspectAge, so that daemons that saw its
--- a/quarantine/ways_test.go
+++ b/quarantine/ways_test.go
@@ -238,7 +238,7 @@
 	e.starts++
 	reported := Crash{Engine: inventory.Engine{ID: fmt.Sprint(e.key, "/", e.starts), Service: "llm", Version: "v1"}}
 	for _, one := range interrupted {
-		reported.Requests = append(reported.Requests, one.request.hash)
+		reported.Requests = append(reported.Requests, Content{Request: one.request.hash})
 	}
 	s.reports = append(s.reports, simReport{s.now.Add(simReportDelay), reported})
 	s.outcome.crashed++
@@ -256,7 +256,7 @@
 		}
 		return
 	}
-	if until := s.evidence.verdictTime(r.hash); s.waits && until.After(s.now) {
+	if until := s.evidence.verdictTime(Content{Request: r.hash}); s.waits && until.After(s.now) {
 		s.waiting = append(s.waiting, simWaiting{until, r})
 		return
 	}
--- a/router/chat.go
+++ b/router/chat.go
@@ -27,11 +27,12 @@
 		return f
 	}
 	c.body = body
-	c.hash = hashChat(c)
+	c.content.Request = hashChat(c)
 	c.chat, f = parseChat(body)
 	if f != nil {
 		return f
 	}
+	c.content.Shared = sharedMessages(c.organisation.GetName(), c.chat.fields["messages"])
 	c.chat.prefixHash = prefixHash(c.organisation.GetName(), c.chat.fields["messages"])
 	return nil
 }
--- a/router/launch.go
+++ b/router/launch.go
@@ -52,10 +52,10 @@
 	nonStreaming bool
 	// reported is set once the end has been reported to the balancer.
 	reported bool
-	// engineStart, hash and send identify the engine, the request and the send to the
+	// engineStart, content and send identify the engine, the request and the send to the
 	// quarantine.
 	engineStart inventory.Engine
-	hash        quarantine.Hash
+	content     quarantine.Content
 	send        *quarantine.Send
 }
 
@@ -151,11 +151,11 @@
 // calls for one launch may run concurrently.
 func (r *Router) sendOnce(ctx context.Context, l *launch, d *balance.Decision) (*attempt, *engine.Error) {
 	attemptCtx, cancel := context.WithCancel(ctx)
-	sendCtx, send := r.Quarantine.Sending(attemptCtx, l.call.hash)
+	sendCtx, send := r.Quarantine.Sending(attemptCtx, l.call.content)
 	a := &attempt{
 		engine: d.Engine.GetName(), version: l.version, work: l.work(), cancel: cancel,
 		sentAt: time.Now(), expected: d.ExpectedFirstToken, nonStreaming: !l.call.chat.stream,
-		engineStart: r.engineOf(l, d), hash: l.call.hash, send: send,
+		engineStart: r.engineOf(l, d), content: l.call.content, send: send,
 	}
 	r.Engines.Dispatched(balance.Dispatched{Engine: a.engine, Work: a.work, PrefixHash: l.call.chat.prefixHash, At: a.sentAt})
 	err := r.openStream(sendCtx, l, d, a)
@@ -180,7 +180,7 @@
 func (r *Router) openStream(ctx context.Context, l *launch, d *balance.Decision, a *attempt) *engine.Error {
 	// The request may have been quarantined between the last check and Sending, which
 	// cancels the context only if the request is quarantined afterwards.
-	if r.Quarantine.Held(l.call.hash) && !l.quarantineRetry {
+	if r.Quarantine.Held(l.call.content) && !l.quarantineRetry {
 		return newQuarantinedError(failure.RanNo)
 	}
 	stream, err := r.EngineClient.Open(ctx, engine.Request{
@@ -273,7 +273,7 @@
 	a.reported = true
 	now := time.Now()
 	r.metrics.attempts.WithLabelValues(codeOK).Inc()
-	r.Quarantine.Completed(a.hash, now)
+	r.Quarantine.Completed(a.content, now)
 	tokens := max(events, 1)
 	if u, ok := a.stream.Usage(); ok {
 		tokens = u.CompletionTokens
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"syscall"
@@ -24,22 +25,22 @@
 	CurrentStart(e inventory.Engine) inventory.Engine
 	// Admit reports whether a request may be sent now, after waiting for a pending verdict.
 	// isRetry is set if the request is held and this send uses up one of its retries.
-	Admit(ctx context.Context, h quarantine.Hash) (ok, isRetry bool)
+	Admit(ctx context.Context, c quarantine.Content) (ok, isRetry bool)
 	// Held reports whether a request must not be sent. Refused counts a refusal and returns
 	// the record of the request.
-	Held(h quarantine.Hash) bool
-	Refused(h quarantine.Hash) quarantine.Record
-	// Crashes returns the number of engines that ended while they processed a request, since
-	// the request last completed.
-	Crashes(h quarantine.Hash) int
+	Held(c quarantine.Content) bool
+	Refused(c quarantine.Content) quarantine.Record
+	// Suspicion returns what speaks against a request: engines that ended while they processed it,
+	// or others that have messages in common with it.
+	Suspicion(c quarantine.Content) quarantine.Suspicion
 	// Sending registers a send. The returned context is canceled if the request is quarantined
 	// before the engine begins to answer.
-	Sending(ctx context.Context, h quarantine.Hash) (context.Context, *quarantine.Send)
+	Sending(ctx context.Context, c quarantine.Content) (context.Context, *quarantine.Send)
 	// Completed records that a request completed.
-	Completed(h quarantine.Hash, now time.Time)
+	Completed(c quarantine.Content, now time.Time)
 	// AnswerInterrupted records that an answer broke off. It calls blame once it is known that
 	// no request in quarantine explains this.
-	AnswerInterrupted(e inventory.Engine, h quarantine.Hash, now time.Time, blame func())
+	AnswerInterrupted(e inventory.Engine, c quarantine.Content, now time.Time, blame func())
 	// Wait waits, for a bounded time, until the cause of an engine's broken answer is known.
 	Wait(ctx context.Context, engine string)
 	// ConnectionRefused records that an engine's host refused a connection.
@@ -54,10 +55,24 @@
 	return h.Sum()
 }
 
+// sharedMessages returns the keys for the messages that a chat request may have in common with
+// others: all but the last. It returns nil for a single message or malformed ones.
+func sharedMessages(organisation string, messages json.RawMessage) []quarantine.Hash {
+	var list []json.RawMessage
+	if json.Unmarshal(messages, &list) != nil || len(list) < 2 {
+		return nil
+	}
+	parts := make([]string, len(list)-1)
+	for i := range parts {
+		parts[i] = string(list[i])
+	}
+	return quarantine.SharedKeys("", organisation, parts)
+}
+
 // checkQuarantine returns a failure if the request must not be sent because it crashes
 // engines. It must be called before each send.
 func (r *Router) checkQuarantine(ctx context.Context, l *launch) *failure.Error {
-	ok, isRetry := r.Quarantine.Admit(ctx, l.call.hash)
+	ok, isRetry := r.Quarantine.Admit(ctx, l.call.content)
 	if !ok {
 		return r.quarantineFailure(l)
 	}
@@ -67,8 +82,8 @@
 
 // quarantineFailure logs and returns the refusal of a request that crashes engines.
 func (r *Router) quarantineFailure(l *launch) *failure.Error {
-	record := r.Quarantine.Refused(l.call.hash)
-	withRequestFields(r.Log.Warn(), l.call).Stringer("hash", l.call.hash).EmbedObject(&record).Str("ran", string(l.ran)).Msg("request in quarantine refused")
+	record := r.Quarantine.Refused(l.call.content)
+	withRequestFields(r.Log.Warn(), l.call).Stringer("hash", l.call.content.Request).EmbedObject(&record).Str("ran", string(l.ran)).Msg("request in quarantine refused")
 	return failure.New(failure.CodeQuarantined, l.ran, "the request crashes engines").WithRetryAfter(record.RetryAfter())
 }
 
@@ -83,7 +98,7 @@
 	now := time.Now()
 	switch {
 	case err.Kind == engine.KindBroken:
-		r.Quarantine.AnswerInterrupted(a.engineStart, a.hash, now, func() {})
+		r.Quarantine.AnswerInterrupted(a.engineStart, a.content, now, func() {})
 	case err.Kind == engine.KindUnreachable && errors.Is(err, syscall.ECONNREFUSED):
 		r.Quarantine.ConnectionRefused(a.engineStart.Key(), now)
 	}
--- a/router/race.go
+++ b/router/race.go
@@ -25,7 +25,7 @@
 // answer wins; the other is canceled. Both count as attempts.
 func (r *Router) sendHedged(ctx context.Context, l *launch, first *balance.Decision) (*attempt, *engine.Error) {
 	l.markTried(first.Engine.GetName())
-	if !l.mayHedge() || l.quarantineRetry || r.Quarantine.Crashes(l.call.hash) > 0 {
+	if !l.mayHedge() || l.quarantineRetry || r.Quarantine.Suspicion(l.call.content).Crashes > 0 {
 		return r.sendOnce(ctx, l, first)
 	}
 	start := time.Now()
--- a/router/request.go
+++ b/router/request.go
@@ -46,8 +46,8 @@
 	body           []byte
 	// digest caches the result of bodySHA256. It is nil before the first call.
 	digest *[sha256.Size]byte
-	// hash identifies a chat request across repeats.
-	hash    quarantine.Hash
+	// content identifies a chat request across repeats.
+	content quarantine.Content
 	service *bronzeturnv1.Service
 	chat    chatBody
 	// tried lists the versions that had no capacity for the request.
--- a/router/site_test.go
+++ b/router/site_test.go
@@ -212,9 +212,9 @@
 }
 
 // AnswerInterrupted implements Quarantine.
-func (q *fixtureQuarantine) AnswerInterrupted(e inventory.Engine, h quarantine.Hash, now time.Time, blame func()) {
+func (q *fixtureQuarantine) AnswerInterrupted(e inventory.Engine, c quarantine.Content, now time.Time, blame func()) {
 	q.probeStarted.Store(true)
-	q.Quarantine.AnswerInterrupted(e, h, now, blame)
+	q.Quarantine.AnswerInterrupted(e, c, now, blame)
 }
 
 // configure applies the configuration of the tests after a change.
