gateway: an answer that ends with its connection may have been broken off

An answer may have neither a length nor chunks. A stream that ended within an event was retried, but not taken for a sign that the engine had ended. Such an answer is complete only if its engine still accepts a connection, or if that is unknown, and is evidence for its request only in the first case. A stream that ends within an event, or before the first one, is a lost connection.

--- a/gateway/dispatch_harness_test.go
+++ b/gateway/dispatch_harness_test.go
@@ -86,7 +86,9 @@
 	held atomic.Bool
 }
 
-func (q *heldQuarantine) Held(c quarantine.Content) bool { return q.held.Load() || q.Quarantine.Held(c) }
+func (q *heldQuarantine) Held(c quarantine.Content) bool {
+	return q.held.Load() || q.Quarantine.Held(c)
+}
 
 // bench is a gateway with scripted engines.
 type bench struct {
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -50,7 +50,7 @@
 			continue
 		case errors.Is(err, bufio.ErrBufferFull):
 			return event{}, errEventTooLong
-		case errors.Is(err, io.EOF) && len(e.data) > 0:
+		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.data)) > 0:
 			return event{}, io.ErrUnexpectedEOF
 		case err != nil:
 			return event{}, err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -109,6 +109,9 @@
 	// AnswerInterrupted records that the connection was lost after the request had been sent.
 	// It calls blame once it is known that no request in quarantine explains the loss.
 	AnswerInterrupted(e inventory.Engine, c quarantine.Content, now time.Time, blame func())
+	// Alive reports whether an engine accepts a connection now. known is false if neither that
+	// nor the contrary is certain.
+	Alive(ctx context.Context, e inventory.Engine) (alive, known bool)
 	// Wait waits for a short time until it is known why an engine's connections were lost.
 	Wait(ctx context.Context, engine string)
 	// ConnectionRefused records that an engine's host refused a connection.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -159,7 +159,7 @@
 }
 
 // deliver checks the headers of an answer and passes the answer on to the caller.
-func (g *Gateway) deliver(t *task, to *target, x *attempt.Exchange) *attemptError {
+func (g *Gateway) deliver(ctx context.Context, t *task, to *target, x *attempt.Exchange) *attemptError {
 	receipt := g.Codec.Receipt(x.Status, x.Header)
 	if receipt.Genuine {
 		g.mismatches.recordMatch(t.locationOf(to))
@@ -180,9 +180,9 @@
 	case g.tryEscalate(t, to, receipt.Confidence):
 		return &attemptError{Kind: retry.KindDoubted, Ran: failure.RanYes, Cause: errDoubted}
 	case t.route.Kind == route.Stream:
-		return g.deliverStream(t, to, x)
+		return g.deliverStream(ctx, t, to, x)
 	default:
-		return g.deliverBuffered(t, to, x)
+		return g.deliverBuffered(ctx, t, to, x)
 	}
 }
 
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -40,7 +40,7 @@
 	send.Begun()
 	to.untilClose = x.UntilClose
 	defer func() { _ = x.Close() }() // The answer has been read or is not needed.
-	failed := g.deliver(t, to, x)
+	failed := g.deliver(ctx, t, to, x)
 	if failed != nil {
 		g.reportFailure(ctx, t, to, failed.withQuarantineCause(sending))
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"time"
@@ -28,21 +29,19 @@
 
 // deliverStream forwards complete events as they arrive. The header is sent with the first
 // event, so that until then another engine can take over without the caller noticing.
-func (g *Gateway) deliverStream(t *task, to *target, x *attempt.Exchange) *attemptError {
+func (g *Gateway) deliverStream(ctx context.Context, t *task, to *target, x *attempt.Exchange) *attemptError {
 	s := newEvents(x)
 	got := 0
 	var firstAt time.Time
 	for {
 		e, err := s.next()
 		if errors.Is(err, io.EOF) {
-			g.endRun(t, to)
-			g.reportStreamEnd(t, to, got, firstAt)
-			g.Quarantine.Completed(t.content, time.Now())
-			t.finishStream(x)
-			return nil
+			return g.endStream(ctx, t, to, x, got, firstAt)
 		}
 		if err == nil {
 			err = follows(t.stream.lastID, e)
+		} else if x.UntilClose && errors.Is(err, io.ErrUnexpectedEOF) {
+			err = errBrokenOff // Within an event.
 		}
 		if err != nil {
 			failed := sendError(err)
@@ -61,6 +60,24 @@
 	}
 }
 
+// endStream handles the end of an engine's stream after the given number of events.
+func (g *Gateway) endStream(ctx context.Context, t *task, to *target, x *attempt.Exchange, got int, firstAt time.Time) *attemptError {
+	if x.UntilClose && got == 0 {
+		return sendError(errBrokenOff)
+	}
+	certain, failed := g.checkEnd(ctx, to, x)
+	if failed != nil {
+		return failed
+	}
+	g.endRun(t, to)
+	g.reportStreamEnd(t, to, got, firstAt)
+	if certain {
+		g.Quarantine.Completed(t.content, time.Now())
+	}
+	t.finishStream(x)
+	return nil
+}
+
 // minReportedDelay is the delay of a first event from which on it is reported to the other
 // daemons.
 const minReportedDelay = 350 * time.Millisecond
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -43,16 +44,22 @@
 }
 
 // deliverBuffered reads the complete answer and passes it on.
-func (g *Gateway) deliverBuffered(t *task, to *target, x *attempt.Exchange) *attemptError {
+func (g *Gateway) deliverBuffered(ctx context.Context, t *task, to *target, x *attempt.Exchange) *attemptError {
 	buffered, failed := readBuffered(x)
 	if failed != nil {
 		return failed
 	}
+	certain, failed := g.checkEnd(ctx, to, x)
+	if failed != nil {
+		return failed
+	}
 	latency := time.Since(to.sent)
 	g.endRun(t, to)
 	g.Engines.Finished(g.finished(t, to, g.paceBaselines.ratio(paceKind{t.service, t.model, false}, latency)))
 	g.Introductions.Observe(t.service, t.route.Name, to.engine.Version, false, latency)
-	g.Quarantine.Completed(t.content, time.Now())
+	if certain {
+		g.Quarantine.Completed(t.content, time.Now())
+	}
 	t.request.trace.first = t.elapsed()
 	if f := buffered.deliver(t.answer); f != nil {
 		t.answer.fail(f)
