quarantine: runs that a daemon ended just before a crash are evidence

A draft whose small model is doubted is cut after some milliseconds and sent to another engine. In the incident a draft with the part that crashes engines was cut after 5 ms, and the engine ended some 40 ms later: the run was not counted as interrupted, so that the crash had no culprit, and the next engine got it. Runs that a daemon ended itself within a second before the first sign of a crash now count as interrupted, at both edges, unless the request has completed since. TestCancelledRunsBeforeACrashAreReported has no counterpart before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -109,6 +109,8 @@
 	// AnswerInterrupted records that the connection was lost after the request had been sent.
 	// It calls blame once it is known that no request in quarantine explains the loss.
 	AnswerInterrupted(e inventory.Engine, c quarantine.Content, now time.Time, blame func())
+	// AnswerCancelled records that the daemon ended a run of the request itself.
+	AnswerCancelled(e inventory.Engine, c quarantine.Content, now time.Time)
 	// Alive reports whether an engine accepts a connection now. known is false if neither that
 	// nor the contrary is certain.
 	Alive(ctx context.Context, e inventory.Engine) (alive, known bool)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -137,7 +137,7 @@
 // introduction of the version.
 func (g *Gateway) reportFailure(ctx context.Context, t *task, to *target, e *attemptError) {
 	now := time.Now()
-	g.reportToQuarantine(to, e, now)
+	g.reportToQuarantine(t, to, e, now)
 	silent := e.Kind == retry.KindCancelled && silentUntilDeadline(ctx, t, to)
 	if !silent && (e.Kind == retry.KindCancelled || e.Kind == retry.KindDoubted) {
 		g.Engines.Finished(balance.Finished{Engine: to.engine.Key(), Work: to.work, FirstTokenSeen: to.firstSeen, Cancelled: true, At: now})
@@ -160,9 +160,12 @@
 	blame()
 }
 
-// reportToQuarantine reports failures that indicate that the engine has ended.
-func (g *Gateway) reportToQuarantine(to *target, e *attemptError, now time.Time) {
+// reportToQuarantine reports failures that indicate that the engine has ended, or after which it may
+// yet end because of the request.
+func (g *Gateway) reportToQuarantine(t *task, to *target, e *attemptError, now time.Time) {
 	switch {
+	case e.Kind == retry.KindDoubted, e.Kind == retry.KindSilent, e.Kind == retry.KindCancelled && e.Ran != failure.RanNo:
+		g.Quarantine.AnswerCancelled(to.engine, t.content, now)
 	case e.Kind == retry.KindMisdirected:
 		g.Quarantine.Replaced(to.engine.Key(), now)
 	case e.Kind == retry.KindConnect && errors.Is(e.Cause, syscall.ECONNREFUSED):
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -20,6 +20,9 @@
 	// still be found to have crashed then. It is about the time until the registration of the
 	// engine's next start is known.
 	crashDetectionWindow = 5 * time.Second
+	// cancelledWindow is the time after a daemon ended a run itself within which a crash of its
+	// engine may still be due to it.
+	cancelledWindow = time.Second
 	// engineStateTTL is how long the state of an engine is kept, for answers that are
 	// interrupted later than others.
 	engineStateTTL = time.Minute
@@ -82,15 +85,18 @@
 	states map[string]*engineState
 }
 
-// engineState is the state of an engine with interrupted answers.
+// engineState is the state of an engine with interrupted answers or cancelled runs.
 type engineState struct {
 	engine inventory.Engine
 	// requests are the interrupted requests that have not been reported yet, with the times of
 	// their interruption.
 	requests map[Hash]interruption
-	first    time.Time
-	last     time.Time
-	probing  bool
+	// cancelled are the requests whose runs this daemon has ended within cancelledWindow.
+	cancelled map[Hash]interruption
+	// first and last are the times of the first and the last interruption, used that of the last
+	// change.
+	first, last, used time.Time
+	probing           bool
 	// lastProbe is when the last probe ended.
 	lastProbe time.Time
 	// countFailures count the interrupted answers as failures of the engine's version. They are
@@ -123,7 +129,7 @@
 	defer d.mu.Unlock()
 	s := d.stateOf(e, now)
 	s.requests[c.Request] = interruption{c, now}
-	s.last = now
+	s.interrupted(now)
 	s.countFailures = append(s.countFailures, countFailure)
 	s.reopen()
 	if s.cause != "" {
@@ -136,6 +142,16 @@
 	}
 }
 
+// AnswerCancelled records that this daemon ended the run of a request itself. The engine may
+// already have begun with what makes it crash.
+func (d *Detector) AnswerCancelled(e inventory.Engine, c Content, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.stateOf(e, now)
+	maps.DeleteFunc(s.cancelled, func(_ Hash, one interruption) bool { return now.Sub(one.at) > cancelledWindow })
+	s.cancelled[c.Request] = interruption{c, now}
+}
+
 // Refused records that a new connection was refused. That alone does not show a crash, as the
 // engine may have been shut down.
 func (d *Detector) Refused(engine string, now time.Time) { d.recordCrash(engine, CauseRefused, now) }
@@ -166,40 +182,64 @@
 // PeerReported records that another daemon detected the crash of an engine.
 func (d *Detector) PeerReported(e inventory.Engine, now time.Time) {
 	d.mu.Lock()
-	s := d.stateOf(e, now)
-	s.last = now
+	d.stateOf(e, now).interrupted(now)
 	d.mu.Unlock()
 	d.recordCrash(e.Key(), CauseReported, now)
 }
 
-// recordCrash records the crash of an engine that has recently interrupted answers.
+// recordCrash records the crash of an engine that has recently interrupted answers, or at which
+// runs were cancelled just before.
 func (d *Detector) recordCrash(engine string, cause Cause, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.states[engine]
-	if s == nil || s.cause != "" || now.Sub(s.last) > crashDetectionWindow {
+	if s == nil || s.cause != "" {
 		return
 	}
-	s.cause = cause
 	maps.DeleteFunc(s.requests, func(_ Hash, one interruption) bool { return now.Sub(one.at) > crashDetectionWindow })
+	crashed := now // At the latest.
+	for _, one := range s.requests {
+		if one.at.Before(crashed) {
+			crashed = one.at
+		}
+	}
+	maps.DeleteFunc(s.cancelled, func(_ Hash, one interruption) bool { return crashed.Sub(one.at) > cancelledWindow })
+	if now.Sub(s.last) > crashDetectionWindow && len(s.cancelled) == 0 {
+		return
+	}
+	s.cause = cause
+	maps.Copy(s.requests, s.cancelled)
+	clear(s.cancelled)
 	d.scheduleReport(s)
 }
 
+// interrupted records the time of an interruption.
+func (s *engineState) interrupted(now time.Time) {
+	if s.last.IsZero() {
+		s.first = now
+	}
+	s.last = now
+}
+
 // stateOf returns the state of an engine, which it creates if there is none. The caller holds
 // mu.
 func (d *Detector) stateOf(e inventory.Engine, now time.Time) *engineState {
 	s := d.states[e.Key()]
 	if s == nil {
 		d.evict(now)
-		s = &engineState{engine: e, requests: make(map[Hash]interruption), first: now, decided: make(chan struct{})}
+		s = &engineState{
+			engine: e, requests: make(map[Hash]interruption), cancelled: make(map[Hash]interruption), first: now,
+			decided: make(chan struct{}),
+		}
 		d.states[e.Key()] = s
 	}
+	s.used = now
 	return s
 }
 
 // evict drops expired states, and arbitrary ones if there are too many. The caller holds mu.
 func (d *Detector) evict(now time.Time) {
-	maps.DeleteFunc(d.states, func(_ string, s *engineState) bool { return now.Sub(s.last) > engineStateTTL })
+	maps.DeleteFunc(d.states, func(_ string, s *engineState) bool { return now.Sub(s.used) > engineStateTTL })
 	for key := range d.states {
 		if len(d.states) < maxEngineStates {
 			return
--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -159,3 +159,51 @@
 		qt.New(t).Check(dials <= 2*(10_000/650+2), qt.IsTrue, qt.Commentf("%d", dials))
 	})
 }
+
+// TestCancelledRunsBeforeACrashAreReported guards against leaving out the request that crashed an
+// engine because the daemon had ended its run, in order to ask a larger model, just before.
+func TestCancelledRunsBeforeACrashAreReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d, crashes := newTestDetector(refused)
+		d.AnswerCancelled(engineA, Content{Request: Hash{3}}, time.Now())
+		time.Sleep(cancelledWindow)
+		d.AnswerCancelled(engineA, Content{Request: one}, time.Now())
+		time.Sleep(40 * time.Millisecond)
+		d.AnswerInterrupted(engineA, Content{Request: two}, time.Now(), ignoreFailure)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		c.Assert(*crashes, qt.HasLen, 1)
+		c.Check((*crashes)[0].Requests, qt.DeepEquals, wholes(one, two))
+
+		// Without interrupted answers, the crash shows by the next connection.
+		d, crashes = newTestDetector(refused)
+		d.AnswerCancelled(engineA, Content{Request: one}, time.Now())
+		time.Sleep(100 * time.Millisecond)
+		d.Refused("a", time.Now())
+		time.Sleep(time.Second)
+		synctest.Wait()
+		c.Assert(*crashes, qt.HasLen, 1)
+		c.Check((*crashes)[0].Requests, qt.DeepEquals, wholes(one))
+	})
+}
+
+// TestEngineThatIsShutDownAfterCancelledRunsHasNotCrashed guards against taking an engine that was
+// shut down for one that crashed, because runs at it were cancelled some time before.
+func TestEngineThatIsShutDownAfterCancelledRunsHasNotCrashed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d, crashes := newTestDetector(refused)
+		for range 1000 {
+			d.AnswerCancelled(engineA, Content{Request: one}, time.Now())
+			d.AnswerCancelled(engineA, Content{Request: two}, time.Now())
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(cancelledWindow + time.Millisecond)
+		d.Refused("a", time.Now())
+		d.Replaced("a", time.Now())
+		time.Sleep(time.Second)
+		synctest.Wait()
+		c.Check(*crashes, qt.HasLen, 0)
+	})
+}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -178,6 +178,13 @@
 	return ok && good.at.After(at.Add(-harmlessWindow))
 }
 
+// CompletedSince reports whether a request with a key completed after the given time.
+func (e *Evidence) CompletedSince(key Hash, at time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.completed[key].at.After(at)
+}
+
 // CompletionAge returns how long ago a request with a key last completed, as far as is known.
 func (e *Evidence) CompletionAge(key Hash, now time.Time) time.Duration {
 	e.mu.Lock()
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -208,6 +208,12 @@
 	q.detector.AnswerInterrupted(e, c, now, countFailure)
 }
 
+// AnswerCancelled records that this daemon ended the run of a request itself, for example to ask a
+// larger model.
+func (q *Quarantine) AnswerCancelled(e inventory.Engine, c Content, now time.Time) {
+	q.detector.AnswerCancelled(e, c, now)
+}
+
 // Alive reports whether an engine accepts a connection now. known is false if neither that nor the
 // contrary is certain.
 func (q *Quarantine) Alive(ctx context.Context, e inventory.Engine) (alive, known bool) {
@@ -252,6 +258,8 @@
 		q.Starts.RecordCrash(crash.Engine, now)
 	}
 	q.metrics.ended.Inc()
+	// Most of the runs that this daemon had ended itself have completed elsewhere.
+	crash.Requests = slices.DeleteFunc(crash.Requests, func(c Content) bool { return q.evidence.CompletedSince(c.Request, now.Add(-harmlessWindow)) })
 	q.announceHarmless(q.evidence.Add(crash, now)...)
 	q.mu.Lock()
 	q.pendingReport.Engines = append(q.pendingReport.Engines, encodeCrash(crash))
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -41,6 +41,8 @@
 	// AnswerInterrupted records that an answer broke off. It calls blame once it is known that
 	// no request in quarantine explains this.
 	AnswerInterrupted(e inventory.Engine, c quarantine.Content, now time.Time, blame func())
+	// AnswerCancelled records that the daemon ended a run of the request itself.
+	AnswerCancelled(e inventory.Engine, c quarantine.Content, now time.Time)
 	// Wait waits, for a bounded time, until the cause of an engine's broken answer is known.
 	Wait(ctx context.Context, engine string)
 	// ConnectionRefused records that an engine's host refused a connection.
@@ -93,10 +95,12 @@
 }
 
 // reportToQuarantine reports a failed attempt to the quarantine if the cause may be that the
-// engine ended.
+// engine ended, or if it may yet end because of the request.
 func (r *Router) reportToQuarantine(a *attempt, err *engine.Error) {
 	now := time.Now()
 	switch {
+	case err.Kind == engine.KindSilent, err.Kind == engine.KindCanceled && err.Ran != failure.RanNo:
+		r.Quarantine.AnswerCancelled(a.engineStart, a.content, now)
 	case err.Kind == engine.KindBroken:
 		r.Quarantine.AnswerInterrupted(a.engineStart, a.content, now, func() {})
 	case err.Kind == engine.KindUnreachable && errors.Is(err, syscall.ECONNREFUSED):
