soak: prompt parts that crash engines, answers that end with their connections

Causes of crashes are in turn one request and a part of the prompts of different ones; every third engine answers without a length or chunks.

--- a/e2e/promptcrash_test.go
+++ b/e2e/promptcrash_test.go
@@ -59,7 +59,7 @@
 
 // newPromptCrashFleet starts n daemons and llm engines that crash under crashPart. The answers of
 // the smaller model are doubted.
-func newPromptCrashFleet(t *testing.T, n, llm int, faults emulator.EngineFaults) *entryFleet {
+func newPromptCrashFleet(t *testing.T, n, llm int, untilClose bool) *entryFleet {
 	f := newEntryFleet(t, 0, 2, 0, defaultBounds)
 	t.Cleanup(f.record.Close)
 	config := emulator.Config(2)
@@ -68,15 +68,14 @@
 	config.Routes = append(config.Routes, sized)
 	_, err := f.store.Put("config", "main", config)
 	f.c.Assert(err, qt.IsNil)
-	faults.Confidence = map[string]int{"m0": 5, "m1": 95}
 	for i := range llm {
 		e := f.startEngine(t, emulator.EngineSpec{
 			ID: fmt.Sprintf("llm-%d", i), Service: "llm", Zone: zoneOf(i), Version: "v1", Slots: 32, Events: 20, EventGap: 20 * time.Millisecond,
-			Crashes: emulator.CrashSpec{
+			UntilClose: untilClose, Crashes: emulator.CrashSpec{
 				PromptPart: crashPart, Delay: 40 * time.Millisecond, RestartAfter: 1500 * time.Millisecond, DeregisterAfter: 2 * time.Second,
 			},
 		})
-		e.SetFaults(faults)
+		e.SetFaults(emulator.EngineFaults{Confidence: map[string]int{"m0": 5, "m1": 95}})
 	}
 	f.addDaemons(n)
 	return f
@@ -135,9 +134,9 @@
 
 // checkPromptPartBounds sends requests that have only the part that crashes engines in common,
 // beside sound ones, and checks the bounds.
-func checkPromptPartBounds(t *testing.T, faults emulator.EngineFaults) {
+func checkPromptPartBounds(t *testing.T, untilClose bool) {
 	c := qt.New(t)
-	f := newPromptCrashFleet(t, 4, 9, faults)
+	f := newPromptCrashFleet(t, 4, 9, untilClose)
 	stop := make(chan struct{})
 	sound := &firstTries{}
 	background := f.sendAtRate(60, soundPrompt, stop, sound.add)
@@ -170,11 +169,11 @@
 // but for a part of their prompts that crashes every engine that writes an answer on it. In an
 // incident 72 engines ended in half a minute, and half of the requests to the service failed.
 func TestPromptPartThatCrashesEnginesIsQuarantined(t *testing.T) {
-	checkPromptPartBounds(t, emulator.EngineFaults{})
+	checkPromptPartBounds(t, false)
 }
 
 // TestPromptPartIsQuarantinedIfAnswersEndWithTheirConnections guards against taking the end of an
 // engine for the end of an answer: such an answer looks complete, and would clear the part.
 func TestPromptPartIsQuarantinedIfAnswersEndWithTheirConnections(t *testing.T) {
-	checkPromptPartBounds(t, emulator.EngineFaults{UntilClose: true})
+	checkPromptPartBounds(t, true)
 }
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -123,6 +123,7 @@
 	req.Header.Set("Authorization", "Bearer "+emulator.Key)
 	if strings.HasPrefix(target, "/stream") {
 		req.Header.Set(emulator.TokensHeader, "100,100")
+		req.Header.Set(emulator.PromptHeader, commonPart+":100,"+id+":10")
 	}
 	return req, nil
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -60,8 +60,8 @@
 	nextID        int
 	// brittleSince maps the services with brittle engines to the time of the last such fault.
 	brittleSince map[string]time.Time
-	// crashBodies are the bodies of the requests that crash engines.
-	crashBodies []string
+	// crashCauses are the causes of crashes that were sent so far.
+	crashCauses []crashCause
 }
 
 // daemon is a daemon process under test.
@@ -161,12 +161,17 @@
 	return r.waitReady()
 }
 
+// untilCloseEvery is the number of engines of which one answers without a length or chunks.
+const untilCloseEvery = 3
+
 // addEngine starts an engine of a service, which is cold for the given time.
 func (r *run) addEngine(service string, cold time.Duration) error {
 	r.nextID++
 	spec := emulator.EngineSpec{
 		ID: fmt.Sprintf("%s-%d", service, r.nextID), Service: service, Zone: fmt.Sprintf("hall-%d", r.nextID%3), Version: "v1", Slots: 16, ColdFor: cold,
 	}
+	// Some answers have neither a length nor chunks.
+	spec.UntilClose = r.nextID%untilCloseEvery == 0
 	if service == "desk" && r.hasLoadPhase() {
 		spec.Slots, spec.Queue, spec.Work = loadSlots, loadQueue, loadWork
 	}
