quarantine: a rare part is not common because few requests are in progress

A part is common only if crashes interrupted more than two requests with it each; then five crashes are needed, not all within 100 ms. Suspicion regards a request as explained by itself only if a verdict is on it.

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -12,9 +12,11 @@
 	// CrashThreshold is the number of engine crashes after which a request that was in progress at
 	// all of them is put into quarantine.
 	CrashThreshold = 3
-	// wideThreshold is the number of crashes, one after the other, that a verdict on a part of
-	// prompts needs if more than one in narrowShare of the requests interrupted by them had it.
+	// wideThreshold is the number of crashes that a verdict on a common part of prompts needs. A
+	// part is common if crashes interrupted more than narrowCount requests with it each, on average,
+	// and more than one in narrowShare of the requests that they interrupted had it.
 	wideThreshold = 5
+	narrowCount   = 2
 	narrowShare   = 4
 	// minSharedSuspicion is the number of crashes from which on a part of prompts makes a request
 	// suspect. Each crash interrupts many requests, and most of their parts are harmless.
@@ -55,6 +57,8 @@
 	overThreshold map[Hash]*suspect
 	// completed are the keys of requests that completed, here or as reported by other daemons.
 	completed map[Hash]completion
+	// convictions are the verdicts of the last evaluation that are not tied.
+	convictions []Verdict
 	// count is the total number of keys of the requests of all crashes.
 	count int
 }
@@ -65,7 +69,7 @@
 	at                       time.Time
 	// contents are the interrupted requests by their hashes.
 	contents map[Hash]Content
-	// explained is set if a verdict on other requests than those that are asked about explains it.
+	// explained is set if one of the convictions explains it.
 	explained bool
 }
 
@@ -89,8 +93,6 @@
 	since time.Time
 	// shared is set if different requests may have the key.
 	shared bool
-	// convicted is set if the last evaluation gave a verdict on it that is not tied.
-	convicted bool
 }
 
 // completion is the last completion of a request with a key.
@@ -333,7 +335,7 @@
 	}
 }
 
-// Suspicion is what the crashes that no verdict explains say against a request.
+// Suspicion is what crashes say against a request, except those that verdicts on others explain.
 type Suspicion struct {
 	// Crashes is their number at which the request, or one that shares a part with it, was in
 	// progress.
@@ -349,12 +351,13 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	convicted := slices.ContainsFunc(e.convictions, func(v Verdict) bool { return v.covers(c) })
 	for key := range c.keys() {
 		s, ok := e.suspects[key]
 		if !ok {
 			continue
 		}
-		crashes := s.unexplained()
+		crashes := slices.DeleteFunc(slices.Collect(maps.Values(s.crashes)), func(known *crash) bool { return known.explained && !convicted })
 		if s.shared && (len(crashes) < minSharedSuspicion || !isNarrow(crashes, []Hash{key})) {
 			continue
 		}
@@ -365,18 +368,8 @@
 	return worst
 }
 
-// unexplained returns the crashes of a suspect that no verdict on others explains.
-func (s *suspect) unexplained() (list []*crash) {
-	for _, known := range s.crashes {
-		if s.convicted || !known.explained {
-			list = append(list, known)
-		}
-	}
-	return list
-}
-
-// isNarrow reports whether only a small share of the requests that crashes interrupted had all of
-// the given keys.
+// isNarrow reports whether only few of the requests that crashes interrupted had all of the given
+// keys.
 func isNarrow(crashes []*crash, keys []Hash) bool {
 	having, all := 0, 0
 	for _, known := range crashes {
@@ -387,7 +380,7 @@
 			}
 		}
 	}
-	return having*narrowShare <= all
+	return having <= narrowCount*len(crashes) || having*narrowShare <= all
 }
 
 // Crashes returns the number of crashes that a request is suspected of.
--- a/quarantine/shared_test.go
+++ b/quarantine/shared_test.go
@@ -138,7 +138,7 @@
 	addPromptCrash(e, "e2", at(0.4), prompt("a", "system", "bad"), prompt("c"), prompt("c"), prompt("c"), prompt("c"))
 	c.Check(covered(e, at(1), sound), qt.IsFalse)
 	c.Check(e.Suspicion(sound), qt.Equals, Suspicion{})
-	c.Check(e.Suspicion(prompt("a", "bad")).Crashes, qt.Equals, 3) // Its retries are sent to one engine.
+	c.Check(e.Suspicion(prompt("a", "system", "bad")).Crashes, qt.Equals, 3) // Its retries are sent to one engine.
 }
 
 // TestForgettingAPartForgetsItsOtherKeys guards against requests that are held again by the same
@@ -345,3 +345,20 @@
 		f.c.Check(reports <= 30, qt.IsTrue, qt.Commentf("%d reports for 10 crashes, each seen by two daemons", reports))
 	})
 }
+
+// TestRarePartIsHeldWhenFewRequestsAreInProgress guards against sparing a part because half of the
+// few interrupted requests had it. Attempts of one request follow each other within milliseconds.
+func TestRarePartIsHeldWhenFewRequestsAreInProgress(t *testing.T) {
+	c := qt.New(t)
+	e := NewEvidence()
+	complete(e, at(0), prompt("a", "system"))
+	one, two := prompt("a", "system", "bad"), prompt("a", "system", "bad")
+	for i, crash := range []struct {
+		at      float64
+		request Content
+	}{{1.362, one}, {1.400, one}, {1.440, one}, {1.609, two}, {1.650, two}} {
+		addPromptCrash(e, fmt.Sprint("e", i), at(crash.at), crash.request, prompt("a", "system"))
+	}
+	c.Check(covered(e, at(1.7), prompt("a", "system", "bad")), qt.IsTrue)
+	c.Check(covered(e, at(1.7), prompt("a", "system")), qt.IsFalse)
+}
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -33,9 +33,6 @@
 // covers reports whether the verdict is on a request.
 func (v *Verdict) covers(c Content) bool { return c.has(v.Hash) && c.hasAll(v.With) }
 
-// keys returns all keys that the verdict is on.
-func (v *Verdict) keys() []Hash { return append([]Hash{v.Hash}, v.With...) }
-
 // Evaluate returns the verdicts on requests that crash engines, in the order of their hashes.
 //
 // A key gets a verdict by the crashes that no other key explains better: the key whose requests were
@@ -53,9 +50,6 @@
 	for _, known := range e.crashes {
 		known.explained = false
 	}
-	for _, s := range e.overThreshold {
-		s.convicted = false
-	}
 	candidates := e.candidates(now)
 	explained := make(map[string]bool)
 	var verdicts []Verdict
@@ -78,26 +72,22 @@
 			delete(candidates, h)
 		}
 	}
-	e.markExplained(verdicts)
+	e.convict(verdicts)
 	slices.SortFunc(verdicts, func(a, b Verdict) int { return bytes.Compare(a.Hash[:], b.Hash[:]) })
 	return verdicts
 }
 
-// markExplained records which crashes and suspects the verdicts that are not tied are about. The
-// caller holds mu.
-func (e *Evidence) markExplained(verdicts []Verdict) {
+// convict records the verdicts that are not tied, and which crashes they explain. The caller holds mu.
+func (e *Evidence) convict(verdicts []Verdict) {
+	e.convictions = nil
 	for _, v := range verdicts {
 		if v.Tied {
 			continue
 		}
+		e.convictions = append(e.convictions, v)
 		for _, engine := range v.Engines {
 			e.crashes[engine].explained = true
 		}
-		for _, key := range v.keys() {
-			if s, ok := e.suspects[key]; ok {
-				s.convicted = true
-			}
-		}
 	}
 }
 
@@ -171,7 +161,7 @@
 	sets := largestSets(g)
 	for _, keys := range sets {
 		s := e.suspects[keys[0]]
-		if s.shared && !isNarrow(g.crashes, keys) && countEvents(g.crashes) < wideThreshold {
+		if s.shared && !isNarrow(g.crashes, keys) && (len(g.crashes) < wideThreshold || duration(g.crashes) < simultaneousWindow) {
 			continue // The engines may as well have crashed for another reason.
 		}
 		if !s.shared {
@@ -232,16 +222,18 @@
 	return !slices.ContainsFunc(keys, func(key Hash) bool { return !slices.Contains(others, key) })
 }
 
-// countEvents returns the number of crashes, of which those within simultaneousWindow count as one.
-func countEvents(crashes []*crash) (events int) {
-	var last time.Time
-	for _, known := range slices.SortedFunc(slices.Values(crashes), func(a, b *crash) int { return a.at.Compare(b.at) }) {
-		if events == 0 || known.at.Sub(last) >= simultaneousWindow {
-			events++
+// duration returns the time from the first to the last crash.
+func duration(crashes []*crash) time.Duration {
+	first, last := crashes[0].at, crashes[0].at
+	for _, known := range crashes {
+		if known.at.Before(first) {
+			first = known.at
+		}
+		if known.at.After(last) {
 			last = known.at
 		}
 	}
-	return events
+	return last.Sub(first)
 }
 
 // candidates returns the suspects of enough crashes that have been suspects for at least
