entry: a session in progress when an order comes stays on its version, under whatever order it began

Callers of a session got two versions: its request began while one order was in progress and outlasted it, the next order came, and the session's next request was moved to the version of that one. Sessions were remembered when a request began outside any order, by the time of its beginning, and when one began in the first 1.5 s of an order; a request that began under the order before was neither. Daemons now know which sessions have requests in progress and when the last one ended, pin them when an order comes, and pin a session whose request ran on the previous version during the trial. Requests without a session are no longer remembered: nothing can follow them. TestSessionsBeforeAnOrderArePinned called Choose, which no longer remembers; it is replaced by cases for requests in progress, ended, never run and lapsed, each with and without an earlier order. The chat edge settles conversations by a claim in the store and is not concerned.

--- a/canary/sessions.go
+++ b/canary/sessions.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -23,13 +24,16 @@
 	reportDuration = 1500 * time.Millisecond
 )
 
-// Sessions remembers on which version each session of one service last ran, until the session
-// lapses. A request after that belongs to a new session. It is safe for concurrent use.
+// Sessions remembers the sessions of one service that are in progress, and on which version each
+// last ran, until the session lapses. A request after that belongs to a new session. It is safe for
+// concurrent use.
 type Sessions struct {
 	lapse time.Duration
 
 	mu   sync.Mutex
 	last map[uint64]lastRun
+	// active is the number of requests in progress of each session.
+	active map[uint64]int
 	// sweepAt is the number of sessions at which lapsed ones are dropped, lastSweep the last
 	// time that this was done.
 	sweepAt   int
@@ -56,7 +60,24 @@
 
 // NewSessions returns an empty Sessions. Sessions lapse after the given time without a request.
 func NewSessions(lapse time.Duration) *Sessions {
-	return &Sessions{lapse: lapse, last: make(map[uint64]lastRun), sweepAt: minSweepSize}
+	return &Sessions{lapse: lapse, last: make(map[uint64]lastRun), active: make(map[uint64]int), sweepAt: minSweepSize}
+}
+
+// Began records that a request of the session is in progress. Each call must be followed by one of
+// Ended.
+func (s *Sessions) Began(session uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active[session]++
+}
+
+// Ended records that a request of the session is no longer in progress.
+func (s *Sessions) Ended(session uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.active[session]--; s.active[session] <= 0 {
+		delete(s.active, session)
+	}
 }
 
 // Ran records that a request of the session ran on a version and when it ended.
@@ -66,6 +87,20 @@
 	s.record(session, lastRun{version: version, ended: ended})
 }
 
+// Recent returns the sessions with requests in progress, or whose last run ended less than a time
+// ago.
+func (s *Sessions) Recent(within time.Duration, now time.Time) []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := slices.Collect(maps.Keys(s.active))
+	for session, run := range s.last {
+		if _, active := s.active[session]; !active && now.Sub(run.ended) < within {
+			found = append(found, session)
+		}
+	}
+	return found
+}
+
 // RanElsewhere records that the session ran on a version that has stopped, as reported by
 // another daemon. This daemon's own runs are reported back to it with slightly different times.
 func (s *Sessions) RanElsewhere(session uint64, ended time.Time) {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -136,16 +137,68 @@
 	c.Check(trial, qt.Equals, 1)
 }
 
+// TestSessionsBeforeAnOrderArePinned guards against moving a session that is in progress when an order
+// comes, whether or not an earlier order was in progress when its last request began.
 func TestSessionsBeforeAnOrderArePinned(t *testing.T) {
-	c := qt.New(t)
+	earlier := order
+	earlier.ID, earlier.Target = order.ID-1, "v1"
+	for _, test := range []struct {
+		name   string
+		run    func(i *introductions, session uint64)
+		pinned bool
+	}{
+		{"request in progress", func(i *introductions, session uint64) { i.Began("s", session) }, true},
+		{"request that ended", func(i *introductions, session uint64) {
+			i.Began("s", session)
+			i.Ran("s", session, "v1", time.Now())
+			i.Ended("s", session)
+		}, true},
+		{"request that never ran", func(i *introductions, session uint64) {
+			i.Began("s", session)
+			i.Ended("s", session)
+		}, false},
+		{"session that lapsed", func(i *introductions, session uint64) {
+			i.Ran("s", session, "v1", time.Now().Add(-i.daemon.Settings.Introductions.SessionGap))
+		}, false},
+	} {
+		for _, follows := range []bool{false, true} {
+			t.Run(fmt.Sprint(test.name, ", after another order: ", follows), func(t *testing.T) {
+				i := newTestIntroductions(engineOf("a", "v1"))
+				session := uint64(0)
+				for !i.daemon.Settings.Introductions.InTrial(session) {
+					session++
+				}
+				if follows {
+					i.applyOrder(earlier, canary.Running, 7)
+				}
+				test.run(i, session)
+				if follows {
+					i.applyOrder(earlier, canary.Done, 8)
+				}
+				i.applyOrder(order, canary.Running, 9)
+				moved := i.byService["s"].Choose(session, time.Now().Add(4*time.Second))
+				qt.Check(t, moved, qt.Equals, !test.pinned)
+			})
+		}
+	}
+}
+
+// TestSessionThatStayedIsPinned guards against moving a session during the trial after a request of
+// it has run on the previous version, as no engine of the new one was available, or has ended
+// late.
+func TestSessionThatStayedIsPinned(t *testing.T) {
 	i := newTestIntroductions(engineOf("a", "v1"))
 	session := uint64(0)
 	for !i.daemon.Settings.Introductions.InTrial(session) {
 		session++
 	}
-	i.Choose("s", session, time.Now())
 	i.applyOrder(order, canary.Running, 8)
-	c.Check(i.byService["s"].Choose(session, time.Now().Add(4*time.Second)), qt.IsFalse)
+	later := time.Now().Add(4 * time.Second)
+	qt.Check(t, i.byService["s"].Choose(session, later), qt.IsTrue)
+	i.Ran("s", session, "v2", later)
+	qt.Check(t, i.byService["s"].Choose(session, later), qt.IsTrue)
+	i.Ran("s", session, "v1", later)
+	qt.Check(t, i.byService["s"].Choose(session, later), qt.IsFalse)
 }
 
 // TestCountsOfOtherDaemonsLeadToAVerdict checks that a daemon judges a version by the answers that
--- a/entry/introductions.go
+++ b/entry/introductions.go
@@ -31,10 +31,8 @@
 	// retired holds the versions of each service that earlier orders have ended. Their engines
 	// stop gradually, and must not count as the base version of the next order.
 	retired map[string]map[string]struct{}
-	// recent holds the recent sessions of each service that a trial would move to the new
-	// version, with the time of their last request.
-	recent map[string]map[uint64]time.Time
-	// sessions records the version that the sessions of each service last ran on.
+	// sessions records the sessions of each service in progress and the versions that they last
+	// ran on.
 	sessions map[string]*canary.Sessions
 	// waiting is set if an engine waits for an order.
 	waiting bool
@@ -64,7 +62,7 @@
 func newIntroductions(d *Daemon) *introductions {
 	i := &introductions{
 		daemon: d, byService: make(map[string]*introduction),
-		versions: make(map[string]map[string]time.Time), recent: make(map[string]map[uint64]time.Time),
+		versions: make(map[string]map[string]time.Time),
 		retired:  make(map[string]map[string]struct{}),
 		sessions: make(map[string]*canary.Sessions),
 		ranks:    make(map[string]int),
@@ -110,11 +108,7 @@
 		}
 		i.byService[order.Service] = intro
 		i.rankEngines(view)
-		for session, at := range i.recent[order.Service] {
-			if now.Sub(at) < i.daemon.Settings.Introductions.SessionGap {
-				intro.Pin(session)
-			}
-		}
+		i.pinRecentSessions(intro, now)
 		i.daemon.log.Info().Str("service", order.Service).Str("target", order.Target).Uint64("order", order.ID).
 			Dur("duration_ms", order.Duration).Stringer("state", state).Msg("introduction ordered")
 	}
@@ -350,39 +344,13 @@
 func (i *introductions) Choose(service string, session uint64, now time.Time) (trial bool) {
 	i.mu.Lock()
 	intro := i.byService[service]
-	running := intro != nil && intro.State() < canary.Done
-	if !running && i.daemon.Settings.Introductions.InTrial(session) {
-		i.recordSession(service, session, now)
-	}
 	i.mu.Unlock()
-	if !running {
+	if intro == nil || intro.State() >= canary.Done {
 		return false
 	}
 	return intro.Choose(session, now)
 }
 
-// maxRecentSessions is the maximum number of recent sessions that are recorded for each service.
-const maxRecentSessions = 4096
-
-// recordSession records a request of a session. The caller must hold mu.
-func (i *introductions) recordSession(service string, session uint64, now time.Time) {
-	sessions := i.recent[service]
-	if sessions == nil {
-		sessions = make(map[uint64]time.Time)
-		i.recent[service] = sessions
-	}
-	if len(sessions) >= maxRecentSessions {
-		for s, at := range sessions {
-			if now.Sub(at) > i.daemon.Settings.Introductions.SessionGap {
-				delete(sessions, s)
-			}
-		}
-	}
-	if len(sessions) < maxRecentSessions {
-		sessions[session] = now
-	}
-}
-
 // Observe implements gateway.Introductions.
 func (i *introductions) Observe(service, route, version string, bad bool, latency time.Duration) {
 	if intro, trial := i.observedBy(service, version); intro != nil {
--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -10,6 +10,11 @@
 func (i *introductions) sessionsOf(service string) *canary.Sessions {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	return i.sessionsLocked(service)
+}
+
+// sessionsLocked is sessionsOf for callers that hold mu.
+func (i *introductions) sessionsLocked(service string) *canary.Sessions {
 	s := i.sessions[service]
 	if s == nil {
 		s = canary.NewSessions(i.daemon.Settings.Introductions.SessionLapse)
@@ -18,9 +23,33 @@
 	return s
 }
 
-// Ran implements gateway.Introductions.
+// pinRecentSessions pins the sessions that are in progress when an order comes to the versions before
+// it. Their requests may have begun under an earlier order, and may outlast the time in which the
+// new one moves no sessions. The caller holds mu.
+func (i *introductions) pinRecentSessions(intro *introduction, now time.Time) {
+	options := i.daemon.Settings.Introductions
+	for _, session := range i.sessionsLocked(intro.Order().Service).Recent(options.SessionGap, now) {
+		if options.InTrial(session) {
+			intro.Pin(session)
+		}
+	}
+}
+
+// Began implements gateway.Introductions.
+func (i *introductions) Began(service string, session uint64) { i.sessionsOf(service).Began(session) }
+
+// Ended implements gateway.Introductions.
+func (i *introductions) Ended(service string, session uint64) { i.sessionsOf(service).Ended(session) }
+
+// Ran implements gateway.Introductions. A session that ran on another version than the one being
+// introduced stays there during the trial, also if it is in progress only because no engine of the
+// new version was available.
 func (i *introductions) Ran(service string, session uint64, version string, now time.Time) {
 	i.sessionsOf(service).Ran(session, version, now)
+	intro := i.get(service)
+	if intro != nil && intro.State() < canary.Done && version != intro.Order().Target && i.daemon.Settings.Introductions.InTrial(session) {
+		intro.Pin(session)
+	}
 }
 
 // Lapses implements gateway.Introductions.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,11 @@
 	Observe(service, route, version string, bad bool, latency time.Duration)
 	// ObservePace records the mean time between two events of a stream.
 	ObservePace(service, route, version string, pace time.Duration)
+	// Began records that a request of the session is in progress. Each call is followed by one
+	// of Ended.
+	Began(service string, session uint64)
+	// Ended records that a request of the session is no longer in progress.
+	Ended(service string, session uint64)
 	// Ran records that a request of the session has run on a version and ended.
 	Ran(service string, session uint64, version string, now time.Time)
 	// Lapses returns the time at which the session expires if it last ran on a version that
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -113,6 +113,10 @@
 	if f := g.refuseStoppedVersion(ctx, t); f != nil {
 		return f
 	}
+	if t.meta.Session != "" {
+		g.Introductions.Began(t.service, t.session)
+		defer g.Introductions.Ended(t.service, t.session)
+	}
 	g.chooseModel(t)
 	t.prefixHomes = g.countHomes(t)
 	for {
