--- a/e2e/crashing_test.go
+++ b/e2e/crashing_test.go
@@ -57,9 +57,15 @@
 }
 
 func (l *harmlessLoad) run(f *entryFleet, perSecond int, stop <-chan struct{}) *sync.WaitGroup {
+	return sendEvery(time.Second/time.Duration(perSecond), stop, func(n int) { l.sendOne(f, n) })
+}
+
+// sendEvery calls send in a goroutine of its own at each interval until stop is closed, with the number
+// of calls before.
+func sendEvery(interval time.Duration, stop <-chan struct{}, send func(n int)) *sync.WaitGroup {
 	var all sync.WaitGroup
 	all.Go(func() {
-		ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+		ticker := time.NewTicker(interval)
 		defer ticker.Stop()
 		for n := 0; ; n++ {
 			select {
@@ -67,7 +73,7 @@
 				return
 			case <-ticker.C:
 			}
-			all.Go(func() { l.sendOne(f, n) })
+			all.Go(func() { send(n) })
 		}
 	})
 	return &all
@@ -107,20 +113,7 @@
 
 // sendRepeatedly sends a request to all daemons in turn until stop is closed, whatever they answer.
 func (f *entryFleet) sendRepeatedly(body string, every time.Duration, stop <-chan struct{}) *sync.WaitGroup {
-	var all sync.WaitGroup
-	all.Go(func() {
-		ticker := time.NewTicker(every)
-		defer ticker.Stop()
-		for n := 0; ; n++ {
-			select {
-			case <-stop:
-				return
-			case <-ticker.C:
-			}
-			all.Go(func() { f.postStreamBody(n%len(f.daemons), body) })
-		}
-	})
-	return &all
+	return sendEvery(every, stop, func(n int) { f.postStreamBody(n%len(f.daemons), body) })
 }
 
 // lateArrivals counts how often a request reached engines later than detectionDelay after it
--- a/e2e/promptcrash_test.go
+++ b/e2e/promptcrash_test.go
@@ -83,23 +83,10 @@
 
 // sendAtRate sends requests to the daemons in turn until stop is closed, and calls done for each.
 func (f *entryFleet) sendAtRate(perSecond int, request func(n int) promptRequest, stop <-chan struct{}, done func(sent time.Time, r entryReply)) *sync.WaitGroup {
-	var all sync.WaitGroup
-	all.Go(func() {
-		ticker := time.NewTicker(time.Second / time.Duration(perSecond))
-		defer ticker.Stop()
-		for n := 0; ; n++ {
-			select {
-			case <-stop:
-				return
-			case <-ticker.C:
-			}
-			all.Go(func() {
-				sent := time.Now()
-				done(sent, f.postPrompt(n%len(f.daemons), request(n)))
-			})
-		}
+	return sendEvery(time.Second/time.Duration(perSecond), stop, func(n int) {
+		sent := time.Now()
+		done(sent, f.postPrompt(n%len(f.daemons), request(n)))
 	})
-	return &all
 }
 
 // firstTries counts the requests that were served, each sent once.
--- a/quarantine/shared_test.go
+++ b/quarantine/shared_test.go
@@ -362,3 +362,21 @@
 	c.Check(covered(e, at(1.7), prompt("a", "system", "bad")), qt.IsTrue)
 	c.Check(covered(e, at(1.7), prompt("a", "system")), qt.IsFalse)
 }
+
+// TestSeveralPartsAtOnce guards against missing one of two parts that crash engines at the same time, one
+// of them in the first place of the prompts, and against holding what requests with either share.
+func TestSeveralPartsAtOnce(t *testing.T) {
+	c := qt.New(t)
+	e := NewEvidence()
+	complete(e, at(0), prompt("a", "system", "x", "y"))
+	for i := range 2 * CrashThreshold {
+		crashing := prompt("a", "bad0", "x")
+		if i%2 == 1 {
+			crashing = prompt("a", "system", "y", "bad1")
+		}
+		addPromptCrash(e, fmt.Sprint("e", i), at(1+float64(i)/5), crashing, prompt("a", "system", "x"), prompt("a", "system", "y"))
+	}
+	c.Check(covered(e, at(3), prompt("a", "bad0")), qt.IsTrue)
+	c.Check(covered(e, at(3), prompt("a", "system", "bad1")), qt.IsTrue)
+	c.Check(covered(e, at(3), prompt("a", "system", "x", "y")), qt.IsFalse)
+}
