--- a/e2e/crashing_test.go
+++ b/e2e/crashing_test.go
@@ -31,7 +31,7 @@
 
 // crashSpec makes engines exit on requests with such bodies, and restart one second later.
 var crashSpec = emulator.CrashSpec{
-	BodyPrefix: crashBodyPrefix, Delay: 30 * time.Millisecond, RestartAfter: time.Second, DeregisterAfter: 1500 * time.Millisecond,
+	BodyPrefix: crashBodyPrefix, PromptPart: crashPart, Delay: 30 * time.Millisecond, RestartAfter: time.Second, DeregisterAfter: 1500 * time.Millisecond,
 }
 
 // newCrashFleet starts n daemons and llm engines that crash according to crashSpec.
@@ -164,8 +164,8 @@
 	c.Check(failed*100 <= served, qt.IsTrue, qt.Commentf("%d other requests served, %d not", served, failed))
 }
 
-// TestQuarantineSurvivesStoreOutagesAndRestartsOfAllDaemons sends four requests that crash engines.
-// The store refuses all calls while they are put into quarantine, one daemon is restarted
+// TestQuarantineSurvivesStoreOutagesAndRestartsOfAllDaemons sends four requests that crash engines, and
+// others that share a part of their prompts that does. The store refuses all calls while they are put into quarantine, one daemon is restarted
 // meanwhile, and all daemons later.
 func TestQuarantineSurvivesStoreOutagesAndRestartsOfAllDaemons(t *testing.T) {
 	c := qt.New(t)
@@ -180,6 +180,7 @@
 	for _, body := range bodies {
 		repeating = append(repeating, f.sendRepeatedly(body, 300*time.Millisecond, stop))
 	}
+	repeating = append(repeating, f.sendAtRate(3, promptWithCrashPart, stop, func(time.Time, entryReply) {}))
 	time.Sleep(time.Second)
 	f.restart(0)
 	time.Sleep(2 * time.Second)
@@ -207,6 +208,9 @@
 		t.Logf("%s: %d engines crashed, %d late arrivals", body, crashed, late)
 		c.Check(late <= maxLateArrivals, qt.IsTrue, qt.Commentf("%s: %d late arrivals at engines", body, late))
 	}
+	partCrashes, latePart := f.latePartArrivals()
+	t.Logf("part: %d engines crashed, %d late arrivals", partCrashes, latePart)
+	c.Check(latePart <= maxLateArrivals, qt.IsTrue, qt.Commentf("%d late arrivals of requests with the part", latePart))
 	served, failed := harmless.countSince(from)
 	t.Logf("after the restart of all daemons: %d other requests served, %d not", served, failed)
 	c.Check(failed*100 <= served, qt.IsTrue, qt.Commentf("%d other requests served, %d not", served, failed))
--- a/e2e/promptcrash_test.go
+++ b/e2e/promptcrash_test.go
@@ -119,6 +119,25 @@
 	return within(l.served) / max(within(l.sent), 1)
 }
 
+// latePartArrivals counts the engines that crashed under crashPart, and how often requests with it
+// reached engines later than detectionDelay after it had crashed maxPartCrashes of them.
+func (f *entryFleet) latePartArrivals() (crashes, late int) {
+	var times []time.Time
+	for _, crash := range f.record.Crashes() {
+		if emulator.HasSharedPart(crash.Prompt, crashPart) {
+			times = append(times, crash.At)
+		}
+	}
+	if len(times) < maxPartCrashes {
+		return len(times), 0
+	}
+	after := times[maxPartCrashes-1].Add(detectionDelay)
+	arrivals := f.record.Arrivals(func(a emulator.Arrival) bool {
+		return emulator.HasSharedPart(a.Prompt, crashPart) && a.At.After(after)
+	})
+	return len(times), len(arrivals)
+}
+
 // checkPromptPartBounds sends requests that have only the part that crashes engines in common,
 // beside sound ones, and checks the bounds.
 func checkPromptPartBounds(t *testing.T, untilClose bool) {
@@ -137,18 +156,12 @@
 	background.Wait()
 	to := time.Now()
 
-	crashes := f.record.Crashes()
-	c.Assert(len(crashes) > 0, qt.IsTrue)
-	detected := crashes[min(maxPartCrashes, len(crashes))-1].At
-	late := f.record.Arrivals(func(a emulator.Arrival) bool {
-		return emulator.HasSharedPart(a.Prompt, crashPart) && a.At.After(detected.Add(detectionDelay))
-	})
-	if len(crashes) < maxPartCrashes {
-		late = nil
-	}
+	crashes, late := f.latePartArrivals()
+	c.Assert(crashes > 0, qt.IsTrue)
+	detected := f.record.Crashes()[min(maxPartCrashes, crashes)-1].At
 	before, after := sound.share(began, from), sound.share(detected.Add(recoveryDelay), to)
-	t.Logf("%d engines crashed, %d late arrivals; sound requests served at their first attempt: %.3f before, %.3f after", len(crashes), len(late), before, after)
-	c.Check(len(late) <= maxLateArrivals, qt.IsTrue, qt.Commentf("%d late arrivals at engines", len(late)))
+	t.Logf("%d engines crashed, %d late arrivals; sound requests served at their first attempt: %.3f before, %.3f after", crashes, late, before, after)
+	c.Check(late <= maxLateArrivals, qt.IsTrue, qt.Commentf("%d late arrivals at engines", late))
 	c.Check(after >= minServedShare*before, qt.IsTrue, qt.Commentf("served at the first attempt: %.3f before, %.3f after", before, after))
 }
 
