--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -95,13 +95,6 @@
 	shared bool
 }
 
-// completion is the last completion of a request with a key.
-type completion struct {
-	at time.Time
-	// told is when all daemons last learned of it, the zero time if they have not.
-	told time.Time
-}
-
 // NewEvidence returns an empty Evidence.
 func NewEvidence() *Evidence {
 	return &Evidence{crashes: make(map[string]*crash), suspects: make(map[Hash]*suspect), overThreshold: make(map[Hash]*suspect), completed: make(map[Hash]completion)}
@@ -148,18 +141,6 @@
 	return harmless
 }
 
-// appendUntold appends a key that is harmless unless this has been announced lately. The caller
-// holds mu.
-func (e *Evidence) appendUntold(list []Hash, key Hash, now time.Time) []Hash {
-	good := e.completed[key]
-	if !good.told.IsZero() && now.Sub(good.told) < toldInterval {
-		return list
-	}
-	good.told = now
-	e.completed[key] = good
-	return append(list, key)
-}
-
 // addSuspect records that a request with a key was in progress at a crash. The caller holds mu.
 func (e *Evidence) addSuspect(key Hash, shared bool, known *crash, now time.Time) {
 	s := e.suspects[key]
@@ -173,69 +154,6 @@
 	}
 }
 
-// recentlyCompleted reports whether a request with a key completed within harmlessWindow before the
-// given time, or after it. The caller holds mu.
-func (e *Evidence) recentlyCompleted(key Hash, at time.Time) bool {
-	good, ok := e.completed[key]
-	return ok && good.at.After(at.Add(-harmlessWindow))
-}
-
-// CompletedSince reports whether a request with a key completed after the given time.
-func (e *Evidence) CompletedSince(key Hash, at time.Time) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.completed[key].at.After(at)
-}
-
-// CompletionAge returns how long ago a request with a key last completed, as far as is known.
-func (e *Evidence) CompletionAge(key Hash, now time.Time) time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return now.Sub(e.completed[key].at)
-}
-
-// Completed records that a request with a key completed here. It returns the number of crashes that
-// the key was suspected of.
-func (e *Evidence) Completed(key Hash, now time.Time) (crashes int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.recordCompletion(key, completion{at: now, told: e.completed[key].told})
-}
-
-// CompletedByPeer records that a request with a key completed at another daemon at the given time,
-// as all daemons have learned now.
-func (e *Evidence) CompletedByPeer(key Hash, at, now time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	good := e.completed[key]
-	if at.After(good.at) {
-		good.at = at
-	}
-	good.told = now
-	e.recordCompletion(key, good)
-}
-
-// recordCompletion records that a request with a key completed. The caller holds mu.
-func (e *Evidence) recordCompletion(key Hash, good completion) (crashes int) {
-	if len(e.completed) >= maxCompleted {
-		e.evictCompleted(good.at)
-	}
-	e.completed[key] = good
-	return e.removeSuspect(key)
-}
-
-// evictCompleted makes room for completed requests: it drops expired ones, and arbitrary others
-// until a quarter of the table is free. The caller holds mu.
-func (e *Evidence) evictCompleted(now time.Time) {
-	maps.DeleteFunc(e.completed, func(_ Hash, good completion) bool { return now.Sub(good.at) > harmlessWindow })
-	for key := range e.completed {
-		if len(e.completed) <= maxCompleted*3/4 {
-			return
-		}
-		delete(e.completed, key)
-	}
-}
-
 // Forget discards all evidence against the requests with a key.
 func (e *Evidence) Forget(key Hash) {
 	e.mu.Lock()
@@ -335,54 +253,6 @@
 	}
 }
 
-// Suspicion is what crashes say against a request, except those that verdicts on others explain.
-type Suspicion struct {
-	// Crashes is their number at which the request, or one that shares a part with it, was in
-	// progress.
-	Crashes int
-	// Key is what these requests have in common.
-	Key Hash
-}
-
-// Suspicion returns what speaks against a request, the zero value if nothing does.
-func (e *Evidence) Suspicion(c Content) (worst Suspicion) {
-	if !e.hasSuspects.Load() {
-		return Suspicion{}
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	convicted := slices.ContainsFunc(e.convictions, func(v Verdict) bool { return v.covers(c) })
-	for key := range c.keys() {
-		s, ok := e.suspects[key]
-		if !ok {
-			continue
-		}
-		crashes := slices.DeleteFunc(slices.Collect(maps.Values(s.crashes)), func(known *crash) bool { return known.explained && !convicted })
-		if s.shared && (len(crashes) < minSharedSuspicion || !isNarrow(crashes, []Hash{key})) {
-			continue
-		}
-		if len(crashes) > worst.Crashes {
-			worst = Suspicion{Crashes: len(crashes), Key: key}
-		}
-	}
-	return worst
-}
-
-// isNarrow reports whether only few of the requests that crashes interrupted had all of the given
-// keys.
-func isNarrow(crashes []*crash, keys []Hash) bool {
-	having, all := 0, 0
-	for _, known := range crashes {
-		all += len(known.contents)
-		for _, content := range known.contents {
-			if content.hasAll(keys) {
-				having++
-			}
-		}
-	}
-	return having <= narrowCount*len(crashes) || having*narrowShare <= all
-}
-
 // Crashes returns the number of crashes that a request is suspected of.
 func (e *Evidence) Crashes(h Hash) int {
 	if !e.hasSuspects.Load() {
