canary: sessions in progress on a version that has stopped are reported while they last

By the lines, a request of a session ran on v2 from 24.29 to 27.90 s, across the end of one order and the beginning of the next; the session's next request came to another daemon 40 ms later and was served on v3, the version before the new one. Sessions of a stopped version are refused until they lapse, but the news of them was sent only once their request had ended, some 0.1 s too late. Daemons now tell of them from the end of the order on, as long as the request runs.

--- a/canary/sessions.go
+++ b/canary/sessions.go
@@ -32,14 +32,21 @@
 
 	mu   sync.Mutex
 	last map[uint64]lastRun
-	// active is the number of requests in progress of each session.
-	active map[uint64]int
+	// active are the sessions with requests in progress.
+	active map[uint64]activeSession
 	// sweepAt is the number of sessions at which lapsed ones are dropped, lastSweep the last
 	// time that this was done.
 	sweepAt   int
 	lastSweep time.Time
 }
 
+// activeSession is a session with requests in progress.
+type activeSession struct {
+	requests int
+	// version is what the last of them runs on, "" if it has not been sent yet.
+	version string
+}
+
 // lastRun is the last run of a session.
 type lastRun struct {
 	// version is empty for a run that another daemon reported. Only runs on versions that have
@@ -54,13 +61,13 @@
 type StoppedSession struct {
 	Session uint64
 	// Ended is when the run ended, relative to the time of the order. It is negative for runs
-	// that ended before the order.
+	// that ended before the order. A run in progress ends at the time of the report.
 	Ended time.Duration
 }
 
 // NewSessions returns an empty Sessions. Sessions lapse after the given time without a request.
 func NewSessions(lapse time.Duration) *Sessions {
-	return &Sessions{lapse: lapse, last: make(map[uint64]lastRun), active: make(map[uint64]int), sweepAt: minSweepSize}
+	return &Sessions{lapse: lapse, last: make(map[uint64]lastRun), active: make(map[uint64]activeSession), sweepAt: minSweepSize}
 }
 
 // Began records that a request of the session is in progress. Each call must be followed by one of
@@ -68,16 +75,31 @@
 func (s *Sessions) Began(session uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.active[session]++
+	a := s.active[session]
+	a.requests++
+	s.active[session] = a
+}
+
+// Running records the version that a request in progress of the session is sent to.
+func (s *Sessions) Running(session uint64, version string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a, ok := s.active[session]; ok {
+		a.version = version
+		s.active[session] = a
+	}
 }
 
 // Ended records that a request of the session is no longer in progress.
 func (s *Sessions) Ended(session uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.active[session]--; s.active[session] <= 0 {
+	a := s.active[session]
+	if a.requests--; a.requests <= 0 {
 		delete(s.active, session)
+		return
 	}
+	s.active[session] = a
 }
 
 // Ran records that a request of the session ran on a version and when it ended.
@@ -127,11 +149,14 @@
 	}
 }
 
-// Lapses returns when the session lapses if it last ran on a version that has stopped, and the
-// zero time for any other session.
+// Lapses returns when the session lapses if it runs or last ran on a version that has stopped, and
+// the zero time for any other session.
 func (s *Sessions) Lapses(session uint64, stopped func(version string) bool, now time.Time) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if a := s.active[session]; a.version != "" && stopped(a.version) {
+		return now.Add(s.lapse)
+	}
 	run, ok := s.last[session]
 	if !ok || now.Sub(run.ended) >= s.lapse || run.version != "" && !stopped(run.version) {
 		return time.Time{}
@@ -139,15 +164,21 @@
 	return run.ended.Add(s.lapse)
 }
 
-// Stopped returns the sessions to report to the other daemons. Those last ran on this daemon,
-// on versions that have stopped, and have not lapsed. The times are relative to that of an
-// order.
+// Stopped returns the sessions to report to the other daemons. Those run or last ran on this
+// daemon, on versions that have stopped, and have not lapsed. Sessions with a request in progress are
+// reported until it ends, since the next one may come to another daemon at once. The times are
+// relative to that of an order.
 func (s *Sessions) Stopped(stopped func(version string) bool, ordered, now time.Time) []StoppedSession {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var found []StoppedSession
+	for session, a := range s.active {
+		if a.version != "" && stopped(a.version) {
+			found = append(found, StoppedSession{Session: session, Ended: now.Sub(ordered)})
+		}
+	}
 	for session, run := range s.last {
-		if run.version == "" || now.Sub(run.ended) >= s.lapse || !stopped(run.version) {
+		if s.active[session].version != "" || run.version == "" || now.Sub(run.ended) >= s.lapse || !stopped(run.version) {
 			continue
 		}
 		if run.firstReported.IsZero() {
--- a/canary/sessions_test.go
+++ b/canary/sessions_test.go
@@ -68,3 +68,28 @@
 	}
 	c.Check(len(s.last), qt.Equals, maxSessions)
 }
+
+// TestSessionInProgressOnAStoppedVersionIsReported guards against news of a session that comes to the
+// other daemons only after its request has ended, when its next one may have been served already.
+func TestSessionInProgressOnAStoppedVersionIsReported(t *testing.T) {
+	c := qt.New(t)
+	s, other, now := NewSessions(testLapse), NewSessions(testLapse), time.Unix(1000, 0)
+	for session, version := range map[uint64]string{1: "v1", 2: "v2", 3: ""} {
+		s.Began(session)
+		s.Running(session, version)
+	}
+	later := now.Add(2 * reportDuration)
+	for _, at := range []time.Time{now, later} {
+		stopped := s.Stopped(stoppedV1, now, at)
+		c.Check(stopped, qt.DeepEquals, []StoppedSession{{Session: 1, Ended: at.Sub(now)}})
+		other.RanElsewhere(1, now.Add(stopped[0].Ended))
+		c.Check(other.Lapses(1, stoppedV1, at), qt.Equals, at.Add(testLapse))
+	}
+	c.Check(s.Lapses(1, stoppedV1, later), qt.Equals, later.Add(testLapse))
+	c.Check(s.Lapses(2, stoppedV1, later).IsZero(), qt.IsTrue)
+	s.Ran(1, "v1", later)
+	s.Ended(1)
+	c.Check(s.Stopped(stoppedV1, now, later), qt.HasLen, 1)
+	c.Check(s.Stopped(stoppedV1, now, later.Add(reportDuration)), qt.HasLen, 0)
+	c.Check(s.active, qt.HasLen, 2)
+}
--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -38,6 +38,11 @@
 // Began implements gateway.Introductions.
 func (i *introductions) Began(service string, session uint64) { i.sessionsOf(service).Began(session) }
 
+// Running implements gateway.Introductions.
+func (i *introductions) Running(service string, session uint64, version string) {
+	i.sessionsOf(service).Running(session, version)
+}
+
 // Ended implements gateway.Introductions.
 func (i *introductions) Ended(service string, session uint64) { i.sessionsOf(service).Ended(session) }
 
--- a/gateway/dispatch_harness_test.go
+++ b/gateway/dispatch_harness_test.go
@@ -72,6 +72,7 @@
 func (noIntroductions) Observe(_, _, _ string, _ bool, _ time.Duration)    {}
 func (noIntroductions) ObservePace(_, _, _ string, _ time.Duration)        {}
 func (noIntroductions) Began(string, uint64)                               {}
+func (noIntroductions) Running(string, uint64, string)                     {}
 func (noIntroductions) Ended(string, uint64)                               {}
 func (noIntroductions) Ran(string, uint64, string, time.Time)              {}
 func (noIntroductions) Lapses(string, uint64, time.Time) (lapse time.Time) { return }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,6 +83,8 @@
 	// Began records that a request of the session is in progress. Each call is followed by one
 	// of Ended.
 	Began(service string, session uint64)
+	// Running records the version that a request in progress of the session is sent to.
+	Running(service string, session uint64, version string)
 	// Ended records that a request of the session is no longer in progress.
 	Ended(service string, session uint64)
 	// Ran records that a request of the session has run on a version and ended.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -20,6 +20,9 @@
 	t.request.trace.attempts++
 	t.request.trace.engines = append(t.request.trace.engines, to.engine.Key())
 	t.request.trace.trial, t.request.trace.version = t.trial, to.engine.Version
+	if t.meta.Session != "" {
+		g.Introductions.Running(t.service, t.session, to.engine.Version)
+	}
 	to.sent = time.Now()
 	g.Limits.Sent(to.engine.Key(), t.request.trace.attempts > 1)
 	g.Engines.Dispatched(balance.Dispatched{Engine: to.engine.Key(), Work: to.work, PrefixHash: t.prefixHash, At: to.sent})
