--- a/router/crashing_test.go
+++ b/router/crashing_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"encoding/json"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -32,3 +33,19 @@
 		qt.New(t).Check(ended.Load() <= most, qt.IsTrue, qt.Commentf("%d engines ended under %d requests", ended.Load(), repeats))
 	})
 }
+
+func TestElementsBeforeLast(t *testing.T) {
+	c := qt.New(t)
+	for array, want := range map[string][]string{
+		`[]`: nil, `null`: nil, `{"a":1,"b":2}`: nil, `["one"]`: nil,
+		`[ {"role":"system","content":"a, b]"} , {"content":"\"c\\\"],["},{"content":["x",{"y":"z"}]}, {}]`: {
+			`{"role":"system","content":"a, b]"}`, `{"content":"\"c\\\"],["}`, `{"content":["x",{"y":"z"}]}`,
+		},
+	} {
+		c.Check(elementsBeforeLast(json.RawMessage(array)), qt.DeepEquals, want, qt.Commentf(array))
+		var all []json.RawMessage
+		if json.Unmarshal([]byte(array), &all) == nil && len(all) > 0 {
+			c.Check(elementsBeforeLast(json.RawMessage(array)), qt.HasLen, len(all)-1)
+		}
+	}
+}
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -58,19 +59,45 @@
 }
 
 // sharedMessages returns the keys for the messages that a chat request may have in common with
-// others: all but the last. It returns nil for a single message or malformed ones.
+// others: all but the last. messages is valid JSON. It returns nil unless it is a list of several.
 func sharedMessages(organisation string, messages json.RawMessage) []quarantine.Hash {
-	var list []json.RawMessage
-	if json.Unmarshal(messages, &list) != nil || len(list) < 2 {
+	parts := elementsBeforeLast(messages)
+	if len(parts) == 0 {
 		return nil
 	}
-	parts := make([]string, len(list)-1)
-	for i := range parts {
-		parts[i] = string(list[i])
-	}
 	return quarantine.SharedKeys("", organisation, parts)
 }
 
+// elementsBeforeLast returns the elements of a JSON array but the last. It allocates nothing for a
+// single element, which most requests have.
+func elementsBeforeLast(array json.RawMessage) (elements []string) {
+	if !bytes.HasPrefix(bytes.TrimSpace(array), []byte("[")) {
+		return nil
+	}
+	depth, start, inString, escaped := 0, 0, false, false
+	for i, c := range array {
+		switch {
+		case escaped:
+			escaped = false
+		case inString:
+			escaped, inString = c == '\\', c != '"'
+		case c == '"':
+			inString = true
+		case c == '[' || c == '{':
+			depth++
+			if depth == 1 {
+				start = i + 1
+			}
+		case c == ']' || c == '}':
+			depth--
+		case c == ',' && depth == 1:
+			elements = append(elements, string(bytes.TrimSpace(array[start:i])))
+			start = i + 1
+		}
+	}
+	return elements
+}
+
 // checkQuarantine returns a failure if the request must not be sent because it crashes
 // engines. It must be called before each send.
 func (r *Router) checkQuarantine(ctx context.Context, l *launch) *failure.Error {
