--- a/quarantine/completions.go
+++ b/quarantine/completions.go
@@ -31,11 +31,12 @@
 	return ok && good.at.After(at.Add(-harmlessWindow))
 }
 
-// CompletedSince reports whether a request with a key completed after the given time.
-func (e *Evidence) CompletedSince(key Hash, at time.Time) bool {
+// RecentlyCompleted reports whether a request with a key counts as harmless at a crash at the given
+// time.
+func (e *Evidence) RecentlyCompleted(key Hash, at time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.completed[key].at.After(at)
+	return e.recentlyCompleted(key, at)
 }
 
 // CompletionAge returns how long ago a request with a key last completed, as far as is known.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -259,7 +259,7 @@
 	}
 	q.metrics.ended.Inc()
 	// Most of the runs that this daemon had ended itself have completed elsewhere.
-	crash.Requests = slices.DeleteFunc(crash.Requests, func(c Content) bool { return q.evidence.CompletedSince(c.Request, now.Add(-harmlessWindow)) })
+	crash.Requests = slices.DeleteFunc(crash.Requests, func(c Content) bool { return q.evidence.RecentlyCompleted(c.Request, now) })
 	q.announceHarmless(q.evidence.Add(crash, now)...)
 	q.mu.Lock()
 	q.pendingReport.Engines = append(q.pendingReport.Engines, encodeCrash(crash))
