ledger: a claim that the preferred writer has not read does not count as not run

What callers saw: of nine requests with one idempotency key, sent while the store got no CPU time for 3 s, three were answered "the first request with this key did not run; send it again" while it ran and the others got its answer.

Cause: while the preferred writer does not answer, another daemon writes the claim itself. Once the preferred writer is asked again, 2 s later, its state in memory may lack that claim, and lookups that do not refresh may miss recent entries, as lookup says. WaitForClaim took the missing entry for a request that did not run.

Ruled out: a claim that was abandoned or completed as not run; each of these answers some caller with another failure, and all nine answers are known.

Now an entry that is missing, or says that the request did not run, is believed only after the writer has read the log to its end. Test: TestWaitSeesClaimsOfAnotherWriter, failed before.

--- a/ledger/claim.go
+++ b/ledger/claim.go
@@ -283,12 +283,15 @@
 	poll := waitPollMin
 	for {
 		entry, lookupErr := l.lookup(ctx, ClassClaim, fp, poll == waitPollMax)
+		if lookupErr == nil && !claimed(entry) && poll != waitPollMax {
+			// A writer that did not write the claim itself may not have read it yet.
+			entry, lookupErr = l.lookup(ctx, ClassClaim, fp, true)
+		}
 		if lookupErr == nil {
-			c := entry.GetClaim()
-			if c == nil || stateOf(c.State) == StateNotRun {
+			if !claimed(entry) {
 				return ClaimResult{}, false, nil
 			}
-			result, ok = claimResult(entry, c), true
+			result, ok = claimResult(entry, entry.GetClaim()), true
 			if result.State != StateRunning {
 				return result, true, nil
 			}
@@ -306,3 +309,9 @@
 		poll = min(2*poll, waitPollMax)
 	}
 }
+
+// claimed reports whether the entry is a claim whose request runs or may have run.
+func claimed(entry *bronzeturnv1.LedgerEntry) bool {
+	c := entry.GetClaim()
+	return c != nil && stateOf(c.State) != StateNotRun
+}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -98,6 +98,32 @@
 	})
 }
 
+// TestWaitSeesClaimsOfAnotherWriter guards against answers that a request did not run, although
+// it runs, when the preferred writer was unreachable and has not read what another daemon wrote.
+func TestWaitSeesClaimsOfAnotherWriter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.stop()
+		a, b := c.start(t, "a", oneShard), c.start(t, "b", oneShard)
+		c.setOwner(func(string, string) string { return "a" })
+		_, err := a.Claim(t.Context(), claimRequest("before", "body")) // loads the shard
+		qt.Assert(t, err, qt.IsNil)
+		c.setCall(func(string, string) linkFault { return linkFault{cut: true} })
+		first, err := b.Claim(t.Context(), claimRequest("k", "body"))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, first.First, qt.IsTrue)
+		c.setCall(nil)
+		time.Sleep(ownerRetryDelay + time.Millisecond)
+
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		waited, ok, err := b.WaitForClaim(ctx, "org", "k")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, waited.State, qt.Equals, StateRunning)
+	})
+}
+
 func TestNotRunFreesTheKey(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster()
