canary: the end of a session in progress counts when it follows a report of its progress

What callers saw: a session changed its version during the next order (PINNED), 40 to 120 ms before it would have counted as lapsed.

Cause: a session in progress on a stopped version is reported as ended at the time of the report. The report of its actual end, less than 200 ms later, was taken for an echo of the daemon's own run and ignored, so the session counted as lapsed up to 200 ms early. Echoes concern only sessions whose last run was on this daemon; the others' reports now always move the end forward.

Test: TestEndOfASessionInProgressIsNotIgnored, failed before.

--- a/canary/sessions.go
+++ b/canary/sessions.go
@@ -128,7 +128,7 @@
 func (s *Sessions) RanElsewhere(session uint64, ended time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if known, ok := s.last[session]; ok && ended.Sub(known.ended) < maxRunTimeSkew {
+	if known, ok := s.last[session]; ok && known.version != "" && ended.Sub(known.ended) < maxRunTimeSkew {
 		return
 	}
 	s.record(session, lastRun{ended: ended})
--- a/canary/sessions_test.go
+++ b/canary/sessions_test.go
@@ -93,3 +93,14 @@
 	c.Check(s.Stopped(stoppedV1, now, later.Add(reportDuration)), qt.HasLen, 0)
 	c.Check(s.active, qt.HasLen, 2)
 }
+
+// TestEndOfASessionInProgressIsNotIgnored guards against sessions that count as lapsed too early: a
+// request is reported while it runs, and its end may follow within the skew of the daemons' times.
+func TestEndOfASessionInProgressIsNotIgnored(t *testing.T) {
+	c := qt.New(t)
+	other, now := NewSessions(testLapse), time.Unix(1000, 0)
+	ended := now.Add(maxRunTimeSkew - time.Millisecond)
+	other.RanElsewhere(1, now)
+	other.RanElsewhere(1, ended)
+	c.Check(other.Lapses(1, stoppedV1, ended), qt.Equals, ended.Add(testLapse))
+}
