tally: stopped sessions pass the fleet while one order follows another

Cause: daemons tell each other of such sessions over the tree of tallies, and sums are made of reports of one order only. When the next order came while the news was on its way, it was dropped at each daemon that knew of that order; it was sent again only while its daemon still reported it, 1.5 s in all.

Now sums also take up the stopped sessions of reports of other orders, with times moved to the own order's. For that the age of a sum goes on while it is kept. Counts are still those of one order.

--- a/tally/report.go
+++ b/tally/report.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 )
@@ -33,12 +34,18 @@
 }
 
 // addReports adds up those of the reports that are of the first one's introduction. Counts are
-// added and sessions united. The earliest start and any decision to roll back hold for all.
+// added and sessions united. The earliest start and any decision to roll back hold for all. Of
+// reports of other introductions, it adds the stopped sessions: when the next order comes, some
+// daemons learn of it before others, and the sessions outlast the order that stopped their version.
 func addReports(first *Report, others ...*Report) *Report {
 	total := &Report{Order: first.GetOrder(), Target: first.GetTarget()}
 	counts := make(map[countKey]*bronzeturnv1.CanaryCount)
 	for _, r := range append([]*Report{first}, others...) {
-		if r == nil || !sameOrder(first, r) {
+		if r == nil {
+			continue
+		}
+		if !sameOrder(first, r) {
+			total.StoppedSessions = append(total.StoppedSessions, stoppedUnder(first, r)...)
 			continue
 		}
 		total.AgeMs = max(total.AgeMs, r.GetAgeMs())
@@ -59,6 +66,28 @@
 	return total
 }
 
+// stoppedUnder returns the stopped sessions of a report of another introduction, with times
+// relative to the order of the first one's.
+func stoppedUnder(first, other *Report) []*bronzeturnv1.StoppedSession {
+	later := int32(int64(first.GetAgeMs()) - int64(other.GetAgeMs()))
+	moved := make([]*bronzeturnv1.StoppedSession, 0, len(other.GetStoppedSessions()))
+	for _, s := range other.GetStoppedSessions() {
+		moved = append(moved, &bronzeturnv1.StoppedSession{Session: s.GetSession(), EndedMs: s.GetEndedMs() + later})
+	}
+	return moved
+}
+
+// aged returns a report with the age of its order some time after the report was made.
+func aged(r *Report, elapsed time.Duration) *Report {
+	if r == nil {
+		return nil
+	}
+	return &Report{
+		Order: r.GetOrder(), Target: r.GetTarget(), AgeMs: r.GetAgeMs() + uint64(elapsed.Milliseconds()), Counts: r.GetCounts(),
+		HeldSessions: r.GetHeldSessions(), StoppedSessions: r.GetStoppedSessions(), Condemned: r.GetCondemned(),
+	}
+}
+
 // latestRuns returns at most maxStoppedSessions of the runs, the latest ones. A session may be
 // among them several times, with its runs at several daemons.
 func latestRuns(runs []*bronzeturnv1.StoppedSession) []*bronzeturnv1.StoppedSession {
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -76,19 +76,24 @@
 	// below holds the sums of the daemons that send to this one, roots those of the other
 	// roots, by name.
 	below, roots map[string]sums
-	// total holds the fleet's sums by service, as received from the parent.
-	total map[string]*Report
+	// total holds the fleet's sums, as received from the parent.
+	total sums
 }
 
-// sums are the last ones that a daemon sent.
+// sums are the last ones that a daemon sent, by service.
 type sums struct {
 	reports map[string]*Report
 	at      time.Time
 }
 
+// of returns the sums of a service, nil if there are none.
+func (s sums) of(service string, now time.Time) *Report {
+	return aged(s.reports[service], now.Sub(s.at))
+}
+
 // New returns a Tally. It exchanges no sums until Run is called.
 func New(o Options) *Tally {
-	return &Tally{Options: o, below: make(map[string]sums), roots: make(map[string]sums), total: make(map[string]*Report)}
+	return &Tally{Options: o, below: make(map[string]sums), roots: make(map[string]sums)}
 }
 
 // Run exchanges sums until ctx ends.
@@ -120,7 +125,7 @@
 	}
 	total := t.totals(place, own)
 	for service, report := range own {
-		if all := total[service]; all != nil && sameOrder(all, report) {
+		if all := total[service]; all != nil {
 			t.Others(service, subtractReport(all, report))
 		}
 	}
@@ -153,14 +158,14 @@
 		t.Log.Debug().Err(err).Str("daemon", daemon).Msg("sums not exchanged")
 		return false
 	}
-	reports := reportsOf(answer.Msg.GetTallies())
+	received := sums{reports: reportsOf(answer.Msg.GetTallies()), at: time.Now()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if place.Depth == 0 {
-		t.roots[daemon] = sums{reports: reports, at: time.Now()}
+		t.roots[daemon] = received
 		return true
 	}
-	t.total = reports
+	t.total = received
 	return true
 }
 
@@ -182,7 +187,7 @@
 		parts := make([]*Report, 0, len(t.below))
 		for daemon, s := range t.below {
 			if daemon != to {
-				parts = append(parts, s.reports[service])
+				parts = append(parts, s.of(service, now))
 			}
 		}
 		all[service] = addReports(report, parts...)
@@ -191,24 +196,40 @@
 }
 
 // totals returns the fleet's sums as far as this daemon knows them. A root adds up the sums of
-// all roots, other daemons return what their parent sent.
+// all roots, other daemons return what their parent sent. The sums of a service that this daemon
+// has counts of are of the same introduction as these.
 func (t *Tally) totals(place Place, own map[string]*Report) map[string]*Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := time.Now()
 	if place.Depth > 0 {
-		return t.total
+		return t.receivedTotals(own, now)
 	}
 	all := t.subtreeLocked("", own)
 	for service, report := range all {
 		parts := make([]*Report, 0, len(t.roots))
 		for _, s := range t.roots {
-			parts = append(parts, s.reports[service])
+			parts = append(parts, s.of(service, now))
 		}
 		all[service] = addReports(report, parts...)
 	}
 	return all
 }
 
+// receivedTotals returns what the parent sent. The caller holds mu.
+func (t *Tally) receivedTotals(own map[string]*Report, now time.Time) map[string]*Report {
+	all := make(map[string]*Report, len(t.total.reports))
+	for service := range t.total.reports {
+		total := t.total.of(service, now)
+		if report := own[service]; report != nil && !sameOrder(report, total) {
+			none := &Report{Order: report.GetOrder(), Target: report.GetTarget(), AgeMs: report.GetAgeMs()}
+			total = addReports(none, total)
+		}
+		all[service] = total
+	}
+	return all
+}
+
 // Add stores the sums of another daemon and returns the response to it.
 func (t *Tally) Add(m *bronzeturnv1.AddRequest) *bronzeturnv1.AddResponse {
 	place, own := t.Place(), t.Own()
