gateway: no session changes its version because its caller cannot wait

What callers saw: sessions of a stopped version changed to the version in between while the next order was in progress, wherever the caller's deadline came before the session lapsed (PINNED).

Cause: a decision, not an oversight: such a caller was served at once, as it can't come back in time. But a session keeps the version it started with, and the chat edge refuses such conversations too. So the request is refused, and at once, since waiting would not help; Retry-After says when the session lapses.

--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -20,8 +20,8 @@
 // refuseStoppedVersion refuses a request whose session ran on a version that has stopped,
 // while the next version of the service is being introduced. The Retry-After tells the
 // caller to come back when its session has expired, to begin a new one at the version that
-// serves. A caller that cannot wait that long is served at once, and so is one that resumes
-// a stream, whose answer would otherwise stall.
+// serves. A caller that has no time for that is refused without a delay. One that resumes a
+// stream, whose answer would otherwise stall, is served.
 func (g *Gateway) refuseStoppedVersion(ctx context.Context, t *task) *failure.Error {
 	if t.meta.Session == "" || t.meta.LastEvent != "" {
 		return nil
@@ -32,12 +32,12 @@
 		return nil
 	}
 	comesBack := lapse.Seconds() < maxLapseShare*left.Seconds()
-	hold := holdBeforeRetryAfter(lapse, left)
-	g.Log.Info().Str("request", t.meta.ID).Str("session", t.sessionName()).Str("service", t.service).
-		Dur("lapse_ms", lapse).Dur("left_ms", left).Dur("hold_ms", hold).Bool("refused", comesBack).Msg("version of the session has stopped")
-	if !comesBack {
-		return nil
+	hold := time.Duration(0)
+	if comesBack {
+		hold = holdBeforeRetryAfter(lapse, left)
 	}
+	g.Log.Info().Str("request", t.meta.ID).Str("session", t.sessionName()).Str("service", t.service).
+		Dur("lapse_ms", lapse).Dur("left_ms", left).Dur("hold_ms", hold).Bool("comes_back", comesBack).Msg("version of the session has stopped")
 	_ = backoff.Sleep(ctx, hold) // checkTimeLeft reports the end of ctx.
 	if f := g.checkTimeLeft(ctx, t); f != nil {
 		return f
