entry: the store confirms the orders before a session leaves a stopped version

Cause: orders reach daemons by watches and along the tree. Nothing bounds how old a daemon's knowledge is when it decides to move a session.

Now a request of such a session, of which there are some in the seconds after an order has ended, waits for one read of the orders from the store, at most 100 ms (follow.Refresh). Requests of one daemon share reads, other requests make none. If the store does not answer, the daemon goes by what it knows.

Ruled out: holding these requests, as an order that is written while they are held moves the same window.

--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/canary"
@@ -57,6 +58,21 @@
 	}
 }
 
+// ConfirmOrders implements gateway.Introductions. A daemon learns of an order up to some 0.1 s after
+// it was written, and would serve such sessions on the version in between until then.
+func (i *introductions) ConfirmOrders(ctx context.Context, service string, session uint64, now time.Time) {
+	intro := i.get(service)
+	if intro == nil || intro.State() < canary.Done {
+		return
+	}
+	if i.sessionsOf(service).Lapses(session, i.stoppedVersions(service), now).IsZero() {
+		return
+	}
+	if err := i.daemon.copies.orders.Refresh(ctx); err != nil {
+		i.daemon.log.Info().Err(err).Str("service", service).Msg("orders not confirmed by the store")
+	}
+}
+
 // Lapses implements gateway.Introductions.
 func (i *introductions) Lapses(service string, session uint64, now time.Time) time.Time {
 	if intro := i.get(service); intro == nil || intro.State() >= canary.Done {
--- a/entry/sessions_test.go
+++ b/entry/sessions_test.go
@@ -1,12 +1,17 @@
 package entry
 
 import (
+	"context"
+	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
 
 	"github.com/bronzeturn/bronzeturn/canary"
+	"github.com/bronzeturn/bronzeturn/follow"
 )
 
 // TestSessionsOfEndedVersionsWaitUnderTheNextOrder guards against sessions that change their version
@@ -71,3 +76,67 @@
 	i.byService["s"].ended = time.Now().Add(-i.daemon.Settings.Introductions.SessionLapse)
 	c.Check(i.localReports(), qt.HasLen, 0)
 }
+
+// lateNews is a store in which an order has been written of which no watch tells yet.
+type lateNews struct{ reads int }
+
+// List implements follow.Source.
+func (s *lateNews) List(context.Context, string, follow.ListOptions) (*follow.Page, error) {
+	return &follow.Page{Revision: 9}, nil
+}
+
+// Watch implements follow.Source.
+func (s *lateNews) Watch(ctx context.Context, _ string, _ uint64, wait time.Duration) (*follow.Changes, error) {
+	if wait > 0 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	s.reads++
+	return &follow.Changes{Revision: 10, Changed: []follow.Item{{Name: "s", Revision: 10}}}, nil
+}
+
+// soleDaemon is a fleet of one daemon, which watches the store.
+type soleDaemon struct{ follow.Peers }
+
+func (soleDaemon) Watching() bool { return true }
+func (soleDaemon) Live() int      { return 1 }
+
+// TestOrdersAreConfirmedBeforeASessionLeavesItsVersion guards against sessions of a stopped version
+// that change to the version in between after the next order was written, because their daemon does
+// not know of it yet. Other sessions cost the store nothing.
+func TestOrdersAreConfirmedBeforeASessionLeavesItsVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		next := order
+		next.ID, next.Target = order.ID+1, "v3"
+		i, store := newTestIntroductions(engineOf("a", "v1"), engineOf("b", "v2"), engineOf("c", "v3")), &lateNews{}
+		orders := follow.New(follow.Options{
+			Source: store, Peers: soleDaemon{}, Announce: func(uint64) {}, OnWatchFailure: func() {},
+			Random: rand.New(rand.NewPCG(1, 2)), Log: zerolog.Nop(),
+			Apply: func(u follow.Update) {
+				if u.Snapshot.Len() > 0 {
+					i.applyOrder(next, canary.Pending, 10)
+				}
+			},
+		})
+		i.daemon.copies = &copies{orders: orders}
+		go func() { _ = orders.Run(ctx) }() // Ends with ctx.
+		i.applyOrder(order, canary.Running, 8)
+		i.Ran("s", 1, "v1", time.Now())
+		i.Ran("s", 2, "v2", time.Now())
+		i.ConfirmOrders(ctx, "s", 1, time.Now())
+		i.applyOrder(order, canary.Done, 9)
+		synctest.Wait()
+		for _, session := range []uint64{2, 3} {
+			i.ConfirmOrders(ctx, "s", session, time.Now())
+		}
+		c.Check(store.reads, qt.Equals, 0)
+		c.Check(i.Lapses("s", 1, time.Now()).IsZero(), qt.IsTrue)
+		i.ConfirmOrders(ctx, "s", 1, time.Now())
+		c.Check(i.Lapses("s", 1, time.Now()).After(time.Now()), qt.IsTrue)
+		i.ConfirmOrders(ctx, "s", 1, time.Now())
+		c.Check(store.reads, qt.Equals, 1)
+	})
+}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -273,6 +273,11 @@
 	// cancelWatch ends the watch in progress.
 	cancelWatch atomic.Pointer[context.CancelFunc]
 
+	// refreshMu guards the two calls for Refresh: refreshNow is in progress or has ended,
+	// refreshNext has not begun. They are nil if there is none.
+	refreshMu               sync.Mutex
+	refreshNow, refreshNext *refresh
+
 	// mu serialises updates and guards the fields below.
 	mu      sync.Mutex
 	history history
--- a/gateway/dispatch_harness_test.go
+++ b/gateway/dispatch_harness_test.go
@@ -68,14 +68,15 @@
 // noIntroductions implements Introductions without any introduction.
 type noIntroductions struct{}
 
-func (noIntroductions) Choose(string, uint64, time.Time) bool              { return false }
-func (noIntroductions) Observe(_, _, _ string, _ bool, _ time.Duration)    {}
-func (noIntroductions) ObservePace(_, _, _ string, _ time.Duration)        {}
-func (noIntroductions) Began(string, uint64)                               {}
-func (noIntroductions) Running(string, uint64, string)                     {}
-func (noIntroductions) Ended(string, uint64)                               {}
-func (noIntroductions) Ran(string, uint64, string, time.Time)              {}
-func (noIntroductions) Lapses(string, uint64, time.Time) (lapse time.Time) { return }
+func (noIntroductions) Choose(string, uint64, time.Time) bool                    { return false }
+func (noIntroductions) Observe(_, _, _ string, _ bool, _ time.Duration)          {}
+func (noIntroductions) ObservePace(_, _, _ string, _ time.Duration)              {}
+func (noIntroductions) Began(string, uint64)                                     {}
+func (noIntroductions) Running(string, uint64, string)                           {}
+func (noIntroductions) Ended(string, uint64)                                     {}
+func (noIntroductions) Ran(string, uint64, string, time.Time)                    {}
+func (noIntroductions) ConfirmOrders(context.Context, string, uint64, time.Time) {}
+func (noIntroductions) Lapses(string, uint64, time.Time) (lapse time.Time)       { return }
 
 // noSlowStarts implements SlowStarts without any cold engine.
 type noSlowStarts struct{}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,6 +89,9 @@
 	Ended(service string, session uint64)
 	// Ran records that a request of the session has run on a version and ended.
 	Ran(service string, session uint64, version string, now time.Time)
+	// ConfirmOrders reads the latest orders from the store if the session last ran on a version
+	// that has stopped and no other version is known to be introduced.
+	ConfirmOrders(ctx context.Context, service string, session uint64, now time.Time)
 	// Lapses returns the time at which the session expires if it last ran on a version that
 	// has stopped and another version is being introduced. Otherwise it returns the zero
 	// time.
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -26,6 +26,7 @@
 	if t.meta.Session == "" || t.meta.LastEvent != "" {
 		return nil
 	}
+	g.Introductions.ConfirmOrders(ctx, t.service, t.session, time.Now())
 	now := time.Now()
 	lapse, left := g.Introductions.Lapses(t.service, t.session, now).Sub(now), t.deadline.Sub(now)
 	if lapse <= 0 {
