operator: the test that asks 100 daemons runs in virtual time

Seen once beside load: one of 100 fake daemons counted as unreachable after 1.10 s. A query ends after 1 s, the fakes answer at once, and the test ran on the real clock, so a test process without CPU time for a second failed it. Shown: stopped for 1.3 s while the test runs, the old test fails in 12 of 12 runs, the new one in 0 of 12. The checks are the same.

--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -114,20 +114,24 @@
 	return answer.Msg
 }
 
+// TestStatusQueriesEveryDaemon runs in virtual time: a query has a time-out, which a test process that
+// gets no CPU time would exceed.
 func TestStatusQueriesEveryDaemon(t *testing.T) {
-	c := qt.New(t)
-	f := newFleet(100)
-	answer := f.requestStatus(t, &bronzeturnv1.StatusRequest{Engines: true})
-	c.Assert(answer.GetDaemons(), qt.HasLen, 100)
-	for i, d := range answer.GetDaemons() {
-		c.Check(d.GetName(), qt.Equals, fmt.Sprintf("h%03d", i+1))
-		c.Check(d.GetEngines(), qt.HasLen, 1)
-	}
-	c.Check(ProgressText(answer.GetConfiguration()), qt.Equals, "in force")
-	c.Check(f.maxInFlight.Load() <= maxConcurrentQueries+1, qt.IsTrue, qt.Commentf("%d queries at once", f.maxInFlight.Load()))
-	local := f.requestStatus(t, &bronzeturnv1.StatusRequest{LocalOnly: true})
-	c.Assert(local.GetDaemons(), qt.HasLen, 1)
-	c.Check(local.GetDaemons()[0].GetEngines(), qt.HasLen, 0)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(100)
+		answer := f.requestStatus(t, &bronzeturnv1.StatusRequest{Engines: true})
+		c.Assert(answer.GetDaemons(), qt.HasLen, 100)
+		for i, d := range answer.GetDaemons() {
+			c.Check(d.GetName(), qt.Equals, fmt.Sprintf("h%03d", i+1))
+			c.Check(d.GetEngines(), qt.HasLen, 1)
+		}
+		c.Check(ProgressText(answer.GetConfiguration()), qt.Equals, "in force")
+		c.Check(f.maxInFlight.Load() <= maxConcurrentQueries+1, qt.IsTrue, qt.Commentf("%d queries at once", f.maxInFlight.Load()))
+		local := f.requestStatus(t, &bronzeturnv1.StatusRequest{LocalOnly: true})
+		c.Assert(local.GetDaemons(), qt.HasLen, 1)
+		c.Check(local.GetDaemons()[0].GetEngines(), qt.HasLen, 0)
+	})
 }
 
 func TestSilentDaemonIsReportedWithWhatOthersKnow(t *testing.T) {
