gateway: tests that wait for silent engines run in virtual time

The cases that depend on the wall clock needed the answer of a second engine within 140 ms: "engine silent" and "connection lost" of TestTicketEndsOnceOnEveryPath, TestWaitingEngineIsNotAbandonedWithoutAFreeOne, TestOnlyEngineIsNotAbandoned, TestSilentEngineIsKeptUntilAnotherIsGranted, TestNoDispatcherChangesNothing.

Their engines are now reached over pipes in the process, so that the tests run in a bubble of virtual time. The checks are the same.

--- a/gateway/dispatch_harness_test.go
+++ b/gateway/dispatch_harness_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -100,6 +99,7 @@
 	gateway    *Gateway
 	dispatcher *fakeDispatcher
 	quarantine *heldQuarantine
+	network    pipes
 	// received counts the requests that engines received.
 	received atomic.Int32
 	// keys are the keys of the engines.
@@ -122,18 +122,17 @@
 // newBench starts engines of the services "desk" (plain) and "llm" (language models), both of
 // which run at every engine. dispatcher may be nil.
 func newBench(t *testing.T, dispatcher *fakeDispatcher, engines ...testEngine) *bench {
-	b := &bench{c: qt.New(t), dispatcher: dispatcher}
+	b := &bench{c: qt.New(t), dispatcher: dispatcher, network: make(pipes)}
 	var list []inventory.Engine
 	for i, serve := range engines {
 		var requests atomic.Int32
-		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		address := fmt.Sprintf("10.0.0.%d:80", i+1)
+		b.network.serve(t, address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			b.received.Add(1)
 			_, _ = io.Copy(io.Discard, r.Body) // The server notices that the client has gone only after the body.
 			serve(int(requests.Add(1)-1), w, r)
 		}))
-		server.Start()
-		t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
-		list = append(list, inventory.Engine{ID: fmt.Sprintf("e-%d", i), Started: testStart, Service: "desk", Address: server.Listener.Addr().String(), DataCentre: "hall-1", Slots: 4})
+		list = append(list, inventory.Engine{ID: fmt.Sprintf("e-%d", i), Started: testStart, Service: "desk", Address: address, DataCentre: "hall-1", Slots: 4})
 		b.keys = append(b.keys, list[i].Key())
 	}
 	set := inventory.New(time.Second, func(_, _ *inventory.View) {})
@@ -172,7 +171,7 @@
 				Daemons: func() int { return 1 }, Engine: func(string) (string, int) { return "", 0 }, InFlight: func(string) int { return 0 }, Random: random, Share: func(string, float64) {}, Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
 			}),
 		},
-		Transport: attempt.NewUnpooledTransport((&net.Dialer{}).DialContext),
+		Transport: attempt.NewUnpooledTransport(b.network.dial),
 		Budget:    BudgetOptions{Ratio: 1, Slack: 100, Window: 10 * time.Second},
 		Seed:      1, Log: zerolog.New(&b.log), Registerer: prometheus.NewRegistry(),
 	}
--- a/gateway/dispatch_test.go
+++ b/gateway/dispatch_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -135,33 +136,35 @@
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			ctx, leave := context.WithCancel(context.Background())
-			defer leave()
-			if test.leaves {
-				test.engines = []testEngine{func(_ int, _ http.ResponseWriter, r *http.Request) {
-					leave()
-					<-r.Context().Done()
-				}}
-			}
-			b := newBench(t, &fakeDispatcher{}, test.engines...)
-			b.inOrder()
-			b.dispatcher.free.Store(true)
-			b.quarantine.held.Store(test.held)
-			w := b.send(ctx, test.target, test.headers...)
-			b.c.Check(w.Code, qt.Equals, test.status)
-			b.c.Check(b.dispatcher.outcomes(b.c), qt.DeepEquals, test.outcomes)
-			var classes []scheduler.Class
-			for _, r := range b.dispatcher.requests {
-				classes = append(classes, r.Class)
-			}
-			b.c.Check(classes, qt.DeepEquals, test.classes)
-			for i, ticket := range b.dispatcher.tickets {
-				if i < test.unsent {
-					b.c.Check(ticket.sentTo, qt.HasLen, 0)
-					continue
+			synctest.Test(t, func(t *testing.T) {
+				ctx, leave := context.WithCancel(context.Background())
+				defer leave()
+				if test.leaves {
+					test.engines = []testEngine{func(_ int, _ http.ResponseWriter, r *http.Request) {
+						leave()
+						<-r.Context().Done()
+					}}
 				}
-				b.c.Check(ticket.sentTo, qt.HasLen, 1)
-			}
+				b := newBench(t, &fakeDispatcher{}, test.engines...)
+				b.inOrder()
+				b.dispatcher.free.Store(true)
+				b.quarantine.held.Store(test.held)
+				w := b.send(ctx, test.target, test.headers...)
+				b.c.Check(w.Code, qt.Equals, test.status)
+				b.c.Check(b.dispatcher.outcomes(b.c), qt.DeepEquals, test.outcomes)
+				var classes []scheduler.Class
+				for _, r := range b.dispatcher.requests {
+					classes = append(classes, r.Class)
+				}
+				b.c.Check(classes, qt.DeepEquals, test.classes)
+				for i, ticket := range b.dispatcher.tickets {
+					if i < test.unsent {
+						b.c.Check(ticket.sentTo, qt.HasLen, 0)
+						continue
+					}
+					b.c.Check(ticket.sentTo, qt.HasLen, 1)
+				}
+			})
 		})
 	}
 }
@@ -170,20 +173,22 @@
 // another way than before: silent engines are abandoned, full engines lead to a refusal, and
 // the log has no fields of the queue.
 func TestNoDispatcherChangesNothing(t *testing.T) {
-	c := qt.New(t)
-	b := newBench(t, nil, answersAfter(time.Minute), answers)
-	const bound = 100 // The choice between two equal engines is random.
-	for n := 0; !strings.Contains(b.log.String(), `"kind":"silent"`); n++ {
-		c.Assert(n < bound, qt.IsTrue, qt.Commentf("the silent engine is not abandoned"))
-		c.Check(b.send(context.Background(), "/safe/").Code, qt.Equals, http.StatusOK)
-	}
-	full := newBench(t, nil, isFull, isFull)
-	w := full.send(context.Background(), "/once/")
-	c.Check(w.Code, qt.Equals, http.StatusServiceUnavailable)
-	c.Check(w.Header().Get(testRetryAfter), qt.Matches, `0\.[1-4]..`)
-	for _, field := range []string{"waited_ms", "ahead", "told_ms", "refused_because"} {
-		c.Check(strings.Contains(b.log.String()+full.log.String(), field), qt.IsFalse)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, nil, answersAfter(time.Minute), answers)
+		const bound = 100 // The choice between two equal engines is random.
+		for n := 0; !strings.Contains(b.log.String(), `"kind":"silent"`); n++ {
+			c.Assert(n < bound, qt.IsTrue, qt.Commentf("the silent engine is not abandoned"))
+			c.Check(b.send(context.Background(), "/safe/").Code, qt.Equals, http.StatusOK)
+		}
+		full := newBench(t, nil, isFull, isFull)
+		w := full.send(context.Background(), "/once/")
+		c.Check(w.Code, qt.Equals, http.StatusServiceUnavailable)
+		c.Check(w.Header().Get(testRetryAfter), qt.Matches, `0\.[1-4]..`)
+		for _, field := range []string{"waited_ms", "ahead", "told_ms", "refused_because"} {
+			c.Check(strings.Contains(b.log.String()+full.log.String(), field), qt.IsFalse)
+		}
+	})
 }
 
 // TestUncontendedServiceHasNoQueueFields guards against log lines that suggest a queue where
--- a/gateway/dispatch_wait_test.go
+++ b/gateway/dispatch_wait_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -96,20 +97,22 @@
 func TestWaitingEngineIsNotAbandonedWithoutAFreeOne(t *testing.T) {
 	for _, test := range []struct{ contended, free bool }{{false, false}, {false, true}, {true, false}, {true, true}} {
 		t.Run(fmt.Sprintf("%+v", test), func(t *testing.T) {
-			d := &fakeDispatcher{}
-			d.contended.Store(test.contended)
-			d.free.Store(test.free)
-			// The engine answers after four times the time after which it may be abandoned.
-			b := newBench(t, d, answersAfter(560*time.Millisecond), answers)
-			b.inOrder()
-			b.c.Check(b.send(context.Background(), "/safe/").Code, qt.Equals, http.StatusOK)
-			b.c.Check(d.lastExcepted(), qt.DeepEquals, []string{b.keys[0]})
-			if test.free {
-				b.c.Check(d.outcomes(b.c), qt.DeepEquals, []scheduler.Outcome{scheduler.Failed, scheduler.Answered})
-				return
-			}
-			b.c.Check(d.outcomes(b.c), qt.DeepEquals, []scheduler.Outcome{scheduler.Answered})
-			b.c.Check(b.received.Load(), qt.Equals, int32(1))
+			synctest.Test(t, func(t *testing.T) {
+				d := &fakeDispatcher{}
+				d.contended.Store(test.contended)
+				d.free.Store(test.free)
+				// The engine answers after four times the time after which it may be abandoned.
+				b := newBench(t, d, answersAfter(560*time.Millisecond), answers)
+				b.inOrder()
+				b.c.Check(b.send(context.Background(), "/safe/").Code, qt.Equals, http.StatusOK)
+				b.c.Check(d.lastExcepted(), qt.DeepEquals, []string{b.keys[0]})
+				if test.free {
+					b.c.Check(d.outcomes(b.c), qt.DeepEquals, []scheduler.Outcome{scheduler.Failed, scheduler.Answered})
+					return
+				}
+				b.c.Check(d.outcomes(b.c), qt.DeepEquals, []scheduler.Outcome{scheduler.Answered})
+				b.c.Check(b.received.Load(), qt.Equals, int32(1))
+			})
 		})
 	}
 }
@@ -117,9 +120,11 @@
 // TestOnlyEngineIsNotAbandoned guards against a status 502 for want of capacity: without another
 // engine, a request whose engine is silent must wait for it until the deadline.
 func TestOnlyEngineIsNotAbandoned(t *testing.T) {
-	b := newBench(t, &fakeDispatcher{}, answersAfter(560*time.Millisecond))
-	b.c.Check(b.send(context.Background(), "/safe/").Code, qt.Equals, http.StatusOK)
-	b.c.Check(b.received.Load(), qt.Equals, int32(1))
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, &fakeDispatcher{}, answersAfter(560*time.Millisecond))
+		b.c.Check(b.send(context.Background(), "/safe/").Code, qt.Equals, http.StatusOK)
+		b.c.Check(b.received.Load(), qt.Equals, int32(1))
+	})
 }
 
 // TestBusyEnginesAreNoFailure guards against a status 502 for want of capacity, and against
