gossip: a daemon whose entry rate is used up names others to those that join it

Seen: 240 daemons that start at once and know one seed; after 5 s some know only two (membership.TestConcurrentJoinThroughOneSeed, once in most whole runs beside load).

Trace: a variant of the test that prints who knows how many, with their links, with the race detector. From 0.6 s on, 7 or 8 daemons have one link, to the seed, whose heartbeats reach them, and know two daemons until 3.8 s in one run and past 6 s in another. The seed has sent its entries to 64 links and has used up its entry rate, so its heartbeats name no digest and the table is not pulled from it. It accepts links below guaranteedLinks all the same, and does not refer such a daemon to others, as it does at the limit.

The daemon finds its neighbours and pulls the table from them.

Ruled out: the pause before a refused link is dialled again (all are dialled by 0.7 s), a pull that is lost with its link (it is not counted).

Test: TestJoiningDaemonIsReferredWhileRateUsedUp, failed before.

--- a/gossip/link.go
+++ b/gossip/link.go
@@ -174,6 +174,10 @@
 		Hello:     &bronzeturnv1.Hello{Name: l.node.options.Name, Compressed: true},
 		Heartbeat: l.node.heartbeat(true),
 	}
+	if l.target == nil && l.node.entryRateExhausted() {
+		// The table cannot be sent soon. The neighbour gets it from others.
+		hello.Entries = l.node.referral()
+	}
 	if err := l.send(hello); err != nil {
 		return err
 	}
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -213,7 +213,7 @@
 	if n.stopped || n.draining {
 		return ErrStopped
 	}
-	if len(n.links) >= maxLinks || l.target == nil && n.entryRateExhausted() {
+	if len(n.links) >= maxLinks || l.target == nil && len(n.links) >= guaranteedLinks && n.entryRateExhausted() {
 		return ErrTooManyLinks
 	}
 	n.links[l] = struct{}{}
@@ -221,11 +221,11 @@
 	return nil
 }
 
-// entryRateExhausted reports whether this daemon has at least guaranteedLinks links and not
-// enough tokens left to send its table to another neighbour, which would then wait for seconds
-// while other daemons could serve it. The caller holds mu.
+// entryRateExhausted reports whether this daemon does not have enough tokens left to send its
+// table to another neighbour, which would then wait for seconds while other daemons could serve
+// it.
 func (n *Node) entryRateExhausted() bool {
-	return len(n.links) >= guaranteedLinks && n.limiter.Tokens() < float64(n.table.size()*typicalEntryBytes)
+	return n.limiter.Tokens() < float64(n.table.size()*typicalEntryBytes)
 }
 
 func (n *Node) detach(l *link) {
--- a/gossip/pull_test.go
+++ b/gossip/pull_test.go
@@ -68,3 +68,23 @@
 		stopAll(t, []*Node{a, b})
 	})
 }
+
+// TestJoiningDaemonIsReferredWhileRateUsedUp guards against a joining daemon that knows nobody for
+// seconds, because its only link is to a daemon whose entry rate is used up.
+func TestJoiningDaemonIsReferredWhileRateUsedUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := &memNetwork{nodes: make(map[string]*Node)}
+		a, b := w.start(t, "a", &lossRecorder{}), w.start(t, "b", &lossRecorder{})
+		a.options.ReferralPrefix = "kept/"
+		for i := range 3 * maxReferralEntries {
+			c.Assert(a.Publish(fmt.Sprintf("kept/%d", i), 1, []byte("entry")), qt.IsNil)
+		}
+		a.limiter.ReserveN(time.Now(), entryBurst)
+		a.limiter.ReserveN(time.Now(), 5*entryRate)
+		b.SetTargets([]Target{{Name: "a"}})
+		time.Sleep(time.Second)
+		c.Check(b.table.size(), qt.Equals, maxReferralEntries)
+		stopAll(t, []*Node{a, b})
+	})
+}
--- a/gossip/refer.go
+++ b/gossip/refer.go
@@ -8,22 +8,28 @@
 
 // sendReferral sends entries of known daemons on a stream that is refused at the link limit.
 func (n *Node) sendReferral(stream Link) {
-	if n.options.ReferralPrefix == "" {
+	frame := &bronzeturnv1.Frame{Entries: n.referral()}
+	if len(frame.Entries) == 0 {
 		return
 	}
-	frame := &bronzeturnv1.Frame{}
+	if err := stream.Send(frame); err != nil {
+		n.log.Debug().Err(err).Msg("failed to send overlay referral")
+	}
+}
+
+// referral returns entries of known daemons that a joining daemon can link to instead.
+func (n *Node) referral() []*bronzeturnv1.TableEntry {
+	if n.options.ReferralPrefix == "" {
+		return nil
+	}
+	var entries []*bronzeturnv1.TableEntry
 	now := time.Now()
 	for _, key := range n.referralKeys() {
 		if e := n.table.get(key); e != nil && len(e.value) > 0 {
-			frame.Entries = append(frame.Entries, n.table.message(e, now))
+			entries = append(entries, n.table.message(e, now))
 		}
 	}
-	if len(frame.Entries) == 0 {
-		return
-	}
-	if err := stream.Send(frame); err != nil {
-		n.log.Debug().Err(err).Msg("failed to send overlay referral")
-	}
+	return entries
 }
 
 // referralKeys returns up to maxReferralEntries random daemon keys, followed by the greeting
