gateway: a request counts once against a version, however often it was tried

Cause: the verdict compares shares as if answers were independent, and each failed try was evidence of its own. What fails a request once, its content or the moment, often fails its next try on the same version.

Now a request counts at most one failure against a version, the previous one as well.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -59,6 +59,9 @@
 	queuedSince time.Time
 	// spare is the ticket for the next attempt, if the last one was abandoned.
 	spare spareTicket
+	// blamed is the version against which a failure of the request was counted last, nil before
+	// the first failure.
+	blamed *atomic.Pointer[string]
 	// lastError is the reason why the last attempt failed.
 	lastError *attemptError
 	// failedAnswer is the last error answer of an engine. It is passed on if no attempt
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -154,8 +155,7 @@
 	if e.Kind == retry.KindRefused || e.Kind == retry.KindConnect || e.Kind == retry.KindMisdirected {
 		return
 	}
-	service, route, version := t.service, t.route.Name, to.engine.Version
-	blame := func() { g.Introductions.Observe(service, route, version, true, 0) }
+	blame := g.blameFor(t, to.engine.Version)
 	if e.connectionLost() {
 		g.Quarantine.AnswerInterrupted(to.engine, t.content, now, blame)
 		return
@@ -163,6 +163,21 @@
 	blame()
 }
 
+// blameFor returns a function that counts a failure of the request against a version, unless one of
+// its failures was already: what fails one attempt often fails the next one too. The function may
+// be called at any time, and does not keep the request in memory.
+func (g *Gateway) blameFor(t *task, version string) func() {
+	if t.blamed == nil {
+		t.blamed = new(atomic.Pointer[string])
+	}
+	service, route, blamed := t.service, t.route.Name, t.blamed
+	return func() {
+		if before := blamed.Swap(&version); before == nil || *before != version {
+			g.Introductions.Observe(service, route, version, true, 0)
+		}
+	}
+}
+
 // reportToQuarantine reports failures that indicate that the engine has ended, or after which it may
 // yet end because of the request.
 func (g *Gateway) reportToQuarantine(t *task, to *target, e *attemptError, now time.Time) {
