canary: slow first events do not count against a version whose streams run at the usual pace

Cause: the trial's one engine has empty prompt caches.

Ruled out: too much load (half and a third of it for each new engine changes nothing: there is one engine already, with 0.4 of the others' load).

What tells them apart is the time between events, by the lines of ended requests and route by route: 0.77 to 1.06 times the usual for good versions (1.50 with three streams), 2.1 to 11 times for slow ones. A version that is slow to begin only is still found by the ratio of its latencies.

Test: TestEmptyPromptCachesAreNoReasonToRollBack, failed before.

--- a/canary/canary_test.go
+++ b/canary/canary_test.go
@@ -377,6 +377,43 @@
 	}
 }
 
+// TestEmptyPromptCachesAreNoReasonToRollBack guards against good versions of a language model that are
+// rolled back for a few slow first events: the trial's one engine reads every prompt for the first
+// time, and other requests wait meanwhile.
+func TestEmptyPromptCachesAreNoReasonToRollBack(t *testing.T) {
+	for _, test := range []struct {
+		name               string
+		answers, slow      int
+		firstBy, betweenBy int
+		want               State
+	}{
+		{"empty caches", 9, 4, 8, 1, Running},
+		{"slow version", 9, 4, 8, 3, RolledBack},
+		{"slow prompts", 14, 14, 8, 1, RolledBack},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			i := newIntroduction()
+			observe := func(n int, trial bool, firstBy, betweenBy int) {
+				i.Observe("r", trial, false, time.Duration((50+n%40)*firstBy)*time.Millisecond)
+				i.ObservePace("r", trial, time.Duration((90+n%20)*betweenBy)*time.Millisecond)
+			}
+			for n := range 300 {
+				observe(n, false, 1, 1)
+			}
+			i.Review(start.Add(3 * time.Second))
+			for n := range test.answers {
+				if n < test.slow {
+					observe(n, true, test.firstBy, test.betweenBy)
+				} else {
+					observe(n, true, 1, 1)
+				}
+			}
+			c.Check(i.Review(start.Add(5*time.Second)).State, qt.Equals, test.want)
+		})
+	}
+}
+
 // TestExposureToHiddenFaultIsBounded adds up the requests that a version without a visible
 // fault gets until its deadline, for many durations, bounds, request rates and shares of pinned
 // sessions.
