--- a/tally/tally.go
+++ b/tally/tally.go
@@ -222,6 +222,9 @@
 	for service := range t.total.reports {
 		total := t.total.of(service, now)
 		if report := own[service]; report != nil && !sameOrder(report, total) {
+			if now.Sub(t.total.at) > sumsTTL {
+				continue // Its sessions have lapsed, or will be reported again.
+			}
 			none := &Report{Order: report.GetOrder(), Target: report.GetTarget(), AgeMs: report.GetAgeMs()}
 			total = addReports(none, total)
 		}
