--- a/tally/tally_test.go
+++ b/tally/tally_test.go
@@ -67,9 +67,23 @@
 	return n
 }
 
-// newFleet starts three roots and below them a number of branches, each with levels of 2, 16
+// startFleet builds a fleet and starts it.
+func startFleet(ctx context.Context, size, branches int) map[string]*member {
+	fleet := newFleet(size, branches)
+	run(ctx, fleet)
+	return fleet
+}
+
+// run starts the daemons. They stop when ctx ends.
+func run(ctx context.Context, fleet map[string]*member) {
+	for _, m := range fleet {
+		go func() { _ = m.Run(ctx) }() // Ends with ctx.
+	}
+}
+
+// newFleet returns three roots and below them a number of branches, each with levels of 2, 16
 // and the remaining daemons.
-func newFleet(ctx context.Context, size, branches int) map[string]*member {
+func newFleet(size, branches int) map[string]*member {
 	fleet := make(map[string]*member)
 	add := func(name string, place Place) {
 		m := &member{}
@@ -101,9 +115,6 @@
 			add(fmt.Sprint(level, at), Place{Depth: 3, Parents: []string{fmt.Sprint(level, 2+at%16), fmt.Sprint(level, 2+(at+1)%16)}})
 		}
 	}
-	for _, m := range fleet {
-		go func() { _ = m.Run(ctx) }() // Ends with ctx.
-	}
 	return fleet
 }
 
@@ -117,7 +128,7 @@
 			c := qt.New(t)
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
-			fleet := newFleet(ctx, test.size, test.branches)
+			fleet := startFleet(ctx, test.size, test.branches)
 			time.Sleep(5 * time.Second)
 			for name, m := range fleet {
 				c.Check(m.othersAnswers.Load(), qt.Equals, uint64(test.size-1), qt.Commentf(name))
@@ -148,7 +159,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		const size = 295
-		fleet := newFleet(ctx, size, 5)
+		fleet := startFleet(ctx, size, 5)
 		time.Sleep(5 * time.Second)
 		lost := []string{"root-1", "d-0-0", "d-3-5", "d-4-30"}
 		for _, name := range lost {
@@ -171,7 +182,7 @@
 		c := qt.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		fleet := newFleet(ctx, 13, 1)
+		fleet := startFleet(ctx, 13, 1)
 		fleet["d-0-0"].place.Store(&Place{Depth: 2, Parents: []string{"d-0-1"}})
 		fleet["d-0-1"].place.Store(&Place{Depth: 2, Parents: []string{"d-0-0"}})
 		time.Sleep(time.Minute)
@@ -234,9 +245,8 @@
 				c := qt.New(t)
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
-				fleet := newFleet(ctx, size, 4)
-				time.Sleep(5 * time.Second)
-				done := time.Now()
+				fleet := newFleet(size, 4)
+				done := time.Now().Add(5 * time.Second)
 				reported, next := done.Add(1500*time.Millisecond), done.Add(pause)
 				learned := make(map[string]time.Duration)
 				var mu sync.Mutex
@@ -247,7 +257,7 @@
 						if now.After(next) {
 							r = &Report{Order: 8, Target: "v3", AgeMs: uint64(now.Sub(next).Milliseconds())}
 						}
-						if name == "d-3-5" && now.Before(reported) {
+						if name == "d-3-5" && now.After(done) && now.Before(reported) {
 							ended := done.Add(-time.Second).Sub(now) + time.Duration(r.AgeMs)*time.Millisecond
 							r.StoppedSessions = []*bronzeturnv1.StoppedSession{{Session: 1, EndedMs: int32(ended.Milliseconds())}}
 						}
@@ -266,7 +276,8 @@
 						}
 					}
 				}
-				time.Sleep(8 * time.Second)
+				run(ctx, fleet)
+				time.Sleep(13 * time.Second)
 				mu.Lock()
 				defer mu.Unlock()
 				slowest := time.Duration(0)
