--- /dev/null
+++ b/review/cmd/case-keys/main.go
@@ -0,0 +1,176 @@
+// Command case-keys takes away the last keys of a deployment, and sends requests with these keys,
+// with a key that never existed and without one.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"review/harness"
+)
+
+// Figures of the deployment and of the disruption: three tenants with a key each, of which three are
+// taken away, 0.4 s apart, as the site's own days do.
+const (
+	gap      = 400 * time.Millisecond
+	configMs = 2 * time.Second
+	// settle covers configMs and contactMs.
+	settle = 5500 * time.Millisecond
+)
+
+type tenant struct {
+	Name    string   `json:"name"`
+	APIKeys []string `json:"apiKeys"`
+}
+
+func tenants() []tenant {
+	return []tenant{{"hule930", []string{"n2ctnfzs989anu6wsjnb"}}, {"pima114", []string{"anfqasnmgkcuyj8pjbvk"}}, {"tofo602", []string{"k4w7xq2mzc9vhd3ryt8l"}}}
+}
+
+// forged is a key that no configuration holds.
+const forged = "zzzzzzzzzzzzzzzzzzzz"
+
+func config(version int, list []tenant) map[string]any {
+	return map[string]any{
+		"version": version,
+		"routes": []map[string]any{
+			{"name": "r-battery", "host": harness.Host, "pathPrefix": "/puxa403/", "routeKind": "unsafe", "timeoutMs": 600, "goalMs": 100, "priority": 2, "service": "xano55b", "attempts": 1, "anonymous": false},
+			{"name": "r-lock", "host": harness.Host, "pathPrefix": "/cufi504/", "routeKind": "safe", "timeoutMs": 600, "goalMs": 100, "priority": 2, "service": "xano55b", "attempts": 2, "anonymous": false},
+		},
+		"services": []map[string]any{{"name": "xano55b", "healthPath": "/healthz", "maxConns": 96, "protocol": "h1", "tls": false}},
+		"limits":   map[string]any{"headerBytes": 16384, "bodyBytes": 4194304, "headerMs": 3000, "idleMs": 15000},
+		"tenants":  list,
+	}
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	folder := flag.String("folder", "", "folder of the case")
+	temp := flag.String("temp", "", "temporary folder")
+	flag.Parse()
+	trouble := os.Getenv("TROUBLE") != "0"
+	record, err := harness.NewRecord(*folder + "/record.txt")
+	if err != nil {
+		fmt.Println(err)
+		return harness.ExitNotRun
+	}
+	defer record.Close()
+	store, err := harness.StartStore(harness.FreeIPs(1)[0])
+	if err != nil {
+		fmt.Println(err)
+		return harness.ExitNotRun
+	}
+	defer store.Close()
+	list := tenants()
+	record.Printf("operator writes configuration 7 with keys of %d tenants; the store confirms revision %d", len(list), store.Put("config", "main", config(7, list)))
+
+	var engines []*harness.Engine
+	defer func() {
+		for _, e := range engines {
+			e.Kill()
+		}
+	}()
+	for i, ip := range harness.FreeIPs(3) {
+		address, err := harness.FreeAddress(ip)
+		if err != nil {
+			fmt.Println(err)
+			return harness.ExitNotRun
+		}
+		id := fmt.Sprintf("i-7f3a91c%d", i)
+		e, err := harness.StartEngine(record, id, address)
+		if err != nil {
+			fmt.Println(err)
+			return harness.ExitNotRun
+		}
+		engines = append(engines, e)
+		store.Put("servers", id, harness.Registration{Service: "xano55b", Address: address, Zone: harness.Zones[i], Version: "v1", Slots: 6, State: "ready", Sequence: 1})
+	}
+	fleet, err := harness.StartFleet(3, store, *temp, record)
+	if fleet != nil {
+		defer fleet.Stop()
+	}
+	if err != nil {
+		fmt.Println(err)
+		return harness.ExitNotRun
+	}
+	time.Sleep(4 * time.Second)
+
+	held := true
+	held = check(record, fleet, engines, "before", list, true) && held
+	if trouble {
+		for i := range list {
+			list[i].APIKeys = []string{}
+			record.Printf("operator takes the key of %s away; the store confirms revision %d", list[i].Name, store.Put("config", "main", config(8+3*i, list)))
+			time.Sleep(gap)
+		}
+	}
+	time.Sleep(settle)
+	held = check(record, fleet, engines, "after", tenants(), !trouble) && held
+	if held {
+		fmt.Println("held: no request ran without a key in force")
+		return harness.ExitHeld
+	}
+	fmt.Println("broken: see record.txt")
+	return harness.ExitBroken
+}
+
+// check sends requests to every daemon, and reports whether just those with a key in force ran,
+// each for its key's tenant.
+func check(record *harness.Record, fleet *harness.Fleet, engines []*harness.Engine, phase string, list []tenant, inForce bool) bool {
+	held := true
+	count := 0
+	one := func(d *harness.Daemon, key, wantTenant string) {
+		for _, call := range []struct{ method, path, body string }{{"POST", "/puxa403/2f", "state of battery 7"}, {"GET", "/cufi504/fi50/2f", ""}} {
+			count++
+			id := fmt.Sprintf("%s-%04d", phase, count)
+			header := map[string]string{}
+			if key != "" {
+				header["Authorization"] = "Bearer " + key
+			}
+			a := harness.Send(record, d.Front, call.method, call.path, id, 600*time.Millisecond, header, call.body)
+			time.Sleep(30 * time.Millisecond) // For the engine's line.
+			runs := runsOf(engines, id)
+			switch {
+			case wantTenant == "" && len(runs) > 0:
+				record.Printf("BROKEN: %s ran although its key %q is in no configuration in force; answer %d; %s", id, key, a.Status, runs[0])
+				held = false
+			case wantTenant != "" && a.Status == 200 && !strings.Contains(runs[0], fmt.Sprintf("tenant=%q", wantTenant)):
+				record.Printf("BROKEN: %s ran for another tenant than %s; %s", id, wantTenant, runs[0])
+				held = false
+			}
+		}
+	}
+	for _, d := range fleet.Daemons {
+		for _, t := range list {
+			want := ""
+			if inForce {
+				want = t.Name
+			}
+			key := keyOf(t.Name)
+			one(d, key, want)
+		}
+		one(d, forged, "")
+		one(d, "", "")
+	}
+	return held
+}
+
+func keyOf(name string) string {
+	for _, t := range tenants() {
+		if t.Name == name {
+			return t.APIKeys[0]
+		}
+	}
+	return ""
+}
+
+func runsOf(engines []*harness.Engine, id string) (runs []string) {
+	for _, e := range engines {
+		runs = append(runs, e.Lines("runs "+id+" ")...)
+	}
+	return runs
+}
