--- a/review/cmd/engine/main.go
+++ b/review/cmd/engine/main.go
@@ -11,6 +11,8 @@
 	"os"
 	"strconv"
 	"time"
+
+	"review/harness"
 )
 
 type engine struct {
@@ -18,6 +20,8 @@
 	work, gap    time.Duration
 	events, size int
 	untilClose   bool
+	// line is the length of the data lines of events without their ends, 0 for short ones.
+	line int
 }
 
 func main() {
@@ -28,6 +32,7 @@
 	flag.DurationVar(&e.gap, "gap", 50*time.Millisecond, "time between two events")
 	flag.IntVar(&e.events, "events", 0, "number of events of a stream, 0 for whole answers")
 	flag.IntVar(&e.size, "size", 800, "bytes of a whole answer")
+	flag.IntVar(&e.line, "line", 0, "bytes of the data line of each event but the last, without its end; 0 for short lines")
 	flag.BoolVar(&e.untilClose, "until-close", false, "answers have no length and end with their channel")
 	flag.Parse()
 	l, err := net.Listen("tcp", *listen)
@@ -85,7 +90,7 @@
 	control := http.NewResponseController(w)
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := last + 1; n <= e.events; n++ {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s piece %d of %d\n\n", n, id, n, e.events); err != nil || control.Flush() != nil {
+		if _, err := io.WriteString(w, harness.EventText(id, n, e.events, e.line)); err != nil || control.Flush() != nil {
 			fmt.Printf("drops %s after event %d, its channel closed\n", id, n-1)
 			return
 		}
--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -65,6 +65,16 @@
 	return e, nil
 }
 
+// EventText returns one event of the stream that answers a request. Each event but the last is padded
+// so that its data line has the given length, if that is not 0.
+func EventText(id string, n, of, line int) string {
+	data := fmt.Sprintf("data: %s piece %d of %d", id, n, of)
+	if n < of {
+		data += strings.Repeat(" ", max(line-len(data), 0))
+	}
+	return fmt.Sprintf("id: %d\n%s\n\n", n, data)
+}
+
 // Said reports whether the engine has printed a line that begins with the text.
 func (e *Engine) Said(prefix string) bool { return len(e.Lines(prefix)) > 0 }
 
