--- a/review/cmd/case-keys/main.go
+++ b/review/cmd/case-keys/main.go
@@ -52,6 +52,7 @@
 	folder := flag.String("folder", "", "folder of the case")
 	temp := flag.String("temp", "", "temporary folder")
 	flag.Parse()
+	harness.EndOnSignal()
 	trouble := os.Getenv("TROUBLE") != "0"
 	record, err := harness.NewRecord(*folder + "/record.txt")
 	if err != nil {
@@ -99,8 +100,10 @@
 	}
 	time.Sleep(4 * time.Second)
 
-	held := true
-	held = check(record, fleet, engines, "before", list, true) && held
+	if held, served := check(record, fleet, engines, "before", list, true); !held || !served {
+		fmt.Println("the deployment did not serve as meant before the disruption; see record.txt")
+		return harness.ExitNotRun
+	}
 	if trouble {
 		for i := range list {
 			list[i].APIKeys = []string{}
@@ -109,7 +112,11 @@
 		}
 	}
 	time.Sleep(settle)
-	held = check(record, fleet, engines, "after", tenants(), !trouble) && held
+	held, served := check(record, fleet, engines, "after", tenants(), !trouble)
+	if held && !served {
+		fmt.Println("requests with a key in force were not served; see record.txt")
+		return harness.ExitNotRun
+	}
 	if held {
 		fmt.Println("held: no request ran without a key in force")
 		return harness.ExitHeld
@@ -118,10 +125,10 @@
 	return harness.ExitBroken
 }
 
-// check sends requests to every daemon, and reports whether just those with a key in force ran,
-// each for its key's tenant.
-func check(record *harness.Record, fleet *harness.Fleet, engines []*harness.Engine, phase string, list []tenant, inForce bool) bool {
-	held := true
+// check sends requests to every daemon. held is false if one without a key in force ran, or one for
+// another tenant than its key's; served is false if one with a key in force was not served.
+func check(record *harness.Record, fleet *harness.Fleet, engines []*harness.Engine, phase string, list []tenant, inForce bool) (held, served bool) {
+	held, served = true, true
 	count := 0
 	one := func(d *harness.Daemon, key, wantTenant string) {
 		for _, call := range []struct{ method, path, body string }{{"POST", "/puxa403/2f", "state of battery 7"}, {"GET", "/cufi504/fi50/2f", ""}} {
@@ -132,13 +139,15 @@
 				header["Authorization"] = "Bearer " + key
 			}
 			a := harness.Send(record, d.Front, call.method, call.path, id, 600*time.Millisecond, header, call.body)
-			time.Sleep(30 * time.Millisecond) // For the engine's line.
-			runs := runsOf(engines, id)
+			runs := awaitRuns(engines, id, a.Status == 200)
 			switch {
 			case wantTenant == "" && len(runs) > 0:
 				record.Printf("BROKEN: %s ran although its key %q is in no configuration in force; answer %d; %s", id, key, a.Status, runs[0])
 				held = false
-			case wantTenant != "" && a.Status == 200 && !strings.Contains(runs[0], fmt.Sprintf("tenant=%q", wantTenant)):
+			case wantTenant != "" && (a.Status != 200 || len(runs) == 0):
+				record.Printf("%s was not served although its key is in force", id)
+				served = false
+			case wantTenant != "" && !strings.Contains(runs[0], fmt.Sprintf("tenant=%q", wantTenant)):
 				record.Printf("BROKEN: %s ran for another tenant than %s; %s", id, wantTenant, runs[0])
 				held = false
 			}
@@ -156,7 +165,7 @@
 		one(d, forged, "")
 		one(d, "", "")
 	}
-	return held
+	return held, served
 }
 
 func keyOf(name string) string {
@@ -168,6 +177,15 @@
 	return ""
 }
 
+// awaitRuns returns the runs of a request. If it was served, it waits for the engine's line.
+func awaitRuns(engines []*harness.Engine, id string, served bool) []string {
+	time.Sleep(30 * time.Millisecond)
+	for deadline := time.Now().Add(time.Second); served && len(runsOf(engines, id)) == 0 && time.Now().Before(deadline); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return runsOf(engines, id)
+}
+
 func runsOf(engines []*harness.Engine, id string) (runs []string) {
 	for _, e := range engines {
 		runs = append(runs, e.Lines("runs "+id+" ")...)
--- a/review/cmd/case-line/main.go
+++ b/review/cmd/case-line/main.go
@@ -65,6 +65,7 @@
 	temp := flag.String("temp", "", "temporary folder")
 	line := flag.Int("line", lineBytes, "bytes of the data line of an event")
 	flag.Parse()
+	harness.EndOnSignal()
 	trouble := os.Getenv("TROUBLE") != "0"
 	record, err := harness.NewRecord(*folder + "/record.txt")
 	if err != nil {
--- a/review/cmd/case-reborn/main.go
+++ b/review/cmd/case-reborn/main.go
@@ -72,6 +72,7 @@
 	temp := flag.String("temp", "", "temporary folder")
 	flag.BoolVar(&crashOnly, "crash-only", false, "no cut: the engine crashes and starts again")
 	flag.Parse()
+	harness.EndOnSignal()
 	trouble := os.Getenv("TROUBLE") != "0"
 	record, err := harness.NewRecord(*folder + "/record.txt")
 	if err != nil {
--- a/review/harness/daemon.go
+++ b/review/harness/daemon.go
@@ -145,9 +145,11 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	register(cmd)
 	d.cmd, d.ended = cmd, make(chan struct{})
 	go func(ended chan struct{}) {
 		err := cmd.Wait()
+		unregister(cmd)
 		f.Record.Printf("daemon %s ended: %v", d.Name, err)
 		close(ended)
 	}(d.ended)
--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -43,6 +43,7 @@
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
+	register(cmd)
 	e := &Engine{ID: id, Listen: listen, record: record, cmd: cmd, ended: make(chan struct{})}
 	go func() {
 		for lines := bufio.NewScanner(out); lines.Scan(); {
@@ -52,6 +53,7 @@
 			e.mu.Unlock()
 		}
 		_ = cmd.Wait()
+		unregister(cmd)
 		record.Printf("engine %s: process ended", id)
 		close(e.ended)
 	}()
--- a/review/harness/record.go
+++ b/review/harness/record.go
@@ -5,7 +5,10 @@
 import (
 	"fmt"
 	"os"
+	"os/exec"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -41,3 +44,38 @@
 
 // Close closes the file.
 func (r *Record) Close() { _ = r.file.Close() }
+
+// started holds the processes that were started and may still run.
+var started struct {
+	sync.Mutex
+	all map[*exec.Cmd]bool
+}
+
+func register(cmd *exec.Cmd) {
+	started.Lock()
+	defer started.Unlock()
+	if started.all == nil {
+		started.all = make(map[*exec.Cmd]bool)
+	}
+	started.all[cmd] = true
+}
+
+func unregister(cmd *exec.Cmd) {
+	started.Lock()
+	defer started.Unlock()
+	delete(started.all, cmd)
+}
+
+// EndOnSignal ends all processes that were started, and this one, when it is asked to stop.
+func EndOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		started.Lock()
+		for cmd := range started.all {
+			_ = cmd.Process.Kill()
+		}
+		os.Exit(ExitNotRun)
+	}()
+}
