--- a/review/cmd/case-keys/main.go
+++ b/review/cmd/case-keys/main.go
@@ -22,8 +22,8 @@
 )
 
 type tenant struct {
-	Name    string   `json:"name"`
-	APIKeys []string `json:"apiKeys"`
+	Name    string
+	APIKeys []string
 }
 
 func tenants() []tenant {
@@ -34,16 +34,13 @@
 const forged = "zzzzzzzzzzzzzzzzzzzz"
 
 func config(version int, list []tenant) map[string]any {
-	return map[string]any{
-		"version": version,
-		"routes": []map[string]any{
-			{"name": "r-battery", "host": harness.Host, "pathPrefix": "/puxa403/", "routeKind": "unsafe", "timeoutMs": 600, "goalMs": 100, "priority": 2, "service": "xano55b", "attempts": 1, "anonymous": false},
-			{"name": "r-lock", "host": harness.Host, "pathPrefix": "/cufi504/", "routeKind": "safe", "timeoutMs": 600, "goalMs": 100, "priority": 2, "service": "xano55b", "attempts": 2, "anonymous": false},
-		},
-		"services": []map[string]any{{"name": "xano55b", "healthPath": "/healthz", "maxConns": 96, "protocol": "h1", "tls": false}},
-		"limits":   map[string]any{"headerBytes": 16384, "bodyBytes": 4194304, "headerMs": 3000, "idleMs": 15000},
-		"tenants":  list,
+	c := harness.Configuration("checks")
+	var holders []map[string]any
+	for _, t := range list {
+		holders = append(holders, map[string]any{"name": t.Name, harness.Name("keys"): t.APIKeys})
 	}
+	c["version"], c["tenants"] = version, holders
+	return c
 }
 
 func main() { os.Exit(run()) }
@@ -88,7 +85,7 @@
 			return harness.ExitNotRun
 		}
 		engines = append(engines, e)
-		store.Put("servers", id, harness.Registration{Service: "xano55b", Address: address, Zone: harness.Zones[i], Version: "v1", Slots: 6, State: "ready", Sequence: 1})
+		store.Put("servers", id, harness.Registration("xano55b", address, harness.Zones[i], 6))
 	}
 	fleet, err := harness.StartFleet(3, store, *temp, record)
 	if fleet != nil {
--- a/review/cmd/case-line/main.go
+++ b/review/cmd/case-line/main.go
@@ -27,18 +27,6 @@
 
 const key = "n2ctnfzs989anu6wsjnb"
 
-func config() map[string]any {
-	return map[string]any{
-		"version": 7,
-		"routes": []map[string]any{
-			{"name": "r-history", "host": harness.Host, "pathPrefix": "/pufi791/", "routeKind": "stream", "timeoutMs": 20000, "goalMs": 3000, "gapGoalMs": 1000, "priority": 1, "service": "huvo11a", "attempts": 3, "anonymous": false, "sticky": true, "resumable": true},
-		},
-		"services": []map[string]any{{"name": "huvo11a", "healthPath": "/healthz", "maxConns": 360, "protocol": "h1", "tls": false, "engine": map[string]any{"slots": 64, "kvCapacity": 749320, "models": []map[string]any{{"name": "daka510000", "cost": 0.016}}}}},
-		"limits":   map[string]any{"headerBytes": 16384, "bodyBytes": 4194304, "headerMs": 3000, "idleMs": 15000},
-		"tenants":  []map[string]any{{"name": "hule930", "apiKeys": []string{key}}},
-	}
-}
-
 func main() { os.Exit(run()) }
 
 // server is the address of an engine with its present boot.
@@ -56,7 +44,7 @@
 	if s.engine, err = harness.StartEngine(record, id, s.address, "-events", fmt.Sprint(events), "-gap", gap.String(), "-line", fmt.Sprint(line)); err != nil {
 		return err
 	}
-	store.Put("servers", id, harness.Registration{Service: "huvo11a", Address: s.address, Zone: s.zone, Version: "v1", Slots: 64, State: "ready", Sequence: 1})
+	store.Put("servers", id, harness.Registration("huvo11a", s.address, s.zone, 64))
 	return nil
 }
 
@@ -79,7 +67,7 @@
 		return harness.ExitNotRun
 	}
 	defer store.Close()
-	store.Put("config", "main", config())
+	store.Put("config", "main", harness.Configuration("stream"))
 	var servers []*server
 	defer func() {
 		for _, s := range servers {
@@ -129,8 +117,7 @@
 func stream(record *harness.Record, store *harness.Store, fleet *harness.Fleet, servers []*server, id string, line int, trouble bool) (ok, ran bool) {
 	done := make(chan harness.Answer, 1)
 	go func() {
-		header := map[string]string{"Authorization": "Bearer " + key, "Model": "daka510000", "Token-Usage": "628,300", "Prefix-Hash": "5c1e07a2:119,91bd3f06:79,e4402b7d:430"}
-		done <- harness.Send(record, fleet.Daemons[0].Front, "POST", "/pufi791/2f", id, 20*time.Second, header, "why did bike 7 stop?")
+		done <- harness.Send(record, fleet.Daemons[0].Front, "POST", "/pufi791/2f", id, 20*time.Second, harness.PromptHeaders(key), "why did bike 7 stop?")
 	}()
 	if trouble && !crash(record, store, servers, id, line) {
 		return false, false
--- a/review/cmd/case-reborn/main.go
+++ b/review/cmd/case-reborn/main.go
@@ -29,18 +29,6 @@
 
 const key = "n2ctnfzs989anu6wsjnb"
 
-func config() map[string]any {
-	return map[string]any{
-		"version": 7,
-		"routes": []map[string]any{
-			{"name": "r-history", "host": harness.Host, "pathPrefix": "/pufi791/", "routeKind": "stream", "timeoutMs": 20000, "goalMs": 3000, "gapGoalMs": 1000, "priority": 1, "service": "huvo11a", "attempts": 3, "anonymous": false, "sticky": true, "resumable": true},
-		},
-		"services": []map[string]any{{"name": "huvo11a", "healthPath": "/healthz", "maxConns": 360, "protocol": "h1", "tls": false, "engine": map[string]any{"slots": 64, "kvCapacity": 749320, "models": []map[string]any{{"name": "daka510000", "cost": 0.016}}}}},
-		"limits":   map[string]any{"headerBytes": 16384, "bodyBytes": 4194304, "headerMs": 3000, "idleMs": 15000},
-		"tenants":  []map[string]any{{"name": "hule930", "apiKeys": []string{key}}},
-	}
-}
-
 func main() { os.Exit(run()) }
 
 // server is an engine behind its link.
@@ -63,7 +51,7 @@
 	if crashOnly {
 		address = s.address
 	}
-	store.Put("servers", id, harness.Registration{Service: "huvo11a", Address: address, Zone: s.zone, Version: "v1", Slots: 64, State: "ready", Sequence: 1})
+	store.Put("servers", id, harness.Registration("huvo11a", address, s.zone, 64))
 	return nil
 }
 
@@ -86,7 +74,7 @@
 		return harness.ExitNotRun
 	}
 	defer store.Close()
-	store.Put("config", "main", config())
+	store.Put("config", "main", harness.Configuration("stream"))
 	var servers []*server
 	defer func() {
 		for _, s := range servers {
@@ -140,8 +128,7 @@
 func stream(record *harness.Record, store *harness.Store, fleet *harness.Fleet, servers []*server, id string, trouble bool) (ok, ran bool) {
 	done := make(chan harness.Answer, 1)
 	go func() {
-		header := map[string]string{"Authorization": "Bearer " + key, "Model": "daka510000", "Token-Usage": "628,300", "Prefix-Hash": "5c1e07a2:119,91bd3f06:79,e4402b7d:430"}
-		done <- harness.Send(record, fleet.Daemons[0].Front, "POST", "/pufi791/2f", id, 20*time.Second, header, "why did bike 7 stop?")
+		done <- harness.Send(record, fleet.Daemons[0].Front, "POST", "/pufi791/2f", id, 20*time.Second, harness.PromptHeaders(key), "why did bike 7 stop?")
 	}()
 	if trouble && !disturb(record, store, servers, id) {
 		return false, false
--- a/review/cmd/engine/main.go
+++ b/review/cmd/engine/main.go
@@ -52,7 +52,7 @@
 		return
 	}
 	w.Header().Set("Request-Id", id)
-	if want := r.Header.Get("Expect-Instance"); want != "" && want != e.id {
+	if want := r.Header.Get(harness.Name("expectInstance")); want != "" && want != e.id {
 		fmt.Printf("refuses %s, meant for %s\n", id, want)
 		w.Header().Set("Instance", e.id)
 		w.Header().Set("Not-Run", "1")
@@ -64,7 +64,7 @@
 		fmt.Printf("drops %s, its channel closed\n", id)
 		return
 	}
-	w.Header().Set("Server-Stamp", e.id+"."+id)
+	w.Header().Set(harness.Name("stamp"), e.id+"."+id)
 	if e.untilClose {
 		w.Header().Set("Transfer-Encoding", "identity")
 	}
@@ -85,7 +85,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	if r.Header.Get("Model") != "" {
 		w.Header().Set("Confidence", "95")
-		w.Header().Set("Weight-Versions", "1")
+		w.Header().Set(harness.Name("weightVersions"), "1")
 	}
 	control := http.NewResponseController(w)
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -32,7 +32,7 @@
 	}
 	req.Host = Host
 	req.Header.Set("Request-Id", id)
-	req.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	req.Header.Set(Name("deadline"), fmt.Sprint(deadline.Milliseconds()))
 	for name, value := range header {
 		req.Header.Set(name, value)
 	}
@@ -50,6 +50,6 @@
 	if errors.Is(a.Aborted, io.EOF) {
 		a.Aborted = nil
 	}
-	record.Printf("client gets %d to %s, stamp %q, %d bytes, broken off: %v", a.Status, id, a.Header.Get("Server-Stamp"), len(a.Body), a.Aborted)
+	record.Printf("client gets %d to %s, stamp %q, %d bytes, broken off: %v", a.Status, id, a.Header.Get(Name("stamp")), len(a.Body), a.Aborted)
 	return a
 }
--- a/review/harness/daemon.go
+++ b/review/harness/daemon.go
@@ -96,37 +96,12 @@
 	return f, f.awaitReady(20 * time.Second)
 }
 
-// settingsText is the settings file of the bench's small site, with other addresses.
-const settingsText = `nodeName: %q
-role: "entry"
-machineClass: "front"
-serves: ["front", "control", "directory"]
-ip: %q
-zone: %q
-region: "nordeste"
-zones: {hall-centro: "nordeste", hall-porto: "nordeste", hall-serra: "nordeste"}
-listen: {front: %q, ready: %q, control: %q, directory: %q}
-portRange: [7340, 7355]
-seeds: [%s]
-bootstrap: true
-faultCounted: false
-limits: {cpuShare: 0.4, cores: 1, memoryMb: 284, maxFds: 4100, linkMbps: 1000.0, diskMb: 0}
-dataDir: null
-discovery: "platform"
-entry: "directory"
-heartbeatMs: 1200
-contracts: ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform", "rollout"]
-faultTolerance: {machines: 2, zones: 0, regions: 0}
-bounds: {seedLagS: 3, reuseAfterS: 2, contactMs: 3000, ackMs: 4000, catchUpS: 4, drainMs: 2000, graceS: 8, lossSlackMs: 200, configMs: 2000, rollbackSlackMs: 250, partitionMaxMs: 5000, revokeStrict: false, revokeMs: 5000, retryRatio: 0.9, retryWindowS: 10, retrySlack: 52, exposureShare: 0.15, exposureSlack: 30, rollbackMs: 5000, recoverS: 12, eventDelayMs: 120, retryAfterS: 10, sessionS: 5, ttl_max_s: 5}
-platform: {address: %q, form: "objects", writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1048576, ttlMinMs: 1000}
-`
-
 func (f *Fleet) writeSettings(d *Daemon) error {
 	var seeds []string
 	for _, other := range f.Daemons[:min(3, len(f.Daemons))] {
 		seeds = append(seeds, fmt.Sprintf("%q", other.Control))
 	}
-	text := fmt.Sprintf(settingsText, d.Name, d.IP, d.Zone, d.Front, d.Ready, d.Control, d.Directory, strings.Join(seeds, ", "), f.Store.Address)
+	text := fmt.Sprintf(string(read("settings.yaml")), d.Name, d.IP, d.Zone, d.Front, d.Ready, d.Control, d.Directory, strings.Join(seeds, ", "), f.Store.Address)
 	d.settings = filepath.Join(f.Folder, d.Name+".yaml")
 	d.log = filepath.Join(f.Folder, d.Name+".log")
 	return os.WriteFile(d.settings, []byte(text), 0o600)
@@ -140,7 +115,7 @@
 	}
 	defer func() { _ = log.Close() }()
 	cmd := exec.Command("target/bronzeturn-entry", "--metrics-port", "9464")
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C.UTF-8", "BRONZETURN_BOOT=" + d.settings}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C.UTF-8", Name("settingsVariable") + "=" + d.settings}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -9,18 +9,6 @@
 	"time"
 )
 
-// Registration is the entry of an engine in the store.
-type Registration struct {
-	Service    string  `json:"service"`
-	Address    string  `json:"address"`
-	Zone       string  `json:"zone"`
-	Version    string  `json:"version"`
-	Slots      int     `json:"slots"`
-	State      string  `json:"state"`
-	ColdLeftMs float64 `json:"coldLeftMs"`
-	Sequence   int     `json:"sequence"`
-}
-
 // Engine is an engine as a process of the program engine. It prints a line for each event.
 type Engine struct {
 	ID, Listen string
