backpressure: log the window at a refusal, and limits that are dropped

The logs did not show whether a brittle engine refused a request within the daemon's window or beyond it, nor that a daemon forgets a request limit. Both tell the hypotheses of the incident apart.

--- a/backpressure/brittle.go
+++ b/backpressure/brittle.go
@@ -142,6 +142,8 @@
 		return 0, false
 	}
 	b.refusals.Inc()
+	b.Log.Info().Str("engine", a.Engine).Int("in_progress", b.InFlight(a.Engine)).Int("window", e.window).Int("share", e.share).
+		Msg("brittle engine refused a request")
 	// The refused request is still counted as in progress.
 	e.window, e.windowAt = int(keptWindow*float64(max(b.InFlight(a.Engine)-1, 0))), a.At
 	e.share = min(e.share, e.window)
--- a/backpressure/limits.go
+++ b/backpressure/limits.go
@@ -284,6 +284,12 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	maps.DeleteFunc(l.engines, func(engine string, _ *limit) bool { return !used(engine) })
+	maps.DeleteFunc(l.engines, func(engine string, e *limit) bool {
+		if used(engine) {
+			return false
+		}
+		l.Log.Info().Str("engine", engine).Float64("per_second", e.perSecond).Msg("request limit of an engine without an entry is dropped")
+		return true
+	})
 	l.limited.Store(int64(len(l.engines)))
 }
