backpressure: a request limit outlives the entry of its engine

What callers saw: an engine short of capacity got 23 requests in 4 s from 32 daemons, 17 allowed (LIMIT), when its entry was missing in the store for 1.5 s. Cause: each daemon dropped the limit with the entry within 0.2 s, and the table of the fleet publishes changes of a limit only, so that every daemon learned the limit anew by sending beyond it. A daemon that joins had the same fault: it may learn of the limit before it learns of the engine.

Limits are kept for two minutes after an engine was last in use; an answer without a limit ends them as before. Ruled out: learning the limit again from the table when the entry is back, as the table's entry expires.

Pauses were checked for the same fault: the balancer keeps them for engines out of the plan.

--- a/backpressure/backpressure.go
+++ b/backpressure/backpressure.go
@@ -39,8 +39,8 @@
 	return at, interval
 }
 
-// Retain drops the engines for which used returns false.
-func (b *Backpressure) Retain(used func(engine string) bool) {
-	b.Limits.Retain(used)
+// Retain drops what is known of engines that are not in use, as reported by used.
+func (b *Backpressure) Retain(used func(engine string) bool, now time.Time) {
+	b.Limits.Retain(used, now)
 	b.Brittle.Retain(used)
 }
--- a/backpressure/limits.go
+++ b/backpressure/limits.go
@@ -36,6 +36,8 @@
 	// newsDelay is the time that news from other daemons may take. An answer that is more
 	// recent goes before them.
 	newsDelay = time.Second
+	// absentLimitTTL is how long the limit of an engine that is not in use is kept.
+	absentLimitTTL = 2 * time.Minute
 )
 
 // Answer is what one answer of an engine says about further requests.
@@ -93,6 +95,8 @@
 	// next is when this daemon's next permit begins, zero while the number of daemons is
 	// unknown.
 	next time.Time
+	// absentSince is since when the engine is not in use, zero while it is.
+	absentSince time.Time
 }
 
 // NewLimits returns Limits without any limited engines.
@@ -277,8 +281,10 @@
 	}
 }
 
-// Retain drops the limits of the engines for which used returns false.
-func (l *Limits) Retain(used func(engine string) bool) {
+// Retain drops the limits of engines that used has not reported as in use for absentLimitTTL. The
+// entry of an engine may be missing for a while although the engine goes on, and this daemon may
+// learn of a limit before it learns of the engine.
+func (l *Limits) Retain(used func(engine string) bool, now time.Time) {
 	if l.limited.Load() == 0 {
 		return
 	}
@@ -286,6 +292,13 @@
 	defer l.mu.Unlock()
 	maps.DeleteFunc(l.engines, func(engine string, e *limit) bool {
 		if used(engine) {
+			e.absentSince = time.Time{}
+			return false
+		}
+		if e.absentSince.IsZero() {
+			e.absentSince = now
+		}
+		if now.Sub(e.absentSince) < absentLimitTTL {
 			return false
 		}
 		l.Log.Info().Str("engine", engine).Float64("per_second", e.perSecond).Msg("request limit of an engine without an entry is dropped")
--- a/backpressure/limits_test.go
+++ b/backpressure/limits_test.go
@@ -191,7 +191,9 @@
 	c.Check(e.next, qt.Equals, at(750))
 	l.Observe(Answer{Engine: "e", Limit: 0.5, Sent: at(0), At: at(650)})
 	c.Check(e.next, qt.Equals, at(1050))
-	l.Retain(func(engine string) bool { return engine != "e" })
+	unused := func(engine string) bool { return engine != "e" }
+	l.Retain(unused, at(20))
+	l.Retain(unused, at(20).Add(absentLimitTTL))
 	c.Check(l.Take("e", at(700)), qt.IsTrue)
 }
 
@@ -248,3 +250,20 @@
 	l.Observe(Answer{Engine: "e", Limit: NoLimit, Sent: at(1800), At: at(1900)})
 	c.Check(shared, qt.DeepEquals, []float64{2, 2, NoLimit})
 }
+
+// TestLimitOfAnAbsentEngineIsKept guards against a daemon that forgets a limit while the engine's
+// entry is missing for a moment, or before it has learned of the engine, and exceeds it afterwards.
+func TestLimitOfAnAbsentEngineIsKept(t *testing.T) {
+	c := qt.New(t)
+	l, _ := newLimits()
+	l.ObserveShared("e", 0.5, at(0))
+	c.Assert(l.Throttled("e", at(1)), qt.IsTrue)
+	absent, present := func(string) bool { return false }, func(string) bool { return true }
+	for begin := 0; begin < 5*int(absentLimitTTL.Milliseconds()); begin += int(absentLimitTTL.Milliseconds()) {
+		l.Retain(absent, at(begin))
+		l.Retain(absent, at(begin).Add(absentLimitTTL-time.Millisecond))
+		l.Retain(present, at(begin).Add(absentLimitTTL-time.Millisecond))
+		_, interval := l.NextPermit("e", at(begin))
+		c.Check(interval > 0, qt.IsTrue, qt.Commentf("the limit is known after %d ms", begin))
+	}
+}
--- a/entry/copies.go
+++ b/entry/copies.go
@@ -288,7 +288,7 @@
 		expiryPending := !d.engines.Expire(time.Now()).IsZero()
 		d.introductions.recompileWaiting()
 		d.logSlowStarts("engine is warm", d.slowStarts.Expire(time.Now()))
-		d.limits.Retain(d.isUsed)
+		d.limits.Retain(d.isUsed, time.Now())
 		if d.evacuated.expire(time.Now()) {
 			d.recompileEngines()
 		}
