--- a/backpressure/backpressure.go
+++ b/backpressure/backpressure.go
@@ -26,7 +26,21 @@
 // Take acquires the permit to send one request to an engine now, and reports whether there was
 // one.
 func (b *Backpressure) Take(engine string, now time.Time) bool {
-	return b.Brittle.Take(engine, now) && b.Limits.Take(engine, now)
+	if !b.Brittle.Take(engine, now) {
+		return false
+	}
+	if b.Limits.Take(engine, now) {
+		return true
+	}
+	b.Brittle.Sent(engine)
+	return false
+}
+
+// Sent records that a request is in progress at an engine. further is set if it is not the first
+// attempt of the request.
+func (b *Backpressure) Sent(engine string, further bool) {
+	b.Brittle.Sent(engine)
+	b.Limits.Sent(engine, further)
 }
 
 // NextPermit returns when this daemon's next permit to send to an engine begins, and the interval
@@ -34,7 +48,7 @@
 func (b *Backpressure) NextPermit(engine string, now time.Time) (at time.Time, interval time.Duration) {
 	at, interval = b.Limits.NextPermit(engine, now)
 	if free := b.Brittle.FreeAt(engine, now); free.After(at) {
-		return free, max(interval, minRefusalPause)
+		return free, max(interval, freeInterval)
 	}
 	return at, interval
 }
--- a/backpressure/brittle.go
+++ b/backpressure/brittle.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,54 +15,49 @@
 const NotBrittle = -1
 
 const (
-	// refusalShare is the share of the refusals that an engine tolerates which the daemons plan
-	// to use. The rest is left for requests that are refused because another daemon has taken
-	// the place of one that ended.
-	refusalShare = 0.25
-	// minTolerated is the least number of refusals per second that is assumed as tolerated. An
-	// engine that is never tried cannot show that it has room again.
-	minTolerated = 0.5
-	// minRefusalPause is the least time after a refusal in which no daemon tries to have more
-	// requests in progress.
-	minRefusalPause = time.Second
-	// refusalNewsTime is the time within which news of a refusal reaches the other daemons.
-	refusalNewsTime = 250 * time.Millisecond
-	// keptWindow is the share of the requests in progress that remains as the window after a
-	// refusal.
-	keptWindow = 0.8
-	// windowHalfLife is the time in which a window beyond the daemon's share that is not used
-	// moves half the way to the number of requests in progress. Other daemons may have taken
-	// the rest.
-	windowHalfLife = 500 * time.Millisecond
+	// reserveAfter is the time after the first statement from which slots must be reserved. Before,
+	// the daemons learn of the statement and report their requests in progress.
+	reserveAfter = time.Second
+	// fullFor is the time for which an engine that has no free slot is passed over. A slot may
+	// become free at any time.
+	fullFor = 20 * time.Millisecond
+	// unsentTTL is the time after which a reserved slot counts as free if no request was sent.
+	unsentTTL = time.Second
+	// freeInterval is the interval at which callers are told to come back to an engine whose slots
+	// are not granted for a time.
+	freeInterval = 50 * time.Millisecond
 )
 
 // BrittleOptions configures Brittle. All fields are required.
 type BrittleOptions struct {
-	// Daemons returns the number of live daemons of the fleet.
-	Daemons func() int
 	// Engine returns the service and the number of slots of an engine, or "" if it is unknown.
 	Engine func(engine string) (service string, slots int)
-	// InFlight returns the number of this daemon's requests in progress at an engine.
-	InFlight func(engine string) int
-	// Random is used by one goroutine at a time.
-	Random *rand.Rand
-	// Share tells the other daemons that an engine has refused a request.
-	Share      func(engine string, tolerated float64)
-	Log        zerolog.Logger
-	Registerer prometheus.Registerer
+	// Reserve asks for a slot of an engine, on behalf of all daemons. If there is none, it returns
+	// the time until one may be granted, zero if that depends on the requests in progress.
+	Reserve func(engine string, slots int, tolerated float64) (granted bool, retryAfter time.Duration)
+	// Refused records that the engine has refused a request, to be told to whoever grants the slots
+	// together with the end of the request.
+	Refused func(engine string)
+	// Share tells the other daemons that the engines of a service are brittle, and for how long this
+	// daemon has known it. It is called for every answer that states it.
+	Share func(service string, tolerated float64, age time.Duration)
+	// LearnsAtOnce reports whether this daemon has been in the fleet long enough to learn at once
+	// what others learn.
+	LearnsAtOnce func() bool
+	Log          zerolog.Logger
+	Registerer   prometheus.Registerer
 }
 
 // Brittle tracks the engines that state that they crash if they have to refuse too many requests
-// within a second. For each of them, a daemon has a window of requests in progress: at first its
-// share of the engine's slots. Beyond the window it sends one request at a time, so rarely that few
-// daemons do so within the time that news takes; one that is accepted widens the window. A refusal
-// narrows the window to what is in progress, and keeps all daemons from widening theirs for a
-// random pause: the daemon that is refused tells the others. An engine that has not answered yet
-// counts as brittle if others of its service are: one that restarts after a crash would get all
-// waiting requests at once. It is safe for concurrent use.
+// within a second. A request to such an engine needs one of its slots, which are granted in one
+// place for all daemons: shares of a daemon would be smaller than one slot in a large fleet, and
+// would not fit while the fleet changes. An engine that has not answered yet counts as brittle if
+// others of its service are: one that restarts after a crash would get all waiting requests at
+// once. It is safe for concurrent use.
 type Brittle struct {
 	BrittleOptions
-	refusals prometheus.Counter
+	refusals     prometheus.Counter
+	reservations *prometheus.CounterVec
 	// known is the number of brittle engines and services. While it is zero, no lock is taken.
 	known atomic.Int64
 
@@ -76,27 +70,29 @@
 type statement struct {
 	tolerated float64
 	at        time.Time
+	// since is when it was stated first, as far as is known.
+	since time.Time
 }
 
 // brittleEngine is the state of one engine.
 type brittleEngine struct {
-	// tolerated is the number of refusals per second that the engine tolerates.
-	tolerated float64
-	// statedAt is when the last answer that stated it arrived, or the news of it.
-	statedAt time.Time
-	// window is the number of requests that may be in progress. It was last adjusted at
-	// windowAt.
-	window   int
-	windowAt time.Time
-	// share is the part of the window that is kept while it is not used: the daemon's share of
-	// the slots, or less since the engine has refused requests within it.
-	share int
-	// widenAt is when the window may be widened.
-	widenAt time.Time
-	// sharedAt is when the last refusal was told to or by the other daemons.
-	sharedAt time.Time
+	statement
+	// unsent is the number of reserved slots for which no request was sent yet, reservedAt when
+	// the last one was reserved.
+	unsent     int
+	reservedAt time.Time
+	// passedUntil is until when the engine is passed over. freeAt is the same if no slots are
+	// granted until then.
+	passedUntil, freeAt time.Time
 }
 
+// Outcomes of reservations.
+const (
+	outcomeGranted = "granted"
+	outcomeFull    = "full"
+	outcomePaused  = "paused"
+)
+
 // NewBrittle returns a Brittle without any engines.
 func NewBrittle(o BrittleOptions) *Brittle {
 	b := &Brittle{BrittleOptions: o, engines: make(map[string]*brittleEngine), services: make(map[string]statement)}
@@ -107,6 +103,9 @@
 	b.refusals = f.NewCounter(prometheus.CounterOpts{
 		Name: "bronzeturn_backpressure_brittle_refusals_total", Help: "Requests of this daemon that such engines have refused.",
 	})
+	b.reservations = f.NewCounterVec(prometheus.CounterOpts{
+		Name: "bronzeturn_backpressure_brittle_reservations_total", Help: "Slots of such engines that this daemon has asked for.",
+	}, []string{"outcome"})
 	return b
 }
 
@@ -122,86 +121,90 @@
 	if a.Tolerated < 0 && b.known.Load() == 0 {
 		return
 	}
-	if tolerated, share := b.observe(a); share {
-		b.Share(a.Engine, tolerated)
+	service, since, refused := b.observe(a)
+	if service != "" {
+		b.Share(service, a.Tolerated, a.At.Sub(since))
+	}
+	if refused {
+		b.refusals.Inc()
+		b.Log.Info().Str("engine", a.Engine).Msg("brittle engine refused a request")
+		b.Refused(a.Engine)
 	}
 }
 
-// observe implements Observe and reports whether the other daemons must be told of a refusal, and
-// how many refusals the engine tolerates.
-func (b *Brittle) observe(a Answer) (tolerated float64, share bool) {
+// observe implements Observe. It returns the service whose engines are brittle according to the
+// answer, since when, and whether a brittle engine has refused a request.
+func (b *Brittle) observe(a Answer) (service string, since time.Time, refused bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	name, _ := b.Engine(a.Engine)
 	if a.Tolerated < 0 {
-		b.observeNone(a)
-	} else {
-		b.set(a.Engine, a.Tolerated, a.At)
+		b.observeNone(name, a)
+		return "", time.Time{}, a.Refused && b.engines[a.Engine] != nil
 	}
-	e := b.engines[a.Engine]
-	if e == nil || !a.Refused {
-		return 0, false
+	first := a.At
+	if !b.LearnsAtOnce() {
+		first = a.At.Add(-reserveAfter) // Others may have known it for long.
 	}
-	b.refusals.Inc()
-	b.Log.Info().Str("engine", a.Engine).Int("in_progress", b.InFlight(a.Engine)).Int("window", e.window).Int("share", e.share).
-		Msg("brittle engine refused a request")
-	// The refused request is still counted as in progress.
-	e.window, e.windowAt = int(keptWindow*float64(max(b.InFlight(a.Engine)-1, 0))), a.At
-	e.share = min(e.share, e.window)
-	e.widenAt = a.At.Add(b.pause(e.tolerated))
-	if a.At.Sub(e.sharedAt) < refusalNewsTime {
-		return 0, false
+	s := b.state(name, a.Tolerated, first, a.At)
+	e := b.engines[a.Engine]
+	if e == nil {
+		e = b.add(a.Engine, s)
 	}
-	e.sharedAt = a.At
-	return e.tolerated, true
+	e.tolerated, e.at = a.Tolerated, a.At
+	return name, e.since, a.Refused
 }
 
-// ObserveShared records that an engine has refused a request of another daemon.
-func (b *Brittle) ObserveShared(engine string, tolerated float64, now time.Time) {
+// ObserveShared records that the engines of a service are brittle according to another daemon, which
+// has known it for the time age.
+func (b *Brittle) ObserveShared(service string, tolerated float64, age time.Duration, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	e := b.set(engine, tolerated, now)
-	e.sharedAt = now
-	e.window, e.windowAt = max(e.share, min(e.window, b.InFlight(engine))), now
-	e.widenAt = now.Add(b.pause(e.tolerated))
+	b.state(service, tolerated, now.Add(-age), now)
 }
 
-// set records that an engine states that it is brittle. The caller holds mu.
-func (b *Brittle) set(engine string, tolerated float64, now time.Time) *brittleEngine {
-	if service, _ := b.Engine(engine); service != "" {
-		b.services[service] = statement{tolerated: tolerated, at: now}
+// state records that the engines of a service are brittle, since the time first unless that is known
+// already. The caller holds mu.
+func (b *Brittle) state(service string, tolerated float64, first, now time.Time) statement {
+	s, known := b.services[service]
+	if !known {
+		s.since = first
+		b.Log.Info().Str("service", service).Float64("tolerated_per_second", tolerated).Dur("age_ms", now.Sub(first)).Msg("engines of a service are brittle")
 	}
-	e := b.engines[engine]
-	if e == nil {
-		e = b.add(engine, now)
+	s.tolerated, s.at = tolerated, now
+	if service != "" {
+		b.services[service] = s
+		b.recount()
 	}
-	e.tolerated = tolerated
-	e.statedAt = now
-	return e
+	return s
 }
 
 // add adds a brittle engine. The caller holds mu.
-func (b *Brittle) add(engine string, now time.Time) *brittleEngine {
-	_, slots := b.Engine(engine)
-	share := slots / max(b.Daemons(), 1)
-	e := &brittleEngine{window: max(share, b.InFlight(engine)), windowAt: now, share: share}
+func (b *Brittle) add(engine string, s statement) *brittleEngine {
+	e := &brittleEngine{statement: s}
 	b.engines[engine] = e
 	b.recount()
 	b.Log.Info().Str("engine", engine).Msg("engine counts as brittle")
 	return e
 }
 
+// serviceOf returns the service of an engine, "" if it is unknown.
+func (b *Brittle) serviceOf(engine string) string {
+	service, _ := b.Engine(engine)
+	return service
+}
+
 // recount updates known. The caller holds mu.
 func (b *Brittle) recount() { b.known.Store(int64(len(b.engines) + len(b.services))) }
 
 // observeNone handles an answer that does not state that the engine is brittle. It ends what was
 // stated before, unless its request was sent before that: answers may overtake each other. The
 // caller holds mu.
-func (b *Brittle) observeNone(a Answer) {
-	service, _ := b.Engine(a.Engine)
+func (b *Brittle) observeNone(service string, a Answer) {
 	if s, ok := b.services[service]; ok && a.Sent.After(s.at) {
 		delete(b.services, service)
 	}
-	if e := b.engines[a.Engine]; e != nil && a.Sent.After(e.statedAt) {
+	if e := b.engines[a.Engine]; e != nil && a.Sent.After(e.at) {
 		delete(b.engines, a.Engine)
 		b.Log.Info().Str("engine", a.Engine).Msg("engine is not brittle any more")
 	}
@@ -209,96 +212,131 @@
 }
 
 // engine returns the state of an engine, or nil if it is not brittle. The caller holds mu.
-func (b *Brittle) engine(name string, now time.Time) *brittleEngine {
+func (b *Brittle) engine(name string) *brittleEngine {
 	if e := b.engines[name]; e != nil {
 		return e
 	}
-	service, _ := b.Engine(name)
-	s, ok := b.services[service]
-	if !ok {
-		return nil
+	if s, ok := b.services[b.serviceOf(name)]; ok {
+		return b.add(name, s)
 	}
-	e := b.add(name, now)
-	e.tolerated = s.tolerated
-	return e
+	return nil
 }
 
-// pause draws the time after a refusal from which a daemon may widen its window.
-func (b *Brittle) pause(tolerated float64) time.Duration {
-	base := max(time.Duration(float64(time.Second)/planned(tolerated)), minRefusalPause)
-	return base + time.Duration(b.Random.Float64()*float64(b.widenInterval(tolerated)))
+// Throttled reports whether an engine is brittle and must be passed over now.
+func (b *Brittle) Throttled(engine string, now time.Time) bool {
+	if b.known.Load() == 0 {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.engine(engine)
+	return e != nil && now.Before(e.passedUntil)
 }
 
-// widenInterval returns the time between two attempts of this daemon to widen its window. All
-// daemons together make no more attempts than the planned refusals within the time that news
-// takes.
-func (b *Brittle) widenInterval(tolerated float64) time.Duration {
-	return time.Duration(float64(max(b.Daemons(), 1)) / planned(tolerated) * float64(refusalNewsTime))
+// Take reports whether a request may be sent to an engine now. If so, a slot is reserved where that
+// is necessary, and Sent must follow. It blocks while the slot is asked for.
+func (b *Brittle) Take(engine string, now time.Time) bool {
+	if b.known.Load() == 0 {
+		return true
+	}
+	slots, tolerated, needed := b.begin(engine, now)
+	if !needed {
+		return true
+	}
+	granted, retryAfter := b.Reserve(engine, slots, tolerated)
+	b.concluded(engine, granted, retryAfter, now)
+	return granted
 }
 
-// planned returns the number of refusals per second that the daemons plan to use.
-func planned(tolerated float64) float64 { return refusalShare * max(tolerated, minTolerated) }
-
-// allows reports whether a request may be sent to the engine, and whether it would be beyond the
-// window. The caller holds mu.
-func (b *Brittle) allows(engine string, e *brittleEngine, now time.Time) (allowed, beyond bool) {
-	inFlight := b.InFlight(engine)
-	e.adjust(inFlight, now)
-	if inFlight < e.window {
-		return true, false
+// begin counts a slot as reserved, and reports whether it must be asked for.
+func (b *Brittle) begin(engine string, now time.Time) (slots int, tolerated float64, needed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.engine(engine)
+	if e == nil || now.Sub(e.since) < reserveAfter {
+		return 0, 0, false
 	}
-	return !now.Before(e.widenAt), true
+	e.unsent = e.reserved(now) + 1
+	e.reservedAt = now
+	_, slots = b.Engine(engine)
+	return slots, e.tolerated, true
 }
 
-// adjust narrows a window that is not used.
-func (e *brittleEngine) adjust(inFlight int, now time.Time) {
-	least := max(inFlight, e.share)
-	if least >= e.window {
-		e.windowAt = now
+// concluded records the answer to a reservation.
+func (b *Brittle) concluded(engine string, granted bool, retryAfter time.Duration, now time.Time) {
+	outcome := outcomeGranted
+	switch {
+	case granted:
+	case retryAfter > 0:
+		outcome = outcomePaused
+	default:
+		outcome = outcomeFull
+	}
+	b.reservations.WithLabelValues(outcome).Inc()
+	if granted {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.engines[engine]
+	if e == nil {
 		return
 	}
-	for now.Sub(e.windowAt) >= windowHalfLife && e.window > least {
-		e.windowAt = e.windowAt.Add(windowHalfLife)
-		e.window -= (e.window - least + 1) / 2
+	e.unsent = max(e.unsent-1, 0)
+	e.passedUntil = now.Add(max(retryAfter, fullFor))
+	e.freeAt = now.Add(retryAfter)
+}
+
+// reserved returns the number of reserved slots for which no request was sent yet.
+func (e *brittleEngine) reserved(now time.Time) int {
+	if now.Sub(e.reservedAt) > unsentTTL {
+		return 0
 	}
+	return e.unsent
 }
 
-// Throttled reports whether an engine is brittle and must be passed over now.
-func (b *Brittle) Throttled(engine string, now time.Time) bool {
+// Sent records that a request is in progress at the engine, instead of a reserved slot.
+func (b *Brittle) Sent(engine string) {
 	if b.known.Load() == 0 {
-		return false
+		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	e := b.engine(engine, now)
-	if e == nil {
-		return false
+	if e := b.engines[engine]; e != nil {
+		e.unsent = max(e.unsent-1, 0)
 	}
-	allowed, _ := b.allows(engine, e, now)
-	return !allowed
 }
 
-// Take reports whether a request may be sent to an engine now. If so, it counts as sent.
-func (b *Brittle) Take(engine string, now time.Time) bool {
+// Unsent returns the number of slots of an engine that are reserved, or being asked for, and have
+// no request in progress yet.
+func (b *Brittle) Unsent(engine string, now time.Time) int {
 	if b.known.Load() == 0 {
-		return true
+		return 0
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	e := b.engine(engine, now)
+	e := b.engines[engine]
 	if e == nil {
-		return true
+		return 0
 	}
-	allowed, beyond := b.allows(engine, e, now)
-	if allowed && beyond {
-		e.window++
-		e.windowAt, e.widenAt = now, now.Add(b.widenInterval(e.tolerated))
+	return e.reserved(now)
+}
+
+// Any reports whether any engine or service is brittle.
+func (b *Brittle) Any() bool { return b.known.Load() > 0 }
+
+// Reserves reports whether requests to an engine need a slot.
+func (b *Brittle) Reserves(engine string) bool {
+	if b.known.Load() == 0 {
+		return false
 	}
-	return allowed
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.engine(engine) != nil
 }
 
-// FreeAt returns when this daemon may send to an engine at the latest. It returns now for an
-// engine at which a request in progress may end before, and for one that is not brittle.
+// FreeAt returns when a slot of an engine may be granted. It returns now if that depends on the
+// requests in progress, and for an engine that is not brittle.
 func (b *Brittle) FreeAt(engine string, now time.Time) time.Time {
 	if b.known.Load() == 0 {
 		return now
@@ -306,10 +344,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.engines[engine]
-	if e == nil || e.window > 0 || e.widenAt.Before(now) {
+	if e == nil || e.freeAt.Before(now) {
 		return now
 	}
-	return e.widenAt
+	return e.freeAt
 }
 
 // Retain drops the engines for which used returns false.
--- a/e2e/brittlefleet_test.go
+++ b/e2e/brittlefleet_test.go
@@ -21,12 +21,14 @@
 	perSecond float64
 }
 
-// Times of the load of a brittleFleet. The engines queue requests until noQueueAfter after they
-// state that they are brittle, and none from then on.
+// Times of the load of a brittleFleet. Until noQueueAfter after the engines state that they are
+// brittle, they queue requests and tolerate any number of refusals.
 const (
 	beforeBrittle = 3 * time.Second
 	noQueueAfter  = 4 * time.Second
 	withoutQueue  = 12 * time.Second
+	// callerDeadline is long enough that no request is sent to another engine because one is slow.
+	callerDeadline = 1500 * time.Millisecond
 )
 
 // newBrittleFleet starts the fleet. The queues of the engines hold many requests at first.
@@ -47,7 +49,8 @@
 // run sends the load and calls during, if not nil, once the engines queue nothing any more. It
 // returns when that was and the load.
 func (f *brittleFleet) run(during func()) (noQueue time.Time, load *loadRun) {
-	_, err := f.store.Put("config", "main", emulator.Config(2).WithTenants(emulator.TenantDoc{Name: "org-1", APIKeys: []string{keyOf("org-1")}}))
+	_, err := f.store.Put("config", "main", emulator.Config(2).WithTenants(emulator.TenantDoc{Name: "org-1", APIKeys: []string{keyOf("org-1")}}).
+		WithTimes("desk", callerDeadline, callerDeadline))
 	f.c.Assert(err, qt.IsNil)
 	f.eventually("configuration in force", func() bool {
 		return !slices.ContainsFunc(f.daemons, func(d emulator.Daemon) bool { return !f.serves(d) })
@@ -59,7 +62,7 @@
 	var changes sync.WaitGroup
 	changes.Go(func() {
 		time.Sleep(beforeBrittle)
-		f.setFaults(emulator.EngineFaults{Brittle: f.tolerated})
+		f.setFaults(emulator.EngineFaults{Brittle: f.tolerated, Sturdy: true})
 		time.Sleep(noQueueAfter)
 		noQueue = time.Now()
 		f.setFaults(emulator.EngineFaults{Brittle: f.tolerated, NoQueue: true})
@@ -69,7 +72,7 @@
 	})
 	load = f.runLoad(loadSpec{
 		sources: []loadSource{{organisation: "org-1", perSecond: f.perSecond, daemons: daemons}},
-		length:  beforeBrittle + noQueueAfter + withoutQueue, deadline: 1500 * time.Millisecond,
+		length:  beforeBrittle + noQueueAfter + withoutQueue, deadline: callerDeadline,
 	})
 	changes.Wait()
 	return noQueue, load
@@ -97,36 +100,36 @@
 	}
 }
 
-// check checks how often engines have crashed since a time, and how much of what their slots can
-// run they have run.
-func (f *brittleFleet) check(noQueue time.Time) {
+// check checks how often engines have crashed, and how many requests were answered since a time, of
+// those that the slots can run.
+func (f *brittleFleet) check(noQueue time.Time, load *loadRun) {
 	falls := f.record.Falls("desk")
 	allowed := toleratedFalls + toleratedFallShare*float64(f.engines)
 	f.c.Check(float64(len(falls)) <= allowed, qt.IsTrue, qt.Commentf("%d brittle engines crashed, allowed %.1f", len(falls), allowed))
-	ran := 0
-	for _, r := range f.record.Runs("") {
-		if r.At.After(noQueue) && r.At.Before(noQueue.Add(withoutQueue)) {
-			ran++
+	served := 0
+	for _, t := range load.tries {
+		if end := t.asked.Add(t.took); t.status == http.StatusOK && end.After(noQueue) && end.Before(noQueue.Add(withoutQueue)) {
+			served++
 		}
 	}
 	could := float64(f.engines*f.slots) * withoutQueue.Seconds() / f.work.Seconds()
-	f.c.Check(float64(ran) >= minBrittleShare*could, qt.IsTrue, qt.Commentf("%d requests ran, the slots could run %.0f", ran, could))
-	f.c.Logf("falls %d of %.1f allowed; %d of %.0f requests ran", len(falls), allowed, ran, could)
+	f.c.Check(float64(served) >= minBrittleShare*could, qt.IsTrue, qt.Commentf("%d requests were served, the slots could run %.0f", served, could))
+	f.c.Logf("falls %d of %.1f allowed; %d of %.0f requests served", len(falls), allowed, served, could)
 }
 
 // TestLargeFleetKeepsBrittleEnginesUpAndBusy guards against a fleet of more daemons than the
 // engines have slots that crashes brittle engines when their queues go away, or leaves them idle.
 func TestLargeFleetKeepsBrittleEnginesUpAndBusy(t *testing.T) {
 	f := newBrittleFleet(t, 65, 4, 6, 3)
-	noQueue, _ := f.run(nil)
-	f.check(noQueue)
+	noQueue, load := f.run(nil)
+	f.check(noQueue, load)
 }
 
 // TestBrittleEnginesStayUpWhileDaemonsAreKilled guards against crashes of brittle engines when half
 // of the daemons, which hold much of their slots, are killed together and start again.
 func TestBrittleEnginesStayUpWhileDaemonsAreKilled(t *testing.T) {
 	f := newBrittleFleet(t, 65, 4, 6, 3)
-	noQueue, _ := f.run(func() {
+	noQueue, load := f.run(func() {
 		time.Sleep(3 * time.Second)
 		for i := 0; i < len(f.daemons); i += 2 {
 			_ = f.running[i].cmd.Process.Kill()
@@ -137,5 +140,5 @@
 			f.running[i] = f.startDaemon(i)
 		}
 	})
-	f.check(noQueue)
+	f.check(noQueue, load)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -267,7 +267,6 @@
 	randTickPhase
 	randLimits
 	randRelay
-	randBrittle
 	randSeeds
 )
 
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -111,7 +111,7 @@
 		quarantine.TableClass(),
 		{Prefix: leavingPrefix, MaxEntries: maxLeavingEntries, MaxValueBytes: maxSmallValueBytes, TTL: leavingTTL, RemovalTTL: leavingTTL},
 		{Prefix: limitPrefix, MaxEntries: maxLimitEntries, MaxValueBytes: maxSmallValueBytes, TTL: limitTTL, RemovalTTL: limitTTL},
-		{Prefix: refusalPrefix, MaxEntries: maxRefusalEntries, MaxValueBytes: maxSmallValueBytes, TTL: refusalTTL, RemovalTTL: refusalTTL},
+		{Prefix: brittlePrefix, MaxEntries: maxBrittleEntries, MaxValueBytes: maxSmallValueBytes, TTL: brittleTTL, RemovalTTL: brittleTTL},
 		{Prefix: contendedPrefix, MaxEntries: maxContendedEntries, MaxValueBytes: maxSmallValueBytes, TTL: contendedTTL, RemovalTTL: contendedTTL},
 		{Prefix: canaryPrefix, MaxEntries: maxVerdictEntries, MaxValueBytes: maxVerdictBytes, TTL: verdictTTL},
 	}
@@ -134,7 +134,9 @@
 	mux.Handle(gossip.NewHandler(f.members.Table()))
 	mux.Handle(bronzeturnv1connect.NewFollowServiceHandler(pullServer{f.daemon}, peer.HandlerOptions()...))
 	mux.Handle(bronzeturnv1connect.NewTallyServiceHandler(tallyServer{f.daemon}, peer.HandlerOptions()...))
-	mux.Handle(bronzeturnv1connect.NewOccupancyServiceHandler(occupancy.Server{Store: f.daemon.occupancyStore}, peer.HandlerOptions()...))
+	mux.Handle(bronzeturnv1connect.NewOccupancyServiceHandler(occupancy.Server{
+		Store: f.daemon.occupancyStore, MayGrant: func(engine string) bool { return f.daemon.shared.occupancy.MayGrant(engine) },
+	}, peer.HandlerOptions()...))
 	mux.Handle(bronzeturnv1connect.NewRelayServiceHandler(relayServer{f.daemon}, peer.HandlerOptions()...))
 	mux.Handle(bronzeturnv1connect.NewDispatchServiceHandler(f.daemon.dispatcher, peer.HandlerOptions()...))
 	return mux
@@ -147,10 +149,11 @@
 	f.members.Table().Subscribe(revisionPrefix, f.receiveRevision)
 	f.members.Table().Subscribe(turnedAwayPrefix, f.watchers.turnedAwayChanged)
 	f.members.Subscribe(func(*membership.View) { f.watchers.notifyChange() })
+	f.members.Subscribe(d.shared.fleetChanged)
 	f.members.Table().Subscribe(quarantine.TablePrefix, d.quarantine.ReceiveEntry)
 	f.members.Table().Subscribe(limitPrefix, f.receiveLimit)
 	f.members.Table().Subscribe(inForcePrefix, d.confirmed.receiveInForce)
-	f.members.Table().Subscribe(refusalPrefix, f.receiveRefusal)
+	f.members.Table().Subscribe(brittlePrefix, f.receiveBrittle)
 	f.members.Table().Subscribe(leavingPrefix, f.receiveLeaving)
 	f.members.Table().Subscribe(contendedPrefix, f.receiveContended)
 	f.registrar = bootstrap.New(bootstrap.Options{
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"math"
 	"strings"
 	"time"
@@ -31,7 +32,8 @@
 		Daemons: d.sharingDaemons, Random: d.rand(randLimits), Share: d.fleet.shareLimit, Log: log, Registerer: d.registry,
 	})
 	brittle := backpressure.NewBrittle(backpressure.BrittleOptions{
-		Daemons: d.fleet.Live, Engine: d.serviceAndSlots, InFlight: d.ownRequests, Random: d.rand(randBrittle), Share: d.fleet.shareRefusal, Log: log, Registerer: d.registry,
+		Engine: d.serviceAndSlots, Reserve: d.reserveSlot, Refused: func(engine string) { d.shared.occupancy.RequestRefused(engine) }, Share: d.fleet.shareBrittle,
+		LearnsAtOnce: func() bool { return time.Since(d.started) >= aloneTime }, Log: log, Registerer: d.registry,
 	})
 	return &backpressure.Backpressure{Limits: limits, Brittle: brittle}
 }
@@ -42,10 +44,16 @@
 	return e.Service, e.Slots
 }
 
-// ownRequests returns the number of this daemon's requests in progress at an engine.
-func (d *Daemon) ownRequests(engine string) int {
-	requests, _ := d.balancer.OwnLoad(engine)
-	return int(requests)
+// reserveSlot asks the keeper of an engine for a slot.
+func (d *Daemon) reserveSlot(engine string, slots int, tolerated float64) (granted bool, retryAfter time.Duration) {
+	grant := d.shared.occupancy.Reserve(context.Background(), engine, slots, tolerated)
+	return grant.Granted, grant.RetryAfter
+}
+
+// requestsInProgress returns the load of this daemon's requests at an engine. Reserved slots count.
+func (d *Daemon) requestsInProgress(engine string) (requests, tokens int64) {
+	requests, tokens = d.balancer.OwnLoad(engine)
+	return requests + int64(d.limits.Brittle.Unsent(engine, time.Now())), tokens
 }
 
 // isUsed reports whether an engine may get requests.
@@ -106,38 +114,49 @@
 	return m.GetPerSecond()
 }
 
-// refusalPrefix is the key prefix in the gossip table for the last refusal of brittle engines, by
-// the key of the engine.
-const refusalPrefix = "refusal/"
+// brittlePrefix is the key prefix in the gossip table for services whose engines state that they
+// crash if they refuse too many requests, by the name of the service.
+const brittlePrefix = "brittle/"
 
 const (
-	maxRefusalEntries = 8192
-	// refusalTTL exceeds the time for which a refusal matters to a daemon that joins the fleet.
-	refusalTTL = 10 * time.Second
+	maxBrittleEntries = 1024
+	// brittleTTL is how long a daemon that joins the fleet learns from the table that the engines
+	// of a service are brittle. brittleInterval is how often the entry is renewed while they are.
+	brittleTTL      = 3 * time.Second
+	brittleInterval = time.Second
+	// maxBrittleAgeMS bounds the age of a statement that is believed, in milliseconds.
+	maxBrittleAgeMS = 1 << 30
 )
 
-// shareRefusal publishes that a brittle engine has refused a request.
-func (f *fleet) shareRefusal(engine string, tolerated float64) {
-	value, err := proto.Marshal(&bronzeturnv1.EngineRefusal{ToleratedPerSecond: &tolerated})
+// shareBrittle publishes that the engines of a service are brittle, unless the table has an entry
+// that is recent. Versions are times in Unix milliseconds, or exceed that of a daemon whose clock is
+// ahead.
+func (f *fleet) shareBrittle(service string, tolerated float64, age time.Duration) {
+	key := brittlePrefix + service
+	now := uint64(time.Now().UnixMilli())
+	version, current, _ := f.members.Table().Get(key)
+	if len(current) > 0 && now < version+uint64(brittleInterval.Milliseconds()) {
+		return
+	}
+	value, err := proto.Marshal(&bronzeturnv1.BrittleService{ToleratedPerSecond: &tolerated, AgeMs: uint64(age.Milliseconds())})
 	if err != nil {
-		f.daemon.log.Error().Err(err).Str("engine", engine).Msg("refusal not encoded")
+		f.daemon.log.Error().Err(err).Str("service", service).Msg("statement of brittle engines not encoded")
 		return
 	}
-	key := refusalPrefix + engine
-	version, _, _ := f.members.Table().Get(key)
-	f.publish(key, version+1, value)
+	f.publish(key, max(now, version+1), value)
 }
 
-// receiveRefusal records that a brittle engine has refused a request of another daemon. Expired
-// entries have no value and say nothing.
-func (f *fleet) receiveRefusal(key string, _ uint64, value []byte) {
+// receiveBrittle records that the engines of a service are brittle according to another daemon.
+// Expired entries have no value and say nothing.
+func (f *fleet) receiveBrittle(key string, _ uint64, value []byte) {
 	if len(value) == 0 {
 		return
 	}
-	var m bronzeturnv1.EngineRefusal
+	var m bronzeturnv1.BrittleService
 	if err := proto.Unmarshal(value, &m); err != nil || !(m.GetToleratedPerSecond() >= 0) {
-		f.daemon.log.Error().Err(err).Str("key", key).Msg("published refusal is not valid")
+		f.daemon.log.Error().Err(err).Str("key", key).Msg("published statement of brittle engines is not valid")
 		return
 	}
-	f.daemon.limits.Brittle.ObserveShared(strings.TrimPrefix(key, refusalPrefix), m.GetToleratedPerSecond(), time.Now())
+	age := time.Duration(min(m.GetAgeMs(), maxBrittleAgeMS)) * time.Millisecond
+	f.daemon.limits.Brittle.ObserveShared(strings.TrimPrefix(key, brittlePrefix), m.GetToleratedPerSecond(), age, time.Now())
 }
--- a/entry/load.go
+++ b/entry/load.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/balance"
@@ -12,7 +11,6 @@
 	"github.com/bronzeturn/bronzeturn/membership"
 	"github.com/bronzeturn/bronzeturn/occupancy"
 	"github.com/bronzeturn/bronzeturn/peer"
-	"github.com/bronzeturn/bronzeturn/rendezvous"
 )
 
 // maxQueriedEngines is the maximum number of engines whose load is queried before a request is
@@ -24,17 +22,28 @@
 type sharedBalancer struct {
 	*balance.State
 	occupancy *occupancy.Client
-	daemon    *Daemon
+	keepers   *keepers
+	// reserves reports whether requests to an engine need a slot.
+	reserves func(engine string) bool
+	daemon   *Daemon
 }
 
 // newSharedBalancer returns a balancer that shares the work in progress of this daemon with the
 // others.
 func newSharedBalancer(d *Daemon) *sharedBalancer {
-	keepers := &keepers{view: d.fleet.members.View}
-	return &sharedBalancer{daemon: d, State: d.balancer, occupancy: occupancy.New(occupancy.Options{
+	keepers := newKeepers(d.Settings.Name, func() rankedFleet { return d.fleet.members.View() }, len(d.Settings.Seeds) > 0, d.started)
+	reserves := d.limits.Brittle.Reserves
+	return &sharedBalancer{daemon: d, State: d.balancer, keepers: keepers, reserves: reserves, occupancy: occupancy.New(occupancy.Options{
 		Self: d.Settings.Name, Keeper: keepers.of, Client: d.fleet.occupancyClient,
-		InFlight: d.balancer.OwnLoad, EachInFlight: d.balancer.InFlight,
-		Store: d.occupancyStore, Log: d.logger("occupancy"), Registerer: d.registry,
+		InFlight: d.requestsInProgress, EachInFlight: d.balancer.InFlight,
+		Backups: func(engine string) []string {
+			if !reserves(engine) {
+				return nil
+			}
+			return keepers.backups(engine)
+		},
+		ReservesSlots: d.limits.Brittle.Any,
+		Store:         d.occupancyStore, Settled: keepers.settled, Log: d.logger("occupancy"), Registerer: d.registry,
 	})}
 }
 
@@ -76,7 +85,7 @@
 // Dispatched implements gateway.Balancer.
 func (b *sharedBalancer) Dispatched(ev balance.Dispatched) {
 	b.State.Dispatched(ev)
-	if ev.Work.PromptTokens > 0 {
+	if ev.Work.PromptTokens > 0 || b.reserves(ev.Engine) {
 		b.occupancy.RequestSent(context.Background(), ev.Engine)
 	}
 }
@@ -106,65 +115,28 @@
 }
 
 // workChanged has the work in progress at an engine reported to its keeper. Requests without a
-// prompt are not counted there.
+// prompt are counted there only if they need a slot, which is free for others now.
 func (b *sharedBalancer) workChanged(engine string, w balance.Work) {
-	if w.PromptTokens > 0 {
+	switch {
+	case b.reserves(engine):
+		b.occupancy.SlotFreed(context.Background(), engine)
+	case w.PromptTokens > 0:
 		b.occupancy.LoadChanged(engine)
 	}
 }
 
-const (
-	// Keepers are the daemons that count the work in progress of all daemons at some engines.
-	// There is one keeper per daemonsPerKeeper daemons, which limits the connections of each
-	// daemon. The number of keepers does not exceed maxKeepers, because each keeper costs every
-	// other daemon a connection and its keep-alive pings. Engines are assigned to keepers in
-	// proportion to the capacity of their hosts.
-	minKeepers       = 3
-	daemonsPerKeeper = 4
-	maxKeepers       = 24
-	// keeperRankKey is the key by which daemons are ranked to select the keepers.
-	keeperRankKey = "occupancy"
-)
-
-// keepers maps engines to their keepers.
-type keepers struct {
-	view func() *membership.View
-	last atomic.Pointer[keeperSet]
-}
-
-// keeperSet is the set of keepers for one view of the fleet.
-type keeperSet struct {
-	view *membership.View
-	set  *rendezvous.Set
-}
-
-// of returns the name of the keeper of an engine, or "" while no daemon is known.
-func (k *keepers) of(engine string) string {
-	view := k.view()
-	last := k.last.Load()
-	if last == nil || last.view != view {
-		n := min(max(minKeepers, view.Live()/daemonsPerKeeper), maxKeepers)
-		var members []membership.Member
-		for _, name := range view.Top(keeperRankKey, min(n, view.Live())) {
-			m, _ := view.Member(name)
-			members = append(members, m)
-		}
-		last = &keeperSet{view: view, set: weightedSet(members)}
-		k.last.Store(last)
-	}
-	if last.set.Len() == 0 {
-		return ""
-	}
-	return last.set.Owner(engine)
-}
-
-// weightedSet returns a rendezvous set of daemons that is weighted by the capacity of their hosts.
-func weightedSet(members []membership.Member) *rendezvous.Set {
-	capacities := make(map[string]float64, len(members))
-	for _, m := range members {
-		capacities[m.Name] = m.Capacity
+// fleetChanged drops what daemons that are gone have reported, and has the work in progress reported
+// to new keepers.
+func (b *sharedBalancer) fleetChanged(view *membership.View) {
+	b.keepers.update(view)
+	if !b.daemon.limits.Brittle.Any() {
+		return
 	}
-	return rendezvous.NewWeighted(capacities)
+	b.daemon.occupancyStore.Forget(func(daemon string) bool {
+		m, known := view.Member(daemon)
+		return known && m.Reason != membership.ReasonUnreachable
+	})
+	b.occupancy.KeepersChanged()
 }
 
 // occupancyClient returns a client for a keeper, or nil if the daemon is unknown.
--- a/gateway/dispatch_harness_test.go
+++ b/gateway/dispatch_harness_test.go
@@ -168,7 +168,8 @@
 		Limits: &backpressure.Backpressure{
 			Limits: backpressure.NewLimits(backpressure.Options{Daemons: func() int { return 1 }, Random: random, Share: func(string, float64) {}, Log: zerolog.Nop(), Registerer: prometheus.NewRegistry()}),
 			Brittle: backpressure.NewBrittle(backpressure.BrittleOptions{
-				Daemons: func() int { return 1 }, Engine: func(string) (string, int) { return "", 0 }, InFlight: func(string) int { return 0 }, Random: random, Share: func(string, float64) {}, Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
+				Engine: func(string) (string, int) { return "", 0 }, Reserve: func(string, int, float64) (bool, time.Duration) { return true, 0 },
+				Refused: func(string) {}, Share: func(string, float64, time.Duration) {}, LearnsAtOnce: func() bool { return true }, Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
 			}),
 		},
 		Transport: attempt.NewUnpooledTransport(b.network.dial),
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -25,8 +25,8 @@
 		g.Introductions.Running(t.service, t.session, to.engine.Version)
 	}
 	to.sent = time.Now()
-	g.Limits.Sent(to.engine.Key(), t.request.trace.attempts > 1)
 	g.Engines.Dispatched(balance.Dispatched{Engine: to.engine.Key(), Work: to.work, PrefixHash: t.prefixHash, At: to.sent})
+	g.Limits.Sent(to.engine.Key(), t.request.trace.attempts > 1)
 	sending, send := g.Quarantine.Sending(ctx, t.content)
 	defer send.Done()
 	if g.Quarantine.Held(t.content) && !t.quarantineRetry {
--- a/gen/bronzeturn/v1/bronzeturnv1connect/occupancy.connect.go
+++ b/gen/bronzeturn/v1/bronzeturnv1connect/occupancy.connect.go
@@ -35,12 +35,17 @@
 const (
 	// OccupancyServiceShareProcedure is the fully-qualified name of the OccupancyService's Share RPC.
 	OccupancyServiceShareProcedure = "/bronzeturn.v1.OccupancyService/Share"
+	// OccupancyServiceReserveProcedure is the fully-qualified name of the OccupancyService's Reserve
+	// RPC.
+	OccupancyServiceReserveProcedure = "/bronzeturn.v1.OccupancyService/Reserve"
 )
 
 // OccupancyServiceClient is a client for the bronzeturn.v1.OccupancyService service.
 type OccupancyServiceClient interface {
 	// Share records the work in progress of the calling daemon and returns that of all others.
 	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
+	// Reserve asks for a slot of an engine that crashes if it refuses too many requests.
+	Reserve(context.Context, *connect.Request[v1.ReserveRequest]) (*connect.Response[v1.ReserveResponse], error)
 }
 
 // NewOccupancyServiceClient constructs a client for the bronzeturn.v1.OccupancyService service. By
@@ -60,12 +65,19 @@
 			connect.WithSchema(occupancyServiceMethods.ByName("Share")),
 			connect.WithClientOptions(opts...),
 		),
+		reserve: connect.NewClient[v1.ReserveRequest, v1.ReserveResponse](
+			httpClient,
+			baseURL+OccupancyServiceReserveProcedure,
+			connect.WithSchema(occupancyServiceMethods.ByName("Reserve")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // occupancyServiceClient implements OccupancyServiceClient.
 type occupancyServiceClient struct {
-	share *connect.Client[v1.ShareRequest, v1.ShareResponse]
+	share   *connect.Client[v1.ShareRequest, v1.ShareResponse]
+	reserve *connect.Client[v1.ReserveRequest, v1.ReserveResponse]
 }
 
 // Share calls bronzeturn.v1.OccupancyService.Share.
@@ -73,10 +85,17 @@
 	return c.share.CallUnary(ctx, req)
 }
 
+// Reserve calls bronzeturn.v1.OccupancyService.Reserve.
+func (c *occupancyServiceClient) Reserve(ctx context.Context, req *connect.Request[v1.ReserveRequest]) (*connect.Response[v1.ReserveResponse], error) {
+	return c.reserve.CallUnary(ctx, req)
+}
+
 // OccupancyServiceHandler is an implementation of the bronzeturn.v1.OccupancyService service.
 type OccupancyServiceHandler interface {
 	// Share records the work in progress of the calling daemon and returns that of all others.
 	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
+	// Reserve asks for a slot of an engine that crashes if it refuses too many requests.
+	Reserve(context.Context, *connect.Request[v1.ReserveRequest]) (*connect.Response[v1.ReserveResponse], error)
 }
 
 // NewOccupancyServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -92,10 +111,18 @@
 		connect.WithSchema(occupancyServiceMethods.ByName("Share")),
 		connect.WithHandlerOptions(opts...),
 	)
+	occupancyServiceReserveHandler := connect.NewUnaryHandler(
+		OccupancyServiceReserveProcedure,
+		svc.Reserve,
+		connect.WithSchema(occupancyServiceMethods.ByName("Reserve")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/bronzeturn.v1.OccupancyService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OccupancyServiceShareProcedure:
 			occupancyServiceShareHandler.ServeHTTP(w, r)
+		case OccupancyServiceReserveProcedure:
+			occupancyServiceReserveHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -108,3 +135,7 @@
 func (UnimplementedOccupancyServiceHandler) Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bronzeturn.v1.OccupancyService.Share is not implemented"))
 }
+
+func (UnimplementedOccupancyServiceHandler) Reserve(context.Context, *connect.Request[v1.ReserveRequest]) (*connect.Response[v1.ReserveResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bronzeturn.v1.OccupancyService.Reserve is not implemented"))
+}
--- a/occupancy/book.go
+++ b/occupancy/book.go
@@ -26,6 +26,9 @@
 	// delayTTL is how long an engine's delay counts. It decreases linearly to zero
 	// over that time.
 	delayTTL = 2 * time.Second
+	// gateTTL is how long the room that a refusal has shown is remembered while no daemon has
+	// requests in progress.
+	gateTTL = 10 * time.Second
 	// storeShards is the number of shards of a store, each with its own lock.
 	storeShards = 16
 )
@@ -45,6 +48,7 @@
 	delay    time.Duration
 	delayAt  time.Time
 	pace     paceMean
+	gate     gate
 }
 
 // report is the last report of one daemon.
@@ -138,7 +142,7 @@
 			}
 		}
 		state.pace.expire(now)
-		if len(state.byDaemon) == 0 && len(state.pace.counted) == 0 {
+		if len(state.byDaemon) == 0 && len(state.pace.counted) == 0 && now.Sub(state.gate.refusedAt) > gateTTL {
 			delete(s.engines, engine)
 		}
 	}
--- a/occupancy/occupancy_test.go
+++ b/occupancy/occupancy_test.go
@@ -127,6 +127,8 @@
 	calls atomic.Int64
 	err   error
 	delay time.Duration
+	// unsettled has the keeper not decide on slots.
+	unsettled bool
 }
 
 func newDirectClient() *directClient {
@@ -148,7 +150,16 @@
 	if d.err != nil {
 		return nil, d.err
 	}
-	return Server{d.store.Load()}.Share(ctx, r)
+	return Server{Store: d.store.Load()}.Share(ctx, r)
+}
+
+// Reserve implements bronzeturnv1connect.OccupancyServiceClient.
+func (d *directClient) Reserve(ctx context.Context, r *connect.Request[bronzeturnv1.ReserveRequest]) (*connect.Response[bronzeturnv1.ReserveResponse], error) {
+	d.calls.Add(1)
+	if d.err != nil {
+		return nil, d.err
+	}
+	return Server{Store: d.store.Load(), MayGrant: func(string) bool { return !d.unsettled }}.Reserve(ctx, r)
 }
 
 // newClient returns the client of a daemon whose engines all have the same keeper.
@@ -157,7 +168,8 @@
 	return New(Options{
 		Self: name, Keeper: func(string) string { return keeper },
 		Client:   func(string) bronzeturnv1connect.OccupancyServiceClient { return to },
-		InFlight: o.at, EachInFlight: o.each, Store: to.store.Load(), Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
+		InFlight: o.at, EachInFlight: o.each, Store: to.store.Load(), Backups: func(string) []string { return nil },
+		ReservesSlots: func() bool { return false }, Settled: func(string) bool { return true }, Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
 	}), o
 }
 
@@ -238,7 +250,7 @@
 func TestServerOverHTTP(t *testing.T) {
 	c := qt.New(t)
 	store := NewStore()
-	_, handler := bronzeturnv1connect.NewOccupancyServiceHandler(Server{store})
+	_, handler := bronzeturnv1connect.NewOccupancyServiceHandler(Server{Store: store})
 	server := httptest.NewServer(handler)
 	defer server.Close()
 	client := bronzeturnv1connect.NewOccupancyServiceClient(server.Client(), server.URL)
--- a/occupancy/sharer.go
+++ b/occupancy/sharer.go
@@ -27,8 +27,10 @@
 	// sent is reported at once, since other daemons' choices depend on it most.
 	reportInterval = 60 * time.Millisecond
 	// refreshInterval is how often load that persists is reported again, for the case
-	// that the keeper is new.
-	refreshInterval = time.Second
+	// that the keeper is new. While slots are reserved it is slotRefreshInterval, so that the
+	// requests of a daemon that has died are not counted for long.
+	refreshInterval     = time.Second
+	slotRefreshInterval = 500 * time.Millisecond
 	// maxFailures is the number of consecutive failed calls after which a keeper is
 	// avoided, avoidFor how long it then gets no calls.
 	maxFailures = 3
@@ -41,6 +43,11 @@
 	Self string
 	// Keeper returns the daemon that is the keeper of an engine, "" for none.
 	Keeper func(engine string) string
+	// Backups returns further daemons that count the load at an engine whose slots are reserved,
+	// and grant its slots while the keeper does not; nil for other engines.
+	Backups func(engine string) []string
+	// ReservesSlots reports whether slots of any engine are reserved.
+	ReservesSlots func() bool
 	// Client returns the service client for a daemon, nil when its address is not
 	// known.
 	Client func(daemon string) bronzeturnv1connect.OccupancyServiceClient
@@ -49,8 +56,11 @@
 	InFlight     func(engine string) (requests, tokens int64)
 	EachInFlight func(f func(engine string, requests, tokens int64))
 	Store        *Store
-	Log          zerolog.Logger
-	Registerer   prometheus.Registerer
+	// Settled reports whether this daemon has been a keeper of an engine long enough to grant
+	// slots of it.
+	Settled    func(engine string) bool
+	Log        zerolog.Logger
+	Registerer prometheus.Registerer
 }
 
 // Client reports this daemon's load to the keepers and queries them for that of the
@@ -61,14 +71,22 @@
 	sequence atomic.Uint64
 	pace     paceSums
 	// wake signals Run that there is load to report.
-	wake chan struct{}
+	wake  chan struct{}
+	awake wakefulness
 
 	mu sync.Mutex
-	// changed holds the engines whose load is to be reported, by keeper, with the
-	// delay to report.
-	changed map[string]map[string]time.Duration
+	// changed holds the engines whose load is to be reported, by keeper.
+	changed map[string]map[string]change
 	// failing holds the keepers whose last call failed.
 	failing map[string]failing
+	// undecided holds the keepers that did not decide on a slot, with the time of the last one.
+	undecided map[string]time.Time
+}
+
+// change is what is to be reported of an engine besides its load.
+type change struct {
+	delay   time.Duration
+	refused int
 }
 
 // failing is the number of consecutive failed calls to a keeper, and the time of
@@ -80,7 +98,7 @@
 
 // New returns a Client. Periodic reports begin with Run.
 func New(o Options) *Client {
-	c := &Client{Options: o, metrics: newMetrics(o.Registerer), wake: make(chan struct{}, 1), changed: make(map[string]map[string]time.Duration), failing: make(map[string]failing)}
+	c := &Client{Options: o, metrics: newMetrics(o.Registerer), wake: make(chan struct{}, 1), changed: make(map[string]map[string]change), failing: make(map[string]failing), undecided: make(map[string]time.Time)}
 	// Sequence numbers of a daemon keep increasing across its restarts.
 	c.sequence.Store(uint64(time.Now().UnixMilli()) << 20)
 	return c
@@ -91,46 +109,84 @@
 
 // LoadChanged records that this daemon's load at an engine has changed, to be
 // reported in the next round.
-func (c *Client) LoadChanged(engine string) { c.markChanged(engine, 0) }
+func (c *Client) LoadChanged(engine string) { c.markChanged(engine, change{}) }
 
 // DelayObserved records how much later than expected an engine began an answer, to
 // be reported in the next round.
-func (c *Client) DelayObserved(engine string, delay time.Duration) { c.markChanged(engine, delay) }
+func (c *Client) DelayObserved(engine string, delay time.Duration) {
+	c.markChanged(engine, change{delay: delay})
+}
 
-// markChanged marks the load of an engine to be reported. It returns the engine's
-// keeper, "" when there is none.
-func (c *Client) markChanged(engine string, delay time.Duration) string {
-	keeper := c.Keeper(engine)
-	if keeper == "" {
-		return ""
+// markChanged marks the load of an engine to be reported. It returns the daemons to report it to.
+func (c *Client) markChanged(engine string, more change) []string {
+	keepers := c.keepersOf(engine)
+	for _, keeper := range keepers {
+		c.note(keeper, engine, more)
+	}
+	select {
+	case c.wake <- struct{}{}:
+	default:
 	}
+	return keepers
+}
+
+// note adds to what is to be reported of an engine to a keeper.
+func (c *Client) note(keeper, engine string, more change) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	engines := c.changed[keeper]
 	if engines == nil {
-		engines = make(map[string]time.Duration)
+		engines = make(map[string]change)
 		c.changed[keeper] = engines
 	}
-	engines[engine] = max(engines[engine], delay)
-	select {
-	case c.wake <- struct{}{}:
-	default:
+	known := engines[engine]
+	engines[engine] = change{delay: max(known.delay, more.delay), refused: known.refused + more.refused}
+}
+
+// keepersOf returns the keeper of an engine and its backups.
+func (c *Client) keepersOf(engine string) []string {
+	keeper := c.Keeper(engine)
+	if keeper == "" {
+		return nil
 	}
-	return keeper
+	return append([]string{keeper}, c.Backups(engine)...)
 }
 
 // RequestSent records that a request was sent to an engine, and reports it to the
 // keeper at once.
 func (c *Client) RequestSent(ctx context.Context, engine string) {
-	switch keeper := c.markChanged(engine, 0); keeper {
-	case "":
-	case c.Self:
-		c.report(ctx, keeper)
-	default:
+	c.reportAtOnce(ctx, engine)
+}
+
+// SlotFreed records that a request for which a slot was reserved has ended, and reports it to the
+// keeper at once.
+func (c *Client) SlotFreed(ctx context.Context, engine string) { c.reportAtOnce(ctx, engine) }
+
+// RequestRefused records that an engine has refused a request for which a slot was reserved. It is
+// reported with the end of the request, so that the slot is not granted again before the room is
+// lowered.
+func (c *Client) RequestRefused(engine string) {
+	for _, keeper := range c.keepersOf(engine) {
+		c.note(keeper, engine, change{refused: 1})
+	}
+}
+
+// reportAtOnce reports the load at an engine without waiting for the next round.
+func (c *Client) reportAtOnce(ctx context.Context, engine string) {
+	for _, keeper := range c.markChanged(engine, change{}) {
+		if keeper == c.Self {
+			c.report(ctx, keeper)
+			continue
+		}
 		go c.report(ctx, keeper)
 	}
 }
 
+// KeepersChanged has the load at all engines reported, since some of them have other keepers now.
+func (c *Client) KeepersChanged() {
+	c.EachInFlight(func(engine string, _, _ int64) { c.LoadChanged(engine) })
+}
+
 // Run reports changes to the keepers until ctx ends. It blocks while there are none:
 // a daemon of a large fleet gets a few requests per second, and polling every
 // reportInterval would wake it three times as often.
@@ -142,8 +198,13 @@
 		case <-ctx.Done():
 			return nil
 		case <-refresh.C:
-			refresh.Reset(backoff.UntilTick(refreshInterval))
-			c.EachInFlight(func(engine string, _, _ int64) { c.LoadChanged(engine) })
+			interval := refreshInterval
+			if c.ReservesSlots() {
+				interval = slotRefreshInterval
+			}
+			refresh.Reset(backoff.UntilTick(interval))
+			c.awake.tick(interval, time.Now())
+			c.KeepersChanged()
 			c.Store.Expire(time.Now())
 			continue
 		case <-c.wake:
@@ -188,10 +249,11 @@
 	delete(c.changed, keeper)
 	c.mu.Unlock()
 	m := &bronzeturnv1.ShareRequest{Daemon: c.Self}
-	for engine, delay := range engines {
+	for engine, what := range engines {
 		requests, tokens := c.InFlight(engine)
 		m.Own = append(m.Own, &bronzeturnv1.EngineLoad{
-			Engine: hash(engine), Requests: uint32(requests), Tokens: uint32(tokens), LateMs: uint32(delay.Milliseconds()),
+			Engine: hash(engine), Requests: uint32(requests), Tokens: uint32(tokens), LateMs: uint32(what.delay.Milliseconds()),
+			Refused: uint32(what.refused),
 		})
 	}
 	c.pace.complete(m, &c.sequence, time.Now())
@@ -221,6 +283,69 @@
 	return answer.Msg.GetOthers()
 }
 
+// undecidedRetry is the time after which a slot is asked for again if no keeper has decided.
+const undecidedRetry = 100 * time.Millisecond
+
+// undecidedFor is the time for which a keeper that has not decided on a slot is not asked again.
+const undecidedFor = 250 * time.Millisecond
+
+// Reserve asks the keeper of an engine for a slot, and its backups if the keeper does not decide. The
+// new request must be part of InFlight already.
+func (c *Client) Reserve(ctx context.Context, engine string, slots int, tolerated float64) Grant {
+	for _, keeper := range c.keepersOf(engine) {
+		if c.isUndecided(keeper) {
+			continue
+		}
+		if grant, decided := c.reserveAt(ctx, keeper, engine, slots, tolerated); decided {
+			return grant
+		}
+		c.mu.Lock()
+		c.undecided[keeper] = time.Now()
+		c.mu.Unlock()
+	}
+	return Grant{RetryAfter: undecidedRetry}
+}
+
+// isUndecided reports whether a keeper has recently not decided on a slot.
+func (c *Client) isUndecided(keeper string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at, ok := c.undecided[keeper]
+	if ok && time.Since(at) > undecidedFor {
+		delete(c.undecided, keeper)
+		return false
+	}
+	return ok
+}
+
+// reserveAt asks one daemon for a slot, and reports whether it has decided.
+func (c *Client) reserveAt(ctx context.Context, keeper, engine string, slots int, tolerated float64) (grant Grant, decided bool) {
+	requests, _ := c.InFlight(engine)
+	m := &bronzeturnv1.ReserveRequest{
+		Daemon: c.Self, Sequence: c.sequence.Add(1), Engine: engine, Slots: uint32(slots), InProgress: uint32(requests), ToleratedPerSecond: tolerated,
+	}
+	if keeper == c.Self {
+		return c.Store.reserveSettled(m, c.MayGrant, time.Now())
+	}
+	client := c.Client(keeper)
+	if client == nil || c.isAvoided(keeper) {
+		c.metrics.calls.WithLabelValues(outcomeLeftOut).Inc()
+		return Grant{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	answer, err := client.Reserve(ctx, connect.NewRequest(m))
+	if connect.CodeOf(err) == connect.CodeUnimplemented {
+		return Grant{Granted: requests <= 1}, true // The keeper runs an earlier version.
+	}
+	if err != nil {
+		c.failed(keeper, err)
+		return Grant{}, false
+	}
+	c.answered(keeper)
+	return Grant{Granted: answer.Msg.GetGranted(), RetryAfter: time.Duration(answer.Msg.GetRetryAfterMs()) * time.Millisecond}, answer.Msg.GetSettled()
+}
+
 // isAvoided reports whether a keeper gets no calls because the last ones failed.
 func (c *Client) isAvoided(keeper string) bool {
 	c.mu.Lock()
