gateway: answers without end are cut off, repeated elsewhere, and share a bound on memory

What callers saw (platform.TestEndlessAnswersAreCutOff, failing before): with one of three engines sending a body without end, idempotent requests that met it ended with 502 in every case of a body with or without chunks. Headers, interim answers, chunk extensions and events without end were cut off and repeated already.

Cause: an answer above 16 MiB counted as a fault of the request, which is not repeated; and each such answer took up to 32 MiB of memory, so that a few of them together exceed the memory of a host of 144 MB. Now it counts as broken, and buffered answers share 0.15 of the memory; each needs nothing of it for its first 64 KiB, so that usual answers are never refused.

Not done: the chat edge has a bound on each answer (plainservice, engine), but none on all together.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -181,6 +181,10 @@
 // The rest is reserved for stacks, kernel buffers and garbage that is not yet collected.
 const memoryShare = 0.7
 
+// bufferShare is the fraction of Settings.MemoryBytes that answers may use which are buffered until
+// they are complete.
+const bufferShare = 0.15
+
 // New creates a daemon and opens its listeners. Requests are served only after Run is called.
 func New(o Options) (*Daemon, error) {
 	d := &Daemon{Options: o, registry: prometheus.NewRegistry(), seed: process.Seed(), started: time.Now(), occupancyStore: occupancy.NewStore()}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -177,6 +177,9 @@
 	Dispatcher Dispatcher
 	Transport  http.RoundTripper
 	Budget     BudgetOptions
+	// BufferBytes bounds the memory of answers that are buffered until they are complete. 0 means
+	// a default.
+	BufferBytes int64
 
 	Seed       uint64
 	Log        zerolog.Logger
@@ -196,12 +199,13 @@
 	runTimes      *runTimes
 	rngs          sync.Pool
 	seeds         atomic.Uint64
+	buffers       *answerBuffers
 	gate          gate
 }
 
 // New returns a Gateway.
 func New(o Options) *Gateway {
-	g := &Gateway{Options: o, metrics: newMetrics(o.Registerer), budgets: newBudgets(o.Budget, o.Daemons), paceBaselines: newPaceBaselines(), answerLengths: newAnswerLengths(), prefixLoads: newPrefixLoads(), mismatches: newMismatches(), retries: newRetrySchedule(), runTimes: newRunTimes()}
+	g := &Gateway{Options: o, metrics: newMetrics(o.Registerer), budgets: newBudgets(o.Budget, o.Daemons), paceBaselines: newPaceBaselines(), answerLengths: newAnswerLengths(), prefixLoads: newPrefixLoads(), mismatches: newMismatches(), retries: newRetrySchedule(), runTimes: newRunTimes(), buffers: newAnswerBuffers(o.BufferBytes)}
 	g.rngs.New = func() any { return rand.New(rand.NewPCG(o.Seed, g.seeds.Add(1))) }
 	return g
 }
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,9 +12,6 @@
 	"github.com/bronzeturn/bronzeturn/retry"
 )
 
-// maxBufferedBytes bounds the size of an answer that is buffered until it is complete.
-const maxBufferedBytes = 16 << 20
-
 // bufferedAnswer is a complete answer of an engine.
 type bufferedAnswer struct {
 	status int
@@ -22,17 +19,18 @@
 	body   []byte
 }
 
-// readBuffered reads an answer to its end.
-func readBuffered(x *attempt.Exchange) (*bufferedAnswer, *attemptError) {
-	body, err := io.ReadAll(io.LimitReader(x, maxBufferedBytes+1))
-	if err != nil {
+// readBuffered reads an answer to its end. One that exceeds its bound counts as broken, since an
+// engine in trouble may send bytes without end.
+func (g *Gateway) readBuffered(x *attempt.Exchange) (*bufferedAnswer, *attemptError) {
+	body, err := g.buffers.read(x)
+	switch {
+	case errors.Is(err, errAnswerTooLong):
+		return nil, &attemptError{Kind: retry.KindBroken, Ran: failure.RanUnknown, Cause: err}
+	case err != nil:
 		failed := sendError(err)
 		failed.Ran = failure.RanUnknown
 		return nil, failed
 	}
-	if len(body) > maxBufferedBytes {
-		return nil, &attemptError{Kind: retry.KindRejected, Ran: failure.RanUnknown, Cause: errAnswerTooLong}
-	}
 	return &bufferedAnswer{status: x.Status, header: x.Header, body: body}, nil
 }
 
@@ -45,7 +43,7 @@
 
 // deliverBuffered reads the complete answer and passes it on.
 func (g *Gateway) deliverBuffered(ctx context.Context, t *task, to *target, x *attempt.Exchange) *attemptError {
-	buffered, failed := readBuffered(x)
+	buffered, failed := g.readBuffered(x)
 	if failed != nil {
 		return failed
 	}
@@ -70,7 +68,7 @@
 // deliverFailure handles an error answer of an engine. It is kept, to be passed on if no
 // other engine may be tried or none succeeds.
 func (g *Gateway) deliverFailure(t *task, to *target, x *attempt.Exchange) *attemptError {
-	buffered, failed := readBuffered(x)
+	buffered, failed := g.readBuffered(x)
 	if failed != nil {
 		return failed
 	}
