route: a configuration that names organisations always asks for a key

Cause: whether keys are needed followed from the list of keys, so that an empty list meant everybody. It follows from the organisations now. The other tables were read for the same cause: no version, service or share of a route is allowed by an empty list, on neither edge; an empty list of home regions means all by its definition; before the first configuration requests are refused.

--- a/e2e/entry_test.go
+++ b/e2e/entry_test.go
@@ -413,3 +413,22 @@
 	}
 	f.c.Check(bad < 50, qt.IsTrue, qt.Commentf("%d requests ran on the bad version", bad))
 }
+
+// TestNoRequestRunsOnceAllKeysAreTakenAway guards against a configuration without a key that lets
+// everybody in.
+func TestNoRequestRunsOnceAllKeysAreTakenAway(t *testing.T) {
+	f := newEntryFleet(t, 2, 1, 1, defaultBounds)
+	f.c.Assert(f.send(0, http.MethodPost, "/once/x").status, qt.Equals, http.StatusOK)
+	_, err := f.store.Put("config", "main", emulator.Config(2).WithTenants(emulator.TenantDoc{Name: "org-1"}, emulator.TenantDoc{Name: "org-2", APIKeys: []string{}}))
+	f.c.Assert(err, qt.IsNil)
+	for i := range f.daemons {
+		f.eventually("no key in force", func() bool { return f.send(i, http.MethodPost, "/once/x").status == http.StatusUnauthorized })
+		for _, key := range []string{"Bearer " + emulator.Key, "Bearer unknown", "Bearer ", ""} {
+			for _, target := range []string{"/once/x", "/safe/x", "/stream/x"} {
+				r := f.send(i, http.MethodPost, target, "Authorization", key, emulator.TokensHeader, "100,100")
+				f.c.Check(r.status, qt.Equals, http.StatusUnauthorized, qt.Commentf("%s with %q", target, key))
+				f.c.Check(f.record.Runs(r.id), qt.HasLen, 0)
+			}
+		}
+	}
+}
--- a/route/route.go
+++ b/route/route.go
@@ -172,15 +172,18 @@
 	routes   int
 	services map[string]*Service
 	keys     map[keyDigest]*Organisation
+	// needsKeys is set if the configuration names organisations.
+	needsKeys bool
 }
 
 // Compile validates the configuration and returns its table.
 func Compile(c Config) (*Table, error) {
 	t := &Table{
 		Version: c.Version, Revision: c.Revision, Limits: c.Limits, routes: len(c.Routes),
-		hosts:    make(map[string][]*Route),
-		services: make(map[string]*Service, len(c.Services)),
-		keys:     make(map[keyDigest]*Organisation),
+		hosts:     make(map[string][]*Route),
+		services:  make(map[string]*Service, len(c.Services)),
+		keys:      make(map[keyDigest]*Organisation),
+		needsKeys: len(c.Organisations) > 0,
 	}
 	for i := range c.Services {
 		s := &c.Services[i]
@@ -265,9 +268,9 @@
 	return org, ok
 }
 
-// NeedsKeys reports whether any organisation has a key, so that requests have to
-// carry one.
-func (t *Table) NeedsKeys() bool { return len(t.keys) > 0 }
+// NeedsKeys reports whether requests have to carry a key. They have to as long as there
+// are organisations, even if all keys were taken away from them.
+func (t *Table) NeedsKeys() bool { return t.needsKeys }
 
 // Routes returns the number of routes.
 func (t *Table) Routes() int { return t.routes }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -84,3 +84,22 @@
 	c.Check((&Route{Kind: Stream, Resumable: true}).Repeatable(), qt.IsTrue)
 	c.Check((&Route{Kind: AtMostOnce, Resumable: true}).Repeatable(), qt.IsFalse)
 }
+
+// TestKeysAreNeededAsLongAsThereAreOrganisations guards against requests without a valid key that run
+// because the last key of all organisations was taken away.
+func TestKeysAreNeededAsLongAsThereAreOrganisations(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		organisations []Organisation
+		needed        bool
+	}{
+		{nil, false},
+		{[]Organisation{{Name: "a", Keys: []string{"k"}}}, true},
+		{[]Organisation{{Name: "a", Keys: []string{"k"}}, {Name: "b"}}, true},
+		{[]Organisation{{Name: "a"}, {Name: "b", Keys: []string{}}}, true},
+	} {
+		table, err := Compile(Config{Organisations: test.organisations})
+		c.Assert(err, qt.IsNil)
+		c.Check(table.NeedsKeys(), qt.Equals, test.needed, qt.Commentf("%+v", test.organisations))
+	}
+}
