gateway: lines of any length and every end of a line pass in event streams

Cause: the reader took the rest of a line that did not fit its buffer for a blank line. Lines are recognised byte by byte now, across buffers.

A library was weighed: the kept ones decode events into fields, while the bytes must pass unchanged, so the reader stays.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -30,10 +30,14 @@
 // Error implements error.
 func (e *OrderError) Error() string { return fmt.Sprintf("event %q follows event %q", e.Got, e.After) }
 
-// events splits a stream into complete events. Data after the last blank line is an event
-// that the engine did not finish, and is dropped.
+// events splits a stream into complete events. Lines end with LF, CRLF or CR, and an event ends with
+// a blank line. Data after the last blank line is an event that the engine did not finish, and is
+// dropped.
 type events struct {
 	r *bufio.Reader
+	// afterCR is set if the last byte was a CR, which an LF may follow as part of the same end of
+	// a line. crlf is set once that has happened.
+	afterCR, crlf bool
 }
 
 func newEvents(r io.Reader) *events { return &events{r: bufio.NewReaderSize(r, 2<<10)} }
@@ -42,31 +46,58 @@
 // io.ErrUnexpectedEOF if the stream ends within an event.
 func (s *events) next() (event, error) {
 	var e event
+	lineStart, hasContent := 0, false
 	for {
-		line, err := s.r.ReadSlice('\n')
-		e.data = append(e.data, line...)
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(e.data) <= maxEventBytes:
-			continue
-		case errors.Is(err, bufio.ErrBufferFull):
-			return event{}, errEventTooLong
-		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.data)) > 0:
-			return event{}, io.ErrUnexpectedEOF
-		case err != nil:
+		b, err := s.r.ReadByte()
+		if err != nil {
+			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.data)) > 0 {
+				err = io.ErrUnexpectedEOF
+			}
 			return event{}, err
-		case len(e.data) > maxEventBytes:
+		}
+		if len(e.data) >= maxEventBytes {
 			return event{}, errEventTooLong
 		}
-		trimmed := bytes.TrimRight(line, "\r\n")
-		if id, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
-			e.id = string(bytes.TrimSpace(id))
+		e.data = append(e.data, b)
+		afterCR := s.afterCR
+		s.afterCR = b == '\r'
+		switch {
+		case b == '\n' && afterCR:
+			s.crlf = true
+			lineStart = len(e.data)
+			continue
+		case b != '\n' && b != '\r':
+			continue
 		}
-		if len(trimmed) == 0 && len(bytes.TrimSpace(e.data)) > 0 {
-			return e, nil
+		line := e.data[lineStart : len(e.data)-1]
+		lineStart = len(e.data)
+		if len(line) > 0 {
+			hasContent = hasContent || len(bytes.TrimSpace(line)) > 0
+			if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+				e.id = string(bytes.TrimSpace(id))
+			}
+			continue
+		}
+		if hasContent {
+			return s.withLineFeed(e), nil
 		}
 	}
 }
 
+// withLineFeed adds the LF that follows the CR at the end of an event. It does not wait for one in a
+// stream whose lines end with a CR alone.
+func (s *events) withLineFeed(e event) event {
+	if !s.afterCR || s.r.Buffered() == 0 && !s.crlf {
+		return e
+	}
+	if next, err := s.r.Peek(1); err == nil && next[0] == '\n' {
+		_, _ = s.r.Discard(1) // It has been read.
+		e.data = append(e.data, '\n')
+		s.afterCR, s.crlf = false, true
+	}
+	return e
+}
+
 // follows checks that numeric event ids increase by one.
 func follows(after string, e event) error {
 	if after == "" || e.id == "" {
