gateway: an answer without a length is complete only if its engine is shown to have outlived it

Cause: something that accepts a connection at the engine's address was taken for the engine, and a connection that timed out for a reason to believe so too.

The daemon now sends a health check that names the engine's id, which another start of it refuses. Without an answer within 500 ms the stream is resumed, or broken off where it may not be.

Looked for elsewhere: requests, pauses, limits, slots and leaving engines are kept by id; requests name the id. The quarantine's probe of a crash asks whether a connection is refused, which says nothing of another start, only that the engine may have ended later than seen; a relay forwards to an address, and the request in it names the id. Daemons that start again are told apart by their incarnation.

Cost: one health check for each such answer in place of a connection.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -121,9 +121,6 @@
 	AnswerInterrupted(e inventory.Engine, c quarantine.Content, now time.Time, blame func())
 	// AnswerCancelled records that the daemon ended a run of the request itself.
 	AnswerCancelled(e inventory.Engine, c quarantine.Content, now time.Time)
-	// Alive reports whether an engine accepts a connection now. known is false if neither that
-	// nor the contrary is certain.
-	Alive(ctx context.Context, e inventory.Engine) (alive, known bool)
 	// Wait waits for a short time until it is known why an engine's connections were lost.
 	Wait(ctx context.Context, engine string)
 	// ConnectionRefused records that an engine's host refused a connection.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -65,15 +65,12 @@
 	if x.UntilClose && got == 0 {
 		return sendError(errBrokenOff)
 	}
-	certain, failed := g.checkEnd(ctx, to, x)
-	if failed != nil {
+	if failed := g.checkEnd(ctx, t, to, x); failed != nil {
 		return failed
 	}
 	g.endRun(t, to)
 	g.reportStreamEnd(t, to, got, firstAt)
-	if certain {
-		g.Quarantine.Completed(t.content, time.Now())
-	}
+	g.Quarantine.Completed(t.content, time.Now())
 	t.finishStream(x)
 	return nil
 }
--- a/gateway/untilclose.go
+++ b/gateway/untilclose.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"time"
 
 	"github.com/bronzeturn/bronzeturn/attempt"
 )
@@ -12,15 +14,39 @@
 	Stage: attempt.Answered, Reason: attempt.Network, Cause: errors.New("the connection ended before the answer was complete"),
 }
 
-// checkEnd returns an error if an answer was broken off by the end of its engine. Only an answer
-// that ends with its connection can look complete then. certain is false if that is unknown.
-func (g *Gateway) checkEnd(ctx context.Context, to *target, x *attempt.Exchange) (certain bool, failed *attemptError) {
-	if !x.UntilClose {
-		return true, nil
+// outlivedTimeout bounds the time to find out whether an engine has outlived its answer. A health
+// check waits for a slot.
+const outlivedTimeout = 500 * time.Millisecond
+
+// checkEnd returns an error if an answer may have been broken off by the end of its engine. Only an
+// answer that ends with its connection can look complete then: it counts as complete if the engine
+// that gave it is shown to run still.
+func (g *Gateway) checkEnd(ctx context.Context, t *task, to *target, x *attempt.Exchange) *attemptError {
+	if !x.UntilClose || g.outlived(ctx, t, to) {
+		return nil
+	}
+	return sendError(errBrokenOff)
+}
+
+// outlived reports whether the engine runs still that a request was sent to. That something accepts
+// connections at its address does not show it: engines start again at the same address under another
+// id, and that one refuses a request that names the earlier id.
+func (g *Gateway) outlived(ctx context.Context, t *task, to *target) bool {
+	service, known := t.request.tables.Routes.Service(t.service)
+	if !known || service.HealthPath == "" {
+		return false
 	}
-	alive, known := g.Quarantine.Alive(ctx, to.engine)
-	if known && !alive {
-		return true, sendError(errBrokenOff)
+	ctx, cancel := context.WithTimeout(ctx, outlivedTimeout)
+	defer cancel()
+	header := make(http.Header)
+	g.Codec.Apply(header, Sent{Instance: to.engine.ID, Left: outlivedTimeout})
+	x, err := attempt.Send(ctx, g.Transport, attempt.Request{
+		Method: http.MethodGet, URL: "http://" + to.engine.Address + service.HealthPath, Host: to.engine.Address, Header: header,
+	})
+	if err != nil {
+		return false
 	}
-	return known, nil
+	_ = x.Close() // Only the header is needed.
+	receipt := g.Codec.Receipt(x.Status, x.Header)
+	return receipt.Instance == "" && x.Status != http.StatusMisdirectedRequest
 }
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -47,17 +47,14 @@
 	if failed != nil {
 		return failed
 	}
-	certain, failed := g.checkEnd(ctx, to, x)
-	if failed != nil {
+	if failed := g.checkEnd(ctx, t, to, x); failed != nil {
 		return failed
 	}
 	latency := time.Since(to.sent)
 	g.endRun(t, to)
 	g.Engines.Finished(g.finished(t, to, g.paceBaselines.ratio(paceKind{t.service, t.model, false}, latency)))
 	g.Introductions.Observe(t.service, t.route.Name, to.engine.Version, false, latency)
-	if certain {
-		g.Quarantine.Completed(t.content, time.Now())
-	}
+	g.Quarantine.Completed(t.content, time.Now())
 	t.request.trace.first = t.elapsed()
 	if f := buffered.deliver(t.answer); f != nil {
 		t.answer.fail(f)
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -288,15 +288,6 @@
 	}
 }
 
-// Alive reports whether an engine accepts a connection now. known is false if neither that nor the
-// contrary is certain, as in a broken network.
-func (d *Detector) Alive(ctx context.Context, e inventory.Engine) (alive, known bool) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	err := d.Dial(ctx, e.Address)
-	return err == nil, err == nil || errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // Wait waits until it is known whether an engine with an interrupted answer has crashed, or
 // until ctx ends.
 func (d *Detector) Wait(ctx context.Context, engine string) {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -214,12 +214,6 @@
 	q.detector.AnswerCancelled(e, c, now)
 }
 
-// Alive reports whether an engine accepts a connection now. known is false if neither that nor the
-// contrary is certain.
-func (q *Quarantine) Alive(ctx context.Context, e inventory.Engine) (alive, known bool) {
-	return q.detector.Alive(ctx, e)
-}
-
 // Wait waits for a short time until it is known whether an engine with an interrupted answer
 // has crashed.
 func (q *Quarantine) Wait(ctx context.Context, engine string) {
--- a/route/route.go
+++ b/route/route.go
@@ -95,6 +95,8 @@
 // Service is a set of engines of one kind.
 type Service struct {
 	Name string
+	// HealthPath is the path at which engines answer health checks, "" for none.
+	HealthPath string
 	// Slots is the number of requests that an engine of a language model runs
 	// concurrently. It is zero for a plain service, whose engines report it
 	// themselves.
