gateway: the next attempt of a request keeps its version while orders follow each other

A request that had run on the version being introduced kept a flag, not the version. If its version came into force and the next order began before its second attempt (an escalation, a resumed stream), the flag named the engines of the next version (PINNED). The group is chosen by the version of the attempt before, as long as engines in force serve it.

TestNextAttemptKeepsTheVersionWhenOrdersChange failed before.

--- a/gateway/again.go
+++ b/gateway/again.go
@@ -51,6 +51,7 @@
 	t.lastError = e
 	if e.Ran != failure.RanNo {
 		t.runs++
+		t.ranVersion = to.engine.Version
 		t.ran = failure.RanUnknown
 		t.queuedSince = time.Time{}
 	}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -81,10 +81,13 @@
 }
 
 // chooseGroup sets the version that the request runs on. Once the request may have run,
-// the version is kept.
+// the version is kept, also if another order has come meanwhile: the version that was being
+// introduced may be the one in force then, and another one be introduced.
 func (g *Gateway) chooseGroup(t *task, engines *Engines, now time.Time) {
 	if t.runs == 0 {
 		t.trial = g.Introductions.Choose(t.service, t.session, now)
+	} else {
+		t.trial = !engines.serves(Group(t.service, false), t.ranVersion) && engines.serves(Group(t.service, true), t.ranVersion)
 	}
 	if t.trial && !t.answer.begun() && g.Quarantine.Suspicion(t.content).Crashes > 0 {
 		// The version in force shows whether the request or the new version crashes engines.
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -93,6 +93,15 @@
 	return serving
 }
 
+// serves reports whether an engine of a group runs a version.
+func (e *Engines) serves(group, version string) bool {
+	set, known := e.members[group]
+	return known && slices.ContainsFunc(set.Names(), func(key string) bool {
+		engine, ok := e.View.Engine(key)
+		return ok && engine.Version == version
+	})
+}
+
 // findSpec returns the plan's entry for an engine, or nil, and the position in the view at
 // which to start the search for the next engine.
 func (e *Engines) findSpec(engine *inventory.Engine, from int) (*bronzeturnv1.Engine, int) {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -51,6 +51,8 @@
 	prefixHomes int
 	// runs counts the attempts after which the request may have run.
 	runs int
+	// ranVersion is the version of the engine of the last such attempt.
+	ranVersion string
 	// ran tells whether the request may have run in any attempt so far.
 	ran failure.Ran
 	// failedAt holds the keys of the tried engines that did not merely refuse the request.
