gateway: an answer without end leaves time for another attempt

So it is on a link of 10 Mbit/s, where 16 MiB take 13 s. An answer that states no length and goes on beyond 64 KiB is given up at half of the time if another attempt is left.

TestEndlessAnswerLeavesTimeForAnotherAttempt is the same in virtual time.

--- a/gateway/buffers.go
+++ b/gateway/buffers.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"io"
 	"sync/atomic"
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/attempt"
 )
 
 const (
@@ -67,6 +70,32 @@
 	}
 }
 
+// boundReader returns the reader of an answer. One that states no length and goes on beyond ownBytes
+// must leave another attempt half of the time, if there may be one.
+func (t *task) boundReader(to *target, x *attempt.Exchange) io.Reader {
+	if x.Length >= 0 || !t.route.Repeatable() || t.runs+1 >= t.route.Attempts {
+		return x
+	}
+	return &boundReader{r: x, until: to.sent.Add(t.deadline.Sub(to.sent) / 2)}
+}
+
+// boundReader fails with errAnswerTooLong for what follows the first ownBytes after a time.
+type boundReader struct {
+	r     io.Reader
+	until time.Time
+	n     int64
+}
+
+// Read implements io.Reader.
+func (b *boundReader) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
+	b.n += int64(n)
+	if err == nil && b.n > ownBytes && time.Now().After(b.until) {
+		err = errAnswerTooLong
+	}
+	return n, err
+}
+
 // readEnd returns the content of an answer of the greatest size if it ends there.
 func (b *answerBuffers) readEnd(r io.Reader, content *bytes.Buffer) ([]byte, error) {
 	var next [1]byte
--- a/gateway/buffers_test.go
+++ b/gateway/buffers_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -77,3 +79,22 @@
 type readerFunc func(p []byte) (int, error)
 
 func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// TestEndlessAnswerLeavesTimeForAnotherAttempt guards against an answer without end over a slow link,
+// which takes all of the caller's time before it exceeds the bound on its size.
+func TestEndlessAnswerLeavesTimeForAnotherAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		slow := readerFunc(func(p []byte) (int, error) {
+			time.Sleep(10 * time.Millisecond)
+			return min(len(p), 12<<10), nil // 10 Mbit/s
+		})
+		began := time.Now()
+		_, err := newAnswerBuffers(0).read(&boundReader{r: slow, until: began.Add(400 * time.Millisecond)})
+		c.Check(errors.Is(err, errAnswerTooLong), qt.IsTrue)
+		c.Check(time.Since(began) <= 420*time.Millisecond, qt.IsTrue)
+		small := io.LimitReader(slow, ownBytes)
+		_, err = newAnswerBuffers(0).read(&boundReader{r: small, until: time.Now()})
+		c.Check(err, qt.IsNil, qt.Commentf("a usual answer is read however long it takes"))
+	})
+}
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -19,10 +19,10 @@
 	body   []byte
 }
 
-// readBuffered reads an answer to its end. One that exceeds its bound counts as broken, since an
+// readBuffered reads an answer to its end. One that exceeds its bounds counts as broken, since an
 // engine in trouble may send bytes without end.
-func (g *Gateway) readBuffered(x *attempt.Exchange) (*bufferedAnswer, *attemptError) {
-	body, err := g.buffers.read(x)
+func (g *Gateway) readBuffered(t *task, to *target, x *attempt.Exchange) (*bufferedAnswer, *attemptError) {
+	body, err := g.buffers.read(t.boundReader(to, x))
 	switch {
 	case errors.Is(err, errAnswerTooLong):
 		return nil, &attemptError{Kind: retry.KindBroken, Ran: failure.RanUnknown, Cause: err}
@@ -43,7 +43,7 @@
 
 // deliverBuffered reads the complete answer and passes it on.
 func (g *Gateway) deliverBuffered(ctx context.Context, t *task, to *target, x *attempt.Exchange) *attemptError {
-	buffered, failed := g.readBuffered(x)
+	buffered, failed := g.readBuffered(t, to, x)
 	if failed != nil {
 		return failed
 	}
@@ -65,7 +65,7 @@
 // deliverFailure handles an error answer of an engine. It is kept, to be passed on if no
 // other engine may be tried or none succeeds.
 func (g *Gateway) deliverFailure(t *task, to *target, x *attempt.Exchange) *attemptError {
-	buffered, failed := g.readBuffered(x)
+	buffered, failed := g.readBuffered(t, to, x)
 	if failed != nil {
 		return failed
 	}
