--- a/entry/keepers.go
+++ b/entry/keepers.go
@@ -21,10 +21,10 @@
 	maxKeepers       = 24
 	// keeperRankKey is the key by which daemons are ranked to select the keepers.
 	keeperRankKey = "occupancy"
-	// slotKeepers is the number of daemons that count the requests at an engine whose slots are
+	// keepersPerEngine is the number of daemons that count the requests at an engine whose slots are
 	// reserved. Each of them can grant slots when those before it are gone, or have just started.
-	slotKeepers = 3
-	// settleTime is the time for which a daemon must have been one of an engine's slotKeepers before
+	keepersPerEngine = 3
+	// settleTime is the time for which a daemon must have been one of an engine's slot keepers before
 	// it grants slots: by then the other daemons know it and have reported their requests in
 	// progress.
 	settleTime = 750 * time.Millisecond
@@ -73,12 +73,12 @@
 
 // backups returns the daemons that grant slots of an engine while its keeper does not.
 func (k *keepers) backups(engine string) []string {
-	slotKeepers := k.update(k.view()).slotKeepers(engine)
-	return slotKeepers[min(1, len(slotKeepers)):]
+	all := k.update(k.view()).slotKeepers(engine)
+	return all[min(1, len(all)):]
 }
 
 // slotKeepers returns the daemons that may grant slots of an engine, the keeper first.
-func (s *keeperSet) slotKeepers(engine string) []string { return s.set.Top(engine, slotKeepers) }
+func (s *keeperSet) slotKeepers(engine string) []string { return s.set.Top(engine, keepersPerEngine) }
 
 // owner returns the keeper of an engine, or "" if there is none.
 func (s *keeperSet) owner(engine string) string {
@@ -135,7 +135,7 @@
 	return a.Name == b.Name && a.Incarnation == b.Incarnation && a.Capacity == b.Capacity
 }
 
-// settled reports whether this daemon has been one of the slotKeepers of an engine for settleTime, so
+// settled reports whether this daemon has been one of the slot keepers of an engine for settleTime, so
 // that it knows the requests in progress there.
 func (k *keepers) settled(engine string) bool {
 	now := time.Now()
--- a/entry/keepers_test.go
+++ b/entry/keepers_test.go
@@ -59,7 +59,7 @@
 		c.Check(k.settled(engine), qt.IsTrue)
 		view = fleetOf(others[1:3]...)
 		c.Check(k.settled(engine), qt.IsTrue, qt.Commentf("it was a keeper before the change as well"))
-		c.Check(k.backups(engine), qt.HasLen, slotKeepers-1)
+		c.Check(k.backups(engine), qt.HasLen, keepersPerEngine-1)
 	})
 }
 
