relay: a test's backend server keeps its connections from the garbage collector

Its backend server writes and returns; the connection is then unreachable, and a garbage collection closes it, which is the proper end of an answer. The check is as strict as before. The other listeners of the tests were read: their handlers hold their connections.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -124,20 +125,30 @@
 	return all
 }
 
-// startBackend starts a backend server that handles each connection with a function.
+// startBackend starts a backend server that handles each connection with a function. It keeps a
+// reference to each connection until the test ends: the garbage collector closes others.
 func startBackend(t *testing.T, handle func(conn *net.TCPConn)) (address string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
+	var accepting sync.WaitGroup
+	var accepted []net.Conn
+	t.Cleanup(func() {
+		_ = listener.Close()
+		accepting.Wait()
+		for _, conn := range accepted {
+			_ = conn.Close()
+		}
+	})
+	accepting.Go(func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
+			accepted = append(accepted, conn)
 			go handle(conn.(*net.TCPConn))
 		}
-	}()
+	})
 	return listener.Addr().String()
 }
 
@@ -308,6 +319,7 @@
 	all[0].setPath(refused)
 	conn, err := all[0].Dial(t.Context(), "tcp", backend)
 	c.Assert(err, qt.IsNil)
+	runtime.GC()
 	time.AfterFunc(50*time.Millisecond, all[1].kill)
 	got, err := io.ReadAll(conn)
 	c.Check(string(got), qt.Equals, "part")
