--- a/e2e/brittlefleet_test.go
+++ b/e2e/brittlefleet_test.go
@@ -49,12 +49,7 @@
 // run sends the load and calls during, if not nil, once the engines queue nothing any more. It
 // returns when that was and the load.
 func (f *brittleFleet) run(during func()) (noQueue time.Time, load *loadRun) {
-	_, err := f.store.Put("config", "main", emulator.Config(2).WithTenants(emulator.TenantDoc{Name: "org-1", APIKeys: []string{keyOf("org-1")}}).
-		WithTimes("desk", callerDeadline, callerDeadline))
-	f.c.Assert(err, qt.IsNil)
-	f.eventually("configuration in force", func() bool {
-		return !slices.ContainsFunc(f.daemons, func(d emulator.Daemon) bool { return !f.serves(d) })
-	})
+	f.configureCallers()
 	daemons := make([]int, len(f.daemons))
 	for i := range daemons {
 		daemons[i] = i
@@ -78,8 +73,19 @@
 	return noQueue, load
 }
 
+// configureCallers configures the organisation of the callers and their times, and waits until the
+// configuration is in force at all daemons.
+func (f *entryFleet) configureCallers() {
+	_, err := f.store.Put("config", "main", emulator.Config(2).WithTenants(emulator.TenantDoc{Name: "org-1", APIKeys: []string{keyOf("org-1")}}).
+		WithTimes("desk", callerDeadline, callerDeadline))
+	f.c.Assert(err, qt.IsNil)
+	f.eventually("configuration in force", func() bool {
+		return !slices.ContainsFunc(f.daemons, func(d emulator.Daemon) bool { return !f.serves(d) })
+	})
+}
+
 // serves reports whether a daemon knows the key of the callers.
-func (f *brittleFleet) serves(d emulator.Daemon) bool {
+func (f *entryFleet) serves(d emulator.Daemon) bool {
 	req, err := http.NewRequest(http.MethodPost, "http://"+d.Front+"/safe/x", http.NoBody)
 	f.c.Assert(err, qt.IsNil)
 	req.Host, req.Close = emulator.Host, true
