backpressure: permits of engines with a request limit are granted in one place for the fleet

Cause: the limit was divided by the number of daemons, and a daemon's permit was valid for 0.3 s in every 19 s, whether it had a request then or not.

The engine's keeper grants permits now, and its two backups while it does not decide, as for the slots of brittle engines. If none of them decides, the limit is divided as before. A daemon that sees fewer others than before asks for that part of the limit, so that the parts of a partitioned fleet are granted one limit.

Ruled out: leases of several permits, which lapse in the same way; permits within the reservation of a slot, as few engines are brittle and limited at once.

TestLimitHoldsOverAllDaemons draws keepers that are replaced too; its bound is the same.

--- a/backpressure/limits.go
+++ b/backpressure/limits.go
@@ -1,12 +1,13 @@
 // Package backpressure tracks what engines ask of their senders in the headers of their
 // answers, and keeps this daemon to its share of it.
 //
-// An engine that is short of capacity states the number of requests per second that it accepts from all daemons
-// together. Every daemon knows the size of the fleet and sends such an engine at most one
-// request per interval, which is the number of daemons divided by the limit. The intervals of
-// the daemons begin at random times, so the requests of all of them spread evenly, without
-// any coordination. The first daemon that learns of a limit, or of its end, tells the others: in
-// a large fleet a daemon may wait minutes for its next permit.
+// An engine that is short of capacity states the number of requests per second that it accepts from
+// all daemons together. The permits to send to it are granted in one place for the whole fleet, so
+// that they go to the daemons that have requests. While nobody grants them, the limit is divided:
+// every daemon sends at most one request per interval, which is the number of daemons divided by
+// the limit, and the intervals of the daemons begin at random times. The first daemon that learns
+// of a limit, or of its end, tells the others: in a large fleet a daemon may wait minutes for its
+// next permit.
 package backpressure
 
 import (
@@ -24,9 +25,11 @@
 const NoLimit = -1
 
 const (
-	// limitShare is the share of a limit that the daemons use. The rest is left for daemons
-	// that have not learned of the limit yet, and for intervals that happen to coincide.
-	limitShare = 0.7
+	// grantShare is the share of a limit that is granted. The rest is left for daemons that have
+	// not learned of the limit yet. dividedShare is the share that the daemons use while the limit
+	// is divided, when their intervals may coincide too.
+	grantShare   = 0.9
+	dividedShare = 0.7
 	// minPerSecond is the minimum rate of requests to an engine, whatever its limit. An engine
 	// that gets no requests cannot state that its limit has ended.
 	minPerSecond = 0.1
@@ -36,6 +39,8 @@
 	// newsDelay is the time that news from other daemons may take. An answer that is more
 	// recent goes before them.
 	newsDelay = time.Second
+	// dividedFor is the time for which a limit is divided if nobody has granted or refused a permit.
+	dividedFor = 250 * time.Millisecond
 	// absentLimitTTL is how long the limit of an engine that is not in use is kept.
 	absentLimitTTL = 2 * time.Minute
 )
@@ -60,6 +65,10 @@
 	// Daemons returns the number of live daemons of the fleet. While it is zero, because this
 	// daemon does not know the fleet yet, nothing is sent to engines with a limit.
 	Daemons func() int
+	// Permit asks for a permit to send one request to an engine, to which all daemons together may
+	// send the given number per second. If it is refused, retryAfter is the time until the next
+	// one. decided is false if nobody grants permits of the engine now.
+	Permit func(engine string, perSecond float64) (granted bool, retryAfter time.Duration, decided bool)
 	// Random is used by one goroutine at a time.
 	Random *rand.Rand
 	// Share tells the other daemons what an engine has stated: a limit, or NoLimit if it had
@@ -92,8 +101,12 @@
 	// used instead of a lower current number, so that a daemon that is partitioned from the
 	// others does not use their shares.
 	daemons int
-	// next is when this daemon's next permit begins, zero while the number of daemons is
-	// unknown.
+	// passedUntil is until when the engine is passed over because a permit was refused.
+	passedUntil time.Time
+	// dividedUntil is until when the limit is divided.
+	dividedUntil time.Time
+	// next is when this daemon's next permit begins while the limit is divided, zero while the
+	// number of daemons is unknown.
 	next time.Time
 	// absentSince is since when the engine is not in use, zero while it is.
 	absentSince time.Time
@@ -156,6 +169,7 @@
 		l.engines[engine] = e
 		l.limited.Store(int64(len(l.engines)))
 		l.start(e, now)
+		e.dividedUntil = now.Add(dividedFor) // Who grants permits may not know the limit yet.
 	}
 	if e.statedAt.IsZero() || e.perSecond != perSecond {
 		l.Log.Info().Str("engine", engine).Float64("per_second", perSecond).Int("daemons", e.daemons).Msg("engine states a request limit")
@@ -190,10 +204,17 @@
 	}
 }
 
-// fleetRate returns the number of requests per second that all daemons together may send.
-func (e *limit) fleetRate() float64 { return limitShare * max(e.perSecond, minPerSecond) }
+// fleetRate returns the number of requests per second that all daemons together may send while the
+// limit is divided.
+func (e *limit) fleetRate() float64 { return dividedShare * max(e.perSecond, minPerSecond) }
 
-// interval returns the time between two permits of one daemon.
+// grantRate returns the number of permits per second that may be granted to the given number of
+// live daemons. If daemons are missing, they may be partitioned and be granted the rest.
+func (e *limit) grantRate(live int) float64 {
+	return grantShare * max(e.perSecond, minPerSecond) * float64(live) / float64(max(e.daemons, 1))
+}
+
+// interval returns the time between two permits of one daemon while the limit is divided.
 func (e *limit) interval() time.Duration {
 	return time.Duration(float64(e.daemons) / e.fleetRate() * float64(time.Second))
 }
@@ -220,11 +241,19 @@
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	e := l.engines[engine]
-	return e != nil && !e.allows(now) && (!e.next.IsZero() || l.Daemons() == 0)
+	switch {
+	case e == nil:
+		return false
+	case e.next.IsZero():
+		return l.Daemons() == 0
+	case now.Before(e.dividedUntil):
+		return !e.allows(now)
+	}
+	return now.Before(e.passedUntil)
 }
 
-// NextPermit returns when this daemon's next permit to send to an engine begins, and the interval
-// between two permits. For an engine without a limit it returns now.
+// NextPermit returns when this daemon may have its next permit to send to an engine, and the interval
+// between two permits of one daemon. For an engine without a limit it returns now.
 func (l *Limits) NextPermit(engine string, now time.Time) (at time.Time, interval time.Duration) {
 	if l.limited.Load() == 0 {
 		return now, 0
@@ -237,20 +266,69 @@
 		return now, 0
 	case e.next.IsZero():
 		return now.Add(unknownInterval), unknownInterval
+	case now.Before(e.dividedUntil):
+		return e.permit(now), e.interval()
+	case now.Before(e.passedUntil):
+		return e.passedUntil, e.interval()
 	}
-	return e.permit(now), e.interval()
+	return now, e.interval()
 }
 
 // unknownInterval is the assumed interval between two permits while the number of daemons is
 // unknown.
 const unknownInterval = time.Second
 
-// Take reports whether this daemon may send a request to an engine now and, if so, uses up
-// the permit. Engines without a limit are always permitted.
+// Take reports whether this daemon may send a request to an engine now and, if so, uses up the
+// permit. Engines without a limit are always permitted. It blocks while the permit is asked for.
 func (l *Limits) Take(engine string, now time.Time) bool {
 	if l.limited.Load() == 0 {
 		return true
 	}
+	perSecond, ask := l.begin(engine, now)
+	if !ask {
+		return l.takeShare(engine, now)
+	}
+	granted, retryAfter, decided := l.Permit(engine, perSecond)
+	if !l.concluded(engine, granted, retryAfter, decided, now) {
+		return l.takeShare(engine, now)
+	}
+	return granted
+}
+
+// begin returns the rate at which permits of an engine may be granted, and whether one must be asked
+// for. This is not the case for engines without a limit and while a limit is divided.
+func (l *Limits) begin(engine string, now time.Time) (perSecond float64, ask bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.engines[engine]
+	live := l.Daemons()
+	if e == nil || live == 0 || now.Before(e.dividedUntil) {
+		return 0, false
+	}
+	e.daemons = max(e.daemons, live)
+	return e.grantRate(live), true
+}
+
+// concluded records the answer to a request for a permit. It reports whether there was a decision.
+func (l *Limits) concluded(engine string, granted bool, retryAfter time.Duration, decided bool, now time.Time) bool {
+	l.metrics.recordPermit(granted, decided)
+	if granted {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch e := l.engines[engine]; {
+	case e == nil:
+	case decided:
+		e.passedUntil = now.Add(retryAfter)
+	default:
+		e.dividedUntil = now.Add(dividedFor)
+	}
+	return decided
+}
+
+// takeShare uses up this daemon's permit of an engine whose limit is divided, if it has one now.
+func (l *Limits) takeShare(engine string, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.engines[engine]
--- a/backpressure/limits_test.go
+++ b/backpressure/limits_test.go
@@ -14,6 +14,8 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
+
+	"github.com/bronzeturn/bronzeturn/occupancy"
 )
 
 func TestMain(m *testing.M) {
@@ -33,15 +35,21 @@
 	return newFleetLimits(1, func() int { return 1 }, zerolog.New(log)), log
 }
 
-// newFleetLimits returns the Limits of one daemon of a fleet, which tells the others nothing. The
-// function daemons returns the number of daemons that it sees.
+// noPermits is an Options.Permit for a fleet in which nobody grants permits.
+func noPermits(string, float64) (granted bool, retryAfter time.Duration, decided bool) {
+	return false, 0, false
+}
+
+// newFleetLimits returns the Limits of one daemon of a fleet in which limits are divided, and which
+// tells the others nothing. The function daemons returns the number of daemons that it sees.
 func newFleetLimits(seed uint64, daemons func() int, log zerolog.Logger) *Limits {
 	return NewLimits(Options{
-		Daemons: daemons, Random: rand.New(rand.NewPCG(seed, 1)), Share: func(string, float64) {}, Log: log, Registerer: prometheus.NewRegistry(),
+		Daemons: daemons, Permit: noPermits, Random: rand.New(rand.NewPCG(seed, 1)), Share: func(string, float64) {}, Log: log, Registerer: prometheus.NewRegistry(),
 	})
 }
 
-// newFleet returns the Limits of a fleet whose daemons all know its size.
+// newFleet returns the Limits of a fleet whose daemons all know its size, and in which limits are
+// divided.
 func newFleet(size int, seed uint64) []*Limits {
 	all := make([]*Limits, size)
 	for i := range all {
@@ -50,6 +58,38 @@
 	return all
 }
 
+// permitKeeper grants the permits of a simulated fleet.
+type permitKeeper struct {
+	store *occupancy.Store
+	// now is the simulated time. Nobody grants permits before a time goneUntil.
+	now, goneUntil time.Time
+	// granted is the number of permits granted from knownAfter on.
+	granted int
+}
+
+// keepPermits has one keeper grant the permits of a fleet.
+func keepPermits(fleet []*Limits) *permitKeeper {
+	k := &permitKeeper{store: occupancy.NewStore()}
+	for _, l := range fleet {
+		l.Permit = func(_ string, perSecond float64) (granted bool, retryAfter time.Duration, decided bool) {
+			if k.now.Before(k.goneUntil) {
+				return false, 0, false
+			}
+			grant := k.store.Permit(simEngine, perSecond, k.now)
+			if grant.Granted && !k.now.Before(start.Add(knownAfter)) {
+				k.granted++
+			}
+			return grant.Granted, grant.RetryAfter, true
+		}
+	}
+	return k
+}
+
+// replace has another keeper grant permits after a time.
+func (k *permitKeeper) replace(after time.Duration) {
+	k.store, k.goneUntil = occupancy.NewStore(), k.now.Add(after)
+}
+
 const (
 	// knownAfter is the time after which a limit must be kept, by the daemons that got an answer
 	// which states it toldBefore or earlier. window is the time over which requests are counted,
@@ -107,8 +147,8 @@
 	return times[i:]
 }
 
-// TestLimitHoldsOverAllDaemons draws the size of the fleet, the limit and how the traffic is
-// distributed over daemons and time.
+// TestLimitHoldsOverAllDaemons draws the size of the fleet, the limit, how the traffic is distributed
+// over daemons and time, and how often the keeper of the permits is replaced, if there is one.
 func TestLimitHoldsOverAllDaemons(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		size := rapid.SampledFrom([]int{1, 3, 6, 30, 66}).Draw(t, "daemons")
@@ -120,7 +160,20 @@
 		for i := range busy {
 			busy[i] = share * random.Float64()
 		}
-		sent := simulate(newFleet(size, random.Uint64()%1000), limit, 45*time.Second, func(daemon int, at time.Duration) bool {
+		fleet := newFleet(size, random.Uint64()%1000)
+		var keeper *permitKeeper
+		if rapid.Bool().Draw(t, "keeper") {
+			keeper = keepPermits(fleet)
+		}
+		replaceEvery := time.Duration(rapid.SampledFrom([]int{3, 10, 1000}).Draw(t, "replace every")) * time.Second
+		gone := time.Duration(rapid.SampledFrom([]int{0, 50, 750}).Draw(t, "gone")) * time.Millisecond
+		sent := simulate(fleet, limit, 45*time.Second, func(daemon int, at time.Duration) bool {
+			if keeper != nil {
+				keeper.now = start.Add(at)
+				if daemon == 0 && at%replaceEvery == 0 {
+					keeper.replace(gone)
+				}
+			}
 			idle := at > knownAfter && at < knownAfter+pause
 			return !idle && random.Float64() < busy[daemon]
 		})
@@ -136,10 +189,70 @@
 		const limit, length = 2.5, 120 * time.Second
 		sent := simulate(newFleet(size, 7), limit, length, func(int, time.Duration) bool { return true })
 		perSecond := float64(len(after(sent))) / (length - knownAfter).Seconds()
-		qt.Check(t, perSecond > 0.9*limitShare*limit, qt.IsTrue, qt.Commentf("%d daemons send %.2f a second", size, perSecond))
+		qt.Check(t, perSecond > 0.9*dividedShare*limit, qt.IsTrue, qt.Commentf("%d daemons send %.2f a second", size, perSecond))
 	}
 }
 
+// TestGrantedLimitIsUsed guards against permits that lapse at daemons without a request while others
+// have some: callers ask random daemons for three times as much as a limit allows.
+func TestGrantedLimitIsUsed(t *testing.T) {
+	for _, size := range []int{1, 6, 66, 410} {
+		const limit, length = 2.5, 120 * time.Second
+		random := rand.New(rand.NewPCG(uint64(size), 1))
+		fleet := newFleet(size, 7)
+		keeper := keepPermits(fleet)
+		for _, l := range fleet {
+			l.ObserveShared("e", limit, start)
+		}
+		share := 3 * limit * tick.Seconds() / float64(size)
+		simulate(fleet, limit, length, func(_ int, at time.Duration) bool {
+			keeper.now = start.Add(at)
+			return random.Float64() < share
+		})
+		perSecond := float64(keeper.granted) / (length - knownAfter).Seconds()
+		qt.Check(t, perSecond > 0.9*grantShare*limit, qt.IsTrue, qt.Commentf("%d daemons send %.2f a second", size, perSecond))
+	}
+}
+
+// TestPartitionedFleetsAreGrantedOneLimit guards against two parts of a partitioned fleet that are
+// both granted the whole limit.
+func TestPartitionedFleetsAreGrantedOneLimit(t *testing.T) {
+	c := qt.New(t)
+	live := 60
+	l := newFleetLimits(1, func() int { return live }, zerolog.Nop())
+	var asked float64
+	l.Permit = func(_ string, perSecond float64) (granted bool, retryAfter time.Duration, decided bool) {
+		asked = perSecond
+		return true, 0, true
+	}
+	l.Observe(Answer{Engine: "e", Limit: 2, Sent: at(0), At: at(0)})
+	c.Assert(l.Take("e", at(1000)), qt.IsTrue)
+	c.Check(asked, qt.Equals, grantShare*2)
+	live = 15
+	c.Assert(l.Take("e", at(2000)), qt.IsTrue)
+	c.Check(asked, qt.Equals, grantShare*2/4)
+}
+
+// TestRefusedPermitPassesTheEngineOver guards against a daemon that asks for permits that it knows
+// are refused, and against one that waits although it may have one.
+func TestRefusedPermitPassesTheEngineOver(t *testing.T) {
+	c := qt.New(t)
+	l, _ := newLimits()
+	asked := 0
+	l.Permit = func(string, float64) (granted bool, retryAfter time.Duration, decided bool) {
+		asked++
+		return false, 300 * time.Millisecond, true
+	}
+	l.Observe(Answer{Engine: "e", Limit: 2, Sent: at(0), At: at(0)})
+	c.Check(l.Throttled("e", at(1000)), qt.IsFalse)
+	c.Check(l.Take("e", at(1000)), qt.IsFalse)
+	c.Check(l.Throttled("e", at(1299)), qt.IsTrue)
+	next, _ := l.NextPermit("e", at(1100))
+	c.Check(next, qt.Equals, at(1300))
+	c.Check(l.Throttled("e", at(1300)), qt.IsFalse)
+	c.Check(asked, qt.Equals, 1)
+}
+
 // TestIdleFleetSendsNoBurst has all daemons of a fleet send again at the same time.
 func TestIdleFleetSendsNoBurst(t *testing.T) {
 	fleet := newFleet(100, 3)
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -29,7 +29,7 @@
 func newBackpressure(d *Daemon) *backpressure.Backpressure {
 	log := d.logger("backpressure")
 	limits := backpressure.NewLimits(backpressure.Options{
-		Daemons: d.sharingDaemons, Random: d.rand(randLimits), Share: d.fleet.shareLimit, Log: log, Registerer: d.registry,
+		Daemons: d.sharingDaemons, Permit: d.requestPermit, Random: d.rand(randLimits), Share: d.fleet.shareLimit, Log: log, Registerer: d.registry,
 	})
 	brittle := backpressure.NewBrittle(backpressure.BrittleOptions{
 		Engine: d.serviceAndSlots, Reserve: d.reserveSlot, Refused: func(engine string) { d.shared.occupancy.RequestRefused(engine) }, Share: d.fleet.shareBrittle,
@@ -50,6 +50,12 @@
 	return grant.Granted, grant.RetryAfter
 }
 
+// requestPermit asks the keeper of an engine for a permit to send one request.
+func (d *Daemon) requestPermit(engine string, perSecond float64) (granted bool, retryAfter time.Duration, decided bool) {
+	grant, decided := d.shared.occupancy.Permit(context.Background(), engine, perSecond)
+	return grant.Granted, grant.RetryAfter, decided
+}
+
 // requestsInProgress returns the load of this daemon's requests at an engine. Reserved slots count.
 func (d *Daemon) requestsInProgress(engine string) (requests, tokens int64) {
 	requests, tokens = d.balancer.OwnLoad(engine)
--- a/entry/load.go
+++ b/entry/load.go
@@ -36,14 +36,8 @@
 	return &sharedBalancer{daemon: d, State: d.balancer, keepers: keepers, reserves: reserves, occupancy: occupancy.New(occupancy.Options{
 		Self: d.Settings.Name, Keeper: keepers.of, Client: d.fleet.occupancyClient,
 		InFlight: d.requestsInProgress, EachInFlight: d.balancer.InFlight,
-		Backups: func(engine string) []string {
-			if !reserves(engine) {
-				return nil
-			}
-			return keepers.backups(engine)
-		},
-		ReservesSlots: d.limits.Brittle.Any,
-		Store:         d.occupancyStore, Settled: keepers.settled, Log: d.logger("occupancy"), Registerer: d.registry,
+		Backups: keepers.backups, Reserves: reserves, ReservesAny: d.limits.Brittle.Any,
+		Store: d.occupancyStore, Settled: keepers.settled, Log: d.logger("occupancy"), Registerer: d.registry,
 	})}
 }
 
--- a/entry/load_test.go
+++ b/entry/load_test.go
@@ -19,8 +19,9 @@
 func newPaceSharer(c *qt.C, name string, store *occupancy.Store, register *bronzeturnv1.Register) (*sharedBalancer, *balance.Plan) {
 	state, err := balance.NewState(balanceOptions())
 	c.Assert(err, qt.IsNil)
-	return &sharedBalancer{State: state, reserves: func(string) bool { return false }, occupancy: occupancy.New(occupancy.Options{
-		Self: name, Keeper: func(string) string { return name }, Backups: func(string) []string { return nil }, InFlight: state.OwnLoad, EachInFlight: state.InFlight,
+	reserves := func(string) bool { return false }
+	return &sharedBalancer{State: state, reserves: reserves, occupancy: occupancy.New(occupancy.Options{
+		Self: name, Keeper: func(string) string { return name }, Backups: func(string) []string { return nil }, Reserves: reserves, InFlight: state.OwnLoad, EachInFlight: state.InFlight,
 		Store: store, Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
 	})}, state.Plan(register, nil)
 }
--- a/gateway/dispatch_harness_test.go
+++ b/gateway/dispatch_harness_test.go
@@ -166,7 +166,7 @@
 		Misdirected: func(string) {}, Leaving: func(string) {}, Delayed: func(string, time.Duration) {},
 		Engines: state, SlowStarts: noSlowStarts{}, Introductions: noIntroductions{}, Quarantine: b.quarantine, Models: NewModelChoice(DefaultModelOptions()),
 		Limits: &backpressure.Backpressure{
-			Limits: backpressure.NewLimits(backpressure.Options{Daemons: func() int { return 1 }, Random: random, Share: func(string, float64) {}, Log: zerolog.Nop(), Registerer: prometheus.NewRegistry()}),
+			Limits: backpressure.NewLimits(backpressure.Options{Daemons: func() int { return 1 }, Permit: func(string, float64) (bool, time.Duration, bool) { return false, 0, false }, Random: random, Share: func(string, float64) {}, Log: zerolog.Nop(), Registerer: prometheus.NewRegistry()}),
 			Brittle: backpressure.NewBrittle(backpressure.BrittleOptions{
 				Engine: func(string) (string, int) { return "", 0 }, Reserve: func(string, int, float64) (bool, time.Duration) { return true, 0 },
 				Refused: func(string) {}, Share: func(string, float64, time.Duration) {}, LearnsAtOnce: func() bool { return true }, Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
--- a/gen/bronzeturn/v1/bronzeturnv1connect/occupancy.connect.go
+++ b/gen/bronzeturn/v1/bronzeturnv1connect/occupancy.connect.go
@@ -38,6 +38,8 @@
 	// OccupancyServiceReserveProcedure is the fully-qualified name of the OccupancyService's Reserve
 	// RPC.
 	OccupancyServiceReserveProcedure = "/bronzeturn.v1.OccupancyService/Reserve"
+	// OccupancyServicePermitProcedure is the fully-qualified name of the OccupancyService's Permit RPC.
+	OccupancyServicePermitProcedure = "/bronzeturn.v1.OccupancyService/Permit"
 )
 
 // OccupancyServiceClient is a client for the bronzeturn.v1.OccupancyService service.
@@ -46,6 +48,8 @@
 	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
 	// Reserve asks for a slot of an engine that crashes if it refuses too many requests.
 	Reserve(context.Context, *connect.Request[v1.ReserveRequest]) (*connect.Response[v1.ReserveResponse], error)
+	// Permit asks for a permit to send one request to an engine with a request limit.
+	Permit(context.Context, *connect.Request[v1.PermitRequest]) (*connect.Response[v1.PermitResponse], error)
 }
 
 // NewOccupancyServiceClient constructs a client for the bronzeturn.v1.OccupancyService service. By
@@ -71,6 +75,12 @@
 			connect.WithSchema(occupancyServiceMethods.ByName("Reserve")),
 			connect.WithClientOptions(opts...),
 		),
+		permit: connect.NewClient[v1.PermitRequest, v1.PermitResponse](
+			httpClient,
+			baseURL+OccupancyServicePermitProcedure,
+			connect.WithSchema(occupancyServiceMethods.ByName("Permit")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -78,6 +88,7 @@
 type occupancyServiceClient struct {
 	share   *connect.Client[v1.ShareRequest, v1.ShareResponse]
 	reserve *connect.Client[v1.ReserveRequest, v1.ReserveResponse]
+	permit  *connect.Client[v1.PermitRequest, v1.PermitResponse]
 }
 
 // Share calls bronzeturn.v1.OccupancyService.Share.
@@ -90,12 +101,19 @@
 	return c.reserve.CallUnary(ctx, req)
 }
 
+// Permit calls bronzeturn.v1.OccupancyService.Permit.
+func (c *occupancyServiceClient) Permit(ctx context.Context, req *connect.Request[v1.PermitRequest]) (*connect.Response[v1.PermitResponse], error) {
+	return c.permit.CallUnary(ctx, req)
+}
+
 // OccupancyServiceHandler is an implementation of the bronzeturn.v1.OccupancyService service.
 type OccupancyServiceHandler interface {
 	// Share records the work in progress of the calling daemon and returns that of all others.
 	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
 	// Reserve asks for a slot of an engine that crashes if it refuses too many requests.
 	Reserve(context.Context, *connect.Request[v1.ReserveRequest]) (*connect.Response[v1.ReserveResponse], error)
+	// Permit asks for a permit to send one request to an engine with a request limit.
+	Permit(context.Context, *connect.Request[v1.PermitRequest]) (*connect.Response[v1.PermitResponse], error)
 }
 
 // NewOccupancyServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -117,12 +135,20 @@
 		connect.WithSchema(occupancyServiceMethods.ByName("Reserve")),
 		connect.WithHandlerOptions(opts...),
 	)
+	occupancyServicePermitHandler := connect.NewUnaryHandler(
+		OccupancyServicePermitProcedure,
+		svc.Permit,
+		connect.WithSchema(occupancyServiceMethods.ByName("Permit")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/bronzeturn.v1.OccupancyService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OccupancyServiceShareProcedure:
 			occupancyServiceShareHandler.ServeHTTP(w, r)
 		case OccupancyServiceReserveProcedure:
 			occupancyServiceReserveHandler.ServeHTTP(w, r)
+		case OccupancyServicePermitProcedure:
+			occupancyServicePermitHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -139,3 +165,7 @@
 func (UnimplementedOccupancyServiceHandler) Reserve(context.Context, *connect.Request[v1.ReserveRequest]) (*connect.Response[v1.ReserveResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bronzeturn.v1.OccupancyService.Reserve is not implemented"))
 }
+
+func (UnimplementedOccupancyServiceHandler) Permit(context.Context, *connect.Request[v1.PermitRequest]) (*connect.Response[v1.PermitResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bronzeturn.v1.OccupancyService.Permit is not implemented"))
+}
--- a/occupancy/book.go
+++ b/occupancy/book.go
@@ -49,6 +49,7 @@
 	delayAt  time.Time
 	pace     paceMean
 	gate     gate
+	pacer    pacer
 }
 
 // report is the last report of one daemon.
@@ -142,7 +143,7 @@
 			}
 		}
 		state.pace.expire(now)
-		if len(state.byDaemon) == 0 && len(state.pace.counted) == 0 && now.Sub(state.gate.refusedAt) > gateTTL {
+		if len(state.byDaemon) == 0 && len(state.pace.counted) == 0 && now.Sub(state.gate.refusedAt) > gateTTL && !state.pacer.used(now) {
 			delete(s.engines, engine)
 		}
 	}
--- a/occupancy/occupancy_test.go
+++ b/occupancy/occupancy_test.go
@@ -127,7 +127,7 @@
 	calls atomic.Int64
 	err   error
 	delay time.Duration
-	// unsettled has the keeper not decide on slots.
+	// unsettled has the keeper not decide on slots and permits.
 	unsettled bool
 }
 
@@ -162,6 +162,15 @@
 	return Server{Store: d.store.Load(), MayGrant: func(string) bool { return !d.unsettled }}.Reserve(ctx, r)
 }
 
+// Permit implements bronzeturnv1connect.OccupancyServiceClient.
+func (d *directClient) Permit(ctx context.Context, r *connect.Request[bronzeturnv1.PermitRequest]) (*connect.Response[bronzeturnv1.PermitResponse], error) {
+	d.calls.Add(1)
+	if d.err != nil {
+		return nil, d.err
+	}
+	return Server{Store: d.store.Load(), MayGrant: func(string) bool { return !d.unsettled }}.Permit(ctx, r)
+}
+
 // newClient returns the client of a daemon whose engines all have the same keeper.
 func newClient(name, keeper string, to *directClient) (*Client, *ownLoad) {
 	o := &ownLoad{load: make(map[string]Load)}
@@ -169,7 +178,7 @@
 		Self: name, Keeper: func(string) string { return keeper },
 		Client:   func(string) bronzeturnv1connect.OccupancyServiceClient { return to },
 		InFlight: o.at, EachInFlight: o.each, Store: to.store.Load(), Backups: func(string) []string { return nil },
-		ReservesSlots: func() bool { return false }, Settled: func(string) bool { return true }, Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
+		Reserves: func(string) bool { return false }, ReservesAny: func() bool { return false }, Settled: func(string) bool { return true }, Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
 	}), o
 }
 
@@ -228,7 +237,7 @@
 		c.Check(a.QueryLoads(t.Context(), []string{"e"}), qt.HasLen, 1)
 		c.Check(count(outcomeAnswered), qt.Equals, 1.0)
 		c.Check(a.failing, qt.HasLen, 0)
-		none := New(Options{Self: "a", Keeper: func(string) string { return "" }, Store: NewStore(), Registerer: prometheus.NewRegistry()})
+		none := New(Options{Self: "a", Keeper: func(string) string { return "" }, Reserves: func(string) bool { return false }, Store: NewStore(), Registerer: prometheus.NewRegistry()})
 		none.RequestSent(t.Context(), "e")
 		none.DelayObserved("e", time.Second)
 		c.Check(none.QueryLoads(t.Context(), []string{"e"}), qt.HasLen, 0)
--- a/occupancy/reserve_test.go
+++ b/occupancy/reserve_test.go
@@ -107,30 +107,39 @@
 	c.Check(reserve(store, "d", 24, 4, raised).Granted, qt.IsTrue, qt.Commentf("the room is 3 again"))
 }
 
+// newBackedClient returns the client of a daemon that has one request in progress at an engine with a
+// keeper and a backup.
+func newBackedClient(keeper, backup *directClient) *Client {
+	return New(Options{
+		Self: "a", Keeper: func(string) string { return "k" }, Backups: func(string) []string { return []string{"b"} },
+		Reserves: func(string) bool { return true }, ReservesAny: func() bool { return true }, Settled: func(string) bool { return true },
+		Client: func(daemon string) bronzeturnv1connect.OccupancyServiceClient {
+			if daemon == "k" {
+				return keeper
+			}
+			return backup
+		},
+		InFlight:     func(string) (int64, int64) { return 1, 0 },
+		EachInFlight: func(func(string, int64, int64)) {},
+		Store:        NewStore(), Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
+	})
+}
+
+// keeperFaults are reasons for which a keeper does not decide.
+var keeperFaults = map[string]func(*directClient){
+	"gone":    func(d *directClient) { d.err = errors.New("refused") },
+	"started": func(d *directClient) { d.unsettled = true },
+}
+
 // TestBackupGrantsSlotsWhileTheKeeperDoesNot guards against engines that are idle while their keeper
 // is gone or has just started.
 func TestBackupGrantsSlotsWhileTheKeeperDoesNot(t *testing.T) {
-	for name, fault := range map[string]func(*directClient){
-		"gone":    func(d *directClient) { d.err = errors.New("refused") },
-		"started": func(d *directClient) { d.unsettled = true },
-	} {
+	for name, fault := range keeperFaults {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			keeper, backup := newDirectClient(), newDirectClient()
 			fault(keeper)
-			client := New(Options{
-				Self: "a", Keeper: func(string) string { return "k" }, Backups: func(string) []string { return []string{"b"} },
-				ReservesSlots: func() bool { return true }, Settled: func(string) bool { return true },
-				Client: func(daemon string) bronzeturnv1connect.OccupancyServiceClient {
-					if daemon == "k" {
-						return keeper
-					}
-					return backup
-				},
-				InFlight:     func(string) (int64, int64) { return 1, 0 },
-				EachInFlight: func(func(string, int64, int64)) {},
-				Store:        NewStore(), Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
-			})
+			client := newBackedClient(keeper, backup)
 			c.Check(client.Reserve(context.Background(), "e", 1, 4).Granted, qt.IsTrue)
 			c.Check(client.Reserve(context.Background(), "e", 0, 4), qt.Equals, Grant{}, qt.Commentf("the backup has decided"))
 			c.Check(keeper.calls.Load(), qt.Equals, int64(1), qt.Commentf("not asked again at once"))
--- a/occupancy/server.go
+++ b/occupancy/server.go
@@ -12,8 +12,8 @@
 // Server answers the calls of other daemons from a store.
 type Server struct {
 	Store *Store
-	// MayGrant reports whether this daemon is a keeper of an engine that knows the requests in
-	// progress there.
+	// MayGrant reports whether this daemon is a keeper of an engine, or a backup, and has been for
+	// long enough to decide on its slots and permits.
 	MayGrant func(engine string) bool
 }
 
--- a/occupancy/sharer.go
+++ b/occupancy/sharer.go
@@ -43,11 +43,13 @@
 	Self string
 	// Keeper returns the daemon that is the keeper of an engine, "" for none.
 	Keeper func(engine string) string
-	// Backups returns further daemons that count the load at an engine whose slots are reserved,
-	// and grant its slots while the keeper does not; nil for other engines.
+	// Backups returns further daemons that grant slots and permits of an engine while the keeper
+	// does not.
 	Backups func(engine string) []string
-	// ReservesSlots reports whether slots of any engine are reserved.
-	ReservesSlots func() bool
+	// Reserves reports whether slots of an engine are reserved, so that its backups count the load
+	// there too, and ReservesAny whether those of any engine are.
+	Reserves    func(engine string) bool
+	ReservesAny func() bool
 	// Client returns the service client for a daemon, nil when its address is not
 	// known.
 	Client func(daemon string) bronzeturnv1connect.OccupancyServiceClient
@@ -79,7 +81,8 @@
 	changed map[string]map[string]change
 	// failing holds the keepers whose last call failed.
 	failing map[string]failing
-	// undecided holds the keepers that did not decide on a slot, with the time of the last one.
+	// undecided holds the keepers that did not decide when they were asked for a slot or a permit,
+	// with the time of the last one.
 	undecided map[string]time.Time
 }
 
@@ -119,7 +122,7 @@
 
 // markChanged marks the load of an engine to be reported. It returns the daemons to report it to.
 func (c *Client) markChanged(engine string, more change) []string {
-	keepers := c.keepersOf(engine)
+	keepers := c.counters(engine)
 	for _, keeper := range keepers {
 		c.note(keeper, engine, more)
 	}
@@ -143,8 +146,19 @@
 	engines[engine] = change{delay: max(known.delay, more.delay), refused: known.refused + more.refused}
 }
 
-// keepersOf returns the keeper of an engine and its backups.
-func (c *Client) keepersOf(engine string) []string {
+// counters returns the daemons that count the load at an engine.
+func (c *Client) counters(engine string) []string {
+	if c.Reserves(engine) {
+		return c.grantors(engine)
+	}
+	if keeper := c.Keeper(engine); keeper != "" {
+		return []string{keeper}
+	}
+	return nil
+}
+
+// grantors returns the keeper of an engine and its backups.
+func (c *Client) grantors(engine string) []string {
 	keeper := c.Keeper(engine)
 	if keeper == "" {
 		return nil
@@ -166,7 +180,7 @@
 // reported with the end of the request, so that the slot is not granted again before the room is
 // lowered.
 func (c *Client) RequestRefused(engine string) {
-	for _, keeper := range c.keepersOf(engine) {
+	for _, keeper := range c.counters(engine) {
 		c.note(keeper, engine, change{refused: 1})
 	}
 }
@@ -199,7 +213,7 @@
 			return nil
 		case <-refresh.C:
 			interval := refreshInterval
-			if c.ReservesSlots() {
+			if c.ReservesAny() {
 				interval = slotRefreshInterval
 			}
 			refresh.Reset(backoff.UntilTick(interval))
@@ -267,9 +281,8 @@
 	if keeper == c.Self {
 		return c.Store.exchange(m, time.Now())
 	}
-	client := c.Client(keeper)
-	if client == nil || c.isAvoided(keeper) {
-		c.metrics.calls.WithLabelValues(outcomeLeftOut).Inc()
+	client := c.callable(keeper)
+	if client == nil {
 		return nil
 	}
 	began := time.Now()
@@ -286,27 +299,36 @@
 // undecidedRetry is the time after which a slot is asked for again if no keeper has decided.
 const undecidedRetry = 100 * time.Millisecond
 
-// undecidedFor is the time for which a keeper that has not decided on a slot is not asked again.
+// undecidedFor is the time for which a keeper that has not decided is not asked again.
 const undecidedFor = 250 * time.Millisecond
 
 // Reserve asks the keeper of an engine for a slot, and its backups if the keeper does not decide. The
 // new request must be part of InFlight already.
 func (c *Client) Reserve(ctx context.Context, engine string, slots int, tolerated float64) Grant {
-	for _, keeper := range c.keepersOf(engine) {
+	grant, decided := c.ask(engine, func(keeper string) (Grant, bool) { return c.reserveAt(ctx, keeper, engine, slots, tolerated) })
+	if !decided {
+		return Grant{RetryAfter: undecidedRetry}
+	}
+	return grant
+}
+
+// ask asks the keeper of an engine and its backups one after the other until one of them decides.
+func (c *Client) ask(engine string, askOne func(keeper string) (grant Grant, decided bool)) (grant Grant, decided bool) {
+	for _, keeper := range c.grantors(engine) {
 		if c.isUndecided(keeper) {
 			continue
 		}
-		if grant, decided := c.reserveAt(ctx, keeper, engine, slots, tolerated); decided {
-			return grant
+		if grant, decided := askOne(keeper); decided {
+			return grant, true
 		}
 		c.mu.Lock()
 		c.undecided[keeper] = time.Now()
 		c.mu.Unlock()
 	}
-	return Grant{RetryAfter: undecidedRetry}
+	return Grant{}, false
 }
 
-// isUndecided reports whether a keeper has recently not decided on a slot.
+// isUndecided reports whether a keeper that was asked recently has not decided.
 func (c *Client) isUndecided(keeper string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -327,9 +349,8 @@
 	if keeper == c.Self {
 		return c.Store.reserveSettled(m, c.MayGrant, time.Now())
 	}
-	client := c.Client(keeper)
-	if client == nil || c.isAvoided(keeper) {
-		c.metrics.calls.WithLabelValues(outcomeLeftOut).Inc()
+	client := c.callable(keeper)
+	if client == nil {
 		return Grant{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
@@ -346,6 +367,16 @@
 	return Grant{Granted: answer.Msg.GetGranted(), RetryAfter: time.Duration(answer.Msg.GetRetryAfterMs()) * time.Millisecond}, answer.Msg.GetSettled()
 }
 
+// callable returns the client for a keeper, or nil if it is not known or gets no calls now.
+func (c *Client) callable(keeper string) bronzeturnv1connect.OccupancyServiceClient {
+	client := c.Client(keeper)
+	if client == nil || c.isAvoided(keeper) {
+		c.metrics.calls.WithLabelValues(outcomeLeftOut).Inc()
+		return nil
+	}
+	return client
+}
+
 // isAvoided reports whether a keeper gets no calls because the last ones failed.
 func (c *Client) isAvoided(keeper string) bool {
 	c.mu.Lock()
