canary: a version that fails under load only is found before it is declared complete

Cause: answers were compared over all routes together, where one route with many bad answers hides the others; a service with few engines had no load before the end; and what was not clearly bad was declared complete, after which nothing can be rolled back.

Few engines carry all traffic until the version is complete, by the mean load of the service. Bad answers are weighed by a likelihood ratio, route by route.

TestDoubtedVersionIsNotDeclaredComplete, TestRareErrorsCauseRollback and TestRouteWithCommonErrorsCausesNoRollback failed before. TestEngineCountOfNewVersion asked for all engines once the version has all traffic; it now asks for the exact numbers that carry the load.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -5,7 +5,9 @@
 package canary
 
 import (
+	"fmt"
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -298,6 +300,11 @@
 	Reason string
 	// Trial and Base are the fleet's counts of the new and the previous version.
 	Trial, Base Count
+	// BadByRoute describes the routes with bad answers: the bad answers and all answers of the new
+	// version, and the same of the previous version.
+	BadByRoute []string
+	// Doubted is set if the version is not declared complete yet because of its bad answers.
+	Doubted bool
 	// Slowdown is the ratio of the new version's latencies to the first event or answer to
 	// those of the previous version, PaceSlowdown that of the times between events. They are
 	// zero if there are too few answers.
@@ -343,13 +350,18 @@
 	if i.rollbackReason == "" {
 		i.rollbackReason = rollbackReason(sums, v)
 	}
+	v.BadByRoute = badByRoute(sums)
 	v.FullTrafficAge = i.schedule.fullTraffic
+	finishAge := i.options.finishAge(i.order.Duration, i.schedule)
 	switch {
 	case i.state == Done || i.state == RolledBack:
 		v.State = i.state
 	case i.rollbackReason != "":
 		v.State, v.Reason = RolledBack, i.rollbackReason
-	case v.Age >= i.options.finishAge(i.order.Duration, i.schedule):
+	case v.Age < finishAge:
+	case v.Age < finishAge+seconds(doubtShare*i.order.Duration.Seconds()) && isDoubted(sums, v.Trial.Bad):
+		v.Doubted = true
+	default:
 		v.State, v.Reason = Done, "no fault found"
 	}
 	return v
@@ -371,3 +383,20 @@
 	}
 	return sums
 }
+
+// badByRoute describes the routes with bad answers.
+func badByRoute(sums map[CountKey]Count) (routes []string) {
+	for key, base := range sums {
+		trialKey := CountKey{Route: key.Route, Trial: true}
+		trial := sums[trialKey]
+		if key.Pace || key.Trial && sums[key.base()].Answers > 0 || trial.Bad+base.Bad == 0 {
+			continue
+		}
+		if key.Trial {
+			base = Count{}
+		}
+		routes = append(routes, fmt.Sprintf("%s %d/%d before %d/%d", key.Route, trial.Bad, trial.Answers, base.Bad, base.Answers))
+	}
+	slices.Sort(routes)
+	return routes
+}
--- a/canary/canary_test.go
+++ b/canary/canary_test.go
@@ -117,6 +117,64 @@
 	qt.Check(t, i.Review(start.Add(5*time.Second)).State, qt.Equals, Running)
 }
 
+// TestDoubtedVersionIsNotDeclaredComplete guards against a version that fails under load only: it has
+// few answers under load when it is due, and no engine of the previous version is left afterwards.
+func TestDoubtedVersionIsNotDeclaredComplete(t *testing.T) {
+	c := qt.New(t)
+	due := start.Add(duration)
+	// doubted returns an introduction with one bad answer on a route that has none otherwise, and
+	// one on a route that has many.
+	doubted := func() *Introduction {
+		i := newIntroduction()
+		observe(i, 170, 0, 15, 1, 0, 0)
+		for n := range 100 {
+			i.Observe("often bad", false, n < 25, 0)
+		}
+		i.Observe("often bad", true, true, 0)
+		return i
+	}
+	i := doubted()
+	v := i.Review(due)
+	c.Check(v.State, qt.Equals, Running)
+	c.Check(v.Doubted, qt.IsTrue)
+	observe(i, 0, 0, 40, 5, 0, 0)
+	c.Check(i.Review(due.Add(time.Second)).State, qt.Equals, RolledBack)
+
+	i = doubted()
+	observe(i, 0, 0, 200, 0, 0, 0)
+	v = i.Review(due.Add(time.Second))
+	c.Check(v.State, qt.Equals, Done, qt.Commentf("more answers have settled the doubt"))
+	c.Check(v.Doubted, qt.IsFalse)
+
+	i = doubted()
+	c.Check(i.Review(due.Add(time.Duration(doubtShare*float64(duration)))).State, qt.Equals, Done, qt.Commentf("the doubt lasts too long"))
+}
+
+// TestRareErrorsCauseRollback guards against a version that fails one request in twelve: too few for
+// the margin of few answers, and beyond chance for many.
+func TestRareErrorsCauseRollback(t *testing.T) {
+	c := qt.New(t)
+	i := newIntroduction()
+	observe(i, 300, 1, 36, 3, 0, 0)
+	c.Check(i.Review(start.Add(5*time.Second)).State, qt.Equals, Running)
+	observe(i, 0, 0, 24, 2, 0, 0)
+	c.Check(i.Review(start.Add(5*time.Second)).State, qt.Equals, RolledBack)
+}
+
+// TestRouteWithCommonErrorsCausesNoRollback guards against a good version whose first answers on a
+// route with many bad ones happen to be bad.
+func TestRouteWithCommonErrorsCausesNoRollback(t *testing.T) {
+	i := newIntroduction()
+	observe(i, 120, 29, 4, 4, 0, 0)
+	for range 220 {
+		i.Observe("other", false, false, 0)
+	}
+	for range 8 {
+		i.Observe("other", true, false, 0)
+	}
+	qt.Check(t, i.Review(start.Add(5*time.Second)).State, qt.Equals, Running)
+}
+
 func TestSlowVersionIsRolledBack(t *testing.T) {
 	c := qt.New(t)
 	i := newIntroduction()
@@ -460,7 +518,13 @@
 	c.Check(i.EngineCount(90, 0.1, trial), qt.Equals, 4)
 	c.Check(i.EngineCount(90, 0.1, step), qt.Equals, 4)
 	c.Check(i.EngineCount(90, 0.3, step), qt.Equals, 9)
-	c.Check(i.EngineCount(9, 0.1, start.Add(23200*time.Millisecond)) > 1000, qt.IsTrue)
+	// All traffic loads few engines up to stepLoadFactor times, but never beyond their slots.
+	whole := start.Add(23200 * time.Millisecond)
+	c.Check(i.EngineCount(3, 0.1, whole), qt.Equals, 1)
+	c.Check(i.EngineCount(9, 0.1, whole), qt.Equals, 2)
+	c.Check(i.EngineCount(9, maxFullTrafficSlotUse, whole), qt.Equals, 9)
+	c.Check(i.EngineCount(9, 1.75, whole), qt.Equals, 23, qt.Commentf("engines of the previous version are gone"))
+	c.Check(i.EngineCount(0, 0, whole) > 1000, qt.IsTrue)
 	// The trial share of 60 engines corresponds to 2.7 engines.
 	c.Check(i.EngineCount(60, 0.1, trial), qt.Equals, 3)
 	c.Check(i.EngineCount(50, 0.1, trial), qt.Equals, 2)
--- a/canary/judge.go
+++ b/canary/judge.go
@@ -78,11 +78,12 @@
 // rollbackReason returns the reason for rolling the version back, or "".
 func rollbackReason(sums map[CountKey]Count, v Verdict) string {
 	paces := compareLatencies(sums, func(k CountKey) bool { return k.Pace })
-	if isWorse(v.Trial, v.Base, paces) {
+	if isWorse(v.Trial, v.Base, allBadEvidence(sums), paces) {
 		return "errors"
 	}
 	for key, trial := range sums {
-		if key.Trial && isWorse(trial, sums[key.base()], pacesOf(key, sums, paces)) {
+		base := sums[key.base()]
+		if key.Trial && isWorse(trial, base, badEvidence(trial, base), pacesOf(key, sums, paces)) {
 			return "errors on one route"
 		}
 	}
@@ -114,8 +115,9 @@
 
 // isWorse compares the shares of bad and of slow answers. Slow answers do not count if the times
 // between events are normal.
-func isWorse(trial, base Count, paces latencyComparison) bool {
-	return exceeds(trial.Bad, trial.Answers, base.Bad, base.Answers, badMargin, badDeviations) ||
+func isWorse(trial, base Count, bad evidence, paces latencyComparison) bool {
+	return trial.Bad >= minBad && bad.max() > enoughEvidence ||
+		bad.max() > minEvidence && exceeds(trial.Bad, trial.Answers, base.Bad, base.Answers, badMargin, badDeviations) ||
 		!paces.normal() && exceeds(trial.Slow, trial.Answers, base.Slow, base.Answers, slowMargin, slowShareDeviations)
 }
 
--- a/canary/pace.go
+++ b/canary/pace.go
@@ -39,13 +39,15 @@
 
 // Some versions fail only under load, and a share of the traffic that is spread over all new
 // engines would load none of them. So each new engine gets up to trialLoadFactor times the load
-// of an engine of the previous version, and stepLoadFactor times in the step after the trial,
-// but no more than fills maxSlotUse of its slots: beyond that, callers would suffer from the
-// test.
+// of an engine of the previous version, and stepLoadFactor times after the trial, but no more than
+// fills maxSlotUse of its slots, or maxFullTrafficSlotUse once the version gets all traffic: beyond
+// that, callers would suffer from the test. Where a service has few engines, the load of the step
+// does not reach stepLoadFactor, that of all traffic does.
 const (
-	trialLoadFactor = 1.0
-	stepLoadFactor  = 6.0
-	maxSlotUse      = 0.85
+	trialLoadFactor       = 1.0
+	stepLoadFactor        = 6.0
+	maxSlotUse            = 0.85
+	maxFullTrafficSlotUse = 0.7
 )
 
 // schedule holds the ages at which the step begins and at which the new version gets all
@@ -114,19 +116,19 @@
 }
 
 // EngineCount returns the number of engines on which the new version should run now, if the
-// previous version runs on before engines and uses the given share of their slots. It is as
-// many as the new version's share of the traffic keeps busy, and all once that version gets all
-// traffic.
+// previous version runs on before engines and the service uses the given share of their slots. It is
+// as many as the new version's share of the traffic keeps busy. Once the introduction is complete,
+// the version runs on all of its engines.
 func (i *Introduction) EngineCount(before int, used float64, now time.Time) int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	share, trialOver := i.shareAfterTrial(now.Sub(i.since))
+	if share >= 1 {
+		return fullTrafficEngines(before, used)
+	}
 	factor := stepLoadFactor
-	switch {
-	case !trialOver:
+	if !trialOver {
 		share, factor = i.options.trialShare(), trialLoadFactor
-	case share >= 1:
-		return math.MaxInt
 	}
 	if used > 0 {
 		factor = max(min(factor, maxSlotUse/used), 1)
@@ -139,3 +141,12 @@
 	}
 	return max(int(engines), 1)
 }
+
+// fullTrafficEngines returns the number of engines for all traffic. It follows from the load alone:
+// the engines of the previous version may be fewer than needed by then.
+func fullTrafficEngines(before int, used float64) int {
+	if before == 0 {
+		return math.MaxInt
+	}
+	return int(math.Ceil(float64(before) * max(used/maxFullTrafficSlotUse, 1/stepLoadFactor)))
+}
--- a/entry/introductions.go
+++ b/entry/introductions.go
@@ -53,6 +53,11 @@
 	// verdictPublished is set once the verdict against the version has been published. Only
 	// the goroutine of run uses it.
 	verdictPublished bool
+	// doubted is set once it has been logged that the version is doubted. Only the goroutine of run
+	// uses it.
+	doubted bool
+	// load is this daemon's load at the engines of all versions. Only the goroutine of run uses it.
+	load meanLoad
 	// engines is the number of engines on which the new version runs.
 	engines int
 	// ended is when this daemon learnt that the order had reached a final state.
@@ -221,16 +226,24 @@
 // caller must not hold mu, because the lock of the set of engines is acquired before mu.
 func (i *introductions) wantedEngines(intro *introduction, now time.Time) int {
 	order := intro.Order()
-	var base []string
-	slots := 0
+	var all []string
+	base, slots := 0, 0
 	for _, e := range i.daemon.engines.View().Engines {
-		if e.Service != order.Service || e.Version == order.Target || i.daemon.evacuated.includes(e.DataCentre) {
+		if e.Service != order.Service || i.daemon.evacuated.includes(e.DataCentre) {
 			continue
 		}
-		base = append(base, e.Key())
-		slots += max(e.Slots, 1)
+		all = append(all, e.Key())
+		if e.Version != order.Target {
+			base++
+			slots += max(e.Slots, 1)
+		}
+	}
+	used := 0.0
+	if slots > 0 {
+		own := intro.load.observe(i.daemon.ownRequests(all), now)
+		used = own * float64(max(i.daemon.fleet.Live(), 1)) / float64(slots)
 	}
-	return intro.EngineCount(len(base), i.daemon.busyShare(base, float64(slots)), now)
+	return intro.EngineCount(base, used, now)
 }
 
 // assign implements gateway.Assign.
--- a/entry/load.go
+++ b/entry/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -142,16 +143,34 @@
 	return bronzeturnv1connect.NewOccupancyServiceClient(client, base, peer.ClientOptions()...)
 }
 
-// busyShare estimates the fraction of the slots of some engines that are in use, from this
-// daemon's own requests in progress there and the number of daemons.
-func (d *Daemon) busyShare(engines []string, slots float64) float64 {
-	if slots <= 0 {
-		return 0
+// meanLoad is the mean number of this daemon's requests in progress at some engines. Of a service
+// with a few requests at a time, each daemon has none or one, from which the load of the fleet cannot
+// be told.
+type meanLoad struct {
+	requests float64
+	at       time.Time
+}
+
+// meanLoadTime is the time constant of a meanLoad.
+const meanLoadTime = 2 * time.Second
+
+// observe adds the number of requests in progress now, and returns an estimate for the near future. It
+// follows a rise of more than one request at once.
+func (m *meanLoad) observe(requests int64, now time.Time) float64 {
+	current, weight := float64(requests), 1.0
+	if !m.at.IsZero() {
+		weight = 1 - math.Exp(-now.Sub(m.at).Seconds()/meanLoadTime.Seconds())
 	}
-	own := int64(0)
+	m.requests += weight * (current - m.requests)
+	m.at = now
+	return max(m.requests, current-1)
+}
+
+// ownRequests returns the number of this daemon's requests in progress at some engines.
+func (d *Daemon) ownRequests(engines []string) (own int64) {
 	for _, engine := range engines {
 		requests, _ := d.balancer.OwnLoad(engine)
 		own += requests
 	}
-	return float64(own) * float64(max(d.fleet.Live(), 1)) / slots
+	return own
 }
--- a/entry/load_test.go
+++ b/entry/load_test.go
@@ -62,3 +62,20 @@
 		c.Check(used < 750*time.Millisecond, qt.IsTrue, qt.Commentf("%v for an answer of 1 s at pace 1", used))
 	})
 }
+
+// TestMeanLoadIsNotThatOfAMoment guards against an estimate of the fleet's load that changes by the
+// number of daemons with each request, and against one that is late when many requests come.
+func TestMeanLoadIsNotThatOfAMoment(t *testing.T) {
+	c := qt.New(t)
+	var m meanLoad
+	now := time.Unix(1000, 0)
+	c.Check(m.observe(1, now), qt.Equals, 1.0)
+	for n := range 100 {
+		now = now.Add(reviewInterval)
+		load := m.observe(int64(n%4/3), now) // One request in a quarter of the time.
+		if n > 50 {
+			c.Check(load > 0.15 && load < 0.35, qt.IsTrue, qt.Commentf("%v", load))
+		}
+	}
+	c.Check(m.observe(10, now.Add(reviewInterval)) >= 9, qt.IsTrue)
+}
--- a/entry/review.go
+++ b/entry/review.go
@@ -72,12 +72,17 @@
 	verdict := intro.Review(now)
 	i.publishVerdict(service, intro, now)
 	i.updateEngineCount(service, intro, now)
+	if verdict.Doubted && !intro.doubted {
+		intro.doubted = true
+		i.daemon.log.Info().Str("service", service).Str("target", intro.Order().Target).Strs("bad_by_route", verdict.BadByRoute).
+			Dur("age_ms", verdict.Age).Msg("introduction is not declared complete because of bad answers")
+	}
 	due, isNew := intro.driver.Due(intro.State(), verdict.State, i.writeRank(service), now)
 	if isNew {
 		i.daemon.log.Info().Str("service", service).Str("target", intro.Order().Target).Stringer("verdict", verdict.State).
 			Str("reason", verdict.Reason).Uint64("trial_answers", verdict.Trial.Answers).Uint64("trial_bad", verdict.Trial.Bad).Uint64("trial_slow", verdict.Trial.Slow).
 			Uint64("base_answers", verdict.Base.Answers).Uint64("base_bad", verdict.Base.Bad).Uint64("base_slow", verdict.Base.Slow).
-			Float64("slowdown", verdict.Slowdown).Float64("pace_slowdown", verdict.PaceSlowdown).Dur("age_ms", verdict.Age).Dur("whole_ms", verdict.FullTrafficAge).Msg("verdict on an introduction")
+			Strs("bad_by_route", verdict.BadByRoute).Float64("slowdown", verdict.Slowdown).Float64("pace_slowdown", verdict.PaceSlowdown).Dur("age_ms", verdict.Age).Dur("whole_ms", verdict.FullTrafficAge).Msg("verdict on an introduction")
 	}
 	if due {
 		i.write(ctx, service, intro, verdict.State)
