occupancy: the time of the next permit outlives a pause of its callers

A keeper forgot an engine's next permit after 10 s without requests, and refused the first one after that: with a request every 15 s none was sent. It is kept for two minutes. TestFirstPermitIsNotGrantedAtOnce asks for it and failed before. Found on review.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -386,17 +386,13 @@
 
 // badByRoute describes the routes with bad answers.
 func badByRoute(sums map[CountKey]Count) (routes []string) {
-	for key, base := range sums {
-		trialKey := CountKey{Route: key.Route, Trial: true}
-		trial := sums[trialKey]
-		if key.Pace || key.Trial && sums[key.base()].Answers > 0 || trial.Bad+base.Bad == 0 {
+	for key, c := range sums {
+		if key.Pace || c.Bad == 0 {
 			continue
 		}
-		if key.Trial {
-			base = Count{}
-		}
+		trial, base := sums[CountKey{Route: key.Route, Trial: true}], sums[key.base()]
 		routes = append(routes, fmt.Sprintf("%s %d/%d before %d/%d", key.Route, trial.Bad, trial.Answers, base.Bad, base.Answers))
 	}
 	slices.Sort(routes)
-	return routes
+	return slices.Compact(routes) // Both versions may have bad answers.
 }
--- a/canary/judge.go
+++ b/canary/judge.go
@@ -8,8 +8,8 @@
 	// may have other causes, such as a single faulty engine.
 	minBad = 4
 	// A version is rolled back if its share of bad answers exceeds that of the previous version
-	// by badMargin and by badDeviations standard deviations of the difference, or its share of
-	// slow answers by slowMargin and slowShareDeviations. Slowness needs more evidence, because
+	// by badMargin and by badDeviations standard deviations of the difference, with minEvidence, or
+	// its share of slow answers by slowMargin and slowShareDeviations. Slowness needs more evidence, because
 	// the engines of the two versions differ in load and those of the new one have empty prompt
 	// caches.
 	badMargin           = 0.1
--- a/occupancy/permit.go
+++ b/occupancy/permit.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// pacerTTL is how long the time of an engine's next permit is kept after it.
-	pacerTTL = 10 * time.Second
+	// pacerTTL is how long the time of an engine's next permit is kept after it. Without it, the next
+	// request is refused.
+	pacerTTL = 2 * time.Minute
 	// minPermitInterval and maxPermitInterval bound the interval between two permits.
 	minPermitInterval = time.Millisecond
 	maxPermitInterval = time.Minute
--- a/occupancy/permit_test.go
+++ b/occupancy/permit_test.go
@@ -51,6 +51,11 @@
 	c.Check(store.Permit(5, 2, start), qt.Equals, Grant{RetryAfter: 500 * time.Millisecond})
 	c.Check(store.Permit(5, 2, start.Add(500*time.Millisecond)).Granted, qt.IsTrue)
 	c.Check(store.Permit(5, 0.01, start.Add(time.Second)).Granted, qt.IsTrue)
+	for n := range 5 {
+		now := start.Add(time.Duration(n) * time.Minute)
+		store.Expire(now)
+		c.Check(store.Permit(6, 2, now).Granted, qt.Equals, n > 0, qt.Commentf("a request every minute"))
+	}
 	c.Check(store.Permit(5, 10, start.Add(time.Second)), qt.Equals, Grant{RetryAfter: 100 * time.Millisecond}, qt.Commentf("the limit has risen"))
 }
 
