occupancy: permits of an engine are granted by its keeper alone

Cause, by reading: a daemon whose call to the keeper takes over 50 ms, as on a busy host, asked a backup, which knows nothing of the keeper's permits and grants the whole limit again while the keeper grants it to others. Slots have no such fault, as all three count the requests in progress.

Only the keeper grants permits now; a daemon for which it does not decide uses its part of the divided limit. Ruled out: reports of each permit to the backups, two more calls for each request.

--- a/occupancy/permit.go
+++ b/occupancy/permit.go
@@ -82,11 +82,16 @@
 	return uint32((d + time.Millisecond - 1) / time.Millisecond)
 }
 
-// Permit asks the keeper of an engine for a permit to send one request, and its backups if the keeper
-// does not decide. decided is false if none of them does.
+// Permit asks the keeper of an engine for a permit to send one request. decided is false if it does not
+// decide. Its backups are not asked: they do not know which permits it has granted, and a caller cannot
+// tell a keeper that is gone from one that answers others.
 func (c *Client) Permit(ctx context.Context, engine string, perSecond float64) (grant Grant, decided bool) {
 	m := &bronzeturnv1.PermitRequest{Engine: engine, PerSecond: perSecond}
-	return c.ask(engine, func(keeper string) (Grant, bool) { return c.permitAt(ctx, keeper, m) })
+	keeper := c.Keeper(engine)
+	if keeper == "" {
+		return Grant{}, false
+	}
+	return c.ask([]string{keeper}, func(keeper string) (Grant, bool) { return c.permitAt(ctx, keeper, m) })
 }
 
 // permitAt asks one daemon for a permit, and reports whether it has decided.
--- a/occupancy/sharer.go
+++ b/occupancy/sharer.go
@@ -43,8 +43,7 @@
 	Self string
 	// Keeper returns the daemon that is the keeper of an engine, "" for none.
 	Keeper func(engine string) string
-	// Backups returns further daemons that grant slots and permits of an engine while the keeper
-	// does not.
+	// Backups returns further daemons that grant slots of an engine while the keeper does not.
 	Backups func(engine string) []string
 	// Reserves reports whether slots of an engine are reserved, so that its backups count the load
 	// there too, and ReservesAny whether those of any engine are.
@@ -157,7 +156,7 @@
 	return nil
 }
 
-// grantors returns the keeper of an engine and its backups.
+// grantors returns the daemons that grant slots of an engine, its keeper first.
 func (c *Client) grantors(engine string) []string {
 	keeper := c.Keeper(engine)
 	if keeper == "" {
@@ -305,16 +304,16 @@
 // Reserve asks the keeper of an engine for a slot, and its backups if the keeper does not decide. The
 // new request must be part of InFlight already.
 func (c *Client) Reserve(ctx context.Context, engine string, slots int, tolerated float64) Grant {
-	grant, decided := c.ask(engine, func(keeper string) (Grant, bool) { return c.reserveAt(ctx, keeper, engine, slots, tolerated) })
+	grant, decided := c.ask(c.grantors(engine), func(keeper string) (Grant, bool) { return c.reserveAt(ctx, keeper, engine, slots, tolerated) })
 	if !decided {
 		return Grant{RetryAfter: undecidedRetry}
 	}
 	return grant
 }
 
-// ask asks the keeper of an engine and its backups one after the other until one of them decides.
-func (c *Client) ask(engine string, askOne func(keeper string) (grant Grant, decided bool)) (grant Grant, decided bool) {
-	for _, keeper := range c.grantors(engine) {
+// ask asks keepers one after the other until one of them decides.
+func (c *Client) ask(keepers []string, askOne func(keeper string) (grant Grant, decided bool)) (grant Grant, decided bool) {
+	for _, keeper := range keepers {
 		if c.isUndecided(keeper) {
 			continue
 		}
