--- /dev/null
+++ b/e2e/unrulystreams_test.go
@@ -0,0 +1,131 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/bronzeturn/bronzeturn/callerapi"
+)
+
+// stalledBody is a body of the given content that then neither continues nor ends until it is
+// closed.
+type stalledBody struct {
+	content io.Reader
+	// sent is closed when the content has been read.
+	sent     chan struct{}
+	once     sync.Once
+	released <-chan struct{}
+}
+
+// Read implements io.Reader.
+func (b *stalledBody) Read(p []byte) (int, error) {
+	if n, err := b.content.Read(p); err == nil {
+		return n, nil
+	}
+	b.once.Do(func() { close(b.sent) })
+	<-b.released
+	return 0, io.ErrUnexpectedEOF
+}
+
+// Close implements io.Closer.
+func (b *stalledBody) Close() error { return nil }
+
+// streams are requests whose bodies stop short of their end, as streams of a few HTTP/2 connections.
+type streams struct {
+	connections, each int
+	url               string
+	header            http.Header
+	body              []byte
+}
+
+// enter starts the requests and returns once each has sent its body or failed. The returned
+// function ends them.
+func (s *streams) enter() (leave func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var sending, running sync.WaitGroup
+	var transports []*http.Transport
+	for range s.connections {
+		protocols := new(http.Protocols)
+		protocols.SetUnencryptedHTTP2(true)
+		transport := &http.Transport{Protocols: protocols}
+		transports = append(transports, transport)
+		for range s.each {
+			sending.Add(1)
+			running.Go(func() {
+				once := sync.OnceFunc(sending.Done)
+				defer once()
+				body := &stalledBody{content: bytes.NewReader(s.body), sent: make(chan struct{}), released: ctx.Done()}
+				req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.url, body)
+				if err != nil {
+					return
+				}
+				req.Header = s.header.Clone()
+				timer := time.AfterFunc(crowdTimeout, once)
+				defer timer.Stop()
+				go func() {
+					select {
+					case <-body.sent:
+						once()
+					case <-ctx.Done():
+					}
+				}()
+				resp, err := transport.RoundTrip(req)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+			})
+		}
+	}
+	sending.Wait()
+	return func() {
+		cancel()
+		running.Wait()
+		for _, transport := range transports {
+			transport.CloseIdleConnections()
+		}
+	}
+}
+
+// withstandsStreams is withstands for a crowd of streams.
+func (u *unrulyTarget) withstandsStreams(s *streams) {
+	u.withstandsAll(s.enter)
+}
+
+func TestUnrulyChatStreamsOfOneConnection(t *testing.T) {
+	u := startUnrulyChat(t)
+	u.withstandsStreams(&streams{
+		connections: 2, each: 120, url: "http://" + u.callers + callerapi.PathChatCompletions,
+		header: http.Header{"Authorization": {"Bearer " + key}}, body: bytes.Repeat([]byte("b"), unrulyBodyBytes-1),
+	})
+}
+
+// TestUnrulyChatMessagesToPeers sends unfinished messages to the listener for other daemons.
+func TestUnrulyChatMessagesToPeers(t *testing.T) {
+	u := startUnrulyChat(t)
+	u.withstandsStreams(messagesToPeers("http://" + u.others[2]))
+}
+
+// TestUnrulyEntryMessagesToPeers sends unfinished messages to the listener for other daemons.
+func TestUnrulyEntryMessagesToPeers(t *testing.T) {
+	u := startUnrulyEntry(t)
+	u.withstandsStreams(messagesToPeers("http://" + u.others[2]))
+}
+
+// messagesToPeers are calls between daemons whose message stops just short of its end.
+func messagesToPeers(address string) *streams {
+	const message = 1 << 20
+	body := binary.BigEndian.AppendUint32([]byte{0}, message) // The prefix of a message in a stream.
+	return &streams{
+		connections: 4, each: 100, url: address + "/bronzeturn.v1.RelayService/Connect",
+		header: http.Header{"Content-Type": {"application/connect+proto"}, "Connect-Protocol-Version": {"1"}},
+		body:   append(body, make([]byte, message-1)...),
+	}
+}
