overload: one account of the memory that callers hold

What callers saw: clients that send bodies up to just short of their end, announce bodies that do not come, or go on far over the limit, made a daemon outgrow the memory of its host. A host ends such a process, with everybody's requests.

Cause: each body had a bound, all of them together had none. Its buffer was made at the length that was announced, and doubled while it grew. Buffered answers had a bound of their own beside it, and none once they were read and waited for a caller that does not read.

Ruled out: the garbage between two collections alone (the memory limit of the runtime was set at the entry edge, and 150 bodies of 1 MiB held 153 MB of 96); the kernel (unread bytes are counted in the tests, and were small beside the heap).

Change: package overload. An account of two fifths of the memory of the process, by bytes that came, with a holder for each body and answer until its request ends. When it is full, the largest holder that is larger than the one who asks, or any that makes no progress for a second, gives way. A quarter is left to bodies of up to 64 KiB. Who loses its place, or finds none, is told 503, not run, come back in a second; 413 is for bodies beyond the limits only. A small answer is kept in any case, as its request has run. The daemon of the chat API gets the settings memory-bytes and max-descriptors; their defaults are those of the cgroup or host, and of the process.

--- a/daemon.go
+++ b/daemon.go
@@ -20,6 +20,7 @@
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
 	"github.com/bronzeturn/bronzeturn/logging"
 	"github.com/bronzeturn/bronzeturn/orders"
+	"github.com/bronzeturn/bronzeturn/overload"
 	"github.com/bronzeturn/bronzeturn/process"
 	"github.com/bronzeturn/bronzeturn/relay"
 	"github.com/bronzeturn/bronzeturn/router"
@@ -33,7 +34,9 @@
 	log      zerolog.Logger
 	tomb     tomb.Tomb
 
-	listeners  *listeners
+	listeners *listeners
+	// clients bounds what the clients of all listeners hold.
+	clients    *overload.Guard
 	tls        *credentials
 	platform   *platform
 	fleet      *fleet
@@ -73,6 +76,7 @@
 	if d.tls, err = loadCredentials(d); err != nil {
 		return err
 	}
+	d.clients = newClients(d)
 	d.platform = newPlatform(d)
 	if d.fleet, err = newFleet(d); err != nil {
 		return fmt.Errorf("fleet: %w", err)
@@ -146,6 +150,7 @@
 	d.learning.start(d)
 	d.quarantine.start(d)
 	d.servers.start(d)
+	d.goLoop("clients", d.clients.Run)
 	if d.orders != nil {
 		d.tomb.Go(func() error { return d.orders.Run(&d.tomb) })
 	}
--- a/decisions.go
+++ b/decisions.go
@@ -169,6 +169,7 @@
 	return router.New(router.Options{
 		DataCentre:    d.settings.GetDataCentre(),
 		MaxBodyBytes:  d.settings.GetMaxBodyBytes(),
+		Memory:        d.clients.Account(),
 		Tables:        d.tables.Load,
 		CheckFresh:    d.awaitFresh,
 		Versions:      n.versions,
--- a/e2e/unruly_test.go
+++ b/e2e/unruly_test.go
@@ -18,6 +18,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/bronzeturn/bronzeturn/callerapi"
 	"github.com/bronzeturn/bronzeturn/demo"
 	"github.com/bronzeturn/bronzeturn/platform/emulator"
 )
@@ -40,8 +41,9 @@
 	// head is the start of a request whose body follows, without the empty line at its end,
 	// unknown that of a request to a path that does not exist.
 	head, unknown string
-	// answered reports whether an ordinary request is answered now.
-	answered func() bool
+	// answered reports whether an ordinary request is answered now, largest whether one with the
+	// largest body is taken.
+	answered, largest func() bool
 }
 
 // startUnrulyEntry starts an entry daemon with low limits.
@@ -60,6 +62,9 @@
 		c: f.c, process: f.running[0], callers: d.Front, others: []string{d.Ready, d.Directory, d.Control},
 		head: "POST /stream/x HTTP/1.1\r\n" + fields, unknown: "POST /unknown/x HTTP/1.1\r\n" + fields,
 		answered: func() bool { return f.send(0, http.MethodGet, "/safe/x").status == http.StatusOK },
+		largest: func() bool {
+			return f.sendBody(0, http.MethodPost, "/once/x", strings.Repeat("b", unrulyBodyBytes)).status == http.StatusOK
+		},
 	}
 }
 
@@ -77,6 +82,18 @@
 		c: c, process: daemon.process, callers: daemon.callers, others: []string{daemon.admin, daemon.operators, daemon.peers},
 		head: "POST /v1/chat/completions HTTP/1.1\r\n" + fields, unknown: "POST /v1/unknown HTTP/1.1\r\n" + fields,
 		answered: func() bool { return send(chat, daemon.callers).Check(chat) == nil },
+		largest: func() bool {
+			// An engine needs minutes for a prompt of this size, so the body is none: it is refused for
+			// its content once it has been read.
+			body := strings.NewReader(strings.Repeat("b", unrulyBodyBytes))
+			req, err := http.NewRequest(http.MethodPost, "http://"+daemon.callers+callerapi.PathChatCompletions, body)
+			c.Assert(err, qt.IsNil)
+			req.Header.Set("Authorization", "Bearer "+key)
+			resp, err := http.DefaultClient.Do(req)
+			c.Assert(err, qt.IsNil)
+			_ = resp.Body.Close()
+			return resp.StatusCode == http.StatusBadRequest
+		},
 	}
 }
 
@@ -223,6 +240,7 @@
 // crowds and returns how to end them.
 func (u *unrulyTarget) withstandsAll(enter func() (leave func())) {
 	u.c.Assert(u.answered(), qt.IsTrue, qt.Commentf("ordinary request in calm"))
+	u.c.Assert(u.largest(), qt.IsTrue, qt.Commentf("largest request in calm"))
 	calm := u.usageNow()
 	stop := u.sample()
 	leave := enter()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,6 +34,7 @@
 	"github.com/bronzeturn/bronzeturn/inventory"
 	"github.com/bronzeturn/bronzeturn/logging"
 	"github.com/bronzeturn/bronzeturn/occupancy"
+	"github.com/bronzeturn/bronzeturn/overload"
 	"github.com/bronzeturn/bronzeturn/process"
 	"github.com/bronzeturn/bronzeturn/quarantine"
 	"github.com/bronzeturn/bronzeturn/relay"
@@ -59,6 +60,9 @@
 	Seeds []string
 	// MemoryBytes is the memory that the process may use.
 	MemoryBytes int64
+	// Descriptors is the number of descriptors that the process may use, or zero if it is not
+	// limited.
+	Descriptors int
 	// Cores is the CPU time that the process may use, in cores, or zero if unknown.
 	Cores float64
 	// Capacity is the capacity of the host relative to the hosts of the other daemons. Tasks of
@@ -160,7 +164,9 @@
 	shared         *sharedBalancer
 	occupancyStore *occupancy.Store
 	// relay connects to engines.
-	relay   *relay.Relay
+	relay *relay.Relay
+	// clients bounds what the clients of all listeners hold.
+	clients *overload.Guard
 	servers *servers
 
 	tables atomic.Pointer[gateway.Tables]
@@ -181,10 +187,6 @@
 // The rest is reserved for stacks, kernel buffers and garbage that is not yet collected.
 const memoryShare = 0.7
 
-// bufferShare is the fraction of Settings.MemoryBytes that answers may use which are buffered until
-// they are complete.
-const bufferShare = 0.15
-
 // New creates a daemon and opens its listeners. Requests are served only after Run is called.
 func New(o Options) (*Daemon, error) {
 	d := &Daemon{Options: o, registry: prometheus.NewRegistry(), seed: process.Seed(), started: time.Now(), occupancyStore: occupancy.NewStore()}
@@ -199,6 +201,9 @@
 	if o.Settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(o.Settings.MemoryBytes)))
 	}
+	d.clients = overload.New(overload.Options{
+		MemoryBytes: o.Settings.MemoryBytes, Descriptors: o.Settings.Descriptors, Log: d.logger("clients"), Registerer: d.registry,
+	})
 	var err error
 	if d.balancer, err = balance.NewState(balanceOptions()); err != nil {
 		return nil, fmt.Errorf("balance: %w", err)
@@ -286,6 +291,7 @@
 	d.goLoop("in force", d.confirmed.run)
 	d.goLoop("engines", d.expireEngines)
 	d.goLoop("heap", d.adjustHeapGrowth)
+	d.goLoop("clients", d.clients.Run)
 	d.goLoop("quarantine", d.quarantine.Run)
 	d.goLoop("quarantine records", d.quarantine.RunWrites)
 	d.goLoop("occupancy", d.shared.occupancy.Run)
--- a/failure/failure.go
+++ b/failure/failure.go
@@ -49,6 +49,10 @@
 	// stopped. Such requests are refused until the session expires.
 	CodeVersionStopped Code = "version_stopped"
 
+	// CodeOverloaded is for a request that finds no memory, because other clients use what the
+	// host has for them.
+	CodeOverloaded Code = "overloaded"
+
 	CodeInternal Code = "internal"
 )
 
@@ -148,6 +152,7 @@
 	CodeAnswerNotKept:      http.StatusGone,
 	CodeQuarantined:        http.StatusServiceUnavailable,
 	CodeVersionStopped:     http.StatusServiceUnavailable,
+	CodeOverloaded:         http.StatusServiceUnavailable,
 	CodeInternal:           http.StatusInternalServerError,
 }
 
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -17,10 +17,6 @@
 // given time.
 func (w *writer) setWriteDeadline(at time.Time) { _ = w.control.SetWriteDeadline(at.Add(writeGrace)) }
 
-// setReadDeadline makes reads of the caller's body fail after the given time. The zero time
-// removes the deadline.
-func (w *writer) setReadDeadline(at time.Time) { _ = w.control.SetReadDeadline(at) }
-
 // flush sends buffered data to the caller.
 func (w *writer) flush() error { return w.control.Flush() }
 
@@ -73,6 +69,9 @@
 		a.broken = true
 		return
 	}
+	if !a.request.bodyRead {
+		a.request.memory.Refuse(a.w)
+	}
 	a.codec.Refuse(a.w.Header(), a.request.meta.ID, f.RetryAfter)
 	a.status = statusOf(f)
 	a.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
--- a/gateway/buffers.go
+++ b/gateway/buffers.go
@@ -1,73 +1,38 @@
 package gateway
 
 import (
-	"bytes"
+	"errors"
 	"io"
-	"sync/atomic"
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/attempt"
+	"github.com/bronzeturn/bronzeturn/overload"
 )
 
 const (
 	// maxBufferedBytes bounds the size of an answer that is buffered until it is complete.
 	maxBufferedBytes = 16 << 20
-	// ownBytes is the part of each answer that does not count for the bound on all answers, so
-	// that large answers do not prevent usual ones.
+	// ownBytes is the size up to which an answer is usual, so that it is read however long it
+	// takes.
 	ownBytes = 64 << 10
-	// maxAnswerShare is the share of the bound on all answers that one answer may take, as a
-	// divisor.
-	maxAnswerShare = 4
-	// defaultBufferBytes bounds the answers that are buffered together if the memory of the
-	// process is not known.
-	defaultBufferBytes = 128 << 20
-	// growth is the factor by which a buffer may exceed its content.
-	growth = 2
+	// maxAnswerShare is the share of the memory for callers that one answer may take, as a divisor.
+	maxAnswerShare = 16
 )
 
-// answerBuffers bounds the memory of all answers that are buffered until they are complete.
-type answerBuffers struct {
-	// limit is the bound in bytes, used the part of it that is in use.
-	limit int64
-	used  atomic.Int64
+// maxAnswer returns the greatest size of an answer that is buffered.
+func maxAnswer(a *overload.Account) int64 {
+	return max(min(maxBufferedBytes, a.Limit()/maxAnswerShare), ownBytes)
 }
 
-// newAnswerBuffers returns the buffers with a bound in bytes, 0 for the default one.
-func newAnswerBuffers(limit int64) *answerBuffers {
-	if limit <= 0 {
-		limit = defaultBufferBytes
-	}
-	return &answerBuffers{limit: limit}
-}
-
-// maxAnswer returns the greatest size of one answer.
-func (b *answerBuffers) maxAnswer() int64 {
-	return max(min(maxBufferedBytes, b.limit/maxAnswerShare/growth), ownBytes)
-}
-
-// read reads to the end. It fails with errAnswerTooLong if the answer, or all answers together, exceed
-// their bounds.
-func (b *answerBuffers) read(r io.Reader) ([]byte, error) {
-	var content bytes.Buffer
-	reserved := int64(0)
-	defer func() { b.used.Add(-reserved) }()
-	for size := int64(ownBytes); ; size = min(growth*size, b.maxAnswer()) {
-		n, err := content.ReadFrom(io.LimitReader(r, size-int64(content.Len())))
-		if err != nil {
-			return nil, err
-		}
-		if int64(content.Len()) < size {
-			return content.Bytes(), nil
-		}
-		if n == 0 { // The greatest size was reached before.
-			return b.readEnd(r, &content)
-		}
-		if b.used.Add(growth*size) > b.limit {
-			reserved += growth * size
-			return nil, errAnswerTooLong
-		}
-		reserved += growth * size
+// readAnswer reads an answer to its end into memory of the request. It fails with errAnswerTooLong if
+// the answer, or all that callers hold, exceeds its bound. length is the announced length, or -1.
+func (q *request) readAnswer(r io.Reader, length, limit int64) ([]byte, error) {
+	answer, err := q.memory.ReadAnswer(r, length, limit)
+	var full *overload.FullError
+	if errors.Is(err, overload.ErrTooLarge) || errors.As(err, &full) {
+		return nil, errAnswerTooLong
 	}
+	return answer, err
 }
 
 // boundReader returns the reader of an answer. One that states no length and goes on beyond ownBytes
@@ -95,16 +60,3 @@
 	}
 	return n, err
 }
-
-// readEnd returns the content of an answer of the greatest size if it ends there.
-func (b *answerBuffers) readEnd(r io.Reader, content *bytes.Buffer) ([]byte, error) {
-	var next [1]byte
-	switch _, err := io.ReadFull(r, next[:]); err {
-	case nil:
-		return nil, errAnswerTooLong
-	case io.EOF:
-		return content.Bytes(), nil
-	default:
-		return nil, err
-	}
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/bronzeturn/bronzeturn/backpressure"
 	"github.com/bronzeturn/bronzeturn/balance"
 	"github.com/bronzeturn/bronzeturn/inventory"
+	"github.com/bronzeturn/bronzeturn/overload"
 	"github.com/bronzeturn/bronzeturn/quarantine"
 	"github.com/bronzeturn/bronzeturn/route"
 )
@@ -174,9 +175,9 @@
 	Dispatcher Dispatcher
 	Transport  http.RoundTripper
 	Budget     BudgetOptions
-	// BufferBytes bounds the memory of answers that are buffered until they are complete. 0 means
-	// a default.
-	BufferBytes int64
+	// Memory is the account of what callers hold: bodies, and answers that are buffered until they
+	// are complete. Nil means that it is not bounded.
+	Memory *overload.Account
 
 	Seed       uint64
 	Log        zerolog.Logger
@@ -196,13 +197,15 @@
 	runTimes      *runTimes
 	rngs          sync.Pool
 	seeds         atomic.Uint64
-	buffers       *answerBuffers
 	gate          gate
 }
 
 // New returns a Gateway.
 func New(o Options) *Gateway {
-	g := &Gateway{Options: o, metrics: newMetrics(o.Registerer), budgets: newBudgets(o.Budget, o.Daemons), paceBaselines: newPaceBaselines(), answerLengths: newAnswerLengths(), prefixLoads: newPrefixLoads(), mismatches: newMismatches(), retries: newRetrySchedule(), runTimes: newRunTimes(), buffers: newAnswerBuffers(o.BufferBytes)}
+	g := &Gateway{Options: o, metrics: newMetrics(o.Registerer), budgets: newBudgets(o.Budget, o.Daemons), paceBaselines: newPaceBaselines(), answerLengths: newAnswerLengths(), prefixLoads: newPrefixLoads(), mismatches: newMismatches(), retries: newRetrySchedule(), runTimes: newRunTimes()}
+	if g.Memory == nil {
+		g.Memory = overload.NewAccount(0)
+	}
 	g.rngs.New = func() any { return rand.New(rand.NewPCG(o.Seed, g.seeds.Add(1))) }
 	return g
 }
@@ -266,11 +269,12 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.gate.active.Add(1)
 	defer g.gate.active.Add(-1)
-	if g.gate.noKeepAlive.Load() {
+	if g.gate.noKeepAlive.Load() || overload.Crowded(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
 	started := time.Now()
-	q := &request{http: r, meta: g.Codec.Meta(r.Header), received: started}
+	q := &request{http: r, meta: g.Codec.Meta(r.Header), received: started, memory: g.Memory.OpenRequest(w, r)}
+	defer q.memory.Close()
 	a := newAnswer(w, g.Codec, q)
 	g.serve(q, a)
 	g.record(q, a)
@@ -283,7 +287,7 @@
 
 // serve validates a request, sends it to engines and answers the caller.
 func (g *Gateway) serve(q *request, a *answer) {
-	if f := g.prepare(q, a); f != nil {
+	if f := g.prepare(q); f != nil {
 		a.fail(f)
 		return
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -1,10 +1,8 @@
 package gateway
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -14,6 +12,7 @@
 
 	"github.com/bronzeturn/bronzeturn/balance"
 	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/overload"
 	"github.com/bronzeturn/bronzeturn/quarantine"
 	"github.com/bronzeturn/bronzeturn/route"
 )
@@ -51,7 +50,11 @@
 	// its engines run language models.
 	backend    *route.Service
 	runsModels bool
-	body       []byte
+	// memory is what the request holds of the memory for clients.
+	memory *overload.Request
+	body   []byte
+	// bodyRead is set once the whole body has been read.
+	bodyRead bool
 	// content identifies the request independently of its id.
 	content quarantine.Content
 	// session is the hash of affinityKey.
@@ -94,7 +97,7 @@
 }
 
 // prepare validates and authenticates a request, reads its body and picks its service.
-func (g *Gateway) prepare(q *request, a *answer) *failure.Error {
+func (g *Gateway) prepare(q *request) *failure.Error {
 	q.deadline = q.received.Add(defaultTimeout)
 	if g.gate.closed.Load() {
 		return failure.New(failure.CodeDaemonLeaving, failure.RanNo, "the daemon is stopping").WithRetryAfter(stoppingRetryAfter)
@@ -113,7 +116,7 @@
 		return failure.New(failure.CodeDaemonLeaving, failure.RanNo, "the daemon is stopping").WithRetryAfter(stoppingRetryAfter)
 	}
 	q.setDeadline()
-	if f := q.readBody(a); f != nil {
+	if f := q.readBody(); f != nil {
 		return f
 	}
 	q.setAffinity()
@@ -189,34 +192,32 @@
 }
 
 // readBody reads the body within the size limit and the deadline, and computes the hash.
-func (q *request) readBody(a *answer) *failure.Error {
+func (q *request) readBody() *failure.Error {
 	limit := q.tables.Routes.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
 	tooLarge := failure.New(failure.CodeBodyTooLarge, failure.RanNo, "the body is over %d bytes", limit)
-	if q.http.ContentLength > limit {
-		return tooLarge
-	}
 	hasher := quarantine.NewHasher(q.organisation, q.http.Method, q.http.Host, q.http.RequestURI)
 	defer func() { q.content.Request = hasher.Sum() }()
 	if q.http.ContentLength == 0 {
+		q.bodyRead = true
 		return nil
 	}
-	a.w.setReadDeadline(q.deadline)
-	var body bytes.Buffer
-	body.Grow(int(max(q.http.ContentLength, 0)) + bytes.MinRead)
-	_, err := body.ReadFrom(io.TeeReader(io.LimitReader(q.http.Body, limit+1), hasher))
+	body, err := q.memory.ReadBody(limit, q.deadline)
+	var full *overload.FullError
 	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return failure.Wrap(err, failure.CodeBodyTimeout, failure.RanNo, "the deadline passed before the body came")
+	case errors.Is(err, overload.ErrTooLarge):
+		return tooLarge
+	case errors.As(err, &full):
+		return failure.Wrap(err, failure.CodeOverloaded, failure.RanNo, "%v", full).WithRetryAfter(overload.RefusalRetryAfter)
+	case errors.Is(err, overload.ErrStalled), errors.Is(err, os.ErrDeadlineExceeded):
+		return failure.Wrap(err, failure.CodeBodyTimeout, failure.RanNo, "the body did not come in time")
 	case err != nil:
 		return failure.Wrap(err, failure.CodeCanceled, failure.RanNo, "the body did not come whole")
-	case int64(body.Len()) > limit:
-		return tooLarge
 	}
-	a.w.setReadDeadline(time.Time{})
-	q.body = body.Bytes()
+	_, _ = hasher.Write(body) // Never fails.
+	q.body, q.bodyRead = body, true
 	return nil
 }
 
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -22,7 +22,7 @@
 // readBuffered reads an answer to its end. One that exceeds its bounds counts as broken, since an
 // engine in trouble may send bytes without end.
 func (g *Gateway) readBuffered(t *task, to *target, x *attempt.Exchange) (*bufferedAnswer, *attemptError) {
-	body, err := g.buffers.read(t.boundReader(to, x))
+	body, err := t.readAnswer(t.boundReader(to, x), x.Length, maxAnswer(g.Memory))
 	switch {
 	case errors.Is(err, errAnswerTooLong):
 		return nil, &attemptError{Kind: retry.KindBroken, Ran: failure.RanUnknown, Cause: err}
--- a/route/route.go
+++ b/route/route.go
@@ -135,10 +135,13 @@
 	HasPriority bool
 }
 
-// Limits bound the size of a request.
+// Limits bound what a caller may send, and the time that it may take. Zero means that a limit is not
+// configured.
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
+	// HeaderTime is the time to send a header, IdleTime the time that a connection may be idle.
+	HeaderTime, IdleTime time.Duration
 }
 
 // Config is one accepted configuration.
--- a/router/answer.go
+++ b/router/answer.go
@@ -88,17 +88,14 @@
 	_ = a.control.SetWriteDeadline(time.Time{})
 }
 
-// setReadDeadline bounds the time to read the request body. The zero time means
-// no bound.
-func (a *answer) setReadDeadline(t time.Time) {
-	_ = a.control.SetReadDeadline(t) // Readers that do not support deadlines need none.
-}
-
 // fail ends the request with a failure. Once part of an answer has been sent, it
 // aborts the connection, so that the caller cannot take a truncated answer for a
 // complete one.
 func (a *answer) fail(f *failure.Error) {
 	if !a.started {
+		if !a.call.bodyRead {
+			a.call.memory.Refuse(a.w)
+		}
 		writeFailure(a.w, f)
 		return
 	}
--- a/router/chat.go
+++ b/router/chat.go
@@ -22,7 +22,7 @@
 	if f := r.prepareKind(req.Header, c, req.Header.Get(callerapi.HeaderKind)); f != nil {
 		return f
 	}
-	body, f := r.readBody(req, a, c)
+	body, f := r.readBody(c)
 	if f != nil {
 		return f
 	}
--- a/router/request.go
+++ b/router/request.go
@@ -1,11 +1,9 @@
 package router
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -15,6 +13,7 @@
 	"github.com/bronzeturn/bronzeturn/config"
 	"github.com/bronzeturn/bronzeturn/failure"
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/overload"
 	"github.com/bronzeturn/bronzeturn/quarantine"
 )
 
@@ -43,7 +42,11 @@
 	priority       bronzeturnv1.Priority
 	received       time.Time
 	deadline       time.Time
-	body           []byte
+	// memory is what the request holds of the memory for callers.
+	memory *overload.Request
+	body   []byte
+	// bodyRead is set once the whole body has been read.
+	bodyRead bool
 	// digest caches the result of bodySHA256. It is nil before the first call.
 	digest *[sha256.Size]byte
 	// content identifies a chat request across repeats.
@@ -86,27 +89,33 @@
 	streamOptions map[string]json.RawMessage
 }
 
-// readBody reads the body. It returns a failure if the body exceeds the size limit or
-// is not received before the deadline.
-func (r *Router) readBody(req *http.Request, a *answer, c *call) ([]byte, *failure.Error) {
-	tooLarge := failure.New(failure.CodeBodyTooLarge, failure.RanNo, "the body is over %d bytes", r.MaxBodyBytes)
-	if req.ContentLength > r.MaxBodyBytes {
-		return nil, tooLarge
-	}
-	a.setReadDeadline(c.deadline)
-	var body bytes.Buffer
-	body.Grow(int(max(req.ContentLength, 0)) + bytes.MinRead)
-	_, err := body.ReadFrom(io.LimitReader(req.Body, r.MaxBodyBytes+1))
+// readBody reads the body. It returns a failure if the body exceeds the size limit, finds no memory,
+// or is not received before the deadline.
+func (r *Router) readBody(c *call) ([]byte, *failure.Error) {
+	body, err := c.memory.ReadBody(r.MaxBodyBytes, c.deadline)
+	var full *overload.FullError
 	switch {
+	case errors.Is(err, overload.ErrTooLarge):
+		return nil, failure.New(failure.CodeBodyTooLarge, failure.RanNo, "the body is over %d bytes", r.MaxBodyBytes)
+	case errors.As(err, &full):
+		return nil, r.overloadFailure(full)
+	case errors.Is(err, overload.ErrStalled):
+		return nil, failure.Wrap(err, failure.CodeBodyTimeout, failure.RanNo, "the body made no progress")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, failure.Wrap(err, failure.CodeDeadlinePassed, failure.RanNo, "the deadline passed before the body came")
 	case err != nil:
 		return nil, failure.Wrap(err, failure.CodeMalformedRequest, failure.RanNo, "the body could not be read")
-	case int64(body.Len()) > r.MaxBodyBytes:
-		return nil, tooLarge
 	}
-	a.setReadDeadline(time.Time{})
-	return body.Bytes(), nil
+	c.bodyRead = true
+	return body, nil
+}
+
+// overloadFailure returns the refusal of a request that finds no memory, with the addresses to use
+// instead.
+func (r *Router) overloadFailure(full *overload.FullError) *failure.Error {
+	f := failure.Wrap(full, failure.CodeOverloaded, failure.RanNo, "%v", full).WithRetryAfter(overload.RefusalRetryAfter)
+	f.Entries, _ = r.otherEntries()
+	return f
 }
 
 // authenticate returns the organisation that the key in the Authorization header
--- a/router/router.go
+++ b/router/router.go
@@ -23,6 +23,7 @@
 	"github.com/bronzeturn/bronzeturn/engine"
 	"github.com/bronzeturn/bronzeturn/failure"
 	"github.com/bronzeturn/bronzeturn/hedge"
+	"github.com/bronzeturn/bronzeturn/overload"
 	"github.com/bronzeturn/bronzeturn/plainservice"
 	"github.com/bronzeturn/bronzeturn/quality"
 	"github.com/bronzeturn/bronzeturn/retry"
@@ -77,6 +78,8 @@
 type Options struct {
 	DataCentre   string
 	MaxBodyBytes int64
+	// Memory is the account of what callers hold. Nil means that it is not bounded.
+	Memory *overload.Account
 	// Tables returns the newest configuration, or nil before the first one.
 	Tables func() *Tables
 	// CheckFresh returns a failure if what this daemon knows of the configuration is too
@@ -118,6 +121,9 @@
 // New returns a Router.
 func New(o Options) *Router {
 	r := &Router{Options: o, metrics: newMetrics(o.Registerer), gate: newGate()}
+	if r.Memory == nil {
+		r.Memory = overload.NewAccount(0)
+	}
 	r.rngs.New = func() any {
 		return rand.New(rand.NewPCG(o.Seed, r.seeds.Add(1)))
 	}
--- a/router/serve.go
+++ b/router/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/bronzeturn/bronzeturn/callerapi"
 	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/overload"
 )
 
 // leavingRetryAfter is the Retry-After of a daemon that is shutting down. It is short
@@ -34,8 +36,13 @@
 // metrics.
 func (r *Router) serve(w http.ResponseWriter, req bunrouter.Request, prepare prepareFunc, run runFunc) error {
 	c := &call{requestID: newRequestID(), received: time.Now()}
+	c.memory = r.Memory.OpenRequest(w, req.Request)
+	defer c.memory.Close()
 	a := newAnswer(w, c)
 	w.Header().Set(callerapi.HeaderRequestID, c.requestID)
+	if req.ProtoMajor == 1 && overload.Crowded(req.Context()) {
+		w.Header().Set("Connection", "close")
+	}
 	f := r.process(req.Request, a, c, prepare, run)
 	kind := unknownKindLabel
 	if c.kind != nil {
@@ -56,6 +63,10 @@
 		return r.leavingFailure()
 	}
 	defer r.gate.leave()
+	var full *overload.FullError
+	if errors.As(c.memory.ReserveHead(), &full) {
+		return r.overloadFailure(full)
+	}
 	if f := r.identify(req, c); f != nil {
 		return f
 	}
--- a/router/service.go
+++ b/router/service.go
@@ -51,7 +51,7 @@
 		return failure.New(failure.CodeServiceNotAllowed, failure.RanNo, "the organisation may not use this service")
 	}
 	c.service = service
-	c.body, f = r.readBody(req, a, c)
+	c.body, f = r.readBody(c)
 	return f
 }
 
--- a/settings/contradiction.go
+++ b/settings/contradiction.go
@@ -18,9 +18,26 @@
 	checkAdvertised(&found, "caller-address", s.GetCallerAddress(), "caller-listen", s.GetCallerListen())
 	checkAdvertised(&found, "peer-address", s.GetPeerAddress(), "peer-listen", s.GetPeerListen())
 	checkListeners(&found, s)
+	checkHostLimits(&found, s)
 	return found
 }
 
+// Least values of limits that are given.
+const (
+	minMemoryBytes = 64 << 20
+	minDescriptors = 256
+)
+
+// checkHostLimits reports limits that the process cannot work within.
+func checkHostLimits(found *problems, s *bronzeturnv1.Settings) {
+	if n := s.GetMemoryBytes(); n != 0 && n < minMemoryBytes {
+		found.add("memory-bytes", "must be 0 or at least %d", minMemoryBytes)
+	}
+	if n := s.GetMaxDescriptors(); n != 0 && n < minDescriptors {
+		found.add("max-descriptors", "must be 0 or at least %d", minDescriptors)
+	}
+}
+
 // checkTLS reports TLS files that are missing, or given although plain text is
 // allowed. All three are required unless it is.
 func checkTLS(found *problems, listener, cert, key, ca, plaintextFlag string, plaintext bool) {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -102,7 +102,7 @@
 
 func TestSchemaDescribesEveryFlag(t *testing.T) {
 	c := qt.New(t)
-	c.Assert(len(options), qt.Equals, 41)
+	c.Assert(len(options), qt.Equals, 43)
 	for _, o := range options {
 		name := strings.ReplaceAll(string(o.field.Name()), "_", "-")
 		env := "BRONZETURN_" + strings.ToUpper(string(o.field.Name()))
