overload: connections, heads and idle times of clients are bounded on every listener

What callers saw: idle connections, or connections that were being refused, took all descriptors, so that calls to backend servers and to the store had none.

Cause: nothing bounded connections, and the number of descriptors in the settings was not read. The times for heads and idle connections were built in, whatever the configuration says; a head was checked against its limit after 64 KiB and more of it had been read, at many times their size in memory.

Change: a listener that each HTTP server of both daemons uses. It takes a share of the descriptors (callers 0.3, other daemons 0.2, the others 0.05 or less; each request in progress needs another one to its engine) and of the memory. At its limit, the connection that has been idle for longest makes room, or else one whose request made no progress for a second; if there is none, the new connection is closed unread, so that its client may go elsewhere at once. From three quarters on, answers ask clients to close. Heads are counted in the account while they come, by their bytes and fields. A head over its limit, or over its time, is refused as it comes (431, 408); times are those of the configuration and 5 s, for lost packets, and must be exceeded in two checks, as a daemon that was paused has not read what came in time. Answers are HTTP/1.1; on HTTP/2, streams, frames and unread bytes of a connection are bounded.

Ruled out: limiting accepts (netutil.LimitListener): new connections then wait behind idle ones, in the kernel.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -214,6 +214,7 @@
 	if d.fleet, err = newFleet(d); err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
+	d.fleet.server.Guard(d.clients)
 	d.slowStarts = newSlowStarts(d)
 	d.limits = newBackpressure(d)
 	d.shared = newSharedBalancer(d)
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -12,16 +12,25 @@
 	"github.com/bronzeturn/bronzeturn/admin"
 	"github.com/bronzeturn/bronzeturn/attempt"
 	"github.com/bronzeturn/bronzeturn/gateway"
+	"github.com/bronzeturn/bronzeturn/overload"
 	"github.com/bronzeturn/bronzeturn/quarantine"
 )
 
 const (
-	// headerTimeout limits the time to read a request's header, idleTimeout the time for which a
-	// connection may be idle. Both exceed the values in the platform's configurations.
+	// headerTimeout limits the time to send a request's header, idleTimeout the time for which a
+	// connection may be idle, if the configuration does not.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 60 * time.Second
-	// maxHeaderBytes limits the size of a header while no configuration is in force.
-	maxHeaderBytes = 64 << 10
+	// transferGrace is added to the times in the configuration, which callers keep at their end:
+	// packets may be lost and sent again.
+	transferGrace = 5 * time.Second
+	// maxHeaderBytes limits the size of a header if the configuration does not, serverHeaderBytes
+	// that of any configuration.
+	maxHeaderBytes    = 64 << 10
+	serverHeaderBytes = 1 << 20
+	// monitorTimeout limits the time to read a request, and to write its answer, on the listeners
+	// that serve no callers' requests.
+	monitorTimeout = 30 * time.Second
 	// closeTimeout limits the time to shut down the HTTP servers.
 	closeTimeout = 100 * time.Millisecond
 )
@@ -107,6 +116,9 @@
 	return nil
 }
 
+// callersName is the name of the listener for callers.
+const callersName = "callers"
+
 // server is a listener with its HTTP server.
 type server struct {
 	name     string
@@ -129,14 +141,15 @@
 	monitoring.Handle(quarantine.Path+"/", d.quarantine.Handler())
 	listeners := []struct {
 		name, address string
+		share         float64
 		handler       http.Handler
 	}{
-		{"callers", d.Settings.CallerListen, d.gateway},
-		{"readiness", d.Settings.ReadyListen, monitoring},
-		{"directory", d.Settings.DirectoryListen, d.directoryHandler()},
+		{callersName, d.Settings.CallerListen, overload.CallerShare, d.gateway},
+		{"readiness", d.Settings.ReadyListen, overload.MonitorShare, monitoring},
+		{"directory", d.Settings.DirectoryListen, overload.DirectoryShare, d.directoryHandler()},
 	}
 	for _, l := range listeners {
-		if err := s.open(d, l.name, l.address, l.handler); err != nil {
+		if err := s.open(d, l.name, l.address, l.share, l.handler); err != nil {
 			s.stop()
 			return nil, err
 		}
@@ -146,7 +159,7 @@
 }
 
 // open opens a listener, unless the address is empty.
-func (s *servers) open(d *Daemon, name, address string, handler http.Handler) error {
+func (s *servers) open(d *Daemon, name, address string, share float64, handler http.Handler) error {
 	if address == "" {
 		return nil
 	}
@@ -154,7 +167,14 @@
 	if err != nil {
 		return &ListenError{Setting: name, Address: address, Cause: err}
 	}
-	s.all = append(s.all, &server{name: name, listener: l, http: d.httpServer(name, handler)})
+	guarded := d.clients.Listen(l, overload.ListenerOptions{Name: name, Share: share, Limits: d.clientLimits, Plain: true})
+	server := &server{name: name, listener: guarded, http: d.httpServer(name, handler)}
+	if name != callersName {
+		server.http.ReadTimeout, server.http.WriteTimeout = monitorTimeout, monitorTimeout
+		server.http.IdleTimeout = -1 // The listener bounds it.
+	}
+	guarded.Attach(server.http)
+	s.all = append(s.all, server)
 	return nil
 }
 
@@ -162,17 +182,38 @@
 // the platform assigns the other ports, so it may be in use already. The daemon then serves
 // callers all the same, and metrics on the readiness address only.
 func (s *servers) openMetrics(d *Daemon, handler http.Handler) {
-	if err := s.open(d, "metrics", d.Settings.MetricsListen, handler); err != nil {
+	if err := s.open(d, "metrics", d.Settings.MetricsListen, overload.MonitorShare, handler); err != nil {
 		d.log.Error().Err(err).Msg("metrics have no address of their own")
 	}
 }
 
-// httpServer returns a server for HTTP/1.1 without TLS.
+// httpServer returns a server for HTTP/1.1 without TLS. The listener bounds the times that clients
+// may take.
 func (d *Daemon) httpServer(name string, handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: d.errorLog(name),
+		Handler: handler, MaxHeaderBytes: serverHeaderBytes, ErrorLog: d.errorLog(name),
+	}
+}
+
+// clientLimits returns the limits of requests: those of the configuration in force, or the default
+// ones.
+func (d *Daemon) clientLimits() overload.Limits {
+	limits := overload.Limits{HeadBytes: maxHeaderBytes, HeadTime: headerTimeout, IdleTime: idleTimeout}
+	tables := d.tables.Load()
+	if tables == nil || tables.Routes == nil {
+		return limits
+	}
+	configured := tables.Routes.Limits
+	if configured.HeaderBytes > 0 {
+		limits.HeadBytes = configured.HeaderBytes
+	}
+	if configured.HeaderTime > 0 {
+		limits.HeadTime = configured.HeaderTime + transferGrace
+	}
+	if configured.IdleTime > 0 {
+		limits.IdleTime = configured.IdleTime + transferGrace
 	}
+	return limits
 }
 
 // errorLog returns the logger for the errors of a listener's HTTP server.
--- a/entry/servers_test.go
+++ b/entry/servers_test.go
@@ -7,6 +7,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+
+	"github.com/bronzeturn/bronzeturn/overload"
 )
 
 // TestMetricsPortInUseDoesNotStopTheDaemon guards against a daemon that does not start because the
@@ -18,6 +20,7 @@
 	defer used.Close()
 	d := &Daemon{log: zerolog.Nop(), registry: prometheus.NewRegistry()}
 	d.Documents = pathDocuments{}
+	d.clients = overload.New(overload.Options{Log: zerolog.Nop(), Registerer: d.registry})
 	d.Settings.ReadyListen, d.Settings.MetricsListen = "127.0.0.1:0", used.Addr().String()
 	s, err := newServers(d)
 	c.Assert(err, qt.IsNil)
--- a/peer/server.go
+++ b/peer/server.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gopkg.in/tomb.v2"
+
+	"github.com/bronzeturn/bronzeturn/overload"
 )
 
 const (
@@ -52,6 +54,16 @@
 	}
 }
 
+// Guard bounds the connections to the server. It must be called before Start.
+func (s *Server) Guard(clients *overload.Guard) {
+	guarded := clients.Listen(s.listener, overload.ListenerOptions{
+		Name: "peers", Share: overload.PeerShare,
+		Limits: func() overload.Limits { return overload.Limits{HeadTime: headerTimeout, IdleTime: idleTimeout} },
+	})
+	guarded.Attach(s.server)
+	s.listener = guarded
+}
+
 // SetErrorLog sets the logger for errors of connections, such as a rejected certificate. The
 // default is standard error. It must be called before Start.
 func (s *Server) SetErrorLog(l *log.Logger) { s.server.ErrorLog = l }
--- a/servers.go
+++ b/servers.go
@@ -14,6 +14,7 @@
 	"github.com/bronzeturn/bronzeturn/gossip"
 	"github.com/bronzeturn/bronzeturn/logging"
 	"github.com/bronzeturn/bronzeturn/operator"
+	"github.com/bronzeturn/bronzeturn/overload"
 	"github.com/bronzeturn/bronzeturn/peer"
 	"github.com/bronzeturn/bronzeturn/quarantine"
 )
@@ -24,6 +25,18 @@
 // maxHeaderBytes bounds the size of a request's headers.
 const maxHeaderBytes = 32 << 10
 
+// requestTimeout bounds the time to read a request of operators and monitoring.
+const requestTimeout = 30 * time.Second
+
+// Limits of HTTP/2 connections of clients: concurrent requests, and bytes that are received and not
+// yet read by a handler, of a connection and of a request.
+const (
+	maxStreams            = 100
+	connectionBufferBytes = 256 << 10
+	streamBufferBytes     = 64 << 10
+	frameBytes            = 16 << 10
+)
+
 // clientIdleTimeout is how long an idle connection of a client is kept open.
 const clientIdleTimeout = 2 * time.Minute
 
@@ -43,14 +56,29 @@
 		operator: newHTTPServer(operatorHandler(operatorServer), serverTLS(d.tls.operator)),
 		admin:    newHTTPServer(adminHandler(d), nil),
 	}
+	s.operator.ReadTimeout, s.admin.ReadTimeout = requestTimeout, requestTimeout
+	d.guard("callers", overload.CallerShare, &d.listeners.caller, s.caller)
+	d.guard("operators", overload.OperatorShare, &d.listeners.operator, s.operator)
+	d.guard("admin", overload.MonitorShare, &d.listeners.admin, s.admin)
 	s.caller.ErrorLog = d.errorLog("callers")
 	s.operator.ErrorLog = d.errorLog("operators")
 	s.admin.ErrorLog = d.errorLog("admin")
 	s.peer = peer.NewServer(d.listeners.peer, peerHandler(d, operatorServer), serverTLS(d.tls.peer), d.fleet.traffic)
+	s.peer.Guard(d.clients)
 	s.peer.SetErrorLog(d.errorLog("peers"))
 	return s
 }
 
+// guard bounds the connections of a listener.
+func (d *Daemon) guard(name string, share float64, l *net.Listener, s *http.Server) {
+	guarded := d.clients.Listen(*l, overload.ListenerOptions{
+		Name: name, Share: share, Plain: s.TLSConfig == nil,
+		Limits: func() overload.Limits { return overload.Limits{HeadTime: headerTimeout, IdleTime: clientIdleTimeout} },
+	})
+	guarded.Attach(s)
+	*l = guarded
+}
+
 // errorLog returns the logger for connection errors of a listener's server.
 func (d *Daemon) errorLog(listener string) *log.Logger {
 	return log.New(logging.Part(d.log, "http").With().Str("listener", listener).Logger(), "", 0)
@@ -68,6 +96,10 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       clientIdleTimeout,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams, MaxReadFrameSize: frameBytes,
+			MaxReceiveBufferPerConnection: connectionBufferBytes, MaxReceiveBufferPerStream: streamBufferBytes,
+		},
 	}
 }
 
