overload: a refusal does not wait for the rest of a body

What callers saw: a request that is refused by its head (no such route, no valid key, too large) and whose body does not end was not answered, and its connection stayed open for as long as the client wished: 711 of 700 clients' and the daemon's own sockets were open, limit 400.

Cause: the HTTP server reads up to 256 KiB of a body that the handler has not read before it sends the answer, and no deadline is set then.

Ruled out: the bound on connections alone. On the chat edge such connections count as requests in progress, so none gives way: an ordinary request was not answered within 60 s beside them.

Change: after every handler the server waits for at most half a second. Refusals of bodies that are large, or of unknown length, close the connection, and are sent at once.

--- a/overload/guard.go
+++ b/overload/guard.go
@@ -177,8 +177,10 @@
 	})
 }
 
-// Attach makes the server report the states of its connections, which must come from the listener.
+// Attach makes the server report the states of its connections, which must come from the listener,
+// and bounds the time that it waits for bodies which its handler has not read.
 func (l *Listener) Attach(s *http.Server) {
+	s.Handler = boundUnreadBodies(s.Handler)
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if guarded := unwrap(c); guarded != nil {
 			guarded.setState(state)
@@ -192,6 +194,18 @@
 	}
 }
 
+// boundUnreadBodies returns a handler after which the server waits for the rest of a request's body
+// for a short time only. Without a deadline it waits for as long as the client keeps the connection
+// open.
+func boundUnreadBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 && r.ProtoMajor == 1 {
+			defer func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTime)) }()
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
--- a/overload/listener_test.go
+++ b/overload/listener_test.go
@@ -186,6 +186,23 @@
 	g.c.Check(g.dial().status(), qt.Equals, 0)
 }
 
+// TestRefusalDoesNotWaitForTheBody guards against a refusal that is sent only when the rest of the
+// body has come, and against connections that stay open behind it.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	g := serve(t, Limits{}, nil)
+	for _, head := range []string{"Transfer-Encoding: chunked\r\n\r\n1\r\nb\r\n", "Content-Length: 100\r\n\r\nb", "Content-Length: 100000\r\n\r\nb"} {
+		refused := g.dial().send("POST /refused HTTP/1.1\r\nHost: x\r\n" + head)
+		g.c.Check(refused.status(), qt.Equals, http.StatusNotFound)
+		_, err := refused.r.ReadByte()
+		g.c.Check(err, qt.Equals, io.EOF)
+	}
+	kept := g.dial()
+	for range 2 {
+		kept.send("POST /refused HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nb")
+		g.c.Check(kept.status(), qt.Equals, http.StatusNotFound)
+	}
+}
+
 // TestEvictedBodyIsRefused checks that a body that loses its memory is answered, and that nothing is
 // held when all connections are closed.
 func TestEvictedBodyIsRefused(t *testing.T) {
