overload: messages that other daemons send are in the account

What was seen: 400 streams of four connections to the listener for other daemons, each with a message of 1 MiB that stops short of its end: 870 MB (entry) and 1,098 MB (chat), limit 96.

Cause: a message may have 2 MiB, a connection 1,024 calls, and nothing bounded them together.

Change: the part of a message that has come is in the account, twice, as its buffer grows by copies; it gives way like a body. A stream between two messages holds nothing and keeps its place.

--- a/peer/server.go
+++ b/peer/server.go
@@ -54,7 +54,8 @@
 	}
 }
 
-// Guard bounds the connections to the server. It must be called before Start.
+// Guard bounds the connections to the server and the memory of the messages that it receives. It must
+// be called before Start.
 func (s *Server) Guard(clients *overload.Guard) {
 	guarded := clients.Listen(s.listener, overload.ListenerOptions{
 		Name: "peers", Share: overload.PeerShare,
@@ -62,6 +63,7 @@
 	})
 	guarded.Attach(s.server)
 	s.listener = guarded
+	s.server.Handler = clients.Account().BoundMessages(s.server.Handler)
 }
 
 // SetErrorLog sets the logger for errors of connections, such as a rejected certificate. The
