logging: the lines that wait for a slow reader are bounded in bytes

A log line holds identifiers that a client chose, of any length up to its head's, and 4,096 lines may wait for the reader of the log: 64 MB with heads of 16 KiB. Found by reading; no test showed it. Lines beyond 4 MiB are dropped and counted, like those beyond the number.

--- a/logging/bounded.go
+++ b/logging/bounded.go
@@ -1,6 +1,7 @@
 package logging
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -11,6 +12,9 @@
 const (
 	// maxQueuedLines is the largest number of lines that wait for a slow reader.
 	maxQueuedLines = 4096
+	// maxQueuedBytes is the size of all lines from which on no further ones are queued: a line may
+	// hold identifiers of a client, of any length.
+	maxQueuedBytes = 4 << 20
 	// batchDelay is how long lines are collected before they are written in one call.
 	batchDelay = 50 * time.Millisecond
 	// maxBatchBytes is the size at which a batch is written without taking further lines.
@@ -25,6 +29,8 @@
 type AsyncWriter struct {
 	lines   chan []byte
 	dropped atomic.Uint64
+	// queued is the size of the lines in the queue, in bytes.
+	queued atomic.Int64
 	closing chan struct{}
 	done    chan struct{}
 	once    sync.Once
@@ -39,16 +45,24 @@
 
 // Write implements io.Writer. It queues a copy of line, never blocks and never fails.
 func (a *AsyncWriter) Write(line []byte) (int, error) {
-	queued := make([]byte, len(line))
-	copy(queued, line)
+	if a.queued.Add(int64(len(line))) > maxQueuedBytes {
+		a.drop(line)
+		return len(line), nil
+	}
 	select {
-	case a.lines <- queued:
+	case a.lines <- bytes.Clone(line):
 	default:
-		a.dropped.Add(1)
+		a.drop(line)
 	}
 	return len(line), nil
 }
 
+// drop counts a line that was not queued.
+func (a *AsyncWriter) drop(line []byte) {
+	a.queued.Add(-int64(len(line)))
+	a.dropped.Add(1)
+}
+
 // Dropped returns the number of dropped lines that have not been logged yet.
 func (a *AsyncWriter) Dropped() uint64 { return a.dropped.Load() }
 
@@ -70,6 +84,7 @@
 	for {
 		select {
 		case line := <-a.lines:
+			a.queued.Add(-int64(len(line)))
 			a.waitForBatch()
 			a.flush(w, line)
 		case <-a.closing:
@@ -95,6 +110,7 @@
 	for {
 		select {
 		case line := <-a.lines:
+			a.queued.Add(-int64(len(line)))
 			batch = append(batch, line...)
 			if len(batch) < maxBatchBytes {
 				continue
