overload: frames of HTTP/2 are not taken for heads

Between two requests of an HTTP/2 connection, frames such as pings counted as the head of a next request, so that a connection between daemons was closed 5 s after one. A request in progress whose client sends more behind it also keeps its place now when the account is full: only what the kernel may keep is charged to it.

--- a/overload/conn.go
+++ b/overload/conn.go
@@ -25,6 +25,9 @@
 	lingerBytes = 256 << 10
 )
 
+// multiplexedPreface begins the first bytes of HTTP/2 without TLS. No method of HTTP/1.1 begins so.
+const multiplexedPreface = "PRI "
+
 // Refusals that are sent before there is a request.
 const (
 	refusalBusy      = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -59,6 +62,9 @@
 	// head is the size of the head so far, and held what the request has reserved, in bytes.
 	head int
 	held int64
+	// multiplexed is set if requests share the connection, as with HTTP/2. Its phase then follows
+	// the HTTP server only.
+	multiplexed bool
 	// ahead is set if the client has sent bytes behind its request before the answer.
 	ahead bool
 	// stalled is set if the reading of the present body was ended because it made no progress.
@@ -95,7 +101,11 @@
 // received accounts for n bytes that were read into p. It returns the limit that they exceed, "" for
 // none, and the refusal to send.
 func (c *conn) received(p []byte, n int, now time.Time) (Limit, string) {
-	bytes, headBytes := c.count(p, n, now)
+	bytes, headBytes, ahead := c.count(p, n, now)
+	if ahead {
+		c.holder.Charge(receiveBufferBytes) // A request in progress keeps its place.
+		return "", ""
+	}
 	if most := c.listener.options.Limits().HeadBytes; most > 0 && headBytes > most+headSlack {
 		return LimitHeadBytes, refusalHeadBytes
 	}
@@ -105,29 +115,42 @@
 	return "", ""
 }
 
-// count returns what the bytes that were read add to the memory of the request, and the size of the
-// head so far, 0 outside of a head.
-func (c *conn) count(p []byte, n int, now time.Time) (memory int64, head int) {
+// count returns what the bytes that were read add to the memory of a head and the size of the head so
+// far, 0 outside of a head. ahead is set at the first bytes behind a request that is in progress.
+func (c *conn) count(p []byte, n int, now time.Time) (memory int64, head int, ahead bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.phase == phaseNew && bytes.HasPrefix(p[:n], []byte(multiplexedPreface)) {
+		c.multiplexed = true
+	}
+	if c.multiplexed {
+		return 0, 0, false
+	}
 	switch c.phase {
 	case phaseNew, phaseIdle:
 		c.phase, c.since, c.head = phaseHead, now, 0
 	case phaseRunning:
 		// The HTTP server waits for the client to disconnect with a read of one byte.
 		if len(p) > 1 || c.ahead {
-			return 0, 0
+			return 0, 0, false
 		}
 		c.ahead = true
 		c.held += receiveBufferBytes
-		return receiveBufferBytes, 0
+		return 0, 0, true
 	case phaseBody:
-		return 0, 0
+		return 0, 0, false
 	}
 	memory = int64(textCopies*n + fieldBytes*bytes.Count(p[:n], []byte{'\n'}))
 	c.head += n
 	c.held += memory
-	return memory, c.head
+	return memory, c.head, false
+}
+
+// setMultiplexed records that requests share the connection.
+func (c *conn) setMultiplexed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.multiplexed = true
 }
 
 // setState follows the HTTP server.
--- a/overload/guard.go
+++ b/overload/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"slices"
@@ -182,9 +183,14 @@
 func (l *Listener) Attach(s *http.Server) {
 	s.Handler = boundUnreadBodies(s.Handler)
 	s.ConnState = func(c net.Conn, state http.ConnState) {
-		if guarded := unwrap(c); guarded != nil {
-			guarded.setState(state)
+		guarded := unwrap(c)
+		if guarded == nil {
+			return
+		}
+		if secure, ok := c.(*tls.Conn); ok && secure.ConnectionState().NegotiatedProtocol == "h2" {
+			guarded.setMultiplexed()
 		}
+		guarded.setState(state)
 	}
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if guarded := unwrap(c); guarded != nil {
--- a/overload/listener_test.go
+++ b/overload/listener_test.go
@@ -35,7 +35,10 @@
 	if change != nil {
 		change(g.listener)
 	}
-	server := &http.Server{Handler: http.HandlerFunc(g.handle)}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{Handler: http.HandlerFunc(g.handle), Protocols: protocols}
 	g.listener.Attach(server)
 	ctx, stop := context.WithCancel(context.Background())
 	go func() { _ = server.Serve(g.listener) }()
@@ -186,6 +189,32 @@
 	g.c.Check(g.dial().status(), qt.Equals, 0)
 }
 
+// TestMultiplexedConnectionOutlivesTheTimeOfAHead guards against frames outside of requests that are
+// taken for a head: connections between daemons are kept open by pings.
+func TestMultiplexedConnectionOutlivesTheTimeOfAHead(t *testing.T) {
+	g := serve(t, Limits{HeadTime: 100 * time.Millisecond, IdleTime: time.Minute}, nil)
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	dialled := 0
+	transport := &http.Transport{
+		Protocols: protocols, HTTP2: &http.HTTP2Config{SendPingTimeout: 50 * time.Millisecond},
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			dialled++
+			return new(net.Dialer).DialContext(ctx, network, address)
+		},
+	}
+	defer transport.CloseIdleConnections()
+	for range 2 {
+		resp, err := (&http.Client{Transport: transport}).Post("http://"+g.listener.Addr().String(), "", strings.NewReader("{}"))
+		g.c.Assert(err, qt.IsNil)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		g.c.Check(resp.ProtoMajor, qt.Equals, 2)
+		time.Sleep(3 * sweepInterval)
+	}
+	g.c.Check(dialled, qt.Equals, 1)
+}
+
 // TestRefusalDoesNotWaitForTheBody guards against a refusal that is sent only when the rest of the
 // body has come, and against connections that stay open behind it.
 func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
