soak: clients whose requests do not end

A fault of the soak: 150 connections to a daemon, some silent, some with heads or bodies that do not end, until the fault ends.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -92,6 +92,7 @@
 		return func() { e.Deregister(); e.Crash() }
 	}},
 	{"engine crashes", func(r *run) func() { r.randomEngine().CrashAndRestart(); return nil }},
+	{"unruly clients", func(r *run) func() { return r.startUnrulyClients(r.randomDaemon()) }},
 	{"request crashes engines", func(r *run) func() { return r.startCrashRequests() }},
 	{"engine replaced", func(r *run) func() {
 		e := r.randomEngine()
