overload: times to send a request and to take an answer on listeners that serve no callers

A client that asks for metrics again and again and reads no answer held its connection for good: the listeners of operators and monitoring had no time for an answer, and a connection with a request in progress keeps its place. Each time that ends a connection is now counted: request_time, answer_time.

--- a/entry/servers.go
+++ b/entry/servers.go
@@ -167,12 +167,12 @@
 	if err != nil {
 		return &ListenError{Setting: name, Address: address, Cause: err}
 	}
-	guarded := d.clients.Listen(l, overload.ListenerOptions{Name: name, Share: share, Limits: d.clientLimits, Plain: true})
-	server := &server{name: name, listener: guarded, http: d.httpServer(name, handler)}
+	options := overload.ListenerOptions{Name: name, Share: share, Limits: d.clientLimits, Plain: true}
 	if name != callersName {
-		server.http.ReadTimeout, server.http.WriteTimeout = monitorTimeout, monitorTimeout
-		server.http.IdleTimeout = -1 // The listener bounds it.
+		options.RequestTime, options.AnswerTime = monitorTimeout, monitorTimeout
 	}
+	guarded := d.clients.Listen(l, options)
+	server := &server{name: name, listener: guarded, http: d.httpServer(name, handler)}
 	guarded.Attach(server.http)
 	s.all = append(s.all, server)
 	return nil
--- a/logging/bounded.go
+++ b/logging/bounded.go
@@ -30,7 +30,7 @@
 	lines   chan []byte
 	dropped atomic.Uint64
 	// queued is the size of the lines in the queue, in bytes.
-	queued atomic.Int64
+	queued  atomic.Int64
 	closing chan struct{}
 	done    chan struct{}
 	once    sync.Once
--- a/overload/conn.go
+++ b/overload/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"net"
 	"net/http"
 	"os"
@@ -69,6 +70,8 @@
 	ahead bool
 	// stalled is set if the reading of the present body was ended because it made no progress.
 	stalled bool
+	// lingering is set after the handler of a request whose body may not have been read.
+	lingering bool
 	// expired is the phase that was found to exceed its time, by its beginning.
 	expired time.Time
 	closed  bool
@@ -85,6 +88,9 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n == 0 {
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.mustSend(p) {
+			c.listener.guard.met(c.listener.options.Name, LimitRequestTime, c.RemoteAddr())
+		}
 		return n, err
 	}
 	now := time.Now()
@@ -98,10 +104,34 @@
 	return n, err
 }
 
+// mustSend reports whether the client had to send what was to be read into p until a deadline. The HTTP
+// server also ends its own reads by deadlines: those of one byte, and those between requests.
+func (c *conn) mustSend(p []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(p) > 1 && (c.lingering || c.listener.options.RequestTime > 0 && (c.phase == phaseHead || c.phase == phaseRunning))
+}
+
+// setLingering records that the handler has ended, and what the client still sends is dropped.
+func (c *conn) setLingering() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lingering = true
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.listener.guard.met(c.listener.options.Name, LimitAnswerTime, c.RemoteAddr())
+	}
+	return n, err
+}
+
 // received accounts for n bytes that were read into p. It returns the limit that they exceed, "" for
 // none, and the refusal to send.
 func (c *conn) received(p []byte, n int, now time.Time) (Limit, string) {
-	bytes, headBytes, ahead := c.count(p, n, now)
+	memory, headBytes, ahead := c.count(p, n, now)
 	if ahead {
 		c.holder.Charge(receiveBufferBytes) // A request in progress keeps its place.
 		return "", ""
@@ -109,7 +139,7 @@
 	if most := c.listener.options.Limits().HeadBytes; most > 0 && headBytes > most+headSlack {
 		return LimitHeadBytes, refusalHeadBytes
 	}
-	if bytes > 0 && c.holder.Reserve(bytes) != nil {
+	if memory > 0 && c.holder.Reserve(memory) != nil {
 		return LimitMemory, refusalBusy
 	}
 	return "", ""
@@ -162,7 +192,7 @@
 	case http.StateIdle:
 		c.mu.Lock()
 		held := c.held
-		c.held, c.ahead = 0, false
+		c.held, c.ahead, c.lingering, c.stalled = 0, false, false, false
 		c.mu.Unlock()
 		c.holder.Release(held)
 		c.holder.Progress(time.Now())
@@ -254,7 +284,7 @@
 	c.mu.Unlock()
 	if begun && c.listener.options.Plain {
 		_ = c.SetWriteDeadline(time.Now().Add(lingerTime))
-		_, _ = c.Write([]byte(refusal)) // The client may not read it.
+		_, _ = c.Conn.Write([]byte(refusal)) // The client may not read it.
 	}
 }
 
--- a/overload/guard.go
+++ b/overload/guard.go
@@ -56,6 +56,10 @@
 	// progress in a request's body.
 	LimitIdleTime Limit = "idle_time"
 	LimitBodyTime Limit = "body_time"
+	// LimitRequestTime is the time to send a whole request, or the rest of one that was refused.
+	// LimitAnswerTime is the time to take an answer.
+	LimitRequestTime Limit = "request_time"
+	LimitAnswerTime  Limit = "answer_time"
 )
 
 // Options configure a Guard.
@@ -126,6 +130,9 @@
 	Share float64
 	// Limits returns the present limits.
 	Limits func() Limits
+	// RequestTime is the time to send a request, and AnswerTime the time from then on to take its
+	// answer. Zero leaves them to the handler.
+	RequestTime, AnswerTime time.Duration
 	// Plain is set if clients speak HTTP/1.1 without TLS, so that a refusal can be sent before
 	// there is a request.
 	Plain bool
@@ -179,8 +186,12 @@
 }
 
 // Attach makes the server report the states of its connections, which must come from the listener,
-// and bounds the time that it waits for bodies which its handler has not read.
+// and bounds the time that it waits for requests and for bodies which its handler has not read.
 func (l *Listener) Attach(s *http.Server) {
+	s.ReadTimeout, s.WriteTimeout = l.options.RequestTime, l.options.AnswerTime
+	if s.IdleTimeout == 0 {
+		s.IdleTimeout = -1 // Otherwise it is that of requests.
+	}
 	s.Handler = boundUnreadBodies(s.Handler)
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		guarded := unwrap(c)
@@ -206,12 +217,20 @@
 func boundUnreadBodies(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength != 0 && r.ProtoMajor == 1 {
-			defer func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTime)) }()
+			defer lingerAfter(w, r)
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// lingerAfter bounds the time for the rest of a request's body.
+func lingerAfter(w http.ResponseWriter, r *http.Request) {
+	if c := connOf(r.Context()); c != nil {
+		c.setLingering()
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTime))
+}
+
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
--- a/servers.go
+++ b/servers.go
@@ -25,8 +25,12 @@
 // maxHeaderBytes bounds the size of a request's headers.
 const maxHeaderBytes = 32 << 10
 
-// requestTimeout bounds the time to read a request of operators and monitoring.
-const requestTimeout = 30 * time.Second
+// requestTimeout bounds the time to read a request of operators and monitoring, answerTimeout the time
+// from then on to write its answer. Profiles take half a minute by default.
+const (
+	requestTimeout = 30 * time.Second
+	answerTimeout  = 5 * time.Minute
+)
 
 // Limits of HTTP/2 connections of clients: concurrent requests, and bytes that are received and not
 // yet read by a handler, of a connection and of a request.
@@ -56,10 +60,9 @@
 		operator: newHTTPServer(operatorHandler(operatorServer), serverTLS(d.tls.operator)),
 		admin:    newHTTPServer(adminHandler(d), nil),
 	}
-	s.operator.ReadTimeout, s.admin.ReadTimeout = requestTimeout, requestTimeout
-	d.guard("callers", overload.CallerShare, &d.listeners.caller, s.caller)
-	d.guard("operators", overload.OperatorShare, &d.listeners.operator, s.operator)
-	d.guard("admin", overload.MonitorShare, &d.listeners.admin, s.admin)
+	d.guard(&d.listeners.caller, s.caller, overload.ListenerOptions{Name: "callers", Share: overload.CallerShare})
+	d.guard(&d.listeners.operator, s.operator, overload.ListenerOptions{Name: "operators", Share: overload.OperatorShare, RequestTime: requestTimeout, AnswerTime: answerTimeout})
+	d.guard(&d.listeners.admin, s.admin, overload.ListenerOptions{Name: "admin", Share: overload.MonitorShare, RequestTime: requestTimeout, AnswerTime: answerTimeout})
 	s.caller.ErrorLog = d.errorLog("callers")
 	s.operator.ErrorLog = d.errorLog("operators")
 	s.admin.ErrorLog = d.errorLog("admin")
@@ -70,11 +73,10 @@
 }
 
 // guard bounds the connections of a listener.
-func (d *Daemon) guard(name string, share float64, l *net.Listener, s *http.Server) {
-	guarded := d.clients.Listen(*l, overload.ListenerOptions{
-		Name: name, Share: share, Plain: s.TLSConfig == nil,
-		Limits: func() overload.Limits { return overload.Limits{HeadTime: headerTimeout, IdleTime: clientIdleTimeout} },
-	})
+func (d *Daemon) guard(l *net.Listener, s *http.Server, o overload.ListenerOptions) {
+	o.Plain = s.TLSConfig == nil
+	o.Limits = func() overload.Limits { return overload.Limits{HeadTime: headerTimeout, IdleTime: clientIdleTimeout} }
+	guarded := d.clients.Listen(*l, o)
 	guarded.Attach(s)
 	*l = guarded
 }
