overload: bytes of connections that wait to be accepted are bounded

Cause: a daemon that gets little processor time accepts late; up to 4,096 connections wait meanwhile, each with up to the kernel's default receive buffer of bytes, which were not bounded before accept.

Change: the listening socket has the receive buffer, 16 KiB, which connections inherit, and at most 512 connections wait, or as many as the listener may have.

--- a/e2e/unruly_test.go
+++ b/e2e/unruly_test.go
@@ -102,12 +102,15 @@
 	// memory is the resident memory and the bytes that the kernel keeps unread for the
 	// process's listeners, in bytes, sockets the number of its sockets and pipes.
 	memory, sockets int
+	// unread is the part of memory that the kernel keeps.
+	unread int
 }
 
 // usageNow returns the present usage of the daemon.
 func (u *unrulyTarget) usageNow() usage {
 	pid := strconv.Itoa(u.cmd.Process.Pid)
-	return usage{memory: statusBytes(pid, "VmRSS:") + u.unreadBytes(), sockets: countSockets(pid)}
+	unread := u.unreadBytes()
+	return usage{memory: statusBytes(pid, "VmRSS:") + unread, sockets: countSockets(pid), unread: unread}
 }
 
 // statusBytes returns a size in the status file of a process, 0 if the process has ended.
@@ -215,7 +218,7 @@
 		var peak usage
 		for {
 			now := u.usageNow()
-			peak.memory, peak.sockets = max(peak.memory, now.memory), max(peak.sockets, now.sockets)
+			peak.memory, peak.sockets, peak.unread = max(peak.memory, now.memory), max(peak.sockets, now.sockets), max(peak.unread, now.unread)
 			select {
 			case <-done:
 				peaks <- peak
@@ -257,7 +260,7 @@
 		}
 	}
 	u.c.Check(after.sockets <= calm.sockets+spare, qt.IsTrue, qt.Commentf("%d sockets after the crowd, %d before", after.sockets, calm.sockets))
-	u.c.Logf("memory in calm %d MB, at most %d MB; sockets in calm %d, at most %d", calm.memory>>20, peak.memory>>20, calm.sockets, peak.sockets)
+	u.c.Logf("memory in calm %d MB, at most %d MB, unread at most %d MB; sockets in calm %d, at most %d", calm.memory>>20, peak.memory>>20, peak.unread>>20, calm.sockets, peak.sockets)
 	select {
 	case <-u.ended:
 		u.c.Fatalf("the daemon ended:\n%s", u.output())
--- a/overload/guard.go
+++ b/overload/guard.go
@@ -141,6 +141,9 @@
 // Listen wraps a listener. Attach must be called for the HTTP server that uses it.
 func (g *Guard) Listen(l net.Listener, o ListenerOptions) *Listener {
 	guarded := &Listener{Listener: l, guard: g, options: o, max: g.maxConnections(o.Share), conns: make(map[*conn]struct{})}
+	if err := boundBuffers(l, guarded.max); err != nil {
+		g.options.Log.Warn().Err(err).Str("listener", o.Name).Msg("the bytes that wait to be accepted are not bounded")
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.listeners = append(g.listeners, guarded)
--- a/overload/listener.go
+++ b/overload/listener.go
@@ -1,14 +1,25 @@
 package overload
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
-// receiveBufferBytes is the size of the kernel's receive buffer of a connection, of which the kernel
-// reserves twice as much. Bytes that a client sends while the daemon does not read stay there.
-const receiveBufferBytes = 32 << 10
+const (
+	// receiveBufferBytes is the size of the kernel's receive buffer of a connection, of which the
+	// kernel reserves twice as much. Bytes that a client sends while the daemon does not read stay
+	// there.
+	receiveBufferBytes = 16 << 10
+	// minBacklog and maxBacklog bound the connections that wait to be accepted. Each may have sent
+	// as much as its receive buffer holds.
+	minBacklog = 64
+	maxBacklog = 512
+)
 
 // Listener bounds the connections that it accepts.
 type Listener struct {
@@ -22,6 +33,28 @@
 	conns map[*conn]struct{}
 }
 
+// boundBuffers sets the receive buffer of the connections to a listener, and the number of those that
+// wait to be accepted. Without it, a crowd of connections that wait may have sent any multiple of the
+// memory of a small host.
+func boundBuffers(l net.Listener, backlog int) error {
+	socket, ok := l.(syscall.Conn)
+	if !ok {
+		return nil // It is not a socket.
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		failed = errors.Join(
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes),
+			unix.Listen(int(fd), min(max(backlog, minBacklog), maxBacklog)),
+		)
+	})
+	return errors.Join(err, failed)
+}
+
 // Accept implements net.Listener. Connections beyond the maximum take the place of one that is idle
 // or makes no progress. If there is none, they are closed unread, so that clients may use another
 // daemon.
@@ -45,9 +78,6 @@
 		_ = accepted.Close()
 		return nil
 	}
-	if sized, ok := accepted.(interface{ SetReadBuffer(bytes int) error }); ok {
-		_ = sized.SetReadBuffer(receiveBufferBytes) // The default buffer works as well.
-	}
 	c := newConn(l, accepted)
 	l.add(c)
 	if c.holder.Reserve(connectionBytes) != nil {
--- a/peer/traffic.go
+++ b/peer/traffic.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/prometheus/client_golang/prometheus"
 )
@@ -73,6 +74,15 @@
 	traffic *Traffic
 }
 
+// SyscallConn implements syscall.Conn.
+func (l *countedListener) SyscallConn() (syscall.RawConn, error) {
+	socket, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil, syscall.EINVAL
+	}
+	return socket.SyscallConn()
+}
+
 // Accept implements net.Listener.
 func (l *countedListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
