overload: a refused head never runs

A 503 or 408 that is sent while a head comes promises that the request has not run. The head could be complete, in the server's buffer, while another goroutine refused it and closed the connection: the request then began to run, and may have reached an engine before its connection was found closed. Refusal and beginning are decided under the connection's lock now: a given-up connection starts no handler and passes no body on, a connection whose request runs is not closed. The new test covers both orders.

--- a/overload/conn.go
+++ b/overload/conn.go
@@ -24,6 +24,9 @@
 	// client gets to read it before the connection is reset.
 	lingerTime  = 500 * time.Millisecond
 	lingerBytes = 256 << 10
+	// refusalWriteTime bounds the time to write a refusal, which fits into the kernel's buffer
+	// unless the client has left earlier answers unread.
+	refusalWriteTime = 10 * time.Millisecond
 )
 
 // multiplexedPreface begins the first bytes of HTTP/2 without TLS. No method of HTTP/1.1 begins so.
@@ -74,6 +77,9 @@
 	lingering bool
 	// expired is the phase that was found to exceed its time, by its beginning.
 	expired time.Time
+	// givenUp is set once the connection is to be closed. A request that has not begun to run by then
+	// never does.
+	givenUp bool
 	closed  bool
 }
 
@@ -261,31 +267,50 @@
 		return
 	case phaseHead:
 		c.listener.guard.met(name, LimitHeadTime, c.RemoteAddr())
-		c.refuse(refusalLate)
 	case phaseNew, phaseIdle:
 		c.listener.guard.met(name, LimitIdleTime, c.RemoteAddr())
 	default:
-		return // A request has begun meanwhile.
+		return // A request runs by now.
 	}
-	_ = c.Close()
+	c.giveUp(refusalLate)
 }
 
 // evict closes the connection because its memory is given to another client.
 func (c *conn) evict() {
-	c.listener.guard.met(c.listener.options.Name, LimitMemory, c.RemoteAddr())
-	c.refuse(refusalBusy)
+	if c.giveUp(refusalBusy) {
+		c.listener.guard.met(c.listener.options.Name, LimitMemory, c.RemoteAddr())
+	}
+}
+
+// giveUp closes the connection, unless a request runs, and reports whether it did.
+func (c *conn) giveUp(refusal string) bool {
+	if !c.refuse(refusal) {
+		return false
+	}
 	_ = c.Close()
+	return true
 }
 
-// refuse sends a refusal if a request has begun that no handler will answer.
-func (c *conn) refuse(refusal string) {
+// refuse keeps a request that has not begun to run from running, and sends a refusal if its head is
+// being received. It reports false if a request runs.
+func (c *conn) refuse(refusal string) bool {
 	c.mu.Lock()
-	begun := c.phase == phaseHead
+	phase := c.phase
+	c.givenUp = c.givenUp || phase != phaseRunning
+	givenUp := c.givenUp
 	c.mu.Unlock()
-	if begun && c.listener.options.Plain {
-		_ = c.SetWriteDeadline(time.Now().Add(lingerTime))
+	if givenUp && phase == phaseHead && c.listener.options.Plain {
+		_ = c.SetWriteDeadline(time.Now().Add(refusalWriteTime))
 		_, _ = c.Conn.Write([]byte(refusal)) // The client may not read it.
 	}
+	return givenUp
+}
+
+// isGivenUp reports whether the connection is to be closed.
+func (c *conn) isGivenUp() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.givenUp
 }
 
 // linger ends the sending side and drops what still comes, for a short time.
--- a/overload/guard.go
+++ b/overload/guard.go
@@ -195,7 +195,7 @@
 	if s.IdleTimeout == 0 {
 		s.IdleTimeout = -1 // Otherwise it is that of requests.
 	}
-	s.Handler = boundUnreadBodies(s.Handler)
+	s.Handler = guardRequests(s.Handler)
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		guarded := unwrap(c)
 		if guarded == nil {
@@ -214,11 +214,14 @@
 	}
 }
 
-// boundUnreadBodies returns a handler after which the server waits for the rest of a request's body
-// for a short time only. Without a deadline it waits for as long as the client keeps the connection
-// open.
-func boundUnreadBodies(next http.Handler) http.Handler {
+// guardRequests returns a handler that does not run requests which were refused while their heads
+// came, and after which the server waits for the rest of a request's body for a short time only.
+// Without a deadline it waits for as long as the client keeps the connection open.
+func guardRequests(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c := connOf(r.Context()); c != nil && c.isGivenUp() {
+			panic(http.ErrAbortHandler)
+		}
 		if r.ContentLength != 0 && r.ProtoMajor == 1 {
 			defer lingerAfter(w, r)
 		}
--- a/overload/listener.go
+++ b/overload/listener.go
@@ -101,9 +101,10 @@
 	if victim == nil {
 		return !full
 	}
+	if !victim.giveUp(refusalBusy) {
+		return false // Its request runs by now.
+	}
 	l.guard.met(l.options.Name, LimitConnections, victim.RemoteAddr())
-	victim.refuse(refusalBusy)
-	_ = victim.Close()
 	return true
 }
 
--- a/overload/listener_test.go
+++ b/overload/listener_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -215,6 +216,36 @@
 	g.c.Check(dialled, qt.Equals, 1)
 }
 
+// TestRefusedHeadNeverRuns guards against a request whose head is complete while it is refused: the
+// refusal promises that it has not run.
+func TestRefusedHeadNeverRuns(t *testing.T) {
+	g := serve(t, Limits{}, nil)
+	ran := false
+	handler := guardRequests(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran = true }))
+	run := func(c *conn) {
+		defer func() { _ = recover() }() // The handler aborts the connection.
+		r := httptest.NewRequest(http.MethodGet, "/", nil)
+		handler.ServeHTTP(httptest.NewRecorder(), r.WithContext(context.WithValue(r.Context(), connKey{}, c)))
+	}
+	begin := func() *conn {
+		server, client := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, client) }()
+		c := newConn(g.listener, server)
+		c.enter(phaseHead)
+		return c
+	}
+	refused := begin()
+	g.c.Check(refused.giveUp(refusalBusy), qt.IsTrue)
+	refused.setState(http.StateActive)
+	run(refused)
+	g.c.Check(ran, qt.IsFalse)
+	running := begin()
+	running.setState(http.StateActive)
+	g.c.Check(running.giveUp(refusalBusy), qt.IsFalse)
+	run(running)
+	g.c.Check(ran, qt.IsTrue)
+}
+
 // TestRefusalDoesNotWaitForTheBody guards against a refusal that is sent only when the rest of the
 // body has come, and against connections that stay open behind it.
 func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
--- a/overload/request.go
+++ b/overload/request.go
@@ -60,13 +60,14 @@
 	q.setReading(true)
 	body, err := ReadBody(q.http.Body, q.holder, q.http.ContentLength, min(limit, q.holder.account.maxBody()))
 	q.setReading(false)
-	if !q.holder.Pin() {
+	c := connOf(q.http.Context())
+	if !q.holder.Pin() || c != nil && c.isGivenUp() {
 		return nil, &FullError{Limit: q.holder.account.limit, Evicted: true}
 	}
 	if err == nil {
 		_ = q.control.SetReadDeadline(time.Time{})
 	}
-	if c := connOf(q.http.Context()); err != nil && c != nil && c.bodyStalled() {
+	if err != nil && c != nil && c.bodyStalled() {
 		err = ErrStalled
 	}
 	return body, err
