overload: requests of HTTP/2 and unfinished messages count at what they take

Cause, by reading: 400 streams have stacks and state that were not in the account, and a buffer that doubles is copied, so that three times what has come are live for a moment.

Both checks are as strict as before.

--- a/overload/messages.go
+++ b/overload/messages.go
@@ -16,8 +16,8 @@
 	// the message's length.
 	prefixBytes = 5
 	// messageCopies is the memory of a message that is being received, as a multiple of the bytes
-	// that have come.
-	messageCopies = 2
+	// that have come: its buffer doubles, and is copied then.
+	messageCopies = 3
 )
 
 // BoundMessages returns a handler for calls of the Connect protocol that accounts for the messages
--- a/overload/request.go
+++ b/overload/request.go
@@ -8,6 +8,10 @@
 	"time"
 )
 
+// streamBytes is the memory of a request that shares its connection, without its head and body: its
+// goroutine's stack, and the state of its stream.
+const streamBytes = 16 << 10
+
 // refusalBodyBytes is the size of an unread body up to which a refusal leaves the connection open.
 const refusalBodyBytes = 16 << 10
 
@@ -44,7 +48,7 @@
 	if q.http.ProtoMajor < 2 {
 		return nil
 	}
-	n := 0
+	n := streamBytes
 	for name, values := range q.http.Header {
 		for _, value := range values {
 			n += len(name) + len(value) + fieldBytes
--- a/soak/load.go
+++ b/soak/load.go
@@ -44,7 +44,6 @@
 // bounds returns the bounds in the settings of the daemons.
 func (o Options) bounds() emulator.Bounds {
 	b := bounds
-	b.MemoryMB, b.MaxFDs = memoryMB, maxFDs
 	if o.hasLoadPhase() {
 		b.Contracts = []string{emulator.ContractPressure}
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -38,6 +38,7 @@
 
 // bounds are the bounds in the settings of the daemons.
 var bounds = emulator.Bounds{
+	MemoryMB: memoryMB, MaxFDs: maxFDs,
 	GraceS: 4, RetryRatio: 0.9, RetryWindowS: 10, RetrySlack: 60, ExposureShare: 0.15, SessionS: 3, TTLMaxS: 2,
 	ColdOverage: 1.5, ColdSlack: 5,
 }
