overload: the memory of what was evicted is in use until it has ended

Found while tracing the messages of other daemons. A body that lost its place was taken off the account at once, and its memory given to the next client, before its handler had run and let go of it. On a busy machine many of them wait to run, so that the process holds far more than the account says.

Evicted memory stays in the account until its holder is closed; whoever needs it waits up to 250 ms for that, instead of evicting more. A connection whose request begins while it is evicted keeps its place in the account (it had nothing there before), and a closed holder takes nothing: a relayed stream may read on after its call has ended, and its bytes stayed in the account for good.

TestMemoryOfEvictedHoldersIsInUse asks for memory of a holder that does not end; before, it was given at once. The drawn operations end some evicted holders late, and count what they have, which is stricter; in two tests what loses its place now ends, as its owner does.

--- a/overload/account.go
+++ b/overload/account.go
@@ -21,6 +21,9 @@
 	// stallTime is the time without progress after which a holder may be evicted in favour of a
 	// holder of any size.
 	stallTime = time.Second
+	// evictionTime is the longest time that a holder waits until those that lost their places have
+	// returned their memory.
+	evictionTime = 250 * time.Millisecond
 	// unlimitedBytes is the limit of an account if the memory of the process is not known.
 	unlimitedBytes = math.MaxInt64 / 2
 )
@@ -46,9 +49,15 @@
 type Account struct {
 	// limit is the size of the account, largeLimit the part that large holders may use.
 	limit, largeLimit int64
-	used              atomic.Int64
-	shards            [shardCount]shard
-	next              atomic.Uint32
+	// used is what holders have that keep their places, leaving what others have that lost them and
+	// still have to end, in bytes.
+	used, leaving atomic.Int64
+	shards        [shardCount]shard
+	next          atomic.Uint32
+
+	mu sync.Mutex
+	// returned is closed when some of leaving is returned.
+	returned chan struct{}
 }
 
 // shard is a part of an account's holders.
@@ -62,15 +71,15 @@
 	if limit <= 0 {
 		limit = unlimitedBytes
 	}
-	a := &Account{limit: limit, largeLimit: limit - int64(smallShare*float64(limit))}
+	a := &Account{limit: limit, largeLimit: limit - int64(smallShare*float64(limit)), returned: make(chan struct{})}
 	for i := range a.shards {
 		a.shards[i].holders = make(map[*Holder]struct{})
 	}
 	return a
 }
 
-// Used returns the bytes that are held.
-func (a *Account) Used() int64 { return a.used.Load() }
+// Used returns the bytes that are held, also by those that lost their places and have not ended.
+func (a *Account) Used() int64 { return a.used.Load() + a.leaving.Load() }
 
 // Limit returns the size of the account in bytes.
 func (a *Account) Limit() int64 { return a.limit }
@@ -81,13 +90,15 @@
 	account *Account
 	shard   *shard
 
-	mu    sync.Mutex
-	bytes int64
+	mu sync.Mutex
+	// bytes is what it holds with its place, leaving without.
+	bytes, leaving int64
 	// progress is when the client last sent or took something.
 	progress time.Time
 	// evict makes the owner end. It is nil while the holder must keep its place.
 	evict   func()
 	evicted bool
+	closed  bool
 }
 
 // Open adds a holder. If evict is not nil, it may be called once, when the holder loses its place;
@@ -100,7 +111,7 @@
 	return h
 }
 
-// Close removes the holder and returns its bytes to the account.
+// Close removes the holder and returns its bytes to the account. It holds nothing from then on.
 func (h *Holder) Close() {
 	h.shard.mu.Lock()
 	delete(h.shard.holders, h)
@@ -108,7 +119,22 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.account.used.Add(-h.bytes)
-	h.bytes, h.evict = 0, nil
+	h.returnLeaving(h.leaving)
+	h.bytes, h.evict, h.closed = 0, nil, true
+}
+
+// returnLeaving returns bytes of a holder that has lost its place. The caller holds the lock.
+func (h *Holder) returnLeaving(bytes int64) {
+	if bytes == 0 {
+		return
+	}
+	a := h.account
+	h.leaving -= bytes
+	a.leaving.Add(-bytes)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	close(a.returned)
+	a.returned = make(chan struct{})
 }
 
 // Pin makes the holder keep its place until Close or SetEvict. It reports whether it still has it.
@@ -140,16 +166,36 @@
 	return now.Sub(h.progress)
 }
 
-// Reserve takes bytes from the account. If it is full, larger or stalled holders lose their places.
-// The error is a *FullError.
+// Reserve takes bytes from the account. If it is full, larger or stalled holders lose their places, and
+// it waits a short time until they have ended: until then, their memory is in use. The error is a
+// *FullError.
 func (h *Holder) Reserve(bytes int64) error {
+	a := h.account
+	var waitUntil <-chan time.Time
 	for {
-		err := h.take(bytes)
-		if err == nil || err.Evicted {
-			return asError(err)
-		}
-		if victim := h.account.victim(h, h.held()+bytes, time.Now()); victim == nil || !victim.lose() {
-			return err
+		a.mu.Lock()
+		returned := a.returned
+		a.mu.Unlock()
+		switch h.take(bytes) {
+		case roomTaken:
+			return nil
+		case roomLost:
+			return &FullError{Bytes: bytes, Limit: a.limit, Evicted: true}
+		case roomUsed:
+			victim := a.victim(h, h.held()+bytes, time.Now())
+			if victim == nil {
+				return &FullError{Bytes: bytes, Limit: a.limit}
+			}
+			victim.lose()
+		case roomLeaving:
+			if waitUntil == nil {
+				waitUntil = time.After(evictionTime)
+			}
+			select {
+			case <-returned:
+			case <-waitUntil:
+				return &FullError{Bytes: bytes, Limit: a.limit}
+			}
 		}
 	}
 }
@@ -160,47 +206,59 @@
 	h.bytes += bytes
 	h.mu.Unlock()
 	for a := h.account; a.used.Add(bytes) > a.limit; bytes = 0 {
-		if victim := a.victim(h, 0, time.Now()); victim == nil || !victim.lose() {
+		victim := a.victim(h, 0, time.Now())
+		if victim == nil {
 			return
 		}
+		victim.lose()
 	}
 }
 
-// asError avoids a non-nil error that holds a nil pointer.
-func asError(err *FullError) error {
-	if err == nil {
-		return nil
-	}
-	return err
-}
+// room is the outcome of an attempt to take bytes.
+type room int
+
+const (
+	// roomTaken means that the bytes were taken, roomLost that the holder has lost its place or ended.
+	roomTaken room = iota
+	roomLost
+	// roomUsed means that others use the room and keep it, roomLeaving that it is still in use by
+	// those that lost their places.
+	roomUsed
+	roomLeaving
+)
 
 // take takes bytes from the account if there is room.
-func (h *Holder) take(bytes int64) *FullError {
+func (h *Holder) take(bytes int64) room {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	a := h.account
-	if h.evicted {
-		return &FullError{Bytes: bytes, Limit: a.limit, Evicted: true}
+	if h.evicted || h.closed {
+		return roomLost
 	}
+	a := h.account
 	limit := a.limit
 	if h.bytes+bytes > smallBytes {
 		limit = a.largeLimit
 	}
-	if a.used.Add(bytes) > limit {
+	used := a.used.Add(bytes)
+	if leaving := a.leaving.Load(); used+leaving > limit {
 		a.used.Add(-bytes)
-		return &FullError{Bytes: bytes, Limit: a.limit}
+		if used > limit {
+			return roomUsed
+		}
+		return roomLeaving
 	}
 	h.bytes += bytes
-	return nil
+	return roomTaken
 }
 
 // Release returns bytes to the account.
 func (h *Holder) Release(bytes int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	bytes = min(bytes, h.bytes)
-	h.bytes -= bytes
-	h.account.used.Add(-bytes)
+	kept := min(bytes, h.bytes)
+	h.bytes -= kept
+	h.account.used.Add(-kept)
+	h.returnLeaving(min(bytes-kept, h.leaving))
 }
 
 // held returns the bytes of the holder.
@@ -210,20 +268,33 @@
 	return h.bytes
 }
 
-// lose takes the holder's place away. It reports false if the holder must keep it.
-func (h *Holder) lose() bool {
+// lose takes the holder's place away, unless it must keep it. Its memory is in use until it is closed.
+func (h *Holder) lose() {
 	h.mu.Lock()
 	evict := h.evict
 	if evict == nil || h.evicted {
 		h.mu.Unlock()
-		return false
+		return
 	}
 	h.evicted, h.evict = true, nil
+	h.account.leaving.Add(h.bytes)
 	h.account.used.Add(-h.bytes)
-	h.bytes = 0
+	h.leaving, h.bytes = h.bytes, 0
 	h.mu.Unlock()
 	evict()
-	return true
+}
+
+// Restore gives a holder its place back whose owner can't end.
+func (h *Holder) Restore() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.evicted || h.closed {
+		return
+	}
+	h.evicted = false
+	h.account.used.Add(h.leaving)
+	h.bytes += h.leaving
+	h.returnLeaving(h.leaving)
 }
 
 // victim returns the holder that loses its place when another one wants to grow to the given size:
--- a/overload/account_test.go
+++ b/overload/account_test.go
@@ -12,42 +12,54 @@
 	"pgregory.net/rapid"
 )
 
-// TestAccountStaysWithinItsLimit draws operations of several holders and checks that the bytes in use
-// are those that the holders have, and never more than the limit.
+// TestAccountStaysWithinItsLimit draws operations of several holders, of which some end late after
+// they lost their places. It checks that the bytes in use are those that the holders have, and never
+// more than the limit.
 func TestAccountStaysWithinItsLimit(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		synctest.Test(t, func(*testing.T) { checkLimit(r) })
+	})
+}
+
+func checkLimit(t *rapid.T) {
 	const limit, holders = 1 << 20, 6
-	rapid.Check(t, func(t *rapid.T) {
-		a := NewAccount(limit)
-		var all []*Holder
-		for range holders {
-			all = append(all, a.Open(func() {}))
-		}
-		for range rapid.IntRange(1, 40).Draw(t, "operations") {
-			h := rapid.SampledFrom(all).Draw(t, "holder")
-			bytes := rapid.Int64Range(1, limit/2).Draw(t, "bytes")
-			switch rapid.IntRange(0, 3).Draw(t, "operation") {
-			case 0:
-				h.Release(bytes)
-			case 1:
-				h.Pin()
-			default:
-				_ = h.Reserve(bytes)
-			}
-			sum := int64(0)
-			for _, h := range all {
-				sum += h.held()
-			}
-			if sum != a.Used() || sum > limit {
-				t.Fatalf("holders have %d bytes, %d are in use, limit %d", sum, a.Used(), limit)
-			}
+	a := NewAccount(limit)
+	var all []*Holder
+	for range holders {
+		var h *Holder
+		endsAfter := rapid.SampledFrom([]time.Duration{0, evictionTime / 2, 2 * evictionTime}).Draw(t, "endsAfter")
+		h = a.Open(func() { time.AfterFunc(endsAfter, h.Close) })
+		all = append(all, h)
+	}
+	for range rapid.IntRange(1, 40).Draw(t, "operations") {
+		h := rapid.SampledFrom(all).Draw(t, "holder")
+		bytes := rapid.Int64Range(1, limit/2).Draw(t, "bytes")
+		switch rapid.IntRange(0, 4).Draw(t, "operation") {
+		case 0:
+			h.Release(bytes)
+		case 1:
+			h.Pin()
+		case 2:
+			h.Restore()
+		default:
+			_ = h.Reserve(bytes)
 		}
+		sum := int64(0)
 		for _, h := range all {
-			h.Close()
+			h.mu.Lock()
+			sum += h.bytes + h.leaving
+			h.mu.Unlock()
 		}
-		if a.Used() != 0 {
-			t.Fatalf("%d bytes are in use after all holders were closed", a.Used())
+		if sum != a.Used() || sum > limit {
+			t.Fatalf("holders have %d bytes, %d are in use, limit %d", sum, a.Used(), limit)
 		}
-	})
+	}
+	for _, h := range all {
+		h.Close()
+	}
+	if a.Used() != 0 {
+		t.Fatalf("%d bytes are in use after all holders were closed", a.Used())
+	}
 }
 
 // TestLargestHolderLosesItsPlace guards against large bodies that keep small ones out.
@@ -56,7 +68,11 @@
 	a := NewAccount(1 << 20)
 	var evicted []string
 	open := func(name string, bytes int64) *Holder {
-		h := a.Open(func() { evicted = append(evicted, name) })
+		var h *Holder
+		h = a.Open(func() {
+			evicted = append(evicted, name)
+			h.Close()
+		})
 		c.Assert(h.Reserve(bytes), qt.IsNil)
 		return h
 	}
@@ -81,7 +97,11 @@
 		c := qt.New(t)
 		a := NewAccount(1 << 20)
 		evicted := 0
-		stalled := a.Open(func() { evicted++ })
+		var stalled *Holder
+		stalled = a.Open(func() {
+			evicted++
+			time.AfterFunc(evictionTime/2, stalled.Close)
+		})
 		c.Assert(stalled.Reserve(700<<10), qt.IsNil)
 		asker := a.Open(nil)
 		c.Assert(asker.Reserve(720<<10), qt.IsNotNil)
@@ -95,6 +115,27 @@
 	})
 }
 
+// TestMemoryOfEvictedHoldersIsInUse guards against memory that is given to others before those that
+// lost their places have ended: many of them may have to run before that.
+func TestMemoryOfEvictedHoldersIsInUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		a := NewAccount(1 << 20)
+		large := a.Open(func() {})
+		c.Assert(large.Reserve(700<<10), qt.IsNil)
+		asker := a.Open(nil)
+		var full *FullError
+		c.Assert(errors.As(asker.Reserve(500<<10), &full), qt.IsTrue)
+		c.Check(full.Evicted, qt.IsFalse)
+		c.Check(a.Used(), qt.Equals, int64(700<<10))
+		time.AfterFunc(evictionTime/2, large.Close)
+		c.Assert(asker.Reserve(500<<10), qt.IsNil)
+		c.Check(a.Used(), qt.Equals, int64(500<<10))
+		c.Check(large.Reserve(1), qt.IsNotNil, qt.Commentf("a closed holder takes nothing"))
+		c.Check(a.Used(), qt.Equals, int64(500<<10))
+	})
+}
+
 // TestBodiesAreWholeAndBounded compares bodies around their limit with what was sent, and the memory
 // that they take with what has come.
 func TestBodiesAreWholeAndBounded(t *testing.T) {
--- a/overload/conn.go
+++ b/overload/conn.go
@@ -275,11 +275,14 @@
 	c.giveUp(refusalLate)
 }
 
-// evict closes the connection because its memory is given to another client.
+// evict closes the connection because its memory is given to another client. If a request has begun
+// meanwhile, the connection keeps its place.
 func (c *conn) evict() {
-	if c.giveUp(refusalBusy) {
-		c.listener.guard.met(c.listener.options.Name, LimitMemory, c.RemoteAddr())
+	if !c.giveUp(refusalBusy) {
+		c.holder.Restore()
+		return
 	}
+	c.listener.guard.met(c.listener.options.Name, LimitMemory, c.RemoteAddr())
 }
 
 // giveUp closes the connection, unless a request runs, and reports whether it did.
