bronzeturnd: unfinished messages of operators are in the account

Cause: the message has a limit and the connections have one, all messages together have none: connections times 100 streams times 64 KiB. Only the listener for other daemons passed its calls through the account.

TestUnrulyChatHeadsOfStreams, heads of 700 fields on 4,000 streams of callers, is new too.

--- a/e2e/unrulystreams_test.go
+++ b/e2e/unrulystreams_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/binary"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -42,6 +43,9 @@
 	url               string
 	header            http.Header
 	body              []byte
+	// established is set if each connection is open before its other requests begin, so that all of
+	// them share it.
+	established bool
 }
 
 // enter starts the requests and returns once each has sent its body or failed. The returned
@@ -55,34 +59,22 @@
 		protocols.SetUnencryptedHTTP2(true)
 		transport := &http.Transport{Protocols: protocols}
 		transports = append(transports, transport)
-		for range s.each {
-			sending.Add(1)
-			running.Go(func() {
-				once := sync.OnceFunc(sending.Done)
-				defer once()
-				body := &stalledBody{content: bytes.NewReader(s.body), sent: make(chan struct{}), released: ctx.Done()}
-				req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.url, body)
-				if err != nil {
-					return
+		sending.Go(func() {
+			var first, others sync.WaitGroup
+			for i := range s.each {
+				group := &others
+				if i == 0 {
+					group = &first
 				}
-				req.Header = s.header.Clone()
-				timer := time.AfterFunc(crowdTimeout, once)
-				defer timer.Stop()
-				go func() {
-					select {
-					case <-body.sent:
-						once()
-					case <-ctx.Done():
-					}
-				}()
-				resp, err := transport.RoundTrip(req)
-				if err != nil {
-					return
+				group.Add(1)
+				running.Go(func() { s.request(ctx, transport, sync.OnceFunc(group.Done)) })
+				if s.established {
+					first.Wait()
 				}
-				_, _ = io.Copy(io.Discard, resp.Body)
-				_ = resp.Body.Close()
-			})
-		}
+			}
+			first.Wait()
+			others.Wait()
+		})
 	}
 	sending.Wait()
 	return func() {
@@ -94,6 +86,33 @@
 	}
 }
 
+// request sends a request whose body does not end until ctx is done, and calls sent once its content
+// has been sent or the request has ended.
+func (s *streams) request(ctx context.Context, transport *http.Transport, sent func()) {
+	defer sent()
+	body := &stalledBody{content: bytes.NewReader(s.body), sent: make(chan struct{}), released: ctx.Done()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.url, body)
+	if err != nil {
+		return
+	}
+	req.Header = s.header.Clone()
+	timer := time.AfterFunc(crowdTimeout, sent)
+	defer timer.Stop()
+	go func() {
+		select {
+		case <-body.sent:
+			sent()
+		case <-ctx.Done():
+		}
+	}()
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+}
+
 // withstandsStreams is withstands for a crowd of streams.
 func (u *unrulyTarget) withstandsStreams(s *streams) {
 	u.withstandsAll(s.enter)
@@ -129,3 +148,25 @@
 		body:   append(body, make([]byte, message-1)...),
 	}
 }
+
+// TestUnrulyChatMessagesToOperators sends unfinished messages to the listener for operators.
+func TestUnrulyChatMessagesToOperators(t *testing.T) {
+	u := startUnrulyChat(t)
+	const message = 64 << 10
+	u.withstandsStreams(&streams{
+		connections: 20, each: 100, established: true, url: "http://" + u.others[1] + "/bronzeturn.v1.OperatorService/Status",
+		header: http.Header{"Content-Type": {"application/proto"}, "Connect-Protocol-Version": {"1"}},
+		body:   make([]byte, message-1),
+	})
+}
+
+// TestUnrulyChatHeadsOfStreams sends heads of many short fields, whose bodies do not begin.
+func TestUnrulyChatHeadsOfStreams(t *testing.T) {
+	u := startUnrulyChat(t)
+	const fields = 700 // HTTP/2 counts 32 bytes for each field.
+	header := http.Header{"Authorization": {"Bearer " + key}}
+	for i := range fields {
+		header.Set(fmt.Sprintf("F%d", i), "x")
+	}
+	u.withstandsStreams(&streams{connections: 40, each: 100, established: true, url: "http://" + u.callers + callerapi.PathChatCompletions, header: header})
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -24,8 +24,8 @@
 	fleetTimeout = 5 * time.Second
 	// maxAnswerBytes bounds the answer of one daemon.
 	maxAnswerBytes = 1 << 20
-	// maxRequestBytes bounds a request from an operator or a peer.
-	maxRequestBytes = 64 << 10
+	// MaxRequestBytes bounds a request from an operator or a peer.
+	MaxRequestBytes = 64 << 10
 )
 
 // StatusSource provides the status of this daemon.
@@ -66,7 +66,7 @@
 // Handler returns the path and the handler to serve, on the operators' listener
 // and on the one for peers. The listener does the authentication.
 func (s *Server) Handler() (string, http.Handler) {
-	return bronzeturnv1connect.NewOperatorServiceHandler(s, connect.WithReadMaxBytes(maxRequestBytes))
+	return bronzeturnv1connect.NewOperatorServiceHandler(s, connect.WithReadMaxBytes(MaxRequestBytes))
 }
 
 // Status implements OperatorService.
--- a/servers.go
+++ b/servers.go
@@ -57,7 +57,7 @@
 	operatorServer := operator.NewServer(statusSource{d}, operatorPeers{d}, billSource{d})
 	s := &servers{
 		caller:   newHTTPServer(d.router.Handler(), serverTLS(d.tls.caller)),
-		operator: newHTTPServer(operatorHandler(operatorServer), serverTLS(d.tls.operator)),
+		operator: newHTTPServer(d.operatorHandler(operatorServer), serverTLS(d.tls.operator)),
 		admin:    newHTTPServer(adminHandler(d), nil),
 	}
 	d.guard(&d.listeners.caller, s.caller, overload.ListenerOptions{Name: "callers", Share: overload.CallerShare})
@@ -105,10 +105,10 @@
 	}
 }
 
-func operatorHandler(s *operator.Server) http.Handler {
+func (d *Daemon) operatorHandler(s *operator.Server) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(s.Handler())
-	return mux
+	return d.clients.Account().BoundMessages(mux, operator.MaxRequestBytes)
 }
 
 // peerHandler serves the calls between daemons.
