overload: calls without messages do not displace callers

A crowd of streams to the listener for other daemons that carry no message, 40 connections with 100 each: TestUnrulyChatIdleStreamsToPeers and TestUnrulyEntryIdleStreamsToPeers failed, as no ordinary request was answered for a minute. Every caller was refused for memory until the crowd left.

Cause: a stream between daemons may be silent, so it kept its place in the account without end, at 16 KiB. 2,500 of them fill the account of this test, 4,000 that of a host of the sites.

The calls of a listener share half of the account now, and the other half is for callers whatever the calls do. When the part is full, a stream without a message for 5 s gives way; daemons send heartbeats each half second, and what waits that long for an answer on a relayed connection is made again. Calls that find no memory are counted and logged like other clients that meet it.

A closed holder is not charged either.

--- a/e2e/unrulystreams_test.go
+++ b/e2e/unrulystreams_test.go
@@ -149,6 +149,25 @@
 	}
 }
 
+// TestUnrulyChatIdleStreamsToPeers opens streams to the listener for other daemons that carry no message.
+func TestUnrulyChatIdleStreamsToPeers(t *testing.T) {
+	u := startUnrulyChat(t)
+	u.withstandsStreams(idleStreamsToPeers("http://" + u.others[2]))
+}
+
+// TestUnrulyEntryIdleStreamsToPeers opens streams to the listener for other daemons that carry no message.
+func TestUnrulyEntryIdleStreamsToPeers(t *testing.T) {
+	u := startUnrulyEntry(t)
+	u.withstandsStreams(idleStreamsToPeers("http://" + u.others[2]))
+}
+
+// idleStreamsToPeers are calls between daemons without a message.
+func idleStreamsToPeers(address string) *streams {
+	s := messagesToPeers(address)
+	s.connections, s.each, s.body, s.established = 40, 100, nil, true
+	return s
+}
+
 // TestUnrulyChatMessagesToOperators sends unfinished messages to the listener for operators.
 func TestUnrulyChatMessagesToOperators(t *testing.T) {
 	u := startUnrulyChat(t)
--- a/overload/account.go
+++ b/overload/account.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,8 @@
 	// stallTime is the time without progress after which a holder may be evicted in favour of a
 	// holder of any size.
 	stallTime = time.Second
+	// idleTime is the time without progress after which an idle holder may be evicted.
+	idleTime = 5 * time.Second
 	// evictionTime is the longest time that a holder waits until those that lost their places have
 	// returned their memory.
 	evictionTime = 250 * time.Millisecond
@@ -45,15 +48,25 @@
 	return "the memory for clients is in use"
 }
 
-// Account tracks the memory that clients hold. It is safe for concurrent use.
-type Account struct {
-	// limit is the size of the account, largeLimit the part that large holders may use.
+// quota is a limit of what some holders have together.
+type quota struct {
+	// limit is its size, largeLimit the part that large holders may use.
 	limit, largeLimit int64
 	// used is what holders have that keep their places, leaving what others have that lost them and
 	// still have to end, in bytes.
 	used, leaving atomic.Int64
-	shards        [shardCount]shard
-	next          atomic.Uint32
+}
+
+// newQuota returns a quota of the given size in bytes.
+func newQuota(limit int64) *quota {
+	return &quota{limit: limit, largeLimit: limit - int64(smallShare*float64(limit))}
+}
+
+// Account tracks the memory that clients hold. It is safe for concurrent use.
+type Account struct {
+	*quota
+	shards [shardCount]shard
+	next   atomic.Uint32
 
 	mu sync.Mutex
 	// returned is closed when some of leaving is returned.
@@ -71,7 +84,7 @@
 	if limit <= 0 {
 		limit = unlimitedBytes
 	}
-	a := &Account{limit: limit, largeLimit: limit - int64(smallShare*float64(limit)), returned: make(chan struct{})}
+	a := &Account{quota: newQuota(limit), returned: make(chan struct{})}
 	for i := range a.shards {
 		a.shards[i].holders = make(map[*Holder]struct{})
 	}
@@ -89,22 +102,29 @@
 type Holder struct {
 	account *Account
 	shard   *shard
+	// quotas are that of the account and, if the holder belongs to a part of it, that of the part.
+	quotas []*quota
 
 	mu sync.Mutex
 	// bytes is what it holds with its place, leaving without.
 	bytes, leaving int64
 	// progress is when the client last sent or took something.
 	progress time.Time
-	// evict makes the owner end. It is nil while the holder must keep its place.
+	// evict makes the owner end. It is nil while the holder must keep its place. idle is set while it
+	// may lose it only after idleTime without progress.
 	evict   func()
+	idle    bool
 	evicted bool
 	closed  bool
 }
 
 // Open adds a holder. If evict is not nil, it may be called once, when the holder loses its place;
 // it must not block.
-func (a *Account) Open(evict func()) *Holder {
-	h := &Holder{account: a, shard: &a.shards[a.next.Add(1)%shardCount], progress: time.Now(), evict: evict}
+func (a *Account) Open(evict func()) *Holder { return a.open(evict, a.quota) }
+
+// open adds a holder whose bytes count in the quotas.
+func (a *Account) open(evict func(), quotas ...*quota) *Holder {
+	h := &Holder{account: a, shard: &a.shards[a.next.Add(1)%shardCount], quotas: quotas, progress: time.Now(), evict: evict}
 	h.shard.mu.Lock()
 	defer h.shard.mu.Unlock()
 	h.shard.holders[h] = struct{}{}
@@ -118,19 +138,28 @@
 	h.shard.mu.Unlock()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.account.used.Add(-h.bytes)
+	h.use(-h.bytes)
 	h.returnLeaving(h.leaving)
 	h.bytes, h.evict, h.closed = 0, nil, true
 }
 
+// use adds bytes to what is in use with places.
+func (h *Holder) use(bytes int64) {
+	for _, q := range h.quotas {
+		q.used.Add(bytes)
+	}
+}
+
 // returnLeaving returns bytes of a holder that has lost its place. The caller holds the lock.
 func (h *Holder) returnLeaving(bytes int64) {
 	if bytes == 0 {
 		return
 	}
-	a := h.account
 	h.leaving -= bytes
-	a.leaving.Add(-bytes)
+	for _, q := range h.quotas {
+		q.leaving.Add(-bytes)
+	}
+	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	close(a.returned)
@@ -149,7 +178,14 @@
 func (h *Holder) SetEvict(evict func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.evict = evict
+	h.evict, h.idle = evict, false
+}
+
+// SetIdle is SetEvict for a holder whose client need not send anything for some time.
+func (h *Holder) SetIdle(evict func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.evict, h.idle = evict, true
 }
 
 // Progress records that the client has sent or taken something.
@@ -176,15 +212,16 @@
 		a.mu.Lock()
 		returned := a.returned
 		a.mu.Unlock()
-		switch h.take(bytes) {
+		taken, full := h.take(bytes)
+		switch taken {
 		case roomTaken:
 			return nil
 		case roomLost:
 			return &FullError{Bytes: bytes, Limit: a.limit, Evicted: true}
 		case roomUsed:
-			victim := a.victim(h, h.held()+bytes, time.Now())
+			victim := a.victim(h, h.held()+bytes, full, time.Now())
 			if victim == nil {
-				return &FullError{Bytes: bytes, Limit: a.limit}
+				return &FullError{Bytes: bytes, Limit: full.limit}
 			}
 			victim.lose()
 		case roomLeaving:
@@ -194,7 +231,7 @@
 			select {
 			case <-returned:
 			case <-waitUntil:
-				return &FullError{Bytes: bytes, Limit: a.limit}
+				return &FullError{Bytes: bytes, Limit: full.limit}
 			}
 		}
 	}
@@ -203,10 +240,15 @@
 // Charge takes bytes from the account even if it is full. Other holders lose their places for them.
 func (h *Holder) Charge(bytes int64) {
 	h.mu.Lock()
+	if h.closed {
+		h.mu.Unlock()
+		return
+	}
 	h.bytes += bytes
+	h.use(bytes)
 	h.mu.Unlock()
-	for a := h.account; a.used.Add(bytes) > a.limit; bytes = 0 {
-		victim := a.victim(h, 0, time.Now())
+	for a := h.account; a.used.Load() > a.limit; {
+		victim := a.victim(h, 0, a.quota, time.Now())
 		if victim == nil {
 			return
 		}
@@ -227,28 +269,42 @@
 	roomLeaving
 )
 
-// take takes bytes from the account if there is room.
-func (h *Holder) take(bytes int64) room {
+// take takes bytes if there is room in all quotas of the holder. Otherwise it returns the one that is
+// full.
+func (h *Holder) take(bytes int64) (room, *quota) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.evicted || h.closed {
-		return roomLost
-	}
-	a := h.account
-	limit := a.limit
-	if h.bytes+bytes > smallBytes {
-		limit = a.largeLimit
+		return roomLost, nil
 	}
-	used := a.used.Add(bytes)
-	if leaving := a.leaving.Load(); used+leaving > limit {
-		a.used.Add(-bytes)
-		if used > limit {
-			return roomUsed
+	large := h.bytes+bytes > smallBytes
+	for i, q := range h.quotas {
+		if taken := q.take(bytes, large); taken != roomTaken {
+			for _, earlier := range h.quotas[:i] {
+				earlier.used.Add(-bytes)
+			}
+			return taken, q
 		}
-		return roomLeaving
 	}
 	h.bytes += bytes
-	return roomTaken
+	return roomTaken, nil
+}
+
+// take takes bytes for a small or a large holder if there is room.
+func (q *quota) take(bytes int64, large bool) room {
+	limit := q.limit
+	if large {
+		limit = q.largeLimit
+	}
+	used := q.used.Add(bytes)
+	if used+q.leaving.Load() <= limit {
+		return roomTaken
+	}
+	q.used.Add(-bytes)
+	if used > limit {
+		return roomUsed
+	}
+	return roomLeaving
 }
 
 // Release returns bytes to the account.
@@ -257,7 +313,7 @@
 	defer h.mu.Unlock()
 	kept := min(bytes, h.bytes)
 	h.bytes -= kept
-	h.account.used.Add(-kept)
+	h.use(-kept)
 	h.returnLeaving(min(bytes-kept, h.leaving))
 }
 
@@ -268,6 +324,13 @@
 	return h.bytes
 }
 
+// lost reports whether the holder has lost its place.
+func (h *Holder) lost() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.evicted
+}
+
 // lose takes the holder's place away, unless it must keep it. Its memory is in use until it is closed.
 func (h *Holder) lose() {
 	h.mu.Lock()
@@ -277,8 +340,10 @@
 		return
 	}
 	h.evicted, h.evict = true, nil
-	h.account.leaving.Add(h.bytes)
-	h.account.used.Add(-h.bytes)
+	for _, q := range h.quotas {
+		q.leaving.Add(h.bytes)
+	}
+	h.use(-h.bytes)
 	h.leaving, h.bytes = h.bytes, 0
 	h.mu.Unlock()
 	evict()
@@ -292,21 +357,24 @@
 		return
 	}
 	h.evicted = false
-	h.account.used.Add(h.leaving)
+	h.use(h.leaving)
 	h.bytes += h.leaving
 	h.returnLeaving(h.leaving)
 }
 
-// victim returns the holder that loses its place when another one wants to grow to the given size:
-// the largest of those that are larger or stalled, or nil.
-func (a *Account) victim(asker *Holder, size int64, now time.Time) *Holder {
+// victim returns the holder that loses its place when another one wants to grow to the given size and
+// a quota is full: the largest of those that are larger or stalled, or nil.
+func (a *Account) victim(asker *Holder, size int64, full *quota, now time.Time) *Holder {
 	var victim *Holder
 	var largest int64
 	for i := range a.shards {
 		s := &a.shards[i]
 		s.mu.Lock()
 		for h := range s.holders {
-			if bytes, ok := h.evictable(size, now); ok && h != asker && bytes > largest {
+			if h == asker || !slices.Contains(h.quotas, full) {
+				continue
+			}
+			if bytes, ok := h.evictable(size, now); ok && bytes > largest {
 				victim, largest = h, bytes
 			}
 		}
@@ -319,5 +387,12 @@
 func (h *Holder) evictable(size int64, now time.Time) (int64, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.bytes, h.evict != nil && !h.evicted && (h.bytes > size || now.Sub(h.progress) >= stallTime)
+	quiet := now.Sub(h.progress)
+	if h.evict == nil || h.evicted {
+		return h.bytes, false
+	}
+	if h.idle {
+		return h.bytes, quiet >= idleTime
+	}
+	return h.bytes, h.bytes > size || quiet >= stallTime
 }
--- a/overload/account_test.go
+++ b/overload/account_test.go
@@ -115,6 +115,37 @@
 	})
 }
 
+// TestIdleHoldersOfAPartLeaveRoomForOthers guards against idle calls that displace callers, and against
+// those that keep out other calls for good.
+func TestIdleHoldersOfAPartLeaveRoomForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		a := NewAccount(1 << 20)
+		part := newQuota(512 << 10)
+		open := func() (h *Holder, err error) {
+			h = a.open(nil, a.quota, part)
+			h.SetIdle(func() { h.Close() })
+			return h, h.Reserve(streamBytes)
+		}
+		var first error
+		calls := 0
+		for ; first == nil; calls++ {
+			_, first = open()
+		}
+		var full *FullError
+		c.Assert(errors.As(first, &full), qt.IsTrue)
+		c.Check(full.Limit, qt.Equals, part.limit)
+		c.Check(a.Used() <= part.limit, qt.IsTrue, qt.Commentf("%d bytes in use", a.Used()))
+		c.Check(a.Open(nil).Reserve(200<<10), qt.Equals, error(nil), qt.Commentf("a caller finds room"))
+		time.Sleep(stallTime)
+		_, err := open()
+		c.Check(err, qt.IsNotNil, qt.Commentf("idle calls keep their places"))
+		time.Sleep(idleTime)
+		_, err = open()
+		c.Check(err, qt.Equals, error(nil), qt.Commentf("a call that was idle for long gave way"))
+	})
+}
+
 // TestMemoryOfEvictedHoldersIsInUse guards against memory that is given to others before those that
 // lost their places have ended: many of them may have to run before that.
 func TestMemoryOfEvictedHoldersIsInUse(t *testing.T) {
--- a/overload/messages.go
+++ b/overload/messages.go
@@ -21,16 +21,23 @@
 	// buffer of the Connect library, which doubles and is kept while the call waits for its next
 	// message.
 	messageCopies = 2
+	// callShare is the share of the account that the calls of one listener may use.
+	callShare = 0.5
 )
 
-// BoundMessages returns a handler for calls of the Connect protocol with messages of at most limit
-// bytes. It hands on whole messages: what has come of an unfinished one is in the account. A message
-// that finds no memory, or loses it to another client, fails its call.
-func (a *Account) BoundMessages(next http.Handler, limit int64) http.Handler {
+// BoundMessages returns a handler for the listener's calls of the Connect protocol, with messages of at
+// most limit bytes. It hands on whole messages: what has come of an unfinished one is in the account. A
+// message that finds no memory, or loses it to another client, fails its call. All calls of the
+// listener share a part of the account: streams that carry no messages for long must not displace
+// callers.
+func (l *Listener) BoundMessages(next http.Handler, limit int64) http.Handler {
+	account := l.guard.account
+	part := newQuota(int64(callShare * float64(account.limit)))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		q := a.OpenRequest(w, r)
+		q := account.openRequest(w, r, account.quota, part)
 		defer q.Close()
 		if q.ReserveHead() != nil {
+			l.metMemory(r)
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -41,13 +48,23 @@
 			stream: strings.HasPrefix(r.Header.Get("Content-Type"), streamType),
 		}
 		if m.stream {
-			q.holder.Pin() // A stream without messages is not stalled.
+			q.holder.SetIdle(q.stop)
 		}
 		r.Body = m
 		next.ServeHTTP(w, r)
+		if m.full {
+			l.metMemory(r)
+		}
 	})
 }
 
+// metMemory records that a call found no memory.
+func (l *Listener) metMemory(r *http.Request) {
+	if c := connOf(r.Context()); c != nil {
+		l.guard.met(l.options.Name, LimitMemory, c.RemoteAddr())
+	}
+}
+
 // messages is the body of a call.
 type messages struct {
 	io.ReadCloser
@@ -60,6 +77,8 @@
 	// the call's largest message in the library, in bytes.
 	whole        io.Reader
 	held, copied int64
+	// full is set if the call has found no memory, or lost it.
+	full bool
 }
 
 // Read implements io.Reader.
@@ -74,6 +93,8 @@
 			m.held = 0
 		}
 		if err := m.receive(); err != nil {
+			var full *FullError
+			m.full = m.full || errors.As(err, &full) || m.request.holder.lost()
 			return 0, err
 		}
 	}
@@ -87,6 +108,7 @@
 	length, source := m.length, io.Reader(m.ReadCloser)
 	var prefix [prefixBytes]byte
 	if m.stream {
+		m.request.holder.SetIdle(m.request.stop)
 		if _, err := io.ReadFull(m.ReadCloser, prefix[:]); err != nil {
 			return err
 		}
@@ -118,5 +140,8 @@
 	if !h.Pin() {
 		return &FullError{Limit: h.account.limit, Evicted: true}
 	}
+	if m.ended {
+		m.request.setReading(false)
+	}
 	return nil
 }
--- a/overload/messages_test.go
+++ b/overload/messages_test.go
@@ -15,11 +15,12 @@
 
 const testMessageLimit = 100 << 10
 
-// callBody passes a body through BoundMessages and returns what its handler reads.
+// callBody passes a body through BoundMessages to a handler.
 func callBody(a *Account, contentType string, body io.Reader, handler func(r io.Reader)) {
 	r := httptest.NewRequest(http.MethodPost, "/", io.NopCloser(body))
 	r.Header.Set("Content-Type", contentType)
-	a.BoundMessages(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { handler(r.Body) }), testMessageLimit).
+	l := &Listener{guard: &Guard{account: a}}
+	l.BoundMessages(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { handler(r.Body) }), testMessageLimit).
 		ServeHTTP(httptest.NewRecorder(), r)
 }
 
--- a/overload/request.go
+++ b/overload/request.go
@@ -33,8 +33,13 @@
 
 // OpenRequest adds a request to the account. Close must be called when the handler ends.
 func (a *Account) OpenRequest(w http.ResponseWriter, r *http.Request) *Request {
+	return a.openRequest(w, r, a.quota)
+}
+
+// openRequest is OpenRequest for a request whose bytes count in the quotas.
+func (a *Account) openRequest(w http.ResponseWriter, r *http.Request, quotas ...*quota) *Request {
 	q := &Request{http: r, control: http.NewResponseController(w)}
-	q.holder = a.Open(q.stop)
+	q.holder = a.open(q.stop, quotas...)
 	q.holder.Pin()
 	return q
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -63,7 +63,7 @@
 	})
 	guarded.Attach(s.server)
 	s.listener = guarded
-	s.server.Handler = clients.Account().BoundMessages(s.server.Handler, MaxMessageBytes)
+	s.server.Handler = guarded.BoundMessages(s.server.Handler, MaxMessageBytes)
 }
 
 // SetErrorLog sets the logger for errors of connections, such as a rejected certificate. The
--- a/servers.go
+++ b/servers.go
@@ -57,11 +57,12 @@
 	operatorServer := operator.NewServer(statusSource{d}, operatorPeers{d}, billSource{d})
 	s := &servers{
 		caller:   newHTTPServer(d.router.Handler(), serverTLS(d.tls.caller)),
-		operator: newHTTPServer(d.operatorHandler(operatorServer), serverTLS(d.tls.operator)),
+		operator: newHTTPServer(operatorHandler(operatorServer), serverTLS(d.tls.operator)),
 		admin:    newHTTPServer(adminHandler(d), nil),
 	}
 	d.guard(&d.listeners.caller, s.caller, overload.ListenerOptions{Name: "callers", Share: overload.CallerShare})
-	d.guard(&d.listeners.operator, s.operator, overload.ListenerOptions{Name: "operators", Share: overload.OperatorShare, RequestTime: requestTimeout, AnswerTime: answerTimeout})
+	operators := d.guard(&d.listeners.operator, s.operator, overload.ListenerOptions{Name: "operators", Share: overload.OperatorShare, RequestTime: requestTimeout, AnswerTime: answerTimeout})
+	s.operator.Handler = operators.BoundMessages(s.operator.Handler, operator.MaxRequestBytes)
 	d.guard(&d.listeners.admin, s.admin, overload.ListenerOptions{Name: "admin", Share: overload.MonitorShare, RequestTime: requestTimeout, AnswerTime: answerTimeout})
 	s.caller.ErrorLog = d.errorLog("callers")
 	s.operator.ErrorLog = d.errorLog("operators")
@@ -72,13 +73,14 @@
 	return s
 }
 
-// guard bounds the connections of a listener.
-func (d *Daemon) guard(l *net.Listener, s *http.Server, o overload.ListenerOptions) {
+// guard bounds the connections of a listener, and returns it.
+func (d *Daemon) guard(l *net.Listener, s *http.Server, o overload.ListenerOptions) *overload.Listener {
 	o.Plain = s.TLSConfig == nil
 	o.Limits = func() overload.Limits { return overload.Limits{HeadTime: headerTimeout, IdleTime: clientIdleTimeout} }
 	guarded := d.clients.Listen(*l, o)
 	guarded.Attach(s)
 	*l = guarded
+	return guarded
 }
 
 // errorLog returns the logger for connection errors of a listener's server.
@@ -105,10 +107,10 @@
 	}
 }
 
-func (d *Daemon) operatorHandler(s *operator.Server) http.Handler {
+func operatorHandler(s *operator.Server) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(s.Handler())
-	return d.clients.Account().BoundMessages(mux, operator.MaxRequestBytes)
+	return mux
 }
 
 // peerHandler serves the calls between daemons.
