peer: heads of calls between daemons are bounded

A crowd on the listener for other daemons, 60 connections with 10 calls each whose heads have 900 KiB: TestUnrulyChatHeadsOfStreamsToPeers 153 and 155 MB of 96, TestUnrulyEntryHeadsOfStreamsToPeers 143 and 137.

Cause: the head of a call counts once its handler begins. Until then a connection may have a head of the default size, 1 MiB, in the making, and it keeps the buffer of its largest frame, up to 1 MiB by default. Heads of daemons have some hundred bytes; they may have 32 KiB now, and frames 16 KiB, as on the other listeners. The server enforces both; clients that keep to its settings do not send such heads at all.

--- a/e2e/unrulystreams_test.go
+++ b/e2e/unrulystreams_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -189,3 +190,25 @@
 	}
 	u.withstandsStreams(&streams{connections: 40, each: 100, established: true, url: "http://" + u.callers + callerapi.PathChatCompletions, header: header})
 }
+
+// TestUnrulyChatHeadsOfStreamsToPeers sends large heads to the listener for other daemons.
+func TestUnrulyChatHeadsOfStreamsToPeers(t *testing.T) {
+	u := startUnrulyChat(t)
+	u.withstandsStreams(headsToPeers("http://" + u.others[2]))
+}
+
+// TestUnrulyEntryHeadsOfStreamsToPeers sends large heads to the listener for other daemons.
+func TestUnrulyEntryHeadsOfStreamsToPeers(t *testing.T) {
+	u := startUnrulyEntry(t)
+	u.withstandsStreams(headsToPeers("http://" + u.others[2]))
+}
+
+// headsToPeers are calls between daemons with heads of nearly 1 MiB.
+func headsToPeers(address string) *streams {
+	const field = 900 << 10
+	s := idleStreamsToPeers(address)
+	s.connections, s.each = 60, 10
+	s.header = s.header.Clone()
+	s.header.Set("Long", strings.Repeat("x", field))
+	return s
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -19,6 +19,10 @@
 	headerTimeout = 5 * time.Second
 	// maxStreams is the maximum number of concurrent calls on one connection.
 	maxStreams = 1024
+	// maxHeaderBytes limits the size of the headers of a request, and frameBytes that of a frame: the
+	// server keeps a buffer of the largest one for each connection.
+	maxHeaderBytes = 32 << 10
+	frameBytes     = 16 << 10
 )
 
 // Server serves the calls of other daemons.
@@ -40,7 +44,7 @@
 	// The server does not send pings: those of the client detect unresponsive connections, and
 	// streams carry their own heartbeats. With pings from both ends, an idle fleet of 295
 	// daemons that each call 74 others would send 22,000 pings a second.
-	settings := &http.HTTP2Config{MaxConcurrentStreams: maxStreams}
+	settings := &http.HTTP2Config{MaxConcurrentStreams: maxStreams, MaxReadFrameSize: frameBytes}
 	return &Server{
 		listener: &countedListener{Listener: listener, traffic: traffic},
 		server: &http.Server{
@@ -49,6 +53,7 @@
 			Protocols:         protocols,
 			HTTP2:             settings,
 			ReadHeaderTimeout: headerTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
 			IdleTimeout:       idleTimeout,
 		},
 	}
