peer, bronzeturnd: less of what HTTP/2 keeps unread for a handler

Callers of bronzeturnd had 256 KiB: 79 to 90 MB (TestUnrulyChatStreamsOfManyConnections, 100 connections). The kernel's receive buffer of 32 KiB bounds the speed of a connection before either does.

--- a/e2e/unrulystreams_test.go
+++ b/e2e/unrulystreams_test.go
@@ -212,3 +212,32 @@
 	s.header.Set("Long", strings.Repeat("x", field))
 	return s
 }
+
+// TestUnrulyChatStreamsOfManyConnections is TestUnrulyChatStreamsOfOneConnection for more connections
+// with fewer streams each.
+func TestUnrulyChatStreamsOfManyConnections(t *testing.T) {
+	u := startUnrulyChat(t)
+	u.withstandsStreams(&streams{
+		connections: 100, each: 20, established: true, url: "http://" + u.callers + callerapi.PathChatCompletions,
+		header: http.Header{"Authorization": {"Bearer " + key}}, body: bytes.Repeat([]byte("b"), unrulyBodyBytes-1),
+	})
+}
+
+// TestUnrulyChatMessagesOfManyPeers is TestUnrulyChatMessagesToPeers for more connections.
+func TestUnrulyChatMessagesOfManyPeers(t *testing.T) {
+	u := startUnrulyChat(t)
+	u.withstandsStreams(messagesOfManyPeers("http://" + u.others[2]))
+}
+
+// TestUnrulyEntryMessagesOfManyPeers is TestUnrulyEntryMessagesToPeers for more connections.
+func TestUnrulyEntryMessagesOfManyPeers(t *testing.T) {
+	u := startUnrulyEntry(t)
+	u.withstandsStreams(messagesOfManyPeers("http://" + u.others[2]))
+}
+
+// messagesOfManyPeers are messagesToPeers on more connections with fewer streams each.
+func messagesOfManyPeers(address string) *streams {
+	s := messagesToPeers(address)
+	s.connections, s.each, s.established = 70, 20, true
+	return s
+}
--- a/servers.go
+++ b/servers.go
@@ -36,7 +36,7 @@
 // yet read by a handler, of a connection and of a request.
 const (
 	maxStreams            = 100
-	connectionBufferBytes = 256 << 10
+	connectionBufferBytes = 128 << 10
 	streamBufferBytes     = 64 << 10
 	frameBytes            = 16 << 10
 )
