router: what is made of a chat body is bounded

Cause: the account has a body by its bytes, and the router made many times of it: a map of all fields, each with a copy of its value, for as long as the request ran; a list of all messages, decoded for a prefix hash that depends on the first 1,024 bytes; a list of all messages for the 16 of them that have quarantine keys.

The hash decodes messages up to its length, the keys keep 16 positions, an object with more than 1,024 fields is refused as malformed (requests have some twenty), and the two copies that remain of a body, the decoded fields and what is sent to the engine, are in the account before they are made.

--- a/e2e/unruly_test.go
+++ b/e2e/unruly_test.go
@@ -385,6 +385,25 @@
 	}}
 }
 
+// denseBodies are clients whose bodies are complete and consist of very small values: messages, or
+// fields that the daemon does not know.
+func (u *unrulyTarget) denseBodies() crowd {
+	const answerWait = 3 * time.Second
+	messages := `{"messages":[` + strings.Repeat("{},", (unrulyBodyBytes-100)/3) + `{"role":"user","content":"x"}]}`
+	var fields strings.Builder
+	fields.WriteString(`{"messages":[{"role":"user","content":"x"}]`)
+	for i := 0; fields.Len() < unrulyBodyBytes-100; i++ {
+		fmt.Fprintf(&fields, `,"%x":0`, i)
+	}
+	bodies := []string{messages, fields.String() + "}"}
+	return crowd{clients: 60, act: func(i int, conn net.Conn) {
+		body := bodies[i%len(bodies)]
+		_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", u.head, len(body), body)
+		_ = conn.SetReadDeadline(time.Now().Add(answerWait))
+		_, _ = bufio.NewReader(conn).ReadString('\n') // The request may run until its deadline.
+	}}
+}
+
 // unreadAnswers are clients that send requests one after the other and read no answer.
 func (u *unrulyTarget) unreadAnswers() crowd {
 	const requests = 2000
@@ -491,6 +510,16 @@
 	u.withstands(u.endlessHeads())
 }
 
+func TestUnrulyChatDenseBodies(t *testing.T) {
+	u := startUnrulyChat(t)
+	u.withstands(u.denseBodies())
+}
+
+func TestUnrulyEntryDenseBodies(t *testing.T) {
+	u := startUnrulyEntry(t)
+	u.withstands(u.denseBodies())
+}
+
 func TestUnrulyChatUnreadAnswers(t *testing.T) {
 	u := startUnrulyChat(t)
 	u.withstands(u.unreadAnswers())
--- a/overload/request.go
+++ b/overload/request.go
@@ -95,6 +95,9 @@
 	return ReadAnswer(r, q.holder, length, limit)
 }
 
+// Reserve takes memory for what is made of the body. The error is a *FullError.
+func (q *Request) Reserve(bytes int64) error { return q.holder.Reserve(bytes) }
+
 // Charge takes memory for the request even if the account is full.
 func (q *Request) Charge(bytes int64) { q.holder.Charge(bytes) }
 
--- a/quarantine/hash.go
+++ b/quarantine/hash.go
@@ -92,17 +92,17 @@
 	return !slices.ContainsFunc(keys, func(key Hash) bool { return !c.has(key) })
 }
 
-// maxSharedParts bounds the parts of a prompt that have keys. Of longer prompts, these are the first
+// MaxSharedParts bounds the parts of a prompt that have keys. Of longer prompts, these are the first
 // and the last ones.
-const maxSharedParts = 16
+const MaxSharedParts = 16
 
 // SharedKeys returns the keys for the parts of a prompt, in the order of the prompt, that other
 // requests may share. A part has a key within the organisation and one for all of them: the latter
 // is held only if requests of several organisations have crashed engines under it, so that no
 // organisation can have another one's requests held. Later parts of a prompt occur in fewer requests.
 func SharedKeys(service, organisation string, parts []string) []Hash {
-	if len(parts) > maxSharedParts {
-		parts = slices.Concat(parts[:maxSharedParts/2], parts[len(parts)-maxSharedParts/2:])
+	if len(parts) > MaxSharedParts {
+		parts = slices.Concat(parts[:MaxSharedParts/2], parts[len(parts)-MaxSharedParts/2:])
 	}
 	keys := make([]Hash, 0, 2*len(parts))
 	for _, scope := range []string{organisation, ""} {
--- a/quarantine/shared_test.go
+++ b/quarantine/shared_test.go
@@ -217,7 +217,7 @@
 	for i := range 1000 {
 		long = append(long, fmt.Sprint(i))
 	}
-	c.Check(SharedKeys("llm", "a", long), qt.HasLen, 2*maxSharedParts)
+	c.Check(SharedKeys("llm", "a", long), qt.HasLen, 2*MaxSharedParts)
 }
 
 // TestReportsCarryParts guards against losing parts of prompts, or the order of requests, where a
--- a/router/chat.go
+++ b/router/chat.go
@@ -27,6 +27,9 @@
 		return f
 	}
 	c.body = body
+	if f := r.reserveCopies(c); f != nil {
+		return f
+	}
 	c.content.Request = hashChat(c)
 	c.chat, f = parseChat(body)
 	if f != nil {
--- a/router/choose.go
+++ b/router/choose.go
@@ -103,14 +103,7 @@
 	if len(messages)+maxSaltBytes < engine.PrefixBlockBytes {
 		return 0 // The prompt text is at most as long as its JSON.
 	}
-	body, err := encodeJSON(map[string]json.RawMessage{
-		"cache_salt": cacheSalt(organisation),
-		"messages":   messages,
-	})
-	if err != nil {
-		return 0
-	}
-	text, err := engine.PromptText(body)
+	text, err := engine.PromptStart(saltOf(organisation), messages, maxPrefixBlocks*engine.PrefixBlockBytes)
 	if err != nil {
 		return 0
 	}
@@ -121,10 +114,15 @@
 	return hashes[len(hashes)-1]
 }
 
-// cacheSalt returns the salt that keeps the prefix-cache entries of organisations
-// separate within an engine.
+// saltOf returns the salt that keeps the prefix-cache entries of organisations separate within an
+// engine.
+func saltOf(organisation string) string {
+	return strconv.FormatUint(xxhash.Sum64String(organisation), 16)
+}
+
+// cacheSalt returns the salt of an organisation in JSON.
 func cacheSalt(organisation string) json.RawMessage {
-	return json.RawMessage(strconv.AppendQuote(nil, strconv.FormatUint(xxhash.Sum64String(organisation), 16)))
+	return json.RawMessage(strconv.AppendQuote(nil, saltOf(organisation)))
 }
 
 // encodeJSON encodes v without escaping HTML, since prompts must pass unchanged.
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -68,36 +67,6 @@
 	return quarantine.SharedKeys("", organisation, parts)
 }
 
-// elementsBeforeLast returns the elements of a JSON array but the last. It allocates nothing for a
-// single element, which most requests have.
-func elementsBeforeLast(array json.RawMessage) (elements []string) {
-	if !bytes.HasPrefix(bytes.TrimSpace(array), []byte("[")) {
-		return nil
-	}
-	depth, start, inString, escaped := 0, 0, false, false
-	for i, c := range array {
-		switch {
-		case escaped:
-			escaped = false
-		case inString:
-			escaped, inString = c == '\\', c != '"'
-		case c == '"':
-			inString = true
-		case c == '[' || c == '{':
-			depth++
-			if depth == 1 {
-				start = i + 1
-			}
-		case c == ']' || c == '}':
-			depth--
-		case c == ',' && depth == 1:
-			elements = append(elements, string(bytes.TrimSpace(array[start:i])))
-			start = i + 1
-		}
-	}
-	return elements
-}
-
 // checkQuarantine returns a failure if the request must not be sent because it crashes
 // engines. It must be called before each send.
 func (r *Router) checkQuarantine(ctx context.Context, l *launch) *failure.Error {
--- a/router/request.go
+++ b/router/request.go
@@ -110,6 +110,19 @@
 	return body, nil
 }
 
+// chatCopies is the memory of a chat request beside its body, as a multiple of it: the decoded fields,
+// and the body that is sent to the engine.
+const chatCopies = 2
+
+// reserveCopies takes the memory of what is made of the body.
+func (r *Router) reserveCopies(c *call) *failure.Error {
+	var full *overload.FullError
+	if err := c.memory.Reserve(chatCopies * int64(len(c.body))); errors.As(err, &full) {
+		return r.overloadFailure(full)
+	}
+	return nil
+}
+
 // overloadFailure returns the refusal of a request that finds no memory, with the addresses to use
 // instead.
 func (r *Router) overloadFailure(full *overload.FullError) *failure.Error {
@@ -192,6 +205,9 @@
 // parseChat reads the fields that the router needs from a chat completion body.
 func parseChat(data []byte) (chatBody, *failure.Error) {
 	b := chatBody{size: len(data)}
+	if tooManyFields(data) {
+		return b, failure.New(failure.CodeMalformedRequest, failure.RanNo, "the body has more than %d fields", maxFields)
+	}
 	if err := json.Unmarshal(data, &b.fields); err != nil {
 		return b, malformedJSON(err)
 	}
@@ -201,6 +217,9 @@
 	if len(b.fields["messages"]) == 0 {
 		return b, failure.New(failure.CodeMalformedRequest, failure.RanNo, "messages is missing")
 	}
+	if tooManyFields(b.fields["stream_options"]) {
+		return b, failure.New(failure.CodeMalformedRequest, failure.RanNo, "stream_options has more than %d fields", maxFields)
+	}
 	err := errors.Join(
 		optionalField(b.fields, "model", &b.model),
 		optionalField(b.fields, "stream", &b.stream),
