overload: a call may be read after it has ended

Whether a call has found no memory was read by its handler and written by whoever still reads the body: the goroutine that forwards a relayed connection may do that for a moment after the call.

--- a/overload/account.go
+++ b/overload/account.go
@@ -34,7 +34,7 @@
 // FullError reports that the account has no room for a holder, or that the holder lost its place to
 // another one.
 type FullError struct {
-	// Bytes is what the holder asked for, Limit the size of the account.
+	// Bytes is what the holder asked for, Limit the size of the account, or of the part that is full.
 	Bytes, Limit int64
 	// Evicted is set if the holder lost its place.
 	Evicted bool
--- a/overload/messages.go
+++ b/overload/messages.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -52,7 +53,7 @@
 		}
 		r.Body = m
 		next.ServeHTTP(w, r)
-		if m.full {
+		if m.full.Load() {
 			l.metMemory(r)
 		}
 	})
@@ -77,8 +78,9 @@
 	// the call's largest message in the library, in bytes.
 	whole        io.Reader
 	held, copied int64
-	// full is set if the call has found no memory, or lost it.
-	full bool
+	// full is set if the call has found no memory, or lost it. A call may be read until after it has
+	// ended.
+	full atomic.Bool
 }
 
 // Read implements io.Reader.
@@ -94,7 +96,9 @@
 		}
 		if err := m.receive(); err != nil {
 			var full *FullError
-			m.full = m.full || errors.As(err, &full) || m.request.holder.lost()
+			if errors.As(err, &full) || m.request.holder.lost() {
+				m.full.Store(true)
+			}
 			return 0, err
 		}
 	}
