router, settings: a body that can never find its memory is too large

With the copies of a chat body in the account, a body of more than a third of what large requests may use was refused as overloaded, to be sent again, and never served. It is refused as too large now, and settings whose largest body exceeds a tenth of the given memory are refused.

--- a/overload/request.go
+++ b/overload/request.go
@@ -95,6 +95,10 @@
 	return ReadAnswer(r, q.holder, length, limit)
 }
 
+// MaxBody returns the size in bytes of the largest body that the account can hold together with some
+// copies of it.
+func (q *Request) MaxBody(copies int64) int64 { return q.holder.account.largeLimit / (copies + 1) }
+
 // Reserve takes memory for what is made of the body. The error is a *FullError.
 func (q *Request) Reserve(bytes int64) error { return q.holder.Reserve(bytes) }
 
--- a/router/request.go
+++ b/router/request.go
@@ -92,11 +92,12 @@
 // readBody reads the body. It returns a failure if the body exceeds the size limit, finds no memory,
 // or is not received before the deadline.
 func (r *Router) readBody(c *call) ([]byte, *failure.Error) {
-	body, err := c.memory.ReadBody(r.MaxBodyBytes, c.deadline)
+	limit := min(r.MaxBodyBytes, c.memory.MaxBody(chatCopies))
+	body, err := c.memory.ReadBody(limit, c.deadline)
 	var full *overload.FullError
 	switch {
 	case errors.Is(err, overload.ErrTooLarge):
-		return nil, failure.New(failure.CodeBodyTooLarge, failure.RanNo, "the body is over %d bytes", r.MaxBodyBytes)
+		return nil, failure.New(failure.CodeBodyTooLarge, failure.RanNo, "the body is over %d bytes", limit)
 	case errors.As(err, &full):
 		return nil, r.overloadFailure(full)
 	case errors.Is(err, overload.ErrStalled):
--- a/settings/contradiction.go
+++ b/settings/contradiction.go
@@ -22,9 +22,12 @@
 	return found
 }
 
-// Least values of limits that are given.
+// Limits of the settings for the memory and the descriptors of the process.
 const (
 	minMemoryBytes = 64 << 20
+	// memoryPerBody is the memory of a process as a multiple of the largest body: the share that large
+	// requests may use must hold one with all copies that are made of it.
+	memoryPerBody  = 10
 	minDescriptors = 256
 )
 
@@ -32,6 +35,8 @@
 func checkHostLimits(found *problems, s *bronzeturnv1.Settings) {
 	if n := s.GetMemoryBytes(); n != 0 && n < minMemoryBytes {
 		found.add("memory-bytes", "must be 0 or at least %d", minMemoryBytes)
+	} else if n != 0 && s.GetMaxBodyBytes() > n/memoryPerBody {
+		found.add("max-body-bytes", "must be at most %d, a tenth of memory-bytes", n/memoryPerBody)
 	}
 	if n := s.GetMaxDescriptors(); n != 0 && n < minDescriptors {
 		found.add("max-descriptors", "must be 0 or at least %d", minDescriptors)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -70,6 +70,8 @@
 		{name: "URL with a password", args: withRequired("--rating-url=http://a:b@h/"), flags: []string{"--rating-url"}},
 		{name: "listeners on all addresses without an address to advertise", args: withRequired("--caller-listen=0.0.0.0:80", "--peer-listen=[::]:81"), flags: []string{"--caller-address", "--peer-address"}},
 		{name: "two listeners on the same port", args: withRequired("--admin-listen=0.0.0.0:8080"), flags: []string{"--admin-listen"}},
+		{name: "memory for less than one body", args: withRequired("--memory-bytes=100000000", "--max-body-bytes=10000001"), flags: []string{"--max-body-bytes"}},
+		{name: "too little memory", args: withRequired("--memory-bytes=1000000"), flags: []string{"--memory-bytes"}},
 		{name: "TLS file although plain text is allowed", args: withRequired("--peer-tls-cert=c"), flags: []string{"--peer-tls-cert"}},
 		{name: "caller certificate without a key", args: withRequired("--caller-tls-cert=c"), flags: []string{"--caller-tls-key"}},
 		{name: "caller authority without a certificate", args: withRequired("--caller-tls-ca=c"), flags: []string{"--caller-tls-ca"}},
