--- a/e2e/unrulystreams_test.go
+++ b/e2e/unrulystreams_test.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -241,3 +242,26 @@
 	s.connections, s.each, s.established = 70, 20, true
 	return s
 }
+
+// pings are clients that send pings on connections of HTTP/2 and read no answer.
+func pings(addresses ...string) crowd {
+	const frames, receiveBuffer = 16_000, 4 << 10
+	flood := []byte("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + "\x00\x00\x00\x04\x00\x00\x00\x00\x00")
+	flood = append(flood, bytes.Repeat([]byte("\x00\x00\x08\x06\x00\x00\x00\x00\x00pingping"), frames)...)
+	return crowd{clients: 180, addresses: addresses, act: func(_ int, conn net.Conn) {
+		_ = conn.(*net.TCPConn).SetReadBuffer(receiveBuffer)
+		_, _ = conn.Write(flood)
+	}}
+}
+
+// TestUnrulyChatPings floods the listeners for callers and for other daemons with pings.
+func TestUnrulyChatPings(t *testing.T) {
+	u := startUnrulyChat(t)
+	u.withstands(pings(u.callers, u.others[2]))
+}
+
+// TestUnrulyEntryPings floods the listener for other daemons with pings.
+func TestUnrulyEntryPings(t *testing.T) {
+	u := startUnrulyEntry(t)
+	u.withstands(pings(u.others[2]))
+}
