overload: taking memory needs no lock of the whole account

Reserve took the account's lock each time, for a channel that only a holder needs which waits for memory that is still in use: each read of a head and each new connection went through it. The channel is fetched when there is something to wait for, and the memory asked for once more after that, so that nothing returned in between is missed. No behaviour changes; the tests of the package pass as they are.

--- a/overload/account.go
+++ b/overload/account.go
@@ -207,11 +207,9 @@
 // *FullError.
 func (h *Holder) Reserve(bytes int64) error {
 	a := h.account
+	var returned <-chan struct{}
 	var waitUntil <-chan time.Time
 	for {
-		a.mu.Lock()
-		returned := a.returned
-		a.mu.Unlock()
 		taken, full := h.take(bytes)
 		switch taken {
 		case roomTaken:
@@ -225,11 +223,16 @@
 			}
 			victim.lose()
 		case roomLeaving:
+			if returned == nil {
+				returned = a.nextReturn()
+				continue // Some may have been returned before.
+			}
 			if waitUntil == nil {
 				waitUntil = time.After(evictionTime)
 			}
 			select {
 			case <-returned:
+				returned = nil
 			case <-waitUntil:
 				return &FullError{Bytes: bytes, Limit: full.limit}
 			}
@@ -237,6 +240,13 @@
 	}
 }
 
+// nextReturn returns a channel that is closed when some of leaving is returned.
+func (a *Account) nextReturn() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.returned
+}
+
 // Charge takes bytes from the account even if it is full. Other holders lose their places for them.
 func (h *Holder) Charge(bytes int64) {
 	h.mu.Lock()
