overload: one place for the limits of HTTP/2 connections

bronzeturnd's servers and the one for other daemons each had the same three limits of frames and unread bytes, with the same values, and the same settings made of them. overload.HTTP2Config serves both; only the number of streams differs. No behaviour changes.

--- a/peer/server.go
+++ b/peer/server.go
@@ -19,14 +19,8 @@
 	headerTimeout = 5 * time.Second
 	// maxStreams is the maximum number of concurrent calls on one connection.
 	maxStreams = 1024
-	// maxHeaderBytes limits the size of the headers of a request, and frameBytes that of a frame: the
-	// server keeps a buffer of the largest one for each connection.
+	// maxHeaderBytes limits the size of the headers of a request.
 	maxHeaderBytes = 32 << 10
-	frameBytes     = 16 << 10
-	// connectionBufferBytes and streamBufferBytes limit the bytes of a connection and of a call that
-	// have been received and that no handler has read yet.
-	connectionBufferBytes = 128 << 10
-	streamBufferBytes     = 64 << 10
 )
 
 // Server serves the calls of other daemons.
@@ -48,10 +42,7 @@
 	// The server does not send pings: those of the client detect unresponsive connections, and
 	// streams carry their own heartbeats. With pings from both ends, an idle fleet of 295
 	// daemons that each call 74 others would send 22,000 pings a second.
-	settings := &http.HTTP2Config{
-		MaxConcurrentStreams: maxStreams, MaxReadFrameSize: frameBytes,
-		MaxReceiveBufferPerConnection: connectionBufferBytes, MaxReceiveBufferPerStream: streamBufferBytes,
-	}
+	settings := overload.HTTP2Config(maxStreams)
 	return &Server{
 		listener: &countedListener{Listener: listener, traffic: traffic},
 		server: &http.Server{
--- a/servers.go
+++ b/servers.go
@@ -32,14 +32,8 @@
 	answerTimeout  = 5 * time.Minute
 )
 
-// Limits of HTTP/2 connections of clients: concurrent requests, and bytes that are received and not
-// yet read by a handler, of a connection and of a request.
-const (
-	maxStreams            = 100
-	connectionBufferBytes = 128 << 10
-	streamBufferBytes     = 64 << 10
-	frameBytes            = 16 << 10
-)
+// maxStreams is the maximum number of concurrent requests on one HTTP/2 connection of a client.
+const maxStreams = 100
 
 // clientIdleTimeout is how long an idle connection of a client is kept open.
 const clientIdleTimeout = 2 * time.Minute
@@ -100,10 +94,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       clientIdleTimeout,
-		HTTP2: &http.HTTP2Config{
-			MaxConcurrentStreams: maxStreams, MaxReadFrameSize: frameBytes,
-			MaxReceiveBufferPerConnection: connectionBufferBytes, MaxReceiveBufferPerStream: streamBufferBytes,
-		},
+		HTTP2:             overload.HTTP2Config(maxStreams),
 	}
 }
 
