overload, settings, platform: one least number of descriptors

Both daemons' settings had the number that a process can work with, 256, as constants of their own; it follows from what overload keeps for files, and stands there now. A crowd of the tests copied a header that nobody else has. No behaviour changes.

--- a/e2e/unrulystreams_test.go
+++ b/e2e/unrulystreams_test.go
@@ -209,7 +209,6 @@
 	const field = 900 << 10
 	s := idleStreamsToPeers(address)
 	s.connections, s.each = 60, 10
-	s.header = s.header.Clone()
 	s.header.Set("Long", strings.Repeat("x", field))
 	return s
 }
--- a/overload/guard.go
+++ b/overload/guard.go
@@ -21,6 +21,9 @@
 	memoryShare = 0.4
 	// reservedDescriptors is the number of descriptors that are kept for files.
 	reservedDescriptors = 200
+	// MinDescriptors is the smallest number of descriptors that a process can work with: those that
+	// are kept for files, and some connections.
+	MinDescriptors = 256
 	// minConnections is the least number of connections that a listener accepts.
 	minConnections = 8
 	// sweepInterval is the time between two checks for connections that take too long.
--- a/settings/contradiction.go
+++ b/settings/contradiction.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	bronzeturnv1 "github.com/bronzeturn/bronzeturn/gen/bronzeturn/v1"
+	"github.com/bronzeturn/bronzeturn/overload"
 )
 
 // contradictions returns the faults of settings that are valid one by one but not
@@ -22,13 +23,12 @@
 	return found
 }
 
-// Limits of the settings for the memory and the descriptors of the process.
+// Limits of the settings for the memory of the process.
 const (
 	minMemoryBytes = 64 << 20
 	// memoryPerBody is the memory of a process as a multiple of the largest body: the share that large
 	// requests may use must hold one with all copies that are made of it.
-	memoryPerBody  = 10
-	minDescriptors = 256
+	memoryPerBody = 10
 )
 
 // checkHostLimits reports limits that the process cannot work within.
@@ -38,8 +38,8 @@
 	} else if n != 0 && s.GetMaxBodyBytes() > n/memoryPerBody {
 		found.add("max-body-bytes", "must be at most %d, a tenth of memory-bytes", n/memoryPerBody)
 	}
-	if n := s.GetMaxDescriptors(); n != 0 && n < minDescriptors {
-		found.add("max-descriptors", "must be 0 or at least %d", minDescriptors)
+	if n := s.GetMaxDescriptors(); n != 0 && n < overload.MinDescriptors {
+		found.add("max-descriptors", "must be 0 or at least %d", overload.MinDescriptors)
 	}
 }
 
