platform, route: an empty list of organisations requires keys

What callers saw: once an operator removes the last organisation and writes an empty list (or null), every request ran, with a key that was taken away, one that never was, an empty one or none, on routes of all three kinds, at all daemons and at one that started while the store was away (ROUTE).

The configuration says now whether the list is there. null counts as there: it is what an encoder makes of a list without elements, and refusing is the safe reading. A configuration that leaves the list out needs no keys, as the protocol says; that this is a change is logged. Daemons hand one another the document itself, so a copy means the same.

Read with the same question: home regions (an empty list means all, by the definition of the field), models of a route, shares (a route without any is refused), limits (zero is not configured), evacuations (an entry counts whatever it holds), and on the chat edge keys, allowed models, versions and services (nothing is allowed by an empty list, the empty key never). An empty key on the entry edge is a fault of its own.

--- a/e2e/entry_test.go
+++ b/e2e/entry_test.go
@@ -423,12 +423,41 @@
 	f.c.Assert(err, qt.IsNil)
 	for i := range f.daemons {
 		f.eventually("no key in force", func() bool { return f.send(i, http.MethodPost, "/once/x").status == http.StatusUnauthorized })
-		for _, key := range []string{"Bearer " + emulator.Key, "Bearer unknown", "Bearer ", ""} {
-			for _, target := range []string{"/once/x", "/safe/x", "/stream/x"} {
-				r := f.send(i, http.MethodPost, target, "Authorization", key, emulator.TokensHeader, "100,100")
-				f.c.Check(r.status, qt.Equals, http.StatusUnauthorized, qt.Commentf("%s with %q", target, key))
-				f.c.Check(f.record.Runs(r.id), qt.HasLen, 0)
-			}
+		f.refusesAllKeys(i)
+	}
+}
+
+// refusesAllKeys checks that a daemon refuses requests of every kind, with and without a key.
+func (f *entryFleet) refusesAllKeys(daemon int) {
+	for _, key := range []string{"Bearer " + emulator.Key, "Bearer unknown", "Bearer ", ""} {
+		for _, target := range []string{"/once/x", "/safe/x", "/stream/x"} {
+			r := f.send(daemon, http.MethodPost, target, "Authorization", key, emulator.TokensHeader, "100,100")
+			f.c.Check(r.status, qt.Equals, http.StatusUnauthorized, qt.Commentf("daemon %d, %s with %q", daemon, target, key))
+			f.c.Check(f.record.Runs(r.id), qt.HasLen, 0)
 		}
 	}
 }
+
+// TestNoRequestRunsOnceTheLastOrganisationIsRemoved guards against an empty list of organisations
+// that lets everybody in, also at daemons that get the configuration from another daemon.
+func TestNoRequestRunsOnceTheLastOrganisationIsRemoved(t *testing.T) {
+	for name, tenants := range map[string][]emulator.TenantDoc{"empty": {}, "null": nil} {
+		t.Run(name, func(t *testing.T) {
+			f := newEntryFleet(t, 3, 1, 1, defaultBounds)
+			f.c.Assert(f.send(0, http.MethodPost, "/once/x").status, qt.Equals, http.StatusOK)
+			_, err := f.store.Put("config", "main", emulator.Config(2).WithTenants(tenants...))
+			f.c.Assert(err, qt.IsNil)
+			for i := range f.daemons {
+				f.running[i].waitLine(f.c, "version 2 in force", func(line string) bool {
+					return strings.Contains(line, "configuration in force") && strings.Contains(line, `"version":2`)
+				})
+				f.refusesAllKeys(i)
+			}
+			f.store.SetFaults(emulator.StoreFaults{Refuse: true})
+			f.running[2].kill()
+			f.running[2] = f.startDaemon(2)
+			f.waitReady(2)
+			f.refusesAllKeys(2)
+		})
+	}
+}
--- a/entry/copies.go
+++ b/entry/copies.go
@@ -135,9 +135,12 @@
 
 // install puts a configuration in force. The caller holds configMu.
 func (d *Daemon) install(table *route.Table, u follow.Update) {
+	if old := d.tables.Load(); old != nil && old.Routes != nil && old.Routes.NeedsKeys() && !table.NeedsKeys() {
+		d.log.Warn().Int64("version", table.Version).Msg("requests no longer need a key: the configuration has no list of organisations")
+	}
 	d.update(func(t *gateway.Tables) { t.Routes = table })
 	d.log.Info().Int64("version", table.Version).Uint64("era", revision.Era(table.Revision)).Uint64("revision", revision.Counter(table.Revision)).
-		Int("routes", table.Routes()).Bool("from_daemon", u.FromPeer).Msg("configuration in force")
+		Int("routes", table.Routes()).Bool("needs_keys", table.NeedsKeys()).Bool("from_daemon", u.FromPeer).Msg("configuration in force")
 	d.confirmed.configInForce(table.Version, u)
 }
 
--- a/route/route.go
+++ b/route/route.go
@@ -152,7 +152,10 @@
 	Routes        []Route
 	Services      []Service
 	Organisations []Organisation
-	Limits        Limits
+	// NeedsKeys is set if requests must carry the key of an organisation, also while there is none.
+	// Organisations imply it.
+	NeedsKeys bool
+	Limits    Limits
 }
 
 // FieldError reports an invalid field of a configuration and its path.
@@ -173,11 +176,10 @@
 	Revision uint64
 	Limits   Limits
 
-	hosts    map[string][]*Route
-	routes   int
-	services map[string]*Service
-	keys     map[keyDigest]*Organisation
-	// needsKeys is set if the configuration names organisations.
+	hosts     map[string][]*Route
+	routes    int
+	services  map[string]*Service
+	keys      map[keyDigest]*Organisation
 	needsKeys bool
 }
 
@@ -188,7 +190,7 @@
 		hosts:     make(map[string][]*Route),
 		services:  make(map[string]*Service, len(c.Services)),
 		keys:      make(map[keyDigest]*Organisation),
-		needsKeys: len(c.Organisations) > 0,
+		needsKeys: c.NeedsKeys || len(c.Organisations) > 0,
 	}
 	for i := range c.Services {
 		s := &c.Services[i]
@@ -273,8 +275,8 @@
 	return org, ok
 }
 
-// NeedsKeys reports whether requests have to carry a key. They have to as long as there
-// are organisations, even if all keys were taken away from them.
+// NeedsKeys reports whether requests have to carry a key. It does not depend on whether any key is
+// in force: without one, all requests are refused.
 func (t *Table) NeedsKeys() bool { return t.needsKeys }
 
 // Routes returns the number of routes.
