--- a/e2e/entry_test.go
+++ b/e2e/entry_test.go
@@ -461,3 +461,15 @@
 		})
 	}
 }
+
+// TestEmptyKeyOfAnOrganisationLetsNobodyIn guards against an empty key in the list of an organisation
+// that lets in requests without any.
+func TestEmptyKeyOfAnOrganisationLetsNobodyIn(t *testing.T) {
+	f := newEntryFleet(t, 1, 1, 1, defaultBounds)
+	_, err := f.store.Put("config", "main", emulator.Config(2).WithTenants(emulator.TenantDoc{Name: "org-1", APIKeys: []string{"", "key-2"}}))
+	f.c.Assert(err, qt.IsNil)
+	f.eventually("new key in force", func() bool {
+		return f.send(0, http.MethodGet, "/safe/x", "Authorization", "Bearer key-2").status == http.StatusOK
+	})
+	f.refusesAllKeys(0)
+}
--- a/route/route.go
+++ b/route/route.go
@@ -210,6 +210,9 @@
 	for i := range c.Organisations {
 		org := &c.Organisations[i]
 		for _, key := range org.Keys {
+			if key == "" {
+				continue // It would admit requests without a key.
+			}
 			t.keys[sha256.Sum256([]byte(key))] = org
 		}
 	}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -103,3 +103,16 @@
 		c.Check(table.NeedsKeys(), qt.Equals, test.needed, qt.Commentf("%+v", test.organisations))
 	}
 }
+
+// TestNoKeyIsNoKeyOfAnOrganisation guards against an empty key in the list of an organisation that
+// lets in requests without any.
+func TestNoKeyIsNoKeyOfAnOrganisation(t *testing.T) {
+	c := qt.New(t)
+	table, err := Compile(Config{Organisations: []Organisation{{Name: "a", Keys: []string{"", "k"}}}})
+	c.Assert(err, qt.IsNil)
+	_, ok := table.Authenticate("")
+	c.Check(ok, qt.IsFalse)
+	org, ok := table.Authenticate("k")
+	c.Check(ok, qt.IsTrue)
+	c.Check(org.Name, qt.Equals, "a")
+}
