attempt, bronzeturnd: the header of an answer is bounded on the chat edge

What callers saw: an engine that sends header lines without end made the chat daemon keep up to 10 MB of each, the default of the HTTP library. With 96 MB allowed and 60 callers before 8 such engines it took 377 MB, so a small host ends the process, and the requests of all its callers with it (LOST).

Cause: the transport to backend servers, the store and the other services states no bound. The entry edge's does; it is the same one now.

Ruled out: the entry edge. 60 callers before engines with each of the seven kinds of endless answers, beside clients with short bodies and clients that take no answers: 76 MB of 96 (TestUnrulyEntryEndlessAnswers, kept).

Before: TestUnrulyEngineEndlessHeaders 377 MB. After: 37 MB.

--- a/attempt/dialer.go
+++ b/attempt/dialer.go
@@ -79,15 +79,17 @@
 		DialContext:            dial,
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
+		MaxResponseHeaderBytes: MaxAnswerHeaderBytes,
 		WriteBufferSize:        connectionBuffer,
 		ReadBufferSize:         connectionBuffer,
 	}
 }
 
+// MaxAnswerHeaderBytes bounds the header of an answer. The HTTP library's own bound is many times as
+// large.
+const MaxAnswerHeaderBytes = 64 << 10
+
 const (
-	// maxAnswerHeaderBytes bounds the header of an answer.
-	maxAnswerHeaderBytes = 64 << 10
 	// connectionBuffer is the size of the read and the write buffer of a connection.
 	connectionBuffer = 4 << 10
 )
@@ -104,6 +106,6 @@
 func NewPooledTransport(o DialOptions) *http.Transport {
 	return &http.Transport{
 		DialContext: o.Dialer(), DisableCompression: true, IdleConnTimeout: pooledIdleTimeout,
-		MaxIdleConnsPerHost: pooledIdlePerHost, MaxResponseHeaderBytes: maxAnswerHeaderBytes,
+		MaxIdleConnsPerHost: pooledIdlePerHost, MaxResponseHeaderBytes: MaxAnswerHeaderBytes,
 	}
 }
--- a/e2e/unruly_test.go
+++ b/e2e/unruly_test.go
@@ -48,9 +48,16 @@
 
 // startUnrulyEntry starts an entry daemon with low limits.
 func startUnrulyEntry(t *testing.T) *unrulyTarget {
+	u, _ := startUnrulyFleet(t, 2)
+	return u
+}
+
+// startUnrulyFleet starts an entry daemon with low limits, before engines of the service desk and one
+// of the service llm.
+func startUnrulyFleet(t *testing.T, desk int) (*unrulyTarget, *entryFleet) {
 	bounds := defaultBounds
 	bounds.MemoryMB, bounds.MaxFDs = unrulyMemoryMB, unrulyMaxFDs
-	f := newEntryFleet(t, 0, 2, 1, bounds)
+	f := newEntryFleet(t, 0, desk, 1, bounds)
 	config := emulator.Config(2)
 	config.Limits = fmt.Appendf(nil, `{"headerBytes":16384,"bodyBytes":%d,"headerMs":3000,"idleMs":5000}`, unrulyBodyBytes)
 	_, err := f.store.Put("config", "main", config)
@@ -65,7 +72,7 @@
 		largest: func() bool {
 			return f.sendBody(0, http.MethodPost, "/once/x", strings.Repeat("b", unrulyBodyBytes)).status == http.StatusOK
 		},
-	}
+	}, f
 }
 
 // startUnrulyChat starts a daemon of the chat API with low limits.
--- a/platform.go
+++ b/platform.go
@@ -64,12 +64,13 @@
 // with dial. It ignores the proxy settings of the environment.
 func newTransport(dial attempt.DialFunc) *http.Transport {
 	return &http.Transport{
-		Proxy:               nil,
-		DialContext:         dial,
-		IdleConnTimeout:     idleTimeout,
-		MaxIdleConns:        maxIdleTotal,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		DisableCompression:  true,
+		Proxy:                  nil,
+		DialContext:            dial,
+		IdleConnTimeout:        idleTimeout,
+		MaxIdleConns:           maxIdleTotal,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		MaxResponseHeaderBytes: attempt.MaxAnswerHeaderBytes,
+		DisableCompression:     true,
 	}
 }
 
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -45,6 +45,10 @@
 	// BreakAfterTokens drops the connection of each engine answer after this many
 	// tokens. Zero means never.
 	BreakAfterTokens int `json:"break_after_tokens"`
+	// Endless makes the answer of every call other than GET go on until its connection is closed,
+	// EndlessReports those of GET.
+	Endless        Endless `json:"endless"`
+	EndlessReports bool    `json:"endless_reports"`
 	// RateFactor is a factor on an engine's generation rate. Zero means one.
 	RateFactor float64 `json:"rate_factor"`
 }
@@ -97,6 +101,10 @@
 	case f.Fail:
 		next.ServeHTTP(newDiscardWriter(), r)
 		http.Error(w, "failed by a fault", http.StatusInternalServerError)
+	case f.Endless != "" && r.Method != http.MethodGet:
+		writeEndlessly(w, f.Endless)
+	case f.EndlessReports && r.Method == http.MethodGet:
+		writeEndlessly(w, EndlessBody)
 	case s.takeLostAnswer(r.Method):
 		next.ServeHTTP(newDiscardWriter(), r)
 		panic(http.ErrAbortHandler)
