engine, plainservice: answers are in the account of memory on the chat edge

Cause: only the size of one answer was bounded; their sum had no part in the account that the entry edge has for it. An answer belongs to the memory of its caller's request now: a part of at most 64 KiB always has room, a larger one if there is any, and one takes at most a sixteenth of the account. Whoever exceeds it counts as broken, as on the entry edge. MaxAnswer serves both edges.

Tried: a holder for each answer. It took three more allocations a request than TestRequestAllocationsAreBounded allows; the request's own holder takes none.

--- a/e2e/unrulyanswers_test.go
+++ b/e2e/unrulyanswers_test.go
@@ -100,6 +100,33 @@
 	startEndlessChat(t, true).withstandsEngines(standin.Faults{Endless: standin.EndlessHeader}, demo.Chat{Key: key})
 }
 
+// TestUnrulyEngineEndlessBodies guards against bodies that are read outside of the account of memory.
+func TestUnrulyEngineEndlessBodies(t *testing.T) {
+	startEndlessChat(t, true).withstandsEngines(standin.Faults{Endless: standin.EndlessBody}, demo.Chat{Key: key})
+}
+
+// TestUnrulyEngineEndlessEvent guards against an event that is read outside of the account of memory.
+func TestUnrulyEngineEndlessEvent(t *testing.T) {
+	startEndlessChat(t, true).withstandsEngines(standin.Faults{Endless: standin.EndlessEvent}, demo.Chat{Key: key, Stream: true})
+}
+
+// TestUnrulyServiceEndlessBodies guards against answers of plain services that are read outside of the
+// account of memory.
+func TestUnrulyServiceEndlessBodies(t *testing.T) {
+	e := startEndlessChat(t, false)
+	e.withstandsAll(func() func() {
+		setFaults(e.c, e.deployment.service, standin.Faults{Endless: standin.EndlessBody})
+		stop := callWithoutEnd(func(caller, number int) {
+			callService(e.c, e.callers, fmt.Sprintf("endless-%d-%d", caller, number))
+		})
+		time.Sleep(answersFor)
+		return func() {
+			setFaults(e.c, e.deployment.service, standin.Faults{})
+			stop()
+		}
+	})
+}
+
 // TestUnrulyEntryEndlessAnswers guards against endless answers of all kinds that meet a daemon whose
 // memory clients already use.
 func TestUnrulyEntryEndlessAnswers(t *testing.T) {
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -7,12 +7,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/attempt"
 	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/overload"
 )
 
 // URL paths that engines serve.
@@ -106,6 +108,9 @@
 	// ProgressTimeout bounds the time for which nothing arrives from the engine,
 	// including the time to the first byte. Zero means no bound.
 	ProgressTimeout time.Duration
+	// Memory is that of the caller's request, which the answer is part of. Nil means
+	// that the memory is not bounded.
+	Memory *overload.Request
 }
 
 // Client sends requests to engines. It is safe for concurrent use.
@@ -137,7 +142,7 @@
 		defer x.Close()
 		return nil, errorFromStatus(x)
 	}
-	return newStream(x, r.Stream), nil
+	return newStream(x, r.Stream, r.Memory), nil
 }
 
 func header(r Request) http.Header {
@@ -198,7 +203,7 @@
 
 // errorFromStatus converts an answer with a status other than 200.
 func errorFromStatus(x *attempt.Exchange) *Error {
-	body, cause := readLimited(x, maxErrorBytes)
+	body, cause := io.ReadAll(io.LimitReader(x, maxErrorBytes))
 	var parsed errorBody
 	_ = json.Unmarshal(body, &parsed) // An unreadable body leaves the type empty.
 	e := &Error{Status: x.Status, Kind: KindFailed, Ran: failure.RanUnknown, RetryAfter: attempt.RetryAfter(x.Header)}
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -135,7 +135,7 @@
 	if x.Status != http.StatusOK {
 		return errorFromStatus(x)
 	}
-	s := newStream(x, false)
+	s := newStream(x, false, nil)
 	event, err := s.readBody()
 	if err != nil {
 		return err
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 
 	"github.com/bronzeturn/bronzeturn/attempt"
 	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/overload"
 )
 
 // Event is a part of an answer. Data is valid until the next call of Stream.Next.
@@ -29,10 +31,10 @@
 
 const (
 	streamBuffer = 16 << 10
-	// maxEventBytes bounds a server-sent event.
+	// maxEventBytes bounds a server-sent event, maxBodyBytes an answer that is not streamed. Both
+	// are less if the account of memory is small.
 	maxEventBytes = 1 << 20
-	// maxBodyBytes bounds an answer that is not streamed.
-	maxBodyBytes = 64 << 20
+	maxBodyBytes  = 64 << 20
 )
 
 var (
@@ -47,6 +49,7 @@
 type Stream struct {
 	x        *attempt.Exchange
 	events   bool
+	memory   answerMemory
 	buf      []byte
 	start    int
 	end      int
@@ -57,9 +60,10 @@
 	hasUsage bool
 }
 
-func newStream(x *attempt.Exchange, events bool) *Stream {
-	s := &Stream{x: x, events: events}
+func newStream(x *attempt.Exchange, events bool, memory *overload.Request) *Stream {
+	s := &Stream{x: x, events: events, memory: answerMemory{request: memory}}
 	if events {
+		_ = s.memory.reserve(streamBuffer) // It is small, so that there is room for it.
 		s.buf = make([]byte, streamBuffer)
 	}
 	return s
@@ -75,9 +79,10 @@
 	return at >= 0
 }
 
-// Close ends the request. Unless the answer is complete, this closes the connection,
-// upon which the engine stops its work.
+// Close ends the request and returns the memory of the answer. Unless the answer is
+// complete, this closes the connection, upon which the engine stops its work.
 func (s *Stream) Close() error {
+	defer s.memory.releaseAll()
 	if s.last && s.events {
 		s.x.Drain()
 	}
@@ -161,10 +166,12 @@
 
 // fill reads more bytes into the buffer.
 func (s *Stream) fill() error {
-	s.makeRoom()
-	if s.end-s.start >= maxEventBytes {
+	if int64(s.end-s.start) >= s.memory.most(maxEventBytes) {
 		return s.fail(KindBroken, errTooLong)
 	}
+	if err := s.makeRoom(); err != nil {
+		return s.fail(KindBroken, err)
+	}
 	n, err := s.x.Read(s.buf[s.end:])
 	s.end += n
 	if n > 0 {
@@ -177,17 +184,26 @@
 }
 
 // makeRoom moves the unread bytes to the front of the buffer, and doubles the buffer if it
-// is full.
-func (s *Stream) makeRoom() {
+// is full. It fails if there is no memory.
+func (s *Stream) makeRoom() error {
 	if s.start > 0 {
 		copy(s.buf, s.buf[s.start:s.end])
 		s.end -= s.start
 		s.scanned -= s.start
 		s.start = 0
 	}
-	if s.end == len(s.buf) {
-		s.buf = append(s.buf, make([]byte, len(s.buf))...)
+	if s.end < len(s.buf) {
+		return nil
+	}
+	size := int64(len(s.buf))
+	if err := s.memory.reserve(2 * size); err != nil {
+		return fmt.Errorf("event of the answer: %w", err)
 	}
+	grown := make([]byte, 2*size)
+	copy(grown, s.buf)
+	s.buf = grown
+	s.memory.release(size)
+	return nil
 }
 
 var (
@@ -254,12 +270,15 @@
 
 // readBody reads an answer that is not streamed.
 func (s *Stream) readBody() (Event, error) {
-	body, err := readLimited(s.x, maxBodyBytes+1)
-	if err != nil {
-		return Event{}, s.failRead(err)
-	}
-	if len(body) > maxBodyBytes {
+	body, err := s.memory.readAll(s.x, s.x.Length, maxBodyBytes)
+	var full *overload.FullError
+	switch {
+	case errors.Is(err, overload.ErrTooLarge):
 		return Event{}, s.fail(KindBroken, errTooLong)
+	case errors.As(err, &full):
+		return Event{}, s.fail(KindBroken, fmt.Errorf("body of the answer: %w", err))
+	case err != nil:
+		return Event{}, s.failRead(err)
 	}
 	if !json.Valid(body) {
 		return Event{}, s.fail(KindBroken, errNotJSON)
@@ -269,9 +288,4 @@
 	return Event{Data: body, Last: true}, nil
 }
 
-// readLimited reads up to limit bytes.
-func readLimited(r io.Reader, limit int64) ([]byte, error) {
-	return io.ReadAll(io.LimitReader(r, limit))
-}
-
 func asAttempt(err error, target **attempt.Error) bool { return errors.As(err, target) }
--- a/gateway/buffers.go
+++ b/gateway/buffers.go
@@ -15,14 +15,10 @@
 	// ownBytes is the size up to which an answer is usual, so that it is read however long it
 	// takes.
 	ownBytes = 64 << 10
-	// maxAnswerShare is the share of the memory for callers that one answer may take, as a divisor.
-	maxAnswerShare = 16
 )
 
 // maxAnswer returns the greatest size of an answer that is buffered.
-func maxAnswer(a *overload.Account) int64 {
-	return max(min(maxBufferedBytes, a.Limit()/maxAnswerShare), ownBytes)
-}
+func maxAnswer(a *overload.Account) int64 { return a.MaxAnswer(maxBufferedBytes) }
 
 // readAnswer reads an answer to its end into memory of the request. It fails with errAnswerTooLong if
 // the answer, or all that callers hold, exceeds its bound. length is the announced length, or -1.
--- a/overload/account.go
+++ b/overload/account.go
@@ -27,6 +27,8 @@
 	// evictionTime is the longest time that a holder waits until those that lost their places have
 	// returned their memory.
 	evictionTime = 250 * time.Millisecond
+	// answerShare is the share of the account that one answer may take, as a divisor.
+	answerShare = 16
 	// unlimitedBytes is the limit of an account if the memory of the process is not known.
 	unlimitedBytes = math.MaxInt64 / 2
 )
@@ -97,6 +99,10 @@
 // Limit returns the size of the account in bytes.
 func (a *Account) Limit() int64 { return a.limit }
 
+// MaxAnswer returns the size in bytes of the largest answer of a backend server that is kept in memory
+// until it is complete, where most is the size that suits the kind of answer.
+func (a *Account) MaxAnswer(most int64) int64 { return max(min(most, a.limit/answerShare), smallBytes) }
+
 // Holder is a part of an account that belongs to one connection, body or answer. Its methods may be
 // called concurrently.
 type Holder struct {
--- a/overload/body.go
+++ b/overload/body.go
@@ -32,13 +32,16 @@
 // ReadAnswer is ReadBody for the answer of a backend server. A small answer is kept even if the
 // account is full, as the request has run.
 func ReadAnswer(r io.Reader, h *Holder, length, limit int64) ([]byte, error) {
-	return readAll(r, h, length, limit, func(bytes int64) error {
-		if bytes <= smallBytes {
-			h.Charge(bytes)
-			return nil
-		}
-		return h.Reserve(bytes)
-	})
+	return readAll(r, h, length, limit, h.reserveAnswer)
+}
+
+// reserveAnswer takes the memory of a buffer for an answer. A small buffer always finds memory.
+func (h *Holder) reserveAnswer(bytes int64) error {
+	if bytes <= smallBytes {
+		h.Charge(bytes)
+		return nil
+	}
+	return h.Reserve(bytes)
 }
 
 // readAll reads up to the end. It takes the memory of its buffers by reserve.
--- a/overload/request.go
+++ b/overload/request.go
@@ -19,8 +19,8 @@
 // progress has lost its memory.
 const RefusalRetryAfter = stallTime
 
-// Request is the memory of one request: its body and, with HTTP/2, its head. Its methods must be
-// called by the request's handler.
+// Request is the memory of one request: its body and, with HTTP/2, its head, and the answers to it. Its
+// methods must be called by the request's handler unless they say otherwise.
 type Request struct {
 	http    *http.Request
 	control *http.ResponseController
@@ -89,6 +89,17 @@
 	return c != nil && c.listener.crowded()
 }
 
+// MaxAnswer is that of the account.
+func (q *Request) MaxAnswer(most int64) int64 { return q.holder.account.MaxAnswer(most) }
+
+// ReserveAnswer takes memory for a part of the answer of a backend server, which is there for a small
+// part even if the account is full. The error is a *FullError. Like ReadAnswer and Release, it may be
+// called concurrently.
+func (q *Request) ReserveAnswer(bytes int64) error { return q.holder.reserveAnswer(bytes) }
+
+// Release returns memory of an answer before the request ends.
+func (q *Request) Release(bytes int64) { q.holder.Release(bytes) }
+
 // ReadAnswer reads the answer of a backend server, of at most limit bytes. length is its announced
 // length, or -1. Errors are those of the function ReadAnswer.
 func (q *Request) ReadAnswer(r io.Reader, length, limit int64) ([]byte, error) {
--- a/plainservice/plainservice.go
+++ b/plainservice/plainservice.go
@@ -6,13 +6,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/attempt"
 	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/overload"
 )
 
 // HeaderNotRun is the header that a service sets to "true" if it refuses a call without running
@@ -73,6 +73,9 @@
 	Idempotent bool
 	// ProgressTimeout limits the time without data from the service. Zero means no limit.
 	ProgressTimeout time.Duration
+	// Memory is that of the caller's request, which the answer is part of. Nil means that the memory
+	// is not bounded.
+	Memory *overload.Request
 }
 
 // Response is a complete answer.
@@ -94,7 +97,8 @@
 	return &Client{transport: transport}
 }
 
-// MaxBodyBytes is the maximum size of the body of an answer.
+// MaxBodyBytes is the maximum size of the body of an answer. It is less if the memory for answers is
+// small.
 const MaxBodyBytes = 16 << 20
 
 var (
@@ -116,12 +120,15 @@
 		return nil, translate(err, 0)
 	}
 	defer x.Close()
-	body, err := io.ReadAll(io.LimitReader(x, MaxBodyBytes+1))
-	if err != nil {
-		return nil, translate(err, x.Status)
-	}
-	if len(body) > MaxBodyBytes {
+	body, err := readBody(x, call.Memory)
+	var full *overload.FullError
+	switch {
+	case errors.Is(err, overload.ErrTooLarge):
 		return nil, &Error{Kind: KindBroken, Ran: failure.RanYes, Status: x.Status, cause: errTooLong}
+	case errors.As(err, &full):
+		return nil, &Error{Kind: KindBroken, Ran: failure.RanYes, Status: x.Status, cause: err}
+	case err != nil:
+		return nil, translate(err, x.Status)
 	}
 	if x.Status >= http.StatusBadRequest && x.Header.Get(HeaderNotRun) == "true" {
 		return nil, &Error{Kind: KindRefused, Ran: failure.RanNo, Status: x.Status, RetryAfter: retryAfter(x), cause: errNotRun}
@@ -129,6 +136,14 @@
 	return &Response{Status: x.Status, Header: endToEnd(x.Header), Body: body, RetryAfter: retryAfter(x)}, nil
 }
 
+// readBody reads the body of an answer into memory.
+func readBody(x *attempt.Exchange, memory *overload.Request) ([]byte, error) {
+	if memory == nil {
+		return overload.ReadAnswer(x, overload.NewAccount(0).Open(nil), x.Length, MaxBodyBytes)
+	}
+	return memory.ReadAnswer(x, x.Length, memory.MaxAnswer(MaxBodyBytes))
+}
+
 // retryAfter returns the time for which the instance asks for no calls. Other statuses use the
 // header for the time until a result is ready or a page has moved.
 func retryAfter(x *attempt.Exchange) time.Duration {
--- a/router/launch.go
+++ b/router/launch.go
@@ -192,6 +192,7 @@
 		Body:            l.body,
 		Stream:          l.call.chat.stream,
 		ProgressTimeout: l.progressTimeout(d),
+		Memory:          l.call.memory,
 	})
 	if err != nil {
 		return asEngineError(err)
--- a/router/service.go
+++ b/router/service.go
@@ -180,7 +180,7 @@
 	response, err := r.ServiceClient.Call(ctx, plainservice.Call{
 		Address: i.GetAddress(), Method: req.Method, Path: servicePath(req),
 		Header: header, Body: c.body, Idempotent: c.idempotent(),
-		ProgressTimeout: c.kind.GetProgressTimeout().AsDuration(),
+		ProgressTimeout: c.kind.GetProgressTimeout().AsDuration(), Memory: c.memory,
 	})
 	breaker := r.Breakers.Target(i.GetAddress())
 	if err == nil {
