ledger, router: a claimed answer is recorded only as far as it can be stored

Cause: the whole answer was collected for the claim's outcome, of which the ledger stores bodies of at most 4 KiB. The digest of the whole body is computed as it goes by, and the bytes are dropped once they are more than can be stored. The size was a setting that nobody set; it is a constant of the ledger now.

TestOutcomeOfALongBodyHoldsItsDigestOnly checks digest and bytes.

--- a/e2e/unrulyanswers_test.go
+++ b/e2e/unrulyanswers_test.go
@@ -110,6 +110,11 @@
 	startEndlessChat(t, true).withstandsEngines(standin.Faults{Endless: standin.EndlessEvent}, demo.Chat{Key: key, Stream: true})
 }
 
+// TestUnrulyEngineEndlessEvents guards against a record of a claimed answer that grows with the answer.
+func TestUnrulyEngineEndlessEvents(t *testing.T) {
+	startEndlessChat(t, true).withstandsEngines(standin.Faults{Endless: standin.EndlessEvents}, demo.Chat{Key: key, Stream: true, Kind: "tag"})
+}
+
 // TestUnrulyServiceEndlessBodies guards against answers of plain services that are read outside of the
 // account of memory.
 func TestUnrulyServiceEndlessBodies(t *testing.T) {
--- a/ledger/claim.go
+++ b/ledger/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"errors"
+	"hash"
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/failure"
@@ -100,7 +101,7 @@
 	ContentType string
 	BodySHA256  [32]byte
 	// Body is the response body. It is stored only if BodyKept is true, its
-	// size is at most Config.AnswerBytes and the buffer has room.
+	// size is at most MaxAnswerBytes and the buffer has room.
 	Body     []byte
 	BodyKept bool
 	// Version is the model version or plain service that answered.
@@ -109,14 +110,39 @@
 
 // NewOutcome returns the outcome for a response body.
 func NewOutcome(status int, contentType, version string, body []byte) *Outcome {
-	return &Outcome{
-		Status:      status,
-		ContentType: contentType,
-		Version:     version,
-		BodySHA256:  sha256.Sum256(body),
-		Body:        body,
-		BodyKept:    true,
+	var whole Body
+	whole.Write(body)
+	return whole.Outcome(status, contentType, version)
+}
+
+// Body collects a response body for its Outcome. It keeps the bytes only as long as there are no more
+// than can be stored. The zero value is an empty body.
+type Body struct {
+	digest  hash.Hash
+	kept    []byte
+	tooLong bool
+}
+
+// Write appends to the body.
+func (b *Body) Write(data []byte) {
+	if b.digest == nil {
+		b.digest = sha256.New()
+	}
+	b.digest.Write(data)
+	if b.tooLong = b.tooLong || len(b.kept)+len(data) > MaxAnswerBytes; b.tooLong {
+		b.kept = nil
+		return
 	}
+	b.kept = append(b.kept, data...)
+}
+
+// Outcome returns the outcome for the body.
+func (b *Body) Outcome(status int, contentType, version string) *Outcome {
+	o := &Outcome{Status: status, ContentType: contentType, Version: version, BodySHA256: sha256.Sum256(nil), Body: b.kept, BodyKept: !b.tooLong}
+	if b.digest != nil {
+		b.digest.Sum(o.BodySHA256[:0])
+	}
+	return o
 }
 
 // Claim records the claim of a non-idempotent request, or returns the state of
@@ -261,7 +287,7 @@
 		out.ContentType = o.ContentType[:min(len(o.ContentType), maxContentType)]
 		out.BodySha256 = o.BodySHA256[:]
 		out.Version = o.Version
-		if o.BodyKept && len(o.Body) <= l.cfg.AnswerBytes && l.outbox.hasRoomForBodies() {
+		if o.BodyKept && len(o.Body) <= MaxAnswerBytes && l.outbox.hasRoomForBodies() {
 			out.Body, out.BodyKept = o.Body, true
 		}
 	}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -91,10 +91,11 @@
 	// and, separately, the copies held for other daemons.
 	BufferRecords int
 	BufferBytes   int
-	// AnswerBytes is the largest response body that is stored with an outcome.
-	AnswerBytes int
 }
 
+// MaxAnswerBytes is the size of the largest response body that is stored with an outcome.
+const MaxAnswerBytes = 4 << 10
+
 // Defaults of Config.
 const (
 	DefaultFleetWrites     = 250
@@ -113,7 +114,6 @@
 	DefaultPinLimit        = 24 * time.Hour
 	DefaultBillRetention   = 6 * time.Hour
 	DefaultBillArchive     = 35 * 24 * time.Hour
-	DefaultAnswerBytes     = 4 << 10
 )
 
 // ErrConfig reports an invalid Config.
@@ -186,7 +186,6 @@
 	setDefault(&c.Retention.PinLimit, DefaultPinLimit)
 	setDefault(&c.Retention.Bills, DefaultBillRetention)
 	setDefault(&c.BillArchive, DefaultBillArchive)
-	setDefault(&c.AnswerBytes, DefaultAnswerBytes)
 	setDefault(&c.BillPatience, DefaultBillPatience)
 	setDefault(&c.BufferRecords, DefaultBufferRecords)
 	setDefault(&c.BufferBytes, DefaultBufferBytes)
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"strings"
 	"sync"
 	"testing"
@@ -230,3 +231,24 @@
 }
 
 func oneShard(c *Config) { c.Shards = 1 }
+
+// TestOutcomeOfALongBodyHoldsItsDigestOnly guards against an answer without end that is kept for its
+// outcome.
+func TestOutcomeOfALongBodyHoldsItsDigestOnly(t *testing.T) {
+	c := qt.New(t)
+	part := []byte(strings.Repeat("x", 100))
+	var body Body
+	var all []byte
+	for len(all) <= MaxAnswerBytes {
+		o := body.Outcome(200, "text/plain", "v1")
+		c.Check(o.BodyKept, qt.IsTrue)
+		c.Check(string(o.Body), qt.Equals, string(all))
+		c.Check(o.BodySHA256, qt.Equals, sha256.Sum256(all))
+		body.Write(part)
+		all = append(all, part...)
+	}
+	o := body.Outcome(200, "text/plain", "v1")
+	c.Check(o.BodyKept, qt.IsFalse)
+	c.Check(o.Body, qt.IsNil)
+	c.Check(o.BodySHA256, qt.Equals, sha256.Sum256(all))
+}
--- a/router/answerchat.go
+++ b/router/answerchat.go
@@ -102,9 +102,8 @@
 	settlement *settlement
 	// events counts the events that carry content.
 	events int64
-	// recorded is a copy of the answer of a claimed request, for its outcome in
-	// the ledger.
-	recorded []byte
+	// recorded is the answer of a claimed request, for its outcome in the ledger.
+	recorded ledger.Body
 }
 
 // run forwards all events. The error is an *engine.Error, a *writeError or a
@@ -163,7 +162,7 @@
 	}
 	var outcome *ledger.Outcome
 	if rl.settlement.claim.held {
-		outcome = ledger.NewOutcome(http.StatusOK, contentType, rl.attempt.version, rl.recorded)
+		outcome = rl.recorded.Outcome(http.StatusOK, contentType, rl.attempt.version)
 	}
 	rl.settlement.addUsage(rl.attempt.version, usage)
 	if f := rl.settlement.settle(outcome); f != nil {
@@ -196,10 +195,10 @@
 	rl.router.metrics.firstByte.WithLabelValues(rl.call.kind.GetName()).Observe(rl.answer.firstByte.Seconds())
 }
 
-// record copies an event if the request is claimed.
+// record adds an event to the recorded answer if the request is claimed.
 func (rl *relay) record(data []byte) {
 	if rl.settlement.claim.held {
-		rl.recorded = append(rl.recorded, data...)
+		rl.recorded.Write(data)
 	}
 }
 
