router: an answer that is held for its check is in the account of memory

Cause: the buffer was bounded by the bytes of its events, two each here, and each takes some 30 more; and it had no part in the account. An event counts with its overhead now, and the buffer belongs to the memory of the caller's request.

The small deployment of the tests has a kind with a check for it.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -183,6 +183,7 @@
 kinds:
   - {name: default, quality_target: 0.5, idempotent: true, deadline: 30s, progress_timeout: 2s, expected_completion_tokens: 32}
   - {name: report, quality_target: 0.85, idempotent: true, deadline: 30s, progress_timeout: 2s, expected_completion_tokens: 32}
+  - {name: checked, quality_target: 0.75, idempotent: true, cascade: true, deadline: 8s, progress_timeout: 2s, expected_completion_tokens: 32}
   - {name: tag, quality_target: 0.5, idempotent: false, deadline: 6s, progress_timeout: 2s, expected_completion_tokens: 8}
 `
 
--- a/e2e/unrulyanswers_test.go
+++ b/e2e/unrulyanswers_test.go
@@ -115,6 +115,11 @@
 	startEndlessChat(t, true).withstandsEngines(standin.Faults{Endless: standin.EndlessEvents}, demo.Chat{Key: key, Stream: true, Kind: "tag"})
 }
 
+// TestUnrulyEngineBlankLines guards against tiny events that are kept at many times their size.
+func TestUnrulyEngineBlankLines(t *testing.T) {
+	startEndlessChat(t, true).withstandsEngines(standin.Faults{Endless: standin.EndlessBlankLines}, demo.Chat{Key: key, Stream: true, Kind: "checked"})
+}
+
 // TestUnrulyEngineEndlessReports guards against load reports that are read outside of a bound.
 func TestUnrulyEngineEndlessReports(t *testing.T) {
 	startEndlessChat(t, true).withstandsEngines(standin.Faults{EndlessReports: true}, demo.Chat{Key: key})
--- a/router/cascade.go
+++ b/router/cascade.go
@@ -4,19 +4,25 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"strings"
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/cascade"
 	"github.com/bronzeturn/bronzeturn/engine"
 	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/overload"
 	"github.com/bronzeturn/bronzeturn/quality"
 	"github.com/bronzeturn/bronzeturn/selection"
 )
 
-// maxBufferedBytes bounds the size of a cheap answer that is buffered for its
-// check.
-const maxBufferedBytes = 1 << 20
+const (
+	// maxBufferedBytes bounds the size of a cheap answer that is buffered for its
+	// check, less if memory is short.
+	maxBufferedBytes = 2 << 20
+	// eventOverhead is the size of a buffered event beside its bytes.
+	eventOverhead = 64
+)
 
 // checker checks cheap answers.
 var checker = cascade.BasicChecker{}
@@ -29,7 +35,7 @@
 	if f != nil {
 		return f
 	}
-	buffered, err := bufferAnswer(cheap)
+	buffered, err := bufferAnswer(cheap, c.memory)
 	if err != nil {
 		cheap.close()
 		return r.failBuffered(ctx, cheap, buffered, s, err)
@@ -102,24 +108,31 @@
 	return brokenAnswerFailure(ctx, e)
 }
 
+// errAnswerTooLong reports a cheap answer that is too large to be buffered.
+var errAnswerTooLong = errors.New("the answer is too large to be checked")
+
 // bufferedAnswer is a complete answer in memory.
 type bufferedAnswer struct {
-	data   [][]byte
-	size   int
+	data [][]byte
+	// size is that of the events with their overhead, in bytes.
+	size   int64
 	events int64
 	usage  engine.Usage
 }
 
-// bufferAnswer reads a complete answer into memory.
-func bufferAnswer(t *attempt) (*bufferedAnswer, error) {
-	buffered := &bufferedAnswer{}
+// bufferAnswer reads a complete answer into the memory of its request.
+func bufferAnswer(t *attempt, memory *overload.Request) (*bufferedAnswer, error) {
+	buffered, limit := &bufferedAnswer{}, memory.MaxAnswer(maxBufferedBytes)
 	event := t.first
 	for {
-		buffered.data = append(buffered.data, bytes.Clone(event.Data))
-		buffered.size += len(event.Data)
-		if buffered.size > maxBufferedBytes {
-			return buffered, &engine.Error{Kind: engine.KindFailed, Ran: failure.RanYes}
+		size := int64(len(event.Data) + eventOverhead)
+		if buffered.size += size; buffered.size > limit {
+			return buffered, engine.NewError(engine.KindFailed, failure.RanYes, errAnswerTooLong)
 		}
+		if err := memory.ReserveAnswer(size); err != nil {
+			return buffered, engine.NewError(engine.KindFailed, failure.RanYes, err)
+		}
+		buffered.data = append(buffered.data, bytes.Clone(event.Data))
 		if event.Last {
 			break
 		}
