entry, gateway: a stop takes only what will end in it, and answers the rest

What callers saw: in a planned stop in calm, requests that came late in the grace period were passed on and cut at its end with no answer, among them requests that must not be repeated (LOST).

Cause: requests with whole answers were admitted for 0.8 of the period whatever they take, streams for 0.35; and what still ran 0.7 s before the end was cut, without a word. With a period below 4.2 s that is before the last sixth of it, in which alone engines may still be at work. The short requests lost theirs in the gap between the last request in progress and the end of the HTTP servers.

Now a request is admitted as long as its deadline, or the slowest of the recent answers on its route, lies before the end; otherwise it is refused as not run, at once, and other daemons serve it. So short ones are served until shortly before the end, and a stream that would be cut is refused from the signal on. What runs at the end is ended there, and each request gets a whole answer: 502 if it may have run, 503 if not. That holds for those that wait for an engine or whose body has not come.

Ruled out: a second SIGTERM (it is ignored), SIGHUP and changes meanwhile.

A route that this daemon has not served yet has no known time; such a request is refused unless its deadline fits. Connections that are forwarded for other daemons are closed at the end as before, and the daemon that holds the request answers it.

TestStoppingDaemonRefusesStreamsFirst tested the two stages that are gone; TestStoppingDaemonServesWhatEndsInTime replaces it: all kinds are served as long as they end in time, with Connection: close, and refused as not run afterwards.

--- a/e2e/entry_test.go
+++ b/e2e/entry_test.go
@@ -126,6 +126,18 @@
 // sendBody sends a request with a body to a daemon on a new connection. Headers are pairs of
 // name and value.
 func (f *entryFleet) sendBody(daemon int, method, target, body string, headers ...string) entryReply {
+	req, id := f.newRequest(daemon, method, target, body, headers...)
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return entryReply{id: id, err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return entryReply{id: id, body: string(data), status: resp.StatusCode, err: err}
+}
+
+// newRequest returns a request to a daemon that closes its connection, and its id.
+func (f *entryFleet) newRequest(daemon int, method, target, body string, headers ...string) (*http.Request, string) {
 	f.mu.Lock()
 	f.next++
 	id := fmt.Sprintf("e-%d", f.next)
@@ -138,13 +150,7 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		req.Header.Set(headers[i], headers[i+1])
 	}
-	resp, err := http.DefaultTransport.RoundTrip(req)
-	if err != nil {
-		return entryReply{id: id, err: err}
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	return entryReply{id: id, body: string(data), status: resp.StatusCode, err: err}
+	return req, id
 }
 
 // postStream sends a request for a stream.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -180,12 +180,16 @@
 	// daemon runs.
 	current atomic.Pointer[Settings]
 	leaving atomic.Bool
-	seed    uint64
+	// requests is the context of all requests of callers, abort ends it.
+	requests context.Context
+	abort    context.CancelCauseFunc
+	seed     uint64
 }
 
 // New creates a daemon and opens its listeners. Requests are served only after Run is called.
 func New(o Options) (*Daemon, error) {
 	d := &Daemon{Options: o, registry: prometheus.NewRegistry(), seed: process.Seed(), started: time.Now(), occupancyStore: occupancy.NewStore()}
+	d.requests, d.abort = context.WithCancelCause(context.Background())
 	backoff.SetPhase(time.Duration(rand.New(rand.NewPCG(d.seed, randTickPhase)).Int64N(int64(time.Second))))
 	d.Store = newCountedStore(o.Store, d.registry)
 	if d.DialEngine == nil {
@@ -302,44 +306,3 @@
 func (d *Daemon) goLoop(name string, f func(ctx context.Context) error) {
 	process.Go(&d.tomb, name, f)
 }
-
-// Phases of the grace period of a stop.
-const (
-	// streamAdmissionShare is the fraction of the grace period in which requests for streams are
-	// still admitted. The platform tolerates streams that are cut at the end of the period only
-	// if they began early in it.
-	streamAdmissionShare = 0.35
-	// admissionShare is the fraction in which requests for unary answers are still admitted.
-	admissionShare = 0.8
-	// stopMargin is the time reserved at the end of the grace period.
-	stopMargin = 700 * time.Millisecond
-)
-
-// stop shuts the daemon down gracefully.
-func (d *Daemon) stop() error {
-	began := time.Now()
-	d.leaving.Store(true)
-	d.log.Info().Int("in_progress", d.gateway.InProgress()).Msg("daemon leaves")
-	d.fleet.leave()
-	d.gateway.DisableKeepAlives()
-	d.relay.Server().StopAdmitting()
-	grace := d.current.Load().StopGrace
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-stopMargin))
-	defer cancel()
-	time.Sleep(time.Duration(streamAdmissionShare * float64(grace)))
-	d.gateway.StopStreams()
-	time.Sleep(time.Duration((admissionShare - streamAdmissionShare) * float64(grace)))
-	d.gateway.StopAdmitting()
-	if err := d.gateway.Drain(ctx); err != nil {
-		d.log.Error().Err(err).Int("in_progress", d.gateway.InProgress()).Msg("requests in progress aborted at the end of the grace period")
-	}
-	if err := d.relay.Server().Drain(ctx); err != nil {
-		d.log.Error().Err(err).Int("connections", d.relay.Server().Forwarding()).Msg("connections of other daemons closed at the end of the grace period")
-	}
-	d.servers.stop()
-	d.tomb.Kill(nil)
-	d.fleet.stop()
-	err := d.tomb.Wait()
-	d.log.Info().Dur("took_ms", time.Since(began)).Msg("daemon stopped")
-	return err
-}
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -122,7 +122,7 @@
 // server is a listener with its HTTP server.
 type server struct {
 	name     string
-	listener net.Listener
+	listener *overload.Listener
 	http     *http.Server
 }
 
@@ -173,6 +173,7 @@
 	}
 	guarded := d.clients.Listen(l, options)
 	server := &server{name: name, listener: guarded, http: d.httpServer(name, handler)}
+	server.http.BaseContext = func(net.Listener) context.Context { return d.requests }
 	guarded.Attach(server.http)
 	s.all = append(s.all, server)
 	return nil
@@ -233,6 +234,13 @@
 	}
 }
 
+// stopReading ends the reading of the requests' bodies.
+func (s *servers) stopReading() {
+	for _, srv := range s.all {
+		srv.listener.StopReading()
+	}
+}
+
 // stop closes the listeners. It is called when no requests are in progress.
 func (s *servers) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -28,6 +28,8 @@
 	w       *writer
 	codec   Codec
 	request *request
+	// closes reports whether the caller is asked to close its connection. Nil means no.
+	closes func() bool
 	// status is zero until the header is sent.
 	status int
 	// broken is set if the answer ended before its body was complete.
@@ -49,10 +51,18 @@
 // begin sends the header of an engine's answer.
 func (a *answer) begin(status int, from http.Header) {
 	copyAnswerHeaders(a.w.Header(), from)
+	a.askToClose()
 	a.status = status
 	a.w.WriteHeader(status)
 }
 
+// askToClose asks the caller to close its connection, if it is to.
+func (a *answer) askToClose() {
+	if a.closes != nil && a.closes() {
+		a.w.Header().Set("Connection", "close")
+	}
+}
+
 // write sends a part of the body.
 func (a *answer) write(data []byte) *failure.Error {
 	if _, err := a.w.Write(data); err != nil {
@@ -72,6 +82,7 @@
 	if !a.request.bodyRead {
 		a.request.memory.Refuse(a.w)
 	}
+	a.askToClose()
 	a.codec.Refuse(a.w.Header(), a.request.meta.ID, f.RetryAfter)
 	a.status = statusOf(f)
 	a.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -195,6 +195,7 @@
 	mismatches    *mismatches
 	retries       *retrySchedule
 	runTimes      *runTimes
+	answerTimes   *answerTimes
 	rngs          sync.Pool
 	seeds         atomic.Uint64
 	gate          gate
@@ -202,7 +203,7 @@
 
 // New returns a Gateway.
 func New(o Options) *Gateway {
-	g := &Gateway{Options: o, metrics: newMetrics(o.Registerer), budgets: newBudgets(o.Budget, o.Daemons), paceBaselines: newPaceBaselines(), answerLengths: newAnswerLengths(), prefixLoads: newPrefixLoads(), mismatches: newMismatches(), retries: newRetrySchedule(), runTimes: newRunTimes()}
+	g := &Gateway{Options: o, metrics: newMetrics(o.Registerer), budgets: newBudgets(o.Budget, o.Daemons), paceBaselines: newPaceBaselines(), answerLengths: newAnswerLengths(), prefixLoads: newPrefixLoads(), mismatches: newMismatches(), retries: newRetrySchedule(), runTimes: newRunTimes(), answerTimes: newAnswerTimes()}
 	if g.Memory == nil {
 		g.Memory = overload.NewAccount(0)
 	}
@@ -223,60 +224,21 @@
 	f(rng)
 }
 
-// DisableKeepAlives makes each further answer ask the caller to close its connection.
-func (g *Gateway) DisableKeepAlives() { g.gate.noKeepAlive.Store(true) }
-
-// StopStreams makes the gateway refuse new streams, which may outlast the rest of the
-// shutdown grace period. Requests with buffered answers are still accepted.
-func (g *Gateway) StopStreams() { g.gate.noStreams.Store(true) }
-
-// StopAdmitting makes the gateway refuse all new requests.
-func (g *Gateway) StopAdmitting() { g.gate.closed.Store(true) }
-
-// InProgress returns the number of requests in progress.
-func (g *Gateway) InProgress() int { return int(g.gate.active.Load()) }
-
-// Drain waits until no request is in progress, or ctx ends.
-func (g *Gateway) Drain(ctx context.Context) error {
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
-	for g.InProgress() > 0 {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
-	return nil
-}
-
-// drainPoll is the interval at which Drain checks for requests in progress.
-const drainPoll = 20 * time.Millisecond
-
-// gate counts the requests in progress and holds the stages of a shutdown.
-type gate struct {
-	active atomic.Int64
-	// noKeepAlive makes answers ask callers to close their connections.
-	noKeepAlive atomic.Bool
-	// noStreams refuses new streams, closed all new requests.
-	noStreams atomic.Bool
-	closed    atomic.Bool
-}
-
 var _ http.Handler = (*Gateway)(nil)
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.gate.active.Add(1)
 	defer g.gate.active.Add(-1)
-	if g.gate.noKeepAlive.Load() || overload.Crowded(r.Context()) {
-		w.Header().Set("Connection", "close")
-	}
 	started := time.Now()
 	q := &request{http: r, meta: g.Codec.Meta(r.Header), received: started, memory: g.Memory.OpenRequest(w, r)}
 	defer q.memory.Close()
 	a := newAnswer(w, g.Codec, q)
+	a.closes = func() bool { return g.stopping() || overload.Crowded(r.Context()) }
 	g.serve(q, a)
+	if a.failure == nil {
+		g.answerTimes.observe(q.route.Name, q.elapsed())
+	}
 	g.record(q, a)
 	if a.broken {
 		// Part of the answer has been sent; only an aborted connection tells the caller
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -26,9 +27,6 @@
 	// outageRetryAfter is the Retry-After while the configuration store does not answer.
 	// Outages last seconds, and callers retry only once or twice.
 	outageRetryAfter = 3 * time.Second
-	// stoppingRetryAfter is the Retry-After of a daemon that is stopping. It is short
-	// because other daemons accept the request at once.
-	stoppingRetryAfter = 10 * time.Millisecond
 )
 
 // request is a request of a caller and the state derived from it.
@@ -99,9 +97,6 @@
 // prepare validates and authenticates a request, reads its body and picks its service.
 func (g *Gateway) prepare(q *request) *failure.Error {
 	q.deadline = q.received.Add(defaultTimeout)
-	if g.gate.closed.Load() {
-		return failure.New(failure.CodeDaemonLeaving, failure.RanNo, "the daemon is stopping").WithRetryAfter(stoppingRetryAfter)
-	}
 	q.tables = g.Tables()
 	if q.tables == nil || q.tables.Routes == nil {
 		return failure.New(failure.CodeNoConfiguration, failure.RanNo, "no configuration yet").WithRetryAfter(g.unreadyRetryAfter())
@@ -112,13 +107,16 @@
 	if f := g.authenticate(q); f != nil {
 		return f
 	}
-	if q.route.Kind == route.Stream && g.gate.noStreams.Load() {
-		return failure.New(failure.CodeDaemonLeaving, failure.RanNo, "the daemon is stopping").WithRetryAfter(stoppingRetryAfter)
-	}
 	q.setDeadline()
+	if f := g.refuseLate(q); f != nil {
+		return f
+	}
 	if f := q.readBody(); f != nil {
 		return f
 	}
+	if f := g.refuseLate(q); f != nil {
+		return f // Its body took a while.
+	}
 	q.setAffinity()
 	g.chooseService(q)
 	return nil
@@ -211,6 +209,8 @@
 		return tooLarge
 	case errors.As(err, &full):
 		return failure.Wrap(err, failure.CodeOverloaded, failure.RanNo, "%v", full).WithRetryAfter(overload.RefusalRetryAfter)
+	case err != nil && errors.Is(context.Cause(q.http.Context()), ErrStopping):
+		return stoppingFailure(failure.RanNo)
 	case errors.Is(err, overload.ErrStalled), errors.Is(err, os.ErrDeadlineExceeded):
 		return failure.Wrap(err, failure.CodeBodyTimeout, failure.RanNo, "the body did not come in time")
 	case err != nil:
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -162,6 +162,8 @@
 		return nil
 	case ctx.Err() == nil || errors.Is(context.Cause(ctx), errDeadline):
 		return failure.New(failure.CodeDeadlinePassed, t.ran, "the deadline passed before an answer came")
+	case errors.Is(context.Cause(ctx), ErrStopping):
+		return stoppingFailure(t.ran)
 	default:
 		return failure.New(failure.CodeCanceled, t.ran, "the caller went away")
 	}
--- a/overload/listener.go
+++ b/overload/listener.go
@@ -129,6 +129,19 @@
 	return stalled
 }
 
+// StopReading ends the reading of all requests' bodies that have not come whole. Their handlers answer
+// them.
+func (l *Listener) StopReading() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for c := range l.conns {
+		if phase, _ := c.quiet(now); phase == phaseBody {
+			_ = c.SetReadDeadline(now)
+		}
+	}
+}
+
 // crowdedShare is the share of the maximum of connections from which on a listener is crowded.
 const crowdedShare = 0.75
 
