bronzeturnd, router: requests that run at the stop timeout are answered

What callers saw: at the chat daemon's stop timeout the answers in progress went on for the five seconds in which its servers close, after its bills had been flushed, and were then cut: a stream without the event that says so (LOST).

Cause: the end of the wait for requests in progress ended none of them. Their contexts end now with a cause of their own, each caller is told daemon_leaving and whether the request may have run, in a whole answer or in the event that ends a stream, and the records are flushed afterwards. Bodies that have not come whole are refused as not run.

Not covered: a body that has not come whole on HTTP/2 is cut with its connection.

--- a/daemon.go
+++ b/daemon.go
@@ -51,6 +51,9 @@
 
 	tables  atomic.Pointer[router.Tables]
 	leaving atomic.Bool
+	// requests is the context of all requests of callers, abort ends it.
+	requests context.Context
+	abort    context.CancelCauseFunc
 }
 
 // New returns a daemon: it opens all listeners, loads the certificates that the
@@ -58,6 +61,7 @@
 // Nothing is served before Run.
 func New(settings *bronzeturnv1.Settings, options Options) (*Daemon, error) {
 	d := &Daemon{settings: settings, options: options.withDefaults()}
+	d.requests, d.abort = context.WithCancelCause(context.Background())
 	d.log = logging.New(settings, d.options.LogWriter)
 	var err error
 	if d.listeners, err = openListeners(d); err != nil {
@@ -188,6 +192,8 @@
 	leaveAnnounceTime = 500 * time.Millisecond
 	flushTimeout      = 30 * time.Second
 	closeTimeout      = 5 * time.Second
+	// abortTimeout is how long the answers to requests may take that are ended at the stop timeout.
+	abortTimeout = time.Second
 )
 
 // stop carries out the graceful shutdown.
@@ -215,13 +221,26 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.GetStopTimeout().AsDuration())
 	defer cancel()
 	if err := d.router.Drain(ctx); err != nil {
-		d.log.Error().Err(err).Int("in_progress", d.router.InProgress()).Msg("stop timeout reached with requests in progress")
+		d.answerRemaining()
 	}
 	if err := d.relay.Server().Drain(ctx); err != nil {
 		d.log.Error().Err(err).Int("connections", d.relay.Server().Forwarding()).Msg("stop timeout reached with connections of other daemons")
 	}
 }
 
+// answerRemaining ends the requests that are still in progress, so that their callers are told whether
+// they may have run, and waits until they are answered.
+func (d *Daemon) answerRemaining() {
+	d.log.Warn().Int("in_progress", d.router.InProgress()).Msg("requests in progress are ended at the stop timeout")
+	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+	defer cancel()
+	d.abort(router.ErrStopping)
+	d.servers.callers.StopReading()
+	if err := d.router.Drain(ctx); err != nil {
+		d.log.Error().Err(err).Int("in_progress", d.router.InProgress()).Msg("requests in progress aborted after the stop timeout")
+	}
+}
+
 // flush writes the ledger records that are still in memory.
 func (d *Daemon) flush() {
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
--- a/e2e/stopping_test.go
+++ b/e2e/stopping_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -14,7 +15,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/bronzeturn/bronzeturn/demo"
 	"github.com/bronzeturn/bronzeturn/platform/emulator"
+	"github.com/bronzeturn/bronzeturn/standin"
 )
 
 const (
@@ -219,3 +222,32 @@
 		f.c.Check(f.running[i].waitExit(f.c), qt.Equals, 0)
 	}
 }
+
+// TestChatRequestsStillRunningAtTheEndOfAStopAreAnswered guards against requests that get no answer
+// because their engine takes longer than the daemon's stop timeout.
+func TestChatRequestsStillRunningAtTheEndOfAStopAreAnswered(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	d := deployWith(c, deploymentSpec{daemons: 2, engines: 2, daemonArgs: []string{"--stop-timeout", "1s"}})
+	for _, address := range d.engineAddresses {
+		setFaults(c, address, standin.Faults{RateFactor: 0.01})
+	}
+	var sending sync.WaitGroup
+	for _, chat := range []demo.Chat{
+		{Key: key, Prompt: "whole"}, {Key: key, Prompt: "stream", Stream: true}, {Key: key, Prompt: "once", Kind: "report", IdempotencyKey: "k"},
+	} {
+		sending.Go(func() {
+			r := send(chat, d.daemons[0].callers)
+			c.Check(bytes.Contains(r.Body, []byte("daemon_leaving")), qt.IsTrue, qt.Commentf("%s: %d %v %s", chat.Prompt, r.Status, r.Err, r.Body))
+			c.Check(bytes.Contains(r.Body, []byte(`"ran":"no"`)), qt.IsFalse, qt.Commentf("%s: %s", chat.Prompt, r.Body))
+			if !chat.Stream {
+				c.Check(r.Err, qt.IsNil)
+				c.Check(r.Failure().Ran, qt.Not(qt.Equals), "no")
+			}
+		})
+	}
+	eventually(c, "requests at engines", func() bool { return total(d.executions(c)) == 3 })
+	c.Assert(d.daemons[0].cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	sending.Wait()
+	c.Check(d.daemons[0].waitExit(c), qt.Equals, 0)
+}
--- a/overload/request.go
+++ b/overload/request.go
@@ -44,6 +44,9 @@
 	return q
 }
 
+// Context returns the context of the HTTP request.
+func (q *Request) Context() context.Context { return q.http.Context() }
+
 // Close returns the memory to the account.
 func (q *Request) Close() { q.holder.Close() }
 
--- a/router/request.go
+++ b/router/request.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/json"
 	"errors"
@@ -100,6 +101,8 @@
 		return nil, failure.New(failure.CodeBodyTooLarge, failure.RanNo, "the body is over %d bytes", limit)
 	case errors.As(err, &full):
 		return nil, r.overloadFailure(full)
+	case err != nil && errors.Is(context.Cause(c.memory.Context()), ErrStopping):
+		return nil, failure.Wrap(err, failure.CodeCanceled, failure.RanNo, "the body did not come before the daemon stopped")
 	case errors.Is(err, overload.ErrStalled):
 		return nil, failure.Wrap(err, failure.CodeBodyTimeout, failure.RanNo, "the body made no progress")
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/router/serve.go
+++ b/router/serve.go
@@ -52,6 +52,7 @@
 	if f == nil {
 		return nil
 	}
+	f = r.ifStopping(req.Context(), f)
 	r.logFailure(c, f)
 	a.fail(f)
 	return nil
@@ -106,6 +107,22 @@
 	return &refusal
 }
 
+// ErrStopping is the cause with which the contexts of requests end that are still in progress at the end
+// of a stop.
+var ErrStopping = errors.New("the daemon is stopping")
+
+// ifStopping returns the failure of a request that the end of a stop has ended, which says whether it may
+// have run, and other failures as they are.
+func (r *Router) ifStopping(ctx context.Context, f *failure.Error) *failure.Error {
+	switch {
+	case f.Code != failure.CodeCanceled || !errors.Is(context.Cause(ctx), ErrStopping):
+		return f
+	case f.Ran == failure.RanNo:
+		return r.leavingFailure()
+	}
+	return failure.Wrap(f, failure.CodeDaemonLeaving, f.Ran, "the daemon stopped before the answer was complete")
+}
+
 // leavingFailure returns the refusal of a daemon that is shutting down, with the
 // addresses to use instead.
 func (r *Router) leavingFailure() *failure.Error {
--- a/servers.go
+++ b/servers.go
@@ -44,6 +44,8 @@
 	operator *http.Server
 	admin    *http.Server
 	peer     *peer.Server
+	// callers is the listener of caller.
+	callers *overload.Listener
 }
 
 // newServers builds the servers.
@@ -54,7 +56,8 @@
 		operator: newHTTPServer(operatorHandler(operatorServer), serverTLS(d.tls.operator)),
 		admin:    newHTTPServer(adminHandler(d), nil),
 	}
-	d.guard(&d.listeners.caller, s.caller, overload.ListenerOptions{Name: "callers", Share: overload.CallerShare})
+	s.caller.BaseContext = func(net.Listener) context.Context { return d.requests }
+	s.callers = d.guard(&d.listeners.caller, s.caller, overload.ListenerOptions{Name: "callers", Share: overload.CallerShare})
 	operators := d.guard(&d.listeners.operator, s.operator, overload.ListenerOptions{Name: "operators", Share: overload.OperatorShare, RequestTime: requestTimeout, AnswerTime: answerTimeout})
 	s.operator.Handler = operators.BoundMessages(s.operator.Handler, operator.MaxRequestBytes)
 	d.guard(&d.listeners.admin, s.admin, overload.ListenerOptions{Name: "admin", Share: overload.MonitorShare, RequestTime: requestTimeout, AnswerTime: answerTimeout})
