overload: answers of outside systems share a bound on memory

Cause: each answer had a bound of its own, 16 or 64 MiB, each kind of entry is read for itself, and nothing knew the memory of the process. The transport to outside systems counts what is read, with its copies, until the answer is closed, against a fifth of the memory of the process; what exceeds it fails like any other broken answer and is asked for again. It is apart from the account of clients, which a crowd may fill.

--- a/cmd/bronzeturn-entry/main.go
+++ b/cmd/bronzeturn-entry/main.go
@@ -15,6 +15,7 @@
 	"github.com/bronzeturn/bronzeturn/entry"
 	"github.com/bronzeturn/bronzeturn/gateway"
 	"github.com/bronzeturn/bronzeturn/logging"
+	"github.com/bronzeturn/bronzeturn/overload"
 	"github.com/bronzeturn/bronzeturn/platform"
 )
 
@@ -84,7 +85,7 @@
 	defer log.Close()
 	d, err := entry.New(entry.Options{
 		Settings: settings.Entry, Documents: platform.Documents{}, Codec: platform.Codec{}, Models: models,
-		Store:     platform.NewStore(settings.StoreAddress, attempt.NewPooledTransport(entry.StoreDial)),
+		Store:     platform.NewStore(settings.StoreAddress, overload.BoundAnswers(attempt.NewPooledTransport(entry.StoreDial), settings.Entry.MemoryBytes)),
 		LogWriter: log,
 	})
 	if err != nil {
--- a/e2e/unrulyanswers_test.go
+++ b/e2e/unrulyanswers_test.go
@@ -167,3 +167,32 @@
 		}
 	})
 }
+
+// TestUnrulyStoreEndlessAnswers guards against answers of the store that are read outside of a bound
+// which knows the memory of the process.
+func TestUnrulyStoreEndlessAnswers(t *testing.T) {
+	u, f := startUnrulyFleet(t, 2)
+	u.withstandsAll(func() func() {
+		f.store.SetFaults(emulator.StoreFaults{Endless: true})
+		time.Sleep(2 * answersFor)
+		return func() { f.store.SetFaults(emulator.StoreFaults{}) }
+	})
+}
+
+// TestUnrulyOutsideEndlessAnswers is that test for the store, the host list and the rating service of the
+// chat edge.
+func TestUnrulyOutsideEndlessAnswers(t *testing.T) {
+	e := startEndlessChat(t, false)
+	outside := []string{e.deployment.store, e.deployment.hosts, e.deployment.rating}
+	e.withstandsAll(func() func() {
+		for _, address := range outside {
+			setFaults(e.c, address, standin.Faults{EndlessReports: true, Endless: standin.EndlessBody})
+		}
+		time.Sleep(2 * answersFor)
+		return func() {
+			for _, address := range outside {
+				setFaults(e.c, address, standin.Faults{})
+			}
+		}
+	})
+}
--- a/platform.go
+++ b/platform.go
@@ -10,6 +10,7 @@
 	"github.com/bronzeturn/bronzeturn/hostlist"
 	"github.com/bronzeturn/bronzeturn/membership"
 	"github.com/bronzeturn/bronzeturn/objectstore/httpstore"
+	"github.com/bronzeturn/bronzeturn/overload"
 	"github.com/bronzeturn/bronzeturn/plainservice"
 	"github.com/bronzeturn/bronzeturn/rating"
 	"github.com/bronzeturn/bronzeturn/weightstore"
@@ -43,7 +44,7 @@
 // of others.
 func newPlatform(d *Daemon) *platform {
 	transport := attempt.NewTransports(newTransport(d.dialBackend))
-	client := &http.Client{Transport: newTransport(d.options.Dial)}
+	client := &http.Client{Transport: overload.BoundAnswers(newTransport(d.options.Dial), memoryBytes(d.settings.GetMemoryBytes()))}
 	p := &platform{
 		store:    httpstore.New(d.settings.GetStoreUrl(), client),
 		hosts:    hostlist.New(d.settings.GetHostListUrl(), client),
