platform: a list of daemons that can't be read is replaced

What callers saw: with an odd value in the object in which daemons register, such as a number or one nested deeper than 10,000, daemons that know no others did not find each other: each served alone, with a full share of what the fleet may do, and the directory named one address.

Cause: the bootstrap replaces a list that it can't decode, but the store's client took the value for an answer that did not come, and asked again for ever.

TestOddEntriesDoNotHideOthers has the kind of the configuration too.

--- a/e2e/oddentries_test.go
+++ b/e2e/oddentries_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -14,7 +15,7 @@
 // TestOddEntriesDoNotHideOthers guards against one entry among those of the store that can't be read and
 // keeps daemons from following the others, or from starting.
 func TestOddEntriesDoNotHideOthers(t *testing.T) {
-	for _, kind := range []string{"servers", "rollouts", "evacuations", "quarantine"} {
+	for _, kind := range []string{"servers", "config", "rollouts", "evacuations", "quarantine"} {
 		t.Run(kind, func(t *testing.T) {
 			t.Parallel()
 			f := newEntryFleet(t, 2, 2, 1, defaultBounds)
@@ -84,3 +85,28 @@
 		f.c.Check(lines <= 1, qt.IsTrue, qt.Commentf("%d lines for %q", lines, name))
 	}
 }
+
+// TestFleetFormsBesideAnOddListOfDaemons guards against a list of daemons in the store that can't be read
+// and keeps daemons which know no others from finding each other.
+func TestFleetFormsBesideAnOddListOfDaemons(t *testing.T) {
+	for _, name := range []string{"deep arrays", "number", "null"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newEntryFleet(t, 0, 1, 1, defaultBounds)
+			_, err := f.store.PutRaw("members", "seeds", emulator.OddSpecs[name])
+			f.c.Assert(err, qt.IsNil)
+			for i := range 2 {
+				d, err := emulator.NewDaemon(fmt.Sprintf("entry-%d", i), zoneOf(i))
+				f.c.Assert(err, qt.IsNil)
+				f.daemons = append(f.daemons, d)
+				path := filepath.Join(f.folder, d.Name+".yaml")
+				f.c.Assert(d.WriteSettings(path, f.address, nil, f.bounds), qt.IsNil)
+				f.running = append(f.running, startProcess(f.c, d.Name, "bronzeturn-entry", "--settings", path))
+			}
+			f.eventually("both daemons named", func() bool {
+				list, err := emulator.Resolve(f.daemons[0].Directory)
+				return err == nil && len(list) == 2
+			})
+		})
+	}
+}
