soak: stops in series under load, answers without end, odd entries

After the faults and the load phase, all daemons are stopped and restarted in series, with stops that overlap, settings signals and new configurations, while callers use each until its process is gone. What has reached an engine must get a whole answer. Two kinds of faults are new: engines that answer without end, and entries that can't be read.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"syscall"
 	"time"
 
@@ -70,6 +72,11 @@
 	{"engine loses answers", engineFault(emulator.EngineFaults{LoseAnswer: true})},
 	{"engine gives foreign answers", engineFault(emulator.EngineFaults{WrongRequestID: true})},
 	{"engine breaks streams", engineFault(emulator.EngineFaults{BreakAfter: 3, TruncateBody: true})},
+	{"engine answers without end", func(r *run) func() {
+		return engineFault(emulator.EngineFaults{Endless: emulator.EndlessKinds[r.random.IntN(len(emulator.EndlessKinds))]})(r)
+	}},
+	{"odd entry among the engines", func(r *run) func() { return r.writeOddEntry("servers") }},
+	{"odd entry among the orders", func(r *run) func() { return r.writeOddEntry("rollouts") }},
 	{"engine full", engineFault(emulator.EngineFaults{Full: true})},
 	{"engine limits requests", func(r *run) func() {
 		r.randomEngine().SetFaults(emulator.EngineFaults{Limit: statedLimit}) // Until its next fault ends.
@@ -111,6 +118,16 @@
 	}},
 }
 
+// writeOddEntry writes an entry that can't be read. The returned function removes it.
+func (r *run) writeOddEntry(kind string) func() {
+	names := slices.Sorted(maps.Keys(emulator.OddSpecs))
+	name := names[r.random.IntN(len(names))]
+	if _, err := r.store.PutRaw(kind, name, emulator.OddSpecs[name]); err != nil {
+		r.checks.reportViolation("writing an odd entry failed: %v", err)
+	}
+	return func() { r.store.Remove(kind, name) }
+}
+
 // randomDaemon returns a random daemon.
 func (r *run) randomDaemon() *daemon { return r.daemons[r.random.IntN(len(r.daemons))] }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -110,6 +110,7 @@
 	r.checks.checkRecovery()
 	r.checks.checkQuarantine()
 	r.checks.loadPhase()
+	r.checks.stopPhase()
 	result := r.checks.result()
 	result.Seed, result.Faults = o.Seed, faults
 	return result, nil
