--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -82,6 +82,9 @@
 	// any before.
 	peakMargin = 1.25
 	peakSlack  = 50 * time.Millisecond
+	// maxTimedRoutes bounds the routes whose times are kept. Configurations add and remove routes for as
+	// long as the daemon runs.
+	maxTimedRoutes = 4096
 )
 
 // answerTimes holds, for each route, how long the slowest of the recent requests took until their
@@ -97,7 +100,10 @@
 func (a *answerTimes) observe(route string, took time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	peak := a.peak[route]
+	peak, known := a.peak[route]
+	if !known && len(a.peak) >= maxTimedRoutes {
+		clear(a.peak)
+	}
 	if took < peak {
 		took = peak + time.Duration(peakDecay*float64(took-peak))
 	}
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,6 +49,15 @@
 	})
 }
 
+// TestTimesOfManyRoutesAreBounded guards against a daemon that keeps the times of all routes that ever were.
+func TestTimesOfManyRoutesAreBounded(t *testing.T) {
+	times := newAnswerTimes()
+	for i := range 3 * maxTimedRoutes {
+		times.observe(fmt.Sprint("route-", i), time.Second)
+	}
+	qt.Check(t, len(times.peak) <= maxTimedRoutes, qt.IsTrue)
+}
+
 // TestLongestAnswerTimeFollowsTheSlowAnswers checks that the estimate is above each answer that has just
 // come, and falls to the usual time after a slow one.
 func TestLongestAnswerTimeFollowsTheSlowAnswers(t *testing.T) {
