peer: little is kept of an answer that its reader does not take

What callers saw: a daemon whose own path to the engines is broken gets answers through another daemon.

Cause: the HTTP/2 client between daemons stated no bound. It is 128 KiB now for each answer; the connection has none, so that one answer does not hold up the others.

--- a/peer/directory.go
+++ b/peer/directory.go
@@ -116,10 +116,15 @@
 	}
 }
 
+// answerBufferBytes bounds what the HTTP/2 client keeps of one answer that its reader has not taken. The
+// connection has no such bound: one answer that is not read must not hold up the others.
+const answerBufferBytes = 128 << 10
+
 func http2Config() *http.HTTP2Config {
 	return &http.HTTP2Config{
-		SendPingTimeout: pingAfter,
-		PingTimeout:     pingTimeout,
+		SendPingTimeout:           pingAfter,
+		PingTimeout:               pingTimeout,
+		MaxReceiveBufferPerStream: answerBufferBytes,
 	}
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -436,3 +436,33 @@
 	c.Assert(errors.As(err, &failed), qt.IsTrue)
 	c.Check(failed.Stage, qt.Equals, attempt.NotSent, qt.Commentf("%v", err))
 }
+
+// TestAnswerThatIsNotReadStaysAtTheBackendServer guards against relayed answers of which the daemon keeps
+// megabytes that its callers have not taken.
+func TestAnswerThatIsNotReadStaysAtTheBackendServer(t *testing.T) {
+	const connections, maxUnread = 8, 1 << 20
+	c := qt.New(t)
+	var sent atomic.Int64
+	address := startBackend(t, func(conn *net.TCPConn) {
+		_ = conn.SetWriteBuffer(64 << 10)
+		block := make([]byte, 16<<10)
+		for {
+			n, err := conn.Write(block)
+			sent.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	})
+	all := startDaemons(t, 2, address)
+	all[0].setPath(refused)
+	for range connections {
+		conn, err := all[0].Dial(t.Context(), "tcp", address)
+		c.Assert(err, qt.IsNil)
+		defer conn.Close()
+	}
+	for before := int64(-1); sent.Load() != before; time.Sleep(300 * time.Millisecond) {
+		before = sent.Load()
+	}
+	c.Check(sent.Load() <= connections*maxUnread, qt.IsTrue, qt.Commentf("%d bytes of %d answers were sent", sent.Load(), connections))
+}
