entry: the time before the end of a stop suffices to end

With a grace of 3 s the daemon ended after 3,022 ms (TestRequestsStillRunningAtTheEndOfAStop AreAnswered, its log): answering what still runs and closing the servers take longer than a tenth of the grace. It is an eighth now, which is still within the last sixth in which engines may be at work.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -16,7 +16,7 @@
 	// maxStopMargin and stopMarginShare bound the time reserved at the end of the grace period. The
 	// platform tolerates that engines are still at work in the last sixth of the period only.
 	maxStopMargin   = 700 * time.Millisecond
-	stopMarginShare = 0.1
+	stopMarginShare = 0.125
 	// answerShare is the fraction of the reserved time in which requests that are still in progress
 	// are answered without their engines.
 	answerShare = 0.4
@@ -40,9 +40,10 @@
 	d.relay.Server().StopAdmitting()
 	ctx, cancel := context.WithDeadline(context.Background(), ends)
 	defer cancel()
-	_ = backoff.Sleep(ctx, time.Duration(stayShare*float64(grace))) // The requests that come meanwhile are drained below.
-	_ = d.gateway.Drain(ctx)                                        // What is left is drained below.
-	d.gateway.Stop(time.Now())                                      // No request begins between the last one and the end of the servers.
+	// Whatever ends these two early, the next ones deal with what is left.
+	_ = backoff.Sleep(ctx, time.Duration(stayShare*float64(grace)))
+	_ = d.gateway.Drain(ctx)
+	d.gateway.Stop(time.Now()) // No request begins between the last one and the end of the servers.
 	if err := d.gateway.Drain(ctx); err != nil {
 		d.answerRemaining(time.Duration(answerShare * float64(margin)))
 	}
