--- a/e2e/unruly_test.go
+++ b/e2e/unruly_test.go
@@ -75,12 +75,17 @@
 	}, f
 }
 
-// startUnrulyChat starts a daemon of the chat API with low limits.
-func startUnrulyChat(t *testing.T) *unrulyTarget {
-	c := qt.New(t)
+// setLowLimits sets the limits of the daemons of the chat API that the test starts.
+func setLowLimits(c *qt.C) {
 	c.Setenv("BRONZETURN_MEMORY_BYTES", strconv.Itoa(unrulyMemoryMB<<20))
 	c.Setenv("BRONZETURN_MAX_DESCRIPTORS", strconv.Itoa(unrulyMaxFDs))
 	c.Setenv("BRONZETURN_MAX_BODY_BYTES", strconv.Itoa(unrulyBodyBytes))
+}
+
+// startUnrulyChat starts a daemon of the chat API with low limits.
+func startUnrulyChat(t *testing.T) *unrulyTarget {
+	c := qt.New(t)
+	setLowLimits(c)
 	d := deploy(c, 1, 2)
 	daemon := d.daemons[0]
 	chat := demo.Chat{Key: key, Prompt: "ordinary"}
