--- a/e2e/unrulyanswers_test.go
+++ b/e2e/unrulyanswers_test.go
@@ -115,6 +115,11 @@
 	startEndlessChat(t, true).withstandsEngines(standin.Faults{Endless: standin.EndlessEvents}, demo.Chat{Key: key, Stream: true, Kind: "tag"})
 }
 
+// TestUnrulyEngineEndlessReports guards against load reports that are read outside of a bound.
+func TestUnrulyEngineEndlessReports(t *testing.T) {
+	startEndlessChat(t, true).withstandsEngines(standin.Faults{EndlessReports: true}, demo.Chat{Key: key})
+}
+
 // TestUnrulyServiceEndlessBodies guards against answers of plain services that are read outside of the
 // account of memory.
 func TestUnrulyServiceEndlessBodies(t *testing.T) {
--- a/platform.go
+++ b/platform.go
@@ -48,7 +48,7 @@
 		store:    httpstore.New(d.settings.GetStoreUrl(), client),
 		hosts:    hostlist.New(d.settings.GetHostListUrl(), client),
 		engines:  engine.New(transport),
-		reports:  engine.NewControlClient(transport),
+		reports:  engine.NewControlClient(transport, d.clients.Account()),
 		services: plainservice.New(transport),
 	}
 	if url := d.settings.GetRatingUrl(); url != "" {
