gateway, entry: the log names the requests that a stop ends

A daemon that stopped logged how many requests were in progress at its end, and each of them only if its handler returned before the process exited. From the log of a stop it could not be told whether a request came before or after the signal, and whether one that no line names was in progress at the end.

Each request in progress at the end of the grace period now has a line with its route, service, engine, age and events, and the line of each request that comes in a stop has the time left (stop_left_ms). No decision changes.

--- a/e2e/stopping_test.go
+++ b/e2e/stopping_test.go
@@ -183,6 +183,11 @@
 	f.eventually("requests at engines", func() bool { return len(f.record.Runs("")) >= 2 })
 	f.c.Assert(f.running[0].cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
 	sending.Wait()
+	for _, run := range f.record.Runs("") {
+		f.running[0].waitLine(f.c, "request in progress at the end", func(line string) bool {
+			return strings.Contains(line, "request in progress at the end of the stop") && strings.Contains(line, run.RequestID)
+		})
+	}
 	f.c.Check(f.running[0].waitExit(f.c), qt.Equals, 0)
 }
 
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -62,6 +62,7 @@
 // they may have run, and waits until they are answered.
 func (d *Daemon) answerRemaining(within time.Duration) {
 	d.log.Warn().Int("in_progress", d.gateway.InProgress()).Msg("requests in progress are ended at the end of the grace period")
+	d.gateway.LogInProgress()
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	d.abort(gateway.ErrStopping)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -196,6 +196,7 @@
 	retries       *retrySchedule
 	runTimes      *runTimes
 	answerTimes   *answerTimes
+	inProgress    inProgress
 	rngs          sync.Pool
 	seeds         atomic.Uint64
 	gate          gate
@@ -253,6 +254,7 @@
 		a.fail(f)
 		return
 	}
+	defer g.track(q)()
 	ctx, cancel := context.WithDeadlineCause(q.http.Context(), q.deadline, errDeadline)
 	defer cancel()
 	a.w.setWriteDeadline(q.deadline)
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -62,6 +62,9 @@
 		g.metrics.first.WithLabelValues(kind).Observe(q.trace.first.Seconds())
 	}
 	line = line.Str("request", q.meta.ID).Str("outcome", outcome).Int("status", a.status).Bool("broken", a.broken)
+	if q.trace.stopLeft != 0 {
+		line = line.Dur("stop_left_ms", q.trace.stopLeft)
+	}
 	q.describeWait(q.describe(line), a).Dur("took_ms", took).Msg("request ended")
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -65,6 +65,8 @@
 	// parts identify these parts in the log.
 	parts []quarantine.Hash
 	trace trace
+	// progress is nil until the request is valid.
+	progress *progress
 }
 
 // trace collects the attempts, choices and times of a request for its log line.
@@ -92,6 +94,8 @@
 	pause     time.Duration
 	lastEvent time.Time
 	events    int
+	// stopLeft is the time from the request to the end of a stop in which it comes, zero before a stop.
+	stopLeft time.Duration
 }
 
 // prepare validates and authenticates a request, reads its body and picks its service.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -24,6 +24,8 @@
 	if t.meta.Session != "" {
 		g.Introductions.Running(t.service, t.session, to.engine.Version)
 	}
+	key := to.engine.Key()
+	t.progress.engine.Store(&key)
 	to.sent = time.Now()
 	g.Engines.Dispatched(balance.Dispatched{Engine: to.engine.Key(), Work: to.work, PrefixHash: t.prefixHash, At: to.sent})
 	g.Limits.Sent(to.engine.Key(), t.request.trace.attempts > 1)
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -56,7 +56,11 @@
 // nor the time that answers on its route take guarantees it. Other daemons can serve it.
 func (g *Gateway) refuseLate(q *request) *failure.Error {
 	ends := g.gate.ends.Load()
-	if ends == nil || !q.deadline.After(*ends) {
+	if ends == nil {
+		return nil
+	}
+	q.trace.stopLeft = time.Until(*ends)
+	if !q.deadline.After(*ends) {
 		return nil
 	}
 	if most, known := g.answerTimes.longest(q.route.Name); known && time.Until(*ends) > most {
@@ -65,6 +69,26 @@
 	return stoppingFailure(failure.RanNo)
 }
 
+// track adds a request to those in progress. The returned function removes it.
+func (g *Gateway) track(q *request) (end func()) {
+	p := &progress{id: q.meta.ID, route: q.route.Name, service: q.service, received: q.received}
+	q.progress = p
+	g.inProgress.add(p)
+	return func() { g.inProgress.remove(p) }
+}
+
+// LogInProgress logs each request in progress.
+func (g *Gateway) LogInProgress() {
+	now := time.Now()
+	g.inProgress.each(func(p *progress) {
+		line := g.Log.Warn().Str("request", p.id).Str("route", p.route).Str("service", p.service)
+		if engine := p.engine.Load(); engine != nil {
+			line = line.Str("engine", *engine)
+		}
+		line.Dur("age_ms", now.Sub(p.received)).Int64("events", p.events.Load()).Msg("request in progress at the end of the stop")
+	})
+}
+
 // stoppingFailure returns the failure of a request that a stop prevents or ends.
 func stoppingFailure(ran failure.Ran) *failure.Error {
 	f := failure.New(failure.CodeDaemonLeaving, ran, "the daemon is stopping")
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -117,6 +117,7 @@
 	}
 	t.stream.events++
 	t.request.trace.recordEvent(time.Now())
+	t.progress.events.Add(1)
 	if e.id != "" {
 		t.stream.lastID = e.id
 	}
