gateway, entry: a stop takes streams that end in it, by their length and by those in progress

What callers saw: around SIGTERM to an entry host, streams that had reached an engine ended without a whole answer, in their body, among them some sent more than three seconds after the signal (LOST).

Cause: a stopping daemon took a stream if 1.25 times the slowest of the recent complete answers on its route fitted into the rest of the grace period. That figure fell with each shorter answer, did not know how long an answer the request allows, nor of answers in progress, however old, and a daemon that had served for a second knew no stream longer than a second. What turned out longer was cut at the end.

Streams that state their length are now compared with those of the same or longer classes of lengths (powers of two of the tokens allowed), other requests with those on their route or, if little is known of it, of their service. The slowest of the last 30 to 60 s count, also those that were not completed, and the age of those in progress; there must be ten of them, and without a stated length they must have been observed for as long as is left. A request is taken if twice that time fits, or its deadline does. In the first 2.8 s of the grace period, 0.35 of it at most, in which callers do not know yet that the daemon leaves, it is also taken if nothing shows that it does not fit: with six hosts that stop one after the other, refused callers mostly meet another one that stops.

The line of a request that comes in a stop says how it was decided (stop, slowest_ms), counted by bronzeturn_gateway_stop_decisions_total.

The tests of the estimate are replaced: the one of its course is as strict for the windows (above each recent answer, whatever came since; down to the usual time after two windows), those of refusals check the decisions by name. A route that was not served is no longer refused all along: TestRequestsAreServedWhileTheStopIsAnnounced, TestTimeOfTheServiceCountsOnANewRoute.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -13,6 +13,11 @@
 	// stayShare is the fraction of the grace period for which the daemon stays even if no request is
 	// in progress: callers learn only with time that it leaves.
 	stayShare = 0.8
+	// announceShare and maxAnnounce bound the first part of the grace period, in which callers do not know yet
+	// that the daemon leaves. Requests that are refused in it are likely to meet another daemon that leaves if
+	// all are restarted one after the other.
+	announceShare = 0.35
+	maxAnnounce   = 2800 * time.Millisecond
 	// maxStopMargin and stopMarginShare bound the time reserved at the end of the grace period. The
 	// platform tolerates that engines are still at work in the last sixth of the period only.
 	maxStopMargin   = 700 * time.Millisecond
@@ -36,14 +41,15 @@
 	d.leaving.Store(true)
 	d.log.Info().Int("in_progress", d.gateway.InProgress()).Dur("grace_ms", grace).Msg("daemon leaves")
 	d.fleet.leave()
-	d.gateway.Stop(ends)
+	d.gateway.Stop(began.Add(min(maxAnnounce, time.Duration(announceShare*float64(grace)))), ends)
 	d.relay.Server().StopAdmitting()
 	ctx, cancel := context.WithDeadline(context.Background(), ends)
 	defer cancel()
 	// Whatever ends these two early, the next ones deal with what is left.
 	_ = backoff.Sleep(ctx, time.Duration(stayShare*float64(grace)))
 	_ = d.gateway.Drain(ctx)
-	d.gateway.Stop(time.Now()) // No request begins between the last one and the end of the servers.
+	now := time.Now()
+	d.gateway.Stop(now, now) // No request begins between the last one and the end of the servers.
 	if err := d.gateway.Drain(ctx); err != nil {
 		d.answerRemaining(time.Duration(answerShare * float64(margin)))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -237,9 +237,6 @@
 	a := newAnswer(w, g.Codec, q)
 	a.closes = func() bool { return g.stopping() || overload.Crowded(r.Context()) }
 	g.serve(q, a)
-	if a.failure == nil {
-		g.answerTimes.observe(q.route.Name, q.elapsed())
-	}
 	g.record(q, a)
 	if a.broken {
 		// Part of the answer has been sent; only an aborted connection tells the caller
--- a/gateway/progress.go
+++ b/gateway/progress.go
@@ -11,7 +11,7 @@
 type progress struct {
 	id       string
 	route    string
-	service  string
+	kind     answerKind
 	received time.Time
 	// events is the number of events sent to the caller.
 	events atomic.Int64
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -19,6 +19,7 @@
 	first    *prometheus.HistogramVec
 	attempts *prometheus.CounterVec
 	leaving  prometheus.Counter
+	stopping *prometheus.CounterVec
 }
 
 // newMetrics registers the metrics.
@@ -41,6 +42,9 @@
 		leaving: f.NewCounter(prometheus.CounterOpts{
 			Name: "bronzeturn_gateway_leaving_answers_total", Help: "Answers of engines that state that they leave.",
 		}),
+		stopping: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "bronzeturn_gateway_stop_decisions_total", Help: "Requests that came while the daemon was stopping, by kind and decision.",
+		}, []string{"kind", "decision"}),
 	}
 }
 
@@ -62,8 +66,9 @@
 		g.metrics.first.WithLabelValues(kind).Observe(q.trace.first.Seconds())
 	}
 	line = line.Str("request", q.meta.ID).Str("outcome", outcome).Int("status", a.status).Bool("broken", a.broken)
-	if q.trace.stopLeft != 0 {
-		line = line.Dur("stop_left_ms", q.trace.stopLeft)
+	if stop := q.trace.stop; stop.decision != "" {
+		g.metrics.stopping.WithLabelValues(kind, string(stop.decision)).Inc()
+		line = line.Str("stop", string(stop.decision)).Dur("stop_left_ms", stop.left).Dur("slowest_ms", stop.slowest)
 	}
 	q.describeWait(q.describe(line), a).Dur("took_ms", took).Msg("request ended")
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -94,8 +94,8 @@
 	pause     time.Duration
 	lastEvent time.Time
 	events    int
-	// stopLeft is the time from the request to the end of a stop in which it comes, zero before a stop.
-	stopLeft time.Duration
+	// stop is the decision at a request that comes while the daemon stops.
+	stop stopCheck
 }
 
 // prepare validates and authenticates a request, reads its body and picks its service.
@@ -112,6 +112,7 @@
 		return f
 	}
 	q.setDeadline()
+	g.chooseService(q)
 	if f := g.refuseLate(q); f != nil {
 		return f
 	}
@@ -122,7 +123,6 @@
 		return f // Its body took a while.
 	}
 	q.setAffinity()
-	g.chooseService(q)
 	return nil
 }
 
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/route"
 )
 
 // ErrStopping is the cause with which the contexts of requests end that are still in progress at the
@@ -21,16 +21,26 @@
 // gate counts the requests in progress and holds the state of a stop.
 type gate struct {
 	active atomic.Int64
-	// ends is when the requests in progress have to end, nil before a stop.
-	ends atomic.Pointer[time.Time]
+	// stop is nil before a stop.
+	stop atomic.Pointer[stopTimes]
 }
 
-// Stop begins a graceful stop, after which requests in progress have to end at the given time. Answers
-// ask callers to close their connections, and requests that may not end in time are refused.
-func (g *Gateway) Stop(ends time.Time) { g.gate.ends.Store(&ends) }
+// stopTimes are the times of a stop.
+type stopTimes struct {
+	// announced is when callers may be expected to know that the daemon leaves, ends when the requests in
+	// progress have to end.
+	announced, ends time.Time
+}
+
+// Stop begins a graceful stop, in which callers may be expected to know from announced on that the daemon
+// leaves, and requests in progress have to end at ends. Answers ask callers to close their connections, and
+// requests that may not end in time are refused.
+func (g *Gateway) Stop(announced, ends time.Time) {
+	g.gate.stop.Store(&stopTimes{announced, ends})
+}
 
 // stopping reports whether a stop has begun.
-func (g *Gateway) stopping() bool { return g.gate.ends.Load() != nil }
+func (g *Gateway) stopping() bool { return g.gate.stop.Load() != nil }
 
 // InProgress returns the number of requests in progress.
 func (g *Gateway) InProgress() int { return int(g.gate.active.Load()) }
@@ -52,36 +62,106 @@
 // drainPoll is the interval at which Drain checks for requests in progress.
 const drainPoll = 20 * time.Millisecond
 
-// refuseLate returns the refusal of a request that may not end before a stop does: neither its deadline
-// nor the time that answers on its route take guarantees it. Other daemons can serve it.
-func (g *Gateway) refuseLate(q *request) *failure.Error {
-	ends := g.gate.ends.Load()
-	if ends == nil {
-		return nil
+// stopDecision is the decision whether a request may begin while a daemon stops.
+type stopDecision string
+
+// The decisions. A request is served if its deadline comes before the end of the stop, or its answer is
+// expected to be complete by then. While callers learn that the daemon leaves, it is also served if nothing
+// shows that it takes longer. Otherwise it may outlast the stop, or the time of its answer is not known.
+const (
+	stopDeadlineFits stopDecision = "deadline_fits"
+	stopAnswerFits   stopDecision = "answer_fits"
+	stopEarly        stopDecision = "early"
+	stopMayOutlast   stopDecision = "may_outlast"
+	stopTimeUnknown  stopDecision = "time_unknown"
+)
+
+// serves reports whether a request may begin. It may before a stop, when there is no decision.
+func (d stopDecision) serves() bool {
+	return d != stopMayOutlast && d != stopTimeUnknown
+}
+
+// stopCheck is a decision with what it is based on.
+type stopCheck struct {
+	decision stopDecision
+	// left is the time until the end of the stop, slowest the time of the answer if it is as slow as the
+	// slowest recent ones, zero if not known.
+	left, slowest time.Duration
+}
+
+// checkStop decides whether a request may begin. Before a stop there is no decision.
+func (g *Gateway) checkStop(q *request) stopCheck {
+	stop := g.gate.stop.Load()
+	if stop == nil {
+		return stopCheck{}
 	}
-	q.trace.stopLeft = time.Until(*ends)
-	if !q.deadline.After(*ends) {
-		return nil
+	now := time.Now()
+	check := stopCheck{left: stop.ends.Sub(now)}
+	if !q.deadline.After(stop.ends) {
+		check.decision = stopDeadlineFits
+		return check
+	}
+	slowest, known := g.answerTimes.slowest(q.answerKind(), check.left, now)
+	if known {
+		check.slowest = max(slowest, g.longestInProgress(q.answerKind(), now))
 	}
-	if most, known := g.answerTimes.longest(q.route.Name); known && time.Until(*ends) > most {
+	switch early := now.Before(stop.announced); {
+	case known && withMargin(check.slowest) < check.left:
+		check.decision = stopAnswerFits
+	case early && check.slowest < check.left:
+		check.decision = stopEarly
+	case known:
+		check.decision = stopMayOutlast
+	default:
+		check.decision = stopTimeUnknown
+	}
+	return check
+}
+
+// longestInProgress returns the age of the oldest request in progress of a kind or with shorter answers. They
+// are the first to show that answers take longer than before.
+func (g *Gateway) longestInProgress(kind answerKind, now time.Time) (longest time.Duration) {
+	g.inProgress.each(func(p *progress) {
+		if p.kind.bounds(kind) {
+			longest = max(longest, now.Sub(p.received))
+		}
+	})
+	return longest
+}
+
+// refuseLate returns the refusal of a request that may not end before a stop does. Other daemons can serve it,
+// while a stream that is cut off is lost to its caller.
+func (g *Gateway) refuseLate(q *request) *failure.Error {
+	q.trace.stop = g.checkStop(q)
+	if q.trace.stop.decision.serves() {
 		return nil
 	}
 	return stoppingFailure(failure.RanNo)
 }
 
-// track adds a request to those in progress. The returned function removes it.
+// answerKind returns the kind of the request's answer.
+func (q *request) answerKind() answerKind {
+	return newAnswerKind(q.service, q.route.Name, q.route.Kind == route.Stream, q.meta.MaxTokens)
+}
+
+// track adds a request to those in progress. The returned function removes it and records its time.
 func (g *Gateway) track(q *request) (end func()) {
-	p := &progress{id: q.meta.ID, route: q.route.Name, service: q.service, received: q.received}
+	p := &progress{id: q.meta.ID, route: q.route.Name, kind: q.answerKind(), received: q.received}
 	q.progress = p
 	g.inProgress.add(p)
-	return func() { g.inProgress.remove(p) }
+	return func() {
+		g.inProgress.remove(p)
+		if q.trace.attempts > 0 {
+			g.answerTimes.observe(p.kind, p.received, time.Now())
+		}
+	}
 }
 
 // LogInProgress logs each request in progress.
 func (g *Gateway) LogInProgress() {
 	now := time.Now()
 	g.inProgress.each(func(p *progress) {
-		line := g.Log.Warn().Str("request", p.id).Str("route", p.route).Str("service", p.service)
+		line := g.Log.Warn().Str("request", p.id).Str("route", p.route).Str("service", p.kind.service)
 		if engine := p.engine.Load(); engine != nil {
 			line = line.Str("engine", *engine)
 		}
@@ -97,47 +177,3 @@
 	}
 	return f
 }
-
-const (
-	// peakDecay is the share of the distance to a shorter time that the peak of a route moves with
-	// each answer.
-	peakDecay = 0.02
-	// peakMargin multiplies the peak, and peakSlack is added to it, for answers that take longer than
-	// any before.
-	peakMargin = 1.25
-	peakSlack  = 50 * time.Millisecond
-	// maxTimedRoutes bounds the routes whose times are kept. Configurations add and remove routes for as
-	// long as the daemon runs.
-	maxTimedRoutes = 4096
-)
-
-// answerTimes holds, for each route, how long the slowest of the recent requests took until their
-// answers were complete. It is safe for concurrent use.
-type answerTimes struct {
-	mu   sync.Mutex
-	peak map[string]time.Duration
-}
-
-func newAnswerTimes() *answerTimes { return &answerTimes{peak: make(map[string]time.Duration)} }
-
-// observe records the time of a request that was answered.
-func (a *answerTimes) observe(route string, took time.Duration) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	peak, known := a.peak[route]
-	if !known && len(a.peak) >= maxTimedRoutes {
-		clear(a.peak)
-	}
-	if took < peak {
-		took = peak + time.Duration(peakDecay*float64(took-peak))
-	}
-	a.peak[route] = took
-}
-
-// longest returns how long a request may take, and false if none was answered so far.
-func (a *answerTimes) longest(route string) (time.Duration, bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	peak, known := a.peak[route]
-	return time.Duration(peakMargin*float64(peak)) + peakSlack, known
-}
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -13,72 +13,204 @@
 	"github.com/bronzeturn/bronzeturn/route"
 )
 
+// Routes of the tests of stops. Both belong to the same service.
+var (
+	bufferedRoute = &route.Route{Name: "buffered", Kind: route.AtMostOnce}
+	streamRoute   = &route.Route{Name: "stream", Kind: route.Stream}
+)
+
+// stopPeriod is the time from the begin to the end of the stops in the tests.
+const stopPeriod = 8 * time.Second
+
 // newRequestUntil returns a request on a route that has the given time until its deadline.
-func newRequestUntil(route *route.Route, left time.Duration) *request {
-	return &request{route: route, received: time.Now(), deadline: time.Now().Add(left)}
+func newRequestUntil(r *route.Route, left time.Duration) *request {
+	return &request{route: r, service: "service", received: time.Now(), deadline: time.Now().Add(left)}
+}
+
+// newLongRequest returns a request whose deadline comes after any stop, and that allows a number of tokens.
+func newLongRequest(r *route.Route, tokens int) *request {
+	q := newRequestUntil(r, time.Hour)
+	q.meta.MaxTokens = tokens
+	return q
+}
+
+// stopTest runs a test of stops in virtual time. The stop is announced at once.
+func stopTest(t *testing.T, test func(c *qt.C, g *Gateway)) {
+	synctest.Test(t, func(t *testing.T) { test(qt.New(t), &Gateway{answerTimes: newAnswerTimes()}) })
+}
+
+// stopNow begins a stop that callers know of.
+func (g *Gateway) stopNow() { g.Stop(time.Now(), time.Now().Add(stopPeriod)) }
+
+// observeAnswers records a number of answers like that to q, one in each interval, which took the given time.
+func (g *Gateway) observeAnswers(n int, interval time.Duration, q *request, took time.Duration) {
+	for range n {
+		time.Sleep(interval)
+		g.answerTimes.observe(q.answerKind(), time.Now().Add(-took), time.Now())
+	}
+}
+
+// decide returns the decision at a request, and checks that the request is refused as not run if it is
+// not served.
+func (g *Gateway) decide(c *qt.C, q *request) stopDecision {
+	f := g.refuseLate(q)
+	decision := q.trace.stop.decision
+	c.Check(f == nil, qt.Equals, decision.serves())
+	if f != nil {
+		c.Check(f.Ran, qt.Equals, failure.RanNo)
+		c.Check(f.RetryAfter > 0, qt.IsTrue)
+	}
+	return decision
 }
 
 // TestRequestThatMayNotEndInAStopIsRefused guards against requests that are admitted although they may
 // still run when the daemon ends, and against refusals of those that certainly end before.
 func TestRequestThatMayNotEndInAStopIsRefused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		g := &Gateway{answerTimes: newAnswerTimes()}
-		known, unknown := &route.Route{Name: "known"}, &route.Route{Name: "unknown"}
-		g.answerTimes.observe("known", time.Second)
-		c.Check(g.refuseLate(newRequestUntil(unknown, time.Hour)) == nil, qt.IsTrue, qt.Commentf("no stop has begun"))
-		g.Stop(time.Now().Add(8 * time.Second))
-		served := func(r *route.Route, left time.Duration) bool {
-			f := g.refuseLate(newRequestUntil(r, left))
-			if f != nil {
-				c.Check(f.Ran, qt.Equals, failure.RanNo)
-				c.Check(f.RetryAfter > 0, qt.IsTrue)
-			}
-			return f == nil
-		}
-		c.Check(served(known, 20*time.Second), qt.IsTrue)
-		c.Check(served(unknown, 20*time.Second), qt.IsFalse, qt.Commentf("its time is not known"))
-		c.Check(served(unknown, 8*time.Second), qt.IsTrue, qt.Commentf("its deadline comes before the end"))
-		time.Sleep(6 * time.Second)
-		c.Check(served(known, 20*time.Second), qt.IsTrue)
+	stopTest(t, func(c *qt.C, g *Gateway) {
+		g.observeAnswers(100, 100*time.Millisecond, newLongRequest(bufferedRoute, 0), time.Second)
+		c.Check(g.decide(c, newLongRequest(streamRoute, 0)), qt.Equals, stopDecision(""), qt.Commentf("no stop has begun"))
+		g.stopNow()
+		c.Check(g.decide(c, newLongRequest(bufferedRoute, 0)), qt.Equals, stopAnswerFits)
+		c.Check(g.decide(c, newLongRequest(streamRoute, 0)), qt.Equals, stopTimeUnknown)
+		c.Check(g.decide(c, newRequestUntil(streamRoute, stopPeriod)), qt.Equals, stopDeadlineFits)
+		time.Sleep(5 * time.Second)
+		c.Check(g.decide(c, newLongRequest(bufferedRoute, 0)), qt.Equals, stopAnswerFits)
 		time.Sleep(time.Second)
-		c.Check(served(known, 20*time.Second), qt.IsFalse, qt.Commentf("it takes a second, and more at times"))
-		c.Check(served(known, 900*time.Millisecond), qt.IsTrue)
+		c.Check(g.decide(c, newLongRequest(bufferedRoute, 0)), qt.Equals, stopMayOutlast, qt.Commentf("it takes a second, and more at times"))
+		c.Check(g.decide(c, newRequestUntil(bufferedRoute, 1900*time.Millisecond)), qt.Equals, stopDeadlineFits)
 		time.Sleep(time.Hour)
-		c.Check(served(known, time.Millisecond), qt.IsFalse, qt.Commentf("the stop has ended"))
+		c.Check(g.decide(c, newRequestUntil(bufferedRoute, time.Millisecond)).serves(), qt.IsFalse, qt.Commentf("the stop has ended"))
+	})
+}
+
+// TestRequestsAreServedWhileTheStopIsAnnounced guards against refusals of requests that nothing shows to take
+// too long, by a daemon that has only just begun to stop: all daemons may be stopping, one after the other.
+func TestRequestsAreServedWhileTheStopIsAnnounced(t *testing.T) {
+	stopTest(t, func(c *qt.C, g *Gateway) {
+		g.observeAnswers(100, 100*time.Millisecond, newLongRequest(streamRoute, 100), 6*time.Second)
+		g.Stop(time.Now().Add(2*time.Second), time.Now().Add(stopPeriod))
+		c.Check(g.decide(c, newLongRequest(bufferedRoute, 0)), qt.Equals, stopEarly, qt.Commentf("nothing is known"))
+		c.Check(g.decide(c, newLongRequest(streamRoute, 100)), qt.Equals, stopEarly)
+		time.Sleep(2 * time.Second)
+		c.Check(g.decide(c, newLongRequest(bufferedRoute, 0)), qt.Equals, stopTimeUnknown)
+		c.Check(g.decide(c, newLongRequest(streamRoute, 100)), qt.Equals, stopMayOutlast)
+	})
+	stopTest(t, func(c *qt.C, g *Gateway) {
+		g.observeAnswers(100, 100*time.Millisecond, newLongRequest(streamRoute, 100), stopPeriod)
+		g.Stop(time.Now().Add(2*time.Second), time.Now().Add(stopPeriod))
+		c.Check(g.decide(c, newLongRequest(streamRoute, 100)), qt.Equals, stopMayOutlast, qt.Commentf("the slowest take too long"))
+	})
+}
+
+// TestAnswersThatTakeLongerThanTheDaemonServedAreNotRuledOut guards against a daemon that has served for a
+// short time, knows only answers that are shorter, and cuts off the next longer one.
+func TestAnswersThatTakeLongerThanTheDaemonServedAreNotRuledOut(t *testing.T) {
+	stopTest(t, func(c *qt.C, g *Gateway) {
+		g.observeAnswers(200, 10*time.Millisecond, newLongRequest(streamRoute, 0), 10*time.Millisecond)
+		g.stopNow()
+		c.Check(g.decide(c, newLongRequest(streamRoute, 0)), qt.Equals, stopTimeUnknown)
+		time.Sleep(3 * time.Second)
+		c.Check(g.decide(c, newLongRequest(streamRoute, 0)), qt.Equals, stopAnswerFits, qt.Commentf("served for 5 s, 5 s left"))
+	})
+}
+
+// TestFewAnswersDoNotTellTheLongest guards against conclusions from a few short answers.
+func TestFewAnswersDoNotTellTheLongest(t *testing.T) {
+	for _, tokens := range []int{0, 100} {
+		stopTest(t, func(c *qt.C, g *Gateway) {
+			g.observeAnswers(minTimedAnswers-1, time.Second, newLongRequest(streamRoute, tokens), time.Millisecond)
+			g.stopNow()
+			c.Check(g.decide(c, newLongRequest(streamRoute, tokens)), qt.Equals, stopTimeUnknown)
+		})
+	}
+}
+
+// TestLongStreamIsRefusedWhereShortOnesFit guards against streams that are admitted because most on their
+// route are shorter, although the request allows more tokens than those.
+func TestLongStreamIsRefusedWhereShortOnesFit(t *testing.T) {
+	stopTest(t, func(c *qt.C, g *Gateway) {
+		short, long, longest := newLongRequest(streamRoute, 100), newLongRequest(streamRoute, 1000), newLongRequest(streamRoute, 5000)
+		g.observeAnswers(100, 100*time.Millisecond, short, 500*time.Millisecond)
+		g.observeAnswers(100, 10*time.Millisecond, long, 5500*time.Millisecond)
+		g.stopNow()
+		c.Check(g.decide(c, short), qt.Equals, stopAnswerFits)
+		c.Check(g.decide(c, long), qt.Equals, stopMayOutlast)
+		c.Check(g.decide(c, longest), qt.Equals, stopTimeUnknown, qt.Commentf("shorter ones do not tell"))
+		c.Check(g.decide(c, newLongRequest(streamRoute, 500)), qt.Equals, stopMayOutlast, qt.Commentf("it may take as long as longer ones"))
+	})
+}
+
+// TestAnswersInProgressShowThatAnswersTakeLonger guards against admissions by the times of complete answers
+// while those in progress have taken longer.
+func TestAnswersInProgressShowThatAnswersTakeLonger(t *testing.T) {
+	stopTest(t, func(c *qt.C, g *Gateway) {
+		g.observeAnswers(100, 100*time.Millisecond, newLongRequest(streamRoute, 100), 100*time.Millisecond)
+		running := newLongRequest(streamRoute, 70)
+		end := g.track(running)
+		g.stopNow()
+		c.Check(g.decide(c, newLongRequest(streamRoute, 100)), qt.Equals, stopAnswerFits)
+		time.Sleep(4 * time.Second)
+		c.Check(g.decide(c, newLongRequest(streamRoute, 100)), qt.Equals, stopMayOutlast)
+		c.Check(g.decide(c, newLongRequest(streamRoute, 50)), qt.Equals, stopAnswerFits, qt.Commentf("shorter than the one in progress"))
+		running.trace.attempts = 1
+		end()
+		c.Check(g.decide(c, newLongRequest(streamRoute, 100)), qt.Equals, stopMayOutlast, qt.Commentf("it has ended"))
+	})
+}
+
+// TestTimeOfTheServiceCountsOnANewRoute guards against a daemon that refuses all requests on a route that it
+// has not served, although it knows how long the service takes.
+func TestTimeOfTheServiceCountsOnANewRoute(t *testing.T) {
+	stopTest(t, func(c *qt.C, g *Gateway) {
+		g.observeAnswers(100, 100*time.Millisecond, newLongRequest(bufferedRoute, 0), 100*time.Millisecond)
+		g.stopNow()
+		added := newLongRequest(&route.Route{Name: "added", Kind: route.AtMostOnce}, 0)
+		c.Check(g.decide(c, added), qt.Equals, stopAnswerFits)
+		added.service = "other"
+		c.Check(g.decide(c, added), qt.Equals, stopTimeUnknown)
 	})
 }
 
 // TestTimesOfManyRoutesAreBounded guards against a daemon that keeps the times of all routes that ever were.
 func TestTimesOfManyRoutesAreBounded(t *testing.T) {
 	times := newAnswerTimes()
-	for i := range 3 * maxTimedRoutes {
-		times.observe(fmt.Sprint("route-", i), time.Second)
+	for i := range 3 * maxTimedKinds {
+		times.observe(newAnswerKind("service", fmt.Sprint("route-", i), false, 0), time.Now(), time.Now())
 	}
-	qt.Check(t, len(times.peak) <= maxTimedRoutes, qt.IsTrue)
+	qt.Check(t, len(times.recent) <= maxTimedKinds, qt.IsTrue)
 }
 
-// TestLongestAnswerTimeFollowsTheSlowAnswers checks that the estimate is above each answer that has just
-// come, and falls to the usual time after a slow one.
+// TestLongestAnswerTimeFollowsTheSlowAnswers checks that the estimate is above each recent answer, whatever
+// has come since, and falls to the usual time once the slow ones are older than two windows.
 func TestLongestAnswerTimeFollowsTheSlowAnswers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		times := newAnswerTimes()
-		if _, known := times.longest("r"); known {
+		times, now := newAnswerTimes(), time.Now()
+		kind := newAnswerKind("service", "route", rapid.Bool().Draw(t, "stream"), rapid.IntRange(0, 4000).Draw(t, "tokens"))
+		if _, known := times.slowest(kind, 0, now); known {
 			t.Fatal("known before the first answer")
 		}
-		for _, ms := range rapid.SliceOfN(rapid.IntRange(0, 20000), 1, 50).Draw(t, "times") {
-			took := time.Duration(ms) * time.Millisecond
-			times.observe("r", took)
-			if most, known := times.longest("r"); !known || most <= took {
-				t.Fatalf("longest time %v after an answer of %v", most, took)
+		observe := func(took, after time.Duration) {
+			now = now.Add(after)
+			times.observe(kind, now.Add(-took), now)
+		}
+		var longest time.Duration
+		for range rapid.IntRange(minTimedAnswers, 3*minTimedAnswers).Draw(t, "answers") {
+			took := time.Duration(rapid.IntRange(0, 20000).Draw(t, "took")) * time.Millisecond
+			observe(took, timesWindow/(3*minTimedAnswers))
+			longest = max(longest, took)
+			if times.recent[kind].answers < minTimedAnswers {
+				continue
+			}
+			if slowest, known := times.slowest(kind, 0, now); !known || withMargin(slowest) <= longest {
+				t.Fatalf("longest time %v after an answer of %v", withMargin(slowest), longest)
 			}
 		}
 		const usual = 100 * time.Millisecond
-		for range 500 {
-			times.observe("r", usual)
+		for range 3 * minTimedAnswers {
+			observe(usual, timesWindow/minTimedAnswers)
 		}
-		if most, _ := times.longest("r"); most > 2*usual {
-			t.Fatalf("longest time %v after 500 answers of %v", most, usual)
+		if slowest, known := times.slowest(kind, 0, now); !known || slowest != usual {
+			t.Fatalf("slowest %v after two windows of %v", slowest, usual)
 		}
 	})
 }
