gateway: a stream that failed is not begun again if the stop may cut it off

What callers saw: a stream whose first attempt failed, or whose answer was doubted, before its first event while the daemon stopped was sent to another engine however late it was, and cut off at the end of the stop in its body, instead of a complete answer after which the caller asks another daemon.

Cause: the time of a request was compared with the end of the stop at its admission only. Second attempts after a failure, for a larger model, and at engines that are silent followed the deadline.

Such an attempt now needs what an admission needs. Otherwise the request ends with daemon_leaving, 503 if it has not run, 502 if it may have; a doubted answer is passed on, and a silent engine is waited for. Streams that have begun are resumed as before, and whole answers get a complete answer at the end anyhow.

--- a/gateway/again.go
+++ b/gateway/again.go
@@ -26,6 +26,10 @@
 		return g.checkTimeLeft(ctx, t)
 	}
 	reason := g.noRetryReason(t, e)
+	if reason == "" && !t.answer.begun() && g.mayOutlastStop(t) {
+		g.logAttempt(t, to, e, "stopping")
+		return stoppingFailure(t.ran)
+	}
 	budgetTaken := t.budgetTaken.Swap(false)
 	if reason == "" && !budgetTaken && e.reachedEngine() {
 		if !g.takeBudget(t) {
--- a/gateway/escalate.go
+++ b/gateway/escalate.go
@@ -36,7 +36,7 @@
 	t.request.trace.chance = g.Models.ChanceRight(confidence)
 	t.request.trace.price += t.sized.price(t.model)
 	g.Models.ObserveConfidence(t.sized, t.model, confidence, t.replacedConfidence)
-	if t.answer.begun() || g.slotsTaken(t.service) || !t.route.Repeatable() || t.runs+1 >= t.route.Attempts {
+	if t.answer.begun() || g.slotsTaken(t.service) || !t.route.Repeatable() || t.runs+1 >= t.route.Attempts || g.mayOutlastStop(t) {
 		return false
 	}
 	draw := g.random()
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -77,8 +77,12 @@
 
 // mayGiveUp reports whether the attempt at a silent engine may be abandoned for another
 // engine, and takes the next attempt from the retry budget. If the budget is empty, the
-// attempt goes on: silence alone must not end a request.
+// attempt goes on: silence alone must not end a request. It also goes on if a stop leaves no time to begin
+// again.
 func (g *Gateway) mayGiveUp(t *task) bool {
+	if t.progress.events.Load() == 0 && g.mayOutlastStop(t) {
+		return false
+	}
 	if !g.budgets.forService(t.service).Take(time.Now()) {
 		return false
 	}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -139,6 +139,12 @@
 	return stoppingFailure(failure.RanNo)
 }
 
+// mayOutlastStop reports whether a stream that began again now might be cut off by a stop. Requests with other
+// answers get a complete answer at the end of a stop. It uses only those fields of t that do not change.
+func (g *Gateway) mayOutlastStop(t *task) bool {
+	return t.route.Kind == route.Stream && !g.checkStop(t.request).decision.serves()
+}
+
 // answerKind returns the kind of the request's answer.
 func (q *request) answerKind() answerKind {
 	return newAnswerKind(q.service, q.route.Name, q.route.Kind == route.Stream, q.meta.MaxTokens)
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -171,6 +171,21 @@
 	})
 }
 
+// TestStreamIsNotBegunAgainNearTheEndOfAStop guards against a second attempt that is cut off by the stop in
+// which the first one failed.
+func TestStreamIsNotBegunAgainNearTheEndOfAStop(t *testing.T) {
+	stopTest(t, func(c *qt.C, g *Gateway) {
+		stream, buffered := &task{request: newLongRequest(streamRoute, 100)}, &task{request: newLongRequest(bufferedRoute, 0)}
+		g.observeAnswers(100, 100*time.Millisecond, stream.request, time.Second)
+		c.Check(g.mayOutlastStop(stream), qt.IsFalse, qt.Commentf("no stop has begun"))
+		g.stopNow()
+		c.Check(g.mayOutlastStop(stream), qt.IsFalse)
+		time.Sleep(7 * time.Second)
+		c.Check(g.mayOutlastStop(stream), qt.IsTrue)
+		c.Check(g.mayOutlastStop(buffered), qt.IsFalse, qt.Commentf("it gets a complete answer at the end"))
+	})
+}
+
 // TestTimesOfManyRoutesAreBounded guards against a daemon that keeps the times of all routes that ever were.
 func TestTimesOfManyRoutesAreBounded(t *testing.T) {
 	times := newAnswerTimes()
