--- a/soak/checks.go
+++ b/soak/checks.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// streamEvents is the number of events in every stream.
+	// streamEvents is the number of events in every stream before the stop phase.
 	streamEvents = 12
 	// callTimeout is the time after which a caller cancels its request.
 	callTimeout = 6 * time.Second
@@ -57,6 +57,9 @@
 // once.
 var targets = []string{"/once/x", "/safe/x", "/stream/x"}
 
+// plainTargets are those of targets that are not streams.
+var plainTargets = targets[:2]
+
 // sendRequests sends random requests, one after the other, until ctx ends. Like callers that do
 // not look for news of daemons, it uses open connections until their process is gone.
 func (c *checks) sendRequests(ctx context.Context, random *rand.Rand) {
@@ -72,14 +75,21 @@
 // newID returns a unique id for a request to a daemon and counts the request.
 func (c *checks) newID(d *daemon) string {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.next++
-	c.requests++
 	id := fmt.Sprintf("s%d-%d", c.run.Seed, c.next)
-	c.daemonOf[id] = d
+	c.mu.Unlock()
+	c.addRequest(id, d)
 	return id
 }
 
+// addRequest counts a request to a daemon.
+func (c *checks) addRequest(id string, d *daemon) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requests++
+	c.daemonOf[id] = d
+}
+
 // newConnections is a transport that opens a connection for each request.
 var newConnections = &http.Transport{DisableKeepAlives: true}
 
@@ -133,11 +143,22 @@
 func (c *checks) checkAnswer(id, target string, atMostOnce bool, status int, body string, err error) bool {
 	want := emulator.AnswerBody(id, []byte("body"))
 	if strings.HasPrefix(target, "/stream") {
-		want = ""
-		for n := 1; n <= streamEvents; n++ {
-			want += emulator.EventText(id, n)
-		}
+		want = streamBody(id, streamEvents)
+	}
+	return c.checkBody(id, want, atMostOnce, status, body, err)
+}
+
+// streamBody returns the body of a complete stream.
+func streamBody(id string, events int) string {
+	var body strings.Builder
+	for n := 1; n <= events; n++ {
+		body.WriteString(emulator.EventText(id, n))
 	}
+	return body.String()
+}
+
+// checkBody is checkAnswer for a request whose complete answer has the given body.
+func (c *checks) checkBody(id, want string, atMostOnce bool, status int, body string, err error) bool {
 	switch {
 	case status == http.StatusOK && err != nil:
 		c.count(&c.failed)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -55,6 +55,7 @@
 	relays        []*relay
 	engines       []*emulator.Engine
 	daemons       []*daemon
+	seeds         []string
 	checks        *checks
 	configVersion int
 	started       time.Time
@@ -135,14 +136,13 @@
 			return err
 		}
 	}
-	var seeds []string
 	for i := range r.Daemons {
 		d, err := emulator.NewDaemon(fmt.Sprintf("entry-%d", i), fmt.Sprintf("hall-%d", i%3))
 		if err != nil {
 			return err
 		}
 		if i < 3 {
-			seeds = append(seeds, d.Control)
+			r.seeds = append(r.seeds, d.Control)
 		}
 		relay, err := newRelay(address)
 		if err != nil {
@@ -152,8 +152,7 @@
 		r.daemons = append(r.daemons, &daemon{Daemon: d})
 	}
 	for i, d := range r.daemons {
-		path := filepath.Join(r.Folder, d.Name+".yaml")
-		if err := d.WriteSettings(path, r.relays[i].address(), seeds, r.bounds()); err != nil {
+		if err := r.writeSettings(i, r.bounds()); err != nil {
 			return err
 		}
 		if err := r.startDaemon(d); err != nil {
@@ -163,6 +162,15 @@
 	return r.waitReady()
 }
 
+// settingsPath returns the path of the settings file of a daemon.
+func (r *run) settingsPath(d *daemon) string { return filepath.Join(r.Folder, d.Name+".yaml") }
+
+// writeSettings writes the settings file of a daemon.
+func (r *run) writeSettings(daemon int, b emulator.Bounds) error {
+	d := r.daemons[daemon]
+	return d.WriteSettings(r.settingsPath(d), r.relays[daemon].address(), r.seeds, b)
+}
+
 // untilCloseEvery is the number of engines of which one answers without a length or chunks.
 const untilCloseEvery = 3
 
@@ -194,7 +202,7 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(r.Program, "--settings", filepath.Join(r.Folder, d.Name+".yaml"))
+	cmd := exec.Command(r.Program, "--settings", r.settingsPath(d))
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
