httpstore: an answer with neither a length nor chunks is none

What callers saw: nothing yet; found by cutting answers byte by byte. By reading: a value cut short is taken for the stored one, and a list for a shorter one.

Cause: values are raw bytes and lists are protocol buffer messages, of which parts are valid. With neither a length nor chunks, a body that is cut ends like a whole one. The client now refuses such answers; it took them for complete. Answers with a length or chunks were never taken when cut.

--- a/objectstore/httpstore/httpstore.go
+++ b/objectstore/httpstore/httpstore.go
@@ -212,12 +212,21 @@
 		s.closeIdleOnTimeout(err)
 		return response{}, unavailable(c, err)
 	}
-	if len(body) > maxResponseBytes {
+	switch {
+	case len(body) > maxResponseBytes:
 		return response{}, unavailable(c, errResponseTooLarge)
+	case endsWithConnection(resp):
+		return response{}, unavailable(c, errNoEnd)
 	}
 	return parseResponse(c, resp, body)
 }
 
+// endsWithConnection reports whether the body has neither a length nor chunks. One that was cut then
+// looks complete.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // closeIdleOnTimeout closes all idle connections if err is a timeout: whatever
 // silently dropped one connection has often dropped the pooled ones too.
 func (s *Store) closeIdleOnTimeout(err error) {
@@ -271,6 +280,7 @@
 var (
 	errBadTag           = errors.New("answer without a revision")
 	errResponseTooLarge = errors.New("response exceeds 64 MiB")
+	errNoEnd            = errors.New("response has neither a length nor chunks")
 )
 
 // FormatTag formats a revision as an entity tag.
