Chat edge: a connection for each send

What callers saw (in a test, not in use): 19 of 20 calls that an instance of a plain service answered with 500 came back as a 200 with the body of the 500, framed as whole.

Cause: the chat daemon kept connections to engines and plain services. A head that the server cut within a line, sent beyond a whole answer, was continued by the answer to the next request on the connection; the two passed for one with the status of the first. A whole extra answer went to the next request, too. The entry edge has had a connection for each send since its design (docs/design/0010-platform.md), for this reason; the chat edge now uses the same transport. Load reports and orders still share connections.

TestBytesBeyondAnAnswerBelongToNoRequest failed before in 3 of 3 runs with 19 of 20 calls (0 of 20 chats: the body of their 500 is no JSON); it passes in 4 of 4, once with -race. TestPartitionedChatDaemonServesCallers/refused takes 97 s with and without. Real programs: 16 tests of e2e pass. The added latency wasn't measured.

--- a/platform.go
+++ b/platform.go
@@ -40,17 +40,18 @@
 
 // newPlatform builds the clients. Those of the rating service and the weight store
 // are nil when the settings name none. Each backend server has a transport of its
-// own, so that closing the connections of an unresponsive one does not close those
-// of others.
+// own for reports and orders, so that closing the connections of an unresponsive one
+// does not close those of others.
 func newPlatform(d *Daemon) *platform {
-	transport := attempt.NewTransports(newTransport(d.dialBackend))
+	// Bytes beyond an answer belong to no request: requests of callers share no connections.
+	requests := attempt.NewUnpooledTransport(d.dialBackend)
 	client := &http.Client{Transport: overload.BoundAnswers(newTransport(d.options.Dial), memoryBytes(d.settings.GetMemoryBytes()))}
 	p := &platform{
 		store:    httpstore.New(d.settings.GetStoreUrl(), client),
 		hosts:    hostlist.New(d.settings.GetHostListUrl(), client),
-		engines:  engine.New(transport),
-		reports:  engine.NewControlClient(transport, d.clients.Account()),
-		services: plainservice.New(transport),
+		engines:  engine.New(requests),
+		reports:  engine.NewControlClient(attempt.NewTransports(newTransport(d.dialBackend)), d.clients.Account()),
+		services: plainservice.New(requests),
 	}
 	if url := d.settings.GetRatingUrl(); url != "" {
 		p.ratings = rating.New(url, client)
