gateway: an answer without a length, chunks or any body is broken off

What callers saw: an engine that closed its connection after the head of an answer with neither a length nor chunks, while it went on running, gave them a 200 with Content-Length: 0 (reported by operators of systems like ours; in a test here).

Cause: the end of the connection is the end of such a body, and the only check was whether the engine still runs. Streams without any event counted as broken off already, whole answers did not.

Such an answer is now broken off: idempotent requests go to another engine, others get a 502.

TestAnswerWithoutABodyIsNotForwardedAsWhole failed before: a 200 with an empty body on both routes.

--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -47,6 +47,9 @@
 	if failed != nil {
 		return failed
 	}
+	if x.UntilClose && len(buffered.body) == 0 {
+		return sendError(errBrokenOff) // Only the head came.
+	}
 	if failed := g.checkEnd(ctx, t, to, x); failed != nil {
 		return failed
 	}
