entry: a stop is announced for 2.5 s at most

A request that is taken early in a stop and cut off at its end must have come within 3 s of the signal, also if the stop begins a little late.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -17,7 +17,7 @@
 	// that the daemon leaves. Requests that are refused in it are likely to meet another daemon that leaves if
 	// all are restarted one after the other.
 	announceShare = 0.35
-	maxAnnounce   = 2800 * time.Millisecond
+	maxAnnounce   = 2500 * time.Millisecond
 	// maxStopMargin and stopMarginShare bound the time reserved at the end of the grace period. The
 	// platform tolerates that engines are still at work in the last sixth of the period only.
 	maxStopMargin   = 700 * time.Millisecond
