gateway: the times of longer answers are summed up once

For a class of lengths of which too little is known, the sum over the classes was made anew for each longer one, up to 820 look-ups for a decision. It now grows by one class at a time.

--- a/gateway/answertimes.go
+++ b/gateway/answertimes.go
@@ -149,46 +149,51 @@
 
 // known returns the times of the recent answers of a kind, and false if too little is known: there must be a
 // number of answers, and they must have been observed for as long as the time left that is asked for, or for
-// timesWindow, as the daemon does not know yet of answers that take longer. If too little is known of a class of lengths, longer
-// answers count too, and for a route, those of its service.
+// timesWindow, as the daemon does not know yet of answers that take longer. If too little is known of a class
+// of lengths, longer answers count too, and for a route, those of its service.
 func (a *answerTimes) known(kind answerKind, left time.Duration, now time.Time) (timesSummary, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if kind.class == 0 {
-		if times, known := a.sum(left, now, kind); known {
-			return times, true
-		}
-		return a.sum(left, now, kind.ofService())
+	seen := observation{since: now}
+	a.addTo(&seen, kind, now)
+	if kind.class == 0 && !seen.suffices(left, now) {
+		seen = observation{since: now}
+		a.addTo(&seen, kind.ofService(), now)
 	}
-	kinds := make([]answerKind, 0, lengthClasses)
-	for ; kind.class <= lengthClasses; kind.class++ {
-		kinds = append(kinds, kind)
-		if times, known := a.sum(left, now, kinds...); known {
-			return times, true
-		}
+	for kind.class > 0 && kind.class < lengthClasses && !seen.suffices(left, now) {
+		kind.class++
+		a.addTo(&seen, kind, now)
 	}
-	return timesSummary{}, false
+	return seen.times, seen.suffices(left, now)
 }
 
-// sum returns the times of the recent answers of some kinds, and whether they tell enough.
-func (a *answerTimes) sum(left time.Duration, now time.Time, kinds ...answerKind) (times timesSummary, known bool) {
-	since := now
-	for _, kind := range kinds {
-		r := a.recent[kind]
-		if r == nil {
-			continue
-		}
-		r.advance(now)
-		if r.begun.IsZero() {
-			continue
-		}
-		times.add(r.current)
-		times.add(r.previous)
-		if r.since.Before(since) {
-			since = r.since
-		}
+// observation is what is known of the recent answers of some kinds.
+type observation struct {
+	times timesSummary
+	// since is when the first of the requests was received.
+	since time.Time
+}
+
+// suffices reports whether the observation tells how long answers may take, if the given time is left.
+func (o *observation) suffices(left time.Duration, now time.Time) bool {
+	return o.times.answers >= minTimedAnswers && now.Sub(o.since) >= min(left, timesWindow)
+}
+
+// addTo adds the recent answers of a kind to an observation.
+func (a *answerTimes) addTo(o *observation, kind answerKind, now time.Time) {
+	r := a.recent[kind]
+	if r == nil {
+		return
+	}
+	r.advance(now)
+	if r.begun.IsZero() {
+		return
+	}
+	o.times.add(r.current)
+	o.times.add(r.previous)
+	if r.since.Before(o.since) {
+		o.since = r.since
 	}
-	return times, times.answers >= minTimedAnswers && now.Sub(since) >= min(left, timesWindow)
 }
 
 // withMargin returns the longest time expected for an answer if the slowest one has taken the given time.
