Review: an answer without a length of an engine that starts again under its id

Cause: checkEnd takes an answer that ends with its connection for whole if a health probe with the engine's id succeeds; another start under the same id answers it. Order of events: the engine's process is killed in the middle of an answer, its supervisor starts it again under its id, the daemon sees the end of the connection and probes the new process.

--- /dev/null
+++ b/review/standins-2/engine.go
@@ -0,0 +1,234 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// engineSpec describes an engine.
+type engineSpec struct {
+	ID, Service, Version, Zone, Address, Store string
+	Slots                                      int
+	Born                                       int64
+}
+
+// Shape of the answers.
+const (
+	streamEvents = 20
+	eventGap     = 50 * time.Millisecond
+	answerBytes  = 800
+	answerPause  = 150 * time.Millisecond
+)
+
+// eventText is one event of the stream that answers a request.
+func eventText(id string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: %s piece %d\n\n", n, id, n)
+}
+
+// answerText is the answer of a plain service.
+func answerText(id string) string {
+	return strings.Repeat("answer to "+id+"; ", answerBytes)[:answerBytes]
+}
+
+// runEngine is the main function of an engine's process. Its listener is the file descriptor 3.
+func runEngine() error {
+	var spec engineSpec
+	if err := json.Unmarshal([]byte(os.Getenv("ENGINE")), &spec); err != nil {
+		return err
+	}
+	l, err := net.FileListener(os.NewFile(3, "listener"))
+	if err != nil {
+		return err
+	}
+	go func() {
+		_, _ = io.Copy(io.Discard, os.Stdin) // It ends with the process that supervises the engine.
+		os.Exit(exitNotRun)
+	}()
+	go spec.heartbeat()
+	return http.Serve(l, http.HandlerFunc(spec.serve))
+}
+
+// heartbeat registers the engine in the store, and reports that it is alive.
+func (e *engineSpec) heartbeat() {
+	for sequence := 1; ; sequence++ {
+		e.register(sequence)
+		time.Sleep(1200 * time.Millisecond)
+	}
+}
+
+func (e *engineSpec) register(sequence int) {
+	spec := map[string]any{
+		"service": e.Service, "address": e.Address, "zone": e.Zone, "version": e.Version, "slots": e.Slots, "state": "ready",
+		"coldLeftMs": 0, "sequence": sequence, "born": e.Born,
+	}
+	body, _ := json.Marshal(map[string]any{"metadata": map[string]any{"name": e.ID}, "spec": spec})
+	for _, call := range []struct{ method, path string }{{http.MethodPost, "/objects/servers"}, {http.MethodPut, "/objects/servers/" + e.ID}} {
+		req, _ := http.NewRequest(call.method, "http://"+e.Store+call.path, bytes.NewReader(body))
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode < http.StatusMultipleChoices {
+			return
+		}
+	}
+}
+
+// serve answers a request. Answers have no length and end with the connection.
+func (e *engineSpec) serve(w http.ResponseWriter, r *http.Request) {
+	if want := r.Header.Get("Expect-Instance"); want != "" && want != e.ID {
+		w.Header().Set("Instance", e.ID)
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if r.URL.Path == "/healthz" {
+		w.Header().Set("Instance", e.ID)
+		return
+	}
+	id := r.Header.Get("Request-Id")
+	conn, buffered, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_ = buffered
+	say("run", id)
+	kind := "application/json"
+	if r.Header.Get("Token-Usage") != "" {
+		kind = "text/event-stream"
+	}
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s.%d.%s\r\nContent-Type: %s\r\nConnection: close\r\n\r\n", id, e.ID, e.Born, id, kind)
+	if _, err := conn.Write([]byte(head)); err != nil {
+		return
+	}
+	if kind == "text/event-stream" {
+		from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		for n := from + 1; n <= streamEvents; n++ {
+			if _, err := conn.Write([]byte(eventText(id, n))); err != nil {
+				return
+			}
+			if n == streamEvents/2 {
+				say("half", id)
+			}
+			time.Sleep(eventGap)
+		}
+	} else {
+		text := answerText(id)
+		_, _ = conn.Write([]byte(text[:answerBytes/2]))
+		say("half", id)
+		time.Sleep(answerPause)
+		if _, err := conn.Write([]byte(text[answerBytes/2:])); err != nil {
+			return
+		}
+	}
+	say("end", id)
+}
+
+var saying sync.Mutex
+
+// say reports an event to the process that supervises the engine.
+func say(what, id string) {
+	saying.Lock()
+	defer saying.Unlock()
+	fmt.Println(what, id)
+}
+
+// supervisor runs an engine. It keeps the listening socket and starts the engine again at once, under the
+// same id, when its process ends.
+type supervisor struct {
+	spec     engineSpec
+	listener *os.File
+	journal  *journal
+	// said is called for each event that the engine reports.
+	said func(s *supervisor, what, id string)
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	stopped bool
+	ended   chan struct{}
+}
+
+func startSupervisor(spec engineSpec, j *journal, said func(*supervisor, string, string)) (*supervisor, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	spec.Address = l.Addr().String()
+	file, err := l.(*net.TCPListener).File()
+	if err != nil {
+		return nil, err
+	}
+	_ = l.Close() // The file keeps the socket open.
+	s := &supervisor{spec: spec, listener: file, journal: j, said: said, ended: make(chan struct{})}
+	go s.run()
+	return s, nil
+}
+
+func (s *supervisor) run() {
+	defer close(s.ended)
+	for {
+		s.mu.Lock()
+		if s.stopped {
+			s.mu.Unlock()
+			return
+		}
+		spec := s.spec
+		spec.Born = time.Now().UnixMilli()
+		data, _ := json.Marshal(spec)
+		cmd := exec.Command(os.Args[0], "engine")
+		cmd.Env, cmd.ExtraFiles, cmd.Stderr = append(os.Environ(), "ENGINE="+string(data)), []*os.File{s.listener}, os.Stderr
+		out, err := cmd.StdoutPipe()
+		if err == nil {
+			_, err = cmd.StdinPipe()
+		}
+		if err == nil {
+			err = cmd.Start()
+		}
+		if err != nil {
+			s.journal.line("engine %s not started: %v", spec.ID, err)
+			s.mu.Unlock()
+			return
+		}
+		s.cmd = cmd
+		s.mu.Unlock()
+		s.journal.line("engine %s starts, born %d", spec.ID, spec.Born)
+		for lines := bufio.NewScanner(out); lines.Scan(); {
+			if what, id, ok := strings.Cut(lines.Text(), " "); ok {
+				s.said(s, what, id)
+			}
+		}
+		_ = cmd.Wait()
+	}
+}
+
+// kill kills the engine's process, which is then started again.
+func (s *supervisor) kill() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cmd != nil {
+		_ = s.cmd.Process.Kill()
+	}
+}
+
+// stop ends the engine.
+func (s *supervisor) stop() {
+	s.mu.Lock()
+	s.stopped = true
+	s.mu.Unlock()
+	s.kill()
+	<-s.ended
+	_ = s.listener.Close()
+}
