Review: whole streams of busy engines are cut if they end with their connection

Cause: an answer without a length counts as broken off if a health probe of its engine has no answer within 500 ms, and the probe waits for a slot. Order of events: the engine gives the stream to its end, the probe times out, two further attempts after the last event get an empty rest, which counts as broken off too, the daemon aborts the client's connection; meanwhile the daemon gets SIGTERM.

--- a/review/standins-2/engine.go
+++ b/review/standins-2/engine.go
@@ -13,22 +13,32 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
-// engineSpec describes an engine.
-type engineSpec struct {
+// engineFacts describe an engine.
+type engineFacts struct {
 	ID, Service, Version, Zone, Address, Store string
 	Slots                                      int
 	Born                                       int64
 }
 
+// engineSpec is an engine.
+type engineSpec struct {
+	engineFacts
+	// slots holds a token for each request that runs.
+	slots   chan struct{}
+	waiting atomic.Int64
+}
+
 // Shape of the answers.
 const (
 	streamEvents = 20
 	eventGap     = 50 * time.Millisecond
 	answerBytes  = 800
 	answerPause  = 150 * time.Millisecond
+	queueLength  = 134
 )
 
 // eventText is one event of the stream that answers a request.
@@ -43,8 +53,8 @@
 
 // runEngine is the main function of an engine's process. Its listener is the file descriptor 3.
 func runEngine() error {
-	var spec engineSpec
-	if err := json.Unmarshal([]byte(os.Getenv("ENGINE")), &spec); err != nil {
+	spec := &engineSpec{}
+	if err := json.Unmarshal([]byte(os.Getenv("ENGINE")), &spec.engineFacts); err != nil {
 		return err
 	}
 	l, err := net.FileListener(os.NewFile(3, "listener"))
@@ -55,6 +65,7 @@
 		_, _ = io.Copy(io.Discard, os.Stdin) // It ends with the process that supervises the engine.
 		os.Exit(exitNotRun)
 	}()
+	spec.slots = make(chan struct{}, spec.Slots)
 	go spec.heartbeat()
 	return http.Serve(l, http.HandlerFunc(spec.serve))
 }
@@ -94,6 +105,20 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if e.waiting.Add(1) > queueLength {
+		e.waiting.Add(-1)
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	select { // Health probes wait for a slot like any other request.
+	case e.slots <- struct{}{}:
+		e.waiting.Add(-1)
+	case <-r.Context().Done():
+		e.waiting.Add(-1)
+		return
+	}
+	defer func() { <-e.slots }()
 	if r.URL.Path == "/healthz" {
 		w.Header().Set("Instance", e.ID)
 		return
@@ -149,7 +174,7 @@
 // supervisor runs an engine. It keeps the listening socket and starts the engine again at once, under the
 // same id, when its process ends.
 type supervisor struct {
-	spec     engineSpec
+	spec     engineFacts
 	listener *os.File
 	journal  *journal
 	// said is called for each event that the engine reports.
@@ -161,7 +186,7 @@
 	ended   chan struct{}
 }
 
-func startSupervisor(spec engineSpec, j *journal, said func(*supervisor, string, string)) (*supervisor, error) {
+func startSupervisor(spec engineFacts, j *journal, said func(*supervisor, string, string)) (*supervisor, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
--- a/review/standins-2/trial.go
+++ b/review/standins-2/trial.go
@@ -123,7 +123,7 @@
 func (t *trial) startEngines(service, version string, n, slots int) error {
 	for range n {
 		i := len(t.engines)
-		spec := engineSpec{ID: fmt.Sprintf("i-%08x", 0x7f3a91c2+i), Service: service, Version: version, Zone: zones[i%len(zones)], Slots: slots, Store: t.store.address}
+		spec := engineFacts{ID: fmt.Sprintf("i-%08x", 0x7f3a91c2+i), Service: service, Version: version, Zone: zones[i%len(zones)], Slots: slots, Store: t.store.address}
 		s, err := startSupervisor(spec, t.journal, func(s *supervisor, what, id string) { t.onSay(s, what, id) })
 		if err != nil {
 			return err
