Review: streams taken late in a stop are cut when engines preempt them

Cause: a stopping daemon takes a stream if twice the slowest recent answer fits into the rest of the grace, which is no bound. Order of events: SIGTERM, streams that may not be repeated are taken 3.05 to 3.3 s later, large requests of an urgent route take the engines' memory for 4.5 s, the grace ends.

--- a/review/standins-2/engine.go
+++ b/review/standins-2/engine.go
@@ -22,6 +22,8 @@
 	ID, Service, Version, Zone, Address, Store string
 	Slots                                      int
 	Born                                       int64
+	// Framed is set if answers have chunks, else they end with their channels.
+	Framed bool
 }
 
 // engineSpec is an engine.
@@ -30,6 +32,8 @@
 	// slots holds a token for each request that runs.
 	slots   chan struct{}
 	waiting atomic.Int64
+	// large is the number of large urgent requests that run. They take the memory of the others.
+	large atomic.Int64
 }
 
 // Shape of the answers.
@@ -124,6 +128,10 @@
 		return
 	}
 	id := r.Header.Get("Request-Id")
+	if e.Framed {
+		e.serveFramed(w, r, id)
+		return
+	}
 	conn, buffered, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
@@ -162,6 +170,56 @@
 	say("end", id)
 }
 
+// largePrompt is the size of a prompt in tokens from which on a request takes an engine's whole memory.
+const (
+	largePrompt = 10000
+	largeEvents = 90
+)
+
+// serveFramed gives a stream in chunks. While a large request of a more urgent route runs, the others are
+// preempted: they go on when it has ended.
+func (e *engineSpec) serveFramed(w http.ResponseWriter, r *http.Request, id string) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	prompt, _, _ := strings.Cut(r.Header.Get("Token-Usage"), ",")
+	tokens, _ := strconv.Atoi(prompt)
+	urgent := r.Header.Get("Request-Priority") == "0"
+	events := streamEvents
+	if tokens >= largePrompt && urgent {
+		events = largeEvents
+		e.large.Add(1)
+		defer e.large.Add(-1)
+	}
+	say("run", id)
+	w.Header().Set("Request-Id", id)
+	w.Header().Set("Server-Stamp", e.ID+"."+id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for n := from + 1; n <= events; n++ {
+		for preempted := false; !urgent && e.large.Load() > 0; preempted = true {
+			if !preempted {
+				say("preempts", id)
+			}
+			select {
+			case <-r.Context().Done():
+				say("left", id)
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+		if _, err := w.Write([]byte(eventText(id, n))); err != nil || http.NewResponseController(w).Flush() != nil {
+			say("left", id)
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			say("left", id)
+			return
+		case <-time.After(eventGap):
+		}
+	}
+	say("end", id)
+}
+
 var saying sync.Mutex
 
 // say reports an event to the process that supervises the engine.
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -31,7 +31,7 @@
 }
 
 func runCase() int {
-	cases := map[string]func(*trial) (broken bool, err error){"restart": restartCase, "probe": probeCase}
+	cases := map[string]func(*trial) (broken bool, err error){"restart": restartCase, "probe": probeCase, "preempt": preemptCase}
 	play, ok := cases[os.Args[1]]
 	if !ok || len(os.Args) < 4 {
 		fmt.Fprintln(os.Stderr, "unknown case")
--- a/review/standins-2/trial.go
+++ b/review/standins-2/trial.go
@@ -24,6 +24,8 @@
 	engines      []*supervisor
 	next         atomic.Int64
 	onSay        func(s *supervisor, what, id string)
+	// framed is set if the engines' answers have chunks.
+	framed bool
 
 	mu     sync.Mutex
 	broken int
@@ -75,10 +77,15 @@
 		}
 		return r
 	}
+	urgent := route("r-urgent", "/fuyo200/", "stream", "bronze-pool", 20000, 2000, 3)
+	urgent["priority"] = 0
+	tag := route("r-tag", "/pufi791/", "stream", "bronze-pool", 20000, 4000, 1)
+	tag["priority"], tag["resumable"] = 2, false
 	return map[string]any{
 		"version": version,
 		"routes": []any{
 			route("r-stream", "/lohu930/", "stream", "bronze-pool", 20000, 2000, 3),
+			urgent, tag,
 			route("r-once", "/puxa403/", "unsafe", "resale-app", 1500, 300, 1),
 			route("r-safe", "/cufi504/", "safe", "resale-app", 1500, 300, 2),
 		},
@@ -88,7 +95,7 @@
 			map[string]any{"name": "resale-app", "healthPath": "/healthz", "maxConns": 96, "protocol": "h1", "tls": false},
 		},
 		"limits":  map[string]any{"headerBytes": 16384, "bodyBytes": 4194304, "headerMs": 3000, "idleMs": 15000},
-		"tenants": []any{map[string]any{"name": "hule930", "apiKeys": []string{key}, "priority": 1}},
+		"tenants": []any{map[string]any{"name": "hule930", "apiKeys": []string{key}}},
 	}
 }
 
@@ -123,7 +130,7 @@
 func (t *trial) startEngines(service, version string, n, slots int) error {
 	for range n {
 		i := len(t.engines)
-		spec := engineFacts{ID: fmt.Sprintf("i-%08x", 0x7f3a91c2+i), Service: service, Version: version, Zone: zones[i%len(zones)], Slots: slots, Store: t.store.address}
+		spec := engineFacts{ID: fmt.Sprintf("i-%08x", 0x7f3a91c2+i), Service: service, Version: version, Zone: zones[i%len(zones)], Slots: slots, Store: t.store.address, Framed: t.framed}
 		s, err := startSupervisor(spec, t.journal, func(s *supervisor, what, id string) { t.onSay(s, what, id) })
 		if err != nil {
 			return err
