--- a/review/standins-2/engine.go
+++ b/review/standins-2/engine.go
@@ -85,7 +85,7 @@
 func (e *engineSpec) register(sequence int) {
 	spec := map[string]any{
 		"service": e.Service, "address": e.Address, "zone": e.Zone, "version": e.Version, "slots": e.Slots, "state": "ready",
-		"coldLeftMs": 0, "sequence": sequence, "born": e.Born,
+		wire.ColdLeft: 0, "sequence": sequence, "born": e.Born,
 	}
 	body, _ := json.Marshal(map[string]any{"metadata": map[string]any{"name": e.ID}, "spec": spec})
 	for _, call := range []struct{ method, path string }{{http.MethodPost, "/objects/servers"}, {http.MethodPut, "/objects/servers/" + e.ID}} {
@@ -103,7 +103,7 @@
 
 // serve answers a request. Answers have no length and end with the connection.
 func (e *engineSpec) serve(w http.ResponseWriter, r *http.Request) {
-	if want := r.Header.Get("Expect-Instance"); want != "" && want != e.ID {
+	if want := r.Header.Get(wire.Expect); want != "" && want != e.ID {
 		w.Header().Set("Instance", e.ID)
 		w.Header().Set("Not-Run", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -140,10 +140,10 @@
 	_ = buffered
 	say("run", id)
 	kind := "application/json"
-	if r.Header.Get("Token-Usage") != "" {
+	if r.Header.Get(wire.Tokens) != "" {
 		kind = "text/event-stream"
 	}
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s.%d.%s\r\nContent-Type: %s\r\nConnection: close\r\n\r\n", id, e.ID, e.Born, id, kind)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s: %s.%d.%s\r\nContent-Type: %s\r\nConnection: close\r\n\r\n", id, wire.Stamp, e.ID, e.Born, id, kind)
 	if _, err := conn.Write([]byte(head)); err != nil {
 		return
 	}
@@ -180,9 +180,9 @@
 // preempted: they go on when it has ended.
 func (e *engineSpec) serveFramed(w http.ResponseWriter, r *http.Request, id string) {
 	_, _ = io.Copy(io.Discard, r.Body)
-	prompt, _, _ := strings.Cut(r.Header.Get("Token-Usage"), ",")
+	prompt, _, _ := strings.Cut(r.Header.Get(wire.Tokens), ",")
 	tokens, _ := strconv.Atoi(prompt)
-	urgent := r.Header.Get("Request-Priority") == "0"
+	urgent := r.Header.Get(wire.Urgency) == "0"
 	events := streamEvents
 	if tokens >= largePrompt && urgent {
 		events = largeEvents
@@ -191,7 +191,7 @@
 	}
 	say("run", id)
 	w.Header().Set("Request-Id", id)
-	w.Header().Set("Server-Stamp", e.ID+"."+id)
+	w.Header().Set(wire.Stamp, e.ID+"."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := from + 1; n <= events; n++ {
--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -56,38 +56,13 @@
 	}
 }
 
-// settingsText is the settings file of a process, as DEPLOY.md shows it.
-const settingsText = `nodeName: %q
-role: "entry"
-machineClass: "front"
-serves: ["front", "control", "directory"]
-ip: %q
-zone: %q
-region: "sk-west"
-zones: {ba-1: "sk-west", ba-2: "sk-west", tt-1: "sk-west"}
-listen: {front: %q, ready: %q, control: %q, directory: %q}
-portRange: [7340, 7355]
-seeds: [%s]
-bootstrap: true
-faultCounted: false
-limits: {cpuShare: 0.4, cores: 1, memoryMb: 284, maxFds: 4100, linkMbps: 1000.0, diskMb: 0}
-dataDir: null
-discovery: "platform"
-entry: "directory"
-heartbeatMs: 1200
-contracts: ["base", "drain", "config", "cost", "retry", "recover", "health", "pool", "engine", "stream", "tenants", "platform", "rollout"]
-faultTolerance: {machines: 2, zones: 0, regions: 0}
-bounds: {seedLagS: 3, reuseAfterS: 2, contactMs: 3000, ackMs: 4000, catchUpS: 4, drainMs: 2000, graceS: 8, lossSlackMs: 200, configMs: 2000, rollbackSlackMs: 250, partitionMaxMs: 5000, revokeStrict: false, revokeMs: 5000, retryRatio: 0.9, retryWindowS: 10, retrySlack: 52, exposureShare: 0.15, exposureSlack: 30, rollbackMs: 5000, recoverS: 12, eventDelayMs: 120, retryAfterS: 10, sessionS: 5, ttl_max_s: 5}
-platform: {address: %q, form: "objects", writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1048576, ttlMinMs: 1000}
-`
-
 // writeSettings writes the settings file.
 func (d *daemon) writeSettings(folder string, seeds []*daemon) error {
 	var list []string
 	for _, s := range seeds {
 		list = append(list, fmt.Sprintf("%q", s.control))
 	}
-	text := fmt.Sprintf(settingsText, d.name, d.ip, d.zone, d.front, d.ready, d.control, d.directory, strings.Join(list, ", "), d.store)
+	text := fmt.Sprintf(string(document("settings.yaml")), d.name, d.ip, d.zone, d.front, d.ready, d.control, d.directory, strings.Join(list, ", "), d.store)
 	d.settings = filepath.Join(folder, d.name+".yaml")
 	return os.WriteFile(d.settings, []byte(text), 0o600)
 }
@@ -100,7 +75,7 @@
 	}
 	d.cmd = exec.Command("target/bronzeturn-entry", "--metrics-port", "9464")
 	d.cmd.Dir, d.cmd.Stdout, d.cmd.Stderr = root, log, log
-	d.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + folder, "BRONZETURN_BOOT=" + d.settings}
+	d.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + folder, wire.Boot + "=" + d.settings}
 	if err := d.cmd.Start(); err != nil {
 		return err
 	}
--- a/review/standins-2/preempt.go
+++ b/review/standins-2/preempt.go
@@ -28,7 +28,7 @@
 		t.journal.line("engine %s: %s %s", s.spec.ID, what, id)
 		work.said(what, id)
 	}
-	t.store.put("config", "main", configuration(7))
+	t.store.put("config", "main", configuration())
 	if err := t.startEngines("bronze-pool", "v1", 3, 32); err != nil {
 		return false, err
 	}
@@ -42,7 +42,7 @@
 	send := func(d *daemon, path, tokens string, note func(o outcome)) {
 		clients.Go(func() {
 			o := outcome{sent: time.Now(), daemon: d}
-			o.reply = t.send(d, "POST", path, probeDeadline, "prompt", "Token-Usage", tokens, "Model", "daka510000", "Prefix-Hash", "5c1e07a2:100")
+			o.reply = t.send(d, "POST", path, probeDeadline, "prompt", wire.Tokens, tokens, "Model", "daka510000", wire.Prefix, "5c1e07a2:100")
 			o.ended = time.Now()
 			t.journal.line("client gets %s: status %d, %d bytes, error %v", o.reply.id, o.reply.status, len(o.reply.body), o.reply.err)
 			if note != nil {
--- a/review/standins-2/probe.go
+++ b/review/standins-2/probe.go
@@ -51,7 +51,7 @@
 		t.journal.line("engine %s: %s %s", s.spec.ID, what, id)
 		work.said(what, id)
 	}
-	t.store.put("config", "main", configuration(7))
+	t.store.put("config", "main", configuration())
 	if err := t.startEngines("bronze-pool", "v1", 3, 4); err != nil {
 		return false, err
 	}
@@ -74,7 +74,7 @@
 				}
 				mu.Unlock()
 				o := outcome{sent: time.Now(), daemon: d}
-				o.reply = t.send(d, "POST", "/lohu930/2f", probeDeadline, "prompt", "Token-Usage", "100,100", "Model", "daka510000", "Prefix-Hash", "5c1e07a2:100")
+				o.reply = t.send(d, "POST", "/lohu930/2f", probeDeadline, "prompt", wire.Tokens, "100,100", "Model", "daka510000", wire.Prefix, "5c1e07a2:100")
 				o.ended = time.Now()
 				t.journal.line("client gets %s: status %d, %d bytes, error %v", o.reply.id, o.reply.status, len(o.reply.body), o.reply.err)
 				mu.Lock()
--- a/review/standins-2/restart.go
+++ b/review/standins-2/restart.go
@@ -30,7 +30,7 @@
 		t.journal.line("engine %s is killed", s.spec.ID)
 		s.kill()
 	}
-	t.store.put("config", "main", configuration(7))
+	t.store.put("config", "main", configuration())
 	if err := t.startEngines("bronze-pool", "v1", 10, 16); err != nil {
 		return false, err
 	}
@@ -49,7 +49,7 @@
 		d := t.daemons[rand.IntN(len(t.daemons))]
 		if rand.IntN(2) == 0 {
 			clients.Go(func() {
-				t.checkStream(t.send(d, "POST", "/lohu930/2f", 20*time.Second, "prompt", "Token-Usage", "100,100", "Model", "daka510000", "Prefix-Hash", "5c1e07a2:100"))
+				t.checkStream(t.send(d, "POST", "/lohu930/2f", 20*time.Second, "prompt", wire.Tokens, "100,100", "Model", "daka510000", wire.Prefix, "5c1e07a2:100"))
 			})
 			continue
 		}
@@ -75,6 +75,6 @@
 func (t *trial) checkWhole(what string, r reply, whole string) {
 	t.journal.line("client gets %s: status %d, %d of %d bytes, error %v", r.id, r.status, len(r.body), len(whole), r.err)
 	if r.err == nil && r.status >= 200 && r.status < 300 && r.body != whole {
-		t.violation("%s %s looks complete: status %d, stamp %s, %d of %d bytes", what, r.id, r.status, r.header.Get("Server-Stamp"), len(r.body), len(whole))
+		t.violation("%s %s looks complete: status %d, stamp %s, %d of %d bytes", what, r.id, r.status, r.header.Get(wire.Stamp), len(r.body), len(whole))
 	}
 }
--- a/review/standins-2/trial.go
+++ b/review/standins-2/trial.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -65,39 +66,8 @@
 
 var zones = []string{"ba-1", "ba-2", "tt-1"}
 
-// configuration is the configuration of the deployment, in a form like that on the pages.
-func configuration(version int) map[string]any {
-	route := func(name, prefix, kind, service string, timeout, goal, attempts int) map[string]any {
-		r := map[string]any{
-			"name": name, "host": hostName, "pathPrefix": prefix, "routeKind": kind, "service": service, "timeoutMs": timeout,
-			"goalMs": goal, "attempts": attempts, "priority": 1, "anonymous": false,
-		}
-		if kind == "stream" {
-			r["sticky"], r["resumable"], r["gapGoalMs"] = true, true, 2000
-		}
-		return r
-	}
-	urgent := route("r-urgent", "/fuyo200/", "stream", "bronze-pool", 20000, 2000, 3)
-	urgent["priority"] = 0
-	tag := route("r-tag", "/pufi791/", "stream", "bronze-pool", 20000, 4000, 1)
-	tag["priority"], tag["resumable"] = 2, false
-	return map[string]any{
-		"version": version,
-		"routes": []any{
-			route("r-stream", "/lohu930/", "stream", "bronze-pool", 20000, 2000, 3),
-			urgent, tag,
-			route("r-once", "/puxa403/", "unsafe", "resale-app", 1500, 300, 1),
-			route("r-safe", "/cufi504/", "safe", "resale-app", 1500, 300, 2),
-		},
-		"services": []any{
-			map[string]any{"name": "bronze-pool", "healthPath": "/healthz", "maxConns": 360, "protocol": "h1", "tls": false,
-				"engine": map[string]any{"slots": 16, "kvCapacity": 460552, "models": []any{map[string]any{"name": "daka510000", "cost": 0.1}}}},
-			map[string]any{"name": "resale-app", "healthPath": "/healthz", "maxConns": 96, "protocol": "h1", "tls": false},
-		},
-		"limits":  map[string]any{"headerBytes": 16384, "bodyBytes": 4194304, "headerMs": 3000, "idleMs": 15000},
-		"tenants": []any{map[string]any{"name": "hule930", "apiKeys": []string{key}}},
-	}
-}
+// configuration returns the configuration of the deployment.
+func configuration() json.RawMessage { return document("config.json") }
 
 // startDaemons starts daemons in different zones and waits until they are ready.
 func (t *trial) startDaemons(n int) error {
@@ -159,7 +129,7 @@
 	req.Host, req.Close = hostName, true
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Authorization", "Bearer "+key)
-	req.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	req.Header.Set(wire.Deadline, fmt.Sprint(deadline.Milliseconds()))
 	for i := 0; i+1 < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
 	}
