attempt: a reset beside an upload is not the end of an answer

Callers got part of an answer as a complete 200: an engine answered a long upload at once, without a length, and reset the connection while the upload was still being written.

Cause: the system reports a reset once per socket. If the goroutine that writes the request gets it, the one that reads the answer gets io.EOF, which ends a body without a length in order. The health probe of such answers asks whether the engine runs, and says nothing about this connection.

A Transport of package attempt now records how much of the request its connection has taken. A body that ends with its connection ends with io.EOF only if the whole request was written before. The connection is asked, not httptrace.WroteRequest: the last 4 KiB leave net/http's buffer after that hook. All transports of the package are of this type, so that it holds for engines and plain services on both edges, failed answers that are kept, second attempts and load reports.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -96,7 +96,8 @@
 	// Length is the content length of the answer, or -1 if it is unknown.
 	Length int64
 	// UntilClose is set if the body has neither a length nor chunks and ends with the connection.
-	// Its end then looks the same as that of a peer whose process ends.
+	// Its end then looks the same as that of a peer whose process ends. A Transport tells it from a
+	// connection that ended before the whole request had been written.
 	UntilClose bool
 
 	transport http.RoundTripper
@@ -142,7 +143,8 @@
 	}
 }
 
-// Send sends the request once over transport and waits for the header of the answer.
+// Send sends the request once over transport, which should be one of this package, and waits for the header of
+// the answer.
 // It never follows redirects and never repeats the request. It also prevents the
 // transport from trying another connection when no byte was written. The error is an
 // *Error, also for a malformed request.
@@ -177,11 +179,6 @@
 	}, nil
 }
 
-// endsWithConnection reports whether the end of the connection is the end of the body.
-func endsWithConnection(req *http.Request, resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && req.Method != http.MethodHead
-}
-
 // idleDropper is a transport that can close its idle connections to one host,
 // such as Transports.
 type idleDropper interface {
--- a/attempt/dialer.go
+++ b/attempt/dialer.go
@@ -74,15 +74,15 @@
 // NewUnpooledTransport returns a transport that opens a connection for each request and
 // closes it afterwards. So an answer cannot belong to an earlier request, and a
 // connection cannot have gone silent before it is used.
-func NewUnpooledTransport(dial DialFunc) *http.Transport {
-	return &http.Transport{
+func NewUnpooledTransport(dial DialFunc) *Transport {
+	return NewTransport(&http.Transport{
 		DialContext:            dial,
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: MaxAnswerHeaderBytes,
 		WriteBufferSize:        connectionBuffer,
 		ReadBufferSize:         connectionBuffer,
-	}
+	})
 }
 
 // MaxAnswerHeaderBytes bounds the header of an answer. The HTTP library's own bound is many times as
@@ -103,9 +103,9 @@
 
 // NewPooledTransport returns a transport that keeps a few connections open, for a peer
 // that gets frequent requests.
-func NewPooledTransport(o DialOptions) *http.Transport {
-	return &http.Transport{
+func NewPooledTransport(o DialOptions) *Transport {
+	return NewTransport(&http.Transport{
 		DialContext: o.Dialer(), DisableCompression: true, IdleConnTimeout: pooledIdleTimeout,
 		MaxIdleConnsPerHost: pooledIdlePerHost, MaxResponseHeaderBytes: MaxAnswerHeaderBytes,
-	}
+	})
 }
--- a/attempt/transports.go
+++ b/attempt/transports.go
@@ -5,15 +5,15 @@
 	"sync"
 )
 
-// Transports is an http.RoundTripper with one *http.Transport per host, so that the idle
+// Transports is an http.RoundTripper with one Transport per host, so that the idle
 // connections to one host can be closed separately. It never removes the transport of a
 // host; hosts must come from a bounded set, such as the register.
 type Transports struct {
 	template *http.Transport
-	byHost   sync.Map // of string to *http.Transport
+	byHost   sync.Map // of string to *Transport
 }
 
-// NewTransports returns a Transports whose transports are clones of template.
+// NewTransports returns a Transports whose transports have the settings of a template.
 func NewTransports(template *http.Transport) *Transports {
 	return &Transports{template: template}
 }
@@ -24,25 +24,25 @@
 }
 
 // forHost returns the transport of a host, and creates it if there is none.
-func (t *Transports) forHost(host string) *http.Transport {
+func (t *Transports) forHost(host string) *Transport {
 	if known, ok := t.byHost.Load(host); ok {
-		return known.(*http.Transport)
+		return known.(*Transport)
 	}
-	known, _ := t.byHost.LoadOrStore(host, t.template.Clone())
-	return known.(*http.Transport)
+	known, _ := t.byHost.LoadOrStore(host, NewTransport(t.template))
+	return known.(*Transport)
 }
 
 // DropIdle closes the idle connections to host, which includes the port.
 func (t *Transports) DropIdle(host string) {
 	if known, ok := t.byHost.Load(host); ok {
-		known.(*http.Transport).CloseIdleConnections()
+		known.(*Transport).CloseIdleConnections()
 	}
 }
 
 // CloseIdleConnections closes the idle connections to all hosts.
 func (t *Transports) CloseIdleConnections() {
 	t.byHost.Range(func(_, known any) bool {
-		known.(*http.Transport).CloseIdleConnections()
+		known.(*Transport).CloseIdleConnections()
 		return true
 	})
 }
--- a/plainservice/cut_test.go
+++ b/plainservice/cut_test.go
@@ -1,12 +1,17 @@
 package plainservice_test
 
 import (
+	"context"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/bronzeturn/bronzeturn/attempt"
+	"github.com/bronzeturn/bronzeturn/failure"
 	"github.com/bronzeturn/bronzeturn/plainservice"
 	"github.com/bronzeturn/bronzeturn/standin"
 )
@@ -35,3 +40,18 @@
 		c.Check(string(response.Body), qt.Equals, "whole")
 	}
 }
+
+// TestResetBesideAnUploadIsBroken checks that part of an answer is never taken for a whole one if the service
+// resets the connection while the call is still being written.
+func TestResetBesideAnUploadIsBroken(t *testing.T) {
+	c := qt.New(t)
+	for _, late := range []bool{false, true} {
+		conn := &standin.EarlyConn{Answer: standin.WithoutFraming("", "part"), Accepts: 64 << 10, Late: late}
+		dial := func(context.Context, string, string) (net.Conn, error) { return conn, nil }
+		sent := call("127.0.0.1:1")
+		sent.Method, sent.Body = http.MethodPost, make([]byte, 300<<10)
+		failed := failureOf(c, plainservice.New(attempt.NewUnpooledTransport(dial)), sent)
+		c.Check(failed.Kind, qt.Equals, plainservice.KindBroken)
+		c.Check(failed.Ran, qt.Not(qt.Equals), failure.RanNo)
+	}
+}
