attempt: an answer with an invalid status is none

Callers of the entry edge got no answer at all where an engine in trouble answered with status 000, 001, 099, +20 or 101: their connection ended without a byte, where a 502 was due, and no other engine was asked on a route that allows it. 600 and 999 were passed on. Calls of plain services had the same.

Cause: net/http takes any three digits for a status, and what is not above 199 reached http.ResponseWriter, which panics or takes it for an interim answer.

The connections of a Transport read the status lines of answers, those of interim ones too, and fail on a status outside 100 to 599 (RFC 9110, section 15) and on 101, which no request asks for. So it is no answer: the request may have run, and is repeated where it may be.

Evidence: TestInvalidStatusIsNoAnswer failed for 000, 001, 099, +20, -00, 101, 600 and 999, and TestInvalidHeadIsNotForwarded for the same at the edge; 00, 2000, 20x and an empty status were refused by net/http before.

--- a/attempt/conn.go
+++ b/attempt/conn.go
@@ -5,7 +5,8 @@
 	"sync"
 )
 
-// checkedConn is a connection of a Transport. It records how much of a request has been written.
+// checkedConn is a connection of a Transport. It records how much of a request has been written, and checks the
+// heads of the answers to it.
 //
 // The system reports a reset once. If Write gets it, Read gets io.EOF, as after an answer that has ended in order.
 type checkedConn struct {
@@ -13,6 +14,9 @@
 	// writing is held while Write runs. It guards request.
 	writing sync.Mutex
 	request requestProgress
+	// reading guards head, which is nil before the first request.
+	reading sync.Mutex
+	head    *headCheck
 }
 
 // begin prepares the connection for a request with a number of bytes in its body, negative if unknown.
@@ -20,6 +24,23 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	c.request = requestProgress{bodyLeft: bodyBytes}
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	c.head = &headCheck{}
+}
+
+// Read implements net.Conn. It fails with a *HeadError if the head of an answer is malformed.
+func (c *checkedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	if c.head == nil {
+		return n, err
+	}
+	if malformed := c.head.read(p[:n]); malformed != nil {
+		return 0, malformed
+	}
+	return n, err
 }
 
 // Write implements net.Conn.
