attempt: an answer with an invalid field name is none

Callers got answers in whose head the name of a field held a blank: as 200 without that line, or, where it was the framing, with a body that is not the engine's. "Content-Length : 3" gave the bytes up to the end of the connection, "Transfer-Encoding : chunked" the chunks with their sizes as text.

Cause: net/http keeps such a field under a name that nothing looks up, and the server that writes the answer drops it.

The connections of a Transport now refuse a head with a name that is no token (RFC 9110, section 5.1), interim heads too. Lines that begin with a blank still continue the value before them (RFC 9112, section 5.2).

NUL, SOH, HT, VT, FF, CR, ESC and DEL in a name, empty names, lines without a colon and names beyond ASCII were refused before: the tests stay.

--- a/attempt/head.go
+++ b/attempt/head.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"fmt"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // HeadError reports an answer whose head is malformed. Line is the beginning of the line concerned.
@@ -23,6 +25,7 @@
 var (
 	errStatus   = errors.New("invalid status")
 	errSwitched = errors.New("the protocol was switched without a request to do so")
+	errName     = errors.New("invalid field name")
 )
 
 const (
@@ -35,7 +38,8 @@
 // headCheck checks the heads of the answers to one request: those of interim answers and the final one. Its zero
 // value is ready for use.
 //
-// net/http takes any three digits for a status.
+// net/http takes any three digits for a status and skips fields whose names have blanks, also if they
+// determine where the body ends.
 type headCheck struct {
 	// line is the beginning of the current line.
 	line []byte
@@ -72,6 +76,13 @@
 		return h.endStatusLine(line)
 	case len(line) == 0:
 		h.endHead()
+		return nil
+	case line[0] == ' ' || line[0] == '\t':
+		return nil // Continues the value of the field before (RFC 9112, section 5.2).
+	}
+	name, _, found := bytes.Cut(line, []byte{':'})
+	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
+		return errName
 	}
 	return nil
 }
--- a/attempt/head_test.go
+++ b/attempt/head_test.go
@@ -49,6 +49,12 @@
 	checkNoAnswers(t, standin.InvalidStatuses("Kind: s\r\n", "answer"))
 }
 
+// TestInvalidNameIsNoAnswer guards against an answer whose head is passed on without a line, or whose body
+// ends elsewhere than the server meant, as net/http does not know the name of a field with a blank.
+func TestInvalidNameIsNoAnswer(t *testing.T) {
+	checkNoAnswers(t, standin.InvalidNames("Kind: s\r\n", "answer"))
+}
+
 // TestValidHeadsAreAnswers checks that only heads are refused that are none.
 func TestValidHeadsAreAnswers(t *testing.T) {
 	send := startRaw(t)
