attempt: an answer of another version of HTTP is none

Callers got the chunks of an answer with their sizes, as text, where an engine in trouble answered with HTTP/1.0 and chunks. Answers with HTTP/0.9, 2.0 or 3.7 in their status line were passed on as those of HTTP/1.1.

Cause: net/http ignores and removes Transfer-Encoding in HTTP/1.0, and takes any number for a version.

The connections of a Transport now refuse versions other than 1.x, and transfer codings in HTTP/1.0, whose framing is faulty (RFC 9112, section 6.1).

Evidence: TestInvalidVersionIsNoAnswer failed for HTTP/0.9, 2.0 and 3.7, and for chunks in HTTP/1.0 with and without a length, and TestInvalidHeadIsNotForwarded for the same at the edge; HTTP/11, http/1.1, ICY and HTTP/1.x were refused before.

--- a/attempt/head.go
+++ b/attempt/head.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"net/http"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -23,9 +24,11 @@
 func (e *HeadError) Unwrap() error { return e.Cause }
 
 var (
+	errVersion  = errors.New("not HTTP/1")
 	errStatus   = errors.New("invalid status")
 	errSwitched = errors.New("the protocol was switched without a request to do so")
 	errName     = errors.New("invalid field name")
+	errFraming  = errors.New("HTTP/1.0 has no transfer codings")
 )
 
 const (
@@ -45,8 +48,9 @@
 	line []byte
 	// begun is set after the status line.
 	begun bool
-	// interim is set in the head of an interim answer.
-	interim bool
+	// interim is set in the head of an interim answer, old in one of HTTP/1.0, and coded once a transfer
+	// coding is stated.
+	interim, old, coded bool
 	// ended is set after the final head.
 	ended bool
 }
@@ -75,8 +79,7 @@
 	case !h.begun:
 		return h.endStatusLine(line)
 	case len(line) == 0:
-		h.endHead()
-		return nil
+		return h.endHead()
 	case line[0] == ' ' || line[0] == '\t':
 		return nil // Continues the value of the field before (RFC 9112, section 5.2).
 	}
@@ -84,12 +87,17 @@
 	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
 		return errName
 	}
+	h.coded = h.coded || http.CanonicalHeaderKey(string(name)) == "Transfer-Encoding"
 	return nil
 }
 
 // endStatusLine checks a status line, for example "HTTP/1.1 200 OK".
 func (h *headCheck) endStatusLine(line []byte) error {
-	_, rest, _ := bytes.Cut(line, []byte{' '})
+	version, rest, _ := bytes.Cut(line, []byte{' '})
+	minor, found := bytes.CutPrefix(version, []byte("HTTP/1."))
+	if !found || len(minor) != 1 || !isDigit(minor[0]) {
+		return errVersion
+	}
 	status, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
 	if len(status) != 3 || status[0] < '1' || status[0] > '5' || !isDigit(status[1]) || !isDigit(status[2]) {
 		return errStatus // RFC 9110, section 15.
@@ -97,17 +105,21 @@
 	if string(status) == "101" {
 		return errSwitched
 	}
-	h.begun, h.interim = true, status[0] == '1'
+	h.begun, h.interim, h.old = true, status[0] == '1', minor[0] == '0'
 	return nil
 }
 
 // endHead ends a head.
-func (h *headCheck) endHead() {
-	if h.interim {
+func (h *headCheck) endHead() error {
+	switch {
+	case h.old && h.coded:
+		return errFraming // RFC 9112, section 6.1.
+	case h.interim:
 		*h = headCheck{line: h.line}
-		return
+	default:
+		*h = headCheck{ended: true}
 	}
-	*h = headCheck{ended: true}
+	return nil
 }
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
--- a/attempt/head_test.go
+++ b/attempt/head_test.go
@@ -55,6 +55,11 @@
 	checkNoAnswers(t, standin.InvalidNames("Kind: s\r\n", "answer"))
 }
 
+// TestInvalidVersionIsNoAnswer guards against taking the framing of an answer for its body.
+func TestInvalidVersionIsNoAnswer(t *testing.T) {
+	checkNoAnswers(t, standin.InvalidVersions("Kind: s\r\n", "answer"))
+}
+
 // TestValidHeadsAreAnswers checks that only heads are refused that are none.
 func TestValidHeadsAreAnswers(t *testing.T) {
 	send := startRaw(t)
--- a/attempt/transport.go
+++ b/attempt/transport.go
@@ -14,7 +14,7 @@
 
 // Transport is an http.RoundTripper for HTTP/1 that passes on no answer that may be broken. It adds to what
 // http.Transport checks: the body of an answer without a length and chunks ends with io.EOF only if the whole
-// request was written before, and a head is valid by RFC 9110 as to its status and names.
+// request was written before, and a head is valid by RFC 9110 and RFC 9112 as to its version, status and names.
 // A malformed one gives a *HeadError.
 //
 // Requests with a body must have a length. Connections with TLS are not checked.
--- a/standin/badheads.go
+++ b/standin/badheads.go
@@ -38,10 +38,23 @@
 	return answers
 }
 
-// InvalidHeads returns the answers of InvalidStatuses and InvalidNames.
+// InvalidVersions returns answers with a version of HTTP that is none, or whose framing it does not have.
+func InvalidVersions(header, body string) map[string]string {
+	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	answers := map[string]string{
+		"chunks in HTTP/1.0":            "HTTP/1.0 200 OK\r\n" + header + "Transfer-Encoding: chunked\r\n\r\n" + chunks,
+		"chunks and length in HTTP/1.0": "HTTP/1.0 200 OK\r\n" + header + "Content-Length: 3\r\ntransfer-encoding: chunked\r\n\r\n" + chunks,
+	}
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/3.7", "HTTP/11", "http/1.1", "ICY", "HTTP/1.x"} {
+		answers[version] = fmt.Sprintf("%s 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", version, header, len(body), body)
+	}
+	return answers
+}
+
+// InvalidHeads returns the answers of InvalidStatuses, InvalidNames and InvalidVersions.
 func InvalidHeads(header, body string) map[string]string {
 	all := make(map[string]string)
-	for _, some := range []func(header, body string) map[string]string{InvalidStatuses, InvalidNames} {
+	for _, some := range []func(header, body string) map[string]string{InvalidStatuses, InvalidNames, InvalidVersions} {
 		for name, answer := range some(header, body) {
 			all[name] = answer
 		}
