relay: a reset beside a request is not the end of a relayed answer

Part of an answer without a length came out as a whole one where the connection to the engine went through another daemon, and the engine reset it while the upload was still being written.

Cause: the daemon in between had the same two goroutines. The one that forwards the request swallowed the error of its write, in the belief that the other one would see it, which got io.EOF. And the daemon that asks counts the request as written once the other daemon has it, not the engine.

The daemon in between now ends the stream with an error if its write failed, and states at the end in order how many bytes of the request it wrote. If that is less than what was sent, or is not stated, the end is an error.

--- a/gen/bronzeturn/v1/bronzeturnv1connect/relay.connect.go
+++ b/gen/bronzeturn/v1/bronzeturnv1connect/relay.connect.go
@@ -41,8 +41,8 @@
 type RelayServiceClient interface {
 	// Connect opens one connection and forwards bytes in both directions. The response stream
 	// ends without an error only if the backend server has closed its side in order; a reset or
-	// a failure of the path to it ends the stream with an error. The connection is closed when
-	// the request stream ends or the call is cancelled.
+	// a failure of the path to it, whichever direction meets it, ends the stream with an error.
+	// The connection is closed when the request stream ends or the call is cancelled.
 	Connect(context.Context) *connect.BidiStreamForClient[v1.ConnectRequest, v1.ConnectResponse]
 }
 
@@ -80,8 +80,8 @@
 type RelayServiceHandler interface {
 	// Connect opens one connection and forwards bytes in both directions. The response stream
 	// ends without an error only if the backend server has closed its side in order; a reset or
-	// a failure of the path to it ends the stream with an error. The connection is closed when
-	// the request stream ends or the call is cancelled.
+	// a failure of the path to it, whichever direction meets it, ends the stream with an error.
+	// The connection is closed when the request stream ends or the call is cancelled.
 	Connect(context.Context, *connect.BidiStream[v1.ConnectRequest, v1.ConnectResponse]) error
 }
 
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -26,6 +27,10 @@
 	cancel  context.CancelFunc
 	// unread is the part of the last message that has not been read.
 	unread []byte
+	// sent is the number of bytes sent to the other daemon, forwarded the number of those that it wrote to
+	// the backend server, nil unless it has stated that the connection ended in order.
+	sent      atomic.Uint64
+	forwarded *uint64
 }
 
 var _ net.Conn = (*relayedConn)(nil)
@@ -79,22 +84,34 @@
 	for len(c.unread) == 0 {
 		m, err := c.stream.Receive()
 		if errors.Is(err, io.EOF) {
-			return 0, io.EOF
+			return 0, c.endError()
 		}
 		if err != nil {
 			return 0, &CallError{Daemon: c.daemon, Cause: err}
 		}
-		c.unread = m.GetData()
+		c.unread, c.forwarded = m.GetData(), m.RequestBytes
 	}
 	n := copy(p, c.unread)
 	c.unread = c.unread[n:]
 	return n, nil
 }
 
+// errNotForwarded reports a connection that ended before the other daemon had written all bytes to it.
+var errNotForwarded = errors.New("the connection ended before all bytes had been forwarded")
+
+// endError returns io.EOF if the connection ended in order after all bytes had been forwarded.
+func (c *relayedConn) endError() error {
+	if c.forwarded == nil || *c.forwarded < c.sent.Load() {
+		return &CallError{Daemon: c.daemon, Cause: errNotForwarded}
+	}
+	return io.EOF
+}
+
 // Write implements net.Conn.
 func (c *relayedConn) Write(p []byte) (written int, err error) {
 	for len(p) > 0 {
 		n := min(len(p), chunkBytes)
+		c.sent.Add(uint64(n))
 		if err := c.stream.Send(&bronzeturnv1.ConnectRequest{Data: p[:n]}); err != nil {
 			return written, &CallError{Daemon: c.daemon, Cause: err}
 		}
--- a/relay/server.go
+++ b/relay/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -67,11 +68,19 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
+	writer := &requestWriter{conn: conn}
 	go func() {
-		forwardRequest(stream, conn)
+		writer.forward(stream)
 		cancel()
 	}()
-	return forwardAnswer(conn, stream)
+	if err := forwardAnswer(conn, stream); err != nil {
+		return err
+	}
+	written, err := writer.end()
+	if err != nil {
+		return connect.NewError(connect.CodeAborted, err)
+	}
+	return stream.Send(&bronzeturnv1.ConnectResponse{RequestBytes: &written})
 }
 
 // open opens the connection that another daemon has requested, over this daemon's own path.
@@ -99,19 +108,47 @@
 	return nil, bronzeturnv1.ConnectOutcome_CONNECT_OUTCOME_UNREACHABLE
 }
 
-// forwardRequest copies bytes to the backend server until the request stream ends.
-func forwardRequest(stream *serverStream, conn net.Conn) {
+// requestWriter forwards the bytes of a request to a backend server.
+type requestWriter struct {
+	conn net.Conn
+	// mu is held while bytes are written. It guards what follows.
+	mu      sync.Mutex
+	written uint64
+	failed  error
+}
+
+// forward copies bytes to the backend server until the request stream ends.
+func (w *requestWriter) forward(stream *serverStream) {
 	for {
 		m, err := stream.Receive()
-		if err != nil {
+		if err != nil || !w.write(m.GetData()) {
 			return
 		}
-		if _, err := conn.Write(m.GetData()); err != nil {
-			return // forwardAnswer reports the state of the connection.
-		}
 	}
 }
 
+// write writes to the backend server. It returns false if that fails.
+func (w *requestWriter) write(p []byte) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.failed != nil {
+		return false
+	}
+	n, err := w.conn.Write(p)
+	w.written += uint64(n)
+	w.failed = err
+	return err == nil
+}
+
+// end closes the connection, and returns the number of bytes written to it and the error of writing. The system
+// reports a reset once: if the writer gets it, the reader gets a plain end.
+func (w *requestWriter) end() (written uint64, err error) {
+	_ = w.conn.Close() // Ends a write that still runs.
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.written, w.failed
+}
+
 // forwardAnswer copies bytes from the backend server until the connection ends.
 func forwardAnswer(conn net.Conn, stream *serverStream) error {
 	buffer := make([]byte, chunkBytes)
