--- a/answers_test.go
+++ b/answers_test.go
@@ -1,11 +1,13 @@
 package bronzeturn_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -53,11 +55,84 @@
 	return s.Conn.Write(p)
 }
 
-// TestBytesBeyondAnAnswerBelongToNoRequest guards against a head that a backend server cuts on a connection
-// that is kept: with the next answer behind it, the two pass for one that has the status of the first and the
-// body of the second.
-func TestBytesBeyondAnAnswerBelongToNoRequest(t *testing.T) {
-	c := qt.New(t)
+// editingConn is a connection to a backend server that edits the head of the answer to a request of a caller.
+type editingConn struct {
+	net.Conn
+	edit func(head string) string
+	// posted is set once a POST has been sent, head is that of the answer so far, rest what is to be read.
+	posted atomic.Bool
+	head   []byte
+	rest   []byte
+	passed bool
+}
+
+// Write implements net.Conn.
+func (e *editingConn) Write(p []byte) (int, error) {
+	if bytes.HasPrefix(p, []byte("POST ")) {
+		e.posted.Store(true)
+	}
+	return e.Conn.Write(p)
+}
+
+// Read implements net.Conn.
+func (e *editingConn) Read(p []byte) (int, error) {
+	for !e.passed && len(e.rest) == 0 {
+		n, err := e.Conn.Read(p)
+		if err != nil || !e.posted.Load() {
+			return n, err
+		}
+		e.head = append(e.head, p[:n]...)
+		if head, body, whole := strings.Cut(string(e.head), "\r\n\r\n"); whole {
+			e.rest = []byte(e.edit(head) + "\r\n\r\n" + body)
+			e.passed = true
+		}
+	}
+	if len(e.rest) == 0 {
+		return e.Conn.Read(p)
+	}
+	n := copy(p, e.rest)
+	e.rest = e.rest[n:]
+	return n, nil
+}
+
+// invalidHeads edit heads so that they are none.
+var invalidHeads = map[string]func(head string) string{
+	"status 000": func(head string) string { return "HTTP/1.1 000 OK" + head[len("HTTP/1.1 200 OK"):] },
+	"status 001": func(head string) string { return "HTTP/1.1 001 OK" + head[len("HTTP/1.1 200 OK"):] },
+	"status +20": func(head string) string { return "HTTP/1.1 +20 OK" + head[len("HTTP/1.1 200 OK"):] },
+	"status 999": func(head string) string { return "HTTP/1.1 999 OK" + head[len("HTTP/1.1 200 OK"):] },
+	"HTTP/3.7":   func(head string) string { return "HTTP/3.7" + head[len("HTTP/1.1"):] },
+	"blank":      func(head string) string { return head + "\r\nOther : x" },
+	"control":    func(head string) string { return head + "\r\nOt\x01her: x" },
+	"framing": func(head string) string {
+		return strings.NewReplacer("Content-Length:", "Content-Length :", "Transfer-Encoding:", "Transfer-Encoding :").Replace(head)
+	},
+	"chunks in HTTP/1.0": func(head string) string {
+		return "HTTP/1.0" + head[len("HTTP/1.1"):] + "\r\nTransfer-Encoding: chunked"
+	},
+}
+
+// TestInvalidHeadsReachNoCaller checks that an answer whose head is none is not passed on by the chat edge, and that
+// its callers are answered.
+func TestInvalidHeadsReachNoCaller(t *testing.T) {
+	for name, edit := range invalidHeads {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			_, address := startEdited(c, func(conn net.Conn) net.Conn { return &editingConn{Conn: conn, edit: edit} })
+			for i := range 4 {
+				chat := demo.Chat{Key: "key-dock-kiosks", Kind: "quick", Prompt: fmt.Sprintf("battery of bike %d?", i), Stream: i%2 == 0}
+				got := chat.Send(c.Context(), http.DefaultClient, address)
+				c.Check(got.Err, qt.IsNil)
+				c.Check(got.Status >= http.StatusInternalServerError, qt.IsTrue, qt.Commentf("%d %s", got.Status, got.Body))
+				status := callService(c, address, i)
+				c.Check(status >= http.StatusInternalServerError && status < 600, qt.IsTrue, qt.Commentf("%d", status))
+			}
+		})
+	}
+}
+
+// startEdited starts a daemon whose connections to backend servers are edited, and returns the address for callers.
+func startEdited(c *qt.C, edit func(net.Conn) net.Conn) (p *demo.Platform, address string) {
 	p, err := demo.StartPlatform(examples.CampinaVerde, 1)
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(p.Stop)
@@ -69,7 +144,7 @@
 			if err != nil || !backends[address] {
 				return conn, err
 			}
-			return &splicingConn{Conn: conn}, nil
+			return edit(conn), nil
 		}
 	}})
 	c.Assert(err, qt.IsNil)
@@ -77,14 +152,23 @@
 	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	defer cancel()
 	c.Assert(f.WaitReady(ctx), qt.IsNil)
+	return p, f.Daemons[0].CallerAddress()
+}
 
+// TestBytesBeyondAnAnswerBelongToNoRequest guards against a head that a backend server cuts on a connection
+// that is kept: with the next answer behind it, the two pass for one that has the status of the first and the
+// body of the second.
+func TestBytesBeyondAnAnswerBelongToNoRequest(t *testing.T) {
+	c := qt.New(t)
+	p, address := startEdited(c, func(conn net.Conn) net.Conn { return &splicingConn{Conn: conn} })
 	for _, engine := range p.Engines {
 		engine.SetFaults(standin.Faults{Fail: true})
 	}
 	for _, service := range p.Services {
 		service.SetFaults(standin.Faults{Fail: true})
 	}
-	address := f.Daemons[0].CallerAddress()
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
 	const requests = 20
 	chats, calls := 0, 0
 	for i := range requests {
