Clients of outside systems and of callers refuse malformed heads

The daemon's client of the store, the host list, the ratings and the weight store, and the client library for callers, took answers for whole whose head held a name with a blank, a version that is none, or both framings in HTTP/1.0. The library reported status 000 as a refusal by a daemon.

Cause: these clients read answers with net/http alone. Both now use the Transport of package attempt, as the other clients do.

Invalid statuses were errors of the outside clients before.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -25,6 +25,7 @@
 	"sync"
 	"time"
 
+	"github.com/bronzeturn/bronzeturn/attempt"
 	"github.com/bronzeturn/bronzeturn/callerapi"
 	"github.com/bronzeturn/bronzeturn/logging"
 	"github.com/bronzeturn/bronzeturn/security"
@@ -97,7 +98,7 @@
 		transport.TLSClientConfig.MinVersion = tls.VersionTLS13
 		transport.ForceAttemptHTTP2 = true
 	}
-	client := &http.Client{Transport: transport, CheckRedirect: noRedirect}
+	client := &http.Client{Transport: attempt.NewTransport(transport), CheckRedirect: noRedirect}
 	return &Client{http: client, scheme: scheme, key: logging.NewSecret(o.Key), entry: address}, nil
 }
 
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -5,11 +5,13 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/bronzeturn/bronzeturn/caller"
 	"github.com/bronzeturn/bronzeturn/caller/callertest"
 	"github.com/bronzeturn/bronzeturn/callerapi"
+	"github.com/bronzeturn/bronzeturn/standin"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -174,3 +176,22 @@
 		})
 	}
 }
+
+// TestInvalidHeadIsNoAnswer checks that an answer whose head is none is not taken for one, and that the request is
+// not sent again.
+func TestInvalidHeadIsNoAnswer(t *testing.T) {
+	const header, body = "Content-Type: application/json\r\n", `{"choices":[{"message":{"content":"x"},"finish_reason":"stop"}]}`
+	for name, answer := range standin.InvalidHeads(header, body) {
+		c := qt.New(t)
+		raw := &standin.RawServer{}
+		raw.Set(standin.RawAnswer{Bytes: answer, End: standin.EndAtOnce})
+		var requests atomic.Int32
+		e := newEntry(t, func(w http.ResponseWriter, r *http.Request) {
+			requests.Add(1)
+			raw.ServeHTTP(w, r)
+		})
+		_, err := newClient(t, e).Complete(c.Context(), caller.Params{}, caller.Prompt("x"), nil)
+		c.Check(result(err), qt.Equals, "unavailable", qt.Commentf("%s: %v", name, err))
+		c.Check(requests.Load(), qt.Equals, int32(1), qt.Commentf(name))
+	}
+}
--- a/platform.go
+++ b/platform.go
@@ -45,7 +45,7 @@
 func newPlatform(d *Daemon) *platform {
 	// Bytes beyond an answer belong to no request: requests of callers share no connections.
 	requests := attempt.NewUnpooledTransport(d.dialBackend)
-	client := &http.Client{Transport: overload.BoundAnswers(newTransport(d.options.Dial), memoryBytes(d.settings.GetMemoryBytes()))}
+	client := newOutsideClient(d.options.Dial, memoryBytes(d.settings.GetMemoryBytes()))
 	p := &platform{
 		store:    httpstore.New(d.settings.GetStoreUrl(), client),
 		hosts:    hostlist.New(d.settings.GetHostListUrl(), client),
@@ -62,7 +62,13 @@
 	return p
 }
 
-// newTransport returns a transport for external systems that opens connections
+// newOutsideClient returns the client of the store, the host list, the ratings and the weight store for a daemon
+// with an amount of memory.
+func newOutsideClient(dial attempt.DialFunc, memoryBytes int64) *http.Client {
+	return &http.Client{Transport: overload.BoundAnswers(attempt.NewTransport(newTransport(dial)), memoryBytes)}
+}
+
+// newTransport returns the settings of a transport for external systems that opens connections
 // with dial. It ignores the proxy settings of the environment.
 func newTransport(dial attempt.DialFunc) *http.Transport {
 	return &http.Transport{
