Refusals reach clients that are still sending: tests

The other way round: what a client gets when a daemon refuses its upload early and closes the connection.

--- a/answers_test.go
+++ b/answers_test.go
@@ -1,6 +1,7 @@
 package bronzeturn_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -14,6 +15,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/bronzeturn/bronzeturn/callerapi"
 	"github.com/bronzeturn/bronzeturn/demo"
 	"github.com/bronzeturn/bronzeturn/examples"
 	"github.com/bronzeturn/bronzeturn/standin"
@@ -183,3 +185,29 @@
 	c.Check(chats, qt.Equals, 0, qt.Commentf("of %d chats that failed got a success", requests))
 	c.Check(calls, qt.Equals, 0, qt.Commentf("of %d calls that failed got a success", requests))
 }
+
+// TestRefusalReachesCallersThatAreStillSending checks that a caller which reads its answer only after its upload gets
+// a refusal that came meanwhile, and not the reset of its connection alone.
+func TestRefusalReachesCallersThatAreStillSending(t *testing.T) {
+	c := qt.New(t)
+	_, address := startEdited(c, func(conn net.Conn) net.Conn { return conn })
+	const size = 64 << 20
+	for key, want := range map[string]int{"key-of-nobody": http.StatusUnauthorized, "key-oficina-central": http.StatusRequestEntityTooLarge} {
+		for _, path := range []string{callerapi.PathChatCompletions, callerapi.PathServices + "ticket-desk/open"} {
+			conn, err := net.Dial("tcp", address)
+			c.Assert(err, qt.IsNil)
+			defer conn.Close()
+			c.Assert(conn.SetDeadline(time.Now().Add(waitLimit)), qt.IsNil)
+			_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n", path, key, size)
+			for left := size; left > 0 && err == nil; left -= 64 << 10 {
+				_, err = conn.Write(make([]byte, 64<<10)) // The daemon need not take the rest.
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			c.Assert(err, qt.IsNil, qt.Commentf("%d at %s", want, path))
+			defer resp.Body.Close()
+			_, err = io.ReadAll(resp.Body)
+			c.Check(err, qt.IsNil)
+			c.Check(resp.StatusCode, qt.Equals, want, qt.Commentf(path))
+		}
+	}
+}
