--- a/attempt/early_test.go
+++ b/attempt/early_test.go
@@ -15,10 +15,8 @@
 	"github.com/bronzeturn/bronzeturn/standin"
 )
 
-// sendOver sends a request over a connection and returns the body of the answer.
-func sendOver(c *qt.C, conn net.Conn, r attempt.Request) (string, error) {
-	transport := attempt.NewUnpooledTransport(func(context.Context, string, string) (net.Conn, error) { return conn, nil })
-	r.URL = "http://127.0.0.1:1/"
+// exchange sends a request and returns the body of the answer.
+func exchange(c *qt.C, transport http.RoundTripper, r attempt.Request) (string, error) {
 	x, err := attempt.Send(c.Context(), transport, r)
 	if err != nil {
 		return "", err
@@ -28,6 +26,12 @@
 	return string(body), err
 }
 
+// sendOver sends a request over a connection and returns the body of the answer.
+func sendOver(c *qt.C, conn net.Conn, r attempt.Request) (string, error) {
+	r.URL = "http://127.0.0.1:1/"
+	return exchange(c, attempt.NewUnpooledTransport(func(context.Context, string, string) (net.Conn, error) { return conn, nil }), r)
+}
+
 // TestResetBesideAnUploadIsNotTheEndOfAnAnswer guards against taking a reset for the end of an answer that ends
 // with its connection: the goroutine that writes the request gets the error, the one that reads the answer
 // a plain end.
--- a/attempt/head_test.go
+++ b/attempt/head_test.go
@@ -1,7 +1,6 @@
 package attempt_test
 
 import (
-	"io"
 	"net"
 	"net/http/httptest"
 	"testing"
@@ -20,13 +19,7 @@
 	transport := attempt.NewUnpooledTransport((&net.Dialer{}).DialContext)
 	return func(c *qt.C, answer string) (string, error) {
 		server.Set(standin.RawAnswer{Bytes: answer, End: standin.EndAtOnce})
-		x, err := attempt.Send(c.Context(), transport, attempt.Request{Method: "POST", URL: listening.URL, Body: []byte("x")})
-		if err != nil {
-			return "", err
-		}
-		defer x.Close()
-		body, err := io.ReadAll(x)
-		return string(body), err
+		return exchange(c, transport, attempt.Request{Method: "POST", URL: listening.URL, Body: []byte("x")})
 	}
 }
 
--- a/relay/cut_test.go
+++ b/relay/cut_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 
@@ -23,13 +24,7 @@
 	transport := attempt.NewUnpooledTransport(all[0].Dial)
 	send := func(a standin.RawAnswer) (string, error) {
 		server.Set(a)
-		x, err := attempt.Send(c.Context(), transport, attempt.Request{Method: "POST", URL: listening.URL, Body: []byte("x")})
-		if err != nil {
-			return "", err
-		}
-		defer x.Close()
-		body, err := io.ReadAll(x)
-		return string(body), err
+		return exchange(c, transport, attempt.Request{Method: "POST", URL: listening.URL, Body: []byte("x")})
 	}
 	framings := standin.Framings("", "body")
 	for _, whole := range []string{framings["length"], framings["chunks"]} {
@@ -42,3 +37,14 @@
 		c.Check(body, qt.Equals, "body")
 	}
 }
+
+// exchange sends a request and returns the body of the answer.
+func exchange(c *qt.C, transport http.RoundTripper, r attempt.Request) (string, error) {
+	x, err := attempt.Send(c.Context(), transport, r)
+	if err != nil {
+		return "", err
+	}
+	defer x.Close()
+	body, err := io.ReadAll(x)
+	return string(body), err
+}
--- a/relay/early_test.go
+++ b/relay/early_test.go
@@ -24,15 +24,7 @@
 	if path != nil {
 		all[1].setPath(func(context.Context, string, string) (net.Conn, error) { return path(), nil })
 	}
-	x, err := attempt.Send(c.Context(), attempt.NewUnpooledTransport(all[0].Dial), attempt.Request{
-		Method: http.MethodPost, URL: "http://" + address, Body: body,
-	})
-	if err != nil {
-		return "", err
-	}
-	defer x.Close()
-	got, err := io.ReadAll(x)
-	return string(got), err
+	return exchange(c, attempt.NewUnpooledTransport(all[0].Dial), attempt.Request{Method: http.MethodPost, URL: "http://" + address, Body: body})
 }
 
 // TestResetBesideAnUploadThroughAnotherDaemon guards against passing on a reset as the end of an answer: the
