--- a/attempt/transport.go
+++ b/attempt/transport.go
@@ -12,10 +12,10 @@
 // errRequestCut reports an answer that ended with its connection before the whole request had been written.
 var errRequestCut = errors.New("the connection ended before the whole request had been written")
 
-// Transport is an http.RoundTripper for HTTP/1 that passes on no answer that may be broken. It adds to what
-// http.Transport checks: the body of an answer without a length and chunks ends with io.EOF only if the whole
-// request was written before, and a head is valid by RFC 9110 and RFC 9112 as to its version, status and names.
-// A malformed one gives a *HeadError.
+// Transport is an http.RoundTripper for HTTP/1 that is stricter about answers than http.Transport:
+//   - The body of an answer without a length and chunks ends with io.EOF only if the whole request was written
+//     before.
+//   - A head whose version, status or field names are invalid by RFC 9110 and RFC 9112 gives a *HeadError.
 //
 // Requests with a body must have a length. Connections with TLS are not checked.
 type Transport struct{ next *http.Transport }
