Broken answers: a check that could not fail, and lines written twice

The relay's writer is not asked again once a write has failed, so it need not check that. No behaviour and no assertion changes.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -143,11 +143,10 @@
 	}
 }
 
-// Send sends the request once over transport, which should be one of this package, and waits for the header of
-// the answer.
-// It never follows redirects and never repeats the request. It also prevents the
-// transport from trying another connection when no byte was written. The error is an
-// *Error, also for a malformed request.
+// Send sends the request once over transport, which should be one of this package, and waits
+// for the header of the answer. It never follows redirects and never repeats the request. It
+// also prevents the transport from trying another connection when no byte was written. The
+// error is an *Error, also for a malformed request.
 func Send(ctx context.Context, transport http.RoundTripper, r Request) (*Exchange, error) {
 	inner, cancel := context.WithCancelCause(ctx)
 	seen := &trace{}
--- a/attempt/attempt_test.go
+++ b/attempt/attempt_test.go
@@ -59,13 +59,19 @@
 	return t
 }
 
-func send(transport http.RoundTripper, r attempt.Request) error {
+// exchange sends a request and returns the body of the answer.
+func exchange(transport http.RoundTripper, r attempt.Request) (string, error) {
 	x, err := attempt.Send(context.Background(), transport, r)
 	if err != nil {
-		return err
+		return "", err
 	}
 	defer x.Close()
-	_, err = io.ReadAll(x)
+	body, err := io.ReadAll(x)
+	return string(body), err
+}
+
+func send(transport http.RoundTripper, r attempt.Request) error {
+	_, err := exchange(transport, r)
 	return err
 }
 
--- a/attempt/cut_test.go
+++ b/attempt/cut_test.go
@@ -1,7 +1,6 @@
 package attempt_test
 
 import (
-	"io"
 	"net/http/httptest"
 	"testing"
 
@@ -31,12 +30,9 @@
 				c.Assert(stageOf(c, err), qt.Equals, attempt.Sent, qt.Commentf("%q, %s", cut.Bytes, cut.End))
 			}
 			server.Set(standin.RawAnswer{Bytes: whole, End: standin.EndAtOnce})
-			x, err := attempt.Send(c.Context(), transport, r)
+			body, err := exchange(transport, r)
 			c.Assert(err, qt.IsNil)
-			defer x.Close()
-			body, err := io.ReadAll(x)
-			c.Assert(err, qt.IsNil)
-			c.Check(string(body), qt.Equals, "body")
+			c.Check(body, qt.Equals, "body")
 		})
 	}
 }
--- a/attempt/early_test.go
+++ b/attempt/early_test.go
@@ -15,21 +15,10 @@
 	"github.com/bronzeturn/bronzeturn/standin"
 )
 
-// exchange sends a request and returns the body of the answer.
-func exchange(c *qt.C, transport http.RoundTripper, r attempt.Request) (string, error) {
-	x, err := attempt.Send(c.Context(), transport, r)
-	if err != nil {
-		return "", err
-	}
-	defer x.Close()
-	body, err := io.ReadAll(x)
-	return string(body), err
-}
-
 // sendOver sends a request over a connection and returns the body of the answer.
-func sendOver(c *qt.C, conn net.Conn, r attempt.Request) (string, error) {
+func sendOver(conn net.Conn, r attempt.Request) (string, error) {
 	r.URL = "http://127.0.0.1:1/"
-	return exchange(c, attempt.NewUnpooledTransport(func(context.Context, string, string) (net.Conn, error) { return conn, nil }), r)
+	return exchange(attempt.NewUnpooledTransport(func(context.Context, string, string) (net.Conn, error) { return conn, nil }), r)
 }
 
 // TestResetBesideAnUploadIsNotTheEndOfAnAnswer guards against taking a reset for the end of an answer that ends
@@ -55,7 +44,7 @@
 				t.Run(version+", "+name, func(t *testing.T) {
 					c := qt.New(t)
 					conn := &standin.EarlyConn{Answer: answer, Accepts: upload.accepts, Late: late}
-					body, err := sendOver(c, conn, attempt.Request{Method: "POST", Body: make([]byte, upload.size)})
+					body, err := sendOver(conn, attempt.Request{Method: "POST", Body: make([]byte, upload.size)})
 					c.Check(err, qt.IsNotNil, qt.Commentf("%q", body))
 				})
 			}
@@ -95,14 +84,14 @@
 		for _, late := range []bool{false, true} {
 			c := qt.New(t)
 			conn := &standin.EarlyConn{Answer: standin.WithoutFraming("", "whole"), Last: last, Late: late}
-			body, err := sendOver(c, conn, attempt.Request{Method: "POST", Body: append(bytes.Repeat([]byte("\r\n"), size/2), last...)})
+			body, err := sendOver(conn, attempt.Request{Method: "POST", Body: append(bytes.Repeat([]byte("\r\n"), size/2), last...)})
 			c.Check(err, qt.IsNil, qt.Commentf("%d, %t", size, late))
 			c.Check(body, qt.Equals, "whole")
 		}
 	}
 	for _, method := range []string{"GET", "POST", "DELETE"} {
 		c := qt.New(t)
-		body, err := sendOver(c, &standin.EarlyConn{Answer: standin.WithoutFraming("", "whole"), Last: "\r\n\r\n"}, attempt.Request{Method: method})
+		body, err := sendOver(&standin.EarlyConn{Answer: standin.WithoutFraming("", "whole"), Last: "\r\n\r\n"}, attempt.Request{Method: method})
 		c.Check(err, qt.IsNil, qt.Commentf(method))
 		c.Check(body, qt.Equals, "whole")
 	}
@@ -113,7 +102,7 @@
 	for name, answer := range standin.Framings("", "whole") {
 		c := qt.New(t)
 		conn := &standin.EarlyConn{Answer: answer, Accepts: 64 << 10}
-		body, err := sendOver(c, conn, attempt.Request{Method: "POST", Body: make([]byte, 300<<10)})
+		body, err := sendOver(conn, attempt.Request{Method: "POST", Body: make([]byte, 300<<10)})
 		c.Check(err, qt.IsNil, qt.Commentf(name))
 		c.Check(body, qt.Equals, "whole")
 	}
--- a/attempt/head_test.go
+++ b/attempt/head_test.go
@@ -12,14 +12,14 @@
 )
 
 // startRaw starts a server that sends answers byte by byte, and returns a function that sends it a request.
-func startRaw(t *testing.T) func(c *qt.C, answer string) (string, error) {
+func startRaw(t *testing.T) func(answer string) (string, error) {
 	server := &standin.RawServer{}
 	listening := httptest.NewServer(server)
 	t.Cleanup(listening.Close)
 	transport := attempt.NewUnpooledTransport((&net.Dialer{}).DialContext)
-	return func(c *qt.C, answer string) (string, error) {
+	return func(answer string) (string, error) {
 		server.Set(standin.RawAnswer{Bytes: answer, End: standin.EndAtOnce})
-		return exchange(c, transport, attempt.Request{Method: "POST", URL: listening.URL, Body: []byte("x")})
+		return exchange(transport, attempt.Request{Method: "POST", URL: listening.URL, Body: []byte("x")})
 	}
 }
 
@@ -29,7 +29,7 @@
 	for name, answer := range answers {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			body, err := send(c, answer)
+			body, err := send(answer)
 			c.Assert(err, qt.IsNotNil, qt.Commentf("%q", body))
 			c.Check(stageOf(c, err), qt.Equals, attempt.Sent)
 		})
@@ -63,13 +63,13 @@
 	answers["two interim heads"] = "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + answers["length"]
 	for name, answer := range answers {
 		c := qt.New(t)
-		body, err := send(c, answer)
+		body, err := send(answer)
 		c.Check(err, qt.IsNil, qt.Commentf(name))
 		c.Check(body, qt.Equals, "whole", qt.Commentf(name))
 	}
 	c := qt.New(t)
 	head := "HTTP/1.1 000 x\r\nBad name: x\r\n\r\n"
-	body, err := send(c, standin.WithoutFraming("", head))
+	body, err := send(standin.WithoutFraming("", head))
 	c.Check(err, qt.IsNil)
 	c.Check(body, qt.Equals, head, qt.Commentf("bodies are not checked"))
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -131,9 +131,6 @@
 func (w *requestWriter) write(p []byte) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.failed != nil {
-		return false
-	}
 	n, err := w.conn.Write(p)
 	w.written += uint64(n)
 	w.failed = err
