gateway: record what decided the end of an answer without a length

Callers get streams cut that their engines gave to the end. Whether the engine had ended, another instance answered, or nothing was learned in time could not be told from the logs. 'attempt failed' and 'request ended' have the fields end and end_check_ms now, and there is a counter by evidence and a histogram.

--- a/gateway/record.go
+++ b/gateway/record.go
@@ -20,6 +20,8 @@
 	attempts *prometheus.CounterVec
 	leaving  prometheus.Counter
 	stopping *prometheus.CounterVec
+	ends     *prometheus.CounterVec
+	endTime  prometheus.Histogram
 }
 
 // newMetrics registers the metrics.
@@ -45,6 +47,12 @@
 		stopping: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "bronzeturn_gateway_stop_decisions_total", Help: "Requests that came while the daemon was stopping, by kind and decision.",
 		}, []string{"kind", "decision"}),
+		ends: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "bronzeturn_gateway_end_checks_total", Help: "Ends of answers without a length, by what showed whether the engine runs still.",
+		}, []string{"evidence"}),
+		endTime: f.NewHistogram(prometheus.HistogramOpts{
+			Name: "bronzeturn_gateway_end_check_seconds", Help: "Time from the end of an answer without a length until it was known whether the engine runs still.", Buckets: buckets,
+		}),
 	}
 }
 
@@ -70,9 +78,18 @@
 		g.metrics.stopping.WithLabelValues(kind, string(stop.decision)).Inc()
 		line = line.Str("stop", string(stop.decision)).Dur("stop_left_ms", stop.left).Dur("slowest_ms", stop.slowest)
 	}
+	line = q.trace.end.describe(line)
 	q.describeWait(q.describe(line), a).Dur("took_ms", took).Msg("request ended")
 }
 
+// describe adds the fields of the check to a log line, if there was one.
+func (c endCheck) describe(line *zerolog.Event) *zerolog.Event {
+	if c.evidence == "" {
+		return line
+	}
+	return line.Str("end", string(c.evidence)).Dur("end_check_ms", c.took)
+}
+
 // describe adds the fields of the request to a log line, with the versions and the age of
 // the tables that it was handled by.
 func (q *request) describe(line *zerolog.Event) *zerolog.Event {
@@ -113,6 +130,9 @@
 	if e.Kind == retry.KindDoubted {
 		line = g.Log.Info()
 	}
+	if to.untilClose {
+		line = t.request.trace.end.describe(line)
+	}
 	line.Str("request", t.meta.ID).Stringer("hash", t.content.Request).Strs("parts", quarantine.Strings(t.parts)).Str("engine", to.engine.Key()).Str("address", to.engine.Address).
 		AnErr("failure", e.Cause).Str("kind", e.Kind.String()).Str("ran", string(e.Ran)).
 		Bool("until_close", to.untilClose).Bool("again", reason == "").Str("because", reason).Int("attempt", t.request.trace.attempts).
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -96,6 +96,8 @@
 	events    int
 	// stop is the decision at a request that comes while the daemon stops.
 	stop stopCheck
+	// end is the last check of the end of an answer without a length.
+	end endCheck
 }
 
 // prepare validates and authenticates a request, reads its body and picks its service.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -21,6 +21,7 @@
 	t.request.trace.attempts++
 	t.request.trace.engines = append(t.request.trace.engines, to.engine.Key())
 	t.request.trace.trial, t.request.trace.version = t.trial, to.engine.Version
+	t.request.trace.end = endCheck{}
 	if t.meta.Session != "" {
 		g.Introductions.Running(t.service, t.session, to.engine.Version)
 	}
