gateway: a slow probe is not the end of an engine

Cause: an answer without a length is complete if its engine has outlived it, and that was asked by one health check with a bound of its own of 500 ms. A health check waits for a slot, so at a full engine silence says nothing, but it counted as the end of the engine.

Package liveness decides now by what only a process that runs on can give: data of other answers over connections that were open before, answers to probes over connections that are kept for them, the host's acknowledgement of a probe on such a connection, a report that names the start (it needs no slot), and last a probe over a new connection. Silence decides nothing: the wait ends with the request's own time, half of which is left if another engine may be tried. Many ends share a probe. An end that stays unknown is no failure of the engine's version. The engine's slot counts as free, and paces are measured, at the end of the answer and not after the wait.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -99,6 +99,8 @@
 	// Its end then looks the same as that of a peer whose process ends. A Transport tells it from a
 	// connection that ended before the whole request had been written.
 	UntilClose bool
+	// Closes is set if the connection ends after the answer.
+	Closes bool
 
 	transport http.RoundTripper
 	host      string
@@ -172,8 +174,8 @@
 	return &Exchange{
 		transport: transport, host: req.URL.Host,
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		UntilClose: endsWithConnection(req, resp),
-		body:       resp.Body, ctx: inner, cancel: cancel,
+		UntilClose: endsWithConnection(req, resp), Closes: resp.Close,
+		body: resp.Body, ctx: inner, cancel: cancel,
 		timer: timer, progress: pause,
 	}, nil
 }
--- a/attempt/conn.go
+++ b/attempt/conn.go
@@ -29,6 +29,9 @@
 	c.head = &headCheck{}
 }
 
+// NetConn returns the connection that is checked.
+func (c *checkedConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn. It fails with a *HeadError if the head of an answer is malformed.
 func (c *checkedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -73,7 +73,7 @@
 		TimeToReady: func() time.Duration { return timeToReady(d.fleet.Depth(), time.Since(d.started)) },
 		Daemons:     d.fleet.Live, Misdirected: d.engines.Exclude, Leaving: d.engineLeaves, Delayed: d.shared.occupancy.DelayObserved,
 		Engines: d.shared, SlowStarts: d.slowStarts, Limits: d.limits, Introductions: d.introductions, Quarantine: d.quarantine, Models: gateway.NewModelChoice(d.Models), Dispatcher: d.dispatcher, SchedulesLoad: d.schedulesLoad, ChargesDelay: d.Settings.Scheduling,
-		Transport: attempt.NewUnpooledTransport(d.relay.Dial), Budget: d.Settings.Budget, Memory: d.clients.Account(),
+		Transport: attempt.NewUnpooledTransport(d.relay.Dial), Dial: d.relay.Dial, Budget: d.Settings.Budget, Memory: d.clients.Account(),
 		Seed: d.seed, Log: d.logger("gateway"), Registerer: d.registry,
 	})
 }
--- a/gateway/again.go
+++ b/gateway/again.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/bronzeturn/bronzeturn/failure"
@@ -12,7 +13,7 @@
 // failure that ends the request.
 func (g *Gateway) checkRetry(ctx context.Context, t *task, to *target, e *attemptError) *failure.Error {
 	t.recordFailure(to, e)
-	if e.connectionLost() {
+	if e.connectionLost() && (!errors.Is(e.Cause, errEndUnknown) || g.noRetryReason(t, e) == "") {
 		// Whether the request may be sent again, and where, depends on whether the engine
 		// has crashed.
 		g.Quarantine.Wait(ctx, to.engine.Key())
--- a/gateway/buffers.go
+++ b/gateway/buffers.go
@@ -33,11 +33,11 @@
 
 // boundReader returns the reader of an answer. One that states no length and goes on beyond ownBytes
 // must leave another attempt half of the time, if there may be one.
-func (t *task) boundReader(to *target, x *attempt.Exchange) io.Reader {
+func (t *task) boundReader(to *target, x *attempt.Exchange, body io.Reader) io.Reader {
 	if x.Length >= 0 || !t.route.Repeatable() || t.runs+1 >= t.route.Attempts {
-		return x
+		return body
 	}
-	return &boundReader{r: x, until: to.sent.Add(t.deadline.Sub(to.sent) / 2)}
+	return &boundReader{r: body, until: to.sent.Add(t.deadline.Sub(to.sent) / 2)}
 }
 
 // boundReader fails with errAnswerTooLong for what follows the first ownBytes after a time.
--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -89,6 +89,9 @@
 	Apply(h http.Header, s Sent)
 	// Receipt reads an engine's headers.
 	Receipt(status int, h http.Header) Receipt
+	// ReportedStart returns the start time that an engine's report states, zero if it states none. ok is false if
+	// body is no report.
+	ReportedStart(body []byte) (started time.Time, ok bool)
 	// Refuse sets the headers of a refusal. A zero retryAfter is omitted.
 	Refuse(h http.Header, requestID string, retryAfter time.Duration)
 }
--- a/gateway/dispatch_harness_test.go
+++ b/gateway/dispatch_harness_test.go
@@ -57,6 +57,8 @@
 	return r
 }
 
+func (testCodec) ReportedStart([]byte) (time.Time, bool) { return time.Time{}, false }
+
 func (testCodec) Refuse(h http.Header, id string, retryAfter time.Duration) {
 	h.Set(testID, id)
 	if retryAfter > 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,9 +14,11 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"github.com/bronzeturn/bronzeturn/attempt"
 	"github.com/bronzeturn/bronzeturn/backpressure"
 	"github.com/bronzeturn/bronzeturn/balance"
 	"github.com/bronzeturn/bronzeturn/inventory"
+	"github.com/bronzeturn/bronzeturn/liveness"
 	"github.com/bronzeturn/bronzeturn/overload"
 	"github.com/bronzeturn/bronzeturn/quarantine"
 	"github.com/bronzeturn/bronzeturn/route"
@@ -174,7 +176,9 @@
 	// sent at once.
 	Dispatcher Dispatcher
 	Transport  http.RoundTripper
-	Budget     BudgetOptions
+	// Dial opens the connections for probes of engines.
+	Dial   attempt.DialFunc
+	Budget BudgetOptions
 	// Memory is the account of what callers hold: bodies, and answers that are buffered until they
 	// are complete. Nil means that it is not bounded.
 	Memory *overload.Account
@@ -196,6 +200,7 @@
 	retries       *retrySchedule
 	runTimes      *runTimes
 	answerTimes   *answerTimes
+	liveness      *liveness.Monitor
 	inProgress    inProgress
 	rngs          sync.Pool
 	seeds         atomic.Uint64
@@ -205,6 +210,13 @@
 // New returns a Gateway.
 func New(o Options) *Gateway {
 	g := &Gateway{Options: o, metrics: newMetrics(o.Registerer), budgets: newBudgets(o.Budget, o.Daemons), paceBaselines: newPaceBaselines(), answerLengths: newAnswerLengths(), prefixLoads: newPrefixLoads(), mismatches: newMismatches(), retries: newRetrySchedule(), runTimes: newRunTimes(), answerTimes: newAnswerTimes()}
+	g.liveness = liveness.New(liveness.Options{
+		Prober: &prober{codec: o.Codec, tables: o.Tables, transport: liveness.NewTransport(o.Dial)}, Registerer: o.Registerer,
+		Restarted: func(e inventory.Engine) bool {
+			tables := o.Tables()
+			return tables != nil && tables.Engines != nil && tables.Engines.View.Restarted(e)
+		},
+	})
 	if g.Memory == nil {
 		g.Memory = overload.NewAccount(0)
 	}
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -82,14 +82,6 @@
 	q.describeWait(q.describe(line), a).Dur("took_ms", took).Msg("request ended")
 }
 
-// describe adds the fields of the check to a log line, if there was one.
-func (c endCheck) describe(line *zerolog.Event) *zerolog.Event {
-	if c.evidence == "" {
-		return line
-	}
-	return line.Str("end", string(c.evidence)).Dur("end_check_ms", c.took)
-}
-
 // describe adds the fields of the request to a log line, with the versions and the age of
 // the tables that it was handled by.
 func (q *request) describe(line *zerolog.Event) *zerolog.Event {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -12,6 +12,7 @@
 	"github.com/bronzeturn/bronzeturn/balance"
 	"github.com/bronzeturn/bronzeturn/failure"
 	"github.com/bronzeturn/bronzeturn/inventory"
+	"github.com/bronzeturn/bronzeturn/liveness"
 	"github.com/bronzeturn/bronzeturn/retry"
 	"github.com/bronzeturn/bronzeturn/route"
 )
@@ -92,7 +93,11 @@
 	leaving bool
 	// untilClose is set if the body of its answer ends with the connection.
 	untilClose bool
-	ticket     *attemptTicket
+	// reading is the answer of the engine, nil until it has begun.
+	reading *liveness.Answer
+	// released is set once the engine has ended its work and the balancer knows.
+	released bool
+	ticket   *attemptTicket
 }
 
 // attemptError is the reason why an attempt gave no answer that can be passed on.
@@ -176,6 +181,9 @@
 		g.mismatches.recordMatch(t.locationOf(to))
 	}
 	g.observe(t, to, receipt)
+	if receipt.Genuine && receipt.RequestID == t.meta.ID {
+		to.reading = g.liveness.Open(to.engine, !x.UntilClose)
+	}
 	switch {
 	case receipt.Instance != "" && receipt.Instance != to.engine.ID:
 		g.reportMisdirected(t, to)
--- a/gateway/runtime.go
+++ b/gateway/runtime.go
@@ -75,16 +75,21 @@
 	return slowRunFactor * g.runTimes.expected(runKind{t.service, t.route.Name})
 }
 
-// endRun ends the ticket of an attempt that the engine has answered completely. The engine's slot
-// is free now, while the caller may still read. Runs that were sent without waiting for their
-// turn and ended in contention do not count for the mean: they include the wait in the engine's queue.
-func (g *Gateway) endRun(t *task, to *target) {
-	if to.ticket == nil {
-		return
+// release ends the work of an engine at the end of its answer. The engine's slot is free now, while the caller may
+// still read, or it is not known yet whether the answer is complete.
+func (g *Gateway) release(t *task, to *target, pace float64) {
+	if to.ticket != nil {
+		to.ticket.end(scheduler.Answered)
 	}
-	to.ticket.end(scheduler.Answered)
-	if !t.runsModels && (to.ticket.contended || !g.contended(t.service)) {
-		g.runTimes.observe(runKind{t.service, t.route.Name}, time.Since(to.sent))
+	g.Engines.Finished(g.finished(t, to, pace))
+	to.released = true
+}
+
+// observeRunTime records the time of a complete run. Runs that were sent without waiting for their turn and ended
+// in contention do not count for the mean: they include the wait in the engine's queue.
+func (g *Gateway) observeRunTime(t *task, to *target, took time.Duration) {
+	if to.ticket != nil && !t.runsModels && (to.ticket.contended || !g.contended(t.service)) {
+		g.runTimes.observe(runKind{t.service, t.route.Name}, took)
 	}
 }
 
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -38,6 +38,7 @@
 	}
 	t.quarantineRetry = false
 	to.ticket.sent(to.engine.Key())
+	g.liveness.Expect(to.engine)
 	x, err := attempt.Send(sending, g.Transport, g.attemptRequest(ctx, t, to))
 	if err != nil {
 		failed := sendError(err).withQuarantineCause(sending)
@@ -48,6 +49,9 @@
 	to.untilClose = x.UntilClose
 	defer func() { _ = x.Close() }() // The answer has been read or is not needed.
 	failed := g.deliver(ctx, t, to, x)
+	if to.reading != nil {
+		to.reading.Close(failed == nil)
+	}
 	if failed != nil {
 		g.reportFailure(ctx, t, to, failed.withQuarantineCause(sending))
 	}
@@ -141,7 +145,7 @@
 // had not begun to answer although it had as much time as the route's target. A caller
 // that disconnects says nothing about the engine.
 func silentUntilDeadline(ctx context.Context, t *task, to *target) bool {
-	return errors.Is(context.Cause(ctx), errDeadline) && !to.firstSeen && time.Since(to.sent) >= max(t.route.Target, minAttempt)
+	return errors.Is(context.Cause(ctx), errDeadline) && !to.firstSeen && !to.released && time.Since(to.sent) >= max(t.route.Target, minAttempt)
 }
 
 // reportFailure reports a failed attempt to the balancer, the quarantine and the
@@ -151,18 +155,25 @@
 	g.reportToQuarantine(t, to, e, now)
 	silent := e.Kind == retry.KindCancelled && silentUntilDeadline(ctx, t, to)
 	if !silent && (e.Kind == retry.KindCancelled || e.Kind == retry.KindDoubted) {
-		g.Engines.Finished(balance.Finished{Engine: to.engine.Key(), Work: to.work, FirstTokenSeen: to.firstSeen, Cancelled: true, At: now})
+		if !to.released {
+			g.Engines.Finished(balance.Finished{Engine: to.engine.Key(), Work: to.work, FirstTokenSeen: to.firstSeen, Cancelled: true, At: now})
+		}
 		return
 	}
 	kind, known := failureKinds[e.Kind]
 	if !known {
 		kind = balance.FailureError
 	}
-	g.Engines.Failed(balance.Failed{Engine: to.engine.Key(), Work: to.work, FirstTokenSeen: to.firstSeen, Kind: kind, RetryAfter: to.retryAfter, At: now})
+	if !to.released {
+		g.Engines.Failed(balance.Failed{Engine: to.engine.Key(), Work: to.work, FirstTokenSeen: to.firstSeen, Kind: kind, RetryAfter: to.retryAfter, At: now})
+	}
 	if e.Kind == retry.KindRefused || e.Kind == retry.KindConnect || e.Kind == retry.KindMisdirected {
 		return
 	}
 	blame := g.blameFor(t, to.engine.Version)
+	if errors.Is(e.Cause, errEndUnknown) {
+		blame = func() {} // The answer may be complete.
+	}
 	if e.connectionLost() {
 		g.Quarantine.AnswerInterrupted(to.engine, t.content, now, blame)
 		return
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -30,7 +30,7 @@
 // deliverStream forwards complete events as they arrive. The header is sent with the first
 // event, so that until then another engine can take over without the caller noticing.
 func (g *Gateway) deliverStream(ctx context.Context, t *task, to *target, x *attempt.Exchange) *attemptError {
-	s := newEvents(x)
+	s := newEvents(to.bodyOf(x))
 	got := 0
 	var firstAt time.Time
 	for {
@@ -65,11 +65,21 @@
 	if x.UntilClose && got == 0 {
 		return sendError(errBrokenOff)
 	}
+	pace := streamPace(got, firstAt)
+	ratio := 0.0
+	if pace > 0 {
+		ratio = g.paceBaselines.ratio(paceKind{t.service, t.model, false}, pace)
+	}
+	latency := time.Since(to.sent)
+	g.release(t, to, ratio)
 	if failed := g.checkEnd(ctx, t, to, x); failed != nil {
 		return failed
 	}
-	g.endRun(t, to)
-	g.reportStreamEnd(t, to, got, firstAt)
+	g.observeRunTime(t, to, latency)
+	if pace > 0 {
+		g.answerLengths.observe(t.service, t.model, t.meta.LikelyTokens, t.stream.events, pace)
+		g.Introductions.ObservePace(t.service, t.route.Name, to.engine.Version, scaledPace(ratio))
+	}
 	g.Quarantine.Completed(t.content, time.Now())
 	t.finishStream(x)
 	return nil
@@ -124,18 +134,13 @@
 	return nil
 }
 
-// reportStreamEnd reports a completed stream to the balancer and the introduction of the
-// version. got is the number of events of this attempt, firstAt the time of the first.
-func (g *Gateway) reportStreamEnd(t *task, to *target, got int, firstAt time.Time) {
-	if got < 2 {
-		g.Engines.Finished(g.finished(t, to, 0))
-		return
+// streamPace returns the mean time between two of a number of events that end now, zero for fewer than two.
+// firstAt is the time of the first.
+func streamPace(events int, firstAt time.Time) time.Duration {
+	if events < 2 {
+		return 0
 	}
-	pace := time.Since(firstAt) / time.Duration(got-1)
-	ratio := g.paceBaselines.ratio(paceKind{t.service, t.model, false}, pace)
-	g.answerLengths.observe(t.service, t.model, t.meta.LikelyTokens, t.stream.events, pace)
-	g.Introductions.ObservePace(t.service, t.route.Name, to.engine.Version, scaledPace(ratio))
-	g.Engines.Finished(g.finished(t, to, ratio))
+	return time.Since(firstAt) / time.Duration(events-1)
 }
 
 // finishStream sends the header of a stream that ended without any event.
--- a/gateway/untilclose.go
+++ b/gateway/untilclose.go
@@ -3,89 +3,93 @@
 import (
 	"context"
 	"errors"
-	"net/http"
+	"io"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/bronzeturn/bronzeturn/attempt"
+	"github.com/bronzeturn/bronzeturn/failure"
+	"github.com/bronzeturn/bronzeturn/liveness"
+	"github.com/bronzeturn/bronzeturn/retry"
 )
 
-// errBrokenOff reports an answer without a length that ended too early.
-var errBrokenOff = &attempt.Error{
-	Stage: attempt.Answered, Reason: attempt.Network, Cause: errors.New("the connection ended before the answer was complete"),
-}
-
-// outlivedTimeout bounds the time to find out whether an engine has outlived its answer. A health
-// check waits for a slot.
-const outlivedTimeout = 500 * time.Millisecond
-
-// checkEnd returns an error if an answer may have been broken off by the end of its engine. Only an
-// answer that ends with its connection can look complete then: it counts as complete if the engine
-// that gave it is shown to run still.
-func (g *Gateway) checkEnd(ctx context.Context, t *task, to *target, x *attempt.Exchange) *attemptError {
-	if !x.UntilClose {
-		return nil
+// Reasons why an answer without a length does not count as complete.
+var (
+	// errBrokenOff reports one that ended too early.
+	errBrokenOff = &attempt.Error{
+		Stage: attempt.Answered, Reason: attempt.Network, Cause: errors.New("the connection ended before the answer was complete"),
 	}
-	began := time.Now()
-	evidence := g.outlived(ctx, t, to)
-	g.recordEnd(t, evidence, time.Since(began))
-	if evidence == endProbed {
-		return nil
+	// errEndUnknown reports one of which it is not known whether it ended too early.
+	errEndUnknown = &attempt.Error{
+		Stage: attempt.Answered, Reason: attempt.Network, Cause: errors.New("the connection ended, and nothing showed in time whether its engine had"),
 	}
-	return sendError(errBrokenOff)
-}
-
-// endEvidence is what decided whether an answer without a length is complete.
-type endEvidence string
-
-const (
-	// endProbed: the engine answered a probe.
-	endProbed endEvidence = "probe"
-	// endOtherInstance: another instance answered at the engine's address.
-	endOtherInstance endEvidence = "other_instance"
-	// endUnreachable: the probe was not answered because its connection failed.
-	endUnreachable endEvidence = "unreachable"
-	// endUnknown: nothing was learned in time.
-	endUnknown endEvidence = "unknown"
 )
 
+// endMargin is the time before the deadline at which the wait for evidence ends, so that the caller can be told.
+const endMargin = 50 * time.Millisecond
+
 // endCheck is the check of the end of an answer without a length.
 type endCheck struct {
-	evidence endEvidence
+	evidence liveness.Evidence
 	took     time.Duration
 }
 
-// recordEnd records the check of the end of an answer.
-func (g *Gateway) recordEnd(t *task, evidence endEvidence, took time.Duration) {
-	t.request.trace.end = endCheck{evidence, took}
-	g.metrics.ends.WithLabelValues(string(evidence)).Inc()
-	g.metrics.endTime.Observe(took.Seconds())
+// describe adds the fields of the check to a log line, if there was one.
+func (c endCheck) describe(line *zerolog.Event) *zerolog.Event {
+	if c.evidence == "" {
+		return line
+	}
+	return line.Str("end", string(c.evidence)).Dur("end_check_ms", c.took)
+}
+
+// bodyOf returns a reader of the answer's body that records evidence of the engine's life.
+func (to *target) bodyOf(x *attempt.Exchange) io.Reader {
+	if to.reading == nil {
+		return x
+	}
+	return to.reading.Reader(x)
 }
 
-// outlived finds out whether the engine runs still that a request was sent to. That something accepts
-// connections at its address does not show it: engines start again at the same address under another
-// id, and that one refuses a request that names the earlier id.
-func (g *Gateway) outlived(ctx context.Context, t *task, to *target) endEvidence {
-	service, known := t.request.tables.Routes.Service(t.service)
-	if !known || service.HealthPath == "" {
-		return endUnknown
+// checkEnd returns an error unless an answer is complete. Only one that ends with its connection may not be: the
+// end of its engine looks the same. It counts as complete if its engine is shown to have outlived it. An engine
+// may be slow to show it, as a probe waits for a slot, which says nothing about the answer.
+func (g *Gateway) checkEnd(ctx context.Context, t *task, to *target, x *attempt.Exchange) *attemptError {
+	if !x.UntilClose {
+		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, outlivedTimeout)
-	defer cancel()
-	header := make(http.Header)
-	g.Codec.Apply(header, Sent{Instance: to.engine.ID, Left: outlivedTimeout})
-	x, err := attempt.Send(ctx, g.Transport, attempt.Request{
-		Method: http.MethodGet, URL: "http://" + to.engine.Address + service.HealthPath, Host: to.engine.Address, Header: header,
-	})
+	began := time.Now()
+	waiting, cancel := context.WithTimeout(ctx, g.endWait(t))
+	verdict := to.reading.Outlived(waiting)
+	cancel()
+	check := endCheck{verdict.Evidence, time.Since(began)}
+	t.request.trace.end = check
+	g.metrics.ends.WithLabelValues(string(check.evidence)).Inc()
+	g.metrics.endTime.Observe(check.took.Seconds())
 	switch {
+	case verdict.Outlived():
+		return nil
+	case verdict.Known():
+		return sendError(errBrokenOff)
 	case ctx.Err() != nil:
-		return endUnknown
-	case err != nil:
-		return endUnreachable
+		return &attemptError{Kind: retry.KindCancelled, Ran: failure.RanUnknown, Cause: errEndUnknown}
 	}
-	_ = x.Close() // Only the header is needed.
-	receipt := g.Codec.Receipt(x.Status, x.Header)
-	if receipt.Instance != "" || x.Status == http.StatusMisdirectedRequest {
-		return endOtherInstance
+	return sendError(errEndUnknown)
+}
+
+// endWait returns how long to wait for evidence about the end of an answer. If another engine may be tried, half of
+// the time is left for it.
+func (g *Gateway) endWait(t *task) time.Duration {
+	left := time.Until(t.deadline) - endMargin
+	if t.mayRunAgain() {
+		left /= 2
 	}
-	return endProbed
+	return max(left, 0)
+}
+
+// mayRunAgain reports whether the request may be sent to another engine after the present attempt, if that may have
+// run it.
+func (t *task) mayRunAgain() bool {
+	return t.route.Repeatable() && t.runs+1 < t.route.Attempts && len(t.tried) < maxSends &&
+		(!t.answer.begun() || t.stream.resumable(t.route))
 }
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -22,7 +22,7 @@
 // readBuffered reads an answer to its end. One that exceeds its bounds counts as broken, since an
 // engine in trouble may send bytes without end.
 func (g *Gateway) readBuffered(t *task, to *target, x *attempt.Exchange) (*bufferedAnswer, *attemptError) {
-	body, err := t.readAnswer(t.boundReader(to, x), x.Length, maxAnswer(g.Memory))
+	body, err := t.readAnswer(t.boundReader(to, x, to.bodyOf(x)), x.Length, maxAnswer(g.Memory))
 	switch {
 	case errors.Is(err, errAnswerTooLong):
 		return nil, &attemptError{Kind: retry.KindBroken, Ran: failure.RanUnknown, Cause: err}
@@ -50,12 +50,12 @@
 	if x.UntilClose && len(buffered.body) == 0 {
 		return sendError(errBrokenOff) // Only the head came.
 	}
+	latency := time.Since(to.sent)
+	g.release(t, to, g.paceBaselines.ratio(paceKind{t.service, t.model, false}, latency))
 	if failed := g.checkEnd(ctx, t, to, x); failed != nil {
 		return failed
 	}
-	latency := time.Since(to.sent)
-	g.endRun(t, to)
-	g.Engines.Finished(g.finished(t, to, g.paceBaselines.ratio(paceKind{t.service, t.model, false}, latency)))
+	g.observeRunTime(t, to, latency)
 	g.Introductions.Observe(t.service, t.route.Name, to.engine.Version, false, latency)
 	g.Quarantine.Completed(t.content, time.Now())
 	t.request.trace.first = t.elapsed()
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -74,6 +74,13 @@
 	return *v.Engines[pos], true
 }
 
+// Restarted reports whether an engine is known to have started again: another start of it is in the view.
+func (v *View) Restarted(e Engine) bool {
+	prefix := e.ID + keySeparator
+	pos, _ := find(v.Engines, prefix)
+	return pos < len(v.Engines) && strings.HasPrefix(v.Engines[pos].key, prefix) && v.Engines[pos].key != e.Key()
+}
+
 // find returns the position of a key in a list sorted by key and whether it is present.
 func find(engines []*Engine, key string) (int, bool) {
 	return slices.BinarySearchFunc(engines, key, func(e *Engine, key string) int { return cmp.Compare(e.key, key) })
--- a/route/route.go
+++ b/route/route.go
@@ -97,6 +97,8 @@
 	Name string
 	// HealthPath is the path at which engines answer health checks, "" for none.
 	HealthPath string
+	// ReportPath is the path at which engines answer what they are doing, without waiting for a slot, "" for none.
+	ReportPath string
 	// Slots is the number of requests that an engine of a language model runs
 	// concurrently. It is zero for a plain service, whose engines report it
 	// themselves.
