gateway: the rest of a complete stream may be empty

A stream of which all events had been sent was cut if its end stayed in doubt: the engines that were to continue it had nothing to add, and an empty answer without a length counted as broken off, until the attempts were used up.

The rest of a stream that has begun may be empty; its own end is checked like any other. A first answer without any event is none, as before.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -62,7 +62,7 @@
 
 // endStream handles the end of an engine's stream after the given number of events.
 func (g *Gateway) endStream(ctx context.Context, t *task, to *target, x *attempt.Exchange, got int, firstAt time.Time) *attemptError {
-	if x.UntilClose && got == 0 {
+	if x.UntilClose && got == 0 && t.stream.events == 0 {
 		return sendError(errBrokenOff)
 	}
 	pace := streamPace(got, firstAt)
