gateway: a stream whose end stays unknown goes on elsewhere after three pauses

A caller of an engine that hangs its probes would wait for the end of its stream, or for the events that are missing, for half of the time to its deadline. It waits for three of the route's longest pauses now. Services whose engines cannot be asked at all are not waited for.

--- a/gateway/untilclose.go
+++ b/gateway/untilclose.go
@@ -77,12 +77,19 @@
 	return sendError(errEndUnknown)
 }
 
+// endPauses is the number of the route's longest pauses after which a stream that may have broken off goes on at
+// another engine: its caller may miss events.
+const endPauses = 3
+
 // endWait returns how long to wait for evidence about the end of an answer. If another engine may be tried, half of
 // the time is left for it.
 func (g *Gateway) endWait(t *task) time.Duration {
 	left := time.Until(t.deadline) - endMargin
 	if t.mayRunAgain() {
 		left /= 2
+		if t.answer.begun() && t.route.MaxPause > 0 {
+			left = min(left, endPauses*t.route.MaxPause)
+		}
 	}
 	return max(left, 0)
 }
--- a/liveness/engine.go
+++ b/liveness/engine.go
@@ -56,8 +56,8 @@
 	probing map[*probe]time.Time
 	// nextProbe is the earliest time for another probe.
 	nextProbe time.Time
-	// noReports is set if the engine does not answer QuestionReport.
-	noReports bool
+	// noReports is set if the engine does not answer QuestionReport, noHealth if it does not answer QuestionHealth.
+	noReports, noHealth bool
 	// waiting is the number of ends that wait for a verdict. It is written with mu held.
 	waiting atomic.Int32
 	// changed is closed and replaced when there is new evidence.
@@ -122,7 +122,7 @@
 	for {
 		now := time.Now()
 		verdict, again := e.judge(d, now)
-		if verdict.Known() {
+		if verdict.Known() || e.cannotTell(d) {
 			return verdict
 		}
 		if e.answered.Before(d.at) && e.needsProbe(d) {
@@ -175,16 +175,26 @@
 		return Verdict{Data}, time.Time{}
 	case e.replaced.After(d.lastData) || e.monitor.Restarted(e.facts):
 		return Verdict{OtherInstance}, time.Time{}
-	case e.refused.After(d.lastData) && !mayContinue:
+	case !e.refused.Before(d.at) && !mayContinue:
 		return Verdict{Refused}, time.Time{} // An engine that leaves may close its listener before it ends.
 	case e.answered.Before(d.at):
-		return Verdict{}, confirmed
+		return Verdict{Unknown}, confirmed
 	case e.lostWith(d) && now.Sub(e.lost) < registrationDelay:
-		return Verdict{}, earliest(confirmed, now.Add(registrationPoll))
+		return Verdict{Unknown}, earliest(confirmed, now.Add(registrationPoll))
 	}
 	return Verdict{NewConnection}, time.Time{}
 }
 
+// cannotTell reports whether there will be no evidence about an end: the engine cannot be asked, and no other answer
+// may show that it runs on. The caller holds mu.
+func (e *engine) cannotTell(d *end) bool {
+	if !e.noReports || !e.noHealth {
+		return false
+	}
+	_, mayContinue := e.otherAnswers(d)
+	return !mayContinue
+}
+
 // otherAnswers returns from when on the data of another answer shows that the engine has outlived the end, the
 // zero time if none does, and whether any may yet do so. The caller holds mu.
 func (e *engine) otherAnswers(d *end) (confirmed time.Time, mayContinue bool) {
--- a/liveness/liveness.go
+++ b/liveness/liveness.go
@@ -61,7 +61,7 @@
 }
 
 // Known reports whether it is known that the engine has outlived the answer or that it has not.
-func (v Verdict) Known() bool { return v.Evidence != Unknown && v.Evidence != "" }
+func (v Verdict) Known() bool { return v.Evidence != Unknown }
 
 // Options configures a Monitor. All fields are required.
 type Options struct {
--- a/liveness/liveness_test.go
+++ b/liveness/liveness_test.go
@@ -118,6 +118,16 @@
 	})
 }
 
+// TestEngineThatCannotBeAskedIsNotWaitedFor covers services without a path for probes.
+func TestEngineThatCannotBeAskedIsNotWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		v := read(newMonitor(&fakeProber{reply: ReplyUnsupported}), &body{50 * time.Millisecond, 4}, 20*time.Second)
+		qt.Check(t, v.Evidence, qt.Equals, Unknown)
+		qt.Check(t, time.Since(began), qt.Equals, 200*time.Millisecond)
+	})
+}
+
 // TestFailedProbeIsRepeated covers probes whose connections fail, as when an engine has too many.
 func TestFailedProbeIsRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/liveness/probe.go
+++ b/liveness/probe.go
@@ -133,7 +133,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if _, inFlight := e.probing[p]; inFlight {
+	if _, unanswered := e.probing[p]; unanswered {
 		e.extend(span{first, sent}, Acknowledged)
 		e.signal()
 	}
@@ -186,7 +186,7 @@
 // recordUnsupported records that a question cannot be asked. The caller holds mu.
 func (e *engine) recordUnsupported(q Question, now time.Time) {
 	if q == QuestionHealth {
-		e.nextProbe = now.Add(probeTimeout)
+		e.noHealth, e.nextProbe = true, now.Add(probeTimeout)
 		return
 	}
 	e.noReports = true
